--- /dev/null
+++ b/packages/command-line/src/_lib/prepareEdit.ts
@@ -0,0 +1,44 @@
+/** Checks an edit against the fleet before it is written, and says what it would move. */
+import * as types from '@switchridge/types'
+import type * as membership from '@switchridge/membership'
+import * as placement from '@switchridge/placement'
+
+/** What an edit would move. */
+export interface EditCost {
+  readonly copies: number
+  readonly bytes: number
+  readonly originCopies: number
+  readonly moves: ReadonlyArray<{ readonly node: string, readonly row: string, readonly bytes: number, readonly reason: string }>
+}
+
+/** Refuses a table that asks for more than the fleet holds, naming the cell. */
+export function checkCapacity (table: types.Table, members: readonly membership.Member[]): types.Outcome<null, types.InvalidInputError> {
+  const { shortfalls } = placement.computePlacement(table, members)
+  if (shortfalls.length === 0) return types.succeed(null)
+  const problems = shortfalls.map((shortfall) => ({
+    place: `model/${shortfall.row}.targets`,
+    given: `${shortfall.wanted} copies`,
+    allowed: `${shortfall.placed} now: ${shortfall.reason}`
+  }))
+  return types.fail(new types.InvalidInputError('table', problems))
+}
+
+/** Counts what nodes would have to fetch that they do not hold. */
+export function computeCost (table: types.Table, members: readonly membership.Member[]): EditCost {
+  const holding = new Map(members.map((member) => [member.facts.node, new Set([...member.facts.holding, ...member.facts.serving.map((served) => served.manifest)])]))
+  const halls = new Map(members.map((member) => [member.facts.node, member.facts.dataHall]))
+  const moves = placement.computePlacement(table, members).assignments
+    .filter((assignment) => holding.get(assignment.node)?.has(assignment.row.manifest) !== true)
+  const movedRows = [...new Set(moves.map((move) => move.row))]
+  const originCopies = movedRows.reduce((sum, row) => {
+    const rowHalls = moves.filter((move) => move.row === row).map((move) => halls.get(move.node)).filter((hall) => hall !== undefined)
+    const isHeld = members.some((member) => member.facts.holding.includes(row.manifest))
+    return sum + (isHeld ? 0 : placement.computeOriginGroups(row, rowHalls).length)
+  }, 0)
+  return {
+    copies: moves.length,
+    bytes: moves.reduce((sum, move) => sum + move.row.bytes, 0),
+    originCopies,
+    moves: moves.map((move) => ({ node: move.node, row: move.row.id, bytes: move.row.bytes, reason: move.reason }))
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/demoCommand/callFleet.ts
@@ -0,0 +1,110 @@
+/** Callers of the demo: they ask all entry nodes and check every answer against the weights. */
+import * as crypto from 'node:crypto'
+import * as got from 'got'
+import * as types from '@switchridge/types'
+import * as launcher from '@switchridge/launcher'
+import * as standins from '@switchridge/standins'
+
+/** What the callers saw. */
+export interface CallCounts {
+  answered: number
+  notRun: number
+  unknown: number
+  /** Answers cut off in the middle. */
+  broken: number
+  /** Answers that belong to no version or to another request. */
+  wrong: number
+  readonly versions: Record<string, number>
+  readonly reservations: string[]
+  /** Reservations that were refused as not run. */
+  readonly refusedReservations: string[]
+}
+
+/** Callers at work. */
+export interface Callers {
+  readonly counts: CallCounts
+  readonly stop: () => Promise<void>
+}
+
+/** What callers need to know. */
+export interface CallerOptions {
+  readonly fleet: launcher.Fleet
+  readonly apiKey: string
+  readonly row: string
+  /** Bytes of every version that may answer, by its name. */
+  readonly weights: ReadonlyMap<string, Buffer>
+  readonly pauseMs: number
+}
+
+const TOKENS = 12
+const TIMEOUT_MS = 10_000
+
+/** Starts one caller for each entry node and kind of call. */
+export function startCallers (options: CallerOptions): Callers {
+  const counts: CallCounts = { answered: 0, notRun: 0, unknown: 0, broken: 0, wrong: 0, versions: {}, reservations: [], refusedReservations: [] }
+  const engineService = options.fleet.backends.find((node) => node.kind === 'engine')?.service ?? ''
+  const plainService = options.fleet.backends.find((node) => node.kind === 'plain')?.service ?? ''
+  const stop = new AbortController()
+
+  async function send (entry: launcher.FleetNode, path: string, json: object, id: string): Promise<got.Response<string> | null> {
+    try {
+      return await got.got.post(`http://${entry.address.host}:${entry.callerPort}${path}`, {
+        json,
+        headers: { authorization: `Bearer ${options.apiKey}`, 'x-request-id': id },
+        throwHttpErrors: false,
+        retry: { limit: 0 },
+        timeout: { request: TIMEOUT_MS }
+      })
+    } catch {
+      return null
+    }
+  }
+
+  function countOutcome (response: got.Response<string> | null): boolean {
+    const outcome = response?.headers['x-switchridge-outcome']
+    if (response === null) counts.broken += 1
+    else if (outcome === 'answered' && response.statusCode === 200) return true
+    else if (outcome === 'not-run') counts.notRun += 1
+    else counts.unknown += 1
+    return false
+  }
+
+  async function askModel (entry: launcher.FleetNode): Promise<void> {
+    const prompt = crypto.randomUUID()
+    const response = await send(entry, `/services/${engineService}/models/${options.row}/generate`, { prompt, tokens: TOKENS }, crypto.randomUUID())
+    if (!countOutcome(response) || response === null) return
+    const version = String(response.headers['x-switchridge-version'] ?? '')
+    const weights = options.weights.get(version)
+    const tokens = response.body.split('\n').filter((line) => line.includes('"token"')).map((line) => (JSON.parse(line) as { token: string }).token)
+    const isRight = weights !== undefined && JSON.stringify(tokens) === JSON.stringify(standins.computeAnswer(weights, prompt, TOKENS))
+    counts.answered += 1
+    counts.versions[version] = (counts.versions[version] ?? 0) + 1
+    if (!isRight) counts.wrong += 1
+  }
+
+  async function reserve (entry: launcher.FleetNode): Promise<void> {
+    const id = crypto.randomUUID()
+    counts.reservations.push(id)
+    const response = await send(entry, `/services/${plainService}/reservations`, { pallet: id }, id)
+    if (response?.headers['x-switchridge-outcome'] === 'not-run') counts.refusedReservations.push(id)
+    if (!countOutcome(response) || response === null) return
+    counts.answered += 1
+    if ((JSON.parse(response.body) as { id: string }).id !== id) counts.wrong += 1
+  }
+
+  async function repeat (entry: launcher.FleetNode, call: (entry: launcher.FleetNode) => Promise<void>): Promise<void> {
+    while (!stop.signal.aborted) {
+      await call(entry)
+      await types.delay(options.pauseMs)
+    }
+  }
+
+  const loops = options.fleet.entryNodes.flatMap((entry) => [repeat(entry, askModel), repeat(entry, reserve)])
+  return {
+    counts,
+    stop: async () => {
+      stop.abort()
+      await Promise.all(loops)
+    }
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/demoCommand/showProgress.ts
@@ -0,0 +1,31 @@
+/** Progress of the demo: bars on a terminal, plain lines elsewhere. */
+import * as cliProgress from 'cli-progress'
+
+/** Shows how many replicas serve. */
+export interface ProgressDisplay {
+  readonly update: (serving: number, note: string) => void
+  readonly stop: () => void
+}
+
+/** Creates the display of one version. */
+export function createProgressDisplay (title: string, replicas: number, isPlain: boolean): ProgressDisplay {
+  return isPlain ? createLines(title, replicas) : createBar(title, replicas)
+}
+
+function createBar (title: string, replicas: number): ProgressDisplay {
+  const bar = new cliProgress.SingleBar({ format: `${title} {bar} {value}/{total} replicas serving  {note}`, hideCursor: true }, cliProgress.Presets.shades_classic)
+  bar.start(replicas, 0, { note: '' })
+  return { update: (serving, note) => { bar.update(serving, { note }) }, stop: () => { bar.stop() } }
+}
+
+function createLines (title: string, replicas: number): ProgressDisplay {
+  let last = -1
+  return {
+    update: (serving, note) => {
+      if (serving === last) return
+      last = serving
+      process.stdout.write(`${title}: ${serving}/${replicas} replicas serving  ${note}\n`)
+    },
+    stop: () => {}
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/index.ts
@@ -0,0 +1,3 @@
+/** The operators' command as functions, for tests. */
+export * as exitCodes from './_lib/exitCodes.js'
+export * as prepareEdit from './_lib/prepareEdit.js'
--- /dev/null
+++ b/packages/command-line/src/statusCommand/index.ts
@@ -0,0 +1,37 @@
+/** `switchridge status`: what each daemon holds, loads and serves, and why not. */
+import type * as yargs from 'yargs'
+import * as connections from '../_lib/connect.js'
+import * as report from '../_lib/report.js'
+
+/** Adds the command. */
+export function addStatusCommand (parser: yargs.Argv): yargs.Argv {
+  return parser.command('status', 'show every daemon as an entry node sees it', (command) => connections.addConnectionOptions(command)
+    .example('$0 status --entry 10.0.0.5:7000', 'ask one entry node'), async (options) => { await showStatus(options as unknown as connections.ConnectionArguments) })
+}
+
+async function showStatus (options: connections.ConnectionArguments): Promise<void> {
+  const open = connections.connect(options)
+  const status = await open.readStatus()
+  open.close()
+  if (!status.ok) {
+    report.reportError(status.error)
+    return
+  }
+  if (options.json) {
+    report.print(JSON.stringify(status.value))
+    return
+  }
+  const newest = Math.max(...status.value.members.map((member) => member.facts.revision))
+  const rows = [...status.value.members]
+    .sort((left, right) => left.facts.node < right.facts.node ? -1 : 1)
+    .map(({ facts, condition, leaving }) => [
+      facts.node,
+      facts.dataHall,
+      facts.role,
+      leaving ? 'leaving' : condition,
+      `${facts.revision}${facts.revision < newest ? ` (${newest - facts.revision} behind)` : ''}`,
+      facts.serving.map((served) => `${served.row}@${served.version}`).join(' ') || '-',
+      facts.waitingFor || '-'
+    ])
+  report.printColumns(['node', 'data hall', 'role', 'condition', 'revision', 'serving', 'waiting for'], rows)
+}
--- /dev/null
+++ b/packages/daemon/src/_lib/createDrillMethods.ts
@@ -0,0 +1,16 @@
+/** Methods that cut this daemon off from others, for drills and measurements; only where the settings allow drills. */
+import type * as rpc from '@switchridge/rpc'
+import type * as createCommonParts from '../createCommonParts/index.js'
+import * as schemas from './schemas.js'
+
+export function createDrillMethods (parts: createCommonParts.CommonParts): Record<string, rpc.RpcMethod> {
+  if (!parts.settings.experiments.drills) return {}
+  return {
+    'drill.cut': (params) => {
+      const { endpoints } = schemas.drillSchema.parse(params)
+      parts.agents.block(new Set(endpoints))
+      parts.logger.warn('drill-cut', { endpoints: endpoints.length })
+      return endpoints.length
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -0,0 +1,231 @@
+/** Runs calls on the back end beside this daemon: slot first, then ticket, version, back end. */
+import type * as http from 'node:http'
+import type * as stream from 'node:stream'
+import * as got from 'got'
+import type * as koa from 'koa'
+import * as zod from 'zod'
+import * as types from '@switchridge/types'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import type * as transfer from '@switchridge/transfer'
+import type * as createServing from '../createServing/index.js'
+import * as callHeaders from '../_lib/callHeaders.js'
+import * as sendStream from '../_lib/sendStream.js'
+
+/** What the entry node says of a call. */
+export const callSchema = zod.z.object({
+  service: zod.z.string(),
+  row: zod.z.string(),
+  account: zod.z.string(),
+  share: zod.z.number().positive(),
+  priority: zod.z.enum(['interactive', 'batch']),
+  method: zod.z.string().max(16),
+  deadlineMs: zod.z.number(),
+  isRepeatable: zod.z.boolean()
+})
+
+type Call = zod.z.infer<typeof callSchema>
+
+/** Options of {@link createBackendCalls}. */
+export interface BackendCallsOptions {
+  readonly identity: rpc.Identity
+  readonly service: types.ServiceName
+  readonly incarnation: types.IncarnationId
+  readonly url: string
+  readonly isEngine: boolean
+  readonly admission: routing.Admission
+  readonly tickets: routing.Tickets
+  readonly serving: createServing.Serving
+  readonly agents: rpc.HttpAgents
+  readonly uplink: transfer.LinkPacer
+  readonly count: (name: string) => void
+  /** Told of an entry node that was refused because all slots are taken. */
+  readonly onRefused: (entryNode: types.NodeId) => void
+}
+
+const CALL_PREFIX = '/calls'
+const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND'])
+const VERSION_NOT_LOADED = 409
+
+interface Started {
+  readonly upstream: got.Request
+  readonly response: http.IncomingMessage
+}
+
+/**
+ * Creates the middleware for `POST /calls/...`.
+ *
+ * @param options - Back end, admission and tickets.
+ * @returns A koa middleware.
+ */
+export function createBackendCalls (options: BackendCallsOptions): koa.Middleware {
+  const { admission, tickets, serving } = options
+
+  async function handle (context: koa.Context): Promise<void> {
+    const ticket = types.brandId<types.TicketId>(context.get(callHeaders.TICKET_HEADER))
+    const call = parseCall(context.get(callHeaders.CALL_HEADER))
+    const refusal = findRefusal(context, call, ticket)
+    if (call === null || refusal !== '') {
+      refuse(context, refusal)
+      return
+    }
+    const pin = options.isEngine ? serving.pin(types.brandId<types.RowId>(call.row)) : undefined
+    if (options.isEngine && pin === undefined) {
+      tickets.refuse(ticket)
+      refuse(context, 'not-serving')
+      return
+    }
+    const admitted = admission.enter({ account: types.brandId<types.AccountId>(call.account), share: call.share, priority: call.priority })
+    await runAdmitted(context, call, ticket, admitted, pin?.served)
+    pin?.release()
+  }
+
+  function findRefusal (context: koa.Context, call: Call | null, ticket: types.TicketId): string {
+    if (call === null || ticket === '') return 'malformed'
+    if (call.service !== options.service) return 'other-service'
+    if (context.get(callHeaders.INCARNATION_HEADER) !== options.incarnation) return 'restarted'
+    return tickets.open(ticket) ? '' : 'ticket-closed'
+  }
+
+  async function runAdmitted (context: koa.Context, call: Call, ticket: types.TicketId, admitted: routing.Admitted, served: types.ServedVersion | undefined): Promise<void> {
+    const deadline = setTimeout(() => { admitted.cancel('deadline') }, call.deadlineMs)
+    const cancel = (): void => { admitted.cancel('cancelled') }
+    context.req.once('aborted', cancel)
+    const slot = await admitted.slot
+    clearTimeout(deadline)
+    context.req.off('aborted', cancel)
+    if (!slot.ok) {
+      tickets.refuse(ticket)
+      if (slot.error.reason === 'full') options.onRefused(types.brandId<types.NodeId>(context.get('x-switchridge-node')))
+      refuse(context, slot.error.reason)
+      return
+    }
+    try {
+      await run(context, call, ticket, served)
+    } finally {
+      slot.value()
+    }
+  }
+
+  async function run (context: koa.Context, call: Call, ticket: types.TicketId, served: types.ServedVersion | undefined): Promise<void> {
+    const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
+    if (!body.ok) {
+      tickets.refuse(ticket)
+      refuse(context, 'body')
+      return
+    }
+    const abort = new AbortController()
+    const mayCancel = options.isEngine || call.isRepeatable
+    const cancel = (): void => { if (mayCancel) abort.abort() }
+    context.res.once('close', cancel)
+    const started = await startRequest(context, call, body.value, served, abort.signal)
+    if (!started.ok) {
+      answerFailure(context, ticket, started.error)
+      return
+    }
+    if (isOtherVersion(started.value.response, served)) {
+      started.value.upstream.destroy()
+      answerWrongVersion(context, ticket, started.value.response)
+      return
+    }
+    await passOn(context, started.value, served)
+    tickets.finish(ticket)
+  }
+
+  async function startRequest (context: koa.Context, call: Call, body: Buffer, served: types.ServedVersion | undefined, signal: AbortSignal): Promise<types.Outcome<Started, NodeJS.ErrnoException>> {
+    const headers = callHeaders.copyHeaders(context.headers)
+    if (served !== undefined) headers[callHeaders.ENGINE_VERSION_HEADER] = served.manifest
+    const upstream = got.got.stream(`${options.url}${context.url.slice(CALL_PREFIX.length)}`, {
+      method: call.method as got.Method,
+      headers,
+      ...(body.length > 0 ? { body } : {}),
+      allowGetBody: true,
+      agent: { http: options.agents.http, https: options.agents.https },
+      retry: { limit: 0 },
+      throwHttpErrors: false,
+      followRedirect: false,
+      decompress: false,
+      signal
+    })
+    upstream.on('error', ignoreLateError)
+    return await new Promise((resolve) => {
+      upstream.once('response', (response: http.IncomingMessage) => { resolve(types.succeed({ upstream, response })) })
+      upstream.once('error', (error: NodeJS.ErrnoException) => { resolve(types.fail(error)) })
+    })
+  }
+
+  /** Nothing reached the back end when the connection was refused; any later failure leaves that open. */
+  function answerFailure (context: koa.Context, ticket: types.TicketId, error: NodeJS.ErrnoException): void {
+    if (CONNECT_ERRORS.has(error.code ?? '')) {
+      tickets.refuse(ticket)
+      refuse(context, 'back-end-unreachable')
+      return
+    }
+    tickets.finish(ticket)
+    options.count('calls.unknown')
+    context.status = 502
+    context.set(callHeaders.OUTCOME_HEADER, 'unknown')
+    context.set(callHeaders.REASON_HEADER, 'back-end-broke')
+    context.set(callHeaders.LOAD_HEADER, callHeaders.formatLoad(admission.load()))
+    context.body = { error: error.message }
+  }
+
+  function isOtherVersion (response: http.IncomingMessage, served: types.ServedVersion | undefined): boolean {
+    if (served === undefined) return false
+    return response.statusCode === VERSION_NOT_LOADED || (response.statusCode === 200 && response.headers[callHeaders.ENGINE_VERSION_HEADER] !== served.manifest)
+  }
+
+  function answerWrongVersion (context: koa.Context, ticket: types.TicketId, response: http.IncomingMessage): void {
+    options.count('calls.wrong-version')
+    if (response.statusCode === VERSION_NOT_LOADED) {
+      tickets.refuse(ticket)
+      refuse(context, 'version-not-loaded')
+      return
+    }
+    answerFailure(context, ticket, new Error('the engine answered from another version'))
+  }
+
+  async function passOn (context: koa.Context, { upstream, response }: Started, served: types.ServedVersion | undefined): Promise<void> {
+    context.status = response.statusCode ?? 502
+    for (const [name, value] of Object.entries(callHeaders.copyHeaders(response.headers))) context.set(name, value)
+    if (response.headers['content-length'] !== undefined) context.set('content-length', response.headers['content-length'])
+    context.set(callHeaders.OUTCOME_HEADER, 'answered')
+    context.set(callHeaders.LOAD_HEADER, callHeaders.formatLoad(admission.load()))
+    if (served !== undefined) context.set(callHeaders.VERSION_HEADER, `${served.row}@${served.version}`)
+    upstream.on('data', (part: Buffer) => { options.uplink.spend(part.length) })
+    upstream.pause()
+    const isWhole = await sendStream.sendStream(context, upstream as unknown as stream.Readable)
+    options.count(isWhole ? 'calls.answered' : 'calls.broken')
+  }
+
+  function refuse (context: koa.Context, reason: string): void {
+    options.count(`calls.not-run.${reason}`)
+    context.req.resume()
+    context.status = 503
+    context.set(callHeaders.OUTCOME_HEADER, 'not-run')
+    context.set(callHeaders.REASON_HEADER, reason)
+    context.set(callHeaders.LOAD_HEADER, callHeaders.formatLoad(admission.load()))
+    context.body = { error: reason }
+  }
+
+  return async (context, next) => {
+    if (!context.path.startsWith(CALL_PREFIX + '/') || context.method !== 'POST') {
+      await next()
+      return
+    }
+    const admitted = rpc.checkIdentityHeaders(options.identity, context.headers)
+    if (admitted.ok) await handle(context)
+    else refuse(context, 'identity')
+  }
+}
+
+/** A request that is aborted after its end reports an error that nobody waits for any more. */
+function ignoreLateError (): void {}
+
+function parseCall (text: string): Call | null {
+  try {
+    return callSchema.parse(JSON.parse(text))
+  } catch {
+    return null
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -0,0 +1,139 @@
+/** The parts that daemons of both roles have: identity, connections, view, table and logs. */
+import * as crypto from 'node:crypto'
+import * as fs from 'node:fs'
+import * as types from '@switchridge/types'
+import * as membership from '@switchridge/membership'
+import * as observability from '@switchridge/observability'
+import * as platform from '@switchridge/platform'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import type * as settings from '@switchridge/settings'
+import * as createSelfFacts from '../createSelfFacts/index.js'
+import * as createTableKeeper from '../createTableKeeper/index.js'
+
+/** Parts of both roles. */
+export interface CommonParts {
+  readonly settings: settings.Settings
+  readonly identity: rpc.Identity
+  readonly tls: rpc.TlsMaterial | undefined
+  readonly agents: rpc.HttpAgents
+  readonly client: rpc.RpcClient
+  readonly logger: observability.Logger
+  readonly metrics: observability.Metrics
+  readonly view: membership.MemberView
+  readonly keeper: createTableKeeper.TableKeeper
+  readonly loads: routing.BackendLoads
+  readonly store: platform.ObjectStore
+  /** Calls to the platform by operation, for the budget and the measurements. */
+  readonly platformCalls: Record<string, number>
+  readonly incarnation: types.IncarnationId
+  readonly now: () => number
+  readonly random: () => number
+}
+
+const TIME_DIGITS = 15
+const RANDOM_BYTES = 4
+
+/**
+ * Creates the parts.
+ *
+ * @param checked - The settings.
+ * @returns The parts; nothing is opened or sent yet.
+ */
+export function createCommonParts (checked: settings.Settings): CommonParts {
+  const logger = observability.createLogger('daemon', { node: checked.node, hall: checked.data_hall }, { level: checked.logs.level })
+  const tls = readTls(checked)
+  const agents = rpc.createHttpAgents(tls)
+  const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
+  const now = (): number => performance.now()
+  const platformCalls: Record<string, number> = {}
+  const view = membership.createMemberView({ now })
+  const keeper = createTableKeeper.createTableKeeper(logger)
+  keeper.onAdopt((table) => {
+    view.applyLeavingRows(table.nodes.filter((row) => row.state === 'leaving').map((row) => row.id))
+  })
+  return {
+    settings: checked,
+    identity,
+    tls,
+    agents,
+    client: rpc.createRpcClient(identity, agents),
+    logger,
+    metrics: observability.createMetrics({
+      ...checked.metrics,
+      tags: { node: checked.node, hall: checked.data_hall, role: checked.role }
+    }),
+    view,
+    keeper,
+    loads: routing.createBackendLoads(),
+    store: platform.createObjectStore({
+      url: checked.platform.url,
+      timeoutMs: checked.platform.timeout_ms,
+      ...(checked.platform.key === undefined ? {} : { key: checked.platform.key }),
+      agents,
+      onCall: (operation) => { platformCalls[operation] = (platformCalls[operation] ?? 0) + 1 }
+    }),
+    platformCalls,
+    incarnation: createIncarnation(),
+    now,
+    random: Math.random
+  }
+}
+
+/** A later life of a node sorts higher, as long as the node's clock does not go back between them. */
+function createIncarnation (): types.IncarnationId {
+  const time = String(Date.now()).padStart(TIME_DIGITS, '0')
+  return types.brandId(`${time}-${crypto.randomBytes(RANDOM_BYTES).toString('hex')}`)
+}
+
+function readTls (checked: settings.Settings): rpc.TlsMaterial | undefined {
+  const files = checked.security.tls
+  if (files === undefined) return undefined
+  return {
+    certificate: fs.readFileSync(files.certificate_file, 'utf8'),
+    privateKey: fs.readFileSync(files.private_key_file, 'utf8'),
+    authority: fs.readFileSync(files.authority_file, 'utf8')
+  }
+}
+
+/**
+ * Creates the first facts of a daemon.
+ *
+ * @param parts - Its parts.
+ * @param address - Where other daemons reach it.
+ * @returns The facts.
+ */
+export function createFirstFacts (parts: CommonParts, address: types.Address): createSelfFacts.SelfFacts {
+  const { settings: checked, incarnation, keeper } = parts
+  const self = createSelfFacts.createSelfFacts({
+    node: types.brandId<types.NodeId>(checked.node),
+    role: checked.role,
+    dataHall: types.brandId<types.DataHallId>(checked.data_hall),
+    region: types.brandId<types.RegionId>(checked.region),
+    address,
+    incarnation,
+    factsVersion: 1,
+    state: 'live',
+    service: checked.back_end === undefined ? null : types.brandId<types.ServiceName>(checked.back_end.service),
+    memoryBytes: checked.back_end?.memory_bytes ?? 0,
+    serving: [],
+    holding: [],
+    waitingFor: '',
+    revision: 0
+  })
+  keeper.onAdopt((table) => { self.update({ revision: table.revision }) })
+  return self
+}
+
+/**
+ * Reads the entry nodes that the settings name.
+ *
+ * @param checked - The settings.
+ * @returns Their addresses.
+ */
+export function readSeeds (checked: settings.Settings): types.Address[] {
+  return checked.entry_nodes.map((text) => {
+    const split = text.lastIndexOf(':')
+    return { host: text.slice(0, split).replace(/^\[|\]$/g, ''), port: Number(text.slice(split + 1)) }
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -0,0 +1,225 @@
+/** Takes callers' requests, sees them through their attempts, and gives one of three outcomes: answered, not run, unknown. */
+import * as crypto from 'node:crypto'
+import type * as koa from 'koa'
+import * as types from '@switchridge/types'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import type * as observability from '@switchridge/observability'
+import type * as createDispatcher from '../createDispatcher/index.js'
+import type * as sendAttempt from '../sendAttempt/index.js'
+import * as callHeaders from '../_lib/callHeaders.js'
+import * as sendStream from '../_lib/sendStream.js'
+
+/** Options of {@link createEntryCalls}. */
+export interface EntryCallsOptions {
+  readonly table: () => types.Table
+  readonly dispatcher: createDispatcher.Dispatcher
+  readonly loads: routing.BackendLoads
+  readonly health: routing.BackendHealth
+  readonly limiter: routing.AccountLimiter
+  readonly send: (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal) => Promise<sendAttempt.AttemptResult>
+  readonly isLeaving: () => boolean
+  readonly logger: observability.Logger
+  readonly metrics: observability.Metrics
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+}
+
+/** The middleware and its calls in progress. */
+export interface EntryCalls {
+  readonly middleware: koa.Middleware
+  readonly inProgress: () => number
+  readonly counts: Readonly<Record<string, number>>
+}
+
+const SERVICE_PATH = /^\/services\/([\w.-]+)(?:\/models\/([\w.-]+))?(\/.*)?$/
+const READ_METHODS = new Set(['GET', 'HEAD'])
+const BEARER = 'Bearer '
+const RETRY_AFTER_SECONDS = 1
+const MAXIMUM_ATTEMPTS = 5
+/** Refusals that say nothing about the server's health. */
+const HEALTHY_REFUSALS = new Set(['full', 'leaving', 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
+
+interface Prepared {
+  readonly call: sendAttempt.OutgoingCall
+  readonly service: types.ServiceRow
+  readonly affinity: string
+}
+
+type FinalOutcome = Exclude<sendAttempt.AttemptResult, { kind: 'answered' }>
+
+const ANONYMOUS: types.AccountRow = { id: types.brandId('anonymous'), keyDigest: types.brandId(''), share: 1, callsPerSecond: 0, priority: 'interactive' }
+
+/**
+ * Creates the middleware for `/services/...`.
+ *
+ * @param options - Table, dispatcher and the way to send an attempt.
+ * @returns The middleware.
+ */
+export function createEntryCalls (options: EntryCallsOptions): EntryCalls {
+  const budgets = new Map<types.ServiceName, routing.RetryBudget>()
+  const counts: Record<string, number> = {}
+  let inProgress = 0
+
+  function count (name: string): void {
+    counts[name] = (counts[name] ?? 0) + 1
+    options.metrics.increment(`calls.${name}`)
+  }
+
+  async function handle (context: koa.Context, match: RegExpExecArray): Promise<void> {
+    const requestId = context.get(callHeaders.REQUEST_ID_HEADER) || crypto.randomUUID()
+    context.set(callHeaders.REQUEST_ID_HEADER, requestId)
+    const prepared = await prepare(context, match, requestId)
+    if (prepared === null) return
+    const startedAt = options.now()
+    const abort = new AbortController()
+    const leave = (): void => { abort.abort() }
+    context.res.once('close', leave)
+    const outcome = await attempt(context, prepared, abort.signal)
+    context.res.off('close', leave)
+    if (outcome !== 'answered') answerWithout(context, outcome)
+    options.metrics.timing('calls.time', options.now() - startedAt)
+  }
+
+  async function prepare (context: koa.Context, match: RegExpExecArray, requestId: string): Promise<Prepared | null> {
+    const table = options.table()
+    const service = table.services.find((candidate) => candidate.id === match[1])
+    if (service === undefined) return reject(context, 404, `no service "${match[1] ?? ''}" in the table`)
+    const row = match[2] ?? ''
+    if (service.kind === 'engine' && !table.models.some((model) => model.id === row && model.service === service.id)) {
+      return reject(context, 404, `no model "${row}" of service "${service.id}" in the table`)
+    }
+    const account = findAccount(table, context.get('authorization'))
+    if (account === undefined) return reject(context, 401, 'the API key is missing or unknown')
+    const waitMs = options.limiter.take(account.id, account.callsPerSecond)
+    if (waitMs > 0) return rejectOverLimit(context, waitMs)
+    const deadlineAt = options.now() + readTimeout(context, service)
+    const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
+    if (!body.ok) return reject(context, 413, body.error.message)
+    const headers = { ...callHeaders.copyHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
+    const path = (match[3] ?? '/') + context.search
+    const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: isRepeatable(service, context.method), deadlineAt }
+    return { call, service, affinity: context.get('x-prompt-prefix') }
+  }
+
+  /** One of the caller's own mistakes or limits: nothing ran. */
+  function reject (context: koa.Context, status: number, message: string): null {
+    context.req.resume()
+    context.status = status
+    context.set(callHeaders.OUTCOME_HEADER, 'not-run')
+    context.body = { outcome: 'not-run', reason: message }
+    count('rejected')
+    return null
+  }
+
+  function rejectOverLimit (context: koa.Context, waitMs: number): null {
+    context.set('retry-after', String(Math.ceil(waitMs / types.MILLISECONDS_IN_SECOND)))
+    return reject(context, 429, 'the account is over its limit of calls a second')
+  }
+
+  async function attempt (context: koa.Context, prepared: Prepared, signal: AbortSignal): Promise<FinalOutcome | 'answered'> {
+    const { call, service } = prepared
+    const budget = findBudget(service)
+    const tried = new Set<types.NodeId>()
+    budget.earn()
+    for (let attempts = 1; ; attempts += 1) {
+      const backend = await awaitBackend(prepared, tried, signal)
+      if (!backend.ok) return { kind: 'not-run', reason: backend.error.reason, load: undefined }
+      count('attempts')
+      tried.add(backend.value.node)
+      const result = await options.send(call, backend.value, signal)
+      if (result.kind === 'answered') {
+        await passOn(context, result, backend.value)
+        return 'answered'
+      }
+      noteFailure(backend.value, result)
+      const mayRepeat = result.kind === 'not-run' || call.isRepeatable
+      const isOver = signal.aborted || options.now() >= call.deadlineAt || attempts >= MAXIMUM_ATTEMPTS
+      if (!mayRepeat || isOver || !budget.trySpend()) return result
+      count('retries')
+    }
+  }
+
+  async function awaitBackend ({ call, affinity }: Prepared, tried: ReadonlySet<types.NodeId>, signal: AbortSignal): Promise<types.Outcome<types.MemberFacts, routing.NotRunError>> {
+    const queued = { account: call.account.id, share: call.account.share, priority: call.account.priority }
+    const dispatched = options.dispatcher.submit({ service: call.service, row: call.row, queued, affinity, tried })
+    const timer = setTimeout(() => { dispatched.cancel('deadline') }, Math.max(0, call.deadlineAt - options.now()))
+    const cancel = (): void => { dispatched.cancel('cancelled') }
+    signal.addEventListener('abort', cancel, { once: true })
+    const backend = await dispatched.backend
+    clearTimeout(timer)
+    signal.removeEventListener('abort', cancel)
+    return backend
+  }
+
+  function noteFailure (backend: types.MemberFacts, result: FinalOutcome): void {
+    options.loads.noteEnded(backend.node, result.load)
+    if (result.kind === 'unknown' || !HEALTHY_REFUSALS.has(result.reason)) options.health.noteFailure(backend.node)
+    count(`attempt.${result.kind}`)
+    options.dispatcher.pump()
+  }
+
+  async function passOn (context: koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts): Promise<void> {
+    const { response, body, load } = result
+    context.status = response.statusCode ?? 502
+    for (const [name, value] of Object.entries(callHeaders.copyHeaders(response.headers))) context.set(name, value)
+    if (response.headers['content-length'] !== undefined) context.set('content-length', response.headers['content-length'])
+    context.set(callHeaders.OUTCOME_HEADER, 'answered')
+    const version = response.headers[callHeaders.VERSION_HEADER]
+    if (typeof version === 'string') context.set(callHeaders.VERSION_HEADER, version)
+    const isWhole = await sendStream.sendStream(context, body)
+    options.loads.noteEnded(backend.node, load === undefined ? undefined : { ...load, running: Math.max(0, load.running - 1) })
+    if (isWhole) options.health.noteSuccess(backend.node)
+    else if (!context.req.aborted) options.health.noteFailure(backend.node)
+    count(isWhole ? 'answered' : 'broken')
+    options.dispatcher.pump()
+  }
+
+  function answerWithout (context: koa.Context, result: FinalOutcome): void {
+    count(result.kind)
+    if (context.res.destroyed) return
+    context.status = result.kind === 'not-run' ? 503 : 502
+    if (result.kind === 'not-run') context.set('retry-after', String(RETRY_AFTER_SECONDS))
+    context.set(callHeaders.OUTCOME_HEADER, result.kind)
+    context.set(callHeaders.REASON_HEADER, result.reason.replaceAll(/[^\x20-\x7e]/g, ' '))
+    context.body = { outcome: result.kind, reason: result.reason }
+  }
+
+  function findBudget (service: types.ServiceRow): routing.RetryBudget {
+    const known = budgets.get(service.id) ?? routing.createRetryBudget(service.retryBudget)
+    known.setRatio(service.retryBudget)
+    budgets.set(service.id, known)
+    return known
+  }
+
+  const middleware: koa.Middleware = async (context, next) => {
+    const match = SERVICE_PATH.exec(context.path)
+    if (match === null) {
+      await next()
+      return
+    }
+    inProgress += 1
+    try {
+      await handle(context, match)
+    } finally {
+      inProgress -= 1
+    }
+  }
+  return { middleware, inProgress: () => inProgress, counts }
+}
+
+function isRepeatable (service: types.ServiceRow, method: string): boolean {
+  return service.repeatable === 'all' || (service.repeatable === 'reads' && READ_METHODS.has(method))
+}
+
+function findAccount (table: types.Table, authorization: string): types.AccountRow | undefined {
+  if (table.accounts.length === 0) return ANONYMOUS
+  if (!authorization.startsWith(BEARER)) return undefined
+  const digest = crypto.createHash('sha256').update(authorization.slice(BEARER.length)).digest('hex')
+  return table.accounts.find((account) => rpc.isSameSecret(account.keyDigest, digest))
+}
+
+function readTimeout (context: koa.Context, service: types.ServiceRow): number {
+  const wanted = Number(context.get(callHeaders.TIMEOUT_HEADER))
+  return wanted > 0 ? Math.min(wanted, service.deadlineMs) : service.deadlineMs
+}
--- /dev/null
+++ b/packages/daemon/src/createHeartbeats/index.ts
@@ -0,0 +1,155 @@
+/** Heartbeats: backend daemons to the entry nodes of their hall, entry nodes to each other. */
+import * as types from '@switchridge/types'
+import type * as membership from '@switchridge/membership'
+import type * as rpc from '@switchridge/rpc'
+import type * as routing from '@switchridge/routing'
+import type * as createSelfFacts from '../createSelfFacts/index.js'
+import type * as createTableKeeper from '../createTableKeeper/index.js'
+import * as schemas from '../_lib/schemas.js'
+
+/** What a daemon answers to a heartbeat. */
+export interface HeartbeatAnswer {
+  readonly facts: types.MemberFacts
+  readonly counter: number
+  readonly claims: readonly membership.MemberClaim[]
+}
+
+/** Options of {@link createHeartbeats}. */
+export interface HeartbeatOptions {
+  readonly self: createSelfFacts.SelfFacts
+  readonly view: membership.MemberView
+  readonly keeper: createTableKeeper.TableKeeper
+  readonly client: rpc.RpcClient
+  /** Entry nodes named in the settings. */
+  readonly seeds: readonly types.Address[]
+  readonly readLoad: () => routing.Load | null
+  readonly noteLoad: (node: types.NodeId, load: routing.StatedLoad) => void
+  /** Called after each round and each heartbeat that brought news. */
+  readonly onRefresh: () => void
+  /** Random number from 0 to 1. */
+  readonly random: () => number
+  readonly intervalMs?: number
+}
+
+/** The heartbeats of a daemon. */
+export interface Heartbeats {
+  readonly start: () => void
+  /** Sends one round at once, for news that shall not wait. */
+  readonly sendNow: () => Promise<void>
+  /** Answers a heartbeat of another daemon. */
+  readonly receive: rpc.RpcMethod
+  readonly sendTable: rpc.RpcMethod
+  readonly stop: () => void
+}
+
+interface Position {
+  readonly incarnation: string
+  readonly counter: number
+}
+
+const HEARTBEAT_METHOD = 'heartbeat'
+const TABLE_METHOD = 'table'
+const HEARTBEAT_CALL_MS = 1000
+const TABLE_CALL_MS = 5000
+const JITTER = 0.2
+/** Entry nodes of its hall to which a backend daemon reports. */
+const REPORTED_ENTRY_NODES = 3
+
+/**
+ * Creates the heartbeats of a daemon.
+ *
+ * @param options - View, table and connections.
+ * @returns The heartbeats, stopped.
+ */
+export function createHeartbeats (options: HeartbeatOptions): Heartbeats {
+  const { self, view, keeper } = options
+  const positions = new Map<string, Position>()
+  const fetching = new Set<string>()
+  const intervalMs = options.intervalMs ?? types.HEARTBEAT_INTERVAL_MS
+  let timer: NodeJS.Timeout | null = null
+  let isStopped = false
+
+  function start (): void {
+    void sendNow().finally(schedule)
+  }
+
+  function schedule (): void {
+    if (isStopped) return
+    const waitMs = intervalMs * (1 - JITTER / 2 + JITTER * options.random())
+    timer = setTimeout(() => { void sendNow().finally(schedule) }, waitMs)
+  }
+
+  async function sendNow (): Promise<void> {
+    view.hear(self.read())
+    await Promise.all(listTargets().map(sendOne))
+    view.refresh()
+    options.onRefresh()
+  }
+
+  function listTargets (): types.Address[] {
+    const { node, role, dataHall } = self.read()
+    const known = view.members()
+      .filter(({ facts, condition }) => facts.role === 'entry' && facts.node !== node && condition !== 'gone')
+      .filter(({ facts }) => role === 'entry' || facts.dataHall === dataHall)
+      .sort((left, right) => Number(right.condition === 'live') - Number(left.condition === 'live'))
+      .map(({ facts }) => facts.address)
+    const near = role === 'entry' ? known : known.slice(0, REPORTED_ENTRY_NODES)
+    const own = self.read().address
+    const all = [...near, ...options.seeds].filter((address) => formatAddress(address) !== formatAddress(own))
+    return [...new Map(all.map((address) => [formatAddress(address), address])).values()]
+  }
+
+  async function sendOne (address: types.Address): Promise<void> {
+    const key = formatAddress(address)
+    const position = positions.get(key) ?? { incarnation: '', counter: 0 }
+    const params = { facts: self.read(), load: options.readLoad(), incarnation: position.incarnation, since: position.counter }
+    const sent = await options.client.call<unknown>(address, HEARTBEAT_METHOD, params, HEARTBEAT_CALL_MS)
+    if (!sent.ok) return
+    const parsed = schemas.heartbeatAnswerSchema.safeParse(sent.value)
+    if (!parsed.success) return
+    const answer = parsed.data as unknown as HeartbeatAnswer
+    positions.set(key, { incarnation: answer.facts.incarnation, counter: answer.counter })
+    view.hear(answer.facts)
+    view.applyClaims(answer.facts.node, answer.claims.filter((claim) => claim.facts.node !== self.read().node))
+    await catchUp(answer.facts)
+  }
+
+  /** Fetches the table from a daemon that has a higher revision. */
+  async function catchUp (facts: types.MemberFacts): Promise<void> {
+    const key = formatAddress(facts.address)
+    if (facts.revision <= keeper.current().revision || fetching.has(key)) return
+    fetching.add(key)
+    const fetched = await options.client.call<unknown>(facts.address, TABLE_METHOD, {}, TABLE_CALL_MS)
+    fetching.delete(key)
+    if (fetched.ok) keeper.offerUnchecked(fetched.value, facts.node)
+  }
+
+  function receive (params: unknown): HeartbeatAnswer {
+    const heartbeat = schemas.heartbeatSchema.parse(params)
+    const facts = heartbeat.facts as unknown as types.MemberFacts
+    const known = view.find(facts.node)
+    view.hear(facts)
+    if (heartbeat.load !== null) options.noteLoad(facts.node, heartbeat.load)
+    void catchUp(facts)
+    if (known?.condition !== 'live' || types.isNewerFacts(facts, known.facts)) options.onRefresh()
+    const own = self.read()
+    const since = heartbeat.incarnation === own.incarnation ? heartbeat.since : 0
+    const changes = view.changesSince(since, facts.role === 'backend' ? 'all' : 'first-hand')
+    return { facts: own, counter: changes.counter, claims: changes.claims }
+  }
+
+  return {
+    start,
+    sendNow,
+    receive,
+    sendTable: () => keeper.current(),
+    stop: () => {
+      isStopped = true
+      if (timer !== null) clearTimeout(timer)
+    }
+  }
+}
+
+function formatAddress ({ host, port }: types.Address): string {
+  return `${host}:${port}`
+}
--- /dev/null
+++ b/packages/daemon/src/createNodeListPoll/index.ts
@@ -0,0 +1,40 @@
+/** Reads the platform's node list once a second, less often while it is unavailable. */
+import * as types from '@switchridge/types'
+import type * as membership from '@switchridge/membership'
+
+/** The poll of an entry node. */
+export interface NodeListPoll {
+  readonly start: () => void
+  readonly stop: () => void
+}
+
+const INTERVAL_MS = 1000
+const BACKOFF_MAXIMUM_MS = 8000
+
+/**
+ * Creates the poll.
+ *
+ * @param read - Reads the list.
+ * @param onList - Takes the list.
+ * @param random - Random number from 0 to 1, for the jitter.
+ * @returns The poll, stopped.
+ */
+export function createNodeListPoll (
+  read: () => Promise<types.Outcome<readonly membership.ListedNode[], types.UnavailableError>>,
+  onList: (nodes: readonly membership.ListedNode[]) => void,
+  random: () => number
+): NodeListPoll {
+  const stop = new AbortController()
+  let failures = 0
+
+  async function run (): Promise<void> {
+    while (!stop.signal.aborted) {
+      const listed = await read()
+      failures = listed.ok ? 0 : failures + 1
+      if (listed.ok) onList(listed.value)
+      await types.delay(Math.min(BACKOFF_MAXIMUM_MS, INTERVAL_MS * 2 ** failures) * (0.75 + random() / 2))
+    }
+  }
+
+  return { start: () => { void run() }, stop: () => { stop.abort() } }
+}
--- /dev/null
+++ b/packages/daemon/src/createSelfFacts/index.ts
@@ -0,0 +1,34 @@
+/** The facts that a daemon states about itself. */
+import * as types from '@switchridge/types'
+
+/** Facts that change while the daemon runs. */
+export type ChangingFacts = Pick<types.MemberFacts, 'state' | 'serving' | 'holding' | 'waitingFor' | 'revision'>
+
+/** The facts of this daemon. */
+export interface SelfFacts {
+  readonly read: () => types.MemberFacts
+  /** Changes facts; their version rises only if something differs. */
+  readonly update: (change: Partial<ChangingFacts>) => void
+  readonly onChange: (listener: () => void) => void
+}
+
+/**
+ * Creates the facts of a daemon.
+ *
+ * @param first - The facts at the start.
+ * @returns The facts.
+ */
+export function createSelfFacts (first: types.MemberFacts): SelfFacts {
+  const listeners: Array<() => void> = []
+  let facts = first
+  return {
+    read: () => facts,
+    update: (change) => {
+      const next = { ...facts, ...change }
+      if (JSON.stringify(next) === JSON.stringify(facts)) return
+      facts = { ...next, factsVersion: facts.factsVersion + 1 }
+      for (const listener of listeners) listener()
+    },
+    onChange: (listener) => { listeners.push(listener) }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/sendAttempt/index.ts
@@ -0,0 +1,128 @@
+/** Sends one attempt of a call to a backend daemon and finds out what became of it. */
+import * as crypto from 'node:crypto'
+import type * as http from 'node:http'
+import type * as stream from 'node:stream'
+import * as got from 'got'
+import * as types from '@switchridge/types'
+import * as rpc from '@switchridge/rpc'
+import type * as routing from '@switchridge/routing'
+import * as callHeaders from '../_lib/callHeaders.js'
+
+/** A call as the entry node took it from its caller. */
+export interface OutgoingCall {
+  readonly service: types.ServiceName
+  readonly row: string
+  readonly account: types.AccountRow
+  readonly method: string
+  /** Path and query towards the back end. */
+  readonly path: string
+  readonly headers: Record<string, string | string[]>
+  readonly body: Buffer
+  readonly isRepeatable: boolean
+  /** Monotonic time in milliseconds. */
+  readonly deadlineAt: number
+}
+
+/** What became of an attempt. */
+export type AttemptResult =
+  | { readonly kind: 'answered', readonly response: http.IncomingMessage, readonly body: stream.Readable, readonly load: routing.StatedLoad | undefined }
+  | { readonly kind: 'not-run', readonly reason: string, readonly load: routing.StatedLoad | undefined }
+  | { readonly kind: 'unknown', readonly reason: string, readonly load: routing.StatedLoad | undefined }
+
+/** Options of {@link sendAttempt}. */
+export interface AttemptOptions {
+  readonly self: types.NodeId
+  readonly identity: rpc.Identity
+  readonly agents: rpc.HttpAgents
+  readonly client: rpc.RpcClient
+  readonly now: () => number
+  readonly signal: AbortSignal
+}
+
+const TICKET_CALL_MS = 1000
+const TICKET_CALLS = 2
+const LATE_MS = 250
+
+/**
+ * Sends one attempt.
+ *
+ * @param call - The call.
+ * @param backend - The backend daemon.
+ * @param options - Identity, connections and the caller's signal.
+ * @returns The answer as a stream, or what is known of the attempt.
+ */
+export async function sendAttempt (call: OutgoingCall, backend: types.MemberFacts, options: AttemptOptions): Promise<AttemptResult> {
+  const ticket = crypto.randomUUID()
+  const remainingMs = Math.max(1, call.deadlineAt - options.now())
+  const stated = {
+    service: call.service,
+    row: call.row,
+    account: call.account.id,
+    share: call.account.share,
+    priority: call.account.priority,
+    method: call.method,
+    deadlineMs: remainingMs,
+    isRepeatable: call.isRepeatable
+  }
+  const abort = new AbortController()
+  const timer = setTimeout(() => { abort.abort() }, remainingMs + LATE_MS)
+  const cancel = (): void => { abort.abort() }
+  options.signal.addEventListener('abort', cancel, { once: true })
+  const upstream = got.got.stream.post(`${rpc.formatBaseUrl(options.agents, backend.address)}/calls${call.path}`, {
+    headers: {
+      ...call.headers,
+      ...rpc.createIdentityHeaders(options.identity),
+      'x-switchridge-node': options.self,
+      [callHeaders.TICKET_HEADER]: ticket,
+      [callHeaders.INCARNATION_HEADER]: backend.incarnation,
+      [callHeaders.CALL_HEADER]: JSON.stringify(stated)
+    },
+    body: call.body,
+    agent: { http: options.agents.http, https: options.agents.https },
+    retry: { limit: 0 },
+    throwHttpErrors: false,
+    followRedirect: false,
+    decompress: false,
+    signal: abort.signal
+  })
+  const finish = (): void => {
+    clearTimeout(timer)
+    options.signal.removeEventListener('abort', cancel)
+  }
+  upstream.on('error', ignoreLateError)
+  upstream.once('close', finish)
+  const response = await awaitResponse(upstream)
+  if (response.ok) return readOutcome(response.value, upstream as unknown as stream.Readable)
+  finish()
+  return await resolveTicket(ticket, backend, options, response.error)
+}
+
+/** A request that is aborted after its end reports an error that nobody waits for any more. */
+function ignoreLateError (): void {}
+
+async function awaitResponse (upstream: got.Request): Promise<types.Outcome<http.IncomingMessage>> {
+  return await new Promise((resolve) => {
+    upstream.once('response', (response: http.IncomingMessage) => { resolve(types.succeed(response)) })
+    upstream.once('error', (error: Error) => { resolve(types.fail(error)) })
+  })
+}
+
+function readOutcome (response: http.IncomingMessage, body: stream.Readable): AttemptResult {
+  const outcome = response.headers[callHeaders.OUTCOME_HEADER]
+  const load = callHeaders.parseLoad(response.headers[callHeaders.LOAD_HEADER])
+  if (outcome === 'answered') return { kind: 'answered', response, body, load }
+  body.resume()
+  const reason = String(response.headers[callHeaders.REASON_HEADER] ?? `status ${response.statusCode ?? 0}`)
+  return { kind: outcome === 'not-run' ? 'not-run' : 'unknown', reason, load }
+}
+
+/** Asks the daemon about the ticket; a ticket that it never saw is closed by the question. */
+async function resolveTicket (ticket: string, backend: types.MemberFacts, options: AttemptOptions, error: Error): Promise<AttemptResult> {
+  for (let call = 0; call < TICKET_CALLS; call += 1) {
+    const asked = await options.client.call<string>(backend.address, 'ticket', { ticket, incarnation: backend.incarnation }, TICKET_CALL_MS)
+    if (!asked.ok) continue
+    if (asked.value === 'not-run') return { kind: 'not-run', reason: 'connection-broke', load: undefined }
+    return { kind: 'unknown', reason: `connection-broke-${asked.value}`, load: undefined }
+  }
+  return { kind: 'unknown', reason: `daemon-unreachable: ${error.message}`, load: undefined }
+}
--- /dev/null
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -0,0 +1,189 @@
+/** A backend daemon: holds weights for its backend server, orders its engine and runs calls on it. */
+import Koa from 'koa'
+import type * as settingsTypes from '@switchridge/settings'
+import * as types from '@switchridge/types'
+import * as platform from '@switchridge/platform'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import * as transfer from '@switchridge/transfer'
+import * as createBackendCalls from '../createBackendCalls/index.js'
+import * as createCommonParts from '../createCommonParts/index.js'
+import * as createEngineOrders from '../createEngineOrders/index.js'
+import * as createHeartbeats from '../createHeartbeats/index.js'
+import * as createPlacementLoop from '../createPlacementLoop/index.js'
+import * as createServing from '../createServing/index.js'
+import * as createWeightsListener from '../createWeightsListener/index.js'
+import * as describeStatus from '../describeStatus/index.js'
+import * as createDrillMethods from '../_lib/createDrillMethods.js'
+import * as createTransferRequests from '../_lib/createTransferRequests.js'
+import * as planTransfer from '../_lib/planTransfer.js'
+import * as schemas from '../_lib/schemas.js'
+import type * as startDaemon from '../startDaemon/index.js'
+
+const LEASE_MS = 10_000
+const LEASE_MARGIN_MS = 2000
+const DRAIN_POLL_MS = 50
+const HINT_CALL_MS = 500
+const PER_PEER_REQUESTS = 2
+const DEFAULT_CONCURRENCY = 8
+const DEFAULT_QUEUE = 4
+
+/**
+ * Starts the backend role.
+ *
+ * @param parts - The daemon's parts.
+ * @param backEnd - The back end beside the daemon.
+ * @returns The running role.
+ */
+export async function startBackendRole (parts: createCommonParts.CommonParts, backEnd: NonNullable<settingsTypes.Settings['back_end']>): Promise<startDaemon.RunningRole> {
+  const { settings, view, keeper, logger } = parts
+  const control = new Koa()
+  control.on('error', () => {})
+  const listener = await rpc.listenHttp(control.callback(), { ...settings.listen, ...(parts.tls === undefined ? {} : { tls: parts.tls }) })
+  const weights = await createWeightsListener.createWeightsListener()
+  const self = createCommonParts.createFirstFacts(parts, listener.address)
+  const { node, dataHall } = self.read()
+  const uplink = transfer.createLinkPacer(settings.limits.link_bytes_per_second, parts.now)
+  const downlink = transfer.createLinkPacer(settings.limits.link_bytes_per_second, parts.now)
+  const store = transfer.createChunkStore(settings.limits.chunk_memory_bytes)
+  const counts: Record<string, number> = {}
+  const count = (name: string): void => {
+    counts[name] = (counts[name] ?? 0) + 1
+    parts.metrics.increment(name)
+  }
+
+  const transfers = transfer.createTransfer({
+    store,
+    requests: createTransferRequests.createTransferRequests(parts, node, () => uploader.backlog()),
+    downlink,
+    requestsInFlight: settings.limits.requests_in_flight,
+    perPeer: PER_PEER_REQUESTS,
+    now: parts.now,
+    random: parts.random,
+    onComplete: (digest) => {
+      logger.info('weights-complete', { manifest: digest })
+      placementLoop.reconcile()
+    },
+    onEvent: ({ event, ...fields }) => {
+      count(`transfer.${event}`)
+      logger.info(event, fields)
+    }
+  })
+  const uploader = transfer.createUploader({
+    identity: parts.identity,
+    store,
+    uplink,
+    slots: settings.limits.upload_slots,
+    onHave: transfers.noteHave
+  })
+
+  const waitingEntryNodes = new Set<types.NodeId>()
+  const admission = routing.createAdmission(DEFAULT_CONCURRENCY, DEFAULT_QUEUE, hintWaiting)
+  const tickets = routing.createTickets()
+  const serving = createServing.createServing()
+  const calls = createBackendCalls.createBackendCalls({
+    identity: parts.identity,
+    service: types.brandId<types.ServiceName>(backEnd.service),
+    incarnation: parts.incarnation,
+    url: backEnd.url,
+    isEngine: backEnd.kind === 'engine',
+    admission,
+    tickets,
+    serving,
+    agents: parts.agents,
+    uplink,
+    count,
+    onRefused: (entryNode) => { waitingEntryNodes.add(entryNode) }
+  })
+
+  /** Tells the entry node that has waited longest that a slot is free. */
+  function hintWaiting (): void {
+    const [first] = waitingEntryNodes
+    if (first === undefined) return
+    waitingEntryNodes.delete(first)
+    const member = view.find(first)
+    if (member !== undefined) void parts.client.call(member.facts.address, 'slots.free', { node, load: admission.load() }, HINT_CALL_MS)
+  }
+
+  const placementLoop = createPlacementLoop.createPlacementLoop({
+    self,
+    view,
+    keeper,
+    store,
+    transfer: transfers,
+    serving,
+    weights,
+    plan: planTransfer.createPlanTransfer({ node, dataHall, address: listener.address }, keeper.current, settings.experiments.transfer_policy),
+    orders: createEngineOrders.createEngineOrders({
+      url: backEnd.url,
+      checksFences: backEnd.checks_fences,
+      agents: parts.agents,
+      lease: platform.createLease(parts.store, `engine.${node}`, parts.incarnation, {
+        durationMs: LEASE_MS, marginMs: LEASE_MARGIN_MS, now: parts.now, takesOver: backEnd.checks_fences
+      })
+    }),
+    logger,
+    onServing: () => { void heartbeats.sendNow() }
+  })
+  const heartbeats = createHeartbeats.createHeartbeats({
+    self,
+    view,
+    keeper,
+    client: parts.client,
+    seeds: createCommonParts.readSeeds(settings),
+    readLoad: admission.load,
+    noteLoad: () => {},
+    onRefresh: () => { if (backEnd.kind === 'engine') placementLoop.reconcile() },
+    random: parts.random
+  })
+
+  const methods: Record<string, rpc.RpcMethod> = {
+    heartbeat: heartbeats.receive,
+    table: heartbeats.sendTable,
+    status: () => describeStatus.describeStatus(parts, self.read(), { transfers: transfers.progress(), load: admission.load(), counts: { ...counts, uploadedBytes: uploader.sentBytes() } }),
+    ticket: (params) => {
+      const asked = schemas.ticketSchema.parse(params)
+      return asked.incarnation === parts.incarnation ? tickets.resolve(types.brandId<types.TicketId>(asked.ticket)) : 'unknown'
+    },
+    'transfer.announce': (params) => {
+      const said = schemas.announceSchema.parse(params)
+      transfers.noteHave(types.brandId<types.Digest>(said.digest), types.brandId<types.NodeId>(said.node), said.have)
+      return null
+    },
+    'transfer.provider': (params) => {
+      const asked = schemas.providerSchema.parse(params)
+      return transfers.answerProvider(types.brandId<types.Digest>(asked.digest), asked.chunk)
+    },
+    ...createDrillMethods.createDrillMethods(parts)
+  }
+  control.use(calls)
+  control.use(uploader.middleware)
+  control.use(rpc.createRpcServer(parts.identity, methods))
+
+  keeper.onAdopt((table) => {
+    const service = table.services.find((row) => row.id === backEnd.service)
+    if (service !== undefined) admission.setLimits(service.concurrency, service.queue)
+    if (backEnd.kind === 'engine') placementLoop.reconcile()
+    void heartbeats.sendNow()
+  })
+  heartbeats.start()
+
+  return {
+    address: listener.address,
+    callerAddress: null,
+    drain: async () => {
+      admission.leave()
+      self.update({ state: 'leaving' })
+      await heartbeats.sendNow()
+      while (admission.load().running > 0) await types.delay(DRAIN_POLL_MS)
+    },
+    stop: () => {
+      heartbeats.stop()
+      transfers.stop()
+      weights.close()
+      listener.abort()
+      parts.agents.destroy()
+      parts.metrics.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/startDaemon/index.ts
@@ -0,0 +1,33 @@
+/** Starts a daemon in the role that its settings name. */
+import type * as types from '@switchridge/types'
+import type * as settings from '@switchridge/settings'
+import * as createCommonParts from '../createCommonParts/index.js'
+import * as startBackendRole from '../startBackendRole/index.js'
+import * as startEntryRole from '../startEntryRole/index.js'
+
+/** A role that runs. */
+export interface RunningRole {
+  /** Where other daemons reach it. */
+  readonly address: types.Address
+  /** Where callers reach it; null for a backend daemon. */
+  readonly callerAddress: types.Address | null
+  /** Refuses new work, lets work in progress end, and resolves when none is left. */
+  readonly drain: () => Promise<void>
+  /** Ends everything at once. */
+  readonly stop: () => void
+}
+
+/**
+ * Starts a daemon.
+ *
+ * @param checked - The settings.
+ * @returns The running role.
+ */
+export async function startDaemon (checked: settings.Settings): Promise<RunningRole> {
+  const parts = createCommonParts.createCommonParts(checked)
+  const role = checked.role === 'backend' && checked.back_end !== undefined
+    ? await startBackendRole.startBackendRole(parts, checked.back_end)
+    : await startEntryRole.startEntryRole(parts)
+  parts.logger.info('started', { role: checked.role, port: role.address.port, callerPort: role.callerAddress?.port, incarnation: parts.incarnation })
+  return role
+}
--- /dev/null
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -0,0 +1,171 @@
+/** An entry node: takes callers' requests, keeps the hall's view of members and watches the table. */
+import Koa from 'koa'
+import * as types from '@switchridge/types'
+import * as platform from '@switchridge/platform'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import * as createCommonParts from '../createCommonParts/index.js'
+import * as createDispatcher from '../createDispatcher/index.js'
+import * as createEntryCalls from '../createEntryCalls/index.js'
+import * as createHeartbeats from '../createHeartbeats/index.js'
+import * as createNodeListPoll from '../createNodeListPoll/index.js'
+import * as createTableWatch from '../createTableWatch/index.js'
+import * as describeStatus from '../describeStatus/index.js'
+import * as sendAttempt from '../sendAttempt/index.js'
+import * as createDrillMethods from '../_lib/createDrillMethods.js'
+import * as schemas from '../_lib/schemas.js'
+import type * as startDaemon from '../startDaemon/index.js'
+
+const PICKS: Readonly<Record<string, routing.PickBackend>> = {
+  'late-binding': routing.pickLateBinding,
+  'least-loaded': routing.pickLeastLoaded,
+  'two-choices': routing.pickTwoChoices,
+  'least-stated': routing.pickLeastStated,
+  random: routing.pickRandom
+}
+
+/** Milliseconds for which a leaving entry node still takes calls, until the balancer has seen its health. */
+const BALANCER_GRACE_MS = 2000
+const DRAIN_POLL_MS = 50
+const PUMP_INTERVAL_MS = 50
+
+/**
+ * Starts the entry role.
+ *
+ * @param parts - The daemon's parts.
+ * @returns The running role.
+ */
+export async function startEntryRole (parts: createCommonParts.CommonParts): Promise<startDaemon.RunningRole> {
+  const { settings, view, keeper, loads, logger } = parts
+  const control = new Koa()
+  control.on('error', () => {})
+  const listener = await rpc.listenHttp(control.callback(), { ...settings.listen, ...(parts.tls === undefined ? {} : { tls: parts.tls }) })
+  const self = createCommonParts.createFirstFacts(parts, listener.address)
+  const health = routing.createBackendHealth(parts.now)
+  let isLeaving = false
+
+  const listBackends = (service: types.ServiceName, row: string): types.MemberFacts[] => view.members()
+    .filter((member) => member.facts.role === 'backend' && member.facts.service === service)
+    .filter((member) => member.condition === 'live' && !member.leaving)
+    .filter((member) => row === '' || member.facts.serving.some((served) => served.row === row))
+    .map((member) => member.facts)
+
+  const dispatcher = createDispatcher.createDispatcher({
+    loads,
+    health,
+    pick: PICKS[settings.experiments.pick_backend] ?? routing.pickLateBinding,
+    listBackends,
+    findService: (service) => keeper.current().services.find((row) => row.id === service),
+    dataHall: self.read().dataHall,
+    random: parts.random
+  })
+  const calls = createEntryCalls.createEntryCalls({
+    table: keeper.current,
+    dispatcher,
+    loads,
+    health,
+    limiter: routing.createAccountLimiter(parts.now, () => 1 / Math.max(1, countEntryNodes())),
+    send: async (call, backend, signal) => await sendAttempt.sendAttempt(call, backend, {
+      self: self.read().node, identity: parts.identity, agents: parts.agents, client: parts.client, now: parts.now, signal
+    }),
+    isLeaving: () => isLeaving,
+    logger,
+    metrics: parts.metrics,
+    now: parts.now
+  })
+
+  function countEntryNodes (): number {
+    return view.members().filter((member) => member.facts.role === 'entry' && member.condition === 'live').length
+  }
+
+  const heartbeats = createHeartbeats.createHeartbeats({
+    self,
+    view,
+    keeper,
+    client: parts.client,
+    seeds: createCommonParts.readSeeds(settings),
+    readLoad: () => null,
+    noteLoad: (node, load) => { loads.noteStated(node, load) },
+    onRefresh: dispatcher.pump,
+    random: parts.random
+  })
+  const watch = createTableWatch.createTableWatch({
+    store: parts.store,
+    keeper,
+    isWatcher: () => createTableWatch.isTableWatcher(self.read(), view.members()),
+    logger,
+    random: parts.random
+  })
+  const nodeList = createNodeListPoll.createNodeListPoll(
+    async () => await platform.readNodeList(settings.platform.url, parts.agents, settings.platform.timeout_ms),
+    view.applyNodeList,
+    parts.random
+  )
+  const methods: Record<string, rpc.RpcMethod> = {
+    heartbeat: heartbeats.receive,
+    table: heartbeats.sendTable,
+    status: () => describeStatus.describeStatus(parts, self.read(), { transfers: [], load: null, counts: { ...calls.counts, waiting: dispatcher.waiting(), inProgress: calls.inProgress() } }),
+    'slots.free': (params) => {
+      const hint = schemas.hintSchema.parse(params)
+      loads.noteStated(types.brandId<types.NodeId>(hint.node), hint.load)
+      dispatcher.pump()
+      return null
+    },
+    ...createDrillMethods.createDrillMethods(parts)
+  }
+  control.use(rpc.createRpcServer(parts.identity, methods))
+
+  const callers = new Koa()
+  callers.on('error', () => {})
+  callers.use(answerHealth)
+  callers.use(calls.middleware)
+  const callerListener = await rpc.listenHttp(callers.callback(), { host: settings.listen.host, port: settings.listen.caller_port ?? 0 })
+
+  /** For the platform's balancer: whether this entry node can serve callers now, and why not. */
+  async function answerHealth (context: Koa.Context, next: Koa.Next): Promise<void> {
+    if (context.path !== '/health') {
+      await next()
+      return
+    }
+    const reason = findUnhealthy()
+    context.status = reason === '' ? 200 : 503
+    context.body = { ok: reason === '', reason, revision: keeper.current().revision }
+  }
+
+  function findUnhealthy (): string {
+    if (isLeaving) return 'leaving'
+    if (keeper.current().revision === 0) return 'no table yet'
+    const hasBackend = view.members().some((member) => member.facts.role === 'backend' && member.condition === 'live' && !member.leaving)
+    return hasBackend ? '' : 'no live backend server'
+  }
+
+  keeper.onAdopt(() => { void heartbeats.sendNow() })
+  const pumpTimer = setInterval(dispatcher.pump, PUMP_INTERVAL_MS)
+  heartbeats.start()
+  watch.start()
+  nodeList.start()
+
+  return {
+    address: listener.address,
+    callerAddress: callerListener.address,
+    drain: async () => {
+      isLeaving = true
+      self.update({ state: 'leaving' })
+      await heartbeats.sendNow()
+      await types.delay(BALANCER_GRACE_MS)
+      const closed = callerListener.close()
+      while (calls.inProgress() > 0) await types.delay(DRAIN_POLL_MS)
+      await Promise.race([closed, types.delay(BALANCER_GRACE_MS)])
+    },
+    stop: () => {
+      clearInterval(pumpTimer)
+      heartbeats.stop()
+      watch.stop()
+      nodeList.stop()
+      callerListener.abort()
+      listener.abort()
+      parts.agents.destroy()
+      parts.metrics.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/launcher/src/createLauncher/index.ts
@@ -0,0 +1,89 @@
+/** Starts the processes of the demo and the measurements, and ends every one of them. */
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as types from '@switchridge/types'
+
+/** A process that the launcher started. */
+export interface LaunchedProcess {
+  readonly name: string
+  readonly pid: number
+  readonly logFile: string
+  readonly exited: Promise<number | null>
+  readonly kill: (signal: NodeJS.Signals) => void
+}
+
+/** What a command that ran to its end left. */
+export interface CommandResult {
+  readonly exitCode: number
+  readonly output: string
+  readonly errors: string
+}
+
+/** Starts and ends processes. */
+export interface Launcher {
+  /** A folder for settings and logs that goes with the launcher. */
+  readonly folder: string
+  readonly start: (name: string, module: string, args: readonly string[]) => LaunchedProcess
+  /** Runs a command of the project to its end. */
+  readonly run: (module: string, args: readonly string[], environment: Readonly<Record<string, string>>) => Promise<CommandResult>
+  readonly processes: () => readonly LaunchedProcess[]
+  /** Ends what still runs and removes the folder. */
+  readonly close: () => Promise<void>
+}
+
+const END_MS = 1500
+const HEAP_OPTIONS = ['--max-semi-space-size=16']
+
+/**
+ * Creates a launcher.
+ *
+ * @param keptFolder - Where settings and logs stay after the end; by default they go to a folder that is removed.
+ * @returns The launcher; its processes end with this process also when it fails.
+ */
+export function createLauncher (keptFolder?: string): Launcher {
+  const folder = keptFolder ?? fs.mkdtempSync(path.join(os.tmpdir(), 'switchridge-'))
+  fs.mkdirSync(folder, { recursive: true })
+  const running = new Map<number, LaunchedProcess>()
+  const killAll = (): void => { for (const launched of running.values()) launched.kill('SIGKILL') }
+  process.once('exit', killAll)
+
+  function start (name: string, module: string, args: readonly string[]): LaunchedProcess {
+    const logFile = path.join(folder, `${name}.log`)
+    const log = fs.openSync(logFile, 'a')
+    const child = childProcess.spawn(process.execPath, [...HEAP_OPTIONS, '--enable-source-maps', module, ...args], { stdio: ['ignore', log, log] })
+    fs.closeSync(log)
+    const pid = child.pid ?? 0
+    const exited = new Promise<number | null>((resolve) => {
+      child.once('exit', (code) => {
+        running.delete(pid)
+        resolve(code)
+      })
+    })
+    const launched = { name, pid, logFile, exited, kill: (signal: NodeJS.Signals) => { child.kill(signal) } }
+    running.set(pid, launched)
+    return launched
+  }
+
+  async function run (module: string, args: readonly string[], environment: Readonly<Record<string, string>>): Promise<CommandResult> {
+    return await new Promise((resolve) => {
+      childProcess.execFile(process.execPath, [module, ...args], { env: { ...process.env, ...environment } }, (error, output, errors) => {
+        resolve({ exitCode: error === null ? 0 : Number(error.code ?? 1), output, errors })
+      })
+    })
+  }
+
+  async function close (): Promise<void> {
+    const left = [...running.values()]
+    for (const launched of left) launched.kill('SIGTERM')
+    await Promise.race([Promise.all(left.map(async (launched) => await launched.exited)), types.delay(END_MS)])
+    const ended = [...running.values()].map(async (launched) => await launched.exited)
+    killAll()
+    await Promise.all(ended)
+    process.off('exit', killAll)
+    if (keptFolder === undefined) fs.rmSync(folder, { recursive: true, force: true })
+  }
+
+  return { folder, start, run, processes: () => [...running.values()], close }
+}
--- /dev/null
+++ b/packages/launcher/src/readMembers/index.ts
@@ -0,0 +1,47 @@
+/** Asks daemons of a fleet for their status. */
+import type * as membership from '@switchridge/membership'
+import * as rpc from '@switchridge/rpc'
+import type * as types from '@switchridge/types'
+import type * as startFleet from '../startFleet/index.js'
+
+/** The part of a daemon's status that the demo and the measurements read. */
+export interface NodeStatus {
+  readonly self: types.MemberFacts
+  readonly members: readonly membership.Member[]
+  readonly transfers: ReadonlyArray<{ readonly digest: string, readonly counts: Record<string, number> | null }>
+  readonly counts: Record<string, number>
+  readonly platformCalls: Record<string, number>
+  readonly process: { readonly cpuSeconds: number, readonly residentBytes: number, readonly peakResidentBytes: number, readonly uptimeSeconds: number }
+}
+
+const TIMEOUT_MS = 5000
+const agents = rpc.createHttpAgents()
+
+/**
+ * Calls a method of a daemon.
+ *
+ * @param fleet - The fleet.
+ * @param node - The daemon.
+ * @param method - Name of the method.
+ * @param params - Its parameters.
+ * @returns The result, or null when the daemon gave none.
+ */
+export async function callNode<Result> (fleet: Pick<startFleet.Fleet, 'deployment' | 'sharedKey'>, node: Pick<startFleet.FleetNode, 'address'>, method: string, params: unknown): Promise<Result | null> {
+  const client = rpc.createRpcClient({ deployment: fleet.deployment, sharedKey: fleet.sharedKey }, agents)
+  const answer = await client.call<Result>(node.address, method, params, TIMEOUT_MS)
+  return answer.ok ? answer.value : null
+}
+
+/**
+ * Reads the members as the first entry node that answers sees them.
+ *
+ * @param fleet - The fleet.
+ * @returns The members; none when no entry node answers.
+ */
+export async function readMembers (fleet: startFleet.Fleet): Promise<readonly membership.Member[]> {
+  for (const entry of fleet.entryNodes) {
+    const status = await callNode<NodeStatus>(fleet, entry, 'status', {})
+    if (status !== null) return status.members
+  }
+  return []
+}
--- /dev/null
+++ b/packages/launcher/src/startFleet/index.ts
@@ -0,0 +1,169 @@
+/** Starts a whole fleet on loopback: stand-ins, entry nodes, backend daemons. */
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import * as url from 'node:url'
+import * as got from 'got'
+import * as types from '@switchridge/types'
+import type * as createLauncher from '../createLauncher/index.js'
+import type * as describeFleet from '../describeFleet/index.js'
+import * as findPorts from '../findPorts/index.js'
+import * as waitUntil from '../waitUntil/index.js'
+
+/** One daemon of the fleet. */
+export interface FleetNode {
+  readonly node: string
+  readonly hall: string
+  readonly role: 'entry' | 'backend'
+  readonly service: string
+  readonly kind: 'engine' | 'plain' | ''
+  readonly address: types.Address
+  readonly callerPort: number
+  /** Address of the back end beside a backend daemon. */
+  readonly backEndUrl: string
+  readonly settingsFile: string
+  process: createLauncher.LaunchedProcess
+}
+
+/** Options of {@link startFleet}. */
+export interface FleetOptions {
+  readonly plan: describeFleet.FleetPlan
+  readonly originBytesPerSecond: number
+  readonly linkBytesPerSecond: number
+  readonly tokenMs: number
+  readonly plainWorkMs: number
+  /** Engines that share one process; 1 gives each its own. */
+  readonly enginesPerProcess: number
+  readonly readsWeights: boolean
+  readonly chunkMemoryBytes: number
+  readonly engineMemoryBytes: number
+  /** Further settings in TOML for every daemon. */
+  readonly extraSettings?: string
+  readonly limits?: string
+}
+
+/** A running fleet. */
+export interface Fleet {
+  readonly deployment: string
+  readonly platformUrl: string
+  readonly originUrl: string
+  readonly nodes: readonly FleetNode[]
+  readonly entryNodes: readonly FleetNode[]
+  readonly backends: readonly FleetNode[]
+  readonly sharedKey: string
+  readonly startNode: (node: FleetNode) => void
+}
+
+export const SHARED_KEY = 'a-shared-key-for-demonstrations'
+const START_MS = 30_000
+
+const moduleOf = (name: string): string => url.fileURLToPath(import.meta.resolve(name))
+const STAND_INS = path.join(path.dirname(moduleOf('@switchridge/standins')), 'main.js')
+const DAEMON = path.join(path.dirname(moduleOf('@switchridge/standins')), '../../daemon/dist/main.js')
+
+interface Draft extends Omit<FleetNode, 'process' | 'settingsFile'> {
+  readonly region: string
+}
+
+/**
+ * Starts a fleet.
+ *
+ * @param launcher - Starts the processes.
+ * @param options - What to start.
+ * @returns The fleet, when every process answers.
+ */
+export async function startFleet (launcher: createLauncher.Launcher, options: FleetOptions): Promise<Fleet> {
+  const drafts = await draftNodes(options.plan)
+  const [platformPort = 0, originPort = 0] = await findPorts.findPorts(2)
+  launcher.start('platform', STAND_INS, ['platform', '--port', String(platformPort)])
+  launcher.start('origin', STAND_INS, ['origin', '--port', String(originPort), '--rate', String(options.originBytesPerSecond)])
+  startBackEnds(launcher, drafts, options)
+  const platformUrl = `http://${types.LOOPBACK_HOST}:${platformPort}`
+  const originUrl = `http://${types.LOOPBACK_HOST}:${originPort}`
+  const seeds = drafts.filter((draft) => draft.role === 'entry')
+  const startNode = (node: Pick<FleetNode, 'node' | 'settingsFile'>): createLauncher.LaunchedProcess => launcher.start(node.node, DAEMON, ['--settings', node.settingsFile])
+  const nodes = drafts.map((draft): FleetNode => {
+    const settingsFile = path.join(launcher.folder, `${draft.node}.toml`)
+    const entryNodes = seeds.filter((seed) => draft.role === 'entry' || seed.hall === draft.hall)
+    fs.writeFileSync(settingsFile, formatSettings(draft, options, platformUrl, originUrl, entryNodes))
+    return { ...draft, settingsFile, process: startNode({ node: draft.node, settingsFile }) }
+  })
+  await waitUntil.waitUntil(async () => await allAnswer([platformUrl, originUrl]), START_MS, 'the stand-ins')
+  await waitUntil.waitUntil(async () => await allAnswer(nodes.map(({ address }) => `http://${address.host}:${address.port}`)), START_MS, 'the daemons')
+  return {
+    deployment: options.plan.deployment,
+    platformUrl,
+    originUrl,
+    nodes,
+    entryNodes: nodes.filter((node) => node.role === 'entry'),
+    backends: nodes.filter((node) => node.role === 'backend'),
+    sharedKey: SHARED_KEY,
+    startNode: (node) => { node.process = startNode(node) }
+  }
+}
+
+async function draftNodes (plan: describeFleet.FleetPlan): Promise<Draft[]> {
+  const wanted = plan.halls.flatMap((hall, index) => [
+    ...Array.from({ length: hall.entryNodes }, (_, number) => ({ hall, role: 'entry' as const, service: '', kind: '' as const, name: `entry-${number + 1}` })),
+    ...plan.services.flatMap((service) => Array.from({ length: service.perHall[index] ?? 0 }, (_, number) => ({
+      hall, role: 'backend' as const, service: service.name, kind: service.kind, name: `${service.name}-${number + 1}`
+    })))
+  ])
+  const ports = await findPorts.findPorts(wanted.length * 3)
+  return wanted.map(({ hall, role, service, kind, name }, index) => ({
+    node: `${hall.id}-${name}`,
+    hall: hall.id,
+    region: hall.region,
+    role,
+    service,
+    kind,
+    address: { host: types.LOOPBACK_HOST, port: ports[index * 3] ?? 0 },
+    callerPort: ports[index * 3 + 1] ?? 0,
+    backEndUrl: `http://${types.LOOPBACK_HOST}:${ports[index * 3 + 2] ?? 0}`
+  }))
+}
+
+function startBackEnds (launcher: createLauncher.Launcher, drafts: readonly Draft[], options: FleetOptions): void {
+  const portOf = (draft: Draft): string => new URL(draft.backEndUrl).port
+  for (const draft of drafts.filter((each) => each.kind === 'plain')) {
+    launcher.start(`${draft.node}-back-end`, STAND_INS, ['plain', '--port', portOf(draft), '--work-ms', String(options.plainWorkMs)])
+  }
+  const engines = drafts.filter((each) => each.kind === 'engine')
+  for (let first = 0; first < engines.length; first += options.enginesPerProcess) {
+    const batch = engines.slice(first, first + options.enginesPerProcess)
+    launcher.start(`${batch[0]?.node ?? ''}-back-end`, STAND_INS, [
+      'engine', '--port', ...batch.map(portOf), '--token-ms', String(options.tokenMs), options.readsWeights ? '--reads-weights' : '--no-reads-weights'
+    ])
+  }
+}
+
+function formatSettings (draft: Draft, options: FleetOptions, platformUrl: string, originUrl: string, entryNodes: readonly Draft[]): string {
+  const backEnd = draft.role === 'entry'
+    ? ''
+    : `[back_end]\nservice = "${draft.service}"\nkind = "${draft.kind}"\nurl = "${draft.backEndUrl}"\nmemory_bytes = ${options.engineMemoryBytes}\n`
+  return `role = "${draft.role}"
+deployment = "${options.plan.deployment}"
+node = "${draft.node}"
+data_hall = "${draft.hall}"
+region = "${draft.region}"
+entry_nodes = [${entryNodes.map(({ address }) => `"${address.host}:${address.port}"`).join(', ')}]
+[listen]
+host = "${draft.address.host}"
+port = ${draft.address.port}
+caller_port = ${draft.callerPort}
+[platform]
+url = "${platformUrl}"
+[origin]
+url = "${originUrl}"
+${backEnd}[limits]
+link_bytes_per_second = ${options.linkBytesPerSecond}
+chunk_memory_bytes = ${options.chunkMemoryBytes}
+${options.limits ?? ''}
+[security]
+shared_key = "${SHARED_KEY}"
+${options.extraSettings ?? ''}`
+}
+
+async function allAnswer (urls: readonly string[]): Promise<boolean> {
+  const answers = await Promise.all(urls.map(async (each) => await got.got(each, { throwHttpErrors: false, retry: { limit: 0 }, timeout: { request: 1000 } })))
+  return answers.length === urls.length
+}
--- /dev/null
+++ b/packages/membership/src/createMemberView/test.ts
@@ -0,0 +1,104 @@
+import * as test from 'node:test'
+import * as assert from 'node:assert/strict'
+import * as types from '@switchridge/types'
+import * as createMemberView from './index.js'
+
+function stateFacts (node: string, change: Partial<types.MemberFacts> = {}): types.MemberFacts {
+  return {
+    node: types.brandId(node),
+    role: 'backend',
+    dataHall: types.brandId('hall-a'),
+    region: types.brandId('region-1'),
+    address: { host: '127.0.0.1', port: 1 },
+    incarnation: types.brandId('1'),
+    factsVersion: 1,
+    state: 'live',
+    service: types.brandId<types.ServiceName>('llm'),
+    memoryBytes: 1,
+    serving: [],
+    holding: [],
+    waitingFor: '',
+    revision: 0,
+    ...change
+  }
+}
+
+const NODE = types.brandId<types.NodeId>('b1')
+const ENTRY = types.brandId<types.NodeId>('e1')
+
+function openView () {
+  const clock = { now: 0 }
+  const view = createMemberView.createMemberView({ now: () => clock.now, heartbeatTimeoutMs: 1000, nodeHoldMs: 10_000, hallHoldMs: 100_000 })
+  return { clock, view, condition: (node = NODE) => view.find(node)?.condition }
+}
+
+test.describe('createMemberView', () => {
+  test.it('avoids a node that fell silent, keeps its place, then lets it go', () => {
+    const { clock, view, condition } = openView()
+    view.hear(stateFacts('b1'))
+    clock.now = 1001
+    view.hear(stateFacts('b2'))
+    view.refresh()
+    assert.equal(condition(), 'silent')
+    clock.now = 11_002
+    view.hear(stateFacts('b2'))
+    view.refresh()
+    assert.equal(condition(), 'gone')
+  })
+
+  test.it('takes a hall that fell silent as a whole for cut off, not for dead', () => {
+    const { clock, view, condition } = openView()
+    view.hear(stateFacts('b1'))
+    view.hear(stateFacts('b2'))
+    clock.now = 50_000
+    view.refresh()
+    view.refresh()
+    assert.equal(condition(), 'silent')
+  })
+
+  test.it('keeps a live node that the node list does not show, and stops work for one that it shows as leaving', () => {
+    const { view, condition } = openView()
+    view.hear(stateFacts('b1'))
+    view.applyNodeList([])
+    assert.equal(condition(), 'live')
+    view.applyNodeList([{ node: NODE, state: 'leaving' }])
+    assert.equal(view.find(NODE)?.leaving, true)
+  })
+
+  test.it('believes a relay while it hears the relay, and the last word when it hears none', () => {
+    const { clock, view, condition } = openView()
+    view.hear(stateFacts('e1', { role: 'entry' }))
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live' }])
+    assert.equal(condition(), 'live')
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'silent' }])
+    assert.equal(condition(), 'silent')
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live' }])
+    clock.now = 5000
+    view.refresh()
+    assert.equal(condition(), 'live')
+  })
+
+  test.it('never takes older facts, also not from an earlier life of the node', () => {
+    const { view } = openView()
+    view.hear(stateFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2'), revision: 7 }))
+    view.hear(stateFacts('b1', { incarnation: types.brandId<types.IncarnationId>('1'), factsVersion: 9, revision: 3 }))
+    assert.equal(view.find(NODE)?.facts.revision, 7)
+  })
+
+  test.it('reports only what changed since a counter', () => {
+    const { view } = openView()
+    view.hear(stateFacts('b1'))
+    const first = view.changesSince(0, 'first-hand')
+    view.hear(stateFacts('b1'))
+    assert.deepEqual(view.changesSince(first.counter, 'first-hand').claims, [])
+    view.hear(stateFacts('b1', { factsVersion: 2 }))
+    assert.equal(view.changesSince(first.counter, 'first-hand').claims.length, 1)
+  })
+
+  test.it('relays first-hand claims only where asked, so that rumours do not travel in circles', () => {
+    const { view } = openView()
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live' }])
+    assert.equal(view.changesSince(0, 'first-hand').claims.length, 0)
+    assert.equal(view.changesSince(0, 'all').claims.length, 1)
+  })
+})
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,3 @@
+/** Who is there, and who of them comes first for a key. */
+export * from './createMemberView/index.js'
+export * from './rankByRendezvous/index.js'
--- /dev/null
+++ b/packages/observability/src/index.ts
@@ -0,0 +1,3 @@
+/** Logs and metrics of the daemons. */
+export * from './createLogger/index.js'
+export * from './createMetrics/index.js'
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,6 @@
+/** What switchridge asks of the platform: objects, watches, leases and the node list. */
+export * from './createLease/index.js'
+export * from './createMemoryObjectStore/index.js'
+export * from './createObjectStore/index.js'
+export * from './readNodeList/index.js'
+export * from './types/index.js'
--- /dev/null
+++ b/packages/routing/src/createAdmission/index.ts
@@ -0,0 +1,116 @@
+/** Slots of one backend server: counted before any asynchronous step, never more than the limit. */
+import * as types from '@switchridge/types'
+import * as createFairQueue from '../createFairQueue/index.js'
+
+/** Why a call got no slot; it has not run. */
+export type RefusalReason = 'full' | 'leaving' | 'deadline' | 'cancelled'
+
+/** The call was refused and did not run. */
+export class NotRunError extends types.SwitchridgeError {
+  readonly reason: string
+
+  constructor (reason: string) {
+    super(`not run: ${reason}`)
+    this.reason = reason
+  }
+}
+
+/** A slot, or a place in the queue for one. */
+export interface Admitted {
+  /** Resolves with the slot's release function, or with the reason of a refusal. */
+  readonly slot: Promise<types.Outcome<() => void, NotRunError>>
+  /** Leaves the queue; without effect once the slot is held. */
+  readonly cancel: (reason: RefusalReason) => void
+}
+
+/** Load of a backend server. */
+export interface Load {
+  readonly running: number
+  readonly waiting: number
+  readonly limit: number
+  /** Calls that may wait. */
+  readonly queue: number
+}
+
+/** Admission of one backend server. */
+export interface Admission {
+  /** Counts the call at once: it runs, waits or is refused before this returns. */
+  readonly enter: (call: createFairQueue.QueuedCall) => Admitted
+  readonly load: () => Load
+  readonly setLimits: (limit: number, queue: number) => void
+  /** Refuses all calls that do not run yet, now and later. */
+  readonly leave: () => void
+}
+
+interface Waiter {
+  readonly settle: (outcome: types.Outcome<() => void, NotRunError>) => void
+}
+
+/**
+ * Creates the admission of a backend server.
+ *
+ * @param limit - Calls that run at a time.
+ * @param queue - Calls that wait beyond those.
+ * @param onFree - Told when a slot came free and nobody waits for it.
+ * @returns The admission.
+ */
+export function createAdmission (limit: number, queue: number, onFree: () => void = () => {}): Admission {
+  const waiting = createFairQueue.createFairQueue<Waiter>(queue)
+  let limits = { limit, queue }
+  let running = 0
+  let isLeaving = false
+
+  function enter (call: createFairQueue.QueuedCall): Admitted {
+    if (isLeaving) return refuse('leaving')
+    if (running < limits.limit) {
+      running += 1
+      return { slot: Promise.resolve(types.succeed(createRelease())), cancel: () => {} }
+    }
+    let settle: Waiter['settle'] = () => {}
+    const slot = new Promise<types.Outcome<() => void, NotRunError>>((resolve) => { settle = resolve })
+    const waiter: Waiter = { settle }
+    const gone = waiting.push(waiter, call)
+    gone?.settle(types.fail(new NotRunError('full')))
+    return { slot, cancel: (reason) => { if (waiting.remove(waiter)) settle(types.fail(new NotRunError(reason))) } }
+  }
+
+  function createRelease (): () => void {
+    let isReleased = false
+    return () => {
+      if (isReleased) return
+      isReleased = true
+      running -= 1
+      startWaiting()
+      if (running < limits.limit && waiting.size() === 0) onFree()
+    }
+  }
+
+  function startWaiting (): void {
+    while (running < limits.limit) {
+      const next = waiting.pop()
+      if (next === undefined) return
+      running += 1
+      next.settle(types.succeed(createRelease()))
+    }
+  }
+
+  function leave (): void {
+    isLeaving = true
+    for (let next = waiting.pop(); next !== undefined; next = waiting.pop()) next.settle(types.fail(new NotRunError('leaving')))
+  }
+
+  return {
+    enter,
+    leave,
+    load: () => ({ running, waiting: waiting.size(), ...limits }),
+    setLimits: (nextLimit, nextQueue) => {
+      limits = { limit: nextLimit, queue: nextQueue }
+      waiting.setCapacity(nextQueue)
+      startWaiting()
+    }
+  }
+}
+
+function refuse (reason: RefusalReason): Admitted {
+  return { slot: Promise.resolve(types.fail(new NotRunError(reason))), cancel: () => {} }
+}
--- /dev/null
+++ b/packages/routing/src/createAdmission/test.ts
@@ -0,0 +1,58 @@
+import * as test from 'node:test'
+import * as assert from 'node:assert/strict'
+import * as types from '@switchridge/types'
+import * as createAdmission from './index.js'
+
+const CALL = { account: types.brandId<types.AccountId>('a'), share: 1, priority: 'interactive' as const }
+
+test.describe('createAdmission', () => {
+  test.it('counts before any asynchronous step', () => {
+    const admission = createAdmission.createAdmission(2, 1)
+    for (let index = 0; index < 5; index += 1) admission.enter(CALL)
+    assert.deepEqual(admission.load(), { running: 2, waiting: 1, limit: 2, queue: 1 })
+  })
+
+  test.it('refuses beyond its queue at once and says that the call did not run', async () => {
+    const admission = createAdmission.createAdmission(1, 0)
+    admission.enter(CALL)
+    const refused = await admission.enter(CALL).slot
+    assert.ok(!refused.ok)
+    assert.equal(refused.error.reason, 'full')
+  })
+
+  test.it('passes a slot on to who waits, once, however often it is released', async () => {
+    const admission = createAdmission.createAdmission(1, 2)
+    const first = await admission.enter(CALL).slot
+    const second = admission.enter(CALL)
+    admission.enter(CALL)
+    assert.ok(first.ok)
+    first.value()
+    first.value()
+    assert.ok((await second.slot).ok)
+    assert.deepEqual(admission.load(), { running: 1, waiting: 1, limit: 1, queue: 2 })
+  })
+
+  test.it('gives up waiting calls when it leaves and lets running ones end', async () => {
+    const admission = createAdmission.createAdmission(1, 1)
+    const running = await admission.enter(CALL).slot
+    const waiting = admission.enter(CALL)
+    admission.leave()
+    const refused = await waiting.slot
+    assert.ok(!refused.ok && refused.error.reason === 'leaving')
+    assert.ok(!(await admission.enter(CALL).slot).ok)
+    assert.equal(admission.load().running, 1)
+    assert.ok(running.ok)
+    running.value()
+    assert.equal(admission.load().running, 0)
+  })
+
+  test.it('forgets a call that is cancelled while it waits', async () => {
+    const admission = createAdmission.createAdmission(1, 1)
+    admission.enter(CALL)
+    const waiting = admission.enter(CALL)
+    waiting.cancel('deadline')
+    const refused = await waiting.slot
+    assert.ok(!refused.ok && refused.error.reason === 'deadline')
+    assert.equal(admission.load().waiting, 0)
+  })
+})
--- /dev/null
+++ b/packages/routing/src/createFairQueue/index.ts
@@ -0,0 +1,104 @@
+/** A bounded queue: interactive calls before batch ones, client accounts by their shares, the least important refused first. */
+import type * as types from '@switchridge/types'
+
+/** What the queue knows of a call. */
+export interface QueuedCall {
+  readonly account: types.AccountId
+  /** Weight of the account, above 0. */
+  readonly share: number
+  readonly priority: 'interactive' | 'batch'
+}
+
+/** A queue of items with their calls. */
+export interface FairQueue<Item> {
+  /** Adds an item; returns the item that had to go for it, which may be the same one. */
+  readonly push: (item: Item, call: QueuedCall) => Item | undefined
+  readonly pop: () => Item | undefined
+  /** The item that `pop` would take. */
+  readonly peek: () => Item | undefined
+  /** Takes an item out; false when it is not in the queue. */
+  readonly remove: (item: Item) => boolean
+  readonly size: () => number
+  readonly setCapacity: (capacity: number) => void
+}
+
+interface Waiting<Item> {
+  readonly item: Item
+  readonly call: QueuedCall
+  /** Virtual time at which the call would end if its account had only its share. */
+  readonly finish: number
+}
+
+/**
+ * Creates an empty queue.
+ *
+ * @param capacity - Most items that wait.
+ * @returns The queue.
+ */
+export function createFairQueue<Item> (capacity: number): FairQueue<Item> {
+  const waiting: Array<Waiting<Item>> = []
+  const lastFinish = new Map<types.AccountId, number>()
+  let limit = capacity
+  let virtualTime = 0
+
+  function push (item: Item, call: QueuedCall): Item | undefined {
+    const start = Math.max(virtualTime, lastFinish.get(call.account) ?? 0)
+    const entry = { item, call, finish: start + 1 / call.share }
+    lastFinish.set(call.account, entry.finish)
+    insert(entry)
+    if (waiting.length <= limit) return undefined
+    return takeBack()
+  }
+
+  function insert (entry: Waiting<Item>): void {
+    let low = 0
+    let high = waiting.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if (comesBefore(entry, waiting[middle] as Waiting<Item>)) high = middle
+      else low = middle + 1
+    }
+    waiting.splice(low, 0, entry)
+  }
+
+  /** Takes the least important item; its account gets back the time that it was charged. */
+  function takeBack (): Item | undefined {
+    const last = waiting.pop()
+    if (last === undefined) return undefined
+    refund(last)
+    return last.item
+  }
+
+  function refund (entry: Waiting<Item>): void {
+    const charged = lastFinish.get(entry.call.account) ?? 0
+    lastFinish.set(entry.call.account, charged - 1 / entry.call.share)
+  }
+
+  function pop (): Item | undefined {
+    const first = waiting.shift()
+    if (first === undefined) return undefined
+    virtualTime = Math.max(virtualTime, first.finish - 1 / first.call.share)
+    if (waiting.length === 0) forgetIdleAccounts()
+    return first.item
+  }
+
+  function forgetIdleAccounts (): void {
+    for (const [account, finish] of lastFinish) if (finish <= virtualTime) lastFinish.delete(account)
+  }
+
+  function remove (item: Item): boolean {
+    const index = waiting.findIndex((entry) => entry.item === item)
+    const entry = waiting[index]
+    if (entry === undefined) return false
+    waiting.splice(index, 1)
+    refund(entry)
+    return true
+  }
+
+  return { push, pop, remove, peek: () => waiting[0]?.item, size: () => waiting.length, setCapacity: (next) => { limit = next } }
+}
+
+function comesBefore<Item> (left: Waiting<Item>, right: Waiting<Item>): boolean {
+  if (left.call.priority !== right.call.priority) return left.call.priority === 'interactive'
+  return left.finish < right.finish
+}
--- /dev/null
+++ b/packages/rpc/src/createRpcServer/test.ts
@@ -0,0 +1,47 @@
+import * as test from 'node:test'
+import * as assert from 'node:assert/strict'
+import Koa from 'koa'
+import * as rpc from '../index.js'
+
+const HOME = { deployment: 'depozit', sharedKey: 'a-key-of-some-length' }
+
+async function openServer (methods: Record<string, rpc.RpcMethod>): Promise<rpc.HttpListener> {
+  const app = new Koa()
+  app.use(rpc.createRpcServer(HOME, methods))
+  return await rpc.listenHttp(app.callback(), { host: '127.0.0.1', port: 0 })
+}
+
+test.describe('createRpcServer', () => {
+  test.it('answers a method and reports its error as refused', async () => {
+    const listener = await openServer({ add: (params) => (params as number[])[0]! + 1, broken: () => { throw new Error('no such row') } })
+    const agents = rpc.createHttpAgents()
+    const client = rpc.createRpcClient(HOME, agents)
+    assert.deepEqual(await client.call(listener.address, 'add', [1]), { ok: true, value: 2 })
+    const broken = await client.call(listener.address, 'broken', [])
+    assert.ok(!broken.ok)
+    assert.equal(broken.error.message, 'no such row')
+    agents.destroy()
+    await listener.close()
+  })
+
+  test.it('refuses a daemon of another deployment with a clear line', async () => {
+    const listener = await openServer({})
+    const agents = rpc.createHttpAgents()
+    const client = rpc.createRpcClient({ ...HOME, deployment: 'flagwright' }, agents)
+    const outcome = await client.call(listener.address, 'add', [1])
+    assert.ok(!outcome.ok)
+    assert.match(outcome.error.message, /deployment "flagwright" is not "depozit"/)
+    agents.destroy()
+    await listener.close()
+  })
+
+  test.it('reports a closed port as unavailable', async () => {
+    const listener = await openServer({})
+    await listener.close()
+    const agents = rpc.createHttpAgents()
+    const outcome = await rpc.createRpcClient(HOME, agents).call(listener.address, 'add', [1])
+    assert.ok(!outcome.ok)
+    assert.equal(outcome.error.name, 'UnavailableError')
+    agents.destroy()
+  })
+})
--- /dev/null
+++ b/packages/rpc/src/index.ts
@@ -0,0 +1,6 @@
+/** JSON-RPC 2.0 between daemons, identities and HTTP plumbing. */
+export * from './createHttpAgents/index.js'
+export * from './createIdentity/index.js'
+export * from './createRpcClient/index.js'
+export * from './createRpcServer/index.js'
+export * from './listenHttp/index.js'
--- /dev/null
+++ b/packages/rpc/src/listenHttp/index.ts
@@ -0,0 +1,68 @@
+/** Opens an HTTP or HTTPS server and closes it without cutting requests. */
+import * as http from 'node:http'
+import * as https from 'node:https'
+import type * as net from 'node:net'
+import type * as types from '@switchridge/types'
+import type * as agents from '../createHttpAgents/index.js'
+
+/** Options of {@link listenHttp}. */
+export interface ListenOptions {
+  readonly host: string
+  /** 0 lets the system choose. */
+  readonly port: number
+  /** Server key material; clients must then show a certificate of the same authority. */
+  readonly tls?: agents.TlsMaterial
+  readonly maxHeaderBytes?: number
+}
+
+/** An open server. */
+export interface HttpListener {
+  readonly address: types.Address
+  /** Stops taking connections and resolves when the open requests have ended. */
+  readonly close: () => Promise<void>
+  /** Ends every connection at once. */
+  readonly abort: () => void
+}
+
+const DEFAULT_HEADER_BYTES = 16 * 1024
+const KEEP_ALIVE_MS = 30_000
+
+/**
+ * Opens a server.
+ *
+ * @param handler - Answers requests, for example a koa callback.
+ * @param options - Address and key material.
+ * @returns The open server.
+ */
+export async function listenHttp (handler: http.RequestListener, options: ListenOptions): Promise<HttpListener> {
+  const server = createServer(handler, options)
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  server.requestTimeout = 0
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(options.port, options.host, 1024, resolve)
+  })
+  const bound = server.address() as net.AddressInfo
+  return {
+    address: { host: options.host, port: bound.port },
+    close: async () => { await closeServer(server) },
+    abort: () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+function createServer (handler: http.RequestListener, options: ListenOptions): http.Server | https.Server {
+  const maxHeaderSize = options.maxHeaderBytes ?? DEFAULT_HEADER_BYTES
+  if (options.tls === undefined) return http.createServer({ maxHeaderSize, noDelay: true }, handler)
+  const { certificate, privateKey, authority } = options.tls
+  return https.createServer({ maxHeaderSize, cert: certificate, key: privateKey, ca: authority, requestCert: true, rejectUnauthorized: true }, handler)
+}
+
+async function closeServer (server: http.Server | https.Server): Promise<void> {
+  await new Promise<void>((resolve) => {
+    server.close(() => { resolve() })
+    server.closeIdleConnections()
+  })
+}
--- /dev/null
+++ b/packages/standins/src/_lib/admin.ts
@@ -0,0 +1,19 @@
+/** Faults that tests and the demo set on a stand-in while it runs. */
+import type * as koa from 'koa'
+import * as rpc from '@switchridge/rpc'
+
+/** Middleware for `PUT /admin/faults` and `GET /admin/counts`. */
+export function createAdmin<Faults extends object> (faults: Faults, readCounts: () => unknown): koa.Middleware {
+  return async (context, next) => {
+    if (context.path === '/admin/faults' && context.method === 'PUT') {
+      const body = await rpc.readJson(context.req)
+      if (body.ok) Object.assign(faults, body.value)
+      context.status = body.ok ? 200 : 400
+      context.body = body.ok ? faults : { error: body.error.message }
+    } else if (context.path === '/admin/counts' && context.method === 'GET') {
+      context.body = readCounts()
+    } else {
+      await next()
+    }
+  }
+}
--- /dev/null
+++ b/packages/table/src/parseTable/index.ts
@@ -0,0 +1,89 @@
+/** Checks a table: each cell, and the rules between rows. */
+import * as types from '@switchridge/types'
+import * as schema from '../_lib/schema.js'
+import * as sections from '../_lib/sections.js'
+
+/**
+ * Parses a table read from outside.
+ *
+ * @param value - Plain JSON.
+ * @returns The table, or every cell that breaks a rule.
+ */
+export function parseTable (value: unknown): types.Outcome<types.Table, types.InvalidInputError> {
+  const outer = schema.tableSchema.safeParse(value)
+  if (!outer.success) return invalid([{ place: 'table', given: 'another shape', allowed: outer.error.issues[0]?.message ?? 'a table' }])
+  const problems: types.InputProblem[] = []
+  const rows = Object.fromEntries(sections.SECTIONS.map((section) => [section, parseRows(section, outer.data[section], problems)]))
+  if (problems.length > 0) return invalid(problems)
+  const table = { revision: outer.data.revision, lastEdit: outer.data.lastEdit, ...rows } as unknown as types.Table
+  const broken = [...findDuplicates(table), ...findBrokenReferences(table), ...findOversize(table)]
+  return broken.length > 0 ? invalid(broken) : types.succeed(table)
+}
+
+function invalid (problems: readonly types.InputProblem[]): { readonly ok: false, readonly error: types.InvalidInputError } {
+  return types.fail(new types.InvalidInputError('table', problems))
+}
+
+function parseRows (section: types.SectionName, rows: readonly unknown[], problems: types.InputProblem[]): unknown[] {
+  return rows.map((row) => {
+    const result = schema.ROW_SCHEMAS[section].safeParse(row)
+    if (result.success) return result.data
+    const id = String((row as { id?: unknown }).id)
+    for (const issue of result.error.issues) problems.push(...describeIssue(section, id, issue, row))
+    return null
+  })
+}
+
+interface Issue {
+  readonly path: readonly PropertyKey[]
+  readonly message: string
+  readonly keys?: readonly string[]
+}
+
+function describeIssue (section: types.SectionName, id: string, issue: object, row: unknown): types.InputProblem[] {
+  const { path, message, keys } = issue as Issue
+  if (keys !== undefined) {
+    const columns = Object.keys(schema.ROW_SCHEMAS[section].shape).join(', ')
+    return keys.map((key) => ({ place: sections.formatPlace(section, id, key), given: 'an unknown column', allowed: columns }))
+  }
+  const column = String(path[0] ?? 'id')
+  const value = (row as Record<string, unknown>)[column]
+  return [{ place: sections.formatPlace(section, id, column), given: value === undefined ? 'nothing' : JSON.stringify(value), allowed: message }]
+}
+
+function findDuplicates (table: types.Table): types.InputProblem[] {
+  return sections.SECTIONS.flatMap((section) => {
+    const ids = table[section].map((row) => row.id as string)
+    const repeated = new Set(ids.filter((id, index) => ids.indexOf(id) !== index))
+    return [...repeated].map((id) => ({ place: sections.formatPlace(section, id), given: 'two rows', allowed: 'one row for each id' }))
+  })
+}
+
+function findBrokenReferences (table: types.Table): types.InputProblem[] {
+  return table.models.flatMap((row) => [...checkService(table, row), ...checkBase(table, row)])
+}
+
+function checkService (table: types.Table, row: types.ModelRow): types.InputProblem[] {
+  const service = table.services.find((candidate) => candidate.id === row.service)
+  const place = sections.formatPlace('models', row.id, 'service')
+  if (service === undefined) return [{ place, given: row.service, allowed: 'a service of the table' }]
+  if (service.kind !== 'engine') return [{ place, given: row.service, allowed: 'a service of kind engine' }]
+  return []
+}
+
+function checkBase (table: types.Table, row: types.ModelRow): types.InputProblem[] {
+  const place = sections.formatPlace('models', row.id, 'base')
+  if (row.kind === 'adapter' && row.base === null) return [{ place, given: 'nothing', allowed: 'the row that the adapter needs' }]
+  if (row.base === null) return []
+  const base = table.models.find((candidate) => candidate.id === row.base)
+  if (base === undefined) return [{ place, given: row.base, allowed: 'a model row of the table' }]
+  if (base.base !== null) return [{ place, given: row.base, allowed: 'a row without a base of its own' }]
+  if (base.service !== row.service) return [{ place, given: row.base, allowed: `a row of service ${row.service}` }]
+  return []
+}
+
+function findOversize (table: types.Table): types.InputProblem[] {
+  const bytes = Buffer.byteLength(JSON.stringify(table))
+  if (bytes <= types.MAXIMUM_OBJECT_BYTES) return []
+  return [{ place: 'table', given: `${bytes} bytes`, allowed: `${types.MAXIMUM_OBJECT_BYTES} bytes at most` }]
+}
--- /dev/null
+++ b/packages/table/src/readAudit/index.ts
@@ -0,0 +1,32 @@
+/** Reads the audit trail of changes. */
+import * as types from '@switchridge/types'
+import type * as platform from '@switchridge/platform'
+import * as editTable from '../editTable/index.js'
+import * as schema from '../_lib/schema.js'
+
+const PAGE = 500
+
+/**
+ * Reads the entries from a revision on, the newest included.
+ *
+ * @param store - The platform's object API.
+ * @param fromRevision - First revision wanted.
+ * @returns The entries in order of revision.
+ */
+export async function readAudit (store: platform.ObjectStore, fromRevision: number): Promise<types.Outcome<readonly types.AuditEntry[], types.UnavailableError | types.InvalidInputError>> {
+  const current = await editTable.readTable(store)
+  if (!current.ok) return current
+  const entries: types.AuditEntry[] = []
+  let from = editTable.formatRevision(fromRevision)
+  for (;;) {
+    const listed = await store.list(editTable.AUDIT_KIND, from, PAGE)
+    if (!listed.ok) return listed
+    entries.push(...listed.value.map((object) => schema.auditEntrySchema.parse(object.value) as unknown as types.AuditEntry))
+    const last = listed.value.at(-1)
+    if (last === undefined || listed.value.length < PAGE) break
+    from = editTable.formatRevision(Number(last.name) + 1)
+  }
+  const newest = current.value.table.lastEdit
+  const isMissing = newest !== null && newest.revision >= fromRevision && entries.at(-1)?.revision !== newest.revision
+  return types.succeed(isMissing ? [...entries, newest] : entries)
+}
--- /dev/null
+++ b/packages/transfer/src/_lib/bitmap.ts
@@ -0,0 +1,33 @@
+/** A set of chunk numbers, one bit each. */
+
+export type Bitmap = Uint8Array
+
+const BITS = 8
+
+export function createBitmap (size: number): Bitmap {
+  return new Uint8Array(Math.ceil(size / BITS))
+}
+
+export function hasBit (bitmap: Bitmap, index: number): boolean {
+  return ((bitmap[index >> 3] ?? 0) & (1 << (index & 7))) !== 0
+}
+
+export function setBit (bitmap: Bitmap, index: number): void {
+  const byte = index >> 3
+  if (byte < bitmap.length) bitmap[byte] = (bitmap[byte] ?? 0) | (1 << (index & 7))
+}
+
+export function clearBit (bitmap: Bitmap, index: number): void {
+  const byte = index >> 3
+  if (byte < bitmap.length) bitmap[byte] = (bitmap[byte] ?? 0) & ~(1 << (index & 7))
+}
+
+export function encodeBitmap (bitmap: Bitmap): string {
+  return Buffer.from(bitmap.buffer, bitmap.byteOffset, bitmap.byteLength).toString('base64')
+}
+
+/** Decodes a bitmap for `size` chunks; null when the text has another length. */
+export function decodeBitmap (text: string, size: number): Bitmap | null {
+  const bytes = Buffer.from(text, 'base64')
+  return bytes.length === Math.ceil(size / BITS) ? bytes : null
+}
--- /dev/null
+++ b/packages/transfer/src/createChunkStore/index.ts
@@ -0,0 +1,135 @@
+/** Chunks in memory, each checked by its digest before it is kept and shared between versions. */
+import * as types from '@switchridge/types'
+import * as bitmaps from '../_lib/bitmap.js'
+import * as createManifest from '../createManifest/index.js'
+import type * as transfer from '../types/index.js'
+
+/** The chunks of one version. */
+export interface Holding {
+  readonly digest: types.Digest
+  readonly manifest: transfer.Manifest
+  readonly bitmap: bitmaps.Bitmap
+  readonly count: () => number
+  readonly isComplete: () => boolean
+  readonly has: (chunk: number) => boolean
+  readonly get: (chunk: number) => Buffer | undefined
+  /** Keeps the bytes if they match the digest of the chunk. */
+  readonly put: (chunk: number, bytes: Buffer) => types.Outcome<null, types.DigestMismatchError>
+  readonly missing: () => number[]
+}
+
+/** All versions that the node holds, whole or in part. */
+export interface ChunkStore {
+  /** Makes room for a version and takes over the chunks that other versions share with it. */
+  readonly open: (digest: types.Digest, manifest: transfer.Manifest) => types.Outcome<Holding, StoreFullError>
+  readonly find: (digest: types.Digest) => Holding | undefined
+  readonly drop: (digest: types.Digest) => void
+  readonly digests: () => readonly types.Digest[]
+  /** Bytes of chunks held now. */
+  readonly usedBytes: () => number
+}
+
+/** The setting for chunk memory does not leave room for the version. */
+export class StoreFullError extends types.SwitchridgeError {}
+
+interface SharedChunk {
+  readonly bytes: Buffer
+  references: number
+}
+
+/**
+ * Creates an empty store.
+ *
+ * @param memoryBytes - Most bytes of chunks that all versions together may need.
+ * @returns The store.
+ */
+export function createChunkStore (memoryBytes: number): ChunkStore {
+  const holdings = new Map<types.Digest, Holding>()
+  const shared = new Map<types.Digest, SharedChunk>()
+  let used = 0
+
+  function addReference (digest: types.Digest, bytes: Buffer): void {
+    const known = shared.get(digest)
+    if (known === undefined) {
+      shared.set(digest, { bytes, references: 1 })
+      used += bytes.length
+    } else {
+      known.references += 1
+    }
+  }
+
+  function removeReference (digest: types.Digest): void {
+    const known = shared.get(digest)
+    if (known === undefined) return
+    known.references -= 1
+    if (known.references > 0) return
+    shared.delete(digest)
+    used -= known.bytes.length
+  }
+
+  function createHolding (digest: types.Digest, manifest: transfer.Manifest): Holding {
+    const bitmap = bitmaps.createBitmap(manifest.chunks.length)
+    let count = 0
+    const digestOf = (chunk: number): types.Digest => manifest.chunks[chunk] as types.Digest
+
+    function keep (chunk: number, bytes: Buffer): void {
+      addReference(digestOf(chunk), bytes)
+      bitmaps.setBit(bitmap, chunk)
+      count += 1
+    }
+
+    manifest.chunks.forEach((chunkDigest, chunk) => {
+      const known = shared.get(chunkDigest)
+      if (known !== undefined) keep(chunk, known.bytes)
+    })
+
+    return {
+      digest,
+      manifest,
+      bitmap,
+      count: () => count,
+      isComplete: () => count === manifest.chunks.length,
+      has: (chunk) => bitmaps.hasBit(bitmap, chunk),
+      get: (chunk) => bitmaps.hasBit(bitmap, chunk) ? shared.get(digestOf(chunk))?.bytes : undefined,
+      put: (chunk, bytes) => {
+        if (bitmaps.hasBit(bitmap, chunk)) return types.succeed(null)
+        if (createManifest.computeDigest(bytes) !== digestOf(chunk)) {
+          return types.fail(new types.DigestMismatchError(`chunk ${chunk} of ${digest} does not match its digest`))
+        }
+        keep(chunk, shared.get(digestOf(chunk))?.bytes ?? bytes)
+        return types.succeed(null)
+      },
+      missing: () => manifest.chunks.map((_, chunk) => chunk).filter((chunk) => !bitmaps.hasBit(bitmap, chunk))
+    }
+  }
+
+  /** What all open versions need when complete, each shared chunk counted once. */
+  function neededBytes (manifest: transfer.Manifest): number {
+    const sizes = new Map<types.Digest, number>()
+    for (const each of [...holdings.values()].map((holding) => holding.manifest).concat(manifest)) {
+      for (const chunkDigest of each.chunks) sizes.set(chunkDigest, each.chunkBytes)
+    }
+    return [...sizes.values()].reduce((sum, size) => sum + size, 0)
+  }
+
+  return {
+    open: (digest, manifest) => {
+      const known = holdings.get(digest)
+      if (known !== undefined) return types.succeed(known)
+      const needed = neededBytes(manifest)
+      if (needed > memoryBytes + manifest.chunkBytes) return types.fail(new StoreFullError(`${needed} bytes of chunks needed, chunk_memory_bytes is ${memoryBytes}`))
+      const holding = createHolding(digest, manifest)
+      holdings.set(digest, holding)
+      return types.succeed(holding)
+    },
+    find: (digest) => holdings.get(digest),
+    drop: (digest) => {
+      const holding = holdings.get(digest)
+      if (holding === undefined) return
+      holdings.delete(digest)
+      holding.manifest.chunks.forEach((chunkDigest, chunk) => { if (holding.has(chunk)) removeReference(chunkDigest) })
+    },
+    digests: () => [...holdings.keys()],
+    usedBytes: () => used
+  }
+}
--- /dev/null
+++ b/packages/transfer/src/createChunkStore/test.ts
@@ -0,0 +1,56 @@
+import * as test from 'node:test'
+import * as assert from 'node:assert/strict'
+import * as transfer from '../index.js'
+
+const CHUNK_BYTES = 4
+const bytesOf = (text: string): Buffer => Buffer.from(text)
+
+async function describeBytes (text: string) {
+  const manifest = await transfer.createManifest([bytesOf(text)], CHUNK_BYTES)
+  return { manifest, digest: transfer.computeDigest(transfer.formatManifest(manifest)) }
+}
+
+test.describe('createChunkStore', () => {
+  test.it('drops bytes that do not match and completes with those that do', async () => {
+    const { manifest, digest } = await describeBytes('aaaabbbbcc')
+    const store = transfer.createChunkStore(100)
+    const opened = store.open(digest, manifest)
+    assert.ok(opened.ok)
+    assert.ok(!opened.value.put(1, bytesOf('aaaa')).ok)
+    assert.equal(opened.value.has(1), false)
+    for (const [chunk, text] of ['aaaa', 'bbbb', 'cc'].entries()) assert.ok(opened.value.put(chunk, bytesOf(text)).ok)
+    assert.equal(opened.value.isComplete(), true)
+    assert.equal(store.usedBytes(), 10)
+  })
+
+  test.it('takes over shared chunks and frees them with their last version', async () => {
+    const first = await describeBytes('aaaabbbb')
+    const second = await describeBytes('bbbbcccc')
+    const store = transfer.createChunkStore(100)
+    const opened = store.open(first.digest, first.manifest)
+    assert.ok(opened.ok)
+    opened.value.put(0, bytesOf('aaaa'))
+    opened.value.put(1, bytesOf('bbbb'))
+    const next = store.open(second.digest, second.manifest)
+    assert.ok(next.ok)
+    assert.deepEqual(next.value.missing(), [1])
+    store.drop(first.digest)
+    assert.equal(store.usedBytes(), 4)
+    assert.equal(next.value.get(0)?.toString(), 'bbbb')
+    store.drop(second.digest)
+    assert.equal(store.usedBytes(), 0)
+  })
+
+  test.it('refuses a version that its memory cannot hold', async () => {
+    const { manifest, digest } = await describeBytes('aaaabbbbccccdddd')
+    const outcome = transfer.createChunkStore(8).open(digest, manifest)
+    assert.ok(!outcome.ok && outcome.error instanceof transfer.StoreFullError)
+  })
+
+  test.it('takes a manifest only under the digest that pins it', async () => {
+    const { manifest, digest } = await describeBytes('aaaabbbb')
+    const other = await describeBytes('aaaacccc')
+    assert.ok(transfer.parseManifest(transfer.formatManifest(manifest), digest).ok)
+    assert.ok(!transfer.parseManifest(transfer.formatManifest(other.manifest), digest).ok)
+  })
+})
--- /dev/null
+++ b/packages/transfer/src/createDownload/index.ts
@@ -0,0 +1,339 @@
+/** Fetches one version: asks peers and, where it is this node's part, the origin. */
+import * as types from '@switchridge/types'
+import * as bitmaps from '../_lib/bitmap.js'
+import * as chooseRequest from '../chooseRequest/index.js'
+import type * as createChunkStore from '../createChunkStore/index.js'
+import type * as createLinkPacer from '../createLinkPacer/index.js'
+import * as fetchChunk from '../fetchChunk/index.js'
+import * as parseManifest from '../parseManifest/index.js'
+import type * as transfer from '../types/index.js'
+
+/** Requests to other processes, as functions, so that tests can stand in for them. */
+export interface DownloadRequests {
+  readonly fetchChunk: (peer: transfer.Peer, digest: types.Digest, chunk: number, have: string, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.ChunkAnswer>
+  readonly fetchOrigin: (source: string, from: number, length: number, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.OriginAnswer>
+  readonly announce: (peer: transfer.Peer, digest: types.Digest, have: string) => void
+  readonly askProvider: (peer: transfer.Peer, digest: types.Digest, chunk: number) => Promise<transfer.ProviderAnswer>
+}
+
+/** Options of {@link createDownload}. */
+export interface DownloadOptions {
+  readonly holding: createChunkStore.Holding
+  /** Path of the weights at the origin. */
+  readonly source: string
+  readonly requests: DownloadRequests
+  readonly downlink: createLinkPacer.LinkPacer
+  readonly perPeer: number
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+  /** Random number from 0 to 1. */
+  readonly random: () => number
+  /** Called when a slot came free or something new is known. */
+  readonly onProgress: () => void
+  readonly onEvent: (event: DownloadEvent) => void
+}
+
+/** Something worth a line in the log or a count. */
+export interface DownloadEvent {
+  readonly event: 'peer-failed' | 'chunk-corrupt' | 'origin-failed' | 'origin-corrupt' | 'took-over'
+  readonly digest: types.Digest
+  readonly chunk: number
+  readonly from: string
+  readonly reason: string
+}
+
+/** Counts of one download. */
+export interface DownloadCounts {
+  originBytes: number
+  peerBytes: number
+  otherHallBytes: number
+  requests: number
+  refused: number
+  corrupt: number
+  failed: number
+}
+
+/** One version on its way. */
+export interface Download {
+  readonly digest: types.Digest
+  readonly holding: createChunkStore.Holding
+  readonly counts: DownloadCounts
+  readonly setPolicy: (policy: transfer.TransferPolicy, peers: readonly transfer.Peer[]) => void
+  /** Requests whose bytes have not passed the link yet. */
+  readonly openRequests: () => number
+  /** Starts one request if one makes sense now. */
+  readonly startRequest: () => boolean
+  /** Looks for chunks whose provider is late; call it a few times a second. */
+  readonly checkOverdue: () => void
+  readonly noteHave: (node: types.NodeId, have: string) => void
+  /** Answers another node that asks what became of a chunk. */
+  readonly answerProvider: (chunk: number) => transfer.ProviderAnswer
+  readonly stop: () => void
+}
+
+const FIRST_TIMEOUT_MS = 5000
+const MINIMUM_TIMEOUT_MS = 1500
+const MAXIMUM_TIMEOUT_MS = 30_000
+const TIMEOUT_FACTOR = 8
+const AVERAGE_WEIGHT = 0.2
+const SUSPEND_BASE_MS = 500
+const SUSPEND_MAXIMUM_MS = 30_000
+const REFUSED_PAUSE_MS = 15
+const ORIGIN_OPEN_REQUESTS = 2
+const OVERDUE_BATCH = 32
+
+/**
+ * Creates the download of one version.
+ *
+ * @param options - Where chunks are kept and how they are fetched.
+ * @returns The download; nothing is fetched before it has a policy.
+ */
+export function createDownload (options: DownloadOptions): Download {
+  const { holding, requests, now } = options
+  const { digest, manifest } = holding
+  const size = manifest.chunks.length
+  const counts: DownloadCounts = { originBytes: 0, peerBytes: 0, otherHallBytes: 0, requests: 0, refused: 0, corrupt: 0, failed: 0 }
+  const peers = new Map<types.NodeId, transfer.PeerState>()
+  const holders = new Uint16Array(size)
+  const ties = Float64Array.from({ length: size }, options.random)
+  const wanted = new Set(holding.missing())
+  const partial = new Map<number, Buffer>()
+  const asked = new Map<number, number>()
+  const abort = new AbortController()
+  let policy: transfer.TransferPolicy | null = null
+  let originChunks: number[] = []
+  let nextSlot = 0
+  let originOpen = 0
+  let peersOpen = 0
+  let originFailures = 0
+  let originSuspendedUntil = 0
+  let averageMs = 0
+
+  function setPolicy (next: transfer.TransferPolicy, members: readonly transfer.Peer[]): void {
+    policy = next
+    nextSlot = 0
+    originChunks = []
+    const known = new Set(members.map((peer) => peer.node))
+    for (const node of peers.keys()) if (!known.has(node)) removePeer(node)
+    for (const peer of members) addPeer(peer)
+  }
+
+  function addPeer (peer: transfer.Peer): void {
+    const known = peers.get(peer.node)
+    if (known !== undefined && known.address.port === peer.address.port && known.address.host === peer.address.host) return
+    if (known !== undefined) removePeer(peer.node)
+    peers.set(peer.node, { ...peer, has: bitmaps.createBitmap(size), outstanding: 0, backlog: 0, suspendedUntil: 0, failures: 0 })
+  }
+
+  function removePeer (node: types.NodeId): void {
+    const peer = peers.get(node)
+    peers.delete(node)
+    if (peer === undefined) return
+    for (let chunk = 0; chunk < size; chunk += 1) if (bitmaps.hasBit(peer.has, chunk)) holders[chunk] = (holders[chunk] ?? 1) - 1
+  }
+
+  function noteHave (node: types.NodeId, have: string): void {
+    const peer = peers.get(node)
+    const bitmap = have === '' ? null : bitmaps.decodeBitmap(have, size)
+    if (peer === undefined || bitmap === null) return
+    for (let byte = 0; byte < bitmap.length; byte += 1) {
+      const fresh = (bitmap[byte] ?? 0) & ~(peer.has[byte] ?? 0)
+      if (fresh !== 0) countFresh(peer, byte, fresh)
+    }
+  }
+
+  function countFresh (peer: transfer.PeerState, byte: number, fresh: number): void {
+    for (let bit = 0; bit < 8; bit += 1) {
+      const chunk = byte * 8 + bit
+      if ((fresh & (1 << bit)) === 0 || chunk >= size) continue
+      bitmaps.setBit(peer.has, chunk)
+      holders[chunk] = (holders[chunk] ?? 0) + 1
+    }
+  }
+
+  function startRequest (): boolean {
+    if (policy === null || wanted.size === 0 || abort.signal.aborted) return false
+    const originChunk = chooseOriginChunk(policy)
+    if (originChunk !== null) {
+      void readOrigin(originChunk)
+      return true
+    }
+    const choice = chooseRequest.chooseRequest({
+      wanted: [...wanted], peers: [...peers.values()], holders, ties, policy, now: now(), perPeer: options.perPeer, random: options.random
+    })
+    if (choice === null) return false
+    void askPeer(choice.chunk, choice.peer)
+    return true
+  }
+
+  function chooseOriginChunk (current: transfer.TransferPolicy): number | null {
+    while (nextSlot < size && current.slotAt(nextSlot) <= now()) {
+      if (!holding.has(nextSlot) && current.readsOrigin(nextSlot)) originChunks.push(nextSlot)
+      nextSlot += 1
+    }
+    if (originOpen >= ORIGIN_OPEN_REQUESTS || now() < originSuspendedUntil) return null
+    originChunks = originChunks.filter((chunk) => !holding.has(chunk) && current.readsOrigin(chunk))
+    return originChunks.find((chunk) => wanted.has(chunk) && !isAtPeer(current, chunk)) ?? null
+  }
+
+  function isAtPeer (current: transfer.TransferPolicy, chunk: number): boolean {
+    if (holders[chunk] === 0) return false
+    return [...peers.values()].some((peer) => bitmaps.hasBit(peer.has, chunk) && peer.suspendedUntil <= now() && current.mayAsk(peer, chunk))
+  }
+
+  async function askPeer (chunk: number, peer: transfer.PeerState): Promise<void> {
+    wanted.delete(chunk)
+    peer.outstanding += 1
+    peersOpen += 1
+    counts.requests += 1
+    const startedAt = now()
+    const answer = await requests.fetchChunk(peer, digest, chunk, bitmaps.encodeBitmap(holding.bitmap), computeTimeout(), abort.signal)
+    peer.outstanding -= 1
+    await settle(chunk, peer, answer, now() - startedAt)
+    peersOpen -= 1
+    if (!holding.has(chunk)) wanted.add(chunk)
+    options.onProgress()
+  }
+
+  async function settle (chunk: number, peer: transfer.PeerState, answer: fetchChunk.ChunkAnswer, elapsedMs: number): Promise<void> {
+    if (abort.signal.aborted) return
+    noteHave(peer.node, answer.statement.have)
+    peer.backlog = answer.statement.backlog
+    if (answer.outcome.ok) {
+      averageMs = averageMs === 0 ? elapsedMs : averageMs + AVERAGE_WEIGHT * (elapsedMs - averageMs)
+      await receive(chunk, answer.outcome.value, peer)
+    } else if (answer.outcome.error instanceof fetchChunk.ChunkRefusedError) {
+      counts.refused += 1
+      bitmaps.clearBit(peer.has, chunk)
+      holders[chunk] = Math.max(0, (holders[chunk] ?? 1) - 1)
+      noteHave(peer.node, answer.statement.have)
+      peer.suspendedUntil = now() + REFUSED_PAUSE_MS
+    } else {
+      counts.failed += 1
+      suspendPeer(peer)
+      options.onEvent({ event: 'peer-failed', digest, chunk, from: peer.node, reason: answer.outcome.error.message })
+    }
+  }
+
+  async function receive (chunk: number, bytes: Buffer, peer: transfer.PeerState): Promise<void> {
+    counts.peerBytes += bytes.length
+    await options.downlink.take(bytes.length)
+    const kept = holding.put(chunk, bytes)
+    if (kept.ok) {
+      peer.failures = 0
+      announce(chunk)
+      return
+    }
+    counts.corrupt += 1
+    suspendPeer(peer)
+    options.onEvent({ event: 'chunk-corrupt', digest, chunk, from: peer.node, reason: kept.error.message })
+  }
+
+  function suspendPeer (peer: transfer.PeerState): void {
+    peer.suspendedUntil = now() + Math.min(SUSPEND_MAXIMUM_MS, SUSPEND_BASE_MS * 2 ** peer.failures)
+    peer.failures += 1
+  }
+
+  /** A peer is slow when it takes several times as long as peers do on average. */
+  function computeTimeout (): number {
+    if (averageMs === 0) return FIRST_TIMEOUT_MS
+    return Math.min(MAXIMUM_TIMEOUT_MS, Math.max(MINIMUM_TIMEOUT_MS, TIMEOUT_FACTOR * averageMs))
+  }
+
+  async function readOrigin (chunk: number): Promise<void> {
+    wanted.delete(chunk)
+    originOpen += 1
+    const before = partial.get(chunk) ?? Buffer.alloc(0)
+    const length = parseManifest.computeChunkBytes(manifest, chunk)
+    const from = chunk * manifest.chunkBytes + before.length
+    const answer = await requests.fetchOrigin(options.source, from, length - before.length, MAXIMUM_TIMEOUT_MS, abort.signal)
+    counts.originBytes += answer.bytes.length
+    await options.downlink.take(answer.bytes.length)
+    originOpen -= 1
+    if (abort.signal.aborted) return
+    const bytes = Buffer.concat([before, answer.bytes])
+    if (answer.error === undefined) keepFromOrigin(chunk, bytes)
+    else keepPartial(chunk, bytes, answer.error)
+    if (!holding.has(chunk)) wanted.add(chunk)
+    options.onProgress()
+  }
+
+  function keepFromOrigin (chunk: number, bytes: Buffer): void {
+    partial.delete(chunk)
+    const kept = holding.put(chunk, bytes)
+    if (kept.ok) {
+      originFailures = 0
+      announce(chunk)
+      return
+    }
+    counts.corrupt += 1
+    suspendOrigin()
+    options.onEvent({ event: 'origin-corrupt', digest, chunk, from: options.source, reason: kept.error.message })
+  }
+
+  function keepPartial (chunk: number, bytes: Buffer, error: types.UnavailableError): void {
+    partial.set(chunk, bytes)
+    suspendOrigin()
+    options.onEvent({ event: 'origin-failed', digest, chunk, from: options.source, reason: error.message })
+  }
+
+  function suspendOrigin (): void {
+    const ceiling = Math.min(SUSPEND_MAXIMUM_MS, SUSPEND_BASE_MS * 2 ** originFailures)
+    originSuspendedUntil = now() + ceiling * (0.5 + options.random() / 2)
+    originFailures += 1
+  }
+
+  function announce (chunk: number): void {
+    const have = bitmaps.encodeBitmap(holding.bitmap)
+    for (const node of policy?.announceTo(chunk) ?? []) {
+      const peer = peers.get(node)
+      if (peer !== undefined && !bitmaps.hasBit(peer.has, chunk)) requests.announce(peer, digest, have)
+    }
+  }
+
+  function checkOverdue (): void {
+    if (policy === null) return
+    let checked = 0
+    for (const chunk of wanted) {
+      if (checked >= OVERDUE_BATCH || policy.slotAt(chunk) > now()) continue
+      if (isAtPeer(policy, chunk)) continue
+      checked += 1
+      const provider = policy.overdueFrom(chunk, now())
+      if (provider !== null && (asked.get(chunk) ?? 0) <= now()) void askAbout(policy, chunk, provider)
+    }
+  }
+
+  async function askAbout (current: transfer.TransferPolicy, chunk: number, provider: types.NodeId): Promise<void> {
+    asked.set(chunk, now() + MINIMUM_TIMEOUT_MS)
+    const peer = peers.get(provider)
+    const answer = peer === undefined ? 'unreachable' : await requests.askProvider(peer, digest, chunk)
+    if (answer === 'reading' || holding.has(chunk)) return
+    if (answer === 'has' && peer !== undefined) {
+      markHolder(peer, chunk)
+    } else if (current.takeOver(chunk, provider)) {
+      originChunks.push(chunk)
+      options.onEvent({ event: 'took-over', digest, chunk, from: provider, reason: answer })
+    }
+    options.onProgress()
+  }
+
+  function markHolder (peer: transfer.PeerState, chunk: number): void {
+    if (bitmaps.hasBit(peer.has, chunk)) return
+    bitmaps.setBit(peer.has, chunk)
+    holders[chunk] = (holders[chunk] ?? 0) + 1
+  }
+
+  function answerProvider (chunk: number): transfer.ProviderAnswer {
+    if (holding.has(chunk)) return 'has'
+    const isOriginDown = now() < originSuspendedUntil && originFailures > 0
+    const isMine = policy?.readsOrigin(chunk) === true
+    if (isMine && !isOriginDown) return 'reading'
+    if (!isMine && !wanted.has(chunk)) return 'reading'
+    policy?.release(chunk)
+    return 'released'
+  }
+
+  const openRequests = (): number => peersOpen + originOpen
+
+  return { digest, holding, counts, openRequests, setPolicy, startRequest, checkOverdue, noteHave, answerProvider, stop: () => { abort.abort() } }
+}
--- /dev/null
+++ b/packages/transfer/src/createOriginPolicy/index.ts
@@ -0,0 +1,21 @@
+/** Baseline to measure against: every node reads everything from the origin. */
+import type * as transfer from '../types/index.js'
+
+/**
+ * Creates the policy.
+ *
+ * @param startedAt - Monotonic time in milliseconds.
+ * @returns The policy; it asks no peer.
+ */
+export function createOriginPolicy (startedAt: number): transfer.TransferPolicy {
+  return {
+    prefersRare: false,
+    slotAt: () => startedAt,
+    readsOrigin: () => true,
+    mayAsk: () => false,
+    announceTo: () => [],
+    overdueFrom: () => null,
+    takeOver: () => false,
+    release: () => {}
+  }
+}
--- /dev/null
+++ b/packages/transfer/src/createTransfer/index.ts
@@ -0,0 +1,219 @@
+/** All downloads of a node: higher priorities first, requests in flight bounded over all of them. */
+import * as types from '@switchridge/types'
+import type * as createChunkStore from '../createChunkStore/index.js'
+import * as createDownload from '../createDownload/index.js'
+import type * as createLinkPacer from '../createLinkPacer/index.js'
+import * as parseManifest from '../parseManifest/index.js'
+import type * as transfer from '../types/index.js'
+
+/** A version that the node shall hold. */
+export interface WantedVersion {
+  readonly digest: types.Digest
+  readonly source: string
+  /** Nodes that may be asked. */
+  readonly peers: readonly transfer.Peer[]
+  /** Changes when peers or their ranks change. */
+  readonly signature: string
+  readonly createPolicy: (manifest: transfer.Manifest, startedAt: number) => transfer.TransferPolicy
+}
+
+/** Options of {@link createTransfer}. */
+export interface TransferOptions {
+  readonly store: createChunkStore.ChunkStore
+  readonly requests: createDownload.DownloadRequests & {
+    /** Fetches the manifest from a peer or the origin; unchecked. */
+    readonly fetchManifest: (wanted: WantedVersion) => Promise<types.Outcome<Buffer, types.UnavailableError>>
+  }
+  readonly downlink: createLinkPacer.LinkPacer
+  readonly requestsInFlight: number
+  readonly perPeer: number
+  readonly now: () => number
+  readonly random: () => number
+  readonly onComplete: (digest: types.Digest) => void
+  readonly onEvent: (event: createDownload.DownloadEvent | ManifestEvent) => void
+}
+
+/** A manifest could not be had. */
+export interface ManifestEvent {
+  readonly event: 'manifest-failed' | 'store-full'
+  readonly digest: types.Digest
+  readonly reason: string
+}
+
+/** State of one version on this node. */
+export interface TransferProgress {
+  readonly digest: types.Digest
+  readonly chunks: number
+  readonly held: number
+  readonly counts: createDownload.DownloadCounts | null
+}
+
+/** The transfers of a node. */
+export interface Transfer {
+  /** Replaces what is wanted, highest priority first; versions no longer wanted stop at once. */
+  readonly setWanted: (wanted: readonly WantedVersion[]) => void
+  readonly noteHave: (digest: types.Digest, node: types.NodeId, have: string) => void
+  readonly answerProvider: (digest: types.Digest, chunk: number) => transfer.ProviderAnswer
+  readonly progress: () => readonly TransferProgress[]
+  readonly stop: () => void
+}
+
+interface Active {
+  wanted: WantedVersion
+  readonly startedAt: number
+  download: createDownload.Download | null
+  isComplete: boolean
+  signature: string
+}
+
+const TICK_MS = 20
+const OVERDUE_TICKS = 10
+const MANIFEST_RETRY_MS = 500
+
+/**
+ * Creates the transfers of a node.
+ *
+ * @param options - Store, requests and limits.
+ * @returns The transfers; nothing is fetched until something is wanted.
+ */
+export function createTransfer (options: TransferOptions): Transfer {
+  const active = new Map<types.Digest, Active>()
+  let ticks = 0
+  let ticker: NodeJS.Timeout | null = null
+
+  function setWanted (wanted: readonly WantedVersion[]): void {
+    const digests = new Set(wanted.map((each) => each.digest))
+    for (const [digest, entry] of active) {
+      if (digests.has(digest)) continue
+      entry.download?.stop()
+      active.delete(digest)
+    }
+    const known = new Map(active)
+    active.clear()
+    for (const each of wanted) active.set(each.digest, known.get(each.digest) ?? createEntry(each))
+    for (const each of wanted) update(each, known.has(each.digest))
+    updateTicker()
+    pump()
+  }
+
+  function createEntry (wanted: WantedVersion): Active {
+    return { wanted, startedAt: options.now(), download: null, isComplete: false, signature: '' }
+  }
+
+  function update (wanted: WantedVersion, isKnown: boolean): void {
+    const entry = active.get(wanted.digest)
+    if (entry === undefined) return
+    entry.wanted = wanted
+    if (isKnown) applyPolicy(entry)
+    else void begin(entry)
+  }
+
+  async function begin (entry: Active): Promise<void> {
+    const { digest } = entry.wanted
+    const manifest = await obtainManifest(entry)
+    if (manifest === null || active.get(digest) !== entry) return
+    const opened = options.store.open(digest, manifest)
+    if (!opened.ok) {
+      options.onEvent({ event: 'store-full', digest, reason: opened.error.message })
+      setTimeout(() => { if (active.get(digest) === entry) void begin(entry) }, MANIFEST_RETRY_MS)
+      return
+    }
+    entry.download = createDownload.createDownload({
+      holding: opened.value,
+      source: entry.wanted.source,
+      requests: options.requests,
+      downlink: options.downlink,
+      perPeer: options.perPeer,
+      now: options.now,
+      random: options.random,
+      onProgress: () => { pump() },
+      onEvent: options.onEvent
+    })
+    applyPolicy(entry)
+    pump()
+  }
+
+  async function obtainManifest (entry: Active): Promise<transfer.Manifest | null> {
+    const { digest } = entry.wanted
+    while (active.get(digest) === entry) {
+      const known = options.store.find(digest)
+      if (known !== undefined) return known.manifest
+      const fetched = await options.requests.fetchManifest(entry.wanted)
+      const parsed = fetched.ok ? parseManifest.parseManifest(fetched.value, digest) : fetched
+      if (parsed.ok) return parsed.value
+      options.onEvent({ event: 'manifest-failed', digest, reason: parsed.error.message })
+      await types.delay(MANIFEST_RETRY_MS)
+    }
+    return null
+  }
+
+  function applyPolicy (entry: Active): void {
+    if (entry.download === null || entry.signature === entry.wanted.signature) return
+    entry.signature = entry.wanted.signature
+    entry.download.setPolicy(entry.wanted.createPolicy(entry.download.holding.manifest, entry.startedAt), entry.wanted.peers)
+  }
+
+  function countOpen (): number {
+    return [...active.values()].reduce((sum, entry) => sum + (entry.download?.openRequests() ?? 0), 0)
+  }
+
+  function pump (): void {
+    for (const entry of active.values()) {
+      if (entry.download === null || entry.isComplete) continue
+      while (countOpen() < options.requestsInFlight && entry.download.startRequest());
+      if (entry.download.holding.isComplete()) complete(entry)
+    }
+  }
+
+  function complete (entry: Active): void {
+    entry.isComplete = true
+    updateTicker()
+    options.onComplete(entry.wanted.digest)
+  }
+
+  function updateTicker (): void {
+    const isBusy = [...active.values()].some((entry) => !entry.isComplete)
+    if (isBusy && ticker === null) ticker = setInterval(tick, TICK_MS)
+    if (!isBusy && ticker !== null) {
+      clearInterval(ticker)
+      ticker = null
+    }
+  }
+
+  function tick (): void {
+    ticks += 1
+    if (ticks % OVERDUE_TICKS === 0) {
+      for (const entry of active.values()) if (!entry.isComplete) entry.download?.checkOverdue()
+    }
+    pump()
+  }
+
+  function answerProvider (digest: types.Digest, chunk: number): transfer.ProviderAnswer {
+    const held = options.store.find(digest)?.has(chunk) === true
+    return held ? 'has' : active.get(digest)?.download?.answerProvider(chunk) ?? 'released'
+  }
+
+  function progress (): TransferProgress[] {
+    return options.store.digests().map((digest) => {
+      const holding = options.store.find(digest)
+      return { digest, chunks: holding?.manifest.chunks.length ?? 0, held: holding?.count() ?? 0, counts: active.get(digest)?.download?.counts ?? null }
+    })
+  }
+
+  return {
+    setWanted,
+    answerProvider,
+    progress,
+    noteHave: (digest, node, have) => {
+      const entry = active.get(digest)
+      if (entry?.download == null || entry.isComplete) return
+      entry.download.noteHave(node, have)
+      pump()
+    },
+    stop: () => {
+      for (const entry of active.values()) entry.download?.stop()
+      active.clear()
+      updateTicker()
+    }
+  }
+}
--- /dev/null
+++ b/packages/transfer/src/createTreePolicy/index.ts
@@ -0,0 +1,39 @@
+/** Baselines to measure against: a chain and a tree in which each node asks one parent. */
+import type * as types from '@switchridge/types'
+import * as membership from '@switchridge/membership'
+import type * as transfer from '../types/index.js'
+
+/** Options of {@link createTreePolicy}. */
+export interface TreeOptions {
+  readonly self: transfer.Peer
+  readonly holders: readonly transfer.Peer[]
+  readonly manifestDigest: types.Digest
+  /** Children of each node: 1 makes a chain. */
+  readonly children: number
+  /** Monotonic time in milliseconds. */
+  readonly startedAt: number
+}
+
+/**
+ * Creates the policy of a tree over the nodes in rendezvous order; the first reads from the origin.
+ *
+ * @param options - The node, the holders and the width of the tree.
+ * @returns The policy; it has no way around a parent that fails.
+ */
+export function createTreePolicy (options: TreeOptions): transfer.TransferPolicy {
+  const ranked = membership.rankByRendezvous(options.manifestDigest, options.holders, (peer) => peer.node)
+  const position = ranked.findIndex((peer) => peer.node === options.self.node)
+  const parent = position === 0 ? undefined : ranked[Math.floor((position - 1) / options.children)]
+  const first = position * options.children + 1
+  const children = ranked.slice(first, first + options.children).map((peer) => peer.node)
+  return {
+    prefersRare: false,
+    slotAt: () => options.startedAt,
+    readsOrigin: () => position === 0,
+    mayAsk: (peer) => peer.node === parent?.node,
+    announceTo: () => children,
+    overdueFrom: () => null,
+    takeOver: () => false,
+    release: () => {}
+  }
+}
--- /dev/null
+++ b/packages/transfer/src/createUploader/index.ts
@@ -0,0 +1,107 @@
+/** Gives chunks and manifests to peers: bounded slots, paced link, and this node's bitmap on every answer. */
+import type * as koa from 'koa'
+import * as types from '@switchridge/types'
+import * as rpc from '@switchridge/rpc'
+import * as bitmaps from '../_lib/bitmap.js'
+import * as createManifest from '../createManifest/index.js'
+import type * as createChunkStore from '../createChunkStore/index.js'
+import type * as createLinkPacer from '../createLinkPacer/index.js'
+import * as fetchChunk from '../fetchChunk/index.js'
+
+/** Options of {@link createUploader}. */
+export interface UploaderOptions {
+  readonly identity: rpc.Identity
+  readonly store: createChunkStore.ChunkStore
+  readonly uplink: createLinkPacer.LinkPacer
+  /** Uploads that may wait or run at a time; more are refused at once. */
+  readonly slots: number
+  /** Told which bitmap a peer showed in passing. */
+  readonly onHave: (digest: types.Digest, node: types.NodeId, have: string) => void
+}
+
+/** The middleware and its load. */
+export interface Uploader {
+  readonly middleware: koa.Middleware
+  readonly backlog: () => number
+  readonly sentBytes: () => number
+}
+
+const CHUNK_PATH = /^\/chunks\/([0-9a-f]{64})\/(\d+)$/
+const MANIFEST_PATH = /^\/manifests\/([0-9a-f]{64})$/
+
+/**
+ * Creates the uploader of a node.
+ *
+ * @param options - Store, link and limits.
+ * @returns A koa middleware for `GET /chunks/DIGEST/NUMBER` and `GET /manifests/DIGEST`.
+ */
+export function createUploader (options: UploaderOptions): Uploader {
+  const manifests = new WeakMap<createChunkStore.Holding, Buffer>()
+  let open = 0
+  let sentBytes = 0
+
+  async function sendChunk (context: koa.Context, digest: types.Digest, chunk: number): Promise<void> {
+    const holding = options.store.find(digest)
+    context.set(fetchChunk.BACKLOG_HEADER, String(open))
+    if (holding === undefined) {
+      context.status = 404
+      return
+    }
+    noteRequester(context, digest)
+    context.set(fetchChunk.HAVE_HEADER, bitmaps.encodeBitmap(holding.bitmap))
+    const bytes = holding.get(chunk)
+    if (bytes === undefined || open >= options.slots) {
+      context.status = bytes === undefined ? 404 : 503
+      return
+    }
+    open += 1
+    try {
+      await options.uplink.take(bytes.length)
+    } finally {
+      open -= 1
+    }
+    context.set(fetchChunk.HAVE_HEADER, bitmaps.encodeBitmap(holding.bitmap))
+    context.set(fetchChunk.BACKLOG_HEADER, String(open))
+    sentBytes += bytes.length
+    context.type = 'application/octet-stream'
+    context.body = bytes
+  }
+
+  function noteRequester (context: koa.Context, digest: types.Digest): void {
+    const node = context.get(fetchChunk.NODE_HEADER)
+    const have = context.get(fetchChunk.HAVE_HEADER)
+    if (node !== '' && have !== '') options.onHave(digest, types.brandId<types.NodeId>(node), have)
+  }
+
+  function sendManifest (context: koa.Context, digest: types.Digest): void {
+    const holding = options.store.find(digest)
+    if (holding === undefined) {
+      context.status = 404
+      return
+    }
+    const bytes = manifests.get(holding) ?? createManifest.formatManifest(holding.manifest)
+    manifests.set(holding, bytes)
+    context.type = 'application/json'
+    context.body = bytes
+  }
+
+  const middleware: koa.Middleware = async (context, next) => {
+    const chunkMatch = CHUNK_PATH.exec(context.path)
+    const manifestMatch = MANIFEST_PATH.exec(context.path)
+    if (context.method !== 'GET' || (chunkMatch === null && manifestMatch === null)) {
+      await next()
+      return
+    }
+    const admitted = rpc.checkIdentityHeaders(options.identity, context.headers)
+    if (!admitted.ok) {
+      context.status = 403
+      context.body = { error: admitted.error.message }
+    } else if (chunkMatch !== null) {
+      await sendChunk(context, types.brandId<types.Digest>(chunkMatch[1] ?? ''), Number(chunkMatch[2]))
+    } else {
+      sendManifest(context, types.brandId<types.Digest>(manifestMatch?.[1] ?? ''))
+    }
+  }
+
+  return { middleware, backlog: () => open, sentBytes: () => sentBytes }
+}
--- /dev/null
+++ b/packages/transfer/src/fetchChunk/index.ts
@@ -0,0 +1,144 @@
+/** Fetches bytes of weights over HTTP: chunks and manifests from peers, ranges from the origin. */
+import * as got from 'got'
+import * as types from '@switchridge/types'
+import * as rpc from '@switchridge/rpc'
+
+export const NODE_HEADER = 'x-switchridge-node'
+export const HAVE_HEADER = 'x-switchridge-have'
+export const BACKLOG_HEADER = 'x-switchridge-backlog'
+
+/** The peer answered but gives no chunk now: it is busy or does not hold it. */
+export class ChunkRefusedError extends types.SwitchridgeError {}
+
+/** What a peer says of itself on every answer. */
+export interface PeerStatement {
+  /** Its bitmap in base64; empty when it did not say. */
+  readonly have: string
+  readonly backlog: number
+}
+
+/** A peer's answer to the request for a chunk. */
+export interface ChunkAnswer {
+  readonly statement: PeerStatement
+  readonly outcome: types.Outcome<Buffer, ChunkRefusedError | types.UnavailableError>
+}
+
+/** Options of {@link fetchChunk}. */
+export interface FetchOptions {
+  readonly agents: rpc.HttpAgents
+  readonly identity: rpc.Identity
+  readonly self: types.NodeId
+  readonly timeoutMs: number
+  readonly signal: AbortSignal
+}
+
+const NO_STATEMENT: PeerStatement = { have: '', backlog: 0 }
+
+/**
+ * Fetches one chunk from a peer.
+ *
+ * @param address - The peer.
+ * @param digest - Digest of the manifest.
+ * @param chunk - Number of the chunk.
+ * @param have - This node's own bitmap, which the peer learns in passing.
+ * @param options - Pools, identity and limits.
+ * @returns The bytes, unchecked, and what the peer says of itself.
+ */
+export async function fetchChunk (address: types.Address, digest: types.Digest, chunk: number, have: string, options: FetchOptions): Promise<ChunkAnswer> {
+  try {
+    const response = await got.got(`${rpc.formatBaseUrl(options.agents, address)}/chunks/${digest}/${chunk}`, {
+      ...formRequest(options),
+      headers: { ...rpc.createIdentityHeaders(options.identity), [NODE_HEADER]: options.self, [HAVE_HEADER]: have },
+      responseType: 'buffer'
+    })
+    const statement = { have: String(response.headers[HAVE_HEADER] ?? ''), backlog: Number(response.headers[BACKLOG_HEADER] ?? 0) }
+    if (response.statusCode === 200) return { statement, outcome: types.succeed(response.rawBody) }
+    return { statement, outcome: types.fail(new ChunkRefusedError(`status ${response.statusCode}`)) }
+  } catch (thrown) {
+    return { statement: NO_STATEMENT, outcome: types.fail(new types.UnavailableError(types.describeError(thrown))) }
+  }
+}
+
+/**
+ * Fetches a manifest from a peer.
+ *
+ * @param address - The peer.
+ * @param digest - Digest of the manifest.
+ * @param options - Pools, identity and limits.
+ * @returns The bytes, unchecked.
+ */
+export async function fetchManifest (address: types.Address, digest: types.Digest, options: FetchOptions): Promise<types.Outcome<Buffer, types.UnavailableError>> {
+  const url = `${rpc.formatBaseUrl(options.agents, address)}/manifests/${digest}`
+  return await fetchWhole(url, rpc.createIdentityHeaders(options.identity), options)
+}
+
+/**
+ * Fetches the manifest that lies beside a file at the origin.
+ *
+ * @param url - The file of weights.
+ * @param options - Pools and limits.
+ * @returns The bytes, unchecked.
+ */
+export async function fetchOriginManifest (url: string, options: Omit<FetchOptions, 'identity' | 'self'>): Promise<types.Outcome<Buffer, types.UnavailableError>> {
+  return await fetchWhole(`${url}.manifest.json`, {}, options)
+}
+
+/** A range of the origin, as far as it came. */
+export interface OriginAnswer {
+  readonly bytes: Buffer
+  /** Why the range is short; undefined when it is whole. */
+  readonly error?: types.UnavailableError
+}
+
+/**
+ * Fetches a range from the origin. Bytes that came before a failure are returned, so that they are not read twice.
+ *
+ * @param url - The file of weights.
+ * @param from - First byte.
+ * @param length - Number of bytes.
+ * @param options - Pools and limits.
+ * @returns The bytes that came.
+ */
+export async function fetchOriginRange (url: string, from: number, length: number, options: Omit<FetchOptions, 'identity' | 'self'>): Promise<OriginAnswer> {
+  const parts: Buffer[] = []
+  let size = 0
+  try {
+    const stream = got.got.stream(url, { ...formRequest(options), throwHttpErrors: true, headers: { range: `bytes=${from}-${from + length - 1}` } })
+    stream.on('error', ignoreLateError)
+    stream.on('response', (response: got.Response) => {
+      if (response.statusCode !== 206) stream.destroy(new types.UnavailableError(`status ${response.statusCode} for a range`))
+    })
+    for await (const part of stream as AsyncIterable<Buffer>) {
+      parts.push(part)
+      size += part.length
+    }
+    if (size === length) return { bytes: Buffer.concat(parts) }
+    return { bytes: Buffer.concat(parts), error: new types.UnavailableError(`${size} of ${length} bytes`) }
+  } catch (thrown) {
+    return { bytes: Buffer.concat(parts), error: new types.UnavailableError(types.describeError(thrown)) }
+  }
+}
+
+/** A request that is aborted after its end reports an error that nobody waits for any more. */
+function ignoreLateError (): void {}
+
+async function fetchWhole (url: string, headers: Record<string, string>, options: Omit<FetchOptions, 'identity' | 'self'>): Promise<types.Outcome<Buffer, types.UnavailableError>> {
+  try {
+    const response = await got.got(url, { ...formRequest(options), headers, responseType: 'buffer' })
+    if (response.statusCode === 200) return types.succeed(response.rawBody)
+    return types.fail(new types.UnavailableError(`status ${response.statusCode} for ${url}`))
+  } catch (thrown) {
+    return types.fail(new types.UnavailableError(types.describeError(thrown)))
+  }
+}
+
+function formRequest (options: Pick<FetchOptions, 'agents' | 'timeoutMs' | 'signal'>) {
+  return {
+    agent: { http: options.agents.http, https: options.agents.https },
+    timeout: { request: options.timeoutMs },
+    retry: { limit: 0 },
+    decompress: false,
+    throwHttpErrors: false,
+    signal: AbortSignal.any([options.signal])
+  }
+}
--- /dev/null
+++ b/packages/transfer/src/parseManifest/index.ts
@@ -0,0 +1,44 @@
+/** Checks a manifest against the digest that the table pins. */
+import * as zod from 'zod'
+import * as types from '@switchridge/types'
+import * as createManifest from '../createManifest/index.js'
+import type * as transfer from '../types/index.js'
+
+const DIGEST = /^[0-9a-f]{64}$/
+
+const manifestSchema = zod.z.strictObject({
+  bytes: zod.z.int().positive(),
+  chunkBytes: zod.z.int().positive(),
+  fileDigest: zod.z.string().regex(DIGEST),
+  chunks: zod.z.array(zod.z.string().regex(DIGEST)).min(1)
+})
+
+/**
+ * Parses a manifest.
+ *
+ * @param bytes - The manifest as it came from a peer or the origin.
+ * @param digest - The digest that the table pins.
+ * @returns The manifest, or an error when it is another one or contradicts itself.
+ */
+export function parseManifest (bytes: Uint8Array, digest: types.Digest): types.Outcome<transfer.Manifest, types.DigestMismatchError> {
+  const found = createManifest.computeDigest(bytes)
+  if (found !== digest) return types.fail(new types.DigestMismatchError(`manifest has digest ${found}, the table pins ${digest}`))
+  try {
+    const manifest = manifestSchema.parse(JSON.parse(Buffer.from(bytes).toString('utf8'))) as unknown as transfer.Manifest
+    if (Math.ceil(manifest.bytes / manifest.chunkBytes) !== manifest.chunks.length) throw new Error('the number of chunks does not fit the size')
+    return types.succeed(manifest)
+  } catch (thrown) {
+    return types.fail(new types.DigestMismatchError(`manifest ${digest} is malformed: ${types.describeError(thrown)}`))
+  }
+}
+
+/**
+ * Computes the size of one chunk.
+ *
+ * @param manifest - The manifest.
+ * @param chunk - Number of the chunk.
+ * @returns Bytes.
+ */
+export function computeChunkBytes (manifest: transfer.Manifest, chunk: number): number {
+  return Math.min(manifest.chunkBytes, manifest.bytes - chunk * manifest.chunkBytes)
+}
