--- a/packages/command-line/src/_lib/prepareEdit.ts
+++ b/packages/command-line/src/_lib/prepareEdit.ts
@@ -26,15 +26,10 @@
 /** Counts what nodes would have to fetch that they do not hold. */
 export function computeCost (table: types.Table, members: readonly membership.Member[]): EditCost {
   const holding = new Map(members.map((member) => [member.facts.node, new Set([...member.facts.holding, ...member.facts.serving.map((served) => served.manifest)])]))
-  const halls = new Map(members.map((member) => [member.facts.node, member.facts.dataHall]))
   const moves = placement.computePlacement(table, members).assignments
     .filter((assignment) => holding.get(assignment.node)?.has(assignment.row.manifest) !== true)
   const movedRows = [...new Set(moves.map((move) => move.row))]
-  const originCopies = movedRows.reduce((sum, row) => {
-    const rowHalls = moves.filter((move) => move.row === row).map((move) => halls.get(move.node)).filter((hall) => hall !== undefined)
-    const isHeld = members.some((member) => member.facts.holding.includes(row.manifest))
-    return sum + (isHeld ? 0 : placement.computeOriginGroups(row, rowHalls).length)
-  }, 0)
+  const originCopies = movedRows.filter((row) => !members.some((member) => member.facts.holding.includes(row.manifest))).length
   return {
     copies: moves.length,
     bytes: moves.reduce((sum, move) => sum + move.row.bytes, 0),
--- a/packages/daemon/src/_lib/planTransfer.ts
+++ b/packages/daemon/src/_lib/planTransfer.ts
@@ -16,10 +16,10 @@
 export function createPlanTransfer (self: transfer.Peer, table: () => types.Table, policyName: PolicyName): PlanTransfer {
   return (row, members) => {
     const holders = listHolders(row, table(), members)
-    const group = findGroup(row, self, holders)
+    const group = findGroup(row, self, holders, members)
     const peers = selectPeers(self, row, holders)
     const placed = holders.filter((holder) => holder.isPlaced).map(({ peer }) => peer)
-    const signature = [row.originBytesPerSecond, row.originCopies, row.favour, ...holders.map(({ peer, isPlaced }) => `${peer.node}/${peer.address.port}/${String(isPlaced)}`).sort()].join(' ')
+    const signature = [row.originBytesPerSecond, row.originCopies, row.favour, [...group].join(), ...holders.map(({ peer, isPlaced }) => `${peer.node}/${peer.address.port}/${String(isPlaced)}`).sort()].join(' ')
     return {
       digest: row.manifest,
       source: row.source,
@@ -36,11 +36,6 @@
   readonly isPlaced: boolean
 }
 
-interface Group {
-  readonly halls: ReadonlySet<types.DataHallId>
-  readonly groups: number
-}
-
 /** Nodes that are placed for the row or hold chunks of it; dead ones of a living hall are left out. */
 function listHolders (row: types.ModelRow, table: types.Table, members: readonly membership.Member[]): Holder[] {
   const placed = new Set(placement.computePlacement(table, members)
@@ -57,11 +52,11 @@
   return { node: facts.node, dataHall: facts.dataHall, address: facts.address }
 }
 
-function findGroup (row: types.ModelRow, self: transfer.Peer, holders: readonly Holder[]): Group {
-  const halls = holders.filter((holder) => holder.isPlaced).map(({ peer }) => peer.dataHall)
-  const groups = placement.computeOriginGroups(row, [...halls, self.dataHall])
-  const own = groups.find((group) => group.includes(self.dataHall)) ?? [self.dataHall]
-  return { halls: new Set(own), groups: groups.length }
+function findGroup (row: types.ModelRow, self: transfer.Peer, holders: readonly Holder[], members: readonly membership.Member[]): ReadonlySet<types.DataHallId> {
+  const living = new Set(members.filter((member) => member.condition === 'live').map((member) => member.facts.dataHall))
+  const halls = new Set(holders.filter((holder) => holder.isPlaced).map(({ peer }) => peer.dataHall))
+  const reach = [...halls].map((dataHall) => ({ dataHall, isReachable: living.has(dataHall) }))
+  return new Set(placement.computeOriginGroup(row, self.dataHall, reach))
 }
 
 /** All holders of other halls' importers may be needed; of the own hall a bounded number is enough. */
@@ -78,7 +73,7 @@
   readonly manifest: transfer.Manifest
   readonly startedAt: number
   readonly placed: readonly transfer.Peer[]
-  readonly group: Group
+  readonly group: ReadonlySet<types.DataHallId>
 }
 
 function createPolicy (name: PolicyName, input: PolicyInput): transfer.TransferPolicy {
@@ -94,14 +89,14 @@
 }
 
 function createSwarm ({ self, row, manifest, startedAt, group }: PolicyInput, holders: readonly transfer.Peer[]): transfer.TransferPolicy {
-  const hasSpareCopy = row.originCopies > group.groups
+  const hasSpareCopy = row.favour === 'time' && row.originCopies > 1
   return transfer.createSwarmPolicy({
     self,
     holders,
-    group: group.halls,
+    group,
     manifestDigest: row.manifest,
     chunkBytes: manifest.chunkBytes,
-    originBytesPerSecond: row.originBytesPerSecond / group.groups,
+    originBytesPerSecond: row.originBytesPerSecond,
     startedAt,
     mayReadAgain: (provider) => hasSpareCopy || holders.find((peer) => peer.node === provider)?.dataHall === self.dataHall
   })
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -1,8 +1,6 @@
 /** Runs calls on the back end beside this daemon: slot first, then ticket, version, back end. */
 import type * as http from 'node:http'
-import type * as stream from 'node:stream'
-import * as got from 'got'
-import type * as koa from 'koa'
+import type * as Koa from 'koa'
 import * as zod from 'zod'
 import * as types from '@switchridge/types'
 import * as routing from '@switchridge/routing'
@@ -47,21 +45,16 @@
 const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND'])
 const VERSION_NOT_LOADED = 409
 
-interface Started {
-  readonly upstream: got.Request
-  readonly response: http.IncomingMessage
-}
-
 /**
  * Creates the middleware for `POST /calls/...`.
  *
  * @param options - Back end, admission and tickets.
  * @returns A koa middleware.
  */
-export function createBackendCalls (options: BackendCallsOptions): koa.Middleware {
+export function createBackendCalls (options: BackendCallsOptions): Koa.Middleware {
   const { admission, tickets, serving } = options
 
-  async function handle (context: koa.Context): Promise<void> {
+  async function handle (context: Koa.Context): Promise<void> {
     const ticket = types.brandId<types.TicketId>(context.get(callHeaders.TICKET_HEADER))
     const call = parseCall(context.get(callHeaders.CALL_HEADER))
     const refusal = findRefusal(context, call, ticket)
@@ -80,14 +73,14 @@
     pin?.release()
   }
 
-  function findRefusal (context: koa.Context, call: Call | null, ticket: types.TicketId): string {
+  function findRefusal (context: Koa.Context, call: Call | null, ticket: types.TicketId): string {
     if (call === null || ticket === '') return 'malformed'
     if (call.service !== options.service) return 'other-service'
     if (context.get(callHeaders.INCARNATION_HEADER) !== options.incarnation) return 'restarted'
     return tickets.open(ticket) ? '' : 'ticket-closed'
   }
 
-  async function runAdmitted (context: koa.Context, call: Call, ticket: types.TicketId, admitted: routing.Admitted, served: types.ServedVersion | undefined): Promise<void> {
+  async function runAdmitted (context: Koa.Context, call: Call, ticket: types.TicketId, admitted: routing.Admitted, served: types.ServedVersion | undefined): Promise<void> {
     const deadline = setTimeout(() => { admitted.cancel('deadline') }, call.deadlineMs)
     const cancel = (): void => { admitted.cancel('cancelled') }
     context.req.once('aborted', cancel)
@@ -107,7 +100,7 @@
     }
   }
 
-  async function run (context: koa.Context, call: Call, ticket: types.TicketId, served: types.ServedVersion | undefined): Promise<void> {
+  async function run (context: Koa.Context, call: Call, ticket: types.TicketId, served: types.ServedVersion | undefined): Promise<void> {
     const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
     if (!body.ok) {
       tickets.refuse(ticket)
@@ -123,39 +116,30 @@
       answerFailure(context, ticket, started.error)
       return
     }
-    if (isOtherVersion(started.value.response, served)) {
-      started.value.upstream.destroy()
-      answerWrongVersion(context, ticket, started.value.response)
+    if (isOtherVersion(started.value, served)) {
+      started.value.destroy()
+      answerWrongVersion(context, ticket, started.value)
       return
     }
     await passOn(context, started.value, served)
     tickets.finish(ticket)
   }
 
-  async function startRequest (context: koa.Context, call: Call, body: Buffer, served: types.ServedVersion | undefined, signal: AbortSignal): Promise<types.Outcome<Started, NodeJS.ErrnoException>> {
+  async function startRequest (context: Koa.Context, call: Call, body: Buffer, served: types.ServedVersion | undefined, signal: AbortSignal): Promise<types.Outcome<http.IncomingMessage, rpc.RequestError>> {
     const headers = callHeaders.copyHeaders(context.headers)
     if (served !== undefined) headers[callHeaders.ENGINE_VERSION_HEADER] = served.manifest
-    const upstream = got.got.stream(`${options.url}${context.url.slice(CALL_PREFIX.length)}`, {
-      method: call.method as got.Method,
+    return await rpc.openRequest(options.agents, {
+      base: options.url,
+      path: context.url.slice(CALL_PREFIX.length),
+      method: call.method,
       headers,
       ...(body.length > 0 ? { body } : {}),
-      allowGetBody: true,
-      agent: { http: options.agents.http, https: options.agents.https },
-      retry: { limit: 0 },
-      throwHttpErrors: false,
-      followRedirect: false,
-      decompress: false,
       signal
     })
-    upstream.on('error', ignoreLateError)
-    return await new Promise((resolve) => {
-      upstream.once('response', (response: http.IncomingMessage) => { resolve(types.succeed({ upstream, response })) })
-      upstream.once('error', (error: NodeJS.ErrnoException) => { resolve(types.fail(error)) })
-    })
   }
 
   /** Nothing reached the back end when the connection was refused; any later failure leaves that open. */
-  function answerFailure (context: koa.Context, ticket: types.TicketId, error: NodeJS.ErrnoException): void {
+  function answerFailure (context: Koa.Context, ticket: types.TicketId, error: Error & { readonly code?: string }): void {
     if (CONNECT_ERRORS.has(error.code ?? '')) {
       tickets.refuse(ticket)
       refuse(context, 'back-end-unreachable')
@@ -175,7 +159,7 @@
     return response.statusCode === VERSION_NOT_LOADED || (response.statusCode === 200 && response.headers[callHeaders.ENGINE_VERSION_HEADER] !== served.manifest)
   }
 
-  function answerWrongVersion (context: koa.Context, ticket: types.TicketId, response: http.IncomingMessage): void {
+  function answerWrongVersion (context: Koa.Context, ticket: types.TicketId, response: http.IncomingMessage): void {
     options.count('calls.wrong-version')
     if (response.statusCode === VERSION_NOT_LOADED) {
       tickets.refuse(ticket)
@@ -185,20 +169,20 @@
     answerFailure(context, ticket, new Error('the engine answered from another version'))
   }
 
-  async function passOn (context: koa.Context, { upstream, response }: Started, served: types.ServedVersion | undefined): Promise<void> {
+  async function passOn (context: Koa.Context, response: http.IncomingMessage, served: types.ServedVersion | undefined): Promise<void> {
     context.status = response.statusCode ?? 502
     for (const [name, value] of Object.entries(callHeaders.copyHeaders(response.headers))) context.set(name, value)
     if (response.headers['content-length'] !== undefined) context.set('content-length', response.headers['content-length'])
     context.set(callHeaders.OUTCOME_HEADER, 'answered')
     context.set(callHeaders.LOAD_HEADER, callHeaders.formatLoad(admission.load()))
     if (served !== undefined) context.set(callHeaders.VERSION_HEADER, `${served.row}@${served.version}`)
-    upstream.on('data', (part: Buffer) => { options.uplink.spend(part.length) })
-    upstream.pause()
-    const isWhole = await sendStream.sendStream(context, upstream as unknown as stream.Readable)
+    response.on('data', (part: Buffer) => { options.uplink.spend(part.length) })
+    response.pause()
+    const isWhole = await sendStream.sendStream(context, response)
     options.count(isWhole ? 'calls.answered' : 'calls.broken')
   }
 
-  function refuse (context: koa.Context, reason: string): void {
+  function refuse (context: Koa.Context, reason: string): void {
     options.count(`calls.not-run.${reason}`)
     context.req.resume()
     context.status = 503
@@ -219,9 +203,6 @@
   }
 }
 
-/** A request that is aborted after its end reports an error that nobody waits for any more. */
-function ignoreLateError (): void {}
-
 function parseCall (text: string): Call | null {
   try {
     return callSchema.parse(JSON.parse(text))
--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -47,7 +47,10 @@
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
   const now = (): number => performance.now()
   const platformCalls: Record<string, number> = {}
-  const view = membership.createMemberView({ now })
+  const view: membership.MemberView = membership.createMemberView({
+    now,
+    silenceLimit: () => membership.computeSilenceLimit(view.members().filter(({ facts }) => facts.dataHall === checked.data_hall).length)
+  })
   const keeper = createTableKeeper.createTableKeeper(logger)
   keeper.onAdopt((table) => {
     view.applyLeavingRows(table.nodes.filter((row) => row.state === 'leaving').map((row) => row.id))
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -1,6 +1,6 @@
 /** Takes callers' requests, sees them through their attempts, and gives one of three outcomes: answered, not run, unknown. */
 import * as crypto from 'node:crypto'
-import type * as koa from 'koa'
+import type * as Koa from 'koa'
 import * as types from '@switchridge/types'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
@@ -27,7 +27,7 @@
 
 /** The middleware and its calls in progress. */
 export interface EntryCalls {
-  readonly middleware: koa.Middleware
+  readonly middleware: Koa.Middleware
   readonly inProgress: () => number
   readonly counts: Readonly<Record<string, number>>
 }
@@ -66,7 +66,7 @@
     options.metrics.increment(`calls.${name}`)
   }
 
-  async function handle (context: koa.Context, match: RegExpExecArray): Promise<void> {
+  async function handle (context: Koa.Context, match: RegExpExecArray): Promise<void> {
     const requestId = context.get(callHeaders.REQUEST_ID_HEADER) || crypto.randomUUID()
     context.set(callHeaders.REQUEST_ID_HEADER, requestId)
     const prepared = await prepare(context, match, requestId)
@@ -81,7 +81,7 @@
     options.metrics.timing('calls.time', options.now() - startedAt)
   }
 
-  async function prepare (context: koa.Context, match: RegExpExecArray, requestId: string): Promise<Prepared | null> {
+  async function prepare (context: Koa.Context, match: RegExpExecArray, requestId: string): Promise<Prepared | null> {
     const table = options.table()
     const service = table.services.find((candidate) => candidate.id === match[1])
     if (service === undefined) return reject(context, 404, `no service "${match[1] ?? ''}" in the table`)
@@ -103,7 +103,7 @@
   }
 
   /** One of the caller's own mistakes or limits: nothing ran. */
-  function reject (context: koa.Context, status: number, message: string): null {
+  function reject (context: Koa.Context, status: number, message: string): null {
     context.req.resume()
     context.status = status
     context.set(callHeaders.OUTCOME_HEADER, 'not-run')
@@ -112,12 +112,12 @@
     return null
   }
 
-  function rejectOverLimit (context: koa.Context, waitMs: number): null {
+  function rejectOverLimit (context: Koa.Context, waitMs: number): null {
     context.set('retry-after', String(Math.ceil(waitMs / types.MILLISECONDS_IN_SECOND)))
     return reject(context, 429, 'the account is over its limit of calls a second')
   }
 
-  async function attempt (context: koa.Context, prepared: Prepared, signal: AbortSignal): Promise<FinalOutcome | 'answered'> {
+  async function attempt (context: Koa.Context, prepared: Prepared, signal: AbortSignal): Promise<FinalOutcome | 'answered'> {
     const { call, service } = prepared
     const budget = findBudget(service)
     const tried = new Set<types.NodeId>()
@@ -159,15 +159,15 @@
     options.dispatcher.pump()
   }
 
-  async function passOn (context: koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts): Promise<void> {
-    const { response, body, load } = result
+  async function passOn (context: Koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts): Promise<void> {
+    const { response, load } = result
     context.status = response.statusCode ?? 502
     for (const [name, value] of Object.entries(callHeaders.copyHeaders(response.headers))) context.set(name, value)
     if (response.headers['content-length'] !== undefined) context.set('content-length', response.headers['content-length'])
     context.set(callHeaders.OUTCOME_HEADER, 'answered')
     const version = response.headers[callHeaders.VERSION_HEADER]
     if (typeof version === 'string') context.set(callHeaders.VERSION_HEADER, version)
-    const isWhole = await sendStream.sendStream(context, body)
+    const isWhole = await sendStream.sendStream(context, response)
     options.loads.noteEnded(backend.node, load === undefined ? undefined : { ...load, running: Math.max(0, load.running - 1) })
     if (isWhole) options.health.noteSuccess(backend.node)
     else if (!context.req.aborted) options.health.noteFailure(backend.node)
@@ -175,7 +175,7 @@
     options.dispatcher.pump()
   }
 
-  function answerWithout (context: koa.Context, result: FinalOutcome): void {
+  function answerWithout (context: Koa.Context, result: FinalOutcome): void {
     count(result.kind)
     if (context.res.destroyed) return
     context.status = result.kind === 'not-run' ? 503 : 502
@@ -192,7 +192,7 @@
     return known
   }
 
-  const middleware: koa.Middleware = async (context, next) => {
+  const middleware: Koa.Middleware = async (context, next) => {
     const match = SERVICE_PATH.exec(context.path)
     if (match === null) {
       await next()
@@ -219,7 +219,7 @@
   return table.accounts.find((account) => rpc.isSameSecret(account.keyDigest, digest))
 }
 
-function readTimeout (context: koa.Context, service: types.ServiceRow): number {
+function readTimeout (context: Koa.Context, service: types.ServiceRow): number {
   const wanted = Number(context.get(callHeaders.TIMEOUT_HEADER))
   return wanted > 0 ? Math.min(wanted, service.deadlineMs) : service.deadlineMs
 }
--- a/packages/daemon/src/createHeartbeats/index.ts
+++ b/packages/daemon/src/createHeartbeats/index.ts
@@ -1,6 +1,6 @@
 /** Heartbeats: backend daemons to the entry nodes of their hall, entry nodes to each other. */
 import * as types from '@switchridge/types'
-import type * as membership from '@switchridge/membership'
+import * as membership from '@switchridge/membership'
 import type * as rpc from '@switchridge/rpc'
 import type * as routing from '@switchridge/routing'
 import type * as createSelfFacts from '../createSelfFacts/index.js'
@@ -28,7 +28,6 @@
   readonly onRefresh: () => void
   /** Random number from 0 to 1. */
   readonly random: () => number
-  readonly intervalMs?: number
 }
 
 /** The heartbeats of a daemon. */
@@ -36,6 +35,8 @@
   readonly start: () => void
   /** Sends one round at once, for news that shall not wait. */
   readonly sendNow: () => Promise<void>
+  /** Tells the backend daemons of the hall that this entry node is responsible for about its revision. */
+  readonly pushRevision: () => void
   /** Answers a heartbeat of another daemon. */
   readonly receive: rpc.RpcMethod
   readonly sendTable: rpc.RpcMethod
@@ -52,8 +53,8 @@
 const HEARTBEAT_CALL_MS = 1000
 const TABLE_CALL_MS = 5000
 const JITTER = 0.2
-/** Entry nodes of its hall to which a backend daemon reports. */
-const REPORTED_ENTRY_NODES = 3
+/** Rounds after which entry nodes of the settings that are unknown are tried again. */
+const SEED_ROUNDS = 4
 
 /**
  * Creates the heartbeats of a daemon.
@@ -65,9 +66,9 @@
   const { self, view, keeper } = options
   const positions = new Map<string, Position>()
   const fetching = new Set<string>()
-  const intervalMs = options.intervalMs ?? types.HEARTBEAT_INTERVAL_MS
   let timer: NodeJS.Timeout | null = null
   let isStopped = false
+  let rounds = 0
 
   function start (): void {
     void sendNow().finally(schedule)
@@ -75,10 +76,14 @@
 
   function schedule (): void {
     if (isStopped) return
-    const waitMs = intervalMs * (1 - JITTER / 2 + JITTER * options.random())
+    const waitMs = membership.computeInterval(countHall()) * (1 - JITTER / 2 + JITTER * options.random())
     timer = setTimeout(() => { void sendNow().finally(schedule) }, waitMs)
   }
 
+  function countHall (): number {
+    return view.members().filter(({ facts, condition }) => facts.dataHall === self.read().dataHall && condition !== 'gone').length
+  }
+
   async function sendNow (): Promise<void> {
     view.hear(self.read())
     await Promise.all(listTargets().map(sendOne))
@@ -86,17 +91,27 @@
     options.onRefresh()
   }
 
+  /** Each backend daemon hears of a revision from one entry node of its hall at once, from the others with heartbeats. */
+  function pushRevision (): void {
+    const own = self.read()
+    const near = view.members().filter(({ facts, condition }) => facts.dataHall === own.dataHall && condition === 'live')
+    const entryNodes = near.filter(({ facts }) => facts.role === 'entry')
+    for (const { facts } of near) {
+      if (facts.role !== 'backend' || facts.revision >= own.revision) continue
+      const responsible = membership.pickByRendezvous(facts.node, entryNodes, (member) => member.facts.node)
+      if (responsible?.facts.node === own.node) void sendOne(facts.address)
+    }
+  }
+
+  /** Hubs, and now and then entry nodes of the settings that are not known yet. */
   function listTargets (): types.Address[] {
-    const { node, role, dataHall } = self.read()
-    const known = view.members()
-      .filter(({ facts, condition }) => facts.role === 'entry' && facts.node !== node && condition !== 'gone')
-      .filter(({ facts }) => role === 'entry' || facts.dataHall === dataHall)
-      .sort((left, right) => Number(right.condition === 'live') - Number(left.condition === 'live'))
-      .map(({ facts }) => facts.address)
-    const near = role === 'entry' ? known : known.slice(0, REPORTED_ENTRY_NODES)
-    const own = self.read().address
-    const all = [...near, ...options.seeds].filter((address) => formatAddress(address) !== formatAddress(own))
-    return [...new Map(all.map((address) => [formatAddress(address), address])).values()]
+    const own = self.read()
+    const targets = membership.computeReportTargets(own, view.members()).map((facts) => facts.address)
+    const known = new Set(view.members().map(({ facts }) => formatAddress(facts.address)))
+    const isSeedRound = targets.length === 0 || rounds % SEED_ROUNDS === 0
+    const seeds = isSeedRound ? options.seeds.filter((seed) => !known.has(formatAddress(seed))) : []
+    rounds += 1
+    return [...targets, ...seeds].filter((address) => formatAddress(address) !== formatAddress(own.address))
   }
 
   async function sendOne (address: types.Address): Promise<void> {
@@ -134,13 +149,21 @@
     if (known?.condition !== 'live' || types.isNewerFacts(facts, known.facts)) options.onRefresh()
     const own = self.read()
     const since = heartbeat.incarnation === own.incarnation ? heartbeat.since : 0
-    const changes = view.changesSince(since, facts.role === 'backend' ? 'all' : 'first-hand')
+    const changes = view.changesSince(since, findScope(facts))
     return { facts: own, counter: changes.counter, claims: changes.claims }
   }
 
+  function findScope (facts: types.MemberFacts): membership.ClaimScope {
+    const { dataHall } = self.read()
+    if (facts.dataHall !== dataHall) return { dataHall }
+    const isHub = membership.computeHubs(dataHall, view.members()).some((hub) => hub.node === facts.node)
+    return isHub ? 'first-hand' : 'all'
+  }
+
   return {
     start,
     sendNow,
+    pushRevision,
     receive,
     sendTable: () => keeper.current(),
     stop: () => {
--- a/packages/daemon/src/sendAttempt/index.ts
+++ b/packages/daemon/src/sendAttempt/index.ts
@@ -1,8 +1,6 @@
 /** Sends one attempt of a call to a backend daemon and finds out what became of it. */
 import * as crypto from 'node:crypto'
 import type * as http from 'node:http'
-import type * as stream from 'node:stream'
-import * as got from 'got'
 import * as types from '@switchridge/types'
 import * as rpc from '@switchridge/rpc'
 import type * as routing from '@switchridge/routing'
@@ -25,7 +23,7 @@
 
 /** What became of an attempt. */
 export type AttemptResult =
-  | { readonly kind: 'answered', readonly response: http.IncomingMessage, readonly body: stream.Readable, readonly load: routing.StatedLoad | undefined }
+  | { readonly kind: 'answered', readonly response: http.IncomingMessage, readonly load: routing.StatedLoad | undefined }
   | { readonly kind: 'not-run', readonly reason: string, readonly load: routing.StatedLoad | undefined }
   | { readonly kind: 'unknown', readonly reason: string, readonly load: routing.StatedLoad | undefined }
 
@@ -64,11 +62,10 @@
     deadlineMs: remainingMs,
     isRepeatable: call.isRepeatable
   }
-  const abort = new AbortController()
-  const timer = setTimeout(() => { abort.abort() }, remainingMs + LATE_MS)
-  const cancel = (): void => { abort.abort() }
-  options.signal.addEventListener('abort', cancel, { once: true })
-  const upstream = got.got.stream.post(`${rpc.formatBaseUrl(options.agents, backend.address)}/calls${call.path}`, {
+  const opened = await rpc.openRequest(options.agents, {
+    base: rpc.formatBaseUrl(options.agents, backend.address),
+    path: `/calls${call.path}`,
+    method: 'POST',
     headers: {
       ...call.headers,
       ...rpc.createIdentityHeaders(options.identity),
@@ -78,44 +75,26 @@
       [callHeaders.CALL_HEADER]: JSON.stringify(stated)
     },
     body: call.body,
-    agent: { http: options.agents.http, https: options.agents.https },
-    retry: { limit: 0 },
-    throwHttpErrors: false,
-    followRedirect: false,
-    decompress: false,
-    signal: abort.signal
-  })
-  const finish = (): void => {
-    clearTimeout(timer)
-    options.signal.removeEventListener('abort', cancel)
-  }
-  upstream.on('error', ignoreLateError)
-  upstream.once('close', finish)
-  const response = await awaitResponse(upstream)
-  if (response.ok) return readOutcome(response.value, upstream as unknown as stream.Readable)
-  finish()
-  return await resolveTicket(ticket, backend, options, response.error)
-}
-
-/** A request that is aborted after its end reports an error that nobody waits for any more. */
-function ignoreLateError (): void {}
-
-async function awaitResponse (upstream: got.Request): Promise<types.Outcome<http.IncomingMessage>> {
-  return await new Promise((resolve) => {
-    upstream.once('response', (response: http.IncomingMessage) => { resolve(types.succeed(response)) })
-    upstream.once('error', (error: Error) => { resolve(types.fail(error)) })
+    timeoutMs: remainingMs + LATE_MS,
+    signal: options.signal
   })
+  if (opened.ok) return readOutcome(opened.value)
+  return await resolveTicket(ticket, backend, options, opened.error)
 }
 
-function readOutcome (response: http.IncomingMessage, body: stream.Readable): AttemptResult {
+function readOutcome (response: http.IncomingMessage): AttemptResult {
   const outcome = response.headers[callHeaders.OUTCOME_HEADER]
   const load = callHeaders.parseLoad(response.headers[callHeaders.LOAD_HEADER])
-  if (outcome === 'answered') return { kind: 'answered', response, body, load }
-  body.resume()
+  if (outcome === 'answered') return { kind: 'answered', response, load }
+  response.on('error', ignoreLateError)
+  response.resume()
   const reason = String(response.headers[callHeaders.REASON_HEADER] ?? `status ${response.statusCode ?? 0}`)
   return { kind: outcome === 'not-run' ? 'not-run' : 'unknown', reason, load }
 }
 
+/** The body of a refusal says nothing that its headers do not. */
+function ignoreLateError (): void {}
+
 /** Asks the daemon about the ticket; a ticket that it never saw is closed by the question. */
 async function resolveTicket (ticket: string, backend: types.MemberFacts, options: AttemptOptions, error: Error): Promise<AttemptResult> {
   for (let call = 0; call < TICKET_CALLS; call += 1) {
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -139,7 +139,10 @@
     return hasBackend ? '' : 'no live backend server'
   }
 
-  keeper.onAdopt(() => { void heartbeats.sendNow() })
+  keeper.onAdopt(() => {
+    heartbeats.pushRevision()
+    void heartbeats.sendNow()
+  })
   const pumpTimer = setInterval(dispatcher.pump, PUMP_INTERVAL_MS)
   heartbeats.start()
   watch.start()
--- a/packages/launcher/src/createLauncher/index.ts
+++ b/packages/launcher/src/createLauncher/index.ts
@@ -34,7 +34,12 @@
 }
 
 const END_MS = 1500
-const HEAP_OPTIONS = ['--max-semi-space-size=16']
+/** Flags of the runtime for every launched process, for example `--cpu-prof --cpu-prof-dir=DIR`. */
+const FLAGS_VARIABLE = 'SWITCHRIDGE_NODE_FLAGS'
+
+function readFlags (): string[] {
+  return (process.env[FLAGS_VARIABLE] ?? '').split(' ').filter((flag) => flag !== '')
+}
 
 /**
  * Creates a launcher.
@@ -52,7 +57,7 @@
   function start (name: string, module: string, args: readonly string[]): LaunchedProcess {
     const logFile = path.join(folder, `${name}.log`)
     const log = fs.openSync(logFile, 'a')
-    const child = childProcess.spawn(process.execPath, [...HEAP_OPTIONS, '--enable-source-maps', module, ...args], { stdio: ['ignore', log, log] })
+    const child = childProcess.spawn(process.execPath, [...readFlags(), '--enable-source-maps', module, ...args], { stdio: ['ignore', log, log] })
     fs.closeSync(log)
     const pid = child.pid ?? 0
     const exited = new Promise<number | null>((resolve) => {
--- /dev/null
+++ b/packages/measure/src/runBurst/index.ts
@@ -0,0 +1,242 @@
+/** The burst: one version to N nodes, at the limit of paced links, with and without faults, against baselines. */
+import * as path from 'node:path'
+import * as got from 'got'
+import * as launcher from '@switchridge/launcher'
+import * as types from '@switchridge/types'
+import * as editRow from '../_lib/editRow.js'
+import * as logTimes from '../_lib/logTimes.js'
+import type * as output from '../_lib/output.js'
+import * as statistics from '../_lib/statistics.js'
+
+/** Options of the experiment. */
+export interface BurstOptions {
+  readonly sizes: readonly number[]
+  readonly policies: readonly string[]
+  /** Size at which baselines, faults and weightings are measured. */
+  readonly compareAt: number
+  readonly mebibytes: number
+  readonly chunkKibibytes: number
+  /** Seconds in which the origin's link carries four copies and a machine's two. */
+  readonly transferSeconds: number
+  readonly logs?: string | undefined
+  /** Further lines of the settings' limits. */
+  readonly limits: string
+}
+
+/** One burst to run. */
+interface Trial {
+  readonly nodes: number
+  readonly policy: string
+  readonly favour: types.Favour
+  /** Part of the nodes that die in the middle. */
+  readonly dying: number
+  readonly cutsHall: boolean
+}
+
+/** What one burst showed. */
+export interface BurstResult extends Trial {
+  readonly secondsToHalf: number
+  readonly secondsToNinetyPercent: number
+  readonly secondsToAll: number
+  readonly limitSeconds: number
+  readonly ratioToLimit: number
+  readonly originCopies: number
+  readonly bytesBetweenHalls: number
+  readonly controlMessagesPerNode: number
+  readonly requestsPerNode: number
+  readonly refusedPerNode: number
+  readonly cpuSecondsPerNode: number
+  readonly cpuSecondsPerGigabyte: number
+  readonly peakMebibytesPerNode: number
+  readonly serving: number
+}
+
+const HALLS = ['hall-a', 'hall-b', 'hall-c']
+const ENTRY_NODES_PER_HALL = 2
+const ENGINES_PER_PROCESS = 32
+const ALLOWED_COPIES = 4
+const ORIGIN_COPIES_PER_TRANSFER = 4
+const LINK_COPIES_PER_TRANSFER = 2
+const SETTLE_MS = 2500
+const TIMEOUT_FACTOR = 40
+const FAULT_AT = 0.4
+const CUT_SECONDS = 3
+const POLL_MS = 200
+const ROW = 'model'
+
+/** Runs all bursts and reports each. */
+export async function runBurst (options: BurstOptions, out: output.Output): Promise<BurstResult[]> {
+  const results: BurstResult[] = []
+  for (const [index, trial] of listTrials(options).entries()) {
+    const result = await runTrial(options, trial, index)
+    results.push(result)
+    out.add(result)
+  }
+  return results
+}
+
+function listTrials (options: BurstOptions): Trial[] {
+  const plain = { policy: 'swarm', favour: 'time' as const, dying: 0, cutsHall: false }
+  const sizes = options.sizes.map((nodes): Trial => ({ ...plain, nodes }))
+  const at = { ...plain, nodes: options.compareAt }
+  const faults: Trial[] = [
+    { ...at, favour: 'origin-bytes' },
+    { ...at, dying: 0.05 },
+    { ...at, dying: 0.2 },
+    { ...at, cutsHall: true },
+    { ...at, favour: 'origin-bytes', dying: 0.05 }
+  ]
+  const baselines = options.policies.map((policy): Trial => ({ ...at, policy }))
+  return [...sizes, ...(options.compareAt > 0 ? [...faults, ...baselines] : [])]
+}
+
+async function runTrial (options: BurstOptions, trial: Trial, index: number): Promise<BurstResult> {
+  const processes = launcher.createLauncher(options.logs === undefined ? undefined : path.join(options.logs, `trial-${index}`))
+  try {
+    const fleet = await startTrialFleet(processes, options, trial)
+    return await measureTrial(options, trial, fleet)
+  } finally {
+    await processes.close()
+  }
+}
+
+interface Rates {
+  readonly bytes: number
+  readonly origin: number
+  readonly link: number
+}
+
+function computeRates (options: BurstOptions): Rates {
+  const bytes = options.mebibytes * types.BYTES_IN_MEBIBYTE
+  return {
+    bytes,
+    origin: Math.round(ORIGIN_COPIES_PER_TRANSFER * bytes / options.transferSeconds),
+    link: Math.round(LINK_COPIES_PER_TRANSFER * bytes / options.transferSeconds)
+  }
+}
+
+async function startTrialFleet (processes: launcher.Launcher, options: BurstOptions, trial: Trial): Promise<launcher.Fleet> {
+  const rates = computeRates(options)
+  const perHall = HALLS.map((_, index) => Math.floor((trial.nodes + HALLS.length - 1 - index) / HALLS.length))
+  return await launcher.startFleet(processes, {
+    plan: {
+      deployment: 'burst',
+      halls: HALLS.map((id) => ({ id, region: 'region', entryNodes: ENTRY_NODES_PER_HALL })),
+      services: [{ name: 'llm', kind: 'engine', perHall }],
+      favour: trial.favour
+    },
+    originBytesPerSecond: rates.origin,
+    linkBytesPerSecond: rates.link,
+    tokenMs: 0,
+    plainWorkMs: 0,
+    enginesPerProcess: ENGINES_PER_PROCESS,
+    readsWeights: false,
+    chunkMemoryBytes: 2 * rates.bytes,
+    engineMemoryBytes: 4 * rates.bytes,
+    limits: options.limits,
+    extraSettings: `[experiments]\ndrills = true\ntransfer_policy = "${trial.policy}"\n`
+  })
+}
+
+async function measureTrial (options: BurstOptions, trial: Trial, fleet: launcher.Fleet): Promise<BurstResult> {
+  const rates = computeRates(options)
+  const store = editRow.openStore(fleet)
+  const published = await got.got.post(`${fleet.originUrl}/admin/files`, {
+    json: { name: 'model-1', parts: [{ seed: 'burst', bytes: rates.bytes }], chunkBytes: options.chunkKibibytes * types.BYTES_IN_KIBIBYTE }
+  }).json<{ manifest: string }>()
+  await editRow.editRow(store, 'services', 'llm', { kind: 'engine', repeatable: 'all' })
+  await launcher.waitUntil(async () => (await launcher.readMembers(fleet)).filter((member) => member.facts.revision === 1).length === fleet.nodes.length, 60_000, 'the first revision')
+  await types.delay(SETTLE_MS)
+  const before = await readStatuses(fleet)
+  await editRow.editRow(store, 'models', ROW, {
+    service: 'llm', version: '1', source: 'model-1', manifest: published.manifest, bytes: rates.bytes, originCopies: ALLOWED_COPIES, originBytesPerSecond: rates.origin, favour: trial.favour
+  })
+  const startedAt = Date.now()
+  const limitSeconds = computeLimit(rates, trial.nodes)
+  const dead = await bringAboutFaults(fleet, trial, limitSeconds)
+  const alive = fleet.backends.filter((node) => !dead.has(node.node))
+  await waitForServing(fleet, alive.length, dead, limitSeconds * TIMEOUT_FACTOR)
+  const after = await readStatuses(fleet)
+  const times = alive.flatMap((node) => logTimes.readEventTimes(node.process.logFile, 'serving').slice(0, 1)).map((time) => (time - startedAt) / types.MILLISECONDS_IN_SECOND).sort((left, right) => left - right)
+  const origin = await got.got(`${fleet.originUrl}/admin/counts`).json<{ bytes: number }>()
+  return describeTrial(trial, rates, { times, limitSeconds, originBytes: origin.bytes, before, after })
+}
+
+/** The fluid limit for the last replica: the origin's link, a machine's link, and all uploads together. */
+function computeLimit (rates: Rates, nodes: number): number {
+  return Math.max(rates.bytes / rates.origin, rates.bytes / rates.link, nodes * rates.bytes / (rates.origin + nodes * rates.link))
+}
+
+async function bringAboutFaults (fleet: launcher.Fleet, trial: Trial, limitSeconds: number): Promise<Set<string>> {
+  const dead = new Set<string>()
+  if (trial.dying === 0 && !trial.cutsHall) return dead
+  await types.delay(FAULT_AT * limitSeconds * types.MILLISECONDS_IN_SECOND)
+  const count = Math.ceil(trial.dying * fleet.backends.length)
+  const step = Math.max(1, Math.floor(fleet.backends.length / Math.max(1, count)))
+  for (let index = 0; index < count; index += 1) {
+    const node = fleet.backends[index * step]
+    if (node === undefined) continue
+    node.process.kill('SIGKILL')
+    dead.add(node.node)
+  }
+  if (trial.cutsHall) await cutHall(fleet, HALLS[2] ?? '')
+  return dead
+}
+
+/** Cuts one hall off from the other halls for a while; the origin and the platform stay in reach. */
+async function cutHall (fleet: launcher.Fleet, hall: string): Promise<void> {
+  const endpoints = (inside: boolean): string[] => fleet.nodes.filter((node) => (node.hall === hall) === inside).map((node) => `${node.address.host}:${node.address.port}`)
+  const cut = async (isCut: boolean): Promise<void> => {
+    await Promise.all(fleet.nodes.map(async (node) => await launcher.callNode(fleet, node, 'drill.cut', { endpoints: isCut ? endpoints(node.hall !== hall) : [] })))
+  }
+  await cut(true)
+  await types.delay(CUT_SECONDS * types.MILLISECONDS_IN_SECOND)
+  await cut(false)
+}
+
+async function waitForServing (fleet: launcher.Fleet, wanted: number, dead: ReadonlySet<string>, timeoutSeconds: number): Promise<void> {
+  await launcher.waitUntil(async () => {
+    await types.delay(POLL_MS)
+    const members = await launcher.readMembers(fleet)
+    return members.filter((member) => !dead.has(member.facts.node) && member.facts.serving.length > 0).length >= wanted
+  }, timeoutSeconds * types.MILLISECONDS_IN_SECOND, `${wanted} serving replicas`)
+}
+
+async function readStatuses (fleet: launcher.Fleet): Promise<launcher.NodeStatus[]> {
+  const statuses = await Promise.all(fleet.backends.map(async (node) => await launcher.callNode<launcher.NodeStatus>(fleet, node, 'status', {})))
+  return statuses.filter((status) => status !== null)
+}
+
+interface Observed {
+  readonly times: readonly number[]
+  readonly limitSeconds: number
+  readonly originBytes: number
+  readonly before: readonly launcher.NodeStatus[]
+  readonly after: readonly launcher.NodeStatus[]
+}
+
+function describeTrial (trial: Trial, rates: Rates, observed: Observed): BurstResult {
+  const { times, limitSeconds, before, after } = observed
+  const countOf = (status: launcher.NodeStatus, key: string): number => status.transfers.reduce((sum, each) => sum + (each.counts?.[key] ?? 0), 0)
+  const perNode = (read: (status: launcher.NodeStatus) => number): number => statistics.round(statistics.mean(after.map(read)))
+  const cpuBefore = new Map(before.map((status) => [status.self.node, status.process.cpuSeconds]))
+  const cpu = statistics.mean(after.map((status) => status.process.cpuSeconds - (cpuBefore.get(status.self.node) ?? 0)))
+  const all = times.at(-1) ?? 0
+  return {
+    ...trial,
+    secondsToHalf: statistics.round(statistics.quantile(times, 0.5)),
+    secondsToNinetyPercent: statistics.round(statistics.quantile(times, 0.9)),
+    secondsToAll: statistics.round(all),
+    limitSeconds: statistics.round(limitSeconds),
+    ratioToLimit: statistics.round(all / limitSeconds),
+    originCopies: statistics.round(observed.originBytes / rates.bytes),
+    bytesBetweenHalls: after.reduce((sum, status) => sum + countOf(status, 'otherHallBytes'), 0),
+    controlMessagesPerNode: perNode((status) => countOf(status, 'announcements')),
+    requestsPerNode: perNode((status) => countOf(status, 'requests')),
+    refusedPerNode: perNode((status) => countOf(status, 'refused')),
+    cpuSecondsPerNode: statistics.round(cpu),
+    cpuSecondsPerGigabyte: statistics.round(cpu * 1e9 / rates.bytes),
+    peakMebibytesPerNode: perNode((status) => status.process.peakResidentBytes / types.BYTES_IN_MEBIBYTE),
+    serving: times.length
+  }
+}
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -27,6 +27,12 @@
   readonly claims: readonly MemberClaim[]
 }
 
+/**
+ * What a receiver gets: `all` goes to daemons that relay nothing, `first-hand` to hubs of the same hall,
+ * and a data hall to hubs of other halls. So no claim travels in a circle and keeps a dead member alive.
+ */
+export type ClaimScope = 'all' | 'first-hand' | { readonly dataHall: types.DataHallId }
+
 /** A node as the platform lists it. */
 export interface ListedNode {
   readonly node: types.NodeId
@@ -37,7 +43,8 @@
 export interface MemberViewOptions {
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
-  readonly heartbeatTimeoutMs?: number
+  /** Milliseconds of silence after which a member is no longer live; asked at each refresh. */
+  readonly silenceLimit?: () => number
   /** Milliseconds of silence after which one node is gone. */
   readonly nodeHoldMs?: number
   /** Milliseconds of silence after which a data hall that fell silent as a whole is gone. */
@@ -57,8 +64,7 @@
   readonly refresh: () => void
   readonly members: () => readonly Member[]
   readonly find: (node: types.NodeId) => Member | undefined
-  /** Claims that changed after `counter`, first-hand ones only if asked. */
-  readonly changesSince: (counter: number, scope: 'all' | 'first-hand') => ClaimChanges
+  readonly changesSince: (counter: number, scope: ClaimScope) => ClaimChanges
 }
 
 export const HALL_HOLD_MS = 300_000
@@ -74,6 +80,12 @@
   changedAt: number
 }
 
+function isInScope (entry: Entry, scope: ClaimScope): boolean {
+  if (scope === 'all') return true
+  if (scope === 'first-hand') return entry.heardAt !== null
+  return entry.facts.dataHall === scope.dataHall
+}
+
 /**
  * Creates an empty view.
  *
@@ -81,13 +93,13 @@
  * @returns The view.
  */
 export function createMemberView (options: MemberViewOptions): MemberView {
-  const timeoutMs = options.heartbeatTimeoutMs ?? types.HEARTBEAT_TIMEOUT_MS
   const nodeHoldMs = options.nodeHoldMs ?? types.PLACEMENT_HOLD_MS
   const hallHoldMs = options.hallHoldMs ?? HALL_HOLD_MS
   const entries = new Map<types.NodeId, Entry>()
   let listedLeaving: ReadonlySet<types.NodeId> = new Set()
   let rowLeaving: ReadonlySet<types.NodeId> = new Set()
   let counter = 0
+  let silenceLimitMs = types.HEARTBEAT_TIMEOUT_MS
 
   function upsert (facts: types.MemberFacts): Entry {
     const known = entries.get(facts.node)
@@ -127,7 +139,7 @@
   }
 
   function isHeard (entry: Entry | undefined): boolean {
-    return entry !== undefined && entry.heardAt !== null && options.now() - entry.heardAt <= timeoutMs
+    return entry !== undefined && entry.heardAt !== null && options.now() - entry.heardAt <= silenceLimitMs
   }
 
   function judge (entry: Entry): MemberCondition {
@@ -160,6 +172,7 @@
   }
 
   function refresh (): void {
+    silenceLimitMs = options.silenceLimit?.() ?? silenceLimitMs
     for (const [node, entry] of entries) {
       setCondition(entry, judge(entry))
       const forgotten = entry.condition === 'gone' && options.now() - (entry.silentSince ?? 0) > hallHoldMs + FORGET_AFTER_MS
@@ -172,11 +185,10 @@
     return { facts: entry.facts, condition: entry.condition, leaving: state === 'leaving' || listedLeaving.has(node) || rowLeaving.has(node) }
   }
 
-  function changesSince (since: number, scope: 'all' | 'first-hand'): ClaimChanges {
+  function changesSince (since: number, scope: ClaimScope): ClaimChanges {
     const claims = [...entries.values()]
-      .filter((entry) => entry.changedAt > since)
-      .filter((entry) => scope === 'all' || entry.heardAt !== null)
-      .map((entry) => ({ facts: entry.facts, condition: scope === 'all' || isHeard(entry) ? entry.condition : 'silent' as const }))
+      .filter((entry) => entry.changedAt > since && isInScope(entry, scope))
+      .map((entry) => ({ facts: entry.facts, condition: scope === 'first-hand' && !isHeard(entry) ? 'silent' as const : entry.condition }))
     return { counter, claims }
   }
 
--- /dev/null
+++ b/packages/placement/src/computeOriginGroup/test.ts
@@ -0,0 +1,29 @@
+import * as test from 'node:test'
+import * as assert from 'node:assert/strict'
+import * as fc from 'fast-check'
+import * as types from '@switchridge/types'
+import * as computeOriginGroup from './index.js'
+
+const HALLS = ['a', 'b', 'c', 'd', 'e'].map((id) => types.brandId<types.DataHallId>(id))
+
+function makeRow (favour: types.Favour, originCopies: number): types.ModelRow {
+  return { favour, originCopies } as unknown as types.ModelRow
+}
+
+test.describe('computeOriginGroup', () => {
+  test.it('puts all halls into one group while all can be reached', () => {
+    const halls = HALLS.map((dataHall) => ({ dataHall, isReachable: true }))
+    assert.deepEqual(computeOriginGroup.computeOriginGroup(makeRow('time', 4), HALLS[0]!, halls), HALLS)
+  })
+
+  test.it('never lets the parts of a fallen fleet read more copies than the row allows', () => {
+    const partition = fc.array(fc.integer({ min: 0, max: 4 }), { minLength: HALLS.length, maxLength: HALLS.length })
+    fc.assert(fc.property(partition, fc.integer({ min: 1, max: 5 }), fc.constantFrom<types.Favour>('time', 'origin-bytes'), (parts, copies, favour) => {
+      const groups = new Set(HALLS.map((own, index) => {
+        const halls = HALLS.map((dataHall, other) => ({ dataHall, isReachable: parts[other] === parts[index] }))
+        return computeOriginGroup.computeOriginGroup(makeRow(favour, copies), own, halls).join()
+      }))
+      assert.ok(groups.size <= Math.max(1, copies), `${groups.size} groups read a copy each`)
+    }), { seed: 11 })
+  })
+})
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,5 +1,5 @@
 /** Decisions about copies: pure functions of the table and the members. */
-export * from './computeOriginGroups/index.js'
+export * from './computeOriginGroup/index.js'
 export * from './computePlacement/index.js'
 export * from './mayLeaveVersion/index.js'
 export * from './parseTargets/index.js'
--- a/packages/rpc/src/createRpcClient/index.ts
+++ b/packages/rpc/src/createRpcClient/index.ts
@@ -1,9 +1,9 @@
 /** Calls methods of other daemons: JSON-RPC 2.0 over HTTP. */
 import * as jsonRpc from 'json-rpc-2.0'
-import * as got from 'got'
 import * as types from '@switchridge/types'
 import type * as agents from '../createHttpAgents/index.js'
 import * as identity from '../createIdentity/index.js'
+import * as openRequest from '../openRequest/index.js'
 
 /** Calls one method of one daemon. */
 export interface RpcClient {
@@ -23,6 +23,9 @@
 
 export const RPC_PATH = '/rpc'
 const DEFAULT_TIMEOUT_MS = 2000
+/** Each call has an HTTP exchange of its own, so that its id need not tell it apart. */
+const CALL_ID = 1
+const OK = 200
 
 /**
  * Creates a client.
@@ -32,25 +35,21 @@
  * @returns The client.
  */
 export function createRpcClient (self: identity.Identity, httpAgents: agents.HttpAgents): RpcClient {
-  const headers = identity.createIdentityHeaders(self)
-  const createId = jsonRpc.createJSONRPCRequest
+  const headers = { ...identity.createIdentityHeaders(self), 'content-type': 'application/json' }
 
   async function call<Result> (address: types.Address, method: string, params: unknown, timeoutMs = DEFAULT_TIMEOUT_MS): Promise<types.Outcome<Result, RpcFailure>> {
-    try {
-      const response = await got.got.post(`${formatBaseUrl(httpAgents, address)}${RPC_PATH}`, {
-        json: createId(1, method, params),
-        headers,
-        agent: { http: httpAgents.http, https: httpAgents.https },
-        timeout: { request: timeoutMs },
-        retry: { limit: 0 },
-        throwHttpErrors: false,
-        responseType: 'json'
-      })
-      if (response.statusCode !== 200) return types.fail(new RpcRefusedError(describeRefusal(response.body, response.statusCode)))
-      return readResponse<Result>(response.body)
-    } catch (thrown) {
-      return types.fail(new types.UnavailableError(types.describeError(thrown)))
-    }
+    const sent = await openRequest.sendRequest(httpAgents, {
+      base: formatBaseUrl(httpAgents, address),
+      path: RPC_PATH,
+      method: 'POST',
+      headers,
+      body: JSON.stringify(jsonRpc.createJSONRPCRequest(CALL_ID, method, params)),
+      timeoutMs
+    })
+    if (!sent.ok) return sent
+    const body = parseBody(sent.value.body)
+    if (sent.value.status !== OK) return types.fail(new RpcRefusedError(describeRefusal(body, sent.value.status)))
+    return readResponse<Result>(body)
   }
   return { call }
 }
@@ -67,9 +66,18 @@
   return `${httpAgents.scheme}://${host}:${address.port}`
 }
 
+function parseBody (body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown
+  } catch {
+    return undefined
+  }
+}
+
 function readResponse<Result> (body: unknown): types.Outcome<Result, RpcFailure> {
-  const response = body as jsonRpc.JSONRPCResponse
-  if (response?.error !== undefined) return types.fail(new RpcRefusedError(response.error.message))
+  const response = body as jsonRpc.JSONRPCResponse | undefined
+  if (response === undefined) return types.fail(new types.UnavailableError('the answer is not JSON'))
+  if (response.error !== undefined) return types.fail(new RpcRefusedError(response.error.message))
   return types.succeed(response.result as Result)
 }
 
--- a/packages/rpc/src/createRpcServer/index.ts
+++ b/packages/rpc/src/createRpcServer/index.ts
@@ -1,6 +1,6 @@
 /** Answers JSON-RPC 2.0 calls of other daemons, as a koa middleware. */
 import * as jsonRpc from 'json-rpc-2.0'
-import type * as koa from 'koa'
+import type * as Koa from 'koa'
 import * as types from '@switchridge/types'
 import * as identity from '../createIdentity/index.js'
 import * as client from '../createRpcClient/index.js'
@@ -17,7 +17,7 @@
  * @param methods - Methods by name; each checks its own parameters.
  * @returns A koa middleware for `POST /rpc`.
  */
-export function createRpcServer (self: identity.Identity, methods: Readonly<Record<string, RpcMethod>>): koa.Middleware {
+export function createRpcServer (self: identity.Identity, methods: Readonly<Record<string, RpcMethod>>): Koa.Middleware {
   const server = new jsonRpc.JSONRPCServer({ errorListener: () => {} })
   for (const [name, method] of Object.entries(methods)) server.addMethod(name, method)
 
--- a/packages/rpc/src/createRpcServer/test.ts
+++ b/packages/rpc/src/createRpcServer/test.ts
@@ -1,6 +1,7 @@
 import * as test from 'node:test'
 import * as assert from 'node:assert/strict'
 import Koa from 'koa'
+import * as types from '@switchridge/types'
 import * as rpc from '../index.js'
 
 const HOME = { deployment: 'depozit', sharedKey: 'a-key-of-some-length' }
@@ -41,7 +42,7 @@
     const agents = rpc.createHttpAgents()
     const outcome = await rpc.createRpcClient(HOME, agents).call(listener.address, 'add', [1])
     assert.ok(!outcome.ok)
-    assert.equal(outcome.error.name, 'UnavailableError')
+    assert.ok(outcome.error instanceof types.UnavailableError)
     agents.destroy()
   })
 })
--- /dev/null
+++ b/packages/rpc/src/openRequest/index.ts
@@ -0,0 +1,89 @@
+/**
+ * Requests on the hot paths between daemons and to back ends, by the runtime's own client.
+ * docs/design/http-clients.md has the figures that decided against got here.
+ */
+import * as http from 'node:http'
+import * as https from 'node:https'
+import * as types from '@switchridge/types'
+import type * as agents from '../createHttpAgents/index.js'
+
+/** A request to send. */
+export interface OutgoingRequest {
+  /** Scheme, host and port. */
+  readonly base: string
+  /** Path and query. */
+  readonly path: string
+  readonly method: string
+  readonly headers: http.OutgoingHttpHeaders
+  readonly body?: Buffer | string
+  /** Milliseconds until the request is ended, answer included; none when absent. */
+  readonly timeoutMs?: number
+  readonly signal?: AbortSignal
+}
+
+/** The request failed before an answer began. */
+export class RequestError extends types.UnavailableError {
+  /** The system's code, such as ECONNREFUSED; empty when there is none. */
+  readonly code: string
+
+  constructor (error: NodeJS.ErrnoException) {
+    super(error.message)
+    this.code = error.code ?? ''
+  }
+}
+
+/**
+ * Sends a request and waits for the head of the answer.
+ *
+ * @param httpAgents - Connection pools.
+ * @param request - The request.
+ * @returns The answer, whose body is a stream that reports a later break as an error.
+ */
+export async function openRequest (httpAgents: agents.HttpAgents, request: OutgoingRequest): Promise<types.Outcome<http.IncomingMessage, RequestError>> {
+  const isSecure = request.base.startsWith('https:')
+  const send = isSecure ? https.request : http.request
+  const length = request.body === undefined ? {} : { 'content-length': Buffer.byteLength(request.body) }
+  return await new Promise((resolve) => {
+    const outgoing = send(request.base + request.path, {
+      method: request.method,
+      headers: { ...request.headers, ...length },
+      agent: isSecure ? httpAgents.https : httpAgents.http,
+      ...(request.signal === undefined ? {} : { signal: request.signal })
+    })
+    const timer = request.timeoutMs === undefined
+      ? undefined
+      : setTimeout(() => { outgoing.destroy(new Error(`no whole answer within ${request.timeoutMs ?? 0} ms`)) }, request.timeoutMs)
+    outgoing.on('error', (error) => { resolve(types.fail(new RequestError(error))) })
+    outgoing.once('close', () => { clearTimeout(timer) })
+    outgoing.once('response', (response) => { resolve(types.succeed(response)) })
+    outgoing.end(request.body)
+  })
+}
+
+/**
+ * Sends a request and reads the whole answer.
+ *
+ * @param httpAgents - Connection pools.
+ * @param request - The request.
+ * @returns Status, headers and body.
+ */
+export async function sendRequest (httpAgents: agents.HttpAgents, request: OutgoingRequest): Promise<types.Outcome<WholeAnswer, RequestError>> {
+  const opened = await openRequest(httpAgents, request)
+  if (!opened.ok) return opened
+  const response = opened.value
+  const parts: Buffer[] = []
+  try {
+    for await (const part of response as AsyncIterable<Buffer>) parts.push(part)
+  } catch (thrown) {
+    return types.fail(new RequestError(thrown as NodeJS.ErrnoException))
+  }
+  const body = parts.length === 1 ? parts[0] as Buffer : Buffer.concat(parts)
+  return types.succeed({ status: response.statusCode ?? 0, headers: response.headers, body })
+}
+
+/** An answer that was read to its end. */
+export interface WholeAnswer {
+  readonly status: number
+  readonly headers: http.IncomingHttpHeaders
+  readonly body: Buffer
+}
--- a/packages/settings/src/parseSettings/test.ts
+++ b/packages/settings/src/parseSettings/test.ts
@@ -22,7 +22,7 @@
   test.it('fills in defaults', () => {
     const outcome = parseSettings.parseSettings(ENTRY, 'entry.toml')
     assert.ok(outcome.ok)
-    assert.equal(outcome.value.limits.requests_in_flight, 4)
+    assert.equal(outcome.value.limits.requests_in_flight, 16)
   })
 
   test.it('names every mistake with file, key, value and what is allowed', () => {
--- a/packages/standins/src/_lib/admin.ts
+++ b/packages/standins/src/_lib/admin.ts
@@ -1,9 +1,9 @@
 /** Faults that tests and the demo set on a stand-in while it runs. */
-import type * as koa from 'koa'
+import type * as Koa from 'koa'
 import * as rpc from '@switchridge/rpc'
 
 /** Middleware for `PUT /admin/faults` and `GET /admin/counts`. */
-export function createAdmin<Faults extends object> (faults: Faults, readCounts: () => unknown): koa.Middleware {
+export function createAdmin<Faults extends object> (faults: Faults, readCounts: () => unknown): Koa.Middleware {
   return async (context, next) => {
     if (context.path === '/admin/faults' && context.method === 'PUT') {
       const body = await rpc.readJson(context.req)
--- a/packages/transfer/src/createUploader/index.ts
+++ b/packages/transfer/src/createUploader/index.ts
@@ -1,5 +1,5 @@
 /** Gives chunks and manifests to peers: bounded slots, paced link, and this node's bitmap on every answer. */
-import type * as koa from 'koa'
+import type * as Koa from 'koa'
 import * as types from '@switchridge/types'
 import * as rpc from '@switchridge/rpc'
 import * as bitmaps from '../_lib/bitmap.js'
@@ -21,7 +21,7 @@
 
 /** The middleware and its load. */
 export interface Uploader {
-  readonly middleware: koa.Middleware
+  readonly middleware: Koa.Middleware
   readonly backlog: () => number
   readonly sentBytes: () => number
 }
@@ -40,7 +40,7 @@
   let open = 0
   let sentBytes = 0
 
-  async function sendChunk (context: koa.Context, digest: types.Digest, chunk: number): Promise<void> {
+  async function sendChunk (context: Koa.Context, digest: types.Digest, chunk: number): Promise<void> {
     const holding = options.store.find(digest)
     context.set(fetchChunk.BACKLOG_HEADER, String(open))
     if (holding === undefined) {
@@ -67,13 +67,13 @@
     context.body = bytes
   }
 
-  function noteRequester (context: koa.Context, digest: types.Digest): void {
+  function noteRequester (context: Koa.Context, digest: types.Digest): void {
     const node = context.get(fetchChunk.NODE_HEADER)
     const have = context.get(fetchChunk.HAVE_HEADER)
     if (node !== '' && have !== '') options.onHave(digest, types.brandId<types.NodeId>(node), have)
   }
 
-  function sendManifest (context: koa.Context, digest: types.Digest): void {
+  function sendManifest (context: Koa.Context, digest: types.Digest): void {
     const holding = options.store.find(digest)
     if (holding === undefined) {
       context.status = 404
@@ -85,7 +85,7 @@
     context.body = bytes
   }
 
-  const middleware: koa.Middleware = async (context, next) => {
+  const middleware: Koa.Middleware = async (context, next) => {
     const chunkMatch = CHUNK_PATH.exec(context.path)
     const manifestMatch = MANIFEST_PATH.exec(context.path)
     if (context.method !== 'GET' || (chunkMatch === null && manifestMatch === null)) {
--- a/packages/transfer/src/fetchChunk/index.ts
+++ b/packages/transfer/src/fetchChunk/index.ts
@@ -32,6 +32,7 @@
   readonly signal: AbortSignal
 }
 
+const OK = 200
 const NO_STATEMENT: PeerStatement = { have: '', backlog: 0 }
 
 /**
@@ -45,18 +46,18 @@
  * @returns The bytes, unchecked, and what the peer says of itself.
  */
 export async function fetchChunk (address: types.Address, digest: types.Digest, chunk: number, have: string, options: FetchOptions): Promise<ChunkAnswer> {
-  try {
-    const response = await got.got(`${rpc.formatBaseUrl(options.agents, address)}/chunks/${digest}/${chunk}`, {
-      ...formRequest(options),
-      headers: { ...rpc.createIdentityHeaders(options.identity), [NODE_HEADER]: options.self, [HAVE_HEADER]: have },
-      responseType: 'buffer'
-    })
-    const statement = { have: String(response.headers[HAVE_HEADER] ?? ''), backlog: Number(response.headers[BACKLOG_HEADER] ?? 0) }
-    if (response.statusCode === 200) return { statement, outcome: types.succeed(response.rawBody) }
-    return { statement, outcome: types.fail(new ChunkRefusedError(`status ${response.statusCode}`)) }
-  } catch (thrown) {
-    return { statement: NO_STATEMENT, outcome: types.fail(new types.UnavailableError(types.describeError(thrown))) }
-  }
+  const sent = await rpc.sendRequest(options.agents, {
+    base: rpc.formatBaseUrl(options.agents, address),
+    path: `/chunks/${digest}/${chunk}`,
+    method: 'GET',
+    headers: { ...rpc.createIdentityHeaders(options.identity), [NODE_HEADER]: options.self, [HAVE_HEADER]: have },
+    timeoutMs: options.timeoutMs,
+    signal: options.signal
+  })
+  if (!sent.ok) return { statement: NO_STATEMENT, outcome: sent }
+  const { status, headers, body } = sent.value
+  const statement = { have: String(headers[HAVE_HEADER] ?? ''), backlog: Number(headers[BACKLOG_HEADER] ?? 0) }
+  return { statement, outcome: status === OK ? types.succeed(body) : types.fail(new ChunkRefusedError(`status ${status}`)) }
 }
 
 /**
