Ask the least busy peers first, and take the rarest chunk among theirs

Samples showed 20 of 64 uplinks idle in the middle of the burst while others refused a third of the requests: taking the rarest chunk first sends everybody to the few nodes that hold it.

Change: peers are grouped by their load (last word, less what they worked off since), the rarest chunk is taken within the least busy group; uploads wait in a queue that skips requesters who have gone; a refusal names other holders; requests in flight grow with arrivals and shrink with refusals; an importer that waits for its own source no longer gives chunks up, which had cost 51 extra reads at the origin.

Tried and dropped: sending the chunk that was sent least often first.

--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -74,7 +74,9 @@
     store,
     uplink,
     slots: settings.limits.upload_slots,
-    onHave: transfers.noteHave
+    onHave: transfers.noteHave,
+    onSent: transfers.noteSent,
+    findHolders: transfers.findHolders
   })
 
   const waitingEntryNodes = new Set<types.NodeId>()
@@ -140,7 +142,7 @@
   const methods: Record<string, rpc.RpcMethod> = {
     heartbeat: heartbeats.receive,
     table: heartbeats.sendTable,
-    status: () => describeStatus.describeStatus(parts, self.read(), { transfers: transfers.progress(), load: admission.load(), counts: { ...counts, uploadedBytes: uploader.sentBytes() } }),
+    status: () => describeStatus.describeStatus(parts, self.read(), { transfers: transfers.progress(), load: admission.load(), counts: { ...counts, uploadedBytes: uploader.sentBytes(), backlog: uploader.backlog(), openRequests: transfers.openRequests() } }),
     ticket: (params) => {
       const asked = schemas.ticketSchema.parse(params)
       return asked.incarnation === parts.incarnation ? tickets.resolve(types.brandId<types.TicketId>(asked.ticket)) : 'unknown'
--- a/packages/settings/src/_lib/schema.ts
+++ b/packages/settings/src/_lib/schema.ts
@@ -45,7 +45,7 @@
     link_bytes_per_second: zod.z.int().min(0).default(0),
     chunk_memory_bytes: zod.z.int().positive().default(DEFAULT_CHUNK_MEMORY_BYTES),
     requests_in_flight: zod.z.int().min(1).max(256).default(16),
-    upload_slots: zod.z.int().min(1).max(256).default(32),
+    upload_slots: zod.z.int().min(1).max(256).default(12),
     drain_seconds: zod.z.int().min(0).max(86_400).default(600)
   }).prefault({}),
   logs: zod.z.strictObject({
--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -28,6 +28,10 @@
   readonly now: () => number
   /** Random number from 0 to 1. */
   readonly random: () => number
+  /** Called when a peer had no slot. */
+  readonly onRefused: () => void
+  /** Called when a chunk arrived from a peer. */
+  readonly onReceived: () => void
   /** Called when a slot came free or something new is known. */
   readonly onProgress: () => void
   readonly onEvent: (event: DownloadEvent) => void
@@ -66,18 +70,25 @@
   /** Looks for chunks whose provider is late; call it a few times a second. */
   readonly checkOverdue: () => void
   readonly noteHave: (node: types.NodeId, have: string) => void
+  /** Notes that a node holds a chunk. */
+  readonly noteHolder: (node: types.NodeId, chunk: number) => void
+  /** A few nodes known to hold a chunk. */
+  readonly findHolders: (chunk: number) => readonly types.NodeId[]
   /** Answers another node that asks what became of a chunk. */
   readonly answerProvider: (chunk: number) => transfer.ProviderAnswer
   readonly stop: () => void
 }
 
 const FIRST_TIMEOUT_MS = 5000
-const MINIMUM_TIMEOUT_MS = 1500
+const MINIMUM_TIMEOUT_MS = 3000
 const MAXIMUM_TIMEOUT_MS = 30_000
 const TIMEOUT_FACTOR = 8
 const AVERAGE_WEIGHT = 0.2
 const SUSPEND_BASE_MS = 500
-const SUSPEND_MAXIMUM_MS = 30_000
+const SUSPEND_MAXIMUM_MS = 4000
+const ORIGIN_SUSPEND_MAXIMUM_MS = 30_000
+const REDIRECTED_HOLDERS = 4
+const ASK_AGAIN_MS = 1500
 const REFUSED_PAUSE_MS = 15
 const ORIGIN_OPEN_REQUESTS = 2
 const OVERDUE_BATCH = 32
@@ -96,7 +107,9 @@
   const peers = new Map<types.NodeId, transfer.PeerState>()
   const holders = new Uint16Array(size)
   const ties = Float64Array.from({ length: size }, options.random)
-  const wanted = new Set(holding.missing())
+  const wanted = bitmaps.createBitmap(size)
+  for (const chunk of holding.missing()) bitmaps.setBit(wanted, chunk)
+  let imported = bitmaps.createBitmap(size)
   const partial = new Map<number, Buffer>()
   const asked = new Map<number, number>()
   const abort = new AbortController()
@@ -108,6 +121,7 @@
   let originFailures = 0
   let originSuspendedUntil = 0
   let averageMs = 0
+  let uploadMs = 0
 
   function setPolicy (next: transfer.TransferPolicy, members: readonly transfer.Peer[]): void {
     policy = next
@@ -115,14 +129,20 @@
     originChunks = []
     const known = new Set(members.map((peer) => peer.node))
     for (const node of peers.keys()) if (!known.has(node)) removePeer(node)
-    for (const peer of members) addPeer(peer)
+    for (const peer of members) addPeer(peer, next.reach(peer))
+    imported = bitmaps.createBitmap(size)
+    for (let chunk = 0; chunk < size; chunk += 1) if (next.isImporter(chunk)) bitmaps.setBit(imported, chunk)
   }
 
-  function addPeer (peer: transfer.Peer): void {
+  function addPeer (peer: transfer.Peer, reach: transfer.PeerReach): void {
     const known = peers.get(peer.node)
-    if (known !== undefined && known.address.port === peer.address.port && known.address.host === peer.address.host) return
-    if (known !== undefined) removePeer(peer.node)
-    peers.set(peer.node, { ...peer, has: bitmaps.createBitmap(size), outstanding: 0, backlog: 0, suspendedUntil: 0, failures: 0 })
+    const isSame = known?.address.port === peer.address.port && known.address.host === peer.address.host
+    if (known !== undefined && isSame) {
+      known.reach = reach
+      return
+    }
+    removePeer(peer.node)
+    peers.set(peer.node, { ...peer, reach, has: bitmaps.createBitmap(size), outstanding: 0, backlog: 0, backlogAt: 0, suspendedUntil: 0, failures: 0 })
   }
 
   function removePeer (node: types.NodeId): void {
@@ -152,14 +172,14 @@
   }
 
   function startRequest (): boolean {
-    if (policy === null || wanted.size === 0 || abort.signal.aborted) return false
+    if (policy === null || abort.signal.aborted) return false
     const originChunk = chooseOriginChunk(policy)
     if (originChunk !== null) {
       void readOrigin(originChunk)
       return true
     }
     const choice = chooseRequest.chooseRequest({
-      wanted: [...wanted], peers: [...peers.values()], holders, ties, policy, now: now(), perPeer: options.perPeer, random: options.random
+      wanted, imported, peers: [...peers.values()], holders, ties, prefersRare: policy.prefersRare, now: now(), perPeer: options.perPeer, uploadMs, random: options.random
     })
     if (choice === null) return false
     void askPeer(choice.chunk, choice.peer)
@@ -173,16 +193,22 @@
     }
     if (originOpen >= ORIGIN_OPEN_REQUESTS || now() < originSuspendedUntil) return null
     originChunks = originChunks.filter((chunk) => !holding.has(chunk) && current.readsOrigin(chunk))
-    return originChunks.find((chunk) => wanted.has(chunk) && !isAtPeer(current, chunk)) ?? null
+    return originChunks.find((chunk) => bitmaps.hasBit(wanted, chunk) && !isAtPeer(chunk)) ?? null
   }
 
-  function isAtPeer (current: transfer.TransferPolicy, chunk: number): boolean {
+  /** Whether a peer that may be asked holds the chunk. */
+  function isAtPeer (chunk: number): boolean {
     if (holders[chunk] === 0) return false
-    return [...peers.values()].some((peer) => bitmaps.hasBit(peer.has, chunk) && peer.suspendedUntil <= now() && current.mayAsk(peer, chunk))
+    const isImported = bitmaps.hasBit(imported, chunk)
+    for (const peer of peers.values()) {
+      const mayAsk = peer.reach === 'everything' || (peer.reach === 'imported' && isImported)
+      if (mayAsk && bitmaps.hasBit(peer.has, chunk) && peer.suspendedUntil <= now()) return true
+    }
+    return false
   }
 
   async function askPeer (chunk: number, peer: transfer.PeerState): Promise<void> {
-    wanted.delete(chunk)
+    bitmaps.clearBit(wanted, chunk)
     peer.outstanding += 1
     peersOpen += 1
     counts.requests += 1
@@ -191,7 +217,7 @@
     peer.outstanding -= 1
     await settle(chunk, peer, answer, now() - startedAt)
     peersOpen -= 1
-    if (!holding.has(chunk)) wanted.add(chunk)
+    if (!holding.has(chunk)) bitmaps.setBit(wanted, chunk)
     options.onProgress()
   }
 
@@ -199,15 +225,16 @@
     if (abort.signal.aborted) return
     noteHave(peer.node, answer.statement.have)
     peer.backlog = answer.statement.backlog
+    peer.backlogAt = now()
     if (answer.outcome.ok) {
-      averageMs = averageMs === 0 ? elapsedMs : averageMs + AVERAGE_WEIGHT * (elapsedMs - averageMs)
+      averageMs = average(averageMs, elapsedMs)
+      uploadMs = average(uploadMs, elapsedMs / (answer.statement.backlog + 1))
       await receive(chunk, answer.outcome.value, peer)
     } else if (answer.outcome.error instanceof fetchChunk.ChunkRefusedError) {
       counts.refused += 1
-      bitmaps.clearBit(peer.has, chunk)
-      holders[chunk] = Math.max(0, (holders[chunk] ?? 1) - 1)
-      noteHave(peer.node, answer.statement.have)
       peer.suspendedUntil = now() + REFUSED_PAUSE_MS
+      for (const node of answer.statement.holders) noteHolder(node, chunk)
+      options.onRefused()
     } else {
       counts.failed += 1
       suspendPeer(peer)
@@ -221,6 +248,7 @@
     const kept = holding.put(chunk, bytes)
     if (kept.ok) {
       peer.failures = 0
+      options.onReceived()
       announce(chunk)
       return
     }
@@ -241,7 +269,7 @@
   }
 
   async function readOrigin (chunk: number): Promise<void> {
-    wanted.delete(chunk)
+    bitmaps.clearBit(wanted, chunk)
     originOpen += 1
     const before = partial.get(chunk) ?? Buffer.alloc(0)
     const length = parseManifest.computeChunkBytes(manifest, chunk)
@@ -254,7 +282,7 @@
     const bytes = Buffer.concat([before, answer.bytes])
     if (answer.error === undefined) keepFromOrigin(chunk, bytes)
     else keepPartial(chunk, bytes, answer.error)
-    if (!holding.has(chunk)) wanted.add(chunk)
+    if (!holding.has(chunk)) bitmaps.setBit(wanted, chunk)
     options.onProgress()
   }
 
@@ -278,7 +306,7 @@
   }
 
   function suspendOrigin (): void {
-    const ceiling = Math.min(SUSPEND_MAXIMUM_MS, SUSPEND_BASE_MS * 2 ** originFailures)
+    const ceiling = Math.min(ORIGIN_SUSPEND_MAXIMUM_MS, SUSPEND_BASE_MS * 2 ** originFailures)
     originSuspendedUntil = now() + ceiling * (0.5 + options.random() / 2)
     originFailures += 1
   }
@@ -294,17 +322,16 @@
   function checkOverdue (): void {
     if (policy === null) return
     let checked = 0
-    for (const chunk of wanted) {
-      if (checked >= OVERDUE_BATCH || policy.slotAt(chunk) > now()) continue
-      if (isAtPeer(policy, chunk)) continue
+    for (let chunk = 0; chunk < size && checked < OVERDUE_BATCH && policy.slotAt(chunk) <= now(); chunk += 1) {
+      if (!bitmaps.hasBit(wanted, chunk) || (asked.get(chunk) ?? 0) > now() || isAtPeer(chunk)) continue
       checked += 1
       const provider = policy.overdueFrom(chunk, now())
-      if (provider !== null && (asked.get(chunk) ?? 0) <= now()) void askAbout(policy, chunk, provider)
+      if (provider !== null) void askAbout(policy, chunk, provider)
     }
   }
 
   async function askAbout (current: transfer.TransferPolicy, chunk: number, provider: types.NodeId): Promise<void> {
-    asked.set(chunk, now() + MINIMUM_TIMEOUT_MS)
+    asked.set(chunk, now() + ASK_AGAIN_MS)
     const peer = peers.get(provider)
     const answer = peer === undefined ? 'unreachable' : await requests.askProvider(peer, digest, chunk)
     if (answer === 'reading' || holding.has(chunk)) return
@@ -312,28 +339,43 @@
       markHolder(peer, chunk)
     } else if (current.takeOver(chunk, provider)) {
       originChunks.push(chunk)
+      bitmaps.setBit(imported, chunk)
       options.onEvent({ event: 'took-over', digest, chunk, from: provider, reason: answer })
     }
     options.onProgress()
   }
 
+  function noteHolder (node: types.NodeId, chunk: number): void {
+    const peer = peers.get(node)
+    if (peer !== undefined) markHolder(peer, chunk)
+  }
+
+  function findHolders (chunk: number): types.NodeId[] {
+    const found = [...peers.values()].filter((peer) => bitmaps.hasBit(peer.has, chunk)).map((peer) => peer.node)
+    const first = Math.floor(options.random() * Math.max(1, found.length))
+    return [...found.slice(first), ...found.slice(0, first)].slice(0, REDIRECTED_HOLDERS)
+  }
+
   function markHolder (peer: transfer.PeerState, chunk: number): void {
     if (bitmaps.hasBit(peer.has, chunk)) return
     bitmaps.setBit(peer.has, chunk)
     holders[chunk] = (holders[chunk] ?? 0) + 1
   }
 
+  /** Only a reader whose origin fails gives a chunk up; any other node is still about to get it. */
   function answerProvider (chunk: number): transfer.ProviderAnswer {
     if (holding.has(chunk)) return 'has'
-    const isOriginDown = now() < originSuspendedUntil && originFailures > 0
-    const isMine = policy?.readsOrigin(chunk) === true
-    if (isMine && !isOriginDown) return 'reading'
-    if (!isMine && !wanted.has(chunk)) return 'reading'
-    policy?.release(chunk)
+    const isOriginDown = originFailures > 0 && now() < originSuspendedUntil
+    if (policy?.readsOrigin(chunk) !== true || !isOriginDown) return 'reading'
+    policy.release(chunk)
     return 'released'
   }
 
   const openRequests = (): number => peersOpen + originOpen
 
-  return { digest, holding, counts, openRequests, setPolicy, startRequest, checkOverdue, noteHave, answerProvider, stop: () => { abort.abort() } }
+  return { digest, holding, counts, openRequests, setPolicy, startRequest, checkOverdue, noteHave, noteHolder, findHolders, answerProvider, stop: () => { abort.abort() } }
+}
+
+function average (before: number, sample: number): number {
+  return before === 0 ? sample : before + AVERAGE_WEIGHT * (sample - before)
 }
--- a/packages/transfer/src/createSwarmPolicy/index.ts
+++ b/packages/transfer/src/createSwarmPolicy/index.ts
@@ -38,6 +38,7 @@
   const members = options.holders.filter((peer) => options.group.has(peer.dataHall))
   const hall = members.filter((peer) => peer.dataHall === self.dataHall)
   const hallRanks = new Map<number, readonly transfer.Peer[]>()
+  const readers = new Map<number, transfer.Peer | undefined>()
   const takenOver = new Set<number>()
   const released = new Set<number>()
   const slotMs = options.chunkBytes * MILLISECONDS / options.originBytesPerSecond
@@ -54,7 +55,11 @@
   }
 
   const isImporter = (chunk: number): boolean => rankHall(chunk)[0]?.node === self.node || takenOver.has(chunk)
-  const findReader = (chunk: number): transfer.Peer | undefined => membership.pickByRendezvous(keyOf(chunk), members, (peer) => peer.node)
+
+  function findReader (chunk: number): transfer.Peer | undefined {
+    if (!readers.has(chunk)) readers.set(chunk, membership.pickByRendezvous(keyOf(chunk), members, (peer) => peer.node))
+    return readers.get(chunk)
+  }
 
   function readsOrigin (chunk: number): boolean {
     if (takenOver.has(chunk)) return true
@@ -93,7 +98,8 @@
     readsOrigin,
     announceTo,
     overdueFrom,
-    mayAsk: (peer, chunk) => peer.dataHall === self.dataHall || isImporter(chunk),
+    isImporter,
+    reach: (peer) => peer.dataHall === self.dataHall ? 'everything' : 'imported',
     takeOver: (chunk, provider) => {
       if (options.mayReadAgain?.(provider) === false) return false
       released.delete(chunk)
--- a/packages/transfer/src/createTransfer/index.ts
+++ b/packages/transfer/src/createTransfer/index.ts
@@ -53,8 +53,14 @@
   /** Replaces what is wanted, highest priority first; versions no longer wanted stop at once. */
   readonly setWanted: (wanted: readonly WantedVersion[]) => void
   readonly noteHave: (digest: types.Digest, node: types.NodeId, have: string) => void
+  /** Notes that a node was sent a chunk. */
+  readonly noteSent: (digest: types.Digest, node: types.NodeId, chunk: number) => void
+  /** A few nodes known to hold a chunk. */
+  readonly findHolders: (digest: types.Digest, chunk: number) => readonly types.NodeId[]
   readonly answerProvider: (digest: types.Digest, chunk: number) => transfer.ProviderAnswer
   readonly progress: () => readonly TransferProgress[]
+  /** Requests of all downloads that are open now. */
+  readonly openRequests: () => number
   readonly stop: () => void
 }
 
@@ -66,8 +72,12 @@
   signature: string
 }
 
-const TICK_MS = 20
-const OVERDUE_TICKS = 10
+const TICK_MS = 50
+/** Requests in flight grow with chunks that arrive and shrink when peers have no slot, so that few holders are not swamped. */
+const MINIMUM_WINDOW = 4
+const WINDOW_INCREASE = 0.5
+const WINDOW_DECREASE = 0.9
+const OVERDUE_TICKS = 5
 const MANIFEST_RETRY_MS = 500
 
 /**
@@ -78,6 +88,7 @@
  */
 export function createTransfer (options: TransferOptions): Transfer {
   const active = new Map<types.Digest, Active>()
+  let window = MINIMUM_WINDOW
   let ticks = 0
   let ticker: NodeJS.Timeout | null = null
 
@@ -126,6 +137,8 @@
       perPeer: options.perPeer,
       now: options.now,
       random: options.random,
+      onRefused: () => { window = Math.max(MINIMUM_WINDOW, window * WINDOW_DECREASE) },
+      onReceived: () => { window = Math.min(options.requestsInFlight, window + WINDOW_INCREASE) },
       onProgress: () => { pump() },
       onEvent: options.onEvent
     })
@@ -160,7 +173,7 @@
   function pump (): void {
     for (const entry of active.values()) {
       if (entry.download === null || entry.isComplete) continue
-      while (countOpen() < options.requestsInFlight && entry.download.startRequest());
+      while (countOpen() < window && entry.download.startRequest());
       if (entry.download.holding.isComplete()) complete(entry)
     }
   }
@@ -202,14 +215,17 @@
 
   return {
     setWanted,
+    openRequests: countOpen,
     answerProvider,
     progress,
     noteHave: (digest, node, have) => {
       const entry = active.get(digest)
-      if (entry?.download == null || entry.isComplete) return
+      if (entry?.download == null) return
       entry.download.noteHave(node, have)
-      pump()
+      if (!entry.isComplete) pump()
     },
+    noteSent: (digest, node, chunk) => { active.get(digest)?.download?.noteHolder(node, chunk) },
+    findHolders: (digest, chunk) => active.get(digest)?.download?.findHolders(chunk) ?? [],
     stop: () => {
       for (const entry of active.values()) entry.download?.stop()
       active.clear()
--- a/packages/transfer/src/createUploader/index.ts
+++ b/packages/transfer/src/createUploader/index.ts
@@ -13,10 +13,14 @@
   readonly identity: rpc.Identity
   readonly store: createChunkStore.ChunkStore
   readonly uplink: createLinkPacer.LinkPacer
-  /** Uploads that may wait or run at a time; more are refused at once. */
+  /** Uploads that may wait at a time; more are refused at once. */
   readonly slots: number
   /** Told which bitmap a peer showed in passing. */
   readonly onHave: (digest: types.Digest, node: types.NodeId, have: string) => void
+  /** Told that a peer was sent a chunk. */
+  readonly onSent: (digest: types.Digest, node: types.NodeId, chunk: number) => void
+  /** Other nodes known to hold a chunk, to which a requester is sent when all slots are taken. */
+  readonly findHolders: (digest: types.Digest, chunk: number) => readonly types.NodeId[]
 }
 
 /** The middleware and its load. */
@@ -26,6 +30,13 @@
   readonly sentBytes: () => number
 }
 
+interface WaitingUpload {
+  readonly isGone: () => boolean
+  readonly resolve: (isWanted: boolean) => void
+}
+
+/** Uploads that use the link at a time: one on its way and one ready to follow. */
+const SENDING_AT_A_TIME = 2
 const CHUNK_PATH = /^\/chunks\/([0-9a-f]{64})\/(\d+)$/
 const MANIFEST_PATH = /^\/manifests\/([0-9a-f]{64})$/
 
@@ -37,12 +48,15 @@
  */
 export function createUploader (options: UploaderOptions): Uploader {
   const manifests = new WeakMap<createChunkStore.Holding, Buffer>()
-  let open = 0
+  const waiting: WaitingUpload[] = []
+  let sending = 0
   let sentBytes = 0
 
+  const backlog = (): number => waiting.length + sending
+
   async function sendChunk (context: Koa.Context, digest: types.Digest, chunk: number): Promise<void> {
     const holding = options.store.find(digest)
-    context.set(fetchChunk.BACKLOG_HEADER, String(open))
+    context.set(fetchChunk.BACKLOG_HEADER, String(backlog()))
     if (holding === undefined) {
       context.status = 404
       return
@@ -50,21 +64,47 @@
     noteRequester(context, digest)
     context.set(fetchChunk.HAVE_HEADER, bitmaps.encodeBitmap(holding.bitmap))
     const bytes = holding.get(chunk)
-    if (bytes === undefined || open >= options.slots) {
-      context.status = bytes === undefined ? 404 : 503
-      return
-    }
-    open += 1
-    try {
-      await options.uplink.take(bytes.length)
-    } finally {
-      open -= 1
+    if (bytes === undefined) {
+      context.status = 404
+    } else if (waiting.length >= options.slots) {
+      context.status = 503
+      context.set(fetchChunk.HOLDERS_HEADER, options.findHolders(digest, chunk).join(' '))
+    } else {
+      await sendBytes(context, holding, chunk, bytes)
     }
+  }
+
+  async function sendBytes (context: Koa.Context, holding: createChunkStore.Holding, chunk: number, bytes: Buffer): Promise<void> {
+    const isWanted = await waitForTurn(context)
+    if (!isWanted) return
+    await options.uplink.take(bytes.length)
+    sending -= 1
+    startNext()
     context.set(fetchChunk.HAVE_HEADER, bitmaps.encodeBitmap(holding.bitmap))
-    context.set(fetchChunk.BACKLOG_HEADER, String(open))
+    context.set(fetchChunk.BACKLOG_HEADER, String(backlog()))
     sentBytes += bytes.length
     context.type = 'application/octet-stream'
     context.body = bytes
+    const node = context.get(fetchChunk.NODE_HEADER)
+    if (node !== '') options.onSent(holding.digest, types.brandId<types.NodeId>(node), chunk)
+  }
+
+  /** Resolves when the upload may use the link, or with false when its requester has gone. */
+  async function waitForTurn (context: Koa.Context): Promise<boolean> {
+    return await new Promise<boolean>((resolve) => {
+      waiting.push({ isGone: () => context.req.destroyed || context.res.destroyed, resolve })
+      startNext()
+    })
+  }
+
+  function startNext (): void {
+    while (sending < SENDING_AT_A_TIME) {
+      const next = waiting.shift()
+      if (next === undefined) return
+      const isWanted = !next.isGone()
+      if (isWanted) sending += 1
+      next.resolve(isWanted)
+    }
   }
 
   function noteRequester (context: Koa.Context, digest: types.Digest): void {
@@ -103,5 +143,5 @@
     }
   }
 
-  return { middleware, backlog: () => open, sentBytes: () => sentBytes }
+  return { middleware, backlog, sentBytes: () => sentBytes }
 }
--- a/packages/transfer/src/fetchChunk/index.ts
+++ b/packages/transfer/src/fetchChunk/index.ts
@@ -5,6 +5,8 @@
 
 export const NODE_HEADER = 'x-switchridge-node'
 export const HAVE_HEADER = 'x-switchridge-have'
+/** On a refusal: other nodes that hold the chunk. */
+export const HOLDERS_HEADER = 'x-switchridge-holders'
 export const BACKLOG_HEADER = 'x-switchridge-backlog'
 
 /** The peer answered but gives no chunk now: it is busy or does not hold it. */
@@ -15,6 +17,8 @@
   /** Its bitmap in base64; empty when it did not say. */
   readonly have: string
   readonly backlog: number
+  /** Other nodes that hold the chunk, when this one has no slot for it. */
+  readonly holders: readonly types.NodeId[]
 }
 
 /** A peer's answer to the request for a chunk. */
@@ -33,7 +37,7 @@
 }
 
 const OK = 200
-const NO_STATEMENT: PeerStatement = { have: '', backlog: 0 }
+const NO_STATEMENT: PeerStatement = { have: '', backlog: 0, holders: [] }
 
 /**
  * Fetches one chunk from a peer.
@@ -56,7 +60,11 @@
   })
   if (!sent.ok) return { statement: NO_STATEMENT, outcome: sent }
   const { status, headers, body } = sent.value
-  const statement = { have: String(headers[HAVE_HEADER] ?? ''), backlog: Number(headers[BACKLOG_HEADER] ?? 0) }
+  const statement = {
+    have: String(headers[HAVE_HEADER] ?? ''),
+    backlog: Number(headers[BACKLOG_HEADER] ?? 0),
+    holders: String(headers[HOLDERS_HEADER] ?? '').split(' ').filter((node) => node !== '').map((node) => types.brandId<types.NodeId>(node))
+  }
   return { statement, outcome: status === OK ? types.succeed(body) : types.fail(new ChunkRefusedError(`status ${status}`)) }
 }
 
--- a/packages/transfer/src/types/index.ts
+++ b/packages/transfer/src/types/index.ts
@@ -22,10 +22,13 @@
 /** What a downloading node knows of a peer. */
 export interface PeerState extends Peer {
   readonly has: bitmaps.Bitmap
+  reach: PeerReach
   /** Requests that this node has open at the peer. */
   outstanding: number
   /** Uploads that the peer last said to have waiting. */
   backlog: number
+  /** Monotonic time in milliseconds of that word. */
+  backlogAt: number
   /** Monotonic time in milliseconds until which the peer is not asked. */
   suspendedUntil: number
   failures: number
@@ -39,7 +42,10 @@
   readonly slotAt: (chunk: number) => number
   /** Whether this node is the one that reads the chunk from the origin. */
   readonly readsOrigin: (chunk: number) => boolean
-  readonly mayAsk: (peer: Peer, chunk: number) => boolean
+  /** Which chunks this node may ask a peer for; `imported` are those that it brings into its data hall. */
+  readonly reach: (peer: Peer) => PeerReach
+  /** Whether this node brings the chunk into its data hall. */
+  readonly isImporter: (chunk: number) => boolean
   /** Nodes told at once when this node has obtained the chunk. */
   readonly announceTo: (chunk: number) => readonly types.NodeId[]
   /** The node that should have provided the chunk by now, if it is this node's turn to ask what became of it. */
@@ -50,5 +56,7 @@
   readonly release: (chunk: number) => void
 }
 
+export type PeerReach = 'everything' | 'imported' | 'nothing'
+
 /** What became of a chunk at the node that should provide it. */
 export type ProviderAnswer = 'has' | 'reading' | 'released' | 'unreachable'
