Count a chunk's way over both links once, and serve who is behind first

Cause: at 64 nodes 4 % was held after 17 % of the limit, and at its end nodes held between 70 and 88 %. A chunk was paced over its sender's link and then again over its receiver's, though bytes pass both at once; and uploads went out in order of arrival, so nodes that were ahead stayed ahead.

Change: the receiving link is charged from when the bytes began to come; an uploader takes the requester that holds least, and who is passed over moves up.

--- a/packages/transfer/src/_lib/bitmap.ts
+++ b/packages/transfer/src/_lib/bitmap.ts
@@ -31,3 +31,12 @@
   const bytes = Buffer.from(text, 'base64')
   return bytes.length === Math.ceil(size / BITS) ? bytes : null
 }
+
+/** Counts the bits that are set; none for null. */
+export function countBits (bitmap: Bitmap | null): number {
+  let count = 0
+  for (const byte of bitmap ?? []) {
+    for (let rest = byte; rest !== 0; rest &= rest - 1) count += 1
+  }
+  return count
+}
--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -244,7 +244,7 @@
 
   async function receive (chunk: number, bytes: Buffer, peer: transfer.PeerState): Promise<void> {
     counts.peerBytes += bytes.length
-    await options.downlink.take(bytes.length)
+    await options.downlink.receive(bytes.length)
     const kept = holding.put(chunk, bytes)
     if (kept.ok) {
       peer.failures = 0
@@ -276,7 +276,7 @@
     const from = chunk * manifest.chunkBytes + before.length
     const answer = await requests.fetchOrigin(options.source, from, length - before.length, MAXIMUM_TIMEOUT_MS, abort.signal)
     counts.originBytes += answer.bytes.length
-    await options.downlink.take(answer.bytes.length)
+    await options.downlink.receive(answer.bytes.length)
     originOpen -= 1
     if (abort.signal.aborted) return
     const bytes = Buffer.concat([before, answer.bytes])
--- a/packages/transfer/src/createLinkPacer/index.ts
+++ b/packages/transfer/src/createLinkPacer/index.ts
@@ -5,6 +5,11 @@
 export interface LinkPacer {
   /** Waits until bytes of weights have passed the link. */
   readonly take: (bytes: number) => Promise<void>
+  /**
+   * Waits until bytes that have come over another link could have passed this one too. Bytes pass both
+   * links at once, so a link that was idle adds nothing.
+   */
+  readonly receive: (bytes: number) => Promise<void>
   /** Counts bytes of calls at once; weights that wait get later by as much. */
   readonly spend: (bytes: number) => void
   /** Milliseconds of traffic that waits now. */
@@ -25,23 +30,21 @@
 export function createLinkPacer (bytesPerSecond: number, now: () => number): LinkPacer {
   let freeAt = -Infinity
 
-  function reserve (bytes: number): number {
-    const start = Math.max(freeAt, now() - CREDIT_MS)
+  function reserve (bytes: number, creditMs: number): number {
+    const start = Math.max(freeAt, now() - creditMs)
     freeAt = start + bytes * MILLISECONDS / bytesPerSecond
     return freeAt
   }
 
-  if (bytesPerSecond === 0) return { take: async () => {}, spend: () => {}, backlogMs: () => 0 }
+  async function waitUntil (due: number): Promise<void> {
+    for (let waitMs = due - now(); waitMs > 0; waitMs = due - now()) await types.delay(Math.ceil(waitMs))
+  }
+
+  if (bytesPerSecond === 0) return { take: async () => {}, receive: async () => {}, spend: () => {}, backlogMs: () => 0 }
   return {
-    take: async (bytes) => {
-      const due = reserve(bytes)
-      while (true) {
-        const waitMs = due - now()
-        if (waitMs <= 0) return
-        await types.delay(Math.ceil(waitMs))
-      }
-    },
-    spend: (bytes) => { reserve(bytes) },
+    take: async (bytes) => { await waitUntil(reserve(bytes, CREDIT_MS)) },
+    receive: async (bytes) => { await waitUntil(reserve(bytes, CREDIT_MS + bytes * MILLISECONDS / bytesPerSecond)) },
+    spend: (bytes) => { reserve(bytes, CREDIT_MS) },
     backlogMs: () => Math.max(0, freeAt - now())
   }
 }
--- a/packages/transfer/src/createUploader/index.ts
+++ b/packages/transfer/src/createUploader/index.ts
@@ -31,6 +31,10 @@
 }
 
 interface WaitingUpload {
+  /** Chunks that the requester holds. */
+  readonly held: number
+  /** Uploads that were taken before this one. */
+  passedOver: number
   readonly isGone: () => boolean
   readonly resolve: (isWanted: boolean) => void
 }
@@ -40,6 +44,13 @@
 const CHUNK_PATH = /^\/chunks\/([0-9a-f]{64})\/(\d+)$/
 const MANIFEST_PATH = /^\/manifests\/([0-9a-f]{64})$/
 
+/** Chunks by which a requester moves up for each upload that goes before it. */
+const MOVES_UP = 2
+
+function scoreOf (upload: WaitingUpload | undefined): number {
+  return upload === undefined ? Infinity : upload.held - MOVES_UP * upload.passedOver
+}
+
 /**
  * Creates the uploader of a node.
  *
@@ -75,7 +86,7 @@
   }
 
   async function sendBytes (context: Koa.Context, holding: createChunkStore.Holding, chunk: number, bytes: Buffer): Promise<void> {
-    const isWanted = await waitForTurn(context)
+    const isWanted = await waitForTurn(context, holding.manifest.chunks.length)
     if (!isWanted) return
     await options.uplink.take(bytes.length)
     sending -= 1
@@ -89,17 +100,29 @@
     if (node !== '') options.onSent(holding.digest, types.brandId<types.NodeId>(node), chunk)
   }
 
+  /** Takes the requester that holds least, so that all end together; who is passed over moves up. */
+  function takeMostBehind (): WaitingUpload | undefined {
+    let best = 0
+    for (let index = 1; index < waiting.length; index += 1) {
+      if (scoreOf(waiting[index]) < scoreOf(waiting[best])) best = index
+    }
+    const [taken] = waiting.splice(best, 1)
+    for (const upload of waiting) upload.passedOver += 1
+    return taken
+  }
+
   /** Resolves when the upload may use the link, or with false when its requester has gone. */
-  async function waitForTurn (context: Koa.Context): Promise<boolean> {
+  async function waitForTurn (context: Koa.Context, size: number): Promise<boolean> {
+    const held = bitmaps.countBits(bitmaps.decodeBitmap(context.get(fetchChunk.HAVE_HEADER), size))
     return await new Promise<boolean>((resolve) => {
-      waiting.push({ isGone: () => context.req.destroyed || context.res.destroyed, resolve })
+      waiting.push({ held, passedOver: 0, isGone: () => context.req.destroyed || context.res.destroyed, resolve })
       startNext()
     })
   }
 
   function startNext (): void {
     while (sending < SENDING_AT_A_TIME) {
-      const next = waiting.shift()
+      const next = takeMostBehind()
       if (next === undefined) return
       const isWanted = !next.isGone()
       if (isWanted) sending += 1
