Ask again elsewhere when a request takes far longer than others

Cause: with the machine's processors overloaded one of 64 nodes ended 46 s after the others; a request to a peer that did not answer held its chunk for up to 30 s.

Change: a chunk whose request takes three times as long as requests do on average is wanted again; the first answer wins. Peers time out after 10 s at most. Bytes between halls and announcements are counted.

--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -55,6 +55,9 @@
   refused: number
   corrupt: number
   failed: number
+  /** Requests made a second time because the first one was slow. */
+  hedged: number
+  announcements: number
 }
 
 /** One version on its way. */
@@ -81,7 +84,11 @@
 
 const FIRST_TIMEOUT_MS = 5000
 const MINIMUM_TIMEOUT_MS = 3000
-const MAXIMUM_TIMEOUT_MS = 30_000
+const MAXIMUM_TIMEOUT_MS = 10_000
+const ORIGIN_TIMEOUT_MS = 30_000
+/** A request that takes this many times as long as others is made a second time elsewhere. */
+const HEDGE_FACTOR = 3
+const HEDGE_MINIMUM_MS = 1000
 const TIMEOUT_FACTOR = 8
 const AVERAGE_WEIGHT = 0.2
 const SUSPEND_BASE_MS = 500
@@ -103,7 +110,7 @@
   const { holding, requests, now } = options
   const { digest, manifest } = holding
   const size = manifest.chunks.length
-  const counts: DownloadCounts = { originBytes: 0, peerBytes: 0, otherHallBytes: 0, requests: 0, refused: 0, corrupt: 0, failed: 0 }
+  const counts: DownloadCounts = { originBytes: 0, peerBytes: 0, otherHallBytes: 0, requests: 0, refused: 0, corrupt: 0, failed: 0, hedged: 0, announcements: 0 }
   const peers = new Map<types.NodeId, transfer.PeerState>()
   const holders = new Uint16Array(size)
   const ties = Float64Array.from({ length: size }, options.random)
@@ -112,6 +119,7 @@
   let imported = bitmaps.createBitmap(size)
   const partial = new Map<number, Buffer>()
   const asked = new Map<number, number>()
+  const askedPeersAt = new Map<number, number>()
   const abort = new AbortController()
   let policy: transfer.TransferPolicy | null = null
   let originChunks: number[] = []
@@ -213,10 +221,12 @@
     peersOpen += 1
     counts.requests += 1
     const startedAt = now()
+    askedPeersAt.set(chunk, startedAt)
     const answer = await requests.fetchChunk(peer, digest, chunk, bitmaps.encodeBitmap(holding.bitmap), computeTimeout(), abort.signal)
     peer.outstanding -= 1
     await settle(chunk, peer, answer, now() - startedAt)
     peersOpen -= 1
+    if (askedPeersAt.get(chunk) === startedAt) askedPeersAt.delete(chunk)
     if (!holding.has(chunk)) bitmaps.setBit(wanted, chunk)
     options.onProgress()
   }
@@ -244,10 +254,12 @@
 
   async function receive (chunk: number, bytes: Buffer, peer: transfer.PeerState): Promise<void> {
     counts.peerBytes += bytes.length
+    if (peer.reach === 'imported') counts.otherHallBytes += bytes.length
     await options.downlink.receive(bytes.length)
     const kept = holding.put(chunk, bytes)
     if (kept.ok) {
       peer.failures = 0
+      bitmaps.clearBit(wanted, chunk)
       options.onReceived()
       announce(chunk)
       return
@@ -274,7 +286,7 @@
     const before = partial.get(chunk) ?? Buffer.alloc(0)
     const length = parseManifest.computeChunkBytes(manifest, chunk)
     const from = chunk * manifest.chunkBytes + before.length
-    const answer = await requests.fetchOrigin(options.source, from, length - before.length, MAXIMUM_TIMEOUT_MS, abort.signal)
+    const answer = await requests.fetchOrigin(options.source, from, length - before.length, ORIGIN_TIMEOUT_MS, abort.signal)
     counts.originBytes += answer.bytes.length
     await options.downlink.receive(answer.bytes.length)
     originOpen -= 1
@@ -315,12 +327,26 @@
     const have = bitmaps.encodeBitmap(holding.bitmap)
     for (const node of policy?.announceTo(chunk) ?? []) {
       const peer = peers.get(node)
-      if (peer !== undefined && !bitmaps.hasBit(peer.has, chunk)) requests.announce(peer, digest, have)
+      if (peer === undefined || bitmaps.hasBit(peer.has, chunk)) continue
+      counts.announcements += 1
+      requests.announce(peer, digest, have)
+    }
+  }
+
+  /** Wants chunks again whose request takes far longer than others do; the first answer wins. */
+  function hedgeSlowRequests (): void {
+    const limit = now() - Math.max(HEDGE_MINIMUM_MS, HEDGE_FACTOR * averageMs)
+    for (const [chunk, startedAt] of askedPeersAt) {
+      if (startedAt > limit) continue
+      askedPeersAt.delete(chunk)
+      bitmaps.setBit(wanted, chunk)
+      counts.hedged += 1
     }
   }
 
   function checkOverdue (): void {
     if (policy === null) return
+    hedgeSlowRequests()
     let checked = 0
     for (let chunk = 0; chunk < size && checked < OVERDUE_BATCH && policy.slotAt(chunk) <= now(); chunk += 1) {
       if (!bitmaps.hasBit(wanted, chunk) || (asked.get(chunk) ?? 0) > now() || isAtPeer(chunk)) continue
