--- /dev/null
+++ b/packages/fuzz/src/_lib/faultyStore.ts
@@ -0,0 +1,25 @@
+/** The platform with faults that a list of numbers decides: outages, lost answers, answers out of time. */
+import * as platform from '@switchridge/platform'
+import * as types from '@switchridge/types'
+
+/** What happens to one call. */
+export type StoreFault = 'none' | 'refused' | 'lost-request' | 'lost-answer'
+
+/** Wraps a store; `nextFault` is asked once for every call. */
+export function createFaultyStore (store: platform.ObjectStore, nextFault: () => StoreFault, turn: () => Promise<void>): platform.ObjectStore {
+  async function run<Value, Failure extends Error> (call: () => Promise<types.Outcome<Value, Failure>>): Promise<types.Outcome<Value, Failure | types.UnavailableError>> {
+    const fault = nextFault()
+    await turn()
+    if (fault === 'refused' || fault === 'lost-request') return types.fail(new types.UnavailableError(fault))
+    const outcome = await call()
+    await turn()
+    return fault === 'lost-answer' ? types.fail(new types.UnavailableError(fault)) : outcome
+  }
+  return {
+    read: async (...read) => await run(async () => await store.read(...read)),
+    write: async (...write) => await run(async () => await store.write(...write)),
+    remove: async (...remove) => await run(async () => await store.remove(...remove)),
+    list: async (...list) => await run(async () => await store.list(...list)),
+    watch: store.watch
+  }
+}
