Never call a call not run when an earlier attempt of it may have run

Change: once an attempt's outcome is unknown, the final outcome is answered or unknown. The fuzz drives the daemons' own code over loopback with broken connections, back ends that break before, in and after a run, restarts and leaving; its oracle knows only what callers saw and what back ends ran. A planted mistake (tickets that lie) is found.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -18,7 +18,6 @@
   readonly health: routing.BackendHealth
   readonly limiter: routing.AccountLimiter
   readonly send: (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal) => Promise<sendAttempt.AttemptResult>
-  readonly isLeaving: () => boolean
   readonly logger: observability.Logger
   readonly metrics: observability.Metrics
   /** Monotonic clock in milliseconds. */
@@ -121,10 +120,11 @@
     const { call, service } = prepared
     const budget = findBudget(service)
     const tried = new Set<types.NodeId>()
+    let mayHaveRun = false
     budget.earn()
     for (let attempts = 1; ; attempts += 1) {
       const backend = await awaitBackend(prepared, tried, signal)
-      if (!backend.ok) return { kind: 'not-run', reason: backend.error.reason, load: undefined }
+      if (!backend.ok) return conclude({ kind: 'not-run', reason: backend.error.reason, load: undefined }, mayHaveRun)
       count('attempts')
       tried.add(backend.value.node)
       const result = await options.send(call, backend.value, signal)
@@ -133,9 +133,10 @@
         return 'answered'
       }
       noteFailure(backend.value, result)
+      mayHaveRun ||= result.kind === 'unknown'
       const mayRepeat = result.kind === 'not-run' || call.isRepeatable
       const isOver = signal.aborted || options.now() >= call.deadlineAt || attempts >= MAXIMUM_ATTEMPTS
-      if (!mayRepeat || isOver || !budget.trySpend()) return result
+      if (!mayRepeat || isOver || !budget.trySpend()) return conclude(result, mayHaveRun)
       count('retries')
     }
   }
@@ -208,6 +209,11 @@
   return { middleware, inProgress: () => inProgress, counts }
 }
 
+/** A refusal of the last attempt says nothing about an earlier one that may have run. */
+function conclude (result: FinalOutcome, mayHaveRun: boolean): FinalOutcome {
+  return mayHaveRun ? { ...result, kind: 'unknown' } : result
+}
+
 function isRepeatable (service: types.ServiceRow, method: string): boolean {
   return service.repeatable === 'all' || (service.repeatable === 'reads' && READ_METHODS.has(method))
 }
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -68,7 +68,6 @@
     send: async (call, backend, signal) => await sendAttempt.sendAttempt(call, backend, {
       self: self.read().node, identity: parts.identity, agents: parts.agents, client: parts.client, now: parts.now, signal
     }),
-    isLeaving: () => isLeaving,
     logger,
     metrics: parts.metrics,
     now: parts.now
--- /dev/null
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -0,0 +1,162 @@
+/** Entry nodes, backend daemons and back ends in one process, over loopback, with the daemons' own code. */
+import * as http from 'node:http'
+import Koa from 'koa'
+import * as daemon from '@switchridge/daemon'
+import * as observability from '@switchridge/observability'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import * as transfer from '@switchridge/transfer'
+import * as types from '@switchridge/types'
+
+/** What a back end does with a request, as the request asks. */
+export type Behaviour = 'answer' | 'slow' | 'break-before-run' | 'break-after-run' | 'break-in-answer'
+
+/** A fleet to call. */
+export interface CallFleet {
+  readonly entryUrls: readonly string[]
+  /** How often each request ran, by its id. */
+  readonly runs: ReadonlyMap<string, number>
+  /** Ends a backend daemon at once and starts another one in its place. */
+  readonly restart: (index: number) => Promise<void>
+  readonly leave: (index: number) => void
+  readonly close: () => Promise<void>
+}
+
+/** Options of {@link createCallFleet}. */
+export interface CallFleetOptions {
+  readonly entryNodes: number
+  readonly backends: number
+  /** Milliseconds after which the connection of the next attempt breaks; null for none. */
+  readonly nextBreak: () => number | null
+  /** Resolves a ticket; mutants stand in for it. */
+  readonly createTickets: () => routing.Tickets
+}
+
+interface Backend {
+  facts: types.MemberFacts
+  admission: routing.Admission
+  listener: rpc.HttpListener
+}
+
+const IDENTITY: rpc.Identity = { deployment: 'fuzz', sharedKey: '' }
+const HOST = types.LOOPBACK_HOST
+const SERVICE = types.brandId<types.ServiceName>('stoc')
+const SLOW_MS = 15
+const SLOTS = 2
+const DEADLINE_MS = 1500
+const TABLE: types.Table = {
+  ...types.EMPTY_TABLE,
+  revision: 1,
+  services: [{ id: SERVICE, kind: 'plain', concurrency: SLOTS, queue: 1, deadlineMs: DEADLINE_MS, repeatable: 'reads', retryBudget: 0.5 }]
+}
+
+/** Opens the fleet. */
+export async function createCallFleet (options: CallFleetOptions): Promise<CallFleet> {
+  const runs = new Map<string, number>()
+  const agents = rpc.createHttpAgents()
+  const client = rpc.createRpcClient(IDENTITY, agents)
+  const backEnd = await rpc.listenHttp(createBackEnd(runs), { host: HOST, port: 0 })
+  const backEndUrl = `http://${HOST}:${backEnd.address.port}`
+  const lives = { count: 0 }
+  const openBackend = async (index: number): Promise<Backend> => await createBackend(index, ++lives.count, backEndUrl, agents, options)
+  const backends = await Promise.all(Array.from({ length: options.backends }, async (_, index) => await openBackend(index)))
+  const entryNodes = await Promise.all(Array.from({ length: options.entryNodes }, async (_, index) => await createEntry(index, backends, agents, client, options)))
+  return {
+    entryUrls: entryNodes.map(({ address }) => `http://${address.host}:${address.port}`),
+    runs,
+    restart: async (index) => {
+      backends[index]?.listener.abort()
+      backends[index] = await openBackend(index)
+    },
+    leave: (index) => { backends[index]?.admission.leave() },
+    close: async () => {
+      for (const { listener } of [...entryNodes.map((listener) => ({ listener })), ...backends, { listener: backEnd }]) listener.abort()
+      agents.destroy()
+    }
+  }
+}
+
+function createBackEnd (runs: Map<string, number>): http.RequestListener {
+  return (request, response) => {
+    const id = String(request.headers['x-request-id'])
+    const behaviour = request.headers['x-fuzz'] as Behaviour
+    if (behaviour === 'break-before-run') {
+      request.socket.destroy()
+      return
+    }
+    runs.set(id, (runs.get(id) ?? 0) + 1)
+    request.resume()
+    const answer = (): void => {
+      if (behaviour === 'break-after-run') request.socket.destroy()
+      else if (behaviour === 'break-in-answer') response.write('{"id":', () => { request.socket.destroy() })
+      else response.end(JSON.stringify({ id }))
+    }
+    if (behaviour === 'slow') setTimeout(answer, SLOW_MS)
+    else answer()
+  }
+}
+
+async function createBackend (index: number, life: number, url: string, agents: rpc.HttpAgents, options: CallFleetOptions): Promise<Backend> {
+  const incarnation = types.brandId<types.IncarnationId>(`life-${life}`)
+  const admission = routing.createAdmission(SLOTS, 1)
+  const tickets = options.createTickets()
+  const app = new Koa()
+  app.on('error', () => {})
+  app.use(daemon.createBackendCalls({
+    identity: IDENTITY,
+    service: SERVICE,
+    incarnation,
+    url,
+    isEngine: false,
+    admission,
+    tickets,
+    serving: daemon.createServing(),
+    agents,
+    uplink: transfer.createLinkPacer(0, () => 0),
+    count: () => {},
+    onRefused: () => {}
+  }))
+  app.use(rpc.createRpcServer(IDENTITY, {
+    ticket: (params) => {
+      const asked = params as { ticket: types.TicketId, incarnation: string }
+      return asked.incarnation === incarnation ? tickets.resolve(asked.ticket) : 'unknown'
+    }
+  }))
+  const listener = await rpc.listenHttp(app.callback(), { host: HOST, port: 0 })
+  const facts = { node: types.brandId<types.NodeId>(`backend-${index}`), role: 'backend', dataHall: 'hall', address: listener.address, incarnation, service: SERVICE, serving: [] } as unknown as types.MemberFacts
+  return { facts, admission, listener }
+}
+
+async function createEntry (index: number, backends: readonly Backend[], agents: rpc.HttpAgents, client: rpc.RpcClient, options: CallFleetOptions): Promise<rpc.HttpListener> {
+  const now = (): number => performance.now()
+  const loads = routing.createBackendLoads()
+  const health = routing.createBackendHealth(now)
+  const dispatcher = daemon.createDispatcher({
+    loads,
+    health,
+    pick: routing.pickLateBinding,
+    listBackends: () => backends.map((backend) => backend.facts),
+    findService: () => TABLE.services[0],
+    dataHall: types.brandId<types.DataHallId>('hall'),
+    random: Math.random
+  })
+  const calls = daemon.createEntryCalls({
+    table: () => TABLE,
+    dispatcher,
+    loads,
+    health,
+    limiter: routing.createAccountLimiter(now, () => 1),
+    send: async (call, backend, signal) => {
+      const breakAt = options.nextBreak()
+      const broken = breakAt === null ? signal : AbortSignal.any([signal, AbortSignal.timeout(breakAt)])
+      return await daemon.sendAttempt(call, backend, { self: types.brandId<types.NodeId>(`entry-${index}`), identity: IDENTITY, agents, client, now, signal: broken })
+    },
+    logger: observability.createLogger('fuzz-calls', {}, { level: 'silent' }),
+    metrics: observability.createMetrics({ host: HOST, port: 8125, tags: {}, enabled: false }),
+    now
+  })
+  const app = new Koa()
+  app.on('error', () => {})
+  app.use(calls.middleware)
+  return await rpc.listenHttp(app.callback(), { host: HOST, port: 0 })
+}
--- a/packages/fuzz/src/fuzz.test.ts
+++ b/packages/fuzz/src/fuzz.test.ts
@@ -1,5 +1,6 @@
 import * as test from 'node:test'
 import * as assert from 'node:assert/strict'
+import * as routing from '@switchridge/routing'
 import * as tables from '@switchridge/table'
 import * as types from '@switchridge/types'
 import * as fuzz from './index.js'
@@ -29,6 +30,15 @@
     await assert.rejects(fuzz.fuzzLease({ seed: SEED, runs: 5000 }, { ...fuzz.SOUND_TERMS, marginMs: 0 }))
   })
 
+  test.it('finds no call that runs twice, is refused untruly or gets the answer of another', async () => {
+    await fuzz.fuzzCalls({ seed: SEED, runs: 40 })
+  })
+
+  test.it('finds tickets that call a running attempt not run', async () => {
+    const lying = (): routing.Tickets => ({ ...routing.createTickets(), resolve: () => 'not-run' })
+    await assert.rejects(fuzz.fuzzCalls({ seed: SEED, runs: 60 }, lying))
+  })
+
   test.it('finds no daemon that goes back to an older revision', async () => {
     await fuzz.fuzzSpread({ seed: SEED, runs: 500 })
   })
--- /dev/null
+++ b/packages/fuzz/src/fuzzCalls/index.ts
@@ -0,0 +1,81 @@
+/** Calls over entry nodes and daemons that break, restart and leave: at most once, truthful refusals, own answers. */
+import * as fc from 'fast-check'
+import * as routing from '@switchridge/routing'
+import * as rpc from '@switchridge/rpc'
+import * as types from '@switchridge/types'
+import * as callFleet from '../_lib/callFleet.js'
+import type * as runFuzz from '../_lib/runFuzz.js'
+
+const ENTRY_NODES = 2
+const BACKENDS = 2
+const BEHAVIOURS: readonly callFleet.Behaviour[] = ['answer', 'answer', 'slow', 'break-before-run', 'break-after-run', 'break-in-answer']
+const SETTLE_MS = 60
+
+const callArbitrary = fc.record({
+  kind: fc.constant('call' as const),
+  entry: fc.nat(ENTRY_NODES - 1),
+  method: fc.constantFrom('GET', 'POST'),
+  behaviour: fc.constantFrom(...BEHAVIOURS),
+  at: fc.nat(30)
+})
+const faultArbitrary = fc.record({ kind: fc.constantFrom('restart' as const, 'leave' as const), backend: fc.nat(BACKENDS - 1), at: fc.nat(30) })
+const planArbitrary = fc.record({
+  calls: fc.array(callArbitrary, { minLength: 5, maxLength: 25 }),
+  faults: fc.array(faultArbitrary, { maxLength: 2 }),
+  breaks: fc.array(fc.option(fc.nat(20)), { maxLength: 20 })
+})
+
+interface Seen {
+  readonly id: string
+  readonly method: string
+  readonly outcome: string
+  readonly body: string | null
+}
+
+/**
+ * Fuzzes calls.
+ *
+ * @param options - Seed and number of runs.
+ * @param createTickets - Creates the tickets under test.
+ * @returns Resolves when no call broke a promise.
+ */
+export async function fuzzCalls (options: runFuzz.FuzzOptions, createTickets: () => routing.Tickets = () => routing.createTickets()): Promise<void> {
+  const agents = rpc.createHttpAgents()
+  await fc.assert(fc.asyncProperty(planArbitrary, async ({ calls, faults, breaks }) => {
+    let attempts = 0
+    const fleet = await callFleet.createCallFleet({ entryNodes: ENTRY_NODES, backends: BACKENDS, nextBreak: () => breaks[attempts++] ?? null, createTickets })
+    const sent = calls.map(async (call, index) => {
+      await types.delay(call.at)
+      return await sendCall(agents, fleet.entryUrls[call.entry] ?? '', `call-${index}`, call.method, call.behaviour)
+    })
+    const brought = faults.map(async (fault) => {
+      await types.delay(fault.at)
+      if (fault.kind === 'restart') await fleet.restart(fault.backend)
+      else fleet.leave(fault.backend)
+    })
+    const seen = await Promise.all(sent)
+    await Promise.all(brought)
+    await types.delay(SETTLE_MS)
+    const problems = seen.flatMap((each) => judge(each, fleet.runs.get(each.id) ?? 0))
+    await fleet.close()
+    if (problems.length > 0) throw new Error(problems.join('; '))
+  }), { seed: options.seed, numRuns: options.runs, endOnFailure: true })
+  agents.destroy()
+}
+
+async function sendCall (agents: rpc.HttpAgents, base: string, id: string, method: string, behaviour: callFleet.Behaviour): Promise<Seen> {
+  const answer = await rpc.sendRequest(agents, { base, path: '/services/stoc/things', method, headers: { 'x-request-id': id, 'x-fuzz': behaviour } })
+  if (!answer.ok) return { id, method, outcome: 'broken', body: null }
+  return { id, method, outcome: String(answer.value.headers['x-switchridge-outcome']), body: answer.value.body.toString('utf8') }
+}
+
+/** The oracle: it knows only what the caller saw and how often the back ends ran the call. */
+function judge (seen: Seen, runs: number): string[] {
+  const problems: string[] = []
+  if (seen.method === 'POST' && runs > 1) problems.push(`${seen.id} may not be repeated and ran ${runs} times`)
+  if (seen.outcome === 'not-run' && runs > 0) problems.push(`${seen.id} was refused as not run and ran ${runs} times`)
+  if (seen.outcome === 'answered' && runs === 0) problems.push(`${seen.id} was answered and never ran`)
+  if (seen.outcome === 'answered' && seen.body !== JSON.stringify({ id: seen.id })) problems.push(`${seen.id} got ${seen.body ?? 'nothing'}`)
+  if (!['answered', 'not-run', 'unknown', 'broken'].includes(seen.outcome)) problems.push(`${seen.id} got outcome ${seen.outcome}`)
+  return problems
+}
--- a/packages/fuzz/src/index.ts
+++ b/packages/fuzz/src/index.ts
@@ -1,5 +1,6 @@
 /** Stateful fuzzing against simple oracles. */
 export * from './_lib/runFuzz.js'
+export * from './fuzzCalls/index.js'
 export * from './fuzzEdits/index.js'
 export * from './fuzzLease/index.js'
 export * from './fuzzSpread/index.js'
