Hedge only the last chunks, once each, and leave no process behind on SIGTERM

Cause: hedging whatever took three times the average fed on itself: at 8 nodes one node made 2,534 hedges and moved ten times the bytes, and the burst did not end within four minutes. And a measurement that was ended by SIGTERM left its processes running.

Change: a chunk is hedged once, and only when nothing else is left to ask for. The launcher ends its processes on SIGINT, SIGTERM and SIGHUP.

--- a/packages/command-line/src/demoCommand/runDemo.ts
+++ b/packages/command-line/src/demoCommand/runDemo.ts
@@ -52,9 +52,6 @@
 /** Runs the demo; true if every promise was kept. */
 export async function runDemo (options: DemoOptions): Promise<boolean> {
   const processes = launcher.createLauncher(options.logs)
-  const interrupt = (): void => { void processes.close().then(() => { process.exit(130) }) }
-  process.once('SIGINT', interrupt)
-  process.once('SIGTERM', interrupt)
   try {
     const summary = await tellStory(options, processes)
     printSummary(summary, options.json)
--- a/packages/launcher/src/createLauncher/index.ts
+++ b/packages/launcher/src/createLauncher/index.ts
@@ -34,6 +34,8 @@
 }
 
 const END_MS = 1500
+const EXIT_INTERRUPTED = 130
+const SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const
 /** Flags of the runtime for every launched process, for example `--cpu-prof --cpu-prof-dir=DIR`. */
 const FLAGS_VARIABLE = 'SWITCHRIDGE_NODE_FLAGS'
 
@@ -52,7 +54,12 @@
   fs.mkdirSync(folder, { recursive: true })
   const running = new Map<number, LaunchedProcess>()
   const killAll = (): void => { for (const launched of running.values()) launched.kill('SIGKILL') }
+  const killAndExit = (): void => {
+    killAll()
+    process.exit(EXIT_INTERRUPTED)
+  }
   process.once('exit', killAll)
+  for (const signal of SIGNALS) process.once(signal, killAndExit)
 
   function start (name: string, module: string, args: readonly string[]): LaunchedProcess {
     const logFile = path.join(folder, `${name}.log`)
@@ -87,6 +94,7 @@
     killAll()
     await Promise.all(ended)
     process.off('exit', killAll)
+    for (const signal of SIGNALS) process.off(signal, killAndExit)
     if (keptFolder === undefined) fs.rmSync(folder, { recursive: true, force: true })
   }
 
--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -120,6 +120,7 @@
   const partial = new Map<number, Buffer>()
   const asked = new Map<number, number>()
   const askedPeersAt = new Map<number, number>()
+  const hedged = new Set<number>()
   const abort = new AbortController()
   let policy: transfer.TransferPolicy | null = null
   let originChunks: number[] = []
@@ -333,12 +334,13 @@
     }
   }
 
-  /** Wants chunks again whose request takes far longer than others do; the first answer wins. */
+  /** At the end, wants the last chunks once more from elsewhere if their requests take far longer than others did. */
   function hedgeSlowRequests (): void {
+    if (bitmaps.countBits(wanted) > 0) return
     const limit = now() - Math.max(HEDGE_MINIMUM_MS, HEDGE_FACTOR * averageMs)
     for (const [chunk, startedAt] of askedPeersAt) {
-      if (startedAt > limit) continue
-      askedPeersAt.delete(chunk)
+      if (startedAt > limit || hedged.has(chunk)) continue
+      hedged.add(chunk)
       bitmaps.setBit(wanted, chunk)
       counts.hedged += 1
     }
