--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -18,6 +18,8 @@
   readonly tls: rpc.TlsMaterial | undefined
   readonly agents: rpc.HttpAgents
   readonly client: rpc.RpcClient
+  /** Exchanges with other daemons, for the control budget. */
+  readonly traffic: rpc.Traffic
   readonly logger: observability.Logger
   readonly metrics: observability.Metrics
   readonly view: membership.MemberView
@@ -47,6 +49,7 @@
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
   const now = (): number => performance.now()
   const platformCalls: Record<string, number> = {}
+  const traffic: rpc.Traffic = { exchanges: 0, bytes: 0 }
   const view: membership.MemberView = membership.createMemberView({
     now,
     silenceLimit: () => membership.computeSilenceLimit(view.members().filter(({ facts }) => facts.dataHall === checked.data_hall).length)
@@ -60,7 +63,8 @@
     identity,
     tls,
     agents,
-    client: rpc.createRpcClient(identity, agents),
+    client: rpc.createRpcClient(identity, agents, traffic),
+    traffic,
     logger,
     metrics: observability.createMetrics({
       ...checked.metrics,
--- a/packages/daemon/src/describeStatus/index.ts
+++ b/packages/daemon/src/describeStatus/index.ts
@@ -1,6 +1,7 @@
 /** What a daemon reports to `switchridge status`. */
 import type * as types from '@switchridge/types'
 import type * as membership from '@switchridge/membership'
+import type * as rpc from '@switchridge/rpc'
 import type * as routing from '@switchridge/routing'
 import type * as transfer from '@switchridge/transfer'
 import type * as createCommonParts from '../createCommonParts/index.js'
@@ -13,6 +14,7 @@
   readonly load: routing.Load | null
   readonly counts: Readonly<Record<string, number>>
   readonly platformCalls: Readonly<Record<string, number>>
+  readonly traffic: rpc.Traffic
   readonly process: ProcessUse
 }
 
@@ -42,6 +44,7 @@
     members: parts.view.members(),
     ...rest,
     platformCalls: parts.platformCalls,
+    traffic: parts.traffic,
     process: {
       cpuSeconds: (usage.userCPUTime + usage.systemCPUTime) / MICROSECONDS_IN_SECOND,
       residentBytes: process.memoryUsage.rss(),
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -160,7 +160,7 @@
   }
   control.use(calls)
   control.use(uploader.middleware)
-  control.use(rpc.createRpcServer(parts.identity, methods))
+  control.use(rpc.createRpcServer(parts.identity, methods, parts.traffic))
 
   keeper.onAdopt((table) => {
     const service = table.services.find((row) => row.id === backEnd.service)
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -112,7 +112,7 @@
     },
     ...createDrillMethods.createDrillMethods(parts)
   }
-  control.use(rpc.createRpcServer(parts.identity, methods))
+  control.use(rpc.createRpcServer(parts.identity, methods, parts.traffic))
 
   const callers = new Koa()
   callers.on('error', () => {})
--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -2,7 +2,18 @@
 /** The load and experiment tool: `npm run measure -- burst --json`. */
 import yargs from 'yargs'
 import * as output from './_lib/output.js'
+import type * as controlFleet from './_lib/controlFleet.js'
 import * as runBurst from './runBurst/index.js'
+import * as runCapacity from './runCapacity/index.js'
+import * as runConfiguration from './runConfiguration/index.js'
+
+/** Reads shapes such as `3x2+4`: halls, entry nodes and backend servers in each. */
+function parseShapes (texts: readonly string[]): controlFleet.FleetShape[] {
+  return texts.map((text) => {
+    const [halls = 0, entryNodesPerHall = 0, backendsPerHall = 0] = text.split(/[x+]/).map(Number)
+    return { halls, entryNodesPerHall, backendsPerHall }
+  })
+}
 
 await yargs(process.argv.slice(2))
   .scriptName('measure')
@@ -21,6 +32,22 @@
     const results = await runBurst.runBurst(options, out)
     out.close({ trials: results.length })
   })
+  .command('configuration', 'time until an edit is in force everywhere', (command) => command
+    .option('shapes', { type: 'string', array: true, default: ['3x2+4', '3x4+16'], describe: 'HALLSxENTRY+BACKENDS' })
+    .option('edits', { type: 'number', default: 20 }), async (options) => {
+    const out = output.createOutput('configuration', options.json, options.out)
+    const results = await runConfiguration.runConfiguration({ ...options, shapes: parseShapes(options.shapes) }, out)
+    out.close({ scenarios: results.length, slowestSeconds: Math.max(...results.map((result) => result.max)) })
+  })
+  .command('capacity', 'control cost of each role at the size aimed for', (command) => command
+    .option('shapes', { type: 'string', array: true, default: ['3x2+3', '3x3+10', '1x6+60'], describe: 'HALLSxENTRY+BACKENDS' })
+    .option('settle-seconds', { type: 'number', default: 20 })
+    .option('seconds', { type: 'number', default: 15 })
+    .option('page', { type: 'string', describe: 'page whose table is written anew' }), async (options) => {
+    const out = output.createOutput('capacity', options.json, options.out)
+    const rows = await runCapacity.runCapacity({ ...options, shapes: parseShapes(options.shapes) }, out)
+    out.close({ roles: rows.length, cpuPercent: Math.max(...rows.map((row) => row.cpuPercent)), residentMebibytes: Math.max(...rows.map((row) => row.residentMebibytes)) })
+  })
   .demandCommand(1)
   .strict()
   .parseAsync()
--- /dev/null
+++ b/packages/measure/src/runConfiguration/index.ts
@@ -0,0 +1,135 @@
+/** Time from an accepted edit until it is in force on every daemon, with the platform up, slow and down, and a hall cut off. */
+import * as got from 'got'
+import * as launcher from '@switchridge/launcher'
+import type * as platform from '@switchridge/platform'
+import * as types from '@switchridge/types'
+import * as controlFleet from '../_lib/controlFleet.js'
+import * as editRow from '../_lib/editRow.js'
+import * as logTimes from '../_lib/logTimes.js'
+import type * as output from '../_lib/output.js'
+import * as statistics from '../_lib/statistics.js'
+
+/** Options of the experiment. */
+export interface ConfigurationOptions {
+  readonly shapes: readonly controlFleet.FleetShape[]
+  readonly edits: number
+  readonly logs?: string | undefined
+}
+
+/** Delays of the edits of one scenario, in seconds until the last daemon. */
+export interface ConfigurationResult {
+  readonly scenario: string
+  readonly daemons: number
+  readonly edits: number
+  readonly p50: number
+  readonly p99: number
+  readonly max: number
+}
+
+const SETTLE_MS = 4000
+const BETWEEN_EDITS_MS = 400
+const TIMEOUT_MS = 60_000
+const SLOW_MS = 10_000
+const DOWN_MS = 10_000
+const CUT_MS = 4000
+const FAULT_EDITS = 3
+
+/** Runs all scenarios. */
+export async function runConfiguration (options: ConfigurationOptions, out: output.Output): Promise<ConfigurationResult[]> {
+  const results: ConfigurationResult[] = []
+  for (const shape of options.shapes) {
+    const processes = launcher.createLauncher(options.logs)
+    try {
+      const fleet = await controlFleet.startControlFleet(processes, shape)
+      const store = editRow.openStore(fleet)
+      await types.delay(SETTLE_MS)
+      for (const [scenario, run] of listScenarios(options.edits)) {
+        const delays = await run(fleet, store)
+        const result = { scenario, daemons: fleet.nodes.length, edits: delays.length, p50: statistics.round(statistics.quantile(delays, 0.5)), p99: statistics.round(statistics.quantile(delays, 0.99)), max: statistics.round(Math.max(...delays)) }
+        results.push(result)
+        out.add(result)
+      }
+    } finally {
+      await processes.close()
+    }
+  }
+  return results
+}
+
+type Scenario = (fleet: launcher.Fleet, store: platform.ObjectStore) => Promise<number[]>
+
+function listScenarios (edits: number): Array<[string, Scenario]> {
+  return [
+    ['platform-up', async (fleet, store) => await editSeveral(fleet, store, edits)],
+    ['platform-slow', async (fleet, store) => await withFault(fleet, { delayMs: SLOW_MS / 10 }, { delayMs: 0 }, async () => await editSeveral(fleet, store, FAULT_EDITS))],
+    ['after-platform-down', editAfterOutage],
+    ['after-hall-cut', editDuringCut]
+  ]
+}
+
+async function setFaults (fleet: launcher.Fleet, faults: object): Promise<void> {
+  await got.got.put(`${fleet.platformUrl}/admin/faults`, { json: faults })
+}
+
+async function withFault<Result> (fleet: launcher.Fleet, faults: object, none: object, run: () => Promise<Result>): Promise<Result> {
+  await setFaults(fleet, faults)
+  const result = await run()
+  await setFaults(fleet, none)
+  return result
+}
+
+async function editSeveral (fleet: launcher.Fleet, store: platform.ObjectStore, edits: number): Promise<number[]> {
+  const delays: number[] = []
+  for (let edit = 0; edit < edits; edit += 1) {
+    delays.push(await editOnce(fleet, store))
+    await types.delay(BETWEEN_EDITS_MS)
+  }
+  return delays
+}
+
+let edits = 0
+
+async function edit (store: platform.ObjectStore): Promise<number> {
+  edits += 1
+  return await editRow.editRow(store, 'services', 'llm', { kind: 'engine', queue: edits })
+}
+
+async function editOnce (fleet: launcher.Fleet, store: platform.ObjectStore): Promise<number> {
+  const revision = await edit(store)
+  return await awaitEverywhere(fleet, revision, Date.now())
+}
+
+/** Seconds from `since` until the last daemon's log says that it adopted the revision or a later one. */
+async function awaitEverywhere (fleet: launcher.Fleet, revision: number, since: number): Promise<number> {
+  const adopted = (node: launcher.FleetNode): number[] => logTimes.readEventTimes(node.process.logFile, 'table-adopted', `revision=${revision} `)
+  await launcher.waitUntil(() => fleet.nodes.every((node) => adopted(node).length > 0), TIMEOUT_MS, `revision ${revision} everywhere`)
+  return (Math.max(...fleet.nodes.map((node) => adopted(node)[0] ?? 0)) - since) / types.MILLISECONDS_IN_SECOND
+}
+
+/** The platform is down for a while; the edit comes as soon as it is back. */
+async function editAfterOutage (fleet: launcher.Fleet, store: platform.ObjectStore): Promise<number[]> {
+  await setFaults(fleet, { isDown: true })
+  await types.delay(DOWN_MS)
+  await setFaults(fleet, { isDown: false })
+  return [await editOnce(fleet, store)]
+}
+
+/** A hall is cut off from the others and the platform while an edit is made; counted from the healing on. */
+async function editDuringCut (fleet: launcher.Fleet, store: platform.ObjectStore): Promise<number[]> {
+  const hall = fleet.nodes.at(-1)?.hall ?? ''
+  const platformEndpoint = fleet.platformUrl.replace('http://', '')
+  const endpoints = (inside: boolean): string[] => fleet.nodes.filter((node) => (node.hall === hall) === inside).map((node) => `${node.address.host}:${node.address.port}`)
+  const cut = async (isCut: boolean): Promise<void> => {
+    await Promise.all(fleet.nodes.map(async (node) => {
+      const isInside = node.hall === hall
+      const blocked = [...endpoints(!isInside), ...(isInside ? [platformEndpoint] : [])]
+      await launcher.callNode(fleet, node, 'drill.cut', { endpoints: isCut ? blocked : [] })
+    }))
+  }
+  await cut(true)
+  const revision = await edit(store)
+  await types.delay(CUT_MS)
+  const healedAt = Date.now()
+  await cut(false)
+  return [await awaitEverywhere(fleet, revision, healedAt)]
+}
--- a/packages/rpc/src/createRpcClient/index.ts
+++ b/packages/rpc/src/createRpcClient/index.ts
@@ -5,6 +5,13 @@
 import * as identity from '../createIdentity/index.js'
 import * as openRequest from '../openRequest/index.js'
 
+/** Exchanges of a process with other daemons, for the control budget. */
+export interface Traffic {
+  exchanges: number
+  /** Bytes of bodies in both directions. */
+  bytes: number
+}
+
 /** Calls one method of one daemon. */
 export interface RpcClient {
   /**
@@ -32,21 +39,19 @@
  *
  * @param self - Identity shown to the other daemons.
  * @param httpAgents - Connection pools.
+ * @param traffic - Where exchanges are counted.
  * @returns The client.
  */
-export function createRpcClient (self: identity.Identity, httpAgents: agents.HttpAgents): RpcClient {
+export function createRpcClient (self: identity.Identity, httpAgents: agents.HttpAgents, traffic: Traffic = { exchanges: 0, bytes: 0 }): RpcClient {
   const headers = { ...identity.createIdentityHeaders(self), 'content-type': 'application/json' }
 
   async function call<Result> (address: types.Address, method: string, params: unknown, timeoutMs = DEFAULT_TIMEOUT_MS): Promise<types.Outcome<Result, RpcFailure>> {
-    const sent = await openRequest.sendRequest(httpAgents, {
-      base: formatBaseUrl(httpAgents, address),
-      path: RPC_PATH,
-      method: 'POST',
-      headers,
-      body: JSON.stringify(jsonRpc.createJSONRPCRequest(CALL_ID, method, params)),
-      timeoutMs
-    })
+    const request = JSON.stringify(jsonRpc.createJSONRPCRequest(CALL_ID, method, params))
+    const sent = await openRequest.sendRequest(httpAgents, { base: formatBaseUrl(httpAgents, address), path: RPC_PATH, method: 'POST', headers, body: request, timeoutMs })
+    traffic.exchanges += 1
+    traffic.bytes += request.length
     if (!sent.ok) return sent
+    traffic.bytes += sent.value.body.length
     const body = parseBody(sent.value.body)
     if (sent.value.status !== OK) return types.fail(new RpcRefusedError(describeRefusal(body, sent.value.status)))
     return readResponse<Result>(body)
--- a/packages/rpc/src/createRpcServer/index.ts
+++ b/packages/rpc/src/createRpcServer/index.ts
@@ -15,9 +15,10 @@
  *
  * @param self - Identity that callers must share.
  * @param methods - Methods by name; each checks its own parameters.
+ * @param traffic - Where exchanges are counted.
  * @returns A koa middleware for `POST /rpc`.
  */
-export function createRpcServer (self: identity.Identity, methods: Readonly<Record<string, RpcMethod>>): Koa.Middleware {
+export function createRpcServer (self: identity.Identity, methods: Readonly<Record<string, RpcMethod>>, traffic: client.Traffic = { exchanges: 0, bytes: 0 }): Koa.Middleware {
   const server = new jsonRpc.JSONRPCServer({ errorListener: () => {} })
   for (const [name, method] of Object.entries(methods)) server.addMethod(name, method)
 
@@ -38,7 +39,11 @@
       context.body = { error: body.error.message }
       return
     }
-    context.body = await server.receive(body.value as jsonRpc.JSONRPCRequest)
+    const answer = JSON.stringify(await server.receive(body.value as jsonRpc.JSONRPCRequest))
+    traffic.exchanges += 1
+    traffic.bytes += Number(context.get('content-length')) + answer.length
+    context.type = 'application/json'
+    context.body = answer
   }
 }
 
