Let a drill cut links without ending the daemon

Cause: measure configuration never saw a revision after a hall was cut off: six daemons had ended, because a blocked connection was destroyed before the request that opened it listened for errors.

Change: the connection is destroyed after the request has it, and its error is taken.

--- a/packages/measure/src/runBurst/index.ts
+++ b/packages/measure/src/runBurst/index.ts
@@ -12,6 +12,7 @@
 export interface BurstOptions {
   readonly sizes: readonly number[]
   readonly policies: readonly string[]
+  readonly faults: readonly string[]
   /** Size at which baselines, faults and weightings are measured. */
   readonly compareAt: number
   readonly mebibytes: number
@@ -51,6 +52,15 @@
   readonly serving: number
 }
 
+/** Faults and weightings by name. */
+export const FAULTS: Readonly<Record<string, Partial<Trial>>> = {
+  'origin-bytes': { favour: 'origin-bytes' },
+  'dying-5': { dying: 0.05 },
+  'dying-20': { dying: 0.2 },
+  'cut-hall': { cutsHall: true },
+  'origin-bytes-dying-5': { favour: 'origin-bytes', dying: 0.05 }
+}
+
 const HALLS = ['hall-a', 'hall-b', 'hall-c']
 const ENTRY_NODES_PER_HALL = 2
 const ENGINES_PER_PROCESS = 32
@@ -79,13 +89,7 @@
   const plain = { policy: 'swarm', favour: 'time' as const, dying: 0, cutsHall: false }
   const sizes = options.sizes.map((nodes): Trial => ({ ...plain, nodes }))
   const at = { ...plain, nodes: options.compareAt }
-  const faults: Trial[] = [
-    { ...at, favour: 'origin-bytes' },
-    { ...at, dying: 0.05 },
-    { ...at, dying: 0.2 },
-    { ...at, cutsHall: true },
-    { ...at, favour: 'origin-bytes', dying: 0.05 }
-  ]
+  const faults = options.faults.map((fault): Trial => ({ ...at, ...FAULTS[fault] }))
   const baselines = options.policies.map((policy): Trial => ({ ...at, policy }))
   return [...sizes, ...(options.compareAt > 0 ? [...faults, ...baselines] : [])]
 }
--- a/packages/rpc/src/createHttpAgents/index.ts
+++ b/packages/rpc/src/createHttpAgents/index.ts
@@ -42,7 +42,8 @@
   /** Registers a socket, or ends it at once when its host is blocked. */
   function guard (socket: net.Socket, { host, port }: ConnectionOptions): net.Socket {
     const endpoint = `${host ?? ''}:${port ?? ''}`
-    if (blocked.has(endpoint)) socket.destroy(new Error(`${endpoint} is cut off`))
+    socket.on('error', ignoreError)
+    if (blocked.has(endpoint)) setImmediate(() => { socket.destroy(new Error(`${endpoint} is cut off`)) })
     open.add(socket)
     socket.once('close', () => { open.delete(socket) })
     return Object.assign(socket, { endpoint })
@@ -73,6 +74,9 @@
   }
 }
 
+/** The request on the socket reports the error; a socket that no request uses yet or any more has nobody to tell. */
+function ignoreError (): void {}
+
 /** The part of an agent that opens connections; the runtime's types leave it out. */
 interface ConnectingAgent {
   createConnection: (options: ConnectionOptions, callback?: () => void) => net.Socket
