--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -5,6 +5,7 @@
 import type * as controlFleet from './_lib/controlFleet.js'
 import * as runBurst from './runBurst/index.js'
 import * as runCapacity from './runCapacity/index.js'
+import * as runRouting from './runRouting/index.js'
 import * as runConfiguration from './runConfiguration/index.js'
 
 /** Reads shapes such as `3x2+4`: halls, entry nodes and backend servers in each. */
@@ -21,7 +22,7 @@
   .option('out', { type: 'string', describe: 'folder for results' })
   .option('logs', { type: 'string', describe: 'folder in which settings and logs of all processes are kept' })
   .command('burst', 'time until N replicas serve, and copies from the origin', (command) => command
-    .option('sizes', { type: 'number', array: true, default: [8, 16, 32, 64], describe: 'numbers of nodes' })
+    .option('sizes', { type: 'number', array: true, default: [8, 16, 32, 64], describe: 'numbers of nodes; 0 for none' })
     .option('compare-at', { type: 'number', default: 64, describe: 'nodes for faults and baselines; 0 for none' })
     .option('policies', { type: 'string', array: true, default: ['random-chunk', 'tree', 'chain', 'origin'], describe: 'baselines' })
     .option('faults', { type: 'string', array: true, default: Object.keys(runBurst.FAULTS), describe: 'faults and weightings' })
@@ -33,6 +34,16 @@
     const results = await runBurst.runBurst(options, out)
     out.close({ trials: results.length })
   })
+  .command('routing', 'delay, refusals, retries and fairness of calls', (command) => command
+    .option('policies', { type: 'string', array: true, default: ['late-binding', 'least-loaded', 'two-choices', 'least-stated', 'random'] })
+    .option('entry-nodes', { type: 'number', array: true, default: [3, 1, 7] })
+    .option('loads', { type: 'number', array: true, default: [0.7, 0.9, 1, 1.2] })
+    .option('seconds', { type: 'number', default: 10 })
+    .option('seed', { type: 'number', default: 7 }), async (options) => {
+    const out = output.createOutput('routing', options.json, options.out)
+    const results = await runRouting.runRouting(options, out)
+    out.close({ loads: results.length })
+  })
   .command('configuration', 'time until an edit is in force everywhere', (command) => command
     .option('shapes', { type: 'string', array: true, default: ['3x2+4', '3x4+16'], describe: 'HALLSxENTRY+BACKENDS' })
     .option('edits', { type: 'number', default: 20 }), async (options) => {
--- a/packages/measure/src/runBurst/index.ts
+++ b/packages/measure/src/runBurst/index.ts
@@ -87,7 +87,7 @@
 
 function listTrials (options: BurstOptions): Trial[] {
   const plain = { policy: 'swarm', favour: 'time' as const, dying: 0, cutsHall: false }
-  const sizes = options.sizes.map((nodes): Trial => ({ ...plain, nodes }))
+  const sizes = options.sizes.filter((nodes) => nodes > 0).map((nodes): Trial => ({ ...plain, nodes }))
   const at = { ...plain, nodes: options.compareAt }
   const faults = options.faults.map((fault): Trial => ({ ...at, ...FAULTS[fault] }))
   const baselines = options.policies.map((policy): Trial => ({ ...at, policy }))
