Run a call with an idempotency key once, through whichever entry node it comes again

Cause: a caller that lost an answer and asked again through another entry node made a second call.

Change: a claim on (account, service, key) by one conditional write at the platform, the answer kept in it, old claims swept. The fuzz of calls sends keys more than once through both entry nodes; its oracle wants each key to run once and replayed answers to be those of the call that ran.

--- a/packages/daemon/src/_lib/callHeaders.ts
+++ b/packages/daemon/src/_lib/callHeaders.ts
@@ -12,6 +12,9 @@
 export const CALL_HEADER = 'x-switchridge-call'
 export const REQUEST_ID_HEADER = 'x-request-id'
 export const TIMEOUT_HEADER = 'x-request-timeout-ms'
+export const KEY_HEADER = 'idempotency-key'
+/** On an answer that was kept from an earlier request with the same key. */
+export const REPLAYED_HEADER = 'x-switchridge-replayed'
 export const ENGINE_VERSION_HEADER = 'x-engine-version'
 
 export type CallOutcome = 'answered' | 'not-run' | 'unknown'
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -5,6 +5,7 @@
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import type * as observability from '@switchridge/observability'
+import type * as createClaims from '../createClaims/index.js'
 import type * as createDispatcher from '../createDispatcher/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
 import * as callHeaders from '../_lib/callHeaders.js'
@@ -17,6 +18,7 @@
   readonly loads: routing.BackendLoads
   readonly health: routing.BackendHealth
   readonly limiter: routing.AccountLimiter
+  readonly claims: createClaims.Claims
   readonly send: (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal) => Promise<sendAttempt.AttemptResult>
   readonly logger: observability.Logger
   readonly metrics: observability.Metrics
@@ -36,6 +38,7 @@
 const BEARER = 'Bearer '
 const RETRY_AFTER_SECONDS = 1
 const MAXIMUM_ATTEMPTS = 5
+const MAXIMUM_KEY_LENGTH = 256
 /** Refusals that say nothing about the server's health. */
 const HEALTHY_REFUSALS = new Set(['full', 'leaving', 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
 
@@ -43,6 +46,8 @@
   readonly call: sendAttempt.OutgoingCall
   readonly service: types.ServiceRow
   readonly affinity: string
+  /** Idempotency key; empty when there is none or the call may be repeated anyway. */
+  readonly key: string
 }
 
 type FinalOutcome = Exclude<sendAttempt.AttemptResult, { kind: 'answered' }>
@@ -74,12 +79,49 @@
     const abort = new AbortController()
     const leave = (): void => { abort.abort() }
     context.res.once('close', leave)
-    const outcome = await attempt(context, prepared, abort.signal)
+    if (prepared.key === '') await runOnce(context, prepared, abort.signal, null)
+    else await runUnderKey(context, prepared, abort.signal)
     context.res.off('close', leave)
-    if (outcome !== 'answered') answerWithout(context, outcome)
     options.metrics.timing('calls.time', options.now() - startedAt)
   }
 
+  async function runOnce (context: Koa.Context, prepared: Prepared, signal: AbortSignal, claim: createClaims.Claim | null): Promise<void> {
+    const outcome = await attempt(context, prepared, signal, claim)
+    if (outcome === 'answered') return
+    if (outcome.kind === 'not-run') await claim?.withdraw()
+    answerWithout(context, outcome)
+  }
+
+  /** A call with an idempotency key runs only under a claim that the platform confirmed. */
+  async function runUnderKey (context: Koa.Context, prepared: Prepared, signal: AbortSignal): Promise<void> {
+    const { call, key } = prepared
+    const result = await options.claims.take(call.account.id, call.service, key)
+    switch (result.kind) {
+      case 'taken':
+        await runOnce(context, prepared, signal, result.claim)
+        break
+      case 'answered':
+        replay(context, result.answer)
+        break
+      case 'held':
+        answerWithout(context, { kind: 'unknown', reason: 'idempotency-key-held', load: undefined })
+        break
+      case 'unavailable':
+        answerWithout(context, { kind: 'not-run', reason: 'no-claim', load: undefined })
+    }
+  }
+
+  /** Gives the kept answer of an earlier request with the same key. */
+  function replay (context: Koa.Context, answer: createClaims.KeptAnswer): void {
+    count('replayed')
+    context.status = answer.status
+    context.type = answer.contentType
+    context.set(callHeaders.OUTCOME_HEADER, 'answered')
+    context.set(callHeaders.REPLAYED_HEADER, 'true')
+    if (answer.version !== '') context.set(callHeaders.VERSION_HEADER, answer.version)
+    context.body = answer.body
+  }
+
   async function prepare (context: Koa.Context, match: RegExpExecArray, requestId: string): Promise<Prepared | null> {
     const table = options.table()
     const service = table.services.find((candidate) => candidate.id === match[1])
@@ -98,7 +140,8 @@
     const headers = { ...callHeaders.copyHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
     const path = (match[3] ?? '/') + context.search
     const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: isRepeatable(service, context.method), deadlineAt }
-    return { call, service, affinity: context.get('x-prompt-prefix') }
+    const key = call.isRepeatable ? '' : context.get(callHeaders.KEY_HEADER).slice(0, MAXIMUM_KEY_LENGTH)
+    return { call, service, affinity: context.get('x-prompt-prefix'), key }
   }
 
   /** One of the caller's own mistakes or limits: nothing ran. */
@@ -116,7 +159,7 @@
     return reject(context, 429, 'the account is over its limit of calls a second')
   }
 
-  async function attempt (context: Koa.Context, prepared: Prepared, signal: AbortSignal): Promise<FinalOutcome | 'answered'> {
+  async function attempt (context: Koa.Context, prepared: Prepared, signal: AbortSignal, claim: createClaims.Claim | null): Promise<FinalOutcome | 'answered'> {
     const { call, service } = prepared
     const budget = findBudget(service)
     const tried = new Set<types.NodeId>()
@@ -129,7 +172,7 @@
       tried.add(backend.value.node)
       const result = await options.send(call, backend.value, signal)
       if (result.kind === 'answered') {
-        await passOn(context, result, backend.value)
+        await passOn(context, result, backend.value, claim)
         return 'answered'
       }
       noteFailure(backend.value, result)
@@ -160,7 +203,7 @@
     options.dispatcher.pump()
   }
 
-  async function passOn (context: Koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts): Promise<void> {
+  async function passOn (context: Koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts, claim: createClaims.Claim | null): Promise<void> {
     const { response, load } = result
     context.status = response.statusCode ?? 502
     for (const [name, value] of Object.entries(callHeaders.copyHeaders(response.headers))) context.set(name, value)
@@ -168,7 +211,10 @@
     context.set(callHeaders.OUTCOME_HEADER, 'answered')
     const version = response.headers[callHeaders.VERSION_HEADER]
     if (typeof version === 'string') context.set(callHeaders.VERSION_HEADER, version)
+    const parts: Buffer[] = []
+    if (claim !== null) response.on('data', (part: Buffer) => { parts.push(part) }).pause()
     const isWhole = await sendStream.sendStream(context, response)
+    if (isWhole) await claim?.finish({ status: context.status, contentType: String(response.headers['content-type'] ?? ''), version: typeof version === 'string' ? version : '', body: Buffer.concat(parts) })
     options.loads.noteEnded(backend.node, load === undefined ? undefined : { ...load, running: Math.max(0, load.running - 1) })
     if (isWhole) options.health.noteSuccess(backend.node)
     else if (!context.req.aborted) options.health.noteFailure(backend.node)
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 /** The parts of the daemons, for those who embed them. */
 export * from './createBackendCalls/index.js'
+export * from './createClaims/index.js'
 export * from './createCommonParts/index.js'
 export * from './createDispatcher/index.js'
 export * from './createEngineOrders/index.js'
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -1,9 +1,11 @@
 /** An entry node: takes callers' requests, keeps the hall's view of members and watches the table. */
 import Koa from 'koa'
 import * as types from '@switchridge/types'
+import * as membership from '@switchridge/membership'
 import * as platform from '@switchridge/platform'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
+import * as createClaims from '../createClaims/index.js'
 import * as createCommonParts from '../createCommonParts/index.js'
 import * as createDispatcher from '../createDispatcher/index.js'
 import * as createEntryCalls from '../createEntryCalls/index.js'
@@ -28,6 +30,7 @@
 const BALANCER_GRACE_MS = 2000
 const DRAIN_POLL_MS = 50
 const PUMP_INTERVAL_MS = 50
+const SWEEP_INTERVAL_MS = 60_000
 
 /**
  * Starts the entry role.
@@ -59,11 +62,13 @@
     dataHall: self.read().dataHall,
     random: parts.random
   })
+  const claims = createClaims.createClaims(parts.store, Date.now)
   const calls = createEntryCalls.createEntryCalls({
     table: keeper.current,
     dispatcher,
     loads,
     health,
+    claims,
     limiter: routing.createAccountLimiter(parts.now, () => 1 / Math.max(1, countEntryNodes())),
     send: async (call, backend, signal) => await sendAttempt.sendAttempt(call, backend, {
       self: self.read().node, identity: parts.identity, agents: parts.agents, client: parts.client, now: parts.now, signal
@@ -73,6 +78,12 @@
     now: parts.now
   })
 
+  /** One entry node of the fleet sweeps old claims; two that think so do no harm. */
+  function isFirstEntryNode (): boolean {
+    const live = view.members().filter((member) => member.facts.role === 'entry' && member.condition === 'live')
+    return membership.pickByRendezvous('sweep', live, (member) => member.facts.node)?.facts.node === self.read().node
+  }
+
   function countEntryNodes (): number {
     return view.members().filter((member) => member.facts.role === 'entry' && member.condition === 'live').length
   }
@@ -142,6 +153,7 @@
     heartbeats.pushRevision()
     void heartbeats.sendNow()
   })
+  const sweepTimer = setInterval(() => { if (isFirstEntryNode()) void claims.sweep() }, SWEEP_INTERVAL_MS)
   const pumpTimer = setInterval(dispatcher.pump, PUMP_INTERVAL_MS)
   heartbeats.start()
   watch.start()
@@ -161,6 +173,7 @@
     },
     stop: () => {
       clearInterval(pumpTimer)
+      clearInterval(sweepTimer)
       heartbeats.stop()
       watch.stop()
       nodeList.stop()
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -3,6 +3,7 @@
 import Koa from 'koa'
 import * as daemon from '@switchridge/daemon'
 import * as observability from '@switchridge/observability'
+import * as platform from '@switchridge/platform'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import * as transfer from '@switchridge/transfer'
@@ -58,9 +59,10 @@
   const backEnd = await rpc.listenHttp(createBackEnd(runs), { host: HOST, port: 0 })
   const backEndUrl = `http://${HOST}:${backEnd.address.port}`
   const lives = { count: 0 }
+  const store = platform.createMemoryObjectStore()
   const openBackend = async (index: number): Promise<Backend> => await createBackend(index, ++lives.count, backEndUrl, agents, options)
   const backends = await Promise.all(Array.from({ length: options.backends }, async (_, index) => await openBackend(index)))
-  const entryNodes = await Promise.all(Array.from({ length: options.entryNodes }, async (_, index) => await createEntry(index, backends, agents, client, options)))
+  const entryNodes = await Promise.all(Array.from({ length: options.entryNodes }, async (_, index) => await createEntry(index, backends, agents, client, store, options)))
   return {
     entryUrls: entryNodes.map(({ address }) => `http://${address.host}:${address.port}`),
     runs,
@@ -127,7 +129,7 @@
   return { facts, admission, listener }
 }
 
-async function createEntry (index: number, backends: readonly Backend[], agents: rpc.HttpAgents, client: rpc.RpcClient, options: CallFleetOptions): Promise<rpc.HttpListener> {
+async function createEntry (index: number, backends: readonly Backend[], agents: rpc.HttpAgents, client: rpc.RpcClient, store: platform.ObjectStore, options: CallFleetOptions): Promise<rpc.HttpListener> {
   const now = (): number => performance.now()
   const loads = routing.createBackendLoads()
   const health = routing.createBackendHealth(now)
@@ -146,6 +148,7 @@
     loads,
     health,
     limiter: routing.createAccountLimiter(now, () => 1),
+    claims: daemon.createClaims(store, Date.now),
     send: async (call, backend, signal) => {
       const breakAt = options.nextBreak()
       const broken = breakAt === null ? signal : AbortSignal.any([signal, AbortSignal.timeout(breakAt)])
