--- /dev/null
+++ b/packages/daemon/src/createPlacementLoop/test.ts
@@ -0,0 +1,151 @@
+import * as test from 'node:test'
+import * as assert from 'node:assert/strict'
+import * as membership from '@switchridge/membership'
+import * as observability from '@switchridge/observability'
+import * as transfer from '@switchridge/transfer'
+import * as types from '@switchridge/types'
+import * as createPlacementLoop from './index.js'
+import * as createSelfFacts from '../createSelfFacts/index.js'
+import * as createServing from '../createServing/index.js'
+import * as createTableKeeper from '../createTableKeeper/index.js'
+import * as createEngineOrders from '../createEngineOrders/index.js'
+
+const SERVICE = types.brandId<types.ServiceName>('llm')
+const ROW = types.brandId<types.RowId>('model')
+const BYTES = 8
+const CHUNK_BYTES = 4
+
+async function makeVersion (text: string) {
+  const manifest = await transfer.createManifest([Buffer.from(text)], CHUNK_BYTES)
+  return { text, manifest, digest: transfer.computeDigest(transfer.formatManifest(manifest)) }
+}
+
+type Version = Awaited<ReturnType<typeof makeVersion>>
+
+const settle = async (): Promise<void> => { for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => { setImmediate(resolve) }) }
+
+/** A backend daemon's loop before an engine that records its orders. */
+function openLoop (memoryBytes: number) {
+  const logger = observability.createLogger('loop-test', {}, { level: 'silent' })
+  const keeper = createTableKeeper.createTableKeeper(logger)
+  const view = membership.createMemberView({ now: () => 0 })
+  const self = createSelfFacts.createSelfFacts({
+    node: types.brandId('node'),
+    role: 'backend',
+    dataHall: types.brandId('hall'),
+    region: types.brandId('region'),
+    address: { host: '127.0.0.1', port: 1 },
+    incarnation: types.brandId('1'),
+    factsVersion: 1,
+    state: 'live',
+    service: SERVICE,
+    memoryBytes,
+    serving: [],
+    holding: [],
+    waitingFor: '',
+    revision: 0
+  })
+  const store = transfer.createChunkStore(1000)
+  const serving = createServing.createServing()
+  const orders: string[] = []
+  const engine = { failure: '' }
+  const give = async (order: string) => {
+    orders.push(order)
+    return engine.failure === '' ? types.succeed(null) : types.fail(new createEngineOrders.OrderError(engine.failure))
+  }
+  const loop = createPlacementLoop.createPlacementLoop({
+    self,
+    view,
+    keeper,
+    store,
+    serving,
+    logger,
+    transfer: { setWanted: () => {} } as unknown as transfer.Transfer,
+    orders: { load: async ({ manifest }) => await give(`load ${manifest}`), unload: async (manifest) => await give(`unload ${manifest}`) },
+    weights: { offer: () => ({ url: '', withdraw: () => {} }), close: () => {} },
+    plan: (() => ({})) as never,
+    onServing: () => {}
+  })
+  let revision = 0
+  const place = async (version: Version, minimumServing = 0): Promise<void> => {
+    revision += 1
+    const row = { id: ROW, kind: 'model', base: null, service: SERVICE, version: version.text, source: 's', manifest: version.digest, bytes: BYTES, targets: 'all', priority: 0, originCopies: 1, originBytesPerSecond: 1, favour: 'time', minimumServing } as unknown as types.ModelRow
+    keeper.offer({ ...types.EMPTY_TABLE, revision, models: [row] }, 'test')
+    await reconcile()
+  }
+  const reconcile = async (): Promise<void> => {
+    view.hear(self.read())
+    loop.reconcile()
+    await settle()
+  }
+  const fill = async (version: Version, chunks: number): Promise<void> => {
+    const opened = store.open(version.digest, version.manifest)
+    for (let chunk = 0; chunk < chunks && opened.ok; chunk += 1) opened.value.put(chunk, Buffer.from(version.text.slice(chunk * CHUNK_BYTES, (chunk + 1) * CHUNK_BYTES)))
+    await reconcile()
+  }
+  return { place, fill, reconcile, serving, orders, engine, self, served: () => serving.find(ROW)?.manifest }
+}
+
+test.describe('createPlacementLoop', () => {
+  test.it('loads nothing before the last chunk is there, and serves only what the engine confirmed', async () => {
+    const version = await makeVersion('aaaabbbb')
+    const loop = openLoop(100)
+    await loop.place(version)
+    await loop.fill(version, 1)
+    assert.deepEqual(loop.orders, [])
+    assert.match(loop.self.read().waitingFor, /1 of 2 chunks/)
+    loop.engine.failure = 'engine says no'
+    await loop.fill(version, 2)
+    assert.equal(loop.served(), undefined)
+    assert.match(loop.self.read().waitingFor, /engine says no/)
+    loop.engine.failure = ''
+    await loop.reconcile()
+    assert.equal(loop.served(), version.digest)
+  })
+
+  test.it('keeps the old version loaded until the calls that began on it have ended', async () => {
+    const [first, second] = [await makeVersion('aaaabbbb'), await makeVersion('aaaacccc')]
+    const loop = openLoop(100)
+    await loop.place(first)
+    await loop.fill(first, 2)
+    const pin = loop.serving.pin(ROW)
+    await loop.place(second)
+    await loop.fill(second, 2)
+    assert.equal(loop.served(), second.digest)
+    assert.ok(!loop.orders.includes(`unload ${first.digest}`))
+    pin?.release()
+    await settle()
+    assert.equal(loop.orders.at(-1), `unload ${first.digest}`)
+  })
+
+  test.it('does not unload a version that came back while its calls ended', async () => {
+    const [first, second] = [await makeVersion('aaaabbbb'), await makeVersion('aaaacccc')]
+    const loop = openLoop(100)
+    await loop.place(first)
+    await loop.fill(first, 2)
+    const pin = loop.serving.pin(ROW)
+    await loop.place(second)
+    await loop.fill(second, 2)
+    await loop.place(first)
+    await loop.fill(first, 2)
+    pin?.release()
+    await settle()
+    assert.equal(loop.served(), first.digest)
+    assert.ok(!loop.orders.includes(`unload ${first.digest}`))
+  })
+
+  test.it('without room waits for its turn, so that enough replicas serve', async () => {
+    const [first, second] = [await makeVersion('aaaabbbb'), await makeVersion('aaaacccc')]
+    const loop = openLoop(BYTES)
+    await loop.place(first)
+    await loop.fill(first, 2)
+    await loop.place(second, 1)
+    await loop.fill(second, 2)
+    assert.equal(loop.served(), first.digest)
+    assert.match(loop.self.read().waitingFor, /its turn/)
+    await loop.place(second, 0)
+    await loop.reconcile()
+    assert.equal(loop.served(), second.digest)
+    assert.deepEqual(loop.orders.slice(-2), [`unload ${first.digest}`, `load ${second.digest}`])
+  })
+})
