--- a/packages/measure/src/main.ts
+++ b/packages/measure/src/main.ts
@@ -3,6 +3,7 @@
 import yargs from 'yargs'
 import * as output from './_lib/output.js'
 import type * as controlFleet from './_lib/controlFleet.js'
+import * as plotResults from './plotResults/index.js'
 import * as runBurst from './runBurst/index.js'
 import * as runCapacity from './runCapacity/index.js'
 import * as runRouting from './runRouting/index.js'
@@ -60,6 +61,12 @@
     const rows = await runCapacity.runCapacity({ ...options, shapes: parseShapes(options.shapes) }, out)
     out.close({ roles: rows.length, cpuPercent: Math.max(...rows.map((row) => row.cpuPercent)), residentMebibytes: Math.max(...rows.map((row) => row.residentMebibytes)) })
   })
+  .command('plot <file> <key> <target>', 'draw one number of results as SVG', (command) => command
+    .positional('file', { type: 'string', demandOption: true })
+    .positional('key', { type: 'string', demandOption: true })
+    .positional('target', { type: 'string', demandOption: true }), async ({ file, key, target }) => {
+    await plotResults.plotResults(file, key, target)
+  })
   .demandCommand(1)
   .strict()
   .parseAsync()
--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -4,6 +4,7 @@
 import * as chooseRequest from '../chooseRequest/index.js'
 import type * as createChunkStore from '../createChunkStore/index.js'
 import type * as createLinkPacer from '../createLinkPacer/index.js'
+import * as createPeerBook from '../createPeerBook/index.js'
 import * as fetchChunk from '../fetchChunk/index.js'
 import * as parseManifest from '../parseManifest/index.js'
 import type * as transfer from '../types/index.js'
@@ -91,10 +92,8 @@
 const HEDGE_MINIMUM_MS = 1000
 const TIMEOUT_FACTOR = 8
 const AVERAGE_WEIGHT = 0.2
-const SUSPEND_BASE_MS = 500
-const SUSPEND_MAXIMUM_MS = 4000
+const ORIGIN_SUSPEND_BASE_MS = 500
 const ORIGIN_SUSPEND_MAXIMUM_MS = 30_000
-const REDIRECTED_HOLDERS = 4
 const ASK_AGAIN_MS = 1500
 const REFUSED_PAUSE_MS = 15
 const ORIGIN_OPEN_REQUESTS = 2
@@ -111,8 +110,7 @@
   const { digest, manifest } = holding
   const size = manifest.chunks.length
   const counts: DownloadCounts = { originBytes: 0, peerBytes: 0, otherHallBytes: 0, requests: 0, refused: 0, corrupt: 0, failed: 0, hedged: 0, announcements: 0 }
-  const peers = new Map<types.NodeId, transfer.PeerState>()
-  const holders = new Uint16Array(size)
+  const book = createPeerBook.createPeerBook(size, options.random)
   const ties = Float64Array.from({ length: size }, options.random)
   const wanted = bitmaps.createBitmap(size)
   for (const chunk of holding.missing()) bitmaps.setBit(wanted, chunk)
@@ -136,50 +134,11 @@
     policy = next
     nextSlot = 0
     originChunks = []
-    const known = new Set(members.map((peer) => peer.node))
-    for (const node of peers.keys()) if (!known.has(node)) removePeer(node)
-    for (const peer of members) addPeer(peer, next.reach(peer))
+    book.setPeers(members, next.reach)
     imported = bitmaps.createBitmap(size)
     for (let chunk = 0; chunk < size; chunk += 1) if (next.isImporter(chunk)) bitmaps.setBit(imported, chunk)
   }
 
-  function addPeer (peer: transfer.Peer, reach: transfer.PeerReach): void {
-    const known = peers.get(peer.node)
-    const isSame = known?.address.port === peer.address.port && known.address.host === peer.address.host
-    if (known !== undefined && isSame) {
-      known.reach = reach
-      return
-    }
-    removePeer(peer.node)
-    peers.set(peer.node, { ...peer, reach, has: bitmaps.createBitmap(size), outstanding: 0, backlog: 0, backlogAt: 0, suspendedUntil: 0, failures: 0 })
-  }
-
-  function removePeer (node: types.NodeId): void {
-    const peer = peers.get(node)
-    peers.delete(node)
-    if (peer === undefined) return
-    for (let chunk = 0; chunk < size; chunk += 1) if (bitmaps.hasBit(peer.has, chunk)) holders[chunk] = (holders[chunk] ?? 1) - 1
-  }
-
-  function noteHave (node: types.NodeId, have: string): void {
-    const peer = peers.get(node)
-    const bitmap = have === '' ? null : bitmaps.decodeBitmap(have, size)
-    if (peer === undefined || bitmap === null) return
-    for (let byte = 0; byte < bitmap.length; byte += 1) {
-      const fresh = (bitmap[byte] ?? 0) & ~(peer.has[byte] ?? 0)
-      if (fresh !== 0) countFresh(peer, byte, fresh)
-    }
-  }
-
-  function countFresh (peer: transfer.PeerState, byte: number, fresh: number): void {
-    for (let bit = 0; bit < 8; bit += 1) {
-      const chunk = byte * 8 + bit
-      if ((fresh & (1 << bit)) === 0 || chunk >= size) continue
-      bitmaps.setBit(peer.has, chunk)
-      holders[chunk] = (holders[chunk] ?? 0) + 1
-    }
-  }
-
   function startRequest (): boolean {
     if (policy === null || abort.signal.aborted) return false
     const originChunk = chooseOriginChunk(policy)
@@ -188,7 +147,7 @@
       return true
     }
     const choice = chooseRequest.chooseRequest({
-      wanted, imported, peers: [...peers.values()], holders, ties, prefersRare: policy.prefersRare, now: now(), perPeer: options.perPeer, uploadMs, random: options.random
+      wanted, imported, peers: book.list(), holders: book.holders, ties, prefersRare: policy.prefersRare, now: now(), perPeer: options.perPeer, uploadMs, random: options.random
     })
     if (choice === null) return false
     void askPeer(choice.chunk, choice.peer)
@@ -202,18 +161,11 @@
     }
     if (originOpen >= ORIGIN_OPEN_REQUESTS || now() < originSuspendedUntil) return null
     originChunks = originChunks.filter((chunk) => !holding.has(chunk) && current.readsOrigin(chunk))
-    return originChunks.find((chunk) => bitmaps.hasBit(wanted, chunk) && !isAtPeer(chunk)) ?? null
+    return originChunks.find((chunk) => bitmaps.hasBit(wanted, chunk) && !isAvailable(chunk)) ?? null
   }
 
-  /** Whether a peer that may be asked holds the chunk. */
-  function isAtPeer (chunk: number): boolean {
-    if (holders[chunk] === 0) return false
-    const isImported = bitmaps.hasBit(imported, chunk)
-    for (const peer of peers.values()) {
-      const mayAsk = peer.reach === 'everything' || (peer.reach === 'imported' && isImported)
-      if (mayAsk && bitmaps.hasBit(peer.has, chunk) && peer.suspendedUntil <= now()) return true
-    }
-    return false
+  function isAvailable (chunk: number): boolean {
+    return book.isAvailable(chunk, bitmaps.hasBit(imported, chunk), now())
   }
 
   async function askPeer (chunk: number, peer: transfer.PeerState): Promise<void> {
@@ -234,7 +186,7 @@
 
   async function settle (chunk: number, peer: transfer.PeerState, answer: fetchChunk.ChunkAnswer, elapsedMs: number): Promise<void> {
     if (abort.signal.aborted) return
-    noteHave(peer.node, answer.statement.have)
+    book.noteHave(peer.node, answer.statement.have)
     peer.backlog = answer.statement.backlog
     peer.backlogAt = now()
     if (answer.outcome.ok) {
@@ -244,11 +196,11 @@
     } else if (answer.outcome.error instanceof fetchChunk.ChunkRefusedError) {
       counts.refused += 1
       peer.suspendedUntil = now() + REFUSED_PAUSE_MS
-      for (const node of answer.statement.holders) noteHolder(node, chunk)
+      for (const node of answer.statement.holders) book.noteHolder(node, chunk)
       options.onRefused()
     } else {
       counts.failed += 1
-      suspendPeer(peer)
+      book.suspend(peer, now())
       options.onEvent({ event: 'peer-failed', digest, chunk, from: peer.node, reason: answer.outcome.error.message })
     }
   }
@@ -266,15 +218,10 @@
       return
     }
     counts.corrupt += 1
-    suspendPeer(peer)
+    book.suspend(peer, now())
     options.onEvent({ event: 'chunk-corrupt', digest, chunk, from: peer.node, reason: kept.error.message })
   }
 
-  function suspendPeer (peer: transfer.PeerState): void {
-    peer.suspendedUntil = now() + Math.min(SUSPEND_MAXIMUM_MS, SUSPEND_BASE_MS * 2 ** peer.failures)
-    peer.failures += 1
-  }
-
   /** A peer is slow when it takes several times as long as peers do on average. */
   function computeTimeout (): number {
     if (averageMs === 0) return FIRST_TIMEOUT_MS
@@ -319,7 +266,7 @@
   }
 
   function suspendOrigin (): void {
-    const ceiling = Math.min(ORIGIN_SUSPEND_MAXIMUM_MS, SUSPEND_BASE_MS * 2 ** originFailures)
+    const ceiling = Math.min(ORIGIN_SUSPEND_MAXIMUM_MS, ORIGIN_SUSPEND_BASE_MS * 2 ** originFailures)
     originSuspendedUntil = now() + ceiling * (0.5 + options.random() / 2)
     originFailures += 1
   }
@@ -327,7 +274,7 @@
   function announce (chunk: number): void {
     const have = bitmaps.encodeBitmap(holding.bitmap)
     for (const node of policy?.announceTo(chunk) ?? []) {
-      const peer = peers.get(node)
+      const peer = book.find(node)
       if (peer === undefined || bitmaps.hasBit(peer.has, chunk)) continue
       counts.announcements += 1
       requests.announce(peer, digest, have)
@@ -351,7 +298,7 @@
     hedgeSlowRequests()
     let checked = 0
     for (let chunk = 0; chunk < size && checked < OVERDUE_BATCH && policy.slotAt(chunk) <= now(); chunk += 1) {
-      if (!bitmaps.hasBit(wanted, chunk) || (asked.get(chunk) ?? 0) > now() || isAtPeer(chunk)) continue
+      if (!bitmaps.hasBit(wanted, chunk) || (asked.get(chunk) ?? 0) > now() || isAvailable(chunk)) continue
       checked += 1
       const provider = policy.overdueFrom(chunk, now())
       if (provider !== null) void askAbout(policy, chunk, provider)
@@ -360,11 +307,11 @@
 
   async function askAbout (current: transfer.TransferPolicy, chunk: number, provider: types.NodeId): Promise<void> {
     asked.set(chunk, now() + ASK_AGAIN_MS)
-    const peer = peers.get(provider)
+    const peer = book.find(provider)
     const answer = peer === undefined ? 'unreachable' : await requests.askProvider(peer, digest, chunk)
     if (answer === 'reading' || holding.has(chunk)) return
     if (answer === 'has' && peer !== undefined) {
-      markHolder(peer, chunk)
+      book.noteHolder(provider, chunk)
     } else if (current.takeOver(chunk, provider)) {
       originChunks.push(chunk)
       bitmaps.setBit(imported, chunk)
@@ -373,23 +320,6 @@
     options.onProgress()
   }
 
-  function noteHolder (node: types.NodeId, chunk: number): void {
-    const peer = peers.get(node)
-    if (peer !== undefined) markHolder(peer, chunk)
-  }
-
-  function findHolders (chunk: number): types.NodeId[] {
-    const found = [...peers.values()].filter((peer) => bitmaps.hasBit(peer.has, chunk)).map((peer) => peer.node)
-    const first = Math.floor(options.random() * Math.max(1, found.length))
-    return [...found.slice(first), ...found.slice(0, first)].slice(0, REDIRECTED_HOLDERS)
-  }
-
-  function markHolder (peer: transfer.PeerState, chunk: number): void {
-    if (bitmaps.hasBit(peer.has, chunk)) return
-    bitmaps.setBit(peer.has, chunk)
-    holders[chunk] = (holders[chunk] ?? 0) + 1
-  }
-
   /** Only a reader whose origin fails gives a chunk up; any other node is still about to get it. */
   function answerProvider (chunk: number): transfer.ProviderAnswer {
     if (holding.has(chunk)) return 'has'
@@ -401,7 +331,7 @@
 
   const openRequests = (): number => peersOpen + originOpen
 
-  return { digest, holding, counts, openRequests, setPolicy, startRequest, checkOverdue, noteHave, noteHolder, findHolders, answerProvider, stop: () => { abort.abort() } }
+  return { digest, holding, counts, openRequests, setPolicy, startRequest, checkOverdue, noteHave: book.noteHave, noteHolder: book.noteHolder, findHolders: book.findHolders, answerProvider, stop: () => { abort.abort() } }
 }
 
 function average (before: number, sample: number): number {
