Let a node that missed the holders of its last chunks ask their importers

A node that no longer asks and is no longer asked learns nothing; it asked about a late chunk only when its turn to take over came, 3 s for each place in its hall's order, up to 60 s.

Ruled out: hung requests (they end after 10 s), the link pacer, lost slots, the lease of the engine.

Change: a node with nothing in flight asks the importers of its missing chunks at once, without taking anything over. The question of a successor and a mere question differ; a reader remembers to whom it gave a chunk up, so that two importers do not both read it.

--- a/packages/daemon/src/_lib/createTransferRequests.ts
+++ b/packages/daemon/src/_lib/createTransferRequests.ts
@@ -25,8 +25,8 @@
     fetchChunk: async (peer, digest, chunk, have, timeoutMs, signal) => await transfer.fetchChunk(peer.address, digest, chunk, have, fetchOptions(timeoutMs, signal)),
     fetchOrigin: async (source, from, length, timeoutMs, signal) => await transfer.fetchOriginRange(formatSource(source), from, length, fetchOptions(timeoutMs, signal)),
     announce: (peer, digest, have) => { void parts.client.call(peer.address, 'transfer.announce', { digest, node: self, have, backlog: backlog() }, CONTROL_CALL_MS) },
-    askProvider: async (peer, digest, chunk) => {
-      const asked = await parts.client.call<transfer.ProviderAnswer>(peer.address, 'transfer.provider', { digest, chunk }, CONTROL_CALL_MS)
+    askProvider: async (peer, digest, chunk, wouldTakeOver) => {
+      const asked = await parts.client.call<transfer.ProviderAnswer>(peer.address, 'transfer.provider', { digest, chunk, successor: wouldTakeOver ? self : null }, CONTROL_CALL_MS)
       return asked.ok ? asked.value : 'unreachable'
     }
   }
--- a/packages/daemon/src/_lib/schemas.ts
+++ b/packages/daemon/src/_lib/schemas.ts
@@ -40,7 +40,7 @@
 })
 
 export const announceSchema = zod.z.object({ digest, node: name, have: zod.z.string().max(65_536) })
-export const providerSchema = zod.z.object({ digest, chunk: zod.z.int().min(0) })
+export const providerSchema = zod.z.object({ digest, chunk: zod.z.int().min(0), successor: name.nullable() })
 export const ticketSchema = zod.z.object({ ticket: name, incarnation: name })
 export const hintSchema = zod.z.object({ node: name, load: loadSchema })
 export const drillSchema = zod.z.object({ endpoints: zod.z.array(name).max(MAXIMUM_LIST) })
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -154,7 +154,7 @@
     },
     'transfer.provider': (params) => {
       const asked = schemas.providerSchema.parse(params)
-      return transfers.answerProvider(types.brandId<types.Digest>(asked.digest), asked.chunk)
+      return transfers.answerProvider(types.brandId<types.Digest>(asked.digest), asked.chunk, asked.successor === null ? null : types.brandId<types.NodeId>(asked.successor))
     },
     ...createDrillMethods.createDrillMethods(parts)
   }
--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -14,7 +14,8 @@
   readonly fetchChunk: (peer: transfer.Peer, digest: types.Digest, chunk: number, have: string, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.ChunkAnswer>
   readonly fetchOrigin: (source: string, from: number, length: number, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.OriginAnswer>
   readonly announce: (peer: transfer.Peer, digest: types.Digest, have: string) => void
-  readonly askProvider: (peer: transfer.Peer, digest: types.Digest, chunk: number) => Promise<transfer.ProviderAnswer>
+  /** Asks what became of a chunk; only who would take it over causes its release. */
+  readonly askProvider: (peer: transfer.Peer, digest: types.Digest, chunk: number, wouldTakeOver: boolean) => Promise<transfer.ProviderAnswer>
 }
 
 /** Options of {@link createDownload}. */
@@ -79,7 +80,7 @@
   /** A few nodes known to hold a chunk. */
   readonly findHolders: (chunk: number) => readonly types.NodeId[]
   /** Answers another node that asks what became of a chunk. */
-  readonly answerProvider: (chunk: number) => transfer.ProviderAnswer
+  readonly answerProvider: (chunk: number, successor: types.NodeId | null) => transfer.ProviderAnswer
   readonly stop: () => void
 }
 
@@ -95,10 +96,19 @@
 const ORIGIN_SUSPEND_BASE_MS = 500
 const ORIGIN_SUSPEND_MAXIMUM_MS = 30_000
 const ASK_AGAIN_MS = 1500
+/** A chunk that was given up to one node is not given to another one before this time. */
+const RELEASE_HOLD_MS = 10_000
+/** Importers asked at a time by a node that has nothing else to do. */
+const ASKED_WHEN_IDLE = 4
 const REFUSED_PAUSE_MS = 15
 const ORIGIN_OPEN_REQUESTS = 2
 const OVERDUE_BATCH = 32
 
+interface Release {
+  readonly to: types.NodeId
+  readonly at: number
+}
+
 /**
  * Creates the download of one version.
  *
@@ -119,6 +129,8 @@
   const asked = new Map<number, number>()
   const askedPeersAt = new Map<number, number>()
   const hedged = new Set<number>()
+  /** Chunks that this node gave up to the next one in order. */
+  const released = new Map<number, Release>()
   const abort = new AbortController()
   let policy: transfer.TransferPolicy | null = null
   let originChunks: number[] = []
@@ -139,6 +151,8 @@
     for (let chunk = 0; chunk < size; chunk += 1) if (next.isImporter(chunk)) bitmaps.setBit(imported, chunk)
   }
 
+  const openRequests = (): number => peersOpen + originOpen
+
   function startRequest (): boolean {
     if (policy === null || abort.signal.aborted) return false
     const originChunk = chooseOriginChunk(policy)
@@ -302,18 +316,32 @@
       checked += 1
       const provider = policy.overdueFrom(chunk, now())
       if (provider !== null) void askAbout(policy, chunk, provider)
+      else if (openRequests() === 0 && checked <= ASKED_WHEN_IDLE) void askImporter(policy, chunk)
     }
   }
 
+  /** A node that has nothing to ask for may have missed who holds its last chunks; their importers know. */
+  async function askImporter (current: transfer.TransferPolicy, chunk: number): Promise<void> {
+    const importer = current.importerOf(chunk)
+    const peer = importer === null ? undefined : book.find(importer)
+    if (peer === undefined) return
+    asked.set(chunk, now() + ASK_AGAIN_MS)
+    const answer = await requests.askProvider(peer, digest, chunk, false)
+    if (answer !== 'has') return
+    book.noteHolder(peer.node, chunk)
+    options.onProgress()
+  }
+
   async function askAbout (current: transfer.TransferPolicy, chunk: number, provider: types.NodeId): Promise<void> {
     asked.set(chunk, now() + ASK_AGAIN_MS)
     const peer = book.find(provider)
-    const answer = peer === undefined ? 'unreachable' : await requests.askProvider(peer, digest, chunk)
+    const answer = peer === undefined ? 'unreachable' : await requests.askProvider(peer, digest, chunk, true)
     if (answer === 'reading' || holding.has(chunk)) return
     if (answer === 'has' && peer !== undefined) {
       book.noteHolder(provider, chunk)
     } else if (current.takeOver(chunk, provider)) {
       originChunks.push(chunk)
+      released.delete(chunk)
       bitmaps.setBit(imported, chunk)
       options.onEvent({ event: 'took-over', digest, chunk, from: provider, reason: answer })
     }
@@ -321,16 +349,20 @@
   }
 
   /** Only a reader whose origin fails gives a chunk up; any other node is still about to get it. */
-  function answerProvider (chunk: number): transfer.ProviderAnswer {
+  function answerProvider (chunk: number, successor: types.NodeId | null): transfer.ProviderAnswer {
     if (holding.has(chunk)) return 'has'
+    if (successor === null) return 'reading'
+    const earlier = released.get(chunk)
+    const isHeld = earlier !== undefined && earlier.to !== successor && now() - earlier.at < RELEASE_HOLD_MS
+    if (isHeld) return 'reading'
     const isOriginDown = originFailures > 0 && now() < originSuspendedUntil
-    if (policy?.readsOrigin(chunk) !== true || !isOriginDown) return 'reading'
-    policy.release(chunk)
+    const mayRelease = earlier !== undefined || (policy?.readsOrigin(chunk) === true && isOriginDown)
+    if (!mayRelease) return 'reading'
+    policy?.release(chunk)
+    released.set(chunk, { to: successor, at: now() })
     return 'released'
   }
 
-  const openRequests = (): number => peersOpen + originOpen
-
   return { digest, holding, counts, openRequests, setPolicy, startRequest, checkOverdue, noteHave: book.noteHave, noteHolder: book.noteHolder, findHolders: book.findHolders, answerProvider, stop: () => { abort.abort() } }
 }
 
--- a/packages/transfer/src/createOriginPolicy/index.ts
+++ b/packages/transfer/src/createOriginPolicy/index.ts
@@ -16,6 +16,7 @@
     reach: () => 'nothing',
     announceTo: () => [],
     overdueFrom: () => null,
+    importerOf: () => null,
     takeOver: () => false,
     release: () => {}
   }
--- a/packages/transfer/src/createSwarmPolicy/index.ts
+++ b/packages/transfer/src/createSwarmPolicy/index.ts
@@ -99,6 +99,7 @@
     announceTo,
     overdueFrom,
     isImporter,
+    importerOf: (chunk) => isImporter(chunk) ? null : rankHall(chunk)[0]?.node ?? null,
     reach: (peer) => peer.dataHall === self.dataHall ? 'everything' : 'imported',
     takeOver: (chunk, provider) => {
       if (options.mayReadAgain?.(provider) === false) return false
--- a/packages/transfer/src/createTransfer/index.ts
+++ b/packages/transfer/src/createTransfer/index.ts
@@ -57,7 +57,7 @@
   readonly noteSent: (digest: types.Digest, node: types.NodeId, chunk: number) => void
   /** A few nodes known to hold a chunk. */
   readonly findHolders: (digest: types.Digest, chunk: number) => readonly types.NodeId[]
-  readonly answerProvider: (digest: types.Digest, chunk: number) => transfer.ProviderAnswer
+  readonly answerProvider: (digest: types.Digest, chunk: number, successor: types.NodeId | null) => transfer.ProviderAnswer
   readonly progress: () => readonly TransferProgress[]
   /** Requests of all downloads that are open now. */
   readonly openRequests: () => number
@@ -201,9 +201,9 @@
     pump()
   }
 
-  function answerProvider (digest: types.Digest, chunk: number): transfer.ProviderAnswer {
+  function answerProvider (digest: types.Digest, chunk: number, successor: types.NodeId | null): transfer.ProviderAnswer {
     const held = options.store.find(digest)?.has(chunk) === true
-    return held ? 'has' : active.get(digest)?.download?.answerProvider(chunk) ?? 'released'
+    return held ? 'has' : active.get(digest)?.download?.answerProvider(chunk, successor) ?? 'released'
   }
 
   function progress (): TransferProgress[] {
--- a/packages/transfer/src/createTransfer/test.ts
+++ b/packages/transfer/src/createTransfer/test.ts
@@ -13,6 +13,8 @@
   readonly dead: Set<string>
   /** Nodes whose chunks come with a wrong byte. */
   readonly corrupting: Set<string>
+  /** Nodes that nothing is said to unless they ask. */
+  readonly deaf: Set<string>
   /** Nodes that cannot reach the origin. */
   readonly withoutOrigin: Set<string>
   origin: 'good' | 'refusing' | 'corrupt' | 'breaking'
@@ -57,7 +59,7 @@
 function openSwarm (context: test.TestContext, halls: readonly string[], versions: readonly Version[]): Swarm {
   context.mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'] })
   const now = (): number => Date.now()
-  const faults: Faults = { dead: new Set(), corrupting: new Set(), withoutOrigin: new Set(), origin: 'good' }
+  const faults: Faults = { dead: new Set(), corrupting: new Set(), deaf: new Set(), withoutOrigin: new Set(), origin: 'good' }
   const peers = halls.map((hall, index) => toPeer(`node-${index}`, hall))
   const events: transfer.DownloadEvent[] = []
   const nodes = new Map<string, Node>()
@@ -97,8 +99,8 @@
       if (bytes === undefined) return { statement, outcome: types.fail(new transfer.ChunkRefusedError('status 404')) }
       return { statement, outcome: types.succeed(faults.corrupting.has(peer.node) ? Buffer.from('wrong!!!') : bytes) }
     },
-    announce: (peer, digest, have) => { if (!faults.dead.has(self.node)) nodes.get(peer.node)?.moved.noteHave(digest, self.node, have) },
-    askProvider: async (peer, digest, chunk) => faults.dead.has(peer.node) ? 'unreachable' : nodes.get(peer.node)?.moved.answerProvider(digest, chunk) ?? 'unreachable'
+    announce: (peer, digest, have) => { if (!faults.dead.has(self.node) && !faults.deaf.has(peer.node)) nodes.get(peer.node)?.moved.noteHave(digest, self.node, have) },
+    askProvider: async (peer, digest, chunk, wouldTakeOver) => faults.dead.has(peer.node) ? 'unreachable' : nodes.get(peer.node)?.moved.answerProvider(digest, chunk, wouldTakeOver ? self.node : null) ?? 'unreachable'
   })
 
   for (const self of peers) {
@@ -231,6 +233,18 @@
     assert.ok(swarm.events.some((event) => event.event === 'took-over'))
   })
 
+  test.it('finds its last chunks also when no announcement of them reached it', async (context) => {
+    const version = await makeVersion(textOf('x', 24))
+    const halls = Array.from({ length: 14 }, () => 'a')
+    const swarm = openSwarm(context, halls, [version])
+    swarm.faults.deaf.add('node-3')
+    swarm.want(version)
+    assert.ok(await swarm.runUntil(() => holdAll(swarm, version, ['node-3'])))
+    const before = Date.now()
+    assert.ok(await swarm.runUntil(() => holdAll(swarm, version)))
+    assert.ok(Date.now() - before < 5000, `${Date.now() - before} ms of the paused clock after all others`)
+  })
+
   test.it('stops a version that is replaced in the middle and keeps the chunks that both share', async (context) => {
     const shared = textOf('s', 20)
     const first = await makeVersion(shared + textOf('x', 20))
--- a/packages/transfer/src/createTreePolicy/index.ts
+++ b/packages/transfer/src/createTreePolicy/index.ts
@@ -34,6 +34,7 @@
     reach: (peer) => peer.node === parent?.node ? 'everything' : 'nothing',
     announceTo: () => children,
     overdueFrom: () => null,
+    importerOf: () => null,
     takeOver: () => false,
     release: () => {}
   }
--- a/packages/transfer/src/types/index.ts
+++ b/packages/transfer/src/types/index.ts
@@ -48,8 +48,10 @@
   readonly isImporter: (chunk: number) => boolean
   /** Nodes told at once when this node has obtained the chunk. */
   readonly announceTo: (chunk: number) => readonly types.NodeId[]
-  /** The node that should have provided the chunk by now, if it is this node's turn to ask what became of it. */
+  /** The node that should have provided the chunk by now, if it is this node's turn to take over from it. */
   readonly overdueFrom: (chunk: number, now: number) => types.NodeId | null
+  /** The node of this hall that any other one may ask for the chunk; null when that is this node itself. */
+  readonly importerOf: (chunk: number) => types.NodeId | null
   /** Makes this node the reader of a chunk that its provider gave up; false when the allowance forbids it. */
   readonly takeOver: (chunk: number, provider: types.NodeId) => boolean
   /** Gives a chunk up to the next node in order. */
