--- a/packages/daemon/src/_lib/schemas.ts
+++ b/packages/daemon/src/_lib/schemas.ts
@@ -36,7 +36,7 @@
 export const heartbeatAnswerSchema = zod.z.object({
   facts: factsSchema,
   counter: zod.z.int().min(0),
-  claims: zod.z.array(zod.z.object({ facts: factsSchema, condition: zod.z.enum(['live', 'silent', 'gone']) })).max(MAXIMUM_LIST)
+  claims: zod.z.array(zod.z.object({ facts: factsSchema, condition: zod.z.enum(['live', 'silent', 'gone']), leaving: zod.z.boolean() })).max(MAXIMUM_LIST)
 })
 
 export const announceSchema = zod.z.object({ digest, node: name, have: zod.z.string().max(65_536) })
--- a/packages/daemon/src/createNodeListPoll/index.ts
+++ b/packages/daemon/src/createNodeListPoll/index.ts
@@ -17,21 +17,27 @@
  * @param read - Reads the list.
  * @param onList - Takes the list.
  * @param random - Random number from 0 to 1, for the jitter.
+ * @param isReader - Whether it is this entry node's part to read the list; hubs do and pass it on.
  * @returns The poll, stopped.
  */
 export function createNodeListPoll (
   read: () => Promise<types.Outcome<readonly membership.ListedNode[], types.UnavailableError>>,
   onList: (nodes: readonly membership.ListedNode[]) => void,
-  random: () => number
+  random: () => number,
+  isReader: () => boolean
 ): NodeListPoll {
   const stop = new AbortController()
   let failures = 0
 
+  async function readOnce (): Promise<void> {
+    const listed = await read()
+    failures = listed.ok ? 0 : failures + 1
+    if (listed.ok) onList(listed.value)
+  }
+
   async function run (): Promise<void> {
     while (!stop.signal.aborted) {
-      const listed = await read()
-      failures = listed.ok ? 0 : failures + 1
-      if (listed.ok) onList(listed.value)
+      if (isReader()) await readOnce()
       await types.delay(Math.min(BACKOFF_MAXIMUM_MS, INTERVAL_MS * 2 ** failures) * (0.75 + random() / 2))
     }
   }
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -109,7 +109,8 @@
   const nodeList = createNodeListPoll.createNodeListPoll(
     async () => await platform.readNodeList(settings.platform.url, parts.agents, settings.platform.timeout_ms),
     view.applyNodeList,
-    parts.random
+    parts.random,
+    () => membership.computeHubs(self.read().dataHall, view.members()).some((hub) => hub.node === self.read().node)
   )
   const methods: Record<string, rpc.RpcMethod> = {
     heartbeat: heartbeats.receive,
--- a/packages/measure/src/runRouting/index.ts
+++ b/packages/measure/src/runRouting/index.ts
@@ -106,7 +106,7 @@
     extraSettings: `[experiments]\npick_backend = "${policy}"\n`
   })
   const store = editRow.openStore(fleet)
-  await editRow.editRow(store, 'services', SERVICE, { kind: 'plain', repeatable: 'none', concurrency: SLOTS, queue: QUEUE, retryBudget: 0.1 })
+  await editRow.editRow(store, 'services', SERVICE, { kind: 'plain', repeatable: 'none', concurrency: SLOTS, queue: QUEUE, retryBudget: 0.08 })
   for (const [account, key] of Object.entries(KEYS)) await editRow.editRow(store, 'accounts', account, { keyDigest: crypto.createHash('sha256').update(key).digest('hex') })
   await types.delay(SETTLE_MS)
   return fleet
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -19,6 +19,8 @@
 export interface MemberClaim {
   readonly facts: types.MemberFacts
   readonly condition: MemberCondition
+  /** The platform's node list says that the node leaves. */
+  readonly leaving: boolean
 }
 
 /** Claims since a counter; the receiver asks with the new counter next time. */
@@ -75,6 +77,8 @@
   facts: types.MemberFacts
   heardAt: number | null
   readonly relayed: Map<types.NodeId, MemberCondition>
+  /** What the last relay said of the node list. */
+  relayedLeaving: boolean
   condition: MemberCondition
   silentSince: number | null
   changedAt: number
@@ -104,11 +108,12 @@
   function upsert (facts: types.MemberFacts): Entry {
     const known = entries.get(facts.node)
     if (known === undefined) {
-      const entry: Entry = { facts, heardAt: null, relayed: new Map(), condition: 'silent', silentSince: options.now(), changedAt: ++counter }
+      const entry: Entry = { facts, heardAt: null, relayed: new Map(), relayedLeaving: false, condition: 'silent', silentSince: options.now(), changedAt: ++counter }
       entries.set(facts.node, entry)
       return entry
     }
     if (types.isNewerFacts(facts, known.facts)) {
+      if (facts.incarnation !== known.facts.incarnation) known.relayedLeaving = false
       known.facts = facts
       known.changedAt = ++counter
     }
@@ -126,6 +131,8 @@
     for (const claim of claims) {
       const entry = upsert(claim.facts)
       entry.relayed.set(relay, claim.condition)
+      if (entry.relayedLeaving !== claim.leaving) entry.changedAt = ++counter
+      entry.relayedLeaving = claim.leaving
       setCondition(entry, judge(entry))
     }
   }
@@ -180,15 +187,25 @@
     }
   }
 
+  function applyNodeList (nodes: readonly ListedNode[]): void {
+    const next = new Set(nodes.filter((node) => node.state === 'leaving').map((node) => node.node))
+    for (const [node, entry] of entries) if (next.has(node) !== listedLeaving.has(node)) entry.changedAt = ++counter
+    listedLeaving = next
+  }
+
   function toMember (entry: Entry): Member {
     const { node, state } = entry.facts
-    return { facts: entry.facts, condition: entry.condition, leaving: state === 'leaving' || listedLeaving.has(node) || rowLeaving.has(node) }
+    return { facts: entry.facts, condition: entry.condition, leaving: state === 'leaving' || listedLeaving.has(node) || entry.relayedLeaving || rowLeaving.has(node) }
   }
 
   function changesSince (since: number, scope: ClaimScope): ClaimChanges {
     const claims = [...entries.values()]
       .filter((entry) => entry.changedAt > since && isInScope(entry, scope))
-      .map((entry) => ({ facts: entry.facts, condition: scope === 'first-hand' && !isHeard(entry) ? 'silent' as const : entry.condition }))
+      .map((entry): MemberClaim => ({
+        facts: entry.facts,
+        condition: scope === 'first-hand' && !isHeard(entry) ? 'silent' : entry.condition,
+        leaving: listedLeaving.has(entry.facts.node) || (scope === 'all' && entry.relayedLeaving)
+      }))
     return { counter, claims }
   }
 
@@ -197,7 +214,7 @@
     applyClaims,
     refresh,
     changesSince,
-    applyNodeList: (nodes) => { listedLeaving = new Set(nodes.filter((node) => node.state === 'leaving').map((node) => node.node)) },
+    applyNodeList,
     applyLeavingRows: (nodes) => { rowLeaving = new Set(nodes) },
     members: () => [...entries.values()].map(toMember),
     find: (node) => {
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -68,16 +68,28 @@
   test.it('believes a relay while it hears the relay, and the last word when it hears none', () => {
     const { clock, view, condition } = openView()
     view.hear(stateFacts('e1', { role: 'entry' }))
-    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live' }])
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live', leaving: false }])
     assert.equal(condition(), 'live')
-    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'silent' }])
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'silent', leaving: false }])
     assert.equal(condition(), 'silent')
-    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live' }])
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live', leaving: false }])
     clock.now = 5000
     view.refresh()
     assert.equal(condition(), 'live')
   })
 
+  test.it('passes on what the node list says to daemons that do not read it, until the node lives again', () => {
+    const [hub, other] = [openView(), openView()]
+    hub.view.hear(stateFacts('b1'))
+    const before = hub.view.changesSince(0, 'all').counter
+    hub.view.applyNodeList([{ node: NODE, state: 'leaving' }])
+    const { claims } = hub.view.changesSince(before, 'all')
+    other.view.applyClaims(ENTRY, claims)
+    assert.equal(other.view.find(NODE)?.leaving, true)
+    other.view.applyClaims(ENTRY, [{ facts: stateFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2') }), condition: 'live', leaving: false }])
+    assert.equal(other.view.find(NODE)?.leaving, false)
+  })
+
   test.it('never takes older facts, also not from an earlier life of the node', () => {
     const { view } = openView()
     view.hear(stateFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2'), revision: 7 }))
@@ -97,7 +109,7 @@
 
   test.it('relays first-hand claims only where asked, so that rumours do not travel in circles', () => {
     const { view } = openView()
-    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live' }])
+    view.applyClaims(ENTRY, [{ facts: stateFacts('b1'), condition: 'live', leaving: false }])
     assert.equal(view.changesSince(0, 'first-hand').claims.length, 0)
     assert.equal(view.changesSince(0, 'all').claims.length, 1)
   })
--- a/packages/table/src/_lib/schema.ts
+++ b/packages/table/src/_lib/schema.ts
@@ -42,7 +42,7 @@
   queue: whole(0, 10_000).default(16),
   deadlineMs: whole(1, 3_600_000).default(30_000),
   repeatable: zod.z.enum(['all', 'reads', 'none']).default('reads'),
-  retryBudget: zod.z.coerce.number('a number from 0 to 1').min(0).max(1).default(0.1)
+  retryBudget: zod.z.coerce.number('a number from 0 to 1').min(0).max(1).default(0.08)
 })
 
 export const accountSchema = zod.z.strictObject({
--- a/packages/types/src/table/index.ts
+++ b/packages/types/src/table/index.ts
@@ -44,7 +44,7 @@
   readonly deadlineMs: number
   /** Calls that may be sent more than once: `all`, `reads` (GET and HEAD) or `none`. */
   readonly repeatable: 'all' | 'reads' | 'none'
-  /** Extra attempts as a share of calls, 0.1 for one in ten. */
+  /** Extra attempts as a share of calls, 0.08 for eight in a hundred. */
   readonly retryBudget: number
 }
 
