--- a/packages/membership/src/computeReportTargets/index.ts
+++ b/packages/membership/src/computeReportTargets/index.ts
@@ -44,8 +44,8 @@
 }
 
 /** Milliseconds of heartbeat interval for each member of the hall, so that the traffic of a hub stays bounded. */
-const INTERVAL_PER_MEMBER_MS = 12
-const MAXIMUM_INTERVAL_MS = 2500
+const INTERVAL_PER_MEMBER_MS = 40
+const MAXIMUM_INTERVAL_MS = 8000
 const INTERVALS_TO_SILENCE = 3.2
 
 /**
--- a/packages/types/src/constants/index.ts
+++ b/packages/types/src/constants/index.ts
@@ -6,9 +6,9 @@
 /** The platform holds values of up to this many bytes. */
 export const MAXIMUM_OBJECT_BYTES = BYTES_IN_MEBIBYTE
 /** Milliseconds between two heartbeats of a daemon. */
-export const HEARTBEAT_INTERVAL_MS = 500
+export const HEARTBEAT_INTERVAL_MS = 1000
 /** Milliseconds without a heartbeat after which a member gets no new work. */
-export const HEARTBEAT_TIMEOUT_MS = 1600
+export const HEARTBEAT_TIMEOUT_MS = 3200
 /** Milliseconds for which a silent member keeps its place in the placement. */
 export const PLACEMENT_HOLD_MS = 30_000
 /** Version of the protocol between daemons; others are refused. */
