Log every call that was not answered, with its request id and the revision

Cause: entry nodes had a logger and wrote nothing about calls, so an operator could not find a caller's request.

Change: one line for each call that ends not-run or unknown. Answered calls are counted, not logged.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -224,6 +224,13 @@
 
   function answerWithout (context: Koa.Context, result: FinalOutcome): void {
     count(result.kind)
+    options.logger.info('call-not-answered', {
+      request: String(context.response.get(callHeaders.REQUEST_ID_HEADER)),
+      path: context.path,
+      outcome: result.kind,
+      reason: result.reason,
+      revision: options.table().revision
+    })
     if (context.res.destroyed) return
     context.status = result.kind === 'not-run' ? 503 : 502
     if (result.kind === 'not-run') context.set('retry-after', String(RETRY_AFTER_SECONDS))
