Let one piece read statuses, cut halls and tell hubs

Cause: three measurements read the daemons' statuses each in its own way, two cut a hall off each in its own way, and who is a hub was worked out twice; a constant of one and a division by ten named nothing.

Change: launcher.readStatuses, measure's cutHall and healHall, membership.isHub. Behaviour stays as it was.

--- a/packages/daemon/src/createHeartbeats/index.ts
+++ b/packages/daemon/src/createHeartbeats/index.ts
@@ -156,8 +156,7 @@
   function findScope (facts: types.MemberFacts): membership.ClaimScope {
     const { dataHall } = self.read()
     if (facts.dataHall !== dataHall) return { dataHall }
-    const isHub = membership.computeHubs(dataHall, view.members()).some((hub) => hub.node === facts.node)
-    return isHub ? 'first-hand' : 'all'
+    return membership.isHub(facts, view.members()) ? 'first-hand' : 'all'
   }
 
   return {
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -110,7 +110,7 @@
     async () => await platform.readNodeList(settings.platform.url, parts.agents, settings.platform.timeout_ms),
     view.applyNodeList,
     parts.random,
-    () => membership.computeHubs(self.read().dataHall, view.members()).some((hub) => hub.node === self.read().node)
+    () => membership.isHub(self.read(), view.members())
   )
   const methods: Record<string, rpc.RpcMethod> = {
     heartbeat: heartbeats.receive,
--- a/packages/launcher/src/readMembers/index.ts
+++ b/packages/launcher/src/readMembers/index.ts
@@ -33,6 +33,18 @@
   return answer.ok ? answer.value : null
 }
 
+/**
+ * Reads the status of several daemons at once.
+ *
+ * @param fleet - The fleet.
+ * @param nodes - The daemons.
+ * @returns The statuses of those that answer.
+ */
+export async function readStatuses (fleet: Pick<startFleet.Fleet, 'deployment' | 'sharedKey'>, nodes: readonly startFleet.FleetNode[]): Promise<NodeStatus[]> {
+  const statuses = await Promise.all(nodes.map(async (node) => await callNode<NodeStatus>(fleet, node, 'status', {})))
+  return statuses.filter((status) => status !== null)
+}
+
 /**
  * Reads the members as the first entry node that answers sees them.
  *
--- a/packages/measure/src/_lib/controlFleet.ts
+++ b/packages/measure/src/_lib/controlFleet.ts
@@ -46,8 +46,8 @@
 /** Measures every daemon of a fleet over some seconds. */
 export async function measureIdle (fleet: launcher.Fleet, seconds: number): Promise<IdleCost[]> {
   const read = async (): Promise<Map<string, launcher.NodeStatus>> => {
-    const statuses = await Promise.all(fleet.nodes.map(async (node) => await launcher.callNode<launcher.NodeStatus>(fleet, node, 'status', {})))
-    return new Map(statuses.filter((status) => status !== null).map((status) => [status.self.node, status]))
+    const statuses = await launcher.readStatuses(fleet, fleet.nodes)
+    return new Map(statuses.map((status) => [status.self.node, status]))
   }
   const before = await read()
   await types.delay(seconds * types.MILLISECONDS_IN_SECOND)
--- a/packages/measure/src/runBurst/index.ts
+++ b/packages/measure/src/runBurst/index.ts
@@ -3,6 +3,7 @@
 import * as got from 'got'
 import * as launcher from '@switchridge/launcher'
 import * as types from '@switchridge/types'
+import * as cutHall from '../_lib/cutHall.js'
 import * as editRow from '../_lib/editRow.js'
 import * as logTimes from '../_lib/logTimes.js'
 import type * as output from '../_lib/output.js'
@@ -151,7 +152,7 @@
   await editRow.editRow(store, 'services', 'llm', { kind: 'engine', repeatable: 'all' })
   await launcher.waitUntil(async () => (await launcher.readMembers(fleet)).filter((member) => member.facts.revision === 1).length === fleet.nodes.length, 60_000, 'the first revision')
   await types.delay(SETTLE_MS)
-  const before = await readStatuses(fleet)
+  const before = await launcher.readStatuses(fleet, fleet.backends)
   await editRow.editRow(store, 'models', ROW, {
     service: 'llm', version: '1', source: 'model-1', manifest: published.manifest, bytes: rates.bytes, originCopies: ALLOWED_COPIES, originBytesPerSecond: rates.origin, favour: trial.favour
   })
@@ -160,7 +161,7 @@
   const dead = await bringAboutFaults(fleet, trial, limitSeconds)
   const alive = fleet.backends.filter((node) => !dead.has(node.node))
   await waitForServing(fleet, alive.length, dead, limitSeconds * TIMEOUT_FACTOR)
-  const after = await readStatuses(fleet)
+  const after = await launcher.readStatuses(fleet, fleet.backends)
   const times = alive.flatMap((node) => logTimes.readEventTimes(node.process.logFile, 'serving').slice(0, 1)).map((time) => (time - startedAt) / types.MILLISECONDS_IN_SECOND).sort((left, right) => left - right)
   const origin = await got.got(`${fleet.originUrl}/admin/counts`).json<{ bytes: number }>()
   return describeTrial(trial, rates, { times, limitSeconds, originBytes: origin.bytes, before, after })
@@ -183,19 +184,15 @@
     node.process.kill('SIGKILL')
     dead.add(node.node)
   }
-  if (trial.cutsHall) await cutHall(fleet, HALLS[2] ?? '')
+  if (trial.cutsHall) await cutForAWhile(fleet, HALLS[2] ?? '')
   return dead
 }
 
-/** Cuts one hall off from the other halls for a while; the origin and the platform stay in reach. */
-async function cutHall (fleet: launcher.Fleet, hall: string): Promise<void> {
-  const endpoints = (inside: boolean): string[] => fleet.nodes.filter((node) => (node.hall === hall) === inside).map((node) => `${node.address.host}:${node.address.port}`)
-  const cut = async (isCut: boolean): Promise<void> => {
-    await Promise.all(fleet.nodes.map(async (node) => await launcher.callNode(fleet, node, 'drill.cut', { endpoints: isCut ? endpoints(node.hall !== hall) : [] })))
-  }
-  await cut(true)
+/** The origin and the platform stay in reach of the hall. */
+async function cutForAWhile (fleet: launcher.Fleet, hall: string): Promise<void> {
+  await cutHall.cutHall(fleet, hall)
   await types.delay(CUT_SECONDS * types.MILLISECONDS_IN_SECOND)
-  await cut(false)
+  await cutHall.healHall(fleet)
 }
 
 async function waitForServing (fleet: launcher.Fleet, wanted: number, dead: ReadonlySet<string>, timeoutSeconds: number): Promise<void> {
@@ -206,11 +203,6 @@
   }, timeoutSeconds * types.MILLISECONDS_IN_SECOND, `${wanted} serving replicas`)
 }
 
-async function readStatuses (fleet: launcher.Fleet): Promise<launcher.NodeStatus[]> {
-  const statuses = await Promise.all(fleet.backends.map(async (node) => await launcher.callNode<launcher.NodeStatus>(fleet, node, 'status', {})))
-  return statuses.filter((status) => status !== null)
-}
-
 interface Observed {
   readonly times: readonly number[]
   readonly limitSeconds: number
--- a/packages/measure/src/runCapacity/index.ts
+++ b/packages/measure/src/runCapacity/index.ts
@@ -37,7 +37,6 @@
 }
 
 const TARGET = { halls: 8, entryNodesPerHall: 46, backendsPerHall: 138 }
-const HEARTBEAT_SIDES = 1
 const BYTES_IN_KILOBYTE = 1000
 const MARKER = /(<!-- measured -->\n)[\s\S]*?(<!-- end -->)/
 
@@ -96,7 +95,7 @@
   const hallSize = TARGET.entryNodesPerHall + TARGET.backendsPerHall
   const perSecond = types.MILLISECONDS_IN_SECOND / membership.computeInterval(hallSize)
   const exchanges = new Map<string, number>()
-  const add = (node: string): void => { exchanges.set(node, (exchanges.get(node) ?? 0) + HEARTBEAT_SIDES) }
+  const add = (node: string): void => { exchanges.set(node, (exchanges.get(node) ?? 0) + 1) }
   for (const { facts } of fleet) {
     for (const target of membership.computeReportTargets(facts, fleet)) {
       add(facts.node)
--- a/packages/measure/src/runConfiguration/index.ts
+++ b/packages/measure/src/runConfiguration/index.ts
@@ -4,6 +4,7 @@
 import type * as platform from '@switchridge/platform'
 import * as types from '@switchridge/types'
 import * as controlFleet from '../_lib/controlFleet.js'
+import * as cutHall from '../_lib/cutHall.js'
 import * as editRow from '../_lib/editRow.js'
 import * as logTimes from '../_lib/logTimes.js'
 import type * as output from '../_lib/output.js'
@@ -29,7 +30,7 @@
 const SETTLE_MS = 4000
 const BETWEEN_EDITS_MS = 400
 const TIMEOUT_MS = 60_000
-const SLOW_MS = 10_000
+const SLOW_MS = 1000
 const DOWN_MS = 10_000
 const CUT_MS = 4000
 const FAULT_EDITS = 3
@@ -61,7 +62,7 @@
 function listScenarios (edits: number): Array<[string, Scenario]> {
   return [
     ['platform-up', async (fleet, store) => await editSeveral(fleet, store, edits)],
-    ['platform-slow', async (fleet, store) => await withFault(fleet, { delayMs: SLOW_MS / 10 }, { delayMs: 0 }, async () => await editSeveral(fleet, store, FAULT_EDITS))],
+    ['platform-slow', async (fleet, store) => await withFault(fleet, { delayMs: SLOW_MS }, { delayMs: 0 }, async () => await editSeveral(fleet, store, FAULT_EDITS))],
     ['after-platform-down', editAfterOutage],
     ['after-hall-cut', editDuringCut]
   ]
@@ -118,18 +119,10 @@
 async function editDuringCut (fleet: launcher.Fleet, store: platform.ObjectStore): Promise<number[]> {
   const hall = fleet.nodes.at(-1)?.hall ?? ''
   const platformEndpoint = fleet.platformUrl.replace('http://', '')
-  const endpoints = (inside: boolean): string[] => fleet.nodes.filter((node) => (node.hall === hall) === inside).map((node) => `${node.address.host}:${node.address.port}`)
-  const cut = async (isCut: boolean): Promise<void> => {
-    await Promise.all(fleet.nodes.map(async (node) => {
-      const isInside = node.hall === hall
-      const blocked = [...endpoints(!isInside), ...(isInside ? [platformEndpoint] : [])]
-      await launcher.callNode(fleet, node, 'drill.cut', { endpoints: isCut ? blocked : [] })
-    }))
-  }
-  await cut(true)
+  await cutHall.cutHall(fleet, hall, [platformEndpoint])
   const revision = await edit(store)
   await types.delay(CUT_MS)
   const healedAt = Date.now()
-  await cut(false)
+  await cutHall.healHall(fleet)
   return [await awaitEverywhere(fleet, revision, healedAt)]
 }
--- a/packages/measure/src/runRouting/index.ts
+++ b/packages/measure/src/runRouting/index.ts
@@ -135,11 +135,7 @@
 }
 
 async function readUsage (fleet: launcher.Fleet): Promise<Usage> {
-  const read = async (nodes: readonly launcher.FleetNode[]): Promise<launcher.NodeStatus[]> => {
-    const statuses = await Promise.all(nodes.map(async (node) => await launcher.callNode<launcher.NodeStatus>(fleet, node, 'status', {})))
-    return statuses.filter((status) => status !== null)
-  }
-  const [entries, backends] = [await read(fleet.entryNodes), await read(fleet.backends)]
+  const [entries, backends] = [await launcher.readStatuses(fleet, fleet.entryNodes), await launcher.readStatuses(fleet, fleet.backends)]
   const sum = (statuses: readonly launcher.NodeStatus[], value: (status: launcher.NodeStatus) => number): number => statuses.reduce((total, status) => total + value(status), 0)
   return {
     entryCpu: sum(entries, (status) => status.process.cpuSeconds),
--- a/packages/membership/src/computeReportTargets/index.ts
+++ b/packages/membership/src/computeReportTargets/index.ts
@@ -27,6 +27,17 @@
   return rendezvous.rankByRendezvous(`hub/${hall}`, able, nodeOf).slice(0, count)
 }
 
+/**
+ * Tells whether a daemon is a hub of its data hall.
+ *
+ * @param facts - The daemon.
+ * @param members - The members seen.
+ * @returns True for a hub.
+ */
+export function isHub (facts: types.MemberFacts, members: readonly createMemberView.Member[]): boolean {
+  return computeHubs(facts.dataHall, members).some((hub) => hub.node === facts.node)
+}
+
 /**
  * Computes the targets of a daemon's heartbeats.
  *
