Take idempotency keys whole

Cause: found on reading: an entry node cut keys at 256 characters, so two longer keys with the same beginning were one, and the second caller would have been given the first one's answer.

Change: the key is taken as it comes; the listener bounds headers at 16 KiB and the claim's name is a digest. A test holds the claims to whole keys; the cut itself stood in the entry node, where no test reached it.

--- a/packages/daemon/src/createClaims/test.ts
+++ b/packages/daemon/src/createClaims/test.ts
@@ -25,6 +25,12 @@
     assert.deepEqual(await take(), { kind: 'answered', answer: ANSWER })
   })
 
+  test.it('takes long keys whole', async () => {
+    const { take } = open()
+    assert.equal((await take('k'.repeat(300) + '1')).kind, 'taken')
+    assert.equal((await take('k'.repeat(300) + '2')).kind, 'taken')
+  })
+
   test.it('gives the key again when the call did not run', async () => {
     const { take } = open()
     const first = await take()
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -38,7 +38,6 @@
 const BEARER = 'Bearer '
 const RETRY_AFTER_SECONDS = 1
 const MAXIMUM_ATTEMPTS = 5
-const MAXIMUM_KEY_LENGTH = 256
 /** Refusals that say nothing about the server's health. */
 const HEALTHY_REFUSALS = new Set(['full', 'leaving', 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
 
@@ -140,7 +139,7 @@
     const headers = { ...callHeaders.copyHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
     const path = (match[3] ?? '/') + context.search
     const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: isRepeatable(service, context.method), deadlineAt }
-    const key = call.isRepeatable ? '' : context.get(callHeaders.KEY_HEADER).slice(0, MAXIMUM_KEY_LENGTH)
+    const key = call.isRepeatable ? '' : context.get(callHeaders.KEY_HEADER)
     return { call, service, affinity: context.get('x-prompt-prefix'), key }
   }
 
