--- a/packages/command-line/src/_lib/connect.ts
+++ b/packages/command-line/src/_lib/connect.ts
@@ -3,7 +3,7 @@
 import type * as yargs from 'yargs'
 import * as types from '@switchridge/types'
 import type * as membership from '@switchridge/membership'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as rpc from '@switchridge/rpc'
 import type * as transfer from '@switchridge/transfer'
 
--- a/packages/command-line/src/auditCommand/index.ts
+++ b/packages/command-line/src/auditCommand/index.ts
@@ -1,7 +1,7 @@
 /** `switchridge audit`: who changed what, when. */
 import type * as yargs from 'yargs'
 import * as types from '@switchridge/types'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 import * as tables from '@switchridge/table'
 import * as connections from '../_lib/connect.js'
 import * as report from '../_lib/report.js'
--- /dev/null
+++ b/packages/daemon/src/_lib/runFleet.ts
@@ -0,0 +1,63 @@
+/** Runs a gateway or an agent as a process: signals, changed settings, and the end. */
+import * as fs from 'node:fs'
+import * as settings from '@switchridge/settings'
+import * as types from '@switchridge/types'
+import * as startAgentRole from '../startAgentRole/index.js'
+import * as startGatewayRole from '../startGatewayRole/index.js'
+import type * as fleetRole from './fleetRole.js'
+
+/** Milliseconds between two looks at the settings file, which may change without a signal. */
+const SETTINGS_POLL_MS = 4000
+const EXIT_FORCED = 4
+
+/**
+ * Runs the role until the process is told to end.
+ *
+ * @param checked - The settings.
+ * @param file - Where they were read.
+ */
+export async function runFleet (checked: settings.FleetSettings, file: string): Promise<void> {
+  const role = checked.role === 'gateway'
+    ? await startGatewayRole.startGatewayRole(checked)
+    : await startAgentRole.startAgentRole(checked)
+  let lastText = fs.readFileSync(file, 'utf8')
+  let isStopping = false
+
+  function reload (): void {
+    const text = readText(file)
+    if (text === null || text === lastText) return
+    lastText = text
+    const parsed = settings.parseFleetSettings(text, file)
+    if (parsed.ok) role.reload(parsed.value)
+    else process.stderr.write(`level=error event=settings-rejected error=${JSON.stringify(parsed.error.message)}\n`)
+  }
+
+  async function stop (): Promise<void> {
+    if (isStopping) process.exit(EXIT_FORCED)
+    isStopping = true
+    await drainSafely(role)
+    role.stop()
+    process.exit(0)
+  }
+
+  process.on('SIGHUP', reload)
+  process.on('SIGTERM', () => { void stop() })
+  process.on('SIGINT', () => { void stop() })
+  setInterval(reload, SETTINGS_POLL_MS).unref()
+}
+
+function readText (file: string): string | null {
+  try {
+    return fs.readFileSync(file, 'utf8')
+  } catch {
+    return null
+  }
+}
+
+async function drainSafely (role: fleetRole.FleetRole): Promise<void> {
+  try {
+    await role.drain()
+  } catch (thrown) {
+    process.stderr.write(`level=error event=drain-failed error=${JSON.stringify(types.describeError(thrown))}\n`)
+  }
+}
--- a/packages/daemon/src/createClaims/index.ts
+++ b/packages/daemon/src/createClaims/index.ts
@@ -2,7 +2,7 @@
 import * as crypto from 'node:crypto'
 import * as zod from 'zod'
 import * as types from '@switchridge/types'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 
 const CLAIM_KIND = 'claims'
 const MAXIMUM_KEPT_ANSWER_BYTES = 16 * types.BYTES_IN_KIBIBYTE
--- a/packages/daemon/src/createClaims/test.ts
+++ b/packages/daemon/src/createClaims/test.ts
@@ -1,6 +1,6 @@
 import * as test from 'node:test'
 import * as assert from 'node:assert/strict'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as createClaims from './index.js'
 
--- a/packages/daemon/src/createEngineOrders/index.ts
+++ b/packages/daemon/src/createEngineOrders/index.ts
@@ -2,7 +2,7 @@
 import * as got from 'got'
 import * as zod from 'zod'
 import * as types from '@switchridge/types'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 import type * as rpc from '@switchridge/rpc'
 
 /** The engine refused an order or could not be given it. */
--- /dev/null
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -0,0 +1,178 @@
+/** The parts that gateways and agents have: mirrors of the store, the exchange with other daemons, logs. */
+import Koa from 'koa'
+import * as zod from 'zod'
+import * as gateway from '@switchridge/gateway'
+import * as observability from '@switchridge/observability'
+import * as platform from '@switchridge/platform'
+import * as rpc from '@switchridge/rpc'
+import type * as settings from '@switchridge/settings'
+import * as spread from '@switchridge/spread'
+import * as store from '@switchridge/store'
+import * as types from '@switchridge/types'
+import * as followVersions from '../followVersions/index.js'
+
+/** Parts of both roles. */
+export interface FleetParts {
+  readonly settings: settings.FleetSettings
+  readonly logger: observability.Logger
+  readonly metrics: observability.TextMetrics
+  readonly agents: rpc.HttpAgents
+  readonly client: rpc.RpcClient
+  readonly identity: rpc.Identity
+  /** The configuration in force, or null before the first one. */
+  readonly routes: () => gateway.RouteTable | null
+  readonly onRoutes: (listener: (table: gateway.RouteTable) => void) => void
+  readonly backEnds: () => readonly gateway.BackEnd[]
+  readonly areBackEndsKnown: () => boolean
+  readonly onBackEnds: (listener: () => void) => void
+  readonly versions: followVersions.VersionFollower
+  readonly areVersionsKnown: () => boolean
+  readonly onVersions: (listener: () => void) => void
+  readonly mirrors: readonly store.Mirror[]
+  readonly now: () => number
+}
+
+/** Milliseconds before a version's bound from which nothing is sent to older ones. */
+const VERSION_MARGIN_MS = 1000
+/** A process is not bound by what happened before it for so long after its start. */
+const START_MS = 2800
+const SNAPSHOT_MS = 1000
+
+const snapshotSchema = zod.z.object({
+  kind: zod.z.string(),
+  changedAt: zod.z.number(),
+  objects: zod.z.array(zod.z.object({ name: zod.z.string(), revision: zod.z.number(), value: zod.z.unknown() }))
+})
+const kindSchema = zod.z.object({ kind: zod.z.string() })
+
+/**
+ * Creates the parts; nothing is opened or sent yet.
+ *
+ * @param checked - The settings.
+ * @returns The parts.
+ */
+export function createFleetParts (checked: settings.FleetSettings): FleetParts {
+  const logger = observability.createLogger('daemon', { node: checked.node, zone: checked.zone }, { level: checked.logs.level, write: writeLine })
+  const agents = rpc.createHttpAgents()
+  const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
+  const now = (): number => performance.now()
+  const configurations = store.createMirror(platform.KINDS.configuration)
+  const servers = store.createMirror(platform.KINDS.backEnds)
+  const named = store.createMirror(platform.KINDS.versions)
+  const versions = followVersions.createVersionFollower({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startMs: START_MS, now })
+  const routeListeners: Array<(table: gateway.RouteTable) => void> = []
+  let routes: gateway.RouteTable | null = null
+  let adoptedRevision = 0
+  let backEnds: readonly gateway.BackEnd[] = []
+
+  function adoptConfiguration (): void {
+    const object = configurations.objects().get(platform.CONFIGURATION_NAME)
+    if (object === undefined || object.revision <= adoptedRevision) return
+    const parsed = platform.parseConfiguration(object.value)
+    if (!parsed.ok) {
+      logger.error('configuration-unreadable', { revision: object.revision, error: parsed.error.message })
+      return
+    }
+    adoptedRevision = object.revision
+    routes = gateway.createRouteTable(parsed.value)
+    logger.info('configuration', { revision: object.revision, version: parsed.value.version, routes: parsed.value.routes.length })
+    adoptBackEnds()
+    for (const listener of routeListeners) listener(routes)
+  }
+
+  function adoptBackEnds (): void {
+    const layersOf = (service: string): number => routes?.findService(types.brandId<types.ServiceName>(service))?.engine?.layers ?? 1
+    backEnds = [...servers.objects().values()].flatMap((object) => platform.parseBackEnd(object, layersOf) ?? [])
+  }
+
+  function adoptVersions (): void {
+    for (const object of named.objects().values()) {
+      const version = platform.parseNamedVersion(object)
+      if (version !== null) versions.note(version, 0)
+    }
+  }
+
+  configurations.onChange(adoptConfiguration)
+  servers.onChange(adoptBackEnds)
+  named.onChange(adoptVersions)
+  return {
+    settings: checked,
+    logger,
+    metrics: observability.createTextMetrics({ node: checked.node, zone: checked.zone, role: checked.role }),
+    agents,
+    identity,
+    client: rpc.createRpcClient(identity, agents),
+    routes: () => routes,
+    onRoutes: (listener) => { routeListeners.push(listener) },
+    backEnds: () => backEnds,
+    areBackEndsKnown: servers.isKnown,
+    onBackEnds: (listener) => { servers.onChange(listener) },
+    versions,
+    areVersionsKnown: named.isKnown,
+    onVersions: (listener) => { named.onChange(listener) },
+    mirrors: [configurations, servers, named],
+    now
+  }
+}
+
+function writeLine (line: string): void {
+  process.stdout.write(line + '\n')
+}
+
+/** Describes this daemon on its heartbeats. */
+export function describeSelf (parts: FleetParts, isLeaving: boolean, engine: unknown): spread.Heartbeat {
+  return {
+    node: types.brandId<types.NodeId>(parts.settings.node),
+    role: parts.settings.role,
+    zone: parts.settings.zone,
+    host: parts.settings.host,
+    isLeaving,
+    revisions: Object.fromEntries(parts.mirrors.map((mirror) => [mirror.kind, mirror.changedAt()])),
+    versions: parts.versions.news(),
+    engine
+  }
+}
+
+/** Reads the hosts of the seeds. */
+export function readSeedHosts (checked: settings.FleetSettings): string[] {
+  return checked.seeds.map((seed) => platform.parseAddress(seed).host)
+}
+
+/** Creates the sync that takes from peers what the store does not tell. */
+export function createSync (parts: FleetParts, isWatched: (kind: string) => boolean): spread.SnapshotSync {
+  return spread.createSnapshotSync({
+    mirrors: parts.mirrors,
+    isWatched,
+    fetchSnapshot: async (host, kind) => {
+      const called = await parts.client.call(internalAddress(parts, host), 'mirror', { kind }, SNAPSHOT_MS)
+      if (!called.ok) return types.fail(new types.UnavailableError(called.error.message))
+      const parsed = snapshotSchema.safeParse(called.value)
+      return parsed.success ? types.succeed(parsed.data) : types.fail(new types.UnavailableError(`${host}: unreadable copy of ${kind}`))
+    },
+    onAdopted: (kind, host, changedAt) => { parts.logger.info('adopted-from-peer', { kind, host, revision: changedAt }) }
+  })
+}
+
+/** Where daemons reach the daemon on a host. */
+export function internalAddress (parts: FleetParts, host: string): types.Address {
+  return { host, port: parts.settings.internal_port }
+}
+
+/** Notes what a peer's heartbeat tells of versions. */
+export function noteVersions (parts: FleetParts, heartbeat: spread.Heartbeat): void {
+  for (const { model, version, ageMs } of heartbeat.versions) parts.versions.note({ model, version }, ageMs)
+}
+
+/** Opens the server that other daemons ask. */
+export async function listenInternal (parts: FleetParts, middleware: readonly Koa.Middleware[]): Promise<rpc.HttpListener> {
+  const app = new Koa()
+  app.on('error', () => {})
+  for (const each of middleware) app.use(each)
+  app.use(rpc.createRpcServer(parts.identity, {
+    mirror: (params) => {
+      const { kind } = kindSchema.parse(params)
+      return parts.mirrors.find((mirror) => mirror.kind === kind)?.snapshot() ?? null
+    }
+  }))
+  return await rpc.listenHttp(app.callback(), { host: parts.settings.host, port: parts.settings.internal_port })
+}
--- a/packages/daemon/src/createTableWatch/index.ts
+++ b/packages/daemon/src/createTableWatch/index.ts
@@ -2,7 +2,7 @@
 import * as types from '@switchridge/types'
 import * as membership from '@switchridge/membership'
 import type * as observability from '@switchridge/observability'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 import * as tables from '@switchridge/table'
 import type * as createTableKeeper from '../createTableKeeper/index.js'
 
--- /dev/null
+++ b/packages/daemon/src/followVersions/index.ts
@@ -0,0 +1,85 @@
+/** The versions that operators named for each model, and until when older ones may serve. */
+import type * as staging from '@switchridge/staging'
+
+/** A named version as peers tell each other, with the time since it was heard of. */
+export interface VersionNews {
+  readonly model: string
+  readonly version: number
+  readonly ageMs: number
+}
+
+/** The record of named versions. */
+export interface VersionFollower {
+  /** Notes a version that the store or a peer names now; `ageMs` is the time since somebody heard of it. */
+  readonly note: (id: staging.VersionId, ageMs: number) => void
+  /** All versions of a model, the oldest first. */
+  readonly named: (model: string) => readonly staging.NamedVersion[]
+  /** The newest version that all answers must come from by now, 0 for none. */
+  readonly floor: (model: string) => number
+  /** The newest few versions, for peers. */
+  readonly news: () => readonly VersionNews[]
+}
+
+/** Options of {@link createVersionFollower}. */
+export interface VersionFollowerOptions {
+  /** Milliseconds from the naming until nothing may begin on an older version. */
+  readonly boundMs: number
+  /** Milliseconds before the bound from which nothing is sent to older versions, since it may wait at the engine. */
+  readonly marginMs: number
+  /** Milliseconds that a process has for versions that were named before it began. */
+  readonly startMs: number
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+}
+
+/** A model that was never named runs this version. */
+const FIRST_VERSION = 1
+const NEWS_KEPT = 4
+const START_WINDOW_MS = 1000
+
+/**
+ * Creates an empty record.
+ *
+ * @param options - Bounds and clock.
+ * @returns The record.
+ */
+export function createVersionFollower (options: VersionFollowerOptions): VersionFollower {
+  const models = new Map<string, Map<number, staging.NamedVersion>>()
+  const startedAt = options.now()
+
+  /** A process that has just begun can't know how long ago a version was named. */
+  function allowedMs (): number {
+    return options.now() - startedAt < START_WINDOW_MS ? Math.min(options.startMs, options.boundMs) : options.boundMs
+  }
+
+  function note (id: staging.VersionId, ageMs: number): void {
+    const versions = models.get(id.model) ?? new Map<number, staging.NamedVersion>()
+    models.set(id.model, versions)
+    const heardAt = options.now() - ageMs
+    const known = versions.get(id.version)
+    if (known !== undefined && known.heardAt <= heardAt) return
+    const boundAt = Math.min(known?.boundAt ?? Infinity, ageMs > 0 ? heardAt + options.boundMs : heardAt + allowedMs())
+    versions.set(id.version, { id, heardAt, boundAt })
+  }
+
+  function named (model: string): staging.NamedVersion[] {
+    const versions = [...(models.get(model)?.values() ?? [])]
+    if (versions.length === 0) return [{ id: { model, version: FIRST_VERSION }, heardAt: startedAt, boundAt: Infinity }]
+    return versions.sort((left, right) => left.id.version - right.id.version)
+  }
+
+  return {
+    note,
+    named,
+    floor: (model) => {
+      const now = options.now()
+      let floor = 0
+      for (const version of models.get(model)?.values() ?? []) {
+        if (now >= version.boundAt - options.marginMs) floor = Math.max(floor, version.id.version)
+      }
+      return floor
+    },
+    news: () => [...models.keys()].flatMap((model) => named(model).slice(-NEWS_KEPT)
+      .map(({ id, heardAt }) => ({ model: id.model, version: id.version, ageMs: Math.round(options.now() - heardAt) })))
+  }
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,7 +4,7 @@
 import yargs from 'yargs'
 import * as types from '@switchridge/types'
 import * as settings from '@switchridge/settings'
-import * as startDaemon from './startDaemon/index.js'
+import type * as startDaemon from './startDaemon/index.js'
 
 /** Exit codes, as docs/OPERATING.md lists them. */
 const EXIT_FAILED = 1
@@ -14,8 +14,8 @@
 
 const options = await yargs(process.argv.slice(2))
   .scriptName('switchridged')
-  .usage('$0 --settings FILE\n\nRuns an entry node or the daemon beside a backend server.')
-  .option('settings', { type: 'string', demandOption: true, describe: 'settings file in TOML' })
+  .usage('$0 --settings FILE\n\nRuns an entry node or the daemon beside a backend server; on the users\' platform, a gateway or an agent.')
+  .option('settings', { type: 'string', demandOption: true, default: process.env['SWITCHRIDGE_NODE_FILE'], describe: 'settings file in TOML' })
   .example('$0 --settings examples/entry.toml', 'run an entry node')
   .version('0.1.0')
   .fail((message, error) => {
@@ -25,33 +25,51 @@
   .strict()
   .parseAsync()
 
-function readSettings (file: string): settings.Settings {
+function readFile (file: string): string {
   try {
-    const parsed = settings.parseSettings(fs.readFileSync(file, 'utf8'), file)
-    if (parsed.ok) return parsed.value
-    for (const problem of parsed.error.problems) process.stderr.write(`${file}: ${types.formatProblem(problem)}\n`)
+    return fs.readFileSync(file, 'utf8')
   } catch (thrown) {
     process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
+    process.exit(EXIT_SETTINGS)
   }
+}
+
+/** Ends the process when the settings are wrong, and says where. */
+function unwrap<Value> (parsed: types.Outcome<Value, types.InvalidInputError>, file: string): Value {
+  if (parsed.ok) return parsed.value
+  for (const problem of parsed.error.problems) process.stderr.write(`${file}: ${types.formatProblem(problem)}\n`)
   process.exit(EXIT_SETTINGS)
 }
 
-const checked = readSettings(options.settings)
 let isStopping = false
 
-async function stop (role: startDaemon.RunningRole): Promise<void> {
+async function stop (role: startDaemon.RunningRole, drainSeconds: number): Promise<void> {
   if (isStopping) process.exit(EXIT_FORCED)
   isStopping = true
-  const limit = types.delay(checked.limits.drain_seconds * types.MILLISECONDS_IN_SECOND)
+  const limit = types.delay(drainSeconds * types.MILLISECONDS_IN_SECOND)
   await Promise.race([role.drain(), limit])
   role.stop()
   process.exit(0)
 }
 
+/** Each role is loaded only where it runs, so that a start reads little. */
+async function run (file: string): Promise<void> {
+  const text = readFile(file)
+  if (settings.isFleetSettings(text)) {
+    const checked = unwrap(settings.parseFleetSettings(text, file), file)
+    const { runFleet } = await import('./_lib/runFleet.js')
+    await runFleet(checked, file)
+    return
+  }
+  const checked = unwrap(settings.parseSettings(text, file), file)
+  const { startDaemon } = await import('./startDaemon/index.js')
+  const role = await startDaemon(checked)
+  process.on('SIGTERM', () => { void stop(role, checked.limits.drain_seconds) })
+  process.on('SIGINT', () => { void stop(role, checked.limits.drain_seconds) })
+}
+
 try {
-  const role = await startDaemon.startDaemon(checked)
-  process.on('SIGTERM', () => { void stop(role) })
-  process.on('SIGINT', () => { void stop(role) })
+  await run(options.settings)
 } catch (thrown) {
   process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
   process.exit(EXIT_FAILED)
--- /dev/null
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -0,0 +1,176 @@
+/** An agent: brings the engine beside it to the versions that are named, and tells gateways how loaded it is. */
+import type Koa from 'koa'
+import type * as gateway from '@switchridge/gateway'
+import * as platform from '@switchridge/platform'
+import * as rpc from '@switchridge/rpc'
+import type * as settings from '@switchridge/settings'
+import * as spread from '@switchridge/spread'
+import * as staging from '@switchridge/staging'
+import * as transfer from '@switchridge/transfer'
+import * as types from '@switchridge/types'
+import * as createFleetParts from '../createFleetParts/index.js'
+import * as engineNews from '../_lib/engineNews.js'
+import type * as fleetRole from '../_lib/fleetRole.js'
+
+/** Heartbeats to peers of each role, in milliseconds. */
+const INTERVALS = { gateway: 250, agent: 1000 } as const
+const REPORT_INTERVAL_MS = 125
+/** Part of the link that pieces may take, so that streams of the same link stay in time. */
+const PIECE_LINK_PART = 0.8
+const BITS_IN_BYTE = 8
+const BITS_IN_MEGABIT = 1_000_000
+const PIECE_WAIT_MS = 1500
+const PIECE_TIMEOUT_MS = 3000
+const PIECES_PATH = '/pieces/'
+const MANIFESTS_PATH = '/manifests/'
+
+/**
+ * Starts the agent role.
+ *
+ * @param checked - The settings.
+ * @returns The running role.
+ */
+export async function startAgentRole (checked: settings.FleetSettings): Promise<fleetRole.FleetRole> {
+  const parts = createFleetParts.createFleetParts(checked)
+  const { logger, metrics, now } = parts
+  const self: staging.StagingPeer = { node: types.brandId(checked.node), zone: checked.zone, address: createFleetParts.internalAddress(parts, checked.host) }
+  const engineAddress = checked.engine.address as string
+  const engine = platform.createEngineControl(platform.parseAddress(engineAddress), parts.agents)
+  const linkBytes = checked.limits.link_megabits_per_second * BITS_IN_MEGABIT / BITS_IN_BYTE * PIECE_LINK_PART
+  const uplink = transfer.createLinkPacer(linkBytes, now)
+  let report: gateway.EngineReport | null = null
+  let isPaused = false
+  let isLeaving = false
+  let stager: staging.Stager | null = null
+
+  const sync = createFleetParts.createSync(parts, () => false)
+  const listener = await createFleetParts.listenInternal(parts, [sendPieces])
+  const gossip = await spread.createGossip({
+    host: checked.host,
+    port: checked.internal_port,
+    seeds: createFleetParts.readSeedHosts(checked),
+    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused })),
+    intervalTo: (role) => INTERVALS[role],
+    onHeartbeat: (heartbeat) => {
+      sync.noteRevisions(heartbeat.host, heartbeat.revisions)
+      createFleetParts.noteVersions(parts, heartbeat)
+      stager?.wake()
+    },
+    now,
+    random: Math.random
+  })
+
+  function findFigures (): gateway.EngineFigures | null {
+    const name = checked.engine.service
+    return name === undefined ? null : parts.routes()?.findService(types.brandId<types.ServiceName>(name))?.engine ?? null
+  }
+
+  function findOrigin (): types.Address | null {
+    return parts.routes()?.configuration.services.find((service) => service.origin !== null)?.origin?.address ?? null
+  }
+
+  async function readReport (): Promise<gateway.EngineReport | null> {
+    const next = await engine.readReport(findFigures()?.layers ?? 1)
+    const hadReport = report !== null
+    report = next
+    if (hadReport !== (next !== null)) logger.warn(next === null ? 'engine-lost' : 'engine-regained', { address: engineAddress })
+    return next
+  }
+
+  function startStager (figures: gateway.EngineFigures, model: string): staging.Stager {
+    const wholeBytes = figures.chunks * figures.chunkBytes
+    return staging.createStager({
+      self,
+      model,
+      named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
+      readEngine: async () => {
+        const fresh = await readReport()
+        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, isBusy: fresh.isBusy, sequence: fresh.sequence }
+      },
+      engine,
+      origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
+      agents: listAgents,
+      fetchFromPeer: async (peer, id, piece) => await fetchBytes(peer, `${PIECES_PATH}${encodeURIComponent(id.model)}/${id.version}/${piece}`),
+      fetchManifest: async (peer, id) => {
+        const fetched = await fetchBytes(peer, `${MANIFESTS_PATH}${encodeURIComponent(id.model)}/${id.version}`)
+        if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
+        return types.succeed(fetched.value.toString().split(',').map((digest) => types.brandId<types.Digest>(digest)))
+      },
+      onPause: (next) => {
+        isPaused = next
+        gossip.sendNow('gateway')
+      },
+      onEvent: (event, fields) => { logger.info(event, fields) },
+      wholeMs: wholeBytes * types.MILLISECONDS_IN_SECOND / linkBytes,
+      now,
+      random: Math.random
+    })
+  }
+
+  function listAgents (): staging.StagingPeer[] {
+    const live = gossip.peers()
+      .filter((peer) => peer.heartbeat.role === 'agent' && !peer.heartbeat.isLeaving && gossip.isLive(peer))
+      .map(({ heartbeat }) => ({ node: heartbeat.node, zone: heartbeat.zone, address: createFleetParts.internalAddress(parts, heartbeat.host) }))
+    return [self, ...live]
+  }
+
+  async function fetchBytes (peer: staging.StagingPeer, path: string): Promise<types.Outcome<Buffer | null, types.UnavailableError>> {
+    const sent = await rpc.sendRequest(parts.agents, {
+      base: `http://${peer.address.host}:${peer.address.port}`,
+      path,
+      method: 'GET',
+      headers: rpc.createIdentityHeaders(parts.identity),
+      timeoutMs: PIECE_TIMEOUT_MS
+    })
+    if (!sent.ok) return sent
+    return types.succeed(sent.value.status === 200 ? sent.value.body : null)
+  }
+
+  async function sendPieces (context: Koa.Context, next: Koa.Next): Promise<void> {
+    const bytes = await findBytes(context.path)
+    if (bytes === undefined) {
+      await next()
+      return
+    }
+    if (bytes === null) {
+      context.status = 404
+      return
+    }
+    await uplink.take(bytes.length)
+    context.body = bytes
+  }
+
+  /** Undefined for a path that is not of weights, null for weights that are not here. */
+  async function findBytes (path: string): Promise<Buffer | null | undefined> {
+    const [, kind, model, version, piece] = path.split('/')
+    const id = { model: decodeURIComponent(model ?? ''), version: Number(version) }
+    if (`/${kind ?? ''}/` === PIECES_PATH) return await stager?.providePiece(id, Number(piece), PIECE_WAIT_MS) ?? null
+    if (`/${kind ?? ''}/` !== MANIFESTS_PATH) return undefined
+    const digests = await stager?.provideManifest(id, staging.MANIFEST_WAIT_MS) ?? null
+    return digests === null ? null : Buffer.from(digests.join())
+  }
+
+  parts.onRoutes(() => {
+    const figures = findFigures()
+    const model = figures?.models[0]
+    if (stager === null && figures !== null && model !== undefined && figures.chunks > 0) stager = startStager(figures, model)
+  })
+  parts.onVersions(() => { stager?.wake() })
+  const reportTimer = setInterval(() => { if (stager === null) void readReport() }, REPORT_INTERVAL_MS)
+
+  logger.info('started', { role: 'agent', engine: engineAddress, internalPort: checked.internal_port })
+  return {
+    drain: async () => {
+      isLeaving = true
+      gossip.sendNow()
+    },
+    reload: (next) => { gossip.addHosts(createFleetParts.readSeedHosts(next)) },
+    stop: () => {
+      clearInterval(reportTimer)
+      stager?.stop()
+      gossip.stop()
+      listener.abort()
+      parts.agents.destroy()
+    }
+  }
+}
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -2,7 +2,7 @@
 import Koa from 'koa'
 import type * as settingsTypes from '@switchridge/settings'
 import * as types from '@switchridge/types'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import * as transfer from '@switchridge/transfer'
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -2,7 +2,7 @@
 import Koa from 'koa'
 import * as types from '@switchridge/types'
 import * as membership from '@switchridge/membership'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import * as createClaims from '../createClaims/index.js'
--- /dev/null
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -0,0 +1,156 @@
+/** A gateway: takes callers' requests, follows the store and serves them at back ends. */
+import * as gateway from '@switchridge/gateway'
+import * as platform from '@switchridge/platform'
+import type * as settings from '@switchridge/settings'
+import * as spread from '@switchridge/spread'
+import * as store from '@switchridge/store'
+import * as types from '@switchridge/types'
+import * as createFleetParts from '../createFleetParts/index.js'
+import * as createReadiness from '../createReadiness/index.js'
+import * as engineNews from '../_lib/engineNews.js'
+import type * as fleetRole from '../_lib/fleetRole.js'
+
+/** Heartbeats to peers of each role, in milliseconds. */
+const INTERVALS = { gateway: 700, agent: 700 } as const
+/** The balancer notices within this time that a gateway is not ready. */
+const BALANCER_NOTICE_MS = 2600
+/** A gateway that ends leaves this much of its grace unused. */
+const GRACE_RESERVE_MS = 900
+const DRAIN_POLL_MS = 100
+
+/**
+ * Starts the gateway role.
+ *
+ * @param checked - The settings.
+ * @returns The running role.
+ */
+export async function startGatewayRole (checked: settings.FleetSettings): Promise<fleetRole.FleetRole> {
+  const parts = createFleetParts.createFleetParts(checked)
+  const { logger, metrics, now } = parts
+  const book = gateway.createBackEndBook(now)
+  const budgets = new Map<types.ServiceName, gateway.RetryBudget>()
+  let isLeaving = false
+
+  const client = platform.createStoreClient({
+    address: platform.parseAddress(checked.store.address),
+    agents: parts.agents,
+    timeoutMs: checked.store.timeout_ms,
+    onCall: (operation) => { metrics.count('store_calls', { operation }) }
+  })
+  const kept = new Map<string, store.KeptMirror>()
+  const sync = createFleetParts.createSync(parts, (kind) => kept.get(kind)?.isReachable() ?? false)
+  const listener = await createFleetParts.listenInternal(parts, [])
+  const gossip = await spread.createGossip({
+    host: checked.host,
+    port: checked.internal_port,
+    seeds: createFleetParts.readSeedHosts(checked),
+    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, null),
+    intervalTo: (role) => INTERVALS[role],
+    onHeartbeat: noteHeartbeat,
+    now,
+    random: Math.random
+  })
+  for (const mirror of parts.mirrors) {
+    kept.set(mirror.kind, store.keepMirror({
+      mirror,
+      store: client,
+      waitMs: checked.store.watch_ms,
+      random: Math.random,
+      onReachable: (isReachable, reason) => { logger.warn(isReachable ? 'store-regained' : 'store-lost', { kind: mirror.kind, reason }) }
+    }))
+    mirror.onChange(() => { gossip.sendNow() })
+  }
+
+  function noteHeartbeat (heartbeat: spread.Heartbeat): void {
+    sync.noteRevisions(heartbeat.host, heartbeat.revisions)
+    createFleetParts.noteVersions(parts, heartbeat)
+    const news = engineNews.parseEngineNews(heartbeat.engine)
+    if (news === null) return
+    const backEnd = parts.backEnds().findLast((each) => `${each.address.host}:${each.address.port}` === news.address)
+    if (backEnd !== undefined) book.noteReport(backEnd.id, news.report, news.isPaused, now())
+  }
+
+  function countGateways (): number {
+    return 1 + gossip.peers().filter((peer) => peer.heartbeat.role === 'gateway').length
+  }
+
+  function budgetOf (service: types.ServiceName): gateway.RetryBudget {
+    const known = budgets.get(service)
+    if (known !== undefined) return known
+    const { retry_ratio: ratio, retry_slack: slack, retry_window_seconds: seconds } = checked.bounds
+    const budget = gateway.createRetryBudget({ ratio, slack, windowMs: seconds * types.MILLISECONDS_IN_SECOND }, countGateways, now)
+    budgets.set(service, budget)
+    return budget
+  }
+
+  function choose (choice: gateway.CallChoice): gateway.Choice | null {
+    const figures = parts.routes()?.findService(choice.service)?.engine ?? null
+    const floor = choice.model === null ? 0 : parts.versions.floor(choice.model)
+    return gateway.chooseBackEnd({
+      backEnds: parts.backEnds().filter((backEnd) => backEnd.service === choice.service),
+      book,
+      figures,
+      zone: checked.zone,
+      model: choice.model,
+      promptTokens: choice.promptTokens,
+      minimumVersion: floor,
+      pinnedVersion: choice.version,
+      checksVersion: floor > 0,
+      tried: choice.tried,
+      now: now(),
+      random: Math.random
+    })
+  }
+
+  const calls = gateway.createCallHandler({
+    protocol: platform.createCallProtocol(),
+    routes: parts.routes,
+    book,
+    choose,
+    budgetOf,
+    logger,
+    count: metrics.count,
+    observe: metrics.observe,
+    now,
+    random: Math.random
+  })
+  const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
+  parts.onRoutes((table) => { server.setLimits(table.configuration.limits) })
+  parts.onBackEnds(() => { book.keepOnly(new Set(parts.backEnds().map((backEnd) => backEnd.id))) })
+  const readiness = checked.listen.readiness === undefined
+    ? null
+    : await createReadiness.createReadiness(platform.parseAddress(checked.listen.readiness), platform.READINESS_PATH, isReady)
+
+  function isReady (): boolean {
+    return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown()
+  }
+
+  async function drain (): Promise<void> {
+    isLeaving = true
+    calls.leave()
+    gossip.sendNow()
+    const startedAt = now()
+    const endsBy = startedAt + checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS
+    while (now() < endsBy) {
+      await types.delay(DRAIN_POLL_MS)
+      const isNoticed = now() - startedAt >= BALANCER_NOTICE_MS
+      if (isNoticed) server.closeIdle()
+      if (isNoticed && calls.inProgress() === 0) return
+    }
+    logger.warn('drain-ended-early', { inProgress: calls.inProgress() })
+  }
+
+  logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
+  return {
+    drain,
+    reload: (next) => { gossip.addHosts(createFleetParts.readSeedHosts(next)) },
+    stop: () => {
+      for (const mirror of kept.values()) mirror.stop()
+      gossip.stop()
+      server.close()
+      readiness?.close()
+      listener.abort()
+      parts.agents.destroy()
+    }
+  }
+}
--- a/packages/fuzz/src/_lib/faultyStore.ts
+++ b/packages/fuzz/src/_lib/faultyStore.ts
@@ -1,5 +1,5 @@
 /** The platform with faults that a list of numbers decides: outages, lost answers, answers out of time. */
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as types from '@switchridge/types'
 
 /** What happens to one call. */
--- a/packages/fuzz/src/fuzzEdits/index.ts
+++ b/packages/fuzz/src/fuzzEdits/index.ts
@@ -1,6 +1,6 @@
 /** Editors who race on a faulty platform, some of whom die: accepted edits exist exactly once and the audit is whole. */
 import * as fc from 'fast-check'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as tables from '@switchridge/table'
 import * as types from '@switchridge/types'
 import * as faultyStore from '../_lib/faultyStore.js'
--- a/packages/fuzz/src/fuzzLease/index.ts
+++ b/packages/fuzz/src/fuzzLease/index.ts
@@ -1,6 +1,6 @@
 /** Holders of a lease that are paused at any moment, before an engine that checks no fence: orders never overlap. */
 import * as fc from 'fast-check'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import type * as runFuzz from '../_lib/runFuzz.js'
 
 /** Options of a lease that mutants change. */
--- /dev/null
+++ b/packages/gateway/src/_lib/callState.ts
@@ -0,0 +1,66 @@
+/** The state of one call while it is being served. */
+import type * as types from '@switchridge/types'
+import type * as gateway from '../types/index.js'
+import type * as deadlines from './deadline.js'
+
+/** Milliseconds after which a caller may come back to a gateway that knows no configuration yet. */
+export const UNREADY_RETRY_MS = 300
+
+/** What is known of a call before its first attempt. */
+export interface CallFacts {
+  readonly head: gateway.CallHead
+  readonly route: gateway.Route
+  readonly tenant: types.AccountId | null
+  readonly service: types.ServiceName
+  readonly body: Buffer | null
+  readonly deadline: deadlines.Deadline
+  readonly receivedAt: number
+}
+
+/** A call. */
+export interface CallState extends CallFacts {
+  /** Back ends that the call was sent to. */
+  readonly tried: Set<types.NodeId>
+  /** Attempts that reached a back end. */
+  attempts: number
+  /** Whether a back end may have begun to run the call. */
+  mayHaveRun: boolean
+  readonly hasLeft: () => boolean
+  /** Notes that the caller is gone; ends the attempt under way. */
+  readonly leave: () => void
+  /** Ends the attempt under way. */
+  readonly endAttempt: () => void
+  /** Registers what ends the attempt under way; replaces the one before. */
+  readonly onEnd: (end: () => void) => void
+  /** Whether the call may run more than once. */
+  readonly isRepeatable: boolean
+}
+
+/**
+ * Creates the state of a call.
+ *
+ * @param facts - What is known of it.
+ * @returns The state before the first attempt.
+ */
+export function createCallState (facts: CallFacts): CallState {
+  let hasLeft = false
+  let endAttempt: () => void = () => {}
+  const { kind, isResumable } = facts.route
+  return {
+    ...facts,
+    tried: new Set(),
+    attempts: 0,
+    mayHaveRun: false,
+    isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
+    hasLeft: () => hasLeft,
+    leave: () => {
+      hasLeft = true
+      endAttempt()
+    },
+    endAttempt: () => { endAttempt() },
+    onEnd: (end) => {
+      endAttempt = end
+      if (hasLeft) end()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/_lib/deadline.ts
@@ -0,0 +1,18 @@
+/** The moment by which a call must have its final answer. */
+
+/** A deadline on the monotonic clock. */
+export interface Deadline {
+  readonly at: number
+  readonly remainingMs: () => number
+}
+
+/**
+ * Creates a deadline.
+ *
+ * @param at - Monotonic time in milliseconds.
+ * @param now - Monotonic clock in milliseconds.
+ * @returns The deadline.
+ */
+export function createDeadline (at: number, now: () => number): Deadline {
+  return { at, remainingMs: () => Math.max(0, at - now()) }
+}
--- /dev/null
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -0,0 +1,190 @@
+/** One attempt: from its connection to the end of its answer. */
+import type * as http from 'node:http'
+import type * as chooseBackEnd from '../chooseBackEnd/index.js'
+import type * as createBackEndBook from '../createBackEndBook/index.js'
+import type * as createCallHandler from '../createCallHandler/index.js'
+import * as readBody from '../readBody/index.js'
+import type * as relayEvents from '../relayEvents/index.js'
+import * as sendAttempt from '../sendAttempt/index.js'
+import type * as gateway from '../types/index.js'
+import type * as answers from './answers.js'
+import type * as callState from './callState.js'
+
+/** A back end's answer, read to its end. */
+export interface WholeAnswer {
+  readonly status: number
+  readonly headers: readonly string[]
+  readonly body: Buffer
+}
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+  | { readonly kind: 'done' }
+  /** The connection never stood. */
+  | { readonly kind: 'not-sent', readonly reason: string }
+  /** The back end says that it did not run the call. */
+  | { readonly kind: 'not-run', readonly reason: string }
+  /** The back end answered with a failure of its own. */
+  | { readonly kind: 'failed-answer', readonly reason: string, readonly answer: WholeAnswer }
+  /** The call may have run, and its answer is lost or cut short. */
+  | { readonly kind: 'broken', readonly reason: string }
+
+/** What attempts of one stream share. */
+export interface StreamState {
+  readonly splitter: relayEvents.EventSplitter
+  /** Version of the weights that began the stream; only it may go on. */
+  version: number | null
+}
+
+/** Milliseconds for a connection to stand; a dark machine never answers. */
+const CONNECT_MS = 250
+/** Largest answer that is held in memory before it is passed on. */
+const MAXIMUM_WHOLE_BYTES = 16 * 1024 * 1024
+/** Milliseconds without a first event, in parts of the target, after which a repeatable stream is asked for elsewhere. */
+const FIRST_EVENT_PATIENCE = 3
+/** Milliseconds without a next event, in parts of the longest pause in time, after which a stream is resumed elsewhere. */
+const NEXT_EVENT_PATIENCE = 2.5
+const MINIMUM_PATIENCE_MS = 800
+
+type Options = createCallHandler.CallHandlerOptions
+
+/**
+ * Creates what the attempts of one stream share.
+ *
+ * @param splitter - Splits the events of all attempts.
+ * @returns The state before the first attempt.
+ */
+export function createStreamState (splitter: relayEvents.EventSplitter): StreamState {
+  return { splitter, version: null }
+}
+
+/**
+ * Runs one attempt.
+ *
+ * @param call - The call; its count of attempts and `mayHaveRun` are kept.
+ * @param reply - Where a good answer goes.
+ * @param stream - What the attempts of a stream share.
+ * @param choice - The back end.
+ * @param open - The attempt in the record of loads.
+ * @param options - Protocol and clock.
+ * @returns How the attempt ended.
+ */
+export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: chooseBackEnd.Choice, open: createBackEndBook.OpenAttempt, options: Options): Promise<AttemptOutcome> {
+  const { head, route } = call
+  const attempt = sendAttempt.sendAttempt({
+    address: choice.backEnd.address,
+    method: head.method,
+    path: head.path,
+    headers: options.protocol.formatAttempt(head, {
+      backEnd: choice.backEnd.id,
+      remainingMs: Math.floor(call.deadline.remainingMs()),
+      tenant: call.tenant,
+      urgency: null,
+      version: choice.expectedVersion,
+      lastEventId: stream.splitter.lastEventId(),
+      bodyBytes: call.body === null ? null : call.body.length
+    }),
+    body: call.body,
+    connectMs: CONNECT_MS
+  })
+  call.onEnd(attempt.abort)
+  const isPatient = !(route.kind === 'stream' && route.isResumable)
+  const patience = createPatience(isPatient ? null : Math.max(MINIMUM_PATIENCE_MS, FIRST_EVENT_PATIENCE * route.targetMs), attempt.abort)
+  const start = await attempt.start
+  if (start.kind === 'not-sent') return end({ kind: 'not-sent', reason: start.reason })
+  call.attempts += 1
+  if (start.kind === 'no-answer') return end(broken(patience.isOver() ? 'no first event in time' : start.reason))
+  const answer = options.protocol.readAnswer(start.response, head.requestId)
+  if (answer.kind === 'not-run') return end({ kind: 'not-run', reason: `${answer.status} ${answer.reason}` })
+  if (answer.kind === 'foreign') return end(broken('answer to another call'))
+  if (!answer.isStream || answer.status >= 300) return end(await receiveWhole(answer, start.response))
+  stream.version = answer.version ?? stream.version
+  const relayed = await relay(start.response, answer)
+  return end(relayed)
+
+  function end (outcome: AttemptOutcome): AttemptOutcome {
+    patience.stop()
+    attempt.abort()
+    return outcome
+  }
+
+  function broken (reason: string): AttemptOutcome {
+    call.mayHaveRun = true
+    return { kind: 'broken', reason }
+  }
+
+  async function receiveWhole (answered: Extract<gateway.AnswerHead, { kind: 'answered' }>, response: http.IncomingMessage): Promise<AttemptOutcome> {
+    open.hasBegun = true
+    const body = await readBody.readBody(response, MAXIMUM_WHOLE_BYTES)
+    if (body.kind !== 'whole') return broken(`answer ${body.kind}`)
+    call.mayHaveRun = true
+    if (reply.hasBegun()) return broken(`status ${answered.status} instead of a stream`)
+    const whole = { status: answered.status, headers: answered.headers, body: body.body }
+    if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: whole }
+    reply.sendWhole(whole.status, whole.headers, whole.body)
+    return { kind: 'done' }
+  }
+
+  async function relay (response: http.IncomingMessage, answered: Extract<gateway.AnswerHead, { kind: 'answered' }>): Promise<AttemptOutcome> {
+    call.mayHaveRun = true
+    const nextEventMs = Math.max(MINIMUM_PATIENCE_MS, NEXT_EVENT_PATIENCE * route.gapTargetMs)
+    return await new Promise<AttemptOutcome>((resolve) => {
+      response.on('data', (bytes: Buffer) => {
+        const whole = route.isResumable ? stream.splitter.push(bytes) : bytes
+        if (whole === null) return
+        open.hasBegun = true
+        patience.restart(nextEventMs)
+        if (!reply.hasBegun()) reply.beginStream(answered.status, answered.headers)
+        if (reply.write(whole)) return
+        response.pause()
+        reply.onDrain(() => { response.resume() })
+      })
+      response.on('end', () => {
+        if (!response.complete || stream.splitter.hasPartial()) {
+          breakStream('stream cut')
+          return
+        }
+        if (!reply.hasBegun()) reply.beginStream(answered.status, answered.headers)
+        reply.endStream()
+        resolve({ kind: 'done' })
+      })
+      response.on('error', () => { breakStream('stream broken') })
+      response.on('close', () => { breakStream('stream closed') })
+
+      function breakStream (reason: string): void {
+        stream.splitter.dropPartial()
+        resolve(broken(patience.isOver() ? 'no event in time' : reason))
+      }
+    })
+  }
+}
+
+interface Patience {
+  readonly restart: (milliseconds: number) => void
+  readonly stop: () => void
+  readonly isOver: () => boolean
+}
+
+/** Ends an attempt that says nothing for too long; without a limit it waits for the deadline. */
+function createPatience (milliseconds: number | null, end: () => void): Patience {
+  let isOver = false
+  let timer: NodeJS.Timeout | null = null
+
+  function start (limit: number): void {
+    timer = setTimeout(() => {
+      isOver = true
+      end()
+    }, limit)
+  }
+
+  if (milliseconds !== null) start(milliseconds)
+  return {
+    isOver: () => isOver,
+    stop: () => { if (timer !== null) clearTimeout(timer) },
+    restart: (limit) => {
+      if (milliseconds === null) return
+      if (timer !== null) clearTimeout(timer)
+      start(limit)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -0,0 +1,154 @@
+/** Sends a call to one back end after another until it has its final answer. */
+import type * as createBackEndBook from '../createBackEndBook/index.js'
+import type * as createCallHandler from '../createCallHandler/index.js'
+import type * as chooseBackEnd from '../chooseBackEnd/index.js'
+import * as decideAdmission from '../decideAdmission/index.js'
+import * as relayEvents from '../relayEvents/index.js'
+import type * as answers from './answers.js'
+import type * as callState from './callState.js'
+import * as runAttempt from './runAttempt.js'
+
+const DEFAULT_RETRY_AFTER_MS = 400
+/** Chances to reach another back end after connections that never stood. */
+const MAXIMUM_UNSENT = 4
+
+type Options = createCallHandler.CallHandlerOptions
+
+/** Why a call got its final answer. */
+type Ending = 'answered' | 'left' | 'refused' | 'failed' | 'expired'
+
+/**
+ * Runs a call to its end.
+ *
+ * @param call - The call.
+ * @param reply - Where its answer goes.
+ * @param options - Decisions and clock of the gateway.
+ */
+export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options): Promise<void> {
+  const budget = options.budgetOf(call.service)
+  budget.noteCall()
+  let isExpired = false
+  const timer = setTimeout(() => {
+    isExpired = true
+    call.endAttempt()
+  }, call.deadline.remainingMs())
+  const stream = runAttempt.createStreamState(relayEvents.createEventSplitter(call.head.lastEventId))
+  let failed: runAttempt.WholeAnswer | null = null
+  let retryAfterMs = DEFAULT_RETRY_AFTER_MS
+  let unsent = 0
+  let lastReason = ''
+  let backEnd = ''
+
+  async function serve (): Promise<Ending> {
+    for (;;) {
+      const isFirst = call.attempts === 0
+      const choice = options.choose({ service: call.service, model: call.head.model, promptTokens: call.head.promptTokens, tried: call.tried, version: stream.version })
+      if (choice === null) {
+        lastReason = lastReason === '' ? 'no back end may serve' : lastReason
+        return giveUp()
+      }
+      if (isFirst && unsent === 0) {
+        const admission = decide(choice)
+        if (!admission.isTaken) {
+          lastReason = `first event in ${Math.round(choice.firstEventMs)} ms`
+          retryAfterMs = admission.retryAfterMs
+          return giveUp()
+        }
+      }
+      if (!isFirst && !budget.trySpend()) {
+        lastReason = `${lastReason}; retry budget spent`
+        return giveUp()
+      }
+      backEnd = choice.backEnd.id
+      const outcome = await attempt(choice)
+      if (call.hasLeft()) return 'left'
+      if (outcome.kind === 'done') return 'answered'
+      lastReason = outcome.reason
+      if (outcome.kind === 'failed-answer') failed = outcome.answer
+      if (isExpired) return giveUp()
+      if (outcome.kind === 'not-sent') {
+        unsent += 1
+        if (unsent >= MAXIMUM_UNSENT) return giveUp()
+        continue
+      }
+      if (!mayGoOn(outcome)) return giveUp()
+    }
+  }
+
+  function decide (choice: chooseBackEnd.Choice): decideAdmission.Admission {
+    return decideAdmission.decideAdmission({
+      firstEventMs: choice.firstEventMs,
+      waitingBefore: choice.waitingBefore,
+      targetMs: call.route.targetMs,
+      remainingMs: call.deadline.remainingMs(),
+      random: options.random()
+    })
+  }
+
+  function mayGoOn (outcome: runAttempt.AttemptOutcome): boolean {
+    if (call.attempts >= call.route.maximumAttempts) return false
+    if (outcome.kind === 'not-run') return !call.mayHaveRun || call.isRepeatable
+    return call.isRepeatable
+  }
+
+  async function attempt (choice: chooseBackEnd.Choice): Promise<runAttempt.AttemptOutcome> {
+    call.tried.add(choice.backEnd.id)
+    const open: createBackEndBook.OpenAttempt = {
+      promptTokens: call.head.promptTokens,
+      answerTokens: call.head.answerTokens,
+      sentAt: options.now(),
+      hasBegun: false
+    }
+    options.book.noteSent(choice.backEnd.id, open)
+    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
+    options.book.noteEnded(choice.backEnd.id, open)
+    if (!call.hasLeft() && !isExpired) noteOutcome(choice, outcome)
+    return outcome
+  }
+
+  function noteOutcome (choice: chooseBackEnd.Choice, outcome: runAttempt.AttemptOutcome): void {
+    const { id } = choice.backEnd
+    options.count('attempts', { outcome: outcome.kind })
+    if (outcome.kind === 'done') options.book.noteSuccess(id)
+    else if (outcome.kind === 'not-run') options.book.noteFull(id)
+    else if (outcome.kind !== 'failed-answer') options.book.noteFailure(id)
+    if (outcome.kind !== 'done') {
+      options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason })
+    }
+  }
+
+  function giveUp (): Ending {
+    if (reply.hasBegun()) {
+      reply.breakOff()
+      return 'failed'
+    }
+    if (failed !== null) {
+      reply.sendWhole(failed.status, failed.headers, failed.body)
+      return 'answered'
+    }
+    if (!call.mayHaveRun) {
+      reply.refuse(503, lastReason, retryAfterMs)
+      return 'refused'
+    }
+    reply.refuse(isExpired ? 504 : 502, lastReason, null)
+    return isExpired ? 'expired' : 'failed'
+  }
+
+  const ending = await serve()
+  clearTimeout(timer)
+  const elapsedMs = Math.round(options.now() - call.receivedAt)
+  options.count('calls', { ending })
+  options.observe('call', elapsedMs)
+  options.logger.info('call', {
+    id: call.head.requestId,
+    route: call.route.name,
+    service: call.service,
+    backEnd,
+    attempts: call.attempts,
+    ending,
+    ms: elapsedMs,
+    version: stream.version,
+    reason: ending === 'answered' ? undefined : lastReason
+  })
+}
+
--- /dev/null
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -0,0 +1,92 @@
+/** Chooses the back end of one attempt among those that may serve it. */
+import type * as types from '@switchridge/types'
+import type * as gateway from '../types/index.js'
+import type * as createBackEndBook from '../createBackEndBook/index.js'
+import * as predictFirstEvent from '../predictFirstEvent/index.js'
+
+/** What the choice depends on. */
+export interface ChoiceInput {
+  readonly backEnds: readonly gateway.BackEnd[]
+  readonly book: createBackEndBook.BackEndBook
+  readonly figures: gateway.EngineFigures | null
+  readonly zone: string
+  readonly model: string | null
+  readonly promptTokens: number
+  /** Oldest version of the model's weights that may serve. */
+  readonly minimumVersion: number
+  /** The only version that may serve, for a stream that goes on; null for any that is new enough. */
+  readonly pinnedVersion: number | null
+  /** Whether the back end shall check its version itself. */
+  readonly checksVersion: boolean
+  /** Back ends that this call was sent to before. */
+  readonly tried: ReadonlySet<types.NodeId>
+  readonly now: number
+  /** Random number from 0 to 1. */
+  readonly random: () => number
+}
+
+/** The chosen back end with what made the choice. */
+export interface Choice {
+  readonly backEnd: gateway.BackEnd
+  readonly firstEventMs: number
+  readonly waitingBefore: number
+  /** Version that the back end is asked to check; null for none. */
+  readonly expectedVersion: number | null
+}
+
+interface Scored extends Choice {
+  readonly score: number
+}
+
+/** Milliseconds that a back end of another zone must be faster by, for the price of bytes between zones. */
+const OTHER_ZONE_MS = 25
+/** A plain back end's reckoned milliseconds a request before this one. */
+const PLAIN_REQUEST_MS = 30
+const AVOIDED_MS = 2000
+const PAUSED_MS = 700
+/** Choices are spread over this many milliseconds, so that gateways do not all take the same engine. */
+const SPREAD_MS = 20
+
+/**
+ * Chooses a back end: the one with the earliest predicted first event, the own zone and sound ones preferred.
+ *
+ * @param input - Candidates and what is known of them.
+ * @returns The choice, or null when none may serve.
+ */
+export function chooseBackEnd (input: ChoiceInput): Choice | null {
+  let best: Scored | null = null
+  for (const backEnd of input.backEnds) {
+    if (backEnd.isDraining || input.tried.has(backEnd.id)) continue
+    const scored = score(backEnd, input)
+    if (scored !== null && (best === null || scored.score < best.score)) best = scored
+  }
+  return best
+}
+
+function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | null {
+  const load = input.book.read(backEnd.id)
+  const version = input.model === null ? null : readVersion(backEnd, load, input.model)
+  if (input.figures !== null && input.model !== null) {
+    if (version === null || version < input.minimumVersion) return null
+    if (input.pinnedVersion !== null && version !== input.pinnedVersion) return null
+  }
+  const predicted = predict(backEnd, load, input)
+  const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
+    (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
+    (load.isPaused ? PAUSED_MS : 0) +
+    input.random() * SPREAD_MS
+  const expectedVersion = input.checksVersion || input.pinnedVersion !== null ? version : null
+  return { backEnd, expectedVersion, ...predicted, score: predicted.firstEventMs + penalty }
+}
+
+/** The agent's report is newer than the list of back ends, where there is one. */
+function readVersion (backEnd: gateway.BackEnd, load: createBackEndBook.BackEndLoad, model: string): number | null {
+  const models = load.report?.models ?? backEnd.models
+  return models.get(model) ?? null
+}
+
+function predict (backEnd: gateway.BackEnd, load: createBackEndBook.BackEndLoad, input: ChoiceInput): { firstEventMs: number, waitingBefore: number } {
+  if (input.figures !== null) return predictFirstEvent.predictFirstEvent(input.figures, backEnd.slots, load, input.promptTokens)
+  const open = load.open.size
+  return { firstEventMs: open * PLAIN_REQUEST_MS, waitingBefore: Math.max(0, open + 1 - backEnd.slots) }
+}
--- /dev/null
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -0,0 +1,127 @@
+/** What one gateway knows of each back end: its last report, what it was sent since, and how it answered. */
+import type * as types from '@switchridge/types'
+import type * as gateway from '../types/index.js'
+
+/** Work that this gateway has at a back end. */
+export interface OpenAttempt {
+  readonly promptTokens: number
+  readonly answerTokens: number
+  readonly sentAt: number
+  /** Whether the first event, or the answer, has come. */
+  hasBegun: boolean
+}
+
+/** Load of one back end as this gateway sees it. */
+export interface BackEndLoad {
+  /** Last report, or null if none is fresh. */
+  readonly report: gateway.EngineReport | null
+  /** Age of the report in milliseconds. */
+  readonly reportAgeMs: number
+  /** Attempts of this gateway that are open. */
+  readonly open: ReadonlySet<OpenAttempt>
+  /** Attempts sent since the report was made, with their prompts' tokens. */
+  readonly sentSince: number
+  readonly promptTokensSince: number
+  /** Whether its agent asked for no new work, for example before it changes the version. */
+  readonly isPaused: boolean
+  /** Until when it is avoided after failures. */
+  readonly avoidedUntil: number
+}
+
+/** The record of all back ends. */
+export interface BackEndBook {
+  readonly read: (id: types.NodeId) => BackEndLoad
+  readonly noteSent: (id: types.NodeId, attempt: OpenAttempt) => void
+  readonly noteEnded: (id: types.NodeId, attempt: OpenAttempt) => void
+  /** Notes what the agent beside an engine says; `madeAt` is this process's monotonic time. */
+  readonly noteReport: (id: types.NodeId, report: gateway.EngineReport, isPaused: boolean, madeAt: number) => void
+  readonly noteSuccess: (id: types.NodeId) => void
+  /** Notes a failure; the back end is avoided for a while that grows with each one. */
+  readonly noteFailure: (id: types.NodeId) => void
+  /** Notes that it was full. */
+  readonly noteFull: (id: types.NodeId) => void
+  /** Forgets back ends that are no longer listed. */
+  readonly keepOnly: (ids: ReadonlySet<string>) => void
+}
+
+interface Entry {
+  report: gateway.EngineReport | null
+  reportAt: number
+  isPaused: boolean
+  readonly open: Set<OpenAttempt>
+  failures: number
+  avoidedUntil: number
+}
+
+/** A report older than this tells nothing. */
+const REPORT_FRESH_MS = 1500
+const AVOID_BASE_MS = 300
+const AVOID_MAXIMUM_MS = 3000
+const AVOID_FULL_MS = 60
+
+/**
+ * Creates an empty record.
+ *
+ * @param now - Monotonic clock in milliseconds.
+ * @returns The record.
+ */
+export function createBackEndBook (now: () => number): BackEndBook {
+  const entries = new Map<types.NodeId, Entry>()
+
+  function find (id: types.NodeId): Entry {
+    const known = entries.get(id)
+    if (known !== undefined) return known
+    const entry: Entry = { report: null, reportAt: 0, isPaused: false, open: new Set(), failures: 0, avoidedUntil: 0 }
+    entries.set(id, entry)
+    return entry
+  }
+
+  function read (id: types.NodeId): BackEndLoad {
+    const entry = find(id)
+    const reportAgeMs = now() - entry.reportAt
+    const isFresh = entry.report !== null && reportAgeMs <= REPORT_FRESH_MS
+    let sentSince = 0
+    let promptTokensSince = 0
+    for (const attempt of entry.open) {
+      if (isFresh && attempt.sentAt < entry.reportAt) continue
+      sentSince += 1
+      if (!attempt.hasBegun) promptTokensSince += attempt.promptTokens
+    }
+    return {
+      report: isFresh ? entry.report : null,
+      reportAgeMs,
+      open: entry.open,
+      sentSince,
+      promptTokensSince,
+      isPaused: isFresh && entry.isPaused,
+      avoidedUntil: entry.avoidedUntil
+    }
+  }
+
+  return {
+    read,
+    noteSent: (id, attempt) => { find(id).open.add(attempt) },
+    noteEnded: (id, attempt) => { entries.get(id)?.open.delete(attempt) },
+    noteReport: (id, report, isPaused, madeAt) => {
+      const entry = find(id)
+      if (madeAt < entry.reportAt) return
+      entry.report = report
+      entry.reportAt = madeAt
+      entry.isPaused = isPaused
+    },
+    noteSuccess: (id) => { find(id).failures = 0 },
+    noteFailure: (id) => {
+      const entry = find(id)
+      entry.failures += 1
+      const pauseMs = Math.min(AVOID_MAXIMUM_MS, AVOID_BASE_MS * 2 ** (entry.failures - 1))
+      entry.avoidedUntil = Math.max(entry.avoidedUntil, now() + pauseMs)
+    },
+    noteFull: (id) => {
+      const entry = find(id)
+      entry.avoidedUntil = Math.max(entry.avoidedUntil, now() + AVOID_FULL_MS)
+    },
+    keepOnly: (ids) => {
+      for (const [id, entry] of entries) if (!ids.has(id) && entry.open.size === 0) entries.delete(id)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -0,0 +1,135 @@
+/** The request path: one caller's request, from its head to its final answer. */
+import type * as http from 'node:http'
+import type * as observability from '@switchridge/observability'
+import type * as types from '@switchridge/types'
+import type * as chooseBackEnd from '../chooseBackEnd/index.js'
+import * as deadlines from '../_lib/deadline.js'
+import * as callState from '../_lib/callState.js'
+import * as runAttempts from '../_lib/runAttempts.js'
+import * as answers from '../_lib/answers.js'
+import type * as createBackEndBook from '../createBackEndBook/index.js'
+import type * as createRetryBudget from '../createRetryBudget/index.js'
+import type * as createRouteTable from '../createRouteTable/index.js'
+import * as readBody from '../readBody/index.js'
+import type * as gateway from '../types/index.js'
+
+/** How calls and attempts look on the wire; the adapter of a platform gives it. */
+export interface CallProtocol {
+  readonly readCall: (request: http.IncomingMessage) => gateway.CallHead
+  /** Headers of an attempt, names and values in turn. */
+  readonly formatAttempt: (call: gateway.CallHead, attempt: gateway.AttemptHead) => string[]
+  readonly readAnswer: (response: http.IncomingMessage, requestId: string) => gateway.AnswerHead
+  /** Headers of an answer of this gateway's own. */
+  readonly formatOwnAnswer: (requestId: string, retryAfterMs: number | null) => string[]
+}
+
+/** Options of {@link createCallHandler}. */
+export interface CallHandlerOptions {
+  readonly protocol: CallProtocol
+  /** The configuration in force, or null before the first one. */
+  readonly routes: () => createRouteTable.RouteTable | null
+  readonly book: createBackEndBook.BackEndBook
+  readonly choose: (choice: CallChoice) => chooseBackEnd.Choice | null
+  readonly budgetOf: (service: types.ServiceName) => createRetryBudget.RetryBudget
+  readonly logger: observability.Logger
+  readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
+  readonly observe: (name: string, milliseconds: number) => void
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+  readonly random: () => number
+}
+
+/** What a choice for one call needs beyond what the gateway knows. */
+export interface CallChoice {
+  readonly service: types.ServiceName
+  readonly model: string | null
+  readonly promptTokens: number
+  readonly tried: ReadonlySet<types.NodeId>
+  /** Only this version will do; null for any that may serve. */
+  readonly version: number | null
+}
+
+/** Handles callers' requests. */
+export interface CallHandler {
+  readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
+  /** Calls under way. */
+  readonly inProgress: () => number
+  /** Tells callers from now on to leave their connections. */
+  readonly leave: () => void
+}
+
+/**
+ * Creates the handler of callers' requests.
+ *
+ * @param options - Protocol, configuration, decisions and clock.
+ * @returns The handler.
+ */
+export function createCallHandler (options: CallHandlerOptions): CallHandler {
+  let inProgress = 0
+  let isLeaving = false
+
+  async function run (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const receivedAt = options.now()
+    const head = options.protocol.readCall(request)
+    const reply = answers.createReply(response, head.requestId, options.protocol, () => isLeaving)
+    const table = options.routes()
+    const limits = table?.configuration.limits
+    const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity)
+    if (body.kind === 'broken') return
+    if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
+    if (table === null) return reply.refuse(503, 'no configuration yet', callState.UNREADY_RETRY_MS)
+    const admitted = admit(table, head)
+    if (!admitted.ok) return reply.refuse(admitted.status, admitted.reason, null)
+    const timeoutMs = Math.min(admitted.route.timeoutMs, head.remainingMs ?? Infinity)
+    const call = callState.createCallState({
+      head,
+      route: admitted.route,
+      tenant: admitted.tenant,
+      service: pickService(admitted.route, options.random()),
+      body: readSentBody(request, body.body),
+      deadline: deadlines.createDeadline(receivedAt + timeoutMs, options.now),
+      receivedAt
+    })
+    response.once('close', () => { if (!response.writableFinished) call.leave() })
+    await runAttempts.runAttempts(call, reply, options)
+  }
+
+  return {
+    inProgress: () => inProgress,
+    leave: () => { isLeaving = true },
+    handle: (request, response) => {
+      inProgress += 1
+      response.once('close', () => { inProgress -= 1 })
+      response.on('error', () => {})
+      void run(request, response)
+    }
+  }
+}
+
+type Admitted =
+  | { readonly ok: true, readonly route: gateway.Route, readonly tenant: types.AccountId | null }
+  | { readonly ok: false, readonly status: number, readonly reason: string }
+
+function admit (table: createRouteTable.RouteTable, head: gateway.CallHead): Admitted {
+  const route = table.findRoute(head.host, head.path)
+  if (route === null) return { ok: false, status: 404, reason: 'no route' }
+  const tenant = head.key === null ? null : table.findTenant(head.key)
+  if (table.needsKeys && !route.isPublic && tenant === null) return { ok: false, status: 401, reason: 'unknown key' }
+  return { ok: true, route, tenant: tenant?.name ?? null }
+}
+
+function pickService (route: gateway.Route, random: number): types.ServiceName {
+  const total = route.splits.reduce((sum, split) => sum + split.weight, 0)
+  let left = random * total
+  for (const split of route.splits) {
+    left -= split.weight
+    if (left < 0) return split.service
+  }
+  return (route.splits[route.splits.length - 1] as gateway.ServiceSplit).service
+}
+
+/** A request without a body is passed on without one. */
+function readSentBody (request: http.IncomingMessage, body: Buffer): Buffer | null {
+  const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
+  return hasBody ? body : null
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,13 @@
+/** The request path: from a caller to a back end and back. */
+export * from './chooseBackEnd/index.js'
+export * from './createBackEndBook/index.js'
+export * from './createCallHandler/index.js'
+export * from './createCallerServer/index.js'
+export * from './createRetryBudget/index.js'
+export * from './createRouteTable/index.js'
+export * from './decideAdmission/index.js'
+export * from './predictFirstEvent/index.js'
+export * from './readBody/index.js'
+export * from './relayEvents/index.js'
+export * from './sendAttempt/index.js'
+export * from './types/index.js'
--- /dev/null
+++ b/packages/gateway/src/predictFirstEvent/index.ts
@@ -0,0 +1,41 @@
+/** Predicts when a model engine would send the first event of a call. */
+import type * as gateway from '../types/index.js'
+import type * as createBackEndBook from '../createBackEndBook/index.js'
+
+/** What the prediction says. */
+export interface Prediction {
+  /** Milliseconds until the first event. */
+  readonly firstEventMs: number
+  /** Requests beyond the engine's slots that would wait before this one. */
+  readonly waitingBefore: number
+  /** Requests that run or wait there by this gateway's reckoning. */
+  readonly occupied: number
+}
+
+const EVENT_TOKENS = 5
+/** Part of a prompt that is still to be read, on average, for a request that was sent moments ago. */
+const UNREAD_PART = 0.7
+
+/**
+ * Predicts the first event of a call at one engine, from its last report and what this gateway sent it since.
+ *
+ * @param figures - Speeds of the service's engines.
+ * @param slots - Requests that the engine runs at a time.
+ * @param load - What this gateway knows of the engine.
+ * @param promptTokens - Length of the call's prompt.
+ * @returns The prediction.
+ */
+export function predictFirstEvent (figures: gateway.EngineFigures, slots: number, load: createBackEndBook.BackEndLoad, promptTokens: number): Prediction {
+  const report = load.report
+  const pace = Math.max(1, report?.pace ?? 1)
+  const running = report?.running ?? 0
+  const waiting = report?.waiting ?? 0
+  const occupied = report === null ? load.open.size : running + waiting + load.sentSince
+  const waitingBefore = Math.max(0, occupied + 1 - slots)
+  const stepMs = figures.stepMs + figures.stepMsPerSequence * Math.min(slots, occupied)
+  const unreadTokens = load.promptTokensSince * UNREAD_PART + waiting * figures.usualPromptTokens
+  const readMs = (unreadTokens + promptTokens) / figures.prefillTokensPerMs
+  const answerMs = figures.usualAnswerTokens * stepMs * 2
+  const slotWaitMs = waitingBefore * answerMs / slots
+  return { firstEventMs: pace * (slotWaitMs + readMs + EVENT_TOKENS * stepMs), waitingBefore, occupied }
+}
--- /dev/null
+++ b/packages/gateway/src/relayEvents/index.ts
@@ -0,0 +1,58 @@
+/** Splits a stream of events (text/event-stream) into whole events and remembers the last id. */
+
+/** Splits one stream; a resumed stream goes on with the same splitter. */
+export interface EventSplitter {
+  /** Takes bytes; returns those that make whole events. */
+  readonly push: (bytes: Buffer) => Buffer | null
+  /** Drops bytes of an event that never became whole. */
+  readonly dropPartial: () => void
+  readonly hasPartial: () => boolean
+  /** Id of the last whole event. */
+  readonly lastEventId: () => string | null
+}
+
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const EMPTY = Buffer.alloc(0)
+const ID_LINE = /^id:[ ]?(.*?)\r?$/gm
+
+/**
+ * Creates a splitter.
+ *
+ * @param firstEventId - Id of the last event that the caller has already, or null.
+ * @returns The splitter.
+ * @example
+ * splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2')) // the bytes of event 1
+ */
+export function createEventSplitter (firstEventId: string | null): EventSplitter {
+  let partial: Buffer = EMPTY
+  let lastId = firstEventId
+
+  function push (bytes: Buffer): Buffer | null {
+    const all = partial.length === 0 ? bytes : Buffer.concat([partial, bytes])
+    const end = findLastEnd(all)
+    partial = all.subarray(end)
+    if (end === 0) return null
+    const whole = all.subarray(0, end)
+    for (const match of whole.toString('latin1').matchAll(ID_LINE)) lastId = match[1] ?? lastId
+    return whole
+  }
+
+  return {
+    push,
+    dropPartial: () => { partial = EMPTY },
+    hasPartial: () => partial.length > 0,
+    lastEventId: () => lastId
+  }
+}
+
+/** Finds the end of the last whole event: an empty line. */
+function findLastEnd (bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index -= 1) {
+    if (bytes[index] !== LINE_FEED) continue
+    const before = bytes[index - 1]
+    if (before === LINE_FEED) return index + 1
+    if (before === CARRIAGE_RETURN && index > 1 && bytes[index - 2] === LINE_FEED) return index + 1
+  }
+  return 0
+}
--- /dev/null
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -0,0 +1,78 @@
+/** Sends one attempt of a call to a back end over a connection of its own. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as types from '@switchridge/types'
+
+/** What is sent, and where. */
+export interface AttemptRequest {
+  readonly address: types.Address
+  readonly method: string
+  readonly path: string
+  /** Names and values in turn. */
+  readonly headers: readonly string[]
+  readonly body: Buffer | null
+  /** Milliseconds until a connection must stand. */
+  readonly connectMs: number
+}
+
+/** How an attempt began. */
+export type AttemptStart =
+  /** Nothing was sent: the connection never stood. */
+  | { readonly kind: 'not-sent', readonly reason: string }
+  /** Sent, and no answer came; the call may have run. */
+  | { readonly kind: 'no-answer', readonly reason: string }
+  | { readonly kind: 'answer', readonly response: http.IncomingMessage }
+
+/** An attempt under way. */
+export interface Attempt {
+  readonly start: Promise<AttemptStart>
+  /** Closes the connection at once, which ends the back end's work. */
+  readonly abort: () => void
+}
+
+/** A connection serves one attempt: an answer that comes late or twice can't meet another call. */
+const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity, noDelay: true })
+
+/**
+ * Sends an attempt.
+ *
+ * @param request - What is sent, and where.
+ * @returns The attempt; `start` resolves with the head of the answer, and never rejects.
+ */
+export function sendAttempt (request: AttemptRequest): Attempt {
+  let isConnected = false
+  let settle: (start: AttemptStart) => void = () => {}
+  const start = new Promise<AttemptStart>((resolve) => { settle = resolve })
+  const outgoing = http.request({
+    host: request.address.host,
+    port: request.address.port,
+    method: request.method,
+    path: request.path,
+    headers: request.headers as string[],
+    agent,
+    setHost: false,
+    insecureHTTPParser: false
+  })
+  const connectTimer = setTimeout(() => { outgoing.destroy(new types.UnavailableError('no connection in time')) }, request.connectMs)
+
+  function fail (reason: string): void {
+    clearTimeout(connectTimer)
+    settle(isConnected ? { kind: 'no-answer', reason } : { kind: 'not-sent', reason })
+  }
+
+  outgoing.on('socket', (socket: net.Socket) => {
+    socket.once('connect', () => {
+      isConnected = true
+      clearTimeout(connectTimer)
+    })
+  })
+  outgoing.on('response', (response) => {
+    response.on('error', () => {})
+    settle({ kind: 'answer', response })
+  })
+  outgoing.on('error', (error) => { fail(types.describeError(error)) })
+  outgoing.on('close', () => { fail('connection closed') })
+  if (request.body === null) outgoing.end()
+  else outgoing.end(request.body)
+  return { start, abort: () => { outgoing.destroy() } }
+}
--- a/packages/measure/src/_lib/editRow.ts
+++ b/packages/measure/src/_lib/editRow.ts
@@ -1,7 +1,7 @@
 /** Edits of the table by the experiments, through the platform like any operator's. */
 import * as crypto from 'node:crypto'
 import type * as launcher from '@switchridge/launcher'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as rpc from '@switchridge/rpc'
 import * as tables from '@switchridge/table'
 import * as types from '@switchridge/types'
--- a/packages/measure/src/runConfiguration/index.ts
+++ b/packages/measure/src/runConfiguration/index.ts
@@ -1,7 +1,7 @@
 /** Time from an accepted edit until it is in force on every daemon, with the platform up, slow and down, and a hall cut off. */
 import * as got from 'got'
 import * as launcher from '@switchridge/launcher'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as controlFleet from '../_lib/controlFleet.js'
 import * as cutHall from '../_lib/cutHall.js'
--- /dev/null
+++ b/packages/observability/src/createTextMetrics/index.ts
@@ -0,0 +1,55 @@
+/** Metrics that are fetched as text, through prom-client. */
+import * as promClient from 'prom-client'
+
+export type MetricLabels = Readonly<Record<string, string>>
+
+/** Counters, gauges and histograms of one process. */
+export interface TextMetrics {
+  readonly count: (name: string, labels?: MetricLabels, amount?: number) => void
+  readonly gauge: (name: string, read: () => number) => void
+  /** Records a duration in milliseconds. */
+  readonly observe: (name: string, milliseconds: number) => void
+  /** All metrics in the text format. */
+  readonly format: () => Promise<string>
+}
+
+const PREFIX = 'switchridge_'
+const BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200, 6400]
+
+/**
+ * Creates the metrics of a process.
+ *
+ * @param labels - Labels on every metric.
+ * @returns The metrics.
+ */
+export function createTextMetrics (labels: MetricLabels): TextMetrics {
+  const registry = new promClient.Registry()
+  registry.setDefaultLabels(labels)
+  const counters = new Map<string, promClient.Counter>()
+  const histograms = new Map<string, promClient.Histogram>()
+
+  function findCounter (name: string, labelNames: string[]): promClient.Counter {
+    const known = counters.get(name)
+    if (known !== undefined) return known
+    const counter = new promClient.Counter({ name: `${PREFIX}${name}_total`, help: name, labelNames, registers: [registry] })
+    counters.set(name, counter)
+    return counter
+  }
+
+  function findHistogram (name: string): promClient.Histogram {
+    const known = histograms.get(name)
+    if (known !== undefined) return known
+    const histogram = new promClient.Histogram({ name: `${PREFIX}${name}_milliseconds`, help: name, buckets: BUCKETS_MS, registers: [registry] })
+    histograms.set(name, histogram)
+    return histogram
+  }
+
+  return {
+    count: (name, countLabels = {}, amount = 1) => { findCounter(name, Object.keys(countLabels)).inc(countLabels, amount) },
+    gauge: (name, read) => {
+      const gauge: promClient.Gauge = new promClient.Gauge({ name: `${PREFIX}${name}`, help: name, registers: [registry], collect: () => { gauge.set(read()) } })
+    },
+    observe: (name, milliseconds) => { findHistogram(name).observe(milliseconds) },
+    format: async () => await registry.metrics()
+  }
+}
--- /dev/null
+++ b/packages/settings/src/_lib/parseToml.ts
@@ -0,0 +1,64 @@
+/** Parses TOML by a schema and describes every mistake with its place. */
+import * as toml from 'smol-toml'
+import type * as zod from 'zod'
+import * as types from '@switchridge/types'
+
+/**
+ * Parses and checks a document.
+ *
+ * @param text - The document in TOML.
+ * @param file - Its name, for messages.
+ * @param schema - What it must look like.
+ * @returns The checked value, or an error that names file, key, value and what is allowed.
+ */
+export function parseChecked<Schema extends zod.z.ZodType> (text: string, file: string, schema: Schema): types.Outcome<zod.z.infer<Schema>, types.InvalidInputError> {
+  const document = parseDocument(text, file)
+  if (!document.ok) return document
+  const result = schema.safeParse(document.value)
+  if (result.success) return types.succeed(result.data)
+  const problems = result.error.issues.flatMap((issue) => describeIssue(issue, document.value))
+  return types.fail(new types.InvalidInputError(file, problems))
+}
+
+function parseDocument (text: string, file: string): types.Outcome<unknown, types.InvalidInputError> {
+  try {
+    return types.succeed(toml.parse(text))
+  } catch (thrown) {
+    const problem = { place: 'file', given: types.describeError(thrown).split('\n')[0] ?? '', allowed: 'TOML 1.0' }
+    return types.fail(new types.InvalidInputError(file, [problem]))
+  }
+}
+
+/**
+ * Reads one key of a document without checking the rest.
+ *
+ * @param text - The document in TOML.
+ * @param key - A key at its top.
+ * @returns The value, or undefined when there is none.
+ */
+export function readKey (text: string, key: string): unknown {
+  const document = parseDocument(text, '')
+  return document.ok ? (document.value as Record<string, unknown>)[key] : undefined
+}
+
+interface Issue {
+  readonly path: readonly PropertyKey[]
+  readonly message: string
+  readonly code?: string
+  readonly keys?: readonly string[]
+}
+
+function describeIssue (issue: Issue, document: unknown): types.InputProblem[] {
+  if (issue.code === 'unrecognized_keys') {
+    return (issue.keys ?? []).map((key) => ({ place: [...issue.path, key].join('.'), given: 'an unknown key', allowed: 'only the keys of the reference in docs/SETTINGS.md' }))
+  }
+  const place = issue.path.join('.') || 'file'
+  return [{ place, given: readValue(document, issue.path), allowed: issue.message }]
+}
+
+function readValue (document: unknown, path: readonly PropertyKey[]): string {
+  const value = path.reduce<unknown>((node, key) => (node as Record<PropertyKey, unknown> | undefined)?.[key], document)
+  const isSecret = path.some((key) => /key|secret/.test(String(key)))
+  if (value === undefined) return 'nothing'
+  return isSecret ? '(hidden)' : JSON.stringify(value)
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,2 +1,3 @@
 /** Settings of the daemons: TOML in, checked values out. */
 export * from './parseSettings/index.js'
+export * from './parseFleetSettings/index.js'
--- /dev/null
+++ b/packages/spread/src/createGossip/index.ts
@@ -0,0 +1,181 @@
+/** Heartbeats between daemons by UDP: who is there, which revisions they hold, and how loaded their engines are. */
+import * as dgram from 'node:dgram'
+import * as zod from 'zod'
+import * as types from '@switchridge/types'
+
+/** What a daemon says of itself on each heartbeat. */
+export interface Heartbeat {
+  readonly node: types.NodeId
+  readonly role: 'gateway' | 'agent'
+  readonly zone: string
+  readonly host: string
+  /** Whether it still takes new work. */
+  readonly isLeaving: boolean
+  /** Revision of the last change seen, by kind of object. */
+  readonly revisions: Readonly<Record<string, number>>
+  /** Versions named lately, with the milliseconds since they were heard of. */
+  readonly versions: ReadonlyArray<{ readonly model: string, readonly version: number, readonly ageMs: number }>
+  /** What the agent says of its engine; null on a gateway. */
+  readonly engine: unknown
+}
+
+/** Another daemon. */
+export interface Peer {
+  readonly heartbeat: Heartbeat
+  readonly heardAt: number
+}
+
+/** Options of {@link createGossip}. */
+export interface GossipOptions {
+  readonly host: string
+  readonly port: number
+  /** Hosts to ask for other daemons. */
+  readonly seeds: readonly string[]
+  readonly describeSelf: () => Heartbeat
+  /** Milliseconds between two heartbeats to a peer of that role. */
+  readonly intervalTo: (role: Heartbeat['role']) => number
+  readonly onHeartbeat: (heartbeat: Heartbeat) => void
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+  readonly random: () => number
+}
+
+/** The exchange of one daemon. */
+export interface Gossip {
+  /** Daemons heard of within {@link PEER_FORGET_MS}. */
+  readonly peers: () => readonly Peer[]
+  /** Whether a peer was heard of lately. */
+  readonly isLive: (peer: Peer) => boolean
+  /** Sends heartbeats to all peers, or to those of one role, at once. */
+  readonly sendNow: (role?: Heartbeat['role']) => void
+  /** Adds hosts that may be daemons. */
+  readonly addHosts: (hosts: readonly string[]) => void
+  readonly stop: () => void
+}
+
+/** A peer that was silent for so long gets no work and is not asked. */
+export const PEER_LIVE_MS = 2500
+/** A peer that was silent for so long is forgotten. */
+export const PEER_FORGET_MS = 60_000
+const TICK_MS = 125
+const SEED_INTERVAL_MS = 1000
+/** Peers that are silent hear of this daemon less often. */
+const SILENT_FACTOR = 4
+
+const messageSchema = zod.z.discriminatedUnion('type', [
+  zod.z.object({
+    type: zod.z.literal('heartbeat'),
+    node: zod.z.string(),
+    role: zod.z.enum(['gateway', 'agent']),
+    zone: zod.z.string(),
+    host: zod.z.string(),
+    isLeaving: zod.z.boolean(),
+    revisions: zod.z.record(zod.z.string(), zod.z.number()),
+    versions: zod.z.array(zod.z.object({ model: zod.z.string(), version: zod.z.number(), ageMs: zod.z.number().min(0) })),
+    engine: zod.z.unknown()
+  }),
+  zod.z.object({ type: zod.z.literal('hosts'), hosts: zod.z.array(zod.z.string()) })
+])
+
+/**
+ * Opens the exchange.
+ *
+ * @param options - Address, seeds and what is told.
+ * @returns The exchange; datagrams that get lost are made good by later ones.
+ */
+export async function createGossip (options: GossipOptions): Promise<Gossip> {
+  const socket = dgram.createSocket('udp4')
+  const peers = new Map<string, Peer>()
+  const sentAt = new Map<string, number>()
+  const hosts = new Set(options.seeds.filter((host) => host !== options.host))
+  socket.on('error', () => {})
+  socket.on('message', (bytes, from) => { receive(bytes, from.address) })
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject)
+    socket.bind(options.port, options.host, resolve)
+  })
+
+  function receive (bytes: Buffer, from: string): void {
+    const message = parseMessage(bytes)
+    if (message === null) return
+    if (message.type === 'hosts') {
+      addHosts(message.hosts)
+      return
+    }
+    const heartbeat: Heartbeat = { ...message, node: types.brandId<types.NodeId>(message.node), engine: message.engine ?? null }
+    const isNew = !peers.has(heartbeat.host)
+    peers.set(heartbeat.host, { heartbeat, heardAt: options.now() })
+    if (isNew) welcome(from)
+    options.onHeartbeat(heartbeat)
+  }
+
+  /** Tells a daemon that was not known which others there are. */
+  function welcome (host: string): void {
+    send(host, { type: 'hosts', hosts: [...peers.keys()] })
+    send(host, { type: 'heartbeat', ...options.describeSelf() })
+  }
+
+  function addHosts (more: readonly string[]): void {
+    for (const host of more) {
+      if (host === options.host || peers.has(host) || hosts.has(host)) continue
+      hosts.add(host)
+      send(host, { type: 'heartbeat', ...options.describeSelf() })
+    }
+  }
+
+  function send (host: string, message: unknown): void {
+    socket.send(JSON.stringify(message), options.port, host, () => {})
+  }
+
+  function isLive (peer: Peer): boolean {
+    return options.now() - peer.heardAt <= PEER_LIVE_MS
+  }
+
+  function tick (): void {
+    const now = options.now()
+    let text: string | null = null
+    const beat = (host: string): void => {
+      text ??= JSON.stringify({ type: 'heartbeat', ...options.describeSelf() })
+      sentAt.set(host, now)
+      socket.send(text, options.port, host, () => {})
+    }
+    for (const [host, peer] of peers) {
+      if (now - peer.heardAt > PEER_FORGET_MS) peers.delete(host)
+      const interval = options.intervalTo(peer.heartbeat.role) * (isLive(peer) ? 1 : SILENT_FACTOR)
+      if (now - (sentAt.get(host) ?? 0) >= interval - TICK_MS / 2) beat(host)
+    }
+    for (const host of hosts) {
+      if (peers.has(host)) continue
+      if (now - (sentAt.get(host) ?? 0) >= SEED_INTERVAL_MS) beat(host)
+    }
+  }
+
+  const timer = setInterval(tick, TICK_MS)
+  tick()
+  return {
+    peers: () => [...peers.values()],
+    isLive,
+    addHosts,
+    sendNow: (role) => {
+      const text = JSON.stringify({ type: 'heartbeat', ...options.describeSelf() })
+      for (const [host, peer] of peers) {
+        if (role !== undefined && peer.heartbeat.role !== role) continue
+        sentAt.set(host, options.now())
+        socket.send(text, options.port, host, () => {})
+      }
+    },
+    stop: () => {
+      clearInterval(timer)
+      socket.close()
+    }
+  }
+}
+
+function parseMessage (bytes: Buffer): zod.z.infer<typeof messageSchema> | null {
+  try {
+    const parsed = messageSchema.safeParse(JSON.parse(bytes.toString()))
+    return parsed.success ? parsed.data : null
+  } catch {
+    return null
+  }
+}
--- /dev/null
+++ b/packages/spread/src/index.ts
@@ -0,0 +1,3 @@
+/** What daemons tell each other: heartbeats, revisions, snapshots and bytes. */
+export * from './createGossip/index.js'
+export * from './createSnapshotSync/index.js'
--- /dev/null
+++ b/packages/staging/src/planVersions/index.ts
@@ -0,0 +1,40 @@
+/** Decides which of the named versions an agent fetches now. */
+import type * as staging from '../types/index.js'
+
+/** What the decision depends on. */
+export interface VersionPlanInput {
+  /** Version that the engine runs, 0 for none. */
+  readonly held: number
+  /** Versions named for the model, in any order. */
+  readonly named: readonly staging.NamedVersion[]
+  /** Part of a version's pieces that this agent has, from 0 to 1. */
+  readonly progressOf: (version: number) => number
+  /** Milliseconds that fetching a whole version takes. */
+  readonly wholeMs: number
+  readonly now: number
+}
+
+/** Milliseconds that an engine needs from its order until it serves the new version. */
+export const SWITCH_MS = 1200
+
+/**
+ * Chooses the oldest version that is newer than the engine's and can still serve before its bound; the newest
+ * one is never skipped, because nothing else may serve after its bound.
+ *
+ * @param input - Versions, progress and time.
+ * @returns The version to fetch, or null when the engine has the newest one.
+ */
+export function planVersions (input: VersionPlanInput): staging.NamedVersion | null {
+  const wanted = input.named
+    .filter((named) => named.id.version > input.held)
+    .sort((left, right) => left.id.version - right.id.version)
+  const newest = wanted[wanted.length - 1]
+  if (newest === undefined) return null
+  if (input.held === 0) return newest
+  return wanted.find((named) => named === newest || canServeInTime(named, input)) ?? newest
+}
+
+function canServeInTime (named: staging.NamedVersion, input: VersionPlanInput): boolean {
+  const missingMs = (1 - input.progressOf(named.id.version)) * input.wholeMs
+  return input.now + missingMs + SWITCH_MS < named.boundAt
+}
--- a/packages/standins/src/createPlatformStandIn/index.ts
+++ b/packages/standins/src/createPlatformStandIn/index.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the platform: object API with versions, conditional updates, watches and rate limits, and the lagging node list. */
 import * as timers from 'node:timers/promises'
 import Koa from 'koa'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as admin from '../_lib/admin.js'
--- a/packages/table/src/editTable/index.ts
+++ b/packages/table/src/editTable/index.ts
@@ -1,6 +1,6 @@
 /** Writes an edit to the platform exactly once, whatever happens to the answers. */
 import * as types from '@switchridge/types'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 import * as applyChanges from '../applyChanges/index.js'
 import * as parseTable from '../parseTable/index.js'
 import * as schema from '../_lib/schema.js'
--- a/packages/table/src/editTable/test.ts
+++ b/packages/table/src/editTable/test.ts
@@ -1,7 +1,7 @@
 import * as test from 'node:test'
 import * as assert from 'node:assert/strict'
 import * as types from '@switchridge/types'
-import * as platform from '@switchridge/platform'
+import * as platform from '@switchridge/store'
 import * as table from '../index.js'
 
 const SERVICE: types.CellChange[] = [
--- a/packages/table/src/readAudit/index.ts
+++ b/packages/table/src/readAudit/index.ts
@@ -1,6 +1,6 @@
 /** Reads the audit trail of changes. */
 import * as types from '@switchridge/types'
-import type * as platform from '@switchridge/platform'
+import type * as platform from '@switchridge/store'
 import * as editTable from '../editTable/index.js'
 import * as schema from '../_lib/schema.js'
 
--- /dev/null
+++ b/scripts/build-target.mjs
@@ -0,0 +1,33 @@
+/**
+ * Bundles the daemon into target/, so that a start reads few files.
+ */
+import * as esbuild from 'esbuild'
+
+const REQUIRE_BANNER = "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);"
+
+await esbuild.build({
+  entryPoints: { switchridged: 'packages/daemon/src/main.ts' },
+  outdir: 'target',
+  bundle: true,
+  splitting: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minifySyntax: true,
+  legalComments: 'none',
+  logLevel: 'warning',
+  banner: { js: REQUIRE_BANNER },
+  alias: await readWorkspaceAliases()
+})
+
+/** Workspace packages are bundled from their sources, so that the build needs no compiled files. */
+async function readWorkspaceAliases () {
+  const fs = await import('node:fs')
+  const folders = [...fs.readdirSync('packages').map((name) => `packages/${name}`), 'platform']
+  const aliases = {}
+  for (const folder of folders) {
+    const { name } = JSON.parse(fs.readFileSync(`${folder}/package.json`, 'utf8'))
+    aliases[name] = `./${folder}/src/index.ts`
+  }
+  return aliases
+}
