Fetch weights from one request at a time to each peer, and plan versions by their bounds

Change: the first in rank reads the manifest (twice) and nobody else on behalf of others; a peer picks any of the pieces it is asked for; a version given up is not taken up again; the stage is written and read back right before the engine's turn.

--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -28,6 +28,7 @@
   readonly versions: followVersions.VersionFollower
   readonly areVersionsKnown: () => boolean
   readonly onVersions: (listener: () => void) => void
+  /** Copies of the kinds that the role needs; an agent needs no list of back ends. */
   readonly mirrors: readonly store.Mirror[]
   readonly now: () => number
 }
@@ -110,7 +111,7 @@
     versions,
     areVersionsKnown: named.isKnown,
     onVersions: (listener) => { named.onChange(listener) },
-    mirrors: [configurations, servers, named],
+    mirrors: checked.role === 'gateway' ? [configurations, servers, named] : [configurations, named],
     now
   }
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -23,6 +23,9 @@
 const PIECE_TIMEOUT_MS = 3000
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
+/** Tells which of the wanted pieces was sent. */
+const PIECE_HEADER = 'x-switchridge-piece'
+const OK = 200
 
 /**
  * Starts the agent role.
@@ -44,7 +47,7 @@
   let stager: staging.Stager | null = null
 
   const sync = createFleetParts.createSync(parts, () => false)
-  const listener = await createFleetParts.listenInternal(parts, [sendPieces])
+  const listener = await createFleetParts.listenInternal(parts, [sendWeights])
   const gossip = await spread.createGossip({
     host: checked.host,
     port: checked.internal_port,
@@ -90,11 +93,15 @@
       engine,
       origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
       agents: listAgents,
-      fetchFromPeer: async (peer, id, piece) => await fetchBytes(peer, `${PIECES_PATH}${encodeURIComponent(id.model)}/${id.version}/${piece}`),
+      fetchFromPeer: async (peer, id, wanted) => {
+        const fetched = await fetch(peer, `${PIECES_PATH}${encodeURIComponent(id.model)}/${id.version}/${wanted.join()}`)
+        if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
+        return types.succeed({ piece: Number(fetched.value.headers[PIECE_HEADER]), bytes: fetched.value.body })
+      },
       fetchManifest: async (peer, id) => {
-        const fetched = await fetchBytes(peer, `${MANIFESTS_PATH}${encodeURIComponent(id.model)}/${id.version}`)
+        const fetched = await fetch(peer, `${MANIFESTS_PATH}${encodeURIComponent(id.model)}/${id.version}`)
         if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
-        return types.succeed(fetched.value.toString().split(',').map((digest) => types.brandId<types.Digest>(digest)))
+        return types.succeed(fetched.value.body.toString().split(',').map((digest) => types.brandId<types.Digest>(digest)))
       },
       onPause: (next) => {
         isPaused = next
@@ -114,7 +121,8 @@
     return [self, ...live]
   }
 
-  async function fetchBytes (peer: staging.StagingPeer, path: string): Promise<types.Outcome<Buffer | null, types.UnavailableError>> {
+  /** Null when the peer does not have what is asked for. */
+  async function fetch (peer: staging.StagingPeer, path: string): Promise<types.Outcome<rpc.WholeAnswer | null, types.UnavailableError>> {
     const sent = await rpc.sendRequest(parts.agents, {
       base: `http://${peer.address.host}:${peer.address.port}`,
       path,
@@ -122,32 +130,28 @@
       headers: rpc.createIdentityHeaders(parts.identity),
       timeoutMs: PIECE_TIMEOUT_MS
     })
-    if (!sent.ok) return sent
-    return types.succeed(sent.value.status === 200 ? sent.value.body : null)
+    return sent.ok ? types.succeed(sent.value.status === OK ? sent.value : null) : sent
   }
 
-  async function sendPieces (context: Koa.Context, next: Koa.Next): Promise<void> {
-    const bytes = await findBytes(context.path)
-    if (bytes === undefined) {
-      await next()
-      return
-    }
-    if (bytes === null) {
-      context.status = 404
-      return
-    }
-    await uplink.take(bytes.length)
-    context.body = bytes
+  async function sendWeights (context: Koa.Context, next: Koa.Next): Promise<void> {
+    const [, kind, model, version, wanted] = context.path.split('/')
+    const id = { model: decodeURIComponent(model ?? ''), version: Number(version) }
+    if (`/${kind ?? ''}/` === PIECES_PATH) await sendPiece(context, id, (wanted ?? '').split(',').map(Number))
+    else if (`/${kind ?? ''}/` === MANIFESTS_PATH) await sendManifest(context, id)
+    else await next()
   }
 
-  /** Undefined for a path that is not of weights, null for weights that are not here. */
-  async function findBytes (path: string): Promise<Buffer | null | undefined> {
-    const [, kind, model, version, piece] = path.split('/')
-    const id = { model: decodeURIComponent(model ?? ''), version: Number(version) }
-    if (`/${kind ?? ''}/` === PIECES_PATH) return await stager?.providePiece(id, Number(piece), PIECE_WAIT_MS) ?? null
-    if (`/${kind ?? ''}/` !== MANIFESTS_PATH) return undefined
+  async function sendPiece (context: Koa.Context, id: staging.VersionId, wanted: readonly number[]): Promise<void> {
+    const taken = await stager?.providePiece(id, wanted, PIECE_WAIT_MS) ?? null
+    if (taken === null) return
+    await uplink.take(taken.bytes.length)
+    context.set(PIECE_HEADER, String(taken.piece))
+    context.body = taken.bytes
+  }
+
+  async function sendManifest (context: Koa.Context, id: staging.VersionId): Promise<void> {
     const digests = await stager?.provideManifest(id, staging.MANIFEST_WAIT_MS) ?? null
-    return digests === null ? null : Buffer.from(digests.join())
+    if (digests !== null) context.body = Buffer.from(digests.join())
   }
 
   parts.onRoutes(() => {
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -4,6 +4,12 @@
 import * as rankProviders from '../rankProviders/index.js'
 import * as staging from '../types/index.js'
 
+/** A piece that a peer chose among those that it was asked for. */
+export interface SentPiece {
+  readonly piece: number
+  readonly bytes: Buffer
+}
+
 /** Options of {@link createPieceFetcher}. */
 export interface PieceFetcherOptions {
   readonly pieces: createPieceStore.VersionPieces
@@ -11,8 +17,8 @@
   /** All live agents, this one included. */
   readonly agents: () => readonly staging.StagingPeer[]
   readonly origin: staging.WeightOrigin
-  /** Asks a peer for a piece; it may wait for it. Null when the peer does not have it. */
-  readonly fetchFromPeer: (peer: staging.StagingPeer, id: staging.VersionId, piece: number) => Promise<types.Outcome<Buffer | null, types.UnavailableError>>
+  /** Asks a peer for any of some pieces; the peer waits until it has one. Null when it has none. */
+  readonly fetchFromPeer: (peer: staging.StagingPeer, id: staging.VersionId, wanted: readonly number[]) => Promise<types.Outcome<SentPiece | null, types.UnavailableError>>
   /** Monotonic time in milliseconds from which pieces that are missing come from the origin. */
   readonly originFrom: () => number
   readonly now: () => number
@@ -45,15 +51,17 @@
 }
 
 const ORIGIN_LANES = 2
-const PEER_LANES = 5
-const RETRY_MS = 60
+const TICK_MS = 40
 const RANKS_KEPT_MS = 300
-/** Failures after which a piece is asked for at any agent, and then at the origin. */
-const ANY_PEER_AFTER = 2
-const ORIGIN_AFTER = 5
+/** A peer that failed is left out of the ranks for so long. */
+const SUSPECT_MS = 2000
+/** A piece whose provider had so long for it is asked for at any peer. */
+const OVERDUE_MS = 2200
+const FAILED_PAUSE_MS = 60
 
 /**
- * Starts to fetch.
+ * Starts to fetch. There is one request at a time to each peer, for all pieces that it shall provide, so that
+ * no request waits for a piece while another one could be had.
  *
  * @param options - Where pieces are kept and how they are fetched.
  * @returns The fetch.
@@ -63,102 +71,106 @@
   const { id, digests } = pieces.manifest
   const key = staging.formatVersion(id)
   const counts: FetchCounts = { originPieces: 0, peerPieces: 0, otherZonePieces: 0, failures: 0 }
-  const failures = new Map<number, number>()
-  const open = new Set<number>()
+  const startedAt = options.now()
   const order = shuffle(digests.map((_, index) => index), options.random)
-  const ranks = new Map<number, rankProviders.ProviderPlan>()
+  const readingOrigin = new Set<number>()
+  const busyPeers = new Set<types.NodeId>()
+  const suspectUntil = new Map<types.NodeId, number>()
+  let plans = new Map<number, rankProviders.ProviderPlan>()
   let agents: readonly staging.StagingPeer[] = []
   let rankedAt = -Infinity
   let isStopped = false
-
-  /** Ranks are kept for a moment, since agents come and go seldom. */
-  function plan (piece: number): rankProviders.ProviderPlan {
-    if (options.now() - rankedAt > RANKS_KEPT_MS) {
-      rankedAt = options.now()
-      agents = options.agents()
-      ranks.clear()
-    }
-    const known = ranks.get(piece)
-    if (known !== undefined) return known
-    const ranked = rankProviders.rankProviders(`${key}/${piece}`, self, agents)
-    ranks.set(piece, ranked)
-    return ranked
+  let finish: (isWhole: boolean) => void = () => {}
+  const whole = new Promise<boolean>((resolve) => { finish = resolve })
+
+  function refreshRanks (): void {
+    const now = options.now()
+    if (now - rankedAt < RANKS_KEPT_MS) return
+    rankedAt = now
+    agents = options.agents().filter((agent) => agent.node === self.node || (suspectUntil.get(agent.node) ?? 0) <= now)
+    plans = new Map(order.map((piece) => [piece, rankProviders.rankProviders(`${key}/${piece}`, self, agents)]))
   }
 
-  function readsOrigin (piece: number): boolean {
-    if ((failures.get(piece) ?? 0) >= ORIGIN_AFTER || options.now() >= options.originFrom()) return true
-    return plan(piece).part === 'reader'
+  function listMissing (): number[] {
+    return order.filter((piece) => !pieces.has(piece))
   }
 
-  /** The next missing piece of a lane; importers' pieces first, since others wait for them. */
-  function takeNext (isOriginLane: boolean): number | null {
-    const candidates = order.filter((piece) => !pieces.has(piece) && !open.has(piece) && readsOrigin(piece) === isOriginLane)
-    return candidates.find((piece) => plan(piece).part === 'importer') ?? candidates[0] ?? null
+  function tick (): void {
+    if (isStopped || pieces.isWhole()) {
+      end()
+      return
+    }
+    refreshRanks()
+    const missing = listMissing()
+    const isLate = options.now() >= options.originFrom()
+    const isOverdue = options.now() - startedAt >= OVERDUE_MS
+    for (const piece of missing) {
+      if (readingOrigin.size >= ORIGIN_LANES) break
+      const reads = isLate || plans.get(piece)?.part === 'reader'
+      if (reads && !readingOrigin.has(piece)) void readOrigin(piece)
+    }
+    for (const peer of agents) {
+      if (peer.node === self.node || busyPeers.has(peer.node)) continue
+      const wanted = missing.filter((piece) => isWantedFrom(peer, piece, isOverdue))
+      if (wanted.length > 0) void askPeer(peer, wanted)
+    }
   }
 
-  async function runLane (isOriginLane: boolean): Promise<void> {
-    while (!isStopped && !pieces.isWhole()) {
-      const piece = takeNext(isOriginLane)
-      if (piece === null) {
-        await types.delay(RETRY_MS)
-        continue
-      }
-      open.add(piece)
-      const isHere = isOriginLane ? await readOrigin(piece) : await askPeers(piece)
-      open.delete(piece)
-      if (isHere) continue
-      failures.set(piece, (failures.get(piece) ?? 0) + 1)
-      counts.failures += 1
-      await types.delay(RETRY_MS)
-    }
+  function isWantedFrom (peer: staging.StagingPeer, piece: number, isOverdue: boolean): boolean {
+    if (readingOrigin.has(piece)) return false
+    if (plans.get(piece)?.provider?.node === peer.node) return true
+    return isOverdue && peer.zone === self.zone && plans.get(piece)?.part !== 'reader'
   }
 
-  async function readOrigin (piece: number): Promise<boolean> {
+  async function readOrigin (piece: number): Promise<void> {
+    readingOrigin.add(piece)
     const read = await options.origin.readPiece(id, piece)
-    if (!read.ok) {
-      options.onEvent({ event: 'origin-failed', piece, from: 'origin', reason: read.error.message })
-      return false
+    if (read.ok) {
+      counts.originPieces += 1
+      keep(piece, read.value, 'origin')
+    } else {
+      noteFailure({ event: 'origin-failed', piece, from: 'origin', reason: read.error.message })
+      await types.delay(FAILED_PAUSE_MS)
     }
-    counts.originPieces += 1
-    return keep(piece, read.value, 'origin')
+    readingOrigin.delete(piece)
+    tick()
   }
 
-  async function askPeers (piece: number): Promise<boolean> {
-    const failed = failures.get(piece) ?? 0
-    const { providers } = plan(piece)
-    const peer = failed >= ANY_PEER_AFTER ? pickAny() : providers[failed % providers.length]
-    if (peer === undefined) return false
-    const fetched = await options.fetchFromPeer(peer, id, piece)
+  async function askPeer (peer: staging.StagingPeer, wanted: readonly number[]): Promise<void> {
+    busyPeers.add(peer.node)
+    const fetched = await options.fetchFromPeer(peer, id, wanted)
     if (!fetched.ok) {
-      options.onEvent({ event: 'peer-failed', piece, from: peer.node, reason: fetched.error.message })
-      return false
+      suspectUntil.set(peer.node, options.now() + SUSPECT_MS)
+      rankedAt = -Infinity
+      noteFailure({ event: 'peer-failed', piece: wanted[0] as number, from: peer.node, reason: fetched.error.message })
+      await types.delay(FAILED_PAUSE_MS)
+    } else if (fetched.value !== null) {
+      counts.peerPieces += 1
+      if (peer.zone !== self.zone) counts.otherZonePieces += 1
+      keep(fetched.value.piece, fetched.value.bytes, peer.node)
     }
-    if (fetched.value === null) return false
-    counts.peerPieces += 1
-    if (peer.zone !== self.zone) counts.otherZonePieces += 1
-    return keep(piece, fetched.value, peer.node)
+    busyPeers.delete(peer.node)
+    tick()
   }
 
-  function pickAny (): staging.StagingPeer | undefined {
-    const others = options.agents().filter((agent) => agent.node !== self.node)
-    return others[Math.floor(options.random() * others.length)]
+  function keep (piece: number, bytes: Buffer, from: string): void {
+    if (pieces.put(piece, bytes)) return
+    noteFailure({ event: 'piece-spoilt', piece, from, reason: `${bytes.length} bytes that do not match their digest` })
   }
 
-  function keep (piece: number, bytes: Buffer, from: string): boolean {
-    if (pieces.put(piece, bytes)) return true
-    options.onEvent({ event: 'piece-spoilt', piece, from, reason: `${bytes.length} bytes that do not match their digest` })
-    return false
+  function noteFailure (event: FetchEvent): void {
+    counts.failures += 1
+    options.onEvent(event)
   }
 
-  const lanes = [
-    ...Array.from({ length: ORIGIN_LANES }, async () => { await runLane(true) }),
-    ...Array.from({ length: PEER_LANES }, async () => { await runLane(false) })
-  ]
-  return {
-    counts,
-    whole: Promise.all(lanes).then(() => pieces.isWhole()),
-    stop: () => { isStopped = true }
+  function end (): void {
+    clearInterval(timer)
+    finish(pieces.isWhole())
   }
+
+  const timer = setInterval(tick, TICK_MS)
+  tick()
+  return { counts, whole, stop: () => { isStopped = true } }
 }
 
 function shuffle (items: readonly number[], random: () => number): number[] {
--- a/packages/staging/src/createPieceStore/index.ts
+++ b/packages/staging/src/createPieceStore/index.ts
@@ -12,10 +12,17 @@
   readonly put: (piece: number, bytes: Buffer) => boolean
   readonly count: () => number
   readonly isWhole: () => boolean
-  /** Waits until the piece is here; null when the time is over. */
-  readonly waitFor: (piece: number, waitMs: number) => Promise<Buffer | null>
-  /** Registers a listener of new pieces. */
-  readonly onPiece: (listener: (piece: number) => void) => void
+  /**
+   * Takes one of some pieces for a peer, the one that was taken least often; waits until there is one.
+   * Null when the time is over.
+   */
+  readonly takeAny: (wanted: readonly number[], waitMs: number) => Promise<TakenPiece | null>
+}
+
+/** A piece on its way to a peer. */
+export interface TakenPiece {
+  readonly piece: number
+  readonly bytes: Buffer
 }
 
 /** The versions that an agent holds. */
@@ -66,18 +73,30 @@
 
 function createVersionPieces (manifest: staging.StageManifest): VersionPieces {
   const pieces = new Map<number, Buffer>()
+  const timesTaken = new Map<number, number>()
   const listeners = new Set<(piece: number) => void>()
 
-  async function waitFor (piece: number, waitMs: number): Promise<Buffer | null> {
-    const held = pieces.get(piece)
-    if (held !== undefined) return held
+  function take (wanted: readonly number[]): TakenPiece | null {
+    let best = -1
+    for (const piece of wanted) {
+      if (!pieces.has(piece)) continue
+      if (best === -1 || (timesTaken.get(piece) ?? 0) < (timesTaken.get(best) ?? 0)) best = piece
+    }
+    if (best === -1) return null
+    timesTaken.set(best, (timesTaken.get(best) ?? 0) + 1)
+    return { piece: best, bytes: pieces.get(best) as Buffer }
+  }
+
+  async function takeAny (wanted: readonly number[], waitMs: number): Promise<TakenPiece | null> {
+    const held = take(wanted)
+    if (held !== null) return held
     return await new Promise((resolve) => {
       const finish = (): void => {
         clearTimeout(timer)
         listeners.delete(onArrival)
-        resolve(pieces.get(piece) ?? null)
+        resolve(take(wanted))
       }
-      const onArrival = (arrived: number): void => { if (arrived === piece) finish() }
+      const onArrival = (arrived: number): void => { if (wanted.includes(arrived)) finish() }
       const timer = setTimeout(finish, waitMs)
       listeners.add(onArrival)
     })
@@ -85,12 +104,11 @@
 
   return {
     manifest,
-    waitFor,
+    takeAny,
     has: (piece) => pieces.has(piece),
     get: (piece) => pieces.get(piece) ?? null,
     count: () => pieces.size,
     isWhole: () => pieces.size === manifest.digests.length,
-    onPiece: (listener) => { listeners.add(listener) },
     put: (piece, bytes) => {
       if (pieces.has(piece)) return true
       if (!matchesDigest(bytes, manifest.digests[piece])) return false
--- a/packages/staging/src/index.ts
+++ b/packages/staging/src/index.ts
@@ -1,7 +1,10 @@
 /** Distribution of weights into the stages of engines, planned by the bounds of the versions named. */
+export * from './computeTurn/index.js'
+export * from './createManifestReader/index.js'
 export * from './createPieceFetcher/index.js'
 export * from './createPieceStore/index.js'
 export * from './createStager/index.js'
 export * from './planVersions/index.js'
 export * from './rankProviders/index.js'
 export * from './types/index.js'
+export * from './writeStage/index.js'
--- a/packages/staging/src/planVersions/index.ts
+++ b/packages/staging/src/planVersions/index.ts
@@ -3,8 +3,10 @@
 
 /** What the decision depends on. */
 export interface VersionPlanInput {
-  /** Version that the engine runs, 0 for none. */
+  /** Newest version that needs no fetching any more, 0 for none. */
   readonly held: number
+  /** Older versions were given up and are not taken up again. */
+  readonly notBelow: number
   /** Versions named for the model, in any order. */
   readonly named: readonly staging.NamedVersion[]
   /** Part of a version's pieces that this agent has, from 0 to 1. */
@@ -26,7 +28,7 @@
  */
 export function planVersions (input: VersionPlanInput): staging.NamedVersion | null {
   const wanted = input.named
-    .filter((named) => named.id.version > input.held)
+    .filter((named) => named.id.version > input.held && named.id.version >= input.notBelow)
     .sort((left, right) => left.id.version - right.id.version)
   const newest = wanted[wanted.length - 1]
   if (newest === undefined) return null
--- a/packages/staging/src/rankProviders/index.ts
+++ b/packages/staging/src/rankProviders/index.ts
@@ -6,8 +6,8 @@
 export interface ProviderPlan {
   /** `reader`: from the origin; `importer`: from another zone for its own; `member`: from its zone's importer. */
   readonly part: 'reader' | 'importer' | 'member'
-  /** Agents to ask, best first; empty for a reader. */
-  readonly providers: readonly staging.StagingPeer[]
+  /** The agent to ask; null for a reader. */
+  readonly provider: staging.StagingPeer | null
 }
 
 /**
@@ -21,11 +21,11 @@
  */
 export function rankProviders (key: string, self: staging.StagingPeer, agents: readonly staging.StagingPeer[]): ProviderPlan {
   const reader = pick(key, agents)
-  if (reader === undefined || reader.node === self.node) return { part: 'reader', providers: [] }
+  if (reader === undefined || reader.node === self.node) return { part: 'reader', provider: null }
   const ownZone = agents.filter((agent) => agent.zone === self.zone)
   const importer = reader.zone === self.zone ? reader : pick(key, ownZone)
-  if (importer === undefined || importer.node === self.node) return { part: 'importer', providers: [reader] }
-  return { part: 'member', providers: [importer, reader] }
+  if (importer === undefined || importer.node === self.node) return { part: 'importer', provider: reader }
+  return { part: 'member', provider: importer }
 }
 
 function pick (key: string, agents: readonly staging.StagingPeer[]): staging.StagingPeer | undefined {
--- a/packages/store/src/createMirror/index.ts
+++ b/packages/store/src/createMirror/index.ts
@@ -63,6 +63,9 @@
   readonly onChange: (listener: () => void) => void
 }
 
+/** A kind without objects is known at this revision, so that peers can tell it from a kind that was never listed. */
+const FIRST_REVISION = 1
+
 /**
  * Creates an empty mirror. It never goes back: what is older than the last change seen is ignored.
  *
@@ -91,7 +94,7 @@
 
   function applyList (listed: ListedObjects): void {
     if (listed.at < changedAt) return
-    const lastChange = listed.objects.reduce((latest, object) => Math.max(latest, object.revision), 0)
+    const lastChange = listed.objects.reduce((latest, object) => Math.max(latest, object.revision), FIRST_REVISION)
     replace(listed.objects, Math.max(changedAt, lastChange))
   }
 
