Deal pieces evenly, take turns by the bound, and test gateways and agents over stand-ins of the platform

Cause: rendezvous alone gave some agents half again as many pieces to pass on, and they were last; turns of a third of the engines each took the capacity of two thirds for seconds. A daemon that had stopped sent one more datagram, which ended the process: found by the new tests. Change: dealPieces with a cap for each agent; turns spread over two seconds before the bound; gateways prefer engines that change later for long answers; stand-ins of the platform's store, engine and origin in platform/testing with 32 tests of whole roles.

--- a/packages/daemon/src/_lib/engineNews.ts
+++ b/packages/daemon/src/_lib/engineNews.ts
@@ -9,11 +9,14 @@
   readonly report: gateway.EngineReport
   /** Whether it shall get no new work for now. */
   readonly isPaused: boolean
+  /** Milliseconds until it changes its version; null when it will not. */
+  readonly changesInMs: number | null
 }
 
 const newsSchema = zod.z.object({
   address: zod.z.string(),
   isPaused: zod.z.boolean(),
+  changesInMs: zod.z.number().nullable(),
   report: zod.z.object({
     running: zod.z.number(),
     waiting: zod.z.number(),
--- /dev/null
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -0,0 +1,184 @@
+/** A small fleet in this process for tests: stand-ins of the platform, gateways and agents. */
+import * as http from 'node:http'
+import type * as nodeTest from 'node:test'
+import * as assert from 'node:assert/strict'
+import * as testing from '@switchridge/platform-testing'
+import * as settings from '@switchridge/settings'
+import * as types from '@switchridge/types'
+import * as startAgentRole from '../startAgentRole/index.js'
+import * as startGatewayRole from '../startGatewayRole/index.js'
+import type * as fleetRole from './fleetRole.js'
+
+export const MODEL = 'model-a'
+export const KEY = 'key-of-tenant-one'
+const POLL_MS = 10
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  /** 0 when the connection ended without a whole answer. */
+  readonly status: number
+  readonly headers: http.IncomingHttpHeaders
+  readonly body: string
+  readonly isWhole: boolean
+}
+
+/** What a caller sends beyond the defaults. */
+export interface CallerRequest {
+  readonly method?: string
+  readonly path: string
+  readonly id: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  /** Milliseconds after which the caller leaves. */
+  readonly leaveAfterMs?: number
+}
+
+/** The fleet of one test. */
+export interface TestFleet {
+  readonly store: testing.StoreStandIn
+  readonly origin: testing.OriginStandIn
+  readonly startEngine: (options: testing.EngineStandInOptions, service?: string) => Promise<testing.EngineStandIn>
+  readonly startGateway: (host: string, seeds?: readonly string[]) => Promise<types.Address>
+  readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[]) => Promise<fleetRole.FleetRole>
+  readonly configure: (change?: (configuration: Configuration) => void) => void
+}
+
+/** The operator's configuration, as the platform writes it. */
+export interface Configuration {
+  version: number
+  routes: Array<Record<string, unknown>>
+  services: Array<Record<string, unknown>>
+  limits: Record<string, number>
+  tenants: Array<Record<string, unknown>>
+}
+
+/** Waits without a limit of its own; the runner's limit ends a test that hangs. */
+export async function until (condition: () => boolean | Promise<boolean>): Promise<void> {
+  while (!await condition()) await types.delay(POLL_MS)
+}
+
+/**
+ * Opens the stand-ins; daemons are started by the test.
+ *
+ * @param context - The test; all is closed after it.
+ * @param pieces - Pieces of a version of weights.
+ * @returns The fleet.
+ */
+export async function openFleet (context: nodeTest.TestContext, pieces = 8): Promise<TestFleet> {
+  const store = await testing.createStoreStandIn()
+  const origin = await testing.createOriginStandIn(pieces)
+  const roles: fleetRole.FleetRole[] = []
+  const servers: Array<{ close: () => void }> = [store, origin]
+  let configuration = createConfiguration(testing.formatAddress(origin.address), pieces)
+  const ports = await findPorts()
+  context.after(() => {
+    for (const role of roles) role.stop()
+    for (const server of servers) server.close()
+  })
+
+  function parse (text: string): settings.FleetSettings {
+    const parsed = settings.parseFleetSettings(text, 'test')
+    assert.ok(parsed.ok, parsed.ok ? '' : parsed.error.message)
+    return parsed.value
+  }
+
+  function describe (role: string, host: string, seeds: readonly string[]): string {
+    return `role = "${role}"\nnode = "${role}-${host}"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\ninternal_port = ${ports.internal}\n` +
+      `seeds = [${seeds.map((seed) => `"${seed}:1"`).join()}]\n`
+  }
+
+  const storeSection = `[store]\naddress = "${testing.formatAddress(store.address)}"\ntimeout_ms = 300\nwatch_ms = 500\n[logs]\nlevel = "silent"\n`
+  return {
+    store,
+    origin,
+    startEngine: async (options, service = 'llm') => {
+      const engine = await testing.createEngineStandIn(options)
+      servers.push(engine)
+      const model = options.model === undefined ? undefined : { name: options.model, version: options.version ?? 0 }
+      store.put('servers', options.id, testing.describeEngine(engine, service, 'zone-a', model))
+      return engine
+    },
+    startGateway: async (host, seeds = []) => {
+      const listen = `[listen]\ncallers = "${host}:${ports.callers}"\nreadiness = "${host}:${ports.readiness}"\n`
+      roles.push(await startGatewayRole.startGatewayRole(parse(describe('gateway', host, seeds) + listen + storeSection + '[bounds]\nversion_ms = 3000\n')))
+      return { host, port: ports.callers }
+    },
+    startAgent: async (host, engine, seeds) => {
+      const section = `[engine]\naddress = "${testing.formatAddress(engine.address)}"\nservice = "llm"\n`
+      const role = await startAgentRole.startAgentRole(parse(describe('agent', host, seeds) + section + storeSection + '[bounds]\nversion_ms = 6000\n'))
+      roles.push(role)
+      return role
+    },
+    configure: (change = () => {}) => {
+      configuration = structuredClone(configuration)
+      configuration.version += 1
+      change(configuration)
+      store.put('config', 'main', configuration)
+    }
+  }
+}
+
+function createConfiguration (origin: string, pieces: number): Configuration {
+  const route = (name: string, routeType: string, extra: Record<string, unknown> = {}): Record<string, unknown> => ({
+    name, hostname: 'app.example', pathPrefix: `/${name}/`, routeType, timeoutMs: 2000, targetLatencyMs: 400, priority: 1, service: 'api', maxAttempts: 2, public: false, ...extra
+  })
+  return {
+    version: 1,
+    routes: [
+      route('read', 'idempotent'),
+      route('write', 'non_idempotent'),
+      route('open', 'idempotent', { public: true }),
+      route('stream', 'stream', { service: 'llm', resumable: true, gapTargetMs: 400, maxAttempts: 3 })
+    ],
+    services: [
+      { name: 'api', healthPath: '/health', maxConnections: 50 },
+      {
+        name: 'llm',
+        healthPath: '/health',
+        maxConnections: 50,
+        engine: { slots: 16, kvCapacity: 1000, models: [{ name: MODEL }], step_ms: 5, per_seq_ms: 0, read_per_s: 20_000, usual: { prompt: 100, answer: 50 }, layers: 4, chunks: pieces, chunkBytes: 512 }
+      },
+      { name: 'weights', origin, zone: 'zone-a', linkMbps: 10, maxConnections: 50 }
+    ],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 10_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+    tenants: [{ name: 'tenant-one', apiKeys: [KEY], priority: 1 }]
+  }
+}
+
+/** Ports that are free on the loopback addresses of a test. */
+async function findPorts (): Promise<{ internal: number, callers: number, readiness: number }> {
+  const found: number[] = []
+  const servers = await Promise.all([0, 1, 2].map(async () => {
+    const server = http.createServer()
+    await new Promise<void>((resolve) => { server.listen(0, '0.0.0.0', resolve) })
+    found.push((server.address() as { port: number }).port)
+    return server
+  }))
+  await Promise.all(servers.map(async (server) => { await new Promise((resolve) => { server.close(resolve) }) }))
+  return { internal: found[0] as number, callers: found[1] as number, readiness: found[2] as number }
+}
+
+/** Sends a caller's request and reads the answer to its end. */
+export async function call (address: types.Address, request: CallerRequest): Promise<CallerAnswer> {
+  return await new Promise((resolve) => {
+    const headers = { host: 'app.example', 'request-id': request.id, 'deadline-remaining': '3000', authorization: `Bearer ${KEY}`, ...request.headers }
+    const outgoing = http.request({ host: address.host, port: address.port, method: request.method ?? 'GET', path: request.path, headers, agent: false }, (response) => {
+      let body = ''
+      response.on('data', (part: Buffer) => { body += part.toString() })
+      response.on('error', () => {})
+      response.on('close', () => { resolve({ status: response.statusCode ?? 0, headers: response.headers, body, isWhole: response.complete }) })
+    })
+    outgoing.on('error', () => { resolve({ status: 0, headers: {}, body: '', isWhole: false }) })
+    if (request.leaveAfterMs !== undefined) setTimeout(() => { outgoing.destroy() }, request.leaveAfterMs)
+    outgoing.end(request.body)
+  })
+}
+
+/** Waits until a gateway serves a route. */
+export async function untilServed (address: types.Address, path: string): Promise<void> {
+  let attempt = 0
+  await until(async () => {
+    attempt += 1
+    return (await call(address, { path, id: `probe-${attempt}` })).status === 200
+  })
+}
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -16,7 +16,7 @@
 const INTERVALS = { gateway: 250, agent: 1000 } as const
 const REPORT_INTERVAL_MS = 125
 /** Part of the link that pieces may take, so that streams of the same link stay in time. */
-const PIECE_LINK_PART = 0.8
+const PIECE_LINK_PART = 0.92
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
 const PIECE_WAIT_MS = 1500
@@ -43,6 +43,7 @@
   const uplink = transfer.createLinkPacer(linkBytes, now)
   let report: gateway.EngineReport | null = null
   let isPaused = false
+  let changesInMs: number | null = null
   let isLeaving = false
   let stager: staging.Stager | null = null
 
@@ -52,7 +53,7 @@
     host: checked.host,
     port: checked.internal_port,
     seeds: createFleetParts.readSeedHosts(checked),
-    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused })),
+    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused, changesInMs })),
     intervalTo: (role) => INTERVALS[role],
     onHeartbeat: (heartbeat) => {
       sync.noteRevisions(heartbeat.host, heartbeat.revisions)
@@ -103,6 +104,7 @@
         if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
         return types.succeed(fetched.value.body.toString().split(',').map((digest) => types.brandId<types.Digest>(digest)))
       },
+      onTurn: (inMs) => { changesInMs = inMs },
       onPause: (next) => {
         isPaused = next
         gossip.sendNow('gateway')
--- /dev/null
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -0,0 +1,90 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import type * as testing from '@switchridge/platform-testing'
+import * as fleetTesting from '../_lib/fleetTesting.js'
+
+const GATEWAY_HOST = '127.0.0.1'
+const AGENT_HOSTS = ['127.0.0.11', '127.0.0.12', '127.0.0.13'] as const
+const PIECES = 8
+
+interface OpenedAgents {
+  readonly fleet: fleetTesting.TestFleet
+  readonly engines: readonly testing.EngineStandIn[]
+}
+
+/** A gateway and an agent beside each of three engines. */
+async function openAgents (context: nodeTest.TestContext, versions: readonly number[]): Promise<OpenedAgents> {
+  const fleet = await fleetTesting.openFleet(context, PIECES)
+  fleet.configure()
+  await fleet.startGateway(GATEWAY_HOST)
+  const engines: testing.EngineStandIn[] = []
+  for (const [index, version] of versions.entries()) {
+    const engine = await fleet.startEngine({ id: `i-${index}`, model: fleetTesting.MODEL, version, digestsOf: fleet.origin.digestsOf })
+    for (let piece = 0; piece < PIECES && version > 0; piece += 1) engine.stage.set(piece, fleet.origin.pieceOf(version, piece))
+    engines.push(engine)
+    await fleet.startAgent(AGENT_HOSTS[index] as string, engine, [GATEWAY_HOST])
+  }
+  return { fleet, engines }
+}
+
+function nameVersion (fleet: fleetTesting.TestFleet, version: number): void {
+  fleet.store.put('versions', fleetTesting.MODEL, { model: fleetTesting.MODEL, version })
+}
+
+/** An order for a stage that was not whole is noted as a negative number. */
+function assertWholeOrders (engines: readonly testing.EngineStandIn[]): void {
+  for (const engine of engines) assert.ok(engine.orders.every((order) => order > 0), `${engine.id} took ${engine.orders.join()}`)
+}
+
+nodeTest.test('a named version reaches every engine whole, and the origin sends little more than one copy', async (context) => {
+  const { fleet, engines } = await openAgents(context, [1, 1, 1])
+  nameVersion(fleet, 2)
+  await fleetTesting.until(() => engines.every((engine) => engine.version() === 2))
+  assertWholeOrders(engines)
+  assert.ok(fleet.origin.sent() <= 2 * PIECES, `${fleet.origin.sent()} pieces`)
+})
+
+nodeTest.test('an empty engine is fed the version of the others', async (context) => {
+  const { engines } = await openAgents(context, [1, 1, 0])
+  await fleetTesting.until(() => engines[2]?.version() === 1)
+  assertWholeOrders(engines)
+})
+
+nodeTest.test('spoilt pieces and manifests are read again', async (context) => {
+  const { fleet, engines } = await openAgents(context, [1, 1])
+  fleet.origin.faults.spoilManifests = 1
+  fleet.origin.faults.spoilPieces = 3
+  nameVersion(fleet, 2)
+  await fleetTesting.until(() => engines.every((engine) => engine.version() === 2))
+  assertWholeOrders(engines)
+})
+
+nodeTest.test('a piece that turned bad in the stage is written again before the order', async (context) => {
+  const { fleet, engines } = await openAgents(context, [1])
+  const [engine] = engines as [testing.EngineStandIn]
+  const put = engine.stage.set.bind(engine.stage)
+  let spoilt = 0
+  engine.stage.set = (piece, bytes) => {
+    spoilt += piece === 3 ? 1 : 0
+    return put(piece, piece === 3 && spoilt === 1 ? Buffer.from('spoilt') : bytes)
+  }
+  nameVersion(fleet, 2)
+  await fleetTesting.until(() => engine.version() === 2)
+  assertWholeOrders(engines)
+})
+
+nodeTest.test('an engine that restarts empty is fed again', async (context) => {
+  const { engines } = await openAgents(context, [1, 1])
+  const [engine] = engines as [testing.EngineStandIn]
+  engine.restart()
+  await fleetTesting.until(() => engine.version() === 1)
+  assertWholeOrders(engines)
+})
+
+nodeTest.test('two versions in quick succession end at the newer one everywhere', async (context) => {
+  const { fleet, engines } = await openAgents(context, [1, 1, 1])
+  nameVersion(fleet, 2)
+  nameVersion(fleet, 3)
+  await fleetTesting.until(() => engines.every((engine) => engine.version() === 3))
+  assertWholeOrders(engines)
+})
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -67,7 +67,7 @@
     const news = engineNews.parseEngineNews(heartbeat.engine)
     if (news === null) return
     const backEnd = parts.backEnds().findLast((each) => `${each.address.host}:${each.address.port}` === news.address)
-    if (backEnd !== undefined) book.noteReport(backEnd.id, news.report, news.isPaused, now())
+    if (backEnd !== undefined) book.noteReport(backEnd.id, news, now())
   }
 
   function countGateways (): number {
@@ -93,6 +93,7 @@
       zone: checked.zone,
       model: choice.model,
       promptTokens: choice.promptTokens,
+      answerTokens: choice.answerTokens,
       minimumVersion: floor,
       pinnedVersion: choice.version,
       checksVersion: floor > 0,
--- /dev/null
+++ b/packages/daemon/src/startGatewayRole/test.ts
@@ -0,0 +1,212 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import type * as testing from '@switchridge/platform-testing'
+import type * as types from '@switchridge/types'
+import * as fleetTesting from '../_lib/fleetTesting.js'
+
+const HOST = '127.0.0.1'
+const OTHER_HOST = '127.0.0.2'
+
+interface OpenedGateway {
+  readonly fleet: fleetTesting.TestFleet
+  readonly address: types.Address
+  readonly engines: readonly testing.EngineStandIn[]
+}
+
+/** A gateway before two back ends of a plain service. */
+async function openPlain (context: nodeTest.TestContext): Promise<OpenedGateway> {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const engines = [await fleet.startEngine({ id: 'i-1' }, 'api'), await fleet.startEngine({ id: 'i-2' }, 'api')]
+  const address = await fleet.startGateway(HOST)
+  await fleetTesting.untilServed(address, '/read/probe')
+  return { fleet, address, engines }
+}
+
+/** A gateway before two engines that stream. */
+async function openStreams (context: nodeTest.TestContext, events = 6): Promise<OpenedGateway> {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const engines = [
+    await fleet.startEngine({ id: 'i-1', model: fleetTesting.MODEL, version: 1, events }),
+    await fleet.startEngine({ id: 'i-2', model: fleetTesting.MODEL, version: 1, events })
+  ]
+  const address = await fleet.startGateway(HOST)
+  await fleetTesting.untilServed(address, '/stream/probe')
+  return { fleet, address, engines }
+}
+
+function strike (engines: readonly testing.EngineStandIn[], next: testing.EngineFaults['next'], count = 1): void {
+  for (const engine of engines) Object.assign(engine.faults, { next, count })
+}
+
+function arrivalsOf (engines: readonly testing.EngineStandIn[], id: string): testing.Arrival[] {
+  return engines.flatMap((engine) => engine.arrivals.filter((arrival) => arrival.requestId === id))
+}
+
+const STREAM_HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
+
+nodeTest.test('a call reaches an engine with its tenant, its deadline and without its key', async (context) => {
+  const { address, engines } = await openPlain(context)
+  const answer = await fleetTesting.call(address, {
+    method: 'POST', path: '/write/1?x=%20y', id: 'w-1', body: 'order', headers: { tenant: 'forged', 'x-own': 'kept', connection: 'x-secret', 'x-secret': '1', 'deadline-remaining': '900' }
+  })
+  const [arrival] = arrivalsOf(engines, 'w-1')
+  assert.equal(answer.status, 200)
+  assert.match(String(answer.headers['engine-seal']), /^seal-i-/)
+  assert.equal(arrival?.path, '/write/1?x=%20y')
+  assert.equal(arrival?.body, 'order')
+  assert.equal(arrival?.headers['tenant'], 'tenant-one')
+  assert.equal(arrival?.headers['x-own'], 'kept')
+  assert.equal(arrival?.headers['x-secret'], undefined)
+  assert.equal(arrival?.headers.authorization, undefined)
+  const remaining = Number(arrival?.headers['deadline-remaining'])
+  assert.ok(remaining > 0 && remaining <= 900)
+})
+
+nodeTest.test('unknown keys and routes are refused, public routes need no key, and large bodies are', async (context) => {
+  const { address } = await openPlain(context)
+  assert.equal((await fleetTesting.call(address, { path: '/read/1', id: 'a', headers: { authorization: 'Bearer wrong' } })).status, 401)
+  assert.equal((await fleetTesting.call(address, { path: '/nowhere/1', id: 'b' })).status, 404)
+  assert.equal((await fleetTesting.call(address, { path: '/open/1', id: 'c', headers: { authorization: 'Bearer wrong' } })).status, 200)
+  assert.equal((await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'd', body: 'x'.repeat(20_000) })).status, 413)
+})
+
+nodeTest.test('without a configuration the answer is 503, never 404 or 401', async (context) => {
+  const fleet = await fleetTesting.openFleet(context)
+  const address = await fleet.startGateway(HOST)
+  const answer = await fleetTesting.call(address, { path: '/read/1', id: 'a' })
+  assert.equal(answer.status, 503)
+  assert.ok(Number(answer.headers['retry-after']) > 0)
+})
+
+for (const fault of ['reset', 'foreign', 'garbage', 'cut'] as const) {
+  nodeTest.test(`a call that may run once is sent once when its answer is lost (${fault})`, async (context) => {
+    const { address, engines } = await openPlain(context)
+    strike(engines, fault)
+    const answer = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'w-1', body: 'order' })
+    assert.equal(answer.status, 502)
+    assert.equal(answer.headers['engine-seal'], undefined)
+    assert.equal(arrivalsOf(engines, 'w-1').length, 1)
+  })
+
+  nodeTest.test(`a repeatable call is tried elsewhere when its answer is lost (${fault})`, async (context) => {
+    const { address, engines } = await openPlain(context)
+    for (let index = 0; index < 30; index += 1) await fleetTesting.call(address, { path: '/read/1', id: `fill-${index}` })
+    strike([engines[0] as testing.EngineStandIn], fault, 2)
+    const answers = await Promise.all([1, 2].map(async (index) => await fleetTesting.call(address, { path: '/read/1', id: `r-${index}` })))
+    for (const answer of answers) assert.equal(answer.status, 200)
+  })
+}
+
+nodeTest.test('a call that no engine ran is refused as such, with a time to come back', async (context) => {
+  const { address, engines } = await openPlain(context)
+  strike(engines, 'full', 5)
+  const answer = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'w-1', body: 'order' })
+  assert.equal(answer.status, 503)
+  assert.ok(Number(answer.headers['retry-after']) > 0)
+  assert.ok(arrivalsOf(engines, 'w-1').every((arrival) => !arrival.ran))
+})
+
+nodeTest.test('a silent engine ends in 504 at the route\'s time', async (context) => {
+  const { address, engines } = await openPlain(context)
+  strike(engines, 'mute')
+  const answer = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'w-1', body: 'order', headers: { 'deadline-remaining': '300' } })
+  assert.equal(answer.status, 504)
+})
+
+nodeTest.test('an engine\'s own failure passes with its seal, and an unframed answer whole', async (context) => {
+  const { address, engines } = await openPlain(context)
+  strike(engines, 'error')
+  const failed = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'w-1', body: 'order' })
+  assert.equal(failed.status, 500)
+  assert.match(String(failed.headers['engine-seal']), /^seal-i-/)
+  strike(engines, 'unframed')
+  const unframed = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'w-2', body: 'order' })
+  assert.equal(unframed.status, 200)
+  assert.match(unframed.body, /to w-2$/)
+})
+
+nodeTest.test('an answer that follows another one meets no call', async (context) => {
+  const { address, engines } = await openPlain(context)
+  strike(engines, 'extra', 3)
+  for (const id of ['w-1', 'w-2', 'w-3', 'w-4']) {
+    const answer = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id, body: 'order' })
+    assert.match(answer.body, new RegExp(`to ${id}$`))
+  }
+})
+
+for (const fault of ['cut', 'torn', 'reset'] as const) {
+  nodeTest.test(`a stream goes on at another engine without a missing or doubled event (${fault})`, async (context) => {
+    const { address, engines } = await openStreams(context)
+    for (let index = 0; index < 20; index += 1) await fleetTesting.call(address, { path: '/stream/1', id: `fill-${index}`, headers: STREAM_HEADERS })
+    strike([engines[0] as testing.EngineStandIn], fault, 2)
+    const answers = await Promise.all([1, 2, 3].map(async (index) => await fleetTesting.call(address, { path: '/stream/1', id: `s-${index}`, headers: STREAM_HEADERS })))
+    for (const answer of answers) {
+      assert.equal(answer.status, 200)
+      assert.ok(answer.isWhole)
+      assert.deepEqual([...answer.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1])), [1, 2, 3, 4, 5, 6])
+    }
+  })
+}
+
+nodeTest.test('a caller that leaves ends the engine\'s work', async (context) => {
+  const { address, engines } = await openStreams(context, 1000)
+  await fleetTesting.call(address, { path: '/stream/1', id: 's-1', headers: STREAM_HEADERS, leaveAfterMs: 100 })
+  await fleetTesting.until(() => engines.some((engine) => engine.cancelled() > 0))
+})
+
+nodeTest.test('an engine that drains or is gone gets no new call', async (context) => {
+  const { fleet, address, engines } = await openPlain(context)
+  const [first, second] = engines as [testing.EngineStandIn, testing.EngineStandIn]
+  fleet.store.remove('servers', first.id)
+  await fleetTesting.until(async () => {
+    const before = first.arrivals.length
+    for (let index = 0; index < 6; index += 1) await fleetTesting.call(address, { path: '/read/1', id: `r-${index}` })
+    return first.arrivals.length === before
+  })
+  assert.ok(second.arrivals.length > 0)
+})
+
+nodeTest.test('after the bound of a named version nothing goes to an older one, and callers hear when to come back', async (context) => {
+  const { fleet, address, engines } = await openStreams(context)
+  fleet.store.put('versions', fleetTesting.MODEL, { model: fleetTesting.MODEL, version: 2 })
+  await fleetTesting.until(async () => (await fleetTesting.call(address, { path: '/stream/1', id: 's', headers: STREAM_HEADERS })).status === 503)
+  const before = engines.map((engine) => engine.arrivals.length)
+  const answer = await fleetTesting.call(address, { path: '/stream/1', id: 's-1', headers: STREAM_HEADERS })
+  assert.equal(answer.status, 503)
+  assert.ok(Number(answer.headers['retry-after']) > 0)
+  assert.deepEqual(engines.map((engine) => engine.arrivals.length), before)
+})
+
+for (const down of ['busy', 'silent', 'reset'] as const) {
+  nodeTest.test(`a gateway that the store turns away follows the configuration through its peers (${down})`, async (context) => {
+    const fleet = await fleetTesting.openFleet(context)
+    fleet.configure()
+    await fleet.startEngine({ id: 'i-1' }, 'api')
+    const first = await fleet.startGateway(HOST)
+    const second = await fleet.startGateway(OTHER_HOST, [HOST])
+    await fleetTesting.untilServed(first, '/read/1')
+    await fleetTesting.untilServed(second, '/read/1')
+    Object.assign(fleet.store.faults, { down, hosts: new Set([OTHER_HOST]) })
+    fleet.configure((configuration) => { configuration.tenants = [{ name: 'tenant-two', apiKeys: ['another-key'], priority: 1 }] })
+    await fleetTesting.until(async () => (await fleetTesting.call(second, { path: '/read/1', id: 'a' })).status === 401)
+  })
+}
+
+nodeTest.test('a change that happened while the history was dropped is found by a new list', async (context) => {
+  const { fleet, address } = await openPlain(context)
+  fleet.store.faults.deafWatches = true
+  fleet.configure((configuration) => { configuration.routes = configuration.routes.filter((route) => route['name'] !== 'read') })
+  fleet.store.compact()
+  fleet.store.faults.deafWatches = false
+  await fleetTesting.until(async () => (await fleetTesting.call(address, { path: '/read/1', id: 'a' })).status === 404)
+})
+
+nodeTest.test('a configuration that is not valid leaves the last good one in force', async (context) => {
+  const { fleet, address } = await openPlain(context)
+  fleet.store.put('config', 'main', { version: 9, routes: 'none' })
+  fleet.configure()
+  fleet.store.put('config', 'main', { version: 11 })
+  assert.equal((await fleetTesting.call(address, { path: '/read/1', id: 'a' })).status, 200)
+})
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -12,6 +12,8 @@
   readonly zone: string
   readonly model: string | null
   readonly promptTokens: number
+  /** Tokens that the answer probably has; 0 if nothing is known. */
+  readonly answerTokens: number
   /** Oldest version of the model's weights that may serve. */
   readonly minimumVersion: number
   /** The only version that may serve, for a stream that goes on; null for any that is new enough. */
@@ -42,8 +44,12 @@
 const OTHER_ZONE_MS = 25
 /** A plain back end's reckoned milliseconds a request before this one. */
 const PLAIN_REQUEST_MS = 30
+/** A token takes so many steps while other prompts are read. */
+const ANSWER_PACE = 1.6
 const AVOIDED_MS = 2000
-const PAUSED_MS = 700
+const PAUSED_MS = 1500
+/** Part of the time by which an answer would hold up its engine's change of version. */
+const HOLDING_UP_PART = 0.25
 /** Choices are spread over this many milliseconds, so that gateways do not all take the same engine. */
 const SPREAD_MS = 20
 
@@ -73,12 +79,20 @@
   const predicted = predict(backEnd, load, input)
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
-    (load.isPaused ? PAUSED_MS : 0) +
+    (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * HOLDING_UP_PART) +
     input.random() * SPREAD_MS
   const expectedVersion = input.checksVersion || input.pinnedVersion !== null ? version : null
   return { backEnd, expectedVersion, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
+/** Milliseconds by which the answer would outlast the engine's version. */
+function holdUpMs (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
+  if (input.figures === null || load.changesAt === Infinity) return 0
+  const tokens = input.answerTokens > 0 ? input.answerTokens : input.figures.usualAnswerTokens
+  const endsAt = input.now + firstEventMs + tokens * input.figures.stepMs * ANSWER_PACE
+  return Math.max(0, endsAt - load.changesAt)
+}
+
 /** The agent's report is newer than the list of back ends, where there is one. */
 function readVersion (backEnd: gateway.BackEnd, load: createBackEndBook.BackEndLoad, model: string): number | null {
   const models = load.report?.models ?? backEnd.models
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -11,6 +11,15 @@
   hasBegun: boolean
 }
 
+/** What the agent beside an engine says. */
+export interface AgentNews {
+  readonly report: gateway.EngineReport
+  /** Whether the engine shall get no new work for now. */
+  readonly isPaused: boolean
+  /** Milliseconds until it changes its version; null when it will not. */
+  readonly changesInMs: number | null
+}
+
 /** Load of one back end as this gateway sees it. */
 export interface BackEndLoad {
   /** Last report, or null if none is fresh. */
@@ -24,6 +33,8 @@
   readonly promptTokensSince: number
   /** Whether its agent asked for no new work, for example before it changes the version. */
   readonly isPaused: boolean
+  /** Monotonic time in milliseconds at which it changes its version; Infinity when it will not. */
+  readonly changesAt: number
   /** Until when it is avoided after failures. */
   readonly avoidedUntil: number
 }
@@ -34,7 +45,7 @@
   readonly noteSent: (id: types.NodeId, attempt: OpenAttempt) => void
   readonly noteEnded: (id: types.NodeId, attempt: OpenAttempt) => void
   /** Notes what the agent beside an engine says; `madeAt` is this process's monotonic time. */
-  readonly noteReport: (id: types.NodeId, report: gateway.EngineReport, isPaused: boolean, madeAt: number) => void
+  readonly noteReport: (id: types.NodeId, news: AgentNews, madeAt: number) => void
   readonly noteSuccess: (id: types.NodeId) => void
   /** Notes a failure; the back end is avoided for a while that grows with each one. */
   readonly noteFailure: (id: types.NodeId) => void
@@ -48,6 +59,7 @@
   report: gateway.EngineReport | null
   reportAt: number
   isPaused: boolean
+  changesAt: number
   readonly open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
@@ -71,7 +83,7 @@
   function find (id: types.NodeId): Entry {
     const known = entries.get(id)
     if (known !== undefined) return known
-    const entry: Entry = { report: null, reportAt: 0, isPaused: false, open: new Set(), failures: 0, avoidedUntil: 0 }
+    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0 }
     entries.set(id, entry)
     return entry
   }
@@ -94,6 +106,7 @@
       sentSince,
       promptTokensSince,
       isPaused: isFresh && entry.isPaused,
+      changesAt: isFresh ? entry.changesAt : Infinity,
       avoidedUntil: entry.avoidedUntil
     }
   }
@@ -102,12 +115,13 @@
     read,
     noteSent: (id, attempt) => { find(id).open.add(attempt) },
     noteEnded: (id, attempt) => { entries.get(id)?.open.delete(attempt) },
-    noteReport: (id, report, isPaused, madeAt) => {
+    noteReport: (id, news, madeAt) => {
       const entry = find(id)
       if (madeAt < entry.reportAt) return
-      entry.report = report
+      entry.report = news.report
       entry.reportAt = madeAt
-      entry.isPaused = isPaused
+      entry.isPaused = news.isPaused
+      entry.changesAt = news.changesInMs === null ? Infinity : madeAt + news.changesInMs
     },
     noteSuccess: (id) => { find(id).failures = 0 },
     noteFailure: (id) => {
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -1,7 +1,7 @@
 /** The request path: one caller's request, from its head to its final answer. */
 import type * as http from 'node:http'
 import type * as observability from '@switchridge/observability'
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import * as deadlines from '../_lib/deadline.js'
 import * as callState from '../_lib/callState.js'
@@ -44,6 +44,7 @@
   readonly service: types.ServiceName
   readonly model: string | null
   readonly promptTokens: number
+  readonly answerTokens: number
   readonly tried: ReadonlySet<types.NodeId>
   /** Only this version will do; null for any that may serve. */
   readonly version: number | null
@@ -101,7 +102,10 @@
       inProgress += 1
       response.once('close', () => { inProgress -= 1 })
       response.on('error', () => {})
-      void run(request, response)
+      run(request, response).catch((thrown: unknown) => {
+        options.logger.error('call-broken', { error: types.describeError(thrown) })
+        response.destroy()
+      })
     }
   }
 }
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -88,6 +88,7 @@
   const peers = new Map<string, Peer>()
   const sentAt = new Map<string, number>()
   const hosts = new Set(options.seeds.filter((host) => host !== options.host))
+  let isStopped = false
   socket.on('error', () => {})
   socket.on('message', (bytes, from) => { receive(bytes, from.address) })
   await new Promise<void>((resolve, reject) => {
@@ -124,7 +125,11 @@
   }
 
   function send (host: string, message: unknown): void {
-    socket.send(JSON.stringify(message), options.port, host, () => {})
+    sendText(host, JSON.stringify(message))
+  }
+
+  function sendText (host: string, text: string): void {
+    if (!isStopped) socket.send(text, options.port, host, () => {})
   }
 
   function isLive (peer: Peer): boolean {
@@ -137,7 +142,7 @@
     const beat = (host: string): void => {
       text ??= JSON.stringify({ type: 'heartbeat', ...options.describeSelf() })
       sentAt.set(host, now)
-      socket.send(text, options.port, host, () => {})
+      sendText(host, text)
     }
     for (const [host, peer] of peers) {
       if (now - peer.heardAt > PEER_FORGET_MS) peers.delete(host)
@@ -161,10 +166,11 @@
       for (const [host, peer] of peers) {
         if (role !== undefined && peer.heartbeat.role !== role) continue
         sentAt.set(host, options.now())
-        socket.send(text, options.port, host, () => {})
+        sendText(host, text)
       }
     },
     stop: () => {
+      isStopped = true
       clearInterval(timer)
       socket.close()
     }
--- a/packages/staging/src/computeTurn/index.ts
+++ b/packages/staging/src/computeTurn/index.ts
@@ -1,10 +1,10 @@
-/** When an engine may change its version, so that the others of its zone keep serving. */
+/** When an engine may change its version, so that the others keep serving. */
 
 /** What the turn depends on. */
 export interface TurnInput {
   /** Version that the engine runs, 0 for none. */
   readonly held: number
-  /** Place of the engine among those of its zone. */
+  /** Place of the engine among all that change. */
   readonly rank: number
   readonly engines: number
   /** Monotonic time in milliseconds at which the version was whole here. */
@@ -13,11 +13,10 @@
   readonly boundAt: number
 }
 
-/** Engines of a zone change their version in so many turns. */
-const TURNS = 3
-const TURN_MS = 800
-/** The last turn begins so long before the bound. */
-const LAST_TURN_RESERVE_MS = 1700
+/** The last turn begins so long before the bound: what runs there has to end first. */
+const LAST_TURN_RESERVE_MS = 2200
+/** Turns are spread over this time; engines that have the version later go as soon as they can. */
+const TURNS_MS = 2000
 
 /**
  * Computes the time of an engine's turn. An empty engine serves nobody and goes at once.
@@ -26,9 +25,8 @@
  * @returns Monotonic time in milliseconds.
  */
 export function computeTurn (input: TurnInput): number {
-  if (input.held === 0) return input.wholeAt
-  const turn = Math.floor(Math.max(0, input.rank) * TURNS / Math.max(1, input.engines))
-  const lastTurnAt = input.boundAt - LAST_TURN_RESERVE_MS
-  const firstTurnAt = Math.min(input.wholeAt, lastTurnAt - (TURNS - 1) * TURN_MS)
-  return Math.max(input.wholeAt, firstTurnAt + turn * TURN_MS)
+  if (input.held === 0 || !Number.isFinite(input.boundAt)) return input.wholeAt
+  const place = Math.max(0, input.rank) / Math.max(1, input.engines)
+  const turnAt = input.boundAt - LAST_TURN_RESERVE_MS - TURNS_MS * (1 - place)
+  return Math.max(input.wholeAt, turnAt)
 }
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -1,7 +1,7 @@
 /** Fetches the pieces of one version: each from the agent that the ranks name, or from the origin. */
 import * as types from '@switchridge/types'
 import type * as createPieceStore from '../createPieceStore/index.js'
-import * as rankProviders from '../rankProviders/index.js'
+import * as dealPieces from '../dealPieces/index.js'
 import * as staging from '../types/index.js'
 
 /** A piece that a peer chose among those that it was asked for. */
@@ -52,11 +52,11 @@
 
 const ORIGIN_LANES = 2
 const TICK_MS = 40
-const RANKS_KEPT_MS = 300
+const PLANS_KEPT_MS = 300
 /** A peer that failed is left out of the ranks for so long. */
 const SUSPECT_MS = 2000
 /** A piece whose provider had so long for it is asked for at any peer. */
-const OVERDUE_MS = 2200
+const OVERDUE_MS = 3600
 const FAILED_PAUSE_MS = 60
 
 /**
@@ -76,19 +76,22 @@
   const readingOrigin = new Set<number>()
   const busyPeers = new Set<types.NodeId>()
   const suspectUntil = new Map<types.NodeId, number>()
-  let plans = new Map<number, rankProviders.ProviderPlan>()
+  let plans: readonly dealPieces.ProviderPlan[] = []
   let agents: readonly staging.StagingPeer[] = []
-  let rankedAt = -Infinity
+  let plannedAt = -Infinity
   let isStopped = false
   let finish: (isWhole: boolean) => void = () => {}
   const whole = new Promise<boolean>((resolve) => { finish = resolve })
 
-  function refreshRanks (): void {
+  /** Deals anew when agents came, went or failed. */
+  function refreshPlans (): void {
     const now = options.now()
-    if (now - rankedAt < RANKS_KEPT_MS) return
-    rankedAt = now
-    agents = options.agents().filter((agent) => agent.node === self.node || (suspectUntil.get(agent.node) ?? 0) <= now)
-    plans = new Map(order.map((piece) => [piece, rankProviders.rankProviders(`${key}/${piece}`, self, agents)]))
+    if (now - plannedAt < PLANS_KEPT_MS) return
+    plannedAt = now
+    const next = options.agents().filter((agent) => agent.node === self.node || (suspectUntil.get(agent.node) ?? 0) <= now)
+    if (isSame(next, agents)) return
+    agents = next
+    plans = dealPieces.dealPieces(key, digests.length, self, agents)
   }
 
   function listMissing (): number[] {
@@ -100,13 +103,13 @@
       end()
       return
     }
-    refreshRanks()
+    refreshPlans()
     const missing = listMissing()
     const isLate = options.now() >= options.originFrom()
     const isOverdue = options.now() - startedAt >= OVERDUE_MS
     for (const piece of missing) {
       if (readingOrigin.size >= ORIGIN_LANES) break
-      const reads = isLate || plans.get(piece)?.part === 'reader'
+      const reads = isLate || plans[piece]?.part === 'reader'
       if (reads && !readingOrigin.has(piece)) void readOrigin(piece)
     }
     for (const peer of agents) {
@@ -118,8 +121,8 @@
 
   function isWantedFrom (peer: staging.StagingPeer, piece: number, isOverdue: boolean): boolean {
     if (readingOrigin.has(piece)) return false
-    if (plans.get(piece)?.provider?.node === peer.node) return true
-    return isOverdue && peer.zone === self.zone && plans.get(piece)?.part !== 'reader'
+    if (plans[piece]?.provider?.node === peer.node) return true
+    return isOverdue && peer.zone === self.zone && plans[piece]?.part !== 'reader'
   }
 
   async function readOrigin (piece: number): Promise<void> {
@@ -141,7 +144,7 @@
     const fetched = await options.fetchFromPeer(peer, id, wanted)
     if (!fetched.ok) {
       suspectUntil.set(peer.node, options.now() + SUSPECT_MS)
-      rankedAt = -Infinity
+      plannedAt = -Infinity
       noteFailure({ event: 'peer-failed', piece: wanted[0] as number, from: peer.node, reason: fetched.error.message })
       await types.delay(FAILED_PAUSE_MS)
     } else if (fetched.value !== null) {
@@ -173,6 +176,12 @@
   return { counts, whole, stop: () => { isStopped = true } }
 }
 
+/** Whether two lists name the same agents; their order does not matter. */
+function isSame (left: readonly staging.StagingPeer[], right: readonly staging.StagingPeer[]): boolean {
+  const names = new Set(right.map((agent) => agent.node))
+  return left.length === right.length && left.every((agent) => names.has(agent.node))
+}
+
 function shuffle (items: readonly number[], random: () => number): number[] {
   const shuffled = [...items]
   for (let index = shuffled.length - 1; index > 0; index -= 1) {
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -28,6 +28,8 @@
   readonly engine: staging.StagedEngine
   /** Asks a peer for a manifest; it may wait for it. */
   readonly fetchManifest: createManifestReader.ManifestReaderOptions['fetchManifest']
+  /** Told in how many milliseconds the engine will change its version; null when it will not. */
+  readonly onTurn: (inMs: number | null) => void
   /** Told when the engine shall get no new work, because it is about to change its version. */
   readonly onPause: (isPaused: boolean) => void
   readonly onEvent: (event: string, fields: Readonly<Record<string, string | number | boolean>>) => void
@@ -114,8 +116,10 @@
     const named = options.named()
     planFetch(state, named)
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
+    if (ready === undefined) options.onTurn(null)
     if (ready === undefined || state.isBusy) return
     const turnAt = findTurn(ready, state)
+    options.onTurn(Math.max(0, turnAt - options.now()))
     if (options.now() < turnAt - STAGE_BEFORE_TURN_MS) return
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt || !isStagedFor(ready)) return
@@ -161,8 +165,7 @@
   }
 
   function findTurn (ready: staging.NamedVersion, state: EngineState): number {
-    const inZone = options.agents().filter((agent) => agent.zone === options.self.zone)
-    const ranked = membership.rankByRendezvous(`turn/${ready.id.version}`, inZone, (agent) => agent.node)
+    const ranked = membership.rankByRendezvous(`turn/${ready.id.version}`, options.agents(), (agent) => agent.node)
     return computeTurn.computeTurn({
       held: state.held,
       rank: ranked.findIndex((agent) => agent.node === options.self.node),
