Take an answer without a length for whole only when its connection ended in order

Change: sendAttempt notes errors and the orderly end of the socket; unframed answers need the latter. Test: the new cases 'unframed-reset' failed before (200 instead of 502) and pass now.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -20,7 +20,7 @@
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
 const PIECE_WAIT_MS = 1500
-const PIECE_TIMEOUT_MS = 3000
+const PIECE_TIMEOUT_MS = 2500
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
 /** Tells which of the wanted pieces was sent. */
--- a/packages/daemon/src/startGatewayRole/test.ts
+++ b/packages/daemon/src/startGatewayRole/test.ts
@@ -80,7 +80,7 @@
   assert.ok(Number(answer.headers['retry-after']) > 0)
 })
 
-for (const fault of ['reset', 'foreign', 'garbage', 'cut'] as const) {
+for (const fault of ['reset', 'foreign', 'garbage', 'cut', 'unframed-reset'] as const) {
   nodeTest.test(`a call that may run once is sent once when its answer is lost (${fault})`, async (context) => {
     const { address, engines } = await openPlain(context)
     strike(engines, fault)
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -1,5 +1,4 @@
 /** One attempt: from its connection to the end of its answer. */
-import type * as http from 'node:http'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndBook from '../createBackEndBook/index.js'
 import type * as createCallHandler from '../createCallHandler/index.js'
@@ -47,6 +46,8 @@
 const MINIMUM_PATIENCE_MS = 800
 
 type Options = createCallHandler.CallHandlerOptions
+type BegunAnswer = Extract<sendAttempt.AttemptStart, { kind: 'answer' }>
+type AnsweredHead = Extract<gateway.AnswerHead, { kind: 'answered' }>
 
 /**
  * Creates what the attempts of one stream share.
@@ -97,9 +98,9 @@
   const answer = options.protocol.readAnswer(start.response, head.requestId)
   if (answer.kind === 'not-run') return end({ kind: 'not-run', reason: `${answer.status} ${answer.reason}` })
   if (answer.kind === 'foreign') return end(broken('answer to another call'))
-  if (!answer.isStream || answer.status >= 300) return end(await receiveWhole(answer, start.response))
+  if (!answer.isStream || answer.status >= 300) return end(await receiveWhole(answer, start))
   stream.version = answer.version ?? stream.version
-  const relayed = await relay(start.response, answer)
+  const relayed = await relay(start, answer)
   return end(relayed)
 
   function end (outcome: AttemptOutcome): AttemptOutcome {
@@ -113,10 +114,10 @@
     return { kind: 'broken', reason }
   }
 
-  async function receiveWhole (answered: Extract<gateway.AnswerHead, { kind: 'answered' }>, response: http.IncomingMessage): Promise<AttemptOutcome> {
+  async function receiveWhole (answered: AnsweredHead, begun: BegunAnswer): Promise<AttemptOutcome> {
     open.hasBegun = true
-    const body = await readBody.readBody(response, MAXIMUM_WHOLE_BYTES)
-    if (body.kind !== 'whole') return broken(`answer ${body.kind}`)
+    const body = await readBody.readBody(begun.response, MAXIMUM_WHOLE_BYTES)
+    if (body.kind !== 'whole' || !begun.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`)
     call.mayHaveRun = true
     if (reply.hasBegun()) return broken(`status ${answered.status} instead of a stream`)
     const whole = { status: answered.status, headers: answered.headers, body: body.body }
@@ -125,7 +126,7 @@
     return { kind: 'done' }
   }
 
-  async function relay (response: http.IncomingMessage, answered: Extract<gateway.AnswerHead, { kind: 'answered' }>): Promise<AttemptOutcome> {
+  async function relay ({ response, isWhole }: BegunAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
     call.mayHaveRun = true
     const nextEventMs = Math.max(MINIMUM_PATIENCE_MS, NEXT_EVENT_PATIENCE * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve) => {
@@ -140,7 +141,7 @@
         reply.onDrain(() => { response.resume() })
       })
       response.on('end', () => {
-        if (!response.complete || stream.splitter.hasPartial()) {
+        if (!isWhole() || stream.splitter.hasPartial()) {
           breakStream('stream cut')
           return
         }
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -47,6 +47,7 @@
 /** A token takes so many steps while other prompts are read. */
 const ANSWER_PACE = 1.6
 const AVOIDED_MS = 2000
+const SILENT_MS = 600
 const PAUSED_MS = 1500
 /** Part of the time by which an answer would hold up its engine's change of version. */
 const HOLDING_UP_PART = 0.25
@@ -78,6 +79,7 @@
   }
   const predicted = predict(backEnd, load, input)
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
+    (load.isSilent ? SILENT_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
     (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * HOLDING_UP_PART) +
     input.random() * SPREAD_MS
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -24,8 +24,8 @@
 export interface BackEndLoad {
   /** Last report, or null if none is fresh. */
   readonly report: gateway.EngineReport | null
-  /** Age of the report in milliseconds. */
-  readonly reportAgeMs: number
+  /** Whether an agent told of it before and is silent now. */
+  readonly isSilent: boolean
   /** Attempts of this gateway that are open. */
   readonly open: ReadonlySet<OpenAttempt>
   /** Attempts sent since the report was made, with their prompts' tokens. */
@@ -67,6 +67,8 @@
 
 /** A report older than this tells nothing. */
 const REPORT_FRESH_MS = 1500
+/** An agent that said nothing for so long may be cut off, and its engine with it. */
+const SILENT_MS = 900
 const AVOID_BASE_MS = 300
 const AVOID_MAXIMUM_MS = 3000
 const AVOID_FULL_MS = 60
@@ -101,7 +103,7 @@
     }
     return {
       report: isFresh ? entry.report : null,
-      reportAgeMs,
+      isSilent: entry.report !== null && reportAgeMs > SILENT_MS,
       open: entry.open,
       sentSince,
       promptTokensSince,
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -21,7 +21,7 @@
   | { readonly kind: 'not-sent', readonly reason: string }
   /** Sent, and no answer came; the call may have run. */
   | { readonly kind: 'no-answer', readonly reason: string }
-  | { readonly kind: 'answer', readonly response: http.IncomingMessage }
+  | { readonly kind: 'answer', readonly response: http.IncomingMessage, readonly isWhole: () => boolean }
 
 /** An attempt under way. */
 export interface Attempt {
@@ -33,6 +33,13 @@
 /** A connection serves one attempt: an answer that comes late or twice can't meet another call. */
 const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity, noDelay: true })
 
+const STATUS_NO_CONTENT = 204
+const STATUS_NOT_MODIFIED = 304
+
+function hasNoBody (response: http.IncomingMessage): boolean {
+  return response.statusCode === STATUS_NO_CONTENT || response.statusCode === STATUS_NOT_MODIFIED
+}
+
 /**
  * Sends an attempt.
  *
@@ -41,6 +48,8 @@
  */
 export function sendAttempt (request: AttemptRequest): Attempt {
   let isConnected = false
+  let hasFailed = false
+  let hasEnded = false
   let settle: (start: AttemptStart) => void = () => {}
   const start = new Promise<AttemptStart>((resolve) => { settle = resolve })
   const outgoing = http.request({
@@ -55,12 +64,21 @@
   })
   const connectTimer = setTimeout(() => { outgoing.destroy(new types.UnavailableError('no connection in time')) }, request.connectMs)
 
+  /** The runtime takes a reset for the end of an answer that has no length; only an orderly end is one. */
+  function isWhole (response: http.IncomingMessage): boolean {
+    if (!response.complete) return false
+    const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
+    return isFramed || request.method === 'HEAD' || hasNoBody(response) || (hasEnded && !hasFailed)
+  }
+
   function fail (reason: string): void {
     clearTimeout(connectTimer)
     settle(isConnected ? { kind: 'no-answer', reason } : { kind: 'not-sent', reason })
   }
 
   outgoing.on('socket', (socket: net.Socket) => {
+    socket.prependListener('error', () => { hasFailed = true })
+    socket.prependListener('end', () => { hasEnded = true })
     socket.once('connect', () => {
       isConnected = true
       clearTimeout(connectTimer)
@@ -68,7 +86,7 @@
   })
   outgoing.on('response', (response) => {
     response.on('error', () => {})
-    settle({ kind: 'answer', response })
+    settle({ kind: 'answer', response, isWhole: () => isWhole(response) })
   })
   outgoing.on('error', (error) => { fail(types.describeError(error)) })
   outgoing.on('close', () => { fail('connection closed') })
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -60,7 +60,7 @@
 const TICK_MS = 125
 const SEED_INTERVAL_MS = 1000
 /** Peers that are silent hear of this daemon less often. */
-const SILENT_FACTOR = 4
+const SILENT_FACTOR = 1.5
 
 const messageSchema = zod.z.discriminatedUnion('type', [
   zod.z.object({
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -55,8 +55,12 @@
 const PLANS_KEPT_MS = 300
 /** A peer that failed is left out of the ranks for so long. */
 const SUSPECT_MS = 2000
-/** A piece whose provider had so long for it is asked for at any peer. */
+/** After so long, pieces that are still missing are asked for at other agents too. */
 const OVERDUE_MS = 3600
+/** A peer that takes longer for one piece is left out as if it had failed. */
+const SLOW_MS = 1900
+/** An overdue piece is asked for at one other agent after another, each for so long. */
+const ALTERNATIVE_MS = 500
 const FAILED_PAUSE_MS = 60
 
 /**
@@ -74,7 +78,7 @@
   const startedAt = options.now()
   const order = shuffle(digests.map((_, index) => index), options.random)
   const readingOrigin = new Set<number>()
-  const busyPeers = new Set<types.NodeId>()
+  const busySince = new Map<types.NodeId, number>()
   const suspectUntil = new Map<types.NodeId, number>()
   let plans: readonly dealPieces.ProviderPlan[] = []
   let agents: readonly staging.StagingPeer[] = []
@@ -103,26 +107,41 @@
       end()
       return
     }
+    suspectSlowPeers()
     refreshPlans()
     const missing = listMissing()
     const isLate = options.now() >= options.originFrom()
-    const isOverdue = options.now() - startedAt >= OVERDUE_MS
+    const overdueMs = options.now() - startedAt - OVERDUE_MS
     for (const piece of missing) {
       if (readingOrigin.size >= ORIGIN_LANES) break
       const reads = isLate || plans[piece]?.part === 'reader'
       if (reads && !readingOrigin.has(piece)) void readOrigin(piece)
     }
     for (const peer of agents) {
-      if (peer.node === self.node || busyPeers.has(peer.node)) continue
-      const wanted = missing.filter((piece) => isWantedFrom(peer, piece, isOverdue))
+      if (peer.node === self.node || busySince.has(peer.node)) continue
+      const wanted = missing.filter((piece) => isWantedFrom(peer, piece, overdueMs))
       if (wanted.length > 0) void askPeer(peer, wanted)
     }
   }
 
-  function isWantedFrom (peer: staging.StagingPeer, piece: number, isOverdue: boolean): boolean {
+  function isWantedFrom (peer: staging.StagingPeer, piece: number, overdueMs: number): boolean {
     if (readingOrigin.has(piece)) return false
     if (plans[piece]?.provider?.node === peer.node) return true
-    return isOverdue && peer.zone === self.zone && plans[piece]?.part !== 'reader'
+    if (overdueMs < 0) return false
+    const alternative = agents[(piece + Math.floor(overdueMs / ALTERNATIVE_MS)) % agents.length]
+    return alternative?.node === peer.node
+  }
+
+  function suspectSlowPeers (): void {
+    const now = options.now()
+    for (const [node, since] of busySince) {
+      if (now - since >= SLOW_MS && (suspectUntil.get(node) ?? 0) <= now) suspect(node)
+    }
+  }
+
+  function suspect (node: types.NodeId): void {
+    suspectUntil.set(node, options.now() + SUSPECT_MS)
+    plannedAt = -Infinity
   }
 
   async function readOrigin (piece: number): Promise<void> {
@@ -140,11 +159,10 @@
   }
 
   async function askPeer (peer: staging.StagingPeer, wanted: readonly number[]): Promise<void> {
-    busyPeers.add(peer.node)
+    busySince.set(peer.node, options.now())
     const fetched = await options.fetchFromPeer(peer, id, wanted)
     if (!fetched.ok) {
-      suspectUntil.set(peer.node, options.now() + SUSPECT_MS)
-      plannedAt = -Infinity
+      suspect(peer.node)
       noteFailure({ event: 'peer-failed', piece: wanted[0] as number, from: peer.node, reason: fetched.error.message })
       await types.delay(FAILED_PAUSE_MS)
     } else if (fetched.value !== null) {
@@ -152,7 +170,7 @@
       if (peer.zone !== self.zone) counts.otherZonePieces += 1
       keep(fetched.value.piece, fetched.value.bytes, peer.node)
     }
-    busyPeers.delete(peer.node)
+    busySince.delete(peer.node)
     tick()
   }
 
