--- a/packages/daemon/src/_lib/engineNews.ts
+++ b/packages/daemon/src/_lib/engineNews.ts
@@ -13,19 +13,19 @@
   readonly changesInMs: number | null
 }
 
-const newsSchema = zod.z.object({
-  address: zod.z.string(),
-  isPaused: zod.z.boolean(),
-  changesInMs: zod.z.number().nullable(),
-  report: zod.z.object({
-    running: zod.z.number(),
-    waiting: zod.z.number(),
-    usedTokens: zod.z.number(),
-    totalTokens: zod.z.number(),
-    isBusy: zod.z.boolean(),
-    sequence: zod.z.number(),
-    pace: zod.z.number(),
-    models: zod.z.array(zod.z.tuple([zod.z.string(), zod.z.number()]))
+const newsSchema = zod.object({
+  address: zod.string(),
+  isPaused: zod.boolean(),
+  changesInMs: zod.number().nullable(),
+  report: zod.object({
+    running: zod.number(),
+    waiting: zod.number(),
+    usedTokens: zod.number(),
+    totalTokens: zod.number(),
+    isBusy: zod.boolean(),
+    sequence: zod.number(),
+    pace: zod.number(),
+    models: zod.array(zod.tuple([zod.string(), zod.number()]))
   })
 })
 
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -11,18 +11,18 @@
 import * as sendStream from '../_lib/sendStream.js'
 
 /** What the entry node says of a call. */
-export const callSchema = zod.z.object({
-  service: zod.z.string(),
-  row: zod.z.string(),
-  account: zod.z.string(),
-  share: zod.z.number().positive(),
-  priority: zod.z.enum(['interactive', 'batch']),
-  method: zod.z.string().max(16),
-  deadlineMs: zod.z.number(),
-  isRepeatable: zod.z.boolean()
+export const callSchema = zod.object({
+  service: zod.string(),
+  row: zod.string(),
+  account: zod.string(),
+  share: zod.number().positive(),
+  priority: zod.enum(['interactive', 'batch']),
+  method: zod.string().max(16),
+  deadlineMs: zod.number(),
+  isRepeatable: zod.boolean()
 })
 
-type Call = zod.z.infer<typeof callSchema>
+type Call = zod.infer<typeof callSchema>
 
 /** Options of {@link createBackendCalls}. */
 export interface BackendCallsOptions {
--- a/packages/daemon/src/createClaims/index.ts
+++ b/packages/daemon/src/createClaims/index.ts
@@ -42,13 +42,13 @@
   readonly sweep: () => Promise<number>
 }
 
-const claimSchema = zod.z.object({
-  nonce: zod.z.string(),
-  at: zod.z.number(),
-  answer: zod.z.object({ status: zod.z.number(), contentType: zod.z.string(), version: zod.z.string(), body: zod.z.string() }).nullable()
+const claimSchema = zod.object({
+  nonce: zod.string(),
+  at: zod.number(),
+  answer: zod.object({ status: zod.number(), contentType: zod.string(), version: zod.string(), body: zod.string() }).nullable()
 })
 
-type ClaimRecord = zod.z.infer<typeof claimSchema>
+type ClaimRecord = zod.infer<typeof claimSchema>
 
 /**
  * Creates the claims of an entry node.
--- a/packages/daemon/src/createEngineOrders/index.ts
+++ b/packages/daemon/src/createEngineOrders/index.ts
@@ -35,7 +35,7 @@
 
 const DEFAULT_LOAD_TIMEOUT_MS = 120_000
 
-const orderAnswerSchema = zod.z.object({ fileDigest: zod.z.string().nullable() })
+const orderAnswerSchema = zod.object({ fileDigest: zod.string().nullable() })
 
 /**
  * Creates the orders to an engine.
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -39,12 +39,12 @@
 const START_MS = 2800
 const SNAPSHOT_MS = 1000
 
-const snapshotSchema = zod.z.object({
-  kind: zod.z.string(),
-  changedAt: zod.z.number(),
-  objects: zod.z.array(zod.z.object({ name: zod.z.string(), revision: zod.z.number(), value: zod.z.unknown() }))
+const snapshotSchema = zod.object({
+  kind: zod.string(),
+  changedAt: zod.number(),
+  objects: zod.array(zod.object({ name: zod.string(), revision: zod.number(), value: zod.unknown() }))
 })
-const kindSchema = zod.z.object({ kind: zod.z.string() })
+const kindSchema = zod.object({ kind: zod.string() })
 
 /**
  * Creates the parts; nothing is opened or sent yet.
--- a/packages/daemon/src/followVersions/index.ts
+++ b/packages/daemon/src/followVersions/index.ts
@@ -14,8 +14,8 @@
   readonly note: (id: staging.VersionId, ageMs: number) => void
   /** All versions of a model, the oldest first. */
   readonly named: (model: string) => readonly staging.NamedVersion[]
-  /** The newest version that all answers must come from by now, 0 for none. */
-  readonly floor: (model: string) => number
+  /** The newest version that all answers must come from which begin at a time, 0 for none. */
+  readonly floorAt: (model: string, time: number) => number
   /** The newest few versions, for peers. */
   readonly news: () => readonly VersionNews[]
 }
@@ -71,11 +71,10 @@
   return {
     note,
     named,
-    floor: (model) => {
-      const now = options.now()
+    floorAt: (model, time) => {
       let floor = 0
       for (const version of models.get(model)?.values() ?? []) {
-        if (now >= version.boundAt - options.marginMs) floor = Math.max(floor, version.id.version)
+        if (time >= version.boundAt - options.marginMs) floor = Math.max(floor, version.id.version)
       }
       return floor
     },
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -13,13 +13,15 @@
 import type * as fleetRole from '../_lib/fleetRole.js'
 
 /** Heartbeats to peers of each role, in milliseconds. */
-const INTERVALS = { gateway: 250, agent: 1000 } as const
+const INTERVALS = { gateway: 250, agent: 1250 } as const
 const REPORT_INTERVAL_MS = 125
 /** Part of the link that pieces may take, so that streams of the same link stay in time. */
 const PIECE_LINK_PART = 0.92
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
-const PIECE_WAIT_MS = 1500
+/** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
+const RAMP_UP_MS = 500
+const PIECE_WAIT_MS = 400
 const PIECE_TIMEOUT_MS = 2500
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
@@ -110,7 +112,7 @@
         gossip.sendNow('gateway')
       },
       onEvent: (event, fields) => { logger.info(event, fields) },
-      wholeMs: wholeBytes * types.MILLISECONDS_IN_SECOND / linkBytes,
+      wholeMs: wholeBytes * types.MILLISECONDS_IN_SECOND / linkBytes + RAMP_UP_MS,
       now,
       random: Math.random
     })
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -85,18 +85,19 @@
 
   function choose (choice: gateway.CallChoice): gateway.Choice | null {
     const figures = parts.routes()?.findService(choice.service)?.engine ?? null
-    const floor = choice.model === null ? 0 : parts.versions.floor(choice.model)
+    const { model } = choice
+    const floorAt = (time: number): number => model === null ? 0 : parts.versions.floorAt(model, time)
     return gateway.chooseBackEnd({
       backEnds: parts.backEnds().filter((backEnd) => backEnd.service === choice.service),
       book,
       figures,
       zone: checked.zone,
-      model: choice.model,
+      model,
       promptTokens: choice.promptTokens,
       answerTokens: choice.answerTokens,
-      minimumVersion: floor,
+      floorAt,
+      endsAt: now() + choice.remainingMs,
       pinnedVersion: choice.version,
-      checksVersion: floor > 0,
       tried: choice.tried,
       now: now(),
       random: Math.random
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -42,7 +42,15 @@
   async function serve (): Promise<Ending> {
     for (;;) {
       const isFirst = call.attempts === 0
-      const choice = options.choose({ service: call.service, model: call.head.model, promptTokens: call.head.promptTokens, answerTokens: call.head.answerTokens, tried: call.tried, version: stream.version })
+      const choice = options.choose({
+        service: call.service,
+        model: call.head.model,
+        promptTokens: call.head.promptTokens,
+        answerTokens: call.head.answerTokens,
+        remainingMs: call.deadline.remainingMs(),
+        tried: call.tried,
+        version: stream.version
+      })
       if (choice === null) {
         lastReason = lastReason === '' ? 'no back end may serve' : lastReason
         return giveUp()
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -14,12 +14,12 @@
   readonly promptTokens: number
   /** Tokens that the answer probably has; 0 if nothing is known. */
   readonly answerTokens: number
-  /** Oldest version of the model's weights that may serve. */
-  readonly minimumVersion: number
+  /** Oldest version of the model's weights that may begin to serve at a time. */
+  readonly floorAt: (time: number) => number
+  /** Monotonic time in milliseconds at which the call ends at the latest. */
+  readonly endsAt: number
   /** The only version that may serve, for a stream that goes on; null for any that is new enough. */
   readonly pinnedVersion: number | null
-  /** Whether the back end shall check its version itself. */
-  readonly checksVersion: boolean
   /** Back ends that this call was sent to before. */
   readonly tried: ReadonlySet<types.NodeId>
   readonly now: number
@@ -48,6 +48,8 @@
 const ANSWER_PACE = 1.6
 const AVOIDED_MS = 2000
 const SILENT_MS = 600
+/** A call may begin this many times later than predicted. */
+const BEGIN_FACTOR = 2
 const PAUSED_MS = 1500
 /** Part of the time by which an answer would hold up its engine's change of version. */
 const HOLDING_UP_PART = 0.25
@@ -72,21 +74,29 @@
 
 function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | null {
   const load = input.book.read(backEnd.id)
-  const version = input.model === null ? null : readVersion(backEnd, load, input.model)
-  if (input.figures !== null && input.model !== null) {
-    if (version === null || version < input.minimumVersion) return null
-    if (input.pinnedVersion !== null && version !== input.pinnedVersion) return null
-  }
   const predicted = predict(backEnd, load, input)
+  const version = input.model === null ? null : readVersion(backEnd, load, input.model)
+  if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input), input)) return null
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
     (load.isSilent ? SILENT_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
     (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * HOLDING_UP_PART) +
     input.random() * SPREAD_MS
-  const expectedVersion = input.checksVersion || input.pinnedVersion !== null ? version : null
+  const expectedVersion = input.floorAt(input.now) > 0 || input.pinnedVersion !== null ? version : null
   return { backEnd, expectedVersion, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
+function mayServe (version: number | null, beginsBy: number, input: ChoiceInput): boolean {
+  if (version === null || version < input.floorAt(beginsBy)) return false
+  return input.pinnedVersion === null || version === input.pinnedVersion
+}
+
+/** When the call begins at the latest: nothing is known of an engine whose agent is silent. */
+function latestBegin (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
+  if (load.isSilent || load.avoidedUntil > input.now) return input.endsAt
+  return Math.min(input.endsAt, input.now + firstEventMs * BEGIN_FACTOR)
+}
+
 /** Milliseconds by which the answer would outlast the engine's version. */
 function holdUpMs (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
   if (input.figures === null || load.changesAt === Infinity) return 0
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -45,6 +45,8 @@
   readonly model: string | null
   readonly promptTokens: number
   readonly answerTokens: number
+  /** Milliseconds until the call must end. */
+  readonly remainingMs: number
   readonly tried: ReadonlySet<types.NodeId>
   /** Only this version will do; null for any that may serve. */
   readonly version: number | null
--- a/packages/settings/src/_lib/parseToml.ts
+++ b/packages/settings/src/_lib/parseToml.ts
@@ -11,7 +11,7 @@
  * @param schema - What it must look like.
  * @returns The checked value, or an error that names file, key, value and what is allowed.
  */
-export function parseChecked<Schema extends zod.z.ZodType> (text: string, file: string, schema: Schema): types.Outcome<zod.z.infer<Schema>, types.InvalidInputError> {
+export function parseChecked<Schema extends zod.ZodType> (text: string, file: string, schema: Schema): types.Outcome<zod.infer<Schema>, types.InvalidInputError> {
   const document = parseDocument(text, file)
   if (!document.ok) return document
   const result = schema.safeParse(document.value)
--- a/packages/settings/src/_lib/schema.ts
+++ b/packages/settings/src/_lib/schema.ts
@@ -4,65 +4,65 @@
 const DEFAULT_CHUNK_MEMORY_BYTES = 1024 * 1024 * 1024
 const DEFAULT_STATSD_PORT = 8125
 
-const port = zod.z.int().min(0).max(65_535)
-const url = zod.z.url({ protocol: /^https?$/ })
+const port = zod.int().min(0).max(65_535)
+const url = zod.url({ protocol: /^https?$/ })
 
-const tls = zod.z.strictObject({
-  certificate_file: zod.z.string().min(1),
-  private_key_file: zod.z.string().min(1),
-  authority_file: zod.z.string().min(1)
+const tls = zod.strictObject({
+  certificate_file: zod.string().min(1),
+  private_key_file: zod.string().min(1),
+  authority_file: zod.string().min(1)
 })
 
-const backEnd = zod.z.strictObject({
-  service: zod.z.string().min(1),
-  kind: zod.z.enum(['engine', 'plain']),
+const backEnd = zod.strictObject({
+  service: zod.string().min(1),
+  kind: zod.enum(['engine', 'plain']),
   url,
-  checks_fences: zod.z.boolean().default(true),
-  memory_bytes: zod.z.int().positive().default(16 * DEFAULT_CHUNK_MEMORY_BYTES)
+  checks_fences: zod.boolean().default(true),
+  memory_bytes: zod.int().positive().default(16 * DEFAULT_CHUNK_MEMORY_BYTES)
 })
 
 /** Shape of a settings file after parsing. */
-export const settingsSchema = zod.z.strictObject({
-  role: zod.z.enum(['entry', 'backend']),
-  deployment: zod.z.string().min(1),
-  node: zod.z.string().min(1),
-  data_hall: zod.z.string().min(1),
-  region: zod.z.string().min(1),
-  listen: zod.z.strictObject({
-    host: zod.z.union([zod.z.ipv4(), zod.z.ipv6()]),
+export const settingsSchema = zod.strictObject({
+  role: zod.enum(['entry', 'backend']),
+  deployment: zod.string().min(1),
+  node: zod.string().min(1),
+  data_hall: zod.string().min(1),
+  region: zod.string().min(1),
+  listen: zod.strictObject({
+    host: zod.union([zod.ipv4(), zod.ipv6()]),
     port,
     caller_port: port.optional()
   }),
-  entry_nodes: zod.z.array(zod.z.string().regex(/^[^:]+:\d+$|^\[[^\]]+\]:\d+$/)).default([]),
-  platform: zod.z.strictObject({
+  entry_nodes: zod.array(zod.string().regex(/^[^:]+:\d+$|^\[[^\]]+\]:\d+$/)).default([]),
+  platform: zod.strictObject({
     url,
-    timeout_ms: zod.z.int().min(10).max(60_000).default(2000),
-    key: zod.z.string().optional()
+    timeout_ms: zod.int().min(10).max(60_000).default(2000),
+    key: zod.string().optional()
   }),
-  origin: zod.z.strictObject({ url }),
+  origin: zod.strictObject({ url }),
   back_end: backEnd.optional(),
-  limits: zod.z.strictObject({
-    link_bytes_per_second: zod.z.int().min(0).default(0),
-    chunk_memory_bytes: zod.z.int().positive().default(DEFAULT_CHUNK_MEMORY_BYTES),
-    requests_in_flight: zod.z.int().min(1).max(256).default(16),
-    upload_slots: zod.z.int().min(1).max(256).default(12),
-    drain_seconds: zod.z.int().min(0).max(86_400).default(600)
+  limits: zod.strictObject({
+    link_bytes_per_second: zod.int().min(0).default(0),
+    chunk_memory_bytes: zod.int().positive().default(DEFAULT_CHUNK_MEMORY_BYTES),
+    requests_in_flight: zod.int().min(1).max(256).default(16),
+    upload_slots: zod.int().min(1).max(256).default(12),
+    drain_seconds: zod.int().min(0).max(86_400).default(600)
   }).prefault({}),
-  logs: zod.z.strictObject({
-    level: zod.z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
+  logs: zod.strictObject({
+    level: zod.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
   }).prefault({}),
-  metrics: zod.z.strictObject({
-    enabled: zod.z.boolean().default(false),
-    host: zod.z.string().default('127.0.0.1'),
+  metrics: zod.strictObject({
+    enabled: zod.boolean().default(false),
+    host: zod.string().default('127.0.0.1'),
     port: port.default(DEFAULT_STATSD_PORT)
   }).prefault({}),
-  experiments: zod.z.strictObject({
-    drills: zod.z.boolean().default(false),
-    transfer_policy: zod.z.enum(['swarm', 'random-chunk', 'chain', 'tree', 'origin']).default('swarm'),
-    pick_backend: zod.z.enum(['late-binding', 'least-loaded', 'two-choices', 'least-stated', 'random']).default('late-binding')
+  experiments: zod.strictObject({
+    drills: zod.boolean().default(false),
+    transfer_policy: zod.enum(['swarm', 'random-chunk', 'chain', 'tree', 'origin']).default('swarm'),
+    pick_backend: zod.enum(['late-binding', 'least-loaded', 'two-choices', 'least-stated', 'random']).default('late-binding')
   }).prefault({}),
-  security: zod.z.strictObject({
-    shared_key: zod.z.string().min(16).optional(),
+  security: zod.strictObject({
+    shared_key: zod.string().min(16).optional(),
     tls: tls.optional()
   }).prefault({})
 }).superRefine((settings, context) => {
@@ -75,4 +75,4 @@
 })
 
 /** Checked settings of a daemon. */
-export type Settings = zod.z.infer<typeof settingsSchema>
+export type Settings = zod.infer<typeof settingsSchema>
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -62,19 +62,19 @@
 /** Peers that are silent hear of this daemon less often. */
 const SILENT_FACTOR = 1.5
 
-const messageSchema = zod.z.discriminatedUnion('type', [
-  zod.z.object({
-    type: zod.z.literal('heartbeat'),
-    node: zod.z.string(),
-    role: zod.z.enum(['gateway', 'agent']),
-    zone: zod.z.string(),
-    host: zod.z.string(),
-    isLeaving: zod.z.boolean(),
-    revisions: zod.z.record(zod.z.string(), zod.z.number()),
-    versions: zod.z.array(zod.z.object({ model: zod.z.string(), version: zod.z.number(), ageMs: zod.z.number().min(0) })),
-    engine: zod.z.unknown()
+const messageSchema = zod.discriminatedUnion('type', [
+  zod.object({
+    type: zod.literal('heartbeat'),
+    node: zod.string(),
+    role: zod.enum(['gateway', 'agent']),
+    zone: zod.string(),
+    host: zod.string(),
+    isLeaving: zod.boolean(),
+    revisions: zod.record(zod.string(), zod.number()),
+    versions: zod.array(zod.object({ model: zod.string(), version: zod.number(), ageMs: zod.number().min(0) })),
+    engine: zod.unknown()
   }),
-  zod.z.object({ type: zod.z.literal('hosts'), hosts: zod.z.array(zod.z.string()) })
+  zod.object({ type: zod.literal('hosts'), hosts: zod.array(zod.string()) })
 ])
 
 /**
@@ -177,7 +177,7 @@
   }
 }
 
-function parseMessage (bytes: Buffer): zod.z.infer<typeof messageSchema> | null {
+function parseMessage (bytes: Buffer): zod.infer<typeof messageSchema> | null {
   try {
     const parsed = messageSchema.safeParse(JSON.parse(bytes.toString()))
     return parsed.success ? parsed.data : null
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -58,7 +58,7 @@
 /** After so long, pieces that are still missing are asked for at other agents too. */
 const OVERDUE_MS = 3600
 /** A peer that takes longer for one piece is left out as if it had failed. */
-const SLOW_MS = 1900
+const SLOW_MS = 1300
 /** An overdue piece is asked for at one other agent after another, each for so long. */
 const ALTERNATIVE_MS = 500
 const FAILED_PAUSE_MS = 60
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -58,7 +58,8 @@
   readonly verifiedAt: number
 }
 
-const TICK_MS = 100
+const TICK_MS = 200
+const POLL_MS = 50
 /** Missing pieces come from the origin when so little time is left before the bound. */
 const ORIGIN_RESERVE_MS = 3200
 /** The stage is written so long before the engine's turn. */
@@ -84,6 +85,7 @@
   let isStopped = false
   let isWorking = false
   let wakeAgain = false
+  let turnTimer: NodeJS.Timeout | undefined
 
   function find (version: number): createPieceStore.VersionPieces | null {
     return store.find({ model: options.model, version })
@@ -120,8 +122,12 @@
     if (ready === undefined || state.isBusy) return
     const turnAt = findTurn(ready, state)
     options.onTurn(Math.max(0, turnAt - options.now()))
-    if (options.now() < turnAt - STAGE_BEFORE_TURN_MS) return
+    if (options.now() < turnAt - STAGE_BEFORE_TURN_MS) {
+      wakeAt(turnAt - STAGE_BEFORE_TURN_MS)
+      return
+    }
     if (!isStagedFor(ready)) await stage(ready)
+    if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
     await order(ready, state)
   }
@@ -209,7 +215,7 @@
     while (!isStopped) {
       const state = await options.readEngine()
       if (state === null || state.held >= ready.id.version || !state.isBusy) break
-      await types.delay(TICK_MS / 2)
+      await types.delay(POLL_MS)
     }
     return Math.round(options.now() - startedAt)
   }
@@ -239,6 +245,14 @@
     return null
   }
 
+  /** Wakes exactly at a turn that comes before the next tick. */
+  function wakeAt (time: number): void {
+    const inMs = time - options.now()
+    if (inMs >= TICK_MS) return
+    clearTimeout(turnTimer)
+    turnTimer = setTimeout(wake, inMs)
+  }
+
   function wake (): void {
     if (!isStopped) void step()
   }
@@ -251,6 +265,7 @@
     stop: () => {
       isStopped = true
       clearInterval(timer)
+      clearTimeout(turnTimer)
       endFetch()
     }
   }
--- a/packages/staging/src/planVersions/index.ts
+++ b/packages/staging/src/planVersions/index.ts
@@ -20,8 +20,9 @@
 export const SWITCH_MS = 1200
 
 /**
- * Chooses the oldest version that is newer than the engine's and can still serve before its bound; the newest
- * one is never skipped, because nothing else may serve after its bound.
+ * Chooses the newest version if it can serve before the bound of every one, since an engine that changes once
+ * loses less. Else the oldest one that is newer than the engine's and can still serve before its bound; the
+ * newest one is never skipped, because nothing else may serve after its bound.
  *
  * @param input - Versions, progress and time.
  * @returns The version to fetch, or null when the engine has the newest one.
@@ -32,11 +33,15 @@
     .sort((left, right) => left.id.version - right.id.version)
   const newest = wanted[wanted.length - 1]
   if (newest === undefined) return null
-  if (input.held === 0) return newest
-  return wanted.find((named) => named === newest || canServeInTime(named, input)) ?? newest
+  if (input.held === 0 || canServeBefore(newest, oldestBound(wanted), input)) return newest
+  return wanted.find((named) => named === newest || canServeBefore(named, named.boundAt, input)) ?? newest
 }
 
-function canServeInTime (named: staging.NamedVersion, input: VersionPlanInput): boolean {
+function oldestBound (wanted: readonly staging.NamedVersion[]): number {
+  return wanted.reduce((oldest, named) => Math.min(oldest, named.boundAt), Infinity)
+}
+
+function canServeBefore (named: staging.NamedVersion, boundAt: number, input: VersionPlanInput): boolean {
   const missingMs = (1 - input.progressOf(named.id.version)) * input.wholeMs
-  return input.now + missingMs + SWITCH_MS < named.boundAt
+  return input.now + missingMs + SWITCH_MS < boundAt
 }
--- a/packages/standins/src/createEngineStandIn/index.ts
+++ b/packages/standins/src/createEngineStandIn/index.ts
@@ -28,22 +28,22 @@
   readonly readsWeights: boolean
 }
 
-const orderSchema = zod.z.object({
-  order: zod.z.enum(['load', 'unload']),
-  manifest: zod.z.string(),
-  source: zod.z.string().optional(),
-  bytes: zod.z.number().optional(),
-  fence: zod.z.object({ generation: zod.z.number(), sequence: zod.z.number() })
+const orderSchema = zod.object({
+  order: zod.enum(['load', 'unload']),
+  manifest: zod.string(),
+  source: zod.string().optional(),
+  bytes: zod.number().optional(),
+  fence: zod.object({ generation: zod.number(), sequence: zod.number() })
 })
 
-const generateSchema = zod.z.object({
-  prompt: zod.z.string(),
-  tokens: zod.z.int().min(1).max(10_000).default(8),
+const generateSchema = zod.object({
+  prompt: zod.string(),
+  tokens: zod.int().min(1).max(10_000).default(8),
   /** Milliseconds of work in all, for load tools; it overrides the time of a token. */
-  workMs: zod.z.number().min(0).optional()
+  workMs: zod.number().min(0).optional()
 })
 
-type Order = zod.z.infer<typeof orderSchema>
+type Order = zod.infer<typeof orderSchema>
 
 interface LoadedVersion {
   readonly bytes: Buffer | null
@@ -120,7 +120,7 @@
     context.body = stream.Readable.from(writeTokens(version, manifest, parsed.data), { objectMode: false })
   }
 
-  async function * writeTokens (version: LoadedVersion, manifest: string, call: zod.z.infer<typeof generateSchema>): AsyncGenerator<string> {
+  async function * writeTokens (version: LoadedVersion, manifest: string, call: zod.infer<typeof generateSchema>): AsyncGenerator<string> {
     const tokenMs = (call.workMs === undefined ? options.tokenMs : call.workMs / call.tokens) * faults.slowFactor
     let sent = 0
     counts.running += 1
--- a/packages/store/src/createLease/index.ts
+++ b/packages/store/src/createLease/index.ts
@@ -5,14 +5,14 @@
 
 const LEASE_KIND = 'leases'
 
-const leaseSchema = zod.z.object({
-  holder: zod.z.string(),
-  generation: zod.z.int().positive(),
-  durationMs: zod.z.number().positive(),
-  released: zod.z.boolean()
+const leaseSchema = zod.object({
+  holder: zod.string(),
+  generation: zod.int().positive(),
+  durationMs: zod.number().positive(),
+  released: zod.boolean()
 })
 
-type LeaseRecord = zod.z.infer<typeof leaseSchema>
+type LeaseRecord = zod.infer<typeof leaseSchema>
 
 /** Another holder has the lease, or may still believe so. */
 export class LeaseHeldError extends types.SwitchridgeError {
--- a/packages/store/src/readNodeList/index.ts
+++ b/packages/store/src/readNodeList/index.ts
@@ -4,9 +4,9 @@
 import * as types from '@switchridge/types'
 import type * as rpc from '@switchridge/rpc'
 
-const nodeListSchema = zod.z.array(zod.z.object({
-  node: zod.z.string(),
-  state: zod.z.enum(['live', 'leaving'])
+const nodeListSchema = zod.array(zod.object({
+  node: zod.string(),
+  state: zod.enum(['live', 'leaving'])
 }))
 
 /** One node as the platform sees it. */
--- a/packages/transfer/src/parseManifest/index.ts
+++ b/packages/transfer/src/parseManifest/index.ts
@@ -6,11 +6,11 @@
 
 const DIGEST = /^[0-9a-f]{64}$/
 
-const manifestSchema = zod.z.strictObject({
-  bytes: zod.z.int().positive(),
-  chunkBytes: zod.z.int().positive(),
-  fileDigest: zod.z.string().regex(DIGEST),
-  chunks: zod.z.array(zod.z.string().regex(DIGEST)).min(1)
+const manifestSchema = zod.strictObject({
+  bytes: zod.int().positive(),
+  chunkBytes: zod.int().positive(),
+  fileDigest: zod.string().regex(DIGEST),
+  chunks: zod.array(zod.string().regex(DIGEST)).min(1)
 })
 
 /**
