--- a/packages/daemon/src/followVersions/index.ts
+++ b/packages/daemon/src/followVersions/index.ts
@@ -14,8 +14,8 @@
   readonly note: (id: staging.VersionId, ageMs: number) => void
   /** All versions of a model, the oldest first. */
   readonly named: (model: string) => readonly staging.NamedVersion[]
-  /** The newest version that all answers must come from which begin at a time, 0 for none. */
-  readonly floorAt: (model: string, time: number) => number
+  /** Monotonic time in milliseconds from which nothing may be sent to a version, since it would begin too late. */
+  readonly lastSendTo: (model: string, version: number) => number
   /** The newest few versions, for peers. */
   readonly news: () => readonly VersionNews[]
 }
@@ -71,12 +71,12 @@
   return {
     note,
     named,
-    floorAt: (model, time) => {
-      let floor = 0
-      for (const version of models.get(model)?.values() ?? []) {
-        if (time >= version.boundAt - options.marginMs) floor = Math.max(floor, version.id.version)
+    lastSendTo: (model, version) => {
+      let earliest = Infinity
+      for (const newer of models.get(model)?.values() ?? []) {
+        if (newer.id.version > version) earliest = Math.min(earliest, newer.boundAt - options.marginMs)
       }
-      return floor
+      return earliest
     },
     news: () => [...models.keys()].flatMap((model) => named(model).slice(-NEWS_KEPT)
       .map(({ id, heardAt }) => ({ model: id.model, version: id.version, ageMs: Math.round(options.now() - heardAt) })))
--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -20,13 +20,17 @@
   const engines: testing.EngineStandIn[] = []
   for (const [index, version] of versions.entries()) {
     const engine = await fleet.startEngine({ id: `i-${index}`, model: fleetTesting.MODEL, version, digestsOf: fleet.origin.digestsOf })
-    for (let piece = 0; piece < PIECES && version > 0; piece += 1) engine.stage.set(piece, fleet.origin.pieceOf(version, piece))
+    if (version > 0) fillStage(fleet, engine, version)
     engines.push(engine)
     await fleet.startAgent(AGENT_HOSTS[index] as string, engine, [GATEWAY_HOST])
   }
   return { fleet, engines }
 }
 
+function fillStage (fleet: fleetTesting.TestFleet, engine: testing.EngineStandIn, version: number): void {
+  for (let piece = 0; piece < PIECES; piece += 1) engine.stage.set(piece, fleet.origin.pieceOf(version, piece))
+}
+
 function nameVersion (fleet: fleetTesting.TestFleet, version: number): void {
   fleet.store.put('versions', fleetTesting.MODEL, { model: fleetTesting.MODEL, version })
 }
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -86,7 +86,6 @@
   function choose (choice: gateway.CallChoice): gateway.Choice | null {
     const figures = parts.routes()?.findService(choice.service)?.engine ?? null
     const { model } = choice
-    const floorAt = (time: number): number => model === null ? 0 : parts.versions.floorAt(model, time)
     return gateway.chooseBackEnd({
       backEnds: parts.backEnds().filter((backEnd) => backEnd.service === choice.service),
       book,
@@ -95,7 +94,7 @@
       model,
       promptTokens: choice.promptTokens,
       answerTokens: choice.answerTokens,
-      floorAt,
+      lastSendTo: (version) => model === null ? Infinity : parts.versions.lastSendTo(model, version),
       endsAt: now() + choice.remainingMs,
       pinnedVersion: choice.version,
       tried: choice.tried,
--- a/packages/daemon/src/startGatewayRole/test.ts
+++ b/packages/daemon/src/startGatewayRole/test.ts
@@ -125,6 +125,8 @@
   const unframed = await fleetTesting.call(address, { method: 'POST', path: '/write/1', id: 'w-2', body: 'order' })
   assert.equal(unframed.status, 200)
   assert.match(unframed.body, /to w-2$/)
+  assert.equal(unframed.headers['content-length'], undefined)
+  assert.equal(unframed.headers['transfer-encoding'], undefined)
 })
 
 nodeTest.test('an answer that follows another one meets no call', async (context) => {
--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -6,9 +6,9 @@
 export interface Reply {
   /** Ends with an answer of the gateway's own; `retryAfterMs` tells when to come back. */
   readonly refuse: (status: number, reason: string, retryAfterMs: number | null) => void
-  /** Sends a back end's whole answer. */
-  readonly sendWhole: (status: number, headers: readonly string[], body: Buffer) => void
-  readonly beginStream: (status: number, headers: readonly string[]) => void
+  /** Sends a back end's whole answer; one that did not tell its own end does not here either. */
+  readonly sendWhole: (status: number, headers: readonly string[], body: Buffer, isFramed: boolean) => void
+  readonly beginStream: (status: number, headers: readonly string[], isFramed: boolean) => void
   /** Sends bytes of a stream; false when the caller reads too slowly. */
   readonly write: (bytes: Buffer) => boolean
   readonly onDrain: (resume: () => void) => void
@@ -34,6 +34,12 @@
     response.writeHead(status, headers as string[])
   }
 
+  /** The answer ends with its connection, without a length and without chunks. */
+  function leaveUnframed (): void {
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+  }
+
   return {
     hasBegun: () => response.headersSent,
     refuse: (status, reason, retryAfterMs) => {
@@ -42,13 +48,16 @@
       writeHead(status, [...protocol.formatOwnAnswer(requestId, retryAfterMs), 'Content-Type', 'text/plain', 'Content-Length', String(body.length)])
       response.end(body)
     },
-    sendWhole: (status, headers, body) => {
+    sendWhole: (status, headers, body, isFramed) => {
       if (response.destroyed) return
-      writeHead(status, [...headers, 'Content-Length', String(body.length)])
+      if (!isFramed) leaveUnframed()
+      writeHead(status, isFramed ? [...headers, 'Content-Length', String(body.length)] : headers)
       response.end(body)
     },
-    beginStream: (status, headers) => {
-      if (!response.destroyed) writeHead(status, headers)
+    beginStream: (status, headers, isFramed) => {
+      if (response.destroyed) return
+      if (!isFramed) leaveUnframed()
+      writeHead(status, headers)
     },
     write: (bytes) => response.write(bytes),
     onDrain: (resume) => { response.once('drain', resume) },
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -14,6 +14,8 @@
   readonly status: number
   readonly headers: readonly string[]
   readonly body: Buffer
+  /** Whether it told its own end. */
+  readonly isFramed: boolean
 }
 
 /** How an attempt ended. */
@@ -33,6 +35,8 @@
   readonly splitter: relayEvents.EventSplitter
   /** Version of the weights that began the stream; only it may go on. */
   version: number | null
+  /** Whether the answer that was begun tells its own end; null before it was begun. */
+  isFramed: boolean | null
 }
 
 /** Milliseconds for a connection to stand; a dark machine never answers. */
@@ -45,6 +49,9 @@
 const NEXT_EVENT_PATIENCE = 2.5
 const MINIMUM_PATIENCE_MS = 800
 
+/** The last call for a version is sent so long before one that has not begun is taken back. */
+const BEGIN_GRACE_MS = 500
+
 type Options = createCallHandler.CallHandlerOptions
 type BegunAnswer = Extract<sendAttempt.AttemptStart, { kind: 'answer' }>
 type AnsweredHead = Extract<gateway.AnswerHead, { kind: 'answered' }>
@@ -56,7 +63,7 @@
  * @returns The state before the first attempt.
  */
 export function createStreamState (splitter: relayEvents.EventSplitter): StreamState {
-  return { splitter, version: null }
+  return { splitter, version: null, isFramed: null }
 }
 
 /**
@@ -91,6 +98,7 @@
   call.onEnd(attempt.abort)
   const isPatient = !(route.kind === 'stream' && route.isResumable)
   const patience = createPatience(isPatient ? null : Math.max(MINIMUM_PATIENCE_MS, FIRST_EVENT_PATIENCE * route.targetMs), attempt.abort)
+  const versionTimer = limitBegin()
   const start = await attempt.start
   if (start.kind === 'not-sent') return end({ kind: 'not-sent', reason: start.reason })
   call.attempts += 1
@@ -105,10 +113,17 @@
 
   function end (outcome: AttemptOutcome): AttemptOutcome {
     patience.stop()
+    clearTimeout(versionTimer)
     attempt.abort()
     return outcome
   }
 
+  /** Takes the call back from an engine that has not begun it before its version may no longer serve. */
+  function limitBegin (): NodeJS.Timeout | undefined {
+    if (choice.beginsBy === Infinity) return undefined
+    return setTimeout(() => { if (!open.hasBegun) attempt.abort() }, Math.max(0, choice.beginsBy - options.now() + BEGIN_GRACE_MS))
+  }
+
   function broken (reason: string): AttemptOutcome {
     call.mayHaveRun = true
     return { kind: 'broken', reason }
@@ -120,13 +135,13 @@
     if (body.kind !== 'whole' || !begun.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`)
     call.mayHaveRun = true
     if (reply.hasBegun()) return broken(`status ${answered.status} instead of a stream`)
-    const whole = { status: answered.status, headers: answered.headers, body: body.body }
+    const whole = { status: answered.status, headers: answered.headers, body: body.body, isFramed: begun.isFramed }
     if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: whole }
-    reply.sendWhole(whole.status, whole.headers, whole.body)
+    reply.sendWhole(whole.status, whole.headers, whole.body, whole.isFramed)
     return { kind: 'done' }
   }
 
-  async function relay ({ response, isWhole }: BegunAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
+  async function relay ({ response, isFramed, isWhole }: BegunAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
     call.mayHaveRun = true
     const nextEventMs = Math.max(MINIMUM_PATIENCE_MS, NEXT_EVENT_PATIENCE * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve) => {
@@ -135,23 +150,28 @@
         if (whole === null) return
         open.hasBegun = true
         patience.restart(nextEventMs)
-        if (!reply.hasBegun()) reply.beginStream(answered.status, answered.headers)
+        if (!reply.hasBegun()) beginStream()
         if (reply.write(whole)) return
         response.pause()
         reply.onDrain(() => { response.resume() })
       })
       response.on('end', () => {
-        if (!isWhole() || stream.splitter.hasPartial()) {
+        if (!isWhole() || stream.splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
           breakStream('stream cut')
           return
         }
-        if (!reply.hasBegun()) reply.beginStream(answered.status, answered.headers)
+        if (!reply.hasBegun()) beginStream()
         reply.endStream()
         resolve({ kind: 'done' })
       })
       response.on('error', () => { breakStream('stream broken') })
       response.on('close', () => { breakStream('stream closed') })
 
+      function beginStream (): void {
+        stream.isFramed = isFramed
+        reply.beginStream(answered.status, answered.headers, isFramed)
+      }
+
       function breakStream (reason: string): void {
         stream.splitter.dropPartial()
         resolve(broken(patience.isOver() ? 'no event in time' : reason))
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -131,7 +131,7 @@
       return 'failed'
     }
     if (failed !== null) {
-      reply.sendWhole(failed.status, failed.headers, failed.body)
+      reply.sendWhole(failed.status, failed.headers, failed.body, failed.isFramed)
       return 'answered'
     }
     if (!call.mayHaveRun) {
@@ -159,4 +159,3 @@
     reason: ending === 'answered' ? undefined : lastReason
   })
 }
-
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -14,8 +14,8 @@
   readonly promptTokens: number
   /** Tokens that the answer probably has; 0 if nothing is known. */
   readonly answerTokens: number
-  /** Oldest version of the model's weights that may begin to serve at a time. */
-  readonly floorAt: (time: number) => number
+  /** Monotonic time in milliseconds by which a call must begin on a version of the model's weights. */
+  readonly lastSendTo: (version: number) => number
   /** Monotonic time in milliseconds at which the call ends at the latest. */
   readonly endsAt: number
   /** The only version that may serve, for a stream that goes on; null for any that is new enough. */
@@ -34,6 +34,8 @@
   readonly waitingBefore: number
   /** Version that the back end is asked to check; null for none. */
   readonly expectedVersion: number | null
+  /** Monotonic time in milliseconds by which the call must have begun there; Infinity for no such time. */
+  readonly beginsBy: number
 }
 
 interface Scored extends Choice {
@@ -82,12 +84,14 @@
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
     (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * HOLDING_UP_PART) +
     input.random() * SPREAD_MS
-  const expectedVersion = input.floorAt(input.now) > 0 || input.pinnedVersion !== null ? version : null
-  return { backEnd, expectedVersion, ...predicted, score: predicted.firstEventMs + penalty }
+  const isOldRefused = input.lastSendTo(0) <= input.now
+  const expectedVersion = isOldRefused || input.pinnedVersion !== null ? version : null
+  const beginsBy = version === null ? Infinity : input.lastSendTo(version)
+  return { backEnd, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
 function mayServe (version: number | null, beginsBy: number, input: ChoiceInput): boolean {
-  if (version === null || version < input.floorAt(beginsBy)) return false
+  if (version === null || beginsBy >= input.lastSendTo(version)) return false
   return input.pinnedVersion === null || version === input.pinnedVersion
 }
 
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -21,7 +21,7 @@
   | { readonly kind: 'not-sent', readonly reason: string }
   /** Sent, and no answer came; the call may have run. */
   | { readonly kind: 'no-answer', readonly reason: string }
-  | { readonly kind: 'answer', readonly response: http.IncomingMessage, readonly isWhole: () => boolean }
+  | { readonly kind: 'answer', readonly response: http.IncomingMessage, readonly isFramed: boolean, readonly isWhole: () => boolean }
 
 /** An attempt under way. */
 export interface Attempt {
@@ -36,8 +36,14 @@
 const STATUS_NO_CONTENT = 204
 const STATUS_NOT_MODIFIED = 304
 
-function hasNoBody (response: http.IncomingMessage): boolean {
-  return response.statusCode === STATUS_NO_CONTENT || response.statusCode === STATUS_NOT_MODIFIED
+/**
+ * Whether an answer tells its own end. The runtime takes a reset for the end of one that does not; only an orderly
+ * end of the connection is one, and even that may come early.
+ */
+function hasFrame (response: http.IncomingMessage, method: string): boolean {
+  const { headers, statusCode } = response
+  if (headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined) return true
+  return method === 'HEAD' || statusCode === STATUS_NO_CONTENT || statusCode === STATUS_NOT_MODIFIED
 }
 
 /**
@@ -64,13 +70,6 @@
   })
   const connectTimer = setTimeout(() => { outgoing.destroy(new types.UnavailableError('no connection in time')) }, request.connectMs)
 
-  /** The runtime takes a reset for the end of an answer that has no length; only an orderly end is one. */
-  function isWhole (response: http.IncomingMessage): boolean {
-    if (!response.complete) return false
-    const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
-    return isFramed || request.method === 'HEAD' || hasNoBody(response) || (hasEnded && !hasFailed)
-  }
-
   function fail (reason: string): void {
     clearTimeout(connectTimer)
     settle(isConnected ? { kind: 'no-answer', reason } : { kind: 'not-sent', reason })
@@ -86,7 +85,8 @@
   })
   outgoing.on('response', (response) => {
     response.on('error', () => {})
-    settle({ kind: 'answer', response, isWhole: () => isWhole(response) })
+    const isFramed = hasFrame(response, request.method)
+    settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && (isFramed || (hasEnded && !hasFailed)) })
   })
   outgoing.on('error', (error) => { fail(types.describeError(error)) })
   outgoing.on('close', () => { fail('connection closed') })
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -82,7 +82,7 @@
   let notBelow = 0
   let staged: StagedVersion | null = null
   const wholeAt = new Map<number, number>()
-  let isStopped = false
+  const stopping = new AbortController()
   let isWorking = false
   let wakeAgain = false
   let turnTimer: NodeJS.Timeout | undefined
@@ -105,7 +105,7 @@
     isWorking = true
     try {
       const state = await options.readEngine()
-      if (state !== null && !isStopped) await advance(state)
+      if (state !== null && !stopping.signal.aborted) await advance(state)
     } finally {
       isWorking = false
     }
@@ -154,7 +154,7 @@
 
   async function fetch (current: ActiveFetch): Promise<void> {
     const { id, boundAt, heardAt } = current.target
-    const isCurrent = (): boolean => active === current && !isStopped
+    const isCurrent = (): boolean => active === current && !stopping.signal.aborted
     const originFrom = boundAt - ORIGIN_RESERVE_MS
     const manifest = await manifests.obtain(id, originFrom, isCurrent)
     if (manifest === null || !isCurrent()) return
@@ -212,7 +212,7 @@
   /** Waits until the engine tells the new version, or is no longer busy with it. */
   async function waitForSwitch (ready: staging.NamedVersion): Promise<number> {
     const startedAt = options.now()
-    while (!isStopped) {
+    while (!stopping.signal.aborted) {
       const state = await options.readEngine()
       if (state === null || state.held >= ready.id.version || !state.isBusy) break
       await types.delay(POLL_MS)
@@ -222,7 +222,7 @@
 
   /** A piece that only lies in the stage of the engine, from before this process began. */
   async function takeFromStage (id: staging.VersionId, wanted: readonly number[]): Promise<createPieceStore.TakenPiece | null> {
-    const manifest = await manifests.obtain(id, Infinity, () => !isStopped)
+    const manifest = await manifests.obtain(id, Infinity, () => !stopping.signal.aborted)
     if (manifest === null) return null
     const pieces = store.open(manifest)
     const held = await pieces.takeAny(wanted, 0)
@@ -254,7 +254,7 @@
   }
 
   function wake (): void {
-    if (!isStopped) void step()
+    if (!stopping.signal.aborted) void step()
   }
 
   const timer = setInterval(wake, TICK_MS)
@@ -263,7 +263,7 @@
     providePiece,
     provideManifest: manifests.provide,
     stop: () => {
-      isStopped = true
+      stopping.abort()
       clearInterval(timer)
       clearTimeout(turnTimer)
       endFetch()
--- a/packages/store/src/keepMirror/index.ts
+++ b/packages/store/src/keepMirror/index.ts
@@ -34,7 +34,7 @@
  */
 export function keepMirror (options: KeepMirrorOptions): KeptMirror {
   const { mirror, store } = options
-  let isStopped = false
+  const stopping = new AbortController()
   let isReachable = true
   let failures = 0
 
@@ -54,7 +54,7 @@
 
   /** Lists until the store answers; returns the revision to watch from. */
   async function list (): Promise<number> {
-    while (!isStopped) {
+    while (!stopping.signal.aborted) {
       const listed = await store.listAll(mirror.kind)
       if (listed.ok) {
         noteAnswer()
@@ -69,7 +69,7 @@
   /** Watches until the history is gone. */
   async function watch (from: number): Promise<void> {
     let at = from
-    while (!isStopped) {
+    while (!stopping.signal.aborted) {
       const waitMs = Math.round(options.waitMs * (WAIT_MINIMUM_PART + (1 - WAIT_MINIMUM_PART) * options.random()))
       const watched = await store.watchAll(mirror.kind, at, waitMs)
       if (watched.ok) {
@@ -84,12 +84,12 @@
   }
 
   async function run (): Promise<void> {
-    while (!isStopped) {
+    while (!stopping.signal.aborted) {
       const at = await list()
       await watch(at)
     }
   }
 
   void run()
-  return { isReachable: () => isReachable, stop: () => { isStopped = true } }
+  return { isReachable: () => isReachable, stop: () => { stopping.abort() } }
 }
