Wait in the agents' tests until agents know each other

Cause: the test that counts the origin's pieces failed once (22 pieces): it named a version before the agents had heard of each other, when each is right to read everything itself. Change: roles tell how many peers they know, and the tests wait for all of them.

--- a/packages/daemon/src/_lib/fleetRole.ts
+++ b/packages/daemon/src/_lib/fleetRole.ts
@@ -8,4 +8,6 @@
   /** Puts changed settings in force, as far as a running process can. */
   readonly reload: (next: settings.FleetSettings) => void
   readonly stop: () => void
+  /** Daemons heard of lately, this one not included. */
+  readonly countPeers: () => number
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -172,6 +172,7 @@
       isLeaving = true
       gossip.sendNow()
     },
+    countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: (next) => { gossip.addHosts(createFleetParts.readSeedHosts(next)) },
     stop: () => {
       clearInterval(reportTimer)
--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import type * as testing from '@switchridge/platform-testing'
+import type * as fleetRole from '../_lib/fleetRole.js'
 import * as fleetTesting from '../_lib/fleetTesting.js'
 
 const GATEWAY_HOST = '127.0.0.1'
@@ -18,12 +19,14 @@
   fleet.configure()
   await fleet.startGateway(GATEWAY_HOST)
   const engines: testing.EngineStandIn[] = []
+  const agents: fleetRole.FleetRole[] = []
   for (const [index, version] of versions.entries()) {
     const engine = await fleet.startEngine({ id: `i-${index}`, model: fleetTesting.MODEL, version, digestsOf: fleet.origin.digestsOf })
     if (version > 0) fillStage(fleet, engine, version)
     engines.push(engine)
-    await fleet.startAgent(AGENT_HOSTS[index] as string, engine, [GATEWAY_HOST])
+    agents.push(await fleet.startAgent(AGENT_HOSTS[index] as string, engine, [GATEWAY_HOST]))
   }
+  await fleetTesting.until(() => agents.every((agent) => agent.countPeers() === versions.length))
   return { fleet, engines }
 }
 
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -144,6 +144,7 @@
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
   return {
     drain,
+    countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: (next) => { gossip.addHosts(createFleetParts.readSeedHosts(next)) },
     stop: () => {
       for (const mirror of kept.values()) mirror.stop()
