Give a starting agent the whole bound for a version

Cause: an agent that starts just after a version was named took the short bound of a starting gateway, and read every piece from the origin at once: the test of the origin's pieces showed it three times in three runs (21 to 24 pieces for 8). Change: only gateways take the short bound.

--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -35,7 +35,7 @@
 
 /** Milliseconds before a version's bound from which nothing is sent to older ones. */
 const VERSION_MARGIN_MS = 1000
-/** A process is not bound by what happened before it for so long after its start. */
+/** A gateway is not bound by what happened before it for so long after its start. */
 const START_MS = 2800
 const SNAPSHOT_MS = 1000
 
@@ -60,7 +60,7 @@
   const configurations = store.createMirror(platform.KINDS.configuration)
   const servers = store.createMirror(platform.KINDS.backEnds)
   const named = store.createMirror(platform.KINDS.versions)
-  const versions = followVersions.createVersionFollower({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startMs: START_MS, now })
+  const versions = followVersions.createVersionFollower({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startMs: checked.role === 'agent' ? checked.bounds.version_ms : START_MS, now })
   const routeListeners: Array<(table: gateway.RouteTable) => void> = []
   let routes: gateway.RouteTable | null = null
   let adoptedRevision = 0
