Leave slow and failed agents out alike, and narrow the window on slow links

Change: suspicions travel on heartbeats, and two votes leave an agent out for all; an agent asks fewer peers at a time when pieces take long; heartbeats go less often to other zones.

--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -121,7 +121,7 @@
 }
 
 /** Describes this daemon on its heartbeats. */
-export function describeSelf (parts: FleetParts, isLeaving: boolean, engine: unknown): spread.Heartbeat {
+export function describeSelf (parts: FleetParts, isLeaving: boolean, engine: unknown = null, suspects: readonly string[] = []): spread.Heartbeat {
   return {
     node: types.brandId<types.NodeId>(parts.settings.node),
     role: parts.settings.role,
@@ -130,6 +130,7 @@
     isLeaving,
     revisions: Object.fromEntries(parts.mirrors.map((mirror) => [mirror.kind, mirror.changedAt()])),
     versions: parts.versions.news(),
+    suspects,
     engine
   }
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -12,8 +12,14 @@
 import * as engineNews from '../_lib/engineNews.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
-/** Heartbeats to peers of each role, in milliseconds. */
-const INTERVALS = { gateway: 250, agent: 1250 } as const
+/** Milliseconds between two heartbeats to a gateway of the own zone, which sends most, of another zone, and to an agent. */
+const NEAR_GATEWAY_MS = 300
+const FAR_GATEWAY_MS = 500
+const AGENT_MS = 1500
+/** A peer that failed or was slow is left out for so long. */
+const SUSPECT_MS = 6000
+/** A peer is left out by all when so many agents suspect it. */
+const SUSPECT_VOTES = 2
 const REPORT_INTERVAL_MS = 125
 /** Part of the link that pieces may take, so that streams of the same link stay in time. */
 const PIECE_LINK_PART = 0.92
@@ -48,6 +54,7 @@
   let changesInMs: number | null = null
   let isLeaving = false
   let stager: staging.Stager | null = null
+  const suspectUntil = new Map<types.NodeId, number>()
 
   const sync = createFleetParts.createSync(parts, () => false)
   const listener = await createFleetParts.listenInternal(parts, [sendWeights])
@@ -55,8 +62,8 @@
     host: checked.host,
     port: checked.internal_port,
     seeds: createFleetParts.readSeedHosts(checked),
-    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused, changesInMs })),
-    intervalTo: (role) => INTERVALS[role],
+    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused, changesInMs }), listSuspects()),
+    intervalTo: ({ role, zone }) => role === 'agent' ? AGENT_MS : zone === checked.zone ? NEAR_GATEWAY_MS : FAR_GATEWAY_MS,
     onHeartbeat: (heartbeat) => {
       sync.noteRevisions(heartbeat.host, heartbeat.revisions)
       createFleetParts.noteVersions(parts, heartbeat)
@@ -106,6 +113,11 @@
         if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
         return types.succeed(fetched.value.body.toString().split(',').map((digest) => types.brandId<types.Digest>(digest)))
       },
+      onSuspect: (node) => {
+        const isNew = !suspectUntil.has(node)
+        suspectUntil.set(node, now() + SUSPECT_MS)
+        if (isNew) gossip.sendNow('agent')
+      },
       onTurn: (inMs) => { changesInMs = inMs },
       onPause: (next) => {
         isPaused = next
@@ -118,11 +130,24 @@
     })
   }
 
+  function listSuspects (): types.NodeId[] {
+    for (const [node, until] of suspectUntil) if (until <= now()) suspectUntil.delete(node)
+    return [...suspectUntil.keys()]
+  }
+
+  /** Whether enough agents find a peer too slow or gone to depend on it. */
+  function isVotedOut (node: string): boolean {
+    const votes = gossip.peers().filter((peer) => gossip.isLive(peer) && peer.heartbeat.suspects.includes(node)).length
+    return votes + (suspectUntil.has(types.brandId(node)) ? 1 : 0) >= SUSPECT_VOTES
+  }
+
+  /** Agents that all others may depend on; this one too, unless they voted it out. */
   function listAgents (): staging.StagingPeer[] {
     const live = gossip.peers()
       .filter((peer) => peer.heartbeat.role === 'agent' && !peer.heartbeat.isLeaving && gossip.isLive(peer))
+      .filter((peer) => !isVotedOut(peer.heartbeat.node))
       .map(({ heartbeat }) => ({ node: heartbeat.node, zone: heartbeat.zone, address: createFleetParts.internalAddress(parts, heartbeat.host) }))
-    return [self, ...live]
+    return isVotedOut(self.node) && live.length > 0 ? live : [self, ...live]
   }
 
   /** Null when the peer does not have what is asked for. */
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -10,8 +10,8 @@
 import * as engineNews from '../_lib/engineNews.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
-/** Heartbeats to peers of each role, in milliseconds. */
-const INTERVALS = { gateway: 700, agent: 700 } as const
+/** Milliseconds between two heartbeats to a peer. */
+const HEARTBEAT_MS = 1000
 /** The balancer notices within this time that a gateway is not ready. */
 const BALANCER_NOTICE_MS = 2600
 /** A gateway that ends leaves this much of its grace unused. */
@@ -44,8 +44,8 @@
     host: checked.host,
     port: checked.internal_port,
     seeds: createFleetParts.readSeedHosts(checked),
-    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving, null),
-    intervalTo: (role) => INTERVALS[role],
+    describeSelf: () => createFleetParts.describeSelf(parts, isLeaving),
+    intervalTo: () => HEARTBEAT_MS,
     onHeartbeat: noteHeartbeat,
     now,
     random: Math.random
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -68,7 +68,7 @@
 /** A report older than this tells nothing. */
 const REPORT_FRESH_MS = 1500
 /** An agent that said nothing for so long may be cut off, and its engine with it. */
-const SILENT_MS = 900
+const SILENT_MS = 1100
 const AVOID_BASE_MS = 300
 const AVOID_MAXIMUM_MS = 3000
 const AVOID_FULL_MS = 60
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -15,6 +15,8 @@
   readonly revisions: Readonly<Record<string, number>>
   /** Versions named lately, with the milliseconds since they were heard of. */
   readonly versions: ReadonlyArray<{ readonly model: string, readonly version: number, readonly ageMs: number }>
+  /** Peers that failed it or were slow lately. */
+  readonly suspects: readonly string[]
   /** What the agent says of its engine; null on a gateway. */
   readonly engine: unknown
 }
@@ -32,8 +34,8 @@
   /** Hosts to ask for other daemons. */
   readonly seeds: readonly string[]
   readonly describeSelf: () => Heartbeat
-  /** Milliseconds between two heartbeats to a peer of that role. */
-  readonly intervalTo: (role: Heartbeat['role']) => number
+  /** Milliseconds between two heartbeats to a peer. */
+  readonly intervalTo: (peer: Heartbeat) => number
   readonly onHeartbeat: (heartbeat: Heartbeat) => void
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
@@ -54,7 +56,7 @@
 }
 
 /** A peer that was silent for so long gets no work and is not asked. */
-export const PEER_LIVE_MS = 2500
+export const PEER_LIVE_MS = 3200
 /** A peer that was silent for so long is forgotten. */
 export const PEER_FORGET_MS = 60_000
 const TICK_MS = 125
@@ -72,6 +74,7 @@
     isLeaving: zod.boolean(),
     revisions: zod.record(zod.string(), zod.number()),
     versions: zod.array(zod.object({ model: zod.string(), version: zod.number(), ageMs: zod.number().min(0) })),
+    suspects: zod.array(zod.string()),
     engine: zod.unknown()
   }),
   zod.object({ type: zod.literal('hosts'), hosts: zod.array(zod.string()) })
@@ -146,7 +149,7 @@
     }
     for (const [host, peer] of peers) {
       if (now - peer.heardAt > PEER_FORGET_MS) peers.delete(host)
-      const interval = options.intervalTo(peer.heartbeat.role) * (isLive(peer) ? 1 : SILENT_FACTOR)
+      const interval = options.intervalTo(peer.heartbeat) * (isLive(peer) ? 1 : SILENT_FACTOR)
       if (now - (sentAt.get(host) ?? 0) >= interval - TICK_MS / 2) beat(host)
     }
     for (const host of hosts) {
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -24,6 +24,8 @@
   readonly now: () => number
   readonly random: () => number
   readonly onEvent: (event: FetchEvent) => void
+  /** Told of a peer that failed or is slow, so that all agents leave it out alike. */
+  readonly onSuspect: (peer: types.NodeId) => void
 }
 
 /** Something worth a line in the log. */
@@ -62,6 +64,12 @@
 /** An overdue piece is asked for at one other agent after another, each for so long. */
 const ALTERNATIVE_MS = 500
 const FAILED_PAUSE_MS = 60
+/** Peers that are asked at a time; fewer when pieces take long, so that a narrow link is not filled up. */
+const WINDOW_FIRST = 8
+const WINDOW_MAXIMUM = 14
+const WINDOW_INCREASE = 0.5
+const WINDOW_DECREASE = 0.5
+const SLOW_PIECE_MS = 900
 
 /**
  * Starts to fetch. There is one request at a time to each peer, for all pieces that it shall provide, so that
@@ -83,6 +91,8 @@
   let plans: readonly dealPieces.ProviderPlan[] = []
   let agents: readonly staging.StagingPeer[] = []
   let plannedAt = -Infinity
+  let window = WINDOW_FIRST
+  let turn = 0
   let isStopped = false
   let finish: (isWhole: boolean) => void = () => {}
   const whole = new Promise<boolean>((resolve) => { finish = resolve })
@@ -111,13 +121,15 @@
     refreshPlans()
     const missing = listMissing()
     const isLate = options.now() >= options.originFrom()
+    turn += 1
     const overdueMs = options.now() - startedAt - OVERDUE_MS
     for (const piece of missing) {
       if (readingOrigin.size >= ORIGIN_LANES) break
       const reads = isLate || plans[piece]?.part === 'reader'
       if (reads && !readingOrigin.has(piece)) void readOrigin(piece)
     }
-    for (const peer of agents) {
+    for (const peer of rotate(agents, turn)) {
+      if (busySince.size >= window) break
       if (peer.node === self.node || busySince.has(peer.node)) continue
       const wanted = missing.filter((piece) => isWantedFrom(peer, piece, overdueMs))
       if (wanted.length > 0) void askPeer(peer, wanted)
@@ -140,6 +152,7 @@
   }
 
   function suspect (node: types.NodeId): void {
+    options.onSuspect(node)
     suspectUntil.set(node, options.now() + SUSPECT_MS)
     plannedAt = -Infinity
   }
@@ -160,7 +173,9 @@
 
   async function askPeer (peer: staging.StagingPeer, wanted: readonly number[]): Promise<void> {
     busySince.set(peer.node, options.now())
+    const askedAt = options.now()
     const fetched = await options.fetchFromPeer(peer, id, wanted)
+    if (fetched.ok && fetched.value !== null) adaptWindow(options.now() - askedAt)
     if (!fetched.ok) {
       suspect(peer.node)
       noteFailure({ event: 'peer-failed', piece: wanted[0] as number, from: peer.node, reason: fetched.error.message })
@@ -174,6 +189,10 @@
     tick()
   }
 
+  function adaptWindow (tookMs: number): void {
+    window = tookMs > SLOW_PIECE_MS ? Math.max(1, window * WINDOW_DECREASE) : Math.min(WINDOW_MAXIMUM, window + WINDOW_INCREASE)
+  }
+
   function keep (piece: number, bytes: Buffer, from: string): void {
     if (pieces.put(piece, bytes)) return
     noteFailure({ event: 'piece-spoilt', piece, from, reason: `${bytes.length} bytes that do not match their digest` })
@@ -194,6 +213,12 @@
   return { counts, whole, stop: () => { isStopped = true } }
 }
 
+/** Starts a list at another place each time, so that nobody is asked last always. */
+function rotate<Item> (items: readonly Item[], places: number): Item[] {
+  const first = items.length === 0 ? 0 : places % items.length
+  return [...items.slice(first), ...items.slice(0, first)]
+}
+
 /** Whether two lists name the same agents; their order does not matter. */
 function isSame (left: readonly staging.StagingPeer[], right: readonly staging.StagingPeer[]): boolean {
   const names = new Set(right.map((agent) => agent.node))
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -19,7 +19,7 @@
 }
 
 /** Options of {@link createStager}. */
-export interface StagerOptions extends Pick<createPieceFetcher.PieceFetcherOptions, 'self' | 'agents' | 'origin' | 'fetchFromPeer' | 'now' | 'random'> {
+export interface StagerOptions extends Pick<createPieceFetcher.PieceFetcherOptions, 'self' | 'agents' | 'origin' | 'fetchFromPeer' | 'onSuspect' | 'now' | 'random'> {
   readonly model: string
   /** Versions named for the model. */
   readonly named: () => readonly staging.NamedVersion[]
@@ -61,7 +61,7 @@
 const TICK_MS = 200
 const POLL_MS = 50
 /** Missing pieces come from the origin when so little time is left before the bound. */
-const ORIGIN_RESERVE_MS = 3200
+const ORIGIN_RESERVE_MS = 2400
 /** The stage is written so long before the engine's turn. */
 const STAGE_BEFORE_TURN_MS = 500
 /** A stage that was verified longer ago is verified again before the order. */
