--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,7 +1,6 @@
 #!/usr/bin/env node
 /** The daemon: `switchridged --settings FILE`. */
 import * as fs from 'node:fs'
-import yargs from 'yargs'
 import * as types from '@switchridge/types'
 import * as settings from '@switchridge/settings'
 import type * as startDaemon from './startDaemon/index.js'
@@ -11,19 +10,31 @@
 const EXIT_USAGE = 2
 const EXIT_SETTINGS = 3
 const EXIT_FORCED = 4
+/** Names the settings file where no argument does. */
+const SETTINGS_VARIABLE = 'SWITCHRIDGE_NODE_FILE'
 
-const options = await yargs(process.argv.slice(2))
-  .scriptName('switchridged')
-  .usage('$0 --settings FILE\n\nRuns an entry node or the daemon beside a backend server; on the users\' platform, a gateway or an agent.')
-  .option('settings', { type: 'string', demandOption: true, default: process.env['SWITCHRIDGE_NODE_FILE'], describe: 'settings file in TOML' })
-  .example('$0 --settings examples/entry.toml', 'run an entry node')
-  .version('0.1.0')
-  .fail((message, error) => {
-    process.stderr.write(`switchridged: ${message ?? types.describeError(error)}\n`)
-    process.exit(EXIT_USAGE)
-  })
-  .strict()
-  .parseAsync()
+/** Loaded only where there are arguments: on the users' platform there are none, and a start shall read little. */
+async function parseArguments (): Promise<string> {
+  const { default: yargs } = await import('yargs')
+  const options = await yargs(process.argv.slice(2))
+    .scriptName('switchridged')
+    .usage('$0 --settings FILE\n\nRuns an entry node or the daemon beside a backend server; on the users\' platform, a gateway or an agent.')
+    .option('settings', { type: 'string', demandOption: true, default: process.env[SETTINGS_VARIABLE], describe: 'settings file in TOML' })
+    .example('$0 --settings examples/entry.toml', 'run an entry node')
+    .version('0.1.0')
+    .fail((message, error) => {
+      process.stderr.write(`switchridged: ${message ?? types.describeError(error)}\n`)
+      process.exit(EXIT_USAGE)
+    })
+    .strict()
+    .parseAsync()
+  return options.settings
+}
+
+async function findSettingsFile (): Promise<string> {
+  const named = process.env[SETTINGS_VARIABLE]
+  return process.argv.length > 2 || named === undefined ? await parseArguments() : named
+}
 
 function readFile (file: string): string {
   try {
@@ -69,7 +80,7 @@
 }
 
 try {
-  await run(options.settings)
+  await run(await findSettingsFile())
 } catch (thrown) {
   process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
   process.exit(EXIT_FAILED)
--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -1,10 +1,13 @@
 /**
  * Bundles the daemon into target/, so that a start reads few files.
  */
+import * as fs from 'node:fs'
 import * as esbuild from 'esbuild'
 
 const REQUIRE_BANNER = "import { createRequire as createBundleRequire } from 'node:module'; const require = createBundleRequire(import.meta.url);"
 
+fs.rmSync('target', { recursive: true, force: true })
+
 await esbuild.build({
   entryPoints: { switchridged: 'packages/daemon/src/main.ts' },
   outdir: 'target',
@@ -23,7 +26,6 @@
 
 /** Workspace packages are bundled from their sources, so that the build needs no compiled files. */
 async function readWorkspaceAliases () {
-  const fs = await import('node:fs')
   const folders = [...fs.readdirSync('packages').map((name) => `packages/${name}`), 'platform']
   const aliases = {}
   for (const folder of folders) {
