--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -10,6 +10,7 @@
 import * as types from '@switchridge/types'
 import * as createFleetParts from '../createFleetParts/index.js'
 import * as engineNews from '../_lib/engineNews.js'
+import * as openMetrics from '../_lib/openMetrics.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
 /** Milliseconds between two heartbeats to a gateway of the own zone, which sends most, of another zone, and to an agent. */
@@ -22,12 +23,12 @@
 const SUSPECT_VOTES = 2
 const REPORT_INTERVAL_MS = 125
 /** Part of the link that pieces may take, so that streams of the same link stay in time. */
-const PIECE_LINK_PART = 0.92
+const PIECE_LINK_PART = 0.86
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
 /** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
 const RAMP_UP_MS = 500
-const PIECE_WAIT_MS = 400
+const PIECE_WAIT_MS = 150
 const PIECE_TIMEOUT_MS = 2500
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
@@ -123,7 +124,10 @@
         isPaused = next
         gossip.sendNow('gateway')
       },
-      onEvent: (event, fields) => { logger.info(event, fields) },
+      onEvent: (event, fields) => {
+        metrics.count('weights_events', { event })
+        logger.info(event, fields)
+      },
       wholeMs: wholeBytes * types.MILLISECONDS_IN_SECOND / linkBytes + RAMP_UP_MS,
       now,
       random: Math.random
@@ -191,6 +195,14 @@
   parts.onVersions(() => { stager?.wake() })
   const reportTimer = setInterval(() => { if (stager === null) void readReport() }, REPORT_INTERVAL_MS)
 
+  metrics.gauge('peers_live', () => gossip.peers().filter(gossip.isLive).length)
+  metrics.gauge('engine_running', () => report?.running ?? 0)
+  const closeMetrics = await openMetrics.openMetrics(parts, () => ({
+    ...createFleetParts.describeSelf(parts, isLeaving, null, listSuspects()),
+    engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs },
+    agents: listAgents().map((agent) => agent.node)
+  }))
+
   logger.info('started', { role: 'agent', engine: engineAddress, internalPort: checked.internal_port })
   return {
     drain: async () => {
@@ -201,6 +213,7 @@
     reload: (next) => { gossip.addHosts(createFleetParts.readSeedHosts(next)) },
     stop: () => {
       clearInterval(reportTimer)
+      closeMetrics()
       stager?.stop()
       gossip.stop()
       listener.abort()
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -6,8 +6,9 @@
 import * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as createFleetParts from '../createFleetParts/index.js'
-import * as createReadiness from '../createReadiness/index.js'
+import * as openTextServer from '../openTextServer/index.js'
 import * as engineNews from '../_lib/engineNews.js'
+import * as openMetrics from '../_lib/openMetrics.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
 /** Milliseconds between two heartbeats to a peer. */
@@ -17,6 +18,8 @@
 /** A gateway that ends leaves this much of its grace unused. */
 const GRACE_RESERVE_MS = 900
 const DRAIN_POLL_MS = 100
+const OK = 200
+const UNAVAILABLE = 503
 
 /**
  * Starts the gateway role.
@@ -120,7 +123,7 @@
   parts.onBackEnds(() => { book.keepOnly(new Set(parts.backEnds().map((backEnd) => backEnd.id))) })
   const readiness = checked.listen.readiness === undefined
     ? null
-    : await createReadiness.createReadiness(platform.parseAddress(checked.listen.readiness), platform.READINESS_PATH, isReady)
+    : await openTextServer.openTextServer(platform.parseAddress(checked.listen.readiness), { [platform.READINESS_PATH]: () => ({ status: isReady() ? OK : UNAVAILABLE }) })
 
   function isReady (): boolean {
     return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown()
@@ -141,6 +144,18 @@
     logger.warn('drain-ended-early', { inProgress: calls.inProgress() })
   }
 
+  metrics.gauge('calls_in_progress', calls.inProgress)
+  metrics.gauge('peers_live', () => gossip.peers().filter(gossip.isLive).length)
+  metrics.gauge('back_ends', () => parts.backEnds().length)
+  const closeMetrics = await openMetrics.openMetrics(parts, () => ({
+    ...createFleetParts.describeSelf(parts, isLeaving),
+    isReady: isReady(),
+    inProgress: calls.inProgress(),
+    store: [...kept.entries()].map(([kind, mirror]) => ({ kind, isReachable: mirror.isReachable() })),
+    peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
+    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, models: Object.fromEntries(backEnd.models) }))
+  }))
+
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
   return {
     drain,
@@ -151,6 +166,7 @@
       gossip.stop()
       server.close()
       readiness?.close()
+      closeMetrics()
       listener.abort()
       parts.agents.destroy()
     }
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -50,7 +50,7 @@
 const MINIMUM_PATIENCE_MS = 800
 
 /** The last call for a version is sent so long before one that has not begun is taken back. */
-const BEGIN_GRACE_MS = 500
+const BEGIN_GRACE_MS = 300
 
 type Options = createCallHandler.CallHandlerOptions
 type BegunAnswer = Extract<sendAttempt.AttemptStart, { kind: 'answer' }>
@@ -93,14 +93,18 @@
       bodyBytes: call.body === null ? null : call.body.length
     }),
     body: call.body,
-    connectMs: CONNECT_MS
+    connectMs: CONNECT_MS,
+    onConnect: (tookMs) => { options.book.noteConnect(choice.backEnd.id, tookMs) }
   })
   call.onEnd(attempt.abort)
   const isPatient = !(route.kind === 'stream' && route.isResumable)
   const patience = createPatience(isPatient ? null : Math.max(MINIMUM_PATIENCE_MS, FIRST_EVENT_PATIENCE * route.targetMs), attempt.abort)
   const versionTimer = limitBegin()
   const start = await attempt.start
-  if (start.kind === 'not-sent') return end({ kind: 'not-sent', reason: start.reason })
+  if (start.kind === 'not-sent') {
+    options.book.noteConnect(choice.backEnd.id, CONNECT_MS)
+    return end({ kind: 'not-sent', reason: start.reason })
+  }
   call.attempts += 1
   if (start.kind === 'no-answer') return end(broken(patience.isOver() ? 'no first event in time' : start.reason))
   const answer = options.protocol.readAnswer(start.response, head.requestId)
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -9,6 +9,9 @@
 import * as runAttempt from './runAttempt.js'
 
 const DEFAULT_RETRY_AFTER_MS = 400
+/** While no back end may serve at all, a caller that came back soon would be refused again. */
+const NONE_RETRY_AFTER_MS = 1000
+const NONE_REMAINING_PART = 0.3
 /** Chances to reach another back end after connections that never stood. */
 const MAXIMUM_UNSENT = 4
 
@@ -52,6 +55,7 @@
         version: stream.version
       })
       if (choice === null) {
+        if (lastReason === '') retryAfterMs = Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
         lastReason = lastReason === '' ? 'no back end may serve' : lastReason
         return giveUp()
       }
@@ -135,7 +139,7 @@
       return 'answered'
     }
     if (!call.mayHaveRun) {
-      reply.refuse(503, lastReason, retryAfterMs)
+      reply.refuse(503, lastReason, Math.round(retryAfterMs))
       return 'refused'
     }
     reply.refuse(isExpired ? 504 : 502, lastReason, null)
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -50,6 +50,8 @@
 const ANSWER_PACE = 1.6
 const AVOIDED_MS = 2000
 const SILENT_MS = 600
+/** A connection, the call and its first event each cross the link to the back end. */
+const LINK_CROSSINGS = 2
 /** A call may begin this many times later than predicted. */
 const BEGIN_FACTOR = 2
 const PAUSED_MS = 1500
@@ -76,7 +78,8 @@
 
 function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | null {
   const load = input.book.read(backEnd.id)
-  const predicted = predict(backEnd, load, input)
+  const reckoned = predict(backEnd, load, input)
+  const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.connectMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
   if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input), input)) return null
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -35,6 +35,8 @@
   readonly isPaused: boolean
   /** Monotonic time in milliseconds at which it changes its version; Infinity when it will not. */
   readonly changesAt: number
+  /** Milliseconds that a connection took lately: a link that is full makes it long. */
+  readonly connectMs: number
   /** Until when it is avoided after failures. */
   readonly avoidedUntil: number
 }
@@ -46,6 +48,7 @@
   readonly noteEnded: (id: types.NodeId, attempt: OpenAttempt) => void
   /** Notes what the agent beside an engine says; `madeAt` is this process's monotonic time. */
   readonly noteReport: (id: types.NodeId, news: AgentNews, madeAt: number) => void
+  readonly noteConnect: (id: types.NodeId, tookMs: number) => void
   readonly noteSuccess: (id: types.NodeId) => void
   /** Notes a failure; the back end is avoided for a while that grows with each one. */
   readonly noteFailure: (id: types.NodeId) => void
@@ -63,12 +66,17 @@
   readonly open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
+  connectMs: number
+  connectAt: number
 }
 
 /** A report older than this tells nothing. */
 const REPORT_FRESH_MS = 1500
 /** An agent that said nothing for so long may be cut off, and its engine with it. */
 const SILENT_MS = 1100
+/** Weight of the newest connection in the average, and how long it is believed. */
+const CONNECT_WEIGHT = 0.5
+const CONNECT_KEPT_MS = 1500
 const AVOID_BASE_MS = 300
 const AVOID_MAXIMUM_MS = 3000
 const AVOID_FULL_MS = 60
@@ -85,7 +93,7 @@
   function find (id: types.NodeId): Entry {
     const known = entries.get(id)
     if (known !== undefined) return known
-    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0 }
+    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, connectMs: 0, connectAt: 0 }
     entries.set(id, entry)
     return entry
   }
@@ -109,6 +117,7 @@
       promptTokensSince,
       isPaused: isFresh && entry.isPaused,
       changesAt: isFresh ? entry.changesAt : Infinity,
+      connectMs: now() - entry.connectAt > CONNECT_KEPT_MS ? 0 : entry.connectMs,
       avoidedUntil: entry.avoidedUntil
     }
   }
@@ -125,6 +134,11 @@
       entry.isPaused = news.isPaused
       entry.changesAt = news.changesInMs === null ? Infinity : madeAt + news.changesInMs
     },
+    noteConnect: (id, tookMs) => {
+      const entry = find(id)
+      entry.connectMs += (tookMs - entry.connectMs) * CONNECT_WEIGHT
+      entry.connectAt = now()
+    },
     noteSuccess: (id) => { find(id).failures = 0 },
     noteFailure: (id) => {
       const entry = find(id)
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -13,6 +13,8 @@
   readonly body: Buffer | null
   /** Milliseconds until a connection must stand. */
   readonly connectMs: number
+  /** Told of the milliseconds that the connection took; not told when it never stood. */
+  readonly onConnect: (tookMs: number) => void
 }
 
 /** How an attempt began. */
@@ -53,6 +55,7 @@
  * @returns The attempt; `start` resolves with the head of the answer, and never rejects.
  */
 export function sendAttempt (request: AttemptRequest): Attempt {
+  const startedAt = performance.now()
   let isConnected = false
   let hasFailed = false
   let hasEnded = false
@@ -80,6 +83,7 @@
     socket.prependListener('end', () => { hasEnded = true })
     socket.once('connect', () => {
       isConnected = true
+      request.onConnect(performance.now() - startedAt)
       clearTimeout(connectTimer)
     })
   })
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -65,11 +65,11 @@
 const ALTERNATIVE_MS = 500
 const FAILED_PAUSE_MS = 60
 /** Peers that are asked at a time; fewer when pieces take long, so that a narrow link is not filled up. */
-const WINDOW_FIRST = 8
-const WINDOW_MAXIMUM = 14
+const WINDOW_FIRST = 5
+const WINDOW_MAXIMUM = 6
 const WINDOW_INCREASE = 0.5
 const WINDOW_DECREASE = 0.5
-const SLOW_PIECE_MS = 900
+const SLOW_PIECE_MS = 600
 
 /**
  * Starts to fetch. There is one request at a time to each peer, for all pieces that it shall provide, so that
