--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -40,6 +40,8 @@
   readonly startEngine: (options: testing.EngineStandInOptions, service?: string) => Promise<testing.EngineStandIn>
   readonly startGateway: (host: string, seeds?: readonly string[]) => Promise<types.Address>
   readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[]) => Promise<fleetRole.FleetRole>
+  /** Ports that are free on the loopback addresses of the test. */
+  readonly ports: TestPorts
   readonly configure: (change?: (configuration: Configuration) => void) => void
 }
 
@@ -91,6 +93,7 @@
   return {
     store,
     origin,
+    ports,
     startEngine: async (options, service = 'llm') => {
       const engine = await testing.createEngineStandIn(options)
       servers.push(engine)
@@ -145,8 +148,14 @@
   }
 }
 
-/** Ports that are free on the loopback addresses of a test. */
-async function findPorts (): Promise<{ internal: number, callers: number, readiness: number }> {
+/** Ports of a test's daemons. */
+export interface TestPorts {
+  readonly internal: number
+  readonly callers: number
+  readonly readiness: number
+}
+
+async function findPorts (): Promise<TestPorts> {
   const found: number[] = []
   const servers = await Promise.all([0, 1, 2].map(async () => {
     const server = http.createServer()
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -23,7 +23,7 @@
 const SUSPECT_VOTES = 2
 const REPORT_INTERVAL_MS = 125
 /** Part of the link that pieces may take, so that streams of the same link stay in time. */
-const PIECE_LINK_PART = 0.86
+const PIECE_LINK_PART = 0.9
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
 /** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -58,15 +58,17 @@
 /** A peer that failed is left out of the ranks for so long. */
 const SUSPECT_MS = 2000
 /** After so long, pieces that are still missing are asked for at other agents too. */
-const OVERDUE_MS = 3600
+const OVERDUE_MS = 4200
+/** Agents of other zones are asked for overdue pieces later, since bytes between zones are dear. */
+const OTHER_ZONE_OVERDUE_MS = 900
 /** A peer that takes longer for one piece is left out as if it had failed. */
 const SLOW_MS = 1300
 /** An overdue piece is asked for at one other agent after another, each for so long. */
 const ALTERNATIVE_MS = 500
 const FAILED_PAUSE_MS = 60
 /** Peers that are asked at a time; fewer when pieces take long, so that a narrow link is not filled up. */
-const WINDOW_FIRST = 5
-const WINDOW_MAXIMUM = 6
+const WINDOW_FIRST = 6
+const WINDOW_MAXIMUM = 8
 const WINDOW_INCREASE = 0.5
 const WINDOW_DECREASE = 0.5
 const SLOW_PIECE_MS = 600
@@ -140,7 +142,8 @@
     if (readingOrigin.has(piece)) return false
     if (plans[piece]?.provider?.node === peer.node) return true
     if (overdueMs < 0) return false
-    const alternative = agents[(piece + Math.floor(overdueMs / ALTERNATIVE_MS)) % agents.length]
+    const others = overdueMs < OTHER_ZONE_OVERDUE_MS ? agents.filter((agent) => agent.zone === self.zone) : agents
+    const alternative = others[(piece + Math.floor(overdueMs / ALTERNATIVE_MS)) % others.length]
     return alternative?.node === peer.node
   }
 
