Check the settings of gateways and agents, with examples, and measure full links by heartbeats

Change: heartbeats tell when they were sent, so that a full link shows at once; its engine gets no call that would have to begin before a bound. switchridge settings check reads both kinds of settings. The test of the examples used the one parser for all files; it now uses each file's own.

--- a/packages/command-line/src/settingsCommand/index.ts
+++ b/packages/command-line/src/settingsCommand/index.ts
@@ -9,7 +9,8 @@
   return parser.command('settings', 'check settings files', (command) => command
     .command('check <file>', 'check a settings file of a daemon', (sub) => sub.positional('file', { type: 'string', demandOption: true })
       .example('$0 settings check examples/entry.toml', 'check an example'), ({ file }) => {
-      const parsed = settings.parseSettings(fs.readFileSync(file, 'utf8'), file)
+      const text = fs.readFileSync(file, 'utf8')
+      const parsed = settings.isFleetSettings(text) ? settings.parseFleetSettings(text, file) : settings.parseSettings(text, file)
       if (parsed.ok) report.print(`${file}: ok, role ${parsed.value.role}`)
       else report.reportError(parsed.error)
     })
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -5,7 +5,7 @@
 import * as settings from '@switchridge/settings'
 import type * as startDaemon from './startDaemon/index.js'
 
-/** Exit codes, as docs/OPERATING.md lists them. */
+/** Exit codes, as docs/OPERATIONS.md lists them. */
 const EXIT_FAILED = 1
 const EXIT_USAGE = 2
 const EXIT_SETTINGS = 3
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -64,13 +64,13 @@
     mirror.onChange(() => { gossip.sendNow() })
   }
 
-  function noteHeartbeat (heartbeat: spread.Heartbeat): void {
+  function noteHeartbeat (heartbeat: spread.Heartbeat, delayMs: number): void {
     sync.noteRevisions(heartbeat.host, heartbeat.revisions)
     createFleetParts.noteVersions(parts, heartbeat)
     const news = engineNews.parseEngineNews(heartbeat.engine)
     if (news === null) return
     const backEnd = parts.backEnds().findLast((each) => `${each.address.host}:${each.address.port}` === news.address)
-    if (backEnd !== undefined) book.noteReport(backEnd.id, news, now())
+    if (backEnd !== undefined) book.noteReport(backEnd.id, news, now() - delayMs, delayMs)
   }
 
   function countGateways (): number {
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -52,6 +52,8 @@
 const SILENT_MS = 600
 /** A connection, the call and its first event each cross the link to the back end. */
 const LINK_CROSSINGS = 2
+/** A link that delays by so much is full, and may delay by any time. */
+const FULL_LINK_MS = 120
 /** A call may begin this many times later than predicted. */
 const BEGIN_FACTOR = 2
 const PAUSED_MS = 1500
@@ -79,7 +81,7 @@
 function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | null {
   const load = input.book.read(backEnd.id)
   const reckoned = predict(backEnd, load, input)
-  const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.connectMs * LINK_CROSSINGS }
+  const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
   if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input), input)) return null
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
@@ -98,9 +100,9 @@
   return input.pinnedVersion === null || version === input.pinnedVersion
 }
 
-/** When the call begins at the latest: nothing is known of an engine whose agent is silent. */
+/** When the call begins at the latest: nothing is known of an engine whose agent is silent or behind a full link. */
 function latestBegin (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
-  if (load.isSilent || load.avoidedUntil > input.now) return input.endsAt
+  if (load.isSilent || load.avoidedUntil > input.now || load.linkDelayMs > FULL_LINK_MS) return input.endsAt
   return Math.min(input.endsAt, input.now + firstEventMs * BEGIN_FACTOR)
 }
 
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -35,8 +35,8 @@
   readonly isPaused: boolean
   /** Monotonic time in milliseconds at which it changes its version; Infinity when it will not. */
   readonly changesAt: number
-  /** Milliseconds that a connection took lately: a link that is full makes it long. */
-  readonly connectMs: number
+  /** Milliseconds that a way over its link takes beyond the usual, by connections and heartbeats: a full link makes it long. */
+  readonly linkDelayMs: number
   /** Until when it is avoided after failures. */
   readonly avoidedUntil: number
 }
@@ -46,8 +46,9 @@
   readonly read: (id: types.NodeId) => BackEndLoad
   readonly noteSent: (id: types.NodeId, attempt: OpenAttempt) => void
   readonly noteEnded: (id: types.NodeId, attempt: OpenAttempt) => void
-  /** Notes what the agent beside an engine says; `madeAt` is this process's monotonic time. */
-  readonly noteReport: (id: types.NodeId, news: AgentNews, madeAt: number) => void
+  /** Notes what the agent beside an engine says; `madeAt` is this process's monotonic time,
+   * `delayMs` how long its way was beyond the usual. */
+  readonly noteReport: (id: types.NodeId, news: AgentNews, madeAt: number, delayMs: number) => void
   readonly noteConnect: (id: types.NodeId, tookMs: number) => void
   readonly noteSuccess: (id: types.NodeId) => void
   /** Notes a failure; the back end is avoided for a while that grows with each one. */
@@ -68,6 +69,7 @@
   avoidedUntil: number
   connectMs: number
   connectAt: number
+  linkDelayMs: number
 }
 
 /** A report older than this tells nothing. */
@@ -93,7 +95,7 @@
   function find (id: types.NodeId): Entry {
     const known = entries.get(id)
     if (known !== undefined) return known
-    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, connectMs: 0, connectAt: 0 }
+    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, connectMs: 0, connectAt: 0, linkDelayMs: 0 }
     entries.set(id, entry)
     return entry
   }
@@ -117,7 +119,7 @@
       promptTokensSince,
       isPaused: isFresh && entry.isPaused,
       changesAt: isFresh ? entry.changesAt : Infinity,
-      connectMs: now() - entry.connectAt > CONNECT_KEPT_MS ? 0 : entry.connectMs,
+      linkDelayMs: Math.max(isFresh ? entry.linkDelayMs : 0, now() - entry.connectAt > CONNECT_KEPT_MS ? 0 : entry.connectMs),
       avoidedUntil: entry.avoidedUntil
     }
   }
@@ -126,11 +128,12 @@
     read,
     noteSent: (id, attempt) => { find(id).open.add(attempt) },
     noteEnded: (id, attempt) => { entries.get(id)?.open.delete(attempt) },
-    noteReport: (id, news, madeAt) => {
+    noteReport: (id, news, madeAt, delayMs) => {
       const entry = find(id)
       if (madeAt < entry.reportAt) return
       entry.report = news.report
       entry.reportAt = madeAt
+      entry.linkDelayMs = delayMs
       entry.isPaused = news.isPaused
       entry.changesAt = news.changesInMs === null ? Infinity : madeAt + news.changesInMs
     },
--- /dev/null
+++ b/packages/settings/src/parseFleetSettings/test.ts
@@ -0,0 +1,35 @@
+import * as assert from 'node:assert/strict'
+import * as fs from 'node:fs'
+import * as path from 'node:path'
+import * as nodeTest from 'node:test'
+import * as url from 'node:url'
+import * as parseFleetSettings from './index.js'
+
+const EXAMPLES = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../../../examples')
+
+function readExample (name: string): string {
+  return fs.readFileSync(path.join(EXAMPLES, name), 'utf8')
+}
+
+for (const name of ['gateway.toml', 'agent.toml']) {
+  nodeTest.test(`the example ${name} is right`, () => {
+    const parsed = parseFleetSettings.parseFleetSettings(readExample(name), name)
+    assert.ok(parsed.ok, parsed.ok ? '' : parsed.error.message)
+    assert.ok(parseFleetSettings.isFleetSettings(readExample(name)))
+  })
+}
+
+nodeTest.test('every mistake is named with its place', () => {
+  const text = readExample('gateway.toml').replace(/^callers/m, 'caller').replace('9464', '"high"')
+  const parsed = parseFleetSettings.parseFleetSettings(text, 'gateway.toml')
+  assert.ok(!parsed.ok)
+  assert.deepEqual(parsed.error.problems.map(({ place }) => place).sort(), ['listen.caller', 'metrics.port'])
+})
+
+nodeTest.test('an agent needs an engine, and other roles are not of this kind', () => {
+  const parsed = parseFleetSettings.parseFleetSettings(readExample('agent.toml').replace(/^address = "10.2.0.43:8001"$/m, ''), 'agent.toml')
+  assert.ok(!parsed.ok)
+  assert.deepEqual(parsed.error.problems.map(({ place }) => place), ['engine.address'])
+  assert.ok(!parseFleetSettings.isFleetSettings(readExample('entry.toml')))
+  assert.ok(!parseFleetSettings.isFleetSettings('role = '))
+})
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -36,7 +36,8 @@
   readonly describeSelf: () => Heartbeat
   /** Milliseconds between two heartbeats to a peer. */
   readonly intervalTo: (peer: Heartbeat) => number
-  readonly onHeartbeat: (heartbeat: Heartbeat) => void
+  /** `delayMs`: how much longer than the fastest one before this heartbeat was under way; a link that is full delays it. */
+  readonly onHeartbeat: (heartbeat: Heartbeat, delayMs: number) => void
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
   readonly random: () => number
@@ -55,6 +56,11 @@
   readonly stop: () => void
 }
 
+interface ClockDifference {
+  readonly difference: number
+  readonly sentAt: number
+}
+
 /** A peer that was silent for so long gets no work and is not asked. */
 export const PEER_LIVE_MS = 3200
 /** A peer that was silent for so long is forgotten. */
@@ -67,6 +73,7 @@
 const messageSchema = zod.discriminatedUnion('type', [
   zod.object({
     type: zod.literal('heartbeat'),
+    sentAt: zod.number(),
     node: zod.string(),
     role: zod.enum(['gateway', 'agent']),
     zone: zod.string(),
@@ -90,6 +97,7 @@
   const socket = dgram.createSocket('udp4')
   const peers = new Map<string, Peer>()
   const sentAt = new Map<string, number>()
+  const smallest = new Map<string, ClockDifference>()
   const hosts = new Set(options.seeds.filter((host) => host !== options.host))
   let isStopped = false
   socket.on('error', () => {})
@@ -106,24 +114,39 @@
       addHosts(message.hosts)
       return
     }
-    const heartbeat: Heartbeat = { ...message, node: types.brandId<types.NodeId>(message.node), engine: message.engine ?? null }
+    const { type: _type, sentAt, ...told } = message
+    const heartbeat: Heartbeat = { ...told, node: types.brandId<types.NodeId>(told.node), engine: told.engine ?? null }
     const isNew = !peers.has(heartbeat.host)
     peers.set(heartbeat.host, { heartbeat, heardAt: options.now() })
     if (isNew) welcome(from)
-    options.onHeartbeat(heartbeat)
+    options.onHeartbeat(heartbeat, measureDelay(heartbeat.host, sentAt))
+  }
+
+  /** Clocks of two processes differ by a constant: the smallest difference seen stands for an idle link. */
+  function measureDelay (host: string, sentAt: number): number {
+    const difference = options.now() - sentAt
+    const known = smallest.get(host)
+    const isNewLife = known === undefined || sentAt < known.sentAt
+    const base = isNewLife ? difference : Math.min(known.difference, difference)
+    smallest.set(host, { difference: base, sentAt })
+    return difference - base
+  }
+
+  function formatHeartbeat (): string {
+    return JSON.stringify({ type: 'heartbeat', sentAt: options.now(), ...options.describeSelf() })
   }
 
   /** Tells a daemon that was not known which others there are. */
   function welcome (host: string): void {
     send(host, { type: 'hosts', hosts: [...peers.keys()] })
-    send(host, { type: 'heartbeat', ...options.describeSelf() })
+    sendText(host, formatHeartbeat())
   }
 
   function addHosts (more: readonly string[]): void {
     for (const host of more) {
       if (host === options.host || peers.has(host) || hosts.has(host)) continue
       hosts.add(host)
-      send(host, { type: 'heartbeat', ...options.describeSelf() })
+      sendText(host, formatHeartbeat())
     }
   }
 
@@ -143,7 +166,7 @@
     const now = options.now()
     let text: string | null = null
     const beat = (host: string): void => {
-      text ??= JSON.stringify({ type: 'heartbeat', ...options.describeSelf() })
+      text ??= formatHeartbeat()
       sentAt.set(host, now)
       sendText(host, text)
     }
@@ -165,7 +188,7 @@
     isLive,
     addHosts,
     sendNow: (role) => {
-      const text = JSON.stringify({ type: 'heartbeat', ...options.describeSelf() })
+      const text = formatHeartbeat()
       for (const [host, peer] of peers) {
         if (role !== undefined && peer.heartbeat.role !== role) continue
         sentAt.set(host, options.now())
