Tell of an engine's turn while its version is still on its way

Cause: gateways heard of a turn only once the version was whole, when most engines were about to go. Change: agents foretell their turn; turns lie 3.2 to 1.9 s before the bound.

--- a/packages/staging/src/computeTurn/index.ts
+++ b/packages/staging/src/computeTurn/index.ts
@@ -14,9 +14,9 @@
 }
 
 /** The last turn begins so long before the bound: what runs there has to end first. */
-const LAST_TURN_RESERVE_MS = 2800
+const LAST_TURN_RESERVE_MS = 1900
 /** Turns are spread over this time; engines that have the version later go as soon as they can. */
-const TURNS_MS = 1500
+const TURNS_MS = 1300
 
 /**
  * Computes the time of an engine's turn. An empty engine serves nobody and goes at once.
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -118,7 +118,7 @@
     const named = options.named()
     planFetch(state, named)
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
-    if (ready === undefined) options.onTurn(null)
+    if (ready === undefined) foretellTurn(state)
     if (ready === undefined || state.isBusy) return
     const turnAt = findTurn(ready, state)
     options.onTurn(Math.max(0, turnAt - options.now()))
@@ -176,11 +176,21 @@
       held: state.held,
       rank: ranked.findIndex((agent) => agent.node === options.self.node),
       engines: ranked.length,
-      wholeAt: wholeAt.get(ready.id.version) ?? options.now(),
+      wholeAt: wholeAt.get(ready.id.version) ?? options.now() + missingMs(ready.id.version),
       boundAt: ready.boundAt
     })
   }
 
+  function missingMs (version: number): number {
+    return (1 - progressOf(version)) * options.wholeMs
+  }
+
+  /** Tells of the turn while the version is still on its way, so that long answers go to engines that change later. */
+  function foretellTurn (state: EngineState): void {
+    const isComing = active !== null && state.held > 0
+    options.onTurn(isComing ? Math.max(0, findTurn((active as ActiveFetch).target, state) - options.now()) : null)
+  }
+
   function isStagedFor (ready: staging.NamedVersion): boolean {
     return staged !== null && staged.version === ready.id.version && options.now() - staged.verifiedAt <= VERIFIED_FOR_MS
   }
