--- /dev/null
+++ b/packages/daemon/src/followVersions/test.ts
@@ -0,0 +1,34 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as followVersions from './index.js'
+
+function createAt (time: { now: number }): followVersions.VersionFollower {
+  return followVersions.createVersionFollower({ boundMs: 8000, marginMs: 1000, startMs: 2800, now: () => time.now })
+}
+
+nodeTest.test('an older version gets no call from the margin before the bound on', () => {
+  const time = { now: 0 }
+  const versions = createAt(time)
+  time.now = 10_000
+  versions.note({ model: 'm', version: 2 }, 0)
+  assert.equal(versions.lastSendTo('m', 1), 17_000)
+  assert.equal(versions.lastSendTo('m', 2), Infinity)
+  assert.equal(versions.lastSendTo('other', 1), Infinity)
+})
+
+nodeTest.test('the oldest age that anybody tells counts, and a starting process takes a short bound', () => {
+  const time = { now: 0 }
+  const versions = createAt(time)
+  time.now = 500
+  versions.note({ model: 'm', version: 2 }, 0)
+  assert.equal(versions.lastSendTo('m', 1), 2300)
+  time.now = 10_000
+  versions.note({ model: 'm', version: 3 }, 0)
+  versions.note({ model: 'm', version: 3 }, 3000)
+  versions.note({ model: 'm', version: 3 }, 1000)
+  assert.equal(versions.lastSendTo('m', 2), 14_000)
+})
+
+nodeTest.test('a model that was never named has its first version', () => {
+  assert.deepEqual(createAt({ now: 0 }).named('m').map(({ id }) => id.version), [1])
+})
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -73,10 +73,15 @@
     if (backEnd !== undefined) book.noteReport(backEnd.id, news, now() - delayMs, delayMs)
   }
 
+  /** Those that may still be sending count too: a budget is never more than its share. */
   function countGateways (): number {
     return 1 + gossip.peers().filter((peer) => peer.heartbeat.role === 'gateway').length
   }
 
+  function countLiveGateways (): number {
+    return 1 + gossip.peers().filter((peer) => peer.heartbeat.role === 'gateway' && gossip.isLive(peer)).length
+  }
+
   function budgetOf (service: types.ServiceName): gateway.RetryBudget {
     const known = budgets.get(service)
     if (known !== undefined) return known
@@ -94,6 +99,7 @@
       book,
       figures,
       zone: checked.zone,
+      gateways: countLiveGateways(),
       model,
       promptTokens: choice.promptTokens,
       answerTokens: choice.answerTokens,
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -10,6 +10,8 @@
   readonly book: createBackEndBook.BackEndBook
   readonly figures: gateway.EngineFigures | null
   readonly zone: string
+  /** Gateways that send calls, this one included. */
+  readonly gateways: number
   readonly model: string | null
   readonly promptTokens: number
   /** Tokens that the answer probably has; 0 if nothing is known. */
@@ -121,7 +123,7 @@
 }
 
 function predict (backEnd: gateway.BackEnd, load: createBackEndBook.BackEndLoad, input: ChoiceInput): { firstEventMs: number, waitingBefore: number } {
-  if (input.figures !== null) return predictFirstEvent.predictFirstEvent(input.figures, backEnd.slots, load, input.promptTokens)
+  if (input.figures !== null) return predictFirstEvent.predictFirstEvent(input.figures, backEnd.slots, load, input.promptTokens, input.gateways)
   const open = load.open.size
   return { firstEventMs: open * PLAIN_REQUEST_MS, waitingBefore: Math.max(0, open + 1 - backEnd.slots) }
 }
--- /dev/null
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -0,0 +1,69 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as chooseBackEnd from './index.js'
+import * as createBackEndBook from '../createBackEndBook/index.js'
+import type * as gateway from '../types/index.js'
+
+const FIGURES: gateway.EngineFigures = {
+  slots: 16, models: ['m'], layers: 1, chunks: 1, chunkBytes: 1, stepMs: 10, stepMsPerSequence: 0, prefillTokensPerMs: 20, usualPromptTokens: 1000, usualAnswerTokens: 100, memoryTokens: 100_000
+}
+const NOW = 5000
+
+function createEngine (id: string, version: number, zone = 'a', isDraining = false): gateway.BackEnd {
+  return {
+    id: types.brandId(id), service: types.brandId('llm'), address: { host: '127.0.0.1', port: 1 }, zone, slots: 16, isDraining, models: new Map([['m', version]])
+  }
+}
+
+function report (version: number, running: number, waiting = 0): createBackEndBook.AgentNews {
+  return {
+    isPaused: false, changesInMs: null, report: { running, waiting, usedTokens: 0, totalTokens: 1, isBusy: false, sequence: 0, pace: 1, models: new Map([['m', version]]) }
+  }
+}
+
+function choose (backEnds: readonly gateway.BackEnd[], book: createBackEndBook.BackEndBook, change: Partial<chooseBackEnd.ChoiceInput> = {}): string | null {
+  return chooseBackEnd.chooseBackEnd({
+    backEnds, book, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastSendTo: () => Infinity, endsAt: NOW + 6000, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
+  })?.backEnd.id ?? null
+}
+
+nodeTest.test('the engine with the earliest first event is chosen, and the own zone among equals', () => {
+  const book = createBackEndBook.createBackEndBook(() => NOW)
+  const engines = [createEngine('far', 1, 'b'), createEngine('full', 1), createEngine('near', 1)]
+  book.noteReport(types.brandId('full'), report(1, 16, 4), NOW, 0)
+  assert.equal(choose(engines, book), 'near')
+  book.noteReport(types.brandId('near'), report(1, 16, 2), NOW, 0)
+  assert.equal(choose(engines, book), 'far')
+})
+
+nodeTest.test('engines that drain, were tried or hold another version are left out', () => {
+  const book = createBackEndBook.createBackEndBook(() => NOW)
+  assert.equal(choose([createEngine('draining', 1, 'a', true)], book), null)
+  assert.equal(choose([createEngine('tried', 1)], book, { tried: new Set([types.brandId<types.NodeId>('tried')]) }), null)
+  assert.equal(choose([createEngine('old', 1), createEngine('new', 2, 'b')], book, { pinnedVersion: 2 }), 'new')
+})
+
+nodeTest.test('an engine where the call may begin after the bound is left out: queue, silence and full links count', () => {
+  const lastSendTo = (version: number): number => version < 2 ? NOW + 400 : Infinity
+  const engines = [createEngine('old', 1)]
+  const idle = createBackEndBook.createBackEndBook(() => NOW)
+  idle.noteReport(types.brandId('old'), report(1, 2), NOW, 0)
+  assert.equal(choose(engines, idle, { lastSendTo }), 'old')
+  const queued = createBackEndBook.createBackEndBook(() => NOW)
+  queued.noteReport(types.brandId('old'), report(1, 16, 4), NOW, 0)
+  assert.equal(choose(engines, queued, { lastSendTo }), null)
+  const silent = createBackEndBook.createBackEndBook(() => NOW)
+  silent.noteReport(types.brandId('old'), report(1, 2), NOW - 1300, 0)
+  assert.equal(choose(engines, silent, { lastSendTo }), null)
+  const squeezed = createBackEndBook.createBackEndBook(() => NOW)
+  squeezed.noteReport(types.brandId('old'), report(1, 2), NOW - 200, 200)
+  assert.equal(choose(engines, squeezed, { lastSendTo }), null)
+})
+
+nodeTest.test('an engine that is about to change its version is passed over for one that stays', () => {
+  const book = createBackEndBook.createBackEndBook(() => NOW)
+  book.noteReport(types.brandId('changing'), { ...report(1, 2), changesInMs: 100 }, NOW, 0)
+  book.noteReport(types.brandId('staying'), report(1, 4), NOW, 0)
+  assert.equal(choose([createEngine('changing', 1), createEngine('staying', 1, 'b')], book), 'staying')
+})
--- a/packages/gateway/src/predictFirstEvent/index.ts
+++ b/packages/gateway/src/predictFirstEvent/index.ts
@@ -13,6 +13,8 @@
 }
 
 const EVENT_TOKENS = 5
+/** Calls of each other gateway since the report, in parts of this one's: they choose alike, but not the same. */
+const OTHERS_PART = 0.4
 /** Part of a prompt that is still to be read, on average, for a request that was sent moments ago. */
 const UNREAD_PART = 0.7
 
@@ -23,17 +25,19 @@
  * @param slots - Requests that the engine runs at a time.
  * @param load - What this gateway knows of the engine.
  * @param promptTokens - Length of the call's prompt.
+ * @param gateways - Gateways that send to the engine, this one included; the others' calls since the report are not known.
  * @returns The prediction.
  */
-export function predictFirstEvent (figures: gateway.EngineFigures, slots: number, load: createBackEndBook.BackEndLoad, promptTokens: number): Prediction {
+export function predictFirstEvent (figures: gateway.EngineFigures, slots: number, load: createBackEndBook.BackEndLoad, promptTokens: number, gateways: number): Prediction {
   const report = load.report
   const pace = Math.max(1, report?.pace ?? 1)
   const running = report?.running ?? 0
   const waiting = report?.waiting ?? 0
-  const occupied = report === null ? load.open.size : running + waiting + load.sentSince
+  const unknownFactor = 1 + OTHERS_PART * (gateways - 1)
+  const occupied = report === null ? load.open.size * unknownFactor : running + waiting + load.sentSince * unknownFactor
   const waitingBefore = Math.max(0, occupied + 1 - slots)
   const stepMs = figures.stepMs + figures.stepMsPerSequence * Math.min(slots, occupied)
-  const unreadTokens = load.promptTokensSince * UNREAD_PART + waiting * figures.usualPromptTokens
+  const unreadTokens = load.promptTokensSince * unknownFactor * UNREAD_PART + waiting * figures.usualPromptTokens
   const readMs = (unreadTokens + promptTokens) / figures.prefillTokensPerMs
   const answerMs = figures.usualAnswerTokens * stepMs * 2
   const slotWaitMs = waitingBefore * answerMs / slots
--- /dev/null
+++ b/packages/gateway/src/relayEvents/test.ts
@@ -0,0 +1,32 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as fastCheck from 'fast-check'
+import * as relayEvents from './index.js'
+
+nodeTest.test('bytes pass in whole events, however they are cut', () => {
+  const text = [1, 2, 3].map((id) => `id: ${id}\ndata: ä${id}\n\n`).join('')
+  const bytes = Buffer.from(text)
+  fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.integer({ min: 1, max: bytes.length - 1 })), (cuts) => {
+    const splitter = relayEvents.createEventSplitter(null)
+    const places = [0, ...[...new Set(cuts)].sort((left, right) => left - right), bytes.length]
+    let passed = ''
+    for (let index = 0; index + 1 < places.length; index += 1) {
+      const whole = splitter.push(bytes.subarray(places[index], places[index + 1]))
+      if (whole === null) continue
+      passed += whole.toString()
+      assert.ok(passed.endsWith('\n\n'))
+    }
+    assert.equal(passed, text)
+    assert.equal(splitter.lastEventId(), '3')
+    assert.equal(splitter.hasPartial(), false)
+  }), { seed: 7 })
+})
+
+nodeTest.test('an event that never became whole is dropped, and its id does not count', () => {
+  const splitter = relayEvents.createEventSplitter('4')
+  splitter.push(Buffer.from('id: 5\r\ndata: a\r\n\r\nid: 6\nda'))
+  assert.equal(splitter.hasPartial(), true)
+  splitter.dropPartial()
+  assert.equal(splitter.lastEventId(), '5')
+  assert.equal(splitter.push(Buffer.from('id: 6\ndata: b\n\n'))?.toString(), 'id: 6\ndata: b\n\n')
+})
--- a/packages/store/src/createMirror/index.ts
+++ b/packages/store/src/createMirror/index.ts
@@ -42,7 +42,7 @@
 /** A mirror's content as peers tell it each other. */
 export interface MirrorSnapshot {
   readonly kind: string
-  /** Revision of the last change that the objects show. */
+  /** Revision up to which the objects show all changes. */
   readonly changedAt: number
   readonly objects: readonly StoredObject[]
 }
@@ -51,7 +51,7 @@
 export interface Mirror {
   readonly kind: string
   readonly objects: () => ReadonlyMap<string, StoredObject>
-  /** Revision of the last change seen; 0 before the first list. */
+  /** Revision up to which all changes are known; 0 before the first list. */
   readonly changedAt: () => number
   readonly isKnown: () => boolean
   readonly applyList: (listed: ListedObjects) => void
@@ -63,8 +63,8 @@
   readonly onChange: (listener: () => void) => void
 }
 
-/** A kind without objects is known at this revision, so that peers can tell it from a kind that was never listed. */
-const FIRST_REVISION = 1
+/** A kind without objects is known before the store's first revision, and after 0, which stands for never listed. */
+const BEFORE_FIRST_REVISION = 0.5
 
 /**
  * Creates an empty mirror. It never goes back: what is older than the last change seen is ignored.
@@ -94,8 +94,7 @@
 
   function applyList (listed: ListedObjects): void {
     if (listed.at < changedAt) return
-    const lastChange = listed.objects.reduce((latest, object) => Math.max(latest, object.revision), FIRST_REVISION)
-    replace(listed.objects, Math.max(changedAt, lastChange))
+    replace(listed.objects, Math.max(listed.at, BEFORE_FIRST_REVISION))
   }
 
   function applyEvents (watched: WatchedEvents): void {
