--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -34,8 +34,6 @@
     grace_seconds: zod.number().positive().default(8)
   }).prefault({}),
   bounds: zod.strictObject({
-    drain_ms: milliseconds.default(2000),
-    configuration_ms: milliseconds.default(2000),
     version_ms: milliseconds.default(8000),
     retry_ratio: zod.number().min(0).default(0.2),
     retry_slack: zod.number().min(0).default(20),
