Give an order only when no call waits at the engine

Change: the agent tells gateways of the pause, waits until the engine tells that nothing waits (at most half a second), and orders then; gateways never send to a changing engine what may begin after a bound.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -99,7 +99,7 @@
       named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
       readEngine: async () => {
         const fresh = await readReport()
-        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, isBusy: fresh.isBusy, sequence: fresh.sequence }
+        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
       },
       engine,
       origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -102,9 +102,13 @@
   return input.pinnedVersion === null || version === input.pinnedVersion
 }
 
-/** When the call begins at the latest: nothing is known of an engine whose agent is silent or behind a full link. */
+/**
+ * When the call begins at the latest: nothing is known of an engine whose agent is silent or behind a full link,
+ * and a call may wait at one that changes its version.
+ */
 function latestBegin (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
-  if (load.isSilent || load.avoidedUntil > input.now || load.linkDelayMs > FULL_LINK_MS) return input.endsAt
+  const isChanging = load.isPaused || load.changesAt <= input.now
+  if (isChanging || load.isSilent || load.avoidedUntil > input.now || load.linkDelayMs > FULL_LINK_MS) return input.endsAt
   return Math.min(input.endsAt, input.now + firstEventMs * BEGIN_FACTOR)
 }
 
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -14,6 +14,8 @@
   /** Version of which the engine holds every layer, 0 for none. */
   readonly held: number
   readonly running: number
+  /** Calls that wait there and have not begun. */
+  readonly waiting: number
   readonly isBusy: boolean
   readonly sequence: number
 }
@@ -66,6 +68,10 @@
 const STAGE_BEFORE_TURN_MS = 500
 /** A stage that was verified longer ago is verified again before the order. */
 const VERIFIED_FOR_MS = 1500
+/** Gateways hear of the pause within this time. */
+const PAUSE_NOTICE_MS = 80
+/** The order is given at the latest so long after the pause began. */
+const PAUSE_MAXIMUM_MS = 500
 const AFTER_ORDER_MS = 100
 const STAGED_READ_PAUSE_MS = 50
 
@@ -129,7 +135,7 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
-    await order(ready, state)
+    await order(ready)
   }
 
   function planFetch (state: EngineState, named: readonly staging.NamedVersion[]): void {
@@ -208,9 +214,14 @@
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
 
-  async function order (ready: staging.NamedVersion, state: EngineState): Promise<void> {
+  async function order (ready: staging.NamedVersion): Promise<void> {
     const { id, heardAt } = ready
     options.onPause(true)
+    const state = await waitUntilNoneWaits()
+    if (state === null || state.isBusy) {
+      options.onPause(false)
+      return
+    }
     const outcome = await options.engine.start(id, state.sequence)
     options.onEvent('version-ordered', { version: id.version, held: state.held, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
@@ -219,6 +230,21 @@
     options.onPause(false)
   }
 
+  /**
+   * Lets calls that were sent before gateways heard of the pause begin: one that has not begun when the order is
+   * given waits for all that runs, and would begin on the old version if the machine stood still meanwhile.
+   */
+  async function waitUntilNoneWaits (): Promise<EngineState | null> {
+    const startedAt = options.now()
+    await types.delay(PAUSE_NOTICE_MS)
+    let state = await options.readEngine()
+    while (state !== null && state.waiting > 0 && options.now() - startedAt < PAUSE_MAXIMUM_MS) {
+      await types.delay(POLL_MS)
+      state = await options.readEngine()
+    }
+    return state
+  }
+
   /** Waits until the engine tells the new version, or is no longer busy with it. */
   async function waitForSwitch (ready: staging.NamedVersion): Promise<number> {
     const startedAt = options.now()
