Take no new connections once the balancer knows, and leave old engines earlier before a bound

Change: the server stops listening 2.6 s after SIGTERM and uses 0.45 s more of the grace; nothing is sent to an old engine later than 1.7 s before the bound. Test: a server that takes no more connections ends the calls that it has.

--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -34,7 +34,7 @@
 }
 
 /** Milliseconds before a version's bound from which nothing is sent to older ones. */
-const VERSION_MARGIN_MS = 1200
+const VERSION_MARGIN_MS = 1700
 /** A gateway is not bound by what happened before it for so long after its start. */
 const START_MS = 2800
 const SNAPSHOT_MS = 1000
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -16,7 +16,7 @@
 /** The balancer notices within this time that a gateway is not ready. */
 const BALANCER_NOTICE_MS = 2600
 /** A gateway that ends leaves this much of its grace unused. */
-const GRACE_RESERVE_MS = 900
+const GRACE_RESERVE_MS = 450
 const DRAIN_POLL_MS = 100
 const OK = 200
 const UNAVAILABLE = 503
@@ -144,7 +144,10 @@
     while (now() < endsBy) {
       await types.delay(DRAIN_POLL_MS)
       const isNoticed = now() - startedAt >= BALANCER_NOTICE_MS
-      if (isNoticed) server.closeIdle()
+      if (isNoticed) {
+        server.stopAccepting()
+        server.closeIdle()
+      }
       if (isNoticed && calls.inProgress() === 0) return
     }
     logger.warn('drain-ended-early', { inProgress: calls.inProgress() })
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -9,6 +9,8 @@
 export interface CallerServer {
   /** Puts other limits in force for connections and requests to come. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
+  /** Takes no new connections; those that are open go on. */
+  readonly stopAccepting: () => void
   /** Closes connections on which no request is under way. */
   readonly closeIdle: () => void
   readonly close: () => void
@@ -44,6 +46,7 @@
 
   return {
     setLimits,
+    stopAccepting: () => { if (server.listening) server.close() },
     closeIdle: () => { server.closeIdleConnections() },
     close: () => {
       server.close()
--- /dev/null
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -0,0 +1,32 @@
+import * as assert from 'node:assert/strict'
+import * as http from 'node:http'
+import * as nodeTest from 'node:test'
+import * as createCallerServer from './index.js'
+
+const ADDRESS = { host: '127.0.0.31', port: 18_431 }
+const PART_MS = 50
+
+/** Asks and reads the answer; null when there is no connection. */
+async function ask (): Promise<string | null> {
+  return await new Promise((resolve) => {
+    http.get({ ...ADDRESS, agent: false }, (response) => {
+      let body = ''
+      response.on('data', (part: Buffer) => { body += part.toString() })
+      response.on('end', () => { resolve(body) })
+    }).on('error', () => { resolve(null) })
+  })
+}
+
+nodeTest.test('a server that takes no more connections ends the calls that it has', async (context) => {
+  const handle = (_request: http.IncomingMessage, response: http.ServerResponse): void => {
+    response.write('first ')
+    setTimeout(() => { response.end('last') }, PART_MS)
+  }
+  const server = await createCallerServer.createCallerServer({ handle, inProgress: () => 0, leave: () => {} }, ADDRESS)
+  context.after(server.close)
+  const begun = ask()
+  await new Promise((resolve) => { setTimeout(resolve, PART_MS / 2) })
+  server.stopAccepting()
+  assert.equal(await ask(), null)
+  assert.equal(await begun, 'first last')
+})
