Wait for the call in the test of a server that stops accepting

The server was right. Change: the test waits until the call has begun, and ends it after the second one was turned away; its assertions are the same.

--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -4,7 +4,6 @@
 import * as createCallerServer from './index.js'
 
 const ADDRESS = { host: '127.0.0.31', port: 18_431 }
-const PART_MS = 50
 
 /** Asks and reads the answer; null when there is no connection. */
 async function ask (): Promise<string | null> {
@@ -18,15 +17,20 @@
 }
 
 nodeTest.test('a server that takes no more connections ends the calls that it has', async (context) => {
+  let end: () => void = () => {}
+  let noteBegun: () => void = () => {}
+  const hasBegun = new Promise<void>((resolve) => { noteBegun = resolve })
   const handle = (_request: http.IncomingMessage, response: http.ServerResponse): void => {
     response.write('first ')
-    setTimeout(() => { response.end('last') }, PART_MS)
+    end = () => { response.end('last') }
+    noteBegun()
   }
   const server = await createCallerServer.createCallerServer({ handle, inProgress: () => 0, leave: () => {} }, ADDRESS)
   context.after(server.close)
-  const begun = ask()
-  await new Promise((resolve) => { setTimeout(resolve, PART_MS / 2) })
+  const answer = ask()
+  await hasBegun
   server.stopAccepting()
   assert.equal(await ask(), null)
-  assert.equal(await begun, 'first last')
+  end()
+  assert.equal(await answer, 'first last')
 })
