Choose test ports that nothing else is given

Cause: a test failed once with EADDRINUSE on 127.0.0.1:42631: ports were found by opening and closing servers, and another test file's server or connection took one in between. Change: each test process takes three ports of its own below those that the system hands out.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -72,7 +72,7 @@
   const roles: fleetRole.FleetRole[] = []
   const servers: Array<{ close: () => void }> = [store, origin]
   let configuration = createConfiguration(testing.formatAddress(origin.address), pieces)
-  const ports = await findPorts()
+  const ports = choosePorts()
   context.after(() => {
     for (const role of roles) role.stop()
     for (const server of servers) server.close()
@@ -155,16 +155,14 @@
   readonly readiness: number
 }
 
-async function findPorts (): Promise<TestPorts> {
-  const found: number[] = []
-  const servers = await Promise.all([0, 1, 2].map(async () => {
-    const server = http.createServer()
-    await new Promise<void>((resolve) => { server.listen(0, '0.0.0.0', resolve) })
-    found.push((server.address() as { port: number }).port)
-    return server
-  }))
-  await Promise.all(servers.map(async (server) => { await new Promise((resolve) => { server.close(resolve) }) }))
-  return { internal: found[0] as number, callers: found[1] as number, readiness: found[2] as number }
+/** Below the ports that the system hands out, so that no other test file's server or connection has them. */
+const FIRST_PORT = 10_000
+const PORTS_OF_PROCESS = 3
+const PROCESSES = 7000
+
+function choosePorts (): TestPorts {
+  const internal = FIRST_PORT + process.pid % PROCESSES * PORTS_OF_PROCESS
+  return { internal, callers: internal + 1, readiness: internal + 2 }
 }
 
 /** Sends a caller's request and reads the answer to its end. */
