Leave the origin's connections free, drop ended instances, and end gateways with answers

Agents heard of the configuration 0.8 s after their start, since silent seeds were asked once a second. 743 attempts went to instances that had ended (421), each avoided for 60 ms only.

Tests: createPieceFetcher (three, all fail before), chooseBackEnd, startGatewayRole.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -39,6 +39,8 @@
   readonly origin: testing.OriginStandIn
   readonly startEngine: (options: testing.EngineStandInOptions, service?: string) => Promise<testing.EngineStandIn>
   readonly startGateway: (host: string, seeds?: readonly string[]) => Promise<types.Address>
+  /** Tells the gateway on a host to end, as the platform does. */
+  readonly drainGateway: (host: string) => Promise<void>
   readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[]) => Promise<fleetRole.FleetRole>
   /** Ports that are free on the loopback addresses of the test. */
   readonly ports: TestPorts
@@ -70,6 +72,7 @@
   const store = await testing.createStoreStandIn()
   const origin = await testing.createOriginStandIn(pieces)
   const roles: fleetRole.FleetRole[] = []
+  const gateways = new Map<string, fleetRole.FleetRole>()
   const servers: Array<{ close: () => void }> = [store, origin]
   let configuration = createConfiguration(testing.formatAddress(origin.address), pieces)
   const ports = choosePorts()
@@ -103,9 +106,12 @@
     },
     startGateway: async (host, seeds = []) => {
       const listen = `[listen]\ncallers = "${host}:${ports.callers}"\nreadiness = "${host}:${ports.readiness}"\n`
-      roles.push(await startGatewayRole.startGatewayRole(parse(describe('gateway', host, seeds) + listen + storeSection + '[bounds]\nversion_ms = 3000\n')))
+      const role = await startGatewayRole.startGatewayRole(parse(describe('gateway', host, seeds) + listen + storeSection + '[bounds]\nversion_ms = 3000\n[limits]\ngrace_seconds = 1\n'))
+      roles.push(role)
+      gateways.set(host, role)
       return { host, port: ports.callers }
     },
+    drainGateway: async (host) => { await gateways.get(host)?.drain() },
     startAgent: async (host, engine, seeds) => {
       const section = `[engine]\naddress = "${testing.formatAddress(engine.address)}"\nservice = "llm"\n`
       const role = await startAgentRole.startAgentRole(parse(describe('agent', host, seeds) + section + storeSection + '[bounds]\nversion_ms = 6000\n'))
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -160,9 +160,11 @@
   return { host, port: parts.settings.internal_port }
 }
 
-/** Notes what a peer's heartbeat tells of versions. */
-export function noteVersions (parts: FleetParts, heartbeat: spread.Heartbeat): void {
-  for (const { model, version, ageMs } of heartbeat.versions) parts.versions.note({ model, version }, ageMs)
+/** Notes what a peer's heartbeat tells of versions; returns whether one was not known. */
+export function noteVersions (parts: FleetParts, heartbeat: spread.Heartbeat): boolean {
+  let isNew = false
+  for (const { model, version, ageMs } of heartbeat.versions) isNew = parts.versions.note({ model, version }, ageMs) || isNew
+  return isNew
 }
 
 /** Opens the server that other daemons ask. */
--- a/packages/daemon/src/followVersions/index.ts
+++ b/packages/daemon/src/followVersions/index.ts
@@ -10,8 +10,11 @@
 
 /** The record of named versions. */
 export interface VersionFollower {
-  /** Notes a version that the store or a peer names now; `ageMs` is the time since somebody heard of it. */
-  readonly note: (id: staging.VersionId, ageMs: number) => void
+  /**
+   * Notes a version that the store or a peer names now; `ageMs` is the time since somebody heard of it.
+   * Returns whether the version was not known.
+   */
+  readonly note: (id: staging.VersionId, ageMs: number) => boolean
   /** All versions of a model, the oldest first. */
   readonly named: (model: string) => readonly staging.NamedVersion[]
   /** Monotonic time in milliseconds from which nothing may be sent to a version, since it would begin too late. */
@@ -52,14 +55,15 @@
     return options.now() - startedAt < START_WINDOW_MS ? Math.min(options.startMs, options.boundMs) : options.boundMs
   }
 
-  function note (id: staging.VersionId, ageMs: number): void {
+  function note (id: staging.VersionId, ageMs: number): boolean {
     const versions = models.get(id.model) ?? new Map<number, staging.NamedVersion>()
     models.set(id.model, versions)
     const heardAt = options.now() - ageMs
     const known = versions.get(id.version)
-    if (known !== undefined && known.heardAt <= heardAt) return
+    if (known !== undefined && known.heardAt <= heardAt) return false
     const boundAt = Math.min(known?.boundAt ?? Infinity, ageMs > 0 ? heardAt + options.boundMs : heardAt + allowedMs())
     versions.set(id.version, { id, heardAt, boundAt })
+    return known === undefined
   }
 
   function named (model: string): staging.NamedVersion[] {
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -18,6 +18,8 @@
 /** A gateway that ends leaves this much of its grace unused. */
 const GRACE_RESERVE_MS = 450
 const DRAIN_POLL_MS = 100
+/** Final answers of calls that could not end in time are sent within this. */
+const LAST_ANSWERS_MS = 100
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -137,10 +139,10 @@
 
   async function drain (): Promise<void> {
     isLeaving = true
-    calls.leave()
-    gossip.sendNow()
     const startedAt = now()
     const endsBy = startedAt + checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS
+    calls.leave(endsBy)
+    gossip.sendNow()
     while (now() < endsBy) {
       await types.delay(DRAIN_POLL_MS)
       const isNoticed = now() - startedAt >= BALANCER_NOTICE_MS
@@ -151,6 +153,8 @@
       if (isNoticed && calls.inProgress() === 0) return
     }
     logger.warn('drain-ended-early', { inProgress: calls.inProgress() })
+    calls.endAll()
+    await types.delay(LAST_ANSWERS_MS)
   }
 
   metrics.gauge('calls_in_progress', calls.inProgress)
--- a/packages/daemon/src/startGatewayRole/test.ts
+++ b/packages/daemon/src/startGatewayRole/test.ts
@@ -212,3 +212,23 @@
   fleet.store.put('config', 'main', { version: 11 })
   assert.equal((await fleetTesting.call(address, { path: '/read/1', id: 'a' })).status, 200)
 })
+
+nodeTest.test('a gateway that ends refuses late calls to another one, and ends the last ones with an answer', async (context) => {
+  const { fleet, address, engines } = await openPlain(context)
+  const endlessMs = 600_000
+  fleet.configure((configuration) => { for (const route of configuration.routes) route['timeoutMs'] = endlessMs })
+  fleet.configure((configuration) => { configuration.routes.push({ ...configuration.routes[0], name: 'after', pathPrefix: '/after/' }) })
+  await fleetTesting.untilServed(address, '/after/probe')
+  strike(engines, 'mute')
+  const waiting = fleetTesting.call(address, { method: 'POST', path: '/write/last', id: 'w-last', headers: { 'deadline-remaining': String(endlessMs) } })
+  await fleetTesting.until(() => arrivalsOf(engines, 'w-last').length > 0)
+  const draining = fleet.drainGateway(HOST)
+  const late = await fleetTesting.call(address, { path: '/read/late', id: 'r-late' })
+  assert.equal(late.status, 503)
+  assert.equal(late.headers['retry-after'], '0.02')
+  assert.equal(late.headers.connection, 'close')
+  assert.equal(arrivalsOf(engines, 'r-late').length, 0)
+  const last = await waiting
+  assert.equal(last.status, 504)
+  await draining
+})
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -26,10 +26,12 @@
   /** Whether a back end may have begun to run the call. */
   mayHaveRun: boolean
   readonly hasLeft: () => boolean
+  /** Whether the call's time is over, or its gateway ends. */
+  readonly isExpired: () => boolean
+  /** Ends the attempt under way, so that the call gets its final answer now. */
+  readonly expire: () => void
   /** Notes that the caller is gone; ends the attempt under way. */
   readonly leave: () => void
-  /** Ends the attempt under way. */
-  readonly endAttempt: () => void
   /** Registers what ends the attempt under way; replaces the one before. */
   readonly onEnd: (end: () => void) => void
   /** Whether the call may run more than once. */
@@ -44,6 +46,7 @@
  */
 export function createCallState (facts: CallFacts): CallState {
   let hasLeft = false
+  let isExpired = false
   let endAttempt: () => void = () => {}
   const { kind, isResumable } = facts.route
   return {
@@ -53,14 +56,18 @@
     mayHaveRun: false,
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
     hasLeft: () => hasLeft,
+    isExpired: () => isExpired,
+    expire: () => {
+      isExpired = true
+      endAttempt()
+    },
     leave: () => {
       hasLeft = true
       endAttempt()
     },
-    endAttempt: () => { endAttempt() },
     onEnd: (end) => {
       endAttempt = end
-      if (hasLeft) end()
+      if (hasLeft || isExpired) end()
     }
   }
 }
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -24,7 +24,7 @@
   /** The connection never stood. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The back end says that it did not run the call. */
-  | { readonly kind: 'not-run', readonly reason: string }
+  | { readonly kind: 'not-run', readonly reason: string, readonly isGone: boolean }
   /** The back end answered with a failure of its own. */
   | { readonly kind: 'failed-answer', readonly reason: string, readonly answer: WholeAnswer }
   /** The call may have run, and its answer is lost or cut short. */
@@ -108,7 +108,7 @@
   call.attempts += 1
   if (start.kind === 'no-answer') return end(broken(patience.isOver() ? 'no first event in time' : start.reason))
   const answer = options.protocol.readAnswer(start.response, head.requestId)
-  if (answer.kind === 'not-run') return end({ kind: 'not-run', reason: `${answer.status} ${answer.reason}` })
+  if (answer.kind === 'not-run') return end({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
   if (answer.kind === 'foreign') return end(broken('answer to another call'))
   if (!answer.isStream || answer.status >= 300) return end(await receiveWhole(answer, start))
   stream.version = answer.version ?? stream.version
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -30,11 +30,7 @@
 export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options): Promise<void> {
   const budget = options.budgetOf(call.service)
   budget.noteCall()
-  let isExpired = false
-  const timer = setTimeout(() => {
-    isExpired = true
-    call.endAttempt()
-  }, call.deadline.remainingMs())
+  const timer = setTimeout(call.expire, call.deadline.remainingMs())
   const stream = runAttempt.createStreamState(relayEvents.createEventSplitter(call.head.lastEventId))
   let failed: runAttempt.WholeAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
@@ -77,7 +73,7 @@
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
       if (outcome.kind === 'failed-answer') failed = outcome.answer
-      if (isExpired) return giveUp()
+      if (call.isExpired()) return giveUp()
       if (outcome.kind === 'not-sent') {
         unsent += 1
         if (unsent >= MAXIMUM_UNSENT) return giveUp()
@@ -114,7 +110,7 @@
     options.book.noteSent(choice.backEnd.id, open)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
     options.book.noteEnded(choice.backEnd.id, open)
-    if (!call.hasLeft() && !isExpired) noteOutcome(choice, outcome)
+    if (!call.hasLeft() && !call.isExpired()) noteOutcome(choice, outcome)
     return outcome
   }
 
@@ -122,6 +118,7 @@
     const { id } = choice.backEnd
     options.count('attempts', { outcome: outcome.kind })
     if (outcome.kind === 'done') options.book.noteSuccess(id)
+    else if (outcome.kind === 'not-run' && outcome.isGone) options.book.noteGone(id)
     else if (outcome.kind === 'not-run') options.book.noteFull(id)
     else if (outcome.kind !== 'failed-answer') options.book.noteFailure(id)
     if (outcome.kind !== 'done') {
@@ -142,8 +139,8 @@
       reply.refuse(503, lastReason, Math.round(retryAfterMs))
       return 'refused'
     }
-    reply.refuse(isExpired ? 504 : 502, lastReason, null)
-    return isExpired ? 'expired' : 'failed'
+    reply.refuse(call.isExpired() ? 504 : 502, lastReason, null)
+    return call.isExpired() ? 'expired' : 'failed'
   }
 
   const ending = await serve()
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -82,6 +82,7 @@
 
 function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | null {
   const load = input.book.read(backEnd.id)
+  if (load.isGone) return null
   const reckoned = predict(backEnd, load, input)
   const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -44,6 +44,14 @@
   assert.equal(choose([createEngine('old', 1), createEngine('new', 2, 'b')], book, { pinnedVersion: 2 }), 'new')
 })
 
+nodeTest.test('a back end whose address belongs to another one now is left out until the list forgets it', () => {
+  const book = createBackEndBook.createBackEndBook(() => NOW)
+  const engines = [createEngine('ended', 1), createEngine('next', 1, 'b')]
+  book.noteGone(types.brandId('ended'))
+  assert.equal(choose(engines, book), 'next')
+  assert.equal(choose([createEngine('ended', 1)], book), null)
+})
+
 nodeTest.test('an engine where the call may begin after the bound is left out: queue, silence and full links count', () => {
   const lastSendTo = (version: number): number => version < 2 ? NOW + 400 : Infinity
   const engines = [createEngine('old', 1)]
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -39,6 +39,8 @@
   readonly linkDelayMs: number
   /** Until when it is avoided after failures. */
   readonly avoidedUntil: number
+  /** Whether another process answers at its address: this life has ended. */
+  readonly isGone: boolean
 }
 
 /** The record of all back ends. */
@@ -55,6 +57,8 @@
   readonly noteFailure: (id: types.NodeId) => void
   /** Notes that it was full. */
   readonly noteFull: (id: types.NodeId) => void
+  /** Notes that its address belongs to another back end now; an id never comes back. */
+  readonly noteGone: (id: types.NodeId) => void
   /** Forgets back ends that are no longer listed. */
   readonly keepOnly: (ids: ReadonlySet<string>) => void
 }
@@ -67,6 +71,7 @@
   readonly open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
+  isGone: boolean
   connectMs: number
   connectAt: number
   linkDelayMs: number
@@ -95,7 +100,7 @@
   function find (id: types.NodeId): Entry {
     const known = entries.get(id)
     if (known !== undefined) return known
-    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, connectMs: 0, connectAt: 0, linkDelayMs: 0 }
+    const entry: Entry = { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, isGone: false, connectMs: 0, connectAt: 0, linkDelayMs: 0 }
     entries.set(id, entry)
     return entry
   }
@@ -120,7 +125,8 @@
       isPaused: isFresh && entry.isPaused,
       changesAt: isFresh ? entry.changesAt : Infinity,
       linkDelayMs: Math.max(isFresh ? entry.linkDelayMs : 0, now() - entry.connectAt > CONNECT_KEPT_MS ? 0 : entry.connectMs),
-      avoidedUntil: entry.avoidedUntil
+      avoidedUntil: entry.avoidedUntil,
+      isGone: entry.isGone
     }
   }
 
@@ -153,6 +159,7 @@
       const entry = find(id)
       entry.avoidedUntil = Math.max(entry.avoidedUntil, now() + AVOID_FULL_MS)
     },
+    noteGone: (id) => { find(id).isGone = true },
     keepOnly: (ids) => {
       for (const [id, entry] of entries) if (!ids.has(id) && entry.open.size === 0) entries.delete(id)
     }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -57,10 +57,20 @@
   readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
   /** Calls under way. */
   readonly inProgress: () => number
-  /** Tells callers from now on to leave their connections. */
-  readonly leave: () => void
+  /**
+   * Tells callers from now on to leave their connections, and refuses calls that may not end before `endsAt`,
+   * a monotonic time in milliseconds.
+   */
+  readonly leave: (endsAt: number) => void
+  /** Gives every call under way its final answer now. */
+  readonly endAll: () => void
 }
 
+/** A gateway that ends takes no call that has less time than most streams need. */
+const LEAVING_CALL_MS = 3000
+/** Another gateway can take the call at once. */
+const LEAVING_RETRY_MS = 20
+
 /**
  * Creates the handler of callers' requests.
  *
@@ -69,18 +79,20 @@
  */
 export function createCallHandler (options: CallHandlerOptions): CallHandler {
   let inProgress = 0
-  let isLeaving = false
+  let endsAt: number | null = null
+  const calls = new Set<callState.CallState>()
 
   async function run (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const receivedAt = options.now()
     const head = options.protocol.readCall(request)
-    const reply = answers.createReply(response, head.requestId, options.protocol, () => isLeaving)
+    const reply = answers.createReply(response, head.requestId, options.protocol, () => endsAt !== null)
     const table = options.routes()
     const limits = table?.configuration.limits
     const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity)
     if (body.kind === 'broken') return
     if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
     if (table === null) return reply.refuse(503, 'no configuration yet', callState.UNREADY_RETRY_MS)
+    if (endsAt !== null && receivedAt + LEAVING_CALL_MS > endsAt) return reply.refuse(503, 'this gateway ends', LEAVING_RETRY_MS)
     const admitted = admit(table, head)
     if (!admitted.ok) return reply.refuse(admitted.status, admitted.reason, null)
     const timeoutMs = Math.min(admitted.route.timeoutMs, head.remainingMs ?? Infinity)
@@ -94,12 +106,15 @@
       receivedAt
     })
     response.once('close', () => { if (!response.writableFinished) call.leave() })
+    calls.add(call)
     await runAttempts.runAttempts(call, reply, options)
+    calls.delete(call)
   }
 
   return {
     inProgress: () => inProgress,
-    leave: () => { isLeaving = true },
+    leave: (at) => { endsAt = at },
+    endAll: () => { for (const call of calls) call.expire() },
     handle: (request, response) => {
       inProgress += 1
       response.once('close', () => { inProgress -= 1 })
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -25,7 +25,7 @@
     end = () => { response.end('last') }
     noteBegun()
   }
-  const server = await createCallerServer.createCallerServer({ handle, inProgress: () => 0, leave: () => {} }, ADDRESS)
+  const server = await createCallerServer.createCallerServer({ handle, inProgress: () => 0, leave: () => {}, endAll: () => {} }, ADDRESS)
   context.after(server.close)
   const answer = ask()
   await hasBegun
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -67,6 +67,8 @@
 export const PEER_FORGET_MS = 60_000
 const TICK_MS = 125
 const SEED_INTERVAL_MS = 1000
+/** A daemon that knows no other one can do nothing yet, so it asks its seeds more often. */
+const ALONE_SEED_INTERVAL_MS = 125
 /** Peers that are silent hear of this daemon less often. */
 const SILENT_FACTOR = 1.5
 
@@ -175,9 +177,10 @@
       const interval = options.intervalTo(peer.heartbeat) * (isLive(peer) ? 1 : SILENT_FACTOR)
       if (now - (sentAt.get(host) ?? 0) >= interval - TICK_MS / 2) beat(host)
     }
+    const seedIntervalMs = peers.size === 0 ? ALONE_SEED_INTERVAL_MS : SEED_INTERVAL_MS
     for (const host of hosts) {
       if (peers.has(host)) continue
-      if (now - (sentAt.get(host) ?? 0) >= SEED_INTERVAL_MS) beat(host)
+      if (now - (sentAt.get(host) ?? 0) >= seedIntervalMs - TICK_MS / 2) beat(host)
     }
   }
 
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -21,6 +21,8 @@
   readonly fetchFromPeer: (peer: staging.StagingPeer, id: staging.VersionId, wanted: readonly number[]) => Promise<types.Outcome<SentPiece | null, types.UnavailableError>>
   /** Monotonic time in milliseconds from which pieces that are missing come from the origin. */
   readonly originFrom: () => number
+  /** Reads that this agent may have at the origin at a time, so that all agents together keep its bound of connections. */
+  readonly originLanes: () => number
   readonly now: () => number
   readonly random: () => number
   readonly onEvent: (event: FetchEvent) => void
@@ -52,7 +54,6 @@
   readonly stop: () => void
 }
 
-const ORIGIN_LANES = 2
 const TICK_MS = 40
 const PLANS_KEPT_MS = 300
 /** A peer that failed is left out of the ranks for so long. */
@@ -66,6 +67,10 @@
 /** An overdue piece is asked for at one other agent after another, each for so long. */
 const ALTERNATIVE_MS = 500
 const FAILED_PAUSE_MS = 60
+/** The pause after a failed read of the origin doubles with each failure of the piece, up to this. */
+const ORIGIN_PAUSE_MAXIMUM_MS = 1000
+/** After so many failures at the origin a piece is also asked for at other agents. */
+const ORIGIN_FAILURES_ALONE = 2
 /** Peers that are asked at a time; fewer when pieces take long, so that a narrow link is not filled up. */
 const WINDOW_FIRST = 6
 const WINDOW_MAXIMUM = 8
@@ -73,6 +78,12 @@
 const WINDOW_DECREASE = 0.5
 const SLOW_PIECE_MS = 600
 
+/** Failed reads of one piece at the origin. */
+interface OriginFailures {
+  readonly count: number
+  readonly retryAt: number
+}
+
 /**
  * Starts to fetch. There is one request at a time to each peer, for all pieces that it shall provide, so that
  * no request waits for a piece while another one could be had.
@@ -88,6 +99,7 @@
   const startedAt = options.now()
   const order = shuffle(digests.map((_, index) => index), options.random)
   const readingOrigin = new Set<number>()
+  const originFailures = new Map<number, OriginFailures>()
   const busySince = new Map<types.NodeId, number>()
   const suspectUntil = new Map<types.NodeId, number>()
   let plans: readonly dealPieces.ProviderPlan[] = []
@@ -126,9 +138,10 @@
     turn += 1
     const overdueMs = options.now() - startedAt - OVERDUE_MS
     for (const piece of missing) {
-      if (readingOrigin.size >= ORIGIN_LANES) break
+      if (readingOrigin.size >= options.originLanes()) break
       const reads = isLate || plans[piece]?.part === 'reader'
-      if (reads && !readingOrigin.has(piece)) void readOrigin(piece)
+      const isPausing = (originFailures.get(piece)?.retryAt ?? 0) > options.now()
+      if (reads && !isPausing && !readingOrigin.has(piece)) void readOrigin(piece)
     }
     for (const peer of rotate(agents, turn)) {
       if (busySince.size >= window) break
@@ -141,9 +154,10 @@
   function isWantedFrom (peer: staging.StagingPeer, piece: number, overdueMs: number): boolean {
     if (readingOrigin.has(piece)) return false
     if (plans[piece]?.provider?.node === peer.node) return true
-    if (overdueMs < 0) return false
+    const isOriginFailing = (originFailures.get(piece)?.count ?? 0) >= ORIGIN_FAILURES_ALONE
+    if (overdueMs < 0 && !isOriginFailing) return false
     const others = overdueMs < OTHER_ZONE_OVERDUE_MS ? agents.filter((agent) => agent.zone === self.zone) : agents
-    const alternative = others[(piece + Math.floor(overdueMs / ALTERNATIVE_MS)) % others.length]
+    const alternative = others[(piece + Math.floor((options.now() - startedAt) / ALTERNATIVE_MS)) % others.length]
     return alternative?.node === peer.node
   }
 
@@ -167,13 +181,20 @@
       counts.originPieces += 1
       keep(piece, read.value, 'origin')
     } else {
+      noteOriginFailure(piece)
       noteFailure({ event: 'origin-failed', piece, from: 'origin', reason: read.error.message })
-      await types.delay(FAILED_PAUSE_MS)
     }
     readingOrigin.delete(piece)
     tick()
   }
 
+  /** The origin refuses connections beyond its bound: whoever was refused comes back later each time. */
+  function noteOriginFailure (piece: number): void {
+    const count = (originFailures.get(piece)?.count ?? 0) + 1
+    const pauseMs = Math.min(ORIGIN_PAUSE_MAXIMUM_MS, FAILED_PAUSE_MS * 2 ** (count - 1)) * (1 + options.random())
+    originFailures.set(piece, { count, retryAt: options.now() + pauseMs })
+  }
+
   async function askPeer (peer: staging.StagingPeer, wanted: readonly number[]): Promise<void> {
     busySince.set(peer.node, options.now())
     const askedAt = options.now()
--- /dev/null
+++ b/packages/staging/src/createPieceFetcher/test.ts
@@ -0,0 +1,98 @@
+import * as assert from 'node:assert/strict'
+import * as crypto from 'node:crypto'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as createPieceStore from '../createPieceStore/index.js'
+import type * as staging from '../types/index.js'
+import * as createPieceFetcher from './index.js'
+
+const PIECES = 12
+const ID: staging.VersionId = { model: 'm', version: 2 }
+const STEP_MS = 20
+const STEPS = 500
+
+function pieceOf (piece: number): Buffer {
+  return Buffer.from(`piece ${piece}`)
+}
+
+function createAgent (node: string, zone: string): staging.StagingPeer {
+  return { node: types.brandId(node), zone, address: { host: '127.0.0.1', port: 1 } }
+}
+
+function createManifest (): staging.StageManifest {
+  const digests = Array.from({ length: PIECES }, (_, piece) => crypto.createHash('sha256').update(pieceOf(piece)).digest('hex'))
+  return { id: ID, digests: digests.map((digest) => types.brandId<types.Digest>(digest)) }
+}
+
+interface Fetch {
+  readonly fetcher: createPieceFetcher.PieceFetcher
+  readonly originReads: number[]
+  readonly mostOriginReads: () => number
+}
+
+/** A fetch beside one peer, if there is one, that has all pieces; the origin refuses every connection when `isOriginFull`. */
+function startFetch (isOriginFull: boolean, lanes: number, now: () => number, hasPeer = true): Fetch {
+  const self = createAgent('self', 'a')
+  const peer = createAgent('peer', 'a')
+  const originReads: number[] = []
+  let open = 0
+  let mostOpen = 0
+  const origin: staging.WeightOrigin = {
+    readManifest: async () => types.succeed(createManifest().digests),
+    readPiece: async (_id, piece) => {
+      originReads.push(now())
+      open += 1
+      mostOpen = Math.max(mostOpen, open)
+      await types.delay(STEP_MS)
+      open -= 1
+      return isOriginFull ? types.fail(new types.UnavailableError('reset')) : types.succeed(pieceOf(piece))
+    }
+  }
+  const fetcher = createPieceFetcher.createPieceFetcher({
+    pieces: createPieceStore.createPieceStore().open(createManifest()),
+    self,
+    agents: () => hasPeer ? [self, peer] : [self],
+    origin,
+    originLanes: () => lanes,
+    fetchFromPeer: async (_peer, _id, wanted) => types.succeed({ piece: wanted[0] as number, bytes: pieceOf(wanted[0] as number) }),
+    originFrom: () => Infinity,
+    now,
+    random: () => 0.5,
+    onEvent: () => {},
+    onSuspect: () => {}
+  })
+  return { fetcher, originReads, mostOriginReads: () => mostOpen }
+}
+
+async function play (context: nodeTest.TestContext, run: (now: () => number) => Fetch): Promise<Fetch & { readonly isWhole: boolean }> {
+  context.mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'] })
+  const fetch = run(Date.now)
+  let isWhole = false
+  void fetch.fetcher.whole.then((whole) => { isWhole = whole })
+  for (let step = 0; step < STEPS && !isWhole; step += 1) {
+    context.mock.timers.tick(STEP_MS)
+    await new Promise((resolve) => { setImmediate(resolve) })
+  }
+  fetch.fetcher.stop()
+  context.mock.timers.tick(STEP_MS)
+  return { ...fetch, isWhole }
+}
+
+nodeTest.test('pieces that the origin refuses come from a peer that has them', async (context) => {
+  const played = await play(context, (now) => startFetch(true, 2, now))
+  assert.equal(played.isWhole, true)
+})
+
+nodeTest.test('an agent comes back to an origin that refuses it less and less often', async (context) => {
+  const played = await play(context, (now) => startFetch(true, 1, now, false))
+  assert.equal(played.isWhole, false)
+  const lastSeconds = Math.max(...played.originReads) - 2000
+  const lately = played.originReads.filter((at) => at > lastSeconds).length
+  assert.ok(lately <= 2 * PIECES, `${lately} reads of ${PIECES} pieces in two seconds`)
+})
+
+nodeTest.test('no more reads are open at the origin than the agent has lanes', async (context) => {
+  const played = await play(context, (now) => startFetch(false, 1, now))
+  assert.equal(played.isWhole, true)
+  assert.equal(played.mostOriginReads(), 1)
+})
