Change versions in waves, and let calls of the first waves go on elsewhere

Pieces were whole after 5.2 to 6.2 s where the links allow 4.1: two reads of each agent shared the origin's link, so that nobody had a piece to pass on for 0.8 s, one agent gave manifests to all, and a newer version waited for the older one's end.

Change: engines change in three waves; the first two break off what runs after 250 ms (the engine's own way), and gateways let it go on at an engine of the same version that changes later; one read at a time at the origin; one manifest reader a zone; a newer version is read from the origin while the links carry the older one; an engine that is about to change its version is not avoided for the calls it broke off.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -29,8 +29,11 @@
 /** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
 const RAMP_UP_MS = 500
 const PIECE_WAIT_MS = 150
-/** Reads that an agent has at the origin at a time, at most. */
-const ORIGIN_LANES = 2
+/**
+ * Reads that an agent has at the origin at a time, at most: all agents share its link, so that with more of them
+ * every first piece comes later, and nobody has anything to pass on until then.
+ */
+const ORIGIN_LANES = 1
 /** Part of the origin's connections that reads of pieces may take; manifests and reads that end late take the rest. */
 const ORIGIN_CONNECTIONS_PART = 0.75
 const PIECE_TIMEOUT_MS = 2500
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -59,8 +59,13 @@
 /** A call may begin this many times later than predicted. */
 const BEGIN_FACTOR = 2
 const PAUSED_MS = 1500
+/** A stream that goes on at a sound, idle engine begins at once, so it may be sent there later than other calls. */
+const MOVED_GRACE_MS = 800
+const SOUND_LINK_MS = 40
 /** Part of the time by which an answer would hold up its engine's change of version. */
 const HOLDING_UP_PART = 0.25
+/** The same for a stream that goes on: it can't be moved once more. */
+const MOVED_HOLDING_UP_PART = 1
 /** Choices are spread over this many milliseconds, so that gateways do not all take the same engine. */
 const SPREAD_MS = 20
 
@@ -86,15 +91,15 @@
   const reckoned = predict(backEnd, load, input)
   const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
-  if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input), input)) return null
+  if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input) - moveGraceMs(load, input), input)) return null
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
     (load.isSilent ? SILENT_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
-    (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * HOLDING_UP_PART) +
+    (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * (input.pinnedVersion === null ? HOLDING_UP_PART : MOVED_HOLDING_UP_PART)) +
     input.random() * SPREAD_MS
   const isOldRefused = input.lastSendTo(0) <= input.now
   const expectedVersion = isOldRefused || input.pinnedVersion !== null ? version : null
-  const beginsBy = version === null ? Infinity : input.lastSendTo(version)
+  const beginsBy = version === null ? Infinity : input.lastSendTo(version) + moveGraceMs(load, input)
   return { backEnd, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
@@ -113,6 +118,12 @@
   return Math.min(input.endsAt, input.now + firstEventMs * BEGIN_FACTOR)
 }
 
+function moveGraceMs (load: createBackEndBook.BackEndLoad, input: ChoiceInput): number {
+  const isSound = !load.isSilent && !load.isPaused && load.avoidedUntil <= input.now && load.linkDelayMs <= SOUND_LINK_MS
+  const isIdle = load.report !== null && load.report.waiting === 0 && load.report.running + load.sentSince < (input.figures?.slots ?? 0)
+  return input.pinnedVersion !== null && isSound && isIdle ? MOVED_GRACE_MS : 0
+}
+
 /** Milliseconds by which the answer would outlast the engine's version. */
 function holdUpMs (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
   if (input.figures === null || load.changesAt === Infinity) return 0
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -53,7 +53,7 @@
   readonly noteReport: (id: types.NodeId, news: AgentNews, madeAt: number, delayMs: number) => void
   readonly noteConnect: (id: types.NodeId, tookMs: number) => void
   readonly noteSuccess: (id: types.NodeId) => void
-  /** Notes a failure; the back end is avoided for a while that grows with each one. */
+  /** Notes a failure; the back end is avoided for a while that grows with each one, unless it is about to change its version. */
   readonly noteFailure: (id: types.NodeId) => void
   /** Notes that it was full. */
   readonly noteFull: (id: types.NodeId) => void
@@ -88,6 +88,12 @@
 const AVOID_MAXIMUM_MS = 3000
 const AVOID_FULL_MS = 60
 
+/** Calls that a change of version broke off say nothing about the engine after it. */
+function hasOtherVersions (before: gateway.EngineReport | null, after: gateway.EngineReport): boolean {
+  if (before === null) return false
+  return [...after.models].some(([model, version]) => before.models.get(model) !== version)
+}
+
 /**
  * Creates an empty record.
  *
@@ -137,6 +143,10 @@
     noteReport: (id, news, madeAt, delayMs) => {
       const entry = find(id)
       if (madeAt < entry.reportAt) return
+      if (hasOtherVersions(entry.report, news.report)) {
+        entry.failures = 0
+        entry.avoidedUntil = 0
+      }
       entry.report = news.report
       entry.reportAt = madeAt
       entry.linkDelayMs = delayMs
@@ -151,6 +161,7 @@
     noteSuccess: (id) => { find(id).failures = 0 },
     noteFailure: (id) => {
       const entry = find(id)
+      if (entry.isPaused) return
       entry.failures += 1
       const pauseMs = Math.min(AVOID_MAXIMUM_MS, AVOID_BASE_MS * 2 ** (entry.failures - 1))
       entry.avoidedUntil = Math.max(entry.avoidedUntil, now() + pauseMs)
--- a/packages/staging/src/createManifestReader/index.ts
+++ b/packages/staging/src/createManifestReader/index.ts
@@ -1,4 +1,4 @@
-/** Obtains manifests: one agent reads the origin, twice to be sure, and the others ask it. */
+/** Obtains manifests: one agent of each zone reads the origin, twice to be sure, and the others of the zone ask it. */
 import * as membership from '@switchridge/membership'
 import * as types from '@switchridge/types'
 import type * as createPieceStore from '../createPieceStore/index.js'
@@ -40,7 +40,8 @@
   const pending = new Map<string, Promise<staging.StageManifest | null>>()
 
   function rankReaders (id: staging.VersionId): staging.StagingPeer[] {
-    return membership.rankByRendezvous(`${staging.formatVersion(id)}/manifest`, options.agents(), (agent) => agent.node)
+    const inZone = options.agents().filter((agent) => agent.zone === options.self.zone)
+    return membership.rankByRendezvous(`${staging.formatVersion(id)}/manifest`, inZone, (agent) => agent.node)
   }
 
   async function read (id: staging.VersionId, isLate: boolean): Promise<staging.StageManifest | null> {
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -19,8 +19,8 @@
   readonly origin: staging.WeightOrigin
   /** Asks a peer for any of some pieces; the peer waits until it has one. Null when it has none. */
   readonly fetchFromPeer: (peer: staging.StagingPeer, id: staging.VersionId, wanted: readonly number[]) => Promise<types.Outcome<SentPiece | null, types.UnavailableError>>
-  /** Monotonic time in milliseconds from which pieces that are missing come from the origin. */
-  readonly originFrom: () => number
+  /** Whether to read only this agent's own part from the origin, and to leave the links between agents to an older version. */
+  readonly isReadingAhead: () => boolean
   /** Reads that this agent may have at the origin at a time, so that all agents together keep its bound of connections. */
   readonly originLanes: () => number
   readonly now: () => number
@@ -59,13 +59,18 @@
 /** A peer that failed is left out of the ranks for so long. */
 const SUSPECT_MS = 2000
 /** After so long, pieces that are still missing are asked for at other agents too. */
-const OVERDUE_MS = 4200
+const OVERDUE_MS = 3300
 /** Agents of other zones are asked for overdue pieces later, since bytes between zones are dear. */
-const OTHER_ZONE_OVERDUE_MS = 900
+const OTHER_ZONE_OVERDUE_MS = 1800
 /** A peer that takes longer for one piece is left out as if it had failed. */
 const SLOW_MS = 1300
 /** An overdue piece is asked for at one other agent after another, each for so long. */
 const ALTERNATIVE_MS = 500
+/**
+ * An agent that got no piece from a peer for so long reads at the origin what others should have read. Being late is no reason:
+ * when all agents are late, each of them would take a whole copy, and the origin's link has room for one.
+ */
+const STUCK_MS = 2500
 const FAILED_PAUSE_MS = 60
 /** The pause after a failed read of the origin doubles with each failure of the piece, up to this. */
 const ORIGIN_PAUSE_MAXIMUM_MS = 1000
@@ -97,6 +102,8 @@
   const key = staging.formatVersion(id)
   const counts: FetchCounts = { originPieces: 0, peerPieces: 0, otherZonePieces: 0, failures: 0 }
   const startedAt = options.now()
+  let spreadingSince: number | null = null
+  let peersGaveAt = options.now()
   const order = shuffle(digests.map((_, index) => index), options.random)
   const readingOrigin = new Set<number>()
   const originFailures = new Map<number, OriginFailures>()
@@ -122,6 +129,12 @@
     plans = dealPieces.dealPieces(key, digests.length, self, agents)
   }
 
+  /** Since when pieces are taken from peers, too. */
+  function spreadFrom (): number {
+    if (spreadingSince === null && !options.isReadingAhead()) spreadingSince = options.now()
+    return spreadingSince ?? options.now()
+  }
+
   function listMissing (): number[] {
     return order.filter((piece) => !pieces.has(piece))
   }
@@ -134,15 +147,16 @@
     suspectSlowPeers()
     refreshPlans()
     const missing = listMissing()
-    const isLate = options.now() >= options.originFrom()
+    const isStuck = options.now() - Math.max(peersGaveAt, spreadFrom()) >= STUCK_MS
     turn += 1
-    const overdueMs = options.now() - startedAt - OVERDUE_MS
+    const overdueMs = options.now() - spreadFrom() - OVERDUE_MS
     for (const piece of missing) {
       if (readingOrigin.size >= options.originLanes()) break
-      const reads = isLate || plans[piece]?.part === 'reader'
+      const reads = isStuck || plans[piece]?.part === 'reader'
       const isPausing = (originFailures.get(piece)?.retryAt ?? 0) > options.now()
       if (reads && !isPausing && !readingOrigin.has(piece)) void readOrigin(piece)
     }
+    if (options.isReadingAhead()) return
     for (const peer of rotate(agents, turn)) {
       if (busySince.size >= window) break
       if (peer.node === self.node || busySince.has(peer.node)) continue
@@ -206,6 +220,7 @@
       await types.delay(FAILED_PAUSE_MS)
     } else if (fetched.value !== null) {
       counts.peerPieces += 1
+      peersGaveAt = options.now()
       if (peer.zone !== self.zone) counts.otherZonePieces += 1
       keep(fetched.value.piece, fetched.value.bytes, peer.node)
     }
--- a/packages/staging/src/createPieceFetcher/test.ts
+++ b/packages/staging/src/createPieceFetcher/test.ts
@@ -30,8 +30,18 @@
   readonly mostOriginReads: () => number
 }
 
-/** A fetch beside one peer, if there is one, that has all pieces; the origin refuses every connection when `isOriginFull`. */
-function startFetch (isOriginFull: boolean, lanes: number, now: () => number, hasPeer = true): Fetch {
+/** What differs between the fetches of the tests. */
+interface FetchChange {
+  /** The origin refuses every connection. */
+  readonly isOriginFull?: boolean
+  readonly hasPeer?: boolean
+  /** Milliseconds that the peer takes for a piece; Infinity when it has none. */
+  readonly peerMs?: number
+  readonly isReadingAhead?: () => boolean
+}
+
+/** A fetch with one lane at the origin, beside a peer that has all pieces. */
+function startFetch (now: () => number, { isOriginFull = false, hasPeer = true, peerMs = 0, isReadingAhead = () => false }: FetchChange): Fetch {
   const self = createAgent('self', 'a')
   const peer = createAgent('peer', 'a')
   const originReads: number[] = []
@@ -53,9 +63,12 @@
     self,
     agents: () => hasPeer ? [self, peer] : [self],
     origin,
-    originLanes: () => lanes,
-    fetchFromPeer: async (_peer, _id, wanted) => types.succeed({ piece: wanted[0] as number, bytes: pieceOf(wanted[0] as number) }),
-    originFrom: () => Infinity,
+    originLanes: () => 1,
+    isReadingAhead,
+    fetchFromPeer: async (_peer, _id, wanted) => {
+      await types.delay(Number.isFinite(peerMs) ? peerMs : STEP_MS)
+      return types.succeed(Number.isFinite(peerMs) ? { piece: wanted[0] as number, bytes: pieceOf(wanted[0] as number) } : null)
+    },
     now,
     random: () => 0.5,
     onEvent: () => {},
@@ -67,24 +80,24 @@
 async function play (context: nodeTest.TestContext, run: (now: () => number) => Fetch): Promise<Fetch & { readonly isWhole: boolean }> {
   context.mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'] })
   const fetch = run(Date.now)
-  let isWhole = false
-  void fetch.fetcher.whole.then((whole) => { isWhole = whole })
-  for (let step = 0; step < STEPS && !isWhole; step += 1) {
+  const result = { isWhole: false }
+  void fetch.fetcher.whole.then((whole) => { result.isWhole = whole })
+  for (let step = 0; step < STEPS && !result.isWhole; step += 1) {
     context.mock.timers.tick(STEP_MS)
     await new Promise((resolve) => { setImmediate(resolve) })
   }
   fetch.fetcher.stop()
   context.mock.timers.tick(STEP_MS)
-  return { ...fetch, isWhole }
+  return { ...fetch, isWhole: result.isWhole }
 }
 
 nodeTest.test('pieces that the origin refuses come from a peer that has them', async (context) => {
-  const played = await play(context, (now) => startFetch(true, 2, now))
+  const played = await play(context, (now) => startFetch(now, { isOriginFull: true }))
   assert.equal(played.isWhole, true)
 })
 
 nodeTest.test('an agent comes back to an origin that refuses it less and less often', async (context) => {
-  const played = await play(context, (now) => startFetch(true, 1, now, false))
+  const played = await play(context, (now) => startFetch(now, { isOriginFull: true, hasPeer: false }))
   assert.equal(played.isWhole, false)
   const lastSeconds = Math.max(...played.originReads) - 2000
   const lately = played.originReads.filter((at) => at > lastSeconds).length
@@ -92,7 +105,30 @@
 })
 
 nodeTest.test('no more reads are open at the origin than the agent has lanes', async (context) => {
-  const played = await play(context, (now) => startFetch(false, 1, now))
+  const played = await play(context, (now) => startFetch(now, {}))
   assert.equal(played.isWhole, true)
   assert.equal(played.mostOriginReads(), 1)
 })
+
+nodeTest.test('an agent whose pieces come slowly from a peer leaves the origin to those who read it for all', async (context) => {
+  const played = await play(context, (now) => startFetch(now, { peerMs: 1200 }))
+  assert.equal(played.isWhole, true)
+  assert.ok(played.originReads.length < PIECES, `${played.originReads.length} reads`)
+})
+
+nodeTest.test('an agent that gets nothing from its peers reads at the origin what is missing', async (context) => {
+  const played = await play(context, (now) => startFetch(now, { peerMs: Infinity }))
+  assert.equal(played.isWhole, true)
+  assert.equal(played.originReads.length, PIECES)
+})
+
+nodeTest.test('a newer version is only read ahead from the origin while an older one uses the links', async (context) => {
+  let isReadingAhead = true
+  const played = await play(context, (now) => {
+    const startedAt = now()
+    return startFetch(now, { isReadingAhead: () => { isReadingAhead = now() - startedAt < 4000; return isReadingAhead } })
+  })
+  assert.equal(played.isWhole, true)
+  assert.equal(isReadingAhead, false)
+  assert.ok(played.originReads.length < PIECES, `${played.originReads.length} reads`)
+})
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -73,6 +73,8 @@
 /** The order is given at the latest so long after the pause began. */
 const PAUSE_MAXIMUM_MS = 500
 const AFTER_ORDER_MS = 100
+/** Calls that end within this time after the pause began are not broken off. */
+const SHORT_CALLS_MS = 250
 const STAGED_READ_PAUSE_MS = 50
 
 /**
@@ -85,6 +87,8 @@
   const store = createPieceStore.createPieceStore()
   const manifests = createManifestReader.createManifestReader({ ...options, store })
   let active: ActiveFetch | null = null
+  /** The newest version while an older one is still being fetched. */
+  let ahead: ActiveFetch | null = null
   let notBelow = 0
   let staged: StagedVersion | null = null
   const wholeAt = new Map<number, number>()
@@ -126,7 +130,8 @@
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
     if (ready === undefined) foretellTurn(state)
     if (ready === undefined || state.isBusy) return
-    const turnAt = findTurn(ready, state)
+    const turn = findTurn(ready, state)
+    const turnAt = turn.at
     options.onTurn(Math.max(0, turnAt - options.now()))
     if (options.now() < turnAt - STAGE_BEFORE_TURN_MS) {
       wakeAt(turnAt - STAGE_BEFORE_TURN_MS)
@@ -135,7 +140,7 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
-    await order(ready)
+    await order(ready, turn.method)
   }
 
   function planFetch (state: EngineState, named: readonly staging.NamedVersion[]): void {
@@ -145,29 +150,45 @@
       endFetch()
       return
     }
-    if (active?.target.id.version === target.id.version) return
-    endFetch()
+    if (active?.target.id.version !== target.id.version) startFetch(target, state)
+    readAhead(named[named.length - 1] ?? target, target)
+  }
+
+  function startFetch (target: staging.NamedVersion, state: EngineState): void {
+    active?.fetcher?.stop()
     notBelow = target.id.version
-    active = { target, fetcher: null }
+    const isAhead = ahead?.target.id.version === target.id.version
+    active = isAhead ? ahead : { target, fetcher: null }
+    if (isAhead) ahead = null
     options.onEvent('version-begun', { version: target.id.version, held: state.held, leftMs: Math.round(target.boundAt - options.now()) })
-    void fetch(active)
+    if (!isAhead) void fetch(active as ActiveFetch)
+  }
+
+  /** The origin's link is idle while agents pass on the rest of an older version. */
+  function readAhead (newest: staging.NamedVersion, target: staging.NamedVersion): void {
+    if (newest.id.version <= target.id.version || ahead?.target.id.version === newest.id.version) return
+    ahead?.fetcher?.stop()
+    ahead = { target: newest, fetcher: null }
+    void fetch(ahead)
   }
 
   function endFetch (): void {
     active?.fetcher?.stop()
+    ahead?.fetcher?.stop()
     active = null
+    ahead = null
   }
 
   async function fetch (current: ActiveFetch): Promise<void> {
     const { id, boundAt, heardAt } = current.target
-    const isCurrent = (): boolean => active === current && !stopping.signal.aborted
+    const isCurrent = (): boolean => (active === current || ahead === current) && !stopping.signal.aborted
     const originFrom = boundAt - ORIGIN_RESERVE_MS
     const manifest = await manifests.obtain(id, originFrom, isCurrent)
     if (manifest === null || !isCurrent()) return
     current.fetcher = createPieceFetcher.createPieceFetcher({
       ...options,
       pieces: store.open(manifest),
-      originFrom: () => originFrom,
+      isReadingAhead: () => active !== current,
       onEvent: ({ event, ...fields }) => { options.onEvent(event, fields) }
     })
     if (!await current.fetcher.whole) return
@@ -176,7 +197,7 @@
     wake()
   }
 
-  function findTurn (ready: staging.NamedVersion, state: EngineState): number {
+  function findTurn (ready: staging.NamedVersion, state: EngineState): computeTurn.Turn {
     const ranked = membership.rankByRendezvous(`turn/${ready.id.version}`, options.agents(), (agent) => agent.node)
     return computeTurn.computeTurn({
       held: state.held,
@@ -194,7 +215,7 @@
   /** Tells of the turn while the version is still on its way, so that long answers go to engines that change later. */
   function foretellTurn (state: EngineState): void {
     const isComing = active !== null && state.held > 0
-    options.onTurn(isComing ? Math.max(0, findTurn((active as ActiveFetch).target, state) - options.now()) : null)
+    options.onTurn(isComing ? Math.max(0, findTurn((active as ActiveFetch).target, state).at - options.now()) : null)
   }
 
   function isStagedFor (ready: staging.NamedVersion): boolean {
@@ -214,16 +235,17 @@
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
 
-  async function order (ready: staging.NamedVersion): Promise<void> {
+  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
     const { id, heardAt } = ready
     options.onPause(true)
     const state = await waitUntilNoneWaits()
+    if (method === 'break-off') await waitForShortCalls()
     if (state === null || state.isBusy) {
       options.onPause(false)
       return
     }
-    const outcome = await options.engine.start(id, state.sequence)
-    options.onEvent('version-ordered', { version: id.version, held: state.held, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
+    const outcome = await options.engine.start(id, state.sequence, method)
+    options.onEvent('version-ordered', { version: id.version, held: state.held, method, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
     const switchedMs = await waitForSwitch(ready)
     options.onEvent('version-switched', { version: id.version, tookMs: switchedMs, afterMs: Math.round(options.now() - heardAt) })
@@ -245,6 +267,16 @@
     return state
   }
 
+  /** Most calls end within moments; only the long ones are broken off. */
+  async function waitForShortCalls (): Promise<void> {
+    const endsAt = options.now() + SHORT_CALLS_MS
+    while (options.now() < endsAt) {
+      const state = await options.readEngine()
+      if (state === null || state.running === 0) return
+      await types.delay(POLL_MS)
+    }
+  }
+
   /** Waits until the engine tells the new version, or is no longer busy with it. */
   async function waitForSwitch (ready: staging.NamedVersion): Promise<number> {
     const startedAt = options.now()
@@ -273,7 +305,7 @@
 
   async function providePiece (id: staging.VersionId, wanted: readonly number[], waitMs: number): Promise<createPieceStore.TakenPiece | null> {
     if (id.model !== options.model) return null
-    const isOnItsWay = active !== null && active.target.id.version === id.version
+    const isOnItsWay = [active, ahead].some((each) => each?.target.id.version === id.version)
     const pieces = store.find(id)
     if (pieces !== null && (isOnItsWay || pieces.isWhole())) return await pieces.takeAny(wanted, waitMs)
     if (!isOnItsWay) return await takeFromStage(id, wanted)
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -29,6 +29,9 @@
   readonly address: types.Address
 }
 
+/** What an engine does with running calls when it changes its version: end them first, or break them off. */
+export type SwitchMethod = 'finish' | 'break-off'
+
 /** How an engine's order was taken. */
 export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown'
 
@@ -37,8 +40,11 @@
   readonly putPiece: (model: string, piece: number, bytes: Buffer) => Promise<types.Outcome<null, types.UnavailableError>>
   /** The bytes that lie in the stage, or null when there are none. */
   readonly getPiece: (model: string, piece: number) => Promise<types.Outcome<Buffer | null, types.UnavailableError>>
-  /** Orders the engine to take the staged version after what runs; `sequence` is the order count that the engine last told. */
-  readonly start: (id: VersionId, sequence: number) => Promise<OrderOutcome>
+  /**
+   * Orders the engine to take the staged version; `method` tells what happens to what runs there, and `sequence` is
+   * the order count that the engine last told.
+   */
+  readonly start: (id: VersionId, sequence: number, method: SwitchMethod) => Promise<OrderOutcome>
 }
 
 /** The origin of weights. */
