--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -78,3 +78,42 @@
   book.noteReport(types.brandId('staying'), report(1, 4), NOW, 0)
   assert.equal(choose([createEngine('changing', 1), createEngine('staying', 1, 'b')], book), 'staying')
 })
+
+nodeTest.test('a stream that goes on may be sent to a sound, idle engine later than other calls, and to no other one', () => {
+  const lastSendTo = (version: number): number => version < 2 ? NOW - 300 : Infinity
+  const engines = [createEngine('old', 1)]
+  const idle = createBackEndBook.createBackEndBook(() => NOW)
+  idle.noteReport(types.brandId('old'), report(1, 2), NOW, 0)
+  assert.equal(choose(engines, idle, { lastSendTo }), null)
+  assert.equal(choose(engines, idle, { lastSendTo, pinnedVersion: 1 }), 'old')
+  const queued = createBackEndBook.createBackEndBook(() => NOW)
+  queued.noteReport(types.brandId('old'), report(1, 2, 1), NOW, 0)
+  assert.equal(choose(engines, queued, { lastSendTo, pinnedVersion: 1 }), null)
+  const squeezed = createBackEndBook.createBackEndBook(() => NOW)
+  squeezed.noteReport(types.brandId('old'), report(1, 2), NOW, 60)
+  assert.equal(choose(engines, squeezed, { lastSendTo, pinnedVersion: 1 }), null)
+  const unknown = createBackEndBook.createBackEndBook(() => NOW)
+  assert.equal(choose(engines, unknown, { lastSendTo, pinnedVersion: 1 }), null)
+})
+
+nodeTest.test('a stream that goes on is kept from engines that change soon, since it can move only once', () => {
+  const book = createBackEndBook.createBackEndBook(() => NOW)
+  book.noteReport(types.brandId('soon'), { ...report(1, 2), changesInMs: 600 }, NOW, 0)
+  book.noteReport(types.brandId('later'), { ...report(1, 12), changesInMs: 1600 }, NOW, 0)
+  const engines = [createEngine('soon', 1), createEngine('later', 1)]
+  assert.equal(choose(engines, book, { pinnedVersion: 1 }), 'later')
+})
+
+nodeTest.test('calls that a change of version broke off do not make the engine avoided', () => {
+  const id = types.brandId<types.NodeId>('changed')
+  const paused = createBackEndBook.createBackEndBook(() => NOW)
+  paused.noteReport(id, { ...report(1, 2), isPaused: true }, NOW, 0)
+  paused.noteFailure(id)
+  assert.equal(paused.read(id).avoidedUntil, 0)
+  const late = createBackEndBook.createBackEndBook(() => NOW)
+  late.noteReport(id, report(1, 2), NOW, 0)
+  late.noteFailure(id)
+  assert.ok(late.read(id).avoidedUntil > NOW)
+  late.noteReport(id, report(2, 0), NOW, 0)
+  assert.equal(late.read(id).avoidedUntil, 0)
+})
