--- /dev/null
+++ b/packages/daemon/src/startGatewayRole/fuzz.test.ts
@@ -0,0 +1,117 @@
+/** Random calls under random faults of engines, in pairs and replaced meanwhile, against the oracle of the rules. */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as fastCheck from 'fast-check'
+import type * as testing from '@switchridge/platform-testing'
+import type * as types from '@switchridge/types'
+import * as callOracle from '../_lib/callOracle.js'
+import * as fleetTesting from '../_lib/fleetTesting.js'
+
+const HOST = '127.0.0.1'
+const EVENTS = 6
+const MAXIMUM_ATTEMPTS = 3
+const SEEDS = [1, 7, 42, 2026]
+const RUNS_OF_SEED = 5
+const STREAM_HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
+const FAULTS: ReadonlyArray<testing.EngineFaults['next']> = ['reset', 'full', 'foreign', 'error', 'cut', 'torn', 'garbage', 'extra', 'unframed', 'unframed-reset']
+const PATHS = { repeatable: '/read/', once: '/write/', stream: '/stream/' } as const
+
+type Step =
+  | { readonly step: 'call', readonly kind: callOracle.SeenCall['kind'] }
+  | { readonly step: 'fault', readonly engine: number, readonly fault: testing.EngineFaults['next'], readonly count: number }
+  /** An engine ends, and another instance begins. */
+  | { readonly step: 'replace', readonly engine: number }
+  | { readonly step: 'settle' }
+
+const stepArbitrary: fastCheck.Arbitrary<Step> = fastCheck.oneof(
+  { weight: 8, arbitrary: fastCheck.record({ step: fastCheck.constant('call' as const), kind: fastCheck.constantFrom('repeatable', 'once', 'stream') }) },
+  { weight: 4, arbitrary: fastCheck.record({ step: fastCheck.constant('fault' as const), engine: fastCheck.nat(4), fault: fastCheck.constantFrom(...FAULTS), count: fastCheck.integer({ min: 1, max: 3 }) }) },
+  { weight: 1, arbitrary: fastCheck.record({ step: fastCheck.constant('replace' as const), engine: fastCheck.nat(4) }) },
+  { weight: 1, arbitrary: fastCheck.record({ step: fastCheck.constant('settle' as const) }) }
+)
+
+interface Play {
+  readonly fleet: fleetTesting.TestFleet
+  readonly address: types.Address
+  readonly engines: testing.EngineStandIn[]
+  /** Engines that ended, too. */
+  readonly all: testing.EngineStandIn[]
+  instances: number
+}
+
+async function startEngine (play: Pick<Play, 'fleet' | 'engines' | 'all'>, index: number, instance: number): Promise<void> {
+  const id = `i-${index}-${instance}`
+  const engine = index < 3
+    ? await play.fleet.startEngine({ id }, 'api')
+    : await play.fleet.startEngine({ id, model: fleetTesting.MODEL, version: 1, events: EVENTS, eventMs: 2 })
+  play.engines[index] = engine
+  play.all.push(engine)
+}
+
+async function openPlay (context: nodeTest.TestContext): Promise<Play> {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const parts = { fleet, engines: [] as testing.EngineStandIn[], all: [] as testing.EngineStandIn[] }
+  for (let index = 0; index < 5; index += 1) await startEngine(parts, index, 0)
+  const address = await fleet.startGateway(HOST)
+  await fleetTesting.untilServed(address, '/read/probe')
+  return { ...parts, address, instances: 0 }
+}
+
+async function sendCall (play: Play, id: string, kind: callOracle.SeenCall['kind']): Promise<callOracle.SeenCall> {
+  const answer = await fleetTesting.call(play.address, { method: kind === 'once' ? 'POST' : 'GET', path: `${PATHS[kind]}x`, id, headers: kind === 'stream' ? STREAM_HEADERS : {} })
+  const seal = answer.headers['engine-seal']
+  return { id, kind, status: answer.status, body: answer.body, isWhole: answer.isWhole, seal: typeof seal === 'string' ? seal : null }
+}
+
+async function replaceEngine (play: Play, index: number): Promise<void> {
+  const ended = play.engines[index] as testing.EngineStandIn
+  play.instances += 1
+  await startEngine(play, index, play.instances)
+  play.fleet.store.remove('servers', ended.id)
+  ended.close()
+}
+
+async function playSteps (play: Play, steps: readonly Step[], name: string): Promise<callOracle.SeenCall[]> {
+  const open: Array<Promise<callOracle.SeenCall>> = []
+  for (const [index, step] of steps.entries()) {
+    if (step.step === 'call') open.push(sendCall(play, `${name}-${index}`, step.kind))
+    else if (step.step === 'fault') Object.assign((play.engines[step.engine] as testing.EngineStandIn).faults, { next: step.fault, count: step.count })
+    else if (step.step === 'replace') await replaceEngine(play, step.engine)
+    else await Promise.all(open)
+  }
+  return await Promise.all(open)
+}
+
+for (const seed of SEEDS) {
+  nodeTest.test(`no rule breaks under random faults of engines (seed ${seed})`, async (context) => {
+    const play = await openPlay(context)
+    let run = 0
+    await fastCheck.assert(fastCheck.asyncProperty(fastCheck.array(stepArbitrary, { minLength: 20, maxLength: 40 }), async (steps) => {
+      run += 1
+      const name = `f${seed}-${run}`
+      const calls = await playSteps(play, steps, name)
+      const arrivals = play.all.flatMap((engine) => engine.arrivals).filter((arrival) => arrival.requestId.startsWith(`${name}-`))
+      assert.deepEqual(callOracle.findViolations(calls, arrivals, EVENTS, MAXIMUM_ATTEMPTS), [])
+    }), { seed, numRuns: RUNS_OF_SEED, endOnFailure: true })
+  })
+}
+
+const SOUND: callOracle.SeenCall = { id: 'c', kind: 'once', status: 200, body: 'answer of i-1 to c', isWhole: true, seal: 'seal-i-1' }
+const ARRIVAL: testing.Arrival = { requestId: 'c', method: 'POST', path: '/write/x', headers: {}, body: '', ran: true }
+
+const PLANTED: ReadonlyArray<{ readonly rule: callOracle.Violation['rule'], readonly call: callOracle.SeenCall, readonly arrivals: readonly testing.Arrival[] }> = [
+  { rule: 'twice', call: SOUND, arrivals: [ARRIVAL, ARRIVAL] },
+  { rule: 'refused-but-run', call: { ...SOUND, status: 503 }, arrivals: [ARRIVAL] },
+  { rule: 'foreign-answer', call: { ...SOUND, body: 'answer of i-1 to d' }, arrivals: [ARRIVAL] },
+  { rule: 'short-answer', call: { ...SOUND, body: 'swer of i-1 to c' }, arrivals: [ARRIVAL] },
+  { rule: 'event-order', call: { ...SOUND, kind: 'stream', body: 'id: 1\n\nid: 3\n\n' }, arrivals: [ARRIVAL] },
+  { rule: 'attempts', call: { ...SOUND, kind: 'repeatable' }, arrivals: [ARRIVAL, ARRIVAL, ARRIVAL, ARRIVAL] },
+  { rule: 'unasked', call: SOUND, arrivals: [ARRIVAL, { ...ARRIVAL, requestId: 'nobody' }] }
+]
+
+for (const { rule, call, arrivals } of PLANTED) {
+  nodeTest.test(`the oracle finds a planted mistake (${rule})`, () => {
+    assert.deepEqual(callOracle.findViolations([call], arrivals, EVENTS, MAXIMUM_ATTEMPTS).map((violation) => violation.rule), [rule])
+  })
+}
