--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -44,16 +44,7 @@
   readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[]) => Promise<fleetRole.FleetRole>
   /** Ports that are free on the loopback addresses of the test. */
   readonly ports: TestPorts
-  readonly configure: (change?: (configuration: Configuration) => void) => void
-}
-
-/** The operator's configuration, as the platform writes it. */
-export interface Configuration {
-  version: number
-  routes: Array<Record<string, unknown>>
-  services: Array<Record<string, unknown>>
-  limits: Record<string, number>
-  tenants: Array<Record<string, unknown>>
+  readonly configure: (change?: (configuration: testing.Configuration) => void) => void
 }
 
 /** Waits without a limit of its own; the runner's limit ends a test that hangs. */
@@ -74,7 +65,7 @@
   const roles: fleetRole.FleetRole[] = []
   const gateways = new Map<string, fleetRole.FleetRole>()
   const servers: Array<{ close: () => void }> = [store, origin]
-  let configuration = createConfiguration(testing.formatAddress(origin.address), pieces)
+  let configuration = testing.createConfiguration(testing.formatAddress(origin.address), pieces, MODEL, KEY)
   const ports = choosePorts()
   context.after(() => {
     for (const role of roles) role.stop()
@@ -127,33 +118,6 @@
   }
 }
 
-function createConfiguration (origin: string, pieces: number): Configuration {
-  const route = (name: string, routeType: string, extra: Record<string, unknown> = {}): Record<string, unknown> => ({
-    name, hostname: 'app.example', pathPrefix: `/${name}/`, routeType, timeoutMs: 2000, targetLatencyMs: 400, priority: 1, service: 'api', maxAttempts: 2, public: false, ...extra
-  })
-  return {
-    version: 1,
-    routes: [
-      route('read', 'idempotent'),
-      route('write', 'non_idempotent'),
-      route('open', 'idempotent', { public: true }),
-      route('stream', 'stream', { service: 'llm', resumable: true, gapTargetMs: 400, maxAttempts: 3 })
-    ],
-    services: [
-      { name: 'api', healthPath: '/health', maxConnections: 50 },
-      {
-        name: 'llm',
-        healthPath: '/health',
-        maxConnections: 50,
-        engine: { slots: 16, kvCapacity: 1000, models: [{ name: MODEL }], step_ms: 5, per_seq_ms: 0, read_per_s: 20_000, usual: { prompt: 100, answer: 50 }, layers: 4, chunks: pieces, chunkBytes: 512 }
-      },
-      { name: 'weights', origin, zone: 'zone-a', linkMbps: 10, maxConnections: 50 }
-    ],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 10_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
-    tenants: [{ name: 'tenant-one', apiKeys: [KEY], priority: 1 }]
-  }
-}
-
 /** Ports of a test's daemons. */
 export interface TestPorts {
   readonly internal: number
