Send a stream late to an old engine only where a connection has just measured the way there

Change: the 0.8 s that a moved stream has longer than other calls are given only where a connection of the last 1.5 s measured the way.

--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -119,7 +119,7 @@
 }
 
 function moveGraceMs (load: createBackEndBook.BackEndLoad, input: ChoiceInput): number {
-  const isSound = !load.isSilent && !load.isPaused && load.avoidedUntil <= input.now && load.linkDelayMs <= SOUND_LINK_MS
+  const isSound = load.isWayMeasured && !load.isSilent && !load.isPaused && load.avoidedUntil <= input.now && load.linkDelayMs <= SOUND_LINK_MS
   const isIdle = load.report !== null && load.report.waiting === 0 && load.report.running + load.sentSince < (input.figures?.slots ?? 0)
   return input.pinnedVersion !== null && isSound && isIdle ? MOVED_GRACE_MS : 0
 }
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -37,6 +37,11 @@
   readonly changesAt: number
   /** Milliseconds that a way over its link takes beyond the usual, by connections and heartbeats: a full link makes it long. */
   readonly linkDelayMs: number
+  /**
+   * Whether a connection of the last moments measured the way there and back; heartbeats only tell of the way back,
+   * and a link may be full in one direction.
+   */
+  readonly isWayMeasured: boolean
   /** Until when it is avoided after failures. */
   readonly avoidedUntil: number
   /** Whether another process answers at its address: this life has ended. */
@@ -131,6 +136,7 @@
       isPaused: isFresh && entry.isPaused,
       changesAt: isFresh ? entry.changesAt : Infinity,
       linkDelayMs: Math.max(isFresh ? entry.linkDelayMs : 0, now() - entry.connectAt > CONNECT_KEPT_MS ? 0 : entry.connectMs),
+      isWayMeasured: entry.connectAt > 0 && now() - entry.connectAt <= CONNECT_KEPT_MS,
       avoidedUntil: entry.avoidedUntil,
       isGone: entry.isGone
     }
