Take out a bound of reads that was always one, and poll the engine in one place

Cause: the last reading. originLanes worked out min(1, share of connections), at least 1: always 1. It listed all agents with their votes for it, once for every missing piece at every tick of 40 ms. Three loops of the stager polled the engine alike. The grace of a moved stream was worked out twice for each candidate.

Change: a constant of the fetcher; one pollEngine; the grace once. Behaviour as before: the same order of reads and waits, the tests keep their assertions (one name says what it asserts now).

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -29,13 +29,6 @@
 /** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
 const RAMP_UP_MS = 500
 const PIECE_WAIT_MS = 150
-/**
- * Reads that an agent has at the origin at a time, at most: all agents share its link, so that with more of them
- * every first piece comes later, and nobody has anything to pass on until then.
- */
-const ORIGIN_LANES = 1
-/** Part of the origin's connections that reads of pieces may take; manifests and reads that end late take the rest. */
-const ORIGIN_CONNECTIONS_PART = 0.75
 const PIECE_TIMEOUT_MS = 2500
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
@@ -85,8 +78,8 @@
     return name === undefined ? null : parts.routes()?.findService(types.brandId<types.ServiceName>(name))?.engine ?? null
   }
 
-  function findOrigin (): gateway.OriginFigures | null {
-    return parts.routes()?.configuration.services.find((service) => service.origin !== null)?.origin ?? null
+  function findOrigin (): types.Address | null {
+    return parts.routes()?.configuration.services.find((service) => service.origin !== null)?.origin?.address ?? null
   }
 
   async function readReport (): Promise<gateway.EngineReport | null> {
@@ -108,11 +101,7 @@
         return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
       },
       engine,
-      origin: platform.createWeightOrigin(() => findOrigin()?.address ?? null, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
-      originLanes: () => {
-        const connections = findOrigin()?.maximumConnections ?? 1
-        return Math.max(1, Math.min(ORIGIN_LANES, Math.floor(connections * ORIGIN_CONNECTIONS_PART / listAgents().length)))
-      },
+      origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
       agents: listAgents,
       fetchFromPeer: async (peer, id, wanted) => {
         const fetched = await fetch(peer, `${PIECES_PATH}${encodeURIComponent(id.model)}/${id.version}/${wanted.join()}`)
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -91,7 +91,8 @@
   const reckoned = predict(backEnd, load, input)
   const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
-  if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input) - moveGraceMs(load, input), input)) return null
+  const graceMs = moveGraceMs(load, input)
+  if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input) - graceMs, input)) return null
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
     (load.isSilent ? SILENT_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
@@ -99,7 +100,7 @@
     input.random() * SPREAD_MS
   const isOldRefused = input.lastSendTo(0) <= input.now
   const expectedVersion = isOldRefused || input.pinnedVersion !== null ? version : null
-  const beginsBy = version === null ? Infinity : input.lastSendTo(version) + moveGraceMs(load, input)
+  const beginsBy = version === null ? Infinity : input.lastSendTo(version) + graceMs
   return { backEnd, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
@@ -118,6 +119,7 @@
   return Math.min(input.endsAt, input.now + firstEventMs * BEGIN_FACTOR)
 }
 
+/** Milliseconds by which a stream that goes on may begin later here than other calls. */
 function moveGraceMs (load: createBackEndBook.BackEndLoad, input: ChoiceInput): number {
   const isSound = load.isWayMeasured && !load.isSilent && !load.isPaused && load.avoidedUntil <= input.now && load.linkDelayMs <= SOUND_LINK_MS
   const isIdle = load.report !== null && load.report.waiting === 0 && load.report.running + load.sentSince < (input.figures?.slots ?? 0)
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -21,8 +21,6 @@
   readonly fetchFromPeer: (peer: staging.StagingPeer, id: staging.VersionId, wanted: readonly number[]) => Promise<types.Outcome<SentPiece | null, types.UnavailableError>>
   /** Whether to read only this agent's own part from the origin, and to leave the links between agents to an older version. */
   readonly isReadingAhead: () => boolean
-  /** Reads that this agent may have at the origin at a time, so that all agents together keep its bound of connections. */
-  readonly originLanes: () => number
   readonly now: () => number
   readonly random: () => number
   readonly onEvent: (event: FetchEvent) => void
@@ -74,6 +72,11 @@
 const FAILED_PAUSE_MS = 60
 /** The pause after a failed read of the origin doubles with each failure of the piece, up to this. */
 const ORIGIN_PAUSE_MAXIMUM_MS = 1000
+/**
+ * Reads that an agent has at the origin at a time: all agents share its link and its bound of connections, so that
+ * with more of them every first piece comes later, and nobody has anything to pass on until then.
+ */
+const ORIGIN_LANES = 1
 /** After so many failures at the origin a piece is also asked for at other agents. */
 const ORIGIN_FAILURES_ALONE = 2
 /** Peers that are asked at a time; fewer when pieces take long, so that a narrow link is not filled up. */
@@ -151,7 +154,7 @@
     turn += 1
     const overdueMs = options.now() - spreadFrom() - OVERDUE_MS
     for (const piece of missing) {
-      if (readingOrigin.size >= options.originLanes()) break
+      if (readingOrigin.size >= ORIGIN_LANES) break
       const reads = isStuck || plans[piece]?.part === 'reader'
       const isPausing = (originFailures.get(piece)?.retryAt ?? 0) > options.now()
       if (reads && !isPausing && !readingOrigin.has(piece)) void readOrigin(piece)
--- a/packages/staging/src/createPieceFetcher/test.ts
+++ b/packages/staging/src/createPieceFetcher/test.ts
@@ -40,7 +40,7 @@
   readonly isReadingAhead?: () => boolean
 }
 
-/** A fetch with one lane at the origin, beside a peer that has all pieces. */
+/** A fetch beside a peer that has all pieces. */
 function startFetch (now: () => number, { isOriginFull = false, hasPeer = true, peerMs = 0, isReadingAhead = () => false }: FetchChange): Fetch {
   const self = createAgent('self', 'a')
   const peer = createAgent('peer', 'a')
@@ -63,7 +63,6 @@
     self,
     agents: () => hasPeer ? [self, peer] : [self],
     origin,
-    originLanes: () => 1,
     isReadingAhead,
     fetchFromPeer: async (_peer, _id, wanted) => {
       await types.delay(Number.isFinite(peerMs) ? peerMs : STEP_MS)
@@ -104,7 +103,7 @@
   assert.ok(lately <= 2 * PIECES, `${lately} reads of ${PIECES} pieces in two seconds`)
 })
 
-nodeTest.test('no more reads are open at the origin than the agent has lanes', async (context) => {
+nodeTest.test('an agent has one read open at the origin at a time', async (context) => {
   const played = await play(context, (now) => startFetch(now, {}))
   assert.equal(played.isWhole, true)
   assert.equal(played.mostOriginReads(), 1)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -21,7 +21,7 @@
 }
 
 /** Options of {@link createStager}. */
-export interface StagerOptions extends Pick<createPieceFetcher.PieceFetcherOptions, 'self' | 'agents' | 'origin' | 'originLanes' | 'fetchFromPeer' | 'onSuspect' | 'now' | 'random'> {
+export interface StagerOptions extends Pick<createPieceFetcher.PieceFetcherOptions, 'self' | 'agents' | 'origin' | 'fetchFromPeer' | 'onSuspect' | 'now' | 'random'> {
   readonly model: string
   /** Versions named for the model. */
   readonly named: () => readonly staging.NamedVersion[]
@@ -257,35 +257,30 @@
    * given waits for all that runs, and would begin on the old version if the machine stood still meanwhile.
    */
   async function waitUntilNoneWaits (): Promise<EngineState | null> {
-    const startedAt = options.now()
     await types.delay(PAUSE_NOTICE_MS)
-    let state = await options.readEngine()
-    while (state !== null && state.waiting > 0 && options.now() - startedAt < PAUSE_MAXIMUM_MS) {
-      await types.delay(POLL_MS)
-      state = await options.readEngine()
-    }
-    return state
+    return await pollEngine((state) => state.waiting === 0, PAUSE_MAXIMUM_MS - PAUSE_NOTICE_MS)
   }
 
   /** Most calls end within moments; only the long ones are broken off. */
   async function waitForShortCalls (): Promise<void> {
-    const endsAt = options.now() + SHORT_CALLS_MS
-    while (options.now() < endsAt) {
-      const state = await options.readEngine()
-      if (state === null || state.running === 0) return
-      await types.delay(POLL_MS)
-    }
+    await pollEngine((state) => state.running === 0, SHORT_CALLS_MS)
   }
 
   /** Waits until the engine tells the new version, or is no longer busy with it. */
   async function waitForSwitch (ready: staging.NamedVersion): Promise<number> {
     const startedAt = options.now()
-    while (!stopping.signal.aborted) {
+    await pollEngine((state) => stopping.signal.aborted || state.held >= ready.id.version || !state.isBusy, Infinity)
+    return Math.round(options.now() - startedAt)
+  }
+
+  /** Reads the engine's state until it is the one waited for, the time is over or the engine does not answer. */
+  async function pollEngine (isDone: (state: EngineState) => boolean, maximumMs: number): Promise<EngineState | null> {
+    const endsAt = options.now() + maximumMs
+    for (;;) {
       const state = await options.readEngine()
-      if (state === null || state.held >= ready.id.version || !state.isBusy) break
+      if (state === null || isDone(state) || options.now() >= endsAt) return state
       await types.delay(POLL_MS)
     }
-    return Math.round(options.now() - startedAt)
   }
 
   /** A piece that only lies in the stage of the engine, from before this process began. */
