Count the agents' votes once a listing, and take out what nobody called

Each listing of agents counted the votes anew for each of them, over all peers, at every tick of a fetch. RetryBudget.usedPart and the gossip's option random had no caller.

Change: one count a listing; the two are gone. Behaviour as before: who is voted out depends on the same peers and the same number of votes. Run: build, lint, 38 tests of the parts touched, all passed.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -69,8 +69,7 @@
       sync.noteRevisions(heartbeat.host, heartbeat.revisions)
       if (createFleetParts.noteVersions(parts, heartbeat)) stager?.wake()
     },
-    now,
-    random: Math.random
+    now
   })
 
   function findFigures (): gateway.EngineFigures | null {
@@ -138,19 +137,22 @@
     return [...suspectUntil.keys()]
   }
 
-  /** Whether enough agents find a peer too slow or gone to depend on it. */
-  function isVotedOut (node: string): boolean {
-    const votes = gossip.peers().filter((peer) => gossip.isLive(peer) && peer.heartbeat.suspects.includes(node)).length
-    return votes + (suspectUntil.has(types.brandId(node)) ? 1 : 0) >= SUSPECT_VOTES
+  /** Nodes that enough agents, this one included, find too slow or gone to depend on. */
+  function listVotedOut (livePeers: readonly spread.Peer[]): ReadonlySet<string> {
+    const votes = new Map<string, number>()
+    const suspects = [...livePeers.flatMap((peer) => [...new Set(peer.heartbeat.suspects)]), ...suspectUntil.keys()]
+    for (const node of suspects) votes.set(node, (votes.get(node) ?? 0) + 1)
+    return new Set([...votes].filter(([, count]) => count >= SUSPECT_VOTES).map(([node]) => node))
   }
 
   /** Agents that all others may depend on; this one too, unless they voted it out. */
   function listAgents (): staging.StagingPeer[] {
-    const live = gossip.peers()
-      .filter((peer) => peer.heartbeat.role === 'agent' && !peer.heartbeat.isLeaving && gossip.isLive(peer))
-      .filter((peer) => !isVotedOut(peer.heartbeat.node))
+    const livePeers = gossip.peers().filter(gossip.isLive)
+    const votedOut = listVotedOut(livePeers)
+    const live = livePeers
+      .filter(({ heartbeat }) => heartbeat.role === 'agent' && !heartbeat.isLeaving && !votedOut.has(heartbeat.node))
       .map(({ heartbeat }) => ({ node: heartbeat.node, zone: heartbeat.zone, address: createFleetParts.internalAddress(parts, heartbeat.host) }))
-    return isVotedOut(self.node) && live.length > 0 ? live : [self, ...live]
+    return votedOut.has(self.node) && live.length > 0 ? live : [self, ...live]
   }
 
   /** Null when the peer does not have what is asked for. */
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -52,8 +52,7 @@
     describeSelf: () => createFleetParts.describeSelf(parts, isLeaving),
     intervalTo: () => HEARTBEAT_MS,
     onHeartbeat: noteHeartbeat,
-    now,
-    random: Math.random
+    now
   })
   for (const mirror of parts.mirrors) {
     kept.set(mirror.kind, store.keepMirror({
--- a/packages/gateway/src/createRetryBudget/index.ts
+++ b/packages/gateway/src/createRetryBudget/index.ts
@@ -14,8 +14,6 @@
   readonly noteCall: () => void
   /** Takes one extra arrival if the window has room for it. */
   readonly trySpend: () => boolean
-  /** Part of the budget that is spent, from 0. */
-  readonly usedPart: () => number
 }
 
 /** Part of the shared limits that gateways use, so that windows that do not line up still keep them. */
@@ -55,10 +53,6 @@
       if (spent.length + 1 > allowed()) return false
       spent.push(now())
       return true
-    },
-    usedPart: () => {
-      expire(spent)
-      return spent.length / Math.max(1, allowed())
     }
   }
 }
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -40,7 +40,6 @@
   readonly onHeartbeat: (heartbeat: Heartbeat, delayMs: number) => void
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
-  readonly random: () => number
 }
 
 /** The exchange of one daemon. */
--- a/packages/spread/src/createGossip/test.ts
+++ b/packages/spread/src/createGossip/test.ts
@@ -27,7 +27,7 @@
   const seed = await openSeed(context)
   context.mock.timers.enable({ apis: ['setInterval', 'Date'] })
   const gossip = await createGossip.createGossip({
-    host: OWN_HOST, port: seed.port, seeds: [SEED_HOST], describeSelf: describe, intervalTo: () => 1000, onHeartbeat: () => {}, now: Date.now, random: () => 0.5
+    host: OWN_HOST, port: seed.port, seeds: [SEED_HOST], describeSelf: describe, intervalTo: () => 1000, onHeartbeat: () => {}, now: Date.now
   })
   context.after(gossip.stop)
   for (let tick = 0; tick < TICKS; tick += 1) {
