--- a/packages/daemon/src/_lib/engineNews.ts
+++ b/packages/daemon/src/_lib/engineNews.ts
@@ -22,8 +22,6 @@
   zod.number().nullable(),
   zod.number(),
   zod.number(),
-  zod.number(),
-  zod.number(),
   flagSchema,
   zod.number(),
   zod.number(),
@@ -34,8 +32,8 @@
 
 /** Formats news for a heartbeat. */
 export function formatEngineNews ({ address, report, isPaused, changesInMs }: EngineNews): unknown {
-  const { running, waiting, usedTokens, totalTokens, isBusy, sequence, pace, models } = report
-  return [address, isPaused ? 1 : 0, changesInMs === null ? null : Math.round(changesInMs), running, waiting, usedTokens, totalTokens, isBusy ? 1 : 0, sequence, Number(pace.toPrecision(DIGITS)), [...models]]
+  const { running, waiting, isBusy, sequence, pace, models } = report
+  return [address, isPaused ? 1 : 0, changesInMs === null ? null : Math.round(changesInMs), running, waiting, isBusy ? 1 : 0, sequence, Number(pace.toPrecision(DIGITS)), [...models]]
 }
 
 /**
@@ -48,6 +46,6 @@
   if (value === null || value === undefined) return null
   const parsed = newsSchema.safeParse(value)
   if (!parsed.success) return null
-  const [address, isPaused, changesInMs, running, waiting, usedTokens, totalTokens, isBusy, sequence, pace, models] = parsed.data
-  return { address, isPaused, changesInMs, report: { running, waiting, usedTokens, totalTokens, isBusy, sequence, pace, models: new Map(models) } }
+  const [address, isPaused, changesInMs, running, waiting, isBusy, sequence, pace, models] = parsed.data
+  return { address, isPaused, changesInMs, report: { running, waiting, isBusy, sequence, pace, models: new Map(models) } }
 }
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -75,6 +75,7 @@
   const versions = followVersions.createVersionFollower({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startMs: checked.role === 'agent' ? checked.bounds.version_ms : START_MS, now })
   const routeListeners: Array<(table: gateway.RouteTable) => void> = []
   let routes: gateway.RouteTable | null = null
+  const notedFigures = new Map<types.ServiceName, string>()
   let adoptedRevision = 0
   let backEnds: readonly gateway.BackEnd[] = []
 
@@ -89,10 +90,22 @@
     adoptedRevision = object.revision
     routes = gateway.createRouteTable(parsed.value)
     logger.info('configuration', { revision: object.revision, version: parsed.value.version, routes: parsed.value.routes.length })
+    for (const service of parsed.value.services) noteFigures(service)
     adoptBackEnds()
     for (const listener of routeListeners) listener(routes)
   }
 
+  /** Says which figures decisions work with, when they are new, and which are not told. */
+  function noteFigures ({ name, engine }: gateway.Service): void {
+    if (engine === null) return
+    const figures = JSON.stringify(engine)
+    if (notedFigures.get(name) === figures) return
+    notedFigures.set(name, figures)
+    logger.info('engine-figures', { service: name, ...engine, models: engine.models.join() })
+    const missing = Object.entries(engine).filter(([, figure]) => figure === null).map(([figure]) => figure)
+    if (missing.length > 0) logger.warn('engine-figures-missing', { service: name, missing: missing.join() })
+  }
+
   function adoptBackEnds (): void {
     const layersOf = (service: string): number => routes?.findService(types.brandId<types.ServiceName>(service))?.engine?.layers ?? 1
     backEnds = [...servers.objects().values()].flatMap((object) => platform.parseBackEnd(object, layersOf) ?? [])
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -79,7 +79,7 @@
   }
 
   function findOrigin (): types.Address | null {
-    return parts.routes()?.configuration.services.find((service) => service.origin !== null)?.origin?.address ?? null
+    return parts.routes()?.configuration.services.find((service) => service.originAddress !== null)?.originAddress ?? null
   }
 
   async function readReport (): Promise<gateway.EngineReport | null> {
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -78,7 +78,7 @@
     return budget
   }
 
-  function choose (choice: gateway.CallChoice): gateway.Choice | null {
+  function choose (choice: gateway.CallChoice): gateway.ChoiceOutcome {
     const figures = parts.routes()?.findService(choice.service)?.engine ?? null
     const { model } = choice
     return gateway.chooseBackEnd({
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -25,6 +25,10 @@
   attempts: number
   /** Whether a back end may have begun to run the call. */
   mayHaveRun: boolean
+  /** Milliseconds that the first choice predicted until the first event; null before a choice. */
+  predictedMs: number | null
+  /** Monotonic time in milliseconds of the first event, or of an answer that is no stream. */
+  firstEventAt: number | null
   readonly hasLeft: () => boolean
   /** Whether the call's time is over, or its gateway ends. */
   readonly isExpired: () => boolean
@@ -54,6 +58,8 @@
     tried: new Set(),
     attempts: 0,
     mayHaveRun: false,
+    predictedMs: null,
+    firstEventAt: null,
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
     hasLeft: () => hasLeft,
     isExpired: () => isExpired,
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -128,13 +128,18 @@
     return setTimeout(() => { if (!open.hasBegun) attempt.abort() }, Math.max(0, choice.beginsBy - options.now() + BEGIN_GRACE_MS))
   }
 
+  function noteBegun (): void {
+    open.hasBegun = true
+    call.firstEventAt ??= options.now()
+  }
+
   function broken (reason: string): AttemptOutcome {
     call.mayHaveRun = true
     return { kind: 'broken', reason }
   }
 
   async function receiveWhole (answered: AnsweredHead, begun: BegunAnswer): Promise<AttemptOutcome> {
-    open.hasBegun = true
+    noteBegun()
     const body = await readBody.readBody(begun.response, MAXIMUM_WHOLE_BYTES)
     if (body.kind !== 'whole' || !begun.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`)
     call.mayHaveRun = true
@@ -152,7 +157,7 @@
       response.on('data', (bytes: Buffer) => {
         const whole = route.isResumable ? stream.splitter.push(bytes) : bytes
         if (whole === null) return
-        open.hasBegun = true
+        noteBegun()
         patience.restart(nextEventMs)
         if (!reply.hasBegun()) beginStream()
         if (reply.write(whole)) return
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -20,6 +20,12 @@
 /** Why a call got its final answer. */
 type Ending = 'answered' | 'left' | 'refused' | 'failed' | 'expired'
 
+/** Writes for which reasons how many back ends were passed over. */
+function describePassedOver (passedOver: chooseBackEnd.PassedOver): string {
+  const counts = Object.entries(passedOver).map(([reason, count]) => `${count} ${reason}`)
+  return counts.length === 0 ? 'none is listed' : counts.join(', ')
+}
+
 /**
  * Runs a call to its end.
  *
@@ -41,7 +47,7 @@
   async function serve (): Promise<Ending> {
     for (;;) {
       const isFirst = call.attempts === 0
-      const choice = options.choose({
+      const { choice, passedOver } = options.choose({
         service: call.service,
         model: call.head.model,
         promptTokens: call.head.promptTokens,
@@ -52,9 +58,10 @@
       })
       if (choice === null) {
         if (lastReason === '') retryAfterMs = Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
-        lastReason = lastReason === '' ? 'no back end may serve' : lastReason
+        lastReason = lastReason === '' ? `no back end may serve: ${describePassedOver(passedOver)}` : lastReason
         return giveUp()
       }
+      call.predictedMs ??= Math.round(choice.firstEventMs)
       if (isFirst && unsent === 0) {
         const admission = decide(choice)
         if (!admission.isTaken) {
@@ -146,8 +153,10 @@
   const ending = await serve()
   clearTimeout(timer)
   const elapsedMs = Math.round(options.now() - call.receivedAt)
+  const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
   options.count('calls', { ending })
   options.observe('call', elapsedMs)
+  if (firstEventMs !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(firstEventMs - call.predictedMs))
   options.logger.info('call', {
     id: call.head.requestId,
     route: call.route.name,
@@ -156,6 +165,8 @@
     attempts: call.attempts,
     ending,
     ms: elapsedMs,
+    predictedMs: call.predictedMs,
+    firstEventMs,
     version: stream.version,
     reason: ending === 'answered' ? undefined : lastReason
   })
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -40,6 +40,30 @@
   readonly beginsBy: number
 }
 
+/** Why a back end may not serve a call. */
+export type PassedOverReason =
+  | 'draining'
+  | 'tried'
+  /** Another process answers at its address. */
+  | 'gone'
+  /** It holds no whole version of the model. */
+  | 'empty'
+  /** The call goes on with a version that it does not hold. */
+  | 'other-version'
+  /** A newer version has been named, and its own one may no longer serve. */
+  | 'old'
+  /** Its version may still serve, but the call would begin too late. */
+  | 'late'
+
+/** How many back ends were passed over for each reason. */
+export type PassedOver = Partial<Record<PassedOverReason, number>>
+
+/** The chosen back end, or null when none may serve; with those that may not. */
+export interface ChoiceOutcome {
+  readonly choice: Choice | null
+  readonly passedOver: PassedOver
+}
+
 interface Scored extends Choice {
   readonly score: number
 }
@@ -73,26 +97,30 @@
  * Chooses a back end: the one with the earliest predicted first event, the own zone and sound ones preferred.
  *
  * @param input - Candidates and what is known of them.
- * @returns The choice, or null when none may serve.
+ * @returns The choice, if any may serve, and why others may not.
  */
-export function chooseBackEnd (input: ChoiceInput): Choice | null {
+export function chooseBackEnd (input: ChoiceInput): ChoiceOutcome {
   let best: Scored | null = null
+  const passedOver: PassedOver = {}
   for (const backEnd of input.backEnds) {
-    if (backEnd.isDraining || input.tried.has(backEnd.id)) continue
     const scored = score(backEnd, input)
-    if (scored !== null && (best === null || scored.score < best.score)) best = scored
+    if (typeof scored === 'string') passedOver[scored] = (passedOver[scored] ?? 0) + 1
+    else if (best === null || scored.score < best.score) best = scored
   }
-  return best
+  return { choice: best, passedOver }
 }
 
-function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | null {
+function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | PassedOverReason {
+  if (backEnd.isDraining) return 'draining'
+  if (input.tried.has(backEnd.id)) return 'tried'
   const load = input.book.read(backEnd.id)
-  if (load.isGone) return null
+  if (load.isGone) return 'gone'
   const reckoned = predict(backEnd, load, input)
   const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
   const graceMs = moveGraceMs(load, input)
-  if (input.figures !== null && input.model !== null && !mayServe(version, latestBegin(load, predicted.firstEventMs, input) - graceMs, input)) return null
+  const refused = input.figures === null || input.model === null ? null : findRefusal(version, latestBegin(load, predicted.firstEventMs, input) - graceMs, input)
+  if (refused !== null) return refused
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
     (load.isSilent ? SILENT_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
@@ -104,9 +132,13 @@
   return { backEnd, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
-function mayServe (version: number | null, beginsBy: number, input: ChoiceInput): boolean {
-  if (version === null || beginsBy >= input.lastSendTo(version)) return false
-  return input.pinnedVersion === null || version === input.pinnedVersion
+/** Why a version may not serve a call that begins at the latest at a time; null when it may. */
+function findRefusal (version: number | null, latestBegin: number, input: ChoiceInput): PassedOverReason | null {
+  if (version === null) return 'empty'
+  if (input.pinnedVersion !== null && version !== input.pinnedVersion) return 'other-version'
+  const lastSendAt = input.lastSendTo(version)
+  if (latestBegin < lastSendAt) return null
+  return input.now >= lastSendAt ? 'old' : 'late'
 }
 
 /**
@@ -129,8 +161,8 @@
 /** Milliseconds by which the answer would outlast the engine's version. */
 function holdUpMs (load: createBackEndBook.BackEndLoad, firstEventMs: number, input: ChoiceInput): number {
   if (input.figures === null || load.changesAt === Infinity) return 0
-  const tokens = input.answerTokens > 0 ? input.answerTokens : input.figures.usualAnswerTokens
-  const endsAt = input.now + firstEventMs + tokens * input.figures.stepMs * ANSWER_PACE
+  const tokens = input.answerTokens > 0 ? input.answerTokens : input.figures.usualAnswerTokens ?? 0
+  const endsAt = input.now + firstEventMs + tokens * (input.figures.stepMs ?? 0) * ANSWER_PACE
   return Math.max(0, endsAt - load.changesAt)
 }
 
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -6,7 +6,7 @@
 import type * as gateway from '../types/index.js'
 
 const FIGURES: gateway.EngineFigures = {
-  slots: 16, models: ['m'], layers: 1, chunks: 1, chunkBytes: 1, stepMs: 10, stepMsPerSequence: 0, prefillTokensPerMs: 20, usualPromptTokens: 1000, usualAnswerTokens: 100, memoryTokens: 100_000
+  slots: 16, models: ['m'], layers: 1, chunks: 1, chunkBytes: 1, stepMs: 10, stepMsPerSequence: 0, prefillTokensPerMs: 20, usualPromptTokens: 1000, usualAnswerTokens: 100
 }
 const NOW = 5000
 
@@ -18,14 +18,14 @@
 
 function report (version: number, running: number, waiting = 0): createBackEndBook.AgentNews {
   return {
-    isPaused: false, changesInMs: null, report: { running, waiting, usedTokens: 0, totalTokens: 1, isBusy: false, sequence: 0, pace: 1, models: new Map([['m', version]]) }
+    isPaused: false, changesInMs: null, report: { running, waiting, isBusy: false, sequence: 0, pace: 1, models: new Map([['m', version]]) }
   }
 }
 
 function choose (backEnds: readonly gateway.BackEnd[], book: createBackEndBook.BackEndBook, change: Partial<chooseBackEnd.ChoiceInput> = {}): string | null {
   return chooseBackEnd.chooseBackEnd({
     backEnds, book, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastSendTo: () => Infinity, endsAt: NOW + 6000, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
-  })?.backEnd.id ?? null
+  }).choice?.backEnd.id ?? null
 }
 
 nodeTest.test('the engine with the earliest first event is chosen, and the own zone among equals', () => {
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -29,7 +29,7 @@
   /** The configuration in force, or null before the first one. */
   readonly routes: () => createRouteTable.RouteTable | null
   readonly book: createBackEndBook.BackEndBook
-  readonly choose: (choice: CallChoice) => chooseBackEnd.Choice | null
+  readonly choose: (choice: CallChoice) => chooseBackEnd.ChoiceOutcome
   readonly budgetOf: (service: types.ServiceName) => createRetryBudget.RetryBudget
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
--- a/packages/gateway/src/predictFirstEvent/index.ts
+++ b/packages/gateway/src/predictFirstEvent/index.ts
@@ -21,7 +21,7 @@
 /**
  * Predicts the first event of a call at one engine, from its last report and what this gateway sent it since.
  *
- * @param figures - Speeds of the service's engines.
+ * @param figures - Speeds of the service's engines; what an unknown one would add is left out.
  * @param slots - Requests that the engine runs at a time.
  * @param load - What this gateway knows of the engine.
  * @param promptTokens - Length of the call's prompt.
@@ -36,10 +36,10 @@
   const unknownFactor = 1 + OTHERS_PART * (gateways - 1)
   const occupied = report === null ? load.open.size * unknownFactor : running + waiting + load.sentSince * unknownFactor
   const waitingBefore = Math.max(0, occupied + 1 - slots)
-  const stepMs = figures.stepMs + figures.stepMsPerSequence * Math.min(slots, occupied)
-  const unreadTokens = load.promptTokensSince * unknownFactor * UNREAD_PART + waiting * figures.usualPromptTokens
-  const readMs = (unreadTokens + promptTokens) / figures.prefillTokensPerMs
-  const answerMs = figures.usualAnswerTokens * stepMs * 2
+  const stepMs = (figures.stepMs ?? 0) + (figures.stepMsPerSequence ?? 0) * Math.min(slots, occupied)
+  const unreadTokens = load.promptTokensSince * unknownFactor * UNREAD_PART + waiting * (figures.usualPromptTokens ?? 0)
+  const readMs = figures.prefillTokensPerMs === null ? 0 : (unreadTokens + promptTokens) / figures.prefillTokensPerMs
+  const answerMs = (figures.usualAnswerTokens ?? 0) * stepMs * 2
   const slotWaitMs = waitingBefore * answerMs / slots
   return { firstEventMs: pace * (slotWaitMs + readMs + EVENT_TOKENS * stepMs), waitingBefore, occupied }
 }
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -21,7 +21,7 @@
   readonly pathPrefix: string
   readonly kind: RouteKind
   readonly timeoutMs: number
-  /** Milliseconds within which an answer, or the first event of a stream, is in time. */
+  /** Milliseconds within which an answer, or the first event of a stream, is in time; the timeout where no target is set. */
   readonly targetMs: number
   /** 0 is the highest. */
   readonly priority: number
@@ -45,36 +45,27 @@
 /** A service that back ends belong to. */
 export interface Service {
   readonly name: types.ServiceName
-  readonly maximumConnections: number
   /** Figures of the model engines; null for a plain service. */
   readonly engine: EngineFigures | null
   /** Where weights come from, if the service is an origin. */
-  readonly origin: OriginFigures | null
+  readonly originAddress: types.Address | null
 }
 
-/** How fast engines of a service are and what they hold. */
+/** How fast engines of a service are and what they hold. A speed that the platform does not tell is null, and decisions leave it out. */
 export interface EngineFigures {
   readonly slots: number
   readonly models: readonly string[]
   readonly layers: number
   readonly chunks: number
   readonly chunkBytes: number
-  readonly stepMs: number
-  readonly stepMsPerSequence: number
-  readonly prefillTokensPerMs: number
+  /** Milliseconds in which every running request gets one more token. */
+  readonly stepMs: number | null
+  /** Milliseconds that each running request adds to a step. */
+  readonly stepMsPerSequence: number | null
+  readonly prefillTokensPerMs: number | null
   /** Tokens that the mean prompt and the mean answer have. */
-  readonly usualPromptTokens: number
-  readonly usualAnswerTokens: number
-  /** Memory for requests in tokens. */
-  readonly memoryTokens: number
-}
-
-/** An origin of weights. */
-export interface OriginFigures {
-  readonly address: types.Address
-  readonly zone: string
-  readonly megabitsPerSecond: number
-  readonly maximumConnections: number
+  readonly usualPromptTokens: number | null
+  readonly usualAnswerTokens: number | null
 }
 
 /** Bounds of what a caller may send. */
@@ -101,6 +92,7 @@
   readonly service: types.ServiceName
   readonly address: types.Address
   readonly zone: string
+  /** Requests that it works on at a time; Infinity when it does not tell. */
   readonly slots: number
   readonly isDraining: boolean
   /** Models of which the back end holds every layer, with their versions. */
@@ -111,8 +103,6 @@
 export interface EngineReport {
   readonly running: number
   readonly waiting: number
-  readonly usedTokens: number
-  readonly totalTokens: number
   /** Whether an order is under way. */
   readonly isBusy: boolean
   /** Orders taken in this life. */
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -8,7 +8,7 @@
 import * as nodeTest from 'node:test'
 import * as reporters from 'node:test/reporters'
 
-const PACKAGES = 'packages'
+const FOLDERS = ['packages', 'platform']
 const KNOWN_RED = 'KNOWN-RED.txt'
 /** Separates the name of a test, the cause and the issue. */
 const SEPARATOR = ' | '
@@ -37,8 +37,8 @@
   return event.details.error?.failureType === 'subtestsFailed'
 }
 
-const files = fs.readdirSync(PACKAGES)
-  .map((name) => path.join(PACKAGES, name, 'dist'))
+const files = FOLDERS
+  .flatMap((folder) => ['.', ...fs.readdirSync(folder)].map((name) => path.join(folder, name, 'dist')))
   .filter((folder) => fs.existsSync(folder))
   .flatMap(findTestFiles)
   .filter((file) => filters.length === 0 || filters.some((filter) => file.includes(filter)))
