--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -95,10 +95,11 @@
     return staging.createStager({
       self,
       model,
+      layers: figures.layers,
       named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
       readEngine: async () => {
         const fresh = await readReport()
-        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
+        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, parts: fresh.parts.filter((part) => part.model === model), running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
       },
       engine,
       origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
@@ -127,6 +128,7 @@
         isPaused = next
         gossip.sendNow('gateway')
       },
+      onLoaded: () => { gossip.sendNow('gateway') },
       onEvent: (event, fields) => {
         metrics.count('weights_events', { event })
         logger.info(event, fields)
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -89,6 +89,7 @@
       tenant: call.tenant,
       urgency: null,
       version: choice.expectedVersion,
+      path: choice.path,
       lastEventId: stream.splitter.lastEventId(),
       bodyBytes: call.body === null ? null : call.body.length
     }),
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -110,16 +110,17 @@
   }
 
   async function attempt (choice: chooseBackEnd.Choice): Promise<runAttempt.AttemptOutcome> {
-    call.tried.add(choice.backEnd.id)
+    const passed = [choice.backEnd.id, ...choice.passes]
+    for (const id of passed) call.tried.add(id)
     const open: createBackEndBook.OpenAttempt = {
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
       sentAt: options.now(),
       hasBegun: false
     }
-    options.book.noteSent(choice.backEnd.id, open)
+    for (const id of passed) options.book.noteSent(id, open)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
-    options.book.noteEnded(choice.backEnd.id, open)
+    for (const id of passed) options.book.noteEnded(id, open)
     if (!call.hasLeft() && !call.isExpired()) noteOutcome(choice, outcome)
     return outcome
   }
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -34,6 +34,8 @@
   readonly medianMs: number
   /** Infinity when an agent that neither died nor was squeezed did not become whole. */
   readonly lastMs: number
+  /** When the last region could serve: its agents together held all layers, or one of them did. */
+  readonly servingMs: number
   /** The same for squeezed agents; 0 when there are none. */
   readonly squeezedMs: number
   readonly whole: number
@@ -62,6 +64,9 @@
   readonly isSqueezed: boolean
   readonly isDying: boolean
   wholeMs: number
+  /** When the engine took its first layers, and which; Infinity and null when it never did. */
+  layersMs: number
+  firstLayers: staging.LayerRange | null
 }
 
 /** What an agent knows of another one. */
@@ -93,6 +98,7 @@
 const SILENCE_MS = 2500
 const EXPECTING_MS = 3000
 const BOUND_MS = 8000
+const LAYERS = 16
 export const DEATH_MS = 1500
 const SQUEEZED_PART = 0.1
 const MAXIMUM_MS = 20_000
@@ -192,6 +198,7 @@
     const suspectUntil = new Map<types.NodeId, number>()
     let draws = 0
     let held = 0
+    const parts: staging.HeldLayers[] = []
     const stage = new Map<number, Buffer>()
 
     const listSuspects = (): string[] => [...suspectUntil].filter(([, until]) => until > now()).map(([node]) => node)
@@ -227,15 +234,19 @@
       self,
       model: ID.model,
       named: () => [{ id: ID, heardAt: startedAt, boundAt: startedAt + BOUND_MS }],
-      readEngine: async () => ({ held, running: 0, waiting: 0, isBusy: false, sequence: 0 }),
+      layers: LAYERS,
+      readEngine: async () => ({ held, parts: held > 0 ? [] : parts, running: 0, waiting: 0, isBusy: false, sequence: 0 }),
       engine: {
         putPiece: async (_model, piece, bytes) => {
           stage.set(piece, bytes)
           return types.succeed(null)
         },
         getPiece: async (_model, piece) => types.succeed(stage.get(piece) ?? null),
-        start: async () => {
-          held = ID.version
+        start: async (id, _sequence, _method, layers) => {
+          const agent = played.get(name)
+          if (layers !== null) parts.push({ version: id.version, ...layers })
+          if (layers === null || parts.length > 1) held = ID.version
+          else if (agent !== undefined) Object.assign(agent, { layersMs: now() - startedAt, firstLayers: layers })
           return 'done'
         }
       },
@@ -265,6 +276,7 @@
       },
       onTurn: () => {},
       onPause: () => {},
+      onLoaded: () => {},
       onEvent: (event) => {
         const agent = played.get(name)
         if (event === 'version-whole' && agent !== undefined) agent.wholeMs = now() - startedAt
@@ -277,7 +289,7 @@
         return membership.scoreByRendezvous(name, String(draws)) / SCORES
       }
     })
-    played.set(name, { self, stager, isSqueezed: isSqueezed(index), isDying: isDying(index), wholeMs: Infinity })
+    played.set(name, { self, stager, isSqueezed: isSqueezed(index), isDying: isDying(index), wholeMs: Infinity, layersMs: Infinity, firstLayers: null })
     beatAll()
     stager.wake()
     if (apartMs > 0) setTimeout(beatAll, startedAt + apartMs - now())
@@ -302,6 +314,7 @@
   return {
     medianMs: sound[Math.floor(sound.length / 2)] ?? Infinity,
     lastMs: sound[sound.length - 1] ?? Infinity,
+    servingMs: Math.max(...REGIONS.map((region) => computeServingMs(all.filter((agent) => agent.self.zone === region)))),
     squeezedMs: Math.max(0, ...all.filter((agent) => agent.isSqueezed).map((agent) => agent.wholeMs)),
     whole: all.filter((agent) => agent.wholeMs < Infinity).length,
     fluidMs: Math.max(bytes / (LINK * linkPart), bytes / ORIGIN_LINK, count * bytes / (ORIGIN_LINK + linkSum)),
@@ -312,3 +325,11 @@
     cutAnswers: counts.cutAnswers
   }
 }
+
+/** When agents of a region first held all layers together. */
+function computeServingMs (agents: readonly PlayedAgent[]): number {
+  const wholeMs = Math.min(...agents.map((agent) => agent.wholeMs))
+  const starts = [...new Set(agents.flatMap((agent) => agent.firstLayers?.from ?? []))]
+  const firstMs = starts.map((from) => Math.min(...agents.filter((agent) => agent.firstLayers?.from === from).map((agent) => agent.layersMs)))
+  return starts.length > 1 ? Math.min(wholeMs, Math.max(...firstMs)) : wholeMs
+}
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -23,6 +23,8 @@
   readonly expectedZones: () => readonly string[]
   /** Whether to read only this agent's own part from the origin, and to leave the links between agents to an older version. */
   readonly isReadingAhead: () => boolean
+  /** Pieces to fetch before the others, besides those that others depend on; empty for no such order. It depends on who is live. */
+  readonly firstPieces: () => ReadonlySet<number>
   readonly now: () => number
   readonly random: () => number
   readonly onEvent: (event: FetchEvent) => void
@@ -133,6 +135,7 @@
   const suspectUntil = new Map<types.NodeId, number>()
   let plans: readonly dealPieces.ProviderPlan[] = []
   let agents: readonly staging.StagingPeer[] = []
+  let firstPieces: ReadonlySet<number> = new Set()
   let countedZones = 0
   let plannedAt = -Infinity
   let window = WINDOW_FIRST
@@ -151,6 +154,7 @@
     if (isSame(next, agents) && zones.length === countedZones) return
     agents = next
     countedZones = zones.length
+    firstPieces = options.firstPieces()
     plans = dealPieces.dealPieces(key, digests.length, self, agents, zones)
   }
 
@@ -180,7 +184,8 @@
       if (busy.size >= window) break
       if (peer.node === self.node || busy.has(peer.node)) continue
       const wanted = missing.filter((piece) => isWantedFrom(peer, piece, overdueMs))
-      if (wanted.length > 0) void askInParts(peer, wanted)
+      const first = wanted.filter(isFirst)
+      if (wanted.length > 0) void askInParts(peer, first.length > 0 ? first : wanted)
     }
   }
 
@@ -209,6 +214,11 @@
     return alternative?.node === peer.node
   }
 
+  /** What this agent brings into its zone comes first too, since all others there wait for it. */
+  function isFirst (piece: number): boolean {
+    return firstPieces.size > 0 && (firstPieces.has(piece) || plans[piece]?.part === 'importer')
+  }
+
   function suspectSlowPeers (): void {
     const now = options.now()
     const slowMs = Math.max(SLOW_MS, SLOW_FACTOR * typicalMs)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -1,6 +1,7 @@
 /** Brings the engine beside an agent to the versions that are named: fetch, wait for the turn, stage, verify, order. */
 import * as membership from '@switchridge/membership'
 import * as types from '@switchridge/types'
+import * as chooseLayers from '../chooseLayers/index.js'
 import * as computeTurn from '../computeTurn/index.js'
 import * as createManifestReader from '../createManifestReader/index.js'
 import * as createPieceFetcher from '../createPieceFetcher/index.js'
@@ -14,6 +15,8 @@
 export interface EngineState {
   /** Version of which the engine holds every layer, 0 for none. */
   readonly held: number
+  /** Layers that it holds while it does not hold all of one version. */
+  readonly parts: readonly staging.HeldLayers[]
   readonly running: number
   /** Calls that wait there and have not begun. */
   readonly waiting: number
@@ -24,6 +27,8 @@
 /** Options of {@link createStager}. */
 export interface StagerOptions extends Pick<createPieceFetcher.PieceFetcherOptions, 'self' | 'agents' | 'expectedZones' | 'origin' | 'fetchFromPeer' | 'onSuspect' | 'now' | 'random'> {
   readonly model: string
+  /** Layers of the model. */
+  readonly layers: number
   /** Versions named for the model. */
   readonly named: () => readonly staging.NamedVersion[]
   /** Fresh state of the engine, or null when it does not answer. */
@@ -35,6 +40,8 @@
   readonly onTurn: (inMs: number | null) => void
   /** Told when the engine shall get no new work, because it is about to change its version. */
   readonly onPause: (isPaused: boolean) => void
+  /** Told when the engine holds layers that it did not hold before. */
+  readonly onLoaded: () => void
   readonly onEvent: (event: string, fields: Readonly<Record<string, string | number | boolean>>) => void
   /** Milliseconds that fetching a whole version takes on this link. */
   readonly wholeMs: number
@@ -76,6 +83,8 @@
 
 interface ActiveFetch {
   readonly target: staging.NamedVersion
+  /** Whether the engine held nothing, so that it takes some layers as soon as their pieces are here. */
+  readonly isFromEmpty: boolean
   fetcher: createPieceFetcher.PieceFetcher | null
 }
 
@@ -159,8 +168,12 @@
     const named = options.named()
     planFetch(state, named)
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
-    if (ready === undefined) foretellTurn(state)
-    if (ready === undefined || state.isBusy) return
+    if (ready === undefined) {
+      foretellTurn(state)
+      await takeFirstLayers(state)
+      return
+    }
+    if (state.isBusy) return
     const turn = findTurn(ready, state)
     const turnAt = turn.at
     options.onTurn(Math.max(0, turnAt - options.now()))
@@ -171,7 +184,7 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
-    await order(ready, turn.method)
+    await order(ready, turn.method, state)
   }
 
   function planFetch (state: EngineState, named: readonly staging.NamedVersion[]): void {
@@ -190,7 +203,7 @@
     fetchingSince ??= options.now()
     notBelow = target.id.version
     const isAhead = ahead?.target.id.version === target.id.version
-    active = isAhead ? ahead : { target, fetcher: null }
+    active = isAhead ? ahead : { target, isFromEmpty: state.held === 0, fetcher: null }
     if (isAhead) ahead = null
     options.onEvent('version-begun', { version: target.id.version, held: state.held, leftMs: Math.round(target.boundAt - options.now()) })
     if (!isAhead) void fetch(active as ActiveFetch)
@@ -200,10 +213,20 @@
   function readAhead (newest: staging.NamedVersion, target: staging.NamedVersion): void {
     if (newest.id.version <= target.id.version || ahead?.target.id.version === newest.id.version) return
     ahead?.fetcher?.stop()
-    ahead = { target: newest, fetcher: null }
+    ahead = { target: newest, isFromEmpty: false, fetcher: null }
     void fetch(ahead)
   }
 
+  /** An engine that holds nothing serves together with others before it is whole. */
+  function chooseFirstLayers (current: ActiveFetch): staging.LayerRange | null {
+    return current.isFromEmpty ? chooseLayers.chooseLayers(options.self, options.agents(), options.layers) : null
+  }
+
+  function listFirstPieces (current: ActiveFetch, pieces: number): number[] {
+    const layers = chooseFirstLayers(current)
+    return layers === null ? [] : chooseLayers.listPieces(layers, options.layers, pieces)
+  }
+
   function endFetch (): void {
     active?.fetcher?.stop()
     ahead?.fetcher?.stop()
@@ -221,6 +244,7 @@
     current.fetcher = createPieceFetcher.createPieceFetcher({
       ...options,
       pieces: store.open(manifest),
+      firstPieces: () => new Set(listFirstPieces(current, manifest.digests.length)),
       isReadingAhead: () => active !== current,
       onEvent: ({ event, ...fields }) => { options.onEvent(event, fields) }
     })
@@ -260,15 +284,52 @@
     if (pieces === null) return
     const isRewritten = staged?.version !== ready.id.version
     staged = null
+    const all = pieces.manifest.digests.map((_, piece) => piece)
+    if (await writeAndVerify(pieces, all, isRewritten)) staged = { version: ready.id.version, verifiedAt: options.now() }
+  }
+
+  async function writeAndVerify (pieces: createPieceStore.VersionPieces, wanted: readonly number[], isRewritten: boolean): Promise<boolean> {
+    const { version } = pieces.manifest.id
     const startedAt = options.now()
-    const written = await writeStage.writeStage(options.engine, pieces, isRewritten)
-    if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
-    if (written.failed > 0) return
-    staged = { version: ready.id.version, verifiedAt: options.now() }
-    options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
+    const written = await writeStage.writeStage(options.engine, pieces, wanted, isRewritten)
+    if (written.repaired > 0) options.onEvent('stage-repaired', { version, pieces: written.repaired, failed: written.failed })
+    if (written.failed > 0) return false
+    options.onEvent('staged', { version, pieces: wanted.length, tookMs: Math.round(options.now() - startedAt) })
+    return true
+  }
+
+  /** An empty engine takes its first layers as soon as their pieces are here; the others follow with the whole version. */
+  async function takeFirstLayers (state: EngineState): Promise<void> {
+    const layers = active === null ? null : chooseFirstLayers(active)
+    if (active === null || layers === null || state.held > 0 || state.parts.length > 0 || state.isBusy) return
+    const { id, heardAt } = active.target
+    const pieces = find(id.version)
+    const wanted = pieces === null ? [] : chooseLayers.listPieces(layers, options.layers, pieces.manifest.digests.length)
+    if (pieces === null || !wanted.every(pieces.has)) return
+    if (!await writeAndVerify(pieces, wanted, true)) return
+    const outcome = await options.engine.start(id, state.sequence, 'finish', layers)
+    options.onEvent('layers-ordered', { version: id.version, from: layers.from, to: layers.to, outcome, afterMs: Math.round(options.now() - heardAt) })
+    await types.delay(AFTER_ORDER_MS)
+    await pollEngine((next) => stopping.signal.aborted || next.parts.length > 0 || !next.isBusy, Infinity)
+    options.onLoaded()
+  }
+
+  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod, held: EngineState): Promise<void> {
+    const rest = chooseLayers.findRest(held.parts, ready.id.version, options.layers)
+    if (rest === null) await orderAll(ready, method)
+    else await orderRest(ready, rest, held)
+  }
+
+  /** Layers of the version that the engine runs are loaded beside its work. */
+  async function orderRest ({ id, heardAt }: staging.NamedVersion, rest: staging.LayerRange, held: EngineState): Promise<void> {
+    const outcome = await options.engine.start(id, held.sequence, 'finish', rest)
+    options.onEvent('layers-ordered', { version: id.version, from: rest.from, to: rest.to, outcome, afterMs: Math.round(options.now() - heardAt) })
+    await types.delay(AFTER_ORDER_MS)
+    await pollEngine((state) => stopping.signal.aborted || state.held >= id.version || !state.isBusy, Infinity)
+    options.onLoaded()
   }
 
-  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
+  async function orderAll (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
     const { id, heardAt } = ready
     options.onPause(true)
     const state = await waitUntilNoneWaits()
@@ -277,7 +338,7 @@
       options.onPause(false)
       return
     }
-    const outcome = await options.engine.start(id, state.sequence, method)
+    const outcome = await options.engine.start(id, state.sequence, method, null)
     options.onEvent('version-ordered', { version: id.version, held: state.held, method, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
     const switchedMs = await waitForSwitch(ready)
--- a/packages/staging/src/writeStage/index.ts
+++ b/packages/staging/src/writeStage/index.ts
@@ -16,11 +16,12 @@
  * Writes and verifies.
  *
  * @param engine - The engine.
- * @param pieces - All pieces of the version.
+ * @param pieces - The version; those that are staged must be here.
+ * @param staged - The pieces that the engine shall take.
  * @param writesAll - Whether every piece is written first; else only those that lie there wrong.
  * @returns How many pieces had to be repaired, and how many could not be.
  */
-export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, writesAll: boolean): Promise<WrittenStage> {
+export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, staged: readonly number[], writesAll: boolean): Promise<WrittenStage> {
   const { id, digests } = pieces.manifest
   let repaired = 0
   let failed = 0
@@ -41,17 +42,17 @@
     if (!await write(piece) || !await isRight(piece)) failed += 1
   }
 
-  if (writesAll) await forEachPiece(digests.length, async (piece) => { await write(piece) })
-  await forEachPiece(digests.length, verify)
+  if (writesAll) await forEachPiece(staged, async (piece) => { await write(piece) })
+  await forEachPiece(staged, verify)
   return { repaired, failed }
 }
 
-/** Visits all pieces, a few at a time. */
-async function forEachPiece (size: number, visit: (piece: number) => Promise<void>): Promise<void> {
+/** Visits pieces, a few at a time. */
+async function forEachPiece (pieces: readonly number[], visit: (piece: number) => Promise<void>): Promise<void> {
   let next = 0
   async function runLane (): Promise<void> {
-    while (next < size) {
-      const piece = next
+    while (next < pieces.length) {
+      const piece = pieces[next] as number
       next += 1
       await visit(piece)
     }
