--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -20,8 +20,13 @@
 /** After a start, agents of all zones are heard of within this; 1.8 s at 73 daemons and 3.3 s at 183 were measured. */
 const ZONES_KNOWN_MS = 3500
 const REPORT_INTERVAL_MS = 125
-/** Part of the link that pieces may take, so that streams of the same link stay in time. */
-const PIECE_LINK_PART = 0.9
+/** Part of the link that pieces may take while the engine serves nobody; the rest is for heartbeats and the heads of pieces. */
+const IDLE_LINK_PART = 0.9
+/**
+ * Part of the link that pieces may take while streams share it: with 0.9 a call's way there and back took 160 ms longer than
+ * the usual 125 ms, so that half of the calls during a change of version were late.
+ */
+const SERVING_LINK_PART = 0.75
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
 /** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
@@ -52,8 +57,8 @@
   const self: staging.StagingPeer = { node: types.brandId(checked.node), zone: checked.zone, address: createFleetParts.internalAddress(parts, checked.host) }
   const engineAddress = checked.engine.address as string
   const engine = platform.createEngineControl(platform.parseAddress(engineAddress), parts.agents)
-  const linkBytes = checked.limits.link_megabits_per_second * BITS_IN_MEGABIT / BITS_IN_BYTE * PIECE_LINK_PART
-  const uplink = staging.createPieceUplink(linkBytes, now)
+  const linkBytes = checked.limits.link_megabits_per_second * BITS_IN_MEGABIT / BITS_IN_BYTE
+  const uplink = staging.createPieceUplink(linkBytes, () => isServing() ? SERVING_LINK_PART : IDLE_LINK_PART, now)
   let report: gateway.EngineReport | null = null
   let isPaused = false
   let changesInMs: number | null = null
@@ -73,6 +78,10 @@
   })
   const { gossip } = exchange
 
+  function isServing (): boolean {
+    return report !== null && (report.models.size > 0 || report.parts.length > 0)
+  }
+
   function findFigures (): gateway.EngineFigures | null {
     const name = checked.engine.service
     return name === undefined ? null : parts.routes()?.findService(types.brandId<types.ServiceName>(name))?.engine ?? null
@@ -134,7 +143,7 @@
         logger.info(event, fields)
       },
       uplink,
-      wholeMs: wholeBytes * types.MILLISECONDS_IN_SECOND / linkBytes + RAMP_UP_MS,
+      wholeMs: wholeBytes * types.MILLISECONDS_IN_SECOND / (linkBytes * SERVING_LINK_PART) + RAMP_UP_MS,
       now,
       random: Math.random
     })
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -193,7 +193,7 @@
   function startAgent (index: number): void {
     const name = names[index] as string
     const self: staging.StagingPeer = { node: types.brandId(name), zone: regionOf(index), address: { host: name, port: 1 } }
-    const uplink = createPieceUplink.createPieceUplink(LINK * PACED_PART * types.MILLISECONDS_IN_SECOND, now)
+    const uplink = createPieceUplink.createPieceUplink(LINK * types.MILLISECONDS_IN_SECOND, () => PACED_PART, now)
     const known = new Map<string, KnownPeer>()
     const suspectUntil = new Map<types.NodeId, number>()
     let draws = 0
--- a/packages/staging/src/createPieceUplink/index.ts
+++ b/packages/staging/src/createPieceUplink/index.ts
@@ -27,11 +27,12 @@
 /**
  * Creates the sending direction.
  *
- * @param bytesPerSecond - What pieces may take of the link.
+ * @param bytesPerSecond - What the link carries.
+ * @param share - Part of it, up to 1, that pieces may take now.
  * @param now - Monotonic clock in milliseconds.
  * @returns The direction, with nothing under way.
  */
-export function createPieceUplink (bytesPerSecond: number, now: () => number): PieceUplink {
+export function createPieceUplink (bytesPerSecond: number, share: () => number, now: () => number): PieceUplink {
   const pacer = transfer.createLinkPacer(bytesPerSecond, now)
   let waitingBytes = 0
 
@@ -48,7 +49,7 @@
     async function * takeSlices (): AsyncGenerator<Buffer> {
       for (let offset = 0; offset < bytes.length; offset += SLICE_BYTES) {
         const slice = bytes.subarray(offset, offset + SLICE_BYTES)
-        await pacer.take(slice.length)
+        await pacer.take(slice.length / share())
         release(slice.length)
         yield slice
       }
@@ -57,5 +58,5 @@
     return { slices: takeSlices(), end: () => { release(left) } }
   }
 
-  return { send, backlogMs: () => waitingBytes * types.MILLISECONDS_IN_SECOND / bytesPerSecond }
+  return { send, backlogMs: () => waitingBytes * types.MILLISECONDS_IN_SECOND / (bytesPerSecond * share()) }
 }
--- a/packages/staging/src/createPieceUplink/test.ts
+++ b/packages/staging/src/createPieceUplink/test.ts
@@ -38,7 +38,7 @@
 nodeTest.test('events pass between the slices of pieces, and pieces take the part of the link that they may', async (context) => {
   context.mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 0 })
   const link = createLink()
-  const uplink = createPieceUplink.createPieceUplink(LINK * PIECE_PART * 1000, Date.now)
+  const uplink = createPieceUplink.createPieceUplink(LINK * 1000, () => PIECE_PART, Date.now)
   const pieces = 8
   const sent = { bytes: 0, at: 0 }
   async function send (): Promise<void> {
@@ -61,7 +61,7 @@
 
 nodeTest.test('the backlog counts what is under way, and no longer what a peer gave up', async (context) => {
   context.mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 0 })
-  const uplink = createPieceUplink.createPieceUplink(1_000_000, Date.now)
+  const uplink = createPieceUplink.createPieceUplink(1_000_000, () => 1, Date.now)
   const first = uplink.send(Buffer.alloc(50_000))
   const second = uplink.send(Buffer.alloc(20_000))
   assert.equal(uplink.backlogMs(), 70)
