Read the layers of an engine as engines tell them, and refuse reports that can't be

Cause: layers are one object or null, not a list; an unreadable report counted as no engine, in silence. Change: the shape as it is, reports refused with their place, said once and counted.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -56,13 +56,14 @@
   const startedAt = now()
   const self: staging.StagingPeer = { node: types.brandId(checked.node), zone: checked.zone, address: createFleetParts.internalAddress(parts, checked.host) }
   const engineAddress = checked.engine.address as string
-  const engine = platform.createEngineControl(platform.parseAddress(engineAddress), parts.agents)
+  const engine = platform.createEngineControl(platform.parseAddress(engineAddress), parts.agents, noteUnreadable)
   const linkBytes = checked.limits.link_megabits_per_second * BITS_IN_MEGABIT / BITS_IN_BYTE
   const uplink = staging.createPieceUplink(linkBytes, () => isServing() ? SERVING_LINK_PART : IDLE_LINK_PART, now)
   let report: gateway.EngineReport | null = null
   let isPaused = false
   let changesInMs: number | null = null
   let isLeaving = false
+  let unreadable = ''
   let stager: staging.Stager | null = null
   const suspectUntil = new Map<types.NodeId, number>()
 
@@ -78,6 +79,14 @@
   })
   const { gossip } = exchange
 
+  /** Says once why reports are refused; how often is counted. */
+  function noteUnreadable ({ message }: types.InvalidInputError): void {
+    metrics.count('engine_reports_unreadable')
+    if (message === unreadable) return
+    unreadable = message
+    logger.error('engine-report-unreadable', { address: engineAddress, error: message })
+  }
+
   function isServing (): boolean {
     return report !== null && (report.models.size > 0 || report.parts.length > 0)
   }
