--- a/packages/daemon/src/_lib/engineNews.ts
+++ b/packages/daemon/src/_lib/engineNews.ts
@@ -11,6 +11,8 @@
   readonly isPaused: boolean
   /** Milliseconds until it changes its version; null when it will not. */
   readonly changesInMs: number | null
+  /** Milliseconds until it serves the newest version, 0 when it does; null when nobody knows. */
+  readonly servesInMs: number | null
 }
 
 /** 1 or 0. */
@@ -20,6 +22,7 @@
   zod.string(),
   flagSchema,
   zod.number().nullable(),
+  zod.number().nullable(),
   zod.number(),
   zod.number(),
   flagSchema,
@@ -32,9 +35,13 @@
 const DIGITS = 4
 
 /** Formats news for a heartbeat. */
-export function formatEngineNews ({ address, report, isPaused, changesInMs }: EngineNews): unknown {
+export function formatEngineNews ({ address, report, isPaused, changesInMs, servesInMs }: EngineNews): unknown {
   const { running, waiting, isBusy, sequence, pace, models, parts } = report
-  return [address, isPaused ? 1 : 0, changesInMs === null ? null : Math.round(changesInMs), running, waiting, isBusy ? 1 : 0, sequence, Number(pace.toPrecision(DIGITS)), [...models], parts.map(({ model, version, from, to }) => [model, version, from, to])]
+  return [address, isPaused ? 1 : 0, roundTime(changesInMs), roundTime(servesInMs), running, waiting, isBusy ? 1 : 0, sequence, Number(pace.toPrecision(DIGITS)), [...models], parts.map(({ model, version, from, to }) => [model, version, from, to])]
+}
+
+function roundTime (milliseconds: number | null): number | null {
+  return milliseconds === null ? null : Math.round(milliseconds)
 }
 
 /**
@@ -47,6 +54,6 @@
   if (value === null || value === undefined) return null
   const parsed = newsSchema.safeParse(value)
   if (!parsed.success) return null
-  const [address, isPaused, changesInMs, running, waiting, isBusy, sequence, pace, models, parts] = parsed.data
-  return { address, isPaused, changesInMs, report: { running, waiting, isBusy, sequence, pace, models: new Map(models), parts: parts.map(([model, version, from, to]) => ({ model, version, from, to })) } }
+  const [address, isPaused, changesInMs, servesInMs, running, waiting, isBusy, sequence, pace, models, parts] = parsed.data
+  return { address, isPaused, changesInMs, servesInMs, report: { running, waiting, isBusy, sequence, pace, models: new Map(models), parts: parts.map(([model, version, from, to]) => ({ model, version, from, to })) } }
 }
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -99,11 +99,19 @@
     })
   }
 
+  /** A call needs two engines where each holds a part of the layers, so the second one that serves counts. */
+  function servesInMs (service: types.ServiceName): number | null {
+    const times = parts.backEnds().filter((backEnd) => backEnd.service === service).map((backEnd) => book.read(backEnd.id).servesAt).filter(Number.isFinite)
+    const [first, second = first] = times.sort((left, right) => left - right)
+    return second === undefined ? null : Math.max(0, second - now())
+  }
+
   const calls = gateway.createCallHandler({
     protocol: platform.createCallProtocol(),
     routes: parts.routes,
     book,
     choose,
+    servesInMs,
     budgetOf,
     logger,
     count: metrics.count,
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -2,16 +2,27 @@
 import type * as createBackEndBook from '../createBackEndBook/index.js'
 import type * as createCallHandler from '../createCallHandler/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
+import * as types from '@switchridge/types'
 import * as decideAdmission from '../decideAdmission/index.js'
+import * as decideWait from '../decideWait/index.js'
 import * as relayEvents from '../relayEvents/index.js'
 import type * as answers from './answers.js'
 import type * as callState from './callState.js'
 import * as runAttempt from './runAttempt.js'
 
 const DEFAULT_RETRY_AFTER_MS = 400
-/** While no back end may serve at all, a caller that came back soon would be refused again. */
+/** While no back end may serve at all and nobody knows for how long, a caller that came back soon would be refused again. */
 const NONE_RETRY_AFTER_MS = 1000
 const NONE_REMAINING_PART = 0.3
+/** A call that waits looks for a back end about so often, at times of its own. */
+const WAIT_POLL_MS = 40
+/**
+ * Callers give up a stream of which they hear nothing for the longest of these, by the users' page: two seconds, four times the target, eight
+ * times the longest pause. Others wait until their deadline.
+ */
+const STREAM_PATIENCE_MS = 2000
+const STREAM_PATIENCE_TARGETS = 4
+const STREAM_PATIENCE_PAUSES = 8
 /** Chances to reach another back end after connections that never stood. */
 const MAXIMUM_UNSENT = 4
 
@@ -41,6 +52,7 @@
   let failed: runAttempt.WholeAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
   let unsent = 0
+  let hasWaited = false
   let lastReason = ''
   let backEnd = ''
 
@@ -57,13 +69,19 @@
         version: stream.version
       })
       if (choice === null) {
-        if (lastReason === '') retryAfterMs = Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
-        lastReason = lastReason === '' ? `no back end may serve: ${describePassedOver(passedOver)}` : lastReason
+        if (lastReason !== '') return giveUp()
+        const wait = decideToWait(options.servesInMs(call.service))
+        if (wait.isWaiting && await waitAWhile()) continue
+        if (call.hasLeft()) return 'left'
+        retryAfterMs = wait.isWaiting ? DEFAULT_RETRY_AFTER_MS : wait.retryAfterMs ?? chooseBlindReturn()
+        lastReason = `no back end may serve: ${describePassedOver(passedOver)}`
         return giveUp()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
       if (isFirst && unsent === 0) {
         const admission = decide(choice)
+        if (!admission.isTaken && hasWaited && decideToWait(choice.firstEventMs).isWaiting && await waitAWhile()) continue
+        if (call.hasLeft()) return 'left'
         if (!admission.isTaken) {
           lastReason = `first event in ${Math.round(choice.firstEventMs)} ms`
           retryAfterMs = admission.retryAfterMs
@@ -93,6 +111,25 @@
     }
   }
 
+  function decideToWait (servesInMs: number | null): decideWait.Wait {
+    const { kind, targetMs, gapTargetMs } = call.route
+    const streamPatienceMs = Math.max(STREAM_PATIENCE_MS, STREAM_PATIENCE_TARGETS * targetMs, STREAM_PATIENCE_PAUSES * gapTargetMs)
+    const lifeMs = call.deadline.at - call.receivedAt
+    const patienceMs = kind === 'stream' ? Math.min(lifeMs, streamPatienceMs) : lifeMs
+    return decideWait.decideWait({ servesInMs, waitedMs: options.now() - call.receivedAt, patienceMs }, options.random())
+  }
+
+  /** Returns whether the call is still wanted. */
+  async function waitAWhile (): Promise<boolean> {
+    hasWaited = true
+    await types.delay(WAIT_POLL_MS * (1 + options.random()))
+    return !call.hasLeft() && !call.isExpired()
+  }
+
+  function chooseBlindReturn (): number {
+    return Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
+  }
+
   function decide (choice: chooseBackEnd.Choice): decideAdmission.Admission {
     return decideAdmission.decideAdmission({
       firstEventMs: choice.firstEventMs,
@@ -169,6 +206,7 @@
     attempts: call.attempts,
     ending,
     ms: elapsedMs,
+    hasWaited,
     predictedMs: call.predictedMs,
     firstEventMs,
     version: stream.version,
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -3,6 +3,7 @@
 import * as types from '@switchridge/types'
 import * as chooseLayers from '../chooseLayers/index.js'
 import * as computeTurn from '../computeTurn/index.js'
+import * as estimateServing from '../estimateServing/index.js'
 import * as createManifestReader from '../createManifestReader/index.js'
 import * as createPieceFetcher from '../createPieceFetcher/index.js'
 import * as createPieceStore from '../createPieceStore/index.js'
@@ -74,6 +75,8 @@
   /** To be told when a piece has been sent. */
   readonly noteSent: (id: staging.VersionId, piece: number, asker: types.NodeId) => void
   readonly provideManifest: (id: staging.VersionId, waitMs: number) => Promise<readonly types.Digest[] | null>
+  /** Milliseconds until the engine serves the newest version, 0 when it does; null when nobody knows. */
+  readonly servesInMs: () => number | null
   /** Milliseconds for which versions have been on their way without a break, 0 when none is. */
   readonly fetchingMs: () => number
   /** Goes on with what is to be done now; call it when versions or the engine change, and regularly. */
@@ -83,6 +86,7 @@
 
 interface ActiveFetch {
   readonly target: staging.NamedVersion
+  readonly startedAt: number
   /** Whether the engine held nothing, so that it takes some layers as soon as their pieces are here. */
   readonly isFromEmpty: boolean
   fetcher: createPieceFetcher.PieceFetcher | null
@@ -107,6 +111,8 @@
 /** The order is given at the latest so long after the pause began. */
 const PAUSE_MAXIMUM_MS = 500
 const AFTER_ORDER_MS = 100
+/** From the pause of an engine until it serves its new version, when it breaks off what runs. */
+const CHANGE_MS = 700
 /** Calls that end within this time after the pause began are not broken off. */
 const SHORT_CALLS_MS = 250
 const STAGED_READ_PAUSE_MS = 50
@@ -132,6 +138,8 @@
   let notBelow = 0
   let staged: StagedVersion | null = null
   const wholeAt = new Map<number, number>()
+  let lastState: EngineState | null = null
+  let turnAt = -Infinity
   const stopping = new AbortController()
   let isWorking = false
   let wakeAgain = false
@@ -155,6 +163,7 @@
     isWorking = true
     try {
       const state = await options.readEngine()
+      lastState = state
       if (state !== null && !stopping.signal.aborted) await advance(state)
     } finally {
       isWorking = false
@@ -175,7 +184,7 @@
     }
     if (state.isBusy) return
     const turn = findTurn(ready, state)
-    const turnAt = turn.at
+    turnAt = turn.at
     options.onTurn(Math.max(0, turnAt - options.now()))
     if (options.now() < turnAt - STAGE_BEFORE_TURN_MS) {
       wakeAt(turnAt - STAGE_BEFORE_TURN_MS)
@@ -203,7 +212,7 @@
     fetchingSince ??= options.now()
     notBelow = target.id.version
     const isAhead = ahead?.target.id.version === target.id.version
-    active = isAhead ? ahead : { target, isFromEmpty: state.held === 0, fetcher: null }
+    active = isAhead ? ahead : { target, startedAt: options.now(), isFromEmpty: state.held === 0, fetcher: null }
     if (isAhead) ahead = null
     options.onEvent('version-begun', { version: target.id.version, held: state.held, leftMs: Math.round(target.boundAt - options.now()) })
     if (!isAhead) void fetch(active as ActiveFetch)
@@ -213,7 +222,7 @@
   function readAhead (newest: staging.NamedVersion, target: staging.NamedVersion): void {
     if (newest.id.version <= target.id.version || ahead?.target.id.version === newest.id.version) return
     ahead?.fetcher?.stop()
-    ahead = { target: newest, isFromEmpty: false, fetcher: null }
+    ahead = { target: newest, startedAt: options.now(), isFromEmpty: false, fetcher: null }
     void fetch(ahead)
   }
 
@@ -275,6 +284,23 @@
     options.onTurn(isComing ? Math.max(0, findTurn((active as ActiveFetch).target, state).at - options.now()) : null)
   }
 
+  function servesInMs (): number | null {
+    const newest = options.named().at(-1)?.id.version
+    if (lastState === null || newest === undefined) return null
+    if (lastState.held >= newest || lastState.parts.some((part) => part.version >= newest)) return 0
+    if (active === null) return turnAt > options.now() ? turnAt - options.now() + CHANGE_MS : null
+    return active.target.id.version === newest ? estimateFetched(active, lastState) : null
+  }
+
+  function estimateFetched (current: ActiveFetch, state: EngineState): number {
+    const pieces = find(current.target.id.version)
+    const total = pieces?.manifest.digests.length ?? 1
+    const wanted = pieces === null ? [] : listFirstPieces(current, total)
+    const awaited = wanted.length > 0 ? wanted.filter((piece) => !(pieces?.has(piece) ?? false)).length : total - (pieces?.count() ?? 0)
+    const fetchedMs = estimateServing.estimateServing({ missing: awaited, received: pieces?.count() ?? 0, elapsedMs: options.now() - current.startedAt, pieceMs: options.wholeMs / total })
+    return state.held === 0 ? fetchedMs : Math.max(fetchedMs, findTurn(current.target, state).at - options.now() + CHANGE_MS)
+  }
+
   function isStagedFor (ready: staging.NamedVersion): boolean {
     return staged !== null && staged.version === ready.id.version && options.now() - staged.verifiedAt <= VERIFIED_FOR_MS
   }
@@ -443,6 +469,7 @@
   return {
     wake,
     providePiece,
+    servesInMs,
     fetchingMs: () => fetchingSince === null ? 0 : options.now() - fetchingSince,
     noteSent: (id, piece, asker) => { store.find(id)?.noteSent(piece, asker) },
     provideManifest: manifests.provide,
