Judge silent watchers after 1.05 s

Cause: the test of a hall whose first four gateways are cut off failed once heartbeats changed their length: a change in force after 2,137 ms (bound 2,000), with 1.3 s of it the wait for a silent watcher. Signs come every 660 ms, so 1.05 s bears one that is late by 390 ms.

--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -64,7 +64,7 @@
 const VIEW_MS = 200
 /** Relays and those that would follow tell each other so often that they live. */
 const RELAY_BEAT_MS = 330
-/** Those that would follow after the candidates hear of every second sign, within the 1.3 s after which they judge. */
+/** Those that would follow after the candidates hear of every second sign, within the 1.05 s after which they judge. */
 const LISTENER_BEATS = 2
 /** Peers that are silent hear of this daemon less often. */
 const SILENT_FACTOR = 1.5
