--- a/packages/daemon/src/createWatchDuty/index.ts
+++ b/packages/daemon/src/createWatchDuty/index.ts
@@ -30,7 +30,7 @@
 /**
  * A watcher that was silent for so long is replaced by the next in the ranking. The first eight hear the first four every
  * 660 ms at least; all others hear of them too seldom to judge, and go by what counts as live. With 1.3 s, a change was in force after 2,137 ms at
- * the others of a hall of 73 daemons in memory whose first four were cut off right before it; it must be after 2,000.
+ * the others of a hall, of 84 daemons in memory, whose first four were cut off right before it; it must be after 2,000.
  */
 const WATCHER_SILENT_MS = 1050
 /** After a start others are heard of within two ways there and back between regions; before that each gateway would take itself for alone. */
