Order all layers when the rest of a version is whole

Cause: an order for layers 8 to 16 takes the place of layers 0 to 8, and agents ordered by turns for ten seconds.

--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -244,8 +244,8 @@
         getPiece: async (_model, piece) => types.succeed(stage.get(piece) ?? null),
         start: async (id, _sequence, _method, layers) => {
           const agent = played.get(name)
-          if (layers !== null) parts.push({ version: id.version, ...layers })
-          if (layers === null || parts.length > 1) held = ID.version
+          parts.splice(0, parts.length, ...(layers === null ? [] : [{ version: id.version, ...layers }]))
+          if (layers === null || (layers.from === 0 && layers.to === LAYERS)) held = ID.version
           else if (agent !== undefined) Object.assign(agent, { layersMs: now() - startedAt, firstLayers: layers })
           return 'done'
         }
--- a/packages/staging/src/chooseLayers/index.ts
+++ b/packages/staging/src/chooseLayers/index.ts
@@ -38,18 +38,3 @@
   const end = Math.ceil(to * pieces / layers)
   return Array.from({ length: end - first }, (_, index) => first + index)
 }
-
-/**
- * Finds the layers that an engine lacks of a version of which it holds one end.
- *
- * @param held - Layers that it holds.
- * @param version - The version.
- * @param layers - How many layers the model has.
- * @returns The other end; null when all layers are to be taken, because it holds none, or some of another version.
- */
-export function findRest (held: readonly staging.HeldLayers[], version: number, layers: number): staging.LayerRange | null {
-  const [run] = held
-  if (run === undefined || held.length > 1 || run.version !== version) return null
-  if (run.from === 0 && run.to < layers) return { from: run.to, to: layers }
-  return run.to === layers && run.from > 0 ? { from: 0, to: run.from } : null
-}
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -341,15 +341,17 @@
   }
 
   async function order (ready: staging.NamedVersion, method: staging.SwitchMethod, held: EngineState): Promise<void> {
-    const rest = chooseLayers.findRest(held.parts, ready.id.version, options.layers)
-    if (rest === null) await orderAll(ready, method)
-    else await orderRest(ready, rest, held)
+    if (held.parts.some((part) => part.version === ready.id.version)) await orderMore(ready, held)
+    else await orderAll(ready, method)
   }
 
-  /** Layers of the version that the engine runs are loaded beside its work. */
-  async function orderRest ({ id, heardAt }: staging.NamedVersion, rest: staging.LayerRange, held: EngineState): Promise<void> {
-    const outcome = await options.engine.start(id, held.sequence, 'finish', rest)
-    options.onEvent('layers-ordered', { version: id.version, from: rest.from, to: rest.to, outcome, afterMs: Math.round(options.now() - heardAt) })
+  /**
+   * More layers of the version that the engine runs are loaded beside its work, if the order names those that it holds too: an order for
+   * others alone would take the place of them, and wait for what runs.
+   */
+  async function orderMore ({ id, heardAt }: staging.NamedVersion, held: EngineState): Promise<void> {
+    const outcome = await options.engine.start(id, held.sequence, 'finish', { from: 0, to: options.layers })
+    options.onEvent('layers-ordered', { version: id.version, from: 0, to: options.layers, outcome, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
     await pollEngine((state) => stopping.signal.aborted || state.held >= id.version || !state.isBusy, Infinity)
     options.onLoaded()
