--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -2,9 +2,7 @@
 import type * as createBackEndBook from '../createBackEndBook/index.js'
 import type * as createCallHandler from '../createCallHandler/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
-import * as types from '@switchridge/types'
 import * as decideAdmission from '../decideAdmission/index.js'
-import * as decideWait from '../decideWait/index.js'
 import * as relayEvents from '../relayEvents/index.js'
 import type * as answers from './answers.js'
 import type * as callState from './callState.js'
@@ -14,15 +12,8 @@
 /** While no back end may serve at all and nobody knows for how long, a caller that came back soon would be refused again. */
 const NONE_RETRY_AFTER_MS = 1000
 const NONE_REMAINING_PART = 0.3
-/** A call that waits looks for a back end about so often, at times of its own. */
-const WAIT_POLL_MS = 40
-/**
- * Callers give up a stream of which they hear nothing for the longest of these, by the users' page: two seconds, four times the target, eight
- * times the longest pause. Others wait until their deadline.
- */
-const STREAM_PATIENCE_MS = 2000
-const STREAM_PATIENCE_TARGETS = 4
-const STREAM_PATIENCE_PAUSES = 8
+/** Callers come back from the time at which a back end will serve, spread over this part of the time until then, so that not all come at once. */
+const RETURN_SPREAD_PART = 0.5
 /** Chances to reach another back end after connections that never stood. */
 const MAXIMUM_UNSENT = 4
 
@@ -52,7 +43,6 @@
   let failed: runAttempt.WholeAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
   let unsent = 0
-  let hasWaited = false
   let lastReason = ''
   let backEnd = ''
 
@@ -70,18 +60,13 @@
       })
       if (choice === null) {
         if (lastReason !== '') return giveUp()
-        const wait = decideToWait(options.servesInMs(call.service))
-        if (wait.isWaiting && await waitAWhile()) continue
-        if (call.hasLeft()) return 'left'
-        retryAfterMs = wait.isWaiting ? DEFAULT_RETRY_AFTER_MS : wait.retryAfterMs ?? chooseBlindReturn()
+        retryAfterMs = chooseReturn(options.servesInMs(call.service))
         lastReason = `no back end may serve: ${describePassedOver(passedOver)}`
         return giveUp()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
       if (isFirst && unsent === 0) {
         const admission = decide(choice)
-        if (!admission.isTaken && hasWaited && decideToWait(choice.firstEventMs).isWaiting && await waitAWhile()) continue
-        if (call.hasLeft()) return 'left'
         if (!admission.isTaken) {
           lastReason = `first event in ${Math.round(choice.firstEventMs)} ms`
           retryAfterMs = admission.retryAfterMs
@@ -111,23 +96,10 @@
     }
   }
 
-  function decideToWait (servesInMs: number | null): decideWait.Wait {
-    const { kind, targetMs, gapTargetMs } = call.route
-    const streamPatienceMs = Math.max(STREAM_PATIENCE_MS, STREAM_PATIENCE_TARGETS * targetMs, STREAM_PATIENCE_PAUSES * gapTargetMs)
-    const lifeMs = call.deadline.at - call.receivedAt
-    const patienceMs = kind === 'stream' ? Math.min(lifeMs, streamPatienceMs) : lifeMs
-    return decideWait.decideWait({ servesInMs, waitedMs: options.now() - call.receivedAt, patienceMs }, options.random())
-  }
-
-  /** Returns whether the call is still wanted. */
-  async function waitAWhile (): Promise<boolean> {
-    hasWaited = true
-    await types.delay(WAIT_POLL_MS * (1 + options.random()))
-    return !call.hasLeft() && !call.isExpired()
-  }
-
-  function chooseBlindReturn (): number {
-    return Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
+  /** When a caller that no back end may serve now may come back. */
+  function chooseReturn (servesInMs: number | null): number {
+    if (servesInMs === null) return Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
+    return Math.max(DEFAULT_RETRY_AFTER_MS, servesInMs) * (1 + RETURN_SPREAD_PART * options.random())
   }
 
   function decide (choice: chooseBackEnd.Choice): decideAdmission.Admission {
@@ -206,7 +178,6 @@
     attempts: call.attempts,
     ending,
     ms: elapsedMs,
-    hasWaited,
     predictedMs: call.predictedMs,
     firstEventMs,
     version: stream.version,
--- a/packages/staging/src/chooseLayers/index.ts
+++ b/packages/staging/src/chooseLayers/index.ts
@@ -19,9 +19,10 @@
  */
 export function chooseLayers (self: staging.StagingPeer, agents: readonly staging.StagingPeer[], layers: number): staging.LayerRange | null {
   if (layers < PARTS || agents.length < PARTS) return null
-  const halls = [...new Set(agents.map((agent) => agent.zone))].sort()
   const inHall = agents.filter((agent) => agent.zone === self.zone).map((agent) => agent.node).sort()
-  const part = (halls.indexOf(self.zone) + inHall.indexOf(self.node)) % PARTS
+  const halls = [...new Set(agents.map((agent) => agent.zone))].sort()
+  const place = inHall.length < PARTS ? halls.indexOf(self.zone) : inHall.indexOf(self.node)
+  const part = place % PARTS
   return { from: Math.ceil(layers * part / PARTS), to: Math.ceil(layers * (part + 1) / PARTS) }
 }
 
--- a/packages/staging/src/dealPieces/index.ts
+++ b/packages/staging/src/dealPieces/index.ts
@@ -52,11 +52,18 @@
   for (const { zone, reader } of dealt) if (reader !== undefined && zone === self.zone) add(imports, reader.node)
   return dealt.map(({ zone, reader }, piece) => {
     if (reader?.node === self.node) return { part: 'reader', provider: null }
-    if (reader !== undefined && zone === self.zone) return { part: 'member', provider: reader }
+    const isLater = !wantsFirst(self, piece)
+    if (reader !== undefined && zone === self.zone) return { part: 'member', provider: isLater ? pickHolder(piece) : reader }
     const importer = pickBelow(`${key}/${piece}`, preferWanting(inZone, piece, wantsFirst), imports, importerCap, nodeOf)
     if (importer === undefined || importer.node === self.node) return { part: 'importer', provider: reader ?? null }
-    return { part: 'member', provider: importer }
+    return { part: 'member', provider: isLater ? pickHolder(piece) : importer }
   })
+
+  /** By the time at which later pieces are asked for, all agents of the zone that want them first have them. */
+  function pickHolder (piece: number): staging.StagingPeer {
+    const holders = preferWanting(inZone, piece, wantsFirst).filter((agent) => agent.node !== self.node)
+    return membership.pickByRendezvous(`${key}/${piece}/${self.node}`, holders, nodeOf) as staging.StagingPeer
+  }
 }
 
 function preferWanting (agents: readonly staging.StagingPeer[], piece: number, wantsFirst: WantsFirst): readonly staging.StagingPeer[] {
