Let calls that are late already go behind those that can be in time

Hypothesis: after a return everybody who was refused comes back at once, and calls that can be in time wait behind them.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -52,6 +52,12 @@
 /** The last call for a version is sent so long before one that has not begun is taken back. */
 const BEGIN_GRACE_MS = 300
 
+/**
+ * A call that can no longer be in time lets those go first that can: after a return everybody who was refused comes back at once, and
+ * an engine lets in the more urgent ones first; without a figure a call counts as 5.
+ */
+const LATE_URGENCY = 8
+
 type Options = createCallHandler.CallHandlerOptions
 type BegunAnswer = Extract<sendAttempt.AttemptStart, { kind: 'answer' }>
 type AnsweredHead = Extract<gateway.AnswerHead, { kind: 'answered' }>
@@ -87,7 +93,7 @@
       backEnd: choice.backEnd.id,
       remainingMs: Math.floor(call.deadline.remainingMs()),
       tenant: call.tenant,
-      urgency: null,
+      urgency: isLate(call, options.now()) ? LATE_URGENCY : null,
       version: choice.expectedVersion,
       path: choice.path,
       lastEventId: stream.splitter.lastEventId(),
@@ -190,6 +196,12 @@
   }
 }
 
+/** Whether its first event can no longer be in time, counted from the caller's first try: what the caller waits falls with each one. */
+function isLate ({ head, route, receivedAt }: callState.CallState, now: number): boolean {
+  const spentBeforeMs = Math.max(0, route.timeoutMs - (head.remainingMs ?? route.timeoutMs))
+  return spentBeforeMs + now - receivedAt > route.targetMs
+}
+
 interface Patience {
   readonly restart: (milliseconds: number) => void
   readonly stop: () => void
