--- a/packages/daemon/src/_lib/engineNews.ts
+++ b/packages/daemon/src/_lib/engineNews.ts
@@ -28,16 +28,15 @@
   flagSchema,
   zod.number(),
   zod.number(),
-  zod.array(zod.tuple([zod.string(), zod.number()])),
-  zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()]))
+  zod.array(zod.tuple([zod.string(), zod.number()]))
 ])
 /** Digits of measured figures; they are not known more closely. */
 const DIGITS = 4
 
 /** Formats news for a heartbeat. */
 export function formatEngineNews ({ address, report, isPaused, changesInMs, servesInMs }: EngineNews): unknown {
-  const { running, waiting, isBusy, sequence, pace, models, parts } = report
-  return [address, isPaused ? 1 : 0, roundTime(changesInMs), roundTime(servesInMs), running, waiting, isBusy ? 1 : 0, sequence, Number(pace.toPrecision(DIGITS)), [...models], parts.map(({ model, version, from, to }) => [model, version, from, to])]
+  const { running, waiting, isBusy, sequence, pace, models } = report
+  return [address, isPaused ? 1 : 0, roundTime(changesInMs), roundTime(servesInMs), running, waiting, isBusy ? 1 : 0, sequence, Number(pace.toPrecision(DIGITS)), [...models]]
 }
 
 function roundTime (milliseconds: number | null): number | null {
@@ -54,6 +53,6 @@
   if (value === null || value === undefined) return null
   const parsed = newsSchema.safeParse(value)
   if (!parsed.success) return null
-  const [address, isPaused, changesInMs, servesInMs, running, waiting, isBusy, sequence, pace, models, parts] = parsed.data
-  return { address, isPaused, changesInMs, servesInMs, report: { running, waiting, isBusy, sequence, pace, models: new Map(models), parts: parts.map(([model, version, from, to]) => ({ model, version, from, to })) } }
+  const [address, isPaused, changesInMs, servesInMs, running, waiting, isBusy, sequence, pace, models] = parsed.data
+  return { address, isPaused, changesInMs, servesInMs, report: { running, waiting, isBusy, sequence, pace, models: new Map(models) } }
 }
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -275,7 +275,7 @@
   isPaused: false,
   changesInMs: null,
   servesInMs: 0,
-  report: { running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, models: new Map([['model-a', 3]]), parts: [] }
+  report: { running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, models: new Map([['model-a', 3]]) }
 })
 
 function parseSettings (host: string, hall: number, role: 'gateway' | 'agent', plan: readonly PlannedHost[]): settings.FleetSettings {
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -88,7 +88,7 @@
   }
 
   function isServing (): boolean {
-    return report !== null && (report.models.size > 0 || report.parts.length > 0)
+    return report !== null && report.models.size > 0
   }
 
   function findFigures (): gateway.EngineFigures | null {
@@ -113,11 +113,10 @@
     return staging.createStager({
       self,
       model,
-      layers: figures.layers,
       named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
       readEngine: async () => {
         const fresh = await readReport()
-        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, parts: fresh.parts.filter((part) => part.model === model), running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
+        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
       },
       engine,
       origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
@@ -146,7 +145,6 @@
         isPaused = next
         gossip.sendNow('gateway')
       },
-      onLoaded: () => { gossip.sendNow('gateway') },
       onEvent: (event, fields) => {
         metrics.count('weights_events', { event })
         logger.info(event, fields)
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -99,11 +99,10 @@
     })
   }
 
-  /** A call needs two engines where each holds a part of the layers, so the second one that serves counts. */
+  /** When the first back end serves. */
   function servesInMs (service: types.ServiceName): number | null {
     const times = parts.backEnds().filter((backEnd) => backEnd.service === service).map((backEnd) => book.read(backEnd.id).servesAt).filter(Number.isFinite)
-    const [first, second = first] = times.sort((left, right) => left - right)
-    return second === undefined ? null : Math.max(0, second - now())
+    return times.length === 0 ? null : Math.max(0, Math.min(...times) - now())
   }
 
   const calls = gateway.createCallHandler({
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -95,7 +95,6 @@
       tenant: call.tenant,
       urgency: isLate(call, options.now()) ? LATE_URGENCY : null,
       version: choice.expectedVersion,
-      path: choice.path,
       lastEventId: stream.splitter.lastEventId(),
       bodyBytes: call.body === null ? null : call.body.length
     }),
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -119,17 +119,16 @@
   }
 
   async function attempt (choice: chooseBackEnd.Choice): Promise<runAttempt.AttemptOutcome> {
-    const passed = [choice.backEnd.id, ...choice.passes]
-    for (const id of passed) call.tried.add(id)
+    call.tried.add(choice.backEnd.id)
     const open: createBackEndBook.OpenAttempt = {
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
       sentAt: options.now(),
       hasBegun: false
     }
-    for (const id of passed) options.book.noteSent(id, open)
+    options.book.noteSent(choice.backEnd.id, open)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
-    for (const id of passed) options.book.noteEnded(id, open)
+    options.book.noteEnded(choice.backEnd.id, open)
     if (!call.hasLeft() && !call.isExpired()) noteOutcome(choice, outcome)
     return outcome
   }
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -2,7 +2,6 @@
 import type * as types from '@switchridge/types'
 import type * as gateway from '../types/index.js'
 import type * as createBackEndBook from '../createBackEndBook/index.js'
-import * as planPath from '../planPath/index.js'
 import * as predictFirstEvent from '../predictFirstEvent/index.js'
 
 /** What the choice depends on. */
@@ -39,10 +38,6 @@
   readonly expectedVersion: number | null
   /** Monotonic time in milliseconds by which the call must have begun there; Infinity for no such time. */
   readonly beginsBy: number
-  /** The engines that the call passes, the back end first; empty when it runs all layers by itself. */
-  readonly path: readonly gateway.PathStep[]
-  /** The back ends that the call passes after the first one. */
-  readonly passes: readonly types.NodeId[]
 }
 
 /** Why a back end may not serve a call. */
@@ -51,10 +46,8 @@
   | 'tried'
   /** Another process answers at its address. */
   | 'gone'
-  /** It holds no layer of the model. */
+  /** It holds no whole version of the model. */
   | 'empty'
-  /** It holds some layers, and no path over engines with the others may serve. */
-  | 'partial'
   /** The call goes on with a version that it does not hold. */
   | 'other-version'
   /** A newer version has been named, and its own one may no longer serve. */
@@ -75,16 +68,6 @@
   readonly score: number
 }
 
-/** A back end that may be sent to, as far as its weights are not concerned. */
-interface Candidate {
-  readonly backEnd: gateway.BackEnd
-  readonly load: createBackEndBook.BackEndLoad
-  readonly firstEventMs: number
-  readonly waitingBefore: number
-  /** Milliseconds by which it is worse than its first event tells. */
-  readonly penaltyMs: number
-}
-
 /** Milliseconds that a back end of another zone must be faster by, for the price of bytes between zones. */
 const OTHER_ZONE_MS = 25
 /** A plain back end's reckoned milliseconds a request before this one. */
@@ -92,10 +75,6 @@
 /** A token takes so many steps while other prompts are read. */
 const ANSWER_PACE = 1.6
 const AVOIDED_MS = 2000
-/** A path delays each token and fails with each of its engines, so that a whole engine goes before it unless it is much busier. */
-const PATH_MS = 60
-/** Each call that passes an engine makes its steps longer by about so much over an answer. */
-const RUNNING_MS = 2
 const SILENT_MS = 600
 /** A connection, the call and its first event each cross the link to the back end. */
 const LINK_CROSSINGS = 2
@@ -121,98 +100,36 @@
  * @returns The choice, if any may serve, and why others may not.
  */
 export function chooseBackEnd (input: ChoiceInput): ChoiceOutcome {
+  let best: Scored | null = null
   const passedOver: PassedOver = {}
-  const choices: Scored[] = []
-  const partial: Candidate[] = []
   for (const backEnd of input.backEnds) {
-    const candidate = assess(backEnd, input)
-    const scored = typeof candidate === 'string' ? candidate : scoreAlone(candidate, input)
-    if (typeof scored !== 'string') choices.push(scored)
-    else if (scored === 'empty' && typeof candidate !== 'string' && listParts(candidate, input).length > 0) partial.push(candidate)
-    else passedOver[scored] = (passedOver[scored] ?? 0) + 1
-  }
-  if (partial.length > 0) {
-    choices.push(...scorePaths(partial, input))
-    passedOver.partial = partial.length
+    const scored = score(backEnd, input)
+    if (typeof scored === 'string') passedOver[scored] = (passedOver[scored] ?? 0) + 1
+    else if (best === null || scored.score < best.score) best = scored
   }
-  return { choice: findBest(choices), passedOver }
-}
-
-function findBest (choices: readonly Scored[]): Scored | null {
-  return choices.reduce<Scored | null>((best, each) => best === null || each.score < best.score ? each : best, null)
+  return { choice: best, passedOver }
 }
 
-function assess (backEnd: gateway.BackEnd, input: ChoiceInput): Candidate | PassedOverReason {
+function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | PassedOverReason {
   if (backEnd.isDraining) return 'draining'
   if (input.tried.has(backEnd.id)) return 'tried'
   const load = input.book.read(backEnd.id)
   if (load.isGone) return 'gone'
-  const { firstEventMs: reckonedMs, waitingBefore } = predict(backEnd, load, input)
-  const firstEventMs = reckonedMs + load.linkDelayMs * LINK_CROSSINGS
-  const penaltyMs = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
-    (load.isSilent ? SILENT_MS : 0) +
-    (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
-    (load.isPaused ? PAUSED_MS : holdUpMs(load, firstEventMs, input) * (input.pinnedVersion === null ? HOLDING_UP_PART : MOVED_HOLDING_UP_PART)) +
-    input.random() * SPREAD_MS
-  return { backEnd, load, firstEventMs, waitingBefore, penaltyMs }
-}
-
-/** A back end that runs the whole call, or why it may not. */
-function scoreAlone (candidate: Candidate, input: ChoiceInput): Scored | PassedOverReason {
-  const { backEnd, load, firstEventMs, waitingBefore, penaltyMs } = candidate
+  const reckoned = predict(backEnd, load, input)
+  const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
   const graceMs = moveGraceMs(load, input)
-  const refused = input.figures === null || input.model === null ? null : findRefusal(version, latestBegin(load, firstEventMs, input) - graceMs, input)
+  const refused = input.figures === null || input.model === null ? null : findRefusal(version, latestBegin(load, predicted.firstEventMs, input) - graceMs, input)
   if (refused !== null) return refused
+  const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
+    (load.isSilent ? SILENT_MS : 0) +
+    (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
+    (load.isPaused ? PAUSED_MS : holdUpMs(load, predicted.firstEventMs, input) * (input.pinnedVersion === null ? HOLDING_UP_PART : MOVED_HOLDING_UP_PART)) +
+    input.random() * SPREAD_MS
   const isOldRefused = input.lastSendTo(0) <= input.now
   const expectedVersion = isOldRefused || input.pinnedVersion !== null ? version : null
   const beginsBy = version === null ? Infinity : input.lastSendTo(version) + graceMs
-  return { backEnd, firstEventMs, waitingBefore, expectedVersion, beginsBy, path: [], passes: [], score: firstEventMs + penaltyMs }
-}
-
-function listParts ({ load }: Candidate, { model }: ChoiceInput): gateway.ModelPart[] {
-  return (load.report?.parts ?? []).filter((part) => part.model === model)
-}
-
-/** Paths over engines that hold a part of the layers each, one for each engine that holds the first ones. */
-function scorePaths (partial: readonly Candidate[], input: ChoiceInput): Scored[] {
-  const layers = input.figures?.layers ?? 0
-  const byVersion = new Map<number, Array<PathHolder>>()
-  for (const candidate of partial) {
-    for (const { version, from, to } of listParts(candidate, input)) {
-      const holders = byVersion.get(version) ?? []
-      byVersion.set(version, holders)
-      holders.push({ backEnd: candidate.backEnd, from, to, costMs: candidate.penaltyMs + countRunning(candidate) * RUNNING_MS, candidate })
-    }
-  }
-  return [...byVersion].flatMap(([version, holders]) => holders.flatMap((first) => {
-    const path = planPath.planPath(first, holders, layers) as PathHolder[] | null
-    return path === null ? [] : scorePath(version, path, input) ?? []
-  }))
-}
-
-interface PathHolder extends planPath.LayerHolder {
-  readonly candidate: Candidate
-}
-
-function scorePath (version: number, path: readonly PathHolder[], input: ChoiceInput): Scored | null {
-  const { backEnd, firstEventMs, waitingBefore, penaltyMs } = (path[0] as PathHolder).candidate
-  const latest = Math.max(...path.map(({ candidate }) => latestBegin(candidate.load, firstEventMs, input)))
-  if (findRefusal(version, latest, input) !== null) return null
-  return {
-    backEnd,
-    firstEventMs,
-    waitingBefore,
-    expectedVersion: version,
-    beginsBy: input.lastSendTo(version),
-    path: planPath.listSteps(path),
-    passes: path.slice(1).map((holder) => holder.backEnd.id),
-    score: firstEventMs + penaltyMs + PATH_MS + path.slice(1).reduce((sum, holder) => sum + holder.costMs, 0)
-  }
-}
-
-function countRunning ({ load }: Candidate): number {
-  return (load.report?.running ?? 0) + load.sentSince
+  return { backEnd, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty }
 }
 
 /** Why a version may not serve a call that begins at the latest at a time; null when it may. */
--- a/packages/gateway/src/createBackEndBook/test.ts
+++ b/packages/gateway/src/createBackEndBook/test.ts
@@ -8,7 +8,7 @@
   isPaused: false,
   changesInMs: null,
   servesInMs: 0,
-  report: { running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, models: new Map(), parts: [] }
+  report: { running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, models: new Map() }
 }
 
 interface PlayedReports {
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -99,24 +99,6 @@
   readonly models: ReadonlyMap<string, number>
 }
 
-/** Some layers of one version of a model, without a gap. */
-export interface ModelPart {
-  readonly model: string
-  readonly version: number
-  /** The first layer. */
-  readonly from: number
-  /** The layer after the last one. */
-  readonly to: number
-}
-
-/** An engine's part in a call that passes several, each of which runs some of the layers. */
-export interface PathStep {
-  readonly address: types.Address
-  readonly from: number
-  /** The layer after the last one that it runs. */
-  readonly to: number
-}
-
 /** What an engine says of itself. */
 export interface EngineReport {
   readonly running: number
@@ -127,10 +109,7 @@
   readonly sequence: number
   /** Over 1: slower than the service's figures say. */
   readonly pace: number
-  /** Models of which the engine holds every layer, with their versions. */
   readonly models: ReadonlyMap<string, number>
-  /** Layers of models that it does not hold whole. */
-  readonly parts: readonly ModelPart[]
 }
 
 /** What the request path reads from the head of a caller's request. */
@@ -160,8 +139,6 @@
   readonly urgency: number | null
   /** Version of the weights that must answer; null for any. */
   readonly version: number | null
-  /** The engines that the call passes, this back end first; empty when it runs all layers by itself. */
-  readonly path: readonly PathStep[]
   readonly lastEventId: string | null
   readonly bodyBytes: number | null
 }
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -20,7 +20,7 @@
   readonly squeezed?: number
   /** Agents that lose power at {@link DEATH_MS}. */
   readonly dying?: number
-  /** Agents start over so many milliseconds, with empty engines; 0 when all have run for long, with the version before. */
+  /** Agents start over so many milliseconds; 0 when all have run for long. */
   readonly startMs?: number
   /** Agents hear nothing of other regions for so long after the naming, as after a start of all. */
   readonly apartMs?: number
@@ -34,8 +34,6 @@
   readonly medianMs: number
   /** Infinity when an agent that neither died nor was squeezed did not become whole. */
   readonly lastMs: number
-  /** When the last region could serve: its agents together held all layers, or one of them did. */
-  readonly servingMs: number
   /** The same for squeezed agents; 0 when there are none. */
   readonly squeezedMs: number
   readonly whole: number
@@ -64,9 +62,6 @@
   readonly isSqueezed: boolean
   readonly isDying: boolean
   wholeMs: number
-  /** When the engine took its first layers, and which; Infinity and null when it never did. */
-  layersMs: number
-  firstLayers: staging.LayerRange | null
 }
 
 /** What an agent knows of another one. */
@@ -98,7 +93,6 @@
 const SILENCE_MS = 2500
 const EXPECTING_MS = 3000
 const BOUND_MS = 8000
-const LAYERS = 16
 export const DEATH_MS = 1500
 const SQUEEZED_PART = 0.1
 const MAXIMUM_MS = 20_000
@@ -197,8 +191,7 @@
     const known = new Map<string, KnownPeer>()
     const suspectUntil = new Map<types.NodeId, number>()
     let draws = 0
-    let held = startMs === 0 ? ID.version - 1 : 0
-    const parts: staging.HeldLayers[] = []
+    let held = 0
     const stage = new Map<number, Buffer>()
 
     const listSuspects = (): string[] => [...suspectUntil].filter(([, until]) => until > now()).map(([node]) => node)
@@ -234,19 +227,15 @@
       self,
       model: ID.model,
       named: () => [{ id: ID, heardAt: startedAt, boundAt: startedAt + BOUND_MS }],
-      layers: LAYERS,
-      readEngine: async () => ({ held, parts: held > 0 ? [] : parts, running: 0, waiting: 0, isBusy: false, sequence: 0 }),
+      readEngine: async () => ({ held, running: 0, waiting: 0, isBusy: false, sequence: 0 }),
       engine: {
         putPiece: async (_model, piece, bytes) => {
           stage.set(piece, bytes)
           return types.succeed(null)
         },
         getPiece: async (_model, piece) => types.succeed(stage.get(piece) ?? null),
-        start: async (id, _sequence, _method, layers) => {
-          const agent = played.get(name)
-          parts.splice(0, parts.length, ...(layers === null ? [] : [{ version: id.version, ...layers }]))
-          if (layers === null || (layers.from === 0 && layers.to === LAYERS)) held = ID.version
-          else if (agent !== undefined) Object.assign(agent, { layersMs: now() - startedAt, firstLayers: layers })
+        start: async () => {
+          held = ID.version
           return 'done'
         }
       },
@@ -276,7 +265,6 @@
       },
       onTurn: () => {},
       onPause: () => {},
-      onLoaded: () => {},
       onEvent: (event) => {
         const agent = played.get(name)
         if (event === 'version-whole' && agent !== undefined) agent.wholeMs = now() - startedAt
@@ -289,7 +277,7 @@
         return membership.scoreByRendezvous(name, String(draws)) / SCORES
       }
     })
-    played.set(name, { self, stager, isSqueezed: isSqueezed(index), isDying: isDying(index), wholeMs: Infinity, layersMs: Infinity, firstLayers: null })
+    played.set(name, { self, stager, isSqueezed: isSqueezed(index), isDying: isDying(index), wholeMs: Infinity })
     beatAll()
     stager.wake()
     if (apartMs > 0) setTimeout(beatAll, startedAt + apartMs - now())
@@ -314,7 +302,6 @@
   return {
     medianMs: sound[Math.floor(sound.length / 2)] ?? Infinity,
     lastMs: sound[sound.length - 1] ?? Infinity,
-    servingMs: Math.max(...REGIONS.map((region) => computeServingMs(all.filter((agent) => agent.self.zone === region)))),
     squeezedMs: Math.max(0, ...all.filter((agent) => agent.isSqueezed).map((agent) => agent.wholeMs)),
     whole: all.filter((agent) => agent.wholeMs < Infinity).length,
     fluidMs: Math.max(bytes / (LINK * linkPart), bytes / ORIGIN_LINK, count * bytes / (ORIGIN_LINK + linkSum)),
@@ -325,11 +312,3 @@
     cutAnswers: counts.cutAnswers
   }
 }
-
-/** When agents of a region first held all layers together. */
-function computeServingMs (agents: readonly PlayedAgent[]): number {
-  const wholeMs = Math.min(...agents.map((agent) => agent.wholeMs))
-  const starts = [...new Set(agents.flatMap((agent) => agent.firstLayers?.from ?? []))]
-  const firstMs = starts.map((from) => Math.min(...agents.filter((agent) => agent.firstLayers?.from === from).map((agent) => agent.layersMs)))
-  return starts.length > 1 ? Math.min(wholeMs, Math.max(...firstMs)) : wholeMs
-}
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -23,13 +23,9 @@
   readonly expectedZones: () => readonly string[]
   /** Whether to read only this agent's own part from the origin, and to leave the links between agents to an older version. */
   readonly isReadingAhead: () => boolean
-  /** The pieces that an agent fetches before the others; empty for no such order. */
-  readonly listFirst: (agent: staging.StagingPeer, agents: readonly staging.StagingPeer[]) => readonly number[]
   readonly now: () => number
   readonly random: () => number
   readonly onEvent: (event: FetchEvent) => void
-  /** Told once all first pieces are here. */
-  readonly onFirst: () => void
   /** Told of a peer that failed or is slow, so that all agents leave it out alike. */
   readonly onSuspect: (peer: types.NodeId) => void
 }
@@ -137,7 +133,6 @@
   const suspectUntil = new Map<types.NodeId, number>()
   let plans: readonly dealPieces.ProviderPlan[] = []
   let agents: readonly staging.StagingPeer[] = []
-  let firstPieces: ReadonlySet<number> = new Set()
   let countedZones = 0
   let plannedAt = -Infinity
   let window = WINDOW_FIRST
@@ -156,13 +151,7 @@
     if (isSame(next, agents) && zones.length === countedZones) return
     agents = next
     countedZones = zones.length
-    const wantsFirst = (agent: staging.StagingPeer, piece: number): boolean => {
-      const first = firstOf.get(agent.node)
-      return first === undefined || first.size === 0 || first.has(piece)
-    }
-    const firstOf = new Map(agents.map((agent) => [agent.node, new Set(options.listFirst(agent, agents))]))
-    firstPieces = firstOf.get(self.node) ?? new Set()
-    plans = dealPieces.dealPieces(key, digests.length, self, agents, zones, wantsFirst)
+    plans = dealPieces.dealPieces(key, digests.length, self, agents, zones)
   }
 
   /** Since when pieces are taken from peers, too. */
@@ -187,11 +176,10 @@
     const overdueMs = options.now() - Math.max(keptAt, spreadFrom()) - OVERDUE_MS
     readFromOrigin(missing)
     if (options.isReadingAhead()) return
-    const due = listDue(missing)
     for (const peer of rotate(agents, turn)) {
       if (busy.size >= window) break
       if (peer.node === self.node || busy.has(peer.node)) continue
-      const wanted = due.filter((piece) => isWantedFrom(peer, piece, overdueMs))
+      const wanted = missing.filter((piece) => isWantedFrom(peer, piece, overdueMs))
       if (wanted.length > 0) void askInParts(peer, wanted)
     }
   }
@@ -221,20 +209,6 @@
     return alternative?.node === peer.node
   }
 
-  /**
-   * Nothing else is asked for while first pieces, or those that this agent brings into its zone, are missing: it would take the uplinks of peers
-   * on which others' first pieces wait. Fifteen agents in memory served after 3.0 s with other pieces in between, and after 2.4 s without.
-   */
-  function listDue (missing: readonly number[]): readonly number[] {
-    if (firstPieces.size === 0) return missing
-    const first = missing.filter((piece) => firstPieces.has(piece) || plans[piece]?.part === 'importer')
-    return first.length > 0 ? first : missing
-  }
-
-  function hasFirst (): boolean {
-    return firstPieces.size > 0 && [...firstPieces].every(pieces.has)
-  }
-
   function suspectSlowPeers (): void {
     const now = options.now()
     const slowMs = Math.max(SLOW_MS, SLOW_FACTOR * typicalMs)
@@ -328,10 +302,8 @@
   }
 
   function keep (piece: number, bytes: Buffer, from: string): void {
-    const hadFirst = hasFirst()
     if (pieces.put(piece, bytes)) {
       keptAt = options.now()
-      if (!hadFirst && hasFirst()) options.onFirst()
       return
     }
     noteFailure({ event: 'piece-spoilt', piece, from, reason: `${bytes.length} bytes that do not match their digest` })
--- a/packages/staging/src/createPieceFetcher/test.ts
+++ b/packages/staging/src/createPieceFetcher/test.ts
@@ -71,8 +71,6 @@
     origin,
     isReadingAhead,
     expectedZones: () => [],
-    listFirst: () => [],
-    onFirst: () => {},
     fetchFromPeer: async (asked, _id, wanted, mayRefer) => {
       await types.delay(Number.isFinite(peerMs) ? peerMs : STEP_MS)
       if (isReferring && asked.node === peer.node) return types.succeed(mayRefer ? { piece: wanted[0] as number, holder: HOLDER } : null)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -1,7 +1,6 @@
 /** Brings the engine beside an agent to the versions that are named: fetch, wait for the turn, stage, verify, order. */
 import * as membership from '@switchridge/membership'
 import * as types from '@switchridge/types'
-import * as chooseLayers from '../chooseLayers/index.js'
 import * as computeTurn from '../computeTurn/index.js'
 import * as estimateServing from '../estimateServing/index.js'
 import * as createManifestReader from '../createManifestReader/index.js'
@@ -16,8 +15,6 @@
 export interface EngineState {
   /** Version of which the engine holds every layer, 0 for none. */
   readonly held: number
-  /** Layers that it holds while it does not hold all of one version. */
-  readonly parts: readonly staging.HeldLayers[]
   readonly running: number
   /** Calls that wait there and have not begun. */
   readonly waiting: number
@@ -28,8 +25,6 @@
 /** Options of {@link createStager}. */
 export interface StagerOptions extends Pick<createPieceFetcher.PieceFetcherOptions, 'self' | 'agents' | 'expectedZones' | 'origin' | 'fetchFromPeer' | 'onSuspect' | 'now' | 'random'> {
   readonly model: string
-  /** Layers of the model. */
-  readonly layers: number
   /** Versions named for the model. */
   readonly named: () => readonly staging.NamedVersion[]
   /** Fresh state of the engine, or null when it does not answer. */
@@ -41,8 +36,6 @@
   readonly onTurn: (inMs: number | null) => void
   /** Told when the engine shall get no new work, because it is about to change its version. */
   readonly onPause: (isPaused: boolean) => void
-  /** Told when the engine holds layers that it did not hold before. */
-  readonly onLoaded: () => void
   readonly onEvent: (event: string, fields: Readonly<Record<string, string | number | boolean>>) => void
   /** Milliseconds that fetching a whole version takes on this link. */
   readonly wholeMs: number
@@ -87,8 +80,6 @@
 interface ActiveFetch {
   readonly target: staging.NamedVersion
   readonly startedAt: number
-  /** Whether the engine held nothing, so that it takes some layers as soon as their pieces are here. */
-  readonly isFromEmpty: boolean
   fetcher: createPieceFetcher.PieceFetcher | null
 }
 
@@ -177,12 +168,8 @@
     const named = options.named()
     planFetch(state, named)
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
-    if (ready === undefined) {
-      foretellTurn(state)
-      await takeFirstLayers(state)
-      return
-    }
-    if (state.isBusy) return
+    if (ready === undefined) foretellTurn(state)
+    if (ready === undefined || state.isBusy) return
     const turn = findTurn(ready, state)
     turnAt = turn.at
     options.onTurn(Math.max(0, turnAt - options.now()))
@@ -193,7 +180,7 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
-    await order(ready, turn.method, state)
+    await order(ready, turn.method)
   }
 
   function planFetch (state: EngineState, named: readonly staging.NamedVersion[]): void {
@@ -212,7 +199,7 @@
     fetchingSince ??= options.now()
     notBelow = target.id.version
     const isAhead = ahead?.target.id.version === target.id.version
-    active = isAhead ? ahead : { target, startedAt: options.now(), isFromEmpty: state.held === 0, fetcher: null }
+    active = isAhead ? ahead : { target, startedAt: options.now(), fetcher: null }
     if (isAhead) ahead = null
     options.onEvent('version-begun', { version: target.id.version, held: state.held, leftMs: Math.round(target.boundAt - options.now()) })
     if (!isAhead) void fetch(active as ActiveFetch)
@@ -222,19 +209,10 @@
   function readAhead (newest: staging.NamedVersion, target: staging.NamedVersion): void {
     if (newest.id.version <= target.id.version || ahead?.target.id.version === newest.id.version) return
     ahead?.fetcher?.stop()
-    ahead = { target: newest, startedAt: options.now(), isFromEmpty: false, fetcher: null }
+    ahead = { target: newest, startedAt: options.now(), fetcher: null }
     void fetch(ahead)
   }
 
-  /** An engine that holds nothing serves together with others before it is whole. */
-  function chooseFirstLayers (current: ActiveFetch, agent = options.self, agents = options.agents()): staging.LayerRange | null {
-    return current.isFromEmpty ? chooseLayers.chooseLayers(agent, agents, options.layers) : null
-  }
-
-  function listFirstPieces (layers: staging.LayerRange | null, pieces: number): number[] {
-    return layers === null ? [] : chooseLayers.listPieces(layers, options.layers, pieces)
-  }
-
   function endFetch (): void {
     active?.fetcher?.stop()
     ahead?.fetcher?.stop()
@@ -252,8 +230,6 @@
     current.fetcher = createPieceFetcher.createPieceFetcher({
       ...options,
       pieces: store.open(manifest),
-      listFirst: (agent, agents) => listFirstPieces(chooseFirstLayers(current, agent, agents), manifest.digests.length),
-      onFirst: wake,
       isReadingAhead: () => active !== current,
       onEvent: ({ event, ...fields }) => { options.onEvent(event, fields) }
     })
@@ -287,7 +263,7 @@
   function servesInMs (): number | null {
     const newest = options.named().at(-1)?.id.version
     if (lastState === null || newest === undefined) return null
-    if (lastState.held >= newest || lastState.parts.some((part) => part.version >= newest)) return 0
+    if (lastState.held >= newest) return 0
     if (active === null) return turnAt > options.now() ? turnAt - options.now() + CHANGE_MS : null
     return active.target.id.version === newest ? estimateFetched(active, lastState) : null
   }
@@ -295,9 +271,8 @@
   function estimateFetched (current: ActiveFetch, state: EngineState): number {
     const pieces = find(current.target.id.version)
     const total = pieces?.manifest.digests.length ?? 1
-    const wanted = pieces === null ? [] : listFirstPieces(chooseFirstLayers(current), total)
-    const awaited = wanted.length > 0 ? wanted.filter((piece) => !(pieces?.has(piece) ?? false)).length : total - (pieces?.count() ?? 0)
-    const fetchedMs = estimateServing.estimateServing({ missing: awaited, received: pieces?.count() ?? 0, elapsedMs: options.now() - current.startedAt, pieceMs: options.wholeMs / total })
+    const received = pieces?.count() ?? 0
+    const fetchedMs = estimateServing.estimateServing({ missing: total - received, received, elapsedMs: options.now() - current.startedAt, pieceMs: options.wholeMs / total })
     return state.held === 0 ? fetchedMs : Math.max(fetchedMs, findTurn(current.target, state).at - options.now() + CHANGE_MS)
   }
 
@@ -310,54 +285,15 @@
     if (pieces === null) return
     const isRewritten = staged?.version !== ready.id.version
     staged = null
-    const all = pieces.manifest.digests.map((_, piece) => piece)
-    if (await writeAndVerify(pieces, all, isRewritten)) staged = { version: ready.id.version, verifiedAt: options.now() }
-  }
-
-  async function writeAndVerify (pieces: createPieceStore.VersionPieces, wanted: readonly number[], isRewritten: boolean): Promise<boolean> {
-    const { version } = pieces.manifest.id
     const startedAt = options.now()
-    const written = await writeStage.writeStage(options.engine, pieces, wanted, isRewritten)
-    if (written.repaired > 0) options.onEvent('stage-repaired', { version, pieces: written.repaired, failed: written.failed })
-    if (written.failed > 0) return false
-    options.onEvent('staged', { version, pieces: wanted.length, tookMs: Math.round(options.now() - startedAt) })
-    return true
-  }
-
-  /** An empty engine takes its first layers as soon as their pieces are here; the others follow with the whole version. */
-  async function takeFirstLayers (state: EngineState): Promise<void> {
-    const layers = active === null ? null : chooseFirstLayers(active)
-    if (active === null || layers === null || state.held > 0 || state.parts.length > 0 || state.isBusy) return
-    const { id, heardAt } = active.target
-    const pieces = find(id.version)
-    const wanted = pieces === null ? [] : chooseLayers.listPieces(layers, options.layers, pieces.manifest.digests.length)
-    if (pieces === null || !wanted.every(pieces.has)) return
-    if (!await writeAndVerify(pieces, wanted, true)) return
-    const outcome = await options.engine.start(id, state.sequence, 'finish', layers)
-    options.onEvent('layers-ordered', { version: id.version, from: layers.from, to: layers.to, outcome, afterMs: Math.round(options.now() - heardAt) })
-    await types.delay(AFTER_ORDER_MS)
-    await pollEngine((next) => stopping.signal.aborted || next.parts.length > 0 || !next.isBusy, Infinity)
-    options.onLoaded()
-  }
-
-  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod, held: EngineState): Promise<void> {
-    if (held.parts.some((part) => part.version === ready.id.version)) await orderMore(ready, held)
-    else await orderAll(ready, method)
-  }
-
-  /**
-   * More layers of the version that the engine runs are loaded beside its work, if the order names those that it holds too: an order for
-   * others alone would take the place of them, and wait for what runs.
-   */
-  async function orderMore ({ id, heardAt }: staging.NamedVersion, held: EngineState): Promise<void> {
-    const outcome = await options.engine.start(id, held.sequence, 'finish', { from: 0, to: options.layers })
-    options.onEvent('layers-ordered', { version: id.version, from: 0, to: options.layers, outcome, afterMs: Math.round(options.now() - heardAt) })
-    await types.delay(AFTER_ORDER_MS)
-    await pollEngine((state) => stopping.signal.aborted || state.held >= id.version || !state.isBusy, Infinity)
-    options.onLoaded()
+    const written = await writeStage.writeStage(options.engine, pieces, isRewritten)
+    if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
+    if (written.failed > 0) return
+    staged = { version: ready.id.version, verifiedAt: options.now() }
+    options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
 
-  async function orderAll (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
+  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
     const { id, heardAt } = ready
     options.onPause(true)
     const state = await waitUntilNoneWaits()
@@ -366,7 +302,7 @@
       options.onPause(false)
       return
     }
-    const outcome = await options.engine.start(id, state.sequence, method, null)
+    const outcome = await options.engine.start(id, state.sequence, method)
     options.onEvent('version-ordered', { version: id.version, held: state.held, method, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
     const switchedMs = await waitForSwitch(ready)
--- a/packages/staging/src/dealPieces/index.ts
+++ b/packages/staging/src/dealPieces/index.ts
@@ -16,9 +16,6 @@
  */
 export const MAXIMUM_READERS = 32
 
-/** Whether an agent wants a piece before others. */
-export type WantsFirst = (agent: staging.StagingPeer, piece: number) => boolean
-
 type Counts = Map<string, number>
 
 /**
@@ -32,10 +29,9 @@
  * @param self - This agent.
  * @param agents - All live agents, this one included.
  * @param expectedZones - Zones that are counted on although nobody of them may be known yet.
- * @param wantsFirst - Whether an agent wants a piece before others: such agents read and import it, since it does not wait with them.
  * @returns This agent's plan for each piece, in order.
  */
-export function dealPieces (key: string, pieces: number, self: staging.StagingPeer, agents: readonly staging.StagingPeer[], expectedZones: readonly string[] = [], wantsFirst: WantsFirst = () => true): ProviderPlan[] {
+export function dealPieces (key: string, pieces: number, self: staging.StagingPeer, agents: readonly staging.StagingPeer[], expectedZones: readonly string[] = []): ProviderPlan[] {
   const zones = [...new Set([...expectedZones, ...agents.map((agent) => agent.zone)])].sort()
   const zoneCap = Math.ceil(pieces / zones.length)
   const inZone = agents.filter((agent) => agent.zone === self.zone)
@@ -46,29 +42,17 @@
   const imports: Counts = new Map()
   const dealt = Array.from({ length: pieces }, (_, piece) => {
     const zone = pickBelow(`${key}/${piece}/zone`, zones, zoneReads, zoneCap, (each) => each) as string
-    const readers = preferWanting(readersOf.get(zone) ?? [], piece, wantsFirst)
+    const readers = readersOf.get(zone) ?? []
     return { zone, reader: pickBelow(`${key}/${piece}`, readers, reads, Math.ceil(zoneCap / Math.max(1, readers.length)), nodeOf) }
   })
   for (const { zone, reader } of dealt) if (reader !== undefined && zone === self.zone) add(imports, reader.node)
   return dealt.map(({ zone, reader }, piece) => {
     if (reader?.node === self.node) return { part: 'reader', provider: null }
-    const isLater = !wantsFirst(self, piece)
-    if (reader !== undefined && zone === self.zone) return { part: 'member', provider: isLater ? pickHolder(piece) : reader }
-    const importer = pickBelow(`${key}/${piece}`, preferWanting(inZone, piece, wantsFirst), imports, importerCap, nodeOf)
+    if (reader !== undefined && zone === self.zone) return { part: 'member', provider: reader }
+    const importer = pickBelow(`${key}/${piece}`, inZone, imports, importerCap, nodeOf)
     if (importer === undefined || importer.node === self.node) return { part: 'importer', provider: reader ?? null }
-    return { part: 'member', provider: isLater ? pickHolder(piece) : importer }
+    return { part: 'member', provider: importer }
   })
-
-  /** By the time at which later pieces are asked for, all agents of the zone that want them first have them. */
-  function pickHolder (piece: number): staging.StagingPeer {
-    const holders = preferWanting(inZone, piece, wantsFirst).filter((agent) => agent.node !== self.node)
-    return membership.pickByRendezvous(`${key}/${piece}/${self.node}`, holders, nodeOf) as staging.StagingPeer
-  }
-}
-
-function preferWanting (agents: readonly staging.StagingPeer[], piece: number, wantsFirst: WantsFirst): readonly staging.StagingPeer[] {
-  const wanting = agents.filter((agent) => wantsFirst(agent, piece))
-  return wanting.length > 0 ? wanting : agents
 }
 
 function nodeOf (agent: staging.StagingPeer): string {
--- a/packages/staging/src/estimateServing/index.ts
+++ b/packages/staging/src/estimateServing/index.ts
@@ -2,7 +2,7 @@
 
 /** What the estimate depends on. */
 export interface ServingInput {
-  /** Pieces that are still missing before the engine can take layers that serve. */
+  /** Pieces that are still missing. */
   readonly missing: number
   /** Pieces that have come, and the milliseconds since the fetch began. */
   readonly received: number
--- a/packages/staging/src/index.ts
+++ b/packages/staging/src/index.ts
@@ -1,5 +1,4 @@
 /** Distribution of weights into the stages of engines, planned by the bounds of the versions named. */
-export * from './chooseLayers/index.js'
 export * from './computeTurn/index.js'
 export * from './createManifestReader/index.js'
 export * from './createPieceFetcher/index.js'
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -35,29 +35,16 @@
 /** How an engine's order was taken. */
 export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown'
 
-/** Some layers of a model, without a gap. */
-export interface LayerRange {
-  /** The first layer. */
-  readonly from: number
-  /** The layer after the last one. */
-  readonly to: number
-}
-
-/** Layers of one version that an engine holds. */
-export interface HeldLayers extends LayerRange {
-  readonly version: number
-}
-
 /** The engine beside an agent, as the adapter of a platform reaches it. */
 export interface StagedEngine {
   readonly putPiece: (model: string, piece: number, bytes: Buffer) => Promise<types.Outcome<null, types.UnavailableError>>
   /** The bytes that lie in the stage, or null when there are none. */
   readonly getPiece: (model: string, piece: number) => Promise<types.Outcome<Buffer | null, types.UnavailableError>>
   /**
-   * Orders the engine to take the staged version, or only some of its layers; `method` tells what happens to what runs
-   * there, and `sequence` is the order count that the engine last told.
+   * Orders the engine to take the staged version; `method` tells what happens to what runs there, and `sequence` is
+   * the order count that the engine last told.
    */
-  readonly start: (id: VersionId, sequence: number, method: SwitchMethod, layers: LayerRange | null) => Promise<OrderOutcome>
+  readonly start: (id: VersionId, sequence: number, method: SwitchMethod) => Promise<OrderOutcome>
 }
 
 /** The origin of weights. */
--- a/packages/staging/src/writeStage/index.ts
+++ b/packages/staging/src/writeStage/index.ts
@@ -16,12 +16,11 @@
  * Writes and verifies.
  *
  * @param engine - The engine.
- * @param pieces - The version; those that are staged must be here.
- * @param staged - The pieces that the engine shall take.
+ * @param pieces - All pieces of the version.
  * @param writesAll - Whether every piece is written first; else only those that lie there wrong.
  * @returns How many pieces had to be repaired, and how many could not be.
  */
-export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, staged: readonly number[], writesAll: boolean): Promise<WrittenStage> {
+export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, writesAll: boolean): Promise<WrittenStage> {
   const { id, digests } = pieces.manifest
   let repaired = 0
   let failed = 0
@@ -42,17 +41,17 @@
     if (!await write(piece) || !await isRight(piece)) failed += 1
   }
 
-  if (writesAll) await forEachPiece(staged, async (piece) => { await write(piece) })
-  await forEachPiece(staged, verify)
+  if (writesAll) await forEachPiece(digests.length, async (piece) => { await write(piece) })
+  await forEachPiece(digests.length, verify)
   return { repaired, failed }
 }
 
-/** Visits pieces, a few at a time. */
-async function forEachPiece (pieces: readonly number[], visit: (piece: number) => Promise<void>): Promise<void> {
+/** Visits all pieces, a few at a time. */
+async function forEachPiece (size: number, visit: (piece: number) => Promise<void>): Promise<void> {
   let next = 0
   async function runLane (): Promise<void> {
-    while (next < pieces.length) {
-      const piece = pieces[next] as number
+    while (next < size) {
+      const piece = next
       next += 1
       await visit(piece)
     }
