Order an empty engine's version without waiting, and begin to fetch when the configuration comes

Hypothesis: 0.2 to 0.3 s sooner after a return: nobody calls an empty engine, and a stager that was made after the version was named waited for its next tick.

--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -180,7 +180,8 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
-    await order(ready, turn.method)
+    if (state.held === 0) await orderEmpty(ready, state)
+    else await order(ready, turn.method)
   }
 
   function planFetch (state: EngineState, named: readonly staging.NamedVersion[]): void {
@@ -293,8 +294,13 @@
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
 
+  /** Nobody calls an empty engine, so nothing is waited for: after a return of all this saves 0.2 s, in which nobody is served. */
+  async function orderEmpty (ready: staging.NamedVersion, state: EngineState): Promise<void> {
+    await startVersion(ready, state, 'finish')
+    options.onPause(false)
+  }
+
   async function order (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
-    const { id, heardAt } = ready
     options.onPause(true)
     const state = await waitUntilNoneWaits()
     if (method === 'break-off') await waitForShortCalls()
@@ -302,12 +308,16 @@
       options.onPause(false)
       return
     }
+    await startVersion(ready, state, method)
+    options.onPause(false)
+  }
+
+  async function startVersion ({ id, heardAt, boundAt }: staging.NamedVersion, state: EngineState, method: staging.SwitchMethod): Promise<void> {
     const outcome = await options.engine.start(id, state.sequence, method)
     options.onEvent('version-ordered', { version: id.version, held: state.held, method, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
-    const switchedMs = await waitForSwitch(ready)
+    const switchedMs = await waitForSwitch({ id, heardAt, boundAt })
     options.onEvent('version-switched', { version: id.version, tookMs: switchedMs, afterMs: Math.round(options.now() - heardAt) })
-    options.onPause(false)
   }
 
   /**
@@ -404,6 +414,7 @@
   }
 
   const timer = setInterval(wake, TICK_MS)
+  wake()
   return {
     wake,
     providePiece,
