--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -103,7 +103,7 @@
 const PAUSE_MAXIMUM_MS = 500
 const AFTER_ORDER_MS = 100
 /** From the pause of an engine until it serves its new version, when it breaks off what runs. */
-const CHANGE_MS = 700
+const CHANGE_MS = 1150
 /** Calls that end within this time after the pause began are not broken off. */
 const SHORT_CALLS_MS = 700
 const STAGED_READ_PAUSE_MS = 50
