Read manifests again soon after the origin comes back

Cause: the first reader of a zone asked others, who hold the request for 1.2 s, before it tried the origin again, and pauses grew to 3 s; so a version named during an outage of the origin was whole 4.9 to 6.1 s after its end (bytes: 3.2 s). Change: the first reader tries again after 0.3 s at most and asks others meanwhile; the second reading only if the first was answered.

--- a/packages/staging/src/createManifestReader/index.ts
+++ b/packages/staging/src/createManifestReader/index.ts
@@ -31,11 +31,18 @@
 /** An agent that knows no other one of its zone may only just have started; by then it has heard of those that run. */
 const SETTLE_MS = 75
 /**
- * Pauses between tries double up to the maximum: the origin refuses beyond its bound of connections, and 45 agents that each come
- * back every 150 ms with two of them ask for 600 a second.
+ * Pauses between an agent's reads of the origin double up to the maximum: it refuses beyond its bound of connections, and 45 agents that each
+ * come back every 150 ms ask for 300 a second.
  */
 const RETRY_MINIMUM_MS = 150
 const RETRY_MAXIMUM_MS = 3000
+/**
+ * The first reader of a zone comes back sooner: until it has the manifest nobody of the zone can fetch a piece. After an outage of the origin
+ * of 6 s, engines were whole 4.9 to 6.1 s after its end; the bytes need 3.2.
+ */
+const FIRST_RETRY_MAXIMUM_MS = 300
+/** Peers are asked again after this; they hold a request until they have the manifest, so that whoever gets it tells all at once. */
+const ASK_PAUSE_MS = 300
 /** A pause is between this part and the whole, so that agents that were refused together don't come back together. */
 const RETRY_MINIMUM_PART = 0.5
 /** The next agent of a zone's ranking reads too when there has been no manifest for so long; half of it when little time is left. */
@@ -47,8 +54,12 @@
 
 /** Tries to obtain one manifest. */
 interface Tries {
-  readonly count: number
+  count: number
   readonly firstAt: number
+  isAsking: boolean
+  /** Reads of the origin that failed, and when the next one may follow. */
+  failures: number
+  nextReadAt: number
 }
 
 /**
@@ -72,20 +83,47 @@
     const place = ranked.findIndex((agent) => agent.node === options.self.node)
     const rank = place < 0 ? ranked.length : place
     const tried = countTry(id)
-    for (const peer of listAsked(ranked, rank, tried.count)) {
+    const asking = ask(id, listAsked(ranked, rank, tried.count), tried)
+    const found = rank === 0 ? null : await asking
+    const readsAfterMs = rank * READER_STEP_MS * (isLate ? 0.5 : 1)
+    if (found !== null || options.now() - tried.firstAt < readsAfterMs || options.now() < tried.nextReadAt) return found
+    const manifest = await readTwice(id)
+    if (manifest === null) postpone(tried, rank === 0 ? FIRST_RETRY_MAXIMUM_MS : RETRY_MAXIMUM_MS)
+    return manifest
+  }
+
+  /** Asks one peer after the other, and keeps what it gets: the first reader does not wait for them. */
+  async function ask (id: staging.VersionId, peers: readonly staging.StagingPeer[], tried: Tries): Promise<staging.StageManifest | null> {
+    if (tried.isAsking) return null
+    tried.isAsking = true
+    const digests = await askInTurn(id, peers)
+    tried.isAsking = false
+    if (digests === null) return null
+    const manifest = { id, digests }
+    options.store.open(manifest)
+    return manifest
+  }
+
+  async function askInTurn (id: staging.VersionId, peers: readonly staging.StagingPeer[]): Promise<readonly types.Digest[] | null> {
+    for (const peer of peers) {
       const fetched = await options.fetchManifest(peer, id)
-      if (fetched.ok && fetched.value !== null) return { id, digests: fetched.value }
+      if (fetched.ok && fetched.value !== null) return fetched.value
     }
-    const readsAfterMs = rank * READER_STEP_MS * (isLate ? 0.5 : 1)
-    return options.now() - tried.firstAt >= readsAfterMs ? await readTwice(id) : null
+    return null
+  }
+
+  function postpone (tried: Tries, maximumMs: number): void {
+    const pauseMs = Math.min(maximumMs, RETRY_MINIMUM_MS * 2 ** tried.failures)
+    tried.failures += 1
+    tried.nextReadAt = options.now() + pauseMs * (RETRY_MINIMUM_PART + (1 - RETRY_MINIMUM_PART) * options.random())
   }
 
   function countTry (id: staging.VersionId): Tries {
     const key = staging.formatVersion(id)
-    const known = tries.get(key)
-    const next = { count: (known?.count ?? 0) + 1, firstAt: known?.firstAt ?? options.now() }
-    tries.set(key, next)
-    return next
+    const tried = tries.get(key) ?? { count: 0, firstAt: options.now(), isAsking: false, failures: 0, nextReadAt: -Infinity }
+    tried.count += 1
+    tries.set(key, tried)
+    return tried
   }
 
   /** The first reader asks nobody at first; later all also ask one other agent after the other, those of other zones first. */
@@ -100,9 +138,10 @@
 
   /** A manifest may arrive spoilt; two readings that agree are right. */
   async function readTwice (id: staging.VersionId): Promise<staging.StageManifest | null> {
-    const [first, second] = await Promise.all([options.origin.readManifest(id), options.origin.readManifest(id)])
+    const first = await options.origin.readManifest(id)
+    const second = first.ok ? await options.origin.readManifest(id) : first
     if (first.ok && second.ok && first.value.join() === second.value.join()) return { id, digests: first.value }
-    const reason = !first.ok ? first.error.message : !second.ok ? second.error.message : 'two readings differ'
+    const reason = second.ok ? 'two readings differ' : second.error.message
     options.onEvent('manifest-failed', { version: id.version, reason })
     return null
   }
@@ -123,11 +162,10 @@
   }
 
   async function obtain (id: staging.VersionId, lateFrom: number, isWanted: () => boolean): Promise<staging.StageManifest | null> {
-    for (let failures = 0; isWanted(); failures += 1) {
+    while (isWanted()) {
       const manifest = await attempt(id, options.now() >= lateFrom)
       if (manifest !== null) return manifest
-      const pauseMs = Math.min(RETRY_MAXIMUM_MS, RETRY_MINIMUM_MS * 2 ** failures)
-      await types.delay(pauseMs * (RETRY_MINIMUM_PART + (1 - RETRY_MINIMUM_PART) * options.random()))
+      await types.delay(ASK_PAUSE_MS * (RETRY_MINIMUM_PART + (1 - RETRY_MINIMUM_PART) * options.random()))
     }
     return null
   }
--- a/packages/staging/src/createManifestReader/test.ts
+++ b/packages/staging/src/createManifestReader/test.ts
@@ -27,6 +27,8 @@
 interface ZonePlan {
   readonly agents: number
   readonly isOriginOpen: boolean
+  /** Milliseconds after which an origin that refuses answers again. */
+  readonly opensAtMs?: number
   /** A node of another zone that has the manifest. */
   readonly hasFarHolder?: boolean
   /** Milliseconds after which all may read for themselves. */
@@ -52,7 +54,8 @@
         readManifest: async () => {
           played.reads.push({ node, at: Date.now() - startedAt })
           await types.delay(STEP_MS)
-          return plan.isOriginOpen ? types.succeed(DIGESTS) : types.fail(new types.UnavailableError('refused'))
+          const isOpen = plan.isOriginOpen || Date.now() - startedAt >= (plan.opensAtMs ?? Infinity)
+          return isOpen ? types.succeed(DIGESTS) : types.fail(new types.UnavailableError('refused'))
         },
         readPiece: async () => types.fail(new types.UnavailableError('not asked'))
       },
@@ -96,3 +99,8 @@
   const { withManifest } = await play(context, { agents: 15, isOriginOpen: false, hasFarHolder: true, lateMs: 6000, lastMs: 6000 })
   assert.equal(withManifest.size, 15)
 })
+
+nodeTest.test('an origin that was away for six seconds gives its manifest to all agents of a zone soon after its return', async (context) => {
+  const { withManifest } = await play(context, { agents: 15, isOriginOpen: false, opensAtMs: 6000, lateMs: 20_000, lastMs: 6600 })
+  assert.equal(withManifest.size, 15)
+})
