Send calls to sound, idle engines of the old version for 0.8 s longer

Hypothesis: where a newer version is late nobody is served from 1.7 s before the bound on; an idle engine whose way was measured begins at once, as streams that go on have shown. The test that kept other calls from it is replaced: until 0.9 s before the bound, not later.

--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -83,8 +83,11 @@
 /** A call may begin this many times later than predicted. */
 const BEGIN_FACTOR = 2
 const PAUSED_MS = 1500
-/** A stream that goes on at a sound, idle engine begins at once, so it may be sent there later than other calls. */
-const MOVED_GRACE_MS = 800
+/**
+ * A call begins at once at a sound, idle engine, so it may be sent there later than elsewhere: up to 0.9 s before nothing may begin on its
+ * version any more, and it is taken back 0.6 s before. Where a newer version is late, that is 0.8 s of service.
+ */
+const SOUND_GRACE_MS = 800
 const SOUND_LINK_MS = 40
 /** Part of the time by which an answer would hold up its engine's change of version. */
 const HOLDING_UP_PART = 0.25
@@ -118,7 +121,7 @@
   const reckoned = predict(backEnd, load, input)
   const predicted = { ...reckoned, firstEventMs: reckoned.firstEventMs + load.linkDelayMs * LINK_CROSSINGS }
   const version = input.model === null ? null : readVersion(backEnd, load, input.model)
-  const graceMs = moveGraceMs(load, input)
+  const graceMs = soundGraceMs(load, input)
   const refused = input.figures === null || input.model === null ? null : findRefusal(version, latestBegin(load, predicted.firstEventMs, input) - graceMs, input)
   if (refused !== null) return refused
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
@@ -151,11 +154,11 @@
   return Math.min(input.endsAt, input.now + firstEventMs * BEGIN_FACTOR)
 }
 
-/** Milliseconds by which a stream that goes on may begin later here than other calls. */
-function moveGraceMs (load: createBackEndBook.BackEndLoad, input: ChoiceInput): number {
+/** Milliseconds by which a call may begin later here than at an engine that is busy, or of which too little is known. */
+function soundGraceMs (load: createBackEndBook.BackEndLoad, input: ChoiceInput): number {
   const isSound = load.isWayMeasured && !load.isSilent && !load.isPaused && load.avoidedUntil <= input.now && load.linkDelayMs <= SOUND_LINK_MS
   const isIdle = load.report !== null && load.report.waiting === 0 && load.report.running + load.sentSince < (input.figures?.slots ?? 0)
-  return input.pinnedVersion !== null && isSound && isIdle ? MOVED_GRACE_MS : 0
+  return isSound && isIdle ? SOUND_GRACE_MS : 0
 }
 
 /** Milliseconds by which the answer would outlast the engine's version. */
