--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -105,9 +105,9 @@
 const PAUSE_MAXIMUM_MS = 500
 const AFTER_ORDER_MS = 100
 /** From the pause of an engine until it serves its new version, when it breaks off what runs. */
-const CHANGE_MS = 1150
+const CHANGE_MS = 700
 /** Calls that end within this time after the pause began are not broken off. */
-const SHORT_CALLS_MS = 700
+const SHORT_CALLS_MS = 250
 const STAGED_READ_PAUSE_MS = 50
 /** With more than about three pieces waiting for the uplink a peer gets a piece sooner from whoever has it by now. */
 const BUSY_MS = 130
