--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -35,6 +35,17 @@
 /** How an engine's order was taken. */
 export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown'
 
+/** What an agent reads of the engine beside it. */
+export interface EngineState {
+  /** Version of which the engine holds every layer, 0 for none. */
+  readonly held: number
+  readonly running: number
+  /** Calls that wait there and have not begun. */
+  readonly waiting: number
+  readonly isBusy: boolean
+  readonly sequence: number
+}
+
 /** The engine beside an agent, as the adapter of a platform reaches it. */
 export interface StagedEngine {
   readonly putPiece: (model: string, piece: number, bytes: Buffer) => Promise<types.Outcome<null, types.UnavailableError>>
