--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -1,6 +1,6 @@
 /** Writes the answers of a call: a back end's, or one of the gateway's own. */
 import type * as http from 'node:http'
-import type * as createCallHandler from '../createCallHandler/index.js'
+import type * as callOptions from './callOptions.js'
 
 /** The answer to one request. */
 export interface Reply {
@@ -27,7 +27,7 @@
  * @param isLeaving - Whether the caller shall leave the connection.
  * @returns The reply.
  */
-export function createReply (response: http.ServerResponse, requestId: string, protocol: createCallHandler.CallProtocol, isLeaving: () => boolean): Reply {
+export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isLeaving: () => boolean): Reply {
   function writeHead (status: number, headers: readonly string[]): void {
     response.sendDate = false
     if (isLeaving()) response.shouldKeepAlive = false
--- /dev/null
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -0,0 +1,48 @@
+/** What the request path is given: the wire's form, configuration, decisions and clock. */
+import type * as http from 'node:http'
+import type * as observability from '@switchridge/observability'
+import type * as types from '@switchridge/types'
+import type * as chooseBackEnd from '../chooseBackEnd/index.js'
+import type * as createBackEndBook from '../createBackEndBook/index.js'
+import type * as createRetryBudget from '../createRetryBudget/index.js'
+import type * as createRouteTable from '../createRouteTable/index.js'
+import type * as gateway from '../types/index.js'
+
+/** How calls and attempts look on the wire; the adapter of a platform gives it. */
+export interface CallProtocol {
+  readonly readCall: (request: http.IncomingMessage) => gateway.CallHead
+  /** Headers of an attempt, names and values in turn. */
+  readonly formatAttempt: (call: gateway.CallHead, attempt: gateway.AttemptHead) => string[]
+  readonly readAnswer: (response: http.IncomingMessage, requestId: string) => gateway.AnswerHead
+  /** Headers of an answer of this gateway's own. */
+  readonly formatOwnAnswer: (requestId: string, retryAfterMs: number | null) => string[]
+}
+
+/** Options of the handler of callers' requests. */
+export interface CallHandlerOptions {
+  readonly protocol: CallProtocol
+  /** The configuration in force, or null before the first one. */
+  readonly routes: () => createRouteTable.RouteTable | null
+  readonly book: createBackEndBook.BackEndBook
+  readonly choose: (choice: CallChoice) => chooseBackEnd.ChoiceOutcome
+  readonly budgetOf: (service: types.ServiceName) => createRetryBudget.RetryBudget
+  readonly logger: observability.Logger
+  readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
+  readonly observe: (name: string, milliseconds: number) => void
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+  readonly random: () => number
+}
+
+/** What a choice for one call needs beyond what the gateway knows. */
+export interface CallChoice {
+  readonly service: types.ServiceName
+  readonly model: string | null
+  readonly promptTokens: number
+  readonly answerTokens: number
+  /** Milliseconds until the call must end. */
+  readonly remainingMs: number
+  readonly tried: ReadonlySet<types.NodeId>
+  /** Only this version will do; null for any that may serve. */
+  readonly version: number | null
+}
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -1,13 +1,13 @@
 /** One attempt: from its connection to the end of its answer. */
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndBook from '../createBackEndBook/index.js'
-import type * as createCallHandler from '../createCallHandler/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as relayEvents from '../relayEvents/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
 import type * as gateway from '../types/index.js'
 import type * as answers from './answers.js'
 import type * as callState from './callState.js'
+import type * as callOptions from './callOptions.js'
 
 /** A back end's answer, read to its end. */
 export interface WholeAnswer {
@@ -58,7 +58,7 @@
  */
 const LATE_URGENCY = 8
 
-type Options = createCallHandler.CallHandlerOptions
+type Options = callOptions.CallHandlerOptions
 type BegunAnswer = Extract<sendAttempt.AttemptStart, { kind: 'answer' }>
 type AnsweredHead = Extract<gateway.AnswerHead, { kind: 'answered' }>
 
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -1,12 +1,12 @@
 /** Sends a call to one back end after another until it has its final answer. */
 import type * as createBackEndBook from '../createBackEndBook/index.js'
-import type * as createCallHandler from '../createCallHandler/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import * as decideAdmission from '../decideAdmission/index.js'
 import * as relayEvents from '../relayEvents/index.js'
 import type * as answers from './answers.js'
 import type * as callState from './callState.js'
 import * as runAttempt from './runAttempt.js'
+import type * as callOptions from './callOptions.js'
 
 const DEFAULT_RETRY_AFTER_MS = 400
 /**
@@ -18,7 +18,7 @@
 /** Chances to reach another back end after connections that never stood. */
 const MAXIMUM_UNSENT = 4
 
-type Options = createCallHandler.CallHandlerOptions
+type Options = callOptions.CallHandlerOptions
 
 /** Why a call got its final answer. */
 type Ending = 'answered' | 'left' | 'refused' | 'failed' | 'expired'
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -1,56 +1,16 @@
 /** The request path: one caller's request, from its head to its final answer. */
 import type * as http from 'node:http'
-import type * as observability from '@switchridge/observability'
 import * as types from '@switchridge/types'
-import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import * as deadlines from '../_lib/deadline.js'
 import * as callState from '../_lib/callState.js'
 import * as runAttempts from '../_lib/runAttempts.js'
 import * as answers from '../_lib/answers.js'
-import type * as createBackEndBook from '../createBackEndBook/index.js'
-import type * as createRetryBudget from '../createRetryBudget/index.js'
+import type * as callOptions from '../_lib/callOptions.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as gateway from '../types/index.js'
 
-/** How calls and attempts look on the wire; the adapter of a platform gives it. */
-export interface CallProtocol {
-  readonly readCall: (request: http.IncomingMessage) => gateway.CallHead
-  /** Headers of an attempt, names and values in turn. */
-  readonly formatAttempt: (call: gateway.CallHead, attempt: gateway.AttemptHead) => string[]
-  readonly readAnswer: (response: http.IncomingMessage, requestId: string) => gateway.AnswerHead
-  /** Headers of an answer of this gateway's own. */
-  readonly formatOwnAnswer: (requestId: string, retryAfterMs: number | null) => string[]
-}
-
-/** Options of {@link createCallHandler}. */
-export interface CallHandlerOptions {
-  readonly protocol: CallProtocol
-  /** The configuration in force, or null before the first one. */
-  readonly routes: () => createRouteTable.RouteTable | null
-  readonly book: createBackEndBook.BackEndBook
-  readonly choose: (choice: CallChoice) => chooseBackEnd.ChoiceOutcome
-  readonly budgetOf: (service: types.ServiceName) => createRetryBudget.RetryBudget
-  readonly logger: observability.Logger
-  readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
-  readonly observe: (name: string, milliseconds: number) => void
-  /** Monotonic clock in milliseconds. */
-  readonly now: () => number
-  readonly random: () => number
-}
-
-/** What a choice for one call needs beyond what the gateway knows. */
-export interface CallChoice {
-  readonly service: types.ServiceName
-  readonly model: string | null
-  readonly promptTokens: number
-  readonly answerTokens: number
-  /** Milliseconds until the call must end. */
-  readonly remainingMs: number
-  readonly tried: ReadonlySet<types.NodeId>
-  /** Only this version will do; null for any that may serve. */
-  readonly version: number | null
-}
+export type { CallChoice, CallHandlerOptions, CallProtocol } from '../_lib/callOptions.js'
 
 /** Handles callers' requests. */
 export interface CallHandler {
@@ -77,7 +37,7 @@
  * @param options - Protocol, configuration, decisions and clock.
  * @returns The handler.
  */
-export function createCallHandler (options: CallHandlerOptions): CallHandler {
+export function createCallHandler (options: callOptions.CallHandlerOptions): CallHandler {
   let inProgress = 0
   let endsAt: number | null = null
   const calls = new Set<callState.CallState>()
