--- a/packages/staging/src/computeTurn/index.ts
+++ b/packages/staging/src/computeTurn/index.ts
@@ -21,18 +21,19 @@
   readonly method: staging.SwitchMethod
 }
 
+/** A wave of engines that change at the same time. */
+interface Wave {
+  /** Part of the engines that change in this wave or before it. */
+  readonly upTo: number
+  readonly beforeBoundMs: number
+}
+
 /**
- * Engines of this part change one after the other, from when the version is whole; each breaks off what runs for longer, and it goes on at
- * an engine that changes later. The others finish what runs, because there is nowhere to go on.
- */
-const EARLY_PART = 0.7
-/**
- * The last of them changes so long before the bound, and serves again 0.7 s later. With waves of a third of the engines, 9 of 14 were out of
- * service at a time, and 0.57 of the worth of the calls of those two seconds was earned.
+ * Engines change in waves, so that the others serve. The first waves break off what runs for longer,
+ * and it goes on at an engine of a later wave; the last one finishes what runs, because there is nowhere to go on.
  */
-const EARLY_BEFORE_BOUND_MS = 2300
-/** The others change when nothing may be sent to the old version any more. */
-const LAST_BEFORE_BOUND_MS = 1700
+const WAVES: readonly Wave[] = [{ upTo: 0.33, beforeBoundMs: 3200 }, { upTo: 0.66, beforeBoundMs: 2000 }]
+const LAST_WAVE: Wave = { upTo: 1, beforeBoundMs: 1600 }
 /** A call that is broken off later than this before the bound may not begin anew on the old version in time. */
 const BREAKING_BEFORE_BOUND_MS = 1600
 
@@ -45,13 +46,8 @@
 export function computeTurn (input: TurnInput): Turn {
   if (input.held === 0 || !Number.isFinite(input.boundAt)) return { at: input.wholeAt, method: 'finish' }
   const place = Math.max(0, input.rank) / Math.max(1, input.engines)
-  const isEarly = input.engines > 1 && place < EARLY_PART
-  const at = isEarly ? spreadTurn(place, input) : Math.max(input.wholeAt, input.boundAt - LAST_BEFORE_BOUND_MS)
-  const mayGoOnElsewhere = isEarly && at <= input.boundAt - BREAKING_BEFORE_BOUND_MS
+  const early = input.engines > 1 ? WAVES.find((wave) => place < wave.upTo) : undefined
+  const at = Math.max(input.wholeAt, input.boundAt - (early ?? LAST_WAVE).beforeBoundMs)
+  const mayGoOnElsewhere = early !== undefined && at <= input.boundAt - BREAKING_BEFORE_BOUND_MS
   return { at, method: mayGoOnElsewhere ? 'break-off' : 'finish' }
 }
-
-function spreadTurn (place: number, { wholeAt, boundAt }: TurnInput): number {
-  const spreadMs = Math.max(0, boundAt - EARLY_BEFORE_BOUND_MS - wholeAt)
-  return wholeAt + spreadMs * place / EARLY_PART
-}
