--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -6,6 +6,7 @@
 import * as rpc from '@switchridge/rpc'
 import type * as settings from '@switchridge/settings'
 import * as spread from '@switchridge/spread'
+import type * as staging from '@switchridge/staging'
 import * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as createCopyAnswers from '../createCopyAnswers/index.js'
@@ -72,7 +73,7 @@
   const configurations = store.createMirror(platform.KINDS.configuration)
   const servers = store.createMirror(platform.KINDS.backEnds)
   const named = store.createMirror(platform.KINDS.versions)
-  const versions = followVersions.createVersionFollower({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startMs: checked.role === 'agent' ? checked.bounds.version_ms : START_MS, now })
+  const versions = followVersions.createVersionFollower({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startMs: checked.role === 'agent' ? checked.bounds.version_ms : START_MS, onBound: noteBound, now })
   const routeListeners: Array<(table: gateway.RouteTable) => void> = []
   let routes: gateway.RouteTable | null = null
   const notedFigures = new Map<types.ServiceName, string>()
@@ -95,6 +96,10 @@
     for (const listener of routeListeners) listener(routes)
   }
 
+  function noteBound ({ model, version }: staging.VersionId, { ageMs, leftMs }: followVersions.VersionBound): void {
+    logger.info('version-bound', { model, version, ageMs: Math.round(ageMs), leftMs: Math.round(leftMs) })
+  }
+
   /** Says which figures decisions work with, when they are new, and which are not told. */
   function noteFigures ({ name, engine }: gateway.Service): void {
     if (engine === null) return
--- a/packages/daemon/src/followVersions/index.ts
+++ b/packages/daemon/src/followVersions/index.ts
@@ -31,10 +31,22 @@
   readonly marginMs: number
   /** Milliseconds that a process has for versions that were named before it began. */
   readonly startMs: number
+  /** Told when a version is new, or its bound comes sooner than was believed, by a second or more. */
+  readonly onBound: (id: staging.VersionId, bound: VersionBound) => void
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
 }
 
+/** What is believed of a version. */
+export interface VersionBound {
+  /** Milliseconds since somebody heard of it, as told now. */
+  readonly ageMs: number
+  /** Milliseconds until nothing may begin on an older version. */
+  readonly leftMs: number
+}
+
+/** Bounds that peers tell differ by the time on the way; a second more has a cause of its own. */
+const SOONER_MS = 1000
 /** A model that was never named runs this version. */
 const FIRST_VERSION = 1
 const NEWS_KEPT = 4
@@ -63,6 +75,7 @@
     if (known !== undefined && known.heardAt <= heardAt) return false
     const boundAt = Math.min(known?.boundAt ?? Infinity, ageMs > 0 ? heardAt + options.boundMs : heardAt + allowedMs())
     versions.set(id.version, { id, heardAt, boundAt })
+    if (boundAt < (known?.boundAt ?? Infinity) - SOONER_MS) options.onBound(id, { ageMs, leftMs: boundAt - options.now() })
     return known === undefined
   }
 
--- a/packages/daemon/src/followVersions/test.ts
+++ b/packages/daemon/src/followVersions/test.ts
@@ -3,7 +3,7 @@
 import * as followVersions from './index.js'
 
 function createAt (time: { now: number }): followVersions.VersionFollower {
-  return followVersions.createVersionFollower({ boundMs: 8000, marginMs: 1000, startMs: 2800, now: () => time.now })
+  return followVersions.createVersionFollower({ boundMs: 8000, marginMs: 1000, startMs: 2800, onBound: () => {}, now: () => time.now })
 }
 
 nodeTest.test('an older version gets no call from the margin before the bound on', () => {
