--- a/packages/spread/src/createCopySync/index.ts
+++ b/packages/spread/src/createCopySync/index.ts
@@ -196,7 +196,7 @@
 
   function nextPauseMs (): number {
     const pauseMs = Math.min(RETRY_MAXIMUM_MS, RETRY_MINIMUM_MS * 2 ** (failures - 1))
-    return pauseMs * (RETRY_MINIMUM_PART + (1 - RETRY_MINIMUM_PART) * options.random())
+    return types.jitter(pauseMs, RETRY_MINIMUM_PART, options.random())
   }
 
   function noteFailure (host: string, reason: string, isInvalid: boolean): false {
--- a/packages/staging/src/_lib/orderVersion.ts
+++ b/packages/staging/src/_lib/orderVersion.ts
@@ -45,19 +45,15 @@
     options.onPause(true)
     const state = await waitUntilNoneWaits()
     if (method === 'break-off') await waitForShortCalls()
-    if (state === null || state.isBusy) {
-      options.onPause(false)
-      return
-    }
-    await startVersion(ready, state, method)
+    if (state !== null && !state.isBusy) await startVersion(ready, state, method)
     options.onPause(false)
   }
 
-  async function startVersion ({ id, heardAt, boundAt }: staging.NamedVersion, state: staging.EngineState, method: staging.SwitchMethod): Promise<void> {
+  async function startVersion ({ id, heardAt }: staging.NamedVersion, state: staging.EngineState, method: staging.SwitchMethod): Promise<void> {
     const outcome = await options.engine.start(id, state.sequence, method)
     options.onEvent('version-ordered', { version: id.version, held: state.held, method, outcome, running: state.running, afterMs: Math.round(options.now() - heardAt) })
     await types.delay(AFTER_ORDER_MS)
-    const switchedMs = await waitForSwitch({ id, heardAt, boundAt })
+    const switchedMs = await waitForSwitch(id.version)
     options.onEvent('version-switched', { version: id.version, tookMs: switchedMs, afterMs: Math.round(options.now() - heardAt) })
   }
 
@@ -76,9 +72,9 @@
   }
 
   /** Waits until the engine tells the new version, or is no longer busy with it. */
-  async function waitForSwitch (ready: staging.NamedVersion): Promise<number> {
+  async function waitForSwitch (version: number): Promise<number> {
     const startedAt = options.now()
-    await pollEngine((state) => options.isStopped() || state.held >= ready.id.version || !state.isBusy, Infinity)
+    await pollEngine((state) => options.isStopped() || state.held >= version || !state.isBusy, Infinity)
     return Math.round(options.now() - startedAt)
   }
 
--- a/packages/staging/src/createManifestReader/index.ts
+++ b/packages/staging/src/createManifestReader/index.ts
@@ -115,7 +115,7 @@
   function postpone (tried: Tries, maximumMs: number): void {
     const pauseMs = Math.min(maximumMs, RETRY_MINIMUM_MS * 2 ** tried.failures)
     tried.failures += 1
-    tried.nextReadAt = options.now() + pauseMs * (RETRY_MINIMUM_PART + (1 - RETRY_MINIMUM_PART) * options.random())
+    tried.nextReadAt = options.now() + types.jitter(pauseMs, RETRY_MINIMUM_PART, options.random())
   }
 
   function countTry (id: staging.VersionId): Tries {
@@ -165,7 +165,7 @@
     while (isWanted()) {
       const manifest = await attempt(id, options.now() >= lateFrom)
       if (manifest !== null) return manifest
-      await types.delay(ASK_PAUSE_MS * (RETRY_MINIMUM_PART + (1 - RETRY_MINIMUM_PART) * options.random()))
+      await types.delay(types.jitter(ASK_PAUSE_MS, RETRY_MINIMUM_PART, options.random()))
     }
     return null
   }
--- a/packages/store/src/keepMirror/index.ts
+++ b/packages/store/src/keepMirror/index.ts
@@ -54,7 +54,7 @@
     if (isReachable) options.onReachable(false, error.message)
     isReachable = false
     const retryMs = Math.min(RETRY_MAXIMUM_MS, RETRY_MINIMUM_MS * 2 ** Math.min(failures - 1, 4))
-    return retryMs * (WAIT_MINIMUM_PART + (1 - WAIT_MINIMUM_PART) * options.random())
+    return types.jitter(retryMs, WAIT_MINIMUM_PART, options.random())
   }
 
   function noteAnswer (): void {
@@ -80,7 +80,7 @@
   async function watch (): Promise<void> {
     const from = isJustListed ? reached : Math.max(reached, Math.floor(mirror.state().at))
     isJustListed = false
-    const waitMs = Math.round(options.waitMs * (WAIT_MINIMUM_PART + (1 - WAIT_MINIMUM_PART) * options.random()))
+    const waitMs = Math.round(types.jitter(options.waitMs, WAIT_MINIMUM_PART, options.random()))
     const watched = await store.watchAll(mirror.kind, from, waitMs)
     if (watched.ok) {
       noteAnswer()
