Tell lives of an engine apart, and read each object of the store alone

Cause: an engine may start again under its id, and then knows nothing of before; `born` says when a life began and was read nowhere. A report of the earlier life was believed for 1.5 s and more, and an engine whose address had once answered as another one was never used again. One unreadable object made a whole list unreadable, and an entry without slots counted as having room for any number of calls.

Change: entries, reports and heartbeats carry the start of the life; what a gateway knows of a back end (report, open attempts, failures, avoidance, "gone") belongs to a life and begins anew with a later one; a report of an earlier life is dropped. An agent verifies its engine's stage again after a new life. Objects of lists and watches are read one by one; an entry that lacks a field which engines write, or has another state than ready and draining, names no back end, is logged once by place and counted (objects_unreadable). Entries are parsed once a revision, and found by address without a scan. The test of an entry with some layers now has the fields that engines write, since without them it names nothing.

--- a/packages/daemon/src/_lib/platformCalls.test.ts
+++ b/packages/daemon/src/_lib/platformCalls.test.ts
@@ -65,7 +65,7 @@
 
 async function openSlowStore (context: nodeTest.TestContext): Promise<{ readonly client: store.CollectionStore, readonly response: Promise<http.ServerResponse> }> {
   const { address, agents, response } = await openSlowServer(context)
-  return { response, client: platform.createStoreClient({ address, agents, timeoutMs: STORE_TIMEOUT_MS, onCall: () => {} }) }
+  return { response, client: platform.createStoreClient({ address, agents, timeoutMs: STORE_TIMEOUT_MS, onCall: () => {}, onUnreadable: () => {} }) }
 }
 
 /** Lets the loop turn until what was written has arrived; the paused clock stands still meanwhile. */
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -274,8 +274,8 @@
   address: '10.0.1.1:8585',
   isPaused: false,
   changesInMs: null,
-  report: { running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, models: new Map([['model-a', 3]]) }
-})
+  report: { bornAt: 1_790_000_000_000, running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, models: new Map([['model-a', 3]]) }
+}, '10.0.1.1')
 
 function parseSettings (host: string, hall: number, role: 'gateway' | 'agent', plan: readonly PlannedHost[]): settings.FleetSettings {
   const seeds = plan.filter((each) => each.role === 'gateway' && each.host.endsWith('.1')).slice(0, SEEDS).map((each) => `"${each.host}:1"`)
--- a/packages/daemon/src/createFleetExchange/size.test.ts
+++ b/packages/daemon/src/createFleetExchange/size.test.ts
@@ -76,7 +76,7 @@
   let count = 0
   const timer = setInterval(() => {
     count += 1
-    fleet.put('servers', `i-${count % 60}`, { service: 'llm', address: `10.0.1.${count % 60}:8585`, zone: 'hall-0', slots: 12, state: 'ready', sequence: count, note: 'x'.repeat(150) })
+    fleet.put('servers', `i-${count % 60}`, { service: 'llm', address: `10.0.1.${count % 60}:8585`, zone: 'hall-0', version: 'v1', slots: 12, state: 'ready', coldRemainingMs: 0, sequence: count, note: 'x'.repeat(150) })
   }, gapMs)
   return () => { clearInterval(timer) }
 }
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -25,6 +25,8 @@
   readonly routes: () => gateway.RouteTable | null
   readonly onRoutes: (listener: (table: gateway.RouteTable) => void) => void
   readonly backEnds: () => readonly gateway.BackEnd[]
+  /** The back end at an address of the form IP:PORT, the last one listed if there are several. */
+  readonly backEndAt: (address: string) => gateway.BackEnd | undefined
   readonly areBackEndsKnown: () => boolean
   readonly onBackEnds: (listener: () => void) => void
   readonly versions: followVersions.VersionFollower
@@ -45,6 +47,12 @@
 const COPY_MAXIMUM_MS = 30_000
 const OK = 200
 
+/** An entry as it was last parsed, with the layers that models of its service had then. */
+interface ParsedEntry {
+  readonly backEnd: gateway.BackEnd | null
+  readonly layers: number
+}
+
 /** What the parts take from their surroundings. */
 export interface PartsSurroundings {
   /** Monotonic clock in milliseconds. */
@@ -66,6 +74,7 @@
  * @returns The parts.
  */
 export function createFleetParts (checked: settings.FleetSettings, surroundings = PROCESS_SURROUNDINGS): FleetParts {
+  const metrics = observability.createTextMetrics({ node: checked.node, zone: checked.zone, role: checked.role })
   const logger = observability.createLogger('daemon', { node: checked.node, zone: checked.zone }, { level: checked.logs.level, write: surroundings.writeLine })
   const agents = rpc.createHttpAgents()
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
@@ -79,6 +88,10 @@
   const notedFigures = new Map<types.ServiceName, string>()
   let adoptedRevision = 0
   let backEnds: readonly gateway.BackEnd[] = []
+  let backEndsByAddress: ReadonlyMap<string, gateway.BackEnd> = new Map()
+  /** Every change of one entry tells of all of them: 143 engines cost 2 ms of a core for each. */
+  const parsedEntries = new WeakMap<store.StoredObject, ParsedEntry>()
+  const parsedVersions = new WeakSet<store.StoredObject>()
 
   function adoptConfiguration (): void {
     const object = configurations.objects().get(platform.CONFIGURATION_NAME)
@@ -125,28 +138,49 @@
 
   function adoptBackEnds (): void {
     const layersOf = (service: string): number => routes?.findService(types.brandId<types.ServiceName>(service))?.engine?.layers ?? 1
-    backEnds = [...servers.objects().values()].flatMap((object) => platform.parseBackEnd(object, layersOf) ?? [])
+    backEnds = [...servers.objects().values()].flatMap((object) => parseEntry(object, layersOf) ?? [])
+    backEndsByAddress = new Map(backEnds.map((backEnd) => [`${backEnd.address.host}:${backEnd.address.port}`, backEnd]))
+  }
+
+  /** Null where the entry names no back end; it says so once for each state of the entry. */
+  function parseEntry (object: store.StoredObject, layersOf: (service: string) => number): gateway.BackEnd | null {
+    const known = parsedEntries.get(object)
+    if (known !== undefined && (known.backEnd === null || known.layers === layersOf(known.backEnd.service))) return known.backEnd
+    const parsed = platform.parseBackEnd(object, layersOf)
+    if (!parsed.ok) noteUnreadable(servers.kind, object, parsed.error)
+    const backEnd = parsed.ok ? parsed.value : null
+    parsedEntries.set(object, { backEnd, layers: backEnd === null ? 0 : layersOf(backEnd.service) })
+    return backEnd
   }
 
   function adoptVersions (): void {
     for (const object of named.objects().values()) {
       const version = platform.parseNamedVersion(object)
-      if (version !== null) versions.note(version, 0)
+      if (version.ok) versions.note(version.value, 0)
+      else if (!parsedVersions.has(object)) noteUnreadable(named.kind, object, version.error)
+      parsedVersions.add(object)
     }
   }
 
+  /** An object of another writer costs no other one. */
+  function noteUnreadable (kind: string, { name, revision }: store.StoredObject, { message }: types.InvalidInputError): void {
+    metrics.count('objects_unreadable', { kind })
+    logger.warn('object-unreadable', { kind, name, revision, error: message })
+  }
+
   configurations.onChange(adoptConfiguration)
   servers.onChange(adoptBackEnds)
   named.onChange(adoptVersions)
   return {
     settings: checked,
     logger,
-    metrics: observability.createTextMetrics({ node: checked.node, zone: checked.zone, role: checked.role }),
+    metrics,
     agents,
     identity,
     routes: () => routes,
     onRoutes: (listener) => { routeListeners.push(listener) },
     backEnds: () => backEnds,
+    backEndAt: (address) => backEndsByAddress.get(address),
     areBackEndsKnown: servers.isKnown,
     onBackEnds: (listener) => { servers.onChange(listener) },
     versions,
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -73,7 +73,7 @@
     store: null,
     openDatagrams: spread.openDatagrams(checked.host, checked.internal_port),
     fetchChanges: createFleetParts.fetchChanges(parts),
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused, changesInMs }), listSuspects()),
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused, changesInMs }, checked.host), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.noteVersions(parts, heartbeat)) stager?.wake() },
     random: Math.random
   })
@@ -102,12 +102,18 @@
 
   async function readReport (): Promise<gateway.EngineReport | null> {
     const next = await engine.readReport(findFigures()?.layers ?? 1)
+    if (isEarlierLife(next, report)) return report
     const hadReport = report !== null
     report = next
     if (hadReport !== (next !== null)) logger.warn(next === null ? 'engine-lost' : 'engine-regained', { address: engineAddress })
     return next
   }
 
+  /** Answers on two connections may overtake each other. */
+  function isEarlierLife (next: gateway.EngineReport | null, known: gateway.EngineReport | null): boolean {
+    return (next?.bornAt ?? Infinity) < (known?.bornAt ?? -Infinity)
+  }
+
   function startStager (figures: gateway.EngineFigures, model: string): staging.Stager {
     const wholeBytes = figures.chunks * figures.chunkBytes
     return staging.createStager({
@@ -116,7 +122,7 @@
       named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
       readEngine: async () => {
         const fresh = await readReport()
-        return fresh === null ? null : { held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
+        return fresh === null ? null : { bornAt: fresh.bornAt, held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
       },
       engine,
       origin: platform.createWeightOrigin(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -38,7 +38,11 @@
     address: platform.parseAddress(checked.store.address),
     agents: parts.agents,
     timeoutMs: checked.store.timeout_ms,
-    onCall: (operation) => { metrics.count('store_calls', { operation }) }
+    onCall: (operation) => { metrics.count('store_calls', { operation }) },
+    onUnreadable: (kind, { message }) => {
+      metrics.count('objects_unreadable', { kind })
+      logger.warn('object-unreadable', { kind, error: message })
+    }
   })
   const listener = await createFleetParts.listenInternal(parts, [])
   const exchange = await createFleetExchange.createFleetExchange({
@@ -54,9 +58,9 @@
 
   function noteHeartbeat (heartbeat: spread.Heartbeat, delayMs: number, ageMs: number): void {
     createFleetParts.noteVersions(parts, heartbeat)
-    const news = engineNews.parseEngineNews(heartbeat.engine)
+    const news = engineNews.parseEngineNews(heartbeat.engine, heartbeat.host)
     if (news === null) return
-    const backEnd = parts.backEnds().findLast((each) => `${each.address.host}:${each.address.port}` === news.address)
+    const backEnd = parts.backEndAt(news.address)
     if (backEnd !== undefined) book.noteReport(backEnd.id, news, now() - delayMs - ageMs, delayMs)
   }
 
@@ -113,7 +117,7 @@
   })
   const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
   parts.onRoutes((table) => { server.setLimits(table.configuration.limits) })
-  parts.onBackEnds(() => { book.keepOnly(new Set(parts.backEnds().map((backEnd) => backEnd.id))) })
+  parts.onBackEnds(() => { book.keepOnly(parts.backEnds()) })
   const readiness = checked.listen.readiness === undefined
     ? null
     : await openTextServer.openTextServer(platform.parseAddress(checked.listen.readiness), { [platform.READINESS_PATH]: () => ({ status: isReady() ? OK : UNAVAILABLE }) })
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -12,13 +12,13 @@
 
 function createEngine (id: string, version: number, zone = 'a', isDraining = false): gateway.BackEnd {
   return {
-    id: types.brandId(id), service: types.brandId('llm'), address: { host: '127.0.0.1', port: 1 }, zone, slots: 16, isDraining, models: new Map([['m', version]])
+    id: types.brandId(id), bornAt: null, service: types.brandId('llm'), address: { host: '127.0.0.1', port: 1 }, zone, slots: 16, isDraining, models: new Map([['m', version]])
   }
 }
 
 function report (version: number, running: number, waiting = 0): createBackEndBook.AgentNews {
   return {
-    isPaused: false, changesInMs: null, report: { running, waiting, isBusy: false, sequence: 0, pace: 1, models: new Map([['m', version]]) }
+    isPaused: false, changesInMs: null, report: { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, models: new Map([['m', version]]) }
   }
 }
 
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -62,20 +62,25 @@
   readonly noteFailure: (id: types.NodeId) => void
   /** Notes that it was full. */
   readonly noteFull: (id: types.NodeId) => void
-  /** Notes that its address belongs to another back end now; an id never comes back. */
+  /** Notes that its address belongs to another back end now: its life has ended. */
   readonly noteGone: (id: types.NodeId) => void
-  /** Forgets back ends that are no longer listed. */
-  readonly keepOnly: (ids: ReadonlySet<string>) => void
+  /** Forgets back ends that are no longer listed, and what was known of earlier lives of those that are. */
+  readonly keepOnly: (listed: readonly ListedBackEnd[]) => void
 }
 
+/** What service discovery tells of a life. */
+export type ListedBackEnd = Pick<gateway.BackEnd, 'id' | 'bornAt'>
+
 interface Entry {
+  /** When the life began that all below belongs to; null while it is not told. */
+  bornAt: number | null
   report: gateway.EngineReport | null
   reportAt: number
   /** Age that its reports usually have when the next one comes, in milliseconds. */
   usualAgeMs: number
   isPaused: boolean
   changesAt: number
-  readonly open: Set<OpenAttempt>
+  open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
   isGone: boolean
@@ -104,6 +109,11 @@
 const AVOID_MAXIMUM_MS = 3000
 const AVOID_FULL_MS = 60
 
+/** What is known at the beginning of a life; the way to its machine and its agent's habits stay as they were. */
+function beginLife (): Omit<Entry, 'bornAt' | 'usualAgeMs' | 'linkDelayMs'> {
+  return { report: null, reportAt: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, isGone: false, connectMs: 0, connectAt: 0 }
+}
+
 /** Calls that a change of version broke off say nothing about the engine after it. */
 function hasOtherVersions (before: gateway.EngineReport | null, after: gateway.EngineReport): boolean {
   if (before === null) return false
@@ -122,11 +132,20 @@
   function find (id: types.NodeId): Entry {
     const known = entries.get(id)
     if (known !== undefined) return known
-    const entry: Entry = { report: null, reportAt: 0, usualAgeMs: 0, isPaused: false, changesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, isGone: false, connectMs: 0, connectAt: 0, linkDelayMs: 0 }
+    const entry: Entry = { bornAt: null, ...beginLife(), usualAgeMs: 0, linkDelayMs: 0 }
     entries.set(id, entry)
     return entry
   }
 
+  /** Notes which life is told of; false if it is an earlier one than is known, of which nothing counts any more. */
+  function noteLife (entry: Entry, bornAt: number | null): boolean {
+    if (bornAt === null || bornAt === entry.bornAt) return true
+    if (entry.bornAt !== null && bornAt < entry.bornAt) return false
+    if (entry.bornAt !== null) Object.assign(entry, beginLife())
+    entry.bornAt = bornAt
+    return true
+  }
+
   function read (id: types.NodeId): BackEndLoad {
     const entry = find(id)
     const reportAgeMs = now() - entry.reportAt
@@ -159,7 +178,7 @@
     noteEnded: (id, attempt) => { entries.get(id)?.open.delete(attempt) },
     noteReport: (id, news, madeAt, delayMs) => {
       const entry = find(id)
-      if (madeAt < entry.reportAt) return
+      if (!noteLife(entry, news.report.bornAt) || madeAt < entry.reportAt) return
       if (hasOtherVersions(entry.report, news.report)) {
         entry.failures = 0
         entry.avoidedUntil = 0
@@ -189,8 +208,13 @@
       entry.avoidedUntil = Math.max(entry.avoidedUntil, now() + AVOID_FULL_MS)
     },
     noteGone: (id) => { find(id).isGone = true },
-    keepOnly: (ids) => {
-      for (const [id, entry] of entries) if (!ids.has(id) && entry.open.size === 0) entries.delete(id)
+    keepOnly: (listed) => {
+      const bornAts = new Map(listed.map(({ id, bornAt }) => [id, bornAt]))
+      for (const [id, entry] of entries) {
+        const bornAt = bornAts.get(id)
+        if (bornAt !== undefined) noteLife(entry, bornAt)
+        else if (entry.open.size === 0) entries.delete(id)
+      }
     }
   }
 }
--- a/packages/gateway/src/createBackEndBook/test.ts
+++ b/packages/gateway/src/createBackEndBook/test.ts
@@ -7,7 +7,7 @@
 const NEWS: createBackEndBook.AgentNews = {
   isPaused: false,
   changesInMs: null,
-  report: { running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, models: new Map() }
+  report: { bornAt: null, running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, models: new Map() }
 }
 
 interface PlayedReports {
@@ -55,3 +55,56 @@
   pass(2200)
   assert.equal(book.read(ID).isSilent, true)
 })
+
+/** What an engine tells in the life that began then. */
+function tellLife (bornAt: number | null, running: number): createBackEndBook.AgentNews {
+  return { ...NEWS, report: { ...NEWS.report, bornAt, running, sequence: running, models: new Map([['m', running]]) } }
+}
+
+nodeTest.test('an engine that starts again under its id is used again, and nothing of its earlier life counts', () => {
+  const book = createBackEndBook.createBackEndBook(() => 10_000)
+  const open = { promptTokens: 900, answerTokens: 10, sentAt: 9000, hasBegun: false }
+  book.noteReport(ID, tellLife(1000, 7), 9990, 0)
+  book.noteSent(ID, open)
+  book.noteFailure(ID)
+  book.noteGone(ID)
+  assert.equal(book.read(ID).isGone, true)
+  book.noteReport(ID, tellLife(2000, 0), 9980, 0)
+  const load = book.read(ID)
+  assert.equal(load.isGone, false)
+  assert.equal(load.avoidedUntil, 0)
+  assert.equal(load.open.size, 0)
+  assert.equal(load.report?.models.get('m'), 0)
+  book.noteEnded(ID, open)
+  assert.equal(book.read(ID).open.size, 0)
+})
+
+nodeTest.test('a report of an earlier life never replaces one of a later life, however it was delayed', () => {
+  const book = createBackEndBook.createBackEndBook(() => 10_000)
+  book.noteReport(ID, tellLife(2000, 0), 9900, 0)
+  book.noteReport(ID, tellLife(1000, 7), 9990, 0)
+  assert.equal(book.read(ID).report?.running, 0)
+})
+
+nodeTest.test('service discovery that lists a later life ends the earlier one before its agent tells of it', () => {
+  const book = createBackEndBook.createBackEndBook(() => 10_000)
+  book.noteReport(ID, tellLife(1000, 7), 9990, 0)
+  book.noteGone(ID)
+  book.keepOnly([{ id: ID, bornAt: 1000 }])
+  assert.equal(book.read(ID).isGone, true)
+  book.keepOnly([{ id: ID, bornAt: 2000 }])
+  assert.equal(book.read(ID).isGone, false)
+  assert.equal(book.read(ID).report, null)
+  book.keepOnly([{ id: ID, bornAt: 1000 }])
+  book.noteReport(ID, tellLife(1000, 7), 9995, 0)
+  assert.equal(book.read(ID).report, null)
+})
+
+nodeTest.test('an engine that does not tell when its life began stays in one life', () => {
+  const book = createBackEndBook.createBackEndBook(() => 10_000)
+  book.noteReport(ID, tellLife(null, 1), 9900, 0)
+  book.noteGone(ID)
+  book.noteReport(ID, tellLife(null, 2), 9990, 0)
+  assert.equal(book.read(ID).isGone, true)
+  assert.equal(book.read(ID).report?.running, 2)
+})
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -86,13 +86,15 @@
 /** Limits before the first configuration is known. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = { maximumHeaderBytes: 16_384, maximumBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 
-/** A back end as service discovery lists it; a new life has a new id. */
+/** A back end as service discovery lists it; it may start again under its id. */
 export interface BackEnd {
   readonly id: types.NodeId
+  /** When this life began, in Unix milliseconds of its own clock; null when it does not tell. */
+  readonly bornAt: number | null
   readonly service: types.ServiceName
   readonly address: types.Address
   readonly zone: string
-  /** Requests that it works on at a time; Infinity when it does not tell. */
+  /** Requests that it works on at a time. */
   readonly slots: number
   readonly isDraining: boolean
   /** Models of which the back end holds every layer, with their versions. */
@@ -101,6 +103,8 @@
 
 /** What an engine says of itself. */
 export interface EngineReport {
+  /** When this life began, in Unix milliseconds of its own clock; null when it does not tell. */
+  readonly bornAt: number | null
   readonly running: number
   readonly waiting: number
   /** Whether an order is under way. */
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -227,7 +227,7 @@
       self,
       model: ID.model,
       named: () => [{ id: ID, heardAt: startedAt, boundAt: startedAt + BOUND_MS }],
-      readEngine: async () => ({ held, running: 0, waiting: 0, isBusy: false, sequence: 0 }),
+      readEngine: async () => ({ bornAt: null, held, running: 0, waiting: 0, isBusy: false, sequence: 0 }),
       engine: {
         putPiece: async (_model, piece, bytes) => {
           stage.set(piece, bytes)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -70,6 +70,8 @@
   let fetchingSince: number | null = null
   let notBelow = 0
   let staged: StagedVersion | null = null
+  /** The life of the engine that the stage was written for. */
+  let bornAt: number | null = null
   const wholeAt = new Map<number, number>()
   const stopping = new AbortController()
   let isWorking = false
@@ -111,6 +113,7 @@
   }
 
   async function advance (state: staging.EngineState): Promise<void> {
+    noteLife(state)
     const named = options.named()
     planFetch(state, named)
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
@@ -130,6 +133,15 @@
     else await orders.order(ready, turn.method)
   }
 
+  /** A stage outlasts a crash of its engine, but not a loss of power: what was verified in an earlier life is verified again. */
+  function noteLife (state: staging.EngineState): void {
+    if (bornAt !== null && state.bornAt !== bornAt) {
+      staged = null
+      options.onEvent('engine-born-again', { bornAt: state.bornAt ?? '', before: bornAt })
+    }
+    bornAt = state.bornAt
+  }
+
   function planFetch (state: staging.EngineState, named: readonly staging.NamedVersion[]): void {
     const newestWhole = named.findLast((each) => progressOf(each.id.version) === 1)?.id.version ?? 0
     const target = planVersions.planVersions({ held: Math.max(state.held, newestWhole), notBelow, named, progressOf, wholeMs: options.wholeMs, now: options.now() })
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -37,6 +37,8 @@
 
 /** What an agent reads of the engine beside it. */
 export interface EngineState {
+  /** When its life began, in Unix milliseconds of its own clock; null when it does not tell. */
+  readonly bornAt: number | null
   /** Version of which the engine holds every layer, 0 for none. */
   readonly held: number
   readonly running: number
