Look at each missing piece once a tick, however many agents there are, and list an agent's hall less often

Cause: with 144 agents each tick of a fetch, 25 a second, asked 144 peers for each of 96 pieces whether it was to be asked, and once pieces were overdue filtered all agents for each of them: two million looks a tick. A peer that waited for a piece made the agent list its hall 67 times a second. Change: pieces are grouped by the peer to ask, each looked at once; the hall is listed five times a second.

--- a/packages/staging/src/_lib/offerPieces.ts
+++ b/packages/staging/src/_lib/offerPieces.ts
@@ -54,6 +54,8 @@
 /** A peer that was referred here is sent away only when it would wait for longer than this. */
 const BUSY_REFERRED_MS = 400
 const OFFER_POLL_MS = 15
+/** Agents of the own zone are listed anew so often; with a dozen peers waiting, listing them at each look took a sixth of an agent's time. */
+const NEAR_KEPT_MS = 200
 
 /**
  * Creates the offers of an agent.
@@ -62,6 +64,9 @@
  * @returns What answers a peer that asks.
  */
 export function createPieceOffers (options: OfferOptions & HeldPieces): ProvidePiece {
+  let near: ReadonlySet<types.NodeId> = new Set()
+  let nearListedAt = -Infinity
+
   /** A piece that only lies in the stage of the engine, from before this process began. */
   async function takeFromStage (id: staging.VersionId, wanted: readonly number[]): Promise<createPieceStore.TakenPiece | null> {
     const manifest = await options.manifests.obtain(id, Infinity, () => !options.isStopped())
@@ -86,16 +91,19 @@
     for (;;) {
       const isHere = wanted.some(pieces.has)
       if (isHere && options.uplink.backlogMs() <= (asker.mayRefer ? BUSY_MS : BUSY_REFERRED_MS)) return send(pieces.take(wanted))
-      const near = isHere ? listNear() : null
-      if (near !== null && !near.delete(asker.node)) return send(pieces.take(wanted))
-      const referral = near !== null && asker.mayRefer ? pieces.refer(wanted, (node) => near.has(node)) : null
+      const hall = isHere ? listNear() : null
+      if (hall !== null && !hall.has(asker.node)) return send(pieces.take(wanted))
+      const referral = hall !== null && asker.mayRefer ? pieces.refer(wanted, (node) => node !== asker.node && hall.has(node)) : null
       if (referral !== null || options.now() >= endsAt) return referral
       await types.delay(OFFER_POLL_MS)
     }
   }
 
-  function listNear (): Set<types.NodeId> {
-    return new Set(options.agents().filter((agent) => agent.zone === options.self.zone).map((agent) => agent.node))
+  function listNear (): ReadonlySet<types.NodeId> {
+    if (options.now() - nearListedAt < NEAR_KEPT_MS) return near
+    nearListedAt = options.now()
+    near = new Set(options.agents().filter((agent) => agent.zone === options.self.zone).map((agent) => agent.node))
+    return near
   }
 
   function send (taken: createPieceStore.TakenPiece | null): ProvidedPiece | null {
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -176,11 +176,9 @@
     const overdueMs = options.now() - Math.max(keptAt, spreadFrom()) - OVERDUE_MS
     readFromOrigin(missing)
     if (options.isReadingAhead()) return
-    for (const peer of rotate(agents, turn)) {
+    for (const [peer, wanted] of rotate([...groupByPeer(missing, overdueMs)], turn)) {
       if (busy.size >= window) break
-      if (peer.node === self.node || busy.has(peer.node)) continue
-      const wanted = missing.filter((piece) => isWantedFrom(peer, piece, overdueMs))
-      if (wanted.length > 0) void askInParts(peer, wanted)
+      if (peer.node !== self.node && !busy.has(peer.node)) void askInParts(peer, wanted)
     }
   }
 
@@ -199,14 +197,28 @@
     }
   }
 
-  function isWantedFrom (peer: staging.StagingPeer, piece: number, overdueMs: number): boolean {
-    if (readingOrigin.has(piece)) return false
-    if (plans[piece]?.provider?.node === peer.node) return true
-    const isOriginFailing = (originFailures.get(piece) ?? 0) >= ORIGIN_FAILURES_ALONE
-    if (overdueMs < 0 && !isOriginFailing) return false
+  /** Which pieces each peer is to be asked for; each piece is looked at once, however many agents there are. */
+  function groupByPeer (missing: readonly number[], overdueMs: number): Map<staging.StagingPeer, number[]> {
     const others = overdueMs < OTHER_ZONE_OVERDUE_MS ? agents.filter((agent) => agent.zone === self.zone) : agents
-    const alternative = others[(piece + Math.floor((options.now() - startedAt) / ALTERNATIVE_MS)) % others.length]
-    return alternative?.node === peer.node
+    const shift = Math.floor((options.now() - startedAt) / ALTERNATIVE_MS)
+    const groups = new Map<staging.StagingPeer, number[]>()
+    const byNode = new Map(agents.map((agent) => [agent.node, agent]))
+
+    function add (peer: staging.StagingPeer | undefined, piece: number): void {
+      if (peer === undefined) return
+      const group = groups.get(peer)
+      if (group === undefined) groups.set(peer, [piece])
+      else if (group.at(-1) !== piece) group.push(piece)
+    }
+
+    for (const piece of missing) {
+      if (readingOrigin.has(piece)) continue
+      const provider = plans[piece]?.provider
+      if (provider !== undefined && provider !== null) add(byNode.get(provider.node), piece)
+      const isOriginFailing = (originFailures.get(piece) ?? 0) >= ORIGIN_FAILURES_ALONE
+      if (overdueMs >= 0 || isOriginFailing) add(others[(piece + shift) % others.length], piece)
+    }
+    return groups
   }
 
   function suspectSlowPeers (): void {
