--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -2,9 +2,9 @@
 import * as createChangeTeller from '../_lib/createChangeTeller.js'
 import * as createFinder from '../_lib/createFinder.js'
 import * as createHallRelay from '../_lib/createHallRelay.js'
+import * as createRegularTeller from '../_lib/createRegularTeller.js'
 import * as fleetView from '../_lib/fleetView.js'
 import * as hallNews from '../_lib/hallNews.js'
-import * as hashes from '../_lib/hashes.js'
 import type * as heartbeats from '../_lib/heartbeat.js'
 import * as measureDelays from '../_lib/measureDelays.js'
 import * as memberTable from '../_lib/memberTable.js'
@@ -57,25 +57,15 @@
 export const PEER_FORGET_MS = 60_000
 /** Where peers count as live for longer, they are forgotten after so many times as long. */
 const FORGET_FACTOR = 3
-/** Those that speak for a hall, or would follow, look so often at what is due: their rounds set the pace of all others. */
-const SPEAKER_TICK_MS = 25
 /**
- * All others: each look is a wake-up, of which an idle daemon had 40 a second. On a fleet of 183 idle daemons looking every 100 ms, with
+ * Those that speak for no hall, and would not follow, look so often at most at what is due: each look is a wake-up, of which an idle daemon had 40 a second. On a fleet of 183 idle daemons looking every 100 ms, with
  * engines read as seldom, saved 13 in 100 of all processor time. An agent looks a whole number of times between two of its news.
  */
 const TICK_MAXIMUM_MS = 100
-/** Whole heartbeats are a second apart, so their times need no closer look. */
-const BEAT_CHECK_MS = 100
 const FORGET_CHECK_MS = 1000
 /** The view of the fleet may be so old at those that speak for the hall, or would follow, and at all others; a member that is new renews it. At 240 members it takes 0.35 ms. */
 const SPEAKER_VIEW_MS = 200
 const VIEW_MS = 500
-/** Relays and those that would follow tell each other so often that they live. */
-const RELAY_BEAT_MS = 330
-/** Those that would follow after the candidates hear of every second sign, within the 1.05 s after which they judge. */
-const LISTENER_BEATS = 2
-/** Peers that are silent hear of this daemon less often. */
-const SILENT_FACTOR = 1.5
 /** Peers that know others are told so at most so often. */
 const HOSTS_INTERVAL_MS = 250
 
@@ -87,16 +77,13 @@
  */
 export async function createGossip (options: GossipOptions): Promise<Gossip> {
   const { now, host: ownHost } = options
-  const { zone: ownZone, role: ownRole, isStoreLost: wasStoreLost } = options.describeSelf()
+  const { zone: ownZone, role: ownRole } = options.describeSelf()
   const table = memberTable.createMemberTable()
   const measureDelay = measureDelays.createDelayMeasure()
-  const finder = createFinder.createFinder({ ownHost, seeds: options.seeds, isLive: isLiveHost, knock: (host) => { knock(host, 'sender') }, now })
+  const finder = createFinder.createFinder({ ownHost, seeds: options.seeds, isLive: isLiveHost, knock: (host) => { teller.introduce(host, 'sender') }, now })
   const relay = createHallRelay.createHallRelay({ ownHost, describeSelf: options.describeSelf, find: table.get, look, send, later, now })
   const announceChange = createChangeTeller.createChangeTeller({ describeSelf: options.describeSelf, look, tell: relay.tellChange, later, now })
-  const beatenAt = new Map<string, number>()
-  const spokenAt = new Map<string, number>()
-  /** Hosts that were answered, and whose regular heartbeats are still to begin. */
-  const unphased = new Set<string>()
+  const teller = createRegularTeller.createRegularTeller({ ownHost, describeSelf: options.describeSelf, look, isSpeaking: () => isSpeaking, send, now })
   const lost = new Map<string, string[]>()
   let view: fleetView.FleetView | null = null
   let viewedAt = -Infinity
@@ -104,13 +91,9 @@
   let isSpeaking = true
   let isStopped = false
   let turn = 0
-  let beatCheckAt = -Infinity
   let forgottenAt = -Infinity
-  let relayBeatAt = -Infinity
-  let relayBeats = 0
   let hostsToldAt = -Infinity
   let hasToldLeaving = false
-  let toldStoreLost = wasStoreLost
   const timers = new Set<NodeJS.Timeout>()
   const socket = await options.openDatagrams(receive)
 
@@ -129,7 +112,7 @@
   function look (): fleetView.FleetView {
     if (view !== null && now() - viewedAt < (isSpeaking ? SPEAKER_VIEW_MS : VIEW_MS)) return view
     viewedAt = now()
-    if (view !== null && isDue(forgottenAt, FORGET_CHECK_MS)) forget(view.intervals)
+    if (view !== null && now() - forgottenAt >= FORGET_CHECK_MS) forget(view.intervals)
     view = fleetView.viewFleet(table.all(), options.describeSelf(), viewedAt, view?.intervals ?? rates.computeIntervals({ gateways: 0, agents: 0, farGateways: 0, farAgents: 0 }))
     isSpeaking = view.candidates.some(({ host }) => host === ownHost)
     return view
@@ -148,22 +131,6 @@
     return member !== undefined && isLive(member)
   }
 
-  function formatSelf (urgency: wire.Urgency = 'nobody'): string {
-    return wire.formatHeartbeat(now(), options.describeSelf(), look().hash, urgency)
-  }
-
-  /** A member that knows this one already says nothing of its own until its next heartbeat, so it is asked to. */
-  function knock (host: string, urgency: wire.Urgency = 'nobody'): void {
-    unphased.add(host)
-    sendWhole(host, urgency)
-  }
-
-  function sendWhole (host: string, urgency: wire.Urgency = 'nobody'): void {
-    beatenAt.set(host, now())
-    spokenAt.set(host, now())
-    send(host, formatSelf(urgency))
-  }
-
   // What comes in.
 
   function receive (bytes: Buffer, from: string): void {
@@ -190,8 +157,9 @@
     if (!wasLive && isNear(heartbeat.zone)) relay.tellNewcomer(heartbeat.host)
     else if (isNear(heartbeat.zone) && viewHash !== look().hash) tellHosts(heartbeat, from)
     if (isNewHall) for (const { host } of look().candidates) for (const text of wire.formatHosts([heartbeat.host])) send(host, text)
+    // A member that knows the sender already would say nothing of its own until its next heartbeat.
     if (urgency === 'sender') {
-      if (wasLive) sendWhole(heartbeat.host)
+      if (wasLive) teller.sendWhole(heartbeat.host)
     } else if (urgency !== 'nobody' && isNear(heartbeat.zone)) relay.tellAtOnce(heartbeat.host, urgency)
     options.onHeartbeat({ ...heartbeat, versions: ageVersions(heartbeat.versions, delayMs) }, delayMs, 0)
   }
@@ -281,7 +249,7 @@
   /** Tells a daemon that was not known of this one, of others of its hall, and of other halls. */
   function welcome (newcomer: heartbeats.Heartbeat, from: string): void {
     viewedAt = -Infinity
-    knock(newcomer.host)
+    teller.introduce(newcomer.host, 'nobody')
     sendHosts(newcomer, from)
   }
 
@@ -301,71 +269,12 @@
   // What goes out at its time.
 
   function tick (): void {
-    const { near, silent, halls, rank, intervals } = look()
-    if (isDue(beatCheckAt, BEAT_CHECK_MS)) {
-      beatCheckAt = now()
-      tellStoreLost()
-      for (const member of near) beat(member, intervals.heartbeatMs, signMsTo(member.heartbeat.host))
-      for (const member of silent) beat(member, intervals.heartbeatMs * SILENT_FACTOR, Infinity)
-    }
-    tellNews()
-    beatAsRelay()
+    const { near, halls, rank } = look()
+    teller.tick()
     relay.tick()
     finder.tick(near.length + halls.length === 0, () => rank >= 0 ? listLost() : [])
   }
 
-  /** Which gateways ask the store depends on it, so those of the hall hear of it at once. */
-  function tellStoreLost (): void {
-    const { isStoreLost } = options.describeSelf()
-    if (isStoreLost === toldStoreLost) return
-    toldStoreLost = isStoreLost
-    for (const { heartbeat: { host, role } } of look().near) if (role === 'gateway') send(host, formatSelf())
-  }
-
-  function isDue (at: number | undefined, intervalMs: number): boolean {
-    return now() - (at ?? -Infinity) >= intervalMs - SPEAKER_TICK_MS / 2
-  }
-
-  /** The first heartbeat after an answer comes after a part of the interval, so that those of a common start don't stay together. */
-  function beat ({ heartbeat: { host } }: heartbeats.Peer, heartbeatMs: number, signMs: number): void {
-    const firstPart = unphased.has(host) ? hashes.computePhase(ownHost, host) : 1
-    if (isDue(beatenAt.get(host), firstPart * heartbeatMs)) {
-      unphased.delete(host)
-      sendWhole(host)
-    } else if (isDue(spokenAt.get(host), signMs)) {
-      spokenAt.set(host, now())
-      send(host, wire.formatSign(false))
-    }
-  }
-
-  /** In a relayed hall only those hear signs that tell the others. */
-  function signMsTo (host: string): number {
-    const { isRelayed, relayHosts, intervals } = look()
-    if (!isRelayed) return intervals.signMs
-    return relayHosts.has(host) ? rates.RELAYED_SIGN_MS : Infinity
-  }
-
-  function tellNews (): void {
-    if (ownRole !== 'agent') return
-    const { near, intervals, isRelayed, relayHosts } = look()
-    const due = near.filter(({ heartbeat: { role, host } }) => (isRelayed ? relayHosts.has(host) : role === 'gateway') && isDue(spokenAt.get(host), intervals.newsMs))
-    if (due.length === 0) return
-    const text = wire.formatNews(now(), options.describeSelf().engine)
-    for (const { heartbeat: { host } } of due) {
-      spokenAt.set(host, now())
-      send(host, text)
-    }
-  }
-
-  function beatAsRelay (): void {
-    const { candidates, listeners } = look()
-    if (!isSpeaking || !isDue(relayBeatAt, RELAY_BEAT_MS)) return
-    relayBeatAt = now()
-    relayBeats += 1
-    const hearing = relayBeats % LISTENER_BEATS === 0 ? [...new Set([...candidates, ...listeners])] : candidates
-    for (const { host } of hearing) send(host, wire.formatSign(false))
-  }
-
   function forget (intervals: rates.Intervals): void {
     forgottenAt = now()
     for (const member of table.all()) {
@@ -373,9 +282,7 @@
       const forgetMs = Math.max(PEER_FORGET_MS, FORGET_FACTOR * fleetView.computeLiveMs(isNear(zone), intervals))
       if (now() - member.heardAt <= forgetMs) continue
       table.remove(host)
-      beatenAt.delete(host)
-      unphased.delete(host)
-      spokenAt.delete(host)
+      teller.forget(host)
       const kept = lost.get(zone) ?? []
       lost.set(zone, [host, ...kept.filter((each) => each !== host)].slice(0, relays.CANDIDATES))
     }
@@ -398,10 +305,10 @@
 
   /** To the own hall directly, and to those that may be relays, for the others. */
   function tellAtOnce (urgency: wire.Audience, role?: heartbeats.Heartbeat['role']): void {
-    const text = formatSelf(urgency)
+    const text = teller.formatSelf(urgency)
     const hosts = look().near.filter((member) => role === undefined || member.heartbeat.role === role).map((member) => member.heartbeat.host)
     for (const host of new Set([...hosts, ...look().candidates.map((each) => each.host)])) {
-      spokenAt.set(host, now())
+      teller.noteSpoken(host)
       send(host, text)
     }
     relay.tellAtOnce(ownHost, urgency)
@@ -415,7 +322,7 @@
 
   function chooseTickMs (): number {
     const { intervals: { newsMs } } = look()
-    if (isSpeaking) return SPEAKER_TICK_MS
+    if (isSpeaking) return createRegularTeller.SPEAKER_TICK_MS
     return ownRole === 'agent' ? newsMs / Math.ceil(newsMs / TICK_MAXIMUM_MS) : TICK_MAXIMUM_MS
   }
 
