--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -14,6 +14,10 @@
   readonly callsPerSecond: number
   /** Seconds with this load; the first {@link WARM_UP_MS} of them are not counted. */
   readonly seconds: number
+  /** Speeds and slots of the engines, {@link FIGURES} if absent. */
+  readonly figures?: gateway.EngineFigures
+  /** Milliseconds between reports within a hall, and to other halls. */
+  readonly reportsMs?: { readonly near: number, readonly far: number }
   /** Engines that work so many times more slowly than the others, without saying so until their next report. */
   readonly slow?: { readonly count: number, readonly pace: number }
 }
@@ -59,9 +63,8 @@
 const CHUNK_TOKENS = 2048
 /** An agent reads its engine so often, and tells what it read last. */
 const READ_MS = 200
-/** Reports within a hall, and to other halls; each is so long under way. */
-const NEAR_REPORT_MS = 350
-const FAR_REPORT_MS = 900
+/** Reports within a hall, and to other halls, of a site of today; each is so long under way. */
+const REPORTS_MS = { near: 350, far: 900 }
 const WAY_MS = 3
 const FAR_WAY_MS = 8
 const CALL_MS = 6000
@@ -122,13 +125,13 @@
 }
 
 /** An engine reads the prompts of all that it lets in, and gives each writer an event a pass. */
-function createEngine (id: string, zone: string, pace: number, timeline: Timeline): Engine {
+function createEngine (id: string, zone: string, pace: number, figures: gateway.EngineFigures, timeline: Timeline): Engine {
   const running: Work[] = []
   const waiting: Work[] = []
   let isInPass = false
 
   function pass (): void {
-    while (running.length < FIGURES.slots && waiting.length > 0) running.push(waiting.shift() as Work)
+    while (running.length < figures.slots && waiting.length > 0) running.push(waiting.shift() as Work)
     isInPass = running.length > 0
     if (!isInPass) return
     let budget = STRIDE * CHUNK_TOKENS
@@ -137,8 +140,8 @@
       budget -= tokens
       return tokens
     })
-    const stepMs = (FIGURES.stepMs as number) + (FIGURES.stepMsPerSequence as number) * running.length
-    const passMs = pace * (STRIDE * stepMs + read.reduce((sum, tokens) => sum + tokens, 0) / (FIGURES.prefillTokensPerMs as number))
+    const stepMs = (figures.stepMs as number) + (figures.stepMsPerSequence as number) * running.length
+    const passMs = pace * (STRIDE * stepMs + read.reduce((sum, tokens) => sum + tokens, 0) / (figures.prefillTokensPerMs as number))
     timeline.at(timeline.now() + passMs, () => { endPass(read) })
   }
 
@@ -160,7 +163,7 @@
   }
 
   return {
-    backEnd: { id: types.brandId(id), bornAt: null, service: types.brandId('llm'), address: { host: id, port: 1 }, zone, slots: FIGURES.slots, isDraining: false, models: new Map([['m', 1]]) },
+    backEnd: { id: types.brandId(id), bornAt: null, service: types.brandId('llm'), address: { host: id, port: 1 }, zone, slots: figures.slots, isDraining: false, models: new Map([['m', 1]]) },
     take: (work) => {
       if (waiting.length >= ENGINE_QUEUE) return false
       waiting.push(work)
@@ -186,10 +189,12 @@
  * @returns What callers got; the same for the same plan.
  */
 export function playLoad (plan: LoadPlan): LoadResult {
+  const figures = plan.figures ?? FIGURES
+  const reportsMs = plan.reportsMs ?? REPORTS_MS
   const timeline = createTimeline()
   const random = createRandom()
   const zoneOf = (at: number): string => `hall-${at % plan.halls}`
-  const engines = Array.from({ length: plan.engines }, (_, at) => createEngine(`engine-${at}`, zoneOf(at), at < (plan.slow?.count ?? 0) ? plan.slow?.pace ?? 1 : 1, timeline))
+  const engines = Array.from({ length: plan.engines }, (_, at) => createEngine(`engine-${at}`, zoneOf(at), at < (plan.slow?.count ?? 0) ? plan.slow?.pace ?? 1 : 1, figures, timeline))
   const backEnds = engines.map(({ backEnd }) => backEnd)
   const byId = new Map(engines.map((engine) => [engine.backEnd.id, engine]))
   const gateways = Array.from({ length: plan.gateways }, (_, at) => ({ zone: zoneOf(at), book: createBackEndBook.createBackEndBook(timeline.now), errors: createErrorBound.createErrorBound(timeline.now) }))
@@ -215,7 +220,7 @@
     return chooseBackEnd.chooseBackEnd({
       backEnds,
       book: from.book,
-      figures: FIGURES,
+      figures,
       zone: from.zone,
       gateways: plan.gateways,
       model: 'm',
@@ -243,7 +248,7 @@
     const choice = choose(from, kind, promptTokens, askedAt + CALL_MS, tried)
     const admission = choice === null || tried.size > 0
       ? { isTaken: choice !== null }
-      : decideAdmission.decideAdmission({ firstEventMs: choice.evenedFirstEventMs, waitingBefore: choice.waitingBefore, occupied: choice.occupied, slots: FIGURES.slots, errorMs: from.errors.read(), targetMs: kind.targetMs, remainingMs: CALL_MS, random: random() })
+      : decideAdmission.decideAdmission({ firstEventMs: choice.evenedFirstEventMs, waitingBefore: choice.waitingBefore, occupied: choice.occupied, slots: figures.slots, errorMs: from.errors.read(), targetMs: kind.targetMs, remainingMs: CALL_MS, random: random() })
     if (choice === null || !admission.isTaken) {
       if (isCounted) counts.refused += 1
       return
@@ -285,8 +290,8 @@
   }
 
   for (const engine of engines) {
-    tellReports(engine, (zone) => zone === engine.backEnd.zone, NEAR_REPORT_MS, WAY_MS)
-    tellReports(engine, (zone) => zone !== engine.backEnd.zone, FAR_REPORT_MS, FAR_WAY_MS)
+    tellReports(engine, (zone) => zone === engine.backEnd.zone, reportsMs.near, WAY_MS)
+    tellReports(engine, (zone) => zone !== engine.backEnd.zone, reportsMs.far, FAR_WAY_MS)
   }
   timeline.at(0, askOn)
   timeline.run(WARM_UP_MS + plan.seconds * types.MILLISECONDS_IN_SECOND)
