Name in the log what a call that was lost asked for

Calls that were lost with one engine could not be told to be the same: a line named the request's id, which is another one at each try. It is worked out only where it is needed.

--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -1,4 +1,5 @@
 /** The state of one call while it is being served. */
+import * as quarantine from '@switchridge/quarantine'
 import type * as types from '@switchridge/types'
 import type * as gateway from '../types/index.js'
 import type * as deadlines from './deadline.js'
@@ -40,6 +41,8 @@
   readonly onEnd: (end: () => void) => void
   /** Whether the call may run more than once. */
   readonly isRepeatable: boolean
+  /** What the call has in common with others that ask for the same thing; worked out when it is first asked for. */
+  readonly fingerprint: () => quarantine.CallFingerprint
 }
 
 /**
@@ -52,6 +55,7 @@
   let hasLeft = false
   let isExpired = false
   let endAttempt: () => void = () => {}
+  let fingerprint: quarantine.CallFingerprint | null = null
   const { kind, isResumable } = facts.route
   return {
     ...facts,
@@ -61,6 +65,10 @@
     predictedMs: null,
     firstEventAt: null,
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
+    fingerprint: () => {
+      fingerprint ??= quarantine.identifyCall({ account: facts.tenant, method: facts.head.method, host: facts.head.host, path: facts.head.path, body: facts.body })
+      return fingerprint
+    },
     hasLeft: () => hasLeft,
     isExpired: () => isExpired,
     expire: () => {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -151,7 +151,8 @@
     else if (outcome.kind === 'not-run') options.book.noteFull(id)
     else if (outcome.kind !== 'failed-answer') options.book.noteFailure(id)
     if (outcome.kind !== 'done') {
-      options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason })
+      const fingerprint = outcome.kind === 'broken' ? call.fingerprint() : undefined
+      options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason, fingerprint })
     }
   }
 
--- /dev/null
+++ b/packages/quarantine/src/identifyCall/test.ts
@@ -0,0 +1,36 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as fastCheck from 'fast-check'
+import * as types from '@switchridge/types'
+import * as identifyCall from './index.js'
+
+const CALL: identifyCall.CallIdentity = { account: types.brandId<types.AccountId>('tenant-one'), method: 'POST', host: 'quotes.example', path: '/quotes/1?page=2', body: Buffer.from('roof') }
+
+nodeTest.test('a call that is sent again has the same fingerprint', () => {
+  const again = { ...CALL, body: Buffer.from('roof') }
+  assert.equal(identifyCall.identifyCall(again), identifyCall.identifyCall(CALL))
+  assert.match(identifyCall.identifyCall(CALL), /^[\w-]{11}$/)
+})
+
+nodeTest.test('another account, method, host, path, query or body is another call', () => {
+  const others: identifyCall.CallIdentity[] = [
+    CALL,
+    { ...CALL, account: types.brandId<types.AccountId>('tenant-two') },
+    { ...CALL, account: null },
+    { ...CALL, method: 'PUT' },
+    { ...CALL, host: 'stock.example' },
+    { ...CALL, path: '/quotes/1?page=3' },
+    { ...CALL, body: Buffer.from('roof ') },
+    { ...CALL, body: null }
+  ]
+  assert.equal(new Set(others.map(identifyCall.identifyCall)).size, others.length)
+})
+
+nodeTest.test('parts that run into each other make different calls', () => {
+  const text = fastCheck.string()
+  fastCheck.assert(fastCheck.property(text, text, text, text, (host, path, body, moved) => {
+    const one = identifyCall.identifyCall({ ...CALL, host, path: path + moved, body: Buffer.from(body) })
+    const other = identifyCall.identifyCall({ ...CALL, host, path, body: Buffer.from(moved + body) })
+    assert.equal(one === other, moved === '')
+  }), { seed: 7 })
+})
