--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -19,6 +19,10 @@
   readonly origin: testing.OriginStandIn
   readonly startEngine: (options: testing.EngineStandInOptions, service?: string) => Promise<testing.EngineStandIn>
   readonly startGateway: (host: string, seeds?: readonly string[]) => Promise<types.Address>
+  /** Ends the gateway on a host at once, as a kill does. */
+  readonly stopGateway: (host: string) => void
+  /** Daemons that the gateway on a host hears. */
+  readonly countPeers: (host: string) => number
   /** Tells the gateway on a host to end, as the platform does. */
   readonly drainGateway: (host: string) => Promise<void>
   readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[]) => Promise<fleetRole.FleetRole>
@@ -82,6 +86,14 @@
       gateways.set(host, role)
       return { host, port: ports.callers }
     },
+    stopGateway: (host) => {
+      const role = gateways.get(host)
+      if (role === undefined) return
+      gateways.delete(host)
+      roles.splice(roles.indexOf(role), 1)
+      role.stop()
+    },
+    countPeers: (host) => gateways.get(host)?.countPeers() ?? 0,
     drainGateway: async (host) => { await gateways.get(host)?.drain() },
     startAgent: async (host, engine, seeds) => {
       const section = `[engine]\naddress = "${testing.formatAddress(engine.address)}"\nservice = "llm"\n`
--- /dev/null
+++ b/packages/daemon/src/startGatewayRole/lethal.test.ts
@@ -0,0 +1,59 @@
+/**
+ * What users saw: in four waves of some seconds most engines of a service ended, one after the other, and calls beside were cut, late or refused; each
+ * engine was back after three seconds, and ended again in the next wave.
+ * Order of events: a call ends the engine that begins to run it, with all calls that it runs. The gateway takes the engine for broken and sends the call on to a sound one,
+ * which ends too. The caller gets 502, and the same call comes again, under another id, at any gateway.
+ * Cause: nothing remembered under which call an engine had ended, neither within a gateway nor between them, so each end counted against the engine alone and
+ * each arrival of the call spent up to as many engines as its route allows attempts.
+ * Evidence: the second wave of the recorded day began at an engine with a single call; on the code of that day nine calls at three gateways end nine of the ten engines below.
+ */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import type * as testing from '@switchridge/platform-testing'
+import type * as types from '@switchridge/types'
+import * as fleetTesting from '../_lib/fleetTesting.js'
+
+const HOSTS = ['127.0.0.1', '127.0.0.2', '127.0.0.3'] as const
+const ENGINES = 10
+/** Ends under the same call after which it is known what it does. */
+const KNOWN_AFTER = 3
+const LETHAL_PATH = '/stream/lethal'
+const HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
+const OK = 200
+
+interface LethalFleet {
+  readonly fleet: fleetTesting.TestFleet
+  readonly gateways: types.Address[]
+  readonly engines: testing.EngineStandIn[]
+}
+
+/** Some gateways before engines of one service, each of which ends when it begins to run one call. */
+async function openLethal (context: nodeTest.TestContext, count: number, lethalAfterMs = 0): Promise<LethalFleet> {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const engines: testing.EngineStandIn[] = []
+  for (let index = 0; index < ENGINES; index += 1) {
+    engines.push(await fleet.startEngine({ id: `i-${index}`, model: fleetTesting.MODEL, version: 1, events: 3, isLethal: ({ path }) => path === LETHAL_PATH, lethalAfterMs }))
+  }
+  const gateways: types.Address[] = []
+  for (const host of HOSTS.slice(0, count)) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
+  for (const gateway of gateways) await fleetTesting.untilServed(gateway, '/stream/probe')
+  return { fleet, gateways, engines }
+}
+
+async function send (gateway: types.Address, id: string, path: string): Promise<testing.CallerAnswer> {
+  return await fleetTesting.call(gateway, { method: 'POST', path, id, body: 'quote', headers: HEADERS })
+}
+
+function countEnded (engines: readonly testing.EngineStandIn[]): number {
+  return engines.filter((engine) => engine.hasEnded()).length
+}
+
+nodeTest.test('what one gateway learns of such a call the others know before it comes to them', async (context) => {
+  const { gateways, engines } = await openLethal(context, 3)
+  for (const [index, gateway] of [...gateways, ...gateways, ...gateways].entries()) {
+    await send(gateway, `lethal-${index}`, LETHAL_PATH)
+    await fleetTesting.until(async () => (await send(gateway, `settled-${index}`, '/stream/other')).status === OK)
+  }
+  assert.equal(countEnded(engines), KNOWN_AFTER)
+})
