--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -1,4 +1,5 @@
 /** Plays a load of calls against the real decisions of gateways, with engines that work in passes; nothing is sent. */
+import * as standins from '@switchridge/standins'
 import * as types from '@switchridge/types'
 import * as chooseBackEnd from '../chooseBackEnd/index.js'
 import * as createBackEndBook from '../createBackEndBook/index.js'
@@ -71,51 +72,6 @@
 export const WARM_UP_MS = 4000
 const ATTEMPTS = 2
 const SEED = 7
-const MODULUS = 2_147_483_647
-const MULTIPLIER = 48_271
-
-interface Timeline {
-  readonly now: () => number
-  readonly at: (time: number, action: () => void) => void
-  readonly run: (until: number) => void
-}
-
-/** Actions in the order of their times. */
-function createTimeline (): Timeline {
-  const heap: Array<{ readonly time: number, readonly order: number, readonly action: () => void }> = []
-  let now = 0
-  let order = 0
-  const isBefore = (left: number, right: number): boolean => {
-    const [one, other] = [heap[left], heap[right]]
-    if (one === undefined || other === undefined) return one !== undefined
-    return one.time === other.time ? one.order < other.order : one.time < other.time
-  }
-  const swap = (left: number, right: number): void => { [heap[left], heap[right]] = [heap[right] as typeof heap[number], heap[left] as typeof heap[number]] }
-  function pop (): typeof heap[number] | undefined {
-    const first = heap[0]
-    const last = heap.pop()
-    if (heap.length > 0 && last !== undefined) heap[0] = last
-    for (let at = 0; ;) {
-      const child = isBefore(2 * at + 2, 2 * at + 1) ? 2 * at + 2 : 2 * at + 1
-      if (child >= heap.length || !isBefore(child, at)) return first
-      swap(child, at)
-      at = child
-    }
-  }
-  return {
-    now: () => now,
-    at: (time, action) => {
-      heap.push({ time, order: order++, action })
-      for (let at = heap.length - 1; at > 0 && isBefore(at, (at - 1) >> 1); at = (at - 1) >> 1) swap(at, (at - 1) >> 1)
-    },
-    run: (until) => {
-      for (let next = pop(); next !== undefined && next.time <= until; next = pop()) {
-        now = next.time
-        next.action()
-      }
-    }
-  }
-}
 
 interface Engine {
   readonly backEnd: gateway.BackEnd
@@ -125,7 +81,7 @@
 }
 
 /** An engine reads the prompts of all that it lets in, and gives each writer an event a pass. */
-function createEngine (id: string, zone: string, pace: number, figures: gateway.EngineFigures, timeline: Timeline): Engine {
+function createEngine (id: string, zone: string, pace: number, figures: gateway.EngineFigures, timeline: standins.Timeline): Engine {
   const running: Work[] = []
   const waiting: Work[] = []
   let isInPass = false
@@ -174,14 +130,6 @@
   }
 }
 
-function createRandom (): () => number {
-  let state = SEED
-  return () => {
-    state = state * MULTIPLIER % MODULUS
-    return state / MODULUS
-  }
-}
-
 /**
  * Plays a load; every call is asked once, and its caller does not come back.
  *
@@ -191,8 +139,8 @@
 export function playLoad (plan: LoadPlan): LoadResult {
   const figures = plan.figures ?? FIGURES
   const reportsMs = plan.reportsMs ?? REPORTS_MS
-  const timeline = createTimeline()
-  const random = createRandom()
+  const timeline = standins.createTimeline()
+  const random = standins.createRandom(SEED)
   const zoneOf = (at: number): string => `hall-${at % plan.halls}`
   const engines = Array.from({ length: plan.engines }, (_, at) => createEngine(`engine-${at}`, zoneOf(at), at < (plan.slow?.count ?? 0) ? plan.slow?.pace ?? 1 : 1, figures, timeline))
   const backEnds = engines.map(({ backEnd }) => backEnd)
--- /dev/null
+++ b/packages/standins/src/createTimeline/index.ts
@@ -0,0 +1,52 @@
+/** Actions in the order of their times, for simulations without a runtime's clock. */
+
+/** A clock of its own with actions to come. */
+export interface Timeline {
+  /** Milliseconds. */
+  readonly now: () => number
+  /** Calls at a time; actions of the same time in the order in which they were added. */
+  readonly at: (time: number, action: () => void) => void
+  /** Lets time pass up to the last action at or before a time. */
+  readonly run: (until: number) => void
+}
+
+/**
+ * Creates a timeline at time 0.
+ *
+ * @returns The timeline.
+ */
+export function createTimeline (): Timeline {
+  const heap: Array<{ readonly time: number, readonly order: number, readonly action: () => void }> = []
+  let now = 0
+  let order = 0
+  const isBefore = (left: number, right: number): boolean => {
+    const [one, other] = [heap[left], heap[right]]
+    if (one === undefined || other === undefined) return one !== undefined
+    return one.time === other.time ? one.order < other.order : one.time < other.time
+  }
+  const swap = (left: number, right: number): void => { [heap[left], heap[right]] = [heap[right] as typeof heap[number], heap[left] as typeof heap[number]] }
+  function pop (): typeof heap[number] | undefined {
+    const first = heap[0]
+    const last = heap.pop()
+    if (heap.length > 0 && last !== undefined) heap[0] = last
+    for (let at = 0; ;) {
+      const child = isBefore(2 * at + 2, 2 * at + 1) ? 2 * at + 2 : 2 * at + 1
+      if (child >= heap.length || !isBefore(child, at)) return first
+      swap(child, at)
+      at = child
+    }
+  }
+  return {
+    now: () => now,
+    at: (time, action) => {
+      heap.push({ time, order: order++, action })
+      for (let at = heap.length - 1; at > 0 && isBefore(at, (at - 1) >> 1); at = (at - 1) >> 1) swap(at, (at - 1) >> 1)
+    },
+    run: (until) => {
+      for (let next = pop(); next !== undefined && next.time <= until; next = pop()) {
+        now = next.time
+        next.action()
+      }
+    }
+  }
+}
