Spread small facts to all gateways

An exchange of facts that never change: told at once to the own hall and to one gateway of each other hall, which tells its own; compared twice a second while there are any, so that lost datagrams, cuts and restarts are made good. Nothing uses it yet.

A timeline may pass time in parts: an action beyond the part was lost.

--- a/packages/spread/src/index.ts
+++ b/packages/spread/src/index.ts
@@ -2,5 +2,6 @@
 export * from './createGossip/index.js'
 export * from './chooseWatchers/index.js'
 export * from './createCopySync/index.js'
+export * from './createFactExchange/index.js'
 export * from './openDatagrams/index.js'
 export * from './rankGateways/index.js'
--- a/packages/standins/src/createTimeline/index.ts
+++ b/packages/standins/src/createTimeline/index.ts
@@ -6,7 +6,7 @@
   readonly now: () => number
   /** Calls at a time; actions of the same time in the order in which they were added. */
   readonly at: (time: number, action: () => void) => void
-  /** Lets time pass up to the last action at or before a time. */
+  /** Lets time pass up to a time, or to the last action where that is Infinity. */
   readonly run: (until: number) => void
 }
 
@@ -43,10 +43,12 @@
       for (let at = heap.length - 1; at > 0 && isBefore(at, (at - 1) >> 1); at = (at - 1) >> 1) swap(at, (at - 1) >> 1)
     },
     run: (until) => {
-      for (let next = pop(); next !== undefined && next.time <= until; next = pop()) {
-        now = next.time
-        next.action()
+      while (heap[0] !== undefined && heap[0].time <= until) {
+        const next = pop()
+        now = next?.time ?? now
+        next?.action()
       }
+      if (until < Infinity) now = Math.max(now, until)
     }
   }
 }
--- a/packages/standins/src/createTimeline/test.ts
+++ b/packages/standins/src/createTimeline/test.ts
@@ -13,3 +13,15 @@
     assert.deepEqual(seen, expected)
   }), { seed: 7 })
 })
+
+nodeTest.test('time may pass in parts, and an action waits for its own', () => {
+  const timeline = createTimeline.createTimeline()
+  const seen: number[] = []
+  for (const time of [5, 10, 15]) timeline.at(time, () => { seen.push(timeline.now()) })
+  timeline.run(4)
+  assert.deepEqual([timeline.now(), seen], [4, []])
+  timeline.run(12)
+  assert.deepEqual([timeline.now(), seen], [12, [5, 10]])
+  timeline.run(Infinity)
+  assert.deepEqual([timeline.now(), seen], [15, [5, 10, 15]])
+})
