Bring about a suspended machine that takes an old bound for a new one; known red

Nine gateways in memory, one suspended for 5 s a second after a version was named: it would send to the old version for 5 s longer than the others.

--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -33,6 +33,9 @@
   readonly tell: (fact: string) => void
   readonly start: () => Promise<void>
   readonly stop: () => void
+  /** Suspends the machine: nothing arrives or leaves, and its steady clock stands still, until it is resumed. */
+  readonly suspend: () => void
+  readonly resume: () => void
 }
 
 /** The fleet. */
@@ -51,6 +54,29 @@
   readonly passUntil: (condition: () => boolean, maximumMs: number) => Promise<number>
 }
 
+interface MachineClocks {
+  readonly steady: () => number
+  readonly timeOfDay: () => number
+  readonly suspend: () => void
+  readonly resume: () => void
+}
+
+/** The clocks of a machine that may be suspended: the steady one leaves that time out, the time of day does not. */
+function createMachineClocks (now: () => number): MachineClocks {
+  let suspendedAt: number | null = null
+  let lostMs = 0
+  const timeOfDay = (): number => suspendedAt ?? now()
+  return {
+    timeOfDay,
+    steady: () => timeOfDay() - lostMs,
+    suspend: () => { suspendedAt = now() },
+    resume: () => {
+      lostMs += suspendedAt === null ? 0 : now() - suspendedAt
+      suspendedAt = null
+    }
+  }
+}
+
 /**
  * Bytes of answers as daemons compress them; formed at once, since the runtime would do it beside the paused clock. Equal parts
  * hold the same values, as the store gave them, so that a size is formed once for a whole fleet.
@@ -189,6 +215,7 @@
     let parts: createFleetParts.FleetParts | null = null
     let exchange: createFleetExchange.FleetExchange | null = null
     const heard = new Map<unknown, number>()
+    const machine = createMachineClocks(now)
     const checked = parseSettings(host, hall, role, plan)
 
     async function fetchChanges (peer: string, request: spread.CopyRequest, signal: AbortSignal): ReturnType<spread.CopySyncOptions['fetchChanges']> {
@@ -216,7 +243,7 @@
       },
       start: async () => {
         heard.clear()
-        const started = createFleetParts.createFleetParts(checked, { now, writeLine: () => {} })
+        const started = createFleetParts.createFleetParts(checked, { now: machine.steady, writeLine: () => {} })
         parts = started
         exchange = await createFleetExchange.createFleetExchange({
           parts: started,
@@ -229,7 +256,15 @@
           random
         })
       },
-      stop: () => { exchange?.stop() }
+      stop: () => { exchange?.stop() },
+      suspend: () => {
+        network.cut(host)
+        machine.suspend()
+      },
+      resume: () => {
+        network.join(host)
+        machine.resume()
+      }
     }
   }
 
