--- a/packages/daemon/src/createFleetExchange/suspended.test.ts
+++ b/packages/daemon/src/createFleetExchange/suspended.test.ts
@@ -31,7 +31,7 @@
   return versions.lastSendTo(MODEL, 1) - now()
 }
 
-nodeTest.test('a gateway whose machine was suspended holds to the bound of a version that was named before', async (context) => {
+nodeTest.test('a gateway that was suspended, and hears nobody after it, holds to the bound of a version that was named before', async (context) => {
   const fleet = await open(context)
   const [suspended, other] = fleet.gateways as [simulatedFleet.SimulatedDaemon, simulatedFleet.SimulatedDaemon]
   fleet.put('versions', MODEL, { model: MODEL, version: 2 })
@@ -40,6 +40,7 @@
   suspended.suspend()
   await fleet.pass(SUSPENDED_MS)
   suspended.resume()
+  fleet.network.cut(suspended.host)
   await fleet.pass(NOTICE_MS)
   assert.ok(Math.abs(leftOf(suspended) - leftOf(other)) < NOTICE_MS, `${leftOf(suspended)} ms left, elsewhere ${leftOf(other)}`)
 })
