Count the time in which a machine was suspended

Cause: ages, bounds and deadlines went by the runtime's steady clock, and its timers, which leave out the time in which a machine is suspended.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -1,6 +1,7 @@
 /** A small fleet in this process for tests: stand-ins of the platform, gateways and agents. */
 import type * as nodeTest from 'node:test'
 import * as assert from 'node:assert/strict'
+import * as clock from '@switchridge/clock'
 import * as platform from '@switchridge/platform'
 import * as testing from '@switchridge/platform-testing'
 import * as settings from '@switchridge/settings'
@@ -19,7 +20,7 @@
   readonly store: testing.StoreStandIn
   readonly origin: testing.OriginStandIn
   readonly startEngine: (options: testing.EngineStandInOptions, service?: string) => Promise<testing.EngineStandIn>
-  readonly startGateway: (host: string, seeds?: readonly string[]) => Promise<types.Address>
+  readonly startGateway: (host: string, seeds?: readonly string[], clocks?: clock.MachineClocks) => Promise<types.Address>
   /** Ends the gateway on a host at once, as a kill does. */
   readonly stopGateway: (host: string) => void
   /** Waits until the gateway on a host says that it is ready. */
@@ -80,9 +81,9 @@
       store.put(platform.KINDS.backEnds, options.id, testing.describeEngine(engine, service, 'zone-a', model))
       return engine
     },
-    startGateway: async (host, seeds = []) => {
+    startGateway: async (host, seeds = [], clocks = clock.PROCESS_CLOCKS) => {
       const listen = `[listen]\ncallers = "${host}:${ports.callers}"\nreadiness = "${host}:${ports.readiness}"\n`
-      const role = await startGatewayRole.startGatewayRole(parse(describe('gateway', host, seeds) + listen + storeSection + '[bounds]\nversion_ms = 3000\n[limits]\ngrace_seconds = 1\n'))
+      const role = await startGatewayRole.startGatewayRole(parse(describe('gateway', host, seeds) + listen + storeSection + '[bounds]\nversion_ms = 3000\n[limits]\ngrace_seconds = 1\n'), { clocks, writeLine: () => {} })
       roles.push(role)
       gateways.set(host, role)
       return { host, port: ports.callers }
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -2,6 +2,7 @@
 import * as assert from 'node:assert/strict'
 import * as crypto from 'node:crypto'
 import * as zlib from 'node:zlib'
+import type * as clock from '@switchridge/clock'
 import * as platform from '@switchridge/platform'
 import * as testing from '@switchridge/platform-testing'
 import * as settings from '@switchridge/settings'
@@ -21,6 +22,8 @@
   readonly agentsPerHall: number
   /** Bytes a millisecond between two regions that other traffic leaves. */
   readonly regionBytesPerMs: number
+  /** Whether machines tell the time since their start; true if absent. */
+  readonly isStartKnown?: boolean
 }
 
 /** One daemon of the fleet. */
@@ -36,6 +39,8 @@
   /** Suspends the machine: nothing arrives or leaves, and its steady clock stands still, until it is resumed. */
   readonly suspend: () => void
   readonly resume: () => void
+  /** Sets its time of day forward or back by milliseconds. */
+  readonly setTimeOfDay: (milliseconds: number) => void
 }
 
 /** The fleet. */
@@ -54,21 +59,23 @@
   readonly passUntil: (condition: () => boolean, maximumMs: number) => Promise<number>
 }
 
-interface MachineClocks {
-  readonly steady: () => number
-  readonly timeOfDay: () => number
+interface Machine extends clock.MachineClocks {
   readonly suspend: () => void
   readonly resume: () => void
+  readonly set: (milliseconds: number) => void
 }
 
-/** The clocks of a machine that may be suspended: the steady one leaves that time out, the time of day does not. */
-function createMachineClocks (now: () => number): MachineClocks {
+/** A machine that may be suspended: its steady clock leaves that time out, its other ones do not, if the time since its start is told at all. */
+function createMachine (now: () => number, isStartKnown: boolean): Machine {
   let suspendedAt: number | null = null
   let lostMs = 0
-  const timeOfDay = (): number => suspendedAt ?? now()
+  let setMs = 0
+  const trueTime = (): number => suspendedAt ?? now()
   return {
-    timeOfDay,
-    steady: () => timeOfDay() - lostMs,
+    timeOfDay: () => trueTime() + setMs,
+    sinceStart: () => isStartKnown ? trueTime() : 0,
+    steady: () => trueTime() - lostMs,
+    set: (milliseconds) => { setMs += milliseconds },
     suspend: () => { suspendedAt = now() },
     resume: () => {
       lostMs += suspendedAt === null ? 0 : now() - suspendedAt
@@ -215,7 +222,7 @@
     let parts: createFleetParts.FleetParts | null = null
     let exchange: createFleetExchange.FleetExchange | null = null
     const heard = new Map<unknown, number>()
-    const machine = createMachineClocks(now)
+    const machine = createMachine(now, options.isStartKnown ?? true)
     const checked = parseSettings(host, hall, role, plan)
 
     async function fetchChanges (peer: string, request: spread.CopyRequest, signal: AbortSignal): ReturnType<spread.CopySyncOptions['fetchChanges']> {
@@ -243,7 +250,7 @@
       },
       start: async () => {
         heard.clear()
-        const started = createFleetParts.createFleetParts(checked, { now: machine.steady, writeLine: () => {} })
+        const started = createFleetParts.createFleetParts(checked, { clocks: machine, writeLine: () => {} })
         parts = started
         exchange = await createFleetExchange.createFleetExchange({
           parts: started,
@@ -264,7 +271,8 @@
       resume: () => {
         network.join(host)
         machine.resume()
-      }
+      },
+      setTimeOfDay: machine.set
     }
   }
 
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -39,6 +39,8 @@
   readonly count: (name: string) => void
   /** Told of an entry node that was refused because all slots are taken. */
   readonly onRefused: (entryNode: types.NodeId) => void
+  /** Calls an action after so many milliseconds, those of a suspension included; returns what cancels it. */
+  readonly after: (milliseconds: number, action: () => void) => () => void
 }
 
 const CALL_PREFIX = '/calls'
@@ -81,11 +83,11 @@
   }
 
   async function runAdmitted (context: Koa.Context, call: Call, ticket: types.TicketId, admitted: routing.Admitted, served: types.ServedVersion | undefined): Promise<void> {
-    const deadline = setTimeout(() => { admitted.cancel('deadline') }, call.deadlineMs)
+    const cancelExpiry = options.after(call.deadlineMs, () => { admitted.cancel('deadline') })
     const cancel = (): void => { admitted.cancel('cancelled') }
     context.req.once('aborted', cancel)
     const slot = await admitted.slot
-    clearTimeout(deadline)
+    cancelExpiry()
     context.req.off('aborted', cancel)
     if (!slot.ok) {
       tickets.refuse(ticket)
--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -1,6 +1,7 @@
 /** The parts that daemons of both roles have: identity, connections, view, table and logs. */
 import * as crypto from 'node:crypto'
 import * as fs from 'node:fs'
+import * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import * as membership from '@switchridge/membership'
 import * as observability from '@switchridge/observability'
@@ -29,7 +30,10 @@
   /** Calls to the platform by operation, for the budget and the measurements. */
   readonly platformCalls: Record<string, number>
   readonly incarnation: types.IncarnationId
+  /** Steady clock in milliseconds; it counts suspensions of the machine. */
   readonly now: () => number
+  /** Calls an action at a time of the clock. */
+  readonly at: clock.AtTime
   readonly random: () => number
 }
 
@@ -47,7 +51,9 @@
   const tls = readTls(checked)
   const agents = rpc.createHttpAgents(tls)
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
-  const now = (): number => performance.now()
+  const steadyClock = clock.createSteadyClock()
+  const { now } = steadyClock
+  steadyClock.onSuspension(({ lostMs }) => { logger.warn('suspended', { lostMs: Math.round(lostMs) }) })
   const platformCalls: Record<string, number> = {}
   const traffic: rpc.Traffic = { exchanges: 0, bytes: 0 }
   const view: membership.MemberView = membership.createMemberView({
@@ -83,6 +89,7 @@
     platformCalls,
     incarnation: createIncarnation(),
     now,
+    at: clock.createDeadlines(steadyClock),
     random: Math.random
   }
 }
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -1,6 +1,7 @@
 /** Takes callers' requests, sees them through their attempts, and gives one of three outcomes: answered, not run, unknown. */
 import * as crypto from 'node:crypto'
 import type * as Koa from 'koa'
+import type * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
@@ -22,8 +23,10 @@
   readonly send: (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal) => Promise<sendAttempt.AttemptResult>
   readonly logger: observability.Logger
   readonly metrics: observability.Metrics
-  /** Monotonic clock in milliseconds. */
+  /** Steady clock in milliseconds. */
   readonly now: () => number
+  /** Calls an action at a time of the clock. */
+  readonly at: clock.AtTime
 }
 
 /** The middleware and its calls in progress. */
@@ -186,11 +189,11 @@
   async function awaitBackend ({ call, affinity }: Prepared, tried: ReadonlySet<types.NodeId>, signal: AbortSignal): Promise<types.Outcome<types.MemberFacts, routing.NotRunError>> {
     const queued = { account: call.account.id, share: call.account.share, priority: call.account.priority }
     const dispatched = options.dispatcher.submit({ service: call.service, row: call.row, queued, affinity, tried })
-    const timer = setTimeout(() => { dispatched.cancel('deadline') }, Math.max(0, call.deadlineAt - options.now()))
+    const cancelExpiry = options.at(call.deadlineAt, () => { dispatched.cancel('deadline') })
     const cancel = (): void => { dispatched.cancel('cancelled') }
     signal.addEventListener('abort', cancel, { once: true })
     const backend = await dispatched.backend
-    clearTimeout(timer)
+    cancelExpiry()
     signal.removeEventListener('abort', cancel)
     return backend
   }
--- a/packages/daemon/src/createFleetExchange/index.ts
+++ b/packages/daemon/src/createFleetExchange/index.ts
@@ -110,9 +110,11 @@
       if (role === 'gateway') facts.tick()
     },
     onDrop: (reason) => { parts.metrics.count('datagrams_dropped', { reason }) },
+    clock: parts.clock,
     now: parts.now
   })
   opened = gossip
+  parts.clock.onSuspension(() => { for (const mirror of kept.values()) mirror.restart() })
 
   function noteAdopted (kind: string, { host, changes, bytes, isOwnHall }: spread.AdoptedCopy): void {
     parts.metrics.count('copies_bytes', { kind, hall: nameHall(isOwnHall) }, bytes)
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -1,5 +1,6 @@
 /** The parts that gateways and agents have: mirrors of the store, the exchange with other daemons, logs. */
 import Koa from 'koa'
+import * as clock from '@switchridge/clock'
 import * as gateway from '@switchridge/gateway'
 import * as observability from '@switchridge/observability'
 import * as platform from '@switchridge/platform'
@@ -36,7 +37,11 @@
   readonly onVersions: (listener: () => void) => void
   /** Copies of the kinds that the role needs; an agent needs no list of back ends, and of the configuration only a part. */
   readonly mirrors: readonly store.Mirror[]
+  readonly clock: clock.SteadyClock
+  /** The clock's time. */
   readonly now: () => number
+  /** Calls an action at a time of the clock. */
+  readonly at: clock.AtTime
 }
 
 /** Milliseconds before a version's bound from which nothing is sent to older ones. */
@@ -57,14 +62,13 @@
 
 /** What the parts take from their surroundings. */
 export interface PartsSurroundings {
-  /** Monotonic clock in milliseconds. */
-  readonly now: () => number
+  readonly clocks: clock.MachineClocks
   /** Takes a line of the log. */
   readonly writeLine: (line: string) => void
 }
 
 const PROCESS_SURROUNDINGS: PartsSurroundings = {
-  now: () => performance.now(),
+  clocks: clock.PROCESS_CLOCKS,
   writeLine: (line) => { process.stdout.write(line + '\n') }
 }
 
@@ -80,7 +84,8 @@
   const logger = observability.createLogger('daemon', { node: checked.node, zone: checked.zone }, { level: checked.logs.level, write: surroundings.writeLine })
   const agents = rpc.createHttpAgents()
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
-  const { now } = surroundings
+  const steadyClock = clock.createSteadyClock(surroundings.clocks)
+  const { now } = steadyClock
   const configurations = store.createMirror(platform.KINDS.configuration)
   const servers = store.createMirror(platform.KINDS.backEnds)
   const named = store.createMirror(platform.KINDS.versions)
@@ -170,6 +175,11 @@
     logger.warn('object-unreadable', { kind, name, revision, error: message })
   }
 
+  steadyClock.onSuspension((suspension) => {
+    metrics.count('suspensions')
+    logger.warn('suspended', { lostMs: Math.round(suspension.lostMs) })
+    versions.noteSuspension(suspension)
+  })
   configurations.onChange(adoptConfiguration)
   servers.onChange(adoptBackEnds)
   named.onChange(adoptVersions)
@@ -193,7 +203,9 @@
     areVersionsKnown: named.isKnown,
     onVersions: (listener) => { named.onChange(listener) },
     mirrors: checked.role === 'gateway' ? [configurations, servers, named] : [configurations, named],
-    now
+    clock: steadyClock,
+    now,
+    at: clock.createDeadlines(steadyClock)
   }
 }
 
--- a/packages/daemon/src/followVersions/index.ts
+++ b/packages/daemon/src/followVersions/index.ts
@@ -1,4 +1,5 @@
 /** The versions that operators named for each model, and until when older ones may serve. */
+import type * as clock from '@switchridge/clock'
 import type * as staging from '@switchridge/staging'
 
 /** A named version as peers tell each other, with the time since it was heard of. */
@@ -21,6 +22,8 @@
   readonly lastSendTo: (model: string, version: number) => number
   /** The newest few versions, for peers. */
   readonly news: () => readonly VersionNews[]
+  /** What was noted between the end of a suspension and its discovery was noted too early by the lost time. */
+  readonly noteSuspension: (suspension: clock.Suspension) => void
 }
 
 /** Options of {@link createVersionFollower}. */
@@ -85,8 +88,17 @@
     return versions.sort((left, right) => left.id.version - right.id.version)
   }
 
+  function noteSuspension ({ lostMs, resumedAt }: clock.Suspension): void {
+    for (const versions of models.values()) {
+      for (const [version, { id, heardAt, boundAt }] of versions) {
+        if (heardAt >= resumedAt) versions.set(version, { id, heardAt: heardAt + lostMs, boundAt: boundAt + lostMs })
+      }
+    }
+  }
+
   return {
     note,
+    noteSuspension,
     named,
     lastSendTo: (model, version) => {
       let earliest = Infinity
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -243,6 +243,7 @@
     if (stager === null && figures !== null && model !== undefined && figures.chunks > 0) stager = startStager(figures, model)
   })
   parts.onVersions(() => { stager?.wake() })
+  parts.clock.onSuspension(() => { stager?.wake() })
   const reportTimer = setInterval(() => { if (stager === null) void readReport() }, REPORT_INTERVAL_MS)
   void readReport()
 
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -95,7 +95,8 @@
     agents: parts.agents,
     uplink,
     count,
-    onRefused: (entryNode) => { waitingEntryNodes.add(entryNode) }
+    onRefused: (entryNode) => { waitingEntryNodes.add(entryNode) },
+    after: (milliseconds, action) => parts.at(parts.now() + milliseconds, action)
   })
 
   /** Tells the entry node that has waited longest that a slot is free. */
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -75,7 +75,8 @@
     }),
     logger,
     metrics: parts.metrics,
-    now: parts.now
+    now: parts.now,
+    at: parts.at
   })
 
   /** One entry node of the fleet sweeps old claims; two that think so do no harm. */
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -26,10 +26,11 @@
  * Starts the gateway role.
  *
  * @param checked - The settings.
+ * @param surroundings - Clocks and log; those of the process when absent.
  * @returns The running role.
  */
-export async function startGatewayRole (checked: settings.FleetSettings): Promise<fleetRole.FleetRole> {
-  const parts = createFleetParts.createFleetParts(checked)
+export async function startGatewayRole (checked: settings.FleetSettings, surroundings?: createFleetParts.PartsSurroundings): Promise<fleetRole.FleetRole> {
+  const parts = createFleetParts.createFleetParts(checked, surroundings)
   const { logger, metrics, now } = parts
   const book = gateway.createBackEndBook(now)
   const budgets = new Map<types.ServiceName, gateway.RetryBudget>()
@@ -146,6 +147,7 @@
     count: metrics.count,
     observe: metrics.observe,
     now,
+    at: parts.at,
     random: Math.random
   })
   const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -7,6 +7,7 @@
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import * as transfer from '@switchridge/transfer'
+import * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 
 /** What a back end does with a request, as the request asks. */
@@ -98,6 +99,9 @@
   }
 }
 
+const steadyClock = clock.createSteadyClock()
+const at = clock.createDeadlines(steadyClock)
+
 async function createBackend (index: number, life: number, url: string, agents: rpc.HttpAgents, options: CallFleetOptions): Promise<Backend> {
   const incarnation = types.brandId<types.IncarnationId>(`life-${life}`)
   const admission = routing.createAdmission(SLOTS, 1)
@@ -116,7 +120,8 @@
     agents,
     uplink: transfer.createLinkPacer(0, () => 0),
     count: () => {},
-    onRefused: () => {}
+    onRefused: () => {},
+    after: (milliseconds, action) => at(steadyClock.now() + milliseconds, action)
   }))
   app.use(rpc.createRpcServer(IDENTITY, {
     ticket: (params) => {
@@ -130,7 +135,7 @@
 }
 
 async function createEntry (index: number, backends: readonly Backend[], agents: rpc.HttpAgents, client: rpc.RpcClient, store: platform.ObjectStore, options: CallFleetOptions): Promise<rpc.HttpListener> {
-  const now = (): number => performance.now()
+  const { now } = steadyClock
   const loads = routing.createBackendLoads()
   const health = routing.createBackendHealth(now)
   const dispatcher = daemon.createDispatcher({
@@ -156,7 +161,8 @@
     },
     logger: observability.createLogger('fuzz-calls', {}, { level: 'silent' }),
     metrics: observability.createMetrics({ host: HOST, port: 8125, tags: {}, enabled: false }),
-    now
+    now,
+    at
   })
   const app = new Koa()
   app.on('error', () => {})
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -1,5 +1,6 @@
 /** What the request path is given: the wire's form, configuration, decisions and clock. */
 import type * as http from 'node:http'
+import type * as clock from '@switchridge/clock'
 import type * as observability from '@switchridge/observability'
 import type * as types from '@switchridge/types'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
@@ -34,8 +35,10 @@
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
   readonly observe: (name: string, milliseconds: number) => void
-  /** Monotonic clock in milliseconds. */
+  /** Steady clock in milliseconds. */
   readonly now: () => number
+  /** Calls an action at a time of the clock. */
+  readonly at: clock.AtTime
   readonly random: () => number
 }
 
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -107,7 +107,7 @@
   call.onEnd(giveUp)
   const isPatient = !(route.kind === 'stream' && route.isResumable)
   const patience = createPatience(isPatient ? null : Math.max(MINIMUM_PATIENCE_MS, FIRST_EVENT_PATIENCE * route.targetMs), giveUp)
-  const versionTimer = limitBegin()
+  const cancelBegin = limitBegin()
   const start = await attempt.start
   if (start.kind === 'not-sent') {
     options.book.noteConnect(choice.backEnd.id, CONNECT_MS)
@@ -131,15 +131,15 @@
 
   function end (outcome: AttemptOutcome): AttemptOutcome {
     patience.stop()
-    clearTimeout(versionTimer)
+    cancelBegin()
     attempt.abort()
     return outcome
   }
 
   /** Takes the call back from an engine that has not begun it before its version may no longer serve. */
-  function limitBegin (): NodeJS.Timeout | undefined {
-    if (choice.beginsBy === Infinity) return undefined
-    return setTimeout(() => { if (!open.hasBegun) giveUp() }, Math.max(0, choice.beginsBy - options.now() + BEGIN_GRACE_MS))
+  function limitBegin (): () => void {
+    if (choice.beginsBy === Infinity) return () => {}
+    return options.at(choice.beginsBy + BEGIN_GRACE_MS, () => { if (!open.hasBegun) giveUp() })
   }
 
   function noteBegun (): void {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -40,7 +40,7 @@
 export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options): Promise<void> {
   const budget = options.budgetOf(call.service)
   budget.noteCall()
-  const timer = setTimeout(call.expire, call.deadline.remainingMs())
+  const cancelExpiry = options.at(call.deadline.at, call.expire)
   const stream = runAttempt.createStreamState(relayEvents.createEventSplitter(call.head.lastEventId))
   let failed: runAttempt.WholeAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
@@ -185,7 +185,7 @@
   }
 
   const ending = await serve()
-  clearTimeout(timer)
+  cancelExpiry()
   const elapsedMs = Math.round(options.now() - call.receivedAt)
   const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
   options.count('calls', { ending })
--- a/packages/spread/src/_lib/fleetTesting.ts
+++ b/packages/spread/src/_lib/fleetTesting.ts
@@ -202,6 +202,7 @@
     const versionAges = new Map<number, number>()
     const beats: TestDaemon['beats'] = []
     const gossip = await createGossip.createGossip({
+      clock: { isUncertain: () => false, noteOther: () => {} },
       host: each.host,
       openDatagrams: open(each.host, traffic, beats),
       seeds: (plan.seedsOf ?? seedsOf)(each, planned),
--- a/packages/spread/src/_lib/measureDelays.test.ts
+++ b/packages/spread/src/_lib/measureDelays.test.ts
@@ -15,15 +15,24 @@
 const STARTED_AT = 5000
 
 nodeTest.test('the first word of a second life is not late, although only the first word of the first life was heard', () => {
-  const measureDelay = measureDelays.createDelayMeasure()
+  const { measure: measureDelay } = measureDelays.createDelayMeasure()
   assert.deepEqual(measureDelay(HOST, 300, STARTED_AT + 300), { delayMs: 0, isNewLife: false })
   assert.deepEqual(measureDelay(HOST, 100, STARTED_AT + LIFE_MS + 100), { delayMs: 0, isNewLife: true })
   assert.deepEqual(measureDelay(HOST, 400, STARTED_AT + LIFE_MS + 420), { delayMs: 20, isNewLife: false })
 })
 
 nodeTest.test('a word of the same life that was under way for seconds is late by them', () => {
-  const measureDelay = measureDelays.createDelayMeasure()
+  const { measure: measureDelay } = measureDelays.createDelayMeasure()
   measureDelay(HOST, 300, STARTED_AT + 300)
   assert.deepEqual(measureDelay(HOST, 60_000, STARTED_AT + 67_300), { delayMs: 7300, isNewLife: false })
   assert.deepEqual(measureDelay(HOST, 90_000, STARTED_AT + 90_000), { delayMs: 0, isNewLife: false })
 })
+
+nodeTest.test('a clock that is ahead of what was known of it is told apart, and changes nothing', () => {
+  const { measure, compare } = measureDelays.createDelayMeasure()
+  assert.equal(compare(HOST, 300, STARTED_AT + 300), null)
+  measure(HOST, 300, STARTED_AT + 300)
+  assert.equal(compare(HOST, 6300, STARTED_AT + 1300), 5000)
+  assert.equal(compare(HOST, 1300, STARTED_AT + 1320), -20)
+  assert.deepEqual(measure(HOST, 1300, STARTED_AT + 1320), { delayMs: 20, isNewLife: false })
+})
--- a/packages/spread/src/_lib/measureDelays.ts
+++ b/packages/spread/src/_lib/measureDelays.ts
@@ -21,20 +21,34 @@
  */
 const MAXIMUM_DELAY_MS = 10_000
 
+/** Compares the clocks of senders with the own one. */
+export interface DelayMeasure {
+  /** Takes the sender, its clock at the sending and the own clock; returns the delay. */
+  readonly measure: (host: string, sentAt: number, now: number) => Delay
+  /** By how much the sender's clock is ahead of what was known of it; null when nothing was. Changes nothing. */
+  readonly compare: (host: string, sentAt: number, now: number) => number | null
+}
+
 /**
  * Creates the measure. Clocks of two processes differ by a constant: the smallest difference seen stands for an idle link.
  *
- * @returns Takes the sender, its clock at the sending and the own clock, and returns the delay.
+ * @returns The measure.
  */
-export function createDelayMeasure (): (host: string, sentAt: number, now: number) => Delay {
+export function createDelayMeasure (): DelayMeasure {
   const smallest = new Map<string, ClockDifference>()
-  return (host, sentAt, now) => {
-    const difference = now - sentAt
-    const known = smallest.get(host)
-    const isNewLife = known !== undefined && (sentAt < known.sentAt - NEW_LIFE_MS || difference - known.difference > MAXIMUM_DELAY_MS)
-    const isFirst = known === undefined || isNewLife
-    const base = isFirst ? difference : Math.min(known.difference, difference)
-    smallest.set(host, { difference: base, sentAt: isFirst ? sentAt : Math.max(sentAt, known.sentAt) })
-    return { delayMs: difference - base, isNewLife }
+  return {
+    compare: (host, sentAt, now) => {
+      const known = smallest.get(host)
+      return known === undefined ? null : known.difference - (now - sentAt)
+    },
+    measure: (host, sentAt, now) => {
+      const difference = now - sentAt
+      const known = smallest.get(host)
+      const isNewLife = known !== undefined && (sentAt < known.sentAt - NEW_LIFE_MS || difference - known.difference > MAXIMUM_DELAY_MS)
+      const isFirst = known === undefined || isNewLife
+      const base = isFirst ? difference : Math.min(known.difference, difference)
+      smallest.set(host, { difference: base, sentAt: isFirst ? sentAt : Math.max(sentAt, known.sentAt) })
+      return { delayMs: difference - base, isNewLife }
+    }
   }
 }
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -1,4 +1,5 @@
 /** Heartbeats between daemons by UDP: who is there, how far their copies of the store are, and how loaded their engines are. */
+import type * as clock from '@switchridge/clock'
 import * as createChangeTeller from '../_lib/createChangeTeller.js'
 import * as createFinder from '../_lib/createFinder.js'
 import * as createHallRelay from '../_lib/createHallRelay.js'
@@ -36,6 +37,8 @@
   readonly onDrop?: (reason: wire.DropReason) => void
   /** Called some times a second while the daemon is awake anyway. */
   readonly onTick?: () => void
+  /** Is told how the clocks of others compare with it while it is uncertain. */
+  readonly clock: Pick<clock.SteadyClock, 'isUncertain' | 'noteOther'>
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
 }
@@ -79,7 +82,7 @@
   const { now, host: ownHost } = options
   const { zone: ownZone, role: ownRole } = options.describeSelf()
   const table = memberTable.createMemberTable()
-  const measureDelay = measureDelays.createDelayMeasure()
+  const { measure: measureDelay, compare: compareClock } = measureDelays.createDelayMeasure()
   const finder = createFinder.createFinder({ ownHost, seeds: options.seeds, isLive: isLiveHost, knock: (host) => { teller.introduce(host, 'sender') }, now })
   const relay = createHallRelay.createHallRelay({ ownHost, describeSelf: options.describeSelf, find: table.get, look, send, later, now })
   const announceChange = createChangeTeller.createChangeTeller({ describeSelf: options.describeSelf, look, tell: relay.tellChange, later, now })
@@ -140,13 +143,21 @@
       return
     }
     const { message } = decoded
-    if (message.type === 'heartbeat') noteHeartbeat(message, from)
+    if (options.clock.isUncertain()) compareWith(message, from)
+    else if (message.type === 'heartbeat') noteHeartbeat(message, from)
     else if (message.type === 'news') noteNews(message, from)
     else if (message.type === 'sign') noteSign(message.isRound, from)
     else if (message.type === 'hosts') finder.add(message.hosts)
     else noteDigest(message, from)
   }
 
+  /** Nothing is taken in whose age may be wrong: it would be told to all, and all of it is told again. */
+  function compareWith (message: wire.Message, from: string): void {
+    const sentAt = message.type === 'digest' ? message.way.sentAt : message.type === 'heartbeat' || message.type === 'news' ? message.sentAt : null
+    const aheadMs = sentAt === null ? null : compareClock(from, sentAt, now())
+    if (aheadMs !== null) options.clock.noteOther(from, aheadMs)
+  }
+
   function noteHeartbeat ({ heartbeat, sentAt, viewHash, urgency }: wire.Message & { type: 'heartbeat' }, from: string): void {
     if (heartbeat.host === ownHost) return
     const isNewHall = !knowsHall(heartbeat.zone)
--- a/packages/spread/src/createGossip/test.ts
+++ b/packages/spread/src/createGossip/test.ts
@@ -28,7 +28,13 @@
   const seed = await openSeed(context)
   context.mock.timers.enable({ apis: ['setInterval', 'Date'] })
   const gossip = await createGossip.createGossip({
-    host: OWN_HOST, openDatagrams: openDatagrams.openDatagrams(OWN_HOST, seed.port), seeds: [SEED_HOST], describeSelf: describe, onHeartbeat: () => {}, now: Date.now
+    clock: { isUncertain: () => false, noteOther: () => {} },
+    host: OWN_HOST,
+    openDatagrams: openDatagrams.openDatagrams(OWN_HOST, seed.port),
+    seeds: [SEED_HOST],
+    describeSelf: describe,
+    onHeartbeat: () => {},
+    now: Date.now
   })
   context.after(gossip.stop)
   for (let tick = 0; tick < TICKS; tick += 1) {
--- a/packages/store/src/keepMirror/index.ts
+++ b/packages/store/src/keepMirror/index.ts
@@ -24,6 +24,8 @@
   readonly isReachable: () => boolean
   /** Whether calls go to the store and are answered. */
   readonly isWatching: () => boolean
+  /** Begins the watch under way anew: its connection may be dead, as after the machine was suspended, which it would notice only when its wait is over. */
+  readonly restart: () => void
   readonly stop: () => void
 }
 
@@ -53,6 +55,7 @@
   let failures = 0
   /** Revision that the last answer reached. */
   let reached = 0
+  let interrupt = (): void => {}
 
   function noteFailure (error: Error): number {
     failures += 1
@@ -86,7 +89,8 @@
     const from = isJustListed ? reached : Math.max(reached, Math.floor(mirror.state().at))
     isJustListed = false
     const waitMs = Math.round(types.jitter(options.waitMs, WAIT_MINIMUM_PART, options.random()))
-    const watched = await store.watchAll(mirror.kind, from, waitMs)
+    const watched = await Promise.race([store.watchAll(mirror.kind, from, waitMs), new Promise<null>((resolve) => { interrupt = () => { resolve(null) } })])
+    if (watched === null) return
     if (watched.ok) {
       noteAnswer()
       reached = watched.value.at
@@ -109,5 +113,5 @@
   }
 
   void run()
-  return { isReachable: () => isReachable, isWatching: () => isReachable && !isWaiting, stop: () => { stopping.abort() } }
+  return { isReachable: () => isReachable, isWatching: () => isReachable && !isWaiting, restart: () => { interrupt() }, stop: () => { stopping.abort() } }
 }
--- a/packages/store/src/keepMirror/test.ts
+++ b/packages/store/src/keepMirror/test.ts
@@ -80,3 +80,17 @@
   assert.ok(asked.calls.filter((call) => call === 'list').length > 1)
   kept.stop()
 })
+
+nodeTest.test('a watch that is begun anew goes on from where the mirror is, and the old one changes nothing', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] })
+  const asked = createStore(() => 5)
+  const mirror = createMirror.createMirror(KIND)
+  const kept = keep(mirror, asked.store, () => true)
+  await advance(context, 100)
+  kept.restart()
+  await advance(context, 100)
+  assert.deepEqual(asked.calls, ['list', 'watch 5', 'watch 5'])
+  await advance(context, WAIT_MS)
+  assert.equal(asked.calls.length, 4)
+  kept.stop()
+})
