Tell blocks first to a gateway that starts, and look for 30 s only whether blocks are to be read

Reading the change again: a gateway that does not watch the store woke up ten times a second for good to look whether it should read blocks; facts that are kept longest, blocks, go first to a gateway that lacks them.

--- a/packages/daemon/src/createBlockArchive/index.ts
+++ b/packages/daemon/src/createBlockArchive/index.ts
@@ -36,7 +36,9 @@
 const SETTLE_MS = 500
 const RETRY_MINIMUM_MS = 500
 const RETRY_MAXIMUM_MS = 10_000
-const LOOK_MS = 100
+/** A gateway looks so often, and for so long after its start, whether it is to read blocks for others; later it has heard of them. */
+const LOOK_MS = 250
+const LOOK_FOR_MS = 30_000
 /** A gateway that does not read the store itself hears of blocks from others within this, and takes calls then. */
 const HEARSAY_MS = 1000
 
@@ -80,6 +82,7 @@
     let pauseMs = RETRY_MINIMUM_MS
     while (!stopping.signal.aborted) {
       if (!options.mayAsk()) {
+        if (now() - startedAt >= LOOK_FOR_MS) return
         await types.delay(LOOK_MS)
         continue
       }
--- a/packages/spread/src/createFactExchange/index.ts
+++ b/packages/spread/src/createFactExchange/index.ts
@@ -62,7 +62,7 @@
 const START_MS = 10_000
 /** Part of the comparisons within the own hall, whose network is not cut as easily. */
 const NEAR_PART = 0.5
-/** Datagrams of facts that follow a comparison: the newest ones, which are missing most often, and some of the others by turns. */
+/** Datagrams of facts that follow a comparison: those that are kept longest, of which the newest are missing most often, and some of the others by turns. */
 const REPAIR_DATAGRAMS = 2
 /** The same for a gateway that knows less than half as much, as after a restart or a cut: 10 KB. */
 const CATCH_UP_DATAGRAMS = 8
@@ -182,14 +182,14 @@
     toForward.push(fact)
   }
 
-  /** The newest facts, and some of all others; the next comparison goes on where this one ends. */
+  /** Those facts that are kept longest, and some of all others; the next comparison goes on where this one ends. */
   function repair (host: string, count: number): void {
-    const [newest, ...others] = format([...facts.values()].sort((left, right) => right.madeAt - left.madeAt))
-    if (newest === undefined) return
+    const [first, ...others] = format([...facts.values()].sort((left, right) => endOf(right) - endOf(left)))
+    if (first === undefined) return
     const most = (count < facts.size * CATCH_UP_PART ? CATCH_UP_DATAGRAMS : REPAIR_DATAGRAMS) - 1
     const start = others.length <= most ? 0 : repairFrom % others.length
     repairFrom = start + most
-    for (const datagram of [newest, ...[...others.slice(start), ...others.slice(0, start)].slice(0, most)]) options.send(host, datagram)
+    for (const datagram of [first, ...[...others.slice(start), ...others.slice(0, start)].slice(0, most)]) options.send(host, datagram)
   }
 
   function noteDigest ({ hash, count, isAsking }: factWire.FactMessage & { type: 'digest' }, from: string): void {
