--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -10,6 +10,7 @@
 import type * as staging from '@switchridge/staging'
 import * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
+import * as createBackEndList from '../_lib/createBackEndList.js'
 import * as createCopyAnswers from '../createCopyAnswers/index.js'
 import * as followVersions from '../followVersions/index.js'
 import * as readCopyAnswer from '../readCopyAnswer/index.js'
@@ -54,12 +55,6 @@
 const COPY_MAXIMUM_MS = 30_000
 const OK = 200
 
-/** An entry as it was last parsed, with the layers that models of its service had then. */
-interface ParsedEntry {
-  readonly backEnd: gateway.BackEnd | null
-  readonly layers: number
-}
-
 /** What the parts take from their surroundings. */
 export interface PartsSurroundings {
   readonly clocks: clock.MachineClocks
@@ -94,10 +89,10 @@
   let routes: gateway.RouteTable | null = null
   const notedFigures = new Map<types.ServiceName, string>()
   let adoptedRevision = 0
-  let backEnds: readonly gateway.BackEnd[] = []
-  let backEndsByAddress: ReadonlyMap<string, gateway.BackEnd> = new Map()
-  /** Every change of one entry tells of all of them: 143 engines cost 2 ms of a core for each. */
-  const parsedEntries = new WeakMap<store.StoredObject, ParsedEntry>()
+  const backEnds = createBackEndList.createBackEndList({
+    layersOf: (service) => routes?.findService(service)?.engine?.layers ?? 1,
+    onUnreadable: (object, error) => { noteUnreadable(servers.kind, object, error) }
+  })
   const parsedVersions = new WeakSet<store.StoredObject>()
 
   function adoptConfiguration (): void {
@@ -112,7 +107,7 @@
     routes = gateway.createRouteTable(parsed.value)
     logger.info('configuration', { revision: object.revision, version: parsed.value.version, routes: parsed.value.routes.length })
     for (const service of parsed.value.services) noteFigures(service)
-    adoptBackEnds()
+    backEnds.adopt(servers.objects())
     for (const listener of routeListeners) listener(routes)
   }
 
@@ -143,23 +138,6 @@
     if (missing.length > 0) logger.warn('engine-figures-missing', { service: name, missing: missing.join() })
   }
 
-  function adoptBackEnds (): void {
-    const layersOf = (service: string): number => routes?.findService(types.brandId<types.ServiceName>(service))?.engine?.layers ?? 1
-    backEnds = [...servers.objects().values()].flatMap((object) => parseEntry(object, layersOf) ?? [])
-    backEndsByAddress = new Map(backEnds.map((backEnd) => [`${backEnd.address.host}:${backEnd.address.port}`, backEnd]))
-  }
-
-  /** Null where the entry names no back end; it says so once for each state of the entry. */
-  function parseEntry (object: store.StoredObject, layersOf: (service: string) => number): gateway.BackEnd | null {
-    const known = parsedEntries.get(object)
-    if (known !== undefined && (known.backEnd === null || known.layers === layersOf(known.backEnd.service))) return known.backEnd
-    const parsed = platform.parseBackEnd(object, layersOf)
-    if (!parsed.ok) noteUnreadable(servers.kind, object, parsed.error)
-    const backEnd = parsed.ok ? parsed.value : null
-    parsedEntries.set(object, { backEnd, layers: backEnd === null ? 0 : layersOf(backEnd.service) })
-    return backEnd
-  }
-
   function adoptVersions (): void {
     for (const object of named.objects().values()) {
       const version = platform.parseNamedVersion(object)
@@ -181,7 +159,7 @@
     versions.noteSuspension(suspension)
   })
   configurations.onChange(adoptConfiguration)
-  servers.onChange(adoptBackEnds)
+  servers.onChange(() => { backEnds.adopt(servers.objects()) })
   named.onChange(adoptVersions)
   return {
     settings: checked,
@@ -191,12 +169,12 @@
     identity,
     routes: () => routes,
     onRoutes: (listener) => { routeListeners.push(listener) },
-    backEnds: () => backEnds,
+    backEnds: backEnds.all,
     soleModelOf: (service) => {
       const models = routes?.findService(service)?.engine?.models ?? []
       return models.length === 1 ? models[0] as string : null
     },
-    backEndAt: (address) => backEndsByAddress.get(address),
+    backEndAt: backEnds.at,
     areBackEndsKnown: servers.isKnown,
     onBackEnds: (listener) => { servers.onChange(listener) },
     versions,
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -2,21 +2,22 @@
 import type * as clock from '@switchridge/clock'
 import * as createChangeTeller from '../_lib/createChangeTeller.js'
 import * as createFinder from '../_lib/createFinder.js'
+import * as createForgetting from '../_lib/createForgetting.js'
 import * as createHallRelay from '../_lib/createHallRelay.js'
+import * as createIntroduction from '../_lib/createIntroduction.js'
 import * as createRegularTeller from '../_lib/createRegularTeller.js'
 import * as fleetView from '../_lib/fleetView.js'
 import * as hallNews from '../_lib/hallNews.js'
 import type * as heartbeats from '../_lib/heartbeat.js'
 import * as measureDelays from '../_lib/measureDelays.js'
 import * as memberTable from '../_lib/memberTable.js'
-import * as pickHosts from '../_lib/pickHosts.js'
 import * as rates from '../_lib/rates.js'
-import * as relays from '../_lib/relays.js'
 import * as wire from '../_lib/wire.js'
 import type * as openDatagrams from '../openDatagrams/index.js'
 
 export type { Heartbeat, Peer } from '../_lib/heartbeat.js'
 export type { DropReason } from '../_lib/wire.js'
+export { PEER_FORGET_MS } from '../_lib/createForgetting.js'
 export { PEER_LIVE_MS } from '../_lib/fleetView.js'
 export { CONTROL_BYTES_PER_SECOND } from '../_lib/rates.js'
 export { CANDIDATES, LISTENERS } from '../_lib/relays.js'
@@ -45,7 +46,7 @@
 
 /** The exchange of one daemon. */
 export interface Gossip {
-  /** Daemons heard of within {@link PEER_FORGET_MS}, or longer where all are told of less often. */
+  /** Daemons heard of within {@link createForgetting.PEER_FORGET_MS}, or longer where all are told of less often. */
   readonly peers: () => readonly heartbeats.Peer[]
   /** Whether a peer was heard of lately. */
   readonly isLive: (peer: heartbeats.Peer) => boolean
@@ -56,21 +57,14 @@
   readonly stop: () => void
 }
 
-/** A peer that was silent for so long is forgotten. */
-export const PEER_FORGET_MS = 60_000
-/** Where peers count as live for longer, they are forgotten after so many times as long. */
-const FORGET_FACTOR = 3
 /**
  * Those that speak for no hall, and would not follow, look so often at most at what is due: each look is a wake-up, of which an idle daemon had 40 a second. On a fleet of 183 idle daemons looking every 100 ms, with
  * engines read as seldom, saved 13 in 100 of all processor time. An agent looks a whole number of times between two of its news.
  */
 const TICK_MAXIMUM_MS = 100
-const FORGET_CHECK_MS = 1000
 /** The view of the fleet may be so old at those that speak for the hall, or would follow, and at all others; a member that is new renews it. At 240 members it takes 0.35 ms. */
 const SPEAKER_VIEW_MS = 200
 const VIEW_MS = 500
-/** Peers that know others are told so at most so often. */
-const HOSTS_INTERVAL_MS = 250
 
 /**
  * Opens the exchange.
@@ -84,18 +78,16 @@
   const table = memberTable.createMemberTable()
   const { measure: measureDelay, compare: compareClock } = measureDelays.createDelayMeasure()
   const finder = createFinder.createFinder({ ownHost, seeds: options.seeds, isLive: isLiveHost, knock: (host) => { teller.introduce(host, 'sender') }, now })
+  const introduction = createIntroduction.createIntroduction({ ownZone, look, send, now })
   const relay = createHallRelay.createHallRelay({ ownHost, describeSelf: options.describeSelf, find: table.get, look, send, later, now })
   const announceChange = createChangeTeller.createChangeTeller({ describeSelf: options.describeSelf, look, tell: relay.tellChange, later, now })
   const teller = createRegularTeller.createRegularTeller({ ownHost, describeSelf: options.describeSelf, look, isSpeaking: () => isSpeaking, send, now })
-  const lost = new Map<string, string[]>()
+  const forgetting = createForgetting.createForgetting({ table, ownZone, knowsHall, onForgotten: (host) => { teller.forget(host) }, now })
   let view: fleetView.FleetView | null = null
   let viewedAt = -Infinity
   /** Whether this daemon is among those that speak for its hall, or would follow. */
   let isSpeaking = true
   let isStopped = false
-  let turn = 0
-  let forgottenAt = -Infinity
-  let hostsToldAt = -Infinity
   let hasToldLeaving = false
   const timers = new Set<NodeJS.Timeout>()
   const socket = await options.openDatagrams(receive)
@@ -115,7 +107,7 @@
   function look (): fleetView.FleetView {
     if (view !== null && now() - viewedAt < (isSpeaking ? SPEAKER_VIEW_MS : VIEW_MS)) return view
     viewedAt = now()
-    if (view !== null && now() - forgottenAt >= FORGET_CHECK_MS) forget(view.intervals)
+    if (view !== null) forgetting.tick(view.intervals)
     view = fleetView.viewFleet(table.all(), options.describeSelf(), viewedAt, view?.intervals ?? rates.computeIntervals({ gateways: 0, agents: 0, farGateways: 0, farAgents: 0 }))
     isSpeaking = view.candidates.some(({ host }) => host === ownHost)
     return view
@@ -166,7 +158,7 @@
     table.noteWhole(heartbeat, delayMs, now())
     if (!wasLive) welcome(heartbeat, from)
     if (!wasLive && isNear(heartbeat.zone)) relay.tellNewcomer(heartbeat.host)
-    else if (isNear(heartbeat.zone) && viewHash !== look().hash) tellHosts(heartbeat, from)
+    else if (isNear(heartbeat.zone) && viewHash !== look().hash) introduction.tellHosts(heartbeat, from)
     if (isNewHall) for (const { host } of look().candidates) for (const text of wire.formatHosts([heartbeat.host])) send(host, text)
     // Whoever asks is known here already, and would hear of this daemon at its next heartbeat only.
     if (urgency === 'sender') {
@@ -255,26 +247,11 @@
     }
   }
 
-  // Newcomers.
-
   /** Tells a daemon that was not known of this one, of others of its hall, and of other halls. */
   function welcome (newcomer: heartbeats.Heartbeat, from: string): void {
     viewedAt = -Infinity
     teller.introduce(newcomer.host, 'nobody')
-    sendHosts(newcomer, from)
-  }
-
-  function tellHosts (peer: heartbeats.Heartbeat, from: string): void {
-    if (now() - hostsToldAt < HOSTS_INTERVAL_MS) return
-    hostsToldAt = now()
-    sendHosts(peer, from)
-  }
-
-  function sendHosts (peer: heartbeats.Heartbeat, to: string): void {
-    turn += 1
-    const hosts = pickHosts.pickHosts(look(), peer, isNear(peer.zone), turn)
-    if (hosts.length === 0) return
-    for (const text of wire.formatHosts(hosts)) send(to, text)
+    introduction.sendHosts(newcomer, from)
   }
 
   // What goes out at its time.
@@ -283,26 +260,7 @@
     const { near, halls, rank } = look()
     teller.tick()
     relay.tick()
-    finder.tick(near.length + halls.length === 0, () => rank >= 0 ? listLost() : [])
-  }
-
-  function forget (intervals: rates.Intervals): void {
-    forgottenAt = now()
-    for (const member of table.all()) {
-      const { host, zone } = member.heartbeat
-      const forgetMs = Math.max(PEER_FORGET_MS, FORGET_FACTOR * fleetView.computeLiveMs(isNear(zone), intervals))
-      if (now() - member.heardAt <= forgetMs) continue
-      table.remove(host)
-      teller.forget(host)
-      const kept = lost.get(zone) ?? []
-      lost.set(zone, [host, ...kept.filter((each) => each !== host)].slice(0, relays.CANDIDATES))
-    }
-  }
-
-  /** Halls that are silent as a whole, and members of the own one that were forgotten, may be cut off: some are asked until one answers. */
-  function listLost (): string[] {
-    const known = table.all().filter((member) => !knowsHall(member.heartbeat.zone)).map((member) => member.heartbeat.host)
-    return [...known, ...[...lost].filter(([zone]) => isNear(zone) || !knowsHall(zone)).flatMap(([, hosts]) => hosts)]
+    finder.tick(near.length + halls.length === 0, () => rank >= 0 ? forgetting.listLost() : [])
   }
 
   // What goes out at once.
