Block calls that end back ends at entry nodes, too

They now share record and exchange with gateways; the daemon beside a back end says whether it ended. What the roles share is a module of its own.

--- a/packages/daemon/src/_lib/schemas.ts
+++ b/packages/daemon/src/_lib/schemas.ts
@@ -44,3 +44,4 @@
 export const ticketSchema = zod.object({ ticket: name, incarnation: name })
 export const hintSchema = zod.object({ node: name, load: loadSchema })
 export const drillSchema = zod.object({ endpoints: zod.array(name).max(MAXIMUM_LIST) })
+export const factsMessageSchema = zod.object({ node: name, text: zod.string().max(65_536) })
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -41,6 +41,8 @@
   readonly onRefused: (entryNode: types.NodeId) => void
   /** Calls an action after so many milliseconds, those of a suspension included; returns what cancels it. */
   readonly after: (milliseconds: number, action: () => void) => () => void
+  /** Told of each answer that the back end begins. */
+  readonly onAnswer: () => void
 }
 
 const CALL_PREFIX = '/calls'
@@ -118,6 +120,7 @@
       answerFailure(context, ticket, started.error)
       return
     }
+    options.onAnswer()
     if (isOtherVersion(started.value, served)) {
       started.value.destroy()
       answerWrongVersion(context, ticket, started.value)
--- a/packages/daemon/src/createBlockArchive/index.ts
+++ b/packages/daemon/src/createBlockArchive/index.ts
@@ -1,4 +1,4 @@
-/** Blocks of calls in the platform's store, so that they outlast a return of all gateways at once. */
+/** Blocks of calls in the platform's store, so that they outlast a return of all daemons at once. */
 import * as zod from 'zod'
 import * as platform from '@switchridge/platform'
 import * as quarantine from '@switchridge/quarantine'
@@ -8,9 +8,9 @@
 
 /** Options of {@link createBlockArchive}. */
 export interface BlockArchiveOptions {
-  readonly store: store.CollectionStore
+  readonly store: Pick<store.CollectionStore, 'listAll' | 'put' | 'remove'>
   readonly limits: Pick<quarantine.QuarantineLimits, 'blockMs' | 'maximumBlockMs'>
-  /** Whether this gateway asks the store for others, too; only such a one reads blocks. */
+  /** Whether this daemon asks the store for others, too; only such a one reads blocks. */
   readonly mayAsk: () => boolean
   /** Told of each block that is read and may still matter. */
   readonly onBlock: (block: quarantine.CallBlock) => void
@@ -25,21 +25,21 @@
 
 /** The blocks in the store. */
 export interface BlockArchive {
-  /** Writes a block that this gateway itself gave rise to, once it has held for a moment. */
+  /** Writes a block that this daemon itself gave rise to, once it has held for a moment. */
   readonly save: (block: quarantine.CallBlock) => void
   /** Whether blocks were read, or can't be for now. */
   readonly isSettled: () => boolean
   readonly stop: () => void
 }
 
-/** A block that another gateway's word takes back was hasty; such words take some ten milliseconds. */
+/** A block that another daemon's word takes back was hasty; such words take some ten milliseconds. */
 const SETTLE_MS = 500
 const RETRY_MINIMUM_MS = 500
 const RETRY_MAXIMUM_MS = 10_000
-/** A gateway looks so often, and for so long after its start, whether it is to read blocks for others; later it has heard of them. */
+/** A daemon looks so often, and for so long after its start, whether it is to read blocks for others; later it has heard of them. */
 const LOOK_MS = 250
 const LOOK_FOR_MS = 30_000
-/** A gateway that does not read the store itself hears of blocks from others within this, and takes calls then. */
+/** A daemon that does not read the store itself hears of blocks from others within this, and takes calls then. */
 const HEARSAY_MS = 1000
 
 const blockSchema = zod.object({ fingerprint: zod.string().refine(quarantine.isFingerprint, 'a fingerprint'), count: zod.int().min(1), blockedAt: zod.number() })
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -7,9 +7,11 @@
 import * as rpc from '@switchridge/rpc'
 import type * as observability from '@switchridge/observability'
 import type * as createClaims from '../createClaims/index.js'
+import type * as createEntryQuarantine from '../createEntryQuarantine/index.js'
 import type * as createDispatcher from '../createDispatcher/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
 import * as callHeaders from '../_lib/callHeaders.js'
+import * as entryCall from '../_lib/entryCall.js'
 import * as sendStream from '../_lib/sendStream.js'
 
 /** Options of {@link createEntryCalls}. */
@@ -27,6 +29,7 @@
   readonly now: () => number
   /** Calls an action at a time of the clock. */
   readonly at: clock.AtTime
+  readonly guard: createEntryQuarantine.EntryGuard
 }
 
 /** The middleware and its calls in progress. */
@@ -37,12 +40,12 @@
 }
 
 const SERVICE_PATH = /^\/services\/([\w.-]+)(?:\/models\/([\w.-]+))?(\/.*)?$/
-const READ_METHODS = new Set(['GET', 'HEAD'])
-const BEARER = 'Bearer '
 const RETRY_AFTER_SECONDS = 1
 const MAXIMUM_ATTEMPTS = 5
 /** Refusals that say nothing about the server's health. */
 const HEALTHY_REFUSALS = new Set(['full', 'leaving', 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
+/** Back ends ended under the call. */
+const BLOCKED_REASON = 'blocked'
 
 interface Prepared {
   readonly call: sendAttempt.OutgoingCall
@@ -52,9 +55,14 @@
   readonly key: string
 }
 
-type FinalOutcome = Exclude<sendAttempt.AttemptResult, { kind: 'answered' }>
+/** An attempt under way. */
+interface Unanswered {
+  readonly call: sendAttempt.OutgoingCall
+  readonly end: () => void
+}
 
-const ANONYMOUS: types.AccountRow = { id: types.brandId('anonymous'), keyDigest: types.brandId(''), share: 1, callsPerSecond: 0, priority: 'interactive' }
+/** Why a call has no answer, and for a call that was refused when it may come back, if that is known. */
+type FinalOutcome = Exclude<sendAttempt.AttemptResult, { kind: 'answered' }> & { readonly retryAfterMs?: number }
 
 /**
  * Creates the middleware for `/services/...`.
@@ -66,6 +74,10 @@
   const budgets = new Map<types.ServiceName, routing.RetryBudget>()
   const counts: Record<string, number> = {}
   let inProgress = 0
+  const unanswered = new Set<Unanswered>()
+  options.guard.onBlocked((blocked) => {
+    for (const { call, end } of unanswered) if (entryCall.identify(call) === blocked) end()
+  })
 
   function count (name: string): void {
     counts[name] = (counts[name] ?? 0) + 1
@@ -132,16 +144,16 @@
     if (service.kind === 'engine' && !table.models.some((model) => model.id === row && model.service === service.id)) {
       return reject(context, 404, `no model "${row}" of service "${service.id}" in the table`)
     }
-    const account = findAccount(table, context.get('authorization'))
+    const account = entryCall.findAccount(table, context.get('authorization'))
     if (account === undefined) return reject(context, 401, 'the API key is missing or unknown')
     const waitMs = options.limiter.take(account.id, account.callsPerSecond)
     if (waitMs > 0) return rejectOverLimit(context, waitMs)
-    const deadlineAt = options.now() + readTimeout(context, service)
+    const deadlineAt = options.now() + entryCall.readTimeout(context, service)
     const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
     if (!body.ok) return reject(context, 413, body.error.message)
     const headers = { ...callHeaders.copyHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
     const path = (match[3] ?? '/') + context.search
-    const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: isRepeatable(service, context.method), deadlineAt }
+    const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: entryCall.isRepeatable(service, context.method), deadlineAt }
     const key = call.isRepeatable ? '' : context.get(callHeaders.KEY_HEADER)
     return { call, service, affinity: context.get('x-prompt-prefix'), key }
   }
@@ -168,15 +180,20 @@
     let mayHaveRun = false
     budget.earn()
     for (let attempts = 1; ; attempts += 1) {
+      const blockedMs = options.guard.isActive() ? options.guard.findBlock(entryCall.identify(call)) : null
+      if (blockedMs !== null) return conclude({ kind: 'not-run', reason: BLOCKED_REASON, load: undefined, retryAfterMs: blockedMs }, mayHaveRun)
       const backend = await awaitBackend(prepared, tried, signal)
       if (!backend.ok) return conclude({ kind: 'not-run', reason: backend.error.reason, load: undefined }, mayHaveRun)
       count('attempts')
       tried.add(backend.value.node)
-      const result = await options.send(call, backend.value, signal)
+      const result = await sendUnlessBlocked(call, backend.value, signal)
       if (result.kind === 'answered') {
-        await passOn(context, result, backend.value, claim)
+        const isWhole = await passOn(context, result, backend.value, claim)
+        if (isWhole && options.guard.isActive()) options.guard.noteServed(entryCall.identify(call))
+        if (!isWhole && !context.req.aborted) await options.guard.noteLost(backend.value, entryCall.identify(call))
         return 'answered'
       }
+      if (result.kind === 'unknown' && !signal.aborted) await options.guard.noteLost(backend.value, entryCall.identify(call))
       noteFailure(backend.value, result)
       mayHaveRun ||= result.kind === 'unknown'
       const mayRepeat = result.kind === 'not-run' || call.isRepeatable
@@ -186,6 +203,16 @@
     }
   }
 
+  /** Takes an attempt back that has no answer yet when its call is blocked. */
+  async function sendUnlessBlocked (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal): Promise<sendAttempt.AttemptResult> {
+    const blocking = new AbortController()
+    const waiting = { call, end: () => { blocking.abort() } }
+    unanswered.add(waiting)
+    const result = await options.send(call, backend, AbortSignal.any([signal, blocking.signal]))
+    unanswered.delete(waiting)
+    return result
+  }
+
   async function awaitBackend ({ call, affinity }: Prepared, tried: ReadonlySet<types.NodeId>, signal: AbortSignal): Promise<types.Outcome<types.MemberFacts, routing.NotRunError>> {
     const queued = { account: call.account.id, share: call.account.share, priority: call.account.priority }
     const dispatched = options.dispatcher.submit({ service: call.service, row: call.row, queued, affinity, tried })
@@ -205,7 +232,7 @@
     options.dispatcher.pump()
   }
 
-  async function passOn (context: Koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts, claim: createClaims.Claim | null): Promise<void> {
+  async function passOn (context: Koa.Context, result: Extract<sendAttempt.AttemptResult, { kind: 'answered' }>, backend: types.MemberFacts, claim: createClaims.Claim | null): Promise<boolean> {
     const { response, load } = result
     context.status = response.statusCode ?? 502
     for (const [name, value] of Object.entries(callHeaders.copyHeaders(response.headers))) context.set(name, value)
@@ -222,6 +249,7 @@
     else if (!context.req.aborted) options.health.noteFailure(backend.node)
     count(isWhole ? 'answered' : 'broken')
     options.dispatcher.pump()
+    return isWhole
   }
 
   function answerWithout (context: Koa.Context, result: FinalOutcome): void {
@@ -235,7 +263,7 @@
     })
     if (context.res.destroyed) return
     context.status = result.kind === 'not-run' ? 503 : 502
-    if (result.kind === 'not-run') context.set('retry-after', String(RETRY_AFTER_SECONDS))
+    if (result.kind === 'not-run') context.set('retry-after', String(readRetryAfter(result)))
     context.set(callHeaders.OUTCOME_HEADER, result.kind)
     context.set(callHeaders.REASON_HEADER, result.reason.replaceAll(/[^\x20-\x7e]/g, ' '))
     context.body = { outcome: result.kind, reason: result.reason }
@@ -269,18 +297,6 @@
   return mayHaveRun ? { ...result, kind: 'unknown' } : result
 }
 
-function isRepeatable (service: types.ServiceRow, method: string): boolean {
-  return service.repeatable === 'all' || (service.repeatable === 'reads' && READ_METHODS.has(method))
-}
-
-function findAccount (table: types.Table, authorization: string): types.AccountRow | undefined {
-  if (table.accounts.length === 0) return ANONYMOUS
-  if (!authorization.startsWith(BEARER)) return undefined
-  const digest = crypto.createHash('sha256').update(authorization.slice(BEARER.length)).digest('hex')
-  return table.accounts.find((account) => rpc.isSameSecret(account.keyDigest, digest))
-}
-
-function readTimeout (context: Koa.Context, service: types.ServiceRow): number {
-  const wanted = Number(context.get(callHeaders.TIMEOUT_HEADER))
-  return wanted > 0 ? Math.min(wanted, service.deadlineMs) : service.deadlineMs
+function readRetryAfter ({ retryAfterMs }: FinalOutcome): number {
+  return retryAfterMs === undefined ? RETRY_AFTER_SECONDS : Math.ceil(retryAfterMs / types.MILLISECONDS_IN_SECOND)
 }
--- /dev/null
+++ b/packages/daemon/src/createEntryQuarantine/index.ts
@@ -0,0 +1,129 @@
+/** Keeps calls that end back ends from the others at entry nodes: they ask the daemon beside a back end whether it ended, and tell each other by JSON-RPC. */
+import * as quarantine from '@switchridge/quarantine'
+import type * as rpc from '@switchridge/rpc'
+import * as spread from '@switchridge/spread'
+import type * as store from '@switchridge/store'
+import * as types from '@switchridge/types'
+import type * as createCommonParts from '../createCommonParts/index.js'
+import * as createSharedQuarantine from '../createSharedQuarantine/index.js'
+import * as schemas from '../_lib/schemas.js'
+
+/** What the way of calls through an entry node asks. */
+export interface EntryGuard extends Pick<createSharedQuarantine.SharedQuarantine, 'isActive' | 'findBlock' | 'noteServed' | 'onBlocked'> {
+  /** Told of a call that was lost at a backend daemon; resolves once it is known whether the back end there ended. */
+  readonly noteLost: (backend: types.MemberFacts, call: quarantine.CallFingerprint) => Promise<void>
+}
+
+/** The quarantine of an entry node. */
+export interface EntryQuarantine {
+  readonly guard: EntryGuard
+  /** Methods that other entry nodes call. */
+  readonly methods: Record<string, rpc.RpcMethod>
+  readonly isSettled: () => boolean
+  readonly stop: () => void
+}
+
+/** Options of {@link createEntryQuarantine}. */
+export interface EntryQuarantineOptions {
+  readonly parts: createCommonParts.CommonParts
+  /** Whether this entry node asks the platform for others, too. */
+  readonly mayAskStore: () => boolean
+}
+
+export const FACTS_METHOD = 'facts'
+export const ENDED_METHOD = 'back-end.ended'
+/** A call waits no longer for the answer whether its back end ended; data halls are within a tenth of it. */
+const ENDED_CALL_MS = 300
+const FACTS_CALL_MS = 1000
+const TICK_MS = 250
+/** Blocks are few, and those that are over are removed. */
+const BLOCKS_LISTED = 1000
+
+/**
+ * Creates the quarantine of an entry node.
+ *
+ * @param options - The daemon's parts.
+ * @returns The quarantine.
+ */
+export function createEntryQuarantine ({ parts, mayAskStore }: EntryQuarantineOptions): EntryQuarantine {
+  const { logger, now, settings, view } = parts
+  const count = (name: string, labels: Readonly<Record<string, string>> = {}): void => { parts.metrics.increment(`quarantine.${[name, ...Object.values(labels)].join('.')}`) }
+  const shared = createSharedQuarantine.createSharedQuarantine({
+    settings: settings.quarantine,
+    store: adaptStore(parts.store),
+    mayAskStore,
+    tell: (content, keptMs, ageMs) => { facts.tell(content, keptMs, ageMs) },
+    onToldEnd: () => {},
+    logger,
+    count,
+    now,
+    timeOfDay: Date.now
+  })
+  let isStopped = false
+  const facts = spread.createFactExchange({
+    zone: settings.data_hall,
+    peers: () => listEntryNodes().map(({ node, dataHall }) => ({ host: node, zone: dataHall })),
+    send: (node, bytes) => { void sendFacts(node, bytes) },
+    onFact: shared.noteFact,
+    onDrop: () => { count('facts_unreadable') },
+    later: (delayMs, action) => { setTimeout(() => { if (!isStopped) action() }, delayMs) },
+    now,
+    random: parts.random
+  })
+  const timer = setInterval(facts.tick, TICK_MS)
+
+  function listEntryNodes (): types.MemberFacts[] {
+    return view.members().filter((member) => member.facts.role === 'entry' && member.condition === 'live' && member.facts.node !== settings.node).map((member) => member.facts)
+  }
+
+  /** What is lost on the way is made good when two entry nodes compare what they know. */
+  async function sendFacts (node: string, bytes: Buffer): Promise<void> {
+    const member = view.find(types.brandId<types.NodeId>(node))
+    if (member === undefined || isStopped) return
+    const sent = await parts.client.call(member.facts.address, FACTS_METHOD, { node: settings.node, text: bytes.toString() }, FACTS_CALL_MS)
+    if (!sent.ok) logger.debug('facts-not-sent', { node, error: sent.error.message })
+  }
+
+  async function noteLost (backend: types.MemberFacts, call: quarantine.CallFingerprint): Promise<void> {
+    if (!settings.quarantine.enabled || backend.service === null) return
+    const asked = await parts.client.call<string | null>(backend.address, ENDED_METHOD, {}, ENDED_CALL_MS)
+    const verdict = !asked.ok ? 'unknown' : asked.value === null ? 'lives' : 'ended'
+    count('calls_lost', { verdict })
+    if (!asked.ok || typeof asked.value !== 'string') return
+    shared.noteEnd({ life: types.brandId<quarantine.BackEndLife>(asked.value), name: backend.node, service: backend.service }, call)
+  }
+
+  return {
+    guard: { isActive: shared.isActive, findBlock: shared.findBlock, noteServed: shared.noteServed, onBlocked: shared.onBlocked, noteLost },
+    methods: {
+      [FACTS_METHOD]: (params) => {
+        const { node, text } = schemas.factsMessageSchema.parse(params)
+        facts.receive(Buffer.from(text), node)
+        return null
+      }
+    },
+    isSettled: shared.isSettled,
+    stop: () => {
+      isStopped = true
+      clearInterval(timer)
+      shared.stop()
+    }
+  }
+}
+
+/** Blocks as the object API keeps them. */
+function adaptStore (objects: store.ObjectStore): createSharedQuarantine.SharedQuarantineOptions['store'] {
+  return {
+    listAll: async (kind) => {
+      const listed = await objects.list(kind, '', BLOCKS_LISTED)
+      if (!listed.ok) return listed
+      return types.succeed({ at: 0, objects: listed.value.map(({ name, version, value }) => ({ name, revision: version, value })) })
+    },
+    put: async (kind, name, value, revision) => await objects.write(kind, name, value, revision === null ? { absent: true } : { version: revision }),
+    remove: async (kind, name, revision) => {
+      const removed = await objects.remove(kind, name, revision)
+      if (removed.ok || removed.error instanceof types.NotFoundError) return types.succeed(null)
+      return types.fail(removed.error)
+    }
+  }
+}
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -1,14 +1,17 @@
 /** A backend daemon: holds weights for its backend server, orders its engine and runs calls on it. */
 import Koa from 'koa'
 import type * as settingsTypes from '@switchridge/settings'
+import * as gateway from '@switchridge/gateway'
 import * as types from '@switchridge/types'
 import * as platform from '@switchridge/store'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import * as transfer from '@switchridge/transfer'
+import * as createBackEndState from '../createBackEndState/index.js'
 import * as createBackendCalls from '../createBackendCalls/index.js'
 import * as createCommonParts from '../createCommonParts/index.js'
 import * as createEngineOrders from '../createEngineOrders/index.js'
+import * as createEntryQuarantine from '../createEntryQuarantine/index.js'
 import * as createHeartbeats from '../createHeartbeats/index.js'
 import * as createPlacementLoop from '../createPlacementLoop/index.js'
 import * as createServing from '../createServing/index.js'
@@ -83,6 +86,7 @@
   const admission = routing.createAdmission(DEFAULT_CONCURRENCY, DEFAULT_QUEUE, hintWaiting)
   const tickets = routing.createTickets()
   const serving = createServing.createServing()
+  const backEndState = createBackEndState.createBackEndState({ url: backEnd.url, name: `${node}/${parts.incarnation}`, probe: gateway.probeAddress })
   const calls = createBackendCalls.createBackendCalls({
     identity: parts.identity,
     service: types.brandId<types.ServiceName>(backEnd.service),
@@ -96,7 +100,8 @@
     uplink,
     count,
     onRefused: (entryNode) => { waitingEntryNodes.add(entryNode) },
-    after: (milliseconds, action) => parts.at(parts.now() + milliseconds, action)
+    after: (milliseconds, action) => parts.at(parts.now() + milliseconds, action),
+    onAnswer: backEndState.noteAnswer
   })
 
   /** Tells the entry node that has waited longest that a slot is free. */
@@ -148,6 +153,7 @@
       const asked = schemas.ticketSchema.parse(params)
       return asked.incarnation === parts.incarnation ? tickets.resolve(types.brandId<types.TicketId>(asked.ticket)) : 'unknown'
     },
+    [createEntryQuarantine.ENDED_METHOD]: backEndState.readEndedLife,
     'transfer.announce': (params) => {
       const said = schemas.announceSchema.parse(params)
       transfers.noteHave(types.brandId<types.Digest>(said.digest), types.brandId<types.NodeId>(said.node), said.have)
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -9,6 +9,7 @@
 import * as createCommonParts from '../createCommonParts/index.js'
 import * as createDispatcher from '../createDispatcher/index.js'
 import * as createEntryCalls from '../createEntryCalls/index.js'
+import * as createEntryQuarantine from '../createEntryQuarantine/index.js'
 import * as createHeartbeats from '../createHeartbeats/index.js'
 import * as createNodeListPoll from '../createNodeListPoll/index.js'
 import * as createTableWatch from '../createTableWatch/index.js'
@@ -63,6 +64,7 @@
     random: parts.random
   })
   const claims = createClaims.createClaims(parts.store, Date.now)
+  const quarantine = createEntryQuarantine.createEntryQuarantine({ parts, mayAskStore: () => createTableWatch.isTableWatcher(self.read(), view.members()) })
   const calls = createEntryCalls.createEntryCalls({
     table: keeper.current,
     dispatcher,
@@ -76,7 +78,8 @@
     logger,
     metrics: parts.metrics,
     now: parts.now,
-    at: parts.at
+    at: parts.at,
+    guard: quarantine.guard
   })
 
   /** One entry node of the fleet sweeps old claims; two that think so do no harm. */
@@ -123,6 +126,7 @@
       dispatcher.pump()
       return null
     },
+    ...quarantine.methods,
     ...createDrillMethods.createDrillMethods(parts)
   }
   control.use(rpc.createRpcServer(parts.identity, methods, parts.traffic))
@@ -147,6 +151,7 @@
   function findUnhealthy (): string {
     if (isLeaving) return 'leaving'
     if (keeper.current().revision === 0) return 'no table yet'
+    if (!quarantine.isSettled()) return 'blocked calls not read yet'
     const hasBackend = view.members().some((member) => member.facts.role === 'backend' && member.condition === 'live' && !member.leaving)
     return hasBackend ? '' : 'no live backend server'
   }
@@ -179,6 +184,7 @@
       heartbeats.stop()
       watch.stop()
       nodeList.stop()
+      quarantine.stop()
       callerListener.abort()
       listener.abort()
       parts.agents.destroy()
--- a/packages/daemon/src/startEntryRole/lethal.test.ts
+++ b/packages/daemon/src/startEntryRole/lethal.test.ts
@@ -26,7 +26,10 @@
   readonly entries: string[]
   readonly countEnded: () => number
   readonly ask: (entry: string, path: string) => Promise<Answer>
+  /** Ends an entry node at once and starts it anew; returns its address for callers once it is healthy. */
   readonly restartEntry: (index: number) => Promise<string>
+  /** Blocks that the platform keeps. */
+  readonly countKept: () => Promise<number>
 }
 
 interface Answer {
@@ -77,9 +80,9 @@
     return role
   }
 
-  const startEntry = async (index: number): Promise<startDaemon.RunningRole> => {
+  const startEntry = async (index: number, port = 0): Promise<startDaemon.RunningRole> => {
     const seeds = roles.filter((role) => role.callerAddress !== null).map((role) => `"${HOST}:${role.address.port}"`).join()
-    return await start(`role = "entry"\nnode = "entry-${index}"\nentry_nodes = [${seeds}]\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`)
+    return await start(`role = "entry"\nnode = "entry-${index}"\nentry_nodes = [${seeds}]\n[listen]\nhost = "${HOST}"\nport = ${port}\ncaller_port = 0`)
   }
   const formatBase = (role: startDaemon.RunningRole): string => `http://${HOST}:${role.callerAddress?.port ?? 0}/services/api`
 
@@ -107,7 +110,13 @@
       const role = started[index] as startDaemon.RunningRole
       roles.splice(roles.indexOf(role), 1)
       role.stop()
-      return formatBase(await startEntry(index))
+      const again = await startEntry(index, role.address.port)
+      await until(async () => (await got.got.get(`http://${HOST}:${again.callerAddress?.port ?? 0}/health`, { retry: { limit: 0 }, throwHttpErrors: false })).statusCode === OK)
+      return formatBase(again)
+    },
+    countKept: async () => {
+      const listed = await store.list('blocks', '', BACKENDS)
+      return listed.ok ? listed.value.length : 0
     }
   }
 }
@@ -123,3 +132,20 @@
   assert.equal(answers.at(-1)?.status, NOT_RUN)
   assert.ok((answers.at(-1)?.retryAfter ?? 0) > 1)
 })
+
+nodeTest.test('an entry node that starts again hears from the others what it knew', async (context) => {
+  const { entries, ask, countEnded, restartEntry } = await openHall(context, 2)
+  for (let index = 0; index < KNOWN_AFTER; index += 1) await ask(entries[0] as string, LETHAL_PATH)
+  const again = await restartEntry(1)
+  assert.equal((await ask(again, LETHAL_PATH)).status, NOT_RUN)
+  assert.equal(countEnded(), KNOWN_AFTER)
+})
+
+nodeTest.test('entry nodes that all lost what they knew read it from the platform', async (context) => {
+  const { entries, ask, countEnded, countKept, restartEntry } = await openHall(context, 1)
+  for (let index = 0; index < KNOWN_AFTER; index += 1) await ask(entries[0] as string, LETHAL_PATH)
+  await until(async () => await countKept() > 0)
+  const again = await restartEntry(0)
+  assert.equal((await ask(again, LETHAL_PATH)).reason, 'blocked')
+  assert.equal(countEnded(), KNOWN_AFTER)
+})
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -99,6 +99,8 @@
   }
 }
 
+/** Back ends of the fuzz break connections, and none ends. */
+const NO_GUARD: daemon.EntryGuard = { isActive: () => false, findBlock: () => null, noteServed: () => {}, onBlocked: () => {}, noteLost: async () => {} }
 const steadyClock = clock.createSteadyClock()
 const at = clock.createDeadlines(steadyClock)
 
@@ -121,7 +123,8 @@
     uplink: transfer.createLinkPacer(0, () => 0),
     count: () => {},
     onRefused: () => {},
-    after: (milliseconds, action) => at(steadyClock.now() + milliseconds, action)
+    after: (milliseconds, action) => at(steadyClock.now() + milliseconds, action),
+    onAnswer: () => {}
   }))
   app.use(rpc.createRpcServer(IDENTITY, {
     ticket: (params) => {
@@ -162,7 +165,8 @@
     logger: observability.createLogger('fuzz-calls', {}, { level: 'silent' }),
     metrics: observability.createMetrics({ host: HOST, port: 8125, tags: {}, enabled: false }),
     now,
-    at
+    at,
+    guard: NO_GUARD
   })
   const app = new Koa()
   app.on('error', () => {})
--- a/packages/settings/src/_lib/schema.ts
+++ b/packages/settings/src/_lib/schema.ts
@@ -1,5 +1,6 @@
 /** The schema of the daemon's settings file. */
 import * as zod from 'zod'
+import * as quarantine from './quarantine.js'
 
 const DEFAULT_CHUNK_MEMORY_BYTES = 1024 * 1024 * 1024
 const DEFAULT_STATSD_PORT = 8125
@@ -48,6 +49,7 @@
     upload_slots: zod.int().min(1).max(256).default(12),
     drain_seconds: zod.int().min(0).max(86_400).default(600)
   }).prefault({}),
+  quarantine: quarantine.quarantineSchema,
   logs: zod.strictObject({
     level: zod.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
   }).prefault({}),
@@ -66,6 +68,7 @@
     tls: tls.optional()
   }).prefault({})
 }).superRefine((settings, context) => {
+  quarantine.checkQuarantine(settings.quarantine, context)
   if (settings.role === 'backend' && settings.back_end === undefined) {
     context.addIssue({ code: 'custom', path: ['back_end'], message: 'a table [back_end], since role is "backend"' })
   }
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -2,6 +2,7 @@
 import * as zod from 'zod'
 import type * as types from '@switchridge/types'
 import * as parseToml from '../_lib/parseToml.js'
+import * as quarantine from '../_lib/quarantine.js'
 
 const address = zod.string().regex(/^[^:]+:\d+$/, 'an address of the form IP:PORT')
 const milliseconds = zod.number().positive()
@@ -42,15 +43,7 @@
     retry_slack: zod.number().min(0).default(20),
     retry_window_seconds: zod.number().positive().default(10)
   }).prefault({}),
-  quarantine: zod.strictObject({
-    enabled: zod.boolean().default(true),
-    ends: zod.int().min(2).default(3),
-    evidence_seconds: zod.number().positive().default(600),
-    block_seconds: zod.number().positive().default(600),
-    block_maximum_seconds: zod.number().positive().default(86_400),
-    maximum_ends: zod.int().min(1).default(500),
-    maximum_blocks: zod.int().min(1).default(500)
-  }).prefault({}),
+  quarantine: quarantine.quarantineSchema,
   logs: zod.strictObject({
     level: zod.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
   }).prefault({}),
@@ -60,9 +53,7 @@
   if (settings.role === 'gateway' && settings.listen.callers === undefined) {
     context.addIssue({ code: 'custom', path: ['listen', 'callers'], message: 'an address for callers, since role is "gateway"' })
   }
-  if (settings.quarantine.block_maximum_seconds < settings.quarantine.block_seconds) {
-    context.addIssue({ code: 'custom', path: ['quarantine', 'block_maximum_seconds'], message: 'at least block_seconds' })
-  }
+  quarantine.checkQuarantine(settings.quarantine, context)
   if (settings.role === 'agent' && settings.engine.address === undefined) {
     context.addIssue({ code: 'custom', path: ['engine', 'address'], message: 'the address of the engine, since role is "agent"' })
   }
