--- a/packages/quarantine/src/createQuarantine/index.ts
+++ b/packages/quarantine/src/createQuarantine/index.ts
@@ -1,4 +1,5 @@
 /** Remembers under which calls back ends ended, and which calls are refused for it. */
+import * as types from '@switchridge/types'
 import type * as identifyCall from '../identifyCall/index.js'
 import * as selectBlocked from '../selectBlocked/index.js'
 import * as quarantine from '../types/index.js'
@@ -44,6 +45,11 @@
   return 2 * computeBlockMs(count, limits)
 }
 
+/**
+ * Ends of one name that are further apart are two: a back end may start again under its id before its new life is known everywhere, and needs longer than
+ * this. Words of one end differ by what was under way.
+ */
+const SAME_END_MS = 1000
 /** Ends of calls that were blocked before: one is enough. */
 const ENDS_ON_PROBATION = 1
 /** Others hear that a call was served if it is suspected of so many ends. */
@@ -78,6 +84,15 @@
     }
   }
 
+  /** The end that is remembered and meant, if there is one, under the name that tells it apart from earlier ones. */
+  function findLife ({ life, at }: quarantine.BackEndEnd): quarantine.BackEndLife {
+    for (let again = 0; ; again += 1) {
+      const name = again === 0 ? life : types.brandId<quarantine.BackEndLife>(`${life}~${again}`)
+      const known = ends.get(name)
+      if (known === undefined || Math.abs(known.at - at) <= SAME_END_MS) return name
+    }
+  }
+
   function removeEnd (end: quarantine.BackEndEnd): void {
     ends.delete(end.life)
     countCalls(end, -1)
@@ -142,12 +157,13 @@
     noteEnd: (end) => {
       expire()
       if (now() - end.at > limits.evidenceMs) return
-      const known = ends.get(end.life)
+      const life = findLife(end)
+      const known = ends.get(life)
       const isNews = known === undefined || [...end.calls].some((call) => !known.calls.has(call))
       if (!isNews) return
       if (known !== undefined) removeEnd(known)
-      const merged = known === undefined ? end : { ...known, at: Math.min(known.at, end.at), calls: new Set([...known.calls, ...end.calls]) }
-      ends.set(end.life, merged)
+      const merged = known === undefined ? { ...end, life } : { ...known, at: Math.min(known.at, end.at), calls: new Set([...known.calls, ...end.calls]) }
+      ends.set(life, merged)
       countCalls(merged, 1)
       if ([...merged.calls].some(mayBeBlocked)) judge()
     },
--- a/packages/quarantine/src/createQuarantine/test.ts
+++ b/packages/quarantine/src/createQuarantine/test.ts
@@ -65,6 +65,19 @@
   assert.equal(record.countSuspects(), 4)
 })
 
+nodeTest.test('a back end that starts again under its name and ends again counts again', () => {
+  const { quarantine: record, now, pass } = open()
+  const life = types.brandId<quarantine.BackEndLife>('i-1')
+  for (let index = 0; index < 3; index += 1) {
+    for (const beside of ['a', 'b']) {
+      record.noteEnd({ life, at: now(), calls: new Set([LETHAL, fingerprint(`${beside}-${index}`)]) })
+      pass(100)
+    }
+    assert.equal(record.findBlock(LETHAL) !== null, index === 2)
+    pass(3000)
+  }
+})
+
 nodeTest.test('after a block one end is enough, and the next block is four times as long', () => {
   const play = open()
   for (let index = 0; index < 3; index += 1) play.end('lethal')
