Use what stood already for facts, and work out an entry node's fingerprint once

Read again: the packing of datagrams, their size and the check of spans stood in wire.ts and were written again for facts; milliseconds of a second stood in types; an entry node hashed a call's body at each look; a comment on when ends count said something else than the code. Behaviour is the same.

--- a/packages/clock/src/createDeadlines/index.ts
+++ b/packages/clock/src/createDeadlines/index.ts
@@ -7,7 +7,7 @@
 interface Pending {
   readonly time: number
   readonly action: () => void
-  timer: NodeJS.Timeout
+  timer: NodeJS.Timeout | undefined
 }
 
 /**
@@ -34,7 +34,7 @@
   })
 
   return (time, action) => {
-    const each: Pending = { time, action, timer: undefined as unknown as NodeJS.Timeout }
+    const each: Pending = { time, action, timer: undefined }
     pending.add(each)
     arm(each)
     return () => {
--- a/packages/clock/src/createSteadyClock/index.ts
+++ b/packages/clock/src/createSteadyClock/index.ts
@@ -3,6 +3,7 @@
  * set. So a leap of the time of day asks which of the two it was, and is answered by the time since the machine started, or by the clocks of others.
  */
 import * as os from 'node:os'
+import * as types from '@switchridge/types'
 
 /** The clocks of a machine, all in milliseconds. */
 export interface MachineClocks {
@@ -52,9 +53,8 @@
 export const PROCESS_CLOCKS: MachineClocks = {
   steady: () => performance.now(),
   timeOfDay: () => Date.now(),
-  sinceStart: () => os.uptime() * MS_IN_SECOND
+  sinceStart: () => os.uptime() * types.MILLISECONDS_IN_SECOND
 }
-const MS_IN_SECOND = 1000
 
 interface Leap {
   readonly leapMs: number
--- a/packages/daemon/src/_lib/entryCall.ts
+++ b/packages/daemon/src/_lib/entryCall.ts
@@ -11,9 +11,15 @@
 const BEARER = 'Bearer '
 const ANONYMOUS: types.AccountRow = { id: types.brandId('anonymous'), keyDigest: types.brandId(''), share: 1, callsPerSecond: 0, priority: 'interactive' }
 
+/** Worked out once for each call, whose body may have megabytes. */
+const fingerprints = new WeakMap<sendAttempt.OutgoingCall, quarantine.CallFingerprint>()
+
 /** Names what a call asks for, so that it is known when it is sent again. */
-export function identify ({ account, method, service, row, path, body }: sendAttempt.OutgoingCall): quarantine.CallFingerprint {
-  return quarantine.identifyCall({ account: account.id, method, host: `${service}/${row}`, path, body })
+export function identify (call: sendAttempt.OutgoingCall): quarantine.CallFingerprint {
+  const { account, method, service, row, path, body } = call
+  const fingerprint = fingerprints.get(call) ?? quarantine.identifyCall({ account: account.id, method, host: `${service}/${row}`, path, body })
+  fingerprints.set(call, fingerprint)
+  return fingerprint
 }
 
 /** Whether a service's calls of a method may run more than once. */
--- a/packages/quarantine/src/createQuarantine/index.ts
+++ b/packages/quarantine/src/createQuarantine/index.ts
@@ -108,7 +108,7 @@
     }
   }
 
-  /** When a call may be blocked again; never while it is. */
+  /** From when on ends count against a call: after a block that is over, only later ones. */
   function countFrom (call: identifyCall.CallFingerprint): number {
     const block = blocks.get(call)
     return block === undefined || isInForce(block) ? -Infinity : block.since + computeBlockMs(block.count, limits)
--- a/packages/spread/src/_lib/factWire.ts
+++ b/packages/spread/src/_lib/factWire.ts
@@ -1,4 +1,5 @@
 /** Datagrams of the exchange of facts: arrays in JSON, the kind first. */
+import * as wire from './wire.js'
 
 /** A fact on its way. */
 export interface FactTold {
@@ -16,30 +17,15 @@
   /** `isAsking`: the receiver answers with its own; `count`: of the sender's facts. */
   | { readonly type: 'digest', readonly hash: number, readonly count: number, readonly isAsking: boolean }
 
-/** Longest payload that a router on the way leaves in one piece. */
-const DATAGRAM_BYTES = 1200
 const FACTS_PREFIX = '["f",'
 const DIGEST_PREFIX = '["q",'
 const MAXIMUM_ID_LENGTH = 80
 
 /** Formats facts, cut into datagrams; a fact that fits into none stands alone. */
 export function formatFacts (facts: readonly FactTold[]): string[] {
-  const datagrams: string[] = []
-  let items: string[] = []
-  let bytes = 0
-  for (const { id, ageMs, keptMs, content } of facts) {
-    const item = JSON.stringify([id, Math.round(ageMs), Math.round(keptMs), content])
-    const size = Buffer.byteLength(item) + 1
-    if (items.length > 0 && bytes + size + FACTS_PREFIX.length > DATAGRAM_BYTES) {
-      datagrams.push(`${FACTS_PREFIX}[${items.join()}]]`)
-      items = []
-      bytes = 0
-    }
-    items.push(item)
-    bytes += size
-  }
-  if (items.length > 0) datagrams.push(`${FACTS_PREFIX}[${items.join()}]]`)
-  return datagrams
+  if (facts.length === 0) return []
+  const items = facts.map(({ id, ageMs, keptMs, content }) => JSON.stringify([id, Math.round(ageMs), Math.round(keptMs), content]))
+  return wire.cut(items, FACTS_PREFIX.length + '[]]'.length, 0).map((part) => `${FACTS_PREFIX}[${part.join()}]]`)
 }
 
 /** Formats what stands for all facts. */
@@ -53,12 +39,10 @@
   return start === FACTS_PREFIX || start === DIGEST_PREFIX
 }
 
-const isSpan = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0
-
 function parseFact (value: unknown): FactTold[] {
   if (!Array.isArray(value)) return []
   const [id, ageMs, keptMs, content] = value as unknown[]
-  if (typeof id !== 'string' || id.length > MAXIMUM_ID_LENGTH || !isSpan(ageMs) || !isSpan(keptMs)) return []
+  if (typeof id !== 'string' || id.length > MAXIMUM_ID_LENGTH || !wire.isAge(ageMs) || !wire.isAge(keptMs)) return []
   return [{ id, ageMs, keptMs, content }]
 }
 
@@ -72,6 +56,6 @@
   }
   const [kind, first, count, asking] = parsed as unknown[]
   if (kind === 'f' && Array.isArray(first)) return { type: 'facts', facts: first.flatMap(parseFact) }
-  if (kind === 'q' && isSpan(first) && isSpan(count)) return { type: 'digest', hash: first, count, isAsking: asking === 1 }
+  if (kind === 'q' && wire.isAge(first) && wire.isAge(count)) return { type: 'digest', hash: first, count, isAsking: asking === 1 }
   return null
 }
--- a/packages/spread/src/_lib/wire.ts
+++ b/packages/spread/src/_lib/wire.ts
@@ -159,7 +159,7 @@
 }
 
 /** Cuts a list into parts that fit; `firstBytes` more are taken in the first one. At least one part. */
-function cut (items: readonly string[], partBytes: number, firstBytes: number): string[][] {
+export function cut (items: readonly string[], partBytes: number, firstBytes: number): string[][] {
   const parts: string[][] = [[]]
   let size = partBytes + firstBytes
   for (const item of items) {
@@ -184,7 +184,8 @@
 
 const isText = (value: unknown): value is string => typeof value === 'string'
 const isNumber = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value)
-const isAge = (value: unknown): value is number => isNumber(value) && value >= 0
+/** Whether a value is a span of time. */
+export const isAge = (value: unknown): value is number => isNumber(value) && value >= 0
 const isFlags = (value: unknown): value is number => isAge(value) && (value & ~ALL_FLAGS) === 0 && Number.isInteger(value)
 const isList = (value: unknown): value is unknown[] => Array.isArray(value)
 const isTexts = (value: unknown): value is string[] => isList(value) && value.every(isText)
