Let engines change their versions one after the other where there is time

Change: from when the version is whole until 2.6 s before the bound engines take turns in a row and finish what runs; waves stay where less than 2.9 s are left.

--- a/packages/staging/src/computeTurn/index.ts
+++ b/packages/staging/src/computeTurn/index.ts
@@ -28,8 +28,15 @@
   readonly beforeBoundMs: number
 }
 
+/** The last of the turns that come one after the other leaves time to finish what runs, for the change, and for an order that must be given again. */
+const LAST_TURN_BEFORE_BOUND_MS = 2600
 /**
- * Engines change in waves, so that the others serve. The first waves break off what runs for longer,
+ * An engine takes nothing new for about 1.3 s while it finishes what runs and changes. So over this time at most 0.45 of the engines are out
+ * at once, most of them still at work; in less time, waves that break off what runs take less away.
+ */
+const SHORTEST_ROW_MS = 2900
+/**
+ * Where the time is too short for turns in a row, engines change in waves, so that the others serve. The first waves break off what runs for longer,
  * and it goes on at an engine of a later wave; the last one finishes what runs, because there is nowhere to go on.
  */
 const WAVES: readonly Wave[] = [{ upTo: 0.33, beforeBoundMs: 3200 }, { upTo: 0.66, beforeBoundMs: 2000 }]
@@ -46,8 +53,14 @@
 export function computeTurn (input: TurnInput): Turn {
   if (input.held === 0 || !Number.isFinite(input.boundAt)) return { at: input.wholeAt, method: 'finish' }
   const place = Math.max(0, input.rank) / Math.max(1, input.engines)
-  const early = input.engines > 1 ? WAVES.find((wave) => place < wave.upTo) : undefined
-  const at = Math.max(input.wholeAt, input.boundAt - (early ?? LAST_WAVE).beforeBoundMs)
-  const mayGoOnElsewhere = early !== undefined && at <= input.boundAt - BREAKING_BEFORE_BOUND_MS
+  const rowMs = input.boundAt - LAST_TURN_BEFORE_BOUND_MS - input.wholeAt
+  if (rowMs >= SHORTEST_ROW_MS) return { at: input.wholeAt + place * rowMs, method: 'finish' }
+  return computeWave(place, input)
+}
+
+function computeWave (place: number, { engines, wholeAt, boundAt }: TurnInput): Turn {
+  const early = engines > 1 ? WAVES.find((wave) => place < wave.upTo) : undefined
+  const at = Math.max(wholeAt, boundAt - (early ?? LAST_WAVE).beforeBoundMs)
+  const mayGoOnElsewhere = early !== undefined && at <= boundAt - BREAKING_BEFORE_BOUND_MS
   return { at, method: mayGoOnElsewhere ? 'break-off' : 'finish' }
 }
