--- /dev/null
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -0,0 +1,49 @@
+/** The line and the counts that each call leaves at its end. */
+import type * as callOptions from './callOptions.js'
+import type * as callState from './callState.js'
+
+/** Why a call got its final answer. */
+export type Ending = 'answered' | 'left' | 'refused' | 'failed' | 'expired'
+
+/** How a call ended. */
+export interface CallEnd {
+  readonly ending: Ending
+  /** The back end of the last attempt; empty when there was none. */
+  readonly backEnd: string
+  /** Version of the weights that answered; null where none did. */
+  readonly version: number | null
+  /** Why it was not answered. */
+  readonly reason: string
+  /** Whether it was refused because back ends ended under calls like it. */
+  readonly isBlocked: boolean
+}
+
+/**
+ * Logs and counts a call that has ended.
+ *
+ * @param call - The call.
+ * @param end - How it ended.
+ * @param options - Log, counters and clock.
+ */
+export function logCall (call: callState.CallState, end: CallEnd, options: Pick<callOptions.CallHandlerOptions, 'count' | 'observe' | 'logger' | 'now'>): void {
+  const elapsedMs = Math.round(options.now() - call.receivedAt)
+  const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
+  options.count('calls', { ending: end.ending })
+  if (end.isBlocked) options.count('calls_blocked', { service: call.service })
+  options.observe('call', elapsedMs)
+  if (firstEventMs !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(firstEventMs - call.predictedMs))
+  options.logger.info('call', {
+    id: call.head.requestId,
+    route: call.route.name,
+    service: call.service,
+    backEnd: end.backEnd,
+    attempts: call.attempts,
+    ending: end.ending,
+    ms: elapsedMs,
+    predictedMs: call.predictedMs,
+    firstEventMs,
+    version: end.version,
+    fingerprint: end.isBlocked ? call.fingerprint() : undefined,
+    reason: end.ending === 'answered' ? undefined : end.reason
+  })
+}
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -5,6 +5,8 @@
 import * as relayEvents from '../relayEvents/index.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
+import * as logCall from './logCall.js'
+import * as noteOutcome from './noteOutcome.js'
 import * as runAttempt from './runAttempt.js'
 import type * as callOptions from './callOptions.js'
 
@@ -21,9 +23,6 @@
 
 type Options = callOptions.CallHandlerOptions
 
-/** Why a call got its final answer. */
-type Ending = 'answered' | 'left' | 'refused' | 'failed' | 'expired'
-
 /** Writes for which reasons how many back ends were passed over. */
 function describePassedOver (passedOver: chooseBackEnd.PassedOver): string {
   const counts = Object.entries(passedOver).map(([reason, count]) => `${count} ${reason}`)
@@ -49,7 +48,7 @@
   let backEnd = ''
   let isBlocked = false
 
-  async function serve (): Promise<Ending> {
+  async function serve (): Promise<logCall.Ending> {
     for (;;) {
       const isFirst = call.attempts === 0
       const blockedMs = options.guard.isActive() ? options.guard.findBlock(call.fingerprint()) : null
@@ -141,33 +140,14 @@
     options.book.noteSent(choice.backEnd.id, open)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
     options.book.noteEnded(choice.backEnd.id, open)
-    if (!call.hasLeft() && !call.isExpired() && !call.isTakenBack()) noteOutcome(choice, outcome)
+    if (!call.hasLeft() && !call.isExpired() && !call.isTakenBack()) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isCut) await options.guard.noteCut(choice.backEnd, call.fingerprint())
     if (outcome.kind === 'done' && options.guard.isActive()) options.guard.noteServed(call.fingerprint())
-    if (outcome.kind === 'broken' && !open.hasBegun) noteNotBegun()
+    if (outcome.kind === 'broken' && !open.hasBegun) noteOutcome.noteNotBegun(call, options)
     return outcome
   }
 
-  /** A first attempt that was given up late counts as one that began then. */
-  function noteNotBegun (): void {
-    const elapsedMs = options.now() - call.receivedAt
-    if (call.attempts === 1 && call.predictedMs !== null && elapsedMs > call.route.targetMs) options.errorsOf(call.service).note(call.predictedMs, elapsedMs)
-  }
-
-  function noteOutcome (choice: chooseBackEnd.Choice, outcome: runAttempt.AttemptOutcome): void {
-    const { id } = choice.backEnd
-    options.count('attempts', { outcome: outcome.kind })
-    if (outcome.kind === 'done') options.book.noteSuccess(id)
-    else if (outcome.kind === 'not-run' && outcome.isGone) options.book.noteGone(id)
-    else if (outcome.kind === 'not-run') options.book.noteFull(id)
-    else if (outcome.kind !== 'failed-answer') options.book.noteFailure(id)
-    if (outcome.kind !== 'done') {
-      const fingerprint = outcome.kind === 'broken' ? call.fingerprint() : undefined
-      options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason, fingerprint })
-    }
-  }
-
-  function giveUp (): Ending {
+  function giveUp (): logCall.Ending {
     if (reply.hasBegun()) {
       reply.breakOff()
       return 'failed'
@@ -186,24 +166,5 @@
 
   const ending = await serve()
   cancelExpiry()
-  const elapsedMs = Math.round(options.now() - call.receivedAt)
-  const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
-  options.count('calls', { ending })
-  if (isBlocked) options.count('calls_blocked', { service: call.service })
-  options.observe('call', elapsedMs)
-  if (firstEventMs !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(firstEventMs - call.predictedMs))
-  options.logger.info('call', {
-    id: call.head.requestId,
-    route: call.route.name,
-    service: call.service,
-    backEnd,
-    attempts: call.attempts,
-    ending,
-    ms: elapsedMs,
-    predictedMs: call.predictedMs,
-    firstEventMs,
-    version: stream.version,
-    fingerprint: isBlocked ? call.fingerprint() : undefined,
-    reason: ending === 'answered' ? undefined : lastReason
-  })
+  logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
 }
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -26,6 +26,8 @@
   readonly apartMs?: number
   /** Connections that the origin serves at a time; it refuses more. */
   readonly originConnections?: number
+  /** Bytes a millisecond of the origin's link, {@link ORIGIN_LINK} if absent. */
+  readonly originLink?: number
   /** The origin refuses all between these milliseconds after the naming. */
   readonly outage?: { readonly fromMs: number, readonly untilMs: number }
   readonly maximumMs?: number
@@ -116,7 +118,7 @@
  * @returns What came of it.
  */
 export async function playVersion (advance: () => Promise<void>, options: PlayOptions): Promise<PlayResult> {
-  const { agents: count, linkPart = 1, squeezed = 0, dying = 0, startMs = 0, apartMs = 0, originConnections = ORIGIN_CONNECTIONS, maximumMs = MAXIMUM_MS } = options
+  const { agents: count, linkPart = 1, squeezed = 0, dying = 0, startMs = 0, apartMs = 0, originConnections = ORIGIN_CONNECTIONS, originLink = ORIGIN_LINK, maximumMs = MAXIMUM_MS } = options
   const now = Date.now
   const startedAt = now()
   const names = Array.from({ length: count }, (_, index) => `n-${index}`)
@@ -127,7 +129,7 @@
   const network = standins.createLinkNetwork({
     hosts: [
       ...names.map((host, index) => ({ host, region: regionOf(index), bytesPerMs: rateOf(index) })),
-      { host: ORIGIN, region: ORIGIN, bytesPerMs: ORIGIN_LINK }
+      { host: ORIGIN, region: ORIGIN, bytesPerMs: originLink }
     ],
     regionBytesPerMs: REGION_LINK,
     nearMs: NEAR_MS,
@@ -314,7 +316,7 @@
     lastMs: sound[sound.length - 1] ?? Infinity,
     squeezedMs: Math.max(0, ...all.filter((agent) => agent.isSqueezed).map((agent) => agent.wholeMs)),
     whole: all.filter((agent) => agent.wholeMs < Infinity).length,
-    fluidMs: Math.max(bytes / (LINK * linkPart), bytes / ORIGIN_LINK, count * bytes / (ORIGIN_LINK + linkSum)),
+    fluidMs: Math.max(bytes / (LINK * linkPart), bytes / originLink, count * bytes / (originLink + linkSum)),
     originCopies: counts.originPieces / PIECES,
     originAsked: counts.originAsked,
     originPeak: counts.originPeak,
--- a/packages/staging/src/atSize.test.ts
+++ b/packages/staging/src/atSize.test.ts
@@ -25,6 +25,8 @@
 const ORIGIN_PEAK = 42
 const ORIGIN_COPIES = 1.2
 const CROSSINGS = 1.2
+/** Bytes a millisecond of an origin that is narrower than an agent's link: 4.38 Mbit/s. */
+const NARROW_ORIGIN = 547
 /** Half of the time in which the users want service back. */
 const RETURN_MS = 7500
 const RETURN_COPIES = 1.2
@@ -53,7 +55,7 @@
 }
 
 nodeTest.test('45 agents are whole in 1.5 times what bytes alone need, and a piece crosses into a region once', async (context) => {
-  for (const options of [{ agents: 45 }, { agents: 45, startMs: 300 }, { agents: 45, linkPart: 0.6 }]) {
+  for (const options of [{ agents: 45 }, { agents: 45, startMs: 300 }, { agents: 45, linkPart: 0.6 }, { agents: 45, originLink: NARROW_ORIGIN }]) {
     check(await play(context, options), options)
   }
 })
