Name in the log what a refusal under load was decided by

The line of a refused call told the prediction alone; it tells the shared target and the part of all places that is taken, too. No change of behaviour.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -1,10 +1,10 @@
 /** Sends a call to one back end after another until it has its final answer. */
 import type * as createBackEndBook from '../createBackEndBook/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
-import * as decideAdmission from '../decideAdmission/index.js'
 import * as relayEvents from '../relayEvents/index.js'
+import * as admitCall from './admitCall.js'
 import type * as answers from './answers.js'
-import * as callState from './callState.js'
+import type * as callState from './callState.js'
 import * as logCall from './logCall.js'
 import * as noteOutcome from './noteOutcome.js'
 import * as runAttempt from './runAttempt.js'
@@ -75,9 +75,9 @@
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
       if (isFirst && unsent === 0) {
-        const admission = decide(choice, takenPart)
+        const admission = admitCall.admitCall(call, choice, takenPart, options)
         if (!admission.isTaken) {
-          lastReason = `first event in ${Math.round(choice.evenedFirstEventMs)} ms, lately up to ${Math.round(options.errorsOf(call.service).read())} ms later`
+          lastReason = admission.reason
           retryAfterMs = admission.retryAfterMs
           return giveUp()
         }
@@ -110,19 +110,6 @@
     return Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
   }
 
-  function decide (choice: chooseBackEnd.Choice, takenPart: number): decideAdmission.Admission {
-    return decideAdmission.decideAdmission({
-      firstEventMs: choice.evenedFirstEventMs,
-      waitingBefore: choice.waitingBefore,
-      takenPart,
-      errorMs: options.errorsOf(call.service).read(),
-      targetMs: options.sharedTargetOf({ service: call.service, priority: call.route.priority, targetMs: call.route.targetMs }),
-      spentMs: callState.readSpentMs(call, options.now()),
-      remainingMs: call.deadline.remainingMs(),
-      random: options.random()
-    })
-  }
-
   function mayGoOn (outcome: runAttempt.AttemptOutcome): boolean {
     if (call.attempts >= call.route.maximumAttempts) return false
     if (outcome.kind === 'not-run') return !call.mayHaveRun || call.isRepeatable
