--- a/packages/staging/src/createPieceStore/test.ts
+++ b/packages/staging/src/createPieceStore/test.ts
@@ -30,3 +30,22 @@
   assert.deepEqual(pieces.refer([1], (peer) => peer !== LEFT), { piece: 1, holder: RIGHT })
   assert.equal(pieces.refer([0], () => true), null)
 })
+
+nodeTest.test('who waits for pieces is woken by one of them, one after the other, or when the time is over', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] })
+  const pieces = openPieces()
+  const woken: string[] = []
+  const wait = (name: string, wanted: readonly number[], maximumMs: number): void => { void pieces.untilKept(wanted, maximumMs).then(() => { woken.push(name) }) }
+  wait('first', [0, 1], 300)
+  wait('second', [0], 300)
+  wait('other', [1], 300)
+  pieces.put(0, BODIES[0] as Buffer)
+  await new Promise((resolve) => { setImmediate(resolve) })
+  assert.deepEqual(woken, ['first'])
+  context.mock.timers.tick(10)
+  await new Promise((resolve) => { setImmediate(resolve) })
+  assert.deepEqual(woken, ['first', 'second'])
+  context.mock.timers.tick(290)
+  await new Promise((resolve) => { setImmediate(resolve) })
+  assert.deepEqual(woken, ['first', 'second', 'other'])
+})
