Leave out what admission no longer asks of a choice

Cause: admission judges room by all places, so the requests at the chosen engine (Choice.occupied, Prediction.occupied) were worked out for every engine and read by nobody.

--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -36,8 +36,6 @@
   /** The same with half of what the prompt exceeds the usual one by. */
   readonly evenedFirstEventMs: number
   readonly waitingBefore: number
-  /** Requests that run or wait there by this gateway's reckoning. */
-  readonly occupied: number
   /** Version that the back end is asked to check; null for none. */
   readonly expectedVersion: number | null
   /** Monotonic time in milliseconds by which the call must have begun there; Infinity for no such time. */
@@ -208,5 +206,5 @@
 function predict (backEnd: gateway.BackEnd, load: createBackEndBook.BackEndLoad, input: ChoiceInput): predictFirstEvent.Prediction {
   if (input.figures !== null) return predictFirstEvent.predictFirstEvent(input.figures, backEnd.slots, load, input.promptTokens, input.gateways)
   const open = load.open.size
-  return { firstEventMs: open * PLAIN_REQUEST_MS, evenedFirstEventMs: open * PLAIN_REQUEST_MS, waitingBefore: Math.max(0, open + 1 - backEnd.slots), occupied: open }
+  return { firstEventMs: open * PLAIN_REQUEST_MS, evenedFirstEventMs: open * PLAIN_REQUEST_MS, waitingBefore: Math.max(0, open + 1 - backEnd.slots) }
 }
--- a/packages/gateway/src/predictFirstEvent/index.ts
+++ b/packages/gateway/src/predictFirstEvent/index.ts
@@ -10,8 +10,6 @@
   readonly evenedFirstEventMs: number
   /** Requests beyond the engine's slots that would wait before this one. */
   readonly waitingBefore: number
-  /** Requests that run or wait there by this gateway's reckoning. */
-  readonly occupied: number
 }
 
 const EVENT_TOKENS = 5
@@ -51,5 +49,5 @@
   const firstEventMs = pace * (slotWaitMs + readMs + EVENT_TOKENS * stepMs)
   const excessTokens = Math.max(0, promptTokens - (figures.usualPromptTokens ?? promptTokens))
   const excessMs = figures.prefillTokensPerMs === null ? 0 : pace * excessTokens / figures.prefillTokensPerMs
-  return { firstEventMs, evenedFirstEventMs: firstEventMs - EVENED_PART * excessMs, waitingBefore, occupied }
+  return { firstEventMs, evenedFirstEventMs: firstEventMs - EVENED_PART * excessMs, waitingBefore }
 }
