Keep one copy of how long an agent waits for a piece for another one

It stands with the offers that use it, and is exported like the one for manifests. No change of behaviour: 300 ms, the tests of staging and the agent role pass as before.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -32,8 +32,7 @@
 const BITS_IN_MEGABIT = 1_000_000
 /** A fetch takes so much longer than its bytes, since the origin sends them one after the other. */
 const RAMP_UP_MS = 500
-const PIECE_WAIT_MS = 300
-/** An answer of a peer is given up when so long no byte of it comes: a piece waits at most 300 + 400 ms there, and in the links' queues. */
+/** An answer of a peer is given up when so long no byte of it comes: a piece waits at most {@link staging.PIECE_WAIT_MS} + 400 ms there, and in the links' queues. */
 const PIECE_SILENCE_MS = 2500
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
@@ -210,7 +209,7 @@
 
   async function sendPiece (context: Koa.Context, id: staging.VersionId, wanted: readonly number[]): Promise<void> {
     const node = types.brandId<types.NodeId>(context.get(NODE_HEADER))
-    const taken = await stager?.providePiece(id, wanted, { node, mayRefer: context.get(REFER_HEADER) !== '', waitMs: PIECE_WAIT_MS }) ?? null
+    const taken = await stager?.providePiece(id, wanted, { node, mayRefer: context.get(REFER_HEADER) !== '', waitMs: staging.PIECE_WAIT_MS }) ?? null
     if (taken === null) return
     context.set(PIECE_HEADER, String(taken.piece))
     if ('holder' in taken) {
--- a/packages/staging/src/_lib/offerPieces.ts
+++ b/packages/staging/src/_lib/offerPieces.ts
@@ -48,6 +48,11 @@
 /** Gives one of some pieces to a peer; waits for those that are on their way. */
 export type ProvidePiece = (id: staging.VersionId, wanted: readonly number[], asker: PieceAsker) => Promise<PieceAnswer>
 
+/**
+ * Milliseconds for which an agent waits for a piece on behalf of another one. With 150 more than half of the requests were answered with nothing; with 500 a
+ * slow answer would look like a slow peer.
+ */
+export const PIECE_WAIT_MS = 300
 const STAGED_READ_PAUSE_MS = 50
 /** With more than about three pieces waiting for the uplink a peer gets a piece sooner from whoever has it by now. */
 const BUSY_MS = 130
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -95,7 +95,6 @@
 const PACED_PART = 0.9
 const HEARTBEAT_MS = 1500
 const SUSPECT_MS = 6000
-const PIECE_WAIT_MS = 300
 const SILENCE_MS = 2500
 const EXPECTING_MS = 3000
 const BOUND_MS = 8000
@@ -256,7 +255,7 @@
       expectedZones: () => now() - startedAt < EXPECTING_MS ? REGIONS : [],
       fetchFromPeer: async (peer, id, wanted, mayRefer) => {
         const fetched = await ask<createPieceFetcher.SentPiece | createPieceStore.Referral>(name, peer.node, async (other) => {
-          const answer = await other.stager.providePiece(id, wanted, { node: self.node, mayRefer, waitMs: PIECE_WAIT_MS })
+          const answer = await other.stager.providePiece(id, wanted, { node: self.node, mayRefer, waitMs: createStager.PIECE_WAIT_MS })
           if (answer === null || 'holder' in answer) return { value: answer, bytes: REQUEST_BYTES }
           return { value: { piece: answer.piece, bytes: PIECE_BODIES[answer.piece] as Buffer }, slices: answer.slices }
         })
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -11,7 +11,7 @@
 import * as writeStage from '../writeStage/index.js'
 import type * as staging from '../types/index.js'
 
-export type { ProvidedPiece } from '../_lib/offerPieces.js'
+export { PIECE_WAIT_MS, type ProvidedPiece } from '../_lib/offerPieces.js'
 
 /** Options of {@link createStager}. */
 export interface StagerOptions extends orderVersion.OrderOptions, offerPieces.OfferOptions, Pick<createPieceFetcher.PieceFetcherOptions, 'expectedZones' | 'origin' | 'fetchFromPeer' | 'onSuspect' | 'random'> {
