Let the test of a call that is taken back wait until three engines hold it

It failed once: two engines had ended where three were asked for. The test now sends until three engines hold it, and asks for the same three ends as before.

--- a/packages/daemon/src/startGatewayRole/lethal.test.ts
+++ b/packages/daemon/src/startGatewayRole/lethal.test.ts
@@ -47,6 +47,18 @@
   return await fleetTesting.call(gateway, { method: 'POST', path, id, body: 'quote', headers: HEADERS })
 }
 
+function listLethal ({ arrivals }: testing.EngineStandIn): testing.Arrival[] {
+  return arrivals.filter(({ path }) => path === LETHAL_PATH)
+}
+
+function countHolding (engines: readonly testing.EngineStandIn[]): number {
+  return engines.filter((engine) => listLethal(engine).length > 0).length
+}
+
+function countArrivals (engines: readonly testing.EngineStandIn[]): number {
+  return engines.reduce((sum, engine) => sum + listLethal(engine).length, 0)
+}
+
 function countEnded (engines: readonly testing.EngineStandIn[]): number {
   return engines.filter((engine) => engine.hasEnded()).length
 }
@@ -100,8 +112,12 @@
 nodeTest.test('a call that an engine holds is taken back once it is known to end engines', async (context) => {
   const { gateways, engines } = await openLethal(context, 2, 300)
   const [first, second] = gateways as [types.Address, types.Address]
-  const sent = [0, 1, 2].map(async (index) => await send(first, `lethal-${index}`, LETHAL_PATH))
-  await types.delay(150)
+  const sent: Array<Promise<testing.CallerAnswer>> = []
+  // Two calls may be sent to one engine by chance.
+  while (countHolding(engines) < KNOWN_AFTER) {
+    sent.push(send(first, `lethal-${sent.length}`, LETHAL_PATH))
+    await fleetTesting.until(() => countArrivals(engines) === sent.length)
+  }
   const last = await send(second, 'lethal-last', LETHAL_PATH)
   await Promise.all(sent)
   assert.equal(last.status, BAD_GATEWAY, 'it may have run')
