Say in the log and in the status which rates back ends name

The header is decoded in the adapter; a record of its own (named, changed, ended, unreadable) writes a line for each change. Nothing is decided by it yet.

--- a/packages/daemon/src/_lib/quarantineFacts.ts
+++ b/packages/daemon/src/_lib/quarantineFacts.ts
@@ -5,7 +5,7 @@
 /** A fact of the quarantine. */
 export type QuarantineFact =
   /** A back end ended with these calls of the teller. */
-  | { readonly kind: 'end', readonly life: quarantine.BackEndLife, readonly calls: readonly quarantine.CallFingerprint[] }
+  | { readonly kind: 'end', readonly life: types.BackEndLife, readonly calls: readonly quarantine.CallFingerprint[] }
   /** A suspected call was served to its end. */
   | { readonly kind: 'served', readonly call: quarantine.CallFingerprint }
   /** A call was blocked, for the so many-th time. */
@@ -38,10 +38,5 @@
 function parseEnd ([life, ...calls]: readonly unknown[]): QuarantineFact | null {
   if (typeof life !== 'string' || life.length === 0 || life.length > MAXIMUM_LIFE_LENGTH) return null
   if (calls.length === 0 || calls.length > MAXIMUM_CALLS || !calls.every(quarantine.isFingerprint)) return null
-  return { kind: 'end', life: types.brandId<quarantine.BackEndLife>(life), calls }
-}
-
-/** Names the life of a back end. */
-export function formatLife (id: types.NodeId, bornAt: number | null): quarantine.BackEndLife {
-  return types.brandId<quarantine.BackEndLife>(bornAt === null ? id : `${id}/${bornAt}`)
+  return { kind: 'end', life: types.brandId<types.BackEndLife>(life), calls }
 }
--- a/packages/daemon/src/createBackEndState/index.ts
+++ b/packages/daemon/src/createBackEndState/index.ts
@@ -14,7 +14,7 @@
 /** The state. */
 export interface BackEndState {
   /** The life that has ended, or null while the back end lives or nothing is known of it. */
-  readonly readEndedLife: () => Promise<quarantine.BackEndLife | null>
+  readonly readEndedLife: () => Promise<types.BackEndLife | null>
   /** Notes that the back end answered: an end after it is that of another life. */
   readonly noteAnswer: () => void
 }
@@ -41,7 +41,7 @@
       if (quarantine.judgeEnd({ isCutByPeer: true, isLeaving: false, probe }) !== 'ended') return null
       if (!hasEnded) ends += 1
       hasEnded = true
-      return types.brandId<quarantine.BackEndLife>(`${options.name}/${ends}`)
+      return types.brandId<types.BackEndLife>(`${options.name}/${ends}`)
     }
   }
 }
--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -1,9 +1,8 @@
 /** Keeps calls that end back ends from the others: a gateway's looks at back ends whose connections were cut, beside what all gateways know together. */
 import * as gateway from '@switchridge/gateway'
 import * as quarantine from '@switchridge/quarantine'
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 import * as createSharedQuarantine from '../createSharedQuarantine/index.js'
-import * as quarantineFacts from '../_lib/quarantineFacts.js'
 
 /** Options of {@link createCallQuarantine}. */
 export interface CallQuarantineOptions extends Omit<createSharedQuarantine.SharedQuarantineOptions, 'onToldEnd'> {
@@ -35,11 +34,11 @@
  */
 export function createCallQuarantine (options: CallQuarantineOptions): CallQuarantine {
   const { book, count, now } = options
-  const probes = new Map<quarantine.BackEndLife, Probe>()
+  const probes = new Map<types.BackEndLife, Probe>()
   const shared = createSharedQuarantine.createSharedQuarantine({ ...options, onToldEnd: noteToldEnd })
 
   /** One connection for all calls that are lost with one back end. */
-  async function probe (life: quarantine.BackEndLife, address: types.Address): Promise<quarantine.ProbeResult> {
+  async function probe (life: types.BackEndLife, address: types.Address): Promise<quarantine.ProbeResult> {
     const known = probes.get(life)
     if (known !== undefined && now() - known.at < PROBE_KEPT_MS) return await known.result
     for (const [other, { at }] of probes) if (now() - at >= PROBE_KEPT_MS) probes.delete(other)
@@ -55,7 +54,7 @@
 
   async function noteCut (backEnd: gateway.BackEnd, call: quarantine.CallFingerprint): Promise<void> {
     if (!options.settings.enabled) return
-    const life = quarantineFacts.formatLife(backEnd.id, backEnd.bornAt)
+    const life = types.formatLife(backEnd.id, backEnd.bornAt)
     const wasLeaving = isLeaving(backEnd)
     const verdict = quarantine.judgeEnd({ isCutByPeer: true, isLeaving: wasLeaving, probe: await probe(life, backEnd.address) })
     count('calls_lost', { verdict })
@@ -65,9 +64,9 @@
   }
 
   /** Others are believed that a back end is a bad choice; that it may not be chosen at all takes an own look. */
-  function noteToldEnd (life: quarantine.BackEndLife, at: number): void {
+  function noteToldEnd (life: types.BackEndLife, at: number): void {
     if (now() - at > FRESH_END_MS) return
-    const ended = options.backEnds().find(({ id, bornAt }) => quarantineFacts.formatLife(id, bornAt) === life)
+    const ended = options.backEnds().find(({ id, bornAt }) => types.formatLife(id, bornAt) === life)
     if (ended !== undefined) book.noteFailure(ended.id)
   }
 
--- a/packages/daemon/src/createEntryQuarantine/index.ts
+++ b/packages/daemon/src/createEntryQuarantine/index.ts
@@ -92,7 +92,7 @@
     const verdict = !asked.ok ? 'unknown' : asked.value === null ? 'lives' : 'ended'
     count('calls_lost', { verdict })
     if (!asked.ok || typeof asked.value !== 'string') return
-    shared.noteEnd({ life: types.brandId<quarantine.BackEndLife>(asked.value), name: backend.node, service: backend.service }, call)
+    shared.noteEnd({ life: types.brandId<types.BackEndLife>(asked.value), name: backend.node, service: backend.service }, call)
   }
 
   return {
--- a/packages/daemon/src/createSharedQuarantine/index.ts
+++ b/packages/daemon/src/createSharedQuarantine/index.ts
@@ -15,7 +15,7 @@
   /** Tells all others a fact. */
   readonly tell: (content: unknown, keptMs: number, ageMs: number) => void
   /** Told of ends that others saw, with the monotonic time in milliseconds. */
-  readonly onToldEnd: (life: quarantine.BackEndLife, at: number) => void
+  readonly onToldEnd: (life: types.BackEndLife, at: number) => void
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
   /** Monotonic clock in milliseconds. */
@@ -26,7 +26,7 @@
 
 /** A back end that ended while calls of this daemon were there. */
 export interface EndedBackEnd {
-  readonly life: quarantine.BackEndLife
+  readonly life: types.BackEndLife
   /** Its name in logs. */
   readonly name: string
   readonly service: types.ServiceName
@@ -102,7 +102,7 @@
   const limits = readLimits(options.settings)
   const listeners: Array<(call: quarantine.CallFingerprint) => void> = []
   /** Calls that this daemon lost, by the back ends that ended, until others are told. */
-  const lost = new Map<quarantine.BackEndLife, Set<quarantine.CallFingerprint>>()
+  const lost = new Map<types.BackEndLife, Set<quarantine.CallFingerprint>>()
   /** Of the word that is being noted. */
   let source: Source = 'peer'
   const record = quarantine.createQuarantine({ limits, onBlocked: noteBlocked, onReleased: noteReleased, now })
@@ -123,7 +123,7 @@
     source = 'peer'
   }
 
-  function noteBlocked (block: quarantine.CallBlock, lives: readonly quarantine.BackEndLife[]): void {
+  function noteBlocked (block: quarantine.CallBlock, lives: readonly types.BackEndLife[]): void {
     const { fingerprint, count: times, since } = block
     const leftMs = since + quarantine.computeBlockMs(times, limits) - now()
     count('call_blocks', { source })
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -7,6 +7,7 @@
 import * as createCallQuarantine from '../createCallQuarantine/index.js'
 import * as createFleetExchange from '../createFleetExchange/index.js'
 import * as createFleetParts from '../createFleetParts/index.js'
+import * as createRateLimiter from '../createRateLimiter/index.js'
 import * as openTextServer from '../openTextServer/index.js'
 import * as engineNews from '../_lib/engineNews.js'
 import * as openMetrics from '../_lib/openMetrics.js'
@@ -62,6 +63,7 @@
     now,
     timeOfDay: Date.now
   })
+  const limiter = createRateLimiter.createRateLimiter({ backEnds: parts.backEnds, logger, count: metrics.count, now })
   const exchange = await createFleetExchange.createFleetExchange({
     parts,
     store: client,
@@ -144,6 +146,7 @@
     errorsOf,
     sharedTargetOf: gateway.createSharedTargets(now).note,
     guard: callQuarantine,
+    limiter,
     logger,
     count: metrics.count,
     observe: metrics.observe,
@@ -153,7 +156,10 @@
   })
   const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
   parts.onRoutes((table) => { server.setLimits(table.configuration.limits) })
-  parts.onBackEnds(() => { book.keepOnly(parts.backEnds()) })
+  parts.onBackEnds(() => {
+    book.keepOnly(parts.backEnds())
+    limiter.keepListed()
+  })
   const readiness = checked.listen.readiness === undefined
     ? null
     : await openTextServer.openTextServer(platform.parseAddress(checked.listen.readiness), { [platform.READINESS_PATH]: () => ({ status: isReady() ? OK : UNAVAILABLE }) })
@@ -189,6 +195,7 @@
   metrics.gauge('calls_blocked_now', () => callQuarantine.blocks().length)
   metrics.gauge('calls_suspected', callQuarantine.countSuspects)
   metrics.gauge('ends_known', callQuarantine.countEnds)
+  metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
   metrics.gauge('facts', exchange.facts.count)
   const closeMetrics = await openMetrics.openMetrics(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
@@ -197,6 +204,7 @@
     store: exchange.storeState(),
     blockedCalls: callQuarantine.blocks().map(({ fingerprint, count, since }) => ({ fingerprint, count, ageSeconds: Math.round((now() - since) / types.MILLISECONDS_IN_SECOND) })),
     endsKnown: callQuarantine.countEnds(),
+    rateLimits: limiter.inForce().map(({ life, perSecond, heardAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - heardAt) / types.MILLISECONDS_IN_SECOND) })),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
     backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, models: Object.fromEntries(backEnd.models) }))
   }))
--- a/packages/daemon/src/wireNames.test.ts
+++ b/packages/daemon/src/wireNames.test.ts
@@ -5,7 +5,7 @@
 import * as url from 'node:url'
 
 /** Names that only the adapter may know. */
-const WIRE_NAMES = /expect-instance|not-executed|engine-seal|deadline-remaining|token-count|length-hint|(?<!x-)prompt-prefix|weight-versions|request-urgency|expect-version|\/v1\/(objects|order|report|piece|manifest|stage|readiness)|routeType|trafficSplit|apiKeys|maxAttempts|busySlots/i
+const WIRE_NAMES = /expect-instance|not-executed|server-limit|engine-seal|deadline-remaining|token-count|length-hint|(?<!x-)prompt-prefix|weight-versions|request-urgency|expect-version|\/v1\/(objects|order|report|piece|manifest|stage|readiness)|routeType|trafficSplit|apiKeys|maxAttempts|busySlots/i
 const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../..')
 
 function listSources (folder: string): string[] {
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http'
 import type * as clock from '@switchridge/clock'
 import type * as observability from '@switchridge/observability'
+import type * as rateLimits from '@switchridge/rate-limits'
 import type * as types from '@switchridge/types'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndBook from '../createBackEndBook/index.js'
@@ -10,6 +11,7 @@
 import type * as createSharedTargets from '../createSharedTargets/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
 import type * as guards from '../types/guard.js'
+import type * as limiters from '../types/limiter.js'
 import type * as gateway from '../types/index.js'
 
 /** How calls and attempts look on the wire; the adapter of a platform gives it. */
@@ -18,6 +20,8 @@
   /** Headers of an attempt, names and values in turn. */
   readonly formatAttempt: (call: gateway.CallHead, attempt: gateway.AttemptHead) => string[]
   readonly readAnswer: (response: http.IncomingMessage, requestId: string) => gateway.AnswerHead
+  /** What the answer of a back end says of the rate that it takes. */
+  readonly readNamedRate: (response: http.IncomingMessage) => rateLimits.NamedRate
   /** Headers of an answer of this gateway's own. */
   readonly formatOwnAnswer: (requestId: string, retryAfterMs: number | null) => string[]
 }
@@ -35,6 +39,7 @@
   /** Notes a call; returns the milliseconds by which calls that compete with it are admitted alike. */
   readonly sharedTargetOf: createSharedTargets.SharedTargets['note']
   readonly guard: guards.CallGuard
+  readonly limiter: limiters.RateLimiter
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
   readonly observe: (name: string, milliseconds: number) => void
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -1,4 +1,5 @@
 /** One attempt: from its connection to the end of its answer. */
+import type * as http from 'node:http'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndBook from '../createBackEndBook/index.js'
 import * as readBody from '../readBody/index.js'
@@ -116,6 +117,7 @@
   call.attempts += 1
   if (start.kind === 'no-answer') return end(broken(patience.isOver() ? 'no first event in time' : start.reason, start.isCut))
   const answer = options.protocol.readAnswer(start.response, head.requestId)
+  noteRate(answer, start.response)
   if (answer.kind === 'not-run') return end({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
   if (answer.kind === 'foreign') return end(broken('answer to another call', false))
   if (!answer.isStream || answer.status >= 300) return end(await receiveWhole(answer, start))
@@ -123,6 +125,13 @@
   const relayed = await relay(start, answer)
   return end(relayed)
 
+  /** A refusal may be another process's that answers at the address, and ends no limit; an answer to another call tells nothing. */
+  function noteRate (read: gateway.AnswerHead, response: http.IncomingMessage): void {
+    if (read.kind === 'foreign' || (read.kind === 'not-run' && read.reason === 'wrong-instance')) return
+    const rate = options.protocol.readNamedRate(response)
+    if (read.kind === 'answered' || rate.kind !== 'none') options.limiter.noteAnswer(choice.backEnd, rate, open.sentAt)
+  }
+
   /** Ends the attempt from this side. */
   function giveUp (): void {
     isGivenUp = true
--- a/packages/quarantine/src/_lib/outbreakSimulation.ts
+++ b/packages/quarantine/src/_lib/outbreakSimulation.ts
@@ -148,7 +148,7 @@
 
   function end (engine: Engine, lethal: Call | null): void {
     const lost = [...engine.running]
-    const life = types.brandId<quarantine.BackEndLife>(`i-${engine.life}`)
+    const life = types.brandId<types.BackEndLife>(`i-${engine.life}`)
     counts[lethal === null ? 'endedOtherwise' : 'endedByLethal'] += 1
     if (lethal !== null) lethalEnds.set(lethal.fingerprint, [...lethalEnds.get(lethal.fingerprint) ?? [], now()])
     engine.running = new Set()
--- a/packages/quarantine/src/createQuarantine/index.ts
+++ b/packages/quarantine/src/createQuarantine/index.ts
@@ -11,7 +11,7 @@
 export interface QuarantineOptions {
   readonly limits: quarantine.QuarantineLimits
   /** Told of each call that is blocked, with the back ends that ended under it as far as they are known. */
-  readonly onBlocked: (block: quarantine.CallBlock, lives: readonly quarantine.BackEndLife[]) => void
+  readonly onBlocked: (block: quarantine.CallBlock, lives: readonly types.BackEndLife[]) => void
   readonly onReleased: (block: quarantine.CallBlock, reason: ReleaseReason) => void
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
@@ -66,7 +66,7 @@
 export function createQuarantine (options: QuarantineOptions): Quarantine {
   const { limits, now } = options
   /** The oldest first. */
-  const ends = new Map<quarantine.BackEndLife, quarantine.BackEndEnd>()
+  const ends = new Map<types.BackEndLife, quarantine.BackEndEnd>()
   const endCounts = new Map<identifyCall.CallFingerprint, number>()
   const servedAt = new Map<identifyCall.CallFingerprint, number>()
   const blocks = new Map<identifyCall.CallFingerprint, quarantine.CallBlock>()
@@ -87,9 +87,9 @@
   }
 
   /** The end that is remembered and meant, if there is one, under the name that tells it apart from earlier ones. */
-  function findLife ({ life, at }: quarantine.BackEndEnd): quarantine.BackEndLife {
+  function findLife ({ life, at }: quarantine.BackEndEnd): types.BackEndLife {
     for (let again = 0; ; again += 1) {
-      const name = again === 0 ? life : types.brandId<quarantine.BackEndLife>(`${life}~${again}`)
+      const name = again === 0 ? life : types.brandId<types.BackEndLife>(`${life}~${again}`)
       const known = ends.get(name)
       if (known === undefined || Math.abs(known.at - at) <= SAME_END_MS) return name
     }
--- a/packages/quarantine/src/createQuarantine/test.ts
+++ b/packages/quarantine/src/createQuarantine/test.ts
@@ -40,7 +40,7 @@
     pass: (milliseconds) => { time += milliseconds },
     end: (...calls) => {
       lives += 1
-      record.noteEnd({ life: types.brandId<quarantine.BackEndLife>(`i-${lives}`), at: time, calls: new Set(calls.map(fingerprint)) })
+      record.noteEnd({ life: types.brandId<types.BackEndLife>(`i-${lives}`), at: time, calls: new Set(calls.map(fingerprint)) })
     }
   }
 }
@@ -59,7 +59,7 @@
 
 nodeTest.test('the same end told by several gateways counts once', () => {
   const { quarantine: record, now } = open()
-  const life = types.brandId<quarantine.BackEndLife>('i-1')
+  const life = types.brandId<types.BackEndLife>('i-1')
   for (const beside of ['a', 'b', 'c']) record.noteEnd({ life, at: now(), calls: new Set([LETHAL, fingerprint(beside)]) })
   assert.equal(record.findBlock(LETHAL), null)
   assert.equal(record.countSuspects(), 4)
@@ -67,7 +67,7 @@
 
 nodeTest.test('a back end that starts again under its name and ends again counts again', () => {
   const { quarantine: record, now, pass } = open()
-  const life = types.brandId<quarantine.BackEndLife>('i-1')
+  const life = types.brandId<types.BackEndLife>('i-1')
   for (let index = 0; index < 3; index += 1) {
     for (const beside of ['a', 'b']) {
       record.noteEnd({ life, at: now(), calls: new Set([LETHAL, fingerprint(`${beside}-${index}`)]) })
@@ -110,7 +110,7 @@
 
 nodeTest.test('a call is released once another one explains the ends, whatever comes first', () => {
   const play = open()
-  const lives = [1, 2, 3].map((index) => types.brandId<quarantine.BackEndLife>(`i-shared-${index}`))
+  const lives = [1, 2, 3].map((index) => types.brandId<types.BackEndLife>(`i-shared-${index}`))
   for (const life of lives) play.quarantine.noteEnd({ life, at: play.now(), calls: new Set([fingerprint('beside')]) })
   assert.notEqual(play.quarantine.findBlock(fingerprint('beside')), null)
   play.end('lethal')
@@ -168,7 +168,7 @@
 function hear (words: readonly Word[]): string[] {
   const { quarantine: record } = open()
   for (const each of words) {
-    if (each.word === 'end') record.noteEnd({ life: types.brandId<quarantine.BackEndLife>(`i-${each.life}`), at: each.life, calls: new Set([fingerprint(each.call)]) })
+    if (each.word === 'end') record.noteEnd({ life: types.brandId<types.BackEndLife>(`i-${each.life}`), at: each.life, calls: new Set([fingerprint(each.call)]) })
     else record.noteServed(fingerprint(each.call), each.at)
   }
   return record.blocks().map(({ fingerprint: call }) => call).sort()
--- a/packages/quarantine/src/selectBlocked/test.ts
+++ b/packages/quarantine/src/selectBlocked/test.ts
@@ -14,7 +14,7 @@
 
 /** Ends one millisecond apart, each with the calls that were there. */
 function endUnder (...calls: readonly string[][]): quarantine.BackEndEnd[] {
-  return calls.map((names, at) => ({ life: types.brandId<quarantine.BackEndLife>(`i-${at}`), at: at + 1, calls: new Set(names.map(fingerprint)) }))
+  return calls.map((names, at) => ({ life: types.brandId<types.BackEndLife>(`i-${at}`), at: at + 1, calls: new Set(names.map(fingerprint)) }))
 }
 
 function select (ends: readonly quarantine.BackEndEnd[], servedAt: Readonly<Record<string, number>> = {}): string[] {
--- a/packages/quarantine/src/types/index.ts
+++ b/packages/quarantine/src/types/index.ts
@@ -2,12 +2,9 @@
 import type * as types from '@switchridge/types'
 import type * as identifyCall from '../identifyCall/index.js'
 
-/** One life of a back end; another one under the same id has another name. */
-export type BackEndLife = types.Branded<'BackEndLife'>
-
 /** The end of a back end, with the calls that it took along. */
 export interface BackEndEnd {
-  readonly life: BackEndLife
+  readonly life: types.BackEndLife
   /** Monotonic time in milliseconds. */
   readonly at: number
   /** Calls that it was running or held in its queue, as far as gateways told. */
--- /dev/null
+++ b/packages/rate-limits/src/types/index.ts
@@ -0,0 +1,19 @@
+/** Shapes of rate limits: what back ends name, and what follows from it. */
+import type * as types from '@switchridge/types'
+
+/** What one answer says of the rate that its back end takes. */
+export type NamedRate =
+  /** It takes what its places allow. */
+  | { readonly kind: 'none' }
+  /** Requests a second from all machines together; above zero. */
+  | { readonly kind: 'named', readonly perSecond: number }
+  | { readonly kind: 'unreadable', readonly text: string }
+
+/** The limit of one life of a back end. */
+export interface RateLimit {
+  readonly life: types.BackEndLife
+  /** Requests a second from all machines together; null once the back end has stopped naming a limit. */
+  readonly perSecond: number | null
+  /** Monotonic time in milliseconds when a daemon last heard so from the back end. */
+  readonly heardAt: number
+}
--- a/packages/types/src/ids/index.ts
+++ b/packages/types/src/ids/index.ts
@@ -22,9 +22,22 @@
 export type EditId = Branded<'EditId'>
 /** One attempt to run a call on a backend server. */
 export type TicketId = Branded<'TicketId'>
+/** One life of a back end; another one under the same id has another name. */
+export type BackEndLife = Branded<'BackEndLife'>
 /** One life of a daemon process; a later one sorts higher on the same node. */
 export type IncarnationId = Branded<'IncarnationId'>
 
+/**
+ * Names the life of a back end.
+ *
+ * @param id - Its id, which it may have again after a restart.
+ * @param bornAt - When the life began; null when it does not tell.
+ * @returns The name, the same at all daemons.
+ */
+export function formatLife (id: NodeId, bornAt: number | null): BackEndLife {
+  return brandId<BackEndLife>(bornAt === null ? id : `${id}/${bornAt}`)
+}
+
 /**
  * Brands a string.
  *
