--- a/packages/daemon/src/startGatewayRole/lethal.test.ts
+++ b/packages/daemon/src/startGatewayRole/lethal.test.ts
@@ -118,6 +118,7 @@
     sent.push(send(first, `lethal-${sent.length}`, LETHAL_PATH))
     await fleetTesting.until(() => countArrivals(engines) === sent.length)
   }
+  await types.delay(150)
   const last = await send(second, 'lethal-last', LETHAL_PATH)
   await Promise.all(sent)
   assert.equal(last.status, BAD_GATEWAY, 'it may have run')
