--- a/packages/daemon/src/startGatewayRole/fuzz.test.ts
+++ b/packages/daemon/src/startGatewayRole/fuzz.test.ts
@@ -98,7 +98,7 @@
 }
 
 const SOUND: callOracle.SeenCall = { id: 'c', kind: 'once', status: 200, body: 'answer of i-1 to c', isWhole: true, seal: 'seal-i-1' }
-const ARRIVAL: testing.Arrival = { requestId: 'c', method: 'POST', path: '/write/x', headers: {}, body: '', ran: true }
+const ARRIVAL: testing.Arrival = { requestId: 'c', method: 'POST', path: '/write/x', headers: {}, body: '', ran: true, at: 0 }
 
 const PLANTED: ReadonlyArray<{ readonly rule: callOracle.Violation['rule'], readonly call: callOracle.SeenCall, readonly arrivals: readonly testing.Arrival[] }> = [
   { rule: 'twice', call: SOUND, arrivals: [ARRIVAL, ARRIVAL] },
--- /dev/null
+++ b/packages/daemon/src/startGatewayRole/rateLimits.test.ts
@@ -0,0 +1,76 @@
+/**
+ * What users saw: two engines in need named in their answers how many requests a second they take from all machines together, and got up to twice as many for a minute;
+ * callers noticed nothing.
+ * Order of events: the engines name their limits at the same second; the gateways pass the answers on; three seconds later each engine still gets as many calls as its neighbours without a
+ * limit, most of them from the gateways of its own hall, all at the first attempt.
+ * Cause: no gateway read the limit, and none could keep it alone: it holds for the sum of what all gateways send, which none of them knows.
+ * Evidence: on the code of that day three gateways that had passed the limit of 1 a second on to callers sent it 24, 42 and 30 of 60 calls in three runs, within four seconds each.
+ */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import type * as testing from '@switchridge/platform-testing'
+import type * as types from '@switchridge/types'
+import * as fleetTesting from '../_lib/fleetTesting.js'
+
+const HOSTS = ['127.0.0.1', '127.0.0.2', '127.0.0.3'] as const
+const HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
+const CALLS_OF_GATEWAY = 20
+const WINDOW_MS = 4000
+const OK = 200
+
+interface LimitedFleet {
+  readonly gateways: readonly types.Address[]
+  readonly limited: testing.EngineStandIn
+  readonly other: testing.EngineStandIn
+}
+
+/** Some gateways before two engines, one of which names a limit. */
+async function openLimited (context: nodeTest.TestContext, limit: string): Promise<LimitedFleet> {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const limited = await fleet.startEngine({ id: 'i-limited', model: fleetTesting.MODEL, version: 1, events: 3 })
+  const other = await fleet.startEngine({ id: 'i-other', model: fleetTesting.MODEL, version: 1, events: 3 })
+  const gateways: types.Address[] = []
+  for (const host of HOSTS) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
+  for (const gateway of gateways) await fleetTesting.untilServed(gateway, '/stream/probe')
+  limited.limit.text = limit
+  return { gateways, limited, other }
+}
+
+async function send (gateway: types.Address, id: string): Promise<testing.CallerAnswer> {
+  return await fleetTesting.call(gateway, { method: 'POST', path: '/stream/quote', id, body: 'quote', headers: HEADERS })
+}
+
+/** Calls each gateway until it has passed an answer with the limit on, as long as it gets one. */
+async function untilTold ({ gateways, limited }: LimitedFleet): Promise<void> {
+  for (const [index, gateway] of gateways.entries()) {
+    const before = limited.arrivals.length
+    for (let attempt = 0; attempt < CALLS_OF_GATEWAY && limited.arrivals.length === before; attempt += 1) await send(gateway, `told-${index}-${attempt}`)
+  }
+}
+
+/** Most arrivals in some window. */
+function countMost (arrivals: readonly testing.Arrival[], windowMs: number): number {
+  return Math.max(0, ...arrivals.map((first) => arrivals.filter(({ at }) => at >= first.at && at < first.at + windowMs).length))
+}
+
+/** What a limit allows in some four seconds. */
+function allowedIn (perSecond: number): number {
+  return 6 * perSecond + 5
+}
+
+nodeTest.test('a back end that names a limit gets no more from all gateways together', async (context) => {
+  const fleet = await openLimited(context, '1')
+  await untilTold(fleet)
+  const before = fleet.limited.arrivals.length
+  const chains = fleet.gateways.map(async (gateway, index) => {
+    const answers: testing.CallerAnswer[] = []
+    for (let call = 0; call < CALLS_OF_GATEWAY; call += 1) answers.push(await send(gateway, `call-${index}-${call}`))
+    return answers
+  })
+  const answers = (await Promise.all(chains)).flat()
+  const arrivals = fleet.limited.arrivals.slice(before)
+  context.diagnostic(`${arrivals.length} of ${answers.length} calls`)
+  assert.ok(countMost(arrivals, WINDOW_MS) <= allowedIn(1), `${countMost(arrivals, WINDOW_MS)} in some four seconds, ${allowedIn(1)} allowed`)
+  assert.deepEqual(answers.filter(({ status }) => status !== OK), [])
+})
