Keep the rate that a back end names, over all gateways: one counter a back end gives permits

Callers saw nothing; two engines in need got 18 requests in four seconds where 11 were allowed (untouched code). Cause: no daemon read the limit; and it holds for the sum of what all gateways send, which none of them knows, so that reading it at each gateway would only have divided the fault. Class: a bound on a sum, kept by nobody. Change: the head of each answer, and of the engine's report, is decoded in the adapter; a record holds limits by life, tells all gateways, and ends a limit by an answer whose call was sent after it was last heard. Who counts is the agent beside the back end, or else the first gateway of its hall by rank; a gateway asks it for one permit a request (one datagram there, one back), for first and later attempts alike; permits that come late lapse; a silent counter gives nothing; a counter begins with nothing in hand, and one that stands in for an agent gives a quarter, so that two that believe they count stay under what a limit tolerates. Choice and room go by what a limit lets begin; a call that only limited back ends could take is refused at once with the time of the next permit.

--- a/packages/daemon/src/_lib/engineNews.ts
+++ b/packages/daemon/src/_lib/engineNews.ts
@@ -30,7 +30,9 @@
   zod.number(),
   /** The version of the only model of the service, 0 for none; models by name where there are several. */
   zod.union([zod.number(), zod.array(zod.tuple([zod.string(), zod.number()]))]),
-  zod.string().regex(/^[0-9a-z]+$/).nullable()
+  zod.string().regex(/^[0-9a-z]+$/).nullable(),
+  /** The limit that the engine names; left out where there is none. */
+  zod.number().positive().optional()
 ])
 /** Digits of measured figures; they are not known more closely. */
 const DIGITS = 4
@@ -51,11 +53,12 @@
  * @returns A value for JSON.
  */
 export function formatEngineNews ({ address, report, isPaused, changesInMs }: EngineNews, context: NewsContext): unknown {
-  const { bornAt, running, waiting, isBusy, sequence, pace, models } = report
+  const { bornAt, running, waiting, isBusy, sequence, pace, limitPerSecond, models } = report
   const place = address.startsWith(`${context.host}:`) ? Number(address.slice(context.host.length + 1)) : address
   const flags = (isPaused ? PAUSED : 0) | (isBusy ? BUSY : 0)
   const changes = changesInMs === null ? null : Math.round(changesInMs)
-  return [place, flags, changes, running, waiting, sequence, Number(pace.toPrecision(DIGITS)), formatModels(models, context.soleModel(address)), bornAt === null ? null : bornAt.toString(RADIX)]
+  const limit = limitPerSecond === null ? [] : [limitPerSecond]
+  return [place, flags, changes, running, waiting, sequence, Number(pace.toPrecision(DIGITS)), formatModels(models, context.soleModel(address)), bornAt === null ? null : bornAt.toString(RADIX), ...limit]
 }
 
 function formatModels (models: ReadonlyMap<string, number>, soleModel: string | null): unknown {
@@ -75,11 +78,11 @@
   if (value === null || value === undefined) return null
   const parsed = newsSchema.safeParse(value)
   if (!parsed.success) return null
-  const [place, flags, changesInMs, running, waiting, sequence, pace, told, born] = parsed.data
+  const [place, flags, changesInMs, running, waiting, sequence, pace, told, born, limit] = parsed.data
   const address = typeof place === 'number' ? `${context.host}:${place}` : place
   const models = readModels(told, context.soleModel(address))
   if (models === null) return null
-  const report = { bornAt: born === null ? null : parseInt(born, RADIX), running, waiting, isBusy: (flags & BUSY) > 0, sequence, pace, models }
+  const report = { bornAt: born === null ? null : parseInt(born, RADIX), running, waiting, isBusy: (flags & BUSY) > 0, sequence, pace, limitPerSecond: limit ?? null, models }
   return { address, isPaused: (flags & PAUSED) > 0, changesInMs, report }
 }
 
--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -27,6 +27,8 @@
   readonly untilEndsKnown: (count: number) => Promise<void>
   /** Waits until each gateway has a call that is blocked. */
   readonly untilBlocked: () => Promise<void>
+  /** Waits until each gateway knows of so many limits in force. */
+  readonly untilLimited: (count: number) => Promise<void>
   /** Waits until the gateway on a host says that it is ready. */
   readonly untilReady: (host: string) => Promise<void>
   /** Tells the gateway on a host to end, as the platform does. */
@@ -41,6 +43,7 @@
 interface GatewayStatus {
   readonly endsKnown: number
   readonly blockedCalls: readonly unknown[]
+  readonly rateLimits: readonly unknown[]
 }
 
 /** Waits without a limit of its own; the runner's limit ends a test that hangs. */
@@ -115,6 +118,7 @@
     },
     untilEndsKnown: async (count) => { await until(async () => (await readStatuses()).every(({ endsKnown }) => endsKnown === count)) },
     untilBlocked: async () => { await until(async () => (await readStatuses()).every(({ blockedCalls }) => blockedCalls.length > 0)) },
+    untilLimited: async (count) => { await until(async () => (await readStatuses()).every(({ rateLimits }) => rateLimits.length === count)) },
     untilReady: async (host) => {
       await until(async () => (await testing.sendCallerRequest({ host, port: ports.readiness }, KEY, { path: platform.READINESS_PATH, id: 'readiness' })).status === READY)
     },
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -260,6 +260,7 @@
           describeSelf: (isStoreLost) => createFleetParts.describeSelf(started, { isLeaving: false, isStoreLost }, role === 'agent' ? ENGINE_NEWS : null),
           onHeartbeat: (heartbeat) => { createFleetParts.noteVersions(started, heartbeat) },
           onFact: (content) => { heard.set(content, now()) },
+          onDatagram: () => false,
           random
         })
       },
@@ -330,7 +331,7 @@
   address: '10.0.1.1:8585',
   isPaused: false,
   changesInMs: null,
-  report: { bornAt: 1_790_000_000_000, running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, models: new Map([['model-a', 3]]) }
+  report: { bornAt: 1_790_000_000_000, running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, limitPerSecond: null, models: new Map([['model-a', 3]]) }
 }, { host: '10.0.1.1', soleModel: () => 'model-a' })
 
 function parseSettings (host: string, hall: number, role: 'gateway' | 'agent', plan: readonly PlannedHost[]): settings.FleetSettings {
--- a/packages/daemon/src/createFleetExchange/index.ts
+++ b/packages/daemon/src/createFleetExchange/index.ts
@@ -19,6 +19,8 @@
   readonly onHeartbeat: spread.GossipOptions['onHeartbeat']
   /** Takes facts that other gateways tell. */
   readonly onFact: spread.FactExchangeOptions['onFact']
+  /** Takes datagrams of another exchange; false for those that are none of it. */
+  readonly onDatagram: (bytes: Buffer, from: string) => boolean
   /** Random number from 0 to 1. */
   readonly random: () => number
 }
@@ -28,6 +30,8 @@
   readonly gossip: spread.Gossip
   /** Facts that gateways tell each other. */
   readonly facts: spread.FactExchange
+  /** Sends a datagram of another exchange to the daemon on a host. */
+  readonly send: (host: string, bytes: Buffer) => void
   /** Whether this daemon asks the store for others, too. */
   readonly mayAskStore: () => boolean
   /** Whether the store answers, by kind; empty on a daemon that does not ask it. */
@@ -80,7 +84,7 @@
   const facts = spread.createFactExchange({
     zone,
     peers: () => (opened?.peers() ?? []).filter((peer) => peer.heartbeat.role === 'gateway' && opened?.isLive(peer) === true).map(({ heartbeat }) => heartbeat),
-    send: (host, bytes) => { if (!isStopped) socket?.send(host, bytes) },
+    send,
     onFact: options.onFact,
     onDrop: () => { parts.metrics.count('datagrams_dropped', { reason: 'bad-fact' }) },
     later: (delayMs, action) => { setTimeout(() => { if (!isStopped) action() }, delayMs) },
@@ -88,9 +92,13 @@
     random: options.random
   })
 
-  /** Both exchanges share the socket. */
+  function send (host: string, bytes: Buffer): void {
+    if (!isStopped) socket?.send(host, bytes)
+  }
+
+  /** All exchanges share the socket. */
   async function openDatagrams (onDatagram: (bytes: Buffer, from: string) => void): Promise<spread.DatagramSocket> {
-    socket = await options.openDatagrams((bytes, from) => { if (!facts.receive(bytes, from)) onDatagram(bytes, from) })
+    socket = await options.openDatagrams((bytes, from) => { if (!facts.receive(bytes, from) && !options.onDatagram(bytes, from)) onDatagram(bytes, from) })
     return socket
   }
 
@@ -142,6 +150,7 @@
   return {
     gossip,
     facts,
+    send,
     mayAskStore: () => options.store !== null && duty.mayWatch(true, !isStoreLost(), 'few-halls'),
     storeState: () => [...kept.entries()].map(([kind, mirror]) => ({ kind, isReachable: mirror.isReachable() })),
     isStoreLost,
--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -1,34 +1,63 @@
-/** The rates that back ends name, as one gateway knows them: what is in force, and what is said of it in the log. */
+/** Keeps the rates that back ends name, together with all other gateways: what is in force, and permits for each request to such a back end. */
+import type * as clock from '@switchridge/clock'
 import type * as gateway from '@switchridge/gateway'
 import type * as observability from '@switchridge/observability'
 import * as rateLimits from '@switchridge/rate-limits'
+import type * as spread from '@switchridge/spread'
 import * as types from '@switchridge/types'
+import * as rateLimitFacts from '../_lib/rateLimitFacts.js'
 
 /** Options of {@link createRateLimiter}. */
 export interface RateLimiterOptions {
+  /** Describes this gateway. */
+  readonly describeSelf: () => spread.Heartbeat
+  /** Other daemons; none before the exchange is open. */
+  readonly peers: () => readonly spread.Peer[]
+  readonly isLive: (peer: spread.Peer) => boolean
+  /** Sends a datagram to the daemon on a host. */
+  readonly send: (host: string, bytes: Buffer) => void
+  /** Tells all other gateways a fact. */
+  readonly tell: (content: unknown, keptMs: number, ageMs: number) => void
   readonly backEnds: () => readonly gateway.BackEnd[]
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
+  readonly at: clock.AtTime
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
+  /** Random number from 0 to 1. */
+  readonly random: () => number
 }
 
 /** The rate limiter of a gateway. */
 export interface GatewayRateLimiter extends gateway.RateLimiter {
+  /** Notes what a back end's report named at a monotonic time in milliseconds; all gateways hear of reports. */
+  readonly noteReported: (backEnd: gateway.BackEnd, perSecond: number, at: number) => void
   /** Limits in force. */
   readonly inForce: () => rateLimits.RateLimit[]
   /** Forgets what belongs to back ends that are no longer listed. */
   readonly keepListed: () => void
+  /** Takes what another gateway told; false if it is about something else. */
+  readonly noteFact: (content: unknown, madeAt: number) => boolean
+  /** Takes a datagram; false if it is about something else. */
+  readonly receive: (bytes: Buffer, from: string) => boolean
 }
 
+/** A limit is told again while it holds; one whose back end is gone is forgotten in time. */
+const FACT_KEPT_MS = 600_000
+
 /**
  * Creates the rate limiter of a gateway.
  *
- * @param options - List of back ends, log and clock.
+ * @param options - Other daemons and the ways to them, the list of back ends, log and clock.
  * @returns The limiter.
  */
-export function createRateLimiter ({ backEnds, logger, count, now }: RateLimiterOptions): GatewayRateLimiter {
-  const record = rateLimits.createRateLimitRecord({ onChange: noteChange, onUnreadable: noteUnreadable, tell: () => {}, now })
+export function createRateLimiter (options: RateLimiterOptions): GatewayRateLimiter {
+  const { backEnds, logger, count, now } = options
+  const record = rateLimits.createRateLimitRecord({ onChange: noteChange, onUnreadable: noteUnreadable, tell: tellLimit, now })
+  const counter = rateLimits.createPermitCounter(now)
+  const { host: ownHost } = options.describeSelf()
+  const client = rateLimits.createPermitClient({ ...options, ownHost, counter, findCounter })
+  const server = rateLimits.createPermitServer({ counter, partOf, send: options.send, count, now })
 
   function noteChange ({ life, before, after, source }: rateLimits.RateLimitChange): void {
     const change = before === null ? 'named' : after === null ? 'ended' : 'changed'
@@ -41,9 +70,63 @@
     logger.warn('rate-limit-unreadable', { life, text })
   }
 
+  function tellLimit (limit: rateLimits.RateLimit): void {
+    options.tell(rateLimitFacts.formatFact(limit), FACT_KEPT_MS, now() - limit.heardAt)
+  }
+
+  function listCandidates (): rateLimits.CounterCandidate[] {
+    const others = options.peers().map((peer) => ({ ...pickCandidate(peer.heartbeat), isLive: options.isLive(peer) }))
+    return [{ ...pickCandidate(options.describeSelf()), isLive: true }, ...others]
+  }
+
+  function findCounter (life: types.BackEndLife): rateLimits.ChosenCounter | null {
+    const backEnd = backEnds().find(({ id, bornAt }) => types.formatLife(id, bornAt) === life)
+    return backEnd === undefined ? null : rateLimits.chooseCounter({ life, host: backEnd.address.host, zone: backEnd.zone }, listCandidates())
+  }
+
+  function partOf (life: types.BackEndLife): number | null {
+    const chosen = findCounter(life)
+    return chosen?.host === ownHost ? chosen.part : null
+  }
+
+  function readLimit ({ id, bornAt }: gateway.BackEnd): rateLimits.RateLimit | null {
+    return record.read(types.formatLife(id, bornAt))
+  }
+
+  async function acquire (backEnd: gateway.BackEnd): Promise<rateLimits.PermitAnswer> {
+    const limit = readLimit(backEnd)
+    if (limit === null) return { isGranted: true }
+    const askedAt = now()
+    const answer = await client.acquire(limit)
+    if (!answer.isGranted) {
+      const asked = findCounter(limit.life)?.host
+      logger.info('permit-refused', { backEnd: backEnd.id, counter: asked, perSecond: limit.perSecond, ageMs: Math.round(askedAt - limit.heardAt), tookMs: Math.round(now() - askedAt), waitMs: Math.round(answer.waitMs) })
+    }
+    return answer
+  }
+
   return {
+    acquire,
+    readRoom: (backEnd) => {
+      if (record.isEmpty()) return null
+      const limit = readLimit(backEnd)
+      return limit === null || limit.perSecond === null ? null : { perSecond: limit.perSecond, waitMs: client.waitMs(limit.life) }
+    },
     noteAnswer: ({ id, bornAt }, rate, sentAt) => { record.noteAnswer(types.formatLife(id, bornAt), rate, sentAt) },
+    noteReported: ({ id, bornAt }, perSecond, heardAt) => { record.noteTold({ life: types.formatLife(id, bornAt), perSecond, heardAt }) },
     inForce: record.inForce,
-    keepListed: () => { record.keepOnly(new Set(backEnds().map(({ id, bornAt }) => types.formatLife(id, bornAt)))) }
+    keepListed: () => { record.keepOnly(new Set(backEnds().map(({ id, bornAt }) => types.formatLife(id, bornAt)))) },
+    noteFact: (content, madeAt) => {
+      if (!rateLimitFacts.isFact(content)) return false
+      const limit = rateLimitFacts.parseFact(content, madeAt)
+      if (limit === null) count('facts_unreadable')
+      else record.noteTold(limit)
+      return true
+    },
+    receive: (bytes, from) => server.receive(bytes, from) || client.receive(bytes, from)
   }
 }
+
+function pickCandidate ({ node, host, zone, role, isLeaving }: spread.Heartbeat): Omit<rateLimits.CounterCandidate, 'isLive'> {
+  return { node, host, zone, role, isLeaving }
+}
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -3,6 +3,7 @@
 import type Koa from 'koa'
 import type * as gateway from '@switchridge/gateway'
 import * as platform from '@switchridge/platform'
+import * as rateLimits from '@switchridge/rate-limits'
 import * as rpc from '@switchridge/rpc'
 import type * as settings from '@switchridge/settings'
 import * as spread from '@switchridge/spread'
@@ -68,6 +69,14 @@
   const suspectUntil = new Map<types.NodeId, number>()
 
   const listener = await createFleetParts.listenInternal(parts, [sendWeights])
+  let opened: createFleetExchange.FleetExchange | null = null
+  const permits = rateLimits.createPermitServer({
+    counter: rateLimits.createPermitCounter(now),
+    partOf: () => 1,
+    send: (host, bytes) => { opened?.send(host, bytes) },
+    count: metrics.count,
+    now
+  })
   const exchange = await createFleetExchange.createFleetExchange({
     parts,
     store: null,
@@ -76,8 +85,10 @@
     describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }, report === null ? null : engineNews.formatEngineNews({ address: engineAddress, report, isPaused, changesInMs }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.noteVersions(parts, heartbeat)) stager?.wake() },
     onFact: () => {},
+    onDatagram: permits.receive,
     random: Math.random
   })
+  opened = exchange
   const { gossip } = exchange
 
   /** Says once why reports are refused; how often is counted. */
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -63,7 +63,19 @@
     now,
     timeOfDay: Date.now
   })
-  const limiter = createRateLimiter.createRateLimiter({ backEnds: parts.backEnds, logger, count: metrics.count, now })
+  const limiter = createRateLimiter.createRateLimiter({
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }),
+    peers: () => opened?.gossip.peers() ?? [],
+    isLive: (peer) => opened?.gossip.isLive(peer) ?? false,
+    send: (host, bytes) => { opened?.send(host, bytes) },
+    tell: (content, keptMs, ageMs) => { opened?.facts.tell(content, keptMs, ageMs) },
+    backEnds: parts.backEnds,
+    logger,
+    count: metrics.count,
+    at: parts.at,
+    now,
+    random: Math.random
+  })
   const exchange = await createFleetExchange.createFleetExchange({
     parts,
     store: client,
@@ -71,7 +83,8 @@
     fetchChanges: createFleetParts.fetchChanges(parts),
     describeSelf: (isStoreLost) => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost }),
     onHeartbeat: noteHeartbeat,
-    onFact: callQuarantine.noteFact,
+    onFact: (content, madeAt) => { if (!limiter.noteFact(content, madeAt)) callQuarantine.noteFact(content, madeAt) },
+    onDatagram: limiter.receive,
     random: Math.random
   })
   opened = exchange
@@ -82,7 +95,9 @@
     const news = engineNews.parseEngineNews(heartbeat.engine, { host: heartbeat.host, soleModel: findSoleModel })
     if (news === null) return
     const backEnd = parts.backEndAt(news.address)
-    if (backEnd !== undefined) book.noteReport(backEnd.id, news, now() - delayMs - ageMs, delayMs)
+    if (backEnd === undefined) return
+    book.noteReport(backEnd.id, news, now() - delayMs - ageMs, delayMs)
+    if (news.report.limitPerSecond !== null) limiter.noteReported(backEnd, news.report.limitPerSecond, now() - delayMs - ageMs)
   }
 
   function findSoleModel (address: string): string | null {
@@ -132,6 +147,8 @@
       endsAt: now() + choice.remainingMs,
       pinnedVersion: choice.version,
       tried: choice.tried,
+      readRoom: limiter.readRoom,
+      mayAsk: choice.mayAsk,
       now: now(),
       random: Math.random
     })
--- a/packages/daemon/src/startGatewayRole/rateLimits.test.ts
+++ b/packages/daemon/src/startGatewayRole/rateLimits.test.ts
@@ -17,6 +17,8 @@
 const CALLS_OF_GATEWAY = 20
 const WINDOW_MS = 4000
 const OK = 200
+const SERVICE_UNAVAILABLE = 503
+const AGENT_HOST = '127.0.0.11'
 
 interface LimitedFleet {
   readonly gateways: readonly types.Address[]
@@ -74,3 +76,95 @@
   assert.ok(countMost(arrivals, WINDOW_MS) <= allowedIn(1), `${countMost(arrivals, WINDOW_MS)} in some four seconds, ${allowedIn(1)} allowed`)
   assert.deepEqual(answers.filter(({ status }) => status !== OK), [])
 })
+
+nodeTest.test('calls that no back end takes now are refused at once, with the time at which one may, and have not run', async (context) => {
+  const fleet = await openLimited(context, '1')
+  fleet.other.limit.text = '1'
+  await untilTold(fleet)
+  await untilTold({ ...fleet, limited: fleet.other })
+  const before = [fleet.limited, fleet.other].flatMap(({ arrivals }) => arrivals).length
+  const answers: testing.CallerAnswer[] = []
+  for (let call = 0; call < CALLS_OF_GATEWAY; call += 1) answers.push(await send(fleet.gateways[call % HOSTS.length] as types.Address, `call-${call}`))
+  const served = answers.filter(({ status }) => status === OK)
+  const refused = answers.filter(({ status }) => status === SERVICE_UNAVAILABLE)
+  assert.equal(served.length + refused.length, CALLS_OF_GATEWAY)
+  assert.ok(refused.length > 0)
+  assert.ok(refused.every(({ headers }) => Number(headers['retry-after']) > 0))
+  assert.equal([fleet.limited, fleet.other].flatMap(({ arrivals }) => arrivals).length - before, served.length)
+})
+
+nodeTest.test('a limit ends everywhere when the back end stops naming it', async (context) => {
+  const fleet = await openLimited(context, '2')
+  await untilTold(fleet)
+  fleet.limited.limit.text = null
+  let sent = 0
+  for (const gateway of fleet.gateways) {
+    await fleetTesting.until(async () => {
+      const before = fleet.limited.arrivals.length
+      for (let call = 0; call < CALLS_OF_GATEWAY; call += 1) await send(gateway, `call-${sent++}`)
+      return fleet.limited.arrivals.length - before > 4
+    })
+  }
+})
+
+nodeTest.test('the agent beside an engine counts for all gateways, which hear of the limit by its reports', async (context) => {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const limited = await fleet.startEngine({ id: 'i-limited', model: fleetTesting.MODEL, version: 1, events: 3, host: AGENT_HOST })
+  const other = await fleet.startEngine({ id: 'i-other', model: fleetTesting.MODEL, version: 1, events: 3 })
+  limited.limit.text = '1'
+  await fleet.startAgent(AGENT_HOST, limited, [HOSTS[0]])
+  const gateways: types.Address[] = []
+  for (const host of HOSTS) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
+  await fleet.untilLimited(1)
+  for (const gateway of gateways) await fleetTesting.untilServed(gateway, '/stream/probe')
+  let sent = 0
+  const before = limited.arrivals.length
+  await fleetTesting.until(async () => {
+    await Promise.all(gateways.map(async (gateway) => await send(gateway, `call-${sent++}`)))
+    return limited.arrivals.length - before >= 3
+  })
+  assert.ok(countMost(limited.arrivals, WINDOW_MS) <= allowedIn(1))
+  assert.ok(other.arrivals.length > limited.arrivals.length)
+})
+
+nodeTest.test('a gateway that starts again hears of a limit from the others', async (context) => {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const engine = await fleet.startEngine({ id: 'i-limited', model: fleetTesting.MODEL, version: 1, events: 3 })
+  const gateways: types.Address[] = []
+  for (const host of HOSTS) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
+  for (const gateway of gateways) await fleetTesting.untilServed(gateway, '/stream/probe')
+  engine.limit.text = '1'
+  await send(gateways[0] as types.Address, 'naming')
+  await fleet.untilLimited(1)
+  fleet.stopGateway(HOSTS[1])
+  await fleet.startGateway(HOSTS[1], [HOSTS[0]])
+  const before = engine.arrivals.length
+  await fleet.untilLimited(1)
+  assert.equal(engine.arrivals.length, before)
+})
+
+nodeTest.test('a plain back end that names a limit is kept to it, too', async (context) => {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const limited = await fleet.startEngine({ id: 'p-limited' }, 'api')
+  await fleet.startEngine({ id: 'p-other' }, 'api')
+  const gateways: types.Address[] = []
+  for (const host of HOSTS) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
+  for (const gateway of gateways) await fleetTesting.untilServed(gateway, '/read/probe')
+  limited.limit.text = '0.5'
+  await fleetTesting.until(async () => {
+    await fleetTesting.call(gateways[0] as types.Address, { path: '/read/naming', id: 'naming' })
+    return limited.arrivals.some(({ path }) => path === '/read/naming')
+  })
+  await fleet.untilLimited(1)
+  const before = limited.arrivals.length
+  const answers = await Promise.all(gateways.map(async (gateway, index) => {
+    const statuses: number[] = []
+    for (let call = 0; call < CALLS_OF_GATEWAY; call += 1) statuses.push((await fleetTesting.call(gateway, { path: '/read/x', id: `call-${index}-${call}` })).status)
+    return statuses
+  }))
+  assert.deepEqual(answers.flat().filter((status) => status !== OK), [])
+  assert.ok(countMost(limited.arrivals.slice(before), WINDOW_MS) <= allowedIn(0.5))
+})
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -59,6 +59,8 @@
   /** Milliseconds until the call must end. */
   readonly remainingMs: number
   readonly tried: ReadonlySet<types.NodeId>
+  /** Whether a permit of a back end with a limit may be asked for. */
+  readonly mayAsk: boolean
   /** Only this version will do; null for any that may serve. */
   readonly version: number | null
 }
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -160,7 +160,7 @@
       if (!isInPass) pass()
       return true
     },
-    report: () => ({ bornAt: null, running: running.length, waiting: waiting.length, isBusy: false, sequence: 0, pace, models: new Map([['m', 1]]) })
+    report: () => ({ bornAt: null, running: running.length, waiting: waiting.length, isBusy: false, sequence: 0, pace, limitPerSecond: null, models: new Map([['m', 1]]) })
   }
 }
 
@@ -210,6 +210,8 @@
       answerTokens: kind.events * STRIDE,
       lastSendTo: () => Infinity,
       endsAt: askedAt + CALL_MS,
+      readRoom: () => null,
+      mayAsk: true,
       pinnedVersion: null,
       tried,
       now: timeline.now(),
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -20,6 +20,11 @@
 const BLOCKED_REASON = 'blocked: back ends ended under this call'
 /** Chances to reach another back end after connections that never stood. */
 const MAXIMUM_UNSENT = 4
+/** A call that was refused so many permits goes to a back end without a limit, or comes back: each one cost it a round trip. */
+const MAXIMUM_PERMITS_REFUSED = 2
+/** Callers that wait for permits of one back end come back one after the other. */
+const LIMITED_SPREAD_PART = 0.5
+const LIMITED_RETRY_MINIMUM_MS = 60
 
 type Options = callOptions.CallHandlerOptions
 
@@ -44,6 +49,7 @@
   let failed: runAttempt.WholeAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
   let unsent = 0
+  let permitsRefused = 0
   let lastReason = ''
   let backEnd = ''
   let isBlocked = false
@@ -58,18 +64,19 @@
         retryAfterMs = blockedMs
         return giveUp()
       }
-      const { choice, passedOver, takenPart } = options.choose({
+      const { choice, passedOver, takenPart, limitedMs } = options.choose({
         service: call.service,
         model: call.head.model,
         promptTokens: call.head.promptTokens,
         answerTokens: call.head.answerTokens,
         remainingMs: call.deadline.remainingMs(),
         tried: call.tried,
+        mayAsk: permitsRefused < MAXIMUM_PERMITS_REFUSED,
         version: stream.version
       })
       if (choice === null) {
         if (lastReason !== '') return giveUp()
-        retryAfterMs = chooseReturn()
+        retryAfterMs = chooseReturn(limitedMs)
         lastReason = `no back end may serve: ${describePassedOver(passedOver)}`
         return giveUp()
       }
@@ -82,6 +89,18 @@
           return giveUp()
         }
       }
+      if (options.limiter.readRoom(choice.backEnd) !== null) {
+        const permit = await options.limiter.acquire(choice.backEnd)
+        if (call.hasLeft()) return 'left'
+        if (call.isExpired()) {
+          lastReason = 'no permit in time'
+          return giveUp()
+        }
+        if (!permit.isGranted) {
+          permitsRefused += 1
+          continue
+        }
+      }
       if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return giveUp()
@@ -106,8 +125,11 @@
   }
 
   /** When a caller that no back end may serve now may come back. */
-  function chooseReturn (): number {
-    return Math.min(NONE_RETRY_AFTER_MS * (1 + options.random()), call.deadline.remainingMs() * NONE_REMAINING_PART)
+  function chooseReturn (limitedMs: number): number {
+    const soonMs = limitedMs === Infinity
+      ? NONE_RETRY_AFTER_MS * (1 + options.random())
+      : Math.max(LIMITED_RETRY_MINIMUM_MS, limitedMs) * (1 + LIMITED_SPREAD_PART * options.random())
+    return Math.min(soonMs, call.deadline.remainingMs() * NONE_REMAINING_PART)
   }
 
   function mayGoOn (outcome: runAttempt.AttemptOutcome): boolean {
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -1,6 +1,7 @@
 /** Chooses the back end of one attempt among those that may serve it. */
 import type * as types from '@switchridge/types'
 import type * as gateway from '../types/index.js'
+import type * as limiters from '../types/limiter.js'
 import type * as createBackEndBook from '../createBackEndBook/index.js'
 import * as predictFirstEvent from '../predictFirstEvent/index.js'
 
@@ -24,6 +25,10 @@
   readonly pinnedVersion: number | null
   /** Back ends that this call was sent to before. */
   readonly tried: ReadonlySet<types.NodeId>
+  /** What a back end may take that names a limit; null for one without. */
+  readonly readRoom: limiters.RateLimiter['readRoom']
+  /** Whether a permit may be asked for; otherwise back ends with a limit are passed over. */
+  readonly mayAsk: boolean
   readonly now: number
   /** Random number from 0 to 1. */
   readonly random: () => number
@@ -56,6 +61,8 @@
   | 'old'
   /** Its version may still serve, but the call would begin too late. */
   | 'late'
+  /** It names a limit, and no request may be sent there now. */
+  | 'limited'
 
 /** How many back ends were passed over for each reason. */
 export type PassedOver = Partial<Record<PassedOverReason, number>>
@@ -66,6 +73,8 @@
   readonly passedOver: PassedOver
   /** Part of the places that is taken at all back ends that may serve; requests that wait count too. */
   readonly takenPart: number
+  /** Milliseconds until a back end that was passed over for its limit may be asked; Infinity for none. */
+  readonly limitedMs: number
 }
 
 interface Scored extends Choice {
@@ -101,6 +110,8 @@
 const MOVED_HOLDING_UP_PART = 1
 /** Choices are spread over this many milliseconds, so that gateways do not all take the same engine. */
 const SPREAD_MS = 20
+/** A back end with a limit has as many places as its limit lets begin while a request stays. */
+const LIMITED_STAY_SECONDS = 1
 
 /**
  * Chooses a back end: the one with the earliest predicted first event, the own zone and sound ones preferred.
@@ -112,21 +123,28 @@
   let best: Scored | null = null
   let places = 0
   let taken = 0
+  let limitedMs = Infinity
   const passedOver: PassedOver = {}
   for (const backEnd of input.backEnds) {
-    const scored = score(backEnd, input)
+    const room = input.readRoom(backEnd)
+    const scored = score(backEnd, room, input)
+    const slots = room === null ? backEnd.slots : Math.min(backEnd.slots, room.perSecond * LIMITED_STAY_SECONDS)
     if (typeof scored === 'string') {
       passedOver[scored] = (passedOver[scored] ?? 0) + 1
+      if (room === null || scored !== 'limited') continue
+      limitedMs = Math.min(limitedMs, room.waitMs)
+      places += slots
+      taken += slots
       continue
     }
-    places += backEnd.slots
-    taken += scored.taken
+    places += slots
+    taken += room === null ? scored.taken : Math.min(slots, scored.taken)
     if (best === null || scored.score < best.score) best = scored
   }
-  return { choice: best, passedOver, takenPart: places === 0 ? 1 : taken / places }
+  return { choice: best, passedOver, takenPart: places === 0 ? 1 : taken / places, limitedMs }
 }
 
-function score (backEnd: gateway.BackEnd, input: ChoiceInput): Scored | PassedOverReason {
+function score (backEnd: gateway.BackEnd, room: limiters.LimitedRoom | null, input: ChoiceInput): Scored | PassedOverReason {
   if (backEnd.isDraining) return 'draining'
   if (input.tried.has(backEnd.id)) return 'tried'
   const load = input.book.read(backEnd.id)
@@ -138,6 +156,7 @@
   const graceMs = soundGraceMs(load, input)
   const refused = input.figures === null || input.model === null ? null : findRefusal(version, latestBegin(load, predicted.firstEventMs, input) - graceMs, input)
   if (refused !== null) return refused
+  if (room !== null && (room.waitMs > 0 || !input.mayAsk)) return 'limited'
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_MS) +
     (load.isSilent ? SILENT_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_MS : 0) +
--- /dev/null
+++ b/packages/gateway/src/chooseBackEnd/limited.test.ts
@@ -0,0 +1,57 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as chooseBackEnd from './index.js'
+import * as createBackEndBook from '../createBackEndBook/index.js'
+import type * as gateway from '../types/index.js'
+import type * as limiters from '../types/limiter.js'
+
+const NOW = 5000
+const SLOTS = 16
+
+function createPlain (id: string): gateway.BackEnd {
+  return { id: types.brandId(id), bornAt: null, service: types.brandId('api'), address: { host: '127.0.0.1', port: 1 }, zone: 'a', slots: SLOTS, isDraining: false, models: new Map() }
+}
+
+function choose (rooms: Readonly<Record<string, limiters.LimitedRoom | null>>, change: Partial<chooseBackEnd.ChoiceInput> = {}): chooseBackEnd.ChoiceOutcome {
+  return chooseBackEnd.chooseBackEnd({
+    backEnds: Object.keys(rooms).map(createPlain),
+    book: createBackEndBook.createBackEndBook(() => NOW),
+    figures: null,
+    zone: 'a',
+    gateways: 1,
+    model: null,
+    promptTokens: 0,
+    answerTokens: 0,
+    lastSendTo: () => Infinity,
+    endsAt: NOW + 6000,
+    readRoom: ({ id }) => rooms[id] ?? null,
+    mayAsk: true,
+    pinnedVersion: null,
+    tried: new Set(),
+    now: NOW,
+    random: () => 0,
+    ...change
+  })
+}
+
+nodeTest.test('a back end with a limit is chosen only when a permit may be had', () => {
+  assert.equal(choose({ limited: { perSecond: 1, waitMs: 0 } }).choice?.backEnd.id, 'limited')
+  const waiting = choose({ limited: { perSecond: 1, waitMs: 700 }, sound: null })
+  assert.equal(waiting.choice?.backEnd.id, 'sound')
+  assert.deepEqual(waiting.passedOver, { limited: 1 })
+  assert.equal(choose({ limited: { perSecond: 1, waitMs: 0 } }, { mayAsk: false }).choice, null)
+})
+
+nodeTest.test('where all wait for permits, the earliest one is told', () => {
+  const outcome = choose({ one: { perSecond: 1, waitMs: 700 }, two: { perSecond: 2, waitMs: 300 } })
+  assert.equal(outcome.choice, null)
+  assert.equal(outcome.limitedMs, 300)
+  assert.equal(choose({ sound: null }).limitedMs, Infinity)
+})
+
+nodeTest.test('a back end with a limit has as many places as its limit allows, all taken while it waits', () => {
+  assert.equal(choose({ limited: { perSecond: 4, waitMs: 500 }, sound: null }).takenPart, 4 / (4 + SLOTS))
+  assert.equal(choose({ limited: { perSecond: 4, waitMs: 0 }, sound: null }).takenPart, 0)
+  assert.equal(choose({ limited: { perSecond: 100, waitMs: 500 }, sound: null }).takenPart, 0.5)
+})
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -18,13 +18,13 @@
 
 function report (version: number, running: number, waiting = 0): createBackEndBook.AgentNews {
   return {
-    isPaused: false, changesInMs: null, report: { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, models: new Map([['m', version]]) }
+    isPaused: false, changesInMs: null, report: { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, models: new Map([['m', version]]) }
   }
 }
 
 function chooseAmong (backEnds: readonly gateway.BackEnd[], book: createBackEndBook.BackEndBook, change: Partial<chooseBackEnd.ChoiceInput> = {}): chooseBackEnd.ChoiceOutcome {
   return chooseBackEnd.chooseBackEnd({
-    backEnds, book, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastSendTo: () => Infinity, endsAt: NOW + 6000, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
+    backEnds, book, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastSendTo: () => Infinity, endsAt: NOW + 6000, readRoom: () => null, mayAsk: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
   })
 }
 
--- a/packages/gateway/src/createBackEndBook/test.ts
+++ b/packages/gateway/src/createBackEndBook/test.ts
@@ -7,7 +7,7 @@
 const NEWS: createBackEndBook.AgentNews = {
   isPaused: false,
   changesInMs: null,
-  report: { bornAt: null, running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, models: new Map() }
+  report: { bornAt: null, running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, models: new Map() }
 }
 
 interface PlayedReports {
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -113,6 +113,8 @@
   readonly sequence: number
   /** Over 1: slower than the service's figures say. */
   readonly pace: number
+  /** Requests a second that the engine says it takes from all machines together; null where its report names no limit. */
+  readonly limitPerSecond: number | null
   readonly models: ReadonlyMap<string, number>
 }
 
--- /dev/null
+++ b/packages/rate-limits/src/createPermitClient/test.ts
@@ -0,0 +1,111 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as permitWire from '../_lib/permitWire.js'
+import * as createPermitCounter from '../createPermitCounter/index.js'
+import type * as chooseCounter from '../chooseCounter/index.js'
+import type * as rateLimits from '../types/index.js'
+import * as createPermitClient from './index.js'
+
+const LIFE = types.brandId<types.BackEndLife>('engine-1')
+const LIMIT: rateLimits.RateLimit = { life: LIFE, perSecond: 2, heardAt: 0 }
+const OWN = '10.0.0.1'
+const COUNTER = '10.0.0.2'
+
+interface Opened {
+  time: number
+  chosen: chooseCounter.ChosenCounter | null
+  readonly client: createPermitClient.PermitClient
+  readonly sent: permitWire.PermitAsk[]
+  /** Lets the time for an answer pass. */
+  readonly expire: () => void
+  readonly counts: string[]
+}
+
+function open (): Opened {
+  let due: () => void = () => {}
+  const opened = { time: 0, chosen: { host: COUNTER, part: 1 } as chooseCounter.ChosenCounter | null, sent: [] as permitWire.PermitAsk[], counts: [] as string[], expire: () => { due() } }
+  const client = createPermitClient.createPermitClient({
+    ownHost: OWN,
+    counter: createPermitCounter.createPermitCounter(() => opened.time),
+    findCounter: () => opened.chosen,
+    send: (_host, bytes) => { opened.sent.push(permitWire.decodeAsk(bytes) as permitWire.PermitAsk) },
+    count: (name) => { opened.counts.push(name) },
+    at: (_time, action) => {
+      due = action
+      return () => { due = () => {} }
+    },
+    now: () => opened.time,
+    random: () => 0.5
+  })
+  return Object.assign(opened, { client })
+}
+
+function reply ({ sent }: Opened, waitMs: number): Buffer {
+  return permitWire.formatReply({ number: sent.at(-1)?.number ?? 0, waitMs })
+}
+
+nodeTest.test('a permit is asked for at the daemon that counts, with the limit and its age', async () => {
+  const opened = open()
+  opened.time = 40
+  const answer = opened.client.acquire(LIMIT)
+  assert.deepEqual(opened.sent.map(({ life, perSecond, ageMs }) => ({ life, perSecond, ageMs })), [{ life: LIFE, perSecond: 2, ageMs: 40 }])
+  assert.ok(opened.client.waitMs(LIFE) > 0, 'other calls go elsewhere meanwhile')
+  opened.client.receive(reply(opened, 0), COUNTER)
+  assert.deepEqual(await answer, { isGranted: true })
+  assert.equal(opened.client.waitMs(LIFE), 0)
+})
+
+nodeTest.test('after a refusal nobody is asked until a permit is expected', async () => {
+  const opened = open()
+  const answer = opened.client.acquire(LIMIT)
+  opened.client.receive(reply(opened, 300), COUNTER)
+  assert.deepEqual(await answer, { isGranted: false, waitMs: 300 })
+  assert.equal(opened.client.waitMs(LIFE), 300)
+  opened.time = 300
+  assert.equal(opened.client.waitMs(LIFE), 0)
+})
+
+nodeTest.test('a counter that is silent gives nothing, and its late permit lapses', async () => {
+  const opened = open()
+  const answer = opened.client.acquire(LIMIT)
+  const late = reply(opened, 0)
+  opened.expire()
+  assert.equal((await answer).isGranted, false)
+  opened.client.receive(late, COUNTER)
+  assert.ok(opened.client.waitMs(LIFE) > 0)
+  assert.ok(opened.counts.includes('permits_lapsed'))
+})
+
+nodeTest.test('a permit that comes before the timer but after its time lapses, as after a suspension', async () => {
+  const opened = open()
+  const answer = opened.client.acquire(LIMIT)
+  opened.time = 5000
+  opened.client.receive(reply(opened, 0), COUNTER)
+  opened.expire()
+  assert.equal((await answer).isGranted, false)
+})
+
+nodeTest.test('a permit of a daemon that was not asked counts for nothing', async () => {
+  const opened = open()
+  const answer = opened.client.acquire(LIMIT)
+  opened.client.receive(reply(opened, 0), '10.0.0.9')
+  opened.client.receive(reply(opened, 200), COUNTER)
+  assert.equal((await answer).isGranted, false)
+})
+
+nodeTest.test('a gateway that counts itself sends nothing', async () => {
+  const opened = open()
+  opened.chosen = { host: OWN, part: 1 }
+  assert.equal((await opened.client.acquire(LIMIT)).isGranted, false)
+  opened.time = 500
+  assert.equal((await opened.client.acquire(LIMIT)).isGranted, true)
+  assert.equal(opened.sent.length, 0)
+})
+
+nodeTest.test('where nobody counts nothing is sent', async () => {
+  const opened = open()
+  opened.chosen = null
+  assert.equal((await opened.client.acquire(LIMIT)).isGranted, false)
+  assert.ok(opened.client.waitMs(LIFE) > 0)
+})
--- a/packages/rate-limits/src/createRateLimitRecord/index.ts
+++ b/packages/rate-limits/src/createRateLimitRecord/index.ts
@@ -39,6 +39,8 @@
   readonly noteTold: (limit: rateLimits.RateLimit) => void
   /** The limit in force, or null. */
   readonly read: (life: types.BackEndLife) => rateLimits.RateLimit | null
+  /** Whether no back end ever named a limit. */
+  readonly isEmpty: () => boolean
   /** Limits in force. */
   readonly inForce: () => rateLimits.RateLimit[]
   /** Forgets lives that have ended. */
@@ -100,6 +102,7 @@
       const limit = entries.get(life)?.limit
       return limit === undefined || limit.perSecond === null ? null : limit
     },
+    isEmpty: () => entries.size === 0,
     inForce: () => [...entries.values()].map(({ limit }) => limit).filter(({ perSecond }) => perSecond !== null),
     noteAnswer: (life, rate, sentAt) => {
       if (rate.kind === 'named') noteNamed(life, rate.perSecond)
--- a/packages/rate-limits/src/types/index.ts
+++ b/packages/rate-limits/src/types/index.ts
@@ -17,3 +17,17 @@
   /** Monotonic time in milliseconds when a daemon last heard so from the back end. */
   readonly heardAt: number
 }
+
+/** Whether a request may be sent to a back end with a limit now, or when to ask again. */
+export type PermitAnswer =
+  | { readonly isGranted: true }
+  /** `waitMs`: milliseconds after which a permit is expected. */
+  | { readonly isGranted: false, readonly waitMs: number }
+
+/** A way by which the gateways of a fleet keep one limit together; one of these at each gateway. */
+export interface PermitWay {
+  /** Milliseconds until it is worth asking; 0 for now. */
+  readonly waitMs: (life: types.BackEndLife) => number
+  /** Asks for one request, which is sent at once when it may be. */
+  readonly acquire: (limit: RateLimit) => Promise<PermitAnswer>
+}
