--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -7,11 +7,13 @@
 import * as testing from '@switchridge/platform-testing'
 import * as settings from '@switchridge/settings'
 import * as standins from '@switchridge/standins'
+import * as rateLimits from '@switchridge/rate-limits'
 import type * as spread from '@switchridge/spread'
 import type * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as createFleetExchange from '../createFleetExchange/index.js'
 import * as createFleetParts from '../createFleetParts/index.js'
+import * as createRateLimiter from '../createRateLimiter/index.js'
 import * as copyParts from './copyParts.js'
 import * as engineNews from './engineNews.js'
 
@@ -22,6 +24,8 @@
   readonly agentsPerHall: number
   /** Bytes a millisecond between two regions that other traffic leaves. */
   readonly regionBytesPerMs: number
+  /** Part of all datagrams that is lost; none if absent. */
+  readonly lostPart?: number
   /** Whether machines tell the time since their start; true if absent. */
   readonly isStartKnown?: boolean
 }
@@ -31,6 +35,8 @@
   readonly host: string
   readonly role: 'gateway' | 'agent'
   readonly parts: () => createFleetParts.FleetParts
+  /** Keeps the rates that back ends name; null at an agent. */
+  readonly limiter: () => createRateLimiter.GatewayRateLimiter | null
   /** When it heard each fact, or told it itself. */
   readonly heard: ReadonlyMap<unknown, number>
   readonly tell: (fact: string) => void
@@ -221,6 +227,7 @@
   function createDaemon ({ host, hall, role }: PlannedHost): SimulatedDaemon {
     let parts: createFleetParts.FleetParts | null = null
     let exchange: createFleetExchange.FleetExchange | null = null
+    let limiter: createRateLimiter.GatewayRateLimiter | null = null
     const heard = new Map<unknown, number>()
     const machine = createMachine(now, options.isStartKnown ?? true)
     const checked = parseSettings(host, hall, role, plan)
@@ -239,10 +246,15 @@
       return isWhole ? types.succeed({ changes: told, bytes }) : types.fail(new types.UnavailableError('no byte of the answer in time'))
     }
 
+    function createPermitServer ({ now, metrics }: createFleetParts.FleetParts): rateLimits.PermitServer {
+      return rateLimits.createPermitServer({ counter: rateLimits.createPermitCounter(now), partOf: () => 1, send: (to, bytes) => { exchange?.send(to, bytes) }, count: metrics.count, now })
+    }
+
     return {
       host,
       role,
       parts: () => parts as createFleetParts.FleetParts,
+      limiter: () => limiter,
       heard,
       tell: (content) => {
         heard.set(content, now())
@@ -252,15 +264,18 @@
         heard.clear()
         const started = createFleetParts.createFleetParts(checked, { clocks: machine, writeLine: () => {} })
         parts = started
+        exchange = null
+        const describeSelf = (isStoreLost: boolean): spread.Heartbeat => createFleetParts.describeSelf(started, { isLeaving: false, isStoreLost }, role === 'agent' ? ENGINE_NEWS : null)
+        if (role === 'gateway') limiter = createRateLimiter.createRateLimiter({ parts: started, exchange: () => exchange, describeSelf: () => describeSelf(false), random })
         exchange = await createFleetExchange.createFleetExchange({
           parts: started,
           store: role === 'gateway' ? createStoreOf(host) : null,
-          openDatagrams: async (onDatagram) => network.openDatagrams(host, onDatagram),
+          openDatagrams: async (onDatagram) => network.openDatagrams(host, (bytes, from) => { if (random() >= (options.lostPart ?? 0)) onDatagram(bytes, from) }),
           fetchChanges,
-          describeSelf: (isStoreLost) => createFleetParts.describeSelf(started, { isLeaving: false, isStoreLost }, role === 'agent' ? ENGINE_NEWS : null),
+          describeSelf,
           onHeartbeat: (heartbeat) => { createFleetParts.noteVersions(started, heartbeat) },
-          onFact: (content) => { heard.set(content, now()) },
-          onDatagram: () => false,
+          onFact: (content, madeAt) => { if (limiter?.noteFact(content, madeAt) !== true) heard.set(content, now()) },
+          onDatagram: limiter?.receive ?? createPermitServer(started).receive,
           random
         })
       },
--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -1,29 +1,19 @@
 /** Keeps the rates that back ends name, together with all other gateways: what is in force, and permits for each request to such a back end. */
-import type * as clock from '@switchridge/clock'
 import type * as gateway from '@switchridge/gateway'
-import type * as observability from '@switchridge/observability'
 import * as rateLimits from '@switchridge/rate-limits'
 import type * as spread from '@switchridge/spread'
 import * as types from '@switchridge/types'
+import type * as createFleetExchange from '../createFleetExchange/index.js'
+import type * as createFleetParts from '../createFleetParts/index.js'
 import * as rateLimitFacts from '../_lib/rateLimitFacts.js'
 
 /** Options of {@link createRateLimiter}. */
 export interface RateLimiterOptions {
+  readonly parts: Pick<createFleetParts.FleetParts, 'backEnds' | 'logger' | 'metrics' | 'at' | 'now'>
+  /** The exchange with other daemons; null before it is open. */
+  readonly exchange: () => createFleetExchange.FleetExchange | null
   /** Describes this gateway. */
   readonly describeSelf: () => spread.Heartbeat
-  /** Other daemons; none before the exchange is open. */
-  readonly peers: () => readonly spread.Peer[]
-  readonly isLive: (peer: spread.Peer) => boolean
-  /** Sends a datagram to the daemon on a host. */
-  readonly send: (host: string, bytes: Buffer) => void
-  /** Tells all other gateways a fact. */
-  readonly tell: (content: unknown, keptMs: number, ageMs: number) => void
-  readonly backEnds: () => readonly gateway.BackEnd[]
-  readonly logger: observability.Logger
-  readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
-  readonly at: clock.AtTime
-  /** Monotonic clock in milliseconds. */
-  readonly now: () => number
   /** Random number from 0 to 1. */
   readonly random: () => number
 }
@@ -48,16 +38,20 @@
 /**
  * Creates the rate limiter of a gateway.
  *
- * @param options - Other daemons and the ways to them, the list of back ends, log and clock.
+ * @param options - Parts of the daemon, and its exchange with others.
  * @returns The limiter.
  */
 export function createRateLimiter (options: RateLimiterOptions): GatewayRateLimiter {
-  const { backEnds, logger, count, now } = options
+  const { backEnds, logger, metrics: { count }, at, now } = options.parts
   const record = rateLimits.createRateLimitRecord({ onChange: noteChange, onUnreadable: noteUnreadable, tell: tellLimit, now })
   const counter = rateLimits.createPermitCounter(now)
   const { host: ownHost } = options.describeSelf()
-  const client = rateLimits.createPermitClient({ ...options, ownHost, counter, findCounter })
-  const server = rateLimits.createPermitServer({ counter, partOf, send: options.send, count, now })
+  const client = rateLimits.createPermitClient({ ownHost, counter, findCounter, send, count, at, now, random: options.random })
+  const server = rateLimits.createPermitServer({ counter, partOf, send, count, now })
+
+  function send (host: string, bytes: Buffer): void {
+    options.exchange()?.send(host, bytes)
+  }
 
   function noteChange ({ life, before, after, source }: rateLimits.RateLimitChange): void {
     const change = before === null ? 'named' : after === null ? 'ended' : 'changed'
@@ -71,11 +65,12 @@
   }
 
   function tellLimit (limit: rateLimits.RateLimit): void {
-    options.tell(rateLimitFacts.formatFact(limit), FACT_KEPT_MS, now() - limit.heardAt)
+    options.exchange()?.facts.tell(rateLimitFacts.formatFact(limit), FACT_KEPT_MS, now() - limit.heardAt)
   }
 
   function listCandidates (): rateLimits.CounterCandidate[] {
-    const others = options.peers().map((peer) => ({ ...pickCandidate(peer.heartbeat), isLive: options.isLive(peer) }))
+    const gossip = options.exchange()?.gossip
+    const others = gossip?.peers().map((peer) => ({ ...pickCandidate(peer.heartbeat), isLive: gossip.isLive(peer) })) ?? []
     return [{ ...pickCandidate(options.describeSelf()), isLive: true }, ...others]
   }
 
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -64,16 +64,9 @@
     timeOfDay: Date.now
   })
   const limiter = createRateLimiter.createRateLimiter({
+    parts,
+    exchange: () => opened,
     describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }),
-    peers: () => opened?.gossip.peers() ?? [],
-    isLive: (peer) => opened?.gossip.isLive(peer) ?? false,
-    send: (host, bytes) => { opened?.send(host, bytes) },
-    tell: (content, keptMs, ageMs) => { opened?.facts.tell(content, keptMs, ageMs) },
-    backEnds: parts.backEnds,
-    logger,
-    count: metrics.count,
-    at: parts.at,
-    now,
     random: Math.random
   })
   const exchange = await createFleetExchange.createFleetExchange({
--- a/packages/rate-limits/src/createPermitClient/index.ts
+++ b/packages/rate-limits/src/createPermitClient/index.ts
@@ -29,6 +29,8 @@
 
 /** Regions answer within a tenth of it, unless a link is full; a call that waits longer is late elsewhere, too. A permit that comes later lapses. */
 const ANSWER_MS = 100
+/** An ask that is not answered by then was lost, or its answer was; the counter gives the same answer to the same ask, so no permit is lost with it. */
+const ASK_AGAIN_MS = 30
 /** A counter that did not answer is asked again after this; nothing is sent meanwhile, since another one may count. */
 const SILENT_WAIT_MS = 500
 /** While one ask is under way, other calls go elsewhere. */
@@ -63,7 +65,9 @@
   async function ask (host: string, limit: rateLimits.RateLimit & { readonly perSecond: number }): Promise<rateLimits.PermitAnswer> {
     number += 1
     const own = number
+    const sendAsk = (): void => { options.send(host, permitWire.formatAsk({ number: own, life: limit.life, perSecond: limit.perSecond, ageMs: now() - limit.heardAt })) }
     return await new Promise((resolve) => {
+      const cancelAgain = options.at(now() + ASK_AGAIN_MS, sendAsk)
       const cancel = options.at(now() + ANSWER_MS, () => {
         asks.delete(own)
         count('permits_asked', { answer: 'none' })
@@ -74,12 +78,13 @@
         askedAt: now(),
         finish: (answer) => {
           cancel()
+          cancelAgain()
           asks.delete(own)
           count('permits_asked', { answer: answer.isGranted ? 'granted' : 'refused' })
           resolve(answer)
         }
       })
-      options.send(host, permitWire.formatAsk({ number: own, life: limit.life, perSecond: limit.perSecond, ageMs: now() - limit.heardAt }))
+      sendAsk()
     })
   }
 
--- a/packages/rate-limits/src/createPermitClient/test.ts
+++ b/packages/rate-limits/src/createPermitClient/test.ts
@@ -17,14 +17,14 @@
   chosen: chooseCounter.ChosenCounter | null
   readonly client: createPermitClient.PermitClient
   readonly sent: permitWire.PermitAsk[]
-  /** Lets the time for an answer pass. */
+  /** Does what is due next. */
   readonly expire: () => void
   readonly counts: string[]
 }
 
 function open (): Opened {
-  let due: () => void = () => {}
-  const opened = { time: 0, chosen: { host: COUNTER, part: 1 } as chooseCounter.ChosenCounter | null, sent: [] as permitWire.PermitAsk[], counts: [] as string[], expire: () => { due() } }
+  let due: Array<() => void> = []
+  const opened = { time: 0, chosen: { host: COUNTER, part: 1 } as chooseCounter.ChosenCounter | null, sent: [] as permitWire.PermitAsk[], counts: [] as string[], expire: () => { due.shift()?.() } }
   const client = createPermitClient.createPermitClient({
     ownHost: OWN,
     counter: createPermitCounter.createPermitCounter(() => opened.time),
@@ -32,8 +32,8 @@
     send: (_host, bytes) => { opened.sent.push(permitWire.decodeAsk(bytes) as permitWire.PermitAsk) },
     count: (name) => { opened.counts.push(name) },
     at: (_time, action) => {
-      due = action
-      return () => { due = () => {} }
+      due.push(action)
+      return () => { due = due.filter((each) => each !== action) }
     },
     now: () => opened.time,
     random: () => 0.5
@@ -71,6 +71,7 @@
   const answer = opened.client.acquire(LIMIT)
   const late = reply(opened, 0)
   opened.expire()
+  opened.expire()
   assert.equal((await answer).isGranted, false)
   opened.client.receive(late, COUNTER)
   assert.ok(opened.client.waitMs(LIFE) > 0)
@@ -83,9 +84,20 @@
   opened.time = 5000
   opened.client.receive(reply(opened, 0), COUNTER)
   opened.expire()
+  opened.expire()
   assert.equal((await answer).isGranted, false)
 })
 
+nodeTest.test('an ask that is not answered soon is sent once more, as the same one', async () => {
+  const opened = open()
+  const answer = opened.client.acquire(LIMIT)
+  opened.expire()
+  assert.equal(opened.sent.length, 2)
+  assert.equal(opened.sent[0]?.number, opened.sent[1]?.number)
+  opened.client.receive(reply(opened, 0), COUNTER)
+  assert.equal((await answer).isGranted, true)
+})
+
 nodeTest.test('a permit of a daemon that was not asked counts for nothing', async () => {
   const opened = open()
   const answer = opened.client.acquire(LIMIT)
