Compare facts by a hash that does not cancel out

Gateways exchange facts the same way, so a restarted one, or one that lost datagrams, could miss blocks, and now limits. Cause: what stands for all facts was the exclusive or of a polynomial hash of their ids; ids of one life follow each other, and those of its first four facts cancelled out for 489 of 1,000 prefixes, so four facts looked like none and nothing was sent. A trace showed both sides comparing 0 with 0, one with four facts.

--- a/packages/spread/src/createFactExchange/index.ts
+++ b/packages/spread/src/createFactExchange/index.ts
@@ -169,7 +169,7 @@
   function noteFacts (told: readonly factWire.FactTold[], from: string): void {
     const isNear = options.peers().some(({ host, zone }) => host === from && zone === options.zone)
     for (const { id, ageMs, keptMs, content } of told) {
-      const fact = { id, content, madeAt: now() - ageMs, keptMs: Math.min(keptMs, MAXIMUM_KEPT_MS), hash: hashes.hashWords([id]) }
+      const fact = { id, content, madeAt: now() - ageMs, keptMs: Math.min(keptMs, MAXIMUM_KEPT_MS), hash: hashes.hashMixed(id) }
       if (!add(fact)) continue
       if (!isNear) forward(fact)
       options.onFact(content, fact.madeAt)
@@ -219,7 +219,7 @@
     tell: (content, keptMs, ageMs = 0) => {
       made += 1
       const id = `${idPrefix}/${made}`
-      const fact = { id, content, madeAt: now() - ageMs, keptMs, hash: hashes.hashWords([id]) }
+      const fact = { id, content, madeAt: now() - ageMs, keptMs, hash: hashes.hashMixed(id) }
       if (!add(fact)) return
       if (toTell.length === 0) options.later(MERGE_MS, flushTold)
       toTell.push(fact)
--- a/packages/spread/src/createFactExchange/test.ts
+++ b/packages/spread/src/createFactExchange/test.ts
@@ -217,3 +217,18 @@
   exchange.receive(Buffer.from('["f",[null,["id"],["id",-1,5,"past"],["id",0,5000,"fact"],["id",0,5000,"twice"]]]'), '10.0.0.1')
   assert.deepEqual(heard, ['fact'])
 })
+
+/**
+ * What was seen: an entry node that started again never heard of a call that all others refused, in half of all runs, and a test waited for it without end.
+ * Cause: what stands for all facts was the exclusive or of a polynomial hash of their ids, and those of one gateway's first four facts, which follow each other, cancelled
+ * out for 489 of 1,000 prefixes; so four facts looked like none.
+ */
+nodeTest.test('facts that follow each other never look like none to a gateway that starts again', () => {
+  for (let seed = 1; seed <= 40; seed += 1) {
+    const fleet = open({ halls: 1, gatewaysPerHall: 2, lostPart: 0 }, seed)
+    for (const fact of ['one', 'two', 'three', 'four']) tell(fleet, 0, fact)
+    fleet.pass(1000)
+    fleet.restart(fleet.gateways[1] as Gateway)
+    assert.ok(fleet.untilKnown('four', CONTACT_MS) <= CONTACT_MS, `seed ${seed}`)
+  }
+})
