--- a/packages/daemon/src/startGatewayRole/fuzz.test.ts
+++ b/packages/daemon/src/startGatewayRole/fuzz.test.ts
@@ -14,11 +14,14 @@
 const RUNS_OF_SEED = 5
 const STREAM_HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
 const FAULTS: ReadonlyArray<testing.EngineFaults['next']> = ['reset', 'full', 'foreign', 'error', 'cut', 'torn', 'garbage', 'extra', 'unframed', 'unframed-reset']
+const LIMITS = [null, '0.5', '1', '20', '-1', 'many']
 const PATHS = { repeatable: '/read/', once: '/write/', stream: '/stream/' } as const
 
 type Step =
   | { readonly step: 'call', readonly kind: callOracle.SeenCall['kind'] }
   | { readonly step: 'fault', readonly engine: number, readonly fault: testing.EngineFaults['next'], readonly count: number }
+  /** An engine names another limit, something that is none, or nothing any more. */
+  | { readonly step: 'limit', readonly engine: number, readonly text: string | null }
   /** An engine ends, and another instance begins. */
   | { readonly step: 'replace', readonly engine: number }
   | { readonly step: 'settle' }
@@ -26,6 +29,7 @@
 const stepArbitrary: fastCheck.Arbitrary<Step> = fastCheck.oneof(
   { weight: 8, arbitrary: fastCheck.record({ step: fastCheck.constant('call' as const), kind: fastCheck.constantFrom('repeatable', 'once', 'stream') }) },
   { weight: 4, arbitrary: fastCheck.record({ step: fastCheck.constant('fault' as const), engine: fastCheck.nat(4), fault: fastCheck.constantFrom(...FAULTS), count: fastCheck.integer({ min: 1, max: 3 }) }) },
+  { weight: 1, arbitrary: fastCheck.record({ step: fastCheck.constant('limit' as const), engine: fastCheck.nat(4), text: fastCheck.constantFrom(...LIMITS) }) },
   { weight: 1, arbitrary: fastCheck.record({ step: fastCheck.constant('replace' as const), engine: fastCheck.nat(4) }) },
   { weight: 1, arbitrary: fastCheck.record({ step: fastCheck.constant('settle' as const) }) }
 )
@@ -77,6 +81,7 @@
   for (const [index, step] of steps.entries()) {
     if (step.step === 'call') open.push(sendCall(play, `${name}-${index}`, step.kind))
     else if (step.step === 'fault') Object.assign((play.engines[step.engine] as testing.EngineStandIn).faults, { next: step.fault, count: step.count })
+    else if (step.step === 'limit') (play.engines[step.engine] as testing.EngineStandIn).limit.text = step.text
     else if (step.step === 'replace') await replaceEngine(play, step.engine)
     else await Promise.all(open)
   }
--- a/packages/rate-limits/src/_lib/limitSimulation.ts
+++ b/packages/rate-limits/src/_lib/limitSimulation.ts
@@ -1,6 +1,7 @@
 /** Plays gateways that keep one limit together, with the real decisions, on a network that loses, doubles and delays datagrams. */
 import * as standins from '@switchridge/standins'
 import * as types from '@switchridge/types'
+import * as chooseCounter from '../chooseCounter/index.js'
 import * as createPermitClient from '../createPermitClient/index.js'
 import * as createPermitCounter from '../createPermitCounter/index.js'
 import * as createPermitServer from '../createPermitServer/index.js'
@@ -27,6 +28,10 @@
   readonly frozen?: readonly [number, number]
   /** From and to which second half of the gateways ask a substitute, since they have lost the counter. */
   readonly divided?: readonly [number, number]
+  /** Part of the limit that a substitute gives; that of the product if absent. */
+  readonly substitutePart?: number
+  /** Permits are not used at once, but at the next multiple of these milliseconds: a mistake that a check has to find. */
+  readonly heldMs?: number
   /** Seconds at which every second gateway starts again. */
   readonly restartedAt?: readonly number[]
   readonly seed?: number
@@ -50,7 +55,6 @@
 const WAY_MS = [0.5, 3] as const
 const LATE_MS = 400
 const REPLACED_MS = 2000
-const SUBSTITUTE_PART = 0.25
 const MICROTASKS = 6
 const SEED = 11
 
@@ -74,6 +78,7 @@
   const timeline = standins.createTimeline()
   const random = standins.createRandom(plan.seed ?? SEED)
   const { now } = timeline
+  const substitutePart = plan.substitutePart ?? chooseCounter.SUBSTITUTE_PART
   const arrivals: number[] = []
   let datagrams = 0
   const counters = new Map<string, createPermitServer.PermitServer>()
@@ -127,7 +132,7 @@
     const client = createPermitClient.createPermitClient({
       ownHost: host,
       counter: createPermitCounter.createPermitCounter(now),
-      findCounter: () => isApart() ? { host: 'substitute', part: SUBSTITUTE_PART } : { host: serving, part: 1 },
+      findCounter: () => isApart() ? { host: 'substitute', part: substitutePart } : { host: serving, part: 1 },
       send: sendFrom(host),
       count: () => {},
       at: schedule,
@@ -152,7 +157,11 @@
   async function call ({ way }: Gateway): Promise<void> {
     if (way.waitMs(LIFE) > 0) return
     const answer = await way.acquire({ life: LIFE, perSecond: plan.perSecond, heardAt: 0 })
-    if (answer.isGranted) arrivals.push(now())
+    if (answer.isGranted) at(computeSendTime(), () => { arrivals.push(now()) })
+  }
+
+  function computeSendTime (): number {
+    return plan.heldMs === undefined ? now() : Math.ceil(now() / plan.heldMs) * plan.heldMs
   }
 
   function scheduleCall (): void {
@@ -164,7 +173,7 @@
   }
 
   startCounter(serving, 1)
-  startCounter('substitute', SUBSTITUTE_PART)
+  startCounter('substitute', substitutePart)
   for (let index = 0; index < plan.gateways; index += 1) startGateway(index)
   for (const [index, second] of (plan.replacedAt ?? []).entries()) {
     at(second * types.MILLISECONDS_IN_SECOND, () => { counters.delete(serving) })
--- a/packages/rate-limits/src/chooseCounter/index.ts
+++ b/packages/rate-limits/src/chooseCounter/index.ts
@@ -29,7 +29,7 @@
  * A gateway that counts in place of an agent gives this part of the limit: where only some daemons have lost the agent, both count, and together they stay
  * under what a limit tolerates.
  */
-const SUBSTITUTE_PART = 0.25
+export const SUBSTITUTE_PART = 0.25
 
 /**
  * Chooses the counter: the agent beside the back end; for one without an agent, or whose agent is silent, the first gateway of its hall by rank, or of all
