--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -1,4 +1,5 @@
 /** Plays a load of calls against the real decisions of gateways, with engines that work in passes; nothing is sent. */
+import * as rateLimits from '@switchridge/rate-limits'
 import * as standins from '@switchridge/standins'
 import * as types from '@switchridge/types'
 import * as chooseBackEnd from '../chooseBackEnd/index.js'
@@ -7,6 +8,7 @@
 import * as createSharedTargets from '../createSharedTargets/index.js'
 import * as decideAdmission from '../decideAdmission/index.js'
 import type * as gateway from '../types/index.js'
+import type * as limiters from '../types/limiter.js'
 
 /** A load to play. */
 export interface LoadPlan {
@@ -22,6 +24,8 @@
   readonly reportsMs?: { readonly near: number, readonly far: number }
   /** Engines that work so many times more slowly than the others, without saying so until their next report. */
   readonly slow?: { readonly count: number, readonly pace: number }
+  /** So many of the last engines name a limit; without `isKept` gateways don't know of it. */
+  readonly limited?: { readonly count: number, readonly perSecond: number, readonly isKept: boolean }
   /** Whether a caller that is refused comes back once when it was told to, to any gateway; false if absent. */
   readonly areReturning?: boolean
 }
@@ -39,6 +43,8 @@
 /** The same by kind of call, and for all together. */
 export interface LoadResult extends CallerResult {
   readonly kinds: readonly CallerResult[]
+  /** Most requests that some engine with a limit got in some four seconds. */
+  readonly mostLimited: number
 }
 
 type Counts = { -readonly [Name in keyof CallerResult]: number }
@@ -85,6 +91,7 @@
 const CALLER_TRIES = 2
 const SERVICE = types.brandId<types.ServiceName>('llm')
 const SEED = 7
+const LIMIT_WINDOW_MS = 4000
 
 interface Call {
   readonly kind: Kind
@@ -99,6 +106,8 @@
   readonly book: createBackEndBook.BackEndBook
   readonly errors: createErrorBound.ErrorBound
   readonly targets: createSharedTargets.SharedTargets
+  /** When a permit of an engine with a limit is expected. */
+  readonly waitUntil: Map<types.NodeId, number>
 }
 
 interface Engine {
@@ -179,8 +188,11 @@
   const engines = Array.from({ length: plan.engines }, (_, at) => createEngine(`engine-${at}`, zoneOf(at), at < (plan.slow?.count ?? 0) ? plan.slow?.pace ?? 1 : 1, figures, timeline))
   const backEnds = engines.map(({ backEnd }) => backEnd)
   const byId = new Map(engines.map((engine) => [engine.backEnd.id, engine]))
-  const gateways: readonly SimulatedGateway[] = Array.from({ length: plan.gateways }, (_, at) => ({ zone: zoneOf(at), book: createBackEndBook.createBackEndBook(timeline.now), errors: createErrorBound.createErrorBound(timeline.now), targets: createSharedTargets.createSharedTargets(timeline.now) }))
+  const gateways: readonly SimulatedGateway[] = Array.from({ length: plan.gateways }, (_, at) => ({ zone: zoneOf(at), book: createBackEndBook.createBackEndBook(timeline.now), errors: createErrorBound.createErrorBound(timeline.now), targets: createSharedTargets.createSharedTargets(timeline.now), waitUntil: new Map() }))
   const counts = KINDS.map(createCounts)
+  const limit = plan.limited ?? { count: 0, perSecond: 1, isKept: false }
+  const limited = new Map(backEnds.slice(plan.engines - limit.count).map(({ id }) => [id, [] as number[]]))
+  const counter = rateLimits.createPermitCounter(timeline.now)
 
   function tellReports (engine: Engine, zones: (zone: string) => boolean, everyMs: number, wayMs: number): void {
     let report = engine.report()
@@ -198,6 +210,19 @@
     timeline.at(random() * everyMs, tell)
   }
 
+  function readRoom (from: SimulatedGateway, id: types.NodeId): limiters.LimitedRoom | null {
+    if (!limit.isKept || !limited.has(id)) return null
+    return { perSecond: limit.perSecond, waitMs: Math.max(0, (from.waitUntil.get(id) ?? 0) - timeline.now()) }
+  }
+
+  /** Whether a call may be sent; asking takes no time here. */
+  function isPermitted (from: SimulatedGateway, id: types.NodeId): boolean {
+    if (!limit.isKept || !limited.has(id)) return true
+    const answer = counter.take({ life: types.formatLife(id, null), perSecond: limit.perSecond, heardAt: 0 }, 1)
+    if (!answer.isGranted) from.waitUntil.set(id, timeline.now() + answer.waitMs)
+    return answer.isGranted
+  }
+
   function choose (from: SimulatedGateway, { kind, promptTokens, askedAt }: Call, tried: ReadonlySet<types.NodeId>): chooseBackEnd.ChoiceOutcome {
     return chooseBackEnd.chooseBackEnd({
       backEnds,
@@ -210,7 +235,7 @@
       answerTokens: kind.events * STRIDE,
       lastSendTo: () => Infinity,
       endsAt: askedAt + CALL_MS,
-      readRoom: () => null,
+      readRoom: ({ id }) => readRoom(from, id),
       mayAsk: true,
       pinnedVersion: null,
       tried,
@@ -235,9 +260,12 @@
 
   function tryGateway (call: Call): void {
     call.tries += 1
-    const from = gateways[Math.floor(random() * gateways.length)] as SimulatedGateway
-    const { choice, takenPart } = choose(from, call, new Set())
-    if (choice === null) return refuse(call, CALL_MS)
+    takeAt(gateways[Math.floor(random() * gateways.length)] as SimulatedGateway, call)
+  }
+
+  function takeAt (from: SimulatedGateway, call: Call): void {
+    const { choice, takenPart, limitedMs } = choose(from, call, new Set())
+    if (choice === null) return refuse(call, Math.min(CALL_MS, limitedMs))
     const spentMs = timeline.now() - call.askedAt
     const admission = decideAdmission.decideAdmission({
       firstEventMs: choice.evenedFirstEventMs,
@@ -249,8 +277,9 @@
       remainingMs: CALL_MS - spentMs,
       random: random()
     })
-    if (admission.isTaken) serve(from, call, choice, new Set())
-    else refuse(call, admission.retryAfterMs)
+    if (!admission.isTaken) refuse(call, admission.retryAfterMs)
+    else if (isPermitted(from, choice.backEnd.id)) serve(from, call, choice, new Set())
+    else takeAt(from, call)
   }
 
   function refuse (call: Call, retryAfterMs: number): void {
@@ -266,6 +295,7 @@
     from.book.noteSent(id, open)
     const wayMs = choice.backEnd.zone === from.zone ? WAY_MS : FAR_WAY_MS
     timeline.at(sentAt + wayMs, () => {
+      limited.get(id)?.push(timeline.now())
       const isTaken = byId.get(id)?.take({
         isUrgent: sentAt - call.askedAt <= call.kind.targetMs,
         unreadTokens: call.promptTokens + 1,
@@ -278,7 +308,7 @@
         from.book.noteEnded(id, open)
         from.book.noteFull(id)
         const next = tried.size < ATTEMPTS ? choose(from, call, tried).choice : null
-        if (next === null) call.counts.rejected += 1
+        if (next === null || !isPermitted(from, next.backEnd.id)) call.counts.rejected += 1
         else serve(from, call, next, tried)
       })
     })
@@ -303,7 +333,12 @@
   timeline.at(0, askOn)
   timeline.run(WARM_UP_MS + plan.seconds * types.MILLISECONDS_IN_SECOND)
   const kinds = counts.map((each) => divide(each, plan.seconds))
-  return { ...kinds.reduce(addUp, createCounts()), kinds }
+  return { ...kinds.reduce(addUp, createCounts()), kinds, mostLimited: Math.max(0, ...[...limited.values()].map(countMost)) }
+}
+
+/** Most of some times in four seconds. */
+function countMost (times: readonly number[]): number {
+  return Math.max(0, ...times.map((first) => times.filter((time) => time >= first && time < first + LIMIT_WINDOW_MS).length))
 }
 
 function createCounts (): Counts {
