End a rate limit by a success only

A back end in trouble may answer errors that leave its limit out; by one of them all gateways took the limit for ended and sent as much as before until the next answer named it again. The new test hangs on the code before (it waits for the limit that was lost), and passes.

--- a/packages/daemon/src/startGatewayRole/rateLimits.test.ts
+++ b/packages/daemon/src/startGatewayRole/rateLimits.test.ts
@@ -17,6 +17,7 @@
 const CALLS_OF_GATEWAY = 20
 const WINDOW_MS = 4000
 const OK = 200
+const ENGINE_ERROR = 500
 const SERVICE_UNAVAILABLE = 503
 const AGENT_HOST = '127.0.0.11'
 
@@ -168,3 +169,20 @@
   assert.deepEqual(answers.flat().filter((status) => status !== OK), [])
   assert.ok(countMost(limited.arrivals.slice(before), WINDOW_MS) <= allowedIn(0.5))
 })
+
+nodeTest.test('an error without a limit ends none', async (context) => {
+  const fleet = await fleetTesting.openFleet(context)
+  fleet.configure()
+  const engine = await fleet.startEngine({ id: 'p-limited' }, 'api')
+  const gateway = await fleet.startGateway(HOSTS[0])
+  await fleetTesting.untilServed(gateway, '/read/probe')
+  engine.limit.text = '5'
+  await fleetTesting.call(gateway, { path: '/read/naming', id: 'naming' })
+  await fleet.untilLimited(1)
+  engine.limit.text = null
+  Object.assign(engine.faults, { next: 'error', count: 1 })
+  await fleetTesting.until(async () => (await fleetTesting.call(gateway, { path: '/read/error', id: 'error' })).status === ENGINE_ERROR)
+  await fleet.untilLimited(1)
+  await fleetTesting.untilServed(gateway, '/read/again')
+  await fleet.untilLimited(0)
+})
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -50,6 +50,8 @@
 const NEXT_EVENT_PATIENCE = 2.5
 const MINIMUM_PATIENCE_MS = 800
 
+const STATUS_FAILED = 400
+
 /** The last call for a version is sent so long before one that has not begun is taken back. */
 const BEGIN_GRACE_MS = 300
 
@@ -125,11 +127,15 @@
   const relayed = await relay(start, answer)
   return end(relayed)
 
-  /** A refusal may be another process's that answers at the address, and ends no limit; an answer to another call tells nothing. */
+  /**
+   * An answer to another call, or of another process at the address, tells nothing. Only a success may end a limit: a back end in trouble may answer with errors
+   * that leave it out.
+   */
   function noteRate (read: gateway.AnswerHead, response: http.IncomingMessage): void {
     if (read.kind === 'foreign' || (read.kind === 'not-run' && read.reason === 'wrong-instance')) return
     const rate = options.protocol.readNamedRate(response)
-    if (read.kind === 'answered' || rate.kind !== 'none') options.limiter.noteAnswer(choice.backEnd, rate, open.sentAt)
+    const isSuccess = read.kind === 'answered' && read.status < STATUS_FAILED
+    if (isSuccess || rate.kind !== 'none') options.limiter.noteAnswer(choice.backEnd, rate, open.sentAt)
   }
 
   /** Ends the attempt from this side. */
