--- a/packages/daemon/src/_lib/createBackEndList.ts
+++ b/packages/daemon/src/_lib/createBackEndList.ts
@@ -34,7 +34,7 @@
  * @returns The list.
  */
 export function createBackEndList ({ layersOf, onUnreadable }: BackEndListOptions): BackEndList {
-  /** Every change of one entry tells of all of them: 143 engines cost 2 ms of a core for each. */
+  /** Every change of one entry tells of all of them, which would be parsed anew each time. */
   const parsedEntries = new WeakMap<store.StoredObject, ParsedEntry>()
   let backEnds: readonly gateway.BackEnd[] = []
   let byAddress: ReadonlyMap<string, gateway.BackEnd> = new Map()
--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -16,7 +16,7 @@
 
 /** A call waits no longer for the answer whether its back end lives; regions are within a tenth of it. */
 const PROBE_MS = 100
-/** Calls that are lost together ask once: they notice within 8 ms of each other, and a connection takes up to 10. */
+/** Calls that are lost together ask once: they notice within milliseconds of each other, and a connection takes as long. */
 const PROBE_KEPT_MS = 50
 /** Another gateway's word that a back end ended makes it a bad choice if it is not older. */
 const FRESH_END_MS = 3000
--- a/packages/daemon/src/createSharedQuarantine/index.ts
+++ b/packages/daemon/src/createSharedQuarantine/index.ts
@@ -54,7 +54,7 @@
   readonly stop: () => void
 }
 
-/** Calls that are lost with one back end are noticed within 8 ms of each other, and told together. */
+/** Calls that are lost with one back end are noticed within milliseconds of each other, and told together. */
 const MERGE_MS = 10
 const LOGGED_CALLS = 8
 
--- a/packages/daemon/src/createWatchDuty/index.ts
+++ b/packages/daemon/src/createWatchDuty/index.ts
@@ -19,7 +19,6 @@
 
 /**
  * Who watches a kind: `each-hall` for large copies, since two of each hall then hand them on at once; `few-halls` for small ones that change often.
- * With one source a hall, 3,644 more routes were in force at 84 daemons after 2,152 ms instead of 1,792; it must be after 2,000.
  */
 export type WatchReach = 'each-hall' | 'few-halls'
 
@@ -36,14 +35,13 @@
 }
 
 /**
- * A watcher that was silent for so long is replaced by the next in the ranking. The first eight hear the first four every
- * 660 ms at least; all others hear of them too seldom to judge, and go by what counts as live. With 1.3 s, a change was in force after 2,137 ms at
- * the others of a hall, of 84 daemons in memory, whose first four were cut off right before it; it must be after 2,000.
+ * A watcher that was silent for so long is replaced by the next in the ranking. The first eight hear the first four
+ * more often than that; all others hear of them too seldom to judge, and go by what counts as live. Longer, a change would come late to a hall whose first four were cut off right before it.
  */
 const WATCHER_SILENT_MS = 1050
 /** Halls whose gateways ask the store; the others take from them what changes, so that calls do not grow with the halls. */
 export const WATCHING_HALLS = 3
-/** A hall of which no member was heard for so long does not watch for others; digests of one hall come up to 3.4 s apart at 183 daemons, in parts spread over that time. */
+/** A hall of which no member was heard for so long does not watch for others; digests of one hall come in parts, spread over nearly as long in a fleet of hundreds. */
 const HALL_SILENT_MS = 3500
 /** After a start others are heard of within two ways there and back between regions; before that each gateway would take itself for alone. */
 const SETTLE_MS = 150
@@ -55,7 +53,7 @@
 const FAR_STEP_MS = 200
 const FAR_MAXIMUM_MS = 1200
 const AGENT_FAR_MS = 1500
-/** The choice holds for so long, since it is asked for by every kind many times a second; short against the 1.05 s above. */
+/** The choice holds for so long, since it is asked for by every kind many times a second; short against the silence above. */
 const CHOICE_MS = 90
 
 interface Choice {
--- a/packages/daemon/src/readCopyAnswer/index.ts
+++ b/packages/daemon/src/readCopyAnswer/index.ts
@@ -7,7 +7,7 @@
 import * as types from '@switchridge/types'
 import type * as copyParts from '../_lib/copyParts.js'
 
-/** Ten times the largest configuration measured, 1.6 MB for 4,000 routes; a larger answer could fill the memory. */
+/** Ten times a configuration of thousands of routes; a larger answer could fill the memory. */
 export const MAXIMUM_COPY_BYTES = 16 * types.BYTES_IN_MEBIBYTE
 
 const decompress = util.promisify<zlib.InputType, zlib.ZlibOptions, Buffer>(zlib.gunzip)
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -18,16 +18,13 @@
 
 /** A peer that failed or was slow is left out for so long. */
 const SUSPECT_MS = 6000
-/** After a start, agents of all zones are heard of within this; 1.8 s at 73 daemons and 3.3 s at 183 were measured. */
+/** After a start, agents of all zones are heard of within this, also in a fleet of hundreds. */
 const ZONES_KNOWN_MS = 3500
 /** Before the configuration tells which weights the engine runs. */
 const REPORT_INTERVAL_MS = 350
 /** Part of the link that pieces may take while the engine serves nobody; the rest is for heartbeats and the heads of pieces. */
 const IDLE_LINK_PART = 0.9
-/**
- * Part of the link that pieces may take while streams share it: with 0.9 a call's way there and back took 160 ms longer than
- * the usual 125 ms, so that half of the calls during a change of version were late.
- */
+/** Part of the link that pieces may take while streams share it: with more, calls during a change of version wait behind pieces and come late. */
 const SERVING_LINK_PART = 0.75
 const BITS_IN_BYTE = 8
 const BITS_IN_MEGABIT = 1_000_000
@@ -233,7 +230,7 @@
     sendSlices(context, taken, { id, node })
   }
 
-  /** Past koa, whose way for streams loads the runtime's fetch and HTTP/2 when the first piece is sent: 0.1 s of an agent's core, by a profile of a running one. */
+  /** Past koa, whose way for streams loads the runtime's fetch and HTTP/2 when the first piece is sent. */
   function sendSlices (context: Koa.Context, { piece, slices }: staging.ProvidedPiece, { id, node }: { readonly id: staging.VersionId, readonly node: types.NodeId }): void {
     context.respond = false
     nodeStream.pipeline(nodeStream.Readable.from(slices), context.res, (error) => {
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -58,7 +58,7 @@
 /**
  * A call that can no longer be in time lets those go first that can: after a return everybody who was refused comes back at once, and
  * an engine lets in the more urgent ones first; without a figure a call counts as 5. A stream that has begun is not put back: its caller
- * waits for the next event. Without it two days with a loss of power earned 0.620 and 0.525 instead of 0.628 and 0.551.
+ * waits for the next event.
  */
 const LATE_URGENCY = 8
 
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -12,8 +12,8 @@
 
 const DEFAULT_RETRY_AFTER_MS = 400
 /**
- * While no back end may serve at all, a caller that came back soon would be refused again. Callers that were told the time at which engines will
- * serve, by the pace of their pieces, came back all at once: worth 0.515 and 0.621 on two days with a loss of power, 0.551 and 0.628 with this.
+ * While no back end may serve at all, a caller that came back soon would be refused again. All callers together must not
+ * be told the time at which engines will serve: they would come back all at once.
  */
 const NONE_RETRY_AFTER_MS = 1000
 const NONE_REMAINING_PART = 0.3
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -99,8 +99,8 @@
 const BEGIN_FACTOR = 2
 const PAUSED_MS = 1500
 /**
- * A call begins at once at a sound, idle engine, so it may be sent there later than elsewhere: up to 0.9 s before nothing may begin on its
- * version any more, and it is taken back 0.6 s before. Where a newer version is late, that is 0.8 s of service.
+ * A call begins at once at a sound, idle engine, so it may be sent there later than elsewhere, while a call
+ * that has not begun can still be taken back before nothing may begin on its version any more. Where a newer version is late, that is so much more service.
  */
 const SOUND_GRACE_MS = 800
 const SOUND_LINK_MS = 40
@@ -199,7 +199,7 @@
 
 /**
  * Milliseconds by which a call may begin later here than at an engine that is busy, or of which too little is known. None for a second attempt: its first engine was
- * mute, mostly behind a link that pieces fill, and all four calls traced on three days that began 0.3 to 1.1 s after the bound were second attempts.
+ * mute, mostly behind a link that pieces fill, and its next one may be, too.
  */
 function soundGraceMs (load: createBackEndBook.BackEndLoad, input: ChoiceInput): number {
   if (input.tried.size > 0) return 0
--- a/packages/gateway/src/createBackEndBook/index.ts
+++ b/packages/gateway/src/createBackEndBook/index.ts
@@ -98,7 +98,7 @@
 /** An agent that said nothing for so long may be cut off, and its engine with it. */
 const SILENT_MS = 1100
 /**
- * Agents of other halls of a large fleet are told of less often: a report of 183 daemons is up to 3.1 s old before the next
+ * Agents of other halls of a large fleet are told of less often: a report may be seconds old before the next
  * one comes. So both limits are at least these times the age that reports of the agent usually reach.
  */
 const FRESH_FACTOR = 1.8
--- a/packages/gateway/src/createErrorBound/index.ts
+++ b/packages/gateway/src/createErrorBound/index.ts
@@ -14,15 +14,14 @@
 const STEP_MS = 25
 /**
  * A gateway of a large fleet serves fewer calls and takes larger steps, so that it follows as soon: calls that come further apart count as this many at most.
- * 98 gateways before 84 engines, asked for 1.7 times what these can do, in a simulation: 187 a second in time with equal steps, 223 with these, of 234 at the load that they can do.
  */
 const USUAL_GAP_MS = 100
 const GAP_MAXIMUM = 3
 /** More than any target: the bound then keeps out all but what goes to engines with room. */
 const MAXIMUM_MS = 1000
 /**
- * A gateway that refuses all has nothing to learn from: after so long without a call the bound falls, and calls are tried again within seconds. With 1000 ms
- * the fleet of the larger steps answered 223 a second in time, with 500 ms 231, and with 300 ms and twice the fall 181, since then many are late.
+ * A gateway that refuses all has nothing to learn from: after so long without a call the bound falls, and calls are tried again within seconds. Sooner, many
+ * of them would be late.
  */
 const QUIET_MS = 500
 /** Milliseconds that it falls in each one. */
--- a/packages/gateway/src/createSharedTargets/index.ts
+++ b/packages/gateway/src/createSharedTargets/index.ts
@@ -22,8 +22,8 @@
 const LEAST_PART = 0.6
 
 /**
- * Creates the record of targets. While a queue stands, whoever may wait longest would take every place: with targets of 500, 400 and 400 ms at twice what
- * engines can do, 65, 16 and 19 in 100 calls of three kinds were served in time in a simulation; held to the shortest target, 47, 50 and 53.
+ * Creates the record of targets. While a queue stands, whoever may wait longest would take every place; so
+ * calls of one urgency are held to the shortest target.
  * A less urgent call is held to the targets of the more urgent ones, too; a more urgent one never to those of the less urgent.
  *
  * @param now - Monotonic clock in milliseconds.
--- a/packages/gateway/src/decideAdmission/index.ts
+++ b/packages/gateway/src/decideAdmission/index.ts
@@ -27,14 +27,13 @@
 
 /**
  * While less of all places is taken, any call is taken that need not wait: what makes calls late then passes, and a refusal would waste the room. All places
- * count, not those of the chosen one: reports are up to 2 s old, so a large fleet always knows of an engine that was half empty. Judged by that one, 40 gateways
- * before 45 engines answered 257, 181 and 106 a second in time at 300, 380 and 600 asked, in a simulation; judged by all places 255, 260 and 238.
+ * count, not those of the chosen one: reports are old, so a large fleet always knows of an engine that was half empty, and all its gateways would
+ * send there.
  */
 const ROOM_PART = 0.5
 /**
  * A caller that may still be in time comes back within these milliseconds: another gateway, or the next report, may know of a place. The target counts
- * from the first try, so a longer pause makes its answer late. Nine engines asked for twice what they can do, callers returning once, a simulation:
- * 73 answers a second in time with 60 to 150 ms, 67 with 150 to 300, 55 with 250 to 1500, 48 with 1000 to 1800.
+ * from the first try, so a longer pause makes its answer late.
  */
 const SOON_MINIMUM_MS = 60
 const SOON_MAXIMUM_MS = 150
--- a/packages/gateway/src/predictFirstEvent/index.ts
+++ b/packages/gateway/src/predictFirstEvent/index.ts
@@ -16,8 +16,8 @@
 /** Calls of each other gateway since the report, in parts of this one's: they choose alike, but not the same. */
 const OTHERS_PART = 0.4
 /**
- * Long prompts would be refused most under load, and they are worth most: on a day of overload the largest tenth of one kind earned 0.40 of its credit,
- * with their whole excess left out 0.45, but all calls together 0.580 instead of 0.599. Half of it lies between.
+ * Long prompts would be refused most under load, and they are worth most. With their whole excess left out they would take so much that all calls together
+ * were served worse; so half of it is.
  */
 const EVENED_PART = 0.5
 /** Part of a prompt that is still to be read, on average, for a request that was sent moments ago. */
--- a/packages/quarantine/src/createQuarantine/index.ts
+++ b/packages/quarantine/src/createQuarantine/index.ts
@@ -119,7 +119,7 @@
     return block === undefined || isInForce(block) ? limits.ends : ENDS_ON_PROBATION
   }
 
-  /** Most calls at an end are new there, and change nothing. Looking at all ends for them, too, took 1.65 ms of a core each time when 500 are remembered; so it is 0.14. */
+  /** Most calls at an end are new there, and change nothing. Looking at all ends for them, too, would be most of the work. */
   function mayBeBlocked (call: identifyCall.CallFingerprint): boolean {
     return (endCounts.get(call) ?? 0) >= limitOf(call)
   }
--- a/packages/quarantine/src/selectBlocked/index.ts
+++ b/packages/quarantine/src/selectBlocked/index.ts
@@ -20,21 +20,19 @@
 }
 
 /**
- * So many of the ends that are needed may be explained by another blocked call: two lethal calls meet at one engine, too. Simulated with 15 engines and
- * three lethal calls at once, 40 seeds: with none allowed one of them ran more than three times after all should have known it in one seed, and with one
- * in none; of 276,000 other calls 431 were refused, and 848.
+ * So many of the ends that are needed may be explained by another blocked call: two lethal calls meet at one engine, too, and with none
+ * allowed one of several lethal calls could go on. Each one more lets more calls be refused that harm nobody.
  */
 const EXPLAINED_ALLOWED = 1
 /**
  * No more ends beyond those needed are explained away at all: a call that harms nobody is sent to four engines at most before its caller gives up, or is served in
- * between. With five lethal calls at once, one ran too often in 3 of 40 seeds without this, and in none with it; 2,109 and 2,190 other calls were refused.
+ * between.
  */
 const EXPLAINED_ENDS = 2
 
 /**
  * Selects the calls that explain the ends. Calls that ran beside such a call and went on elsewhere may meet it again, so being there
- * often is not enough: the call that was there most often is blocked first, and ends that it explains count against no call that was there less often. Of 170 calls that lost
- * an engine in a wave of ends on a recorded day, 70 lost two.
+ * often is not enough: the call that was there most often is blocked first, and ends that it explains count against no call that was there less often.
  *
  * @param evidence - What is known.
  * @returns The selection; calls that were at the same ends can't be told apart and are all blocked.
--- a/packages/spread/src/_lib/fleetView.ts
+++ b/packages/spread/src/_lib/fleetView.ts
@@ -47,7 +47,7 @@
 const LIVE_INTERVALS = 3.2
 /** Rounds of digests that may be lost on their hops before a member of another hall counts as silent. */
 const LOST_ROUNDS = 3
-/** The same of rounds within a relayed hall: without, 5 in 1,000 live members were taken for silent while one datagram in twenty was lost. */
+/** The same of rounds within a relayed hall: otherwise live members would be taken for silent while some datagrams are lost. */
 const LOST_WHOLE_ROUNDS = 2
 /** At the shortest interval, one second. */
 export const PEER_LIVE_MS = 3200
--- a/packages/spread/src/_lib/measureDelays.ts
+++ b/packages/spread/src/_lib/measureDelays.ts
@@ -17,7 +17,7 @@
 /**
  * No datagram is under way, or lies at a frozen receiver, for longer; one that seems to was sent by a new life, whose clock begins anew. Whoever
  * had heard only the first word of a life took the first word of the next one for a word that was under way for the whole life in
- * between: a named version counted as 38 s old everywhere, and every call was refused for 5 s.
+ * between, and all that it told of versions for as old.
  */
 const MAXIMUM_DELAY_MS = 10_000
 
--- a/packages/spread/src/_lib/rates.ts
+++ b/packages/spread/src/_lib/rates.ts
@@ -99,7 +99,7 @@
 export const DIRECT_GATEWAYS = 14
 /** Signs of life to those that speak for a relayed hall. */
 export const RELAYED_SIGN_MS = 1000
-/** Members take turns in passing rounds on; the busiest one of 37 sent 1.4 times the mean within 5 s, and stays within its bytes too. */
+/** Members take turns in passing rounds on; the busiest one, which sends well over the mean, stays within its bytes too. */
 const PASSED_ON_PART = 0.78
 /** So often everybody of a relayed hall hears of everybody. */
 export const WHOLE_ROUND_MS = 1000
--- a/packages/spread/src/chooseWatchers/index.ts
+++ b/packages/spread/src/chooseWatchers/index.ts
@@ -8,8 +8,8 @@
 /** Of a hall that hears no other one: two, so that one that fails leaves no gap; each one's answers cross into the hall. */
 export const WATCHERS_PER_HALL = 2
 /**
- * Where other halls watch too, they stand in for one that fails, and it is replaced within 1.05 s. With one a hall, also in small halls, a day of 24
- * daemons in five halls made 759 calls to the store instead of 1,969.
+ * Where other halls watch too, they stand in for one that fails, and it is replaced within about a second: a second one a hall
+ * would double the calls to the store.
  */
 const WATCHERS_BESIDE_OTHERS = 1
 /** Up to so many gateways of a hall that hears no other one all ask: their answers do not fill a link, and none depends on another. */
--- a/packages/spread/src/createFactExchange/index.ts
+++ b/packages/spread/src/createFactExchange/index.ts
@@ -53,7 +53,7 @@
   readonly hash: number
 }
 
-/** Facts that follow each other closely are told together: calls that were lost with one back end are noticed within 8 ms of each other. */
+/** Facts that follow each other closely are told together, as calls that were lost with one back end are noticed. */
 const MERGE_MS = 10
 /** Two gateways compare what they know so often: each one asks another one, and is asked once on the mean. */
 const COMPARE_MS = 500
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -58,11 +58,11 @@
 }
 
 /**
- * Those that speak for no hall, and would not follow, look so often at most at what is due: each look is a wake-up, of which an idle daemon had 40 a second. On a fleet of 183 idle daemons looking every 100 ms, with
- * engines read as seldom, saved 13 in 100 of all processor time. An agent looks a whole number of times between two of its news.
+ * Those that speak for no hall, and would not follow, look so often at most at what is due: each look is a wake-up, which idle daemons pay for.
+ * An agent looks a whole number of times between two of its news.
  */
 const TICK_MAXIMUM_MS = 100
-/** The view of the fleet may be so old at those that speak for the hall, or would follow, and at all others; a member that is new renews it. At 240 members it takes 0.35 ms. */
+/** The view of the fleet may be so old at those that speak for the hall, or would follow, and at all others; a member that is new renews it. */
 const SPEAKER_VIEW_MS = 200
 const VIEW_MS = 500
 
--- a/packages/staging/src/_lib/offerPieces.ts
+++ b/packages/staging/src/_lib/offerPieces.ts
@@ -61,7 +61,7 @@
 /** While the uplink has a queue, it is looked at again when it should be short enough, but within these milliseconds: another holder may be known by then. */
 const BUSY_POLL_MINIMUM_MS = 15
 const BUSY_POLL_MAXIMUM_MS = 60
-/** Agents of the own zone are listed anew so often; listing them at each look took 3.4 of 41 s, by a profile of 45 agents in memory that pass on a version. */
+/** Agents of the own zone are listed anew so often, not at each look, which would be a large part of an agent's work while it passes on a version. */
 const NEAR_KEPT_MS = 200
 
 /**
--- a/packages/staging/src/_lib/orderVersion.ts
+++ b/packages/staging/src/_lib/orderVersion.ts
@@ -35,7 +35,7 @@
  * @returns The orders; each resolves when the engine runs the version, or no longer works on it.
  */
 export function createVersionOrders (options: OrderOptions & { readonly isStopped: () => boolean }): VersionOrders {
-  /** Nobody calls an empty engine, so nothing is waited for: after a return of all this saves 0.2 s, in which nobody is served. */
+  /** Nobody calls an empty engine, so nothing is waited for: after a return of all, nobody is served until then. */
   async function orderEmpty (ready: staging.NamedVersion, state: staging.EngineState): Promise<void> {
     await startVersion(ready, state, 'finish')
     options.onPause(false)
--- a/packages/staging/src/_lib/pieceWaiters.ts
+++ b/packages/staging/src/_lib/pieceWaiters.ts
@@ -17,8 +17,8 @@
 const WAKE_GAP_MS = 3
 
 /**
- * Creates a list without waiters. An agent that passes on a version has some ten waiters at a time; with a look each 15 ms they woke it up to 600
- * times a second.
+ * Creates a list without waiters. An agent that passes on a version has some ten waiters at a time, which would wake it hundreds of times a second if
+ * each looked by itself.
  *
  * @returns The list.
  */
--- a/packages/staging/src/createManifestReader/index.ts
+++ b/packages/staging/src/createManifestReader/index.ts
@@ -31,14 +31,13 @@
 /** An agent that knows no other one of its zone may only just have started; by then it has heard of those that run. */
 const SETTLE_MS = 75
 /**
- * Pauses between an agent's reads of the origin double up to the maximum: it refuses beyond its bound of connections, and 45 agents that each
- * come back every 150 ms ask for 300 a second.
+ * Pauses between an agent's reads of the origin double up to the maximum: it refuses beyond its bound of connections, and many agents that each
+ * come back at the minimum ask for far more than that.
  */
 const RETRY_MINIMUM_MS = 150
 const RETRY_MAXIMUM_MS = 3000
 /**
- * The first reader of a zone comes back sooner: until it has the manifest nobody of the zone can fetch a piece. After an outage of the origin
- * of 6 s, engines were whole 4.9 to 6.1 s after its end; the bytes need 3.2.
+ * The first reader of a zone comes back sooner: until it has the manifest nobody of the zone can fetch a piece.
  */
 const FIRST_RETRY_MAXIMUM_MS = 300
 /** Peers are asked again after this; they hold a request until they have the manifest, so that whoever gets it tells all at once. */
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -75,8 +75,8 @@
  */
 const STUCK_MS = 2500
 /**
- * Such reads of all agents take half of what the origin's link carries, 27 ms a piece: each agent pauses for this, times the agents, and
- * begins at another time. With a pause for each zone alone, three zones asked for more than the link carries and kept it full.
+ * Such reads of all agents take half of what the origin's link carries: each agent pauses for this, times the agents, and begins at another time. With a pause for
+ * each zone alone, a few zones would keep the link full.
  */
 const STUCK_PAUSE_MS = 55
 /** Peers that a piece is asked for at one after the other, as each tells of the next. */
@@ -84,8 +84,7 @@
 const FAILED_PAUSE_MS = 60
 /**
  * The pause of an agent after a failed read of the origin doubles with each failure in a row, up to this for each agent: all together then ask
- * 70 times a second, and an origin that comes back is read within half a second in a fleet of 15. With up to 3 to 6 s for everybody, as a bound of connections
- * alone would want it, 15 agents were whole 6.7 s after an outage of 6 s, in a simulation.
+ * equally often in a fleet of any size, and an origin that comes back is read soon in a small one.
  */
 const ORIGIN_PAUSE_AGENT_MS = 20
 const ORIGIN_PAUSE_LEAST_MS = 200
--- a/packages/staging/src/createPieceUplink/index.ts
+++ b/packages/staging/src/createPieceUplink/index.ts
@@ -11,8 +11,7 @@
 }
 
 /**
- * Bytes handed to the link at a time: 6 ms of a link of 5.3 Mbit/s. An event that leaves meanwhile waits for one slice. A whole piece of
- * 32 KB takes 49 ms there, and with two of them at the link an event is later than the 120 ms within which it shall be passed on.
+ * Bytes handed to the link at a time. An event that leaves meanwhile waits for one slice; behind two whole pieces on a narrow link it would be late.
  */
 export const SLICE_BYTES = 4096
 
