Keep one token bucket, and one way to create a value of a map when it is asked for

The bucket stood three times (rate limits, client accounts at entry nodes, the platform's stand-in), the cache of budgets and error bounds twice in the gateway role. The comparison with equal shares moves beside the simulation that is its only user.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -108,20 +108,12 @@
   }
 
   function budgetOf (service: types.ServiceName): gateway.RetryBudget {
-    const known = budgets.get(service)
-    if (known !== undefined) return known
     const { retry_ratio: ratio, retry_slack: slack, retry_window_seconds: seconds } = checked.bounds
-    const budget = gateway.createRetryBudget({ ratio, slack, windowMs: seconds * types.MILLISECONDS_IN_SECOND }, countGateways, now)
-    budgets.set(service, budget)
-    return budget
+    return types.getOrCreate(budgets, service, () => gateway.createRetryBudget({ ratio, slack, windowMs: seconds * types.MILLISECONDS_IN_SECOND }, countGateways, now))
   }
 
   function errorsOf (service: types.ServiceName): gateway.ErrorBound {
-    const known = errorBounds.get(service)
-    if (known !== undefined) return known
-    const bound = gateway.createErrorBound(now)
-    errorBounds.set(service, bound)
-    return bound
+    return types.getOrCreate(errorBounds, service, () => gateway.createErrorBound(now))
   }
 
   function choose (choice: gateway.CallChoice): gateway.ChoiceOutcome {
--- a/packages/rate-limits/src/_lib/limitSimulation.ts
+++ b/packages/rate-limits/src/_lib/limitSimulation.ts
@@ -5,7 +5,7 @@
 import * as createPermitClient from '../createPermitClient/index.js'
 import * as createPermitCounter from '../createPermitCounter/index.js'
 import * as createPermitServer from '../createPermitServer/index.js'
-import * as createRateShares from '../createRateShares/index.js'
+import * as rateShares from './rateShares.js'
 import type * as rateLimits from '../types/index.js'
 
 /** What is played. */
@@ -124,7 +124,7 @@
 
   function startGateway (index: number): void {
     if (plan.way === 'shares') {
-      gateways[index] = { way: createRateShares.createRateShares(() => plan.gateways, now), receive: () => false }
+      gateways[index] = { way: rateShares.createRateShares(() => plan.gateways, now), receive: () => false }
       return
     }
     const host = `gateway-${index}`
--- a/packages/rate-limits/src/createPermitCounter/index.ts
+++ b/packages/rate-limits/src/createPermitCounter/index.ts
@@ -1,6 +1,5 @@
 /** Counts what may be sent to back ends with a limit, for all gateways: one daemon counts for each back end. */
 import * as types from '@switchridge/types'
-import * as tokenBucket from '../_lib/tokenBucket.js'
 import type * as rateLimits from '../types/index.js'
 
 /** The counter of one daemon. */
@@ -25,7 +24,7 @@
 const FORGET_MS = 60_000
 
 interface Account {
-  readonly bucket: tokenBucket.TokenBucket
+  readonly bucket: types.TokenBucket
   limit: rateLimits.RateLimit
   rate: number
   askedAt: number
@@ -46,7 +45,7 @@
     const known = accounts.get(limit.life)
     if (known !== undefined) return known
     for (const [life, { askedAt }] of accounts) if (now() - askedAt > FORGET_MS) accounts.delete(life)
-    const account = { bucket: tokenBucket.createTokenBucket(now), limit, rate: 0, askedAt: now(), promisedAt: 0 }
+    const account = { bucket: types.createTokenBucket({ perSecond: 0, capacity: 0, tokens: 0, now }), limit, rate: 0, askedAt: now(), promisedAt: 0 }
     accounts.set(limit.life, account)
     return account
   }
--- a/packages/routing/src/createAccountLimiter/index.ts
+++ b/packages/routing/src/createAccountLimiter/index.ts
@@ -1,5 +1,5 @@
 /** Limits of client accounts over all entry nodes, without a coordinator. */
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 
 /** Limits of all accounts at one entry node. */
 export interface AccountLimiter {
@@ -11,16 +11,14 @@
   readonly readUsage: () => ReadonlyMap<types.AccountId, number>
 }
 
-interface Bucket {
-  tokens: number
-  filledAt: number
+interface Account {
+  readonly bucket: types.TokenBucket
   part: number
   used: number
 }
 
 const BURST_SECONDS = 1
 const MINIMUM_PART = 0.05
-const MILLISECONDS = 1000
 const MAXIMUM_ACCOUNTS = 10_000
 
 /**
@@ -31,37 +29,34 @@
  * @returns The limiter.
  */
 export function createAccountLimiter (now: () => number, defaultPart: () => number): AccountLimiter {
-  const buckets = new Map<types.AccountId, Bucket>()
+  const accounts = new Map<types.AccountId, Account>()
 
-  function find (account: types.AccountId, callsPerSecond: number): Bucket {
-    const known = buckets.get(account)
+  function find (name: types.AccountId, callsPerSecond: number): Account {
+    const known = accounts.get(name)
     if (known !== undefined) return known
     const part = defaultPart()
-    const bucket = { tokens: callsPerSecond * part * BURST_SECONDS, filledAt: now(), part, used: 0 }
-    if (buckets.size < MAXIMUM_ACCOUNTS) buckets.set(account, bucket)
-    return bucket
+    const burst = callsPerSecond * part * BURST_SECONDS
+    const account = { bucket: types.createTokenBucket({ perSecond: callsPerSecond * part, capacity: Math.max(1, burst), tokens: burst, now }), part, used: 0 }
+    if (accounts.size < MAXIMUM_ACCOUNTS) accounts.set(name, account)
+    return account
   }
 
   return {
-    take: (account, callsPerSecond) => {
+    take: (name, callsPerSecond) => {
       if (callsPerSecond === 0) return 0
-      const bucket = find(account, callsPerSecond)
-      const rate = callsPerSecond * bucket.part
-      const capacity = Math.max(1, rate * BURST_SECONDS)
-      bucket.tokens = Math.min(capacity, bucket.tokens + (now() - bucket.filledAt) * rate / MILLISECONDS)
-      bucket.filledAt = now()
-      bucket.used += 1
-      if (bucket.tokens < 1) return Math.ceil((1 - bucket.tokens) * MILLISECONDS / rate)
-      bucket.tokens -= 1
-      return 0
+      const account = find(name, callsPerSecond)
+      const rate = callsPerSecond * account.part
+      account.bucket.setRate(rate, Math.max(1, rate * BURST_SECONDS))
+      account.used += 1
+      return account.bucket.tryTake() ? 0 : Math.ceil(account.bucket.waitMs())
     },
-    setPart: (account, part) => {
-      const bucket = buckets.get(account)
-      if (bucket !== undefined) bucket.part = Math.max(MINIMUM_PART, part)
+    setPart: (name, part) => {
+      const account = accounts.get(name)
+      if (account !== undefined) account.part = Math.max(MINIMUM_PART, part)
     },
     readUsage: () => {
-      const usage = new Map([...buckets.entries()].map(([account, bucket]) => [account, bucket.used]))
-      for (const bucket of buckets.values()) bucket.used = 0
+      const usage = new Map([...accounts.entries()].map(([name, account]) => [name, account.used]))
+      for (const account of accounts.values()) account.used = 0
       return usage
     }
   }
--- a/packages/standins/src/createPlatformStandIn/index.ts
+++ b/packages/standins/src/createPlatformStandIn/index.ts
@@ -5,7 +5,6 @@
 import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as admin from '../_lib/admin.js'
-import * as tokenBucket from '../_lib/tokenBucket.js'
 
 /** Faults of the platform. */
 export interface PlatformFaults {
@@ -30,6 +29,11 @@
   readonly at: number
 }
 
+/** Holds one second's worth of calls. */
+function createBucket (perSecond: number): types.TokenBucket {
+  return types.createTokenBucket({ perSecond, capacity: perSecond, tokens: perSecond, now: () => performance.now() })
+}
+
 /**
  * Creates the platform's stand-in.
  *
@@ -40,8 +44,8 @@
   const store = platform.createMemoryObjectStore()
   const faults: PlatformFaults = { isDown: false, delayMs: 0, loseAnswers: 0, nodeLagMs: 3000 }
   const counts: Record<string, number> = { read: 0, write: 0, list: 0, watch: 0, nodes: 0, limited: 0 }
-  const reads = tokenBucket.createTokenBucket(READS_PER_SECOND, () => performance.now())
-  const writes = tokenBucket.createTokenBucket(WRITES_PER_SECOND, () => performance.now())
+  const reads = createBucket(READS_PER_SECOND)
+  const writes = createBucket(WRITES_PER_SECOND)
   const nodeChanges: NodeChange[] = []
 
   const count = (name: string): void => { counts[name] = (counts[name] ?? 0) + 1 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,7 +1,9 @@
 /** Shapes, ids, outcomes and errors shared by the packages of switchridge. */
 export * from './constants/index.js'
+export * from './createTokenBucket/index.js'
 export * from './delay/index.js'
 export * from './errors/index.js'
+export * from './getOrCreate/index.js'
 export * from './ids/index.js'
 export * from './jitter/index.js'
 export * from './members/index.js'
