--- a/packages/rate-limits/src/createPermitClient/index.ts
+++ b/packages/rate-limits/src/createPermitClient/index.ts
@@ -60,11 +60,16 @@
 
   function noteAnswer (life: types.BackEndLife, isLate: boolean, answer: rateLimits.PermitAnswer): rateLimits.PermitAnswer {
     const waits = isLate ? lateWaitUntil : waitUntil
-    if (answer.isGranted) waits.delete(life)
-    else waits.set(life, now() + answer.waitMs)
+    forgetPast(waits)
+    if (!answer.isGranted) waits.set(life, now() + answer.waitMs)
     return answer
   }
 
+  /** A back end whose life has ended is never asked for again. */
+  function forgetPast (waits: Map<types.BackEndLife, number>): void {
+    for (const [life, until] of waits) if (until <= now()) waits.delete(life)
+  }
+
   async function ask (host: string, limit: rateLimits.RateLimit & { readonly perSecond: number }, isLate: boolean): Promise<rateLimits.PermitAnswer> {
     number += 1
     const own = number
