--- a/packages/daemon/src/_lib/quarantineFacts.ts
+++ b/packages/daemon/src/_lib/quarantineFacts.ts
@@ -14,7 +14,6 @@
 const END = 'e'
 const SERVED = 's'
 const BLOCK = 'b'
-const MAXIMUM_LIFE_LENGTH = 120
 /** Calls in one fact, so that it fits into a datagram; those beyond go into another one. */
 export const MAXIMUM_CALLS = 48
 
@@ -36,7 +35,7 @@
 }
 
 function parseEnd ([life, ...calls]: readonly unknown[]): QuarantineFact | null {
-  if (typeof life !== 'string' || life.length === 0 || life.length > MAXIMUM_LIFE_LENGTH) return null
+  if (!types.isLife(life)) return null
   if (calls.length === 0 || calls.length > MAXIMUM_CALLS || !calls.every(quarantine.isFingerprint)) return null
-  return { kind: 'end', life: types.brandId<types.BackEndLife>(life), calls }
+  return { kind: 'end', life, calls }
 }
--- a/packages/daemon/src/_lib/rateLimitFacts.ts
+++ b/packages/daemon/src/_lib/rateLimitFacts.ts
@@ -5,7 +5,6 @@
 const LIMIT = 'l'
 /** Stands for a limit that has ended: no limit is zero. */
 const ENDED = 0
-const MAXIMUM_LIFE_LENGTH = 120
 
 /** Formats a limit as a list that is short in JSON. */
 export function formatFact ({ life, perSecond }: rateLimits.RateLimit): unknown[] {
@@ -25,7 +24,7 @@
  * @returns The limit, or null for one that can't be right.
  */
 export function parseFact ([, life, perSecond]: readonly unknown[], madeAt: number): rateLimits.RateLimit | null {
-  if (typeof life !== 'string' || life === '' || life.length > MAXIMUM_LIFE_LENGTH) return null
+  if (!types.isLife(life)) return null
   if (typeof perSecond !== 'number' || !Number.isFinite(perSecond) || perSecond < 0) return null
-  return { life: types.brandId<types.BackEndLife>(life), perSecond: perSecond === ENDED ? null : perSecond, heardAt: madeAt }
+  return { life, perSecond: perSecond === ENDED ? null : perSecond, heardAt: madeAt }
 }
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -7,7 +7,6 @@
 import * as testing from '@switchridge/platform-testing'
 import * as settings from '@switchridge/settings'
 import * as standins from '@switchridge/standins'
-import * as rateLimits from '@switchridge/rate-limits'
 import type * as spread from '@switchridge/spread'
 import type * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
@@ -15,6 +14,7 @@
 import * as createFleetParts from '../createFleetParts/index.js'
 import * as createRateLimiter from '../createRateLimiter/index.js'
 import * as copyParts from './copyParts.js'
+import * as createAgentPermits from './createAgentPermits.js'
 import * as engineNews from './engineNews.js'
 
 /** Size and links of the fleet. */
@@ -246,10 +246,6 @@
       return isWhole ? types.succeed({ changes: told, bytes }) : types.fail(new types.UnavailableError('no byte of the answer in time'))
     }
 
-    function createPermitServer ({ now, metrics }: createFleetParts.FleetParts): rateLimits.PermitServer {
-      return rateLimits.createPermitServer({ counter: rateLimits.createPermitCounter(now), partOf: () => 1, send: (to, bytes) => { exchange?.send(to, bytes) }, count: metrics.count, now })
-    }
-
     return {
       host,
       role,
@@ -266,7 +262,7 @@
         parts = started
         exchange = null
         const describeSelf = (isStoreLost: boolean): spread.Heartbeat => createFleetParts.describeSelf(started, { isLeaving: false, isStoreLost }, role === 'agent' ? ENGINE_NEWS : null)
-        if (role === 'gateway') limiter = createRateLimiter.createRateLimiter({ parts: started, exchange: () => exchange, describeSelf: () => describeSelf(false), random })
+        if (role === 'gateway') limiter = createRateLimiter.createRateLimiter({ parts: started, exchange: () => exchange, isLeaving: () => false, random })
         exchange = await createFleetExchange.createFleetExchange({
           parts: started,
           store: role === 'gateway' ? createStoreOf(host) : null,
@@ -275,7 +271,7 @@
           describeSelf,
           onHeartbeat: (heartbeat) => { createFleetParts.noteVersions(started, heartbeat) },
           onFact: (content, madeAt) => { if (limiter?.noteFact(content, madeAt) !== true) heard.set(content, now()) },
-          onDatagram: limiter?.receive ?? createPermitServer(started).receive,
+          onDatagram: limiter?.receive ?? createAgentPermits.createAgentPermits(started, () => exchange).receive,
           random
         })
       },
--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -3,6 +3,7 @@
 import * as quarantine from '@switchridge/quarantine'
 import * as types from '@switchridge/types'
 import * as createSharedQuarantine from '../createSharedQuarantine/index.js'
+import * as findByLife from '../_lib/findByLife.js'
 
 /** Options of {@link createCallQuarantine}. */
 export interface CallQuarantineOptions extends Omit<createSharedQuarantine.SharedQuarantineOptions, 'onToldEnd'> {
@@ -66,7 +67,7 @@
   /** Others are believed that a back end is a bad choice; that it may not be chosen at all takes an own look. */
   function noteToldEnd (life: types.BackEndLife, at: number): void {
     if (now() - at > FRESH_END_MS) return
-    const ended = options.backEnds().find(({ id, bornAt }) => types.formatLife(id, bornAt) === life)
+    const ended = findByLife.findByLife(options.backEnds(), life)
     if (ended !== undefined) book.noteFailure(ended.id)
   }
 
--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -5,15 +5,16 @@
 import * as types from '@switchridge/types'
 import type * as createFleetExchange from '../createFleetExchange/index.js'
 import type * as createFleetParts from '../createFleetParts/index.js'
+import * as findByLife from '../_lib/findByLife.js'
 import * as rateLimitFacts from '../_lib/rateLimitFacts.js'
 
 /** Options of {@link createRateLimiter}. */
 export interface RateLimiterOptions {
-  readonly parts: Pick<createFleetParts.FleetParts, 'backEnds' | 'logger' | 'metrics' | 'at' | 'now'>
+  readonly parts: Pick<createFleetParts.FleetParts, 'settings' | 'backEnds' | 'logger' | 'metrics' | 'at' | 'now'>
   /** The exchange with other daemons; null before it is open. */
   readonly exchange: () => createFleetExchange.FleetExchange | null
-  /** Describes this gateway. */
-  readonly describeSelf: () => spread.Heartbeat
+  /** Whether this gateway is about to end. */
+  readonly isLeaving: () => boolean
   /** Random number from 0 to 1. */
   readonly random: () => number
 }
@@ -45,7 +46,7 @@
   const { backEnds, logger, metrics: { count }, at, now } = options.parts
   const record = rateLimits.createRateLimitRecord({ onChange: noteChange, onUnreadable: noteUnreadable, tell: tellLimit, now })
   const counter = rateLimits.createPermitCounter(now)
-  const { host: ownHost } = options.describeSelf()
+  const { node, host: ownHost, zone } = options.parts.settings
   const client = rateLimits.createPermitClient({ ownHost, counter, findCounter, send, count, at, now, random: options.random })
   const server = rateLimits.createPermitServer({ counter, partOf, send, count, now })
 
@@ -71,11 +72,11 @@
   function listCandidates (): rateLimits.CounterCandidate[] {
     const gossip = options.exchange()?.gossip
     const others = gossip?.peers().map((peer) => ({ ...pickCandidate(peer.heartbeat), isLive: gossip.isLive(peer) })) ?? []
-    return [{ ...pickCandidate(options.describeSelf()), isLive: true }, ...others]
+    return [{ node: types.brandId(node), host: ownHost, zone, role: 'gateway', isLeaving: options.isLeaving(), isLive: true }, ...others]
   }
 
   function findCounter (life: types.BackEndLife): rateLimits.ChosenCounter | null {
-    const backEnd = backEnds().find(({ id, bornAt }) => types.formatLife(id, bornAt) === life)
+    const backEnd = findByLife.findByLife(backEnds(), life)
     return backEnd === undefined ? null : rateLimits.chooseCounter({ life, host: backEnd.address.host, zone: backEnd.zone }, listCandidates())
   }
 
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -3,7 +3,6 @@
 import type Koa from 'koa'
 import type * as gateway from '@switchridge/gateway'
 import * as platform from '@switchridge/platform'
-import * as rateLimits from '@switchridge/rate-limits'
 import * as rpc from '@switchridge/rpc'
 import type * as settings from '@switchridge/settings'
 import * as spread from '@switchridge/spread'
@@ -11,6 +10,7 @@
 import * as types from '@switchridge/types'
 import * as createFleetExchange from '../createFleetExchange/index.js'
 import * as createFleetParts from '../createFleetParts/index.js'
+import * as createAgentPermits from '../_lib/createAgentPermits.js'
 import * as fetchWhole from '../_lib/fetchWhole.js'
 import * as engineNews from '../_lib/engineNews.js'
 import * as openMetrics from '../_lib/openMetrics.js'
@@ -67,13 +67,7 @@
 
   const listener = await createFleetParts.listenInternal(parts, [sendWeights])
   let opened: createFleetExchange.FleetExchange | null = null
-  const permits = rateLimits.createPermitServer({
-    counter: rateLimits.createPermitCounter(now),
-    partOf: () => 1,
-    send: (host, bytes) => { opened?.send(host, bytes) },
-    count: metrics.count,
-    now
-  })
+  const permits = createAgentPermits.createAgentPermits(parts, () => opened)
   const exchange = await createFleetExchange.createFleetExchange({
     parts,
     store: null,
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -66,7 +66,7 @@
   const limiter = createRateLimiter.createRateLimiter({
     parts,
     exchange: () => opened,
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }),
+    isLeaving: () => isLeaving,
     random: Math.random
   })
   const exchange = await createFleetExchange.createFleetExchange({
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -112,3 +112,11 @@
   const spentBeforeMs = Math.max(0, route.timeoutMs - (head.remainingMs ?? route.timeoutMs))
   return spentBeforeMs + now - receivedAt
 }
+
+/** A call that has used so much of its target can hardly be in time any more. */
+const LATE_PART = 0.6
+
+/** Whether a call that is sent so many milliseconds after its caller's first try may still be answered in time. */
+export function mayBeInTime (spentMs: number, targetMs: number): boolean {
+  return spentMs < targetMs * LATE_PART
+}
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -8,6 +8,7 @@
 import * as createSharedTargets from '../createSharedTargets/index.js'
 import * as decideAdmission from '../decideAdmission/index.js'
 import type * as gateway from '../types/index.js'
+import * as callState from './callState.js'
 import type * as limiters from '../types/limiter.js'
 
 /** A load to play. */
@@ -92,8 +93,6 @@
 const SERVICE = types.brandId<types.ServiceName>('llm')
 const SEED = 7
 const LIMIT_WINDOW_MS = 4000
-/** As in the attempts of a gateway. */
-const LATE_PART = 0.6
 const LATE_RETURN_MS = 1000
 
 interface Call {
@@ -269,8 +268,8 @@
   function takeAt (from: SimulatedGateway, call: Call): void {
     const { choice, takenPart, limitedMs } = choose(from, call, new Set())
     const spentMs = timeline.now() - call.askedAt
-    const isLate = spentMs > call.kind.targetMs * LATE_PART
-    if (choice === null) return refuse(call, spentMs + limitedMs < call.kind.targetMs * LATE_PART ? limitedMs : LATE_RETURN_MS * (1 + random()))
+    const isLate = !callState.mayBeInTime(spentMs, call.kind.targetMs)
+    if (choice === null) return refuse(call, callState.mayBeInTime(spentMs + limitedMs, call.kind.targetMs) ? limitedMs : LATE_RETURN_MS * (1 + random()))
     const admission = decideAdmission.decideAdmission({
       firstEventMs: choice.evenedFirstEventMs,
       waitingBefore: choice.waitingBefore,
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -22,8 +22,6 @@
 const MAXIMUM_UNSENT = 4
 /** A call that was refused so many permits goes to a back end without a limit, or comes back: each one cost it a round trip. */
 const MAXIMUM_PERMITS_REFUSED = 2
-/** A call that has used so much of its target can hardly be in time any more. */
-const LATE_PART = 0.6
 /** Callers that wait for permits of one back end come back one after the other. */
 const LIMITED_SPREAD_PART = 0.5
 const LIMITED_RETRY_MINIMUM_MS = 60
@@ -93,7 +91,7 @@
           return giveUp()
         }
       }
-      if (options.limiter.readRoom(choice.backEnd, isLate) !== null) {
+      if (choice.isLimited) {
         const permit = await options.limiter.acquire(choice.backEnd, isLate)
         if (call.hasLeft()) return 'left'
         if (call.isExpired()) {
@@ -136,7 +134,7 @@
   }
 
   function mayBeInTime (laterMs: number): boolean {
-    return callState.readSpentMs(call, options.now()) + laterMs < call.route.targetMs * LATE_PART
+    return callState.mayBeInTime(callState.readSpentMs(call, options.now()) + laterMs, call.route.targetMs)
   }
 
   function mayGoOn (outcome: runAttempt.AttemptOutcome): boolean {
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -41,6 +41,8 @@
   /** The same with half of what the prompt exceeds the usual one by. */
   readonly evenedFirstEventMs: number
   readonly waitingBefore: number
+  /** Whether it names a limit, so that a permit has to be asked for. */
+  readonly isLimited: boolean
   /** Version that the back end is asked to check; null for none. */
   readonly expectedVersion: number | null
   /** Monotonic time in milliseconds by which the call must have begun there; Infinity for no such time. */
@@ -165,7 +167,7 @@
   const isOldRefused = input.lastSendTo(0) <= input.now
   const expectedVersion = isOldRefused || input.pinnedVersion !== null ? version : null
   const beginsBy = version === null ? Infinity : input.lastSendTo(version) + graceMs
-  return { backEnd, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty, taken: countTaken(load, input) }
+  return { backEnd, isLimited: room !== null, expectedVersion, beginsBy, ...predicted, score: predicted.firstEventMs + penalty, taken: countTaken(load, input) }
 }
 
 /**
--- a/packages/rate-limits/src/_lib/permitWire.ts
+++ b/packages/rate-limits/src/_lib/permitWire.ts
@@ -22,7 +22,6 @@
 
 const ASK_PREFIX = '["p",'
 const REPLY_PREFIX = '["g",'
-const MAXIMUM_LIFE_LENGTH = 120
 
 /** Whether a datagram is an ask. */
 export function isAsk (bytes: Buffer): boolean {
@@ -47,9 +46,9 @@
 /** Decodes an ask; null for one that can't be read. */
 export function decodeAsk (bytes: Buffer): PermitAsk | null {
   const [, number, life, perSecond, ageMs, late] = parseList(bytes)
-  if (!isCount(number) || typeof life !== 'string' || life === '' || life.length > MAXIMUM_LIFE_LENGTH) return null
+  if (!isCount(number) || !types.isLife(life)) return null
   if (!isCount(perSecond) || perSecond === 0 || !isCount(ageMs)) return null
-  return { number, life: types.brandId<types.BackEndLife>(life), perSecond, ageMs, isLate: late === 1 }
+  return { number, life, perSecond, ageMs, isLate: late === 1 }
 }
 
 /** Decodes an answer; null for one that can't be read. */
--- a/packages/types/src/ids/index.ts
+++ b/packages/types/src/ids/index.ts
@@ -38,6 +38,14 @@
   return brandId<BackEndLife>(bornAt === null ? id : `${id}/${bornAt}`)
 }
 
+/** Longest name of a life that another daemon may tell. */
+const MAXIMUM_LIFE_LENGTH = 120
+
+/** Whether what another daemon told may name the life of a back end. */
+export function isLife (value: unknown): value is BackEndLife {
+  return typeof value === 'string' && value.length > 0 && value.length <= MAXIMUM_LIFE_LENGTH
+}
+
 /**
  * Brands a string.
  *
