Do not take a pause of the own process for silence of others

In a fleet of processes entry nodes refused so 9 and 18 ms after they had been stopped for 6 s.

Cause: a process that does not run for longer than the silence limit (3.2 s) reads the heartbeats that came meanwhile after its timers. The first timer to run ends the heartbeat under way, and the refresh behind it finds everybody silent. The call is one that the draining server had refused and that is sent again.

Change: createLivenessClock excludes the time in which the process did not run, and one heartbeat interval after it; the view of members judges silence by it.

--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -32,6 +32,8 @@
   readonly incarnation: types.IncarnationId
   /** Steady clock in milliseconds, which includes the time in which the machine was suspended. */
   readonly now: () => number
+  /** Clock for judging the silence of other daemons; it excludes the time in which this process did not run. */
+  readonly liveness: clock.LivenessClock
   /** Runs an action at a time of the clock. */
   readonly at: clock.ScheduleAt
   readonly random: () => number
@@ -44,22 +46,29 @@
  * Creates the parts.
  *
  * @param checked - The validated settings.
+ * @param clocks - Clocks of the machine.
  * @returns The parts; nothing is opened or sent yet.
  * @throws If a TLS file that the settings name cannot be read.
  */
-export function createCommonParts (checked: settings.Settings): CommonParts {
+export function createCommonParts (checked: settings.Settings, clocks: clock.MachineClocks = clock.SYSTEM_CLOCKS): CommonParts {
   const logger = observability.createLogger('daemon', { node: checked.node, hall: checked.data_hall }, { level: checked.logs.level })
   const tls = readTls(checked)
   const agents = rpc.createHttpAgents(tls)
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
-  const steadyClock = clock.createSteadyClock()
+  const steadyClock = clock.createSteadyClock(clocks)
   const { now } = steadyClock
   steadyClock.onSuspension(({ lostMs }) => { logger.warn('suspended', { lostMs: Math.round(lostMs) }) })
   const platformCalls: Record<string, number> = {}
   const traffic: rpc.TrafficCounters = { exchanges: 0, bytes: 0 }
-  const view: membership.MemberView = membership.createMemberView({
+  const countHallMembers = (): number => view.members().filter(({ facts }) => facts.dataHall === checked.data_hall).length
+  const liveness = clock.createLivenessClock({
     now,
-    computeSilenceLimitMs: () => membership.computeSilenceLimitMs(view.members().filter(({ facts }) => facts.dataHall === checked.data_hall).length)
+    readRecoveryMs: () => membership.computeHeartbeatInterval(countHallMembers()),
+    onPause: (pausedMs) => { logger.warn('paused', { pausedMs: Math.round(pausedMs) }) }
+  })
+  const view: membership.MemberView = membership.createMemberView({
+    now: liveness.now,
+    computeSilenceLimitMs: () => membership.computeSilenceLimitMs(countHallMembers())
   })
   const keeper = createTableKeeper.createTableKeeper(logger)
   keeper.onAdopt((table) => {
@@ -90,6 +99,7 @@
     platformCalls,
     incarnation: createIncarnation(),
     now,
+    liveness,
     at: clock.createDeadlineScheduler(steadyClock),
     random: Math.random
   }
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -193,6 +193,7 @@
       listener.abort()
       parts.agents.destroy()
       parts.metrics.close()
+      parts.liveness.stop()
     }
   }
 }
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -15,6 +15,7 @@
 import * as createTableWatch from '../createTableWatch/index.js'
 import * as describeStatus from '../describeStatus/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
+import * as backendMembers from '../_lib/backendMembers.js'
 import * as createDrillMethods from '../_lib/createDrillMethods.js'
 import * as schemas from '../_lib/schemas.js'
 import type * as startDaemon from '../startDaemon/index.js'
@@ -48,17 +49,11 @@
   const health = routing.createBackendHealth(parts.now)
   let isLeaving = false
 
-  const listBackends = (service: types.ServiceName, row: string): types.MemberFacts[] => view.members()
-    .filter((member) => member.facts.role === 'backend' && member.facts.service === service)
-    .filter((member) => member.condition === 'live' && !member.leaving)
-    .filter((member) => row === '' || member.facts.serving.some((served) => served.row === row))
-    .map((member) => member.facts)
-
   const dispatcher = createDispatcher.createDispatcher({
     loads,
     health,
     pick: PICK_POLICIES[settings.experiments.pick_backend] ?? routing.pickLateBinding,
-    listBackends,
+    listBackends: (service, row) => backendMembers.listBackends(view.members(), service, row),
     findService: (service) => keeper.current().services.find((row) => row.id === service),
     dataHall: self.read().dataHall,
     random: parts.random
@@ -189,6 +184,7 @@
       listener.abort()
       parts.agents.destroy()
       parts.metrics.close()
+      parts.liveness.stop()
     }
   }
 }
