Let calls wait for backend servers that became silent a moment ago

Callers saw: an entry node that stopped hearing all backend servers of a service for a moment, without being paused itself, refused every call as no-backend, though the servers answered again before the callers' deadlines.

Cause: the dispatcher takes an empty list of live servers for the end of the service. A server that was silent for 3.2 s may only have been unreachable.

Change: members say whether they were silent for less than another silence limit. Calls wait while such a server could take them and no other can; afterwards they are refused at once, as before, and a service without any known server is refused at once. The queue keeps its places meanwhile.

--- a/packages/daemon/src/_lib/backendMembers.ts
+++ b/packages/daemon/src/_lib/backendMembers.ts
@@ -18,3 +18,15 @@
 export function listBackends (members: readonly membership.Member[], service: types.ServiceName, row: string): types.MemberFacts[] {
   return members.filter((member) => member.condition === 'live' && canServe(member, service, row)).map((member) => member.facts)
 }
+
+/**
+ * Whether a backend server that became silent a moment ago could take calls once it is heard again.
+ *
+ * @param members - All known members.
+ * @param service - Service of the calls.
+ * @param row - Row of the model; empty for a plain service.
+ * @returns True if there is one.
+ */
+export function isRecoveryPossible (members: readonly membership.Member[], service: types.ServiceName, row: string): boolean {
+  return members.some((member) => member.recentlySilent && canServe(member, service, row))
+}
--- a/packages/daemon/src/createDispatcher/index.ts
+++ b/packages/daemon/src/createDispatcher/index.ts
@@ -9,6 +9,8 @@
   readonly pick: routing.PickBackend
   /** Returns the backend servers that can currently take calls of the service and row; the row is empty for a plain service. */
   readonly listBackends: (service: types.ServiceName, row: string) => readonly types.MemberFacts[]
+  /** Whether a backend server for such calls became silent a moment ago, so that calls wait for it while no other can take them. */
+  readonly isRecoveryPossible: (service: types.ServiceName, row: string) => boolean
   readonly findService: (service: types.ServiceName) => types.ServiceRow | undefined
   /** Backend servers in this data hall are preferred while they have free slots. */
   readonly dataHall: types.DataHallId
@@ -80,9 +82,11 @@
   function findQueue (request: DispatchRequest): routing.FairQueue<QueuedRequest> {
     const key = `${request.service}/${request.row}`
     const existing = queues.get(key)
-    const capacity = computeCapacity(request)
+    const backends = options.listBackends(request.service, request.row).length
+    const capacity = computeCapacity(request, backends)
     if (existing !== undefined) {
-      existing.setCapacity(capacity)
+      // Calls that wait for silent servers keep the places that these servers gave them.
+      if (backends > 0) existing.setCapacity(capacity)
       return existing
     }
     const queue = routing.createFairQueue<QueuedRequest>(capacity)
@@ -90,16 +94,17 @@
     return queue
   }
 
-  function computeCapacity (request: DispatchRequest): number {
+  function computeCapacity (request: DispatchRequest, backends: number): number {
     const concurrency = options.findService(request.service)?.concurrency ?? 0
-    return Math.max(MINIMUM_QUEUE_CAPACITY, QUEUE_CAPACITY_PER_SLOT * concurrency * options.listBackends(request.service, request.row).length)
+    return Math.max(MINIMUM_QUEUE_CAPACITY, QUEUE_CAPACITY_PER_SLOT * concurrency * backends)
   }
 
   /** Returns a server, null when the call has to wait, or an error when there is no server to wait for. */
   function choose (request: DispatchRequest): types.MemberFacts | null | routing.NotRunError {
     const service = options.findService(request.service)
     const backends = options.listBackends(request.service, request.row)
-    if (service === undefined || backends.length === 0) return new routing.NotRunError('no-backend')
+    if (service === undefined) return new routing.NotRunError('no-backend')
+    if (backends.length === 0) return options.isRecoveryPossible(request.service, request.row) ? null : new routing.NotRunError('no-backend')
     const usable = backends.filter((facts) => options.health.isUsable(facts.node))
     const untried = usable.filter((facts) => !request.tried.has(facts.node))
     const eligible = untried.length > 0 ? untried : usable
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -54,6 +54,7 @@
     health,
     pick: PICK_POLICIES[settings.experiments.pick_backend] ?? routing.pickLateBinding,
     listBackends: (service, row) => backendMembers.listBackends(view.members(), service, row),
+    isRecoveryPossible: (service, row) => backendMembers.isRecoveryPossible(view.members(), service, row),
     findService: (service) => keeper.current().services.find((row) => row.id === service),
     dataHall: self.read().dataHall,
     random: parts.random
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -147,6 +147,7 @@
     health,
     pick: routing.pickLateBinding,
     listBackends: () => backends.map((backend) => backend.facts),
+    isRecoveryPossible: () => false,
     findService: () => TABLE.services[0],
     dataHall: types.brandId<types.DataHallId>('hall'),
     random: Math.random
--- a/packages/measure/src/runCapacity/index.ts
+++ b/packages/measure/src/runCapacity/index.ts
@@ -136,7 +136,7 @@
 
 function makeMember (node: string, role: types.MemberRole, hall: number): membership.Member {
   const facts = { node, role, dataHall: `hall-${hall}`, state: 'live' } as unknown as types.MemberFacts
-  return { facts, condition: 'live', leaving: false }
+  return { facts, condition: 'live', leaving: false, recentlySilent: false }
 }
 
 function writePage (page: string, rows: readonly CapacityRow[], fits: Readonly<Record<string, Fit>>): void {
--- a/packages/membership/src/computeReportTargets/test.ts
+++ b/packages/membership/src/computeReportTargets/test.ts
@@ -6,7 +6,7 @@
 
 function makeMember (node: string, role: types.MemberRole, hall: string, condition: createMemberView.MemberCondition = 'live'): createMemberView.Member {
   const facts = { node, role, dataHall: hall, state: 'live' } as unknown as types.MemberFacts
-  return { facts, condition, leaving: false }
+  return { facts, condition, leaving: false, recentlySilent: false }
 }
 
 function makeFleet (halls: number, entryNodes: number, backends: number): createMemberView.Member[] {
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -10,6 +10,8 @@
   readonly condition: MemberCondition
   /** The member finishes its running work and gets no new work. */
   readonly leaving: boolean
+  /** Silent for less than another silence limit, so that it may only have been unreachable for a moment. */
+  readonly recentlySilent: boolean
 }
 
 /** What one daemon reports about another one. */
@@ -198,7 +200,9 @@
 
   function toMember (entry: Entry): Member {
     const { node, state } = entry.facts
-    return { facts: entry.facts, condition: entry.condition, leaving: state === 'leaving' || listedLeaving.has(node) || entry.relayedLeaving || tableLeaving.has(node) }
+    const leaving = state === 'leaving' || listedLeaving.has(node) || entry.relayedLeaving || tableLeaving.has(node)
+    const recentlySilent = entry.condition === 'silent' && options.now() - (entry.silentSince ?? options.now()) < silenceLimitMs
+    return { facts: entry.facts, condition: entry.condition, leaving, recentlySilent }
   }
 
   function changesSince (since: number, scope: ClaimScope): ClaimChanges {
--- a/packages/placement/src/computePlacement/test.ts
+++ b/packages/placement/src/computePlacement/test.ts
@@ -22,7 +22,7 @@
     waitingFor: '',
     revision: 1
   }
-  return { facts, condition: 'live', leaving: false, ...overrides }
+  return { facts, condition: 'live', leaving: false, recentlySilent: false, ...overrides }
 }
 
 function makeRow (id: string, overrides: Partial<types.ModelRow> = {}): types.ModelRow {
