Report a call that reached no connection to its daemon as not run

Callers saw: a reservation ended as unknown (daemon-unreachable: connect ECONNREFUSED) while a backend server restarted, though another one of its service served.

Cause: after any failed request an entry node asks the backend daemon what became of the ticket. A daemon that does not listen can't answer, and the call counts as possibly run, although no byte of it was sent.

Change: a request that failed while connecting is known not to have run, so that the call is sent elsewhere. The error of a request says so by the system call that failed, in place of a list of codes, one of which (EHOSTUNREACH) may also end an open connection; calls of backend daemons to their back ends use the same.

sendAttempt/test: unknown before, not run now; a connection that breaks after the call was sent stays unknown.

--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -47,7 +47,6 @@
 }
 
 const CALL_PREFIX = '/calls'
-const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND'])
 const VERSION_NOT_LOADED = 409
 
 /**
@@ -144,9 +143,9 @@
     })
   }
 
-  /** A refused connection proves that the call did not run; after any other failure it may have run. */
-  function answerFailure (context: Koa.Context, ticket: types.TicketId, error: Error & { readonly code?: string }): void {
-    if (CONNECT_ERRORS.has(error.code ?? '')) {
+  /** Without a connection the call did not run; after any other failure it may have run. */
+  function answerFailure (context: Koa.Context, ticket: types.TicketId, error: Error & { readonly wasConnecting?: boolean }): void {
+    if (error.wasConnecting === true) {
       tickets.refuse(ticket)
       refuse(context, 'back-end-unreachable')
       return
--- a/packages/daemon/src/sendAttempt/index.ts
+++ b/packages/daemon/src/sendAttempt/index.ts
@@ -82,6 +82,7 @@
     signal: options.signal
   })
   if (opened.ok) return readOutcome(opened.value)
+  if (opened.error.wasConnecting) return { kind: 'not-run', reason: 'daemon-not-connected', load: undefined }
   return await resolveTicket(ticket, backend, options, opened.error)
 }
 
--- a/packages/rpc/src/openRequest/index.ts
+++ b/packages/rpc/src/openRequest/index.ts
@@ -31,14 +31,20 @@
   readonly closeAfterResponse?: boolean
 }
 
+/** System calls whose errors say that no connection was made. */
+const CONNECTING_SYSCALLS = new Set(['connect', 'getaddrinfo'])
+
 /** The request failed, or its response broke off or exceeded the size limit. */
 export class RequestError extends types.UnavailableError {
   /** Error code of the system, such as ECONNREFUSED; empty when there is none. */
   readonly code: string
+  /** Whether there was no connection yet, so that nothing of the request was sent. */
+  readonly wasConnecting: boolean
 
   constructor (error: NodeJS.ErrnoException) {
     super(error.message)
     this.code = error.code ?? ''
+    this.wasConnecting = CONNECTING_SYSCALLS.has(error.syscall ?? '')
   }
 }
 
