Let a draining entry node become idle while callers go on using their connections

Cause: a draining entry node kept callers' connections open and answered what came over them. Callers that use a connection without a break kept it from ever being idle, until its time for draining ended or it was killed, and what ran then was cut.

Change: while it is leaving, each answer ends its connection, and connections that become idle after the listener was closed are closed, too.

--- /dev/null
+++ b/packages/daemon/src/_lib/plainHall.ts
@@ -0,0 +1,66 @@
+/** A data hall with a plain service for tests: daemons of this process, and a stand-in for the platform. */
+import * as assert from 'node:assert/strict'
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import type * as nodeTest from 'node:test'
+import * as store from '@switchridge/store'
+import * as rpc from '@switchridge/rpc'
+import * as settings from '@switchridge/settings'
+import * as standins from '@switchridge/standins'
+import * as tables from '@switchridge/table'
+import * as types from '@switchridge/types'
+import * as startDaemon from '../startDaemon/index.js'
+
+/** A hall in which daemons can be started. */
+export interface PlainHall {
+  readonly startEntry: () => Promise<startDaemon.RunningRole>
+  /** Starts the daemon of a backend server that reports to an entry node. */
+  readonly startBackend: (entry: startDaemon.RunningRole) => Promise<startDaemon.RunningRole>
+  /** Adds the service `api` to the table; its calls may not be repeated. */
+  readonly addService: () => Promise<void>
+}
+
+const HOST = types.LOOPBACK_HOST
+const STORE_TIMEOUT_MS = 2000
+
+/**
+ * Opens a hall without daemons; all that is started in it ends with the test.
+ *
+ * @param context - Context of the test.
+ * @param serve - Handles the requests of the back end.
+ * @returns The hall.
+ */
+export async function openPlainHall (context: nodeTest.TestContext, serve: http.RequestListener): Promise<PlainHall> {
+  const platform = await rpc.listenHttp(standins.createPlatformStandIn().callback(), { host: HOST, port: 0 })
+  const platformUrl = `http://${HOST}:${platform.address.port}`
+  const service = http.createServer(serve)
+  await new Promise<void>((resolve) => { service.listen(0, HOST, resolve) })
+  const serviceUrl = `http://${HOST}:${(service.address() as net.AddressInfo).port}`
+  const agents = rpc.createHttpAgents()
+  const roles: startDaemon.RunningRole[] = []
+  context.after(() => {
+    for (const role of roles) role.stop()
+    agents.destroy()
+    platform.abort()
+    service.close()
+    service.closeAllConnections()
+  })
+
+  async function start (text: string): Promise<startDaemon.RunningRole> {
+    const parsed = settings.parseSettings(`deployment = "test"\ndata_hall = "hall"\nregion = "region"\n${text}\n[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n[logs]\nlevel = "silent"\n`, 'test')
+    assert.ok(parsed.ok, parsed.ok ? '' : parsed.error.message)
+    const role = await startDaemon.startDaemon(parsed.value)
+    roles.push(role)
+    return role
+  }
+
+  return {
+    startEntry: async () => await start(`role = "entry"\nnode = "entry-${roles.length}"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`),
+    startBackend: async (entry) => await start(`role = "backend"\nnode = "backend-${roles.length}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = 0\n[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"`),
+    addService: async () => {
+      const objectStore = store.createObjectStore({ url: platformUrl, timeoutMs: STORE_TIMEOUT_MS, agents })
+      const changes = Object.entries({ id: 'api', kind: 'plain', repeatable: 'none' }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
+      assert.ok((await tables.editTable(objectStore, { editId: types.brandId('edit'), editor: 'test', changes }, { attempts: 2 })).ok)
+    }
+  }
+}
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -129,10 +129,17 @@
 
   const callerApp = new Koa()
   callerApp.on('error', () => {})
+  callerApp.use(closeWhileLeaving)
   callerApp.use(answerHealth)
   callerApp.use(calls.middleware)
   const callerListener = await rpc.listenHttp(callerApp.callback(), { host: settings.listen.host, port: settings.listen.caller_port ?? 0 })
 
+  /** Ends callers' connections with their next answer, so that a draining entry node becomes idle while its callers go on. */
+  async function closeWhileLeaving (context: Koa.Context, next: Koa.Next): Promise<void> {
+    if (isLeaving) context.set('connection', 'close')
+    await next()
+  }
+
   /** Health check for the platform's load balancer: whether this entry node can serve callers, and if not, why. */
   async function answerHealth (context: Koa.Context, next: Koa.Next): Promise<void> {
     if (context.path !== '/health') {
@@ -152,6 +159,10 @@
     return hasBackend ? '' : 'no live backend server'
   }
 
+  async function waitForCalls (): Promise<void> {
+    while (calls.inProgress() > 0) await types.delay(DRAIN_POLL_MS)
+  }
+
   keeper.onAdopt(() => {
     heartbeats.pushRevision()
     void heartbeats.sendNow()
@@ -171,8 +182,9 @@
       await heartbeats.sendNow()
       await types.delay(BALANCER_GRACE_MS)
       const closed = callerListener.close()
-      while (calls.inProgress() > 0) await types.delay(DRAIN_POLL_MS)
+      await waitForCalls()
       await Promise.race([closed, types.delay(BALANCER_GRACE_MS)])
+      await waitForCalls()
     },
     stop: () => {
       clearInterval(dispatchTimer)
--- a/packages/rpc/src/listenHttp/index.ts
+++ b/packages/rpc/src/listenHttp/index.ts
@@ -27,6 +27,7 @@
 
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024
 const KEEP_ALIVE_MS = 30_000
+const CLOSE_IDLE_INTERVAL_MS = 50
 
 /**
  * Starts a server.
@@ -62,9 +63,9 @@
   return https.createServer({ maxHeaderSize, cert: certificate, key: privateKey, ca: authority, requestCert: true, rejectUnauthorized: true }, handler)
 }
 
+/** Connections that become idle later, after their last response, are closed as well. */
 async function closeServer (server: http.Server | https.Server): Promise<void> {
-  await new Promise<void>((resolve) => {
-    server.close(() => { resolve() })
-    server.closeIdleConnections()
-  })
+  const timer = setInterval(() => { server.closeIdleConnections() }, CLOSE_IDLE_INTERVAL_MS)
+  await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
+  clearInterval(timer)
 }
