Keep hearing backend servers while the other entry nodes of a hall are paused or restart

Cause, in three places. Backend servers report only to live entry nodes that are not leaving, so that an entry node which drains, or is back before any hub says so, hears nobody while the only hub is paused. Each round of heartbeats waits for the answers of the last one, so that an unresponsive entry node doubles the interval to all others. And an entry node that has just started refuses calls for a service whose servers haven't reported yet, though it is healthy as soon as one of any service has.

Change: where a daemon has fewer than two hubs it reports to the other entry nodes of its hall, too, unless they are gone; rounds begin without waiting; calls wait for the first reports until an entry node has run for one silence limit.

--- a/packages/daemon/src/createHeartbeats/index.ts
+++ b/packages/daemon/src/createHeartbeats/index.ts
@@ -72,13 +72,15 @@
   let rounds = 0
 
   function start (): void {
-    void sendNow().finally(schedule)
+    void sendNow()
+    schedule()
   }
 
+  /** Does not wait for the answers of the previous round: an unresponsive daemon would delay the heartbeats to all others. */
   function schedule (): void {
     if (isStopped) return
     const waitMs = membership.computeHeartbeatInterval(countHallMembers()) * (1 - JITTER / 2 + JITTER * options.random())
-    timer = setTimeout(() => { void sendNow().finally(schedule) }, waitMs)
+    timer = setTimeout(start, waitMs)
   }
 
   function countHallMembers (): number {
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -47,14 +47,18 @@
   const listener = await rpc.listenHttp(controlApp.callback(), { ...settings.listen, ...(parts.tls === undefined ? {} : { tls: parts.tls }) })
   const self = createCommonParts.createInitialFacts(parts, listener.address)
   const health = routing.createBackendHealth(parts.now)
+  const startedAt = parts.liveness.now()
   let isLeaving = false
 
+  /** Backend servers report once an interval, so that an entry node that has just started may not have heard all of them. */
+  const isStarting = (): boolean => parts.liveness.now() - startedAt < types.HEARTBEAT_TIMEOUT_MS
+
   const dispatcher = createDispatcher.createDispatcher({
     loads,
     health,
     pick: PICK_POLICIES[settings.experiments.pick_backend] ?? routing.pickLateBinding,
     listBackends: (service, row) => backendMembers.listBackends(view.members(), service, row),
-    isRecoveryPossible: (service, row) => backendMembers.isRecoveryPossible(view.members(), service, row),
+    isRecoveryPossible: (service, row) => isStarting() || backendMembers.isRecoveryPossible(view.members(), service, row),
     findService: (service) => keeper.current().services.find((row) => row.id === service),
     dataHall: self.read().dataHall,
     random: parts.random
--- a/packages/membership/src/computeReportTargets/index.ts
+++ b/packages/membership/src/computeReportTargets/index.ts
@@ -43,17 +43,24 @@
  *
  * @param self - The daemon.
  * @param members - All known members.
- * @returns Up to two hubs of the daemon's own hall; for a hub, all other hubs of its hall and one hub of every other hall.
+ * @returns Up to two hubs of the daemon's own hall, or other entry nodes there if it has fewer; for a hub, all other hubs of its hall and one hub of every other hall.
  */
 export function computeReportTargets (self: types.MemberFacts, members: readonly createMemberView.Member[]): types.MemberFacts[] {
   const hubs = computeHubs(self.dataHall, members)
   const others = hubs.filter((hub) => hub.node !== self.node)
-  if (others.length === hubs.length) return rendezvous.rankByRendezvous(self.node, others, getNode).slice(0, HUBS_PER_DAEMON)
+  if (others.length === hubs.length) return [...rendezvous.rankByRendezvous(self.node, others, getNode), ...listStandbys(self, others, members)].slice(0, HUBS_PER_DAEMON)
   const halls = new Set(members.map((member) => member.facts.dataHall).filter((hall) => hall !== self.dataHall))
   const remote = [...halls].map((hall) => rendezvous.pickByRendezvous(self.node, computeHubs(hall, members), getNode))
   return [...others, ...remote.filter((hub) => hub !== undefined)]
 }
 
+/** Lists the other entry nodes of the own hall: one that is leaving still serves its callers, and a silent one may be back before any hub knows. */
+function listStandbys (self: types.MemberFacts, hubs: readonly types.MemberFacts[], members: readonly createMemberView.Member[]): types.MemberFacts[] {
+  const entryNodes = members.filter(({ facts, condition }) => facts.role === 'entry' && facts.dataHall === self.dataHall && condition !== 'gone').map(({ facts }) => facts)
+  const standbys = entryNodes.filter(({ node }) => node !== self.node && !hubs.some((hub) => hub.node === node))
+  return rendezvous.rankByRendezvous(self.node, standbys, getNode)
+}
+
 /** The heartbeat interval grows with the hall by this many milliseconds for each member, so that the traffic of a hub stays bounded. */
 const INTERVAL_PER_MEMBER_MS = 40
 const MAXIMUM_INTERVAL_MS = 8000
--- a/packages/membership/src/computeReportTargets/test.ts
+++ b/packages/membership/src/computeReportTargets/test.ts
@@ -47,6 +47,15 @@
     assert.deepEqual(computeReportTargets.computeReportTargets(fleet[0]!.facts, fleet).map((facts) => facts.node), ['e2'])
   })
 
+  test.it('reports to an entry node that is leaving or silent, too, where only one is live', () => {
+    const backend = makeMember('b1', 'backend', 'a')
+    const targetsBeside = (other: createMemberView.Member): string[] => computeReportTargets.computeReportTargets(backend.facts, [backend, makeMember('e1', 'entry', 'a'), other]).map((facts) => facts.node)
+    const leaving = makeMember('e2', 'entry', 'a')
+    assert.deepEqual(targetsBeside({ ...leaving, facts: { ...leaving.facts, state: 'leaving' }, leaving: true }), ['e1', 'e2'])
+    assert.deepEqual(targetsBeside(makeMember('e2', 'entry', 'a', 'silent')), ['e1', 'e2'])
+    assert.deepEqual(targetsBeside(makeMember('e2', 'entry', 'a', 'gone')), ['e1'])
+  })
+
   test.it('lengthens the interval in a large hall', () => {
     assert.equal(computeReportTargets.computeHeartbeatInterval(12), types.HEARTBEAT_INTERVAL_MS)
     assert.ok(computeReportTargets.computeHeartbeatInterval(183) > 2000)
