Have few pieces under way while calls to an old version must soon have begun

Cause: an agent on a good link asks up to twelve peers at a time. When the link becomes narrow, all that was asked by then still comes, 2 s of queue at 0.9 Mbit/s. Gateways send to idle engines until 0.9 s before the bound.

--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -32,6 +32,10 @@
   readonly outage?: { readonly fromMs: number, readonly untilMs: number }
   /** From this many milliseconds after the naming, negative for before it, the links of the first agents have this rate. */
   readonly narrowing?: { readonly agents: number, readonly atMs: number, readonly bytesPerMs: number }
+  /** Milliseconds between calls over each narrowed link; {@link CALL_INTERVAL_MS} if absent. */
+  readonly callIntervalMs?: number
+  /** Whether the engines hold an older version, which serves until the deadline of the new one. */
+  readonly areServing?: boolean
   readonly maximumMs?: number
 }
 
@@ -101,9 +105,9 @@
 const REQUEST_BYTES = 400
 const HEAD_BYTES = 200
 const HEARTBEAT_BYTES = 300
-/** Size of the request that a caller's gateway sends to an engine, and the interval between requests. */
+/** Size of the request that a caller's gateway sends to an engine, and the usual interval between requests. */
 const CALL_BYTES = 1400
-const CALL_EVERY_MS = 200
+const CALL_INTERVAL_MS = 200
 /** Rate of a gateway's link, which is never saturated. */
 const GATEWAY_BYTES_PER_MS = 125_000
 const NEAR_MS = 1
@@ -114,7 +118,7 @@
 const SUSPECT_MS = 6000
 const SILENCE_MS = 2500
 const ZONES_EXPECTED_MS = 3000
-const DEADLINE_MS = 8000
+export const DEADLINE_MS = 8000
 export const POWER_LOSS_MS = 1500
 const SLOW_LINK_FRACTION = 0.1
 const MAXIMUM_MS = 20_000
@@ -235,7 +239,7 @@
     const known = new Map<string, KnownPeer>()
     const suspectUntil = new Map<types.NodeId, number>()
     let draws = 0
-    let held = 0
+    let held = options.areServing === true ? ID.version - 1 : 0
     const stage = new Map<number, Buffer>()
 
     const listSuspects = (): string[] => [...suspectUntil].filter(([, until]) => until > now()).map(([node]) => node)
@@ -350,7 +354,7 @@
     const narrow = (): void => { for (const name of narrowed) network.setBandwidth(name, bytesPerMs) }
     if (atMs <= 0) narrow()
     else setTimeout(narrow, atMs)
-    const timer = setInterval(() => { for (const index of narrowed.keys()) void sendCall(index) }, CALL_EVERY_MS)
+    const timer = setInterval(() => { for (const index of narrowed.keys()) void sendCall(index) }, options.callIntervalMs ?? CALL_INTERVAL_MS)
     stops.push(() => { clearInterval(timer) })
   }
 
--- a/packages/staging/src/createReceiveWindow/index.ts
+++ b/packages/staging/src/createReceiveWindow/index.ts
@@ -6,6 +6,8 @@
   readonly pieceBytes: number
   /** Nominal rate of the link. */
   readonly linkBytesPerSecond: number
+  /** Returns the largest number of concurrent requests, whatever the link carries; not limited by default. */
+  readonly maximumRequests?: () => number
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
 }
@@ -49,7 +51,7 @@
  * @param options - The link and the clock.
  * @returns The window, without requests.
  */
-export function createReceiveWindow ({ pieceBytes, linkBytesPerSecond, now }: ReceiveWindowOptions): ReceiveWindow {
+export function createReceiveWindow ({ pieceBytes, linkBytesPerSecond, maximumRequests = () => Infinity, now }: ReceiveWindowOptions): ReceiveWindow {
   const nominalRate = linkBytesPerSecond / types.MILLISECONDS_IN_SECOND
   /** Samples in bytes per millisecond, the newest one last. */
   const rates: number[] = []
@@ -91,7 +93,7 @@
   }
 
   return {
-    hasRoom: () => requested < computeWindowSize(),
+    hasRoom: () => requested < Math.min(computeWindowSize(), maximumRequests()),
     isBounded,
     queueMs: () => {
       const rate = readMeasuredRate()
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -61,6 +61,11 @@
 const ORIGIN_FALLBACK_LEAD_MS = 2400
 /** Time between writing the stage and the engine's turn. */
 const STAGE_LEAD_MS = 500
+/** Before the deadline of a newer version, requests are limited from this lead on, which is longer than unlimited requests take to arrive over a slow link. */
+const CAREFUL_LEAD_MS = 3500
+/** After this lead no calls are sent to the older version any more. */
+const LAST_CALL_LEAD_MS = 800
+const CAREFUL_REQUESTS = 4
 /** A stage that was verified longer ago than this is verified again before the order. */
 const VERIFICATION_VALID_MS = 1500
 
@@ -72,7 +77,7 @@
  */
 export function createStager (options: StagerOptions): Stager {
   const store = createPieceStore.createPieceStore()
-  const window = createReceiveWindow.createReceiveWindow(options)
+  const window = createReceiveWindow.createReceiveWindow({ ...options, maximumRequests })
   const manifests = createManifestReader.createManifestReader({ ...options, store })
   let active: ActiveFetch | null = null
   /** Fetch of the newest version while an older one is still being fetched. */
@@ -105,6 +110,16 @@
     return store.find({ model: options.model, version })
   }
 
+  /**
+   * Limits the requests while a call may be sent to an engine whose version must soon not begin any more: if the link becomes slow, pieces that were
+   * requested before delay the call beyond that.
+   */
+  function maximumRequests (): number {
+    const next = held === 0 ? undefined : options.named().find((each) => each.id.version > held)
+    const leftMs = next === undefined ? Infinity : next.deadlineAt - options.now()
+    return leftMs <= CAREFUL_LEAD_MS && leftMs > LAST_CALL_LEAD_MS ? CAREFUL_REQUESTS : Infinity
+  }
+
   function progressOf (version: number): number {
     const pieces = findPieces(version)
     return pieces === null ? 0 : pieces.count() / pieces.manifest.digests.length
--- a/packages/staging/src/links.test.ts
+++ b/packages/staging/src/links.test.ts
@@ -1,8 +1,9 @@
 /** Tests calls to engines that share links with the weights fetched by the engines' agents. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
+import * as standins from '@switchridge/standins'
 import * as simulateOnMockTimers from './_lib/simulateOnMockTimers.js'
-import type * as stagingFleet from './_lib/stagingFleet.js'
+import * as stagingFleet from './_lib/stagingFleet.js'
 
 const AGENTS = 12
 /** Rates of 0.3, 0.9, 2 and 5 Mbit/s in bytes per millisecond. */
@@ -17,6 +18,12 @@
 const MAXIMUM_MS = 8000
 /** Ten of twelve agents take over the work of all. */
 const SLOWDOWN_FACTOR = 1.3
+const DENSE_CALL_INTERVAL_MS = 50
+const LONGEST_OUTAGE_MS = 6500
+/** More seeds by hand: `SOAK_SEEDS=100`. */
+const SEEDS = process.env['SOAK_SEEDS'] === undefined ? [6, 16, 21, 23, 28] : Array.from({ length: Number(process.env['SOAK_SEEDS']) }, (_, index) => index + 1)
+/** The latest times before the bound at which gateways send calls to any engine with an old version, and to idle ones. */
+const SEND_LEADS_MS = { any: 1700, idle: 900 }
 
 const simulations = new Map<string, stagingFleet.SimulationResult>()
 
@@ -64,6 +71,27 @@
   assert.deepEqual(late, [])
 })
 
+/**
+ * Guards against calls that begin on an old version after its bound: sent to an engine whose link became slow while its agent fetched the new version, they
+ * waited behind pieces that had been requested before.
+ */
+for (const seed of SEEDS) {
+  nodeTest.test(`calls sent in time reach an engine with an old version before its bound, whenever a link becomes slow, seed ${seed}`, async (context) => {
+    const random = standins.createSeededRandom(seed)
+    // The first numbers of neighbouring seeds are close to each other.
+    random()
+    const bound = stagingFleet.DEADLINE_MS
+    // Mostly shortly before the bound, while an origin that was down at first makes agents fetch at full rate.
+    const narrowing = { agents: 3, atMs: Math.round(bound - random() ** 2 * bound), bytesPerMs: NARROW_RATES[1] as number }
+    const outage = { fromMs: 0, untilMs: Math.round(random() * LONGEST_OUTAGE_MS) }
+    const { calls } = await simulateOnMockTimers.simulateOnMockTimers(context, { agents: AGENTS, narrowing, outage, areServing: true, callIntervalMs: DENSE_CALL_INTERVAL_MS, maximumMs: MAXIMUM_MS + 1000 })
+    const sentInTime = calls.filter(({ sentMs }) => sentMs <= bound - SEND_LEADS_MS.idle)
+    const late = sentInTime.filter(({ sentMs, tookMs }) => sentMs + tookMs > bound || (sentMs >= bound - SEND_LEADS_MS.any && tookMs > SEND_LEADS_MS.idle))
+    context.diagnostic(`narrowed at ${narrowing.atMs} ms, origin down for ${outage.untilMs} ms: ${sentInTime.length} calls`)
+    assert.deepEqual(late, [])
+  })
+}
+
 /** Agents with slow links read, import and provide a part of the pieces, for which all others wait. */
 nodeTest.test('agents with slow links do not delay the others', async (context) => {
   const unimpaired = await simulateOnMockTimers.simulateOnMockTimers(context, { agents: AGENTS })
