Remember that a call was completed when a late report of an end is merged

Callers saw, by a test: a call that had been completed after a back end ended is blocked everywhere for ten minutes after two further ends, where three are required.

Cause: merging another gateway's report of the same end removes the known end first. The count of its calls falls to 0 for a moment, and with it goes the record that they were completed since.

Change: the merged end is counted before the known one is taken off. The new test failed before; the others of quarantine pass as before.

--- a/packages/quarantine/src/createQuarantine/index.ts
+++ b/packages/quarantine/src/createQuarantine/index.ts
@@ -165,10 +165,12 @@
       const known = ends.get(life)
       const hasNewCalls = known === undefined || [...end.calls].some((call) => !known.calls.has(call))
       if (!hasNewCalls) return
-      if (known !== undefined) removeEnd(known)
       const merged = known === undefined ? { ...end, life } : { ...known, at: Math.min(known.at, end.at), calls: new Set([...known.calls, ...end.calls]) }
+      ends.delete(life)
       ends.set(life, merged)
       addToEndCounts(merged, 1)
+      // Only now, since the record that a call was completed is dropped when its count falls to 0.
+      if (known !== undefined) addToEndCounts(known, -1)
       if ([...merged.calls].some(hasRequiredEnds)) updateBlocks()
     },
     noteServed: (call, at) => {
--- a/packages/quarantine/src/createQuarantine/test.ts
+++ b/packages/quarantine/src/createQuarantine/test.ts
@@ -65,6 +65,24 @@
   assert.equal(record.countSuspects(), 4)
 })
 
+/** Guards against the block of an innocent caller: a late report of an end made the quarantine forget that the call was completed after it. */
+nodeTest.test('a call that was completed after an end stays cleared of it when a late report of that end is merged', () => {
+  const { quarantine: record, end, now, advance } = createFixture()
+  const first = { life: types.brandId<types.BackEndInstanceId>('first'), at: now() }
+  const innocent = fingerprint('innocent')
+  record.noteEnd({ ...first, calls: new Set([innocent]) })
+  advance(10)
+  record.noteServed(innocent, now())
+  advance(10)
+  record.noteEnd({ ...first, calls: new Set([fingerprint('beside')]) })
+  assert.equal(record.countSuspects(), 1)
+  for (let index = 0; index < LIMITS.ends - 1; index += 1) {
+    advance(2000)
+    end('innocent')
+  }
+  assert.equal(record.readBlockedMs(innocent), null)
+})
+
 nodeTest.test('a back end that restarts under the same id and ends again counts again', () => {
   const { quarantine: record, now, advance } = createFixture()
   const life = types.brandId<types.BackEndInstanceId>('i-1')
