Charge no retry budget for attempts that reached no backend server

Cause: the retry budget was spent by attempts to daemons that weren't listening. The budget protects servers from repeated work; such an attempt puts none on any.

--- a/packages/daemon/src/_lib/plainHall.ts
+++ b/packages/daemon/src/_lib/plainHall.ts
@@ -3,6 +3,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import type * as nodeTest from 'node:test'
+import type * as membership from '@switchridge/membership'
 import * as store from '@switchridge/store'
 import * as rpc from '@switchridge/rpc'
 import * as settings from '@switchridge/settings'
@@ -16,8 +17,10 @@
   readonly startEntry: () => Promise<startDaemon.RunningRole>
   /** Starts the daemon of a backend server that reports to an entry node. */
   readonly startBackend: (entry: startDaemon.RunningRole) => Promise<startDaemon.RunningRole>
-  /** Adds the service `api` to the table; its calls may not be repeated. */
-  readonly addService: () => Promise<void>
+  /** Reads the members as a daemon sees them. */
+  readonly readMembers: (role: startDaemon.RunningRole) => Promise<readonly membership.Member[]>
+  /** Adds the service `api` to the table; its calls may not be repeated unless a cell says so. */
+  readonly addService: (cells?: Readonly<Record<string, types.CellValue>>) => Promise<void>
 }
 
 const HOST = types.LOOPBACK_HOST
@@ -37,6 +40,7 @@
   await new Promise<void>((resolve) => { service.listen(0, HOST, resolve) })
   const serviceUrl = `http://${HOST}:${(service.address() as net.AddressInfo).port}`
   const agents = rpc.createHttpAgents()
+  const client = rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, agents)
   const roles: startDaemon.RunningRole[] = []
   context.after(() => {
     for (const role of roles) role.stop()
@@ -57,9 +61,14 @@
   return {
     startEntry: async () => await start(`role = "entry"\nnode = "entry-${roles.length}"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`),
     startBackend: async (entry) => await start(`role = "backend"\nnode = "backend-${roles.length}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = 0\n[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"`),
-    addService: async () => {
+    readMembers: async (role) => {
+      const status = await client.call<{ members: readonly membership.Member[] }>(role.address, 'status', {})
+      assert.ok(status.ok)
+      return status.value.members
+    },
+    addService: async (cells = {}) => {
       const objectStore = store.createObjectStore({ url: platformUrl, timeoutMs: STORE_TIMEOUT_MS, agents })
-      const changes = Object.entries({ id: 'api', kind: 'plain', repeatable: 'none' }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
+      const changes = Object.entries({ id: 'api', kind: 'plain', repeatable: 'none', ...cells }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
       assert.ok((await tables.editTable(objectStore, { editId: types.brandId('edit'), editor: 'test', changes }, { attempts: 2 })).ok)
     }
   }
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -9,7 +9,7 @@
 import type * as createClaims from '../createClaims/index.js'
 import type * as createEntryQuarantine from '../createEntryQuarantine/index.js'
 import type * as createDispatcher from '../createDispatcher/index.js'
-import type * as sendAttempt from '../sendAttempt/index.js'
+import * as sendAttempt from '../sendAttempt/index.js'
 import * as callHeaders from '../_lib/callHeaders.js'
 import * as entryCall from '../_lib/entryCall.js'
 import * as sendStream from '../_lib/sendStream.js'
@@ -199,7 +199,9 @@
       mayHaveRun ||= result.kind === 'unknown'
       const mayRepeat = result.kind === 'not-run' || call.isRepeatable
       const isExhausted = signal.aborted || options.now() >= call.deadlineAt || attempts >= MAXIMUM_ATTEMPTS
-      if (!mayRepeat || isExhausted || !budget.trySpend()) return finalizeOutcome(result, mayHaveRun)
+      // Repeating an attempt that reached no server puts no load on any, so it does not count against the budget.
+      const isCovered = result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
+      if (!mayRepeat || isExhausted || !isCovered) return finalizeOutcome(result, mayHaveRun)
       count('retries')
     }
   }
--- a/packages/daemon/src/sendAttempt/index.ts
+++ b/packages/daemon/src/sendAttempt/index.ts
@@ -43,6 +43,8 @@
 const TICKET_CALL_TIMEOUT_MS = 1000
 const MAXIMUM_TICKET_CALLS = 2
 const RESPONSE_GRACE_MS = 250
+/** Reason of an attempt that reached no connection to the backend daemon. */
+export const NOT_CONNECTED_REASON = 'daemon-not-connected'
 
 /**
  * Sends one attempt.
@@ -82,7 +84,7 @@
     signal: options.signal
   })
   if (opened.ok) return readOutcome(opened.value)
-  if (opened.error.wasConnecting) return { kind: 'not-run', reason: 'daemon-not-connected', load: undefined }
+  if (opened.error.wasConnecting) return { kind: 'not-run', reason: NOT_CONNECTED_REASON, load: undefined }
   return await resolveTicket(ticket, backend, options, opened.error)
 }
 
