Soak a fleet of processes: pauses, drains, restarts, kills and changes in series and overlapping

Each service keeps one backend server that is never disturbed, so that every call can be served; callers keep their connections until the process is gone. Checked: no wrong answer, no call run twice, none refused that ran, none refused but for load, none cut by a planned stop, none unknown without a killed server.

--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -6,6 +6,23 @@
 /** Runs of the call fuzzer are divided by this: they use sockets and take some hundred times as long as the others. */
 const CALL_RUNS_DIVISOR = 20
 
+/** Milliseconds in which the disturbances of one soak begin. */
+const SOAK_DURATION_MS = 10_000
+/** One fault can break a promise hundreds of times. */
+const PRINTED_PROBLEMS = 5
+
+/** Soaks one fleet after the other, with the seeds from the given one on, and prints every broken promise. */
+async function soak ({ seed, runs }: fuzz.FuzzOptions): Promise<void> {
+  let failedSeeds = 0
+  for (let each = seed; each < seed + runs; each += 1) {
+    const { calls, disturbances, problems } = await fuzz.soakFleet({ seed: each, durationMs: SOAK_DURATION_MS })
+    process.stdout.write(`seed ${each}: ${disturbances} disturbances, ${problems.length} broken promises; ${JSON.stringify(calls)}\n`)
+    for (const problem of problems.slice(0, PRINTED_PROBLEMS)) process.stdout.write(`  ${problem}\n`)
+    if (problems.length > 0) failedSeeds += 1
+  }
+  if (failedSeeds > 0) throw new Error(`${failedSeeds} of ${runs} seeds failed`)
+}
+
 const FUZZERS: Readonly<Record<string, (options: fuzz.FuzzOptions) => Promise<void>>> = {
   edits: fuzz.fuzzEdits,
   lease: fuzz.fuzzLease,
@@ -18,12 +35,17 @@
   .option('seed', { type: 'number', default: Date.now() % 1_000_000, describe: 'seed; a failure prints it' })
   .option('runs', { type: 'number', default: 2000, describe: 'runs of each fuzz' })
   .option('only', { choices: Object.keys(FUZZERS), describe: 'one fuzz alone' })
+  .option('soak', { type: 'boolean', default: false, describe: 'soaks fleets of processes instead, one for each run' })
   .strict()
   .parseAsync()
 
-for (const [name, run] of Object.entries(FUZZERS)) {
-  if (options.only !== undefined && options.only !== name) continue
-  process.stdout.write(`${name}: seed ${options.seed}, ${options.runs} runs\n`)
-  await run(options)
-  process.stdout.write(`${name}: ok\n`)
+async function fuzzAll (): Promise<void> {
+  for (const [name, run] of Object.entries(FUZZERS)) {
+    if (options.only !== undefined && options.only !== name) continue
+    process.stdout.write(`${name}: seed ${options.seed}, ${options.runs} runs\n`)
+    await run(options)
+    process.stdout.write(`${name}: ok\n`)
+  }
 }
+
+await (options.soak ? soak(options) : fuzzAll())
