Go on placing versions after a pass that failed with an exception

Seen by reading, shown by a test: after one unexpected error in a pass, a backend server never loads, serves or unloads another version, since the loop counts as running forever; the rejection itself ends the process.

Change: a failed pass is logged and the next reconciliation starts another one; an offer of weights is withdrawn in any case. The new test failed before.

--- a/packages/daemon/src/createPlacementLoop/index.ts
+++ b/packages/daemon/src/createPlacementLoop/index.ts
@@ -67,20 +67,30 @@
     for (const digest of store.digests()) if (!wanted.has(digest)) store.drop(digest)
   }
 
+  /** A pass that fails is logged; the next reconciliation starts another one. */
   async function runPasses (): Promise<void> {
     isRunning = true
-    while (needsPass) {
-      needsPass = false
-      const assignments = computeOwnAssignments()
-      const waiting: string[] = []
-      for (const assignment of assignments) {
-        const reason = await advanceRow(assignment.row)
-        if (reason !== '') waiting.push(`${assignment.row.id}: ${reason}`)
+    try {
+      while (needsPass) {
+        needsPass = false
+        await runPass()
       }
-      retireUnassigned(assignments)
-      publish(waiting.join('; '))
+    } catch (thrown) {
+      logger.error('placement-failed', { reason: types.describeError(thrown) })
+    } finally {
+      isRunning = false
     }
-    isRunning = false
+  }
+
+  async function runPass (): Promise<void> {
+    const assignments = computeOwnAssignments()
+    const waiting: string[] = []
+    for (const assignment of assignments) {
+      const reason = await advanceRow(assignment.row)
+      if (reason !== '') waiting.push(`${assignment.row.id}: ${reason}`)
+    }
+    retireUnassigned(assignments)
+    publish(waiting.join('; '))
   }
 
   /** Takes the next steps for one row; returns what it waits for, or an empty string once the version serves. */
@@ -115,8 +125,7 @@
     }
     const offer = options.weights.offer(holding)
     const order = { manifest: row.manifest, source: offer.url, bytes: holding.manifest.bytes, fileDigest: holding.manifest.fileDigest }
-    const outcome = await options.orders.load(order)
-    offer.withdraw()
+    const outcome = await options.orders.load(order).finally(offer.withdraw)
     if (!outcome.ok) {
       logger.warn('load-failed', { row: row.id, version: row.version, reason: outcome.error.message })
       return outcome.error.message
--- a/packages/daemon/src/createPlacementLoop/test.ts
+++ b/packages/daemon/src/createPlacementLoop/test.ts
@@ -49,9 +49,10 @@
   const store = transfer.createChunkStore(1000)
   const serving = createServedVersions.createServedVersions()
   const orders: string[] = []
-  const engine = { failure: '' }
+  const engine = { failure: '', throws: false }
   const recordOrder = async (order: string) => {
     orders.push(order)
+    if (engine.throws) throw new Error('broken')
     return engine.failure === '' ? types.succeed(null) : types.fail(new createEngineOrders.OrderError(engine.failure))
   }
   const loop = createPlacementLoop.createPlacementLoop({
@@ -104,6 +105,18 @@
     assert.equal(loop.served(), version.digest)
   })
 
+  /** Guards against a backend server that never loads another version after one unexpected error. */
+  test.it('goes on after a pass that failed with an exception', async () => {
+    const version = await createVersion('aaaabbbb')
+    const loop = createLoop(100)
+    loop.engine.throws = true
+    await loop.place(version)
+    await loop.fill(version, 2)
+    loop.engine.throws = false
+    await loop.reconcile()
+    assert.equal(loop.served(), version.digest)
+  })
+
   test.it('keeps the old version loaded until the calls that began on it have ended', async () => {
     const [first, second] = [await createVersion('aaaabbbb'), await createVersion('aaaacccc')]
     const loop = createLoop(100)
