--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -73,8 +73,14 @@
       return
     }
     const admitted = admission.admit({ account: types.brandId<types.AccountId>(call.account), share: call.share, priority: call.priority })
-    await runAdmitted(context, call, ticket, admitted, pin?.served)
-    pin?.release()
+    try {
+      await runAdmitted(context, call, ticket, admitted, pin?.served)
+    } catch (thrown) {
+      tickets.finish(ticket)
+      throw thrown
+    } finally {
+      pin?.release()
+    }
   }
 
   function findRefusal (context: Koa.Context, call: Call | null, ticket: types.TicketId): string {
