Stop a daemon's role when its drain fails

Seen by reading: a rejected drain of an entry node or backend daemon was not caught, so that the process ended by an unhandled rejection without stopping its role.

--- a/packages/daemon/src/_lib/runFleetRole.ts
+++ b/packages/daemon/src/_lib/runFleetRole.ts
@@ -1,10 +1,9 @@
 /** Process lifecycle of a gateway or an agent: signals, settings changes and shutdown. */
 import * as fs from 'node:fs'
 import * as settings from '@switchridge/settings'
-import * as types from '@switchridge/types'
 import * as startAgentRole from '../startAgentRole/index.js'
 import * as startGatewayRole from '../startGatewayRole/index.js'
-import type * as fleetRole from './fleetRole.js'
+import * as drainAndLogErrors from './drainAndLogErrors.js'
 
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_POLL_INTERVAL_MS = 4000
@@ -35,7 +34,7 @@
   async function stop (): Promise<void> {
     if (isStopping) process.exit(EXIT_FORCED)
     isStopping = true
-    await drainAndLogErrors(role)
+    await drainAndLogErrors.drainAndLogErrors(role)
     role.stop()
     process.exit(0)
   }
@@ -53,11 +52,3 @@
     return null
   }
 }
-
-async function drainAndLogErrors (role: fleetRole.FleetRole): Promise<void> {
-  try {
-    await role.drain()
-  } catch (thrown) {
-    process.stderr.write(`level=error event=drain-failed error=${JSON.stringify(types.describeError(thrown))}\n`)
-  }
-}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,6 +4,7 @@
 import * as types from '@switchridge/types'
 import * as settings from '@switchridge/settings'
 import type * as startDaemon from './startDaemon/index.js'
+import * as drainAndLogErrors from './_lib/drainAndLogErrors.js'
 
 /** Exit codes, documented in docs/OPERATIONS.md. */
 const EXIT_FAILED = 1
@@ -58,7 +59,7 @@
   if (isStopping) process.exit(EXIT_FORCED)
   isStopping = true
   const drainTimeout = types.delay(drainSeconds * types.MILLISECONDS_IN_SECOND)
-  await Promise.race([role.drain(), drainTimeout])
+  await Promise.race([drainAndLogErrors.drainAndLogErrors(role), drainTimeout])
   role.stop()
   process.exit(0)
 }
