Refuse a call that is blocked while it waits for a slot or a permit

Seen by reading, shown by a test: a call under which back ends ended is blocked everywhere, but one that waits for a permit or a reserved slot at that moment is still sent, and ends another back end. Blocks were checked before the wait only, and an attempt can be withdrawn only once it is sent.

Change: blocks are checked again after the wait. The new test failed before.

--- /dev/null
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -0,0 +1,67 @@
+/** Guards against a call that crashes back ends and is still sent to another one: it was blocked while it waited for a permit, and was not checked again. */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as createBackEndTracker from '../createBackEndTracker/index.js'
+import * as callState from './callState.js'
+import * as runAttempts from './runAttempts.js'
+
+const BLOCKED_MS = 60_000
+const DEADLINE_MS = 5000
+
+interface Outcome {
+  readonly sent: number
+  readonly refusal: string
+}
+
+/** Runs a call at a gateway whose only back end needs a permit; the call is blocked, or not, while it waits for that. */
+async function runCall (isBlockedMeanwhile: boolean): Promise<Outcome> {
+  const tracker = createBackEndTracker.createBackEndTracker(() => 0)
+  let sent = 0
+  let isBlocked = false
+  let refusal = ''
+  const backEnd = { id: types.brandId<types.NodeId>('i-1'), bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
+  const call = callState.createCallState({
+    head: { requestId: 'r', host: 'h', path: '/write/1', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, lastEventId: null, remainingMs: DEADLINE_MS },
+    route: { name: 'write', kind: 'once', isResumable: false, timeoutMs: DEADLINE_MS, targetMs: DEADLINE_MS, maximumAttempts: 1 },
+    tenant: null,
+    service: types.brandId('api'),
+    body: null,
+    deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
+    receivedAt: 0
+  } as unknown as callState.CallDetails)
+  const reply = { hasStarted: () => false, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
+  const options = {
+    budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
+    choose: () => ({ choice: { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity }, passedOver: {}, utilization: 0, permitWaitMs: Infinity }),
+    sharedTargetOf: () => DEADLINE_MS,
+    errorBoundOf: () => ({ read: () => 0, note: () => {} }),
+    limiter: {
+      acquire: async () => {
+        isBlocked = isBlockedMeanwhile
+        return { isGranted: true }
+      }
+    },
+    guard: { isActive: () => true, readBlockedMs: () => isBlocked ? BLOCKED_MS : null },
+    tracker: {
+      ...tracker,
+      noteSent: () => {
+        sent += 1
+        throw new Error('sent')
+      }
+    },
+    at: () => () => {},
+    now: () => 0,
+    random: () => 0,
+    count: () => {},
+    observe: () => {},
+    logger: { info: () => {}, warn: () => {} }
+  }
+  await runAttempts.runAttempts(call, reply as never, options as never).catch(() => {})
+  return { sent, refusal }
+}
+
+nodeTest.test('a call that is blocked while it waits for a permit is refused and not sent', async () => {
+  assert.deepEqual(await runCall(true), { sent: 0, refusal: '503 blocked: back ends ended under this call' })
+  assert.equal((await runCall(false)).sent, 1)
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -63,13 +63,7 @@
     for (;;) {
       const isFirst = call.attempts === 0
       const isLate = !reply.hasStarted() && !canMeetTarget(0)
-      const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(call.fingerprint()) : null
-      if (blockedMs !== null) {
-        isBlocked = true
-        lastReason = BLOCKED_REASON
-        retryAfterMs = blockedMs
-        return endUnserved()
-      }
+      if (noteIfBlocked()) return endUnserved()
       const chosen = choose(call.tried, isLate)
       const { passedOver, utilization, permitWaitMs } = chosen
       let { choice } = chosen
@@ -105,6 +99,8 @@
           continue
         }
       }
+      // The call may have been blocked while it waited for a slot or a permit.
+      if (noteIfBlocked()) return endUnserved()
       if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
@@ -128,6 +124,16 @@
     }
   }
 
+  /** Whether the call is blocked because back ends ended under it; if so, that is the reason of its refusal. */
+  function noteIfBlocked (): boolean {
+    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(call.fingerprint()) : null
+    if (blockedMs === null) return false
+    isBlocked = true
+    lastReason = BLOCKED_REASON
+    retryAfterMs = blockedMs
+    return true
+  }
+
   function choose (tried: ReadonlySet<types.NodeId>, isLate: boolean): chooseBackEnd.ChoiceOutcome {
     return options.choose({
       service: call.service,
