Refuse a call that is blocked while it waits in the queue of an entry node

The same fault as at gateways, on the own interface: a call that is blocked while it waits for a backend server was still sent. Blocks are checked again after the wait, and the slot that it got goes to the next call.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -181,10 +181,16 @@
     let mayHaveRun = false
     budget.noteCall()
     for (let attempts = 1; ; attempts += 1) {
-      const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(entryCall.fingerprintCall(call)) : null
-      if (blockedMs !== null) return finalizeOutcome({ kind: 'not-run', reason: BLOCKED_REASON, load: undefined, retryAfterMs: blockedMs }, mayHaveRun)
+      const blocked = findBlock(call)
+      if (blocked !== null) return finalizeOutcome(blocked, mayHaveRun)
       const backend = await awaitBackend(prepared, tried, signal)
       if (!backend.ok) return finalizeOutcome({ kind: 'not-run', reason: backend.error.reason, load: undefined }, mayHaveRun)
+      const blockedMeanwhile = findBlock(call)
+      if (blockedMeanwhile !== null) {
+        options.loads.noteEnded(backend.value.node, undefined)
+        options.dispatcher.dispatchWaiting()
+        return finalizeOutcome(blockedMeanwhile, mayHaveRun)
+      }
       count('attempts')
       tried.add(backend.value.node)
       const result = await sendUnlessBlocked(call, backend.value, signal)
@@ -206,6 +212,12 @@
     }
   }
 
+  /** Returns the refusal of a call that is blocked because back ends terminated while running it; null if it may be sent. */
+  function findBlock (call: sendAttempt.OutgoingCall): FinalOutcome | null {
+    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(entryCall.fingerprintCall(call)) : null
+    return blockedMs === null ? null : { kind: 'not-run', reason: BLOCKED_REASON, load: undefined, retryAfterMs: blockedMs }
+  }
+
   /** Sends an attempt, and aborts it if the call is blocked before an answer arrives. */
   async function sendUnlessBlocked (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal): Promise<sendAttempt.AttemptResult> {
     const blockAbort = new AbortController()
--- a/packages/daemon/src/createEntryCalls/test.ts
+++ b/packages/daemon/src/createEntryCalls/test.ts
@@ -13,10 +13,11 @@
   const hall = await plainHall.openPlainHall(context, (_request, response) => { response.end('done') })
   await hall.addService({ retryBudget: 0 })
   const entry = await hall.startEntry()
-  const ended = await hall.startBackend(entry)
+  await hall.startBackend(entry)
   const call = async (): Promise<number> => (await got.got.post(`http://${types.LOOPBACK_HOST}:${entry.callerAddress?.port ?? 0}/services/api/orders`, { body: 'order', retry: { limit: 0 }, throwHttpErrors: false })).statusCode
   while (await call() !== OK) await types.delay(POLL_MS)
-  await hall.startBackend(entry)
+  // No call was sent to it, so that there is no open connection on which one might be lost.
+  const ended = await hall.startBackend(entry)
   while ((await hall.readMembers(entry)).filter(({ facts, condition }) => facts.role === 'backend' && condition === 'live').length < 2) await types.delay(POLL_MS)
   ended.stop()
   const statuses: number[] = []
