Wait until the entry node knows both servers in the test of a drain

The entry node had answered the first call when it knew one server; the eight calls then all went there, and the wait for a call at the leaving server never ended.

So the hang is the test's: a wait without a limit that can miss what it waits for. It now waits first until the entry node lists both servers as serving.

--- a/packages/daemon/src/startDaemon/test.ts
+++ b/packages/daemon/src/startDaemon/test.ts
@@ -78,9 +78,16 @@
   }
 }
 
-async function readStatus<Result> (role: startDaemon.RunningRole, read: (status: { counts: Record<string, number>, self: types.MemberFacts, load: { running: number } | null }) => Result): Promise<Result> {
+interface Status {
+  readonly counts: Record<string, number>
+  readonly self: types.MemberFacts
+  readonly members: ReadonlyArray<{ readonly facts: types.MemberFacts }>
+  readonly load: { readonly running: number } | null
+}
+
+async function readStatus<Result> (role: startDaemon.RunningRole, read: (status: Status) => Result): Promise<Result> {
   const client = rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, rpc.createHttpAgents())
-  const status = await client.call<{ counts: Record<string, number>, self: types.MemberFacts, load: { running: number } | null }>(role.address, 'status', {})
+  const status = await client.call<Status>(role.address, 'status', {})
   assert.ok(status.ok)
   return read(status.value)
 }
@@ -94,6 +101,8 @@
     const assertAnswer = (prompt: string, tokens: string[]): void => { assert.deepEqual(tokens, standins.computeAnswer(weights, prompt, TOKENS)) }
     await waitUntil(async () => (await Promise.all(hall.backends.map(isServing))).every(Boolean))
     await waitUntil(async () => (await hall.generate('first')).outcome === 'answered')
+    // Otherwise all calls may go to the other server, and the wait for a call at the leaving one would never end.
+    await waitUntil(async () => await readStatus(hall.entry, (status) => status.members.filter((member) => member.facts.serving.length > 0).length === hall.backends.length))
     const [leaving, remaining] = hall.backends as [startDaemon.RunningRole, startDaemon.RunningRole]
 
     const running = Array.from({ length: 8 }, async (_, index) => await hall.generate(`running-${index}`))
