Show that a suspended gateway refuses no call for want of engines

The same fault as the pause of an entry node, looked for on the platform's side: after 2 and 10 s all of eight calls are answered, since gateways take engines from the store's list and not from heartbeats.

--- a/packages/daemon/src/startGatewayRole/suspended.test.ts
+++ b/packages/daemon/src/startGatewayRole/suspended.test.ts
@@ -57,3 +57,19 @@
   assert.equal((await waiting).status, 504)
   await draining
 })
+
+/** Guards against a gateway that takes its own pause for silence of its engines and refuses calls for want of one. */
+for (const pausedMs of [2000, 10_000]) {
+  nodeTest.test(`a gateway whose machine was suspended for ${pausedMs} ms refuses no call for want of engines that never went away`, async (context) => {
+    const fleet = await fleetTesting.createTestFleet(context)
+    fleet.configure(() => {})
+    for (const id of ['i-1', 'i-2']) await fleet.startEngine({ id }, 'api')
+    const machine = createMachine()
+    const address = await fleet.startGateway(HOST, [], machine)
+    await fleetTesting.waitUntilServed(address, '/read/probe')
+    await types.delay(CLOCK_PROBATION_MS)
+    machine.suspend(pausedMs)
+    const statuses = await Promise.all(Array.from({ length: 8 }, async (_, index) => (await fleetTesting.call(address, { method: 'POST', path: `/write/${index}`, id: `w-${index}` })).status))
+    assert.deepEqual(statuses, Array.from({ length: 8 }, () => 200))
+  })
+}
