--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -62,10 +62,10 @@
 /** Time between writing the stage and the engine's turn. */
 const STAGE_LEAD_MS = 500
 /** Before the deadline of a newer version, requests are limited from this lead on, which is longer than unlimited requests take to arrive over a slow link. */
-const CAREFUL_LEAD_MS = 3500
+const LIMITED_FETCH_LEAD_MS = 3500
 /** After this lead no calls are sent to the older version any more. */
 const LAST_CALL_LEAD_MS = 800
-const CAREFUL_REQUESTS = 4
+const LIMITED_FETCH_REQUESTS = 4
 /** A stage that was verified longer ago than this is verified again before the order. */
 const VERIFICATION_VALID_MS = 1500
 
@@ -117,7 +117,7 @@
   function maximumRequests (): number {
     const next = held === 0 ? undefined : options.named().find((each) => each.id.version > held)
     const leftMs = next === undefined ? Infinity : next.deadlineAt - options.now()
-    return leftMs <= CAREFUL_LEAD_MS && leftMs > LAST_CALL_LEAD_MS ? CAREFUL_REQUESTS : Infinity
+    return leftMs <= LIMITED_FETCH_LEAD_MS && leftMs > LAST_CALL_LEAD_MS ? LIMITED_FETCH_REQUESTS : Infinity
   }
 
   function progressOf (version: number): number {
