--- a/packages/fuzz/src/_lib/judgeSoak.ts
+++ b/packages/fuzz/src/_lib/judgeSoak.ts
@@ -47,10 +47,10 @@
   for (const record of records) {
     const isNearKill = disturbances.some((each) => each.kind === 'kill' && overlaps(each, record.sentAt - KILL_NOTICE_MS, record.endedAt))
     const mayBeUnread = CONNECTION_ERRORS.test(record.reason) && disturbances.some((each) => each.node === record.entry && each.kind === 'restart' && overlaps(each, record.sentAt, record.endedAt))
-    const isCutByKilledServer = isNearKill && !CONNECTION_ERRORS.test(record.reason)
+    const isStreamOfKilledServer = record.kind === 'model' && isNearKill && !CONNECTION_ERRORS.test(record.reason)
     if (record.outcome === 'wrong') problems.push(`wrong answer: ${describe(record)}`)
     if (record.outcome === 'not-run' && !REFUSALS_OF_LOAD.has(record.reason)) problems.push(`refused: ${describe(record)}`)
-    if (record.outcome === 'broken' && !mayBeUnread && !isCutByKilledServer) problems.push(`broken: ${describe(record)}`)
+    if (record.outcome === 'broken' && !mayBeUnread && !isStreamOfKilledServer) problems.push(`broken: ${describe(record)}`)
     if (record.outcome === 'unknown' && !isNearKill) problems.push(`unknown: ${describe(record)}`)
     const ranCount = runs.get(record.id) ?? 0
     if (ranCount > 1) problems.push(`ran ${ranCount} times: ${describe(record)}`)
