--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -14,6 +14,7 @@
 export const API_KEY = 'key-of-tenant-one'
 const POLL_INTERVAL_MS = 10
 const HTTP_OK = 200
+const STATUS_WAIT_MS = 10_000
 
 /** The fleet of one test. */
 export interface TestFleet {
@@ -29,6 +30,8 @@
   readonly waitForBlockedCalls: () => Promise<void>
   /** Waits until each gateway knows of exactly `count` rate limits in force. */
   readonly waitForRateLimits: (count: number) => Promise<void>
+  /** Waits until the status of each gateway meets a condition; fails if one still doesn't after {@link STATUS_WAIT_MS}. */
+  readonly waitForStatus: (condition: (status: GatewayStatus) => boolean) => Promise<void>
   /** Reads a counter of the gateway on a host for a label value; 0 if nothing was counted yet. */
   readonly readCounter: (host: string, name: string, label: string) => Promise<number>
   /** Waits until the readiness endpoint of the gateway on a host answers that it is ready. */
@@ -42,7 +45,8 @@
 }
 
 /** The fields of a gateway's status that tests read. */
-interface GatewayStatus {
+export interface GatewayStatus {
+  readonly backEnds: ReadonlyArray<{ readonly id: string, readonly isLeaving: boolean }>
   readonly endsKnown: number
   readonly blockedCalls: readonly unknown[]
   readonly rateLimits: readonly unknown[]
@@ -121,6 +125,13 @@
     waitForKnownEnds: async (count) => { await waitUntil(async () => (await readStatuses()).every(({ endsKnown }) => endsKnown === count)) },
     waitForBlockedCalls: async () => { await waitUntil(async () => (await readStatuses()).every(({ blockedCalls }) => blockedCalls.length > 0)) },
     waitForRateLimits: async (count) => { await waitUntil(async () => (await readStatuses()).every(({ rateLimits }) => rateLimits.length === count)) },
+    waitForStatus: async (condition) => {
+      const deadline = performance.now() + STATUS_WAIT_MS
+      await waitUntil(async () => {
+        assert.ok(performance.now() < deadline, 'no status that meets the condition')
+        return (await readStatuses()).every(condition)
+      })
+    },
     readCounter: async (host, name, label) => {
       const { body } = await testing.sendCallerRequest({ host, port: ports.control }, API_KEY, { path: '/metrics', id: 'metrics' })
       const line = body.split('\n').find((metricLine) => metricLine.includes(`${name}_total{`) && metricLine.includes(`"${label}"`))
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -69,6 +69,13 @@
     isLeaving: () => isLeaving,
     random: Math.random
   })
+  const leavers = gateway.createLeavingRecord({
+    onLeaving: (instance, source) => {
+      metrics.count('back_ends_leaving', { source })
+      logger.info('back-end-leaving', { instance, source })
+    },
+    now
+  })
   const reserver = gateway.createReservationClient({
     send: (host, bytes) => { startedExchange?.send(host, bytes) },
     count: metrics.count,
@@ -156,6 +163,7 @@
     sharedTargetOf: gateway.createSharedTargets(now).note,
     guard: callQuarantine,
     limiter,
+    leavers,
     reserver,
     logger,
     count: metrics.count,
@@ -169,6 +177,7 @@
   parts.onBackEnds(() => {
     tracker.keepOnly(parts.backEnds())
     limiter.removeUnlisted()
+    leavers.removeUnlisted(parts.backEnds())
   })
   const readiness = checked.listen.readiness === undefined
     ? null
@@ -216,7 +225,7 @@
     endsKnown: callQuarantine.countEnds(),
     rateLimits: limiter.inForce().map(({ life, perSecond, receivedAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - receivedAt) / types.MILLISECONDS_IN_SECOND) })),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
-    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, models: Object.fromEntries(backEnd.models) }))
+    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: leavers.isLeaving(backEnd), models: Object.fromEntries(backEnd.models) }))
   }))
 
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -7,6 +7,7 @@
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import type * as createErrorBound from '../createErrorBound/index.js'
+import type * as createLeavingRecord from '../createLeavingRecord/index.js'
 import type * as createRetryBudget from '../createRetryBudget/index.js'
 import type * as createSharedTargets from '../createSharedTargets/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
@@ -23,6 +24,8 @@
   readonly readAnswer: (response: http.IncomingMessage, requestId: string) => gateway.AnswerHead
   /** Rate limit that a back end's response advertises. */
   readonly readAdvertisedRate: (response: http.IncomingMessage) => rateLimits.AdvertisedRate
+  /** Whether a back end's response announces that it is about to end. */
+  readonly announcesLeaving: (response: http.IncomingMessage) => boolean
   /** Headers of a response of the gateway itself. */
   readonly formatGatewayAnswer: (requestId: string, retryAfterMs: number | null) => string[]
 }
@@ -41,6 +44,7 @@
   readonly sharedTargetOf: createSharedTargets.SharedTargets['note']
   readonly guard: guards.CallGuard
   readonly limiter: limiters.RateLimiter
+  readonly leavers: createLeavingRecord.LeavingRecord
   readonly reserver: reservers.SlotReserver
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -120,6 +120,7 @@
   if (start.kind === 'no-answer') return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
   const answer = options.protocol.readAnswer(start.response, head.requestId)
   noteRate(answer, start.response)
+  if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
   if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
   if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
   if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
