Send no more calls to a back end once its answers have announced its end

Cause: the announcement in answers was not read.

Why this holds: every answer of the instance puts it on the gateway's record, first thing after the head is read; choice passes it over from then on, and calls that waited for a permit or a slot ask once more before they are sent. The record outlasts the list, is kept by instance and is never revoked. Other gateways hear of it as a fact, and from the report of the engine's agent, which takes no new weights for it.

In engineStatus.test.ts the malformed flags are 8 instead of 4, the first value that still has no meaning; the check is as strict as before.

--- a/packages/daemon/src/_lib/engineStatus.test.ts
+++ b/packages/daemon/src/_lib/engineStatus.test.ts
@@ -7,7 +7,7 @@
   address: `${HOST}:8585`,
   isPaused: true,
   changesInMs: 120,
-  report: { bornAt: 1_790_000_000_123, running: 3, waiting: 1, isBusy: true, sequence: 4, pace: 1.5, limitPerSecond: null, models: new Map([['m', 2]]) }
+  report: { bornAt: 1_790_000_000_123, running: 3, waiting: 1, isBusy: true, sequence: 4, pace: 1.5, limitPerSecond: null, isLeaving: false, models: new Map([['m', 2]]) }
 }
 
 function roundTrip (status: engineStatus.EngineStatus, host: string, soleModel: string | null = 'm'): engineStatus.EngineStatus | null {
@@ -29,11 +29,16 @@
   }
 })
 
+nodeTest.test('an engine that is about to end is decoded as such', () => {
+  const leaving = { ...STATUS, isPaused: true, report: { ...STATUS.report, isLeaving: true } }
+  assert.deepEqual(roundTrip(leaving, HOST), leaving)
+})
+
 nodeTest.test('a version without a model name is ignored while the receiver does not know the model', () => {
   const encoded = engineStatus.encodeEngineStatus(STATUS, { host: HOST, soleModel: () => 'm' })
   assert.equal(engineStatus.decodeEngineStatus(encoded, { host: HOST, soleModel: () => null }), null)
 })
 
 nodeTest.test('a malformed status decodes to null', () => {
-  for (const value of [null, undefined, {}, [], [1], [8585, 4, null, 0, 0, 0, 1, 0, null], [8585, 0, null, 0, 0, 0, 1, 0, '!'], [8585, 0, null, 0, 0, 0, 1, 0, null, 0], [8585, 0, null, 0, 0, 0, 1, 0, null, 'x']]) assert.equal(engineStatus.decodeEngineStatus(value, { host: HOST, soleModel: () => 'm' }), null)
+  for (const value of [null, undefined, {}, [], [1], [8585, 8, null, 0, 0, 0, 1, 0, null], [8585, 0, null, 0, 0, 0, 1, 0, '!'], [8585, 0, null, 0, 0, 0, 1, 0, null, 0], [8585, 0, null, 0, 0, 0, 1, 0, null, 'x']]) assert.equal(engineStatus.decodeEngineStatus(value, { host: HOST, soleModel: () => 'm' }), null)
 })
--- a/packages/daemon/src/_lib/engineStatus.ts
+++ b/packages/daemon/src/_lib/engineStatus.ts
@@ -15,14 +15,16 @@
 
 const PAUSED_FLAG = 1
 const BUSY_FLAG = 2
-const ALL_FLAGS = PAUSED_FLAG | BUSY_FLAG
+/** A gateway of a build that doesn't know this flag drops the status, and then prefers engines whose status it can read. */
+const LEAVING_FLAG = 4
+const ALL_FLAGS = PAUSED_FLAG | BUSY_FLAG | LEAVING_FLAG
 /** Start times of engines are sent in base 36 because they are long numbers. */
 const START_TIME_RADIX = 36
 /** An array instead of an object, because heartbeats are frequent: it takes a third of the bytes. */
 const statusSchema = zod.tuple([
   /** Address of the engine, or only its port if it runs on the agent's host. */
   zod.union([zod.string(), zod.number()]),
-  /** Sum of {@link PAUSED_FLAG} and {@link BUSY_FLAG}, as far as they apply. */
+  /** Sum of {@link PAUSED_FLAG}, {@link BUSY_FLAG} and {@link LEAVING_FLAG}, as far as they apply. */
   zod.number().int().min(0).max(ALL_FLAGS),
   /** Milliseconds until the engine switches to another version, or null. */
   zod.number().nullable(),
@@ -61,7 +63,7 @@
 export function encodeEngineStatus ({ address, report, isPaused, changesInMs }: EngineStatus, context: EngineStatusContext): unknown {
   const { bornAt, running, waiting, isBusy, sequence, pace, limitPerSecond, models } = report
   const shortAddress = address.startsWith(`${context.host}:`) ? Number(address.slice(context.host.length + 1)) : address
-  const flags = (isPaused ? PAUSED_FLAG : 0) | (isBusy ? BUSY_FLAG : 0)
+  const flags = (isPaused ? PAUSED_FLAG : 0) | (isBusy ? BUSY_FLAG : 0) | (report.isLeaving ? LEAVING_FLAG : 0)
   const roundedChangesInMs = changesInMs === null ? null : Math.round(changesInMs)
   const limit = limitPerSecond === null ? [] : [limitPerSecond]
   return [shortAddress, flags, roundedChangesInMs, running, waiting, sequence, Number(pace.toPrecision(SIGNIFICANT_DIGITS)), formatModels(models, context.soleModel(address)), bornAt === null ? null : bornAt.toString(START_TIME_RADIX), ...limit]
@@ -88,7 +90,7 @@
   const address = typeof shortAddress === 'number' ? `${context.host}:${shortAddress}` : shortAddress
   const models = parseModels(encodedModels, context.soleModel(address))
   if (models === null) return null
-  const report = { bornAt: encodedStart === null ? null : parseInt(encodedStart, START_TIME_RADIX), running, waiting, isBusy: (flags & BUSY_FLAG) > 0, sequence, pace, limitPerSecond: limit ?? null, models }
+  const report = { bornAt: encodedStart === null ? null : parseInt(encodedStart, START_TIME_RADIX), running, waiting, isBusy: (flags & BUSY_FLAG) > 0, sequence, pace, limitPerSecond: limit ?? null, isLeaving: (flags & LEAVING_FLAG) > 0, models }
   return { address, isPaused: (flags & PAUSED_FLAG) > 0, changesInMs, report }
 }
 
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -343,7 +343,7 @@
   address: '10.0.1.1:8585',
   isPaused: false,
   changesInMs: null,
-  report: { bornAt: 1_790_000_000_000, running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, limitPerSecond: null, models: new Map([['model-a', 3]]) }
+  report: { bornAt: 1_790_000_000_000, running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, limitPerSecond: null, isLeaving: false, models: new Map([['model-a', 3]]) }
 }, { host: '10.0.1.1', soleModel: () => 'model-a' })
 
 function parseSettings (host: string, hall: number, role: 'gateway' | 'agent', plan: readonly PlannedHost[]): settings.FleetSettings {
--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -8,6 +8,8 @@
 /** Options of {@link createCallQuarantine}. */
 export interface CallQuarantineOptions extends Omit<createSharedQuarantine.SharedQuarantineOptions, 'onReportedEnd'> {
   readonly backEnds: () => readonly gateway.BackEnd[]
+  /** Whether a listed back end is about to end, so that the loss of its connections is expected. */
+  readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
   readonly tracker: Pick<gateway.BackEndTracker, 'noteProcessEnded' | 'noteFailure'>
   readonly probe: (address: types.Address, timeoutMs: number) => Promise<quarantine.ProbeResult>
 }
@@ -50,7 +52,7 @@
 
   function isLeaving ({ id }: gateway.BackEnd): boolean {
     const listed = options.backEnds().find((backEnd) => backEnd.id === id)
-    return listed === undefined || listed.isDraining
+    return listed === undefined || options.isLeaving(listed)
   }
 
   async function noteConnectionLost (backEnd: gateway.BackEnd, call: quarantine.CallFingerprint): Promise<void> {
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -81,7 +81,7 @@
     store: null,
     openDatagrams: spread.openDatagrams(checked.host, checked.internal_port),
     fetchChanges: createFleetParts.createChangesFetcher(parts),
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.recordPeerVersions(parts, heartbeat)) stager?.wake() },
     onFact: () => {},
     onDatagram: (bytes, from) => permits.receive(bytes, from) || reservations.receive(bytes, from),
@@ -98,13 +98,18 @@
     logger.error('engine-report-unreadable', { address: engineAddress, error: message })
   }
 
+  /** An agent whose engine is about to end takes part no more in distributing weights, so other agents must not depend on it. */
+  function isLeavingNode (): boolean {
+    return isLeaving || report?.isLeaving === true
+  }
+
   function isServing (): boolean {
     return report !== null && report.models.size > 0
   }
 
   function reserveSlot (request: gateway.SlotRequest): boolean {
     const figures = findFigures()
-    return figures !== null && !isPaused && !isLeaving && slots.reserve(request, figures)
+    return figures !== null && !isPaused && !isLeavingNode() && slots.reserve(request, figures)
   }
 
   function findFigures (): gateway.EngineFigures | null {
@@ -125,8 +130,13 @@
     const next = await engine.readReport(findFigures()?.layers ?? 1)
     if (isFromEarlierProcess(next, report)) return report
     const hadReport = report !== null
+    const wasLeaving = isLeavingNode()
     report = next
     slots.noteReport(next)
+    if (wasLeaving !== isLeavingNode()) {
+      logger.info('engine-leaving', { address: engineAddress, isLeaving: isLeavingNode() })
+      gossip.sendNow('gateway')
+    }
     if (hadReport !== (next !== null)) logger.warn(next === null ? 'engine-lost' : 'engine-regained', { address: engineAddress })
     return next
   }
@@ -144,7 +154,7 @@
       named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
       readEngine: async () => {
         const fresh = await readReport()
-        return fresh === null ? null : { bornAt: fresh.bornAt, held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, sequence: fresh.sequence }
+        return fresh === null ? null : { bornAt: fresh.bornAt, held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, isLeaving: fresh.isLeaving, sequence: fresh.sequence }
       },
       engine,
       origin: platform.createOriginClient(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
@@ -273,7 +283,7 @@
   metrics.gauge('link_part', () => stager?.linkFraction() ?? 1)
   metrics.gauge('engine_running', () => report?.running ?? 0)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
-    ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: false }, null, listSuspects()),
+    ...createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, null, listSuspects()),
     engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs },
     agents: listReliableAgents().map((agent) => agent.node)
   }))
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -10,6 +10,7 @@
 import * as createRateLimiter from '../createRateLimiter/index.js'
 import * as openTextServer from '../openTextServer/index.js'
 import * as engineStatus from '../_lib/engineStatus.js'
+import * as leavingFacts from '../_lib/leavingFacts.js'
 import * as openOperatorEndpoints from '../_lib/openOperatorEndpoints.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
@@ -56,6 +57,7 @@
     mayAskStore: () => startedExchange?.mayAskStore() ?? false,
     backEnds: parts.backEnds,
     tracker,
+    isLeaving: isLeavingBackEnd,
     publishFact: (content, ttlMs, ageMs) => { startedExchange?.facts.publish(content, ttlMs, ageMs) },
     probe: gateway.probeAddress,
     logger,
@@ -73,6 +75,7 @@
     onLeaving: (instance, source) => {
       metrics.count('back_ends_leaving', { source })
       logger.info('back-end-leaving', { instance, source })
+      if (source === 'answer') startedExchange?.facts.publish(leavingFacts.formatFact(instance), gateway.LEAVING_RETENTION_MS)
     },
     now
   })
@@ -90,13 +93,23 @@
     fetchChanges: createFleetParts.createChangesFetcher(parts),
     describeSelf: (isStoreLost) => createFleetParts.describeSelf(parts, { isLeaving, isStoreLost }),
     onHeartbeat: handleHeartbeat,
-    onFact: (content, madeAt) => { if (!limiter.noteFact(content, madeAt)) callQuarantine.noteFact(content, madeAt) },
+    onFact: handleFact,
     onDatagram: (bytes, from) => limiter.receive(bytes, from) || reserver.receive(bytes, from),
     random: Math.random
   })
   startedExchange = exchange
   const { gossip } = exchange
 
+  function handleFact (content: unknown, madeAt: number): void {
+    const leaver = leavingFacts.parseFact(content)
+    if (leaver !== null) leavers.noteFromPeer(leaver)
+    else if (!limiter.noteFact(content, madeAt)) callQuarantine.noteFact(content, madeAt)
+  }
+
+  function isLeavingBackEnd (backEnd: gateway.BackEnd): boolean {
+    return backEnd.isDraining || leavers.isLeaving(backEnd) || tracker.read(backEnd.id).report?.isLeaving === true
+  }
+
   function handleHeartbeat (heartbeat: spread.Heartbeat, delayMs: number, ageMs: number): void {
     createFleetParts.recordPeerVersions(parts, heartbeat)
     const engineUpdate = engineStatus.decodeEngineStatus(heartbeat.engine, { host: heartbeat.host, soleModel: findSoleModel })
@@ -146,6 +159,7 @@
       endsAt: now() + choice.remainingMs,
       pinnedVersion: choice.version,
       tried: choice.tried,
+      isLeaving: leavers.isLeaving,
       readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
       mayRequestPermit: choice.mayRequestPermit,
       now: now(),
@@ -225,7 +239,7 @@
     endsKnown: callQuarantine.countEnds(),
     rateLimits: limiter.inForce().map(({ life, perSecond, receivedAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - receivedAt) / types.MILLISECONDS_IN_SECOND) })),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
-    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: leavers.isLeaving(backEnd), models: Object.fromEntries(backEnd.models) }))
+    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), models: Object.fromEntries(backEnd.models) }))
   }))
 
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -173,6 +173,7 @@
       answerTokens: kind.events * simulatedEngine.STEPS_PER_PASS,
       lastBeginAt: () => Infinity,
       endsAt: askedAt + CALL_TIMEOUT_MS,
+      isLeaving: () => false,
       readAllowance: ({ id }) => readAllowance(from, id),
       mayRequestPermit: true,
       pinnedVersion: null,
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -1,4 +1,4 @@
-/** Guards against a call that crashes back ends and is still sent to another one: it was blocked while it waited for a permit, and was not checked again. */
+/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, or its back end announced its end. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
@@ -14,11 +14,13 @@
   readonly refusal: string
 }
 
-/** Runs a call at a gateway whose only back end needs a permit; the call is blocked, or not, while it waits for that. */
-async function runCall (isBlockedMeanwhile: boolean): Promise<Outcome> {
+type Meanwhile = 'nothing' | 'blocked' | 'leaving'
+
+/** Runs a call at a gateway whose only back end needs a permit; something happens, or nothing, while it waits for that. */
+async function runCall (meanwhile: Meanwhile): Promise<Outcome> {
   const tracker = createBackEndTracker.createBackEndTracker(() => 0)
   let sent = 0
-  let isBlocked = false
+  let happened: Meanwhile = 'nothing'
   let refusal = ''
   const backEnd = { id: types.brandId<types.NodeId>('i-1'), bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
   const call = callState.createCallState({
@@ -33,16 +35,22 @@
   const reply = { hasStarted: () => false, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
-    choose: () => ({ choice: { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity }, passedOver: {}, utilization: 0, permitWaitMs: Infinity }),
+    choose: () => ({
+      choice: happened === 'leaving' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity },
+      passedOver: happened === 'leaving' ? { draining: 1 } : {},
+      utilization: 0,
+      permitWaitMs: Infinity
+    }),
     sharedTargetOf: () => DEADLINE_MS,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
+    leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
       acquire: async () => {
-        isBlocked = isBlockedMeanwhile
+        happened = meanwhile
         return { isGranted: true }
       }
     },
-    guard: { isActive: () => true, readBlockedMs: () => isBlocked ? BLOCKED_MS : null },
+    guard: { isActive: () => true, readBlockedMs: () => happened === 'blocked' ? BLOCKED_MS : null },
     tracker: {
       ...tracker,
       noteSent: () => {
@@ -62,6 +70,10 @@
 }
 
 nodeTest.test('a call that is blocked while it waits for a permit is refused and not sent', async () => {
-  assert.deepEqual(await runCall(true), { sent: 0, refusal: '503 blocked: back ends ended under this call' })
-  assert.equal((await runCall(false)).sent, 1)
+  assert.deepEqual(await runCall('blocked'), { sent: 0, refusal: '503 blocked: back ends ended under this call' })
+  assert.equal((await runCall('nothing')).sent, 1)
+})
+
+nodeTest.test('a call whose back end announces its end while the call waits for a permit is not sent there', async () => {
+  assert.deepEqual(await runCall('leaving'), { sent: 0, refusal: '503 no back end may serve: 1 draining' })
 })
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -99,8 +99,9 @@
           continue
         }
       }
-      // The call may have been blocked while it waited for a slot or a permit.
+      // The call may have been blocked, or its back end may have announced its end, while the call waited for a slot or a permit.
       if (noteIfBlocked()) return endUnserved()
+      if (options.leavers.isLeaving(choice.backEnd)) continue
       if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
--- a/packages/gateway/src/_lib/simulatedEngine.ts
+++ b/packages/gateway/src/_lib/simulatedEngine.ts
@@ -92,6 +92,6 @@
       if (!isInPass) runPass()
       return true
     },
-    report: () => ({ bornAt: null, running: running.length, waiting: waiting.length, isBusy: false, sequence: 0, pace, limitPerSecond: null, models: new Map([[MODEL, 1]]) })
+    report: () => ({ bornAt: null, running: running.length, waiting: waiting.length, isBusy: false, sequence: 0, pace, limitPerSecond: null, isLeaving: false, models: new Map([[MODEL, 1]]) })
   }
 }
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -25,6 +25,8 @@
   readonly pinnedVersion: number | null
   /** Back ends that this call was already sent to. */
   readonly tried: ReadonlySet<types.NodeId>
+  /** Whether a back end has announced in a response that it is about to end. */
+  readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
   /** Remaining rate allowance of a back end that advertises a rate limit; null for one without a limit. */
   readonly readAllowance: (backEnd: gateway.BackEnd) => limiters.RateAllowance | null
   /** Whether a rate-limit permit may be requested; otherwise rate-limited back ends are passed over. */
@@ -53,6 +55,7 @@
 
 /** Why a back end may not serve a call. */
 export type PassedOverReason =
+  /** It is about to end, as service discovery, one of its responses or its report says. */
   | 'draining'
   | 'tried'
   /** The instance has ended: another process answers at its address, or none. */
@@ -163,10 +166,11 @@
 }
 
 function score (backEnd: gateway.BackEnd, allowance: limiters.RateAllowance | null, input: ChoiceInput): ScoredChoice | PassedOverReason {
-  if (backEnd.isDraining) return 'draining'
+  if (backEnd.isDraining || input.isLeaving(backEnd)) return 'draining'
   if (input.tried.has(backEnd.id)) return 'tried'
   const load = input.tracker.read(backEnd.id)
   if (load.isGone) return 'gone'
+  if (load.report?.isLeaving === true) return 'draining'
   const withoutLink = predict(backEnd, load, input)
   const linkMs = load.linkDelayMs * LINK_CROSSINGS
   const predicted = { ...withoutLink, firstEventMs: withoutLink.firstEventMs + linkMs, discountedFirstEventMs: withoutLink.discountedFirstEventMs + linkMs }
--- a/packages/gateway/src/chooseBackEnd/limited.test.ts
+++ b/packages/gateway/src/chooseBackEnd/limited.test.ts
@@ -25,6 +25,7 @@
     answerTokens: 0,
     lastBeginAt: () => Infinity,
     endsAt: NOW + 6000,
+    isLeaving: () => false,
     readAllowance: ({ id }) => allowances[id] ?? null,
     mayRequestPermit: true,
     pinnedVersion: null,
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -18,13 +18,13 @@
 
 function report (version: number, running: number, waiting = 0): createBackEndTracker.AgentStatus {
   return {
-    isPaused: false, changesInMs: null, report: { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, models: new Map([['m', version]]) }
+    isPaused: false, changesInMs: null, report: { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, isLeaving: false, models: new Map([['m', version]]) }
   }
 }
 
 function chooseAmong (backEnds: readonly gateway.BackEnd[], tracker: createBackEndTracker.BackEndTracker, change: Partial<chooseBackEnd.ChoiceInput> = {}): chooseBackEnd.ChoiceOutcome {
   return chooseBackEnd.chooseBackEnd({
-    backEnds, tracker, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastBeginAt: () => Infinity, endsAt: NOW + 6000, readAllowance: () => null, mayRequestPermit: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
+    backEnds, tracker, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastBeginAt: () => Infinity, endsAt: NOW + 6000, isLeaving: () => false, readAllowance: () => null, mayRequestPermit: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
   })
 }
 
--- a/packages/gateway/src/createBackEndTracker/test.ts
+++ b/packages/gateway/src/createBackEndTracker/test.ts
@@ -7,7 +7,7 @@
 const STATUS: createBackEndTracker.AgentStatus = {
   isPaused: false,
   changesInMs: null,
-  report: { bornAt: null, running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, models: new Map() }
+  report: { bornAt: null, running: 1, waiting: 0, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, isLeaving: false, models: new Map() }
 }
 
 interface RecordedReports {
--- a/packages/gateway/src/createLeavingRecord/index.ts
+++ b/packages/gateway/src/createLeavingRecord/index.ts
@@ -29,8 +29,8 @@
   readonly removeUnlisted: (listed: readonly InstanceOfBackEnd[]) => void
 }
 
-/** An entry may vanish from the list and come back, for example after an outage of the store, while its back end still serves calls. */
-const UNLISTED_RETENTION_MS = 300_000
+/** How long an announcement is remembered after its back end was last listed. An entry may vanish from the list and come back, for example after an outage of the store, while its back end still serves calls. */
+export const LEAVING_RETENTION_MS = 300_000
 
 /**
  * Creates an empty record. An announcement is never revoked: an instance that has announced its end ends, and its successor has another id.
@@ -61,7 +61,7 @@
       const listedIds = new Set(listed.map(toInstanceId))
       for (const [instance, listedAt] of lastListedAt) {
         if (listedIds.has(instance)) lastListedAt.set(instance, now())
-        else if (now() - listedAt > UNLISTED_RETENTION_MS) lastListedAt.delete(instance)
+        else if (now() - listedAt > LEAVING_RETENTION_MS) lastListedAt.delete(instance)
       }
     }
   }
--- a/packages/gateway/src/createSlotReservations/test.ts
+++ b/packages/gateway/src/createSlotReservations/test.ts
@@ -9,7 +9,7 @@
 const REQUEST: createSlotReservations.SlotRequest = { promptTokens: 500, withinMs: 500 }
 
 function createReport (running: number, waiting = 0): gateway.EngineReport {
-  return { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, models: new Map([['m', 1]]) }
+  return { bornAt: null, running, waiting, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, isLeaving: false, models: new Map([['m', 1]]) }
 }
 
 /** Creates the reservations of an engine with the given report, at time 0. */
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -118,6 +118,8 @@
   readonly pace: number
   /** Requests per second that the engine accepts from all machines together; null if its report gives no limit. */
   readonly limitPerSecond: number | null
+  /** Whether the engine announced that it is about to end. */
+  readonly isLeaving: boolean
   readonly models: ReadonlyMap<string, number>
 }
 
--- a/packages/staging/src/_lib/orderVersion.ts
+++ b/packages/staging/src/_lib/orderVersion.ts
@@ -49,7 +49,7 @@
     options.onPause(true)
     const state = await waitForEmptyQueue()
     if (method === 'break-off') await waitForShortCalls()
-    if (state !== null && !state.isBusy) await startVersion(ready, state, method)
+    if (state !== null && !state.isBusy && !state.isLeaving) await startVersion(ready, state, method)
     options.onPause(false)
   }
 
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -147,6 +147,11 @@
     checkEngineRestart(state)
     held = state.held
     isServing = state.running + state.waiting > 0
+    if (state.isLeaving) {
+      endFetch()
+      options.onTurn(null)
+      return
+    }
     const named = options.named()
     planFetch(state, named)
     const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -46,6 +46,8 @@
   readonly waiting: number
   /** Whether the engine is carrying out an order. */
   readonly isBusy: boolean
+  /** Whether the engine is about to end; it gets no new weights. */
+  readonly isLeaving: boolean
   /** Number of orders that this engine process has accepted. */
   readonly sequence: number
 }
