--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -79,6 +79,18 @@
     },
     now
   })
+  const backoffs = gateway.createBackoffRecord({
+    onBackoff: (instance, forMs) => {
+      metrics.count('backoffs_requested')
+      logger.info('backoff', { instance, forMs: Math.round(forMs) })
+    },
+    onUnreadable: (instance, text) => {
+      metrics.count('backoffs_unreadable')
+      logger.warn('backoff-unreadable', { instance, text })
+    },
+    now,
+    random: Math.random
+  })
   const reserver = gateway.createReservationClient({
     send: (host, bytes) => { startedExchange?.send(host, bytes) },
     count: metrics.count,
@@ -178,6 +190,7 @@
     guard: callQuarantine,
     limiter,
     leavers,
+    backoffs,
     reserver,
     logger,
     count: metrics.count,
@@ -192,6 +205,7 @@
     tracker.keepOnly(parts.backEnds())
     limiter.removeUnlisted()
     leavers.removeUnlisted(parts.backEnds())
+    backoffs.removeUnlisted(parts.backEnds())
   })
   const readiness = checked.listen.readiness === undefined
     ? null
@@ -229,6 +243,7 @@
   metrics.gauge('calls_suspected', callQuarantine.countSuspects)
   metrics.gauge('ends_known', callQuarantine.countEnds)
   metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
+  metrics.gauge('backoffs_in_force', backoffs.countInForce)
   metrics.gauge('facts', exchange.facts.count)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
@@ -239,7 +254,7 @@
     endsKnown: callQuarantine.countEnds(),
     rateLimits: limiter.inForce().map(({ life, perSecond, receivedAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - receivedAt) / types.MILLISECONDS_IN_SECOND) })),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
-    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), models: Object.fromEntries(backEnd.models) }))
+    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), models: Object.fromEntries(backEnd.models) }))
   }))
 
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -11,6 +11,7 @@
 import type * as createRetryBudget from '../createRetryBudget/index.js'
 import type * as createSharedTargets from '../createSharedTargets/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
+import type * as backoffs from '../types/backoff.js'
 import type * as guards from '../types/guard.js'
 import type * as limiters from '../types/limiter.js'
 import type * as reservers from '../types/reserver.js'
@@ -26,6 +27,8 @@
   readonly readAdvertisedRate: (response: http.IncomingMessage) => rateLimits.AdvertisedRate
   /** Whether a back end's response announces that it is about to end. */
   readonly announcesLeaving: (response: http.IncomingMessage) => boolean
+  /** How long a back end wants no further calls, as its response states it. */
+  readonly readBackoffRequest: (response: http.IncomingMessage) => backoffs.BackoffRequest
   /** Headers of a response of the gateway itself. */
   readonly formatGatewayAnswer: (requestId: string, retryAfterMs: number | null) => string[]
 }
@@ -45,6 +48,7 @@
   readonly guard: guards.CallGuard
   readonly limiter: limiters.RateLimiter
   readonly leavers: createLeavingRecord.LeavingRecord
+  readonly backoffs: backoffs.BackoffKeeper
   readonly reserver: reservers.SlotReserver
   readonly logger: observability.Logger
   readonly count: (name: string, labels?: Readonly<Record<string, string>>) => void
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -120,6 +120,7 @@
   if (start.kind === 'no-answer') return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
   const answer = options.protocol.readAnswer(start.response, head.requestId)
   noteRate(answer, start.response)
+  noteBackoff(answer, start.response)
   if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
   if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
   if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
@@ -135,8 +136,13 @@
   function noteRate (read: gateway.AnswerHead, response: http.IncomingMessage): void {
     if (read.kind === 'foreign' || (read.kind === 'not-run' && read.reason === 'wrong-instance')) return
     const rate = options.protocol.readAdvertisedRate(response)
-    const isSuccess = read.kind === 'answered' && read.status < FIRST_ERROR_STATUS
-    if (isSuccess || rate.kind !== 'none') options.limiter.noteResponse(choice.backEnd, rate, open.sentAt)
+    if (isSuccess(read) || rate.kind !== 'none') options.limiter.noteResponse(choice.backEnd, rate, open.sentAt)
+  }
+
+  /** Records for how long the back end wants no calls; a response to another call, or from another process at the address, is ignored. */
+  function noteBackoff (read: gateway.AnswerHead, response: http.IncomingMessage): void {
+    if (read.kind === 'foreign' || (read.kind === 'not-run' && read.reason === 'wrong-instance')) return
+    options.backoffs.noteResponse(choice.backEnd, options.protocol.readBackoffRequest(response), isSuccess(read))
   }
 
   /** Aborts the attempt from this side. */
@@ -222,6 +228,10 @@
   }
 }
 
+function isSuccess (answer: gateway.AnswerHead): boolean {
+  return answer.kind === 'answered' && answer.status < FIRST_ERROR_STATUS
+}
+
 /** Whether the first event can no longer be in time, counted from the caller's first try. */
 function isLate (call: callState.CallState, now: number): boolean {
   return callState.readElapsedMs(call, now) > call.route.targetMs
