Keep the load of the tests of leaving back ends below what one back end admits

One or two of twelve tests failed in 7 of 15 runs: they sent 30 calls at once to a gateway with one back end of 16 slots left, which refuses by its admission. Traced: the refused calls say "first event in 427 ms, lately up to 0 ms later, target 400 ms, 1.69 of all places taken".

--- a/packages/daemon/src/startGatewayRole/leaving.test.ts
+++ b/packages/daemon/src/startGatewayRole/leaving.test.ts
@@ -11,6 +11,8 @@
 const AGENT_HOSTS = ['127.0.0.11', '127.0.0.12'] as const
 const HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
 const CALLS = 30
+/** Fewer than half of the slots of one back end, so that none is refused for its load. */
+const CALLS_AT_A_TIME = 6
 const OK = 200
 const SERVICE_UNAVAILABLE = 503
 
@@ -38,8 +40,12 @@
 }
 
 async function sendCalls (gateways: readonly types.Address[], service: Service): Promise<number[]> {
-  const answers = await Promise.all(Array.from({ length: CALLS }, async (_, index) => await send(gateways[index % gateways.length] as types.Address, service, `call-${index}`)))
-  return answers.map(({ status }) => status)
+  const statuses: number[] = []
+  for (let sent = 0; sent < CALLS; sent += CALLS_AT_A_TIME) {
+    const answers = await Promise.all(Array.from({ length: CALLS_AT_A_TIME }, async (_, index) => await send(gateways[index % gateways.length] as types.Address, service, `call-${sent + index}`)))
+    statuses.push(...answers.map(({ status }) => status))
+  }
+  return statuses
 }
 
 for (const service of [STREAMS, PLAIN]) {
