Leave back ends alone for the time that their refusals ask for

Cause: Retry-After of a back end was not read, and one that refuses at once looks least loaded.

Why this holds: the record is asked in choice and once more before each attempt, whatever kind it is; it ends by its own time only.

--- /dev/null
+++ b/packages/daemon/src/_lib/backoffFacts.ts
@@ -0,0 +1,16 @@
+/** Facts that gateways share about back ends that have asked one of them for time without calls. */
+import * as types from '@switchridge/types'
+
+const BACKOFF_CODE = 'r'
+
+/** Encodes the request of a back end as an array, which is short in JSON. */
+export function formatFact (instance: types.BackEndInstanceId): unknown[] {
+  return [BACKOFF_CODE, instance]
+}
+
+/** Decodes a fact; null if it is malformed or about something else. */
+export function parseFact (content: unknown): types.BackEndInstanceId | null {
+  if (!Array.isArray(content)) return null
+  const [code, instance] = content as unknown[]
+  return code === BACKOFF_CODE && types.isBackEndInstanceId(instance) ? instance : null
+}
--- a/packages/daemon/src/startGatewayRole/backoff.test.ts
+++ b/packages/daemon/src/startGatewayRole/backoff.test.ts
@@ -99,6 +99,23 @@
   assert.equal((await send(gateways[1] as types.Address, PLAIN, 'other')).status, OK)
 })
 
+nodeTest.test('other gateways prefer back ends that did not ask for time, without having been turned away', async (context) => {
+  const fleet = await fleetTesting.createTestFleet(context)
+  fleet.configure()
+  const asking = await fleet.startEngine({ id: 'i-asking' }, PLAIN.name)
+  await fleet.startEngine({ id: 'i-other' }, PLAIN.name)
+  const gateways: types.Address[] = []
+  for (const host of HOSTS) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
+  for (const gateway of gateways) await fleetTesting.waitUntilServed(gateway, PLAIN.path)
+  await callUntilTurnedAway(gateways[0] as types.Address, PLAIN, asking, LONG_BACKOFF_SECONDS)
+  await fleetTesting.waitUntil(async () => {
+    const before = asking.arrivals.length
+    const answers = await Promise.all(Array.from({ length: 6 }, async (_, index) => await send(gateways[1] as types.Address, PLAIN, `avoiding-${index}`)))
+    assert.ok(answers.every(({ status }) => status === OK))
+    return asking.arrivals.length === before
+  })
+})
+
 nodeTest.test('a back end that vanishes from the store and returns still gets no calls of the gateway that it asked for time', async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -8,6 +8,7 @@
 import * as createFleetExchange from '../createFleetExchange/index.js'
 import * as createFleetParts from '../createFleetParts/index.js'
 import * as createRateLimiter from '../createRateLimiter/index.js'
+import * as createSharedBackoffs from '../createSharedBackoffs/index.js'
 import * as openTextServer from '../openTextServer/index.js'
 import * as engineStatus from '../_lib/engineStatus.js'
 import * as leavingFacts from '../_lib/leavingFacts.js'
@@ -79,16 +80,11 @@
     },
     now
   })
-  const backoffs = gateway.createBackoffRecord({
-    onBackoff: (instance, forMs) => {
-      metrics.count('backoffs_requested')
-      logger.info('backoff', { instance, forMs: Math.round(forMs) })
-    },
-    onUnreadable: (instance, text) => {
-      metrics.count('backoffs_unreadable')
-      logger.warn('backoff-unreadable', { instance, text })
-    },
-    now,
+  const backoffs = createSharedBackoffs.createSharedBackoffs({
+    parts,
+    tracker,
+    publishFact: (content, ttlMs) => { startedExchange?.facts.publish(content, ttlMs) },
+    countGateways: countLiveGateways,
     random: Math.random
   })
   const reserver = gateway.createReservationClient({
@@ -115,7 +111,7 @@
   function handleFact (content: unknown, madeAt: number): void {
     const leaver = leavingFacts.parseFact(content)
     if (leaver !== null) leavers.noteFromPeer(leaver)
-    else if (!limiter.noteFact(content, madeAt)) callQuarantine.noteFact(content, madeAt)
+    else if (!backoffs.noteFact(content, madeAt) && !limiter.noteFact(content, madeAt)) callQuarantine.noteFact(content, madeAt)
   }
 
   function isLeavingBackEnd (backEnd: gateway.BackEnd): boolean {
@@ -172,6 +168,7 @@
       pinnedVersion: choice.version,
       tried: choice.tried,
       isLeaving: leavers.isLeaving,
+      readBackoff: backoffs.read,
       readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
       mayRequestPermit: choice.mayRequestPermit,
       now: now(),
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -3,6 +3,7 @@
 import * as standins from '@switchridge/standins'
 import * as types from '@switchridge/types'
 import * as chooseBackEnd from '../chooseBackEnd/index.js'
+import * as createBackoffRecord from '../createBackoffRecord/index.js'
 import * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as createErrorBound from '../createErrorBound/index.js'
 import * as createSharedTargets from '../createSharedTargets/index.js'
@@ -30,6 +31,11 @@
   readonly slow?: { readonly count: number, readonly pace: number }
   /** Number of engines, from the end of the list, that advertise a rate limit; unless `isEnforced`, gateways ignore it. */
   readonly limited?: { readonly count: number, readonly perSecond: number, readonly isEnforced: boolean }
+  /**
+   * Number of engines, from the end of the list, that turn all calls away between {@link SHED_FROM_MS} and {@link SHED_UNTIL_MS} and ask for {@link BACKOFF_MS} without calls:
+   * gateways ignore it, keep it for themselves, or also tell the others, which then avoid the engine.
+   */
+  readonly shedding?: { readonly count: number, readonly backoff: 'ignored' | 'kept' | 'shared' }
   /** Whether a refused caller retries once at the time that it was told, at any gateway; false if absent. */
   readonly doCallersRetry?: boolean
   /** Seed of the random numbers, {@link SEED} if absent. */
@@ -88,6 +94,9 @@
 const CALLER_TRIES = 2
 const SEED = 7
 const LIMIT_WINDOW_MS = 4000
+const SHED_FROM_MS = WARM_UP_MS + 2000
+const SHED_UNTIL_MS = WARM_UP_MS + 8000
+const BACKOFF_MS = 3000
 /** Shortest retry time of a caller that can no longer be in time; up to twice as long at random. */
 const LATE_RETRY_MS = 1000
 
@@ -104,6 +113,7 @@
   readonly tracker: createBackEndTracker.BackEndTracker
   readonly errors: createErrorBound.ErrorBound
   readonly targets: createSharedTargets.SharedTargets
+  readonly backoffs: createBackoffRecord.BackoffRecord
   /** When a permit of a rate-limited engine is expected to be available. */
   readonly permitExpectedAt: Map<types.NodeId, number>
 }
@@ -123,7 +133,8 @@
   const engines = Array.from({ length: scenario.engines }, (_, at) => simulatedEngine.createSimulatedEngine(`engine-${at}`, zoneOf(at), at < (scenario.slow?.count ?? 0) ? scenario.slow?.pace ?? 1 : 1, figures, clock))
   const backEnds = engines.map(({ backEnd }) => backEnd)
   const byId = new Map(engines.map((engine) => [engine.backEnd.id, engine]))
-  const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), permitExpectedAt: new Map() }))
+  const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), backoffs: createBackoffs(), permitExpectedAt: new Map() }))
+  const shedding = new Set(backEnds.slice(scenario.engines - (scenario.shedding?.count ?? 0)).map(({ id }) => id))
   const counts = STREAM_CLASSES.map(createCounts)
   const limit = scenario.limited ?? { count: 0, perSecond: 1, isEnforced: false }
   const limited = new Map(backEnds.slice(scenario.engines - limit.count).map(({ id }) => [id, [] as number[]]))
@@ -148,6 +159,22 @@
     clock.at(random() * everyMs, sendReport)
   }
 
+  function createBackoffs (): createBackoffRecord.BackoffRecord {
+    return createBackoffRecord.createBackoffRecord({ onBackoff: () => {}, onUnreadable: () => {}, countGateways: () => scenario.gateways, now: clock.now, random })
+  }
+
+  function isShedding (id: types.NodeId): boolean {
+    return shedding.has(id) && clock.now() >= SHED_FROM_MS && clock.now() < SHED_UNTIL_MS
+  }
+
+  function noteTurnedAway (from: SimulatedGateway, backEnd: gateway.BackEnd): void {
+    from.tracker.noteFull(backEnd.id)
+    if (!isShedding(backEnd.id) || scenario.shedding?.backoff === 'ignored') return
+    from.backoffs.noteResponse(backEnd, { kind: 'named', forMs: BACKOFF_MS }, false)
+    if (scenario.shedding?.backoff !== 'shared') return
+    for (const other of gateways) if (other !== from) other.tracker.noteFailure(backEnd.id)
+  }
+
   function readAllowance (from: SimulatedGateway, id: types.NodeId): limiters.RateAllowance | null {
     if (!limit.isEnforced || !limited.has(id)) return null
     return { perSecond: limit.perSecond, waitMs: Math.max(0, (from.permitExpectedAt.get(id) ?? 0) - clock.now()) }
@@ -174,6 +201,7 @@
       lastBeginAt: () => Infinity,
       endsAt: askedAt + CALL_TIMEOUT_MS,
       isLeaving: () => false,
+      readBackoff: from.backoffs.read,
       readAllowance: ({ id }) => readAllowance(from, id),
       mayRequestPermit: true,
       pinnedVersion: null,
@@ -255,7 +283,7 @@
     const latencyMs = choice.backEnd.zone === from.zone ? HALL_LATENCY_MS : CROSS_HALL_LATENCY_MS
     clock.at(sentAt + latencyMs, () => {
       limited.get(id)?.push(clock.now())
-      const isTaken = byId.get(id)?.enqueue({
+      const isTaken = !isShedding(id) && byId.get(id)?.enqueue({
         isUrgent: sentAt - call.askedAt <= call.kind.targetMs,
         unreadTokens: call.promptTokens + 1,
         eventsLeft: call.kind.events,
@@ -265,7 +293,7 @@
       if (isTaken === true) return
       clock.at(clock.now() + latencyMs, () => {
         from.tracker.noteEnded(id, open)
-        from.tracker.noteFull(id)
+        noteTurnedAway(from, choice.backEnd)
         const next = tried.size < ATTEMPTS ? choose(from, call, tried).choice : null
         if (next === null || !isPermitted(from, next.backEnd.id, false)) call.counts.rejected += 1
         else serve(from, call, next, tried)
@@ -276,6 +304,7 @@
   function noteFirstEvent (call: Call, open: createBackEndTracker.OpenAttempt, from: SimulatedGateway, choice: chooseBackEnd.Choice): void {
     from.errors.note(choice.firstEventMs, clock.now() - open.sentAt)
     open.hasResponded = true
+    from.backoffs.noteResponse(choice.backEnd, { kind: 'none' }, true)
     if (clock.now() - call.askedAt <= call.kind.targetMs) call.counts.inTime += 1
     else call.counts.late += 1
   }
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, or its back end announced its end. */
+/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, or asked for time without calls. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
@@ -7,6 +7,7 @@
 import * as runAttempts from './runAttempts.js'
 
 const BLOCKED_MS = 60_000
+const BACKOFF_MS = 3000
 const DEADLINE_MS = 5000
 
 interface Outcome {
@@ -14,7 +15,7 @@
   readonly refusal: string
 }
 
-type Meanwhile = 'nothing' | 'blocked' | 'leaving'
+type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off'
 
 /** Runs a call at a gateway whose only back end needs a permit; something happens, or nothing, while it waits for that. */
 async function runCall (meanwhile: Meanwhile): Promise<Outcome> {
@@ -36,13 +37,15 @@
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
-      choice: happened === 'leaving' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity },
-      passedOver: happened === 'leaving' ? { draining: 1 } : {},
+      choice: happened === 'leaving' || happened === 'backing-off' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity },
+      passedOver: happened === 'leaving' ? { draining: 1 } : { 'backing-off': 1 },
       utilization: 0,
-      permitWaitMs: Infinity
+      permitWaitMs: Infinity,
+      backoffWaitMs: Infinity
     }),
     sharedTargetOf: () => DEADLINE_MS,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
+    backoffs: { read: () => ({ waitMs: happened === 'backing-off' ? BACKOFF_MS : 0, maximumUnanswered: Infinity }) },
     leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
       acquire: async () => {
@@ -77,3 +80,7 @@
 nodeTest.test('a call whose back end announces its end while the call waits for a permit is not sent there', async () => {
   assert.deepEqual(await runCall('leaving'), { sent: 0, refusal: '503 no back end may serve: 1 draining' })
 })
+
+nodeTest.test('a call whose back end asks for time without calls while the call waits for a permit is not sent there', async () => {
+  assert.deepEqual(await runCall('backing-off'), { sent: 0, refusal: '503 no back end may serve: 1 backing-off' })
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -31,6 +31,10 @@
 /** Shortest retry time for a permit. */
 const PERMIT_RETRY_MINIMUM_MS = 60
 
+/** Callers that are refused because all back ends asked for time without calls return within this time, or this fraction of the wait if longer, after it. */
+const BACKOFF_RETRY_SPREAD_MS = 500
+const BACKOFF_RETRY_SPREAD_FRACTION = 0.5
+
 type Options = callOptions.CallHandlerOptions
 
 /** Describes how many back ends were passed over for each reason. */
@@ -65,11 +69,12 @@
       const isLate = !reply.hasStarted() && !canMeetTarget(0)
       if (noteIfBlocked()) return endUnserved()
       const chosen = choose(call.tried, isLate)
-      const { passedOver, utilization, permitWaitMs } = chosen
+      const { passedOver, utilization, permitWaitMs, backoffWaitMs } = chosen
       let { choice } = chosen
       if (choice === null) {
+        if (backoffWaitMs !== Infinity) retryAfterMs = computeBackoffRetryMs(backoffWaitMs)
         if (lastReason !== '') return endUnserved()
-        retryAfterMs = computeRetryAfterMs(permitWaitMs)
+        if (backoffWaitMs === Infinity) retryAfterMs = computeRetryAfterMs(permitWaitMs)
         lastReason = `no back end may serve: ${describePassedOver(passedOver)}`
         return endUnserved()
       }
@@ -99,9 +104,9 @@
           continue
         }
       }
-      // The call may have been blocked, or its back end may have announced its end, while the call waited for a slot or a permit.
+      // The call may have been blocked, or its back end may have announced its end or asked for time without calls, while the call waited for a slot or a permit.
       if (noteIfBlocked()) return endUnserved()
-      if (options.leavers.isLeaving(choice.backEnd)) continue
+      if (options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0) continue
       if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
@@ -156,6 +161,11 @@
     return Math.min(retryMs, call.deadline.remainingMs() * NO_BACK_END_REMAINING_FRACTION)
   }
 
+  /** Callers return spread over some time after the end of a backoff, so that the back end doesn't get all of them at once. */
+  function computeBackoffRetryMs (backoffWaitMs: number): number {
+    return backoffWaitMs + Math.max(BACKOFF_RETRY_SPREAD_MS, backoffWaitMs * BACKOFF_RETRY_SPREAD_FRACTION) * options.random()
+  }
+
   function canMeetTarget (delayMs: number): boolean {
     return callState.canMeetTarget(callState.readElapsedMs(call, options.now()) + delayMs, call.route.targetMs)
   }
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -1,6 +1,7 @@
 /** Chooses the back end for one attempt of a call. */
 import type * as types from '@switchridge/types'
 import type * as gateway from '../types/index.js'
+import type * as backoffs from '../types/backoff.js'
 import type * as limiters from '../types/limiter.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as predictFirstEvent from '../predictFirstEvent/index.js'
@@ -27,6 +28,8 @@
   readonly tried: ReadonlySet<types.NodeId>
   /** Whether a back end has announced in a response that it is about to end. */
   readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
+  /** What a back end that asked for time without calls may be sent. */
+  readonly readBackoff: (backEnd: gateway.BackEnd) => backoffs.Backoff
   /** Remaining rate allowance of a back end that advertises a rate limit; null for one without a limit. */
   readonly readAllowance: (backEnd: gateway.BackEnd) => limiters.RateAllowance | null
   /** Whether a rate-limit permit may be requested; otherwise rate-limited back ends are passed over. */
@@ -70,6 +73,8 @@
   | 'late'
   /** It advertises a rate limit, and no request may be sent there now. */
   | 'limited'
+  /** It asked for time without calls, which is not over, or since which it has not answered enough calls for another one. */
+  | 'backing-off'
 
 /** Number of back ends passed over for each reason. */
 export type PassedOver = Partial<Record<PassedOverReason, number>>
@@ -82,6 +87,8 @@
   readonly utilization: number
   /** Milliseconds until a permit may be requested from a back end that was passed over for its rate limit; Infinity for none. */
   readonly permitWaitMs: number
+  /** If all back ends that will go on serving asked for time without calls: milliseconds until the first one takes some again. Infinity otherwise. */
+  readonly backoffWaitMs: number
 }
 
 interface ScoredChoice extends Choice {
@@ -134,10 +141,12 @@
   let capacity = 0
   let occupied = 0
   let permitWaitMs = Infinity
+  const backoffWaits: number[] = []
   const passedOver: PassedOver = {}
   for (const backEnd of input.backEnds) {
     const allowance = input.readAllowance(backEnd)
     const scored = score(backEnd, allowance, input)
+    if (scored !== 'draining' && scored !== 'gone') backoffWaits.push(input.readBackoff(backEnd).waitMs)
     const slots = allowance === null ? backEnd.slots : Math.min(backEnd.slots, allowance.perSecond * LIMITED_REQUEST_SECONDS)
     if (typeof scored === 'string') {
       passedOver[scored] = (passedOver[scored] ?? 0) + 1
@@ -151,7 +160,8 @@
     occupied += allowance === null ? scored.taken : Math.min(slots, scored.taken)
     if (best === null || scored.score < best.score) best = scored
   }
-  return { choice: best, passedOver, utilization: capacity === 0 ? 1 : occupied / capacity, permitWaitMs }
+  const backoffWaitMs = backoffWaits.every((waitMs) => waitMs > 0) ? Math.min(...backoffWaits) : Infinity
+  return { choice: best, passedOver, utilization: capacity === 0 ? 1 : occupied / capacity, permitWaitMs, backoffWaitMs }
 }
 
 /**
@@ -178,6 +188,7 @@
   const healthyGraceMs = computeHealthyGraceMs(load, input)
   const refusal = input.figures === null || input.model === null ? null : findVersionRefusal(version, computeLatestBegin(load, predicted.firstEventMs, input) - healthyGraceMs, input)
   if (refusal !== null) return refusal
+  if (isBackingOff(load, input.readBackoff(backEnd))) return 'backing-off'
   if (allowance !== null && (allowance.waitMs > 0 || !input.mayRequestPermit)) return 'limited'
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_PENALTY_MS) +
     (load.isReportOverdue ? OVERDUE_REPORT_PENALTY_MS : 0) +
@@ -190,6 +201,11 @@
   return { backEnd, isRateLimited: allowance !== null, expectedVersion, mustBeginBy, ...predicted, score: predicted.firstEventMs + penalty, taken: countOccupied(load, input) }
 }
 
+function isBackingOff (load: createBackEndTracker.BackEndLoad, { waitMs, maximumUnanswered }: backoffs.Backoff): boolean {
+  if (waitMs > 0) return true
+  return maximumUnanswered !== Infinity && [...load.open].filter(({ hasResponded }) => !hasResponded).length >= maximumUnanswered
+}
+
 /**
  * Estimates the requests at a back end. For a model engine these are the requests in its last report, plus those that this gateway sent since,
  * multiplied by the number of gateways. Gateways get similar numbers of calls, so the estimate is wrong for a single engine but right for the sum over
--- a/packages/gateway/src/chooseBackEnd/limited.test.ts
+++ b/packages/gateway/src/chooseBackEnd/limited.test.ts
@@ -26,6 +26,7 @@
     lastBeginAt: () => Infinity,
     endsAt: NOW + 6000,
     isLeaving: () => false,
+    readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }),
     readAllowance: ({ id }) => allowances[id] ?? null,
     mayRequestPermit: true,
     pinnedVersion: null,
--- a/packages/gateway/src/createBackoffRecord/index.ts
+++ b/packages/gateway/src/createBackoffRecord/index.ts
@@ -9,6 +9,8 @@
   readonly onBackoff: (instance: types.BackEndInstanceId, forMs: number) => void
   /** Called with a time that can't be parsed, but not again while the text stays the same. */
   readonly onUnreadable: (instance: types.BackEndInstanceId, text: string) => void
+  /** Number of gateways that send calls, including this one. */
+  readonly countGateways: () => number
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
   /** Returns a random number from 0 to 1. */
@@ -28,8 +30,8 @@
 
 /** Longer requests are shortened to this, so that a wrong one doesn't keep a back end without calls until its gateway restarts. */
 export const MAXIMUM_BACKOFF_MS = 3_600_000
-/** Each gateway extends the time by a random part of this, since many gateways are told the same end. */
-const RESUME_SPREAD_MS = 500
+/** Each gateway extends the time by a random part of this for each gateway, since they are told about the same end and would all send calls at that moment. */
+export const RESUME_SPREAD_PER_GATEWAY_MS = 50
 const NO_BACKOFF: backoffs.Backoff = { waitMs: 0, maximumUnanswered: Infinity }
 
 interface Entry {
@@ -47,7 +49,7 @@
  * @param options - Listeners, clock and random numbers.
  * @returns The record.
  */
-export function createBackoffRecord ({ onBackoff, onUnreadable, now, random }: BackoffRecordOptions): BackoffRecord {
+export function createBackoffRecord ({ onBackoff, onUnreadable, countGateways, now, random }: BackoffRecordOptions): BackoffRecord {
   const entries = new Map<types.BackEndInstanceId, Entry>()
   const unreadableTexts = new Map<types.BackEndInstanceId, string>()
 
@@ -60,7 +62,7 @@
     const requestedUntil = now() + Math.min(forMs, MAXIMUM_BACKOFF_MS)
     const known = entries.get(instance)
     if (requestedUntil <= (known?.requestedUntil ?? now())) return
-    entries.set(instance, { requestedUntil, until: requestedUntil + RESUME_SPREAD_MS * random(), maximumUnanswered: 1 })
+    entries.set(instance, { requestedUntil, until: requestedUntil + RESUME_SPREAD_PER_GATEWAY_MS * countGateways() * random(), maximumUnanswered: 1 })
     onBackoff(instance, forMs)
   }
 
