Show that changes are never heard of after the store has gone back to a copy

The stand-in of the store can return to an earlier copy: its revision goes back, the era that it names in all answers rises, waiting watches are cut, a watch from a revision that it lacks gets 410. On this code a back end that leaves and a named version never become known, to the gateway nor to one that the store turns away: its watch from the old revision continues without an answer that says so.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -15,6 +15,8 @@
 const POLL_INTERVAL_MS = 10
 const HTTP_OK = 200
 const STATUS_WAIT_MS = 10_000
+/** Copies number revisions across eras; the remainder is the store's own revision. */
+const REVISIONS_PER_ERA = 1e12
 
 /** The fleet of one test. */
 export interface TestFleet {
@@ -32,6 +34,12 @@
   readonly waitForRateLimits: (count: number) => Promise<void>
   /** Waits until the status of each gateway meets a condition; fails if one still doesn't after {@link STATUS_WAIT_MS}. */
   readonly waitForStatus: (condition: (status: GatewayStatus) => boolean) => Promise<void>
+  /** Waits until each gateway's copy of a kind has reached a revision of the store's first era; fails like {@link TestFleet.waitForStatus}. */
+  readonly waitForRevision: (kind: string, revision: number) => Promise<void>
+  /** Waits until each gateway's copy of a kind is of an era of the store or a later one; fails like {@link TestFleet.waitForStatus}. */
+  readonly waitForEra: (kind: string, era: number) => Promise<void>
+  /** Waits until a gateway answers a path with a status; fails if it still doesn't after {@link STATUS_WAIT_MS}. */
+  readonly waitForAnswer: (gateway: types.Address, path: string, status: number) => Promise<void>
   /** Reads a counter of the gateway on a host for a label value; 0 if nothing was counted yet. */
   readonly readCounter: (host: string, name: string, label: string) => Promise<number>
   /** Waits until the readiness endpoint of the gateway on a host answers that it is ready. */
@@ -46,6 +54,8 @@
 
 /** The fields of a gateway's status that tests read. */
 export interface GatewayStatus {
+  readonly copies: Readonly<Record<string, { readonly at: number }>>
+  readonly versions: ReadonlyArray<{ readonly model: string, readonly version: number }>
   readonly backEnds: ReadonlyArray<{ readonly id: string, readonly isLeaving: boolean }>
   readonly endsKnown: number
   readonly blockedCalls: readonly unknown[]
@@ -57,6 +67,14 @@
   while (!await condition()) await types.delay(POLL_INTERVAL_MS)
 }
 
+async function waitWithLimit (condition: () => Promise<boolean>): Promise<void> {
+  const deadline = performance.now() + STATUS_WAIT_MS
+  await waitUntil(async () => {
+    assert.ok(performance.now() < deadline, 'the condition is not met in time')
+    return await condition()
+  })
+}
+
 /**
  * Starts the stand-ins of the store and the origin. Daemons and engines are started by the test.
  *
@@ -96,6 +114,10 @@
     }))
   }
 
+  async function waitForStatus (condition: (status: GatewayStatus) => boolean): Promise<void> {
+    await waitWithLimit(async () => (await readStatuses()).every(condition))
+  }
+
   const storeSection = `[store]\naddress = "${testing.formatAddress(store.address)}"\ntimeout_ms = 300\nwatch_ms = 500\n[logs]\nlevel = "silent"\n`
   return {
     store,
@@ -125,12 +147,12 @@
     waitForKnownEnds: async (count) => { await waitUntil(async () => (await readStatuses()).every(({ endsKnown }) => endsKnown === count)) },
     waitForBlockedCalls: async () => { await waitUntil(async () => (await readStatuses()).every(({ blockedCalls }) => blockedCalls.length > 0)) },
     waitForRateLimits: async (count) => { await waitUntil(async () => (await readStatuses()).every(({ rateLimits }) => rateLimits.length === count)) },
-    waitForStatus: async (condition) => {
-      const deadline = performance.now() + STATUS_WAIT_MS
-      await waitUntil(async () => {
-        assert.ok(performance.now() < deadline, 'no status that meets the condition')
-        return (await readStatuses()).every(condition)
-      })
+    waitForStatus,
+    waitForRevision: async (kind, revision) => { await waitForStatus(({ copies }) => (copies[kind]?.at ?? 0) % REVISIONS_PER_ERA >= revision) },
+    waitForEra: async (kind, era) => { await waitForStatus(({ copies }) => Math.floor((copies[kind]?.at ?? 0) / REVISIONS_PER_ERA) >= era) },
+    waitForAnswer: async (gateway, path, status) => {
+      let attempt = 0
+      await waitWithLimit(async () => (await call(gateway, { path, id: `answer-${attempt++}` })).status === status)
     },
     readCounter: async (host, name, label) => {
       const { body } = await testing.sendCallerRequest({ host, port: ports.control }, API_KEY, { path: '/metrics', id: 'metrics' })
