--- a/packages/daemon/src/startGatewayRole/fuzz.test.ts
+++ b/packages/daemon/src/startGatewayRole/fuzz.test.ts
@@ -104,7 +104,7 @@
 }
 
 const VALID_CALL: callOracle.ObservedCall = { id: 'c', kind: 'once', status: 200, body: 'answer of i-1 to c', isWhole: true, seal: 'seal-i-1' }
-const ARRIVAL: testing.Arrival = { requestId: 'c', method: 'POST', path: '/write/x', headers: {}, body: '', ran: true, at: 0 }
+const ARRIVAL: testing.Arrival = { requestId: 'c', method: 'POST', path: '/write/x', headers: {}, body: '', ran: true, wasTurnedAway: false, at: 0 }
 
 const PLANTED_VIOLATIONS: ReadonlyArray<{ readonly rule: callOracle.Violation['rule'], readonly call: callOracle.ObservedCall, readonly arrivals: readonly testing.Arrival[] }> = [
   { rule: 'twice', call: VALID_CALL, arrivals: [ARRIVAL, ARRIVAL] },
