Write blocks of calls again after the store has returned from an older copy

A block of a call that ends back ends would be forgotten if all gateways ended after that; no record shows it.

A gateway that finds the store restored saves the blocks in force that it had saved once more; where the copy held them the store answers with a conflict, which counts as saved.

--- a/packages/daemon/src/createBlockArchive/index.ts
+++ b/packages/daemon/src/createBlockArchive/index.ts
@@ -27,6 +27,8 @@
 export interface BlockArchive {
   /** Persists a block that this daemon's own evidence caused, unless it is lifted within a short delay. */
   readonly save: (block: quarantine.CallBlock) => void
+  /** Persists the blocks in force that this daemon has saved once more, after the store was restored from a copy that may lack them. */
+  readonly saveAgain: () => void
   /** Whether the load was attempted, or enough time has passed to have received the blocks from peers. */
   readonly isInitialized: () => boolean
   readonly stop: () => void
@@ -55,6 +57,8 @@
   const startedAt = now()
   const stopping = new AbortController()
   let hasTriedStore = false
+  /** Blocks that this daemon has saved. */
+  const saved = new Set<quarantine.CallBlock>()
 
   function formatName ({ fingerprint, count }: quarantine.CallBlock): string {
     return `${fingerprint}-${count}`
@@ -111,7 +115,16 @@
 
   void load()
   return {
-    save: (block) => { void write(block) },
+    save: (block) => {
+      saved.add(block)
+      void write(block)
+    },
+    saveAgain: () => {
+      for (const block of saved) {
+        if (options.isInForce(block)) void write(block)
+        else saved.delete(block)
+      }
+    },
     isInitialized: () => hasTriedStore || now() - startedAt >= PEER_REPORT_TIMEOUT_MS,
     stop: () => { stopping.abort() }
   }
--- a/packages/daemon/src/createSharedQuarantine/index.ts
+++ b/packages/daemon/src/createSharedQuarantine/index.ts
@@ -47,6 +47,8 @@
   readonly noteFact: (content: unknown, madeAt: number) => void
   /** Whether this daemon has tried to load the blocks in force from the store, or has had enough time to receive them from peers. */
   readonly isInitialized: () => boolean
+  /** Persists the blocks that this daemon caused once more, after the store was restored from a copy that may lack them. */
+  readonly saveAgain: () => void
   readonly blocks: () => quarantine.CallBlock[]
   readonly countSuspects: () => number
   /** Number of remembered terminations of back ends, including those that peers reported. */
@@ -81,6 +83,7 @@
   onBlocked: () => {},
   noteFact: () => {},
   isInitialized: () => true,
+  saveAgain: () => {},
   blocks: () => [],
   countSuspects: () => 0,
   countEnds: () => 0,
@@ -187,6 +190,7 @@
     readBlockedMs: record.readBlockedMs,
     onBlocked: (listener) => { listeners.push(listener) },
     isInitialized: archive.isInitialized,
+    saveAgain: archive.saveAgain,
     blocks: record.blocks,
     countSuspects: record.countSuspects,
     countEnds: record.countEnds,
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -40,6 +40,8 @@
   const errorBounds = new Map<types.ServiceName, gateway.ErrorBound>()
   let isLeaving = false
 
+  let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
+
   const client = platform.createStoreClient({
     address: platform.parseAddress(checked.store.address),
     agents: parts.agents,
@@ -52,6 +54,7 @@
     onRestored: (era) => {
       metrics.count('store_restorations')
       logger.warn('store-restored', { era })
+      startedQuarantine?.saveAgain()
     }
   })
   const listener = await createFleetParts.listenInternal(parts, [])
@@ -70,6 +73,7 @@
     now,
     timeOfDay: Date.now
   })
+  startedQuarantine = callQuarantine
   const limiter = createRateLimiter.createRateLimiter({
     parts,
     exchange: () => startedExchange,
