Tell callers to return soon where a back end takes calls again after a backoff

Found by reading: callers that are refused while the only back end has its first call after a backoff were told to return after 1 to 2 s, as if none were listed, though the next place is free within a response time.

--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -129,6 +129,8 @@
 const JITTER_MS = 20
 /** A rate-limited back end counts as having as many slots as its rate admits requests in this time, about the duration of one request. */
 const LIMITED_REQUEST_SECONDS = 1
+/** Shortest wait for a back end that is backing off: after its time is over it has to answer a call before it gets another one. */
+const RESUMING_WAIT_MS = 100
 
 /**
  * Chooses the back end with the earliest predicted first event, with penalties for other data halls and unhealthy back ends.
@@ -146,7 +148,7 @@
   for (const backEnd of input.backEnds) {
     const allowance = input.readAllowance(backEnd)
     const scored = score(backEnd, allowance, input)
-    if (scored !== 'draining' && scored !== 'gone') backoffWaits.push(input.readBackoff(backEnd).waitMs)
+    if (scored !== 'draining' && scored !== 'gone') backoffWaits.push(Math.max(input.readBackoff(backEnd).waitMs, scored === 'backing-off' ? RESUMING_WAIT_MS : 0))
     const slots = allowance === null ? backEnd.slots : Math.min(backEnd.slots, allowance.perSecond * LIMITED_REQUEST_SECONDS)
     if (typeof scored === 'string') {
       passedOver[scored] = (passedOver[scored] ?? 0) + 1
