--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -178,6 +178,22 @@
   }
 }
 
+/** A service of the test configuration, with a path that calls it and the options of its back ends. */
+export interface TestService {
+  readonly name: string
+  readonly path: string
+  readonly engine: Pick<testing.EngineStandInOptions, 'model' | 'version'>
+}
+
+export const STREAM_SERVICE: TestService = { name: 'llm', path: '/stream/quote', engine: { model: MODEL, version: 1 } }
+export const PLAIN_SERVICE: TestService = { name: 'api', path: '/read/stock', engine: {} }
+const STREAM_HEADERS = { model: MODEL, 'token-count': '100,50' }
+
+/** Sends a call of a service. */
+export async function callService (gateway: types.Address, { path }: TestService, id: string): Promise<testing.CallerAnswer> {
+  return await call(gateway, { method: 'POST', path, id, body: 'quote', headers: STREAM_HEADERS })
+}
+
 /** Ports of the daemons of a test. */
 export interface TestPorts {
   readonly internal: number
--- a/packages/daemon/src/startGatewayRole/backoff.test.ts
+++ b/packages/daemon/src/startGatewayRole/backoff.test.ts
@@ -7,7 +7,6 @@
 import * as fleetTesting from '../_lib/fleetTesting.js'
 
 const HOSTS = ['127.0.0.1', '127.0.0.2'] as const
-const HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
 const CALLS = 30
 const OK = 200
 const SERVICE_UNAVAILABLE = 503
@@ -15,21 +14,10 @@
 const LONG_BACKOFF_SECONDS = 60
 const SHORT_BACKOFF_SECONDS = 1
 
-interface Service {
-  readonly name: string
-  readonly path: string
-  readonly engine: Pick<testing.EngineStandInOptions, 'model' | 'version'>
-}
-
-const STREAMS: Service = { name: 'llm', path: '/stream/quote', engine: { model: fleetTesting.MODEL, version: 1 } }
-const PLAIN: Service = { name: 'api', path: '/read/stock', engine: {} }
-
-async function send (gateway: types.Address, { path }: Service, id: string): Promise<testing.CallerAnswer> {
-  return await fleetTesting.call(gateway, { method: 'POST', path, id, body: 'quote', headers: HEADERS })
-}
+const { STREAM_SERVICE: STREAMS, PLAIN_SERVICE: PLAIN, callService: send } = fleetTesting
 
 /** Sends calls until the back end has turned one away. */
-async function callUntilTurnedAway (gateway: types.Address, service: Service, engine: testing.EngineStandIn, seconds: number): Promise<void> {
+async function callUntilTurnedAway (gateway: types.Address, service: fleetTesting.TestService, engine: testing.EngineStandIn, seconds: number): Promise<void> {
   const before = engine.arrivals.length
   engine.backoff.text = String(seconds)
   Object.assign(engine.faults, { next: 'full', count: 1 })
@@ -40,7 +28,7 @@
   })
 }
 
-async function sendInTurn (gateway: types.Address, service: Service): Promise<testing.CallerAnswer[]> {
+async function sendInTurn (gateway: types.Address, service: fleetTesting.TestService): Promise<testing.CallerAnswer[]> {
   const answers: testing.CallerAnswer[] = []
   for (let call = 0; call < CALLS; call += 1) answers.push(await send(gateway, service, `call-${call}`))
   return answers
--- a/packages/daemon/src/startGatewayRole/leaving.test.ts
+++ b/packages/daemon/src/startGatewayRole/leaving.test.ts
@@ -9,28 +9,16 @@
 
 const HOSTS = ['127.0.0.1', '127.0.0.2', '127.0.0.3'] as const
 const AGENT_HOSTS = ['127.0.0.11', '127.0.0.12'] as const
-const HEADERS = { model: fleetTesting.MODEL, 'token-count': '100,50' }
 const CALLS = 30
 /** Fewer than half of the slots of one back end, so that none is refused for its load. */
 const CALLS_AT_A_TIME = 6
 const OK = 200
 const SERVICE_UNAVAILABLE = 503
 
-interface Service {
-  readonly name: string
-  readonly path: string
-  readonly engine: Pick<testing.EngineStandInOptions, 'model' | 'version'>
-}
-
-const STREAMS: Service = { name: 'llm', path: '/stream/quote', engine: { model: fleetTesting.MODEL, version: 1 } }
-const PLAIN: Service = { name: 'api', path: '/read/stock', engine: {} }
-
-async function send (gateway: types.Address, { path }: Service, id: string): Promise<testing.CallerAnswer> {
-  return await fleetTesting.call(gateway, { method: 'POST', path, id, body: 'quote', headers: HEADERS })
-}
+const { STREAM_SERVICE: STREAMS, PLAIN_SERVICE: PLAIN, callService: send } = fleetTesting
 
 /** Sends calls until the back end has answered one. */
-async function callUntilArrived (gateway: types.Address, service: Service, engine: testing.EngineStandIn): Promise<void> {
+async function callUntilArrived (gateway: types.Address, service: fleetTesting.TestService, engine: testing.EngineStandIn): Promise<void> {
   const before = engine.arrivals.length
   let sent = 0
   await fleetTesting.waitUntil(async () => {
@@ -39,7 +27,7 @@
   })
 }
 
-async function sendCalls (gateways: readonly types.Address[], service: Service): Promise<number[]> {
+async function sendCalls (gateways: readonly types.Address[], service: fleetTesting.TestService): Promise<number[]> {
   const statuses: number[] = []
   for (let sent = 0; sent < CALLS; sent += CALLS_AT_A_TIME) {
     const answers = await Promise.all(Array.from({ length: CALLS_AT_A_TIME }, async (_, index) => await send(gateways[index % gateways.length] as types.Address, service, `call-${sent + index}`)))
