--- a/packages/daemon/src/_lib/backoffFacts.ts
+++ b/packages/daemon/src/_lib/backoffFacts.ts
@@ -1,4 +1,4 @@
-/** Facts that gateways share about back ends that have asked one of them for time without calls. */
+/** Facts that gateways share about back ends that have asked one of them for a backoff. */
 import * as types from '@switchridge/types'
 
 const BACKOFF_CODE = 'r'
--- a/packages/daemon/src/createSharedBackoffs/index.ts
+++ b/packages/daemon/src/createSharedBackoffs/index.ts
@@ -1,4 +1,4 @@
-/** Keeps the time without calls that back ends ask a gateway for, and tells other gateways, which then prefer other back ends. */
+/** Keeps the backoffs that back ends ask a gateway for, and tells other gateways, which then prefer other back ends. */
 import * as gateway from '@switchridge/gateway'
 import * as types from '@switchridge/types'
 import type * as createFleetParts from '../createFleetParts/index.js'
--- a/packages/daemon/src/startGatewayRole/announcements.test.ts
+++ b/packages/daemon/src/startGatewayRole/announcements.test.ts
@@ -1,5 +1,5 @@
 /**
- * Property test: back ends announce their end, ask for time without calls, are replaced, and the store returns to older copies, in series and overlapping, while callers call two gateways.
+ * Property test: back ends announce their end, ask for backoffs, are replaced, and the store returns to older copies, in series and overlapping, while callers call two gateways.
  * More seeds are run by hand: ANNOUNCEMENT_SEEDS=50 node scripts/run-tests.mjs startGatewayRole/announcements
  */
 import * as assert from 'node:assert/strict'
@@ -18,7 +18,7 @@
 const DEFAULT_SEEDS = 4
 const SEEDS = Number(process.env.ANNOUNCEMENT_SEEDS ?? DEFAULT_SEEDS)
 const BACKOFF_SECONDS = 1.5
-/** Calls that were under way when the back end asked for time may still arrive. */
+/** Calls that were under way when the back end asked for a backoff may still arrive. */
 const UNDER_WAY_MS = 500
 const AWAY_MS = 150
 const OTHER_WRITES = 30
@@ -116,7 +116,7 @@
   })
 }
 
-/** Calls that reached a back end within the time for which it had asked their gateway to send none. */
+/** Calls that reached a back end within the backoff that it had asked their gateway for. */
 function findCallsInBackoff ({ all }: Run): string[] {
   return all.flatMap(({ id, arrivals }) => arrivals.filter(({ wasTurnedAway }) => wasTurnedAway).flatMap((asked) => {
     const gateway = asked.requestId.split('-').at(-1)
--- a/packages/daemon/src/startGatewayRole/backoff.test.ts
+++ b/packages/daemon/src/startGatewayRole/backoff.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are sent to a back end which has turned one of this gateway away and asked for some time without further ones. */
+/** Guards against calls that are sent to a back end that has turned one of this gateway away and asked for a backoff. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as platform from '@switchridge/platform'
@@ -35,7 +35,7 @@
 }
 
 for (const service of [STREAMS, PLAIN]) {
-  nodeTest.test(`a back end of ${service.name} that asks a gateway for time without calls gets none of it, first or second attempt`, async (context) => {
+  nodeTest.test(`a back end of ${service.name} that asks a gateway for a backoff gets none of its calls, first or second attempt`, async (context) => {
     const fleet = await fleetTesting.createTestFleet(context)
     fleet.configure()
     const asking = await fleet.startEngine({ id: 'i-asking', ...service.engine }, service.name)
@@ -50,7 +50,7 @@
   })
 }
 
-nodeTest.test('calls whose back ends all ask for time are refused at once with the shortest time left', async (context) => {
+nodeTest.test('calls whose back ends all ask for a backoff are refused at once with the shortest one left', async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const first = await fleet.startEngine({ id: 'i-first' }, PLAIN.name)
@@ -66,7 +66,7 @@
   assert.equal(first.arrivals.length + second.arrivals.length, before)
 })
 
-nodeTest.test('a back end gets calls again when the time that it asked for is over', async (context) => {
+nodeTest.test('a back end gets calls again when the backoff that it asked for is over', async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const asking = await fleet.startEngine({ id: 'i-asking' }, PLAIN.name)
@@ -77,7 +77,7 @@
   assert.ok((asking.arrivals.at(-1)?.at ?? 0) - turnedAwayAt >= SHORT_BACKOFF_SECONDS * 1000)
 })
 
-nodeTest.test('a request for time concerns only the gateway that was turned away', async (context) => {
+nodeTest.test('a request for a backoff concerns only the gateway that was turned away', async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const asking = await fleet.startEngine({ id: 'i-asking' }, PLAIN.name)
@@ -87,7 +87,7 @@
   assert.equal((await send(gateways[1] as types.Address, PLAIN, 'other')).status, OK)
 })
 
-nodeTest.test('other gateways prefer back ends that did not ask for time, without having been turned away', async (context) => {
+nodeTest.test('other gateways prefer back ends that did not ask for a backoff, without having been turned away', async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const asking = await fleet.startEngine({ id: 'i-asking' }, PLAIN.name)
@@ -104,7 +104,7 @@
   })
 })
 
-nodeTest.test('a back end that vanishes from the store and returns still gets no calls of the gateway that it asked for time', async (context) => {
+nodeTest.test('a back end that vanishes from the store and returns still gets no calls of the gateway that it asked for a backoff', async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const asking = await fleet.startEngine({ id: 'i-asking' }, PLAIN.name)
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, or asked for time without calls. */
+/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, or asked for a backoff. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
@@ -81,6 +81,6 @@
   assert.deepEqual(await runCall('leaving'), { sent: 0, refusal: '503 no back end may serve: 1 draining' })
 })
 
-nodeTest.test('a call whose back end asks for time without calls while the call waits for a permit is not sent there', async () => {
+nodeTest.test('a call whose back end asks for a backoff while the call waits for a permit is not sent there', async () => {
   assert.deepEqual(await runCall('backing-off'), { sent: 0, refusal: '503 no back end may serve: 1 backing-off' })
 })
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -31,7 +31,7 @@
 /** Shortest retry time for a permit. */
 const PERMIT_RETRY_MINIMUM_MS = 60
 
-/** Callers that are refused because all back ends asked for time without calls return within this time, or this fraction of the wait if longer, after it. */
+/** Callers that are refused because all back ends asked for a backoff return within this time, or this fraction of the wait if longer, after it. */
 const BACKOFF_RETRY_SPREAD_MS = 500
 const BACKOFF_RETRY_SPREAD_FRACTION = 0.5
 
@@ -104,7 +104,7 @@
           continue
         }
       }
-      // The call may have been blocked, or its back end may have announced its end or asked for time without calls, while the call waited for a slot or a permit.
+      // The call may have been blocked, or its back end may have announced its end or asked for a backoff, while the call waited for a slot or a permit.
       if (noteIfBlocked()) return endUnserved()
       if (options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0) continue
       if (!isFirst && !budget.trySpend()) {
--- a/packages/gateway/src/chooseBackEnd/backoff.test.ts
+++ b/packages/gateway/src/chooseBackEnd/backoff.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are sent to back ends which have asked for time without calls, and against callers who are told to return long after such a back end takes calls again. */
+/** Guards against calls that are sent to back ends that have asked for a backoff, and against callers who are told to return long after such a back end takes calls again. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
@@ -42,7 +42,7 @@
   })
 }
 
-nodeTest.test('a back end that asked for time is passed over and counts as no capacity', () => {
+nodeTest.test('a back end that asked for a backoff is passed over and counts as no capacity', () => {
   const { choice, passedOver, utilization, backoffWaitMs } = choose({ first: WAITING, second: FREE }, ['second'])
   assert.equal(choice?.backEnd.id, 'second')
   assert.deepEqual(passedOver, { 'backing-off': 1 })
@@ -55,7 +55,7 @@
   assert.equal(choose({ first: RESUMING }, ['first']).choice, null)
 })
 
-nodeTest.test('the shortest wait counts where all back ends ask for time, also those that were tried', () => {
+nodeTest.test('the shortest wait counts where all back ends ask for a backoff, also those that were tried', () => {
   assert.equal(choose({ first: WAITING, second: { ...WAITING, waitMs: 2000 } }).backoffWaitMs, 2000)
   assert.equal(choose({ first: WAITING, second: { ...WAITING, waitMs: 2000 } }, [], ['second']).backoffWaitMs, 2000)
   assert.equal(choose({ first: WAITING, second: FREE }, [], ['second']).backoffWaitMs, Infinity)
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -28,7 +28,7 @@
   readonly tried: ReadonlySet<types.NodeId>
   /** Whether a back end has announced in a response that it is about to end. */
   readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
-  /** What a back end that asked for time without calls may be sent. */
+  /** What a back end that asked for a backoff may be sent. */
   readonly readBackoff: (backEnd: gateway.BackEnd) => backoffs.Backoff
   /** Remaining rate allowance of a back end that advertises a rate limit; null for one without a limit. */
   readonly readAllowance: (backEnd: gateway.BackEnd) => limiters.RateAllowance | null
@@ -73,7 +73,7 @@
   | 'late'
   /** It advertises a rate limit, and no request may be sent there now. */
   | 'limited'
-  /** It asked for time without calls, which is not over, or since which it has not answered enough calls for another one. */
+  /** It asked for a backoff that is not over, or after which it has not answered enough calls yet to get another one. */
   | 'backing-off'
 
 /** Number of back ends passed over for each reason. */
@@ -87,7 +87,7 @@
   readonly utilization: number
   /** Milliseconds until a permit may be requested from a back end that was passed over for its rate limit; Infinity for none. */
   readonly permitWaitMs: number
-  /** If all back ends that will go on serving asked for time without calls: milliseconds until the first one takes some again. Infinity otherwise. */
+  /** If all back ends that will go on serving asked for a backoff: milliseconds until the first one takes some again. Infinity otherwise. */
   readonly backoffWaitMs: number
 }
 
--- a/packages/gateway/src/decideAdmission/shedding.test.ts
+++ b/packages/gateway/src/decideAdmission/shedding.test.ts
@@ -1,4 +1,4 @@
-/** Guards against callers being served worse because gateways keep the time without calls that engines ask for, and tell each other. */
+/** Guards against callers being served worse because gateways keep the backoffs that engines ask for, and tell each other. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as loadSimulation from '../_lib/loadSimulation.js'
