--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -187,11 +187,10 @@
 
 export const STREAM_SERVICE: TestService = { name: 'llm', path: '/stream/quote', engine: { model: MODEL, version: 1 } }
 export const PLAIN_SERVICE: TestService = { name: 'api', path: '/read/stock', engine: {} }
-const STREAM_HEADERS = { model: MODEL, 'token-count': '100,50' }
 
 /** Sends a call of a service. */
 export async function callService (gateway: types.Address, { path }: TestService, id: string): Promise<testing.CallerAnswer> {
-  return await call(gateway, { method: 'POST', path, id, body: 'quote', headers: STREAM_HEADERS })
+  return await call(gateway, { method: 'POST', path, id, body: 'quote', headers: testing.formatModelHeaders(MODEL) })
 }
 
 /** Ports of the daemons of a test. */
--- a/packages/daemon/src/wireNames.test.ts
+++ b/packages/daemon/src/wireNames.test.ts
@@ -5,7 +5,7 @@
 import * as url from 'node:url'
 
 /** Header, path and field names of the platform's protocols, which only the adapter may contain. */
-const WIRE_NAMES = /expect-instance|not-executed|server-limit|engine-seal|deadline-remaining|token-count|length-hint|(?<!x-)prompt-prefix|weight-versions|request-urgency|expect-version|\/v1\/(objects|order|report|piece|manifest|stage|readiness)|routeType|trafficSplit|apiKeys|maxAttempts|busySlots/i
+const WIRE_NAMES = /expect-instance|not-executed|server-limit|server-leaving|store-era|engine-seal|deadline-remaining|token-count|length-hint|(?<!x-)prompt-prefix|weight-versions|request-urgency|expect-version|\/v1\/(objects|order|report|piece|manifest|stage|readiness)|routeType|trafficSplit|apiKeys|maxAttempts|busySlots/i
 const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../..')
 
 function listSources (folder: string): string[] {
