--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -67,7 +67,8 @@
   while (!await condition()) await types.delay(POLL_INTERVAL_MS)
 }
 
-async function waitWithLimit (condition: () => Promise<boolean>): Promise<void> {
+/** Polls until the condition holds; fails if it still does not after {@link STATUS_WAIT_MS}. */
+export async function waitWithLimit (condition: () => Promise<boolean>): Promise<void> {
   const deadline = performance.now() + STATUS_WAIT_MS
   await waitUntil(async () => {
     assert.ok(performance.now() < deadline, 'the condition is not met in time')
--- a/packages/daemon/src/startGatewayRole/backoff.test.ts
+++ b/packages/daemon/src/startGatewayRole/backoff.test.ts
@@ -22,7 +22,7 @@
   engine.backoff.text = String(seconds)
   Object.assign(engine.faults, { next: 'full', count: 1 })
   let sent = 0
-  await fleetTesting.waitUntil(async () => {
+  await fleetTesting.waitWithLimit(async () => {
     await send(gateway, service, `until-${sent++}`)
     return engine.arrivals.length > before
   })
--- a/packages/daemon/src/startGatewayRole/leaving.test.ts
+++ b/packages/daemon/src/startGatewayRole/leaving.test.ts
@@ -21,7 +21,7 @@
 async function callUntilArrived (gateway: types.Address, service: fleetTesting.TestService, engine: testing.EngineStandIn): Promise<void> {
   const before = engine.arrivals.length
   let sent = 0
-  await fleetTesting.waitUntil(async () => {
+  await fleetTesting.waitWithLimit(async () => {
     await send(gateway, service, `until-${sent++}`)
     return engine.arrivals.length > before
   })
