--- a/packages/daemon/src/createVersionRecord/index.ts
+++ b/packages/daemon/src/createVersionRecord/index.ts
@@ -20,6 +20,8 @@
   readonly named: (model: string) => readonly staging.NamedVersion[]
   /** Returns the monotonic time in milliseconds from which no call may be sent to a version, since it would begin after the deadline for older versions. */
   readonly lastBeginAt: (model: string, version: number) => number
+  /** Returns the monotonic time in milliseconds from which no call may begin on a version; Infinity for the newest one. */
+  readonly boundAt: (model: string, version: number) => number
   /** The newest few versions of each model, for peers. */
   readonly recentVersions: () => readonly VersionAnnouncement[]
   /** Corrects times recorded between the end of a suspension and its detection: the clock had not yet included the time lost. */
@@ -96,17 +98,20 @@
     }
   }
 
+  function boundAt (model: string, version: number): number {
+    let earliest = Infinity
+    for (const newer of models.get(model)?.values() ?? []) {
+      if (newer.id.version > version) earliest = Math.min(earliest, newer.deadlineAt)
+    }
+    return earliest
+  }
+
   return {
     note,
     noteSuspension,
     named,
-    lastBeginAt: (model, version) => {
-      let earliest = Infinity
-      for (const newer of models.get(model)?.values() ?? []) {
-        if (newer.id.version > version) earliest = Math.min(earliest, newer.deadlineAt - options.marginMs)
-      }
-      return earliest
-    },
+    boundAt,
+    lastBeginAt: (model, version) => boundAt(model, version) - options.marginMs,
     recentVersions: () => [...models.keys()].flatMap((model) => named(model).slice(-MAXIMUM_ANNOUNCED_VERSIONS)
       .map(({ id, namedAt }) => ({ model: id.model, version: id.version, ageMs: Math.round(options.now() - namedAt) })))
   }
--- a/packages/daemon/src/createVersionRecord/test.ts
+++ b/packages/daemon/src/createVersionRecord/test.ts
@@ -13,6 +13,8 @@
   versions.note({ model: 'm', version: 2 }, 0)
   assert.equal(versions.lastBeginAt('m', 1), 17_000)
   assert.equal(versions.lastBeginAt('m', 2), Infinity)
+  assert.equal(versions.boundAt('m', 1), 18_000)
+  assert.equal(versions.boundAt('m', 2), Infinity)
   assert.equal(versions.lastBeginAt('other', 1), Infinity)
 })
 
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -172,6 +172,7 @@
       promptTokens: choice.promptTokens,
       answerTokens: choice.answerTokens,
       lastBeginAt: (version) => model === null ? Infinity : parts.versions.lastBeginAt(model, version),
+      versionBoundAt: (version) => model === null ? Infinity : parts.versions.boundAt(model, version),
       endsAt: now() + choice.remainingMs,
       pinnedVersion: choice.version,
       tried: choice.tried,
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -199,6 +199,7 @@
       promptTokens,
       answerTokens: kind.events * simulatedEngine.STEPS_PER_PASS,
       lastBeginAt: () => Infinity,
+      versionBoundAt: () => Infinity,
       endsAt: askedAt + CALL_TIMEOUT_MS,
       isLeaving: () => false,
       readBackoff: from.backoffs.read,
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -8,6 +8,7 @@
 import type * as gateway from '../types/index.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
+import * as createMarginNotes from './createMarginNotes.js'
 import type * as callOptions from './callOptions.js'
 
 /** A back end's response, read to its end. */
@@ -89,6 +90,7 @@
  */
 export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: chooseBackEnd.Choice, open: createBackEndTracker.OpenAttempt, options: Options): Promise<AttemptOutcome> {
   const { head, route } = call
+  const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
   const attempt = sendAttempt.sendAttempt({
     address: choice.backEnd.address,
     method: head.method,
@@ -104,7 +106,10 @@
     }),
     body: call.body,
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
-    onConnect: (tookMs) => { options.tracker.noteConnect(choice.backEnd.id, tookMs) }
+    onConnect: (tookMs) => {
+      options.tracker.noteConnect(choice.backEnd.id, tookMs)
+      margin.noteConnect()
+    }
   })
   let isAborted = false
   call.setAbortAttempt(abort)
@@ -117,8 +122,12 @@
     return finish({ kind: 'not-sent', reason: start.reason })
   }
   call.attempts += 1
-  if (start.kind === 'no-answer') return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
+  if (start.kind === 'no-answer') {
+    margin.noteNoAnswer()
+    return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
+  }
   const answer = options.protocol.readAnswer(start.response, head.requestId)
+  if (isSuccess(answer)) margin.noteAnswer(answer.version)
   noteRate(answer, start.response)
   noteBackoff(answer, start.response)
   if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
@@ -228,7 +237,7 @@
   }
 }
 
-function isSuccess (answer: gateway.AnswerHead): boolean {
+function isSuccess (answer: gateway.AnswerHead): answer is AnsweredHead {
   return answer.kind === 'answered' && answer.status < FIRST_ERROR_STATUS
 }
 
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -37,7 +37,7 @@
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
-      choice: happened === 'leaving' || happened === 'backing-off' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity },
+      choice: happened === 'leaving' || happened === 'backing-off' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
       passedOver: happened === 'leaving' ? { draining: 1 } : { 'backing-off': 1 },
       utilization: 0,
       permitWaitMs: Infinity,
--- a/packages/gateway/src/chooseBackEnd/backoff.test.ts
+++ b/packages/gateway/src/chooseBackEnd/backoff.test.ts
@@ -30,6 +30,7 @@
     promptTokens: 0,
     answerTokens: 0,
     lastBeginAt: () => Infinity,
+    versionBoundAt: () => Infinity,
     endsAt: NOW + 5000,
     isLeaving: () => false,
     readBackoff: ({ id }) => byId[id] ?? FREE,
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -20,6 +20,8 @@
   readonly answerTokens: number
   /** Monotonic time in milliseconds by which a call must begin on a given version of the model's weights. */
   readonly lastBeginAt: (version: number) => number
+  /** Monotonic time in milliseconds from which no call may begin on a given version, without the margins of `lastBeginAt`; Infinity for the newest one. */
+  readonly versionBoundAt: (version: number) => number
   /** Monotonic time in milliseconds of the call's deadline. */
   readonly endsAt: number
   /** The only version that may serve a resumed stream; null if any version that is new enough may serve. */
@@ -54,6 +56,15 @@
   readonly expectedVersion: number | null
   /** Monotonic time in milliseconds by which the call must have begun there; Infinity if there is no limit. */
   readonly mustBeginBy: number
+  /** The version of the weights that it holds, if a newer one is named; null otherwise. */
+  readonly olderVersion: OlderVersion | null
+}
+
+/** A version of the weights for which a newer one is named. */
+export interface OlderVersion {
+  readonly version: number
+  /** Monotonic time in milliseconds from which no call may begin on it. */
+  readonly boundAt: number
 }
 
 /** Why a back end may not serve a call. */
@@ -200,7 +211,7 @@
   const areOldVersionsRefused = input.lastBeginAt(0) <= input.now
   const expectedVersion = areOldVersionsRefused || input.pinnedVersion !== null ? version : null
   const mustBeginBy = version === null ? Infinity : input.lastBeginAt(version) + healthyGraceMs
-  return { backEnd, isRateLimited: allowance !== null, expectedVersion, mustBeginBy, ...predicted, score: predicted.firstEventMs + penalty, taken: countOccupied(load, input) }
+  return { backEnd, isRateLimited: allowance !== null, expectedVersion, mustBeginBy, olderVersion: findOlderVersion(version, input), ...predicted, score: predicted.firstEventMs + penalty, taken: countOccupied(load, input) }
 }
 
 function isBackingOff (load: createBackEndTracker.BackEndLoad, { waitMs, maximumUnanswered }: backoffs.Backoff): boolean {
@@ -219,6 +230,11 @@
   return reported + load.sentSinceReport * input.gateways
 }
 
+function findOlderVersion (version: number | null, input: ChoiceInput): OlderVersion | null {
+  const boundAt = version === null ? Infinity : input.versionBoundAt(version)
+  return version === null || boundAt === Infinity ? null : { version, boundAt }
+}
+
 /** Why a version may not serve a call that begins at `latestBeginAt` at the latest; null if it may. */
 function findVersionRefusal (version: number | null, latestBeginAt: number, input: ChoiceInput): PassedOverReason | null {
   if (version === null) return 'empty'
--- a/packages/gateway/src/chooseBackEnd/limited.test.ts
+++ b/packages/gateway/src/chooseBackEnd/limited.test.ts
@@ -24,6 +24,7 @@
     promptTokens: 0,
     answerTokens: 0,
     lastBeginAt: () => Infinity,
+    versionBoundAt: () => Infinity,
     endsAt: NOW + 6000,
     isLeaving: () => false,
     readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }),
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -24,7 +24,7 @@
 
 function chooseAmong (backEnds: readonly gateway.BackEnd[], tracker: createBackEndTracker.BackEndTracker, change: Partial<chooseBackEnd.ChoiceInput> = {}): chooseBackEnd.ChoiceOutcome {
   return chooseBackEnd.chooseBackEnd({
-    backEnds, tracker, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastBeginAt: () => Infinity, endsAt: NOW + 6000, isLeaving: () => false, readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }), readAllowance: () => null, mayRequestPermit: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
+    backEnds, tracker, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastBeginAt: () => Infinity, versionBoundAt: () => Infinity, endsAt: NOW + 6000, isLeaving: () => false, readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }), readAllowance: () => null, mayRequestPermit: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
   })
 }
 
@@ -107,6 +107,13 @@
   assert.equal(choose(engines, unknown, { lastBeginAt, pinnedVersion: 1 }), null)
 })
 
+nodeTest.test('the choice names an older version and its bound, and none for the newest version', () => {
+  const versionBoundAt = (version: number): number => version < 2 ? NOW + 3000 : Infinity
+  const tracker = createBackEndTracker.createBackEndTracker(() => NOW)
+  assert.deepEqual(chooseAmong([createEngine('old', 1)], tracker, { versionBoundAt }).choice?.olderVersion, { version: 1, boundAt: NOW + 3000 })
+  assert.equal(chooseAmong([createEngine('new', 2)], tracker, { versionBoundAt }).choice?.olderVersion, null)
+})
+
 nodeTest.test('a resumed stream avoids engines that switch versions soon, because it can move only once', () => {
   const tracker = createBackEndTracker.createBackEndTracker(() => NOW)
   tracker.noteReport(types.brandId('soon'), { ...report(1, 2), changesInMs: 600 }, NOW, 0)
