--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -46,7 +46,7 @@
 }
 
 /** Calls are no longer sent to older versions from this long before the deadline of a version change. */
-const VERSION_MARGIN_MS = 1700
+export const VERSION_MARGIN_MS = 1700
 /** A gateway that starts must follow earlier version changes within this time, shorter than the usual bound, since it can't know how long ago they were made. */
 const STARTUP_GRACE_MS = 2800
 /** A copy is aborted when the peer sends no byte for this long; a round trip between regions takes less than a tenth of it. */
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -198,6 +198,7 @@
     leavers,
     backoffs,
     reserver,
+    sendAttempt: gateway.sendAttempt,
     logger,
     count: metrics.count,
     observe: metrics.observe,
--- a/packages/gateway/src/_lib/createMarginNotes.test.ts
+++ b/packages/gateway/src/_lib/createMarginNotes.test.ts
@@ -7,6 +7,7 @@
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as gateway from '../types/index.js'
 import * as createEventSplitter from '../createEventSplitter/index.js'
+import * as sendAttempt from '../sendAttempt/index.js'
 import * as callState from './callState.js'
 import * as runAttempt from './runAttempt.js'
 
@@ -51,6 +52,7 @@
     tracker: { noteConnect: () => {} },
     limiter: { noteResponse: () => {} },
     backoffs: { noteResponse: () => {} },
+    sendAttempt: sendAttempt.sendAttempt,
     at: (_time: number, action: () => void) => {
       takeBack = action
       return () => {}
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -4,7 +4,7 @@
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as createEventSplitter from '../createEventSplitter/index.js'
-import * as sendAttempt from '../sendAttempt/index.js'
+import type * as sendAttempt from '../sendAttempt/index.js'
 import type * as gateway from '../types/index.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
@@ -91,7 +91,7 @@
 export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: chooseBackEnd.Choice, open: createBackEndTracker.OpenAttempt, options: Options): Promise<AttemptOutcome> {
   const { head, route } = call
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
-  const attempt = sendAttempt.sendAttempt({
+  const attempt = options.sendAttempt({
     address: choice.backEnd.address,
     method: head.method,
     path: head.path,
