--- a/packages/gateway/src/createBackEndTracker/index.ts
+++ b/packages/gateway/src/createBackEndTracker/index.ts
@@ -64,7 +64,10 @@
   readonly noteFailure: (id: types.NodeId) => void
   /** Records that the back end rejected a call because it was full. */
   readonly noteFull: (id: types.NodeId) => void
-  /** Records that another back end now answers at its address, so this instance has ended. */
+  /**
+   * Records that it rejected a call as another instance at its address does. It counts as ended unless a later report of the same instance arrives: an engine without a
+   * complete version rejects calls in the same way.
+   */
   readonly noteInstanceEnded: (id: types.NodeId) => void
   /** Records that its process has ended: nothing listens at its address. */
   readonly noteProcessEnded: (id: types.NodeId) => void
@@ -88,7 +91,8 @@
   open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
-  isGone: boolean
+  /** Monotonic time in milliseconds at which a call showed that another instance answers at its address. */
+  instanceEndedAt: number
   /** Monotonic time in milliseconds at which its process was found to have ended. */
   processEndedAt: number
   /** Moving average of the time that connections took, and the monotonic time of the last one, in milliseconds. */
@@ -124,7 +128,7 @@
 
 /** State of a new instance. The link delay and the report interval are kept, because they belong to the machine and the agent. */
 function createInstanceState (): Omit<BackEndState, 'bornAt' | 'typicalReportAgeMs' | 'linkDelayMs'> {
-  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, isGone: false, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
+  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
 }
 
 /** Whether the engine switched versions. Failures of calls that the switch interrupted say nothing about the engine afterwards. */
@@ -181,12 +185,21 @@
       linkDelayMs: Math.max(isFresh ? state.linkDelayMs : 0, now() - state.connectedAt > CONNECT_VALID_MS ? 0 : state.connectMs),
       isRoundTripMeasured: state.connectedAt > 0 && now() - state.connectedAt <= CONNECT_VALID_MS,
       avoidedUntil: state.avoidedUntil,
-      isGone: state.isGone || hasProcessEnded(state)
+      isGone: hasInstanceEnded(state) || hasProcessEnded(state)
     }
   }
 
-  function hasProcessEnded ({ processEndedAt, report, reportAt }: BackEndState): boolean {
-    return now() - processEndedAt < PROCESS_ENDED_VALID_MS && !(report !== null && reportAt > processEndedAt + REPORT_AFTER_END_MARGIN_MS)
+  function hasInstanceEnded (state: BackEndState): boolean {
+    const isIdentified = state.report !== null && state.report.bornAt !== null && state.report.bornAt === state.bornAt
+    return state.instanceEndedAt > -Infinity && !(isIdentified && hasReportedAfter(state, state.instanceEndedAt))
+  }
+
+  function hasProcessEnded (state: BackEndState): boolean {
+    return now() - state.processEndedAt < PROCESS_ENDED_VALID_MS && !hasReportedAfter(state, state.processEndedAt)
+  }
+
+  function hasReportedAfter ({ report, reportAt }: BackEndState, time: number): boolean {
+    return report !== null && reportAt > time + REPORT_AFTER_END_MARGIN_MS
   }
 
   return {
@@ -224,7 +237,7 @@
       const state = find(id)
       state.avoidedUntil = Math.max(state.avoidedUntil, now() + AVOID_FULL_MS)
     },
-    noteInstanceEnded: (id) => { find(id).isGone = true },
+    noteInstanceEnded: (id) => { find(id).instanceEndedAt = now() },
     noteProcessEnded: (id) => { find(id).processEndedAt = now() },
     keepOnly: (listed) => {
       const bornAtById = new Map(listed.map(({ id, bornAt }) => [id, bornAt]))
--- a/packages/gateway/src/createBackEndTracker/test.ts
+++ b/packages/gateway/src/createBackEndTracker/test.ts
@@ -109,6 +109,20 @@
   assert.equal(tracker.read(ID).report?.running, 2)
 })
 
+nodeTest.test('an engine that rejected a call because it holds no complete version is used again once the same instance has reported', () => {
+  let time = 10_000
+  const tracker = createBackEndTracker.createBackEndTracker(() => time)
+  tracker.noteReport(ID, createInstanceStatus(1000, 1), 9900, 0)
+  tracker.noteInstanceEnded(ID)
+  tracker.noteReport(ID, createInstanceStatus(1000, 1), 10_100, 0)
+  assert.equal(tracker.read(ID).isGone, true, 'the report may have been sent before the end')
+  time = 10_500
+  tracker.noteReport(ID, createInstanceStatus(1000, 1), 10_500, 0)
+  assert.equal(tracker.read(ID).isGone, false)
+  tracker.noteInstanceEnded(ID)
+  assert.equal(tracker.read(ID).isGone, true)
+})
+
 nodeTest.test('a back end whose process ended is unavailable until its agent reports again, or until it should no longer be listed', () => {
   const { tracker, advance } = recordReports(350, 20, 3)
   const time = 10_000 + 3 * 350
