--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -1,12 +1,15 @@
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
-import type * as testing from '@switchridge/platform-testing'
+import * as testing from '@switchridge/platform-testing'
+import * as types from '@switchridge/types'
 import type * as fleetRole from '../_lib/fleetRole.js'
 import * as fleetTesting from '../_lib/fleetTesting.js'
 
 const GATEWAY_HOST = '127.0.0.1'
 const AGENT_HOSTS = ['127.0.0.11', '127.0.0.12', '127.0.0.13'] as const
 const PIECES = 8
+/** In this time an agent would order a version that it holds completely. */
+const SEVERAL_STEPS_MS = 1500
 
 interface OpenedAgents {
   readonly fleet: fleetTesting.TestFleet
@@ -95,3 +98,33 @@
   await fleetTesting.waitUntil(() => engines.every((engine) => engine.version() === 3))
   assertWholeOrders(engines)
 })
+
+/** Guards against calls that begin on an old version after its deadline: they may be in transit to the engine for longer than any margin of their gateways. */
+nodeTest.test('an engine that has not got an announced version in time unloads the old one, until it gets the new one', async (context) => {
+  const { fleet, engines } = await openAgents(context, [1, 1])
+  const [engine] = engines as [testing.EngineStandIn]
+  fleet.origin.faults.corruptPieces = Infinity
+  announceVersion(fleet, 2)
+  await fleetTesting.waitWithLimit(async () => engines.every((each) => each.version() === 0))
+  const answer = await testing.sendCallerRequest(engine.address, fleetTesting.API_KEY, { path: '/stream/quote', id: 'late', headers: { 'expect-instance': engine.id } })
+  assert.equal(answer.status, 421)
+  fleet.origin.faults.corruptPieces = 0
+  await fleetTesting.waitWithLimit(async () => engines.every((each) => each.version() === 2))
+  assertWholeOrders(engines)
+})
+
+/** An agent keeps the pieces of versions that it has fetched, so that it could order an unloaded one again. */
+nodeTest.test('an engine that unloaded a version because of a newer one is not ordered to load it again', async (context) => {
+  const { fleet, engines } = await openAgents(context, [1])
+  const [engine] = engines as [testing.EngineStandIn]
+  announceVersion(fleet, 2)
+  await fleetTesting.waitWithLimit(async () => engine.version() === 2)
+  fleet.origin.faults.corruptPieces = Infinity
+  announceVersion(fleet, 3)
+  await fleetTesting.waitWithLimit(async () => engine.version() === 0)
+  const orders = engine.orders.length
+  await types.delay(SEVERAL_STEPS_MS)
+  assert.equal(engine.orders.length, orders)
+  fleet.origin.faults.corruptPieces = 0
+  await fleetTesting.waitWithLimit(async () => engine.version() === 3)
+})
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -287,6 +287,10 @@
         start: async () => {
           held = ID.version
           return 'done'
+        },
+        unload: async () => {
+          held = 0
+          return 'begun'
         }
       },
       origin: createOrigin(name),
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -7,8 +7,10 @@
 import * as createPieceStore from '../createPieceStore/index.js'
 import * as createReceiveWindow from '../createReceiveWindow/index.js'
 import * as selectVersion from '../selectVersion/index.js'
+import * as findSuccessor from '../_lib/findSuccessor.js'
 import * as offerPieces from '../_lib/offerPieces.js'
 import * as orderVersion from '../_lib/orderVersion.js'
+import * as unloadOldVersion from '../_lib/unloadOldVersion.js'
 import * as writeStage from '../writeStage/index.js'
 import type * as staging from '../types/index.js'
 
@@ -100,6 +102,7 @@
   let turnTimer: NodeJS.Timeout | undefined
   const isStopped = (): boolean => stopping.signal.aborted
   const orders = orderVersion.createVersionOrders({ ...options, isStopped })
+  const unloader = unloadOldVersion.createOldVersionUnloader({ ...options, isChangeDue: () => findReady(held) !== undefined })
   const providePiece = offerPieces.createPieceOffers({ ...options, store, manifests, isBeingFetched, isStopped })
 
   function isBeingFetched (id: staging.VersionId): boolean {
@@ -125,6 +128,17 @@
     return pieces === null ? 0 : pieces.count() / pieces.manifest.digests.length
   }
 
+  /** The newest version that is complete here, newer than the held one, and may serve for some time. */
+  function findReady (heldVersion: number): staging.NamedVersion | undefined {
+    return options.named().findLast(({ id }) => id.version > heldVersion && progressOf(id.version) === 1 && mayServe(id.version))
+  }
+
+  /** Whether an engine that is ordered now to load a version will hold it before it would have to unload it. */
+  function mayServe (version: number): boolean {
+    const successor = findSuccessor.findSuccessor(options.named(), version)
+    return successor === undefined || options.now() + selectVersion.SWITCH_MS + unloadOldVersion.UNLOAD_LEAD_MS < successor.deadlineAt
+  }
+
   /** Performs one step at a time; a wake-up during a step causes another one. */
   async function step (): Promise<void> {
     if (isStepping) {
@@ -146,6 +160,7 @@
   async function advance (state: staging.EngineState): Promise<void> {
     checkEngineRestart(state)
     held = state.held
+    unloader.schedule(held)
     isServing = state.running + state.waiting > 0
     if (state.isLeaving) {
       endFetch()
@@ -154,7 +169,7 @@
     }
     const named = options.named()
     planFetch(state, named)
-    const ready = named.findLast((each) => each.id.version > state.held && progressOf(each.id.version) === 1)
+    const ready = findReady(state.held)
     if (ready === undefined) announceExpectedTurn(state)
     if (ready === undefined || state.isBusy) return
     const turn = findTurn(ready, state)
@@ -284,7 +299,9 @@
   }
 
   function wake (): void {
-    if (!stopping.signal.aborted) void step()
+    if (stopping.signal.aborted) return
+    unloader.schedule(held)
+    void step()
   }
 
   /** Whether the engine has no calls, holds the newest named version, and nothing is being fetched. */
@@ -310,6 +327,7 @@
       stopping.abort()
       clearTimeout(timer)
       clearTimeout(turnTimer)
+      unloader.stop()
       endFetch()
     }
   }
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -62,6 +62,8 @@
    * order count that the engine last reported.
    */
   readonly start: (id: VersionId, sequence: number, method: SwitchMethod) => Promise<OrderOutcome>
+  /** Orders the engine to unload the version that it holds once its running calls are complete; it begins no further call on it. */
+  readonly unload: (id: VersionId, sequence: number) => Promise<OrderOutcome>
 }
 
 /** The server from which weights are first read. */
