--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -92,6 +92,7 @@
       pinnedVersion: choice.version,
       tried: choice.tried,
       isLeaving: leavers.isLeaving,
+      findExclusion: () => null,
       readBackoff,
       readAllowance: () => null,
       mayRequestPermit: true,
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -177,6 +177,7 @@
       pinnedVersion: choice.version,
       tried: choice.tried,
       isLeaving: leavers.isLeaving,
+      findExclusion: () => null,
       readBackoff: backoffs.read,
       readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
       mayRequestPermit: choice.mayRequestPermit,
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -202,6 +202,7 @@
       versionBoundAt: () => Infinity,
       endsAt: askedAt + CALL_TIMEOUT_MS,
       isLeaving: () => false,
+      findExclusion: () => null,
       readBackoff: from.backoffs.read,
       readAllowance: ({ id }) => readAllowance(from, id),
       mayRequestPermit: true,
--- a/packages/gateway/src/chooseBackEnd/backoff.test.ts
+++ b/packages/gateway/src/chooseBackEnd/backoff.test.ts
@@ -33,6 +33,7 @@
     versionBoundAt: () => Infinity,
     endsAt: NOW + 5000,
     isLeaving: () => false,
+    findExclusion: () => null,
     readBackoff: ({ id }) => byId[id] ?? FREE,
     readAllowance: () => null,
     mayRequestPermit: true,
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -30,6 +30,8 @@
   readonly tried: ReadonlySet<types.NodeId>
   /** Whether a back end has announced in a response that it is about to end. */
   readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
+  /** Why a back end may not serve this call even if it has room; null if it may. */
+  readonly findExclusion: (backEnd: gateway.BackEnd) => gateway.ExclusionReason | null
   /** What a back end that asked for a backoff may be sent. */
   readonly readBackoff: (backEnd: gateway.BackEnd) => backoffs.Backoff
   /** Remaining rate allowance of a back end that advertises a rate limit; null for one without a limit. */
@@ -86,6 +88,7 @@
   | 'limited'
   /** It asked for a backoff that is not over, or after which it has not answered enough calls yet to get another one. */
   | 'backing-off'
+  | gateway.ExclusionReason
 
 /** Number of back ends passed over for each reason. */
 export type PassedOver = Partial<Record<PassedOverReason, number>>
@@ -190,6 +193,8 @@
 
 function score (backEnd: gateway.BackEnd, allowance: limiters.RateAllowance | null, input: ChoiceInput): ScoredChoice | PassedOverReason {
   if (backEnd.isDraining || input.isLeaving(backEnd)) return 'draining'
+  const exclusion = input.findExclusion(backEnd)
+  if (exclusion !== null) return exclusion
   if (input.tried.has(backEnd.id)) return 'tried'
   const load = input.tracker.read(backEnd.id)
   if (load.isGone) return 'gone'
--- a/packages/gateway/src/chooseBackEnd/limited.test.ts
+++ b/packages/gateway/src/chooseBackEnd/limited.test.ts
@@ -27,6 +27,7 @@
     versionBoundAt: () => Infinity,
     endsAt: NOW + 6000,
     isLeaving: () => false,
+    findExclusion: () => null,
     readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }),
     readAllowance: ({ id }) => allowances[id] ?? null,
     mayRequestPermit: true,
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -24,7 +24,7 @@
 
 function chooseAmong (backEnds: readonly gateway.BackEnd[], tracker: createBackEndTracker.BackEndTracker, change: Partial<chooseBackEnd.ChoiceInput> = {}): chooseBackEnd.ChoiceOutcome {
   return chooseBackEnd.chooseBackEnd({
-    backEnds, tracker, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastBeginAt: () => Infinity, versionBoundAt: () => Infinity, endsAt: NOW + 6000, isLeaving: () => false, readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }), readAllowance: () => null, mayRequestPermit: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
+    backEnds, tracker, figures: FIGURES, zone: 'a', gateways: 1, model: 'm', promptTokens: 1000, answerTokens: 100, lastBeginAt: () => Infinity, versionBoundAt: () => Infinity, endsAt: NOW + 6000, isLeaving: () => false, findExclusion: () => null, readBackoff: () => ({ waitMs: 0, maximumUnanswered: Infinity }), readAllowance: () => null, mayRequestPermit: true, pinnedVersion: null, tried: new Set(), now: NOW, random: () => 0, ...change
   })
 }
 
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -103,6 +103,9 @@
   readonly models: ReadonlyMap<string, number>
 }
 
+/** Why a back end may not serve a call: its data hall lies in a region that the call may not enter, or operators are evacuating the hall. */
+export type ExclusionReason = 'region' | 'evacuated'
+
 /** Status report of an engine. */
 export interface EngineReport {
   /** Start time of this instance, in Unix milliseconds of its own clock; null if unknown. */
