--- a/packages/daemon/src/_lib/createAgentPermitServer.ts
+++ b/packages/daemon/src/_lib/createAgentPermitServer.ts
@@ -8,12 +8,16 @@
  *
  * @param parts - Components of the agent.
  * @param exchange - Returns the exchange that sends the replies; null until it is open.
+ * @param onColdRequest - Called when a gateway that knows the backend server as cold requests a permit.
  * @returns The permit server.
  */
-export function createAgentPermitServer ({ now, metrics }: Pick<createFleetParts.FleetParts, 'now' | 'metrics'>, exchange: () => createFleetExchange.FleetExchange | null): rateLimits.PermitServer {
+export function createAgentPermitServer ({ now, metrics }: Pick<createFleetParts.FleetParts, 'now' | 'metrics'>, exchange: () => createFleetExchange.FleetExchange | null, onColdRequest: () => void = () => {}): rateLimits.PermitServer {
   return rateLimits.createPermitServer({
     counter: rateLimits.createPermitCounter(now),
-    grantableFraction: () => 1,
+    grantableFraction: (_life, isCold) => {
+      if (isCold) onColdRequest()
+      return 1
+    },
     send: (host, bytes) => { exchange()?.send(host, bytes) },
     count: metrics.count,
     now
--- a/packages/daemon/src/_lib/engineStatus.test.ts
+++ b/packages/daemon/src/_lib/engineStatus.test.ts
@@ -29,6 +29,19 @@
   }
 })
 
+nodeTest.test('a cold engine is decoded as such, with and without a rate limit', () => {
+  for (const limitPerSecond of [null, 0.5]) {
+    const cold = { ...STATUS, report: { ...STATUS.report, limitPerSecond }, coldMs: 2500 }
+    assert.deepEqual(roundTrip(cold, HOST), cold)
+  }
+})
+
+/** Guards against gateways of older builds that lose the status of all engines: they drop one with a field that they don't know. */
+nodeTest.test('the status of a warm engine has no fields beyond those of older builds', () => {
+  const encoded = engineStatus.encodeEngineStatus(STATUS, { host: HOST, soleModel: () => 'm' }) as unknown[]
+  assert.equal(encoded.length, 9)
+})
+
 nodeTest.test('an engine that is about to end is decoded as such', () => {
   const leaving = { ...STATUS, isPaused: true, report: { ...STATUS.report, isLeaving: true } }
   assert.deepEqual(roundTrip(leaving, HOST), leaving)
@@ -40,5 +53,5 @@
 })
 
 nodeTest.test('a malformed status decodes to null', () => {
-  for (const value of [null, undefined, {}, [], [1], [8585, 8, null, 0, 0, 0, 1, 0, null], [8585, 0, null, 0, 0, 0, 1, 0, '!'], [8585, 0, null, 0, 0, 0, 1, 0, null, 0], [8585, 0, null, 0, 0, 0, 1, 0, null, 'x']]) assert.equal(engineStatus.decodeEngineStatus(value, { host: HOST, soleModel: () => 'm' }), null)
+  for (const value of [null, undefined, {}, [], [1], [8585, 8, null, 0, 0, 0, 1, 0, null], [8585, 0, null, 0, 0, 0, 1, 0, '!'], [8585, 0, null, 0, 0, 0, 1, 0, null, 0], [8585, 0, null, 0, 0, 0, 1, 0, null, 'x'], [8585, 0, null, 0, 0, 0, 1, 0, null, null, 0], [8585, 0, null, 0, 0, 0, 1, 0, null, null, 'x']]) assert.equal(engineStatus.decodeEngineStatus(value, { host: HOST, soleModel: () => 'm' }), null)
 })
--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -1,4 +1,4 @@
-/** Enforces the rate limits that back ends advertise, together with all other gateways: records the limits in force and obtains a permit for each request to a limited back end. */
+/** Enforces the rate limits that back ends advertise and those of cold back ends, together with all other gateways: records the limits in force and obtains a permit for each request to a limited back end. */
 import type * as gateway from '@switchridge/gateway'
 import * as rateLimits from '@switchridge/rate-limits'
 import type * as spread from '@switchridge/spread'
@@ -10,7 +10,7 @@
 
 /** Options of {@link createRateLimiter}. */
 export interface RateLimiterOptions {
-  readonly parts: Pick<createFleetParts.FleetParts, 'settings' | 'backEnds' | 'logger' | 'metrics' | 'at' | 'now'>
+  readonly parts: Pick<createFleetParts.FleetParts, 'settings' | 'routes' | 'onRoutes' | 'backEnds' | 'onBackEnds' | 'logger' | 'metrics' | 'at' | 'now'>
   /** The exchange with other daemons; null until it is open. */
   readonly exchange: () => createFleetExchange.FleetExchange | null
   /** Whether this gateway is shutting down. */
@@ -23,6 +23,12 @@
 export interface GatewayRateLimiter extends gateway.RateLimiter {
   /** Records a limit in requests per second from a back end's report, with the monotonic time of the report in milliseconds. Reports reach all gateways. */
   readonly noteReportedLimit: (backEnd: gateway.BackEnd, perSecond: number, at: number) => void
+  /** Records that the agent beside a back end reports it as cold for some milliseconds, with the start time of the run that it reports and the monotonic time of the report in milliseconds. */
+  readonly noteReportedCold: (backEnd: gateway.BackEnd, bornAt: number | null, coldMs: number, at: number) => void
+  /** Treats the back ends of a data hall that was taken back into service as cold, for as long as after a start: they may be. */
+  readonly noteTakenBack: (zone: string) => void
+  /** Lists the cold back ends. */
+  readonly listCold: () => types.BackEndInstanceId[]
   /** Lists the limits in force, including those learned from other gateways. */
   readonly inForce: () => rateLimits.RateLimit[]
   /** Forgets the limits of back ends that are no longer listed. */
@@ -35,6 +41,8 @@
 
 /** Peers keep a published limit only for this long, so that outdated limits don't crowd out other facts; a limit is published again while it is in force. */
 const FACT_LIFETIME_MS = 90_000
+/** A gateway knows the live daemons of a fleet of hundreds of nodes within this time after its start; before, it doesn't substitute for the agent of a cold back end. */
+const DISCOVERY_MS = 3500
 
 /**
  * Creates the rate limiter of a gateway.
@@ -43,10 +51,12 @@
  * @returns The limiter.
  */
 export function createRateLimiter (options: RateLimiterOptions): GatewayRateLimiter {
-  const { backEnds, logger, metrics: { count }, at, now } = options.parts
+  const { backEnds, logger, metrics: { count, observe }, at, now } = options.parts
   const record = rateLimits.createRateLimitRecord({ onChange: noteChange, onUnreadable: noteUnreadable, broadcast: publishLimit, now })
+  const cold = rateLimits.createColdRecord({ onBegin: noteColdBegin, onEnd: noteColdEnd, at, now })
+  const startedAt = now()
   const counter = rateLimits.createPermitCounter(now)
-  const { node, host: ownHost, zone } = options.parts.settings
+  const { node, host: ownHost, zone, bounds } = options.parts.settings
   const client = rateLimits.createPermitClient({ ownHost, counter, findCounter, send, count, at, now, random: options.random })
   const server = rateLimits.createPermitServer({ counter, grantableFraction, send, count, now })
 
@@ -65,6 +75,16 @@
     logger.warn('rate-limit-unreadable', { life, text })
   }
 
+  function noteColdBegin (life: types.BackEndInstanceId, source: rateLimits.ColdSource, remainingMs: number): void {
+    count('cold_back_ends', { change: 'begun', source })
+    logger.info('back-end-cold', { life, source, remainingMs: Math.round(remainingMs) })
+  }
+
+  function noteColdEnd (life: types.BackEndInstanceId): void {
+    count('cold_back_ends', { change: 'ended', source: 'time' })
+    logger.info('back-end-warm', { life })
+  }
+
   function publishLimit (limit: rateLimits.RateLimit): void {
     options.exchange()?.facts.publish(rateLimitFacts.formatFact(limit), FACT_LIFETIME_MS, now() - limit.receivedAt)
   }
@@ -75,19 +95,39 @@
     return [{ node: types.brandId(node), host: ownHost, zone, role: 'gateway', isLeaving: options.isLeaving(), isLive: true }, ...others]
   }
 
-  function findCounter (life: types.BackEndInstanceId): rateLimits.ChosenCounter | null {
+  function findCounter (life: types.BackEndInstanceId, isCold: boolean): rateLimits.ChosenCounter | null {
     const backEnd = findByInstanceId.findByInstanceId(backEnds(), life)
-    return backEnd === undefined ? null : rateLimits.chooseCounter({ life, host: backEnd.address.host, zone: backEnd.zone }, listCandidates())
+    if (backEnd === undefined) return null
+    const counted = { life, host: backEnd.address.host, zone: backEnd.zone }
+    return isCold ? rateLimits.chooseColdCounter(counted, listCandidates(), now() - startedAt >= DISCOVERY_MS) : rateLimits.chooseCounter(counted, listCandidates())
   }
 
   /** Returns the fraction of a limit for which this gateway may grant permits; null if another daemon counts them. */
-  function grantableFraction (instanceId: types.BackEndInstanceId): number | null {
-    const chosen = findCounter(instanceId)
+  function grantableFraction (instanceId: types.BackEndInstanceId, isCold: boolean): number | null {
+    const chosen = findCounter(instanceId, isCold)
     return chosen?.host === ownHost ? chosen.part : null
   }
 
-  function readLimit ({ id, bornAt }: gateway.BackEnd): rateLimits.RateLimit | null {
-    return record.read(types.formatBackEndInstanceId(id, bornAt))
+  function readAdvertised ({ id, bornAt }: gateway.BackEnd): rateLimits.RateLimit | null {
+    return record.isEmpty() ? null : record.read(types.formatBackEndInstanceId(id, bornAt))
+  }
+
+  /** The limit of a back end while it is cold; null if it is warm. */
+  function readColdLimit ({ id, bornAt, service }: gateway.BackEnd): rateLimits.ColdLimit | null {
+    if (!cold.isAnyCold() || cold.readRemainingMs(types.formatBackEndInstanceId(id, bornAt)) === 0) return null
+    const perSecond = findColdPerSecond(service)
+    return perSecond === null ? null : rateLimits.computeColdLimit(perSecond, { overage: bounds.cold_overage, slack: bounds.cold_slack })
+  }
+
+  function findColdPerSecond (service: types.ServiceName): number | null {
+    return options.parts.routes()?.findService(service)?.coldPerSecond ?? null
+  }
+
+  function readLimit (backEnd: gateway.BackEnd): rateLimits.LimitInForce | null {
+    const advertised = readAdvertised(backEnd)
+    const coldLimit = readColdLimit(backEnd)
+    if (coldLimit === null) return advertised
+    return { life: types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt), perSecond: null, receivedAt: now(), ...advertised, cold: coldLimit }
   }
 
   async function acquire (backEnd: gateway.BackEnd, isLate: boolean): Promise<rateLimits.PermitDecision> {
@@ -95,24 +135,52 @@
     if (limit === null) return { isGranted: true }
     const askedAt = now()
     const answer = await client.acquire(limit, isLate)
+    const isCold = limit.cold !== undefined
+    if (answer.isGranted && isCold) observe('cold_permit_ms', now() - askedAt)
     if (!answer.isGranted) {
-      const counterHost = findCounter(limit.life)?.host
-      logger.info('permit-refused', { backEnd: backEnd.id, counter: counterHost, perSecond: limit.perSecond, isLate, ageMs: Math.round(askedAt - limit.receivedAt), tookMs: Math.round(now() - askedAt), waitMs: Math.round(answer.waitMs) })
+      const counterHost = findCounter(limit.life, isCold)?.host
+      logger.info('permit-refused', { backEnd: backEnd.id, counter: counterHost, perSecond: limit.perSecond, coldPerSecond: limit.cold?.perSecond, isLate, ageMs: Math.round(askedAt - limit.receivedAt), tookMs: Math.round(now() - askedAt), waitMs: Math.round(answer.waitMs) })
     }
     return answer
   }
 
+  /** Records what the entries in service discovery say of cold back ends. */
+  function noteListed (): void {
+    for (const { id, bornAt, service, coldRemainingMs, entryContent } of backEnds()) {
+      if (findColdPerSecond(service) !== null) cold.noteListed(types.formatBackEndInstanceId(id, bornAt), coldRemainingMs ?? 0, entryContent ?? '')
+    }
+  }
+
+  options.parts.onRoutes(noteListed)
+  options.parts.onBackEnds(noteListed)
+
   return {
     acquire,
     readAllowance: (backEnd, isLate) => {
-      if (record.isEmpty()) return null
+      if (record.isEmpty() && !cold.isAnyCold()) return null
       const limit = readLimit(backEnd)
-      return limit === null || limit.perSecond === null ? null : { perSecond: limit.perSecond, waitMs: client.waitMs(limit.life, isLate) }
+      if (limit === null) return null
+      const allowance = { perSecond: Math.min(limit.perSecond ?? Infinity, limit.cold?.perSecond ?? Infinity), waitMs: client.waitMs(limit.life, isLate) }
+      return limit.cold === undefined ? allowance : { ...allowance, isCold: true }
     },
     noteResponse: ({ id, bornAt }, rate, sentAt) => { record.noteResponse(types.formatBackEndInstanceId(id, bornAt), rate, sentAt) },
     noteReportedLimit: ({ id, bornAt }, perSecond, receivedAt) => { record.noteFromPeer({ life: types.formatBackEndInstanceId(id, bornAt), perSecond, receivedAt }) },
+    noteReportedCold: ({ id, service }, bornAt, coldMs, madeAt) => {
+      if (findColdPerSecond(service) !== null) cold.noteCold(types.formatBackEndInstanceId(id, bornAt), madeAt + coldMs + rateLimits.COLD_MARGIN_MS, 'agent')
+    },
+    noteTakenBack: (zone) => {
+      for (const { id, bornAt, service } of backEnds().filter((backEnd) => backEnd.zone === zone)) {
+        const coldMs = options.parts.routes()?.findService(service)?.coldMs ?? 0
+        if (findColdPerSecond(service) !== null && coldMs > 0) cold.noteCold(types.formatBackEndInstanceId(id, bornAt), now() + coldMs, 'return')
+      }
+    },
+    listCold: cold.inForce,
     inForce: record.inForce,
-    removeUnlisted: () => { record.retainOnly(new Set(backEnds().map(({ id, bornAt }) => types.formatBackEndInstanceId(id, bornAt)))) },
+    removeUnlisted: () => {
+      const listed = new Set(backEnds().map(({ id, bornAt }) => types.formatBackEndInstanceId(id, bornAt)))
+      record.retainOnly(listed)
+      cold.retainOnly(listed)
+    },
     noteFact: (content, madeAt) => {
       if (!rateLimitFacts.isFact(content)) return false
       const limit = rateLimitFacts.parseFact(content, madeAt)
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -8,6 +8,7 @@
 import * as spread from '@switchridge/spread'
 import * as staging from '@switchridge/staging'
 import * as types from '@switchridge/types'
+import * as createColdChecks from '../createColdChecks/index.js'
 import * as createFleetExchange from '../createFleetExchange/index.js'
 import * as createFleetParts from '../createFleetParts/index.js'
 import * as createAgentPermitServer from '../_lib/createAgentPermitServer.js'
@@ -64,12 +65,28 @@
   let changesInMs: number | null = null
   let isLeaving = false
   let lastReportError = ''
+  /** Whether the configuration limits cold engines; until it is known, no health check can be sent. */
+  let hasColdSettings = false
   let stager: staging.Stager | null = null
   const suspectUntil = new Map<types.NodeId, number>()
 
   const listener = await createFleetParts.listenInternal(parts, [serveWeights])
   let startedExchange: createFleetExchange.FleetExchange | null = null
-  const permits = createAgentPermitServer.createAgentPermitServer(parts, () => startedExchange)
+  const coldChecks = createColdChecks.createColdChecks({
+    isEnabled: () => findService()?.healthPath !== undefined,
+    readColdRemainingMs: async () => {
+      const remainingMs = await engine.readColdRemainingMs(findService()?.healthPath as string)
+      metrics.count('health_checks', { answer: remainingMs === null ? 'none' : remainingMs > 0 ? 'cold' : 'warm' })
+      return remainingMs
+    },
+    onCold: (remainingMs) => {
+      logger.info('engine-cold', { address: engineAddress, remainingMs: Math.round(remainingMs) })
+      startedExchange?.gossip.sendNow('gateway')
+    },
+    at: parts.at,
+    now
+  })
+  const permits = createAgentPermitServer.createAgentPermitServer(parts, () => startedExchange, noteColdRequest)
   const slots = gateway.createSlotReservations(now)
   const reservations = gateway.createReservationServer({
     reserve: reserveSlot,
@@ -81,7 +98,7 @@
     store: null,
     openDatagrams: spread.openDatagrams(checked.host, checked.internal_port),
     fetchChanges: createFleetParts.createChangesFetcher(parts),
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs, ...readColdField() }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.recordPeerVersions(parts, heartbeat)) stager?.wake() },
     onFact: () => {},
     onDatagram: (bytes, from) => permits.receive(bytes, from) || reservations.receive(bytes, from),
@@ -90,6 +107,16 @@
   startedExchange = exchange
   const { gossip } = exchange
 
+  /** A gateway that knows the engine as cold may know more than this agent: from the engine's entry, or because its hall was evacuated. */
+  function noteColdRequest (): void {
+    if (coldChecks.readColdMs() === null) coldChecks.noteMaybeCold()
+  }
+
+  function readColdField (): { coldMs?: number } {
+    const coldMs = coldChecks.readColdMs()
+    return coldMs === null ? {} : { coldMs }
+  }
+
   /** Counts every report that can't be parsed, and logs an error only when it differs from the previous one. */
   function logUnreadableReport ({ message }: types.InvalidInputError): void {
     metrics.count('engine_reports_unreadable')
@@ -112,9 +139,13 @@
     return figures !== null && !isPaused && !isLeavingNode() && slots.reserve(request, figures)
   }
 
-  function findFigures (): gateway.EngineFigures | null {
+  function findService (): gateway.Service | null {
     const name = checked.engine.service
-    return name === undefined ? null : parts.routes()?.findService(types.brandId<types.ServiceName>(name))?.engine ?? null
+    return name === undefined ? null : parts.routes()?.findService(types.brandId<types.ServiceName>(name)) ?? null
+  }
+
+  function findFigures (): gateway.EngineFigures | null {
+    return findService()?.engine ?? null
   }
 
   function findSoleModel (): string | null {
@@ -131,6 +162,7 @@
     if (isFromEarlierProcess(next, report)) return report
     const hadReport = report !== null
     const wasLeaving = isLeavingNode()
+    if (next !== null && (report === null || next.bornAt !== report.bornAt)) coldChecks.noteMaybeCold()
     report = next
     slots.noteReport(next)
     if (wasLeaving !== isLeavingNode()) {
@@ -272,6 +304,8 @@
   parts.onRoutes(() => {
     const figures = findFigures()
     const model = figures?.models[0]
+    if (report !== null && !hasColdSettings && findService()?.coldPerSecond !== undefined) coldChecks.noteMaybeCold()
+    hasColdSettings = findService()?.coldPerSecond !== undefined
     if (stager === null && figures !== null && model !== undefined && figures.chunks > 0) stager = startStager(figures, model)
   })
   parts.onVersions(() => { stager?.wake() })
@@ -284,7 +318,7 @@
   metrics.gauge('engine_running', () => report?.running ?? 0)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, null, listSuspects()),
-    engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs },
+    engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs, coldMs: coldChecks.readColdMs() },
     agents: listReliableAgents().map((agent) => agent.node)
   }))
 
@@ -298,6 +332,7 @@
     reload: exchange.reload,
     stop: () => {
       clearInterval(reportTimer)
+      coldChecks.stop()
       closeMetrics()
       stager?.stop()
       exchange.stop()
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -133,6 +133,7 @@
     const backEnd = parts.backEndAt(engineUpdate.address)
     if (backEnd === undefined) return
     tracker.noteReport(backEnd.id, engineUpdate, now() - delayMs - ageMs, delayMs)
+    if (engineUpdate.coldMs !== undefined) limiter.noteReportedCold(backEnd, engineUpdate.report.bornAt ?? backEnd.bornAt, engineUpdate.coldMs, now() - delayMs - ageMs)
     if (engineUpdate.report.limitPerSecond !== null) limiter.noteReportedLimit(backEnd, engineUpdate.report.limitPerSecond, now() - delayMs - ageMs)
   }
 
@@ -252,6 +253,7 @@
   metrics.gauge('calls_suspected', callQuarantine.countSuspects)
   metrics.gauge('ends_known', callQuarantine.countEnds)
   metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
+  metrics.gauge('back_ends_cold', () => limiter.listCold().length)
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
   metrics.gauge('facts', exchange.facts.count)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
@@ -262,6 +264,7 @@
     blockedCalls: callQuarantine.blocks().map(({ fingerprint, count, since }) => ({ fingerprint, count, ageSeconds: Math.round((now() - since) / types.MILLISECONDS_IN_SECOND) })),
     endsKnown: callQuarantine.countEnds(),
     rateLimits: limiter.inForce().map(({ life, perSecond, receivedAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - receivedAt) / types.MILLISECONDS_IN_SECOND) })),
+    coldBackEnds: limiter.listCold(),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
     backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), models: Object.fromEntries(backEnd.models) }))
   }))
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -92,14 +92,17 @@
           choice = reserved
         }
       }
-      if (choice.isRateLimited) {
+      let connectWithinMs = Infinity
+      // The back end may have become known as cold while the call waited for a slot.
+      if (choice.isRateLimited || options.limiter.readAllowance(choice.backEnd, isLate)?.isCold === true) {
         const permit = await options.limiter.acquire(choice.backEnd, isLate)
         if (call.isCallerGone()) return 'left'
         if (call.isExpired()) {
           lastReason = 'no permit in time'
           return endUnserved()
         }
-        if (!permit.isGranted) {
+        if (permit.isGranted && permit.expiresAt !== undefined) connectWithinMs = permit.expiresAt - options.now()
+        if (!permit.isGranted || connectWithinMs <= 0) {
           permitsRefused += 1
           continue
         }
@@ -112,7 +115,7 @@
         return endUnserved()
       }
       backEnd = choice.backEnd.id
-      const outcome = await attempt(choice)
+      const outcome = await attempt(choice, connectWithinMs)
       if (call.isCallerGone()) return 'left'
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
@@ -176,7 +179,7 @@
     return call.isRepeatable
   }
 
-  async function attempt (choice: chooseBackEnd.Choice): Promise<runAttempt.AttemptOutcome> {
+  async function attempt (choice: chooseBackEnd.Choice, connectWithinMs: number): Promise<runAttempt.AttemptOutcome> {
     call.tried.add(choice.backEnd.id)
     const open: createBackEndTracker.OpenAttempt = {
       promptTokens: call.head.promptTokens,
@@ -185,7 +188,7 @@
       hasResponded: false
     }
     options.tracker.noteSent(choice.backEnd.id, open)
-    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
+    const outcome = await runAttempt.runAttempt(call, reply, stream, { choice, connectWithinMs }, open, options)
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call.fingerprint())
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -34,7 +34,7 @@
   readonly findExclusion: (backEnd: gateway.BackEnd) => gateway.ExclusionReason | null
   /** What a back end that asked for a backoff may be sent. */
   readonly readBackoff: (backEnd: gateway.BackEnd) => backoffs.Backoff
-  /** Remaining rate allowance of a back end that advertises a rate limit; null for one without a limit. */
+  /** Remaining rate allowance of a back end that advertises a rate limit or is cold; null for any other. */
   readonly readAllowance: (backEnd: gateway.BackEnd) => limiters.RateAllowance | null
   /** Whether a rate-limit permit may be requested; otherwise rate-limited back ends are passed over. */
   readonly mayRequestPermit: boolean
@@ -52,7 +52,7 @@
   readonly discountedFirstEventMs: number
   /** Requests that would be queued there before this one. */
   readonly queuedAhead: number
-  /** Whether the back end advertises a rate limit, so that a permit must be requested. */
+  /** Whether the back end advertises a rate limit or is cold, so that a permit must be requested. */
   readonly isRateLimited: boolean
   /** Version of the weights that the back end is asked to verify; null for none. */
   readonly expectedVersion: number | null
@@ -86,6 +86,8 @@
   | 'late'
   /** It advertises a rate limit, and no request may be sent there now. */
   | 'limited'
+  /** It is cold, and no request may be sent there now. */
+  | 'cold'
   /** It asked for a backoff that is not over, or after which it has not answered enough calls yet to get another one. */
   | 'backing-off'
   | gateway.ExclusionReason
@@ -99,7 +101,7 @@
   readonly passedOver: PassedOver
   /** Occupied fraction of the slots of all back ends that may serve; queued requests count, so it may exceed 1. */
   readonly utilization: number
-  /** Milliseconds until a permit may be requested from a back end that was passed over for its rate limit; Infinity for none. */
+  /** Milliseconds until a permit may be requested from a back end that was passed over for its rate limit or as cold; Infinity for none. */
   readonly permitWaitMs: number
   /** If all back ends that will go on serving asked for a backoff: milliseconds until the first one takes some again. Infinity otherwise. */
   readonly backoffWaitMs: number
@@ -166,7 +168,7 @@
     const slots = allowance === null ? backEnd.slots : Math.min(backEnd.slots, allowance.perSecond * LIMITED_REQUEST_SECONDS)
     if (typeof scored === 'string') {
       passedOver[scored] = (passedOver[scored] ?? 0) + 1
-      if (allowance === null || scored !== 'limited') continue
+      if (allowance === null || (scored !== 'limited' && scored !== 'cold')) continue
       permitWaitMs = Math.min(permitWaitMs, allowance.waitMs)
       capacity += slots
       occupied += slots
@@ -207,7 +209,7 @@
   const refusal = input.figures === null || input.model === null ? null : findVersionRefusal(version, computeLatestBegin(load, predicted.firstEventMs, input) - healthyGraceMs, input)
   if (refusal !== null) return refusal
   if (isBackingOff(load, input.readBackoff(backEnd))) return 'backing-off'
-  if (allowance !== null && (allowance.waitMs > 0 || !input.mayRequestPermit)) return 'limited'
+  if (allowance !== null && (allowance.waitMs > 0 || !input.mayRequestPermit)) return allowance.isCold === true ? 'cold' : 'limited'
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_PENALTY_MS) +
     (load.isReportOverdue ? OVERDUE_REPORT_PENALTY_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_PENALTY_MS : 0) +
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -49,6 +49,12 @@
   readonly engine: EngineFigures | null
   /** Address that weights are fetched from, if the service is an origin. */
   readonly originAddress: types.Address | null
+  /** Requests per second that a back end can take while it is cold; absent if cold back ends are not limited. */
+  readonly coldPerSecond?: number
+  /** Milliseconds for which a back end is cold after a start during traffic; absent if unknown. */
+  readonly coldMs?: number
+  /** Path of the health check, whose answer says how long a back end stays cold; absent if there is none. */
+  readonly healthPath?: string
 }
 
 /** Speed and capacity of a service's engines. A speed that the platform does not provide is null and is left out of predictions. */
@@ -101,6 +107,10 @@
   readonly isDraining: boolean
   /** Models of which the back end holds every layer, with the versions of their weights. */
   readonly models: ReadonlyMap<string, number>
+  /** Milliseconds for which the back end stays cold, counted from when its entry was written; absent for a warm one. */
+  readonly coldRemainingMs?: number
+  /** Content of the entry of a cold back end without its heartbeat counter; a different one shows that the entry was written anew. */
+  readonly entryContent?: string
 }
 
 /** Why a back end may not serve a call: its data hall lies in a region that the call may not enter, or operators are evacuating the hall. */
--- a/packages/rate-limits/src/_lib/limitSimulation.ts
+++ b/packages/rate-limits/src/_lib/limitSimulation.ts
@@ -2,6 +2,7 @@
 import * as standins from '@switchridge/standins'
 import * as types from '@switchridge/types'
 import * as chooseCounter from '../chooseCounter/index.js'
+import * as computeColdLimit from '../computeColdLimit/index.js'
 import * as createPermitClient from '../createPermitClient/index.js'
 import * as createPermitCounter from '../createPermitCounter/index.js'
 import * as createPermitServer from '../createPermitServer/index.js'
@@ -36,6 +37,16 @@
   readonly permitHoldMs?: number
   /** Seconds at which every second gateway restarts. */
   readonly gatewaysRestartedAt?: readonly number[]
+  /** The limited back ends are cold, with `perSecond` as their rate: the bound of cold back ends applies. */
+  readonly isCold?: boolean
+  /** Whether a refused caller returns once, to any gateway, when a permit is expected. */
+  readonly doCallersReturn?: boolean
+  /** Number of back ends with the same limit, whose permits one daemon counts; 1 if absent. The demand applies to each of them. */
+  readonly backEnds?: number
+  /** Second at which the back ends turn cold under load. Gateways learn it within {@link LEARNING_MS}, and only arrivals after that are measured; until then they send without permits. */
+  readonly turnsColdAt?: number
+  /** Fraction of requests whose connection takes up to {@link SLOW_CONNECT_MS}. */
+  readonly slowConnectRate?: number
   readonly seed?: number
 }
 
@@ -43,7 +54,7 @@
 export interface LimitResult {
   /** Requests sent as a fraction of what the limit allows. */
   readonly utilization: number
-  /** Most requests within any window of four seconds. */
+  /** Most requests at one back end within any window of four seconds, or of one second if it is cold. */
   readonly peakRequests: number
   /** Upper bound for `peakRequests`. */
   readonly allowed: number
@@ -51,8 +62,13 @@
   readonly datagramsPerRequest: number
 }
 
-const BACK_END = types.brandId<types.BackEndInstanceId>('back-end')
 const WINDOW_MS = 4000
+const COLD_WINDOW_MS = 1000
+const COLD_TOLERANCE: computeColdLimit.ColdTolerance = { overage: 1.5, slack: 5 }
+/** An agent that finds its engine cold announces it to all gateways at once; heartbeats repeat it after lost datagrams. */
+const LEARNING_MS = 1000
+/** Longest connection that is simulated: a lost first packet is sent again after a second. */
+const SLOW_CONNECT_MS = 1000
 const STEP_MS = 1
 /** Shortest and longest one-way delay: within a data hall and between regions. */
 const NETWORK_DELAY_MS = [0.5, 3] as const
@@ -62,7 +78,15 @@
 const MICROTASK_TURNS = 6
 const SEED = 11
 
+interface SimulatedBackEnd {
+  readonly life: types.BackEndInstanceId
+  /** Times of its requests. */
+  readonly arrivals: number[]
+}
+
 interface Gateway {
+  /** Time at which it learns that the back ends are cold. */
+  readonly learnsAt: number
   permitSource: rateLimits.PermitSource
   receive: (bytes: Buffer, from: string) => boolean
 }
@@ -72,6 +96,11 @@
   return 6 * perSecond + 5
 }
 
+/** Most requests that a cold back end tolerates within any second. */
+export function computeColdAllowed (perSecond: number): number {
+  return COLD_TOLERANCE.overage * perSecond + COLD_TOLERANCE.slack
+}
+
 /**
  * Simulates a scenario.
  *
@@ -83,7 +112,9 @@
   const random = standins.createSeededRandom(scenario.seed ?? SEED)
   const { now } = clock
   const substituteFraction = scenario.substituteFraction ?? chooseCounter.SUBSTITUTE_FRACTION
-  const arrivals: number[] = []
+  const isCold = scenario.isCold ?? false
+  const backEnds = Array.from({ length: scenario.backEnds ?? 1 }, (_, index) => ({ life: types.brandId<types.BackEndInstanceId>(`back-end-${index}`), arrivals: [] as number[] }))
+  const measuredFrom = scenario.turnsColdAt === undefined ? 0 : scenario.turnsColdAt * types.MILLISECONDS_IN_SECOND + LEARNING_MS
   let datagrams = 0
   const counters = new Map<string, createPermitServer.PermitServer>()
   const gateways: Gateway[] = []
@@ -116,19 +147,23 @@
       if (random() < (scenario.lossRate ?? 0)) return
       const copies = random() < (scenario.duplicationRate ?? 0) ? 2 : 1
       for (let copy = 0; copy < copies; copy += 1) {
-        const delayMs = NETWORK_DELAY_MS[0] + (NETWORK_DELAY_MS[1] - NETWORK_DELAY_MS[0]) * random() + (random() < (scenario.delayRate ?? 0) ? EXTRA_DELAY_MS : 0)
+        const delayMs = pickNetworkDelay() + (random() < (scenario.delayRate ?? 0) ? EXTRA_DELAY_MS : 0)
         scheduleAt(now() + delayMs, () => { deliver(bytes, from, to) })
       }
     }
   }
 
+  function pickNetworkDelay (): number {
+    return NETWORK_DELAY_MS[0] + (NETWORK_DELAY_MS[1] - NETWORK_DELAY_MS[0]) * random()
+  }
+
   function startCounter (host: string, fraction: number): void {
     counters.set(host, createPermitServer.createPermitServer({ counter: createPermitCounter.createPermitCounter(now), grantableFraction: () => fraction, send: createSender(host), count: () => {}, now }))
   }
 
   function startGateway (index: number): void {
     if (scenario.strategy === 'shares') {
-      gateways[index] = { permitSource: rateShares.createRateShares(() => scenario.gateways, now), receive: () => false }
+      gateways[index] = { learnsAt: 0, permitSource: rateShares.createRateShares(() => scenario.gateways, now), receive: () => false }
       return
     }
     const host = `gateway-${index}`
@@ -143,7 +178,8 @@
       now,
       random
     })
-    gateways[index] = { permitSource: client, receive: client.receive }
+    const learnsAt = scenario.turnsColdAt === undefined ? 0 : scenario.turnsColdAt * types.MILLISECONDS_IN_SECOND + LEARNING_MS * random()
+    gateways[index] = { learnsAt, permitSource: client, receive: client.receive }
   }
 
   function scheduleCancellable (time: number, action: () => void): () => void {
@@ -158,10 +194,36 @@
     return gateways[Math.floor(random() * candidateCount)] as Gateway
   }
 
-  async function sendCall ({ permitSource }: Gateway): Promise<void> {
-    if (permitSource.waitMs(BACK_END, false) > 0) return
-    const decision = await permitSource.acquire({ life: BACK_END, perSecond: scenario.perSecond, receivedAt: 0 }, false)
-    if (decision.isGranted) scheduleAt(computeSendTime(), () => { arrivals.push(now()) })
+  function pickBackEnd (): SimulatedBackEnd {
+    return backEnds[backEnds.length === 1 ? 0 : Math.floor(random() * backEnds.length)] as SimulatedBackEnd
+  }
+
+  async function sendCall ({ permitSource, learnsAt }: Gateway, backEnd: SimulatedBackEnd, mayReturn: boolean): Promise<void> {
+    const { life, arrivals } = backEnd
+    if (now() < learnsAt) {
+      arrivals.push(now())
+      return
+    }
+    const waitMs = permitSource.waitMs(life, false)
+    if (waitMs > 0) {
+      if (mayReturn) scheduleAt(now() + waitMs, () => { void sendCall(pickGateway(), backEnd, false) })
+      return
+    }
+    const { perSecond } = scenario
+    const limit = isCold ? { life, perSecond: null, receivedAt: now(), cold: computeColdLimit.computeColdLimit(perSecond, COLD_TOLERANCE) } : { life, perSecond, receivedAt: 0 }
+    const decision = await permitSource.acquire(limit, false)
+    if (!decision.isGranted) {
+      if (mayReturn) scheduleAt(now() + decision.waitMs, () => { void sendCall(pickGateway(), backEnd, false) })
+      return
+    }
+    const expiresAt = decision.expiresAt ?? Infinity
+    const connectedAt = computeSendTime() + (isCold ? pickConnectMs() : 0)
+    if (connectedAt <= expiresAt || scenario.permitHoldMs !== undefined) scheduleAt(connectedAt + (isCold ? pickNetworkDelay() : 0), () => { arrivals.push(now()) })
+  }
+
+  /** A connection takes one round trip. */
+  function pickConnectMs (): number {
+    return 2 * pickNetworkDelay() + (random() < (scenario.slowConnectRate ?? 0) ? SLOW_CONNECT_MS * random() : 0)
   }
 
   function computeSendTime (): number {
@@ -169,9 +231,9 @@
   }
 
   function scheduleCall (): void {
-    const gapMs = -Math.log(1 - random()) * types.MILLISECONDS_IN_SECOND / (scenario.perSecond * scenario.demand)
+    const gapMs = -Math.log(1 - random()) * types.MILLISECONDS_IN_SECOND / (scenario.perSecond * scenario.demand * backEnds.length)
     scheduleAt(now() + gapMs, () => {
-      void sendCall(pickGateway())
+      void sendCall(pickGateway(), pickBackEnd(), scenario.doCallersReturn ?? false)
       scheduleCall()
     })
   }
@@ -194,19 +256,22 @@
     hasPendingPromises = false
     for (let turn = 0; turn < MICROTASK_TURNS; turn += 1) await Promise.resolve()
   }
+  const measured = backEnds.map(({ arrivals }) => arrivals.filter((time) => time >= measuredFrom).sort((left, right) => left - right))
+  const requests = measured.reduce((sum, arrivals) => sum + arrivals.length, 0)
+  const measuredSeconds = scenario.seconds - measuredFrom / types.MILLISECONDS_IN_SECOND
   return {
-    utilization: arrivals.length / (scenario.perSecond * scenario.seconds),
-    peakRequests: countPeak(arrivals),
-    allowed: computeAllowed(scenario.perSecond),
-    datagramsPerRequest: datagrams / Math.max(1, arrivals.length)
+    utilization: requests / (scenario.perSecond * measuredSeconds * backEnds.length),
+    peakRequests: Math.max(...measured.map((arrivals) => countPeak(arrivals, isCold ? COLD_WINDOW_MS : WINDOW_MS))),
+    allowed: isCold ? computeColdAllowed(scenario.perSecond) : computeAllowed(scenario.perSecond),
+    datagramsPerRequest: datagrams / Math.max(1, requests)
   }
 }
 
-function countPeak (times: readonly number[]): number {
+function countPeak (times: readonly number[], windowMs: number): number {
   let peak = 0
   let first = 0
   for (const [index, time] of times.entries()) {
-    while (time - (times[first] as number) >= WINDOW_MS) first += 1
+    while (time - (times[first] as number) >= windowMs) first += 1
     peak = Math.max(peak, index - first + 1)
   }
   return peak
--- a/packages/rate-limits/src/createPermitClient/index.ts
+++ b/packages/rate-limits/src/createPermitClient/index.ts
@@ -10,8 +10,8 @@
   readonly ownHost: string
   /** Grants the permits of back ends whose counter is this daemon. */
   readonly counter: createPermitCounter.PermitCounter
-  /** Returns the counter of a back end; null if no daemon qualifies. */
-  readonly findCounter: (life: types.BackEndInstanceId) => chooseCounter.ChosenCounter | null
+  /** Returns the counter of a back end, which may be cold; null if no daemon qualifies. */
+  readonly findCounter: (life: types.BackEndInstanceId, isCold: boolean) => chooseCounter.ChosenCounter | null
   /** Sends a datagram to the daemon on a host. */
   readonly send: (host: string, bytes: Buffer) => void
   /** Increments a metric. */
@@ -41,6 +41,11 @@
 const NO_REPLY_WAIT_MS = 500
 /** Wait that is reported while a request for the same back end is pending, so that other calls choose another back end. */
 const PENDING_WAIT_MS = 10
+/**
+ * The bound of a cold back end applies to any one second, so the time between the grant and the departure of the request counts: a permit expires this long after it
+ * was asked for, which leaves the connection at least 50 ms.
+ */
+const COLD_PERMIT_MS = 150
 const REQUEST_ID_RANGE = 2 ** 31
 
 interface PendingRequest {
@@ -76,10 +81,10 @@
     for (const [life, retryAt] of times) if (retryAt <= now()) times.delete(life)
   }
 
-  async function requestPermit (host: string, limit: rateLimits.RateLimit & { readonly perSecond: number }, isLate: boolean): Promise<rateLimits.PermitDecision> {
+  async function requestPermit (host: string, limit: rateLimits.LimitInForce, isLate: boolean): Promise<rateLimits.PermitDecision> {
     lastRequestId += 1
     const requestId = lastRequestId
-    const sendRequest = (): void => { options.send(host, permitWire.formatRequest({ requestId, life: limit.life, perSecond: limit.perSecond, ageMs: now() - limit.receivedAt, isLate })) }
+    const sendRequest = (): void => { options.send(host, permitWire.formatRequest({ ...limit, requestId, ageMs: now() - limit.receivedAt, isLate })) }
     return await new Promise((resolve) => {
       const cancelRetransmit = options.at(now() + RETRANSMIT_MS, sendRequest)
       const cancelTimeout = options.at(now() + REPLY_TIMEOUT_MS, () => {
@@ -108,15 +113,21 @@
       return Math.max(0, (retryTimes.get(life) ?? 0) - now(), isLate ? (lateRetryTimes.get(life) ?? 0) - now() : 0)
     },
     acquire: async (limit, isLate) => {
-      const { life, perSecond, receivedAt } = limit
-      if (perSecond === null) return { isGranted: true }
-      const counter = options.findCounter(life)
+      const { life, perSecond } = limit
+      const isCold = limit.cold !== undefined
+      if (perSecond === null && !isCold) return { isGranted: true }
+      const askedAt = now()
+      const counter = options.findCounter(life, isCold)
       if (counter === null) return recordDecision(life, isLate, { isGranted: false, waitMs: NO_REPLY_WAIT_MS })
-      if (counter.host === options.ownHost) return recordDecision(life, isLate, options.counter.take({ life, perSecond, receivedAt }, counter.part, isLate))
+      if (counter.host === options.ownHost) return recordDecision(life, isLate, addExpiry(options.counter.take(limit, counter.part, isLate)))
       pendingLives.add(life)
-      const decision = await requestPermit(counter.host, { life, perSecond, receivedAt }, isLate)
+      const decision = await requestPermit(counter.host, limit, isLate)
       pendingLives.delete(life)
-      return recordDecision(life, isLate, decision)
+      return recordDecision(life, isLate, addExpiry(decision))
+
+      function addExpiry (decided: rateLimits.PermitDecision): rateLimits.PermitDecision {
+        return isCold && decided.isGranted ? { ...decided, expiresAt: askedAt + COLD_PERMIT_MS } : decided
+      }
     },
     receive: (bytes, from) => {
       if (!permitWire.isReply(bytes)) return false
--- a/packages/rate-limits/src/createPermitClient/test.ts
+++ b/packages/rate-limits/src/createPermitClient/test.ts
@@ -131,3 +131,17 @@
   assert.equal(fixture.client.waitMs(LIFE, false), 0)
   assert.equal(fixture.client.waitMs(LIFE, true), 300)
 })
+
+/** Guards against permits of a cold back end that are used so late that more requests than allowed arrive within one second. */
+nodeTest.test('a permit for a cold back end expires soon after it was asked for, wherever it comes from', async () => {
+  const fixture = createFixture()
+  const limit = { life: LIFE, perSecond: null, receivedAt: 0, cold: { perSecond: 10, burst: 1 } }
+  const decision = fixture.client.acquire(limit, false)
+  fixture.time = 80
+  fixture.client.receive(formatReplyToLast(fixture, 0), COUNTER_HOST)
+  assert.deepEqual(await decision, { isGranted: true, expiresAt: 150 })
+  fixture.chosen = { host: OWN_HOST, part: 1 }
+  await fixture.client.acquire(limit, false)
+  fixture.time = 5000
+  assert.deepEqual(await fixture.client.acquire(limit, false), { isGranted: true, expiresAt: 5150 })
+})
--- a/packages/rate-limits/src/createPermitCounter/index.ts
+++ b/packages/rate-limits/src/createPermitCounter/index.ts
@@ -7,11 +7,12 @@
   /**
    * Takes a permit for one request, if one is available.
    *
-   * @param limit - The limit as the requesting gateway knows it; the one received last from the back end applies.
+   * @param limit - The limits as the requesting gateway knows them. The advertised one that was received last from the back end applies, and the lower one of
+   * it and the rate of a cold back end.
    * @param part - Fraction of the rate that this daemon may grant.
    * @param isLate - Whether the answer to the request will miss its target time.
    */
-  readonly take: (limit: rateLimits.RateLimit & { readonly perSecond: number }, part: number, isLate?: boolean) => rateLimits.PermitDecision
+  readonly take: (limit: rateLimits.LimitInForce, part: number, isLate?: boolean) => rateLimits.PermitDecision
 }
 
 /** Lowest rate, one request every five seconds, whatever the limit: without responses from the back end the end of its limit would go unnoticed. */
@@ -22,6 +23,8 @@
  */
 const BURST_SECONDS = 0.25
 const MINIMUM_BURST = 1
+/** A limit applies for this long after the last request that states it, also to requests of gateways that don't know it yet. */
+const STATED_LIMIT_MS = 1000
 /**
  * A late call gets a permit only while the token bucket is filled to this fraction. Otherwise retries of refused late calls would take the permits of calls that
  * can still meet their target time, and hardly any would where all back ends are limited.
@@ -36,7 +39,13 @@
 
 interface LimitState {
   readonly bucket: types.TokenBucket
+  /** The advertised limit; its rate is null if no gateway knows one. */
   limit: rateLimits.RateLimit
+  /** When a request last stated an advertised limit. */
+  limitStatedAt: number
+  /** Limit while the back end is cold; applies for {@link STATED_LIMIT_MS} after `coldStatedAt`. */
+  cold: rateLimits.ColdLimit | null
+  coldStatedAt: number
   /** Permits per second that this daemon may grant. */
   rate: number
   requestedAt: number
@@ -57,7 +66,7 @@
     const existing = states.get(limit.life)
     if (existing !== undefined) return existing
     for (const [life, { requestedAt }] of states) if (now() - requestedAt > IDLE_RETENTION_MS) states.delete(life)
-    const state = { bucket: types.createTokenBucket({ perSecond: 0, capacity: 0, tokens: 0, now }), limit, rate: 0, requestedAt: now(), lastRetryAt: 0 }
+    const state = { bucket: types.createTokenBucket({ perSecond: 0, capacity: 0, tokens: 0, now }), limit, limitStatedAt: -Infinity, cold: null, coldStatedAt: -Infinity, rate: 0, requestedAt: now(), lastRetryAt: 0 }
     states.set(limit.life, state)
     return state
   }
@@ -70,13 +79,26 @@
     return state.lastRetryAt - now()
   }
 
+  function noteLimits (state: LimitState, limit: rateLimits.LimitInForce): void {
+    if (limit.perSecond !== null) {
+      if (state.limit.perSecond === null || limit.receivedAt > state.limit.receivedAt) state.limit = limit
+      state.limitStatedAt = now()
+    } else if (now() - state.limitStatedAt > STATED_LIMIT_MS) state.limit = { ...limit, perSecond: null }
+    if (limit.cold !== undefined) {
+      state.cold = limit.cold
+      state.coldStatedAt = now()
+    }
+  }
+
   return {
     take: (limit, part, isLate = false) => {
       const state = findOrCreate(limit)
       state.requestedAt = now()
-      if (limit.receivedAt > state.limit.receivedAt) state.limit = limit
-      state.rate = Math.max(MINIMUM_PER_SECOND, (state.limit.perSecond ?? limit.perSecond) * part)
-      const capacity = MINIMUM_BURST + state.rate * BURST_SECONDS
+      noteLimits(state, limit)
+      const cold = now() - state.coldStatedAt <= STATED_LIMIT_MS ? state.cold : null
+      const perSecond = Math.min(state.limit.perSecond ?? Infinity, cold?.perSecond ?? Infinity)
+      state.rate = Math.max(MINIMUM_PER_SECOND, perSecond * part)
+      const capacity = MINIMUM_BURST + Math.min(state.rate * BURST_SECONDS, (cold?.burst ?? Infinity) * part)
       state.bucket.setRate(state.rate, capacity)
       if (isLate) return state.bucket.tryTake(Math.max(1, LATE_FILL_FRACTION * capacity)) ? { isGranted: true } : { isGranted: false, waitMs: LATE_WAIT_MS }
       if (state.bucket.tryTake()) return { isGranted: true }
--- a/packages/rate-limits/src/createPermitCounter/test.ts
+++ b/packages/rate-limits/src/createPermitCounter/test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
+import type * as rateLimits from '../types/index.js'
 import * as createPermitCounter from './index.js'
 
 const LIFE = types.brandId<types.BackEndInstanceId>('engine-1')
@@ -72,3 +73,44 @@
   time = 1000
   assert.equal(counter.take(limit, 1, true).isGranted, true)
 })
+
+/** Guards against a burst that is harmless within four seconds but not within the one second of a cold back end. */
+nodeTest.test('the limit of a cold back end has its own burst, and the lower rate applies', () => {
+  let time = 0
+  const counter = createPermitCounter.createPermitCounter(() => time)
+  const cold = { perSecond: 20, burst: 2 }
+  const takeAll = (limit: rateLimits.LimitInForce): number => {
+    let taken = 0
+    while (counter.take(limit, 1).isGranted) taken += 1
+    return taken
+  }
+  const warm = { life: LIFE, perSecond: 40, receivedAt: 0 }
+  const unlimited = { life: LIFE, perSecond: null, receivedAt: 0, cold }
+  assert.equal(takeAll(unlimited), 0)
+  time += 10_000
+  assert.equal(takeAll(unlimited), 3)
+  time += 100
+  assert.equal(takeAll({ ...warm, cold }), 2)
+  time += 100
+  assert.equal(takeAll({ ...warm, perSecond: 10, receivedAt: 1, cold }), 2, 'the time until then counts at the former rate')
+  time += 100
+  assert.equal(takeAll({ ...warm, perSecond: 10, receivedAt: 1, cold }), 1)
+})
+
+/** Guards against gateways that have not yet heard of the coldness and would get permits at the warm rate. */
+nodeTest.test('a stated limit applies for a second to all requests, and then ends', () => {
+  let time = 0
+  const counter = createPermitCounter.createPermitCounter(() => time)
+  const advertised = { life: LIFE, perSecond: 1000, receivedAt: 0 }
+  const cold = { perSecond: 1, burst: 0 }
+  counter.take({ ...advertised, cold }, 1)
+  time += 900
+  assert.equal(counter.take(advertised, 1).isGranted, false)
+  time += 200
+  counter.take(advertised, 1)
+  time += 10
+  assert.equal(counter.take(advertised, 1).isGranted, true)
+  time += 2000
+  const slow = counter.take({ life: LIFE, perSecond: null, receivedAt: time, cold: { perSecond: 1, burst: 0 } }, 1)
+  assert.equal(slow.isGranted, true)
+})
--- a/packages/rate-limits/src/createPermitServer/index.ts
+++ b/packages/rate-limits/src/createPermitServer/index.ts
@@ -6,8 +6,8 @@
 /** Options of {@link createPermitServer}. */
 export interface PermitServerOptions {
   readonly counter: createPermitCounter.PermitCounter
-  /** Fraction of the limit that this daemon may grant; null if another daemon is the counter. */
-  readonly grantableFraction: (life: types.BackEndInstanceId) => number | null
+  /** Fraction of the limit that this daemon may grant; null if another daemon is the counter. `isCold`: whether the requesting gateway knows the back end as cold. */
+  readonly grantableFraction: (life: types.BackEndInstanceId, isCold: boolean) => number | null
   /** Sends a datagram to the daemon on a host. */
   readonly send: (host: string, bytes: Buffer) => void
   /** Increments a metric. */
@@ -49,13 +49,13 @@
     }
   }
 
-  function answerRequest ({ requestId, life, perSecond, ageMs, isLate }: permitWire.PermitRequest): permitWire.PermitReply {
-    const fraction = grantableFraction(life)
+  function answerRequest ({ requestId, life, perSecond, ageMs, isLate, cold }: permitWire.PermitRequest): permitWire.PermitReply {
+    const fraction = grantableFraction(life, cold !== undefined)
     if (fraction === null) {
       count('permits_answered', { answer: 'elsewhere' })
       return { requestId, waitMs: NOT_COUNTER_WAIT_MS }
     }
-    const decision = counter.take({ life, perSecond, receivedAt: now() - ageMs }, fraction, isLate)
+    const decision = counter.take({ life, perSecond, receivedAt: now() - ageMs, ...(cold === undefined ? {} : { cold }) }, fraction, isLate)
     count('permits_answered', { answer: decision.isGranted ? 'granted' : 'refused' })
     return { requestId, waitMs: decision.isGranted ? 0 : decision.waitMs }
   }
--- a/packages/rate-limits/src/index.ts
+++ b/packages/rate-limits/src/index.ts
@@ -1,5 +1,8 @@
 /** Enforces the rate limits that back ends advertise, across all gateways that send requests to them. */
+export * from './chooseColdCounter/index.js'
 export * from './chooseCounter/index.js'
+export * from './computeColdLimit/index.js'
+export * from './createColdRecord/index.js'
 export * from './createPermitClient/index.js'
 export * from './createPermitCounter/index.js'
 export * from './createPermitServer/index.js'
--- a/packages/rate-limits/src/types/index.ts
+++ b/packages/rate-limits/src/types/index.ts
@@ -18,9 +18,24 @@
   readonly receivedAt: number
 }
 
+/** The limits that apply to requests to one run of a back end process. At least one of the two rates is set. */
+export interface LimitInForce extends RateLimit {
+  /** Absent if the back end is not cold. */
+  readonly cold?: ColdLimit
+}
+
+/** The limit of a cold back end, which applies to any one second. */
+export interface ColdLimit {
+  /** Requests per second from all gateways together; above zero. */
+  readonly perSecond: number
+  /** Number of unused permits that its counter may keep, in addition to one. */
+  readonly burst: number
+}
+
 /** Whether a request may be sent to a rate-limited back end now, or when to ask again. */
 export type PermitDecision =
-  | { readonly isGranted: true }
+  /** `expiresAt`: monotonic time in milliseconds by which the request must be on its way; absent if it only has to be sent at once. */
+  | { readonly isGranted: true, readonly expiresAt?: number }
   /** `waitMs`: milliseconds until a permit is expected to be available. */
   | { readonly isGranted: false, readonly waitMs: number }
 
@@ -29,5 +44,5 @@
   /** Milliseconds until a permit should be requested; 0 if it may be requested now. `isLate` as in `acquire`. */
   readonly waitMs: (life: types.BackEndInstanceId, isLate: boolean) => number
   /** Requests a permit for one request, which must be sent at once if granted; `isLate`: its answer will miss its target time. */
-  readonly acquire: (limit: RateLimit, isLate: boolean) => Promise<PermitDecision>
+  readonly acquire: (limit: LimitInForce, isLate: boolean) => Promise<PermitDecision>
 }
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -41,7 +41,9 @@
     configuration_ms: milliseconds.default(2000),
     retry_ratio: zod.number().min(0).default(0.2),
     retry_slack: zod.number().min(0).default(20),
-    retry_window_seconds: zod.number().positive().default(10)
+    retry_window_seconds: zod.number().positive().default(10),
+    cold_overage: zod.number().min(1).default(1.5),
+    cold_slack: zod.number().min(0).default(5)
   }).prefault({}),
   quarantine: quarantine.quarantineSchema,
   logs: zod.strictObject({
