Limit a restarted engine before its entry is known, and test cold engines on the real exchange

Cause: calls to an engine that restarted under its id name the listed instance until the new entry is known, so a gateway could send without a permit.

A call asks for a permit if its back end became cold after it was chosen. runAttempt's new field is part of the choice, so that its tests stay as they are.

--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -57,8 +57,8 @@
   /** Writes an object to the store, as an operator or an engine does; returns the new revision of the store. */
   readonly put: (kind: string, name: string, value: unknown) => number
   readonly remove: (kind: string, name: string) => void
-  /** Writes a configuration with `routes` routes in addition to the basic ones; returns its version. */
-  readonly configure: (routes: number) => number
+  /** Writes a configuration with `routes` routes in addition to the basic ones, after `change` to the basic one; returns its version. */
+  readonly configure: (routes: number, change?: (configuration: testing.Configuration) => void) => number
   /** Advances the time for all daemons in steps of a millisecond. */
   readonly advance: (milliseconds: number) => Promise<void>
   /** Advances the time until the condition holds; returns the elapsed milliseconds, or Infinity if it did not hold within the maximum. */
@@ -305,9 +305,10 @@
     put,
     remove,
     advance,
-    configure: (routes) => {
+    configure: (routes, change = () => {}) => {
       version += 1
       const configuration = testing.createConfiguration('10.0.0.9:80', 96, 'model-a', 'key-of-tenant-one')
+      change(configuration)
       const [first] = configuration.routes
       for (let route = 0; route < routes; route += 1) configuration.routes.push({ ...first, name: `r-${route}`, pathPrefix: `/added/${route}/`, note: createIncompressibleText(`${version} ${route}`, ROUTE_PADDING_LENGTH) })
       put(platform.OBJECT_KINDS.configuration, platform.CONFIGURATION_NAME, { ...configuration, version })
--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -23,8 +23,8 @@
 export interface GatewayRateLimiter extends gateway.RateLimiter {
   /** Records a limit in requests per second from a back end's report, with the monotonic time of the report in milliseconds. Reports reach all gateways. */
   readonly noteReportedLimit: (backEnd: gateway.BackEnd, perSecond: number, at: number) => void
-  /** Records that the agent beside a back end reports it as cold for some milliseconds, with the start time of the run that it reports and the monotonic time of the report in milliseconds. */
-  readonly noteReportedCold: (backEnd: gateway.BackEnd, bornAt: number | null, coldMs: number, at: number) => void
+  /** Records what the agent beside a back end reports of its coldness, with the monotonic time of the report in milliseconds. */
+  readonly noteReportedCold: (backEnd: gateway.BackEnd, status: ReportedColdness, at: number) => void
   /** Treats the back ends of a data hall that was taken back into service as cold, for as long as after a start: they may be. */
   readonly noteTakenBack: (zone: string) => void
   /** Lists the cold back ends. */
@@ -39,6 +39,14 @@
   readonly receive: (bytes: Buffer, from: string) => boolean
 }
 
+/** What an agent reports of the coldness of its engine. */
+export interface ReportedColdness {
+  /** Start time of the run that it reports; null if unknown. */
+  readonly bornAt: number | null
+  /** Milliseconds for which the engine stays cold; absent for a warm one. */
+  readonly coldMs?: number
+}
+
 /** Peers keep a published limit only for this long, so that outdated limits don't crowd out other facts; a limit is published again while it is in force. */
 const FACT_LIFETIME_MS = 90_000
 /** A gateway knows the live daemons of a fleet of hundreds of nodes within this time after its start; before, it doesn't substitute for the agent of a cold back end. */
@@ -123,6 +131,11 @@
     return options.parts.routes()?.findService(service)?.coldPerSecond ?? null
   }
 
+  /** Milliseconds for which an engine of a service is cold after a start. */
+  function findColdMs (service: types.ServiceName): number {
+    return options.parts.routes()?.findService(service)?.coldMs ?? 0
+  }
+
   function readLimit (backEnd: gateway.BackEnd): rateLimits.LimitInForce | null {
     const advertised = readAdvertised(backEnd)
     const coldLimit = readColdLimit(backEnd)
@@ -165,13 +178,15 @@
     },
     noteResponse: ({ id, bornAt }, rate, sentAt) => { record.noteResponse(types.formatBackEndInstanceId(id, bornAt), rate, sentAt) },
     noteReportedLimit: ({ id, bornAt }, perSecond, receivedAt) => { record.noteFromPeer({ life: types.formatBackEndInstanceId(id, bornAt), perSecond, receivedAt }) },
-    noteReportedCold: ({ id, service }, bornAt, coldMs, madeAt) => {
-      if (findColdPerSecond(service) !== null) cold.noteCold(types.formatBackEndInstanceId(id, bornAt), madeAt + coldMs + rateLimits.COLD_MARGIN_MS, 'agent')
+    noteReportedCold: ({ id, bornAt: listedBornAt, service }, { bornAt, coldMs }, madeAt) => {
+      if (findColdPerSecond(service) === null) return
+      if (coldMs !== undefined) cold.noteCold(types.formatBackEndInstanceId(id, bornAt ?? listedBornAt), madeAt + coldMs + rateLimits.COLD_MARGIN_MS, 'agent')
+      // Until the entry of a restarted engine is known, calls are sent to it as to the listed instance.
+      if (bornAt !== null && listedBornAt !== null && bornAt > listedBornAt) cold.noteCold(types.formatBackEndInstanceId(id, listedBornAt), madeAt + findColdMs(service), 'restart')
     },
     noteTakenBack: (zone) => {
       for (const { id, bornAt, service } of backEnds().filter((backEnd) => backEnd.zone === zone)) {
-        const coldMs = options.parts.routes()?.findService(service)?.coldMs ?? 0
-        if (findColdPerSecond(service) !== null && coldMs > 0) cold.noteCold(types.formatBackEndInstanceId(id, bornAt), now() + coldMs, 'return')
+        if (findColdPerSecond(service) !== null) cold.noteCold(types.formatBackEndInstanceId(id, bornAt), now() + findColdMs(service), 'return')
       }
     },
     listCold: cold.inForce,
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -107,6 +107,12 @@
   startedExchange = exchange
   const { gossip } = exchange
 
+  /** Gateways limit an engine whose report shows a restart, until they know its entry. */
+  function noteMaybeCold (): void {
+    coldChecks.noteMaybeCold()
+    if (findService()?.coldPerSecond !== undefined) startedExchange?.gossip.sendNow('gateway')
+  }
+
   /** A gateway that knows the engine as cold may know more than this agent: from the engine's entry, or because its hall was evacuated. */
   function noteColdRequest (): void {
     if (coldChecks.readColdMs() === null) coldChecks.noteMaybeCold()
@@ -162,8 +168,9 @@
     if (isFromEarlierProcess(next, report)) return report
     const hadReport = report !== null
     const wasLeaving = isLeavingNode()
-    if (next !== null && (report === null || next.bornAt !== report.bornAt)) coldChecks.noteMaybeCold()
+    const mayBeCold = next !== null && (report === null || next.bornAt !== report.bornAt)
     report = next
+    if (mayBeCold) noteMaybeCold()
     slots.noteReport(next)
     if (wasLeaving !== isLeavingNode()) {
       logger.info('engine-leaving', { address: engineAddress, isLeaving: isLeavingNode() })
--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -128,3 +128,22 @@
   fleet.origin.faults.corruptPieces = 0
   await fleetTesting.waitWithLimit(async () => engine.version() === 3)
 })
+
+/** Guards against gateways that take an engine for warm although its health check says that it is cold, and against checks of engines that nobody limits. */
+nodeTest.test('the agent finds out that its engine is cold, and gateways learn it from its heartbeat', async (context) => {
+  const fleet = await fleetTesting.createTestFleet(context, PIECES)
+  fleet.configure((configuration) => { for (const service of configuration.services) if (service.name === 'llm') Object.assign(service, { coldS: 20, coldPerS: 5 }) })
+  await fleet.startGateway(GATEWAY_HOST)
+  const engine = await fleet.startEngine({ id: 'i-0', model: fleetTesting.MODEL, version: 1, digestsOf: fleet.origin.digestsOf })
+  fillStage(fleet, engine, 1)
+  engine.cold.remainingMs = 20_000
+  await fleet.startAgent(AGENT_HOSTS[0], engine, [GATEWAY_HOST])
+  await fleet.waitForStatus(({ coldBackEnds }) => coldBackEnds.length === 1)
+  assert.equal(engine.cold.checks, 1)
+})
+
+nodeTest.test('without a limit for cold engines no health check is sent', async (context) => {
+  const { engines } = await openAgents(context, [1, 1])
+  await types.delay(SEVERAL_STEPS_MS)
+  assert.deepEqual(engines.map(({ cold }) => cold.checks), [0, 0])
+})
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -133,7 +133,7 @@
     const backEnd = parts.backEndAt(engineUpdate.address)
     if (backEnd === undefined) return
     tracker.noteReport(backEnd.id, engineUpdate, now() - delayMs - ageMs, delayMs)
-    if (engineUpdate.coldMs !== undefined) limiter.noteReportedCold(backEnd, engineUpdate.report.bornAt ?? backEnd.bornAt, engineUpdate.coldMs, now() - delayMs - ageMs)
+    limiter.noteReportedCold(backEnd, { bornAt: engineUpdate.report.bornAt, ...(engineUpdate.coldMs === undefined ? {} : { coldMs: engineUpdate.coldMs }) }, now() - delayMs - ageMs)
     if (engineUpdate.report.limitPerSecond !== null) limiter.noteReportedLimit(backEnd, engineUpdate.report.limitPerSecond, now() - delayMs - ageMs)
   }
 
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -67,11 +67,10 @@
 type ReceivedAnswer = Extract<sendAttempt.AttemptStart, { kind: 'answer' }>
 type AnsweredHead = Extract<gateway.AnswerHead, { kind: 'answered' }>
 
-/** Where an attempt goes. */
-export interface AttemptTarget {
-  readonly choice: chooseBackEnd.Choice
-  /** Milliseconds within which the connection must be established, because the permit expires then; Infinity if only the usual time-out applies. */
-  readonly connectWithinMs: number
+/** A choice for which a permit was granted if it needs one. */
+export interface PermittedChoice extends chooseBackEnd.Choice {
+  /** Milliseconds within which the connection must be established, because the permit expires then; absent if only the usual time-out applies. */
+  readonly connectWithinMs?: number
 }
 
 /**
@@ -90,12 +89,12 @@
  * @param call - The call; its number of attempts and `mayHaveRun` are updated.
  * @param reply - Receives a successful response.
  * @param stream - State shared by the attempts of a stream.
- * @param target - The back end, and the milliseconds within which its connection must be established; Infinity if only the usual time-out applies.
+ * @param choice - The back end.
  * @param open - The attempt as the back end records know it.
  * @param options - Protocol, records and clock.
  * @returns How the attempt ended.
  */
-export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, { choice, connectWithinMs }: AttemptTarget, open: createBackEndTracker.OpenAttempt, options: Options): Promise<AttemptOutcome> {
+export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options): Promise<AttemptOutcome> {
   const { head, route } = call
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
   const attempt = options.sendAttempt({
@@ -112,7 +111,7 @@
       bodyBytes: call.body === null ? null : call.body.length
     }),
     body: call.body,
-    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, connectWithinMs),
+    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, choice.connectWithinMs ?? CONNECT_TIMEOUT_MS),
     onConnect: (tookMs) => {
       options.tracker.noteConnect(choice.backEnd.id, tookMs)
       margin.noteConnect()
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -9,17 +9,19 @@
 const BLOCKED_MS = 60_000
 const BACKOFF_MS = 3000
 const DEADLINE_MS = 5000
+const PERMIT_MS = 150
 
 interface Outcome {
   readonly sent: number
   readonly refusal: string
 }
 
-type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off'
+type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off' | 'permit-expired' | 'became-cold'
 
 /** Runs a call at a gateway whose only back end needs a permit; something happens, or nothing, while it waits for that. */
 async function runCall (meanwhile: Meanwhile): Promise<Outcome> {
   const tracker = createBackEndTracker.createBackEndTracker(() => 0)
+  let time = 0
   let sent = 0
   let happened: Meanwhile = 'nothing'
   let refusal = ''
@@ -37,7 +39,7 @@
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
-      choice: happened === 'leaving' || happened === 'backing-off' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
+      choice: happened !== 'nothing' && happened !== 'blocked' ? null : { backEnd, isRateLimited: meanwhile !== 'became-cold', firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
       passedOver: happened === 'leaving' ? { draining: 1 } : { 'backing-off': 1 },
       utilization: 0,
       permitWaitMs: Infinity,
@@ -48,9 +50,13 @@
     backoffs: { read: () => ({ waitMs: happened === 'backing-off' ? BACKOFF_MS : 0, maximumUnanswered: Infinity }) },
     leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
+      readAllowance: () => meanwhile === 'became-cold' ? { perSecond: 1, waitMs: 0, isCold: true } : null,
       acquire: async () => {
         happened = meanwhile
-        return { isGranted: true }
+        if (meanwhile === 'became-cold') return { isGranted: false, waitMs: PERMIT_MS }
+        if (meanwhile !== 'permit-expired') return { isGranted: true }
+        time += PERMIT_MS
+        return { isGranted: true, expiresAt: time }
       }
     },
     guard: { isActive: () => true, readBlockedMs: () => happened === 'blocked' ? BLOCKED_MS : null },
@@ -62,7 +68,7 @@
       }
     },
     at: () => () => {},
-    now: () => 0,
+    now: () => time,
     random: () => 0,
     count: () => {},
     observe: () => {},
@@ -84,3 +90,13 @@
 nodeTest.test('a call whose back end asks for a backoff while the call waits for a permit is not sent there', async () => {
   assert.deepEqual(await runCall('backing-off'), { sent: 0, refusal: '503 no back end may serve: 1 backing-off' })
 })
+
+/** Guards against more requests than a cold engine takes in one second: a permit that is used late counts in another second than the one in which it was granted. */
+nodeTest.test('a call whose permit expired while its gateway was busy is not sent with it', async () => {
+  assert.equal((await runCall('permit-expired')).sent, 0)
+})
+
+/** Guards against a request that is sent without a permit because its back end became known as cold after it was chosen. */
+nodeTest.test('a call needs a permit if its back end has become cold since it was chosen', async () => {
+  assert.equal((await runCall('became-cold')).sent, 0)
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -115,7 +115,7 @@
         return endUnserved()
       }
       backEnd = choice.backEnd.id
-      const outcome = await attempt(choice, connectWithinMs)
+      const outcome = await attempt(connectWithinMs === Infinity ? choice : { ...choice, connectWithinMs })
       if (call.isCallerGone()) return 'left'
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
@@ -179,7 +179,7 @@
     return call.isRepeatable
   }
 
-  async function attempt (choice: chooseBackEnd.Choice, connectWithinMs: number): Promise<runAttempt.AttemptOutcome> {
+  async function attempt (choice: runAttempt.PermittedChoice): Promise<runAttempt.AttemptOutcome> {
     call.tried.add(choice.backEnd.id)
     const open: createBackEndTracker.OpenAttempt = {
       promptTokens: call.head.promptTokens,
@@ -188,7 +188,7 @@
       hasResponded: false
     }
     options.tracker.noteSent(choice.backEnd.id, open)
-    const outcome = await runAttempt.runAttempt(call, reply, stream, { choice, connectWithinMs }, open, options)
+    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call.fingerprint())
--- a/packages/gateway/src/chooseBackEnd/limited.test.ts
+++ b/packages/gateway/src/chooseBackEnd/limited.test.ts
@@ -59,3 +59,12 @@
   assert.equal(choose({ limited: { perSecond: 4, waitMs: 0 }, sound: null }).utilization, 0)
   assert.equal(choose({ limited: { perSecond: 100, waitMs: 500 }, sound: null }).utilization, 0.5)
 })
+
+/** Guards against refusals that can't be traced to cold engines, and against a retry time without their permits. */
+nodeTest.test('a cold back end that may get no request now is passed over as cold', () => {
+  const outcome = choose({ cold: { perSecond: 4, waitMs: 200, isCold: true }, limited: { perSecond: 1, waitMs: 700 } })
+  assert.deepEqual(outcome.passedOver, { cold: 1, limited: 1 })
+  assert.equal(outcome.permitWaitMs, 200)
+  assert.equal(outcome.utilization, 1)
+  assert.equal(choose({ cold: { perSecond: 4, waitMs: 0, isCold: true } }).choice?.isRateLimited, true)
+})
--- a/packages/rate-limits/src/createColdRecord/index.ts
+++ b/packages/rate-limits/src/createColdRecord/index.ts
@@ -1,8 +1,11 @@
 /** Records until when each back end is cold, as one gateway knows it. */
 import type * as types from '@switchridge/types'
 
-/** Where coldness was learned from: the entry in service discovery, the agent beside the back end, or the return of its data hall from an evacuation. */
-export type ColdSource = 'list' | 'agent' | 'return'
+/**
+ * Where coldness was learned from: the entry in service discovery, the agent beside the back end, its report of a restart that the entry doesn't show yet, or the
+ * return of the back end's data hall from an evacuation.
+ */
+export type ColdSource = 'list' | 'agent' | 'restart' | 'return'
 
 /** Options of {@link createColdRecord}. */
 export interface ColdRecordOptions {
