Give the permits of cold back ends to higher ranks first

Cause: callers of the least urgent route could take the few permits of a cold engine before those of the most urgent one.

Change: a refused call of a rank makes lower ranks yield for 300 ms: like late calls, they get a permit only from a nearly full bucket. The rank is the route's priority until admission has a rank of its own. Permits of advertised limits are granted as before.

--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -136,15 +136,15 @@
     return options.parts.routes()?.findService(service)?.coldMs ?? 0
   }
 
-  function readLimit (backEnd: gateway.BackEnd): rateLimits.LimitInForce | null {
+  function readLimit (backEnd: gateway.BackEnd, rank: number): rateLimits.LimitInForce | null {
     const advertised = readAdvertised(backEnd)
     const coldLimit = readColdLimit(backEnd)
     if (coldLimit === null) return advertised
-    return { life: types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt), perSecond: null, receivedAt: now(), ...advertised, cold: coldLimit }
+    return { life: types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt), perSecond: null, receivedAt: now(), ...advertised, cold: coldLimit, rank }
   }
 
-  async function acquire (backEnd: gateway.BackEnd, isLate: boolean): Promise<rateLimits.PermitDecision> {
-    const limit = readLimit(backEnd)
+  async function acquire (backEnd: gateway.BackEnd, isLate: boolean, rank = 0): Promise<rateLimits.PermitDecision> {
+    const limit = readLimit(backEnd, rank)
     if (limit === null) return { isGranted: true }
     const askedAt = now()
     const answer = await client.acquire(limit, isLate)
@@ -152,7 +152,7 @@
     if (answer.isGranted && isCold) observe('cold_permit_ms', now() - askedAt)
     if (!answer.isGranted) {
       const counterHost = findCounter(limit.life, isCold)?.host
-      logger.info('permit-refused', { backEnd: backEnd.id, counter: counterHost, perSecond: limit.perSecond, coldPerSecond: limit.cold?.perSecond, isLate, ageMs: Math.round(askedAt - limit.receivedAt), tookMs: Math.round(now() - askedAt), waitMs: Math.round(answer.waitMs) })
+      logger.info('permit-refused', { backEnd: backEnd.id, counter: counterHost, perSecond: limit.perSecond, coldPerSecond: limit.cold?.perSecond, rank: limit.rank, isLate, ageMs: Math.round(askedAt - limit.receivedAt), tookMs: Math.round(now() - askedAt), waitMs: Math.round(answer.waitMs) })
     }
     return answer
   }
@@ -169,11 +169,11 @@
 
   return {
     acquire,
-    readAllowance: (backEnd, isLate) => {
+    readAllowance: (backEnd, isLate, rank = 0) => {
       if (record.isEmpty() && !cold.isAnyCold()) return null
-      const limit = readLimit(backEnd)
+      const limit = readLimit(backEnd, rank)
       if (limit === null) return null
-      const allowance = { perSecond: Math.min(limit.perSecond ?? Infinity, limit.cold?.perSecond ?? Infinity), waitMs: client.waitMs(limit.life, isLate) }
+      const allowance = { perSecond: Math.min(limit.perSecond ?? Infinity, limit.cold?.perSecond ?? Infinity), waitMs: client.waitMs(limit.life, isLate, limit.rank) }
       return limit.cold === undefined ? allowance : { ...allowance, isCold: true }
     },
     noteResponse: ({ id, bornAt }, rate, sentAt) => { record.noteResponse(types.formatBackEndInstanceId(id, bornAt), rate, sentAt) },
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -180,7 +180,7 @@
       isLeaving: leavers.isLeaving,
       findExclusion: () => null,
       readBackoff: backoffs.read,
-      readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
+      readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate, choice.rank),
       mayRequestPermit: choice.mayRequestPermit,
       now: now(),
       random: Math.random
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -79,6 +79,8 @@
   readonly mayRequestPermit: boolean
   /** Whether the call can no longer be answered in time; permits go to calls that can. */
   readonly isLate: boolean
+  /** Rank of the call for permits of cold back ends, 0 for the highest; 0 if absent. */
+  readonly rank?: number
   /** The only version of the weights that may serve the call; null for any permitted version. */
   readonly version: number | null
 }
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -94,8 +94,8 @@
       }
       let connectWithinMs = Infinity
       // The back end may have become known as cold while the call waited for a slot.
-      if (choice.isRateLimited || options.limiter.readAllowance(choice.backEnd, isLate)?.isCold === true) {
-        const permit = await options.limiter.acquire(choice.backEnd, isLate)
+      if (choice.isRateLimited || options.limiter.readAllowance(choice.backEnd, isLate, call.route.priority)?.isCold === true) {
+        const permit = await options.limiter.acquire(choice.backEnd, isLate, call.route.priority)
         if (call.isCallerGone()) return 'left'
         if (call.isExpired()) {
           lastReason = 'no permit in time'
@@ -153,6 +153,7 @@
       tried,
       mayRequestPermit: permitsRefused < MAXIMUM_PERMITS_REFUSED,
       isLate,
+      rank: call.route.priority,
       version: stream.version
     })
   }
--- a/packages/gateway/src/types/limiter.ts
+++ b/packages/gateway/src/types/limiter.ts
@@ -16,8 +16,8 @@
 export interface RateLimiter {
   /** Records the rate that a response advertises; `sentAt`: monotonic time in milliseconds at which its request was sent. */
   readonly noteResponse: (backEnd: gateway.BackEnd, rate: rateLimits.AdvertisedRate, sentAt: number) => void
-  /** Current allowance of a back end; null for one without a limit. `isLate`: whether the call can no longer be answered in time. */
-  readonly readAllowance: (backEnd: gateway.BackEnd, isLate: boolean) => RateAllowance | null
+  /** Current allowance of a back end; null for one without a limit. `isLate`: whether the call can no longer be answered in time; `rank`: 0 for the highest, which gets the permits of cold back ends first. */
+  readonly readAllowance: (backEnd: gateway.BackEnd, isLate: boolean, rank?: number) => RateAllowance | null
   /** Requests a permit for one request, to be sent at once when granted; always granted for a back end that has no limit and is not cold. */
-  readonly acquire: (backEnd: gateway.BackEnd, isLate: boolean) => Promise<rateLimits.PermitDecision>
+  readonly acquire: (backEnd: gateway.BackEnd, isLate: boolean, rank?: number) => Promise<rateLimits.PermitDecision>
 }
--- a/packages/rate-limits/src/_lib/permitWire.ts
+++ b/packages/rate-limits/src/_lib/permitWire.ts
@@ -14,6 +14,8 @@
   readonly isLate: boolean
   /** Absent if the back end is not cold. */
   readonly cold?: rateLimits.ColdLimit
+  /** Rank of the call, 0 for the highest; only sent for a cold back end. */
+  readonly rank?: number
 }
 
 /** The counter's reply to a permit request. */
@@ -43,9 +45,9 @@
  * Formats a permit request. For a cold back end the lower rate comes first, which is all that counters of older builds read; the limit of the cold back
  * end and the advertised one follow at the end.
  */
-export function formatRequest ({ requestId, life, perSecond, ageMs, isLate, cold }: PermitRequest): Buffer {
+export function formatRequest ({ requestId, life, perSecond, ageMs, isLate, cold, rank }: PermitRequest): Buffer {
   const lowest = Math.min(perSecond ?? Infinity, cold?.perSecond ?? Infinity)
-  const coldFields = cold === undefined ? '' : `,${cold.perSecond},${cold.burst},${perSecond ?? NO_RATE}`
+  const coldFields = cold === undefined ? '' : `,${cold.perSecond},${cold.burst},${perSecond ?? NO_RATE},${rank ?? 0}`
   return Buffer.from(`${REQUEST_PREFIX}${requestId},${JSON.stringify(life)},${lowest},${Math.round(ageMs)},${isLate ? 1 : 0}${coldFields}]`)
 }
 
@@ -56,12 +58,12 @@
 
 /** Decodes a permit request; returns null if it is malformed. */
 export function decodeRequest (bytes: Buffer): PermitRequest | null {
-  const [, requestId, life, lowest, ageMs, late, coldPerSecond, burst, advertised] = types.parseJsonArray(bytes)
+  const [, requestId, life, lowest, ageMs, late, coldPerSecond, burst, advertised, rank] = types.parseJsonArray(bytes)
   if (!types.isNonNegativeNumber(requestId) || !types.isBackEndInstanceId(life)) return null
   if (!types.isNonNegativeNumber(lowest) || lowest === 0 || !types.isNonNegativeNumber(ageMs)) return null
   if (coldPerSecond === undefined) return { requestId, life, perSecond: lowest, ageMs, isLate: late === 1 }
-  if (!types.isNonNegativeNumber(coldPerSecond) || coldPerSecond === 0 || !types.isNonNegativeNumber(burst) || !types.isNonNegativeNumber(advertised)) return null
-  return { requestId, life, perSecond: advertised === NO_RATE ? null : advertised, ageMs, isLate: late === 1, cold: { perSecond: coldPerSecond, burst } }
+  if (!types.isNonNegativeNumber(coldPerSecond) || coldPerSecond === 0 || !types.isNonNegativeNumber(burst) || !types.isNonNegativeNumber(advertised) || !types.isNonNegativeNumber(rank)) return null
+  return { requestId, life, perSecond: advertised === NO_RATE ? null : advertised, ageMs, isLate: late === 1, cold: { perSecond: coldPerSecond, burst }, rank }
 }
 
 /** Decodes a reply; returns null if it is malformed. */
--- a/packages/rate-limits/src/createPermitClient/index.ts
+++ b/packages/rate-limits/src/createPermitClient/index.ts
@@ -1,5 +1,5 @@
 /** Requests permits from the counter of a back end, the daemon that grants all permits for it. */
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 import * as permitWire from '../_lib/permitWire.js'
 import type * as chooseCounter from '../chooseCounter/index.js'
 import type * as createPermitCounter from '../createPermitCounter/index.js'
@@ -67,18 +67,38 @@
   const retryTimes = new Map<types.BackEndInstanceId, number>()
   /** Kept apart for late calls: their refusals must not keep other calls from requesting permits. */
   const lateRetryTimes = new Map<types.BackEndInstanceId, number>()
+  /** Kept apart for calls of lower ranks for the same reason. */
+  const rankRetryTimes = new Map<types.BackEndInstanceId, Map<number, number>>()
   let lastRequestId = Math.floor(options.random() * REQUEST_ID_RANGE)
 
-  function recordDecision (life: types.BackEndInstanceId, isLate: boolean, decision: rateLimits.PermitDecision): rateLimits.PermitDecision {
+  function recordDecision ({ life, rank = 0 }: rateLimits.LimitInForce, isLate: boolean, decision: rateLimits.PermitDecision): rateLimits.PermitDecision {
+    if (rank > 0 && !isLate) {
+      recordRankDecision(life, rank, decision)
+      return decision
+    }
     const times = isLate ? lateRetryTimes : retryTimes
     removePastTimes(times)
     if (!decision.isGranted) times.set(life, now() + decision.waitMs)
     return decision
   }
 
+  function recordRankDecision (life: types.BackEndInstanceId, rank: number, decision: rateLimits.PermitDecision): void {
+    for (const [each, times] of rankRetryTimes) {
+      removePastTimes(times)
+      if (times.size === 0) rankRetryTimes.delete(each)
+    }
+    if (!decision.isGranted) types.getOrCreate(rankRetryTimes, life, () => new Map<number, number>()).set(rank, now() + decision.waitMs)
+  }
+
+  /** Latest time at which calls of a rank or a higher one were told to ask again. */
+  function readRankRetryAt (life: types.BackEndInstanceId, rank: number): number {
+    const times = rank === 0 ? undefined : rankRetryTimes.get(life)
+    return times === undefined ? 0 : Math.max(0, ...[...times].filter(([each]) => each <= rank).map(([, retryAt]) => retryAt))
+  }
+
   /** Removes past entries, since no further request would remove those of back ends that no longer run. */
-  function removePastTimes (times: Map<types.BackEndInstanceId, number>): void {
-    for (const [life, retryAt] of times) if (retryAt <= now()) times.delete(life)
+  function removePastTimes<Key> (times: Map<Key, number>): void {
+    for (const [key, retryAt] of times) if (retryAt <= now()) times.delete(key)
   }
 
   async function requestPermit (host: string, limit: rateLimits.LimitInForce, isLate: boolean): Promise<rateLimits.PermitDecision> {
@@ -108,9 +128,9 @@
   }
 
   return {
-    waitMs: (life, isLate) => {
+    waitMs: (life, isLate, rank = 0) => {
       if (pendingLives.has(life)) return PENDING_WAIT_MS
-      return Math.max(0, (retryTimes.get(life) ?? 0) - now(), isLate ? (lateRetryTimes.get(life) ?? 0) - now() : 0)
+      return Math.max(0, (retryTimes.get(life) ?? 0) - now(), isLate ? (lateRetryTimes.get(life) ?? 0) - now() : 0, readRankRetryAt(life, rank) - now())
     },
     acquire: async (limit, isLate) => {
       const { life, perSecond } = limit
@@ -118,12 +138,12 @@
       if (perSecond === null && !isCold) return { isGranted: true }
       const askedAt = now()
       const counter = options.findCounter(life, isCold)
-      if (counter === null) return recordDecision(life, isLate, { isGranted: false, waitMs: NO_REPLY_WAIT_MS })
-      if (counter.host === options.ownHost) return recordDecision(life, isLate, addExpiry(options.counter.take(limit, counter.part, isLate)))
+      if (counter === null) return recordDecision(limit, isLate, { isGranted: false, waitMs: NO_REPLY_WAIT_MS })
+      if (counter.host === options.ownHost) return recordDecision(limit, isLate, addExpiry(options.counter.take(limit, counter.part, isLate)))
       pendingLives.add(life)
       const decision = await requestPermit(counter.host, limit, isLate)
       pendingLives.delete(life)
-      return recordDecision(life, isLate, addExpiry(decision))
+      return recordDecision(limit, isLate, addExpiry(decision))
 
       function addExpiry (decided: rateLimits.PermitDecision): rateLimits.PermitDecision {
         return isCold && decided.isGranted ? { ...decided, expiresAt: askedAt + COLD_PERMIT_MS } : decided
--- a/packages/rate-limits/src/createPermitClient/test.ts
+++ b/packages/rate-limits/src/createPermitClient/test.ts
@@ -145,3 +145,14 @@
   fixture.time = 5000
   assert.deepEqual(await fixture.client.acquire(limit, false), { isGranted: true, expiresAt: 5150 })
 })
+
+/** Guards against a refused call of a low rank that keeps calls of higher ranks from asking. */
+nodeTest.test('a refusal of a lower rank keeps only that rank and lower ones from asking', async () => {
+  const fixture = createFixture()
+  const decision = fixture.client.acquire({ life: LIFE, perSecond: null, receivedAt: 0, cold: { perSecond: 10, burst: 1 }, rank: 1 }, false)
+  fixture.client.receive(formatReplyToLast(fixture, 300), COUNTER_HOST)
+  await decision
+  assert.deepEqual([0, 1, 2].map((rank) => fixture.client.waitMs(LIFE, false, rank)), [0, 300, 300])
+  fixture.time = 300
+  assert.equal(fixture.client.waitMs(LIFE, false, 1), 0)
+})
--- a/packages/rate-limits/src/createPermitCounter/index.ts
+++ b/packages/rate-limits/src/createPermitCounter/index.ts
@@ -30,8 +30,10 @@
  * can still meet their target time, and hardly any would where all back ends are limited.
  */
 const LATE_FILL_FRACTION = 0.9
-/** Wait that a refused late call is told. */
+/** Wait that a refused late call is told, and a call that yields to a higher rank. */
 const LATE_WAIT_MS = 300
+/** Calls of lower ranks yield for this long after a refused call of a higher rank, which may return or have others behind it. */
+const YIELD_MS = 300
 /** Longest wait behind other waiting gateways, however many there are: some of them may have no call left. */
 const MAXIMUM_WAIT_MS = 1000
 /** Time after which the state of a back end without requests is removed. */
@@ -49,6 +51,8 @@
   /** Permits per second that this daemon may grant. */
   rate: number
   requestedAt: number
+  /** Times until which lower ranks yield to a rank. */
+  readonly yieldUntil: Map<number, number>
   /** The latest of the times at which refused gateways were told to ask again. */
   lastRetryAt: number
 }
@@ -66,7 +70,7 @@
     const existing = states.get(limit.life)
     if (existing !== undefined) return existing
     for (const [life, { requestedAt }] of states) if (now() - requestedAt > IDLE_RETENTION_MS) states.delete(life)
-    const state = { bucket: types.createTokenBucket({ perSecond: 0, capacity: 0, tokens: 0, now }), limit, limitStatedAt: -Infinity, cold: null, coldStatedAt: -Infinity, rate: 0, requestedAt: now(), lastRetryAt: 0 }
+    const state = { bucket: types.createTokenBucket({ perSecond: 0, capacity: 0, tokens: 0, now }), limit, limitStatedAt: -Infinity, cold: null, coldStatedAt: -Infinity, rate: 0, requestedAt: now(), yieldUntil: new Map<number, number>(), lastRetryAt: 0 }
     states.set(limit.life, state)
     return state
   }
@@ -79,6 +83,15 @@
     return state.lastRetryAt - now()
   }
 
+  /** Whether calls of a higher rank were refused a moment ago. */
+  function mustYield ({ yieldUntil }: LimitState, rank: number): boolean {
+    for (const [other, until] of yieldUntil) {
+      if (until <= now()) yieldUntil.delete(other)
+      else if (other < rank) return true
+    }
+    return false
+  }
+
   function noteLimits (state: LimitState, limit: rateLimits.LimitInForce): void {
     if (limit.perSecond !== null) {
       if (state.limit.perSecond === null || limit.receivedAt > state.limit.receivedAt) state.limit = limit
@@ -100,8 +113,10 @@
       state.rate = Math.max(MINIMUM_PER_SECOND, perSecond * part)
       const capacity = MINIMUM_BURST + Math.min(state.rate * BURST_SECONDS, (cold?.burst ?? Infinity) * part)
       state.bucket.setRate(state.rate, capacity)
-      if (isLate) return state.bucket.tryTake(Math.max(1, LATE_FILL_FRACTION * capacity)) ? { isGranted: true } : { isGranted: false, waitMs: LATE_WAIT_MS }
+      const rank = cold === null ? 0 : limit.rank ?? 0
+      if (isLate || mustYield(state, rank)) return state.bucket.tryTake(Math.max(1, LATE_FILL_FRACTION * capacity)) ? { isGranted: true } : { isGranted: false, waitMs: LATE_WAIT_MS }
       if (state.bucket.tryTake()) return { isGranted: true }
+      if (cold !== null) state.yieldUntil.set(rank, now() + YIELD_MS)
       return { isGranted: false, waitMs: assignWaitMs(state) }
     }
   }
--- a/packages/rate-limits/src/createPermitCounter/test.ts
+++ b/packages/rate-limits/src/createPermitCounter/test.ts
@@ -114,3 +114,18 @@
   const slow = counter.take({ life: LIFE, perSecond: null, receivedAt: time, cold: { perSecond: 1, burst: 0 } }, 1)
   assert.equal(slow.isGranted, true)
 })
+
+/** Guards against callers of the lowest rank who take the permits of a cold back end before those of the highest one. */
+nodeTest.test('calls of a lower rank yield while calls of a higher one are refused, but only for a cold back end', () => {
+  for (const cold of [{ perSecond: 10, burst: 1 }, undefined]) {
+    let time = 0
+    const counter = createPermitCounter.createPermitCounter(() => time)
+    const take = (rank: number): boolean => counter.take({ life: LIFE, perSecond: 10, receivedAt: 0, rank, ...(cold === undefined ? {} : { cold }) }, 1).isGranted
+    assert.equal(take(0), false)
+    time += 100
+    assert.equal(take(2), cold === undefined)
+    assert.equal(take(0), cold !== undefined)
+    time += 400
+    assert.equal(take(2), true, 'higher ranks left permits')
+  }
+})
--- a/packages/rate-limits/src/createPermitServer/index.ts
+++ b/packages/rate-limits/src/createPermitServer/index.ts
@@ -49,13 +49,13 @@
     }
   }
 
-  function answerRequest ({ requestId, life, perSecond, ageMs, isLate, cold }: permitWire.PermitRequest): permitWire.PermitReply {
+  function answerRequest ({ requestId, life, perSecond, ageMs, isLate, cold, rank = 0 }: permitWire.PermitRequest): permitWire.PermitReply {
     const fraction = grantableFraction(life, cold !== undefined)
     if (fraction === null) {
       count('permits_answered', { answer: 'elsewhere' })
       return { requestId, waitMs: NOT_COUNTER_WAIT_MS }
     }
-    const decision = counter.take({ life, perSecond, receivedAt: now() - ageMs, ...(cold === undefined ? {} : { cold }) }, fraction, isLate)
+    const decision = counter.take({ life, perSecond, receivedAt: now() - ageMs, ...(cold === undefined ? {} : { cold, rank }) }, fraction, isLate)
     count('permits_answered', { answer: decision.isGranted ? 'granted' : 'refused' })
     return { requestId, waitMs: decision.isGranted ? 0 : decision.waitMs }
   }
--- a/packages/rate-limits/src/createPermitServer/test.ts
+++ b/packages/rate-limits/src/createPermitServer/test.ts
@@ -54,8 +54,8 @@
 nodeTest.test('datagrams of other kinds are not handled, and malformed requests are counted and dropped', () => {
   const fixture = createFixture()
   assert.equal(fixture.receive(Buffer.from('["h",1]'), REQUESTER), false)
-  for (const text of ['["p",', '["p",1]', '["p",1,"",1,1]', '["p",1,"x",0,1]', '["p",1,"x",-1,1]', '["p",null,"x",1,1]', '["p",1,"x",1,1,0,0,1,1]', '["p",1,"x",1,1,0,1]']) assert.equal(fixture.receive(Buffer.from(text), REQUESTER), true)
-  assert.equal(fixture.dropped.length, 8)
+  for (const text of ['["p",', '["p",1]', '["p",1,"",1,1]', '["p",1,"x",0,1]', '["p",1,"x",-1,1]', '["p",null,"x",1,1]', '["p",1,"x",1,1,0,0,1,1,0]', '["p",1,"x",1,1,0,1,1,1,-1]', '["p",1,"x",1,1,0,1]']) assert.equal(fixture.receive(Buffer.from(text), REQUESTER), true)
+  assert.equal(fixture.dropped.length, 9)
   assert.equal(fixture.replies.length, 0)
 })
 
@@ -71,7 +71,7 @@
 nodeTest.test('decoded requests and replies equal the encoded ones', () => {
   const request = { requestId: 5, life: LIFE, perSecond: 0.5, ageMs: 12, isLate: true }
   assert.deepEqual(permitWire.decodeRequest(permitWire.formatRequest(request)), request)
-  const cold = { requestId: 6, life: LIFE, perSecond: null, ageMs: 0, isLate: false, cold: { perSecond: 17, burst: 2.5 } }
+  const cold = { requestId: 6, life: LIFE, perSecond: null, ageMs: 0, isLate: false, cold: { perSecond: 17, burst: 2.5 }, rank: 2 }
   assert.deepEqual(permitWire.decodeRequest(permitWire.formatRequest(cold)), cold)
   const coldAndLimited = { ...cold, perSecond: 3 }
   assert.deepEqual(permitWire.decodeRequest(permitWire.formatRequest(coldAndLimited)), coldAndLimited)
--- a/packages/rate-limits/src/types/index.ts
+++ b/packages/rate-limits/src/types/index.ts
@@ -22,6 +22,8 @@
 export interface LimitInForce extends RateLimit {
   /** Absent if the back end is not cold. */
   readonly cold?: ColdLimit
+  /** Rank of the call, 0 for the highest; permits of a cold back end go to higher ranks first. 0 if absent. */
+  readonly rank?: number
 }
 
 /** The limit of a cold back end, which applies to any one second. */
@@ -41,8 +43,8 @@
 
 /** Provides the permits of one gateway; the sources of all gateways together keep each rate limit. */
 export interface PermitSource {
-  /** Milliseconds until a permit should be requested; 0 if it may be requested now. `isLate` as in `acquire`. */
-  readonly waitMs: (life: types.BackEndInstanceId, isLate: boolean) => number
+  /** Milliseconds until a permit should be requested; 0 if it may be requested now. `isLate` as in `acquire`; `rank` as in {@link LimitInForce}. */
+  readonly waitMs: (life: types.BackEndInstanceId, isLate: boolean, rank?: number) => number
   /** Requests a permit for one request, which must be sent at once if granted; `isLate`: its answer will miss its target time. */
   readonly acquire: (limit: LimitInForce, isLate: boolean) => Promise<PermitDecision>
 }
