--- a/packages/daemon/src/createRateLimiter/index.ts
+++ b/packages/daemon/src/createRateLimiter/index.ts
@@ -149,7 +149,7 @@
     const askedAt = now()
     const answer = await client.acquire(limit, isLate)
     const isCold = limit.cold !== undefined
-    if (answer.isGranted && isCold) observe('cold_permit_ms', now() - askedAt)
+    if (answer.isGranted && isCold) observe('cold_permit', now() - askedAt)
     if (!answer.isGranted) {
       const counterHost = findCounter(limit.life, isCold)?.host
       logger.info('permit-refused', { backEnd: backEnd.id, counter: counterHost, perSecond: limit.perSecond, coldPerSecond: limit.cold?.perSecond, rank: limit.rank, isLate, ageMs: Math.round(askedAt - limit.receivedAt), tookMs: Math.round(now() - askedAt), waitMs: Math.round(answer.waitMs) })
--- a/packages/rate-limits/src/_lib/coldEngines.test.ts
+++ b/packages/rate-limits/src/_lib/coldEngines.test.ts
@@ -94,3 +94,28 @@
   const result = await limitSimulation.simulateLimit({ ...BUSY_SCENARIO, partitioned: [2, 18], substituteFraction: 1 })
   assert.ok(result.peakRequests > result.allowed, describe(result))
 })
+
+/** Guards against the least urgent callers who take the few permits of a cold engine. */
+nodeTest.test('the lower rank gets hardly a permit while the higher one asks for all, and all permits without it', async (context) => {
+  const contended = await limitSimulation.simulateLimit({ ...BASE, gateways: 34, perSecond: 17, lowRankShare: 0.3 })
+  const alone = await limitSimulation.simulateLimit({ ...BASE, gateways: 34, perSecond: 17, lowRankShare: 1 })
+  context.diagnostic(`lower rank: ${contended.lowRankUtilization.toFixed(2)} of the requests; ${describe(contended)}; alone: ${describe(alone)}`)
+  assert.ok(contended.lowRankUtilization <= 0.05)
+  assert.ok(contended.utilization >= MINIMUM_UTILIZATION && alone.utilization >= MINIMUM_UTILIZATION)
+})
+
+/** Guards against other decisions for back ends that only advertise a limit. The figures were recorded on the code without limits for cold back ends. */
+nodeTest.test('the decisions for back ends that are not cold are as recorded', async () => {
+  const base = { strategy: 'counter', seconds: 30, demand: 3 } as const
+  const faults = { lossRate: 0.05, duplicationRate: 0.02, delayRate: 0.02 }
+  const recorded: Array<[limitSimulation.LimitScenario, number, number, number]> = [
+    [{ ...base, gateways: 7, perSecond: 0.5 }, 0.8, 3, 6.333333333333333],
+    [{ ...base, gateways: 34, perSecond: 6, isSkewed: true }, 0.9611111111111111, 26, 4.23121387283237],
+    [{ ...base, ...faults, gateways: 34, perSecond: 17, counterReplacedAt: [8, 20], gatewaysRestartedAt: [13], partitioned: [15, 28] }, 0.9411764705882353, 86, 4.741666666666666],
+    [{ ...base, ...faults, gateways: 183, perSecond: 60, isSkewed: true, counterFrozen: [5, 9], partitioned: [7, 20], seed: 5 }, 0.9566666666666667, 304, 4.857723577235772]
+  ]
+  for (const [scenario, ...figures] of recorded) {
+    const { utilization, peakRequests, datagramsPerRequest } = await limitSimulation.simulateLimit(scenario)
+    assert.deepEqual([utilization, peakRequests, datagramsPerRequest], figures)
+  }
+})
--- a/packages/rate-limits/src/_lib/limitSimulation.ts
+++ b/packages/rate-limits/src/_lib/limitSimulation.ts
@@ -39,6 +39,8 @@
   readonly gatewaysRestartedAt?: readonly number[]
   /** The limited back ends are cold, with `perSecond` as their rate: the bound of cold back ends applies. */
   readonly isCold?: boolean
+  /** Fraction of the calls that have rank 1 instead of 0. */
+  readonly lowRankShare?: number
   /** Whether a refused caller returns once, to any gateway, when a permit is expected. */
   readonly doCallersReturn?: boolean
   /** Number of back ends with the same limit, whose permits one daemon counts; 1 if absent. The demand applies to each of them. */
@@ -54,6 +56,8 @@
 export interface LimitResult {
   /** Requests sent as a fraction of what the limit allows. */
   readonly utilization: number
+  /** Requests of rank 1 as a fraction of all. */
+  readonly lowRankUtilization: number
   /** Most requests at one back end within any window of four seconds, or of one second if it is cold. */
   readonly peakRequests: number
   /** Upper bound for `peakRequests`. */
@@ -84,6 +88,12 @@
   readonly arrivals: number[]
 }
 
+interface SimulatedCall {
+  readonly rank: 0 | 1
+  /** Whether its caller returns once after a refusal. */
+  readonly mayReturn: boolean
+}
+
 interface Gateway {
   /** Time at which it learns that the back ends are cold. */
   readonly learnsAt: number
@@ -116,6 +126,7 @@
   const backEnds = Array.from({ length: scenario.backEnds ?? 1 }, (_, index) => ({ life: types.brandId<types.BackEndInstanceId>(`back-end-${index}`), arrivals: [] as number[] }))
   const measuredFrom = scenario.turnsColdAt === undefined ? 0 : scenario.turnsColdAt * types.MILLISECONDS_IN_SECOND + LEARNING_MS
   let datagrams = 0
+  let lowRankRequests = 0
   const counters = new Map<string, createPermitServer.PermitServer>()
   const gateways: Gateway[] = []
   let activeCounter = 'counter-0'
@@ -198,27 +209,32 @@
     return backEnds[backEnds.length === 1 ? 0 : Math.floor(random() * backEnds.length)] as SimulatedBackEnd
   }
 
-  async function sendCall ({ permitSource, learnsAt }: Gateway, backEnd: SimulatedBackEnd, mayReturn: boolean): Promise<void> {
+  async function sendCall ({ permitSource, learnsAt }: Gateway, backEnd: SimulatedBackEnd, { rank, mayReturn }: SimulatedCall): Promise<void> {
     const { life, arrivals } = backEnd
     if (now() < learnsAt) {
       arrivals.push(now())
       return
     }
-    const waitMs = permitSource.waitMs(life, false)
+    const waitMs = permitSource.waitMs(life, false, rank)
     if (waitMs > 0) {
-      if (mayReturn) scheduleAt(now() + waitMs, () => { void sendCall(pickGateway(), backEnd, false) })
+      if (mayReturn) scheduleAt(now() + waitMs, () => { void sendCall(pickGateway(), backEnd, { rank, mayReturn: false }) })
       return
     }
     const { perSecond } = scenario
-    const limit = isCold ? { life, perSecond: null, receivedAt: now(), cold: computeColdLimit.computeColdLimit(perSecond, COLD_TOLERANCE) } : { life, perSecond, receivedAt: 0 }
+    const limit = isCold ? { life, perSecond: null, receivedAt: now(), cold: computeColdLimit.computeColdLimit(perSecond, COLD_TOLERANCE), rank } : { life, perSecond, receivedAt: 0 }
     const decision = await permitSource.acquire(limit, false)
     if (!decision.isGranted) {
-      if (mayReturn) scheduleAt(now() + decision.waitMs, () => { void sendCall(pickGateway(), backEnd, false) })
+      if (mayReturn) scheduleAt(now() + decision.waitMs, () => { void sendCall(pickGateway(), backEnd, { rank, mayReturn: false }) })
       return
     }
     const expiresAt = decision.expiresAt ?? Infinity
     const connectedAt = computeSendTime() + (isCold ? pickConnectMs() : 0)
-    if (connectedAt <= expiresAt || scenario.permitHoldMs !== undefined) scheduleAt(connectedAt + (isCold ? pickNetworkDelay() : 0), () => { arrivals.push(now()) })
+    if (connectedAt <= expiresAt || scenario.permitHoldMs !== undefined) {
+      scheduleAt(connectedAt + (isCold ? pickNetworkDelay() : 0), () => {
+        arrivals.push(now())
+        lowRankRequests += rank
+      })
+    }
   }
 
   /** A connection takes one round trip. */
@@ -233,7 +249,8 @@
   function scheduleCall (): void {
     const gapMs = -Math.log(1 - random()) * types.MILLISECONDS_IN_SECOND / (scenario.perSecond * scenario.demand * backEnds.length)
     scheduleAt(now() + gapMs, () => {
-      void sendCall(pickGateway(), pickBackEnd(), scenario.doCallersReturn ?? false)
+      const rank = scenario.lowRankShare !== undefined && random() < scenario.lowRankShare ? 1 : 0
+      void sendCall(pickGateway(), pickBackEnd(), { rank, mayReturn: scenario.doCallersReturn ?? false })
       scheduleCall()
     })
   }
@@ -261,6 +278,7 @@
   const measuredSeconds = scenario.seconds - measuredFrom / types.MILLISECONDS_IN_SECOND
   return {
     utilization: requests / (scenario.perSecond * measuredSeconds * backEnds.length),
+    lowRankUtilization: lowRankRequests / Math.max(1, requests),
     peakRequests: Math.max(...measured.map((arrivals) => countPeak(arrivals, isCold ? COLD_WINDOW_MS : WINDOW_MS))),
     allowed: isCold ? computeColdAllowed(scenario.perSecond) : computeAllowed(scenario.perSecond),
     datagramsPerRequest: datagrams / Math.max(1, requests)
--- a/packages/settings/src/parseFleetSettings/test.ts
+++ b/packages/settings/src/parseFleetSettings/test.ts
@@ -43,3 +43,15 @@
   assert.ok(!wrong.ok)
   assert.deepEqual(wrong.error.problems.map(({ place }) => place).sort(), ['quarantine.block_maximum_seconds', 'quarantine.ends'])
 })
+
+/** Guards against a bound of cold engines that is not the one of the deployment. */
+nodeTest.test('the tolerance of cold engines has defaults and is validated', () => {
+  const example = readExample('gateway.toml')
+  const read = (lines: string): unknown => {
+    const parsed = parseFleetSettings.parseFleetSettings(`${example}\n[bounds]\n${lines}\n`, 'gateway.toml')
+    return parsed.ok ? [parsed.value.bounds.cold_overage, parsed.value.bounds.cold_slack] : parsed.error.problems.map(({ place }) => place)
+  }
+  assert.deepEqual(read(''), [1.5, 5])
+  assert.deepEqual(read('cold_overage = 1.2\ncold_slack = 3'), [1.2, 3])
+  assert.deepEqual(read('cold_overage = 0.5\ncold_slack = -1'), ['bounds.cold_overage', 'bounds.cold_slack'])
+})
