Restrict calls to the regions that their route and tenant allow

Cause: customers may require that the body of a call is held only on machines in given regions. Change: `allowedRegions` of routes and tenants is read from the configuration, and `[regions]` in the settings assigns data halls to regions. A back end outside the allowed regions is excluded from the choice, counts neither as capacity nor for utilization, and is checked again right before an attempt. A call without an allowed back end is refused at once with the reason `region`. Regions that no hall is in, and settings without the table, are logged. Exclusions are now checked before rate limits and draining, so that an excluded back end does not affect the retry time of a call. The simulated call path takes routes, tenants, limits and a retry budget from the test.

The shape of `zones` in deploy/settings.toml.template (a region for each hall) is assumed and was not rendered.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -23,7 +23,7 @@
   readonly store: testing.StoreStandIn
   readonly origin: testing.OriginStandIn
   readonly startEngine: (options: testing.EngineStandInOptions, service?: string) => Promise<testing.EngineStandIn>
-  readonly startGateway: (host: string, seeds?: readonly string[], clocks?: clock.MachineClocks) => Promise<types.Address>
+  readonly startGateway: (host: string, seeds?: readonly string[], clocks?: clock.MachineClocks, extra?: ExtraSettings) => Promise<types.Address>
   /** Stops the gateway on a host without draining, as if it were killed. */
   readonly stopGateway: (host: string) => void
   /** Waits until each gateway knows of exactly `count` terminated backend servers. */
@@ -52,6 +52,12 @@
   readonly configure: (change?: (configuration: testing.Configuration) => void) => void
 }
 
+/** Lines that a test adds to sections of a gateway's settings. */
+export interface ExtraSettings {
+  readonly bounds?: string
+  readonly regions?: string
+}
+
 /** The fields of a gateway's status that tests read. */
 export interface GatewayStatus {
   readonly copies: Readonly<Record<string, { readonly at: number }>>
@@ -131,9 +137,9 @@
       store.put(platform.OBJECT_KINDS.backEnds, options.id, testing.describeEngine(engine, service, 'zone-a', model))
       return engine
     },
-    startGateway: async (host, seeds = [], clocks = clock.SYSTEM_CLOCKS) => {
+    startGateway: async (host, seeds = [], clocks = clock.SYSTEM_CLOCKS, { bounds = '', regions = '' } = {}) => {
       const listen = `[listen]\ncallers = "${host}:${ports.callers}"\nreadiness = "${host}:${ports.readiness}"\ncontrol = "${host}:${ports.control}"\n`
-      const role = await startGatewayRole.startGatewayRole(parseSettings(formatCommonSettings('gateway', host, seeds) + listen + storeSection + '[bounds]\nversion_ms = 3000\n[limits]\ngrace_seconds = 1\n'), { clocks, writeLine: () => {} })
+      const role = await startGatewayRole.startGatewayRole(parseSettings(formatCommonSettings('gateway', host, seeds) + listen + storeSection + `[bounds]\nversion_ms = 3000\n${bounds}[regions]\n${regions}[limits]\ngrace_seconds = 1\n`), { clocks, writeLine: () => {} })
       roles.push(role)
       gateways.set(host, role)
       return { host, port: ports.callers }
--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -14,6 +14,10 @@
   readonly events: number
   readonly bodyBytes: number
   readonly remainingMs: number
+  /** API key; none if absent. */
+  readonly key?: string
+  /** Called with the status and the text of the response when the call has ended. */
+  readonly onEnded?: (status: number, text: string) => void
 }
 
 /** Options of {@link createSimulatedCallPath}. */
@@ -26,6 +30,15 @@
   readonly sendAttempt: gateway.CallHandlerOptions['sendAttempt']
   readonly now: () => number
   readonly random: () => number
+  /** Changes of the only route, and the tenants; the route is public if there are none. */
+  readonly route?: Partial<gateway.Route>
+  readonly tenants?: readonly gateway.Tenant[]
+  /** Exclusions, rate limits and slot reservations; none if absent. */
+  readonly findExclusion?: gateway.CallHandlerOptions['findExclusion']
+  readonly limiter?: gateway.RateLimiter
+  readonly reserver?: gateway.SlotReserver
+  /** Retry budget; that of a gateway that has just started if absent. */
+  readonly budget?: gateway.RetryBudget
 }
 
 /** The call path of a gateway. */
@@ -54,15 +67,17 @@
   const { now, random, figures } = options
   const tracker = gateway.createBackEndTracker(now)
   const errorBound = gateway.createErrorBound(now)
-  const budget = gateway.createRetryBudget(BUDGET, () => options.gateways, now)
+  const budget = options.budget ?? gateway.createRetryBudget(BUDGET, () => options.gateways, now)
   const leavers = gateway.createLeavingRecord({ onLeaving: () => {}, now })
+  const findExclusion = options.findExclusion ?? (() => null)
+  const limiter = options.limiter ?? { noteResponse: () => {}, readAllowance: () => null, acquire: async () => { throw new Error('no back end has a rate limit') } }
   const readBackoff: gateway.BackoffKeeper['read'] = () => ({ waitMs: 0, maximumUnanswered: Infinity })
   const routes = gateway.createRouteTable({
     version: 1,
-    routes: [{ name: 'r', host: HOST, pathPrefix: '/', kind: 'stream', timeoutMs: TIMEOUT_MS, targetMs: TARGET_MS, priority: 0, splits: [{ service: SERVICE, weight: 1 }], maximumAttempts: 3, isPublic: true, isResumable: true, gapTargetMs: GAP_TARGET_MS }],
+    routes: [{ name: 'r', host: HOST, pathPrefix: '/', kind: 'stream', timeoutMs: TIMEOUT_MS, targetMs: TARGET_MS, priority: 0, splits: [{ service: SERVICE, weight: 1 }], maximumAttempts: 3, isPublic: true, isResumable: true, gapTargetMs: GAP_TARGET_MS, allowedRegions: [], ...options.route }],
     services: [{ name: SERVICE, engine: figures, originAddress: null }],
     limits: gateway.DEFAULT_CALLER_LIMITS,
-    tenants: []
+    tenants: options.tenants ?? []
   })
 
   const handler = gateway.createCallHandler({
@@ -92,10 +107,10 @@
       pinnedVersion: choice.version,
       tried: choice.tried,
       isLeaving: leavers.isLeaving,
-      findExclusion: () => null,
+      findExclusion: (backEnd) => findExclusion(backEnd, choice.allowedRegions),
       readBackoff,
-      readAllowance: () => null,
-      mayRequestPermit: true,
+      readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
+      mayRequestPermit: choice.mayRequestPermit,
       now: now(),
       random
     }),
@@ -103,10 +118,11 @@
     errorBoundOf: () => errorBound,
     sharedTargetOf: gateway.createSharedTargets(now).note,
     guard: { isActive: () => false, readBlockedMs: () => null, noteConnectionLost: async () => {}, noteServed: () => {}, onBlocked: () => {} },
-    limiter: { noteResponse: () => {}, readAllowance: () => null, acquire: async () => { throw new Error('no back end has a rate limit') } },
+    findExclusion,
+    limiter,
     leavers,
     backoffs: { noteResponse: () => {}, read: readBackoff },
-    reserver: { reserve: async () => false },
+    reserver: options.reserver ?? { reserve: async () => false },
     sendAttempt: options.sendAttempt,
     logger: { debug: () => {}, info: () => {}, warn: () => {}, error: (event, fields) => { throw new Error(`${event} ${JSON.stringify(fields)}`) } },
     count: () => {},
@@ -119,9 +135,9 @@
   return {
     tracker,
     call: (call) => {
-      const head: gateway.CallHead = { requestId: call.requestId, host: HOST, path: '/', method: 'POST', remainingMs: call.remainingMs, key: null, model: MODEL, promptTokens: call.promptTokens, answerTokens: call.events * TOKENS_PER_EVENT, lastEventId: null, passedHeaders: [] }
+      const head: gateway.CallHead = { requestId: call.requestId, host: HOST, path: '/', method: 'POST', remainingMs: call.remainingMs, key: call.key ?? null, model: MODEL, promptTokens: call.promptTokens, answerTokens: call.events * TOKENS_PER_EVENT, lastEventId: null, passedHeaders: [] }
       const request = Object.assign(new events.EventEmitter(), { call: head, complete: true, headers: { 'content-length': String(call.bodyBytes) } })
-      const response = createResponse()
+      const response = createResponse(call.onEnded ?? (() => {}))
       handler.handle(request as unknown as http.IncomingMessage, response as unknown as http.ServerResponse)
       request.emit('data', Buffer.alloc(call.bodyBytes))
       request.emit('end')
@@ -131,12 +147,21 @@
 }
 
 /** A response to a caller that reads everything at once. */
-function createResponse (): { readonly destroy: () => void } {
+function createResponse (onEnded: (status: number, text: string) => void): { readonly destroy: () => void } {
+  let status = 0
+  let text = ''
   const state = { headersSent: false, destroyed: false, writableFinished: false }
   const response = Object.assign(new events.EventEmitter(), state, {
-    writeHead: () => { response.headersSent = true },
-    write: () => true,
-    end: () => {
+    writeHead: (sent: number) => {
+      response.headersSent = true
+      status = sent
+    },
+    write: (bytes: Buffer) => {
+      text += bytes.toString()
+      return true
+    },
+    end: (bytes?: Buffer) => {
+      text += bytes?.toString() ?? ''
       response.writableFinished = true
       close()
     },
@@ -147,6 +172,7 @@
     if (response.destroyed) return
     response.destroyed = true
     response.emit('close')
+    onEnded(status, text)
   }
 
   return response
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -89,6 +89,7 @@
   let routes: gateway.RouteTable | null = null
   const loggedFigures = new Map<types.ServiceName, string>()
   let adoptedRevision = 0
+  let isMissingTableLogged = false
   const backEnds = createBackEndList.createBackEndList({
     layersOf: (service) => routes?.findService(service)?.engine?.layers ?? 1,
     onUnreadable: (object, error) => { reportUnreadable(backEndObjects.kind, object, error) }
@@ -112,6 +113,7 @@
     routes = gateway.createRouteTable(parsed.value)
     logger.info('configuration', { revision: object.revision, version: parsed.value.version, routes: parsed.value.routes.length })
     for (const service of parsed.value.services) logFigures(service)
+    logUnknownRegions(parsed.value)
     backEnds.update(backEndObjects.objects())
     for (const listener of routeListeners) listener(routes)
   }
@@ -143,6 +145,17 @@
     if (missing.length > 0) logger.warn('engine-figures-missing', { service: name, missing: missing.join() })
   }
 
+  /** Logs regions that routes or tenants allow and no data hall is in: calls that may enter no other region are refused. */
+  function logUnknownRegions (configuration: gateway.Configuration): void {
+    const known = new Set(Object.values(checked.regions))
+    const unknown = gateway.findUnknownRegions(configuration, known)
+    if (unknown.length > 0 && known.size === 0 && !isMissingTableLogged) {
+      isMissingTableLogged = true
+      logger.warn('regions-missing', { version: configuration.version, reason: 'the settings assign no data hall to a region; calls with allowed regions are refused' })
+    }
+    for (const region of unknown) logger.warn('unknown-region', { version: configuration.version, region })
+  }
+
   function adoptVersions (): void {
     for (const object of namedVersions.objects().values()) {
       const version = platform.parseNamedVersion(object)
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -38,6 +38,7 @@
   const tracker = gateway.createBackEndTracker(now)
   const budgets = new Map<types.ServiceName, gateway.RetryBudget>()
   const errorBounds = new Map<types.ServiceName, gateway.ErrorBound>()
+  const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: () => false }
   let isLeaving = false
 
   let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
@@ -159,6 +160,10 @@
     return types.getOrCreate(errorBounds, service, () => gateway.createErrorBound(now))
   }
 
+  function findExclusion (backEnd: gateway.BackEnd, allowedRegions: gateway.AllowedRegions): gateway.ExclusionReason | null {
+    return gateway.findExclusion(backEnd, allowedRegions, exclusionRules)
+  }
+
   function chooseBackEnd (choice: gateway.CallChoice): gateway.ChoiceOutcome {
     const figures = parts.routes()?.findService(choice.service)?.engine ?? null
     const { model } = choice
@@ -177,7 +182,7 @@
       pinnedVersion: choice.version,
       tried: choice.tried,
       isLeaving: leavers.isLeaving,
-      findExclusion: () => null,
+      findExclusion: (backEnd) => findExclusion(backEnd, choice.allowedRegions),
       readBackoff: backoffs.read,
       readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
       mayRequestPermit: choice.mayRequestPermit,
@@ -191,6 +196,7 @@
     routes: parts.routes,
     tracker,
     choose: chooseBackEnd,
+    findExclusion,
     budgetOf,
     errorBoundOf,
     sharedTargetOf: gateway.createSharedTargets(now).note,
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -41,6 +41,8 @@
   readonly routes: () => createRouteTable.RouteTable | null
   readonly tracker: createBackEndTracker.BackEndTracker
   readonly choose: (choice: CallChoice) => chooseBackEnd.ChoiceOutcome
+  /** Why a back end may not serve a call even if it has room; null if it may. Checked again right before each attempt. */
+  readonly findExclusion: (backEnd: gateway.BackEnd, allowedRegions: gateway.AllowedRegions) => gateway.ExclusionReason | null
   readonly budgetOf: (service: types.ServiceName) => createRetryBudget.RetryBudget
   /** How much later than predicted recent calls of a service began. */
   readonly errorBoundOf: (service: types.ServiceName) => createErrorBound.ErrorBound
@@ -81,4 +83,6 @@
   readonly isLate: boolean
   /** The only version of the weights that may serve the call; null for any permitted version. */
   readonly version: number | null
+  /** Regions that the call may enter; null for no restriction. */
+  readonly allowedRegions: gateway.AllowedRegions
 }
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -13,6 +13,8 @@
   readonly route: gateway.Route
   readonly tenant: types.AccountId | null
   readonly service: types.ServiceName
+  /** Regions that the call may enter; null for no restriction. */
+  readonly allowedRegions: gateway.AllowedRegions
   readonly body: Buffer | null
   readonly deadline: deadlines.Deadline
   /** Monotonic time in milliseconds at which the gateway received the request. */
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, or asked for a backoff. */
+/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, asked for a backoff, or was excluded. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
@@ -15,7 +15,7 @@
   readonly refusal: string
 }
 
-type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off'
+type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off' | 'evacuated'
 
 /** Runs a call at a gateway whose only back end needs a permit; something happens, or nothing, while it waits for that. */
 async function runCall (meanwhile: Meanwhile): Promise<Outcome> {
@@ -37,8 +37,8 @@
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
-      choice: happened === 'leaving' || happened === 'backing-off' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
-      passedOver: happened === 'leaving' ? { draining: 1 } : { 'backing-off': 1 },
+      choice: happened === 'leaving' || happened === 'backing-off' || happened === 'evacuated' ? null : { backEnd, isRateLimited: true, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
+      passedOver: { [happened === 'leaving' ? 'draining' : happened]: 1 },
       utilization: 0,
       permitWaitMs: Infinity,
       backoffWaitMs: Infinity
@@ -46,6 +46,7 @@
     sharedTargetOf: () => DEADLINE_MS,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
     backoffs: { read: () => ({ waitMs: happened === 'backing-off' ? BACKOFF_MS : 0, maximumUnanswered: Infinity }) },
+    findExclusion: () => happened === 'evacuated' ? 'evacuated' : null,
     leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
       acquire: async () => {
@@ -84,3 +85,7 @@
 nodeTest.test('a call whose back end asks for a backoff while the call waits for a permit is not sent there', async () => {
   assert.deepEqual(await runCall('backing-off'), { sent: 0, refusal: '503 no back end may serve: 1 backing-off' })
 })
+
+nodeTest.test('a call whose back end is excluded while the call waits for a permit is not sent there', async () => {
+  assert.deepEqual(await runCall('evacuated'), { sent: 0, refusal: '503 evacuated: every data hall that may serve the call (1 evacuated)' })
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -11,6 +11,7 @@
 import * as reserveSlot from './reserveSlot.js'
 import * as runAttempt from './runAttempt.js'
 import type * as callOptions from './callOptions.js'
+import type * as gateway from '../types/index.js'
 
 /** Retry time of a refused call, unless the reason for the refusal gives another one. */
 const DEFAULT_RETRY_AFTER_MS = 400
@@ -43,6 +44,21 @@
   return counts.length === 0 ? 'none is listed' : counts.join(', ')
 }
 
+/** The exclusion that leaves no back end for a call; null if a listed back end is not excluded. If some are excluded for their region, the others decide. */
+function findSoleExclusion (passedOver: chooseBackEnd.PassedOver): gateway.ExclusionReason | null {
+  const { region = 0, evacuated = 0, ...others } = passedOver
+  if (Object.keys(others).length > 0 || region + evacuated === 0) return null
+  return evacuated > 0 ? 'evacuated' : 'region'
+}
+
+/** Describes why no back end may serve a call. */
+function describeRefusal ({ allowedRegions }: callState.CallState, passedOver: chooseBackEnd.PassedOver): string {
+  const exclusion = findSoleExclusion(passedOver)
+  if (exclusion === 'region') return `region: no back end is listed in an allowed region (${[...allowedRegions ?? []].join(', ') || 'route and tenant have none in common'})`
+  if (exclusion === 'evacuated') return `evacuated: every data hall that may serve the call (${describePassedOver(passedOver)})`
+  return `no back end may serve: ${describePassedOver(passedOver)}`
+}
+
 /**
  * Runs a call until it has its final response.
  *
@@ -75,7 +91,9 @@
         if (backoffWaitMs !== Infinity) retryAfterMs = computeBackoffRetryMs(backoffWaitMs)
         if (lastReason !== '') return endUnserved()
         if (backoffWaitMs === Infinity) retryAfterMs = computeRetryAfterMs(permitWaitMs)
-        lastReason = `no back end may serve: ${describePassedOver(passedOver)}`
+        lastReason = describeRefusal(call, passedOver)
+        const exclusion = findSoleExclusion(passedOver)
+        if (exclusion !== null) options.count('calls_excluded', { reason: exclusion })
         return endUnserved()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
@@ -104,9 +122,10 @@
           continue
         }
       }
-      // The call may have been blocked, or its back end may have announced its end or asked for a backoff, while the call waited for a slot or a permit.
+      // While the call waited for a slot or a permit, it may have been blocked, or its back end may have announced its end, asked for a backoff or been excluded.
       if (noteIfBlocked()) return endUnserved()
       if (options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0) continue
+      if (options.findExclusion(choice.backEnd, call.allowedRegions) !== null) continue
       if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
@@ -150,7 +169,8 @@
       tried,
       mayRequestPermit: permitsRefused < MAXIMUM_PERMITS_REFUSED,
       isLate,
-      version: stream.version
+      version: stream.version,
+      allowedRegions: call.allowedRegions
     })
   }
 
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -160,6 +160,11 @@
   const backoffWaits: number[] = []
   const passedOver: PassedOver = {}
   for (const backEnd of input.backEnds) {
+    const exclusion = input.findExclusion(backEnd)
+    if (exclusion !== null) {
+      passedOver[exclusion] = (passedOver[exclusion] ?? 0) + 1
+      continue
+    }
     const allowance = input.readAllowance(backEnd)
     const scored = score(backEnd, allowance, input)
     if (scored !== 'draining' && scored !== 'gone') backoffWaits.push(Math.max(input.readBackoff(backEnd).waitMs, scored === 'backing-off' ? RESUMING_WAIT_MS : 0))
@@ -193,8 +198,6 @@
 
 function score (backEnd: gateway.BackEnd, allowance: limiters.RateAllowance | null, input: ChoiceInput): ScoredChoice | PassedOverReason {
   if (backEnd.isDraining || input.isLeaving(backEnd)) return 'draining'
-  const exclusion = input.findExclusion(backEnd)
-  if (exclusion !== null) return exclusion
   if (input.tried.has(backEnd.id)) return 'tried'
   const load = input.tracker.read(backEnd.id)
   if (load.isGone) return 'gone'
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -34,6 +34,8 @@
   readonly isResumable: boolean
   /** Longest gap in milliseconds between two events that counts as in time; 0 for no target. */
   readonly gapTargetMs: number
+  /** Regions that calls may enter; empty for no restriction. */
+  readonly allowedRegions: readonly string[]
 }
 
 /** A service's share of a route's calls. */
@@ -83,8 +85,13 @@
   readonly name: types.AccountId
   readonly keys: readonly string[]
   readonly priority: number
+  /** Regions that the tenant's calls may enter; empty for no restriction. */
+  readonly allowedRegions: readonly string[]
 }
 
+/** Regions that a call may enter; null for no restriction. */
+export type AllowedRegions = ReadonlySet<string> | null
+
 /** Limits that apply until the first configuration is known. */
 export const DEFAULT_CALLER_LIMITS: CallerLimits = { maximumHeaderBytes: 16_384, maximumBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -13,6 +13,7 @@
   zone: zod.string().min(1),
   region: zod.string().min(1),
   zones: zod.array(zod.string().min(1)).default([]),
+  regions: zod.record(zod.string().min(1), zod.string().min(1)).default({}),
   host: zod.union([zod.ipv4(), zod.ipv6()]),
   deployment: zod.string().min(1).default('fleet'),
   seeds: zod.array(address).default([]),
--- a/packages/settings/src/parseFleetSettings/test.ts
+++ b/packages/settings/src/parseFleetSettings/test.ts
@@ -43,3 +43,16 @@
   assert.ok(!wrong.ok)
   assert.deepEqual(wrong.error.problems.map(({ place }) => place).sort(), ['quarantine.block_maximum_seconds', 'quarantine.ends'])
 })
+
+nodeTest.test('regions of data halls are optional, and each needs a name', () => {
+  const example = readExample('gateway.toml')
+  const without = parseFleetSettings.parseFleetSettings(example.replace(/\[regions\]\n(.+\n)+/, ''), 'gateway.toml')
+  assert.ok(without.ok)
+  assert.deepEqual(without.value.regions, {})
+  const parsed = parseFleetSettings.parseFleetSettings(example, 'gateway.toml')
+  assert.ok(parsed.ok)
+  assert.equal(parsed.value.regions['cluj-hala-b'], 'cluj')
+  const wrong = parseFleetSettings.parseFleetSettings(example.replace('"cluj-hala-b" = "cluj"', '"cluj-hala-b" = ""'), 'gateway.toml')
+  assert.ok(!wrong.ok)
+  assert.deepEqual(wrong.error.problems.map(({ place }) => place), ['regions.cluj-hala-b'])
+})
