--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -1,4 +1,4 @@
-/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, or asked for a backoff. */
+/** Guards against calls that are sent although this was ruled out while they waited for a permit: the call was blocked, its back end announced its end, asked for a backoff, or was excluded. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
@@ -16,7 +16,7 @@
   readonly refusal: string
 }
 
-type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off' | 'permit-expired' | 'became-cold'
+type Meanwhile = 'nothing' | 'blocked' | 'leaving' | 'backing-off' | 'permit-expired' | 'became-cold' | 'evacuated'
 
 /** Runs a call at a gateway whose only back end needs a permit; something happens, or nothing, while it waits for that. */
 async function runCall (meanwhile: Meanwhile): Promise<Outcome> {
@@ -40,7 +40,7 @@
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
       choice: happened !== 'nothing' && happened !== 'blocked' ? null : { backEnd, isRateLimited: meanwhile !== 'became-cold', firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
-      passedOver: happened === 'leaving' ? { draining: 1 } : { 'backing-off': 1 },
+      passedOver: { [happened === 'leaving' ? 'draining' : happened === 'evacuated' ? 'evacuated' : 'backing-off']: 1 },
       utilization: 0,
       permitWaitMs: Infinity,
       backoffWaitMs: Infinity
@@ -49,6 +49,7 @@
     mustConfirmSlots: () => false,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
     backoffs: { read: () => ({ waitMs: happened === 'backing-off' ? BACKOFF_MS : 0, maximumUnanswered: Infinity }) },
+    findExclusion: () => happened === 'evacuated' ? 'evacuated' : null,
     leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
       readAllowance: () => meanwhile === 'became-cold' ? { perSecond: 1, waitMs: 0, isCold: true } : null,
@@ -101,3 +102,7 @@
 nodeTest.test('a call needs a permit if its back end has become cold since it was chosen', async () => {
   assert.equal((await runCall('became-cold')).sent, 0)
 })
+
+nodeTest.test('a call whose back end is excluded while the call waits for a permit is not sent there', async () => {
+  assert.deepEqual(await runCall('evacuated'), { sent: 0, refusal: '503 evacuated: every data hall that may serve the call (1 evacuated)' })
+})
