--- a/packages/daemon/src/_lib/regions.test.ts
+++ b/packages/daemon/src/_lib/regions.test.ts
@@ -133,7 +133,7 @@
       readAllowance: (backEnd) => planOf(backEnd).isLimited ? { perSecond: 10, waitMs: 0 } : null,
       acquire: async (backEnd) => await ask(backEnd) ? { isGranted: true } : { isGranted: false, retryAfterMs: 1 } as unknown as Awaited<ReturnType<gateway.RateLimiter['acquire']>>
     },
-    reserver: { reserve: ask },
+    reserver: { reserve: ask, ask: async (backEnd) => await ask(backEnd) ? 'reserved' : 'refused' },
     budget: { noteCall: () => {}, trySpend: () => true },
     sendAttempt: (request) => {
       const hall = scenario.backEnds[backEnds.findIndex(({ address }) => address === request.address)]?.hall as string
--- a/packages/gateway/src/_lib/admitCall.ts
+++ b/packages/gateway/src/_lib/admitCall.ts
@@ -7,8 +7,8 @@
 /** The decision, with the figures for a request for a slot, and for a refusal if no agent grants one. */
 export interface CallAdmission {
   readonly isAdmitted: boolean
-  /** Whether most slots of all back ends are free and the call need not be queued. */
-  readonly isUncontended: boolean
+  /** Whether so few slots of all back ends are free that the prediction is uncertain. */
+  readonly isContended: boolean
   /** Milliseconds after which the caller may retry. */
   readonly retryAfterMs: number
   /** Milliseconds within which the first event would still be in time; negative for a call that is late already. */
@@ -40,7 +40,7 @@
   const admission = decideAdmission.decideAdmission(input)
   return {
     isAdmitted: admission.isAdmitted,
-    isUncontended: admission.isAdmitted && admission.isUncontended,
+    isContended: admission.isAdmitted && admission.isContended,
     retryAfterMs: admission.isAdmitted ? decideAdmission.computeRetryAfterMs(input) : admission.retryAfterMs,
     withinMs: input.targetMs - input.elapsedMs,
     reason: describeFigures(input)
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -259,7 +259,7 @@
       random: random()
     }
     const admission = decideAdmission.decideAdmission(input)
-    const mustConfirm = scenario.doGatewaysConfirm === true && admission.isAdmitted && !admission.isUncontended
+    const mustConfirm = scenario.doGatewaysConfirm === true && admission.isAdmitted && admission.isContended
     if (!admission.isAdmitted) reserveSlot(from, call, choice, { targetMs, retryAfterMs: admission.retryAfterMs, maximumAgents: reserveSlots.MAXIMUM_AGENTS_ASKED }, new Set())
     else if (mustConfirm) reserveSlot(from, call, choice, { targetMs, retryAfterMs: decideAdmission.computeRetryAfterMs(input), maximumAgents: confirmSlots.MAXIMUM_AGENTS_ASKED }, new Set())
     else if (isPermitted(from, choice.backEnd.id, isLate)) serve(from, call, choice, new Set())
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -100,7 +100,7 @@
       call.predictedMs ??= Math.round(choice.firstEventMs)
       if (isFirst && connectFailures === 0) {
         const admission = admitCall.admitCall(call, choice, utilization, options)
-        const mustConfirm = admission.isAdmitted && !admission.isUncontended && options.mustConfirmSlots(call.service)
+        const mustConfirm = admission.isAdmitted && admission.isContended && options.mustConfirmSlots(call.service)
         if (!admission.isAdmitted || mustConfirm) {
           const obtainSlot = mustConfirm ? confirmSlot.confirmSlot : reserveSlot.reserveSlot
           const reserved = await obtainSlot(call, choice, admission.withinMs, (tried) => choose(tried, isLate).choice, options)
--- a/packages/gateway/src/decideAdmission/index.ts
+++ b/packages/gateway/src/decideAdmission/index.ts
@@ -22,8 +22,8 @@
 
 /** Admitted, or refused with a time to retry. */
 export type Admission =
-  /** `isUncontended`: whether most slots of all back ends are free and the call need not be queued. */
-  | { readonly isAdmitted: true, readonly isUncontended: boolean }
+  /** `isContended`: whether so few slots of all back ends are free that a prediction for one of them is uncertain. */
+  | { readonly isAdmitted: true, readonly isContended: boolean }
   /** `retryAfterMs`: milliseconds after which the caller may retry. */
   | { readonly isAdmitted: false, readonly retryAfterMs: number }
 
@@ -33,6 +33,11 @@
  * gateways would send their calls there.
  */
 const LOW_UTILIZATION = 0.5
+/**
+ * From this utilization on, a back end that reports show as free is likely to have been chosen by other gateways as well. Below it, a slot that one back end refuses is mostly free at
+ * another one, and a refusal would turn away a call that could be in time.
+ */
+const CONTENDED_UTILIZATION = 0.85
 /**
  * Range of the retry time for a caller that may still be served in time: another gateway, or the next report, may know of a free slot. The target counts
  * from the first try, so a longer pause would make the response late.
@@ -54,7 +59,7 @@
  */
 export function decideAdmission (input: AdmissionInput): Admission {
   const isUncontended = input.queuedAhead === 0 && input.utilization < LOW_UTILIZATION
-  if (isUncontended || input.firstEventMs + input.errorMs <= input.targetMs) return { isAdmitted: true, isUncontended }
+  if (isUncontended || input.firstEventMs + input.errorMs <= input.targetMs) return { isAdmitted: true, isContended: input.utilization >= CONTENDED_UTILIZATION }
   return { isAdmitted: false, retryAfterMs: computeRetryAfterMs(input) }
 }
 
