Follow evacuations of data halls

Cause: operators must be able to take a hall out of service within a bound, from any gateway that is in contact. Change: with `[bounds] evacuation_ms` gateways mirror the kind `evacuations`, one watcher in each of three halls, and exclude back ends of the halls that it names from the choice and right before an attempt. A gateway is ready only once it has read the kind. Watches of the kind wait at most as long as a connection that died silently may stay unnoticed within the bound. Without the setting the kind is neither watched nor announced.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -66,6 +66,7 @@
   readonly endsKnown: number
   readonly blockedCalls: readonly unknown[]
   readonly rateLimits: readonly unknown[]
+  readonly evacuations: ReadonlyArray<{ readonly hall: string }>
 }
 
 /** Polls until the condition holds. It has no timeout; the test runner's timeout ends a test that hangs. */
--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -119,6 +119,7 @@
     sharedTargetOf: gateway.createSharedTargets(now).note,
     guard: { isActive: () => false, readBlockedMs: () => null, noteConnectionLost: async () => {}, noteServed: () => {}, onBlocked: () => {} },
     findExclusion,
+    onSent: () => {},
     limiter,
     leavers,
     backoffs: { noteResponse: () => {}, read: readBackoff },
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -28,6 +28,8 @@
   readonly datagramLossRate?: number
   /** Whether the time since boot is available on the machines; true if absent. */
   readonly isBootTimeAvailable?: boolean
+  /** Bound of evacuations in milliseconds; they are not followed if absent. */
+  readonly evacuationMs?: number
 }
 
 /** A daemon of the simulated fleet. */
@@ -231,7 +233,7 @@
     let limiter: createRateLimiter.GatewayRateLimiter | null = null
     const factTimes = new Map<unknown, number>()
     const machine = createMachineClock(now, options.isBootTimeAvailable ?? true)
-    const nodeSettings = parseSettings(host, hall, role, plan)
+    const nodeSettings = parseSettings(host, hall, role, plan, options.evacuationMs)
 
     async function fetchChanges (peer: string, request: spread.CopyRequest, signal: AbortSignal): ReturnType<spread.CopySyncOptions['fetchChanges']> {
       const limits = { ...PEER_LIMITS, signal }
@@ -346,11 +348,12 @@
   report: { bornAt: 1_790_000_000_000, running: 7, waiting: 2, isBusy: false, sequence: 3, pace: 1.02, limitPerSecond: null, isLeaving: false, models: new Map([['model-a', 3]]) }
 }, { host: '10.0.1.1', soleModel: () => 'model-a' })
 
-function parseSettings (host: string, hall: number, role: 'gateway' | 'agent', plan: readonly PlannedHost[]): settings.FleetSettings {
+function parseSettings (host: string, hall: number, role: 'gateway' | 'agent', plan: readonly PlannedHost[], evacuationMs?: number): settings.FleetSettings {
   const seeds = plan.filter((each) => each.role === 'gateway' && each.host.endsWith('.1')).slice(0, SEED_COUNT).map((each) => `"${each.host}:1"`)
   const text = [
     `role = "${role}"`, `node = "${role}-${host}"`, `zone = "hall-${hall}"`, `region = "region-${hall}"`, `host = "${host}"`, 'internal_port = 7700', `seeds = [${seeds.join()}]`,
-    '[listen]', `callers = "${host}:80"`, '[engine]', `address = "${host}:8585"`, '[store]', 'address = "10.9.9.9:80"', '[logs]', 'level = "silent"'
+    '[listen]', `callers = "${host}:80"`, '[engine]', `address = "${host}:8585"`, '[store]', 'address = "10.9.9.9:80"', '[logs]', 'level = "silent"',
+    ...(evacuationMs === undefined ? [] : ['[bounds]', `evacuation_ms = ${evacuationMs}`, 'contact_ms = 4000'])
   ].join('\n')
   const parsed = settings.parseFleetSettings(text, host)
   assert.ok(parsed.ok, parsed.ok ? '' : parsed.error.message)
--- a/packages/daemon/src/createFleetExchange/index.ts
+++ b/packages/daemon/src/createFleetExchange/index.ts
@@ -42,6 +42,9 @@
   readonly stop: () => void
 }
 
+/** Time for the next watch after a dead connection, and for the other gateways to copy the change. */
+const EVACUATION_SPREAD_MS = 600
+
 /**
  * Starts the exchange.
  *
@@ -137,7 +140,7 @@
     mirrorSyncs.set(mirror.kind, store.syncMirror({
       mirror,
       store: collections,
-      waitMs: computeWatchTimeoutMs(parts.settings),
+      waitMs: computeWatchTimeoutMs(parts.settings, mirror.kind),
       random: options.random,
       mayWatch: () => watchDuty.mayWatch(mirror.isInitialized(), mirrorSyncs.get(mirror.kind)?.isReachable() ?? true, mirror.kind === platform.OBJECT_KINDS.configuration ? 'each-hall' : 'few-halls'),
       mayWatchChanged: async () => { await new Promise<void>((resolve) => { pendingWakes.push(resolve) }) },
@@ -166,10 +169,13 @@
 
 /**
  * Computes how long a watch request stays open without events. A dead connection is detected only after this wait plus the response timeout, and a change must
- * still take effect in time after that: within the bounds for regaining contact and for applying a configuration together.
+ * still take effect in time after that: within the bounds for regaining contact and for applying a configuration together. An evacuation has a bound of its own.
  */
-function computeWatchTimeoutMs ({ store: { watch_ms: configured, timeout_ms: timeout }, bounds }: settings.FleetSettings): number {
-  return configured ?? Math.max(timeout, bounds.contact_ms + bounds.configuration_ms - timeout)
+function computeWatchTimeoutMs ({ store: { watch_ms: configured, timeout_ms: timeout }, bounds }: settings.FleetSettings, kind: string): number {
+  if (configured !== undefined) return configured
+  const usualMs = Math.max(timeout, bounds.contact_ms + bounds.configuration_ms - timeout)
+  if (kind !== platform.OBJECT_KINDS.evacuations || bounds.evacuation_ms === undefined) return usualMs
+  return Math.max(timeout, Math.min(usualMs, bounds.evacuation_ms - EVACUATION_SPREAD_MS - timeout))
 }
 
 function formatHallLabel (isOwnHall: boolean): string {
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -12,6 +12,7 @@
 import * as types from '@switchridge/types'
 import * as createBackEndList from '../_lib/createBackEndList.js'
 import * as createCopyAnswers from '../createCopyAnswers/index.js'
+import * as createEvacuations from '../createEvacuations/index.js'
 import * as createVersionRecord from '../createVersionRecord/index.js'
 import * as readCopyAnswer from '../readCopyAnswer/index.js'
 import * as copyParts from '../_lib/copyParts.js'
@@ -35,6 +36,8 @@
   readonly onBackEnds: (listener: () => void) => void
   readonly versions: createVersionRecord.VersionRecord
   readonly areVersionsKnown: () => boolean
+  /** Data halls that operators are evacuating; agents don't follow them. */
+  readonly evacuations: createEvacuations.Evacuations
   readonly onVersions: (listener: () => void) => void
   /** Mirrors of the kinds that the role needs: an agent needs no list of back ends, and only part of the configuration. */
   readonly mirrors: readonly store.Mirror[]
@@ -85,6 +88,7 @@
   const backEndObjects = store.createMirror(platform.OBJECT_KINDS.backEnds)
   const namedVersions = store.createMirror(platform.OBJECT_KINDS.versions)
   const versions = createVersionRecord.createVersionRecord({ boundMs: checked.bounds.version_ms, marginMs: VERSION_MARGIN_MS, startupBoundMs: checked.role === 'agent' ? checked.bounds.version_ms : STARTUP_GRACE_MS, onBound: logBound, now })
+  const evacuations = createEvacuations.createEvacuations({ boundMs: checked.role === 'gateway' ? checked.bounds.evacuation_ms ?? null : null, logger, observe: metrics.observe, now })
   const routeListeners: Array<(table: gateway.RouteTable) => void> = []
   let routes: gateway.RouteTable | null = null
   const loggedFigures = new Map<types.ServiceName, string>()
@@ -198,7 +202,8 @@
     versions,
     areVersionsKnown: namedVersions.isInitialized,
     onVersions: (listener) => { namedVersions.onChange(listener) },
-    mirrors: checked.role === 'gateway' ? [configurations, backEndObjects, namedVersions] : [configurations, namedVersions],
+    evacuations,
+    mirrors: checked.role === 'gateway' ? [configurations, backEndObjects, namedVersions, ...(evacuations.mirror === null ? [] : [evacuations.mirror])] : [configurations, namedVersions],
     clock: steadyClock,
     now,
     at: clock.createDeadlineScheduler(steadyClock)
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -38,7 +38,7 @@
   const tracker = gateway.createBackEndTracker(now)
   const budgets = new Map<types.ServiceName, gateway.RetryBudget>()
   const errorBounds = new Map<types.ServiceName, gateway.ErrorBound>()
-  const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: () => false }
+  const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: parts.evacuations.isEvacuated }
   let isLeaving = false
 
   let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
@@ -197,6 +197,7 @@
     tracker,
     choose: chooseBackEnd,
     findExclusion,
+    onSent: ({ zone }) => { parts.evacuations.noteSent(zone) },
     budgetOf,
     errorBoundOf,
     sharedTargetOf: gateway.createSharedTargets(now).note,
@@ -227,7 +228,7 @@
     : await openTextServer.openTextServer(platform.parseAddress(checked.listen.readiness), { [platform.READINESS_PATH]: () => ({ status: isReady() ? OK : UNAVAILABLE }) })
 
   function isReady (): boolean {
-    return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown() && callQuarantine.isInitialized()
+    return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown() && parts.evacuations.isKnown() && callQuarantine.isInitialized()
   }
 
   async function drain (): Promise<void> {
@@ -259,6 +260,7 @@
   metrics.gauge('ends_known', callQuarantine.countEnds)
   metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
+  metrics.gauge('evacuations_in_force', () => parts.evacuations.list().length)
   metrics.gauge('facts', exchange.facts.count)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
@@ -268,6 +270,7 @@
     blockedCalls: callQuarantine.blocks().map(({ fingerprint, count, since }) => ({ fingerprint, count, ageSeconds: Math.round((now() - since) / types.MILLISECONDS_IN_SECOND) })),
     endsKnown: callQuarantine.countEnds(),
     rateLimits: limiter.inForce().map(({ life, perSecond, receivedAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - receivedAt) / types.MILLISECONDS_IN_SECOND) })),
+    evacuations: parts.evacuations.list(),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
     backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), models: Object.fromEntries(backEnd.models) }))
   }))
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -43,6 +43,8 @@
   readonly choose: (choice: CallChoice) => chooseBackEnd.ChoiceOutcome
   /** Why a back end may not serve a call even if it has room; null if it may. Checked again right before each attempt. */
   readonly findExclusion: (backEnd: gateway.BackEnd, allowedRegions: gateway.AllowedRegions) => gateway.ExclusionReason | null
+  /** Called right before an attempt is sent to a back end. */
+  readonly onSent: (backEnd: gateway.BackEnd) => void
   readonly budgetOf: (service: types.ServiceName) => createRetryBudget.RetryBudget
   /** How much later than predicted recent calls of a service began. */
   readonly errorBoundOf: (service: types.ServiceName) => createErrorBound.ErrorBound
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -46,6 +46,7 @@
     sharedTargetOf: () => DEADLINE_MS,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
     backoffs: { read: () => ({ waitMs: happened === 'backing-off' ? BACKOFF_MS : 0, maximumUnanswered: Infinity }) },
+    onSent: () => {},
     findExclusion: () => happened === 'evacuated' ? 'evacuated' : null,
     leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -205,6 +205,7 @@
       hasResponded: false
     }
     options.tracker.noteSent(choice.backEnd.id, open)
+    options.onSent(choice.backEnd)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -37,6 +37,7 @@
     grace_seconds: zod.number().positive().default(8)
   }).prefault({}),
   bounds: zod.strictObject({
+    evacuation_ms: milliseconds.optional(),
     version_ms: milliseconds.default(8000),
     contact_ms: milliseconds.default(3000),
     configuration_ms: milliseconds.default(2000),
