--- a/packages/command-line/src/statusCommand/index.ts
+++ b/packages/command-line/src/statusCommand/index.ts
@@ -1,12 +1,50 @@
-/** `switchridge status`: prints the condition of each daemon, what it serves and what it waits for. */
+/** `switchridge status`: prints the condition of each daemon, what it serves and what it waits for, or the evacuated data halls as a gateway knows them. */
+import * as got from 'got'
 import type * as yargs from 'yargs'
+import * as types from '@switchridge/types'
 import * as connections from '../_lib/connect.js'
 import * as report from '../_lib/report.js'
 
+interface StatusArguments extends connections.ConnectionArguments {
+  readonly gateway?: string | undefined
+}
+
+/** The part of a gateway's status that is printed. */
+interface GatewayStatus {
+  readonly evacuations?: ReadonlyArray<{ readonly hall: string, readonly revision: number, readonly ageMs: number | null }>
+}
+
+const STATUS_TIMEOUT_MS = 5000
+
 /** Adds the `status` command. */
 export function addStatusCommand (parser: yargs.Argv): yargs.Argv {
-  return parser.command('status', 'show every daemon as an entry node sees it', (command) => connections.addConnectionOptions(command)
-    .example('$0 status --entry 10.0.0.5:7000', 'ask one entry node'), async (options) => { await showStatus(options as unknown as connections.ConnectionArguments) })
+  return parser.command('status', 'show every daemon as an entry node sees it, or the evacuated data halls as a gateway knows them', (command) => connections.addConnectionOptions(command)
+    .option('gateway', { type: 'string', describe: 'HOST:PORT of the control address of a gateway', conflicts: 'entry' })
+    .example('$0 status --entry 10.0.0.5:7000', 'ask one entry node')
+    .example('$0 status --gateway 10.2.0.37:8000', 'ask one gateway'), async (options) => {
+    const args = options as unknown as StatusArguments
+    await (args.gateway === undefined ? showStatus(args) : showGatewayStatus(args.gateway, args.json))
+  })
+}
+
+async function showGatewayStatus (gateway: string, isJson: boolean): Promise<void> {
+  const status = await readGatewayStatus(gateway)
+  if (!status.ok) {
+    report.reportError(status.error)
+    return
+  }
+  const evacuations = status.value.evacuations ?? []
+  if (isJson) report.print(JSON.stringify(status.value))
+  else if (evacuations.length === 0) report.print('no data hall is evacuated')
+  else report.printColumns(['evacuated data hall', 'revision', 'for at most'], evacuations.map(({ hall, revision, ageMs }) => [hall, String(revision), ageMs === null ? 'unknown' : `${Math.round(ageMs / types.MILLISECONDS_IN_SECOND)} s`]))
+}
+
+async function readGatewayStatus (gateway: string): Promise<types.Outcome<GatewayStatus, types.UnavailableError>> {
+  try {
+    return types.succeed(await got.got(`http://${gateway}/status`, { retry: { limit: 0 }, timeout: { request: STATUS_TIMEOUT_MS } }).json<GatewayStatus>())
+  } catch (thrown) {
+    return types.fail(new types.UnavailableError(`${gateway}: ${types.describeError(thrown)}`))
+  }
 }
 
 async function showStatus (options: connections.ConnectionArguments): Promise<void> {
--- a/packages/daemon/src/_lib/simulatedFleet.ts
+++ b/packages/daemon/src/_lib/simulatedFleet.ts
@@ -59,6 +59,10 @@
   /** Writes an object to the store, as an operator or an engine does; returns the new revision of the store. */
   readonly put: (kind: string, name: string, value: unknown) => number
   readonly remove: (kind: string, name: string) => void
+  /** The connections of all pending watches die silently: each watch gets no answer until its timeout. */
+  readonly loseWatches: () => void
+  /** Number of lists and watches of a kind that were sent to the store. */
+  readonly countStoreCalls: (kind: string) => number
   /** Writes a configuration with `routes` routes in addition to the basic ones; returns its version. */
   readonly configure: (routes: number) => number
   /** Advances the time for all daemons in steps of a millisecond. */
@@ -143,7 +147,8 @@
 const REQUEST_BYTES = 400
 const STORE_RESPONSE_MS = 4
 /** Idle timeouts for answers of the store and of other daemons, the same as in production. */
-const STORE_LIMITS: standins.StreamOptions = { idleTimeoutMs: 1200 }
+const STORE_TIMEOUT_MS = 1200
+const STORE_LIMITS: standins.StreamOptions = { idleTimeoutMs: STORE_TIMEOUT_MS }
 const PEER_LIMITS: standins.StreamOptions = { idleTimeoutMs: 1000 }
 const SEED_COUNT = 3
 const FACT_LIFETIME_MS = 600_000
@@ -178,13 +183,14 @@
   let revision = 0
   let wakeWatchers: Array<() => void> = []
   let version = 0
+  /** Number of times that the connections of watches were lost. */
+  let lostWatches = 0
+  const storeCalls = new Map<string, number>()
   const sizeOf = createSizeCache()
 
   function record (kind: string, event: store.StoreEvent): void {
     history.push({ kind, event })
-    const wakeNow = wakeWatchers
-    wakeWatchers = []
-    for (const each of wakeNow) each()
+    wakeAll()
   }
 
   function put (kind: string, name: string, value: unknown): number {
@@ -202,6 +208,16 @@
     record(kind, { object: { name, revision, value: null }, isGone: true })
   }
 
+  function noteCall (kind: string): void {
+    storeCalls.set(kind, (storeCalls.get(kind) ?? 0) + 1)
+  }
+
+  function wakeAll (): void {
+    const wakeNow = wakeWatchers
+    wakeWatchers = []
+    for (const each of wakeNow) each()
+  }
+
   function createStoreClient (host: string): store.CollectionStore {
     async function answer<Value> (value: Value): Promise<types.Outcome<Value, types.UnavailableError>> {
       await types.delay(STORE_RESPONSE_MS)
@@ -210,16 +226,24 @@
     }
     return {
       listAll: async (kind) => {
+        noteCall(kind)
         await network.sendStream(host, STORE_HOST, REQUEST_BYTES)
         return await answer({ objects: [...objects.get(kind)?.values() ?? []], at: revision })
       },
       watchAll: async (kind, from, waitMs) => {
+        noteCall(kind)
+        const lostBefore = lostWatches
+        const isLost = (): boolean => lostWatches !== lostBefore
         await network.sendStream(host, STORE_HOST, REQUEST_BYTES)
         const endsAt = now() + waitMs
         const list = (): store.StoreEvent[] => history.filter((change) => change.kind === kind && change.event.object.revision > from).map(({ event }) => event)
-        while (list().length === 0 && now() < endsAt) {
+        while (!isLost() && list().length === 0 && now() < endsAt) {
           await Promise.race([types.delay(endsAt - now()), new Promise<void>((resolve) => { wakeWatchers.push(resolve) })])
         }
+        if (isLost()) {
+          await types.delay(endsAt - now() + STORE_TIMEOUT_MS)
+          return types.fail(new types.UnavailableError('no answer in time'))
+        }
         return await answer({ events: list(), at: revision })
       },
       put: async () => types.fail(new types.UnavailableError('the simulated store is read-only')),
@@ -306,6 +330,11 @@
     gateways: daemons.filter((each) => each.role === 'gateway'),
     put,
     remove,
+    loseWatches: () => {
+      lostWatches += 1
+      wakeAll()
+    },
+    countStoreCalls: (kind) => storeCalls.get(kind) ?? 0,
     advance,
     configure: (routes) => {
       version += 1
--- a/packages/daemon/src/createEvacuations/fleet.test.ts
+++ b/packages/daemon/src/createEvacuations/fleet.test.ts
@@ -88,6 +88,19 @@
   await waitUntilKnown(fleet, frozen, CONTACT_MS)
 })
 
+nodeTest.test('an evacuation is known in time although the connections of all watches die silently right before it', async (context) => {
+  const fleet = await openFleet(context)
+  for (const restMs of [100, 900, 1700]) {
+    await fleet.advance(restMs)
+    fleet.loseWatches()
+    await fleet.advance(1)
+    fleet.put(KIND, HALL, {})
+    context.diagnostic(`known after ${await waitUntilKnown(fleet, fleet.gateways, EVACUATION_MS)} ms`)
+    fleet.remove(KIND, HALL)
+    await waitUntilKnown(fleet, fleet.gateways, EVACUATION_MS, false)
+  }
+})
+
 nodeTest.test('a hall that is cut off and evacuated is known to the others in time, and to its own gateways once they are bound again', async (context) => {
   const fleet = await openFleet(context)
   fleet.network.isolateRegion('region-1')
@@ -123,3 +136,13 @@
   for (const daemon of without.daemons) await daemon.start()
   for (const daemon of without.daemons) assert.ok(!readKinds(daemon).includes(KIND), daemon.host)
 })
+
+/** Guards against watches by every gateway, each of which costs a call. A watch waits for at least 0.6 of 3,200 ms. */
+nodeTest.test('one gateway of each of three halls watches the evacuations', async (context) => {
+  const fleet = await openFleet(context, { halls: 4, gatewaysPerHall: 6, agentsPerHall: 0 })
+  const before = fleet.countStoreCalls(KIND)
+  await fleet.advance(20_000)
+  const calls = fleet.countStoreCalls(KIND) - before
+  context.diagnostic(`${calls} calls in 20 s`)
+  assert.ok(calls > 0 && calls <= 3 * Math.ceil(20_000 / 1920), `${calls} calls`)
+})
