--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -38,7 +38,7 @@
   const tracker = gateway.createBackEndTracker(now)
   const budgets = new Map<types.ServiceName, gateway.RetryBudget>()
   const errorBounds = new Map<types.ServiceName, gateway.ErrorBound>()
-  const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: () => false }
+  const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: parts.evacuations.isEvacuated }
   let isLeaving = false
 
   let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
@@ -202,6 +202,7 @@
     tracker,
     choose: chooseBackEnd,
     findExclusion,
+    onSent: ({ zone }) => { parts.evacuations.noteSent(zone) },
     budgetOf,
     errorBoundOf,
     sharedTargetOf: gateway.createSharedTargets(now).note,
@@ -221,6 +222,7 @@
   })
   const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
   parts.onRoutes((table) => { server.setLimits(table.configuration.limits) })
+  parts.evacuations.onTakenBack(limiter.noteTakenBack)
   parts.onBackEnds(() => {
     tracker.keepOnly(parts.backEnds())
     limiter.removeUnlisted()
@@ -233,7 +235,7 @@
     : await openTextServer.openTextServer(platform.parseAddress(checked.listen.readiness), { [platform.READINESS_PATH]: () => ({ status: isReady() ? OK : UNAVAILABLE }) })
 
   function isReady (): boolean {
-    return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown() && callQuarantine.isInitialized()
+    return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown() && parts.evacuations.isKnown() && callQuarantine.isInitialized()
   }
 
   async function drain (): Promise<void> {
@@ -266,6 +268,7 @@
   metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
   metrics.gauge('back_ends_cold', () => limiter.listCold().length)
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
+  metrics.gauge('evacuations_in_force', () => parts.evacuations.list().length)
   metrics.gauge('facts', exchange.facts.count)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
@@ -276,6 +279,7 @@
     endsKnown: callQuarantine.countEnds(),
     rateLimits: limiter.inForce().map(({ life, perSecond, receivedAt }) => ({ life, perSecond, ageSeconds: Math.round((now() - receivedAt) / types.MILLISECONDS_IN_SECOND) })),
     coldBackEnds: limiter.listCold(),
+    evacuations: parts.evacuations.list(),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
     backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), models: Object.fromEntries(backEnd.models) }))
   }))
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -49,6 +49,7 @@
     mustConfirmSlots: () => false,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
     backoffs: { read: () => ({ waitMs: happened === 'backing-off' ? BACKOFF_MS : 0, maximumUnanswered: Infinity }) },
+    onSent: () => {},
     findExclusion: () => happened === 'evacuated' ? 'evacuated' : null,
     leavers: { isLeaving: () => happened === 'leaving' },
     limiter: {
