Simulate an origin whose open connections are reset or hang, and report the first complete agents

Cause: the simulation of a staging fleet completed open connections when the origin became unavailable, and reported neither the first complete agent nor the first one of each region, so that the recovery required in docs/design/hard-load.md could not be measured. Bytes of reads that break off are counted as bytes of the origin, too.

--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -28,15 +28,37 @@
   readonly originConnections?: number
   /** Rate of the origin's link in bytes per millisecond, {@link ORIGIN_BYTES_PER_MS} if absent. */
   readonly originBytesPerMs?: number
-  /** The origin refuses all requests between these milliseconds after the naming. */
-  readonly outage?: { readonly fromMs: number, readonly untilMs: number }
+  /** Rate of each agent's link in bytes per millisecond, {@link LINK_BYTES_PER_MS} if absent. */
+  readonly linkBytesPerMs?: number
+  /** Rate between two regions in bytes per millisecond, {@link REGION_LINK_BYTES_PER_MS} if absent. */
+  readonly regionBytesPerMs?: number
+  /**
+   * The origin is unavailable between these milliseconds after the naming. `refuse`, the default: it refuses new connections and completes open ones; `reset`: it
+   * refuses new connections and resets open ones; `hang`: all connections hang, and those that were opened in this time are never answered.
+   */
+  readonly outage?: { readonly fromMs: number, readonly untilMs: number, readonly manner?: 'refuse' | 'reset' | 'hang' }
+  /** Changes the names of the agents, and thereby their random decisions. */
+  readonly seed?: number
   /** From this many milliseconds after the naming, negative for before it, the links of the first agents have this rate. */
   readonly narrowing?: { readonly agents: number, readonly atMs: number, readonly bytesPerMs: number }
   /** Milliseconds between calls over each narrowed link; {@link CALL_INTERVAL_MS} if absent. */
   readonly callIntervalMs?: number
   /** Whether the engines hold an older version, which serves until the deadline of the new one. */
   readonly areServing?: boolean
+  /** Milliseconds from the naming to the deadline of the version, {@link DEADLINE_MS} if absent. */
+  readonly deadlineMs?: number
   readonly maximumMs?: number
+  /** Called with what happens to agents, to find out who waits for what. */
+  readonly onEvent?: (event: SimulatedEvent) => void
+}
+
+/** An event of an agent. */
+export interface SimulatedEvent {
+  /** Milliseconds from the naming. */
+  readonly atMs: number
+  readonly agent: string
+  readonly event: string
+  readonly fields: Readonly<Record<string, string | number | boolean>>
 }
 
 /** A call that was sent over the link of an agent to its engine. */
@@ -48,6 +70,9 @@
 
 /** Measurements of a simulation; times in milliseconds from the naming of the version. */
 export interface SimulationResult {
+  /** When the first agent had the complete version, and when the first one of every region had it. */
+  readonly firstMs: number
+  readonly firstInRegionsMs: number
   readonly medianMs: number
   /** Infinity when an agent that neither lost power nor has a slow link did not get the complete version. */
   readonly lastMs: number
@@ -98,6 +123,9 @@
 const ORIGIN_BYTES_PER_MS = 912
 /** Connection limit of a real origin, which refuses even fewer while its queue is long. */
 const ORIGIN_CONNECTIONS = 48
+/** An agent aborts a read from the origin without a first byte, or without a further one, after these times. Same values as in the client of the origin. */
+const ORIGIN_FIRST_BYTE_MS = 2600
+const ORIGIN_IDLE_MS = 1000
 const REGIONS = ['a', 'b', 'c']
 const PIECES = 96
 const PIECE_BYTES = 24_576
@@ -138,14 +166,15 @@
  * @returns The measurements.
  */
 export async function simulateVersion (advance: () => Promise<void>, options: SimulationOptions): Promise<SimulationResult> {
-  const { agents: count, linkFraction = 1, slowAgents = 0, dying = 0, startMs = 0, partitionMs = 0, originConnections = ORIGIN_CONNECTIONS, originBytesPerMs = ORIGIN_BYTES_PER_MS, maximumMs = MAXIMUM_MS } = options
+  const { agents: count, linkFraction = 1, slowAgents = 0, dying = 0, startMs = 0, partitionMs = 0, originConnections = ORIGIN_CONNECTIONS, originBytesPerMs = ORIGIN_BYTES_PER_MS, linkBytesPerMs = LINK_BYTES_PER_MS, regionBytesPerMs = REGION_LINK_BYTES_PER_MS, deadlineMs = DEADLINE_MS, maximumMs = MAXIMUM_MS } = options
   const now = Date.now
   const startedAt = now()
-  const names = Array.from({ length: count }, (_, index) => `n-${index}`)
+  const prefix = options.seed === undefined ? 'n' : `n${options.seed}`
+  const names = Array.from({ length: count }, (_, index) => `${prefix}-${index}`)
   const regionOf = (index: number): string => REGIONS[index % REGIONS.length] as string
   const hasSlowLink = (index: number): boolean => index < Math.max(slowAgents, options.narrowing?.agents ?? 0)
   const isDying = (index: number): boolean => index >= slowAgents && index < slowAgents + dying
-  const rateOf = (index: number): number => LINK_BYTES_PER_MS * (index < slowAgents ? SLOW_LINK_FRACTION : linkFraction)
+  const rateOf = (index: number): number => linkBytesPerMs * (index < slowAgents ? SLOW_LINK_FRACTION : linkFraction)
   const gatewayOf = (region: string): string => `gateway-${region}`
   const network = standins.createSimulatedNetwork({
     hosts: [
@@ -153,38 +182,69 @@
       ...names.map((host, index) => ({ host, region: regionOf(index), bytesPerMs: rateOf(index) })),
       { host: ORIGIN, region: ORIGIN, bytesPerMs: originBytesPerMs }
     ],
-    interRegionBytesPerMs: REGION_LINK_BYTES_PER_MS,
+    interRegionBytesPerMs: regionBytesPerMs,
     intraRegionDelayMs: NEAR_MS,
     interRegionDelayMs: FAR_MS,
     now
   })
   const running = new Map<string, SimulatedAgent>()
-  const counts = { originRequests: 0, originPieces: 0, originOpen: 0, originPeak: 0, crossings: 0, suspicions: 0, abortedAnswers: 0 }
+  const counts = { originRequests: 0, originPieceBytes: 0, originOpen: 0, originPeak: 0, crossings: 0, suspicions: 0, abortedAnswers: 0 }
   const stops: (() => void)[] = []
+  const originRequests = new Set<AbortController>()
 
   function isOriginDown (): boolean {
     const sinceMs = now() - startedAt
     return options.outage !== undefined && sinceMs >= options.outage.fromMs && sinceMs < options.outage.untilMs
   }
 
-  async function askOrigin (from: string, bytes: number): Promise<boolean> {
-    await network.sendStream(from, ORIGIN, REQUEST_BYTES)
-    counts.originRequests += 1
-    if (counts.originOpen >= originConnections || isOriginDown()) return false
-    counts.originOpen += 1
-    counts.originPeak = Math.max(counts.originPeak, counts.originOpen)
-    const isCarried = await network.sendStream(ORIGIN, from, bytes)
-    counts.originOpen -= 1
+  function report (agent: string, event: string, fields: SimulatedEvent['fields']): void {
+    options.onEvent?.({ atMs: now() - startedAt, agent, event, fields })
+  }
+
+  /** Sends a request to the origin; returns whether all bytes of the answer arrived. */
+  async function askOrigin (from: string, bytes: number, onBytes: (bytes: number) => void): Promise<boolean> {
+    const aborting = new AbortController()
+    const { signal } = aborting
+    const abort = (): void => { aborting.abort() }
+    let timer = setTimeout(abort, ORIGIN_FIRST_BYTE_MS)
+    let isOpen = false
+    originRequests.add(aborting)
+    let isCarried = await network.sendStream(from, ORIGIN, REQUEST_BYTES, { signal })
+    if (isCarried) {
+      counts.originRequests += 1
+      isOpen = counts.originOpen < originConnections && !isOriginDown()
+      isCarried = false
+    }
+    if (isOpen) {
+      counts.originOpen += 1
+      counts.originPeak = Math.max(counts.originPeak, counts.originOpen)
+      isCarried = await network.sendStream(ORIGIN, from, bytes, {
+        signal,
+        onBytes: (arrived) => {
+          clearTimeout(timer)
+          timer = setTimeout(abort, ORIGIN_IDLE_MS)
+          onBytes(arrived)
+        }
+      })
+      counts.originOpen -= 1
+    }
+    clearTimeout(timer)
+    originRequests.delete(aborting)
     return isCarried
   }
 
   function createOrigin (from: string): staging.WeightOrigin {
     return {
-      readManifest: async () => await askOrigin(from, PIECES * DIGEST_BYTES) ? types.succeed(DIGESTS) : types.fail(new types.UnavailableError('refused')),
+      readManifest: async () => {
+        const isRead = await askOrigin(from, PIECES * DIGEST_BYTES, () => {})
+        report(from, 'origin-manifest', { isRead })
+        return isRead ? types.succeed(DIGESTS) : types.fail(new types.UnavailableError('refused'))
+      },
       readPiece: async (_id, piece) => {
-        if (!await askOrigin(from, PIECE_BYTES)) return types.fail(new types.UnavailableError('refused'))
-        counts.originPieces += 1
-        return types.succeed(PIECE_BODIES[piece] as Buffer)
+        const sentAt = now()
+        const isRead = await askOrigin(from, PIECE_BYTES, (bytes) => { counts.originPieceBytes += bytes })
+        report(from, 'origin-piece', { piece, isRead, tookMs: now() - sentAt })
+        return isRead ? types.succeed(PIECE_BODIES[piece] as Buffer) : types.fail(new types.UnavailableError('refused'))
       }
     }
   }
@@ -235,7 +295,7 @@
   function startAgent (index: number): void {
     const name = names[index] as string
     const self: staging.StagingPeer = { node: types.brandId(name), zone: regionOf(index), address: { host: name, port: 1 } }
-    const uplink = createPieceUplink.createPieceUplink(LINK_BYTES_PER_MS * types.MILLISECONDS_IN_SECOND, () => UPLINK_SHARE * (running.get(name)?.stager.linkFraction() ?? 1), now)
+    const uplink = createPieceUplink.createPieceUplink(linkBytesPerMs * types.MILLISECONDS_IN_SECOND, () => UPLINK_SHARE * (running.get(name)?.stager.linkFraction() ?? 1), now)
     const known = new Map<string, KnownPeer>()
     const suspectUntil = new Map<types.NodeId, number>()
     let draws = 0
@@ -276,7 +336,7 @@
     const stager = createStager.createStager({
       self,
       model: ID.model,
-      named: () => [{ id: ID, namedAt: startedAt, deadlineAt: startedAt + DEADLINE_MS }],
+      named: () => [{ id: ID, namedAt: startedAt, deadlineAt: startedAt + deadlineMs }],
       readEngine: async () => ({ bornAt: null, held, running: 0, waiting: 0, isBusy: false, isLeaving: false, sequence: 0 }),
       engine: {
         putPiece: async (_model, piece, bytes) => {
@@ -297,11 +357,13 @@
       agents: listAgents,
       expectedZones: () => now() - startedAt < ZONES_EXPECTED_MS ? REGIONS : [],
       fetchFromPeer: async (peer, id, wanted, mayRefer, { onHeaders: onHead, onBytes }) => {
+        const sentAt = now()
         const fetched = await ask<createPieceFetcher.SentPiece | createPieceStore.Referral>(name, peer.node, async (other) => {
           const answer = await other.stager.providePiece(id, wanted, { node: self.node, mayRefer, waitMs: createStager.PIECE_WAIT_MS })
           if (answer === null || 'holder' in answer) return { value: answer, bytes: REQUEST_BYTES }
           return { value: { piece: answer.piece, bytes: PIECE_BODIES[answer.piece] as Buffer }, slices: answer.slices }
         }, onHead, onBytes)
+        if (options.onEvent !== undefined) report(name, 'peer-piece', { peer: peer.node, wanted: wanted.length, piece: fetched.ok ? fetched.value?.piece ?? 'none' : 'failed', isReferral: fetched.ok && fetched.value !== null && 'holder' in fetched.value, tookMs: now() - sentAt })
         if (!fetched.ok || fetched.value === null || !('bytes' in fetched.value)) return fetched
         running.get(peer.node)?.stager.recordSent(id, fetched.value.piece, self.node)
         if (peer.zone !== self.zone) counts.crossings += 1
@@ -320,14 +382,15 @@
       },
       onTurn: () => {},
       onPause: () => {},
-      onEvent: (event) => {
+      onEvent: (event, fields) => {
+        report(name, event, fields)
         const agent = running.get(name)
         if (event === 'version-whole' && agent !== undefined) agent.completeMs = now() - startedAt
       },
       uplink: { backlogMs: uplink.backlogMs, send: () => uplink.send(SENT_PIECE) },
-      fullFetchMs: PIECES * PIECE_BYTES / (LINK_BYTES_PER_MS * UPLINK_SHARE),
+      fullFetchMs: PIECES * PIECE_BYTES / (linkBytesPerMs * UPLINK_SHARE),
       pieceBytes: PIECE_BYTES,
-      linkBytesPerSecond: LINK_BYTES_PER_MS * types.MILLISECONDS_IN_SECOND,
+      linkBytesPerSecond: linkBytesPerMs * types.MILLISECONDS_IN_SECOND,
       now,
       random: () => {
         draws += 1
@@ -362,6 +425,11 @@
     stops.push(() => { clearInterval(timer) })
   }
 
+  if (options.outage?.manner === 'hang') {
+    setTimeout(() => { network.disconnectHost(ORIGIN) }, options.outage.fromMs)
+    setTimeout(() => { network.reconnectHost(ORIGIN) }, options.outage.untilMs)
+  }
+  if (options.outage?.manner === 'reset') setTimeout(() => { for (const request of originRequests) request.abort() }, options.outage.fromMs)
   if (options.narrowing !== undefined) narrowLinks(options.narrowing)
   for (const index of names.keys()) setTimeout(() => { startAgent(index) }, 1 + Math.round(startMs * index / count))
   setTimeout(() => { for (const [index, name] of names.entries()) if (isDying(index)) network.disconnectHost(name) }, POWER_LOSS_MS)
@@ -375,12 +443,14 @@
   const linkSum = all.reduce((sum, _, index) => sum + rateOf(index), 0)
   const bytes = PIECES * PIECE_BYTES
   return {
+    firstMs: unimpaired[0] ?? Infinity,
+    firstInRegionsMs: Math.max(...REGIONS.map((region) => Math.min(...all.filter((agent) => agent.self.zone === region).map((agent) => agent.completeMs)))),
     medianMs: unimpaired[Math.floor(unimpaired.length / 2)] ?? Infinity,
     lastMs: unimpaired[unimpaired.length - 1] ?? Infinity,
     slowLastMs: Math.max(0, ...all.filter((agent) => agent.hasSlowLink).map((agent) => agent.completeMs)),
     completeAgents: all.filter((agent) => agent.completeMs < Infinity).length,
-    transferBoundMs: Math.max(bytes / (LINK_BYTES_PER_MS * linkFraction), bytes / originBytesPerMs, count * bytes / (originBytesPerMs + linkSum)),
-    originCopies: counts.originPieces / PIECES,
+    transferBoundMs: Math.max(bytes / (linkBytesPerMs * linkFraction), bytes / originBytesPerMs, count * bytes / (originBytesPerMs + linkSum)),
+    originCopies: counts.originPieceBytes / (PIECES * PIECE_BYTES),
     originRequests: counts.originRequests,
     originPeak: counts.originPeak,
     crossings: counts.crossings / PIECES / (REGIONS.length - 1),
