Read pieces of other agents from the origin only while it is available, and after the own ones

Cause: during an outage of the origin no agent gets a piece, so that each of them counted as cut off from its peers after 2.5 s. When the origin returned, agents read random missing pieces instead of their own ones, which their assigned readers read again.

Change: the time without a piece counts from the last failed read from the origin as well, and an agent reads its own pieces first.

--- a/packages/staging/src/_lib/originReads.ts
+++ b/packages/staging/src/_lib/originReads.ts
@@ -27,6 +27,8 @@
   readonly isReading: (piece: number) => boolean
   /** Whether the origin failed for a piece so often that peers should be asked for it, too. */
   readonly isFailing: (piece: number) => boolean
+  /** Monotonic time in milliseconds of the last failed read, -Infinity if none failed. */
+  readonly lastFailureAt: () => number
 }
 
 const BACKOFF_INITIAL_MS = 60
@@ -58,6 +60,7 @@
   const failures = new Map<number, number>()
   let consecutiveFailures = 0
   let pausedUntil = -Infinity
+  let lastFailureAt = -Infinity
 
   async function read (piece: number): Promise<void> {
     reading.add(piece)
@@ -79,6 +82,7 @@
   function noteFailure (piece: number): void {
     failures.set(piece, (failures.get(piece) ?? 0) + 1)
     consecutiveFailures += 1
+    lastFailureAt = options.now()
     const maximumMs = Math.min(BACKOFF_CAP_MAXIMUM_MS, Math.max(BACKOFF_CAP_MINIMUM_MS, BACKOFF_PER_AGENT_MS * options.countAgents()))
     const pauseMs = Math.min(maximumMs, BACKOFF_INITIAL_MS * 2 ** (consecutiveFailures - 1))
     pausedUntil = options.now() + types.jitter(pauseMs, JITTER_MINIMUM_FRACTION, options.random())
@@ -88,6 +92,7 @@
     mayBegin: () => reading.size < CONCURRENT_READS && options.window.hasRoom() && options.now() >= pausedUntil,
     begin: (piece) => { void read(piece) },
     isReading: (piece) => reading.has(piece),
-    isFailing: (piece) => (failures.get(piece) ?? 0) >= FAILURES_BEFORE_PEERS
+    isFailing: (piece) => (failures.get(piece) ?? 0) >= FAILURES_BEFORE_PEERS,
+    lastFailureAt: () => lastFailureAt
   }
 }
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -221,6 +221,7 @@
       isCarried = await network.sendStream(ORIGIN, from, bytes, {
         signal,
         onBytes: (arrived) => {
+          if (signal.aborted) return
           clearTimeout(timer)
           timer = setTimeout(abort, ORIGIN_IDLE_MS)
           onBytes(arrived)
--- a/packages/staging/src/createPieceFetcher/index.ts
+++ b/packages/staging/src/createPieceFetcher/index.ts
@@ -183,19 +183,22 @@
     }
   }
 
-  /** Reads the pieces assigned to this agent; also all others, slowly, once peers have provided nothing for long. */
+  /** Reads the pieces assigned to this agent, and after them all others, slowly, once peers have provided nothing for long although the origin is available. */
   function readFromOrigin (missing: readonly number[]): void {
     const now = options.now()
-    if (now - Math.max(lastPeerPieceAt, readPeersUsedSince()) < STALLED_MS) fallbackReadAt = null
+    if (now - Math.max(lastPeerPieceAt, readPeersUsedSince(), origin.lastFailureAt()) < STALLED_MS) fallbackReadAt = null
     else fallbackReadAt ??= now + options.random() * FALLBACK_PAUSE_PER_AGENT_MS * agents.length
-    const mayReadOthers = fallbackReadAt !== null && now >= fallbackReadAt
-    for (const piece of missing) {
-      if (!origin.mayBegin()) return
-      const isAssigned = assignments[piece]?.part === 'reader'
-      if ((!isAssigned && !mayReadOthers) || origin.isReading(piece)) continue
-      if (!isAssigned) fallbackReadAt = now + FALLBACK_PAUSE_PER_AGENT_MS * agents.length
-      origin.begin(piece)
+    if (!origin.mayBegin()) return
+    const unread = missing.filter((piece) => !origin.isReading(piece))
+    const assigned = unread.find((piece) => assignments[piece]?.part === 'reader')
+    if (assigned !== undefined) {
+      origin.begin(assigned)
+      return
     }
+    const other = unread[0]
+    if (other === undefined || fallbackReadAt === null || now < fallbackReadAt) return
+    fallbackReadAt = now + FALLBACK_PAUSE_PER_AGENT_MS * agents.length
+    origin.begin(other)
   }
 
   /** Groups the missing pieces by the peer to ask; each piece is visited once, however many agents there are. */
