Give a read from the origin less time for its first byte after one that hung

Cause: while the origin hung, each agent waited 2.6 s for the first byte of a read, so that after the return it waited up to 2.6 s more for a connection that would never be answered. The limit covers the queue of an origin that is available.

Change: after a read that hung, the next one is aborted without a first byte after 25 ms for each agent that reads, at least 300 ms.

--- a/packages/staging/src/_lib/originReads.ts
+++ b/packages/staging/src/_lib/originReads.ts
@@ -42,6 +42,14 @@
 const BACKOFF_CAP_MAXIMUM_MS = 3000
 /** A pause is randomized between this fraction and all of it, so that agents refused together don't retry together. */
 const JITTER_MINIMUM_FRACTION = 0.5
+/** A failed read that took longer than this was not refused: the connection hung. */
+const HANG_MS = 250
+/**
+ * The next read after one that hung is aborted when no byte has arrived after this time, per agent that reads, so that an origin that recovers is read again
+ * soon. An origin that is available sends the first byte within it even if all agents that read have asked it at once, and pieces take 25 ms each.
+ */
+const FIRST_BYTE_PER_READER_MS = 25
+const FIRST_BYTE_MINIMUM_MS = 300
 /**
  * Concurrent reads of an agent from the origin. All agents share its link and its limit of connections: with more reads each,
  * every first piece arrives later, and until then no agent has a piece to provide.
@@ -62,13 +70,16 @@
   let consecutiveFailures = 0
   let pausedUntil = -Infinity
   let lastFailureAt = -Infinity
+  let hasHung = false
 
   async function read (piece: number): Promise<void> {
     reading.add(piece)
     const endRequest = options.window.request()
-    const answered = await options.origin.readPiece(options.id, piece)
+    const startedAt = options.now()
+    const answered = await options.origin.readPiece(options.id, piece, hasHung ? Math.max(FIRST_BYTE_MINIMUM_MS, FIRST_BYTE_PER_READER_MS * options.countReaders()) : undefined)
     endRequest()
     reading.delete(piece)
+    hasHung = !answered.ok && options.now() - startedAt > HANG_MS
     if (answered.ok) {
       consecutiveFailures = 0
       options.onRead(piece, answered.value)
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -202,11 +202,11 @@
   }
 
   /** Sends a request to the origin; returns whether all bytes of the answer arrived. */
-  async function askOrigin (from: string, bytes: number, onBytes: (bytes: number) => void): Promise<boolean> {
+  async function askOrigin (from: string, bytes: number, onBytes: (bytes: number) => void, firstByteTimeoutMs = ORIGIN_FIRST_BYTE_MS): Promise<boolean> {
     const aborting = new AbortController()
     const { signal } = aborting
     const abort = (): void => { aborting.abort() }
-    let timer = setTimeout(abort, ORIGIN_FIRST_BYTE_MS)
+    let timer = setTimeout(abort, firstByteTimeoutMs)
     let isOpen = false
     originRequests.add(aborting)
     let isCarried = await network.sendStream(from, ORIGIN, REQUEST_BYTES, { signal })
@@ -241,9 +241,9 @@
         report(from, 'origin-manifest', { isRead })
         return isRead ? types.succeed(DIGESTS) : types.fail(new types.UnavailableError('refused'))
       },
-      readPiece: async (_id, piece) => {
+      readPiece: async (_id, piece, firstByteTimeoutMs) => {
         const sentAt = now()
-        const isRead = await askOrigin(from, PIECE_BYTES, (bytes) => { counts.originPieceBytes += bytes })
+        const isRead = await askOrigin(from, PIECE_BYTES, (bytes) => { counts.originPieceBytes += bytes }, firstByteTimeoutMs)
         report(from, 'origin-piece', { piece, isRead, tookMs: now() - sentAt })
         return isRead ? types.succeed(PIECE_BODIES[piece] as Buffer) : types.fail(new types.UnavailableError('refused'))
       }
--- a/packages/staging/src/createPieceFetcher/test.ts
+++ b/packages/staging/src/createPieceFetcher/test.ts
@@ -28,6 +28,8 @@
 interface Fetch {
   readonly fetcher: createPieceFetcher.PieceFetcher
   readonly originReads: number[]
+  /** Pieces that the origin sent, in order. */
+  readonly originPieces: number[]
   readonly mostOriginReads: () => number
 }
 
@@ -35,6 +37,8 @@
 interface FetchScenario {
   /** The origin refuses every connection. */
   readonly isOriginRefusing?: boolean
+  /** Milliseconds from the start during which the origin refuses every connection. */
+  readonly outageMs?: number
   readonly hasPeer?: boolean
   /** Milliseconds that the peer takes for a piece; Infinity when it has none. */
   readonly peerMs?: number
@@ -46,11 +50,13 @@
 }
 
 /** Starts a fetch; unless the scenario says otherwise, one peer has all pieces. */
-function startFetch (now: () => number, { isOriginRefusing = false, hasPeer = true, peerMs = 0, isPrefetching = () => false, emptyPeers = 0, isReferring = false }: FetchScenario): Fetch {
+function startFetch (now: () => number, { isOriginRefusing = false, outageMs = 0, hasPeer = true, peerMs = 0, isPrefetching = () => false, emptyPeers = 0, isReferring = false }: FetchScenario): Fetch {
   const self = createAgent('self', 'a')
   const peer = createAgent('peer', 'a')
   const others = Array.from({ length: emptyPeers }, (_, index) => createAgent(`empty-${index}`, 'a'))
   const originReads: number[] = []
+  const originPieces: number[] = []
+  const startedAt = now()
   let open = 0
   let mostOpen = 0
   const origin: staging.WeightOrigin = {
@@ -61,7 +67,9 @@
       mostOpen = Math.max(mostOpen, open)
       await types.delay(STEP_MS)
       open -= 1
-      return isOriginRefusing ? types.fail(new types.UnavailableError('reset')) : types.succeed(pieceOf(piece))
+      if (isOriginRefusing || now() - startedAt < outageMs) return types.fail(new types.UnavailableError('reset'))
+      originPieces.push(piece)
+      return types.succeed(pieceOf(piece))
     }
   }
   const fetcher = createPieceFetcher.createPieceFetcher({
@@ -81,7 +89,7 @@
     onEvent: () => {},
     onSuspect: () => {}
   })
-  return { fetcher, originReads, mostOriginReads: () => mostOpen }
+  return { fetcher, originReads, originPieces, mostOriginReads: () => mostOpen }
 }
 
 async function runFetch (context: nodeTest.TestContext, run: (now: () => number) => Fetch): Promise<Fetch & { readonly isWhole: boolean }> {
@@ -129,6 +137,18 @@
   assert.equal(result.originReads.length, PIECES)
 })
 
+/** Guards against agents that read random missing pieces when the origin returns after an outage, which their assigned readers read as well. */
+nodeTest.test('an agent that got nothing during an outage of the origin first reads the pieces assigned to it, and for a time only these', async (context) => {
+  const outageMs = 6000
+  const assigned = (await runFetch(context, (now) => startFetch(now, { peerMs: 0 }))).originPieces
+  context.mock.timers.reset()
+  const result = await runFetch(context, (now) => startFetch(now, { peerMs: Infinity, outageMs }))
+  const startedAt = result.originReads[0] as number
+  assert.deepEqual(new Set(result.originPieces.slice(0, assigned.length)), new Set(assigned))
+  const readsBySecond = result.originReads.filter((at) => at >= startedAt + outageMs && at < startedAt + outageMs + 2000).length
+  assert.equal(readsBySecond, assigned.length)
+})
+
 nodeTest.test('a newer version is only prefetched from the origin while an older one uses the links', async (context) => {
   let isPrefetching = true
   const result = await runFetch(context, (now) => {
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -69,7 +69,8 @@
 /** The server from which weights are first read. */
 export interface WeightOrigin {
   readonly readManifest: (id: VersionId) => Promise<types.Outcome<readonly types.Digest[], types.UnavailableError>>
-  readonly readPiece: (id: VersionId, piece: number) => Promise<types.Outcome<Buffer, types.UnavailableError>>
+  /** Aborts the read when no byte has arrived after `firstByteTimeoutMs`, or after the default of the origin's adapter. */
+  readonly readPiece: (id: VersionId, piece: number, firstByteTimeoutMs?: number) => Promise<types.Outcome<Buffer, types.UnavailableError>>
 }
 
 export function formatVersion (id: VersionId): string {
