Bound the bytes that a gateway holds for slow callers and engines

Cause: bodies are held until their calls end and complete answers until their callers read them, without any bound on the sum; and a caller that doesn't read a resumable stream made the gateway take the engine for silent and send the call to another one.

Change: with limits.held_share, the longest stalled caller is dropped first when the bound is exceeded, then further bodies are refused with 503; calls that engines have are not ended. No event is expected from an engine while its caller doesn't read. Without the setting nothing is dropped or refused.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -22,6 +22,7 @@
 const DRAIN_POLL_MS = 100
 /** Time for sending the final responses of calls that did not end within the grace period. */
 const FINAL_ANSWERS_MS = 100
+const BYTES_PER_MEGABYTE = 1_000_000
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -187,6 +188,7 @@
     })
   }
 
+  const heldBytes = gateway.createHeldBytes({ maximumBytes: checked.limits.held_share > 0 ? checked.limits.held_share * checked.limits.memory_megabytes * BYTES_PER_MEGABYTE : Infinity, now })
   const calls = gateway.createCallHandler({
     protocol: platform.createCallProtocol(),
     routes: parts.routes,
@@ -200,6 +202,7 @@
     leavers,
     backoffs,
     reserver,
+    heldBytes,
     sendAttempt: gateway.sendAttempt,
     logger,
     count: metrics.count,
@@ -253,6 +256,7 @@
   metrics.gauge('calls_suspected', callQuarantine.countSuspects)
   metrics.gauge('ends_known', callQuarantine.countEnds)
   metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
+  metrics.gauge('held_bytes', heldBytes.read)
   metrics.gauge('back_ends_cold', () => limiter.listCold().length)
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
   metrics.gauge('facts', exchange.facts.count)
--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -1,5 +1,6 @@
 /** Writes the response to a call: a back end's, or one of the gateway itself. */
 import type * as http from 'node:http'
+import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as callOptions from './callOptions.js'
 
 /** The response to one request. */
@@ -27,9 +28,10 @@
  * @param requestId - Request id to include in responses.
  * @param protocol - Formats headers.
  * @param isDraining - Returns whether callers are asked to close their connections.
+ * @param holding - Account of the bytes held for the call; null if they are not bounded.
  * @returns The reply.
  */
-export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isDraining: () => boolean): Reply {
+export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isDraining: () => boolean, holding: createHeldBytes.CallHolding | null = null): Reply {
   function writeHead (status: number, headers: readonly string[]): void {
     response.sendDate = false
     if (isDraining()) response.shouldKeepAlive = false
@@ -42,6 +44,17 @@
     response.shouldKeepAlive = false
   }
 
+  if (holding !== null) {
+    response.on('drain', () => { holding.noteUnread(0) })
+    response.once('finish', holding.close)
+    response.once('close', holding.close)
+  }
+
+  /** A response that is complete, or that the caller doesn't read as fast as it arrives, waits in memory. */
+  function noteUnread (): void {
+    holding?.noteUnread(response.writableLength)
+  }
+
   return {
     hasStarted: () => response.headersSent,
     refuse: (status, reason, retryAfterMs) => {
@@ -55,15 +68,23 @@
       if (!isFramed) endByClosing()
       writeHead(status, isFramed ? [...headers, 'Content-Length', String(body.length)] : headers)
       response.end(body)
+      noteUnread()
     },
     beginStream: (status, headers, isFramed) => {
       if (response.destroyed) return
       if (!isFramed) endByClosing()
       writeHead(status, headers)
     },
-    write: (bytes) => response.write(bytes),
+    write: (bytes) => {
+      const isRead = response.write(bytes)
+      if (!isRead) noteUnread()
+      return isRead
+    },
     onDrain: (resume) => { response.once('drain', resume) },
-    endStream: () => { response.end() },
+    endStream: () => {
+      response.end()
+      noteUnread()
+    },
     abort: () => { response.destroy() }
   }
 }
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -7,6 +7,7 @@
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import type * as createErrorBound from '../createErrorBound/index.js'
+import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createLeavingRecord from '../createLeavingRecord/index.js'
 import type * as createRetryBudget from '../createRetryBudget/index.js'
 import type * as createSharedTargets from '../createSharedTargets/index.js'
@@ -51,6 +52,8 @@
   readonly leavers: createLeavingRecord.LeavingRecord
   readonly backoffs: backoffs.BackoffKeeper
   readonly reserver: reservers.SlotReserver
+  /** Accounts of the bytes held for callers and engines; absent if they are not bounded. */
+  readonly heldBytes?: createHeldBytes.HeldBytes
   /** Sends an attempt to its back end. */
   readonly sendAttempt: (request: sendAttempt.AttemptRequest) => sendAttempt.Attempt
   readonly logger: observability.Logger
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -215,8 +215,14 @@
         eventTimer.restart(nextEventMs)
         if (!reply.hasStarted()) beginStream()
         if (reply.write(whole)) return
+        // A caller that doesn't read says nothing about the engine, so no event is expected meanwhile.
         response.pause()
-        reply.onDrain(() => { response.resume() })
+        eventTimer.stop()
+        reply.onDrain(() => {
+          if (response.destroyed) return
+          eventTimer.restart(nextEventMs)
+          response.resume()
+        })
       })
       response.on('end', () => {
         if (!isWhole() || stream.splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -6,6 +6,7 @@
 import * as runAttempts from '../_lib/runAttempts.js'
 import * as answers from '../_lib/answers.js'
 import type * as callOptions from '../_lib/callOptions.js'
+import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as gateway from '../types/index.js'
@@ -25,6 +26,8 @@
 
 /** A draining gateway refuses calls that arrive with less than this left until it ends; most streams need as long. */
 const DRAIN_MINIMUM_CALL_MS = 3000
+/** Retry time of a caller whose body can't be held, at most doubled at random; another gateway may have memory. */
+const MEMORY_RETRY_MS = 100
 /** A refused caller may retry almost at once, because another gateway can take the call. */
 const DRAIN_RETRY_MS = 20
 
@@ -45,11 +48,14 @@
   async function run (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const receivedAt = options.now()
     const head = options.protocol.readCall(request)
-    const reply = answers.createReply(response, head.requestId, options.protocol, () => endsAt !== null)
+    const holding = options.heldBytes?.open(dropCall) ?? null
+    const reply = answers.createReply(response, head.requestId, options.protocol, () => endsAt !== null, holding)
     const table = options.routes()
     const limits = table?.configuration.limits
-    const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity)
+    const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, holding?.noteUpload)
     if (body.kind === 'broken') return
+    if (body.kind === 'not-held') return refuseBody()
+    holding?.noteRunning()
     if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
     if (table === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
     if (endsAt !== null && receivedAt + DRAIN_MINIMUM_CALL_MS > endsAt) return reply.refuse(503, 'this gateway ends', DRAIN_RETRY_MS)
@@ -69,6 +75,22 @@
     calls.add(call)
     await runAttempts.runAttempts(call, reply, options)
     calls.delete(call)
+    holding?.noteRun()
+
+    /** Ends a call whose caller has stalled while memory is short; a body that is not complete was not forwarded. */
+    function dropCall ({ phase, bytes, stalledMs }: createHeldBytes.DroppedCall): void {
+      options.count('calls_dropped', { phase })
+      options.logger.warn('call-dropped', { id: head.requestId, phase, bytes, stalledMs: Math.round(stalledMs) })
+      if (phase === 'answer') return reply.abort()
+      response.once('finish', () => { request.destroy() })
+      reply.refuse(408, 'request body stalled', null)
+    }
+
+    function refuseBody (): void {
+      options.count('bodies_refused')
+      options.logger.warn('body-refused', { id: head.requestId, heldBytes: options.heldBytes?.read() })
+      reply.refuse(503, 'no memory for the request body', Math.round(MEMORY_RETRY_MS * (1 + options.random())))
+    }
   }
 
   return {
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -33,7 +33,9 @@
   }).prefault({}),
   limits: zod.strictObject({
     link_megabits_per_second: zod.number().positive().default(1000),
-    grace_seconds: zod.number().positive().default(8)
+    grace_seconds: zod.number().positive().default(8),
+    memory_megabytes: zod.number().positive().default(128),
+    held_share: zod.number().min(0).max(1).default(0)
   }).prefault({}),
   bounds: zod.strictObject({
     version_ms: milliseconds.default(8000),
