Show what gateways and agents hold for peers that read nothing

Agents close the connection of a peer that has read nothing of a piece for 5 s: until then each further piece waited up to 0.3 s longer.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -33,6 +33,8 @@
 const RAMP_UP_MS = 500
 /** A peer's response is aborted after this long without a byte. The peer holds a request for at most {@link staging.PIECE_WAIT_MS} + 400 ms; the rest covers queueing on the links. */
 const PIECE_IDLE_TIMEOUT_MS = 2500
+/** A peer that has read nothing of a piece for this long gets no more of it. It would have given up by itself, so its process is stopped or its link is cut. */
+const STALLED_PEER_MS = 2 * PIECE_IDLE_TIMEOUT_MS
 const PIECES_PATH = '/pieces/'
 const MANIFESTS_PATH = '/manifests/'
 /** Response header with the index of the piece that was sent, out of those requested. */
@@ -297,6 +299,7 @@
   /** Bypasses Koa's stream handling, which loads the runtime's fetch and HTTP/2 modules when the first piece is sent. */
   function streamPiece (context: Koa.Context, { piece, slices }: staging.ProvidedPiece, { id, node }: { readonly id: staging.VersionId, readonly node: types.NodeId }): void {
     context.respond = false
+    context.res.setTimeout(STALLED_PEER_MS, () => { context.res.destroy() })
     nodeStream.pipeline(nodeStream.Readable.from(slices), context.res, (error) => {
       if (error === null || error === undefined) stager?.recordSent(id, piece, node)
       else logger.info('piece-cut', { version: id.version, piece, to: node, error: error.message })
--- a/packages/gateway/src/createHeldBytes/index.ts
+++ b/packages/gateway/src/createHeldBytes/index.ts
@@ -75,8 +75,8 @@
     accounts.delete(account)
   }
 
-  function isStalled ({ isUploading, unreadBytes, progressedAt }: Account): boolean {
-    return (isUploading || unreadBytes > 0) && now() - progressedAt >= STALLED_MS
+  function isStalled ({ isUploading, bodyBytes, unreadBytes, progressedAt }: Account): boolean {
+    return ((isUploading && bodyBytes > 0) || unreadBytes > 0) && now() - progressedAt >= STALLED_MS
   }
 
   function dropStalled (): void {
--- a/packages/staging/src/createPieceUplink/test.ts
+++ b/packages/staging/src/createPieceUplink/test.ts
@@ -5,6 +5,7 @@
  */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
+import * as stream from 'node:stream'
 import * as createPieceUplink from './index.js'
 
 /** Rate of the link, and the fraction of it that pieces may use. */
@@ -107,3 +108,26 @@
   assert.equal(order.at(-1), 'third whole')
   await stalled.return(undefined)
 })
+
+/** Guards against an agent that ends for want of memory because it holds a copy of a piece for each peer that reads nothing. */
+nodeTest.test('peers that read nothing hold no copies of pieces, and only a few slices each', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout', 'Date'], now: 0 })
+  const peers = 200
+  const pieces = Array.from({ length: 96 }, () => Buffer.alloc(PIECE_BYTES))
+  const uplink = createPieceUplink.createPieceUplink(1_000_000_000, () => 1, Date.now)
+  const memories = new Set<ArrayBufferLike>(pieces.map((piece) => piece.buffer))
+  let copied = 0
+  const responses = Array.from({ length: peers }, (_, peer) => {
+    const response = new stream.Writable({ write: (slice: Buffer) => { if (!memories.has(slice.buffer)) copied += 1 } })
+    stream.pipeline(stream.Readable.from(uplink.send(pieces[peer % pieces.length] as Buffer)), response, () => {})
+    return response
+  })
+  for (let elapsed = 0; elapsed < MAXIMUM_MS; elapsed += 1) await advance(context)
+  const unread = responses.map(({ writableLength }) => writableLength)
+  context.diagnostic(`${unread.filter((bytes) => bytes > 0).length} of ${peers} peers hold ${unread.reduce((sum, bytes) => sum + bytes, 0)} bytes, at most ${Math.max(...unread)} each`)
+  assert.equal(copied, 0)
+  assert.ok(Math.max(...unread) <= PIECE_BYTES)
+  for (const response of responses) response.destroy()
+  await advance(context)
+  assert.equal(uplink.backlogMs(), 0)
+})
