--- a/packages/gateway/src/createCallHandler/slowReaders.test.ts
+++ b/packages/gateway/src/createCallHandler/slowReaders.test.ts
@@ -54,7 +54,7 @@
   const fixture = { time: 0 }
   const held = createHeldBytes.createHeldBytes({ maximumBytes, now: () => fixture.time })
   const backEnd = { id: types.brandId<types.NodeId>('i-1'), bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
-  const route = { name: 'stream', kind: 'stream', isResumable, timeoutMs: 1e6, targetMs: 1e6, gapTargetMs: 400, maximumAttempts: 3, isPublic: true, splits: [{ service: 'llm', weight: 1 }] }
+  const route = { name: 'stream', kind: 'stream', allowedRegions: [], isResumable, timeoutMs: 1e6, targetMs: 1e6, gapTargetMs: 400, maximumAttempts: 3, isPublic: true, splits: [{ service: 'llm', weight: 1 }] }
 
   function startAttempt (): sendAttempt.Attempt {
     const index = taken.push(0) - 1
@@ -85,6 +85,9 @@
     choose: () => ({ choice: { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity }),
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     sharedTargetOf: () => 1e6,
+    findExclusion: () => null,
+    onSent: () => {},
+    mustConfirmSlots: () => false,
     errorBoundOf: () => ({ read: () => 0, note: () => {} }),
     backoffs: { read: () => ({ waitMs: 0, maximumUnanswered: Infinity }), noteResponse: () => {} },
     leavers: { isLeaving: () => false },
