Add the decisions of waiting calls: forecast, queue and hand-out

After a loss of power all engines are empty for seconds. Calls were refused, came back, were refused again and were lost; and when engines returned, every gateway saw the same free slots and sent its calls there at once.

computeForecast counts the calls that engines begin within a time, from the stated times of their return. createWaitingQueue orders held calls by rank, then those that can still be in time, then by least remaining time, and bounds them in calls and bytes. createWaitingCalls holds a call only if this gateway's share of the forecast suffices for it after its target, behind the calls that are expected to be in time, and hands calls out with the slot reservations of agents. The load simulation gets a gap in which all engines lose their calls.

Nothing uses it yet.

--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -120,5 +120,10 @@
 
 /** Whether a call sent this many milliseconds after its caller's first try may still be answered in time. */
 export function canMeetTarget (elapsedMs: number, targetMs: number): boolean {
-  return elapsedMs < targetMs * LATEST_SEND_FRACTION
+  return elapsedMs < computeLatestSendMs(targetMs)
+}
+
+/** Milliseconds after its caller's first try until which a call that is sent may still be answered in time. */
+export function computeLatestSendMs (targetMs: number): number {
+  return targetMs * LATEST_SEND_FRACTION
 }
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -7,11 +7,15 @@
 import * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as createErrorBound from '../createErrorBound/index.js'
 import * as createSharedTargets from '../createSharedTargets/index.js'
+import * as computeForecast from '../computeForecast/index.js'
 import * as createSlotReservations from '../createSlotReservations/index.js'
+import * as createWaitingCalls from '../createWaitingCalls/index.js'
+import * as createWaitingQueue from '../createWaitingQueue/index.js'
 import * as decideAdmission from '../decideAdmission/index.js'
 import type * as gateway from '../types/index.js'
 import * as callState from './callState.js'
 import * as reserveSlots from './reserveSlot.js'
+import * as waitingCalls from './waitingCalls.js'
 import * as simulatedEngine from './simulatedEngine.js'
 import type * as limiters from '../types/limiter.js'
 
@@ -38,10 +42,43 @@
   readonly shedding?: { readonly count: number, readonly backoff: 'ignored' | 'kept' | 'shared' }
   /** Whether a refused caller retries once at the time that it was told, at any gateway; false if absent. */
   readonly doCallersRetry?: boolean
+  /** A loss of power of all engines at {@link GAP_FROM_MS}. */
+  readonly gap?: GapScenario
   /** Seed of the random numbers, {@link SEED} if absent. */
   readonly seed?: number
 }
 
+/** All engines lose their calls and what they hold, and return one after the other. */
+export interface GapScenario {
+  /** Milliseconds until the first engine returns, and over which all return. */
+  readonly lengthMs: number
+  readonly returnOverMs: number
+  /** The stated times until engines return are wrong by up to this fraction in each direction, for each engine by another one. */
+  readonly errorFraction: number
+  /**
+   * Who holds calls: nobody, the gateways, or a queue that knows the state of all engines at all times and hands calls out in the order that
+   * {@link createWaitingQueue.compareCalls} defines. The latter shows what the engines' capacity permits.
+   */
+  readonly waiting: 'none' | 'gateways' | 'oracle'
+  /** Whether all gateways restart at the beginning of the gap, and know neither engines nor other gateways for {@link RESTART_MS}. */
+  readonly doGatewaysRestart?: boolean
+  /** Fraction of callers who leave at a random time before their deadline. */
+  readonly leavingFraction?: number
+}
+
+/** Results for callers who first asked between the beginning of a gap and {@link GAP_RESULT_MS} after the return of the last engine; in calls. */
+export interface GapResult {
+  /** Those who didn't leave, and those of them who were answered before their deadline. */
+  readonly asked: number
+  readonly served: number
+  readonly inTime: number
+  readonly held: number
+  /** Calls that were held and then refused. */
+  readonly heldRefused: number
+  /** Most calls that an engine had at once in the first second after its return. */
+  readonly maximumAtEngine: number
+}
+
 /** Results for callers, in calls per second; all times count from the first try. */
 export interface CallerResult {
   /** Calls that callers made, whatever became of them. */
@@ -58,6 +95,8 @@
   readonly kinds: readonly CallerResult[]
   /** Largest number of requests that a rate-limited engine received in any four seconds. */
   readonly maximumLimitedRequests: number
+  /** Null without a gap. */
+  readonly gap: GapResult | null
 }
 
 type Counts = { -readonly [Name in keyof CallerResult]: number }
@@ -92,7 +131,20 @@
 const ATTEMPTS = 2
 /** Number of tries of a caller that retries. */
 const CALLER_TRIES = 2
+const CALLER_TRY_FRACTION = 3
+/** Without a forecast the retry time is at most this fraction of the time left. */
+const RETRY_REMAINING_FRACTION = 0.3
 const SEED = 7
+const GAP_FROM_MS = WARM_UP_MS
+const GAP_RESULT_MS = 3500
+const RESTART_MS = 1000
+/** Time after the return of an engine in which its calls are counted. */
+const RETURN_MS = 1000
+/** Interval at which the queue of {@link GapScenario.waiting} that knows all engines hands out calls, and the least time that it gives a call, as a fraction of the one that gateways assume. */
+const ORACLE_INTERVAL_MS = 5
+const ORACLE_HOLD_FRACTION = 1
+const WAITING_LIMITS = { maximumCalls: 256, maximumBytes: 8_000_000 }
+const BODY_BYTES = 4000
 const LIMIT_WINDOW_MS = 4000
 const SHED_FROM_MS = WARM_UP_MS + 2000
 const SHED_UNTIL_MS = WARM_UP_MS + 8000
@@ -106,16 +158,26 @@
   readonly promptTokens: number
   readonly askedAt: number
   tries: number
+  /** Whether it is counted in the results of the gap. */
+  readonly isInGap: boolean
+  hasLeft: boolean
+  hasFirstEvent: boolean
+  isInTime: boolean
+  /** Removes it from the queue that holds it. */
+  unqueue: () => void
 }
 
 interface SimulatedGateway {
   readonly zone: string
-  readonly tracker: createBackEndTracker.BackEndTracker
+  tracker: createBackEndTracker.BackEndTracker
   readonly errors: createErrorBound.ErrorBound
   readonly targets: createSharedTargets.SharedTargets
   readonly backoffs: createBackoffRecord.BackoffRecord
   /** When a permit of a rate-limited engine is expected to be available. */
   readonly permitExpectedAt: Map<types.NodeId, number>
+  waiting: createWaitingCalls.WaitingCalls | null
+  /** Time from which it knows engines and other gateways. */
+  knowsFrom: number
 }
 
 /**
@@ -133,30 +195,138 @@
   const engines = Array.from({ length: scenario.engines }, (_, at) => simulatedEngine.createSimulatedEngine(`engine-${at}`, zoneOf(at), at < (scenario.slow?.count ?? 0) ? scenario.slow?.pace ?? 1 : 1, figures, clock))
   const backEnds = engines.map(({ backEnd }) => backEnd)
   const byId = new Map(engines.map((engine) => [engine.backEnd.id, engine]))
-  const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), backoffs: createBackoffs(), permitExpectedAt: new Map() }))
+  const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), backoffs: createBackoffs(), permitExpectedAt: new Map(), waiting: null, knowsFrom: 0 }))
   const shedding = new Set(backEnds.slice(scenario.engines - (scenario.shedding?.count ?? 0)).map(({ id }) => id))
   const counts = STREAM_CLASSES.map(createCounts)
   const limit = scenario.limited ?? { count: 0, perSecond: 1, isEnforced: false }
   const limited = new Map(backEnds.slice(scenario.engines - limit.count).map(({ id }) => [id, [] as number[]]))
   const counter = rateLimits.createPermitCounter(clock.now)
 
+  const gap = scenario.gap ?? null
+  const gapCounts = { asked: 0, served: 0, inTime: 0, held: 0, heldRefused: 0, maximumAtEngine: 0 }
+  const returnsAt = new Map<types.NodeId, number>()
+  const oracleCalls = new Set<Call>()
+  /** What each engine's stated time is wrong by. */
+  const estimateFactors = new Map(gap === null ? [] : backEnds.map(({ id }) => [id, 1 + gap.errorFraction * (2 * random() - 1)]))
+
   const slots = new Map(engines.map((engine) => [engine.backEnd.id, createSlotReservations.createSlotReservations(clock.now)]))
 
   function scheduleReports (engine: simulatedEngine.SimulatedEngine, includesZone: (zone: string) => boolean, everyMs: number, latencyMs: number): void {
     let report = engine.report()
-    const readEngine = (): void => {
+    const readReport = (): void => {
       report = engine.report()
       slots.get(engine.backEnd.id)?.noteReport(report)
+    }
+    const readEngine = (): void => {
+      readReport()
       clock.at(clock.now() + AGENT_READ_INTERVAL_MS, readEngine)
     }
     clock.at(random() * AGENT_READ_INTERVAL_MS, readEngine)
-    const sendReport = (): void => {
+    const sendOnce = (): void => {
       const madeAt = clock.now()
-      const status = { report, isPaused: false, changesInMs: null }
-      clock.at(madeAt + latencyMs, () => { for (const { zone, tracker } of gateways) if (includesZone(zone)) tracker.noteReport(engine.backEnd.id, status, madeAt, 0) })
-      clock.at(madeAt + everyMs, sendReport)
+      const status = { report, isPaused: false, changesInMs: null, ...readReadyIn(engine) }
+      clock.at(madeAt + latencyMs, () => {
+        for (const { zone, tracker, waiting, knowsFrom } of gateways) {
+          if (!includesZone(zone) || clock.now() < knowsFrom) continue
+          tracker.noteReport(engine.backEnd.id, status, madeAt, 0)
+          waiting?.wake()
+        }
+      })
+    }
+    const sendReport = (): void => {
+      sendOnce()
+      clock.at(clock.now() + everyMs, sendReport)
     }
     clock.at(random() * everyMs, sendReport)
+    // An agent informs gateways at once that its engine serves again.
+    const returnAt = returnsAt.get(engine.backEnd.id)
+    if (returnAt === undefined) return
+    clock.at(returnAt, () => {
+      readReport()
+      sendOnce()
+    })
+  }
+
+  function readReadyIn ({ backEnd: { id, models } }: simulatedEngine.SimulatedEngine): Pick<createBackEndTracker.AgentStatus, 'readyInMs'> {
+    const readyInMs = (returnsAt.get(id) ?? 0) - clock.now()
+    return gap === null || models.size > 0 ? {} : { readyInMs: Math.max(1, readyInMs * (estimateFactors.get(id) ?? 1)) }
+  }
+
+  function createWaiting (from: SimulatedGateway): createWaitingCalls.WaitingCalls {
+    return createWaitingCalls.createWaitingCalls({
+      limits: WAITING_LIMITS,
+      readEngines: () => waitingCalls.listForecastEngines(backEnds, from.tracker, simulatedEngine.MODEL, clock.now()),
+      holdMsOf: () => computeForecast.computeHoldMs(figures, figures.usualPromptTokens ?? 0, 0),
+      countGateways: () => clock.now() < from.knowsFrom ? null : scenario.gateways,
+      reserve: ({ id, zone }, request, onAnswer) => {
+        const latencyMs = zone === from.zone ? HALL_LATENCY_MS : CROSS_HALL_LATENCY_MS
+        clock.at(clock.now() + latencyMs, () => {
+          const isReserved = slots.get(id)?.reserve(request, figures) === true
+          clock.at(clock.now() + latencyMs, () => { onAnswer(isReserved) })
+        })
+      },
+      count: () => {},
+      now: clock.now,
+      at: clock.at,
+      random
+    })
+  }
+
+  function scheduleGap ({ lengthMs, returnOverMs, doGatewaysRestart, waiting }: GapScenario): void {
+    clock.at(GAP_FROM_MS, () => {
+      for (const engine of engines) engine.lose()
+      for (const each of gateways) {
+        if (waiting === 'gateways') each.waiting = createWaiting(each)
+        if (doGatewaysRestart !== true) continue
+        each.tracker = createBackEndTracker.createBackEndTracker(clock.now)
+        each.knowsFrom = clock.now() + RESTART_MS
+      }
+      if (waiting === 'oracle') handOutByOracle()
+    })
+    engines.forEach((engine, at) => {
+      const returnAt = GAP_FROM_MS + lengthMs + returnOverMs * at / Math.max(1, engines.length - 1)
+      returnsAt.set(engine.backEnd.id, returnAt)
+      clock.at(returnAt, engine.restore)
+    })
+  }
+
+  function toQueued ({ kind, askedAt, promptTokens }: Call, holdFraction = 1): createWaitingQueue.QueuedCall {
+    return waitingCalls.toQueuedCall({ rank: 1, bytes: BODY_BYTES, targetAt: askedAt + kind.targetMs, targetMs: kind.targetMs, deadlineAt: askedAt + CALL_TIMEOUT_MS, holdMs: holdFraction * (computeForecast.computeHoldMs(figures, promptTokens, kind.events * simulatedEngine.STEPS_PER_PASS) ?? 0) })
+  }
+
+  /** Holds a call at a gateway, or refuses it. */
+  function hold (from: SimulatedGateway, waiting: createWaitingCalls.WaitingCalls, call: Call, admissionRetryMs: number | null): void {
+    const waitingCall: createWaitingCalls.WaitingCall = {
+      ...toQueued(call),
+      service: simulatedEngine.SERVICE,
+      promptTokens: call.promptTokens,
+      deadlineAt: call.askedAt + CALL_TIMEOUT_MS,
+      choose: (others) => choose(from, call, others).choice,
+      onEnd: (end) => {
+        if (end.kind === 'reserved') return serve(from, call, end.choice, new Set())
+        if (call.isInGap && !call.hasLeft) gapCounts.heldRefused += 1
+        refuse(call, end.retryAfterMs)
+      }
+    }
+    call.unqueue = () => { waiting.remove(waitingCall, 'left') }
+    const decision = waiting.add(waitingCall)
+    if (!decision.isHeld) return refuse(call, admissionRetryMs ?? decision.retryAfterMs ?? computeRetryMs(call))
+    if (call.isInGap) gapCounts.held += 1
+  }
+
+  function handOutByOracle (): void {
+    for (const engine of engines) {
+      while (engine.backEnd.models.size > 0 && engine.countCalls() < figures.slots) {
+        const now = clock.now()
+        const next = [...oracleCalls].filter((each) => now <= toQueued(each, ORACLE_HOLD_FRACTION).beginBy).sort((left, right) => createWaitingQueue.compareCalls(toQueued(left), toQueued(right), now))[0]
+        if (next === undefined) break
+        oracleCalls.delete(next)
+        const open = { promptTokens: next.promptTokens, answerTokens: 0, sentAt: now, hasResponded: false }
+        const enqueued = { isUrgent: false, unreadTokens: next.promptTokens + 1, eventsLeft: next.kind.events, onEnd: () => { noteEnd(next) } }
+        engine.enqueue({ ...enqueued, onFirstEvent: () => { noteFirstEvent(next, open, null) } })
+      }
+    }
+    clock.at(clock.now() + ORACLE_INTERVAL_MS, handOutByOracle)
   }
 
   function createBackoffs (): createBackoffRecord.BackoffRecord {
@@ -221,13 +391,33 @@
       counts: isCounted ? counts[STREAM_CLASSES.indexOf(kind)] as Counts : createCounts(),
       promptTokens: Math.round(kind.promptTokens * -Math.log(1 - random())),
       askedAt: clock.now(),
-      tries: 0
+      tries: 0,
+      isInGap: gap !== null && clock.now() >= GAP_FROM_MS && clock.now() < GAP_FROM_MS + gap.lengthMs + gap.returnOverMs + GAP_RESULT_MS,
+      hasLeft: false,
+      hasFirstEvent: false,
+      isInTime: false,
+      unqueue: () => {}
     }
     call.counts.asked += 1
+    if (call.isInGap) gapCounts.asked += 1
+    if (gap?.leavingFraction !== undefined && random() < gap.leavingFraction) clock.at(clock.now() + random() * CALL_TIMEOUT_MS, () => { leave(call) })
+    if (gap?.waiting === 'oracle' && clock.now() >= GAP_FROM_MS) {
+      oracleCalls.add(call)
+      return
+    }
     tryGateway(call)
   }
 
+  function leave (call: Call): void {
+    if (call.hasFirstEvent) return
+    call.hasLeft = true
+    if (call.isInGap) gapCounts.asked -= 1
+    call.unqueue()
+    oracleCalls.delete(call)
+  }
+
   function tryGateway (call: Call): void {
+    if (call.hasLeft) return
     call.tries += 1
     handleCall(gateways[Math.floor(random() * gateways.length)] as SimulatedGateway, call)
   }
@@ -236,6 +426,13 @@
     const { choice, utilization, permitWaitMs } = choose(from, call, new Set())
     const elapsedMs = clock.now() - call.askedAt
     const isLate = !callState.canMeetTarget(elapsedMs, call.kind.targetMs)
+    const { waiting } = from
+    waiting?.noteCall(simulatedEngine.SERVICE, 1)
+    if (choice === null && waiting !== null) {
+      waiting.noteNoneServing(simulatedEngine.SERVICE)
+      return hold(from, waiting, call, null)
+    }
+    if (choice === null && gap !== null) return refuse(call, computeRetryMs(call))
     if (choice === null) return refuse(call, callState.canMeetTarget(elapsedMs + permitWaitMs, call.kind.targetMs) ? permitWaitMs : LATE_RETRY_MS * (1 + random()))
     const targetMs = from.targets.note({ service: simulatedEngine.SERVICE, priority: 1, targetMs: call.kind.targetMs })
     const admission = decideAdmission.decideAdmission({
@@ -248,16 +445,20 @@
       remainingMs: CALL_TIMEOUT_MS - elapsedMs,
       random: random()
     })
-    if (!admission.isAdmitted) reserveSlot(from, call, choice, targetMs, admission.retryAfterMs, new Set())
+    const retryAfterMs = admission.isAdmitted ? null : admission.retryAfterMs
+    if (waiting?.isRecovering(simulatedEngine.SERVICE) === true) {
+      if (waiting.hasEarlier(simulatedEngine.SERVICE, toQueued(call))) hold(from, waiting, call, retryAfterMs)
+      else reserveSlot(from, call, choice, targetMs, () => { hold(from, waiting, call, retryAfterMs) }, new Set())
+    } else if (!admission.isAdmitted) reserveSlot(from, call, choice, targetMs, () => { refuse(call, admission.retryAfterMs) }, new Set())
     else if (isPermitted(from, choice.backEnd.id, isLate)) serve(from, call, choice, new Set())
     else if (isLate) refuse(call, LATE_RETRY_MS * (1 + random()))
     else handleCall(from, call)
   }
 
-  function reserveSlot (from: SimulatedGateway, call: Call, choice: chooseBackEnd.Choice, targetMs: number, retryAfterMs: number, asked: Set<types.NodeId>): void {
+  function reserveSlot (from: SimulatedGateway, call: Call, choice: chooseBackEnd.Choice, targetMs: number, onNone: () => void, asked: Set<types.NodeId>): void {
     const { id, zone } = choice.backEnd
     const withinMs = targetMs - (clock.now() - call.askedAt)
-    if (withinMs <= 0) return refuse(call, retryAfterMs)
+    if (withinMs <= 0) return onNone()
     asked.add(id)
     const latencyMs = zone === from.zone ? HALL_LATENCY_MS : CROSS_HALL_LATENCY_MS
     clock.at(clock.now() + latencyMs, () => {
@@ -265,14 +466,20 @@
       clock.at(clock.now() + latencyMs, () => {
         if (isReserved && isPermitted(from, id, false)) return serve(from, call, choice, new Set())
         const next = asked.size < reserveSlots.MAXIMUM_AGENTS_ASKED ? choose(from, call, asked).choice : null
-        if (next === null) refuse(call, retryAfterMs)
-        else reserveSlot(from, call, next, targetMs, retryAfterMs, asked)
+        if (next === null) onNone()
+        else reserveSlot(from, call, next, targetMs, onNone, asked)
       })
     })
   }
 
+  function computeRetryMs ({ askedAt }: Call): number {
+    return Math.min(LATE_RETRY_MS * (1 + random()), (askedAt + CALL_TIMEOUT_MS - clock.now()) * RETRY_REMAINING_FRACTION)
+  }
+
   function refuse (call: Call, retryAfterMs: number): void {
-    if (scenario.doCallersRetry !== true || call.tries >= CALLER_TRIES) call.counts.refused += 1
+    // Callers don't retry later than after a third of their time.
+    const isTooLate = gap !== null && retryAfterMs > (call.askedAt + CALL_TIMEOUT_MS - clock.now()) / CALLER_TRY_FRACTION
+    if (isTooLate || scenario.doCallersRetry !== true || call.tries >= CALLER_TRIES) call.counts.refused += 1
     else clock.at(clock.now() + retryAfterMs, () => { tryGateway(call) })
   }
 
@@ -289,9 +496,15 @@
         isUrgent: sentAt - call.askedAt <= call.kind.targetMs,
         unreadTokens: call.promptTokens + 1,
         eventsLeft: call.kind.events,
-        onFirstEvent: () => { clock.at(clock.now() + latencyMs, () => { noteFirstEvent(call, open, from, choice) }) },
-        onEnd: () => { clock.at(clock.now() + latencyMs, () => { from.tracker.noteEnded(id, open) }) }
+        onFirstEvent: () => { clock.at(clock.now() + latencyMs, () => { noteFirstEvent(call, open, { from, choice }) }) },
+        onEnd: () => {
+          clock.at(clock.now() + latencyMs, () => {
+            from.tracker.noteEnded(id, open)
+            noteEnd(call)
+          })
+        }
       })
+      if (clock.now() - (returnsAt.get(id) ?? Infinity) <= RETURN_MS && clock.now() >= (returnsAt.get(id) ?? Infinity)) gapCounts.maximumAtEngine = Math.max(gapCounts.maximumAtEngine, byId.get(id)?.countCalls() ?? 0)
       if (isTaken === true) return
       clock.at(clock.now() + latencyMs, () => {
         from.tracker.noteEnded(id, open)
@@ -303,19 +516,29 @@
     })
   }
 
-  function noteFirstEvent (call: Call, open: createBackEndTracker.OpenAttempt, from: SimulatedGateway, choice: chooseBackEnd.Choice): void {
-    from.errors.note(choice.firstEventMs, clock.now() - open.sentAt)
+  function noteFirstEvent (call: Call, open: createBackEndTracker.OpenAttempt, sent: { readonly from: SimulatedGateway, readonly choice: chooseBackEnd.Choice } | null): void {
+    sent?.from.errors.note(sent.choice.firstEventMs, clock.now() - open.sentAt)
     open.hasResponded = true
-    from.backoffs.noteResponse(choice.backEnd, { kind: 'none' }, true)
+    sent?.from.backoffs.noteResponse(sent.choice.backEnd, { kind: 'none' }, true)
+    call.hasFirstEvent = true
+    call.isInTime = clock.now() - call.askedAt <= call.kind.targetMs
     if (clock.now() - call.askedAt <= call.kind.targetMs) call.counts.inTime += 1
     else call.counts.late += 1
   }
 
+  /** Calls that a loss of power has ended before their first event don't count as served, nor do those that end after their deadline. */
+  function noteEnd (call: Call): void {
+    if (!call.isInGap || call.hasLeft || !call.hasFirstEvent || clock.now() > call.askedAt + CALL_TIMEOUT_MS) return
+    gapCounts.served += 1
+    if (call.isInTime) gapCounts.inTime += 1
+  }
+
   function scheduleCalls (): void {
     startCall()
     clock.at(clock.now() - Math.log(1 - random()) * types.MILLISECONDS_IN_SECOND / scenario.callsPerSecond, scheduleCalls)
   }
 
+  if (gap !== null) scheduleGap(gap)
   for (const engine of engines) {
     scheduleReports(engine, (zone) => zone === engine.backEnd.zone, reportIntervalsMs.near, HALL_LATENCY_MS)
     scheduleReports(engine, (zone) => zone !== engine.backEnd.zone, reportIntervalsMs.far, CROSS_HALL_LATENCY_MS)
@@ -323,7 +546,7 @@
   clock.at(0, scheduleCalls)
   clock.run(WARM_UP_MS + scenario.seconds * types.MILLISECONDS_IN_SECOND)
   const kinds = counts.map((each) => divideBySeconds(each, scenario.seconds))
-  return { ...kinds.reduce(addResults, createCounts()), kinds, maximumLimitedRequests: Math.max(0, ...[...limited.values()].map(countMostInWindow)) }
+  return { ...kinds.reduce(addResults, createCounts()), kinds, maximumLimitedRequests: Math.max(0, ...[...limited.values()].map(countMostInWindow)), gap: gap === null ? null : gapCounts }
 }
 
 /** Largest number of the given times in any four seconds. */
--- a/packages/gateway/src/_lib/simulatedEngine.ts
+++ b/packages/gateway/src/_lib/simulatedEngine.ts
@@ -23,6 +23,12 @@
   /** Adds a call to the queue; false if the queue is full. */
   readonly enqueue: (call: EngineCall) => boolean
   readonly report: () => gateway.EngineReport
+  /** Loses all calls and the model, as after a loss of power. */
+  readonly lose: () => void
+  /** Holds the model again. */
+  readonly restore: () => void
+  /** Calls that it runs or has queued. */
+  readonly countCalls: () => number
 }
 
 /** Calls that may be queued beyond the slots; further ones are rejected. */
@@ -45,6 +51,9 @@
   const running: EngineCall[] = []
   const waiting: EngineCall[] = []
   let isInPass = false
+  /** Passes that were begun before the last loss of power are void. */
+  let losses = 0
+  const models = new Map([[MODEL, 1]])
 
   function runPass (): void {
     while (running.length < figures.slots && waiting.length > 0) running.push(dequeue())
@@ -58,7 +67,8 @@
     })
     const stepMs = (figures.stepMs as number) + (figures.stepMsPerSequence as number) * running.length
     const passMs = pace * (STEPS_PER_PASS * stepMs + read.reduce((sum, tokens) => sum + tokens, 0) / (figures.prefillTokensPerMs as number))
-    clock.at(clock.now() + passMs, () => { finishPass(read) })
+    const lossesBefore = losses
+    clock.at(clock.now() + passMs, () => { if (losses === lossesBefore) finishPass(read) })
   }
 
   /** Removes the next call from the queue; urgent calls come first. */
@@ -85,13 +95,21 @@
   }
 
   return {
-    backEnd: { id: types.brandId(id), bornAt: null, service: SERVICE, address: { host: id, port: 1 }, zone, slots: figures.slots, isDraining: false, models: new Map([[MODEL, 1]]) },
+    backEnd: { id: types.brandId(id), bornAt: null, service: SERVICE, address: { host: id, port: 1 }, zone, slots: figures.slots, isDraining: false, models },
     enqueue: (call) => {
-      if (waiting.length >= QUEUE_LIMIT) return false
+      if (models.size === 0 || waiting.length >= QUEUE_LIMIT) return false
       waiting.push(call)
       if (!isInPass) runPass()
       return true
     },
-    report: () => ({ bornAt: null, running: running.length, waiting: waiting.length, isBusy: false, sequence: 0, pace, limitPerSecond: null, isLeaving: false, models: new Map([[MODEL, 1]]) })
+    report: () => ({ bornAt: null, running: running.length, waiting: waiting.length, isBusy: false, sequence: 0, pace, limitPerSecond: null, isLeaving: false, models: new Map(models) }),
+    lose: () => {
+      losses += 1
+      for (const call of [...running.splice(0), ...waiting.splice(0)]) call.onEnd()
+      isInPass = false
+      models.clear()
+    },
+    restore: () => { models.set(MODEL, 1) },
+    countCalls: () => running.length + waiting.length
   }
 }
--- a/packages/gateway/src/createBackEndTracker/index.ts
+++ b/packages/gateway/src/createBackEndTracker/index.ts
@@ -19,6 +19,8 @@
   readonly isPaused: boolean
   /** Milliseconds until the engine switches to another version of the weights; null if none is scheduled. */
   readonly changesInMs: number | null
+  /** Milliseconds until the engine, which may serve no call now, is expected to serve; absent if it serves or the time is unknown. */
+  readonly readyInMs?: number
 }
 
 /** Load of one back end as this gateway sees it. */
@@ -45,6 +47,12 @@
   readonly avoidedUntil: number
   /** Whether this instance of the back end has ended: another process answers at its address, or none. */
   readonly isGone: boolean
+  /** Monotonic time in milliseconds at which it is expected to serve; null if it serves or the time is unknown. */
+  readonly readyAt: number | null
+  /** Monotonic time in milliseconds at which a report first showed it serving again; -Infinity if it has not been seen to return. */
+  readonly returnedAt: number
+  /** Whether this instance has reported or responded; until then it is known only from the list of back ends. */
+  readonly isConfirmed: boolean
 }
 
 /** Tracks all back ends. */
@@ -88,6 +96,9 @@
   typicalReportAgeMs: number
   isPaused: boolean
   versionChangesAt: number
+  readyAt: number | null
+  returnedAt: number
+  isConfirmed: boolean
   open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
@@ -117,6 +128,8 @@
 /** Weight of the newest connection in the average, and how long the average is used after it. */
 const CONNECT_WEIGHT = 0.5
 const CONNECT_VALID_MS = 1500
+/** How long an estimate of when an engine serves is used after its agent's last report; longer than a report is, so that a late report doesn't end the wait of calls. */
+const READY_VALID_MS = 3000
 /** How long a back end is avoided after its first failure in a row, at most after many, and after a rejection because it was full. */
 const AVOID_BASE_MS = 300
 const AVOID_MAXIMUM_MS = 3000
@@ -128,7 +141,13 @@
 
 /** State of a new instance. The link delay and the report interval are kept, because they belong to the machine and the agent. */
 function createInstanceState (): Omit<BackEndState, 'bornAt' | 'typicalReportAgeMs' | 'linkDelayMs'> {
-  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, open: new Set(), failures: 0, avoidedUntil: 0, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
+  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, readyAt: null, returnedAt: -Infinity, isConfirmed: false, open: new Set(), failures: 0, avoidedUntil: 0, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
+}
+
+/** Whether the engine serves now, but didn't when it was last reported. */
+function hasReturned ({ report, readyAt }: BackEndState, status: AgentStatus): boolean {
+  const couldServe = readyAt === null && report?.models.size !== 0
+  return !couldServe && status.readyInMs === undefined && status.report.models.size > 0
 }
 
 /** Whether the engine switched versions. Failures of calls that the switch interrupted say nothing about the engine afterwards. */
@@ -169,7 +188,9 @@
     const isFresh = state.report !== null && reportAgeMs <= Math.max(REPORT_VALID_MS, state.typicalReportAgeMs * VALID_AGE_FACTOR)
     let sentSinceReport = 0
     let promptTokensSinceReport = 0
+    let isConfirmed = state.isConfirmed
     for (const attempt of state.open) {
+      if (attempt.hasResponded) isConfirmed = true
       if (isFresh && attempt.sentAt < state.reportAt) continue
       sentSinceReport += 1
       if (!attempt.hasResponded) promptTokensSinceReport += attempt.promptTokens
@@ -185,7 +206,10 @@
       linkDelayMs: Math.max(isFresh ? state.linkDelayMs : 0, now() - state.connectedAt > CONNECT_VALID_MS ? 0 : state.connectMs),
       isRoundTripMeasured: state.connectedAt > 0 && now() - state.connectedAt <= CONNECT_VALID_MS,
       avoidedUntil: state.avoidedUntil,
-      isGone: hasInstanceEnded(state) || hasProcessEnded(state)
+      isGone: hasInstanceEnded(state) || hasProcessEnded(state),
+      readyAt: reportAgeMs <= READY_VALID_MS ? state.readyAt : null,
+      returnedAt: state.returnedAt,
+      isConfirmed
     }
   }
 
@@ -214,6 +238,9 @@
         state.avoidedUntil = 0
       }
       if (state.report !== null) state.typicalReportAgeMs += (Math.min(TYPICAL_AGE_MAXIMUM_MS, now() - state.reportAt) - state.typicalReportAgeMs) * TYPICAL_AGE_WEIGHT
+      if (hasReturned(state, status)) state.returnedAt = now()
+      state.readyAt = status.readyInMs === undefined ? null : madeAt + status.readyInMs
+      state.isConfirmed = true
       state.report = status.report
       state.reportAt = madeAt
       state.linkDelayMs = delayMs
@@ -225,7 +252,11 @@
       state.connectMs += (tookMs - state.connectMs) * CONNECT_WEIGHT
       state.connectedAt = now()
     },
-    noteSuccess: (id) => { find(id).failures = 0 },
+    noteSuccess: (id) => {
+      const state = find(id)
+      state.failures = 0
+      state.isConfirmed = true
+    },
     noteFailure: (id) => {
       const state = find(id)
       if (state.isPaused) return
