State in heartbeats when an engine without a version returns

Gateways didn't know whether an empty engine returns in half a second or in ten, so no call could wait for it. The agent estimates the time from the pieces that it lacks and the rate of the last second, then staging and loading; an engine with an older version that may no longer serve counts the same. The time is an optional field behind the rate limit and a place for the time for which the engine stays cold; it is sent only where it is known, the origin's linkMbps is configured and [waiting] maximum_calls is not 0.

--- a/packages/daemon/src/_lib/engineStatus.test.ts
+++ b/packages/daemon/src/_lib/engineStatus.test.ts
@@ -29,6 +29,18 @@
   }
 })
 
+/** Guards against a status that builds without the field would drop although it holds nothing. */
+nodeTest.test('the time until an engine serves is encoded behind the other optional fields, and left out where it is unknown', () => {
+  for (const limitPerSecond of [null, 5]) {
+    const returning = { ...STATUS, readyInMs: 1234, report: { ...STATUS.report, limitPerSecond, models: new Map() } }
+    assert.deepEqual(roundTrip(returning, HOST), returning)
+  }
+  const context = { host: HOST, soleModel: () => 'm' }
+  const known = engineStatus.encodeEngineStatus({ ...STATUS, readyInMs: 1234.4 }, context) as unknown[]
+  assert.deepEqual(known.slice(-3), [null, null, 1234])
+  assert.equal((engineStatus.encodeEngineStatus(STATUS, context) as unknown[]).length, known.length - 3)
+})
+
 nodeTest.test('an engine that is about to end is decoded as such', () => {
   const leaving = { ...STATUS, isPaused: true, report: { ...STATUS.report, isLeaving: true } }
   assert.deepEqual(roundTrip(leaving, HOST), leaving)
--- a/packages/daemon/src/_lib/engineStatus.ts
+++ b/packages/daemon/src/_lib/engineStatus.ts
@@ -11,6 +11,8 @@
   readonly isPaused: boolean
   /** Milliseconds until the engine switches to another version; null if no switch is planned. */
   readonly changesInMs: number | null
+  /** Milliseconds until the engine, which may serve no call now, is expected to serve; absent if it serves or the time is unknown. */
+  readonly readyInMs?: number
 }
 
 const PAUSED_FLAG = 1
@@ -39,8 +41,15 @@
   zod.union([zod.number(), zod.array(zod.tuple([zod.string(), zod.number()]))]),
   /** Start time of the engine in Unix milliseconds, in base {@link START_TIME_RADIX}; null if unknown. */
   zod.string().regex(/^[0-9a-z]+$/).nullable(),
-  /** Rate limit in requests per second that the engine advertises; absent if it advertises none. */
-  zod.number().positive().optional()
+  /**
+   * Fields that are sent only where they hold something, because a build that doesn't know one of them drops the status; one that is followed by others is
+   * null where it is absent. Rate limit in requests per second that the engine advertises.
+   */
+  zod.number().positive().nullable().optional(),
+  /** Milliseconds for which the engine stays cold; not used yet. */
+  zod.number().min(0).nullable().optional(),
+  /** Milliseconds until an engine that may serve no call now is expected to serve. */
+  zod.number().min(0).nullable().optional()
 ])
 /** Significant digits that are sent of measured values; they are not more accurate than that. */
 const SIGNIFICANT_DIGITS = 4
@@ -60,13 +69,17 @@
  * @param context - The agent's host and the models that it knows of.
  * @returns A value that can be serialised as JSON.
  */
-export function encodeEngineStatus ({ address, report, isPaused, changesInMs }: EngineStatus, context: EngineStatusContext): unknown {
+export function encodeEngineStatus ({ address, report, isPaused, changesInMs, readyInMs }: EngineStatus, context: EngineStatusContext): unknown {
   const { bornAt, running, waiting, isBusy, sequence, pace, limitPerSecond, models } = report
   const shortAddress = address.startsWith(`${context.host}:`) ? Number(address.slice(context.host.length + 1)) : address
   const flags = (isPaused ? PAUSED_FLAG : 0) | (isBusy ? BUSY_FLAG : 0) | (report.isLeaving ? LEAVING_FLAG : 0)
   const roundedChangesInMs = changesInMs === null ? null : Math.round(changesInMs)
-  const limit = limitPerSecond === null ? [] : [limitPerSecond]
-  return [shortAddress, flags, roundedChangesInMs, running, waiting, sequence, Number(pace.toPrecision(SIGNIFICANT_DIGITS)), formatModels(models, context.soleModel(address)), bornAt === null ? null : bornAt.toString(START_TIME_RADIX), ...limit]
+  const optional = omitTrailingNulls([limitPerSecond, null, readyInMs === undefined ? null : Math.round(readyInMs)])
+  return [shortAddress, flags, roundedChangesInMs, running, waiting, sequence, Number(pace.toPrecision(SIGNIFICANT_DIGITS)), formatModels(models, context.soleModel(address)), bornAt === null ? null : bornAt.toString(START_TIME_RADIX), ...optional]
+}
+
+function omitTrailingNulls (values: ReadonlyArray<number | null>): ReadonlyArray<number | null> {
+  return values.slice(0, values.findLastIndex((value) => value !== null) + 1)
 }
 
 function formatModels (models: ReadonlyMap<string, number>, soleModel: string | null): unknown {
@@ -86,12 +99,12 @@
   if (value === null || value === undefined) return null
   const parsed = statusSchema.safeParse(value)
   if (!parsed.success) return null
-  const [shortAddress, flags, changesInMs, running, waiting, sequence, pace, encodedModels, encodedStart, limit] = parsed.data
+  const [shortAddress, flags, changesInMs, running, waiting, sequence, pace, encodedModels, encodedStart, limit, , readyInMs] = parsed.data
   const address = typeof shortAddress === 'number' ? `${context.host}:${shortAddress}` : shortAddress
   const models = parseModels(encodedModels, context.soleModel(address))
   if (models === null) return null
   const report = { bornAt: encodedStart === null ? null : parseInt(encodedStart, START_TIME_RADIX), running, waiting, isBusy: (flags & BUSY_FLAG) > 0, sequence, pace, limitPerSecond: limit ?? null, isLeaving: (flags & LEAVING_FLAG) > 0, models }
-  return { address, isPaused: (flags & PAUSED_FLAG) > 0, changesInMs, report }
+  return { address, isPaused: (flags & PAUSED_FLAG) > 0, changesInMs, report, ...(typeof readyInMs === 'number' ? { readyInMs } : {}) }
 }
 
 /** Decodes the models; null if only a version was sent and the receiver does not know which model it belongs to. */
--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -60,7 +60,7 @@
   const routes = gateway.createRouteTable({
     version: 1,
     routes: [{ name: 'r', host: HOST, pathPrefix: '/', kind: 'stream', timeoutMs: TIMEOUT_MS, targetMs: TARGET_MS, priority: 0, splits: [{ service: SERVICE, weight: 1 }], maximumAttempts: 3, isPublic: true, isResumable: true, gapTargetMs: GAP_TARGET_MS }],
-    services: [{ name: SERVICE, engine: figures, originAddress: null }],
+    services: [{ name: SERVICE, engine: figures, originAddress: null, linkMbps: null }],
     limits: gateway.DEFAULT_CALLER_LIMITS,
     tenants: []
   })
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -81,7 +81,7 @@
     store: null,
     openDatagrams: spread.openDatagrams(checked.host, checked.internal_port),
     fetchChanges: createFleetParts.createChangesFetcher(parts),
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs, ...readReadyIn() }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.recordPeerVersions(parts, heartbeat)) stager?.wake() },
     onFact: () => {},
     onDatagram: (bytes, from) => permits.receive(bytes, from) || reservations.receive(bytes, from),
@@ -103,6 +103,12 @@
     return isLeaving || report?.isLeaving === true
   }
 
+  /** Stated only where gateways use it. */
+  function readReadyIn (): Pick<engineStatus.EngineStatus, 'readyInMs'> {
+    const readyInMs = checked.waiting.maximum_calls > 0 && findOriginService()?.linkMbps !== null ? stager?.readyInMs() ?? null : null
+    return readyInMs === null ? {} : { readyInMs }
+  }
+
   function isServing (): boolean {
     return report !== null && report.models.size > 0
   }
@@ -122,8 +128,12 @@
     return name === undefined ? null : parts.soleModelOf(types.brandId<types.ServiceName>(name))
   }
 
+  function findOriginService (): gateway.Service | null {
+    return parts.routes()?.configuration.services.find((service) => service.originAddress !== null) ?? null
+  }
+
   function findOrigin (): types.Address | null {
-    return parts.routes()?.configuration.services.find((service) => service.originAddress !== null)?.originAddress ?? null
+    return findOriginService()?.originAddress ?? null
   }
 
   async function readReport (): Promise<gateway.EngineReport | null> {
@@ -284,7 +294,7 @@
   metrics.gauge('engine_running', () => report?.running ?? 0)
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, null, listSuspects()),
-    engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs },
+    engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs, ...readReadyIn() },
     agents: listReliableAgents().map((agent) => agent.node)
   }))
 
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -49,6 +49,8 @@
   readonly engine: EngineFigures | null
   /** Address that weights are fetched from, if the service is an origin. */
   readonly originAddress: types.Address | null
+  /** Rate of its network link in megabits per second; null if unknown. */
+  readonly linkMbps: number | null
 }
 
 /** Speed and capacity of a service's engines. A speed that the platform does not provide is null and is left out of predictions. */
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -44,6 +44,10 @@
     retry_window_seconds: zod.number().positive().default(10)
   }).prefault({}),
   quarantine: quarantine.quarantineSchema,
+  waiting: zod.strictObject({
+    maximum_calls: zod.int().min(0).default(256),
+    maximum_bytes: zod.int().min(0).default(8_000_000)
+  }).prefault({}),
   logs: zod.strictObject({
     level: zod.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
   }).prefault({}),
--- a/packages/settings/src/parseFleetSettings/test.ts
+++ b/packages/settings/src/parseFleetSettings/test.ts
@@ -43,3 +43,15 @@
   assert.ok(!wrong.ok)
   assert.deepEqual(wrong.error.problems.map(({ place }) => place).sort(), ['quarantine.block_maximum_seconds', 'quarantine.ends'])
 })
+
+/** Guards against a deployment that cannot switch the part off, or holds bodies without bound because of a typing error. */
+nodeTest.test('limits of waiting calls have defaults, 0 calls are allowed, and negative limits are not', () => {
+  const example = readExample('gateway.toml')
+  const parsed = parseFleetSettings.parseFleetSettings(example, 'gateway.toml')
+  assert.ok(parsed.ok)
+  assert.deepEqual(parsed.value.waiting, { maximum_calls: 256, maximum_bytes: 8_000_000 })
+  assert.ok(parseFleetSettings.parseFleetSettings(`${example}\n[waiting]\nmaximum_calls = 0\n`, 'gateway.toml').ok)
+  const wrong = parseFleetSettings.parseFleetSettings(`${example}\n[waiting]\nmaximum_calls = -1\nmaximum_bytes = 0.5\n`, 'gateway.toml')
+  assert.ok(!wrong.ok)
+  assert.deepEqual(wrong.error.problems.map(({ place }) => place).sort(), ['waiting.maximum_bytes', 'waiting.maximum_calls'])
+})
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -69,6 +69,16 @@
   readonly abortedAnswers: number
   /** Calls to the engines of agents whose links are narrowed, until all agents have the complete version. */
   readonly calls: readonly SimulatedCall[]
+  /** What agents stated while they fetched, each {@link ESTIMATE_INTERVAL_MS}. */
+  readonly estimates: readonly StatedTime[]
+}
+
+/** An agent's estimate of the time until its engine serves; null where it was unknown. */
+export interface StatedTime {
+  readonly atMs: number
+  readonly readyInMs: number | null
+  /** Milliseconds until the agent had the complete version. */
+  readonly wholeInMs: number
 }
 
 /** An answer between agents: its bytes are sent at once, or slice by slice. */
@@ -115,6 +125,7 @@
 /** Same values as in the agent role. */
 const UPLINK_SHARE = 0.9
 const HEARTBEAT_MS = 1500
+const ESTIMATE_INTERVAL_MS = 250
 const SUSPECT_MS = 6000
 const SILENCE_MS = 2500
 const ZONES_EXPECTED_MS = 3000
@@ -365,6 +376,10 @@
   if (options.narrowing !== undefined) narrowLinks(options.narrowing)
   for (const index of names.keys()) setTimeout(() => { startAgent(index) }, 1 + Math.round(startMs * index / count))
   setTimeout(() => { for (const [index, name] of names.entries()) if (isDying(index)) network.disconnectHost(name) }, POWER_LOSS_MS)
+  const stated: Array<{ readonly agent: SimulatedAgent, readonly atMs: number, readonly readyInMs: number | null }> = []
+  const stateTimes = (): void => { for (const agent of running.values()) if (agent.completeMs === Infinity) stated.push({ agent, atMs: now() - startedAt, readyInMs: agent.stager.readyInMs() }) }
+  const estimateTimer = setInterval(stateTimes, ESTIMATE_INTERVAL_MS)
+  stops.push(() => { clearInterval(estimateTimer) })
   const isOver = (): boolean => running.size === count && [...running.values()].every((agent) => agent.isDying || agent.completeMs < Infinity)
   while (!isOver() && now() - startedAt < maximumMs) await advance()
   for (const stop of stops) stop()
@@ -386,6 +401,7 @@
     crossings: counts.crossings / PIECES / (REGIONS.length - 1),
     suspicions: counts.suspicions,
     abortedAnswers: counts.abortedAnswers,
-    calls
+    calls,
+    estimates: stated.map(({ agent, atMs, readyInMs }) => ({ atMs, readyInMs, wholeInMs: agent.completeMs - atMs }))
   }
 }
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -5,6 +5,7 @@
 import * as createManifestReader from '../createManifestReader/index.js'
 import * as createPieceFetcher from '../createPieceFetcher/index.js'
 import * as createPieceStore from '../createPieceStore/index.js'
+import * as createReadinessEstimate from '../createReadinessEstimate/index.js'
 import * as createReceiveWindow from '../createReceiveWindow/index.js'
 import * as selectVersion from '../selectVersion/index.js'
 import * as findSuccessor from '../_lib/findSuccessor.js'
@@ -39,6 +40,8 @@
   readonly fetchingMs: () => number
   /** Measured fraction of the link's nominal rate where pieces arrive far more slowly; 1 otherwise. */
   readonly linkFraction: () => number
+  /** Milliseconds until the engine, which may serve no call now, is expected to serve; null if it serves or the time is unknown. */
+  readonly readyInMs: () => number | null
   /** Performs the next step; call it regularly, and when the named versions or the engine change. */
   readonly wake: () => void
   readonly stop: () => void
@@ -97,6 +100,13 @@
   /** Monotonic times in milliseconds at which versions were complete. */
   const completeAt = new Map<number, number>()
   const stopping = new AbortController()
+  const readiness = createReadinessEstimate.createReadinessEstimate(options.now)
+  /** Whether the engine was about to end when its state was last read. */
+  let isLeaving = false
+  /** Monotonic time in milliseconds at which the engine was ordered to load a version that it doesn't hold yet; null otherwise. */
+  let orderedAt: number | null = null
+  /** The last load into an engine without a version, until the engine reports the version. */
+  let firstLoad: { readonly version: number, readonly tookMs: number } | null = null
   let isStepping = false
   let mustStepAgain = false
   let turnTimer: NodeJS.Timeout | undefined
@@ -162,6 +172,9 @@
     held = state.held
     unloader.schedule(held)
     isServing = state.running + state.waiting > 0
+    isLeaving = state.isLeaving
+    if (firstLoad !== null && held === firstLoad.version) readiness.noteTook('load', firstLoad.tookMs)
+    firstLoad = null
     if (state.isLeaving) {
       endFetch()
       options.onTurn(null)
@@ -169,6 +182,7 @@
     }
     const named = options.named()
     planFetch(state, named)
+    readiness.note(readReadiness())
     const ready = findReady(state.held)
     if (ready === undefined) announceExpectedTurn(state)
     if (ready === undefined || state.isBusy) return
@@ -182,8 +196,28 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready)) return
+    orderedAt = options.now()
     if (state.held === 0) await orders.orderFirstVersion(ready, state)
     else await orders.order(ready, turn.method)
+    if (state.held === 0) firstLoad = { version: ready.id.version, tookMs: options.now() - orderedAt }
+    orderedAt = null
+  }
+
+  /** An engine with an older version that may no longer serve returns like one without a version. */
+  function mayHeldServe (): boolean {
+    const successor = findSuccessor.findSuccessor(options.named(), held)
+    return held > 0 && (successor === undefined || options.now() < successor.deadlineAt - LAST_CALL_LEAD_MS)
+  }
+
+  function readReadiness (): createReadinessEstimate.ReadinessState {
+    if (isLeaving || mayHeldServe()) return { kind: 'none' }
+    if (orderedAt !== null) return { kind: 'loading', since: orderedAt }
+    const ready = findReady(held)
+    if (ready !== undefined) return { kind: isStagedFor(ready) ? 'staged' : 'staging' }
+    const pieces = active === null ? null : findPieces(active.target.id.version)
+    if (active === null || pieces === null) return { kind: 'none' }
+    const total = pieces.manifest.digests.length
+    return { kind: 'fetching', version: active.target.id.version, pieces: total, missing: total - pieces.count() }
   }
 
   /** A stage survives a crash of its engine, but not a loss of power: a stage that was verified before the engine restarted is verified again. */
@@ -287,6 +321,7 @@
     if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
     if (written.failed > 0) return
     staged = { version: ready.id.version, verifiedAt: options.now() }
+    if (isRewritten) readiness.noteTook('stage', options.now() - startedAt)
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
 
@@ -323,6 +358,10 @@
     fetchingMs: () => fetchingSince === null ? 0 : options.now() - fetchingSince,
     recordSent: (id, piece, requester) => { store.find(id)?.recordSent(piece, requester) },
     provideManifest: manifests.provide,
+    readyInMs: () => {
+      readiness.note(readReadiness())
+      return readiness.read()
+    },
     stop: () => {
       stopping.abort()
       clearTimeout(timer)
