Hold calls at gateways until engines return, and confirm listed instances

A call that no engine can take is held if createWaitingCalls predicts that it is served before its deadline, where the origin needs longer than half of the route's timeout for one copy of the weights; elsewhere decisions are as before. While engines return, every call reserves its slot at the engine's agent, because all gateways see the same free slots. A held call is refused at once when its gateway ends, when its engine states that it returns too late, and when no forecast is left; one whose caller leaves is removed.

An instance that a gateway knows only from the list of back ends gets one call at a time until it has responded or its agent has reported: after a loss of power, gateways that had just started sent calls to instances that had ended, which spent the retry budget.

Log: waitedMs and place in the line of the call. Settings: [waiting].

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -22,6 +22,8 @@
 const DRAIN_POLL_MS = 100
 /** Time for sending the final responses of calls that did not end within the grace period. */
 const FINAL_ANSWERS_MS = 100
+/** A gateway that has just started may not know most of the others yet, and would take their share of what returning engines can serve. */
+const PEERS_UNKNOWN_MS = 1500
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -38,6 +40,7 @@
   const tracker = gateway.createBackEndTracker(now)
   const budgets = new Map<types.ServiceName, gateway.RetryBudget>()
   const errorBounds = new Map<types.ServiceName, gateway.ErrorBound>()
+  const startedAt = now()
   let isLeaving = false
 
   let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
@@ -102,6 +105,8 @@
     now,
     random: Math.random
   })
+  let waitingServices: ReadonlySet<types.ServiceName> = new Set()
+  const waiting = checked.waiting.maximum_calls === 0 ? null : createWaiting()
   const exchange = await createFleetExchange.createFleetExchange({
     parts,
     store: client,
@@ -133,6 +138,7 @@
     const backEnd = parts.backEndAt(engineUpdate.address)
     if (backEnd === undefined) return
     tracker.noteReport(backEnd.id, engineUpdate, now() - delayMs - ageMs, delayMs)
+    waiting?.wake()
     if (engineUpdate.report.limitPerSecond !== null) limiter.noteReportedLimit(backEnd, engineUpdate.report.limitPerSecond, now() - delayMs - ageMs)
   }
 
@@ -178,6 +184,7 @@
       tried: choice.tried,
       isLeaving: leavers.isLeaving,
       findExclusion: () => null,
+      mustConfirm: waitingServices.has(choice.service),
       readBackoff: backoffs.read,
       readAllowance: (backEnd) => limiter.readAllowance(backEnd, choice.isLate),
       mayRequestPermit: choice.mayRequestPermit,
@@ -186,6 +193,32 @@
     })
   }
 
+  function listForecastEngines (service: types.ServiceName): readonly gateway.ForecastEngine[] {
+    const model = parts.soleModelOf(service)
+    if (model === null) return []
+    const backEnds = parts.backEnds().filter((backEnd) => backEnd.service === service && !isLeavingBackEnd(backEnd))
+    return gateway.listForecastEngines(backEnds, tracker, model, (version) => parts.versions.lastBeginAt(model, version) > now(), now())
+  }
+
+  function computeUsualHoldMs (service: types.ServiceName): number | null {
+    const figures = parts.routes()?.findService(service)?.engine ?? null
+    return figures === null || figures.usualPromptTokens === null ? null : gateway.computeHoldMs(figures, figures.usualPromptTokens, 0)
+  }
+
+  function createWaiting (): gateway.WaitingCalls {
+    return gateway.createWaitingCalls({
+      limits: { maximumCalls: checked.waiting.maximum_calls, maximumBytes: checked.waiting.maximum_bytes },
+      readEngines: listForecastEngines,
+      holdMsOf: computeUsualHoldMs,
+      countGateways: () => now() - startedAt < PEERS_UNKNOWN_MS ? null : countLiveGateways(),
+      reserve: (backEnd, request, onAnswer) => { void reserver.reserve(backEnd, request).then(onAnswer) },
+      count: metrics.count,
+      now,
+      at: parts.at,
+      random: Math.random
+    })
+  }
+
   const calls = gateway.createCallHandler({
     protocol: platform.createCallProtocol(),
     routes: parts.routes,
@@ -199,6 +232,7 @@
     leavers,
     backoffs,
     reserver,
+    ...(waiting === null ? {} : { waiting }),
     sendAttempt: gateway.sendAttempt,
     logger,
     count: metrics.count,
@@ -208,7 +242,10 @@
     random: Math.random
   })
   const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
-  parts.onRoutes((table) => { server.setLimits(table.configuration.limits) })
+  parts.onRoutes((table) => {
+    server.setLimits(table.configuration.limits)
+    waitingServices = waiting === null ? new Set() : gateway.listWaitingServices(table.configuration)
+  })
   parts.onBackEnds(() => {
     tracker.keepOnly(parts.backEnds())
     limiter.removeUnlisted()
@@ -245,6 +282,7 @@
   }
 
   metrics.gauge('calls_in_progress', calls.inProgress)
+  metrics.gauge('calls_waiting', () => waiting?.size() ?? 0)
   metrics.gauge('prediction_error_bound_ms', () => Math.max(0, ...[...errorBounds.values()].map((bound) => bound.read())))
   metrics.gauge('peers_live', () => gossip.peers().filter(gossip.isLive).length)
   metrics.gauge('back_ends', () => parts.backEnds().length)
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -11,6 +11,7 @@
 import type * as createRetryBudget from '../createRetryBudget/index.js'
 import type * as createSharedTargets from '../createSharedTargets/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
+import type * as createWaitingCalls from '../createWaitingCalls/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
 import type * as backoffs from '../types/backoff.js'
 import type * as guards from '../types/guard.js'
@@ -51,6 +52,8 @@
   readonly leavers: createLeavingRecord.LeavingRecord
   readonly backoffs: backoffs.BackoffKeeper
   readonly reserver: reservers.SlotReserver
+  /** Holds calls until engines return; absent where the settings switch that off. */
+  readonly waiting?: createWaitingCalls.WaitingCalls
   /** Sends an attempt to its back end. */
   readonly sendAttempt: (request: sendAttempt.AttemptRequest) => sendAttempt.Attempt
   readonly logger: observability.Logger
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -13,12 +13,20 @@
   readonly route: gateway.Route
   readonly tenant: types.AccountId | null
   readonly service: types.ServiceName
+  /** Lower is more urgent. */
+  readonly rank: number
   readonly body: Buffer | null
   readonly deadline: deadlines.Deadline
   /** Monotonic time in milliseconds at which the gateway received the request. */
   readonly receivedAt: number
 }
 
+/** Time that a call was held until an engine returned. */
+export interface CallWait {
+  readonly ms: number
+  readonly place: number
+}
+
 /** A call in progress. */
 export interface CallState extends CallDetails {
   /** Back ends that the call was sent to. */
@@ -31,6 +39,8 @@
   predictedMs: number | null
   /** Monotonic time in milliseconds of the first event, or of a response that is not a stream. */
   firstEventAt: number | null
+  /** How long the call was held, and its place in the queue when it was first held; null if it wasn't. */
+  wait: CallWait | null
   readonly isCallerGone: () => boolean
   /** Whether the call's deadline has passed, or its gateway is shutting down. */
   readonly isExpired: () => boolean
@@ -71,6 +81,7 @@
     mayHaveRun: false,
     predictedMs: null,
     firstEventAt: null,
+    wait: null,
     hasAttemptResponded: false,
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
     fingerprint: () => {
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -255,7 +255,7 @@
   function createWaiting (from: SimulatedGateway): createWaitingCalls.WaitingCalls {
     return createWaitingCalls.createWaitingCalls({
       limits: WAITING_LIMITS,
-      readEngines: () => waitingCalls.listForecastEngines(backEnds, from.tracker, simulatedEngine.MODEL, clock.now()),
+      readEngines: () => waitingCalls.listForecastEngines(backEnds, from.tracker, simulatedEngine.MODEL, () => true, clock.now()),
       holdMsOf: () => computeForecast.computeHoldMs(figures, figures.usualPromptTokens ?? 0, 0),
       countGateways: () => clock.now() < from.knowsFrom ? null : scenario.gateways,
       reserve: ({ id, zone }, request, onAnswer) => {
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -45,6 +45,8 @@
     ms: elapsedMs,
     predictedMs: call.predictedMs,
     firstEventMs,
+    waitedMs: call.wait?.ms,
+    place: call.wait?.place,
     version: end.version,
     fingerprint: end.isBlocked ? call.fingerprint() : undefined,
     reason: end.ending === 'answered' ? undefined : end.reason
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -2,7 +2,10 @@
 import type * as types from '@switchridge/types'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
+import * as computeForecast from '../computeForecast/index.js'
 import * as createEventSplitter from '../createEventSplitter/index.js'
+import type * as createWaitingCalls from '../createWaitingCalls/index.js'
+import type * as createWaitingQueue from '../createWaitingQueue/index.js'
 import * as admitCall from './admitCall.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
@@ -10,6 +13,7 @@
 import * as noteOutcome from './noteOutcome.js'
 import * as reserveSlot from './reserveSlot.js'
 import * as runAttempt from './runAttempt.js'
+import * as waitingCalls from './waitingCalls.js'
 import type * as callOptions from './callOptions.js'
 
 /** Retry time of a refused call, unless the reason for the refusal gives another one. */
@@ -21,6 +25,8 @@
 const NO_BACK_END_RETRY_AFTER_MS = 1000
 /** The retry time is then at most this fraction of the time left until the deadline. */
 const NO_BACK_END_REMAINING_FRACTION = 0.3
+/** Shortest retry time while the first call of each instance that may serve is still under way. */
+const UNCONFIRMED_RETRY_MS = 100
 const BLOCKED_REASON = 'blocked: back ends ended under this call'
 /** Number of connections that may fail before the call is given up. */
 const MAXIMUM_CONNECT_FAILURES = 4
@@ -35,8 +41,14 @@
 const BACKOFF_RETRY_SPREAD_MS = 500
 const BACKOFF_RETRY_SPREAD_FRACTION = 0.5
 
+/** An engine that is passed over for one of these reasons may take calls again at a time that the forecast of returning engines doesn't know. */
+const UNFORECAST_REASONS: readonly chooseBackEnd.PassedOverReason[] = ['limited', 'backing-off', 'other-version', 'unconfirmed']
+
 type Options = callOptions.CallHandlerOptions
 
+/** How the attempt to hold a call ended: with a reserved slot, a refusal, or a call that must end or be decided again. */
+type Held = { readonly kind: 'reserved', readonly choice: chooseBackEnd.Choice } | { readonly kind: 'refused' } | { readonly kind: 'removed' }
+
 /** Describes how many back ends were passed over for each reason. */
 function describePassedOver (passedOver: chooseBackEnd.PassedOver): string {
   const counts = Object.entries(passedOver).map(([reason, count]) => `${count} ${reason}`)
@@ -63,6 +75,9 @@
   let backEnd = ''
   let isBlocked = false
 
+  const waiting = findWaiting()
+  waiting?.noteCall(call.service, call.rank)
+
   async function serve (): Promise<logCall.Ending> {
     for (;;) {
       const isFirst = call.attempts === 0
@@ -71,25 +86,43 @@
       const chosen = choose(call.tried, isLate)
       const { passedOver, utilization, permitWaitMs, backoffWaitMs } = chosen
       let { choice } = chosen
-      if (choice === null) {
+      if (choice === null && waiting !== null && mayHold(passedOver)) {
+        waiting.noteNoneServing(call.service)
+        const held = await hold(waiting, `no back end may serve: ${describePassedOver(passedOver)}`, null)
+        if (call.isCallerGone()) return 'left'
+        if (held.kind === 'refused' || call.isExpired()) return endUnserved()
+        if (held.kind === 'removed') continue
+        choice = held.choice
+      } else if (choice === null) {
         if (backoffWaitMs !== Infinity) retryAfterMs = computeBackoffRetryMs(backoffWaitMs)
         if (lastReason !== '') return endUnserved()
-        if (backoffWaitMs === Infinity) retryAfterMs = computeRetryAfterMs(permitWaitMs)
+        if (backoffWaitMs === Infinity) retryAfterMs = passedOver.unconfirmed === undefined ? computeRetryAfterMs(permitWaitMs) : computeUnconfirmedRetryMs()
         lastReason = `no back end may serve: ${describePassedOver(passedOver)}`
         return endUnserved()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
-      if (isFirst && connectFailures === 0) {
+      // While engines return, all gateways see the same free slots, so every call reserves one.
+      const mustReserve = waiting?.isRecovering(call.service) === true && !reply.hasStarted()
+      if (isFirst && chosen.choice !== null && (connectFailures === 0 || mustReserve)) {
         const admission = admitCall.admitCall(call, choice, utilization, options)
-        if (!admission.isAdmitted) {
-          const reserved = await reserveSlot.reserveSlot(call, choice, admission.withinMs, (tried) => choose(tried, isLate).choice, options)
+        if (!admission.isAdmitted || mustReserve) {
+          const withinMs = admission.isAdmitted ? call.route.targetMs - callState.readElapsedMs(call, options.now()) : admission.withinMs
+          const hasEarlier = waiting !== null && mustReserve && waiting.hasEarlier(call.service, toQueued())
+          let reserved = hasEarlier ? null : await reserveSlot.reserveSlot(call, choice, withinMs, (tried) => choose(tried, isLate).choice, options)
           if (call.isCallerGone()) return 'left'
-          if (reserved === null) {
+          if (reserved === null && waiting !== null && mustReserve && !call.isExpired()) {
+            const reason = admission.isAdmitted ? 'no slot at an engine that has returned' : admission.reason
+            const held = await hold(waiting, reason, admission.isAdmitted ? null : admission.retryAfterMs)
+            if (call.isCallerGone()) return 'left'
+            if (held.kind === 'refused' || call.isExpired()) return endUnserved()
+            if (held.kind === 'removed') continue
+            reserved = held.choice
+          } else if (reserved === null && !admission.isAdmitted) {
             lastReason = admission.reason
             retryAfterMs = admission.retryAfterMs
             return endUnserved()
           }
-          choice = reserved
+          choice = reserved ?? choice
         }
       }
       if (choice.isRateLimited) {
@@ -130,6 +163,79 @@
     }
   }
 
+  /** The waiting calls of the gateway, if this call may be one of them. */
+  function findWaiting (): createWaitingCalls.WaitingCalls | null {
+    const table = options.waiting === undefined ? null : options.routes()
+    if (options.waiting === undefined || table === null || call.head.model === null || readHoldMs() === null) return null
+    return waitingCalls.mayWait(table.configuration, call.route, table.findService(call.service)) ? options.waiting : null
+  }
+
+  function readHoldMs (): number | null {
+    const figures = options.routes()?.findService(call.service)?.engine ?? null
+    return figures === null ? null : computeForecast.computeHoldMs(figures, call.head.promptTokens, call.head.answerTokens)
+  }
+
+  function toQueued (): createWaitingQueue.QueuedCall {
+    const now = options.now()
+    return waitingCalls.toQueuedCall({
+      rank: call.rank,
+      bytes: call.body?.length ?? 0,
+      targetAt: now - callState.readElapsedMs(call, now) + call.route.targetMs,
+      targetMs: call.route.targetMs,
+      deadlineAt: call.deadline.at,
+      holdMs: readHoldMs() ?? 0
+    })
+  }
+
+  function mayHold (passedOver: chooseBackEnd.PassedOver): boolean {
+    return !reply.hasStarted() && !call.isExpired() && UNFORECAST_REASONS.every((reason) => passedOver[reason] === undefined)
+  }
+
+  /**
+   * Holds the call until a slot is reserved for it. `refusal`: why it would be refused if it is not held; `retryAfterMs`: the time to retry in that case,
+   * null for the time at which capacity is expected.
+   */
+  async function hold (held: createWaitingCalls.WaitingCalls, refusal: string, refusalRetryAfterMs: number | null): Promise<Held> {
+    const startedAt = options.now()
+    let place = 0
+    const end = await new Promise<createWaitingCalls.WaitEnd | { readonly kind: 'removed' }>((resolve) => {
+      const waitingCall: createWaitingCalls.WaitingCall = {
+        ...toQueued(),
+        service: call.service,
+        promptTokens: call.head.promptTokens,
+        deadlineAt: call.deadline.at,
+        choose: (others) => choose(new Set([...listTriedSinceReturn(), ...others]), !canMeetTarget(0)).choice,
+        onEnd: resolve
+      }
+      const decision = held.add(waitingCall)
+      if (!decision.isHeld) {
+        resolve({ kind: 'refused', reason: `${refusal}; not held: ${decision.reason}`, retryAfterMs: refusalRetryAfterMs ?? decision.retryAfterMs ?? computeRetryAfterMs(Infinity) })
+        return
+      }
+      place = decision.place
+      call.setAbortAttempt(() => {
+        held.remove(waitingCall, call.isCallerGone() ? 'left' : call.isExpired() ? 'ended' : 'blocked')
+        resolve({ kind: 'removed' })
+      })
+    })
+    call.setAbortAttempt(() => {})
+    if (place > 0) {
+      const waitedMs = Math.round(options.now() - startedAt)
+      options.observe('call_wait', waitedMs)
+      call.wait = { ms: (call.wait?.ms ?? 0) + waitedMs, place: call.wait?.place ?? place }
+    }
+    if (end.kind === 'removed' && call.isExpired()) lastReason = 'ended while it waited for an engine'
+    if (end.kind !== 'refused') return end
+    if (place > 0 || lastReason === '') lastReason = end.reason
+    retryAfterMs = end.retryAfterMs
+    return end
+  }
+
+  /** Back ends that the call was sent to, without those that have returned since and may serve it as others do. */
+  function listTriedSinceReturn (): types.NodeId[] {
+    return [...call.tried].filter((id) => options.tracker.read(id).returnedAt < call.receivedAt)
+  }
+
   /** Whether the call is blocked because back ends ended under it; if so, that is the reason of its refusal. */
   function noteIfBlocked (): boolean {
     const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(call.fingerprint()) : null
@@ -161,6 +267,11 @@
     return Math.min(retryMs, call.deadline.remainingMs() * NO_BACK_END_REMAINING_FRACTION)
   }
 
+  /** The first calls of instances that are not confirmed yet are answered soon. */
+  function computeUnconfirmedRetryMs (): number {
+    return Math.min(UNCONFIRMED_RETRY_MS * (1 + options.random()), call.deadline.remainingMs() * NO_BACK_END_REMAINING_FRACTION)
+  }
+
   /** Callers return spread over some time after the end of a backoff, so that the back end doesn't get all of them at once. */
   function computeBackoffRetryMs (backoffWaitMs: number): number {
     return backoffWaitMs + Math.max(BACKOFF_RETRY_SPREAD_MS, backoffWaitMs * BACKOFF_RETRY_SPREAD_FRACTION) * options.random()
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -32,6 +32,8 @@
   readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
   /** Why a back end may not serve this call even if it has room; null if it may. */
   readonly findExclusion: (backEnd: gateway.BackEnd) => gateway.ExclusionReason | null
+  /** Whether an instance known only from the list of back ends is sent one call at a time until it has responded or reported; no if absent. */
+  readonly mustConfirm?: boolean
   /** What a back end that asked for a backoff may be sent. */
   readonly readBackoff: (backEnd: gateway.BackEnd) => backoffs.Backoff
   /** Remaining rate allowance of a back end that advertises a rate limit; null for one without a limit. */
@@ -88,6 +90,8 @@
   | 'limited'
   /** It asked for a backoff that is not over, or after which it has not answered enough calls yet to get another one. */
   | 'backing-off'
+  /** It is known only from the list of back ends, and the first call there has not been answered yet. */
+  | 'unconfirmed'
   | gateway.ExclusionReason
 
 /** Number of back ends passed over for each reason. */
@@ -199,6 +203,7 @@
   const load = input.tracker.read(backEnd.id)
   if (load.isGone) return 'gone'
   if (load.report?.isLeaving === true) return 'draining'
+  if (input.mustConfirm === true && !load.isConfirmed && load.open.size > 0) return 'unconfirmed'
   const withoutLink = predict(backEnd, load, input)
   const linkMs = load.linkDelayMs * LINK_CROSSINGS
   const predicted = { ...withoutLink, firstEventMs: withoutLink.firstEventMs + linkMs, discountedFirstEventMs: withoutLink.discountedFirstEventMs + linkMs }
--- a/packages/gateway/src/chooseBackEnd/test.ts
+++ b/packages/gateway/src/chooseBackEnd/test.ts
@@ -146,3 +146,31 @@
   assert.equal(chooseAmong(engines, tracker, { gateways: 4, figures: null, model: null }).utilization, 1 / 32)
   assert.equal(chooseAmong([], tracker).utilization, 1)
 })
+
+/**
+ * Guards against gateways that have just started and send several calls at once to an instance that ended with a loss of power but is still listed: the calls
+ * spent the retry budget there and were refused.
+ */
+nodeTest.test('an instance known only from the list gets one call at a time until it has responded or reported', () => {
+  const id = types.brandId<types.NodeId>('listed')
+  const engines = [createEngine('listed', 1)]
+  const attempt = { promptTokens: 1000, answerTokens: 100, sentAt: NOW, hasResponded: false }
+  const create = (): createBackEndTracker.BackEndTracker => {
+    const tracker = createBackEndTracker.createBackEndTracker(() => NOW)
+    assert.equal(choose(engines, tracker, { mustConfirm: true }), 'listed')
+    tracker.noteSent(id, attempt)
+    assert.deepEqual(chooseAmong(engines, tracker, { mustConfirm: true }).passedOver, { unconfirmed: 1 })
+    assert.equal(choose(engines, tracker), 'listed')
+    return tracker
+  }
+  const reported = create()
+  reported.noteReport(id, report(1, 1), NOW, 0)
+  assert.equal(choose(engines, reported, { mustConfirm: true }), 'listed')
+  const responded = create()
+  attempt.hasResponded = true
+  assert.equal(choose(engines, responded, { mustConfirm: true }), 'listed')
+  responded.noteEnded(id, attempt)
+  responded.noteSuccess(id)
+  responded.noteSent(id, { ...attempt, hasResponded: false })
+  assert.equal(choose(engines, responded, { mustConfirm: true }), 'listed')
+})
--- a/packages/gateway/src/createBackEndTracker/test.ts
+++ b/packages/gateway/src/createBackEndTracker/test.ts
@@ -138,3 +138,20 @@
   advance(4000)
   assert.equal(tracker.read(ID).isGone, false)
 })
+
+/** Guards against calls that wait for an engine that serves already, or in vain for one whose agent is silent. */
+nodeTest.test('the time of an engine\'s return is known until it serves, and not for long after its agent\'s last report', () => {
+  let time = 10_000
+  const tracker = createBackEndTracker.createBackEndTracker(() => time)
+  assert.equal(tracker.read(ID).readyAt, null)
+  tracker.noteReport(ID, { ...STATUS, readyInMs: 4000 }, time - 100, 0)
+  assert.equal(tracker.read(ID).readyAt, 13_900)
+  time += 2500
+  assert.equal(tracker.read(ID).readyAt, 13_900)
+  time += 1000
+  assert.equal(tracker.read(ID).readyAt, null)
+  assert.equal(tracker.read(ID).returnedAt, -Infinity)
+  tracker.noteReport(ID, { ...STATUS, report: { ...STATUS.report, models: new Map([['m', 1]]) } }, time, 0)
+  assert.equal(tracker.read(ID).readyAt, null)
+  assert.equal(tracker.read(ID).returnedAt, time)
+})
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -7,6 +7,7 @@
 import * as answers from '../_lib/answers.js'
 import type * as callOptions from '../_lib/callOptions.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
+import * as computeRank from '../computeRank/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as gateway from '../types/index.js'
 
@@ -59,7 +60,8 @@
     const call = callState.createCallState({
       head,
       route: routed.route,
-      tenant: routed.tenant,
+      tenant: routed.tenant?.name ?? null,
+      rank: computeRank.computeRank(routed.route, routed.tenant),
       service: pickService(routed.route, options.random()),
       body: toForwardedBody(request, body.body),
       deadline: deadlines.createDeadline(receivedAt + timeoutMs, options.now),
@@ -73,7 +75,10 @@
 
   return {
     inProgress: () => inProgress,
-    drain: (at) => { endsAt = at },
+    drain: (at) => {
+      endsAt = at
+      options.waiting?.end('this gateway ends', DRAIN_RETRY_MS)
+    },
     endAll: () => { for (const call of calls) call.expire() },
     handle: (request, response) => {
       inProgress += 1
@@ -88,7 +93,7 @@
 }
 
 type RoutedCall =
-  | { readonly ok: true, readonly route: gateway.Route, readonly tenant: types.AccountId | null }
+  | { readonly ok: true, readonly route: gateway.Route, readonly tenant: gateway.Tenant | null }
   | { readonly ok: false, readonly status: number, readonly reason: string }
 
 function routeCall (table: createRouteTable.RouteTable, head: gateway.CallHead): RoutedCall {
@@ -96,7 +101,7 @@
   if (route === null) return { ok: false, status: 404, reason: 'no route' }
   const tenant = head.key === null ? null : table.findTenant(head.key)
   if (table.needsKeys && !route.isPublic && tenant === null) return { ok: false, status: 401, reason: 'unknown key' }
-  return { ok: true, route, tenant: tenant?.name ?? null }
+  return { ok: true, route, tenant }
 }
 
 function pickService (route: gateway.Route, random: number): types.ServiceName {
