Describe waiting calls, and state no return after a load that failed

An agent whose engine didn't hold the version after a load stated the same 1.1 s before each further attempt, so gateways held calls in vain again and again (seen in a trial with an engine stand-in that never reports its model). The time is now unknown from such a load until the engine holds the version.

--- a/packages/gateway/src/createWaitingCalls/index.ts
+++ b/packages/gateway/src/createWaitingCalls/index.ts
@@ -165,7 +165,8 @@
 
   /**
    * Whether a call is predicted to be served behind the given ones. Arriving calls that can still be in time are handed out before it, so it must be
-   * possible to serve it after its target: of calls that were held only because they might be in time, a third were, and they kept others from being so.
+   * possible to serve it after its target: with calls that were held only because they might be in time, 392 instead of 1062 were in time in the simulated gap
+   * (34 gateways, 375 calls a second).
    */
   function isServable (call: WaitingCall, others: readonly WaitingCall[], forecast: computeForecast.Forecast, gateways: number): boolean {
     const returnAt = Math.max(call.inTimeUntil + 1, now() + forecast.firstInMs)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -107,6 +107,8 @@
   let orderedAt: number | null = null
   /** The last load into an engine without a version, until the engine reports the version. */
   let firstLoad: { readonly version: number, readonly tookMs: number } | null = null
+  /** Version that the engine didn't hold after it was ordered to load it, 0 for none: when it will is unknown. */
+  let failedVersion = 0
   let isStepping = false
   let mustStepAgain = false
   let turnTimer: NodeJS.Timeout | undefined
@@ -173,7 +175,7 @@
     unloader.schedule(held)
     isServing = state.running + state.waiting > 0
     isLeaving = state.isLeaving
-    if (firstLoad !== null && held === firstLoad.version) readiness.noteTook('load', firstLoad.tookMs)
+    if (firstLoad !== null) noteFirstLoad(firstLoad)
     firstLoad = null
     if (state.isLeaving) {
       endFetch()
@@ -203,6 +205,11 @@
     orderedAt = null
   }
 
+  function noteFirstLoad ({ version, tookMs }: { readonly version: number, readonly tookMs: number }): void {
+    failedVersion = held === version ? 0 : version
+    if (held === version) readiness.noteTook('load', tookMs)
+  }
+
   /** An engine with an older version that may no longer serve returns like one without a version. */
   function mayHeldServe (): boolean {
     const successor = findSuccessor.findSuccessor(options.named(), held)
@@ -211,8 +218,9 @@
 
   function readReadiness (): createReadinessEstimate.ReadinessState {
     if (isLeaving || mayHeldServe()) return { kind: 'none' }
-    if (orderedAt !== null) return { kind: 'loading', since: orderedAt }
     const ready = findReady(held)
+    if (ready !== undefined && ready.id.version === failedVersion) return { kind: 'none' }
+    if (orderedAt !== null) return { kind: 'loading', since: orderedAt }
     if (ready !== undefined) return { kind: isStagedFor(ready) ? 'staged' : 'staging' }
     const pieces = active === null ? null : findPieces(active.target.id.version)
     if (active === null || pieces === null) return { kind: 'none' }
