--- a/packages/daemon/src/_lib/engineStatus.test.ts
+++ b/packages/daemon/src/_lib/engineStatus.test.ts
@@ -42,6 +42,18 @@
   assert.equal(encoded.length, 9)
 })
 
+/** Guards against a status that builds without the field would drop although it holds nothing. */
+nodeTest.test('the time until an engine serves is encoded behind the other optional fields, and left out where it is unknown', () => {
+  for (const limitPerSecond of [null, 5]) {
+    const returning = { ...STATUS, readyInMs: 1234, report: { ...STATUS.report, limitPerSecond, models: new Map() } }
+    assert.deepEqual(roundTrip(returning, HOST), returning)
+  }
+  const context = { host: HOST, soleModel: () => 'm' }
+  const known = engineStatus.encodeEngineStatus({ ...STATUS, readyInMs: 1234.4 }, context) as unknown[]
+  assert.deepEqual(known.slice(-3), [null, null, 1234])
+  assert.equal((engineStatus.encodeEngineStatus(STATUS, context) as unknown[]).length, known.length - 3)
+})
+
 nodeTest.test('an engine that is about to end is decoded as such', () => {
   const leaving = { ...STATUS, isPaused: true, report: { ...STATUS.report, isLeaving: true } }
   assert.deepEqual(roundTrip(leaving, HOST), leaving)
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -15,12 +15,20 @@
   readonly service: types.ServiceName
   /** Regions that the call may enter; null for no restriction. */
   readonly allowedRegions: gateway.AllowedRegions
+  /** Lower is more urgent. */
+  readonly rank: number
   readonly body: Buffer | null
   readonly deadline: deadlines.Deadline
   /** Monotonic time in milliseconds at which the gateway received the request. */
   readonly receivedAt: number
 }
 
+/** Time that a call was held until an engine returned. */
+export interface CallWait {
+  readonly ms: number
+  readonly place: number
+}
+
 /** A call in progress. */
 export interface CallState extends CallDetails {
   /** Back ends that the call was sent to. */
@@ -33,6 +41,8 @@
   predictedMs: number | null
   /** Monotonic time in milliseconds of the first event, or of a response that is not a stream. */
   firstEventAt: number | null
+  /** How long the call was held, and its place in the queue when it was first held; null if it wasn't. */
+  wait: CallWait | null
   readonly isCallerGone: () => boolean
   /** Whether the call's deadline has passed, or its gateway is shutting down. */
   readonly isExpired: () => boolean
@@ -73,6 +83,7 @@
     mayHaveRun: false,
     predictedMs: null,
     firstEventAt: null,
+    wait: null,
     hasAttemptResponded: false,
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
     fingerprint: () => {
@@ -122,5 +133,10 @@
 
 /** Whether a call sent this many milliseconds after its caller's first try may still be answered in time. */
 export function canMeetTarget (elapsedMs: number, targetMs: number): boolean {
-  return elapsedMs < targetMs * LATEST_SEND_FRACTION
+  return elapsedMs < computeLatestSendMs(targetMs)
+}
+
+/** Milliseconds after its caller's first try until which a call that is sent may still be answered in time. */
+export function computeLatestSendMs (targetMs: number): number {
+  return targetMs * LATEST_SEND_FRACTION
 }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -9,6 +9,7 @@
 import * as computeAllowedRegions from '../computeAllowedRegions/index.js'
 import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
+import * as computeRank from '../computeRank/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as gateway from '../types/index.js'
 
@@ -68,6 +69,7 @@
       route: routed.route,
       tenant: routed.tenant?.name ?? null,
       allowedRegions: computeAllowedRegions.computeAllowedRegions(routed.route, routed.tenant),
+      rank: computeRank.computeRank(routed.route, routed.tenant),
       service: pickService(routed.route, options.random()),
       body: toForwardedBody(request, body.body),
       deadline: deadlines.createDeadline(receivedAt + timeoutMs, options.now),
@@ -97,7 +99,10 @@
 
   return {
     inProgress: () => inProgress,
-    drain: (at) => { endsAt = at },
+    drain: (at) => {
+      endsAt = at
+      options.waiting?.end('this gateway ends', DRAIN_RETRY_MS)
+    },
     endAll: () => { for (const call of calls) call.expire() },
     handle: (request, response) => {
       inProgress += 1
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -57,6 +57,8 @@
   readonly coldMs?: number
   /** Path of the health check, whose answer says how long a back end stays cold; absent if there is none. */
   readonly healthPath?: string
+  /** Rate of its network link in megabits per second; null if unknown. */
+  readonly linkMbps: number | null
 }
 
 /** Speed and capacity of a service's engines. A speed that the platform does not provide is null and is left out of predictions. */
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -50,6 +50,10 @@
     cold_slack: zod.number().min(0).default(5)
   }).prefault({}),
   quarantine: quarantine.quarantineSchema,
+  waiting: zod.strictObject({
+    maximum_calls: zod.int().min(0).default(0),
+    maximum_bytes: zod.int().min(0).default(8_000_000)
+  }).prefault({}),
   logs: zod.strictObject({
     level: zod.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
   }).prefault({}),
