Hold no calls of services with several models, or that no engine's return helps

A call for a model that no engine holds would have kept its service recovering, so that all its calls reserved slots; and a call whose engines are all passed over for their region or because they drain must be refused at once.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -41,6 +41,8 @@
 const BACKOFF_RETRY_SPREAD_MS = 500
 const BACKOFF_RETRY_SPREAD_FRACTION = 0.5
 
+/** An engine that is passed over for one of these reasons may return; where all are passed over for other ones, such as their region, waiting changes nothing. */
+const RETURNING_REASONS: readonly chooseBackEnd.PassedOverReason[] = ['empty', 'old', 'late', 'gone']
 /** An engine that is passed over for one of these reasons may take calls again at a time that the forecast of returning engines doesn't know. */
 const UNFORECAST_REASONS: readonly chooseBackEnd.PassedOverReason[] = ['limited', 'backing-off', 'other-version', 'unconfirmed']
 
@@ -166,8 +168,10 @@
   /** The waiting calls of the gateway, if this call may be one of them. */
   function findWaiting (): createWaitingCalls.WaitingCalls | null {
     const table = options.waiting === undefined ? null : options.routes()
-    if (options.waiting === undefined || table === null || call.head.model === null || readHoldMs() === null) return null
-    return waitingCalls.mayWait(table.configuration, call.route, table.findService(call.service)) ? options.waiting : null
+    if (options.waiting === undefined || table === null || readHoldMs() === null) return null
+    const service = table.findService(call.service)
+    const isModelServed = call.head.model !== null && service?.engine?.models.includes(call.head.model) === true
+    return isModelServed && waitingCalls.mayWait(table.configuration, call.route, service) ? options.waiting : null
   }
 
   function readHoldMs (): number | null {
@@ -188,7 +192,8 @@
   }
 
   function mayHold (passedOver: chooseBackEnd.PassedOver): boolean {
-    return !reply.hasStarted() && !call.isExpired() && UNFORECAST_REASONS.every((reason) => passedOver[reason] === undefined)
+    const mayReturn = RETURNING_REASONS.some((reason) => passedOver[reason] !== undefined)
+    return mayReturn && !reply.hasStarted() && !call.isExpired() && UNFORECAST_REASONS.every((reason) => passedOver[reason] === undefined)
   }
 
   /**
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -11,7 +11,7 @@
 const TIMEOUT_MS = 6000
 const SERVICE = types.brandId<types.ServiceName>('llm')
 const ENGINE = types.brandId<types.NodeId>('i-1')
-const FIGURES = { slots: 12, chunks: 96, chunkBytes: 24_576, stepMs: 10, stepMsPerSequence: 0, prefillTokensPerMs: 20, usualPromptTokens: 900, usualAnswerTokens: 50 }
+const FIGURES = { slots: 12, models: ['m'], chunks: 96, chunkBytes: 24_576, stepMs: 10, stepMsPerSequence: 0, prefillTokensPerMs: 20, usualPromptTokens: 900, usualAnswerTokens: 50 }
 const RETURN_AT = 2000
 const CALL_ENDS_AT_SEND = 'sent'
 
@@ -151,6 +151,7 @@
   for (const [scenario, reason] of [
     [{ linkMbps: 100 }, 'no back end may serve: 1 empty'],
     [{ passedOver: 'limited' }, 'no back end may serve: 1 limited'],
+    [{ passedOver: 'region' }, 'no back end may serve: 1 region'],
     [{ statedReturnAt: () => null }, 'no back end may serve: 1 empty; not held: no forecast'],
     [{ returnAt: 5900 }, 'no back end may serve: 1 empty; not held: not served in time']
   ] as const) {
--- a/packages/gateway/src/_lib/waitingCalls.test.ts
+++ b/packages/gateway/src/_lib/waitingCalls.test.ts
@@ -27,6 +27,7 @@
   assert.equal(mayWait(6000, FIGURES, { ...ORIGIN, originAddress: null }), false)
   assert.equal(mayWait(6000, null), false)
   assert.equal(mayWait(6000, { ...FIGURES, chunks: 0 }), false)
+  assert.equal(mayWait(6000, { ...FIGURES, models: ['m', 'n'] }), false)
   for (const missing of ['stepMs', 'prefillTokensPerMs', 'usualPromptTokens', 'usualAnswerTokens'] as const) assert.equal(mayWait(6000, { ...FIGURES, [missing]: null }), false, missing)
 })
 
--- a/packages/gateway/src/_lib/waitingCalls.ts
+++ b/packages/gateway/src/_lib/waitingCalls.ts
@@ -31,11 +31,11 @@
  * @param configuration - The configuration.
  * @param route - The route.
  * @param service - The service.
- * @returns False also if a figure is missing.
+ * @returns False also if a figure is missing, or if engines may hold different models: the forecast doesn't tell these apart.
  */
 export function mayWait (configuration: gateway.Configuration, route: Pick<gateway.Route, 'timeoutMs'>, service: gateway.Service | null): boolean {
   const linkMbps = configuration.services.find(({ originAddress }) => originAddress !== null)?.linkMbps ?? null
-  if (linkMbps === null || service === null || service.engine === null) return false
+  if (linkMbps === null || service === null || service.engine === null || service.engine.models.length !== 1) return false
   if (service.engine.usualPromptTokens === null || computeForecast.computeHoldMs(service.engine, service.engine.usualPromptTokens, 0) === null) return false
   const copyMs = service.engine.chunks * service.engine.chunkBytes * BITS_PER_BYTE / (linkMbps * BITS_PER_MS_IN_MEGABIT)
   return copyMs > route.timeoutMs * COPY_TIMEOUT_FRACTION
