Admit calls of lower priorities by shorter targets while slots are contended

Cause: the shared target of a low priority was at least 0.6 of its own, so calls of the least urgent route (1,000 ms) were admitted where the most urgent ones (400 ms) were refused.

--- a/packages/gateway/src/_lib/admitCall.ts
+++ b/packages/gateway/src/_lib/admitCall.ts
@@ -32,7 +32,7 @@
     queuedAhead: choice.queuedAhead,
     utilization,
     errorMs: options.errorBoundOf(call.service).read(),
-    targetMs: options.sharedTargetOf({ service: call.service, priority: call.route.priority, targetMs: call.route.targetMs }),
+    targetMs: options.sharedTargetOf({ service: call.service, priority: call.route.priority, targetMs: call.route.targetMs, hasModel: call.head.model !== null }, decideAdmission.isContended(utilization)),
     elapsedMs: callState.readElapsedMs(call, options.now()),
     remainingMs: call.deadline.remainingMs(),
     random: options.random()
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -47,6 +47,8 @@
   readonly doGatewaysConfirm?: boolean
   /** A loss of power of all engines at {@link GAP_FROM_MS}. */
   readonly gap?: GapScenario
+  /** Classes of calls, {@link STREAM_CLASSES} if absent. */
+  readonly classes?: readonly StreamClass[]
   /** Seed of the random numbers, {@link SEED} if absent. */
   readonly seed?: number
 }
@@ -104,12 +106,15 @@
 
 type Counts = { -readonly [Name in keyof CallerResult]: number }
 
-interface StreamClass {
+/** A class of calls to streams. */
+export interface StreamClass {
   /** Fraction of all calls, from 0 to 1. */
   readonly part: number
   readonly promptTokens: number
   readonly events: number
   readonly targetMs: number
+  /** 0 is the highest; 1 if absent. */
+  readonly priority?: number
 }
 
 /** Three classes of streams, as an application at a trade counter requests them. */
@@ -137,6 +142,7 @@
 const CALLER_TRY_FRACTION = 3
 /** Without a forecast the retry time is at most this fraction of the time left. */
 const RETRY_REMAINING_FRACTION = 0.3
+const USUAL_PRIORITY = 1
 const SEED = 7
 const GAP_FROM_MS = WARM_UP_MS
 const GAP_RESULT_MS = 3500
@@ -208,7 +214,8 @@
   const byId = new Map(engines.map((engine) => [engine.backEnd.id, engine]))
   const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), backoffs: createBackoffs(), permitExpectedAt: new Map(), waiting: null, knowsFrom: 0 }))
   const shedding = new Set(backEnds.slice(scenario.engines - (scenario.shedding?.count ?? 0)).map(({ id }) => id))
-  const counts = STREAM_CLASSES.map(createCounts)
+  const classes = scenario.classes ?? STREAM_CLASSES
+  const counts = classes.map(createCounts)
   const limit = scenario.limited ?? { count: 0, perSecond: 1, isEnforced: false }
   const limited = new Map(backEnds.slice(scenario.engines - limit.count).map(({ id }) => [id, [] as number[]]))
   const counter = rateLimits.createPermitCounter(clock.now)
@@ -395,11 +402,11 @@
   }
 
   function startCall (): void {
-    const kind = STREAM_CLASSES[pickStreamClassIndex(random())] as StreamClass
+    const kind = classes[pickStreamClassIndex(classes, random())] as StreamClass
     const isCounted = clock.now() >= WARM_UP_MS
     const call: Call = {
       kind,
-      counts: isCounted ? counts[STREAM_CLASSES.indexOf(kind)] as Counts : createCounts(),
+      counts: isCounted ? counts[classes.indexOf(kind)] as Counts : createCounts(),
       promptTokens: Math.round(kind.promptTokens * -Math.log(1 - random())),
       askedAt: clock.now(),
       tries: 0,
@@ -445,7 +452,7 @@
     }
     if (choice === null && gap !== null) return refuse(call, computeRetryMs(call))
     if (choice === null) return refuse(call, callState.canMeetTarget(elapsedMs + permitWaitMs, call.kind.targetMs) ? permitWaitMs : LATE_RETRY_MS * (1 + random()))
-    const targetMs = from.targets.note({ service: simulatedEngine.SERVICE, priority: 1, targetMs: call.kind.targetMs })
+    const targetMs = from.targets.note({ service: simulatedEngine.SERVICE, priority: call.kind.priority ?? USUAL_PRIORITY, targetMs: call.kind.targetMs, hasModel: true }, decideAdmission.isContended(utilization))
     const input: decideAdmission.AdmissionInput = {
       firstEventMs: choice.discountedFirstEventMs,
       queuedAhead: choice.queuedAhead,
@@ -589,9 +596,9 @@
 }
 
 /** Index of the class that a random number from 0 to 1 selects, by the fractions of the classes. */
-function pickStreamClassIndex (random: number): number {
+function pickStreamClassIndex (classes: readonly StreamClass[], random: number): number {
   let left = random
-  const at = STREAM_CLASSES.findIndex(({ part }) => {
+  const at = classes.findIndex(({ part }) => {
     left -= part
     return left < 0
   })
--- a/packages/gateway/src/decideAdmission/index.ts
+++ b/packages/gateway/src/decideAdmission/index.ts
@@ -59,10 +59,15 @@
  */
 export function decideAdmission (input: AdmissionInput): Admission {
   const isUncontended = input.queuedAhead === 0 && input.utilization < LOW_UTILIZATION
-  if (isUncontended || input.firstEventMs + input.errorMs <= input.targetMs) return { isAdmitted: true, isContended: input.utilization >= CONTENDED_UTILIZATION }
+  if (isUncontended || input.firstEventMs + input.errorMs <= input.targetMs) return { isAdmitted: true, isContended: isContended(input.utilization) }
   return { isAdmitted: false, retryAfterMs: computeRetryAfterMs(input) }
 }
 
+/** Returns whether so few slots of all back ends are free that calls compete for them. */
+export function isContended (utilization: number): boolean {
+  return utilization >= CONTENDED_UTILIZATION
+}
+
 /** Computes the milliseconds after which a slot may be free, short enough for a response in time while that is possible. */
 export function computeRetryAfterMs (input: AdmissionInput): number {
   const timelyRetryMs = TIMELY_RETRY_MINIMUM_MS + (TIMELY_RETRY_MAXIMUM_MS - TIMELY_RETRY_MINIMUM_MS) * input.random
