--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -46,16 +46,17 @@
   readonly waitUntilReady: (host: string) => Promise<void>
   /** Drains the gateway on a host, as the platform does before it ends it. */
   readonly drainGateway: (host: string) => Promise<void>
-  readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[]) => Promise<fleetRole.FleetRole>
+  readonly startAgent: (host: string, engine: testing.EngineStandIn, seeds: readonly string[], extra?: Pick<ExtraSettings, 'waiting'>) => Promise<fleetRole.FleetRole>
   /** Free ports on the loopback addresses of the test. */
   readonly ports: TestPorts
   readonly configure: (change?: (configuration: testing.Configuration) => void) => void
 }
 
-/** Lines that a test adds to sections of a gateway's settings. */
+/** Lines that a test adds to sections of a daemon's settings. */
 export interface ExtraSettings {
   readonly bounds?: string
   readonly regions?: string
+  readonly waiting?: string
 }
 
 /** The fields of a gateway's status that tests read. */
@@ -139,9 +140,9 @@
       store.put(platform.OBJECT_KINDS.backEnds, options.id, testing.describeEngine(engine, service, 'zone-a', model))
       return engine
     },
-    startGateway: async (host, seeds = [], clocks = clock.SYSTEM_CLOCKS, { bounds = '', regions = '' } = {}) => {
+    startGateway: async (host, seeds = [], clocks = clock.SYSTEM_CLOCKS, { bounds = '', regions = '', waiting = '' } = {}) => {
       const listen = `[listen]\ncallers = "${host}:${ports.callers}"\nreadiness = "${host}:${ports.readiness}"\ncontrol = "${host}:${ports.control}"\n`
-      const role = await startGatewayRole.startGatewayRole(parseSettings(formatCommonSettings('gateway', host, seeds) + listen + storeSection + `[bounds]\nversion_ms = 3000\n${bounds}[regions]\n${regions}[limits]\ngrace_seconds = 1\n`), { clocks, writeLine: () => {} })
+      const role = await startGatewayRole.startGatewayRole(parseSettings(formatCommonSettings('gateway', host, seeds) + listen + storeSection + `[bounds]\nversion_ms = 3000\n${bounds}[regions]\n${regions}[waiting]\n${waiting}[limits]\ngrace_seconds = 1\n`), { clocks, writeLine: () => {} })
       roles.push(role)
       gateways.set(host, role)
       return { host, port: ports.callers }
@@ -172,9 +173,9 @@
       await waitUntil(async () => (await testing.sendCallerRequest({ host, port: ports.readiness }, API_KEY, { path: platform.READINESS_PATH, id: 'readiness' })).status === HTTP_OK)
     },
     drainGateway: async (host) => { await gateways.get(host)?.drain() },
-    startAgent: async (host, engine, seeds) => {
+    startAgent: async (host, engine, seeds, { waiting = '' } = {}) => {
       const section = `[engine]\naddress = "${testing.formatAddress(engine.address)}"\nservice = "llm"\n`
-      const role = await startAgentRole.startAgentRole(parseSettings(formatCommonSettings('agent', host, seeds) + section + storeSection + '[bounds]\nversion_ms = 6000\n'))
+      const role = await startAgentRole.startAgentRole(parseSettings(formatCommonSettings('agent', host, seeds) + section + storeSection + `[bounds]\nversion_ms = 6000\n[waiting]\n${waiting}`))
       roles.push(role)
       return role
     },
