--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -48,6 +48,13 @@
 /** An engine that is passed over for one of these reasons may take calls again at a time that the forecast of returning engines doesn't know. */
 const UNFORECAST_REASONS: readonly chooseBackEnd.PassedOverReason[] = ['limited', 'backing-off', 'other-version', 'unconfirmed']
 
+/** What becomes of a call for which a slot was requested. */
+type SlotOutcome =
+  | { readonly kind: 'send', readonly choice: chooseBackEnd.Choice }
+  /** It was taken out of the queue and may be chosen for again. */
+  | { readonly kind: 'choose-again' }
+  | { readonly kind: 'ended', readonly ending: logCall.Ending }
+
 type Options = callOptions.CallHandlerOptions
 
 /** How the attempt to hold a call ended: with a reserved slot, a refusal, or a call that must end or be decided again. */
@@ -107,10 +114,9 @@
       let { choice } = chosen
       if (choice === null && waiting !== null && mayHold(passedOver)) {
         waiting.noteNoneServing(call.service)
-        const held = await hold(waiting, `no back end may serve: ${describePassedOver(passedOver)}`, null)
-        if (call.isCallerGone()) return 'left'
-        if (held.kind === 'refused' || call.isExpired()) return endUnserved()
-        if (held.kind === 'removed') continue
+        const held = await holdForSlot(waiting, `no back end may serve: ${describePassedOver(passedOver)}`, null)
+        if (held.kind === 'ended') return held.ending
+        if (held.kind === 'choose-again') continue
         choice = held.choice
       } else if (choice === null) {
         if (backoffWaitMs !== Infinity) retryAfterMs = computeBackoffRetryMs(backoffWaitMs)
@@ -122,30 +128,11 @@
         return endUnserved()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
-      // While engines return, all gateways see the same free slots, so every call reserves one.
-      const mustReserve = waiting?.isRecovering(call.service) === true && !reply.hasStarted()
-      if (isFirst && chosen.choice !== null && (connectFailures === 0 || mustReserve)) {
-        const admission = admitCall.admitCall(call, choice, utilization, options)
-        const mustConfirm = !mustReserve && admission.isAdmitted && admission.isContended && options.mustConfirmSlots(call.service)
-        if (!admission.isAdmitted || mustReserve || mustConfirm) {
-          const hasEarlier = waiting !== null && mustReserve && waiting.hasEarlier(call.service, toQueued())
-          const obtainSlot = mustConfirm ? confirmSlot.confirmSlot : reserveSlot.reserveSlot
-          let reserved = hasEarlier ? null : await obtainSlot(call, choice, admission.withinMs, (tried) => choose(tried, isLate).choice, options)
-          if (call.isCallerGone()) return 'left'
-          if (reserved === null && waiting !== null && mustReserve && !call.isExpired()) {
-            const reason = admission.isAdmitted ? 'no slot at an engine that has returned' : admission.reason
-            const held = await hold(waiting, reason, admission.isAdmitted ? null : admission.retryAfterMs)
-            if (call.isCallerGone()) return 'left'
-            if (held.kind === 'refused' || call.isExpired()) return endUnserved()
-            if (held.kind === 'removed') continue
-            reserved = held.choice
-          } else if (reserved === null && (!admission.isAdmitted || mustConfirm)) {
-            lastReason = admission.reason
-            retryAfterMs = admission.retryAfterMs
-            return endUnserved()
-          }
-          choice = reserved ?? choice
-        }
+      if (isFirst && chosen.choice !== null && (connectFailures === 0 || mustReserve())) {
+        const slot = await admit(choice, utilization, isLate)
+        if (slot.kind === 'ended') return slot.ending
+        if (slot.kind === 'choose-again') continue
+        choice = slot.choice
       }
       let connectWithinMs = Infinity
       // The back end may have become known as cold while the call waited for a slot.
@@ -189,6 +176,41 @@
     }
   }
 
+  /** While engines return, all gateways see the same free slots, so every call reserves one. */
+  function mustReserve (): boolean {
+    return waiting?.isRecovering(call.service) === true && !reply.hasStarted()
+  }
+
+  /** Decides before the first attempt whether the call is sent to the chosen back end, to one whose agent has a slot, or not at all. */
+  async function admit (choice: chooseBackEnd.Choice, utilization: number, isLate: boolean): Promise<SlotOutcome> {
+    const mustReserveSlot = mustReserve()
+    const admission = admitCall.admitCall(call, choice, utilization, options)
+    const mustConfirm = !mustReserveSlot && admission.isAdmitted && admission.isContended && options.mustConfirmSlots(call.service)
+    if (admission.isAdmitted && !mustReserveSlot && !mustConfirm) return { kind: 'send', choice }
+    const hasEarlier = waiting !== null && mustReserveSlot && waiting.hasEarlier(call.service, toQueued())
+    const obtainSlot = mustConfirm ? confirmSlot.confirmSlot : reserveSlot.reserveSlot
+    const reserved = hasEarlier ? null : await obtainSlot(call, choice, admission.withinMs, (tried) => choose(tried, isLate).choice, options)
+    if (call.isCallerGone()) return { kind: 'ended', ending: 'left' }
+    if (reserved !== null) return { kind: 'send', choice: reserved }
+    if (waiting !== null && mustReserveSlot && !call.isExpired()) {
+      return admission.isAdmitted
+        ? await holdForSlot(waiting, 'no slot at an engine that has returned', null)
+        : await holdForSlot(waiting, admission.reason, admission.retryAfterMs)
+    }
+    if (admission.isAdmitted && !mustConfirm) return { kind: 'send', choice }
+    lastReason = admission.reason
+    retryAfterMs = admission.retryAfterMs
+    return { kind: 'ended', ending: endUnserved() }
+  }
+
+  /** Holds the call, if it may be held, until a slot is reserved for it; the arguments are those of {@link hold}. */
+  async function holdForSlot (held: createWaitingCalls.WaitingCalls, refusal: string, refusalRetryAfterMs: number | null): Promise<SlotOutcome> {
+    const end = await hold(held, refusal, refusalRetryAfterMs)
+    if (call.isCallerGone()) return { kind: 'ended', ending: 'left' }
+    if (end.kind === 'refused' || call.isExpired()) return { kind: 'ended', ending: endUnserved() }
+    return end.kind === 'removed' ? { kind: 'choose-again' } : { kind: 'send', choice: end.choice }
+  }
+
   /** The waiting calls of the gateway, if this call may be one of them. */
   function findWaiting (): createWaitingCalls.WaitingCalls | null {
     const table = options.waiting === undefined ? null : options.routes()
