--- a/packages/gateway/src/computeForecast/index.ts
+++ b/packages/gateway/src/computeForecast/index.ts
@@ -28,8 +28,8 @@
 const COMMON_ERROR_FRACTION = 0.1
 /** Even if all estimates are wrong by the whole error, the engines must be able to begin one call out of so many. */
 const WORST_CASE_FACTOR = 2
-/** Time for the news of a returned engine to arrive. */
-const NEWS_MS = 100
+/** Time until gateways learn that an engine has returned. */
+const NOTIFICATION_MS = 100
 const HORIZON_MS = 20_000
 /** Resolution of the forecast. */
 const STEP_MS = 50
@@ -48,7 +48,7 @@
 export function computeForecast (engines: readonly ForecastEngine[], holdMs: number): Forecast | null {
   if (engines.length === 0 || holdMs <= 0) return null
   const errorFraction = COMMON_ERROR_FRACTION + (ESTIMATE_ERROR_FRACTION - COMMON_ERROR_FRACTION) / Math.sqrt(engines.length)
-  const latest = (readyInMs: number): number => readyInMs === 0 ? 0 : readyInMs / (1 - errorFraction) + NEWS_MS
+  const latest = (readyInMs: number): number => readyInMs === 0 ? 0 : readyInMs / (1 - errorFraction) + NOTIFICATION_MS
   const earliest = (readyInMs: number): number => readyInMs / (1 + ESTIMATE_ERROR_FRACTION)
   const stated = (readyInMs: number): number => readyInMs
 
@@ -75,7 +75,7 @@
   }
 
   const countLatest = createCounter(latest)
-  const countWorst = createCounter((readyInMs) => readyInMs === 0 ? 0 : readyInMs / (1 - ESTIMATE_ERROR_FRACTION) + NEWS_MS)
+  const countWorst = createCounter((readyInMs) => readyInMs === 0 ? 0 : readyInMs / (1 - ESTIMATE_ERROR_FRACTION) + NOTIFICATION_MS)
 
   return {
     firstInMs: Math.min(...engines.map(({ readyInMs }) => latest(readyInMs))),
--- a/packages/gateway/src/createWaitingCalls/index.ts
+++ b/packages/gateway/src/createWaitingCalls/index.ts
@@ -62,7 +62,7 @@
   readonly add: (call: WaitingCall) => WaitDecision
   /** Removes a call whose caller has left or that has to end; `reason` is only counted. */
   readonly remove: (call: WaitingCall, reason: string) => void
-  /** Hands out calls after news of engines. */
+  /** Hands out calls after a report of an engine has arrived. */
   readonly wake: () => void
   /** Refuses all waiting calls, and holds no more, because the gateway ends. */
   readonly end: (reason: string, retryAfterMs: number) => void
