--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -241,7 +241,7 @@
     budgetOf,
     errorBoundOf,
     sharedTargetOf: gateway.createSharedTargets(now).note,
-    mustConfirmSlots: () => gateway.mustConfirmSlots({ gateways: countLiveGateways(), agents: countLiveAgents() }),
+    mustConfirmSlots: () => gateway.mustConfirmSlots({ isEnabled: checked.placement.confirm_slots, gateways: countLiveGateways(), agents: countLiveAgents() }),
     guard: callQuarantine,
     limiter,
     leavers,
--- a/packages/gateway/src/mustConfirmSlots/index.ts
+++ b/packages/gateway/src/mustConfirmSlots/index.ts
@@ -1,9 +1,11 @@
 /** Decides whether gateways confirm slots with agents before they send calls. */
 
-/** Size of a fleet as one gateway sees it. */
+/** Settings and size of a fleet as one gateway sees it. */
 export interface FleetSize {
   /** Live gateways, including this one. */
   readonly gateways: number
+  /** Whether the settings ask for it. */
+  readonly isEnabled: boolean
   /** Live agents. */
   readonly agents: number
 }
@@ -12,9 +14,9 @@
  * Decides whether slots must be confirmed. With more gateways than agents, most of the calls at an engine come from gateways other than the one that places the next call, and
  * what they sent since the last report can only be estimated. With fewer gateways, the estimates are good enough to save the request to the agent.
  *
- * @param size - Size of the fleet.
+ * @param size - Settings and size of the fleet.
  * @returns Whether calls need a confirmed slot.
  */
-export function mustConfirmSlots ({ gateways, agents }: FleetSize): boolean {
-  return agents > 0 && gateways > agents
+export function mustConfirmSlots ({ isEnabled, gateways, agents }: FleetSize): boolean {
+  return isEnabled && agents > 0 && gateways > agents
 }
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -50,6 +50,9 @@
     cold_slack: zod.number().min(0).default(5)
   }).prefault({}),
   quarantine: quarantine.quarantineSchema,
+  placement: zod.strictObject({
+    confirm_slots: zod.boolean().default(false)
+  }).prefault({}),
   waiting: zod.strictObject({
     maximum_calls: zod.int().min(0).default(0),
     maximum_bytes: zod.int().min(0).default(8_000_000)
