Log each failed attempt, and why a call is not sent again

Nothing that was logged tells which outcome the call had: an entry node logged the end of a call, but neither its attempts nor what kept it from another one.

Change: `attempt-failed` for each failed attempt (backend, incarnation, outcome, reason, whole extra attempts left in the retry budget), with `obstacle` on the last one: not-repeatable, cancelled, deadline, attempts or budget; `call-not-answered` names attempts and obstacle, too. `member-leaving` says when and from whom a daemon learned that another one leaves, once for each process; a backend daemon that drains logs `draining` with its load. What is sent, charged and answered is as before.

--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -68,7 +68,8 @@
   })
   const view: membership.MemberView = membership.createMemberView({
     now: liveness.now,
-    computeSilenceLimitMs: () => membership.computeSilenceLimitMs(countHallMembers())
+    computeSilenceLimitMs: () => membership.computeSilenceLimitMs(countHallMembers()),
+    onLeaving: ({ node, incarnation }, source) => { logger.info('member-leaving', { member: node, incarnation, source }) }
   })
   const keeper = createTableKeeper.createTableKeeper(logger)
   keeper.onAdopt((table) => {
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -62,8 +62,19 @@
   readonly end: () => void
 }
 
-/** Result of a call without an answer; for a refused call with the time after which it can be retried, if known. */
-type FinalOutcome = Exclude<sendAttempt.AttemptResult, { kind: 'answered' }> & { readonly retryAfterMs?: number }
+type FailedAttempt = Exclude<sendAttempt.AttemptResult, { kind: 'answered' }>
+
+/** Why a call is not sent again after a failed attempt. */
+type RepeatObstacle = 'not-repeatable' | 'cancelled' | 'deadline' | 'attempts' | 'budget'
+
+/** Result of a call without an answer. */
+type FinalOutcome = FailedAttempt & {
+  /** For a refused call, the time after which it can be retried, if known. */
+  readonly retryAfterMs?: number
+  /** Attempts that were sent. */
+  readonly attempts?: number
+  readonly obstacle?: RepeatObstacle
+}
 
 /**
  * Creates the middleware for `/services/...`.
@@ -203,15 +214,33 @@
       if (result.kind === 'unknown' && !signal.aborted) await options.guard.noteLost(backend.value, entryCall.fingerprintCall(call))
       noteFailure(backend.value, result)
       mayHaveRun ||= result.kind === 'unknown'
-      const mayRepeat = result.kind === 'not-run' || call.isRepeatable
-      const isExhausted = signal.aborted || options.now() >= call.deadlineAt || attempts >= MAXIMUM_ATTEMPTS
       // Repeating an attempt that reached no server puts no load on any, so it does not count against the budget.
       const isCovered = result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
-      if (!mayRepeat || isExhausted || !isCovered) return finalizeOutcome(result, mayHaveRun)
+      const obstacle = findRepeatObstacle(call, result, attempts, signal) ?? (isCovered ? null : 'budget')
+      logFailedAttempt(call, backend.value, result, { attempt: attempts, obstacle: obstacle ?? undefined, retriesLeft: Math.floor(budget.readBalance()) })
+      if (obstacle !== null) return finalizeOutcome({ ...result, attempts, obstacle }, mayHaveRun)
       count('retries')
     }
   }
 
+  function findRepeatObstacle (call: sendAttempt.OutgoingCall, result: FailedAttempt, attempts: number, signal: AbortSignal): RepeatObstacle | null {
+    if (result.kind !== 'not-run' && !call.isRepeatable) return 'not-repeatable'
+    if (signal.aborted) return 'cancelled'
+    if (options.now() >= call.deadlineAt) return 'deadline'
+    return attempts >= MAXIMUM_ATTEMPTS ? 'attempts' : null
+  }
+
+  function logFailedAttempt (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, result: FailedAttempt, fields: observability.LogFields): void {
+    options.logger.info('attempt-failed', {
+      request: String(call.headers[callHeaders.REQUEST_ID_HEADER]),
+      backend: backend.node,
+      incarnation: backend.incarnation,
+      outcome: result.kind,
+      reason: result.reason,
+      ...fields
+    })
+  }
+
   /** Returns the refusal of a call that is blocked because back ends terminated while running it; null if it may be sent. */
   function findBlock (call: sendAttempt.OutgoingCall): FinalOutcome | null {
     const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(entryCall.fingerprintCall(call)) : null
@@ -240,7 +269,7 @@
     return backend
   }
 
-  function noteFailure (backend: types.MemberFacts, result: FinalOutcome): void {
+  function noteFailure (backend: types.MemberFacts, result: FailedAttempt): void {
     options.loads.noteEnded(backend.node, result.load)
     if (result.kind === 'unknown' || !NEUTRAL_REFUSALS.has(result.reason)) options.health.noteFailure(backend.node)
     count(`attempt.${result.kind}`)
@@ -274,6 +303,8 @@
       path: context.path,
       outcome: result.kind,
       reason: result.reason,
+      attempts: result.attempts,
+      obstacle: result.obstacle,
       revision: options.table().revision
     })
     if (context.res.destroyed) return
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -181,6 +181,8 @@
     address: listener.address,
     callerAddress: null,
     drain: async () => {
+      const { running, waiting } = admission.load()
+      logger.info('draining', { running, waiting })
       admission.close()
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -40,6 +40,9 @@
   readonly state: 'live' | 'leaving'
 }
 
+/** Where a daemon learned that a member leaves: from the member's own heartbeat, or from an entry node that relayed its facts. */
+export type LeavingSource = 'heartbeat' | 'relay'
+
 /** Options of {@link createMemberView}. */
 export interface MemberViewOptions {
   /** Monotonic clock in milliseconds. */
@@ -50,6 +53,8 @@
   readonly nodeHoldMs?: number
   /** The same for the members of a data hall that is silent as a whole, since it may only be cut off; {@link HALL_HOLD_MS} by default. */
   readonly hallHoldMs?: number
+  /** Called once for each process of a member that has announced that it leaves. */
+  readonly onLeaving?: (facts: types.MemberFacts, source: LeavingSource) => void
 }
 
 /** Members as one daemon sees them. */
@@ -110,8 +115,10 @@
   let counter = 0
   let silenceLimitMs = types.HEARTBEAT_TIMEOUT_MS
 
-  function upsert (facts: types.MemberFacts): Entry {
+  function upsert (facts: types.MemberFacts, source: LeavingSource): Entry {
     const known = entries.get(facts.node)
+    const wasLeaving = known?.facts.state === 'leaving' && known.facts.incarnation === facts.incarnation
+    if (facts.state === 'leaving' && !wasLeaving && types.isNewerFacts(facts, known?.facts)) options.onLeaving?.(facts, source)
     if (known === undefined) {
       const entry: Entry = { facts, heardAt: null, relayedConditions: new Map(), relayedLeaving: false, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
       entries.set(facts.node, entry)
@@ -126,7 +133,7 @@
   }
 
   function applyHeartbeat (facts: types.MemberFacts): void {
-    const entry = upsert(facts)
+    const entry = upsert(facts, 'heartbeat')
     if (facts.incarnation < entry.facts.incarnation) return
     entry.heardAt = options.now()
     setCondition(entry, 'live')
@@ -134,7 +141,7 @@
 
   function applyClaims (relay: types.NodeId, claims: readonly MemberClaim[]): void {
     for (const claim of claims) {
-      const entry = upsert(claim.facts)
+      const entry = upsert(claim.facts, 'relay')
       entry.relayedConditions.set(relay, claim.condition)
       if (entry.relayedLeaving !== claim.leaving) entry.changeCounter = ++counter
       entry.relayedLeaving = claim.leaving
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -56,6 +56,18 @@
     assert.equal(condition(), 'silent')
   })
 
+  test.it('reports each process that leaves once, with the source from which that became known first', () => {
+    const reported: string[] = []
+    const view = createMemberView.createMemberView({ now: () => 0, onLeaving: ({ node, incarnation }, source) => { reported.push(`${node}/${incarnation} ${source}`) } })
+    view.applyHeartbeat(makeFacts('b1'))
+    view.applyHeartbeat(makeFacts('b1', { state: 'leaving', factsVersion: 2 }))
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1', { state: 'leaving', factsVersion: 3 }), condition: 'live', leaving: false }])
+    view.applyHeartbeat(makeFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2') }))
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1', { state: 'leaving', factsVersion: 4 }), condition: 'live', leaving: false }])
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2'), state: 'leaving', factsVersion: 2 }), condition: 'live', leaving: false }])
+    assert.deepEqual(reported, ['b1/1 heartbeat', 'b1/2 relay'])
+  })
+
   test.it('keeps a live node that the node list lacks, and marks one that the list shows as leaving', () => {
     const { view, condition } = createView()
     view.applyHeartbeat(makeFacts('b1'))
--- a/packages/routing/src/createRetryBudget/index.ts
+++ b/packages/routing/src/createRetryBudget/index.ts
@@ -7,6 +7,8 @@
   /** Takes one extra attempt from the budget; returns false when less than one is left. */
   readonly trySpend: () => boolean
   readonly setRatio: (ratio: number) => void
+  /** Returns the extra attempts that are left, including a fraction. */
+  readonly readBalance: () => number
 }
 
 /** Extra attempts that the budget allows beyond the fraction of calls. */
@@ -28,6 +30,7 @@
       balance -= 1
       return true
     },
-    setRatio: (next) => { currentRatio = next }
+    setRatio: (next) => { currentRatio = next },
+    readBalance: () => balance
   }
 }
