Learn from a refusal that a backend server leaves

Cause, the first of two: an entry node learned nothing from a refusal as leaving. Until the heartbeat of the drain came it went on choosing that server for each further call, and since a server that refuses has room, its reported load made it the best choice.

Change: an entry node records the process (incarnation) that refused a call as leaving in its member view. That holds until another process of the node is heard of; a late refusal of an earlier process changes nothing, and the record is not relayed. The gateways' record of leaving back ends was compared: it is keyed by instances of the store's list and forgets by time; the member view already knows incarnations and when to forget a member, so a second record isn't needed.

Why it works: each process is asked in vain only by the attempts that are under way when its first refusal arrives.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -22,6 +22,8 @@
   readonly health: routing.BackendHealth
   readonly limiter: routing.AccountLimiter
   readonly claims: createClaims.Claims
+  /** Called with a backend server that refused an attempt because it leaves. */
+  readonly onLeaving: (backend: types.MemberFacts) => void
   readonly send: (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal) => Promise<sendAttempt.AttemptResult>
   readonly logger: observability.Logger
   readonly metrics: observability.StatsdMetrics
@@ -42,8 +44,10 @@
 const SERVICE_PATH = /^\/services\/([\w.-]+)(?:\/models\/([\w.-]+))?(\/.*)?$/
 const RETRY_AFTER_SECONDS = 1
 const MAXIMUM_ATTEMPTS = 5
+/** The backend server refuses all new calls, since its process is about to end. */
+const LEAVING_REASON = 'leaving'
 /** Refusal reasons that are no evidence of a failing server. */
-const NEUTRAL_REFUSALS = new Set(['full', 'leaving', 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
+const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
 /** The call is blocked because back ends terminated while running it. */
 const BLOCKED_REASON = 'blocked'
 
@@ -271,6 +275,7 @@
 
   function noteFailure (backend: types.MemberFacts, result: FailedAttempt): void {
     options.loads.noteEnded(backend.node, result.load)
+    if (isLeavingRefusal(result)) options.onLeaving(backend)
     if (result.kind === 'unknown' || !NEUTRAL_REFUSALS.has(result.reason)) options.health.noteFailure(backend.node)
     count(`attempt.${result.kind}`)
     options.dispatcher.dispatchWaiting()
@@ -338,6 +343,10 @@
   return { middleware, inProgress: () => inProgress, counts }
 }
 
+function isLeavingRefusal (result: FailedAttempt): boolean {
+  return result.kind === 'not-run' && result.reason === LEAVING_REASON
+}
+
 /** A call may have run if an earlier attempt may have, whatever the last attempt returned. */
 function finalizeOutcome (result: FinalOutcome, mayHaveRun: boolean): FinalOutcome {
   return mayHaveRun ? { ...result, kind: 'unknown' } : result
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -140,13 +140,14 @@
 
 async function startEntryNode (index: number, backends: readonly BackendDaemon[], agents: rpc.HttpAgents, client: rpc.RpcClient, store: platform.ObjectStore, options: CallFleetOptions): Promise<rpc.HttpListener> {
   const { now } = steadyClock
+  const leaving = new Set<types.IncarnationId>()
   const loads = routing.createBackendLoads()
   const health = routing.createBackendHealth(now)
   const dispatcher = daemon.createDispatcher({
     loads,
     health,
     pick: routing.pickLateBinding,
-    listBackends: () => backends.map((backend) => backend.facts),
+    listBackends: () => backends.map((backend) => backend.facts).filter((facts) => !leaving.has(facts.incarnation)),
     isRecoveryPossible: () => false,
     findService: () => TABLE.services[0],
     dataHall: types.brandId<types.DataHallId>('hall'),
@@ -159,6 +160,7 @@
     health,
     limiter: routing.createAccountLimiter(now, () => 1),
     claims: daemon.createClaims(store, Date.now),
+    onLeaving: ({ incarnation }) => { leaving.add(incarnation) },
     send: async (call, backend, signal) => {
       const breakAfterMs = options.nextBreakMs()
       const breakableSignal = breakAfterMs === null ? signal : AbortSignal.any([signal, AbortSignal.timeout(breakAfterMs)])
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -40,8 +40,8 @@
   readonly state: 'live' | 'leaving'
 }
 
-/** Where a daemon learned that a member leaves: from the member's own heartbeat, or from an entry node that relayed its facts. */
-export type LeavingSource = 'heartbeat' | 'relay'
+/** Where a daemon learned that a member leaves: from the member's own heartbeat, from an entry node that relayed its facts, or from a call that the member refused. */
+export type LeavingSource = 'heartbeat' | 'relay' | 'refusal'
 
 /** Options of {@link createMemberView}. */
 export interface MemberViewOptions {
@@ -63,6 +63,8 @@
   readonly applyHeartbeat: (facts: types.MemberFacts) => void
   /** Applies the claims of an entry node about other members. */
   readonly applyClaims: (relay: types.NodeId, claims: readonly MemberClaim[]) => void
+  /** Records that a process of a member refused a call because it leaves. This holds until another process of the member is heard of, and is not relayed. */
+  readonly noteLeavingRefusal: (node: types.NodeId, incarnation: types.IncarnationId) => void
   /** Replaces the nodes that the platform's list marks as leaving. A node that the list lacks keeps its condition. */
   readonly applyNodeList: (nodes: readonly ListedNode[]) => void
   /** Sets the nodes that the table takes out of service. */
@@ -88,6 +90,8 @@
   readonly relayedConditions: Map<types.NodeId, MemberCondition>
   /** Whether the last relay reported the node as leaving by the node list. */
   relayedLeaving: boolean
+  /** The process that refused a call because it leaves; null if none did. */
+  refusingIncarnation: types.IncarnationId | null
   condition: MemberCondition
   silentSince: number | null
   /** Counter value of the last change. */
@@ -100,6 +104,11 @@
   return entry.facts.dataHall === scope.dataHall
 }
 
+/** Whether the current process of a member has said that it leaves, in its facts or by refusing a call. */
+function isLeavingProcess ({ facts, refusingIncarnation }: Entry): boolean {
+  return facts.state === 'leaving' || refusingIncarnation === facts.incarnation
+}
+
 /**
  * Creates an empty view.
  *
@@ -117,10 +126,10 @@
 
   function upsert (facts: types.MemberFacts, source: LeavingSource): Entry {
     const known = entries.get(facts.node)
-    const wasLeaving = known?.facts.state === 'leaving' && known.facts.incarnation === facts.incarnation
+    const wasLeaving = known !== undefined && known.facts.incarnation === facts.incarnation && isLeavingProcess(known)
     if (facts.state === 'leaving' && !wasLeaving && types.isNewerFacts(facts, known?.facts)) options.onLeaving?.(facts, source)
     if (known === undefined) {
-      const entry: Entry = { facts, heardAt: null, relayedConditions: new Map(), relayedLeaving: false, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
+      const entry: Entry = { facts, heardAt: null, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
       entries.set(facts.node, entry)
       return entry
     }
@@ -132,6 +141,14 @@
     return known
   }
 
+  /** A refusal of an earlier process says nothing about the current one. */
+  function noteLeavingRefusal (node: types.NodeId, incarnation: types.IncarnationId): void {
+    const entry = entries.get(node)
+    if (entry === undefined || entry.facts.incarnation !== incarnation || isLeavingProcess(entry)) return
+    entry.refusingIncarnation = incarnation
+    options.onLeaving?.(entry.facts, 'refusal')
+  }
+
   function applyHeartbeat (facts: types.MemberFacts): void {
     const entry = upsert(facts, 'heartbeat')
     if (facts.incarnation < entry.facts.incarnation) return
@@ -206,8 +223,8 @@
   }
 
   function toMember (entry: Entry): Member {
-    const { node, state } = entry.facts
-    const leaving = state === 'leaving' || listedLeaving.has(node) || entry.relayedLeaving || tableLeaving.has(node)
+    const { node } = entry.facts
+    const leaving = isLeavingProcess(entry) || listedLeaving.has(node) || entry.relayedLeaving || tableLeaving.has(node)
     const recentlySilent = entry.condition === 'silent' && options.now() - (entry.silentSince ?? options.now()) < silenceLimitMs
     return { facts: entry.facts, condition: entry.condition, leaving, recentlySilent }
   }
@@ -226,6 +243,7 @@
   return {
     applyHeartbeat,
     applyClaims,
+    noteLeavingRefusal,
     refresh,
     changesSince,
     applyNodeList,
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -68,6 +68,38 @@
     assert.deepEqual(reported, ['b1/1 heartbeat', 'b1/2 relay'])
   })
 
+  test.it('takes a refusal as the leaving of that process, until another process of the node is heard of', () => {
+    const reported: string[] = []
+    const first = types.brandId<types.IncarnationId>('1')
+    const second = types.brandId<types.IncarnationId>('2')
+    const view = createMemberView.createMemberView({ now: () => 0, onLeaving: ({ node, incarnation }, source) => { reported.push(`${node}/${incarnation} ${source}`) } })
+    const isLeaving = (): boolean | undefined => view.find(NODE)?.leaving
+    view.noteLeavingRefusal(NODE, first)
+    assert.equal(isLeaving(), undefined)
+    view.applyHeartbeat(makeFacts('b1'))
+    view.noteLeavingRefusal(NODE, first)
+    view.noteLeavingRefusal(NODE, first)
+    assert.equal(isLeaving(), true)
+    view.applyHeartbeat(makeFacts('b1', { factsVersion: 2 }))
+    assert.equal(isLeaving(), true)
+    view.applyHeartbeat(makeFacts('b1', { state: 'leaving', factsVersion: 3 }))
+    view.applyHeartbeat(makeFacts('b1', { incarnation: second }))
+    assert.equal(isLeaving(), false)
+    view.noteLeavingRefusal(NODE, first)
+    assert.equal(isLeaving(), false)
+    view.noteLeavingRefusal(NODE, second)
+    view.noteLeavingRefusal(NODE, first)
+    assert.equal(isLeaving(), true)
+    assert.deepEqual(reported, ['b1/1 refusal', 'b1/2 refusal'])
+  })
+
+  test.it('does not relay the leaving that it knows from a refusal, since another node may already know a later process', () => {
+    const { view } = createView()
+    view.applyHeartbeat(makeFacts('b1'))
+    view.noteLeavingRefusal(NODE, types.brandId('1'))
+    assert.deepEqual(view.changesSince(0, 'all').claims.map(({ leaving }) => leaving), [false])
+  })
+
   test.it('keeps a live node that the node list lacks, and marks one that the list shows as leaving', () => {
     const { view, condition } = createView()
     view.applyHeartbeat(makeFacts('b1'))
