Charge no retry budget for refusals by servers that leave

Cause, the second of two: an attempt that a leaving server refused was charged to the retry budget of the service and counted as one of the five attempts of its call, as if it had put load on a server. With the default budget of 0.08 and few calls so far five refusals are covered; from the sixth on callers got the refusal, though nothing ran and another server was free. Calls that are under way to a leaving server, or wait in its queue, are refused all at once, before any entry node can know.

Change: the first refusal as leaving by each process is charged neither to the budget nor to the attempts of its call; a further one by the same process is charged as before (failedAttempts.test.ts).

When all servers leave, calls are refused at once, and each server was asked in vain once (test).

--- a/packages/daemon/src/_lib/drainingHall.ts
+++ b/packages/daemon/src/_lib/drainingHall.ts
@@ -10,6 +10,7 @@
 import * as settings from '@switchridge/settings'
 import * as types from '@switchridge/types'
 import * as createCommonParts from '../createCommonParts/index.js'
+import type * as describeStatus from '../describeStatus/index.js'
 import * as startBackendRole from '../startBackendRole/index.js'
 import type * as startDaemon from '../startDaemon/index.js'
 import * as startEntryRole from '../startEntryRole/index.js'
@@ -45,10 +46,10 @@
   readonly backends: readonly DrainingBackend[]
   /** Lets time pass; heartbeats are sent and answered meanwhile. */
   readonly advance: (milliseconds: number) => Promise<void>
-  /** Sends calls at the same moment, and waits until each runs, waits at the entry node or has ended. */
+  /** Sends calls at the same moment, and waits until each runs, waits for a slot or has ended. */
   readonly send: (count: number) => Promise<void>
-  /** Answers calls that run; returns how many there were. */
-  readonly release: (count: number) => Promise<number>
+  /** Answers calls that run, at the given backend daemons or at all; returns how many there were. */
+  readonly release: (count: number, at?: readonly DrainingBackend[]) => Promise<number>
   /** Ends of calls so far. */
   readonly results: readonly CallResult[]
   /** Number of attempts that backend daemons refused because they leave. */
@@ -61,6 +62,9 @@
   readonly notification: Notification
   /** Retries allowed as a fraction of calls. */
   readonly retryBudget: number
+  /** Calls that each backend server runs at a time, and that wait there beyond these; 100 and 0 if absent. */
+  readonly slots?: number
+  readonly queue?: number
   /** Random number from 0 to 1. */
   readonly random: () => number
 }
@@ -71,7 +75,7 @@
 const HOST = types.LOOPBACK_HOST
 const SERVICE = types.brandId<types.ServiceName>('api')
 const STEP_MS = 20
-const SLOTS = 100
+const DEFAULT_SLOTS = 100
 const DEADLINE_MS = 600_000
 /** Turns of the event loop in which a call that makes progress reaches its next step. */
 const MAXIMUM_TURNS = 100_000
@@ -82,8 +86,8 @@
 }
 
 /** Waits for input and output, since the test's clock stands still meanwhile. */
-async function until (condition: () => boolean, awaited: () => string): Promise<void> {
-  for (let turn = 0; !condition(); turn += 1) {
+async function until (condition: () => Promise<boolean> | boolean, awaited: () => string): Promise<void> {
+  for (let turn = 0; !(await condition()); turn += 1) {
     assert.ok(turn < MAXIMUM_TURNS, `no progress: ${awaited()}`)
     await new Promise((resolve) => { setImmediate(resolve) })
   }
@@ -109,7 +113,7 @@
   const table: types.Table = {
     ...types.EMPTY_TABLE,
     revision: 1,
-    services: [{ id: SERVICE, kind: 'plain', concurrency: SLOTS, queue: 0, deadlineMs: DEADLINE_MS, repeatable: 'none', retryBudget: options.retryBudget }]
+    services: [{ id: SERVICE, kind: 'plain', concurrency: options.slots ?? DEFAULT_SLOTS, queue: options.queue ?? 0, deadlineMs: DEADLINE_MS, repeatable: 'none', retryBudget: options.retryBudget }]
   }
 
   function createParts (text: string): createCommonParts.CommonParts {
@@ -202,10 +206,17 @@
     }
   }
 
-  async function readCounts (address: types.Address): Promise<Readonly<Record<string, number>>> {
-    const status = await rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, agents).call<{ counts: Record<string, number> }>(address, 'status', {})
+  async function readStatus (address: types.Address): Promise<describeStatus.Status> {
+    const status = await rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, agents).call<describeStatus.Status>(address, 'status', {})
     assert.ok(status.ok)
-    return status.value.counts
+    return status.value
+  }
+
+  const readBackendStatuses = async (): Promise<describeStatus.Status[]> => await Promise.all([...processes.values()].map(async ({ role }) => await readStatus(role.address)))
+
+  async function countWaiting (): Promise<number> {
+    const atBackends = (await readBackendStatuses()).map(({ load }) => load?.waiting ?? 0)
+    return atBackends.reduce((sum, waiting) => sum + waiting, (await readStatus(entry.address)).counts['waiting'] ?? 0)
   }
 
   async function call (id: string): Promise<void> {
@@ -214,8 +225,8 @@
     results.push({ id, status, reason: sent.ok ? String(sent.value.headers['x-switchridge-reason'] ?? '') : sent.error.message })
   }
 
-  /** Whether the calls that were sent are all answered, refused or running at a back end. */
-  const areSettled = (): boolean => results.length + held.size >= calls
+  /** Whether the calls that were sent are all answered, refused, running at a back end or waiting for a slot. */
+  const areSettled = async (): Promise<boolean> => results.length + held.size >= calls || results.length + held.size + await countWaiting() >= calls
 
   const backends = await Promise.all(Array.from({ length: options.backends }, async (_, index) => await openBackend(`backend-${index}`)))
   await advance(types.HEARTBEAT_TIMEOUT_MS)
@@ -229,8 +240,8 @@
       for (let sent = 0; sent < count; sent += 1) void call(`call-${calls++}`)
       await until(areSettled, () => `${calls} calls, ${held.size} run, ${results.length} ended`)
     },
-    release: async (count) => {
-      const released = [...held].slice(0, count)
+    release: async (count, at = backends) => {
+      const released = [...held].filter(([id]) => at.some(({ received }) => received.includes(id))).slice(0, count)
       const expected = results.length + released.length
       for (const [id, answer] of released) {
         held.delete(id)
@@ -240,8 +251,8 @@
       return released.length
     },
     countRefusedAttempts: async () => {
-      const counts = await Promise.all([...processes.values()].map(async ({ role }) => await readCounts(role.address)))
-      return counts.reduce((sum, each) => sum + (each['calls.not-run.leaving'] ?? 0), 0)
+      const statuses = await readBackendStatuses()
+      return statuses.reduce((sum, { counts }) => sum + (counts['calls.not-run.leaving'] ?? 0), 0)
     }
   }
 }
--- a/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
+++ b/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
@@ -10,6 +10,7 @@
 
 const BACKEND = { node: types.brandId<types.NodeId>('backend'), incarnation: types.brandId<types.IncarnationId>('1') } as unknown as types.MemberFacts
 const FULL: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'full', load: undefined }
+const LEAVING: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'leaving', load: undefined }
 const BROKEN: sendAttempt.AttemptResult = { kind: 'unknown', reason: 'connection-broke-running', load: undefined }
 
 /** Sends a call whose attempts all have the same result; returns the events of its log, each with the fields that say how it went on. */
@@ -26,6 +27,7 @@
     logger: { info: (event: string, fields: observability.LogFields) => { events.push([event, fields['reason'], fields['attempt'] ?? fields['attempts'], fields['obstacle'] ?? '', fields['retriesLeft'] ?? ''].join(' ')) } },
     metrics: { increment: () => {}, timing: () => {} },
     health: { noteFailure: () => {} },
+    onLeaving: () => {},
     now: () => 0,
     at: () => () => {}
   } as unknown as createEntryCalls.EntryCallsOptions)
@@ -44,3 +46,7 @@
   assert.deepEqual(await logCall(context, FULL, 1), [1, 2, 3, 4].map((attempt) => `attempt-failed full ${attempt}  ${6 - attempt}`).concat(['attempt-failed full 5 attempts 1', 'call-not-answered full 5 attempts ']))
   assert.deepEqual(await logCall(context, BROKEN, 1), ['attempt-failed connection-broke-running 1 not-repeatable 5', 'call-not-answered connection-broke-running 1 not-repeatable '])
 })
+
+nodeTest.test('a refusal by a backend server that leaves is not charged to the retry budget, but each further one by the same process is', async (context) => {
+  assert.deepEqual(await logCall(context, LEAVING, 0.02), ['attempt-failed leaving 1  1', 'attempt-failed leaving 2  0', 'attempt-failed leaving 3 budget 0', 'call-not-answered leaving 3 budget '])
+})
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -43,6 +43,7 @@
 
 const SERVICE_PATH = /^\/services\/([\w.-]+)(?:\/models\/([\w.-]+))?(\/.*)?$/
 const RETRY_AFTER_SECONDS = 1
+/** Attempts of a call, without the first refusal by each process that leaves. */
 const MAXIMUM_ATTEMPTS = 5
 /** The backend server refuses all new calls, since its process is about to end. */
 const LEAVING_REASON = 'leaving'
@@ -193,6 +194,7 @@
     const { call, service } = prepared
     const budget = findBudget(service)
     const tried = new Set<types.NodeId>()
+    const leavingProcesses = new Set<types.IncarnationId>()
     let mayHaveRun = false
     budget.noteCall()
     for (let attempts = 1; ; attempts += 1) {
@@ -218,20 +220,23 @@
       if (result.kind === 'unknown' && !signal.aborted) await options.guard.noteLost(backend.value, entryCall.fingerprintCall(call))
       noteFailure(backend.value, result)
       mayHaveRun ||= result.kind === 'unknown'
-      // Repeating an attempt that reached no server puts no load on any, so it does not count against the budget.
-      const isCovered = result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
-      const obstacle = findRepeatObstacle(call, result, attempts, signal) ?? (isCovered ? null : 'budget')
+      const isFirstLeavingRefusal = isLeavingRefusal(result) && !leavingProcesses.has(backend.value.incarnation)
+      if (isFirstLeavingRefusal) leavingProcesses.add(backend.value.incarnation)
+      // Repeating an attempt that reached no server, or one that leaves, puts no load on any, so it does not count against the budget.
+      const isCovered = isFirstLeavingRefusal || result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
+      // A process that leaves is asked once for each call, so that its refusal needs no other limit.
+      const obstacle = findRepeatObstacle(call, result, attempts - leavingProcesses.size, signal) ?? (isCovered ? null : 'budget')
       logFailedAttempt(call, backend.value, result, { attempt: attempts, obstacle: obstacle ?? undefined, retriesLeft: Math.floor(budget.readBalance()) })
       if (obstacle !== null) return finalizeOutcome({ ...result, attempts, obstacle }, mayHaveRun)
       count('retries')
     }
   }
 
-  function findRepeatObstacle (call: sendAttempt.OutgoingCall, result: FailedAttempt, attempts: number, signal: AbortSignal): RepeatObstacle | null {
+  function findRepeatObstacle (call: sendAttempt.OutgoingCall, result: FailedAttempt, limitedAttempts: number, signal: AbortSignal): RepeatObstacle | null {
     if (result.kind !== 'not-run' && !call.isRepeatable) return 'not-repeatable'
     if (signal.aborted) return 'cancelled'
     if (options.now() >= call.deadlineAt) return 'deadline'
-    return attempts >= MAXIMUM_ATTEMPTS ? 'attempts' : null
+    return limitedAttempts >= MAXIMUM_ATTEMPTS ? 'attempts' : null
   }
 
   function logFailedAttempt (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, result: FailedAttempt, fields: observability.LogFields): void {
