List calls refused beside a free server while another one has restarted

Callers would see: calls refused as `restarted`, though they ran nowhere and another server has free slots.

An entry node that has not heard of the new process of a backend server goes on sending calls for the process that has ended; it learns nothing from the refusals, and charges each to the retry budget.

No product code changes.

--- a/packages/daemon/src/_lib/drainingHall.ts
+++ b/packages/daemon/src/_lib/drainingHall.ts
@@ -37,8 +37,8 @@
   readonly received: readonly string[]
   /** Starts the drain; the calls in progress go on. */
   readonly drain: () => void
-  /** Ends the process and starts a new one for the same node. */
-  readonly restart: () => Promise<void>
+  /** Ends the process and starts another one for the same node at the same address, whose heartbeats are lost for some milliseconds. */
+  readonly restart: (silentMs?: number) => Promise<void>
 }
 
 /** The hall. */
@@ -80,11 +80,6 @@
 /** Turns of the event loop in which a call that makes progress reaches its next step. */
 const MAXIMUM_TURNS = 100_000
 
-interface Process {
-  readonly parts: createCommonParts.CommonParts
-  readonly role: startDaemon.RunningRole
-}
-
 /** Waits for input and output, since the test's clock stands still meanwhile. */
 async function until (condition: () => Promise<boolean> | boolean, awaited: () => string): Promise<void> {
   for (let turn = 0; !(await condition()); turn += 1) {
@@ -93,6 +88,27 @@
   }
 }
 
+/** Wraps the client of a backend daemon: loses its heartbeats while the daemon is silent, and loses or delays those in which it says that it leaves. Counts those that wait for an answer. */
+function createLossyClient (client: rpc.RpcClient, notification: Notification, isSilent: () => boolean, pending: { heartbeats: number }): rpc.RpcClient {
+  let lost = 0
+
+  async function call (address: types.Address, method: string, params: unknown, timeoutMs?: number): Promise<types.Outcome<never, rpc.RpcFailure>> {
+    const isLeaving = (params as { facts?: types.MemberFacts }).facts?.state === 'leaving'
+    if (isSilent()) return types.fail(new types.UnavailableError('lost'))
+    if (isLeaving && lost < notification.lost) {
+      lost += 1
+      return types.fail(new types.UnavailableError('lost'))
+    }
+    if (isLeaving && notification.delayMs > 0) await types.delay(notification.delayMs)
+    pending.heartbeats += 1
+    const result = await client.call<never>(address, method, params, timeoutMs)
+    pending.heartbeats -= 1
+    return result
+  }
+
+  return { call: call as rpc.RpcClient['call'] }
+}
+
 /**
  * Opens the hall. The entry node knows all backend daemons as live.
  *
@@ -104,9 +120,10 @@
   context.mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
   let elapsedMs = 0
   let calls = 0
-  let pendingHeartbeats = 0
+  const pending = { heartbeats: 0 }
   const clocks = { monotonic: () => elapsedMs, timeOfDay: () => elapsedMs, uptime: () => elapsedMs }
   const agents = rpc.createHttpAgents()
+  const client = rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, agents)
   const results: CallResult[] = []
   const held = new Map<string, () => void>()
   const services: http.Server[] = []
@@ -122,24 +139,6 @@
     return { ...createCommonParts.createCommonParts(parsed.value, clocks), random: options.random }
   }
 
-  /** Loses or delays the heartbeats in which a daemon says that it leaves. */
-  function createHeartbeatClient (client: rpc.RpcClient): rpc.RpcClient {
-    let lost = 0
-    const call = async (address: types.Address, method: string, params: unknown, timeoutMs?: number): Promise<types.Outcome<never, rpc.RpcFailure>> => {
-      const isLeaving = (params as { facts?: types.MemberFacts }).facts?.state === 'leaving'
-      if (isLeaving && lost < options.notification.lost) {
-        lost += 1
-        return types.fail(new types.UnavailableError('lost'))
-      }
-      if (isLeaving && options.notification.delayMs > 0) await types.delay(options.notification.delayMs)
-      pendingHeartbeats += 1
-      const result = await client.call<never>(address, method, params, timeoutMs)
-      pendingHeartbeats -= 1
-      return result
-    }
-    return { call: call as rpc.RpcClient['call'] }
-  }
-
   const entryParts = createParts(`role = "entry"\nnode = "entry"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`)
   const entry = await startEntryRole.startEntryRole(entryParts)
   entryParts.keeper.offer(table, 'test')
@@ -157,34 +156,38 @@
     return `http://${HOST}:${(service.address() as net.AddressInfo).port}`
   }
 
-  async function startProcess (name: string, serviceUrl: string): Promise<Process> {
-    const parts = createParts(`role = "backend"\nnode = "${name}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = 0\n[back_end]\nservice = "${SERVICE}"\nkind = "plain"\nurl = "${serviceUrl}"`)
+  async function startProcess (name: string, serviceUrl: string, port = 0, silentMs = 0): Promise<startDaemon.RunningRole> {
+    const parts = createParts(`role = "backend"\nnode = "${name}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = ${port}\n[back_end]\nservice = "${SERVICE}"\nkind = "plain"\nurl = "${serviceUrl}"`)
     assert.ok(parts.settings.back_end !== undefined)
-    const role = await startBackendRole.startBackendRole({ ...parts, client: createHeartbeatClient(parts.client) }, parts.settings.back_end)
+    const silentUntil = elapsedMs + silentMs
+    const role = await startBackendRole.startBackendRole({ ...parts, client: createLossyClient(parts.client, options.notification, () => elapsedMs < silentUntil, pending) }, parts.settings.back_end)
     parts.keeper.offer(table, 'test')
-    return { parts, role }
+    return role
   }
 
-  const processes = new Map<types.NodeId, Process>()
+  const roles = new Map<types.NodeId, startDaemon.RunningRole>()
 
   async function openBackend (name: string): Promise<DrainingBackend> {
     const node = types.brandId<types.NodeId>(name)
     const received: string[] = []
     const serviceUrl = await startService(received)
-    processes.set(node, await startProcess(name, serviceUrl))
+    const first = await startProcess(name, serviceUrl)
+    roles.set(node, first)
     return {
       node,
       received,
-      drain: () => { void processes.get(node)?.role.drain() },
-      restart: async () => {
-        processes.get(node)?.role.stop()
-        processes.set(node, await startProcess(name, serviceUrl))
+      drain: () => { void roles.get(node)?.drain() },
+      restart: async (silentMs) => {
+        roles.get(node)?.stop()
+        roles.set(node, await startProcess(name, serviceUrl, first.address.port, silentMs))
+        // Connections to the process that has ended are closed by then.
+        await until(async () => (await client.call(first.address, 'status', {})).ok, () => `${name} to answer`)
       }
     }
   }
 
   context.after(() => {
-    for (const { role } of processes.values()) role.stop()
+    for (const role of roles.values()) role.stop()
     entry.stop()
     agents.destroy()
     for (const service of services) {
@@ -194,7 +197,7 @@
   })
 
   async function settleHeartbeats (): Promise<void> {
-    await until(() => pendingHeartbeats === 0, () => `${pendingHeartbeats} heartbeats`)
+    await until(() => pending.heartbeats === 0, () => `${pending.heartbeats} heartbeats`)
   }
 
   async function advance (milliseconds: number): Promise<void> {
@@ -207,12 +210,12 @@
   }
 
   async function readStatus (address: types.Address): Promise<describeStatus.Status> {
-    const status = await rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, agents).call<describeStatus.Status>(address, 'status', {})
+    const status = await client.call<describeStatus.Status>(address, 'status', {})
     assert.ok(status.ok)
     return status.value
   }
 
-  const readBackendStatuses = async (): Promise<describeStatus.Status[]> => await Promise.all([...processes.values()].map(async ({ role }) => await readStatus(role.address)))
+  const readBackendStatuses = async (): Promise<describeStatus.Status[]> => await Promise.all([...roles.values()].map(async ({ address }) => await readStatus(address)))
 
   async function countWaiting (): Promise<number> {
     const atBackends = (await readBackendStatuses()).map(({ load }) => load?.waiting ?? 0)
--- a/packages/daemon/src/startEntryRole/leaving.test.ts
+++ b/packages/daemon/src/startEntryRole/leaving.test.ts
@@ -16,6 +16,8 @@
 const RETRY_BUDGET = 0.08
 const INTERVAL_MS = 100
 const LATER_CALLS = 20
+const SLOTS = 4
+const QUEUE = 4
 const MAXIMUM_DELAY_MS = 2500
 /** Long enough for two lost notifications and a late one. */
 const OBSERVED_MS = 5000
@@ -55,11 +57,11 @@
 
 nodeTest.test('calls that wait at backend servers when these begin to leave are answered by the others', async (context) => {
   const random = standins.createSeededRandom(1)
-  const hall = await drainingHall.openDrainingHall(context, { backends: 3, notification: AT_ONCE, retryBudget: RETRY_BUDGET, slots: 4, queue: 4, random })
-  await hall.send(24)
+  const hall = await drainingHall.openDrainingHall(context, { backends: 3, notification: AT_ONCE, retryBudget: RETRY_BUDGET, slots: SLOTS, queue: QUEUE, random })
+  await hall.send(3 * (SLOTS + QUEUE))
   for (const leaver of hall.backends.slice(1)) leaver.drain()
   while (await hall.release(1) > 0) await hall.advance(INTERVAL_MS)
-  assert.equal(await hall.countRefusedAttempts(), 8)
+  assert.equal(await hall.countRefusedAttempts(), 2 * QUEUE)
   assert.deepEqual(listRefused(hall), [])
 })
 
@@ -87,6 +89,21 @@
   assert.equal(await hall.countRefusedAttempts(), MANY_LEAVERS)
 })
 
+nodeTest.test('no call is refused beside a free backend server while the entry node takes another one for a process that has ended', async (context) => {
+  const random = standins.createSeededRandom(1)
+  const hall = await drainingHall.openDrainingHall(context, { backends: 2, notification: AT_ONCE, retryBudget: RETRY_BUDGET, random })
+  const [restarted] = hall.backends as [drainingHall.DrainingBackend]
+  await hall.send(2)
+  await hall.release(1, [restarted])
+  await restarted.restart(OBSERVED_MS)
+  for (let call = 0; call < LATER_CALLS; call += 1) {
+    await hall.send(1)
+    await hall.advance(INTERVAL_MS)
+  }
+  await hall.release(Infinity)
+  assert.deepEqual(listRefused(hall), [])
+})
+
 for (const seed of SEEDS) {
   nodeTest.test(`no call is refused beside a free backend server while others leave, however late that becomes known (seed ${seed})`, async (context) => {
     // Neighbouring seeds of the generator differ by a constant in each number, so that they would not cover all combinations.
