Refuse calls as leaving although no version is served any more

Cause: a backend daemon that drains is not assigned any version, so it removes its versions once it has sent its notification, also if that was lost. From then on it refused calls as not serving, which is no reason for an entry node to stop sending calls there, and is charged to the retry budget.

Change: a daemon whose admission is closed names leaving as the reason, whatever it serves.

Why it works: the entry node learns from the first such refusal that the process leaves, and repeats the call without charging the budget. A daemon that the table or the node list takes out of service refuses as not-serving as before: that can be taken back, and its process goes on.

--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -69,7 +69,8 @@
     const pin = options.isEngine ? serving.pin(types.brandId<types.RowId>(call.row)) : undefined
     if (options.isEngine && pin === undefined) {
       tickets.refuse(ticket)
-      refuse(context, 'not-serving')
+      // A daemon that leaves is no longer assigned any version; entry nodes have to learn the reason, since they stop sending calls here only for that.
+      refuse(context, admission.isClosed() ? 'leaving' : 'not-serving')
       return
     }
     const admitted = admission.admit({ account: types.brandId<types.AccountId>(call.account), share: call.share, priority: call.priority })
--- a/packages/routing/src/createAdmission/index.ts
+++ b/packages/routing/src/createAdmission/index.ts
@@ -42,6 +42,8 @@
   readonly setLimits: (limit: number, queue: number) => void
   /** Refuses all waiting and all future calls; running calls may finish. */
   readonly close: () => void
+  /** Whether the server has stopped accepting calls. */
+  readonly isClosed: () => boolean
 }
 
 interface Waiter {
@@ -104,6 +106,7 @@
   return {
     admit,
     close,
+    isClosed: () => isClosed,
     load: () => ({ running, waiting: waiting.size(), ...limits }),
     setLimits: (nextLimit, nextQueue) => {
       limits = { limit: nextLimit, queue: nextQueue }
