Log only on entry nodes that another daemon leaves

Cause: backend daemons know all members of the fleet, too, so that each would write a line for each backend daemon that drains: in a restart of hundreds of nodes one after the other, hundreds of thousands of lines that nobody needs, since they send no calls. Seen while reading the change; no run of that size was made.

Change: `member-leaving` on entry nodes only.

--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -69,7 +69,8 @@
   const view: membership.MemberView = membership.createMemberView({
     now: liveness.now,
     computeSilenceLimitMs: () => membership.computeSilenceLimitMs(countHallMembers()),
-    onLeaving: ({ node, incarnation }, source) => { logger.info('member-leaving', { member: node, incarnation, source }) }
+    // Backend daemons send no calls; a line from each of them for each that leaves would be of no use in a large hall.
+    onLeaving: ({ node, incarnation }, source) => { if (checked.role === 'entry') logger.info('member-leaving', { member: node, incarnation, source }) }
   })
   const keeper = createTableKeeper.createTableKeeper(logger)
   keeper.onAdopt((table) => {
