Log the parts of prompts that calls lost with a back end have in common

Cause: no line says what different calls share, nor whether the end of an answer was marked, so that the hypotheses of docs/incidents/prompt-parts-that-end-engines.md can't be told apart in logs. No decision changes. Measured: 225 tests of the adapter, the gateway, the quarantine and the fleet with lethal calls pass.

--- a/packages/daemon/src/_lib/entryCall.ts
+++ b/packages/daemon/src/_lib/entryCall.ts
@@ -22,6 +22,11 @@
   return fingerprint
 }
 
+/** Describes a call to the quarantine. Calls of the own interface do not state the parts of their prompts. */
+export function describeCall (call: sendAttempt.OutgoingCall): quarantine.CallFeatures {
+  return { fingerprint: () => fingerprintCall(call), parts: [] }
+}
+
 /** Returns whether calls of a service with this HTTP method may be executed more than once. */
 export function isRepeatable (service: types.ServiceRow, method: string): boolean {
   return service.repeatable === 'all' || (service.repeatable === 'reads' && SAFE_METHODS.has(method))
--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -137,7 +137,7 @@
   return {
     tracker,
     call: (call) => {
-      const head: gateway.CallHead = { requestId: call.requestId, host: HOST, path: '/', method: 'POST', remainingMs: call.remainingMs, key: call.key ?? null, model: MODEL, promptTokens: call.promptTokens, answerTokens: call.events * TOKENS_PER_EVENT, lastEventId: null, passedHeaders: [] }
+      const head: gateway.CallHead = { requestId: call.requestId, host: HOST, path: '/', method: 'POST', remainingMs: call.remainingMs, key: call.key ?? null, model: MODEL, promptTokens: call.promptTokens, answerTokens: call.events * TOKENS_PER_EVENT, promptParts: [], lastEventId: null, passedHeaders: [] }
       const request = Object.assign(new events.EventEmitter(), { call: head, complete: true, headers: { 'content-length': String(call.bodyBytes) } })
       const response = createResponse(call.onEnded ?? (() => {}))
       handler.handle(request as unknown as http.IncomingMessage, response as unknown as http.ServerResponse)
--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -55,7 +55,7 @@
     return listed === undefined || options.isLeaving(listed)
   }
 
-  async function noteConnectionLost (backEnd: gateway.BackEnd, call: quarantine.CallFingerprint): Promise<void> {
+  async function noteConnectionLost (backEnd: gateway.BackEnd, call: quarantine.CallFeatures): Promise<void> {
     if (!options.settings.enabled) return
     const life = types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt)
     const wasLeaving = isLeaving(backEnd)
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -214,10 +214,10 @@
       if (result.kind === 'answered') {
         const isComplete = await forwardResponse(context, result, backend.value, claim)
         if (isComplete && options.guard.isActive()) options.guard.noteServed(entryCall.fingerprintCall(call))
-        if (!isComplete && !context.req.aborted) await options.guard.noteLost(backend.value, entryCall.fingerprintCall(call))
+        if (!isComplete && !context.req.aborted) await options.guard.noteLost(backend.value, entryCall.describeCall(call))
         return 'answered'
       }
-      if (result.kind === 'unknown' && !signal.aborted) await options.guard.noteLost(backend.value, entryCall.fingerprintCall(call))
+      if (result.kind === 'unknown' && !signal.aborted) await options.guard.noteLost(backend.value, entryCall.describeCall(call))
       noteFailure(backend.value, result)
       mayHaveRun ||= result.kind === 'unknown'
       const isFirstLeavingRefusal = isLeavingRefusal(result) && !leavingProcesses.has(backend.value.incarnation)
--- a/packages/daemon/src/createEntryQuarantine/index.ts
+++ b/packages/daemon/src/createEntryQuarantine/index.ts
@@ -11,7 +11,7 @@
 /** The part of the quarantine that an entry node uses while it handles a call. */
 export interface EntryGuard extends Pick<createSharedQuarantine.SharedQuarantine, 'isActive' | 'readBlockedMs' | 'noteServed' | 'onBlocked'> {
   /** Records a call that was lost at a backend daemon; resolves once it is known whether the back end there terminated. */
-  readonly noteLost: (backend: types.MemberFacts, call: quarantine.CallFingerprint) => Promise<void>
+  readonly noteLost: (backend: types.MemberFacts, call: quarantine.CallFeatures) => Promise<void>
 }
 
 /** The quarantine of an entry node. */
@@ -87,7 +87,7 @@
     if (!sent.ok) logger.debug('facts-not-sent', { node, error: sent.error.message })
   }
 
-  async function noteLost (backend: types.MemberFacts, call: quarantine.CallFingerprint): Promise<void> {
+  async function noteLost (backend: types.MemberFacts, call: quarantine.CallFeatures): Promise<void> {
     if (!settings.quarantine.enabled || backend.service === null) return
     const response = await parts.client.call<string | null>(backend.address, ENDED_METHOD, {}, ENDED_CALL_TIMEOUT_MS)
     const verdict = !response.ok ? 'unknown' : response.value === null ? 'lives' : 'ended'
--- a/packages/daemon/src/createSharedQuarantine/index.ts
+++ b/packages/daemon/src/createSharedQuarantine/index.ts
@@ -39,7 +39,7 @@
   /** Returns the remaining block time of a call in milliseconds; null when the call may run. */
   readonly readBlockedMs: (call: quarantine.CallFingerprint) => number | null
   /** Records that a back end terminated and lost one call of this daemon. */
-  readonly noteEnd: (ended: EndedBackEnd, call: quarantine.CallFingerprint) => void
+  readonly noteEnd: (ended: EndedBackEnd, call: quarantine.CallFeatures) => void
   readonly noteServed: (call: quarantine.CallFingerprint) => void
   /** Registers a listener for each call that becomes blocked. */
   readonly onBlocked: (listener: (call: quarantine.CallFingerprint) => void) => void
@@ -59,6 +59,7 @@
 /** Calls lost with the same back end are noticed within milliseconds of each other; collecting them this long publishes them together. */
 const END_BATCH_MS = 10
 const MAXIMUM_LOGGED_FINGERPRINTS = 8
+const MAXIMUM_LOGGED_PARTS = 8
 
 /** Where the evidence comes from that blocks a call. */
 type BlockSource = 'own' | 'peer' | 'store'
@@ -74,6 +75,14 @@
   }
 }
 
+/** Lists the parts that most of the calls have in common, each with the number of these calls. */
+function describeParts (partsOfCalls: ReadonlyArray<readonly types.PromptPartId[]>): string {
+  const counts = new Map<types.PromptPartId, number>()
+  for (const part of partsOfCalls.flat()) counts.set(part, (counts.get(part) ?? 0) + 1)
+  const commonest = [...counts].sort(([, left], [, right]) => right - left).slice(0, MAXIMUM_LOGGED_PARTS)
+  return commonest.map(([part, calls]) => `${part}:${calls}`).join()
+}
+
 /** The quarantine of a daemon whose settings disable it. */
 const DISABLED_QUARANTINE: SharedQuarantine = {
   isActive: () => false,
@@ -105,7 +114,7 @@
   const limits = readLimits(options.settings)
   const listeners: Array<(call: quarantine.CallFingerprint) => void> = []
   /** Calls that this daemon lost, by terminated back end, until they are published. */
-  const lostCalls = new Map<types.BackEndInstanceId, Set<quarantine.CallFingerprint>>()
+  const lostCalls = new Map<types.BackEndInstanceId, Map<quarantine.CallFingerprint, readonly types.PromptPartId[]>>()
   /** Origin of the evidence that is being recorded; read by the callbacks of the record. */
   let source: BlockSource = 'peer'
   const record = quarantine.createQuarantine({ limits, onBlocked: noteBlocked, onReleased: noteReleased, now })
@@ -149,23 +158,20 @@
     options.publishFact(quarantineFacts.formatFact(fact), ttlMs, ageMs)
   }
 
-  function noteEnd (ended: EndedBackEnd, call: quarantine.CallFingerprint): void {
+  function noteEnd (ended: EndedBackEnd, call: quarantine.CallFeatures): void {
     const { life } = ended
-    const existing = lostCalls.get(life)
-    if (existing === undefined) {
-      lostCalls.set(life, new Set([call]))
-      setTimeout(() => { publishEnd(ended) }, END_BATCH_MS)
-    } else {
-      existing.add(call)
-    }
-    recordFrom('own', () => { record.noteEnd({ life, at: now(), calls: new Set([call]) }) })
+    const fingerprint = call.fingerprint()
+    if (!lostCalls.has(life)) setTimeout(() => { publishEnd(ended) }, END_BATCH_MS)
+    types.getOrCreate(lostCalls, life, () => new Map()).set(fingerprint, call.parts)
+    recordFrom('own', () => { record.noteEnd({ life, at: now(), calls: new Set([fingerprint]) }) })
   }
 
   function publishEnd ({ life, name, service }: EndedBackEnd): void {
-    const calls = [...lostCalls.get(life) ?? []]
+    const lost = lostCalls.get(life) ?? new Map<quarantine.CallFingerprint, readonly types.PromptPartId[]>()
+    const calls = [...lost.keys()]
     lostCalls.delete(life)
     count('back_ends_ended', { service })
-    logger.warn('back-end-ended', { backEnd: name, service, calls: calls.length, fingerprints: calls.slice(0, MAXIMUM_LOGGED_FINGERPRINTS).join() })
+    logger.warn('back-end-ended', { backEnd: name, service, calls: calls.length, fingerprints: calls.slice(0, MAXIMUM_LOGGED_FINGERPRINTS).join(), parts: describeParts([...lost.values()]) })
     for (let at = 0; at < calls.length; at += quarantineFacts.MAXIMUM_CALLS_PER_FACT) publish({ kind: 'end', life, calls: calls.slice(at, at + quarantineFacts.MAXIMUM_CALLS_PER_FACT) }, limits.evidenceMs)
   }
 
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -30,7 +30,7 @@
 }
 
 /** A call in progress. */
-export interface CallState extends CallDetails {
+export interface CallState extends CallDetails, quarantine.CallFeatures {
   /** Back ends that the call was sent to. */
   readonly tried: Set<types.NodeId>
   /** Number of attempts that reached a back end. */
@@ -59,8 +59,8 @@
   readonly isWithdrawn: () => boolean
   /** Whether the call may run more than once. */
   readonly isRepeatable: boolean
-  /** Fingerprint shared by calls that ask for the same thing; computed on first use. */
-  readonly fingerprint: () => quarantine.CallFingerprint
+  /** Whether the call was answered with a response whose end HTTP framing did not mark. */
+  hasUnframedAnswer: boolean
 }
 
 /**
@@ -85,6 +85,8 @@
     firstEventAt: null,
     wait: null,
     hasAttemptResponded: false,
+    hasUnframedAnswer: false,
+    parts: details.head.promptParts ?? [],
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
     fingerprint: () => {
       fingerprint ??= quarantine.computeFingerprint({ account: details.tenant, method: details.head.method, host: details.head.host, path: details.head.path, body: details.body })
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -35,6 +35,7 @@
   if (end.isBlocked) options.count('calls_blocked', { service: call.service })
   options.observe('call', elapsedMs)
   if (firstEventMs !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(firstEventMs - call.predictedMs))
+  if (call.hasUnframedAnswer) options.count('answers_unframed', { service: call.service })
   options.logger.info('call', {
     id: call.head.requestId,
     route: call.route.name,
@@ -48,6 +49,7 @@
     waitedMs: call.wait?.ms,
     place: call.wait?.place,
     version: end.version,
+    framed: call.hasUnframedAnswer ? false : undefined,
     fingerprint: end.isBlocked ? call.fingerprint() : undefined,
     reason: end.ending === 'answered' ? undefined : end.reason
   })
--- a/packages/gateway/src/_lib/noteOutcome.ts
+++ b/packages/gateway/src/_lib/noteOutcome.ts
@@ -4,6 +4,8 @@
 import type * as callState from './callState.js'
 import type * as runAttempt from './runAttempt.js'
 
+const MAXIMUM_LOGGED_PARTS = 8
+
 /**
  * Records the outcome of an attempt, and logs a failed one.
  *
@@ -20,8 +22,8 @@
   else if (outcome.kind === 'not-run') options.tracker.noteFull(id)
   else if (outcome.kind !== 'failed-answer') options.tracker.noteFailure(id)
   if (outcome.kind === 'done') return
-  const fingerprint = outcome.kind === 'broken' ? call.fingerprint() : undefined
-  options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason, fingerprint })
+  const features = outcome.kind === 'broken' ? { fingerprint: call.fingerprint(), parts: call.parts.slice(0, MAXIMUM_LOGGED_PARTS).join() } : {}
+  options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason, ...features })
 }
 
 /**
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -200,6 +200,7 @@
     if (reply.hasStarted()) return broken(`status ${answered.status} instead of a stream`, false)
     const buffered = { status: answered.status, headers: answered.headers, body: body.body, isFramed: received.isFramed }
     if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: buffered }
+    call.hasUnframedAnswer = !received.isFramed
     reply.sendBuffered(buffered.status, buffered.headers, buffered.body, buffered.isFramed)
     return { kind: 'done' }
   }
@@ -229,6 +230,7 @@
           failStream('stream cut')
           return
         }
+        call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
         reply.endStream()
         resolve({ kind: 'done' })
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -27,7 +27,7 @@
   let refusal = ''
   const backEnd = { id: types.brandId<types.NodeId>('i-1'), bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
   const call = callState.createCallState({
-    head: { requestId: 'r', host: 'h', path: '/write/1', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, lastEventId: null, remainingMs: DEADLINE_MS },
+    head: { requestId: 'r', host: 'h', path: '/write/1', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, promptParts: [], lastEventId: null, remainingMs: DEADLINE_MS },
     route: { name: 'write', kind: 'once', isResumable: false, timeoutMs: DEADLINE_MS, targetMs: DEADLINE_MS, maximumAttempts: 1 },
     tenant: null,
     service: types.brandId('api'),
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -353,7 +353,7 @@
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
-    if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call.fingerprint())
+    if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
     if (outcome.kind === 'done' && options.guard.isActive()) options.guard.noteServed(call.fingerprint())
     if (outcome.kind === 'broken' && !open.hasResponded) noteOutcome.noteUnansweredAttempt(call, options)
     return outcome
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -107,7 +107,7 @@
   function start (): callState.CallState {
     const receivedAt = clock.now()
     const call = callState.createCallState({
-      head: { requestId: 'r', host: 'h', path: '/', method: 'POST', model: 'm', promptTokens: 900, answerTokens: 50, lastEventId: null, remainingMs: TIMEOUT_MS },
+      head: { requestId: 'r', host: 'h', path: '/', method: 'POST', model: 'm', promptTokens: 900, answerTokens: 50, promptParts: [], lastEventId: null, remainingMs: TIMEOUT_MS },
       route: { name: 'stream', kind: 'stream', isResumable: true, timeoutMs: TIMEOUT_MS, targetMs: 400, maximumAttempts: 2 },
       tenant: null,
       service: SERVICE,
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -63,6 +63,7 @@
     if (endsAt !== null && receivedAt + DRAIN_MINIMUM_CALL_MS > endsAt) return reply.refuse(503, 'this gateway ends', DRAIN_RETRY_MS)
     const routed = routeCall(table, head)
     if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
+    if (head.promptParts === null) options.count('prompt_parts_unreadable')
     const timeoutMs = Math.min(routed.route.timeoutMs, head.remainingMs ?? Infinity)
     const call = callState.createCallState({
       head,
--- a/packages/gateway/src/createCallHandler/slowReaders.test.ts
+++ b/packages/gateway/src/createCallHandler/slowReaders.test.ts
@@ -73,7 +73,7 @@
 
   const handler = createCallHandler.createCallHandler({
     protocol: {
-      readCall: () => ({ requestId: 'r', host: 'h', path: '/', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, lastEventId: null, remainingMs: null, key: null, passedHeaders: [] }),
+      readCall: () => ({ requestId: 'r', host: 'h', path: '/', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, promptParts: [], lastEventId: null, remainingMs: null, key: null, passedHeaders: [] }),
       formatAttempt: () => [],
       readAnswer: () => ({ kind: 'answered', status: 200, headers: [], isStream: true, version: null }),
       readAdvertisedRate: () => ({ kind: 'none' }),
--- a/packages/gateway/src/types/guard.ts
+++ b/packages/gateway/src/types/guard.ts
@@ -9,7 +9,7 @@
   /** Milliseconds for which a call stays blocked; null if it may run. */
   readonly readBlockedMs: (call: quarantine.CallFingerprint) => number | null
   /** Reports an attempt whose connection was closed by the back end's side; resolves once it is known whether the back end has ended. */
-  readonly noteConnectionLost: (backEnd: gateway.BackEnd, call: quarantine.CallFingerprint) => Promise<void>
+  readonly noteConnectionLost: (backEnd: gateway.BackEnd, call: quarantine.CallFeatures) => Promise<void>
   /** Reports a call that was served to its end while the guard is active. */
   readonly noteServed: (call: quarantine.CallFingerprint) => void
   /** Registers a listener that is called for each call that is blocked. */
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -160,6 +160,8 @@
   /** Length of the prompt, and expected length of the response, in tokens; 0 if unknown. */
   readonly promptTokens: number
   readonly answerTokens: number
+  /** Parts of the prompt that other calls may share; null if the caller's statement of them is unreadable. */
+  readonly promptParts: readonly types.PromptPartId[] | null
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | null
   /** Headers to forward, as alternating names and values. */
--- a/packages/quarantine/src/types/index.ts
+++ b/packages/quarantine/src/types/index.ts
@@ -2,6 +2,14 @@
 import type * as types from '@switchridge/types'
 import type * as computeFingerprint from '../computeFingerprint/index.js'
 
+/** What can be recognized of a call when it, or another call that has something in common with it, is sent again. */
+export interface CallFeatures {
+  /** Computed on first use, since it covers the whole body. */
+  readonly fingerprint: () => computeFingerprint.CallFingerprint
+  /** Parts of its prompt that other calls may share. */
+  readonly parts: readonly types.PromptPartId[]
+}
+
 /** The unexpected end of a back end process, with the calls that were lost with it. */
 export interface BackEndTermination {
   readonly life: types.BackEndInstanceId
--- a/packages/types/src/ids/index.ts
+++ b/packages/types/src/ids/index.ts
@@ -24,6 +24,8 @@
 export type TicketId = Branded<'TicketId'>
 /** One instance of a back end, from start to end; a restart under the same node id is another instance. */
 export type BackEndInstanceId = Branded<'BackEndInstanceId'>
+/** A part of prompts that calls may share: `#` and up to 16 hexadecimal digits. */
+export type PromptPartId = Branded<'PromptPartId'>
 /** One run of a daemon process; ids of later runs on the same node sort higher. */
 export type IncarnationId = Branded<'IncarnationId'>
 
@@ -57,3 +59,10 @@
 export function brandId<Id extends string> (value: string): Id {
   return value as Id
 }
+
+const PROMPT_PART_ID_PATTERN = /^#[0-9a-f]{1,16}$/
+
+/** Tells whether a value received from another daemon is a valid id of a part of prompts. */
+export function isPromptPartId (value: unknown): value is PromptPartId {
+  return typeof value === 'string' && PROMPT_PART_ID_PATTERN.test(value)
+}
