Check whether the engine has ended at the end of a response without framing

What callers saw: a call whose answer has neither a length nor chunks ended engine after engine and was answered 200, its truncated answer looking whole; a stream without framing that ended inside an event looked whole, too. Cause: the end of the connection was taken for the end of the response. A process that ends closes its connections in the same orderly way, so the attempt counted as served, which left no evidence and cleared the call of earlier ends. Change: at such an end the gateway asks whether the engine's port still takes connections; if the process has ended unexpectedly, the attempt is broken off, with the usual evidence and another attempt where that is allowed. Streams without framing are split into events on all routes, and one that ends inside an event is broken off. A response without framing is broken off by a reset. A probe that the engine answered is shared for 10 ms instead of 50, since it may have ended meanwhile. What it costs: one connection to the engine for each answer without framing, none for others.

--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -21,6 +21,8 @@
 const PROBE_TIMEOUT_MS = 100
 /** Calls lost with the same back end share one probe: they fail within milliseconds of each other, and a connection attempt takes as long. */
 const PROBE_CACHE_MS = 50
+/** A process that still listened may have ended since, so a probe that it answered is shared for a shorter time. */
+const ANSWERED_PROBE_CACHE_MS = 10
 /** A peer's report that a back end terminated counts as a failure of that back end only up to this age. */
 const RECENT_END_MS = 3000
 
@@ -42,8 +44,12 @@
 
   /** Opens one connection for all calls that are lost with the same back end. */
   async function probe (instanceId: types.BackEndInstanceId, address: types.Address): Promise<quarantine.ProbeResult> {
+    const askedAt = now()
     const cached = probes.get(instanceId)
-    if (cached !== undefined && now() - cached.at < PROBE_CACHE_MS) return await cached.result
+    if (cached !== undefined && askedAt - cached.at < PROBE_CACHE_MS) {
+      const result = await cached.result
+      if (result === 'refused' || askedAt - cached.at < ANSWERED_PROBE_CACHE_MS) return result
+    }
     for (const [other, { at }] of probes) if (now() - at >= PROBE_CACHE_MS) probes.delete(other)
     const result = options.probe(address, PROBE_TIMEOUT_MS)
     probes.set(instanceId, { result, at: now() })
@@ -55,15 +61,25 @@
     return listed === undefined || options.isLeaving(listed)
   }
 
-  async function noteConnectionLost (backEnd: gateway.BackEnd, call: quarantine.CallFeatures): Promise<void> {
-    if (!options.settings.enabled) return
+  async function probeCause (backEnd: gateway.BackEnd): Promise<quarantine.LossCause> {
     const life = types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt)
     const wasLeaving = isLeaving(backEnd)
-    const verdict = quarantine.classifyLostAttempt({ isClosedByPeer: true, isLeaving: wasLeaving, probe: await probe(life, backEnd.address) })
+    return quarantine.classifyLostAttempt({ isClosedByPeer: true, isLeaving: wasLeaving, probe: await probe(life, backEnd.address) })
+  }
+
+  async function hasEnded (backEnd: gateway.BackEnd): Promise<boolean> {
+    const verdict = await probeCause(backEnd)
+    count('unframed_ends', { verdict })
+    return verdict === 'ended'
+  }
+
+  async function noteConnectionLost (backEnd: gateway.BackEnd, call: quarantine.CallFeatures): Promise<void> {
+    if (!options.settings.enabled) return
+    const verdict = await probeCause(backEnd)
     count('calls_lost', { verdict })
     if (verdict !== 'ended') return
     tracker.noteProcessEnded(backEnd.id)
-    shared.noteEnd({ life, name: backEnd.id, service: backEnd.service }, call)
+    shared.noteEnd({ life: types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt), name: backEnd.id, service: backEnd.service }, call)
   }
 
   /** A peer's report makes a back end a worse choice; only this gateway's own probe excludes it. */
@@ -73,5 +89,5 @@
     if (ended !== undefined) tracker.noteFailure(ended.id)
   }
 
-  return { ...shared, noteConnectionLost }
+  return { ...shared, hasEnded, noteConnectionLost }
 }
--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -16,7 +16,7 @@
   /** Calls `resume` once when the caller has read what was buffered. */
   readonly onDrain: (resume: () => void) => void
   readonly endStream: () => void
-  /** Destroys the connection, so that a truncated response never looks complete. */
+  /** Destroys the connection, by a reset if only its end marks the end of the response, so that a truncated response never looks complete. */
   readonly abort: () => void
   readonly hasStarted: () => boolean
 }
@@ -32,6 +32,8 @@
  * @returns The reply.
  */
 export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isDraining: () => boolean, holding: createHeldBytes.CallHolding | null = null): Reply {
+  let isEndedByClosing = false
+
   function writeHead (status: number, headers: readonly string[]): void {
     response.sendDate = false
     if (isDraining()) response.shouldKeepAlive = false
@@ -42,6 +44,7 @@
   function endByClosing (): void {
     response.useChunkedEncodingByDefault = false
     response.shouldKeepAlive = false
+    isEndedByClosing = true
   }
 
   if (holding !== null) {
@@ -85,6 +88,9 @@
       response.end()
       noteUnread()
     },
-    abort: () => { response.destroy() }
+    abort: () => {
+      if (isEndedByClosing) response.socket?.resetAndDestroy()
+      else response.destroy()
+    }
   }
 }
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -52,6 +52,7 @@
 const MINIMUM_EVENT_TIMEOUT_MS = 800
 
 const FIRST_ERROR_STATUS = 400
+const ENDED_REASON = 'back end ended at the end of a response without framing'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
 const WITHDRAWAL_DELAY_MS = 300
@@ -196,6 +197,7 @@
     noteResponse()
     const body = await readBody.readBody(received.response, MAXIMUM_BUFFERED_BYTES)
     if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, body.kind !== 'too-large')
+    if (!received.isFramed && await options.guard.hasEnded(choice.backEnd)) return broken(ENDED_REASON, true)
     call.mayHaveRun = true
     if (reply.hasStarted()) return broken(`status ${answered.status} instead of a stream`, false)
     const buffered = { status: answered.status, headers: answered.headers, body: body.body, isFramed: received.isFramed }
@@ -209,8 +211,9 @@
     call.mayHaveRun = true
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve) => {
+      let hasEnded = false
       response.on('data', (bytes: Buffer) => {
-        const whole = route.isResumable ? stream.splitter.push(bytes) : bytes
+        const whole = readDeliverable(bytes)
         if (whole === null) return
         noteResponse()
         eventTimer.restart(nextEventMs)
@@ -226,17 +229,33 @@
         })
       })
       response.on('end', () => {
+        hasEnded = true
+        void endStream()
+      })
+      response.on('error', () => { if (!hasEnded) failStream('stream broken') })
+      response.on('close', () => { if (!hasEnded) failStream('stream closed') })
+
+      /** Returns what may be passed on: whole events of a resumable stream. The end of a stream without framing must be the end of an event, so its events are split, too. */
+      function readDeliverable (bytes: Buffer): Buffer | null {
+        const events = route.isResumable || !isFramed ? stream.splitter.push(bytes) : null
+        return route.isResumable ? events : bytes
+      }
+
+      async function endStream (): Promise<void> {
+        eventTimer.stop()
         if (!isWhole() || stream.splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
           failStream('stream cut')
           return
         }
+        if (!isFramed && await options.guard.hasEnded(choice.backEnd)) {
+          failStream(ENDED_REASON)
+          return
+        }
         call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
         reply.endStream()
         resolve({ kind: 'done' })
-      })
-      response.on('error', () => { failStream('stream broken') })
-      response.on('close', () => { failStream('stream closed') })
+      }
 
       function beginStream (): void {
         stream.isFramed = isFramed
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -111,7 +111,8 @@
       response.on('error', () => {})
       run(request, response).catch((thrown: unknown) => {
         options.logger.error('call-broken', { error: types.describeError(thrown) })
-        response.destroy()
+        // A reset, since a response without framing would look complete.
+        request.socket.resetAndDestroy()
       })
     }
   }
--- a/packages/gateway/src/types/guard.ts
+++ b/packages/gateway/src/types/guard.ts
@@ -10,6 +10,8 @@
   readonly readBlockedMs: (call: quarantine.CallFingerprint) => number | null
   /** Reports an attempt whose connection was closed by the back end's side; resolves once it is known whether the back end has ended. */
   readonly noteConnectionLost: (backEnd: gateway.BackEnd, call: quarantine.CallFeatures) => Promise<void>
+  /** Checks, for a response whose end only the end of its connection marked, whether the back end has ended unexpectedly, so that the response may be truncated. */
+  readonly hasEnded: (backEnd: gateway.BackEnd) => Promise<boolean>
   /** Reports a call that was served to its end while the guard is active. */
   readonly noteServed: (call: quarantine.CallFingerprint) => void
   /** Registers a listener that is called for each call that is blocked. */
