Block the part of prompts that calls lost with back ends share

Cause: evidence was tied to the whole call (account, method, host, path, body), while what crashed engines was a part that different calls share; no two of them were alike, so none ever had three ends.

Change: an end counts against the whole call and against each part of its prompt but the last, which no other call has. Completed calls clear their parts: a part that was served needs more ends, all of them since; parts that always came together are blocked only together, so that a call with one of them tells them apart; ends that one part explains don't count against the others; several back ends that end at the same moment count once. Gateways share the parts of an end that are not in common use, and tell each other, once, of completed calls with parts that another one suspects. A gateway that has just started takes no part as never served. Blocks apply whoever sends the part; calls under way that have brought nothing are withdrawn. Blocks of parts are kept in the store as those of calls are.

Why this works: a part that crashes each engine that writes on it never is in a completed call, and every other part is, sooner or later.

--- a/packages/daemon/src/_lib/quarantineFacts.test.ts
+++ b/packages/daemon/src/_lib/quarantineFacts.test.ts
@@ -6,11 +6,17 @@
 import * as quarantineFacts from './quarantineFacts.js'
 
 const CALL = types.brandId<quarantine.CallFingerprint>('3w5e11264sg0')
+const OTHER_CALL = types.brandId<quarantine.CallFingerprint>('1a')
+const PART = types.brandId<types.PromptPartId>('#a1')
+const OTHER_PART = types.brandId<types.PromptPartId>('#b2')
 const FACTS: readonly quarantineFacts.QuarantineFact[] = [
   { kind: 'end', life: types.formatBackEndInstanceId(types.brandId('i-1'), null), calls: [CALL] },
   { kind: 'end', life: types.formatBackEndInstanceId(types.brandId('i-1'), 1_790_000_000_000), calls: Array.from({ length: quarantineFacts.MAXIMUM_CALLS_PER_FACT }, () => CALL) },
   { kind: 'served', call: CALL },
-  { kind: 'block', call: CALL, count: 2 }
+  { kind: 'block', call: CALL, count: 2 },
+  { kind: 'end-of-parts', life: types.formatBackEndInstanceId(types.brandId('i-1'), 7), callsByPart: new Map([[PART, new Set([CALL])], [OTHER_PART, new Set([CALL, OTHER_CALL])]]) },
+  { kind: 'part-served', part: PART },
+  { kind: 'block', call: types.brandId<quarantine.PartSetId>('#a1+#b2'), count: 1 }
 ]
 
 nodeTest.test('facts are decoded as they were encoded', () => {
@@ -22,7 +28,8 @@
 })
 
 nodeTest.test('malformed facts decode to null', () => {
-  const malformed = [null, 7, {}, [], ['e'], ['e', 'i-1'], ['e', '', CALL], ['e', 'i-1', 'NO'], ['s'], ['s', 7], ['b', CALL], ['b', CALL, 0], ['b', CALL, 1.5], ['x', CALL]]
+  const malformed = [null, 7, {}, [], ['e'], ['e', 'i-1'], ['e', '', CALL], ['e', 'i-1', 'NO'], ['s'], ['s', 7], ['b', CALL], ['b', CALL, 0], ['b', CALL, 1.5], ['x', CALL], ['p'], ['p', 'i-1'], ['p', 'i-1', [PART]], ['p', 'i-1', ['a1', CALL]], ['p', 'i-1', [PART, 'NO']], ['p', 'i-1', PART], ['p', 'i-1', [PART, ...Array(5).fill(CALL)]],
+    ['p', 'i-1', ...Array(9).fill([PART, CALL])], ['v'], ['v', CALL], ['b', '#b2+#a1', 1], ['b', '#', 1]]
   for (const value of malformed) assert.equal(quarantineFacts.parseFact(value), null, JSON.stringify(value))
   fastCheck.assert(fastCheck.property(fastCheck.jsonValue(), (value) => { assert.doesNotThrow(() => quarantineFacts.parseFact(value)) }), { seed: 7 })
 })
--- a/packages/daemon/src/createBlockArchive/index.ts
+++ b/packages/daemon/src/createBlockArchive/index.ts
@@ -44,7 +44,7 @@
 /** A daemon that doesn't read the store itself receives the blocks from peers within this time, and accepts calls after it. */
 const PEER_REPORT_TIMEOUT_MS = 1000
 
-const blockSchema = zod.object({ fingerprint: zod.string().refine(quarantine.isFingerprint, 'a fingerprint'), count: zod.int().min(1), blockedAt: zod.number() })
+const blockSchema = zod.object({ fingerprint: zod.string().refine(quarantine.isSuspectId, 'a fingerprint or parts of prompts'), count: zod.int().min(1), blockedAt: zod.number() })
 
 /**
  * Starts loading the blocks from the store.
@@ -60,8 +60,10 @@
   /** Blocks that this daemon has saved. */
   const saved = new Set<quarantine.CallBlock>()
 
+  /** The ids of parts begin with a character that names of objects may not have. */
   function formatName ({ fingerprint, count }: quarantine.CallBlock): string {
-    return `${fingerprint}-${count}`
+    const parts = quarantine.listPartsOf(fingerprint).map((part) => part.slice(1))
+    return `${parts.length === 0 ? fingerprint : ['parts', ...parts].join('.')}-${count}`
   }
 
   /** Clocks of two machines differ: a block with a start time in the future is taken to start now. */
@@ -73,7 +75,7 @@
     }
     const { fingerprint, count, blockedAt } = parsed.data
     const ageMs = Math.max(0, options.timeOfDay() - blockedAt)
-    if (ageMs < quarantine.computeBlockRetentionMs(count, limits)) options.onBlock({ fingerprint: types.brandId<quarantine.CallFingerprint>(fingerprint), count, since: now() - ageMs })
+    if (ageMs < quarantine.computeBlockRetentionMs(count, limits)) options.onBlock({ fingerprint: types.brandId<quarantine.PartSetId>(fingerprint), count, since: now() - ageMs })
     else void remove(object)
   }
 
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -92,8 +92,8 @@
   const counts: Record<string, number> = {}
   let inProgress = 0
   const pendingAttempts = new Set<PendingAttempt>()
-  options.guard.onBlocked((blocked) => {
-    for (const { call, end } of pendingAttempts) if (entryCall.fingerprintCall(call) === blocked) end()
+  options.guard.onBlocked((isBlocked) => {
+    for (const { call, end } of pendingAttempts) if (isBlocked(entryCall.describeCall(call))) end()
   })
 
   function count (name: string): void {
@@ -213,7 +213,7 @@
       const result = await sendUnlessBlocked(call, backend.value, signal)
       if (result.kind === 'answered') {
         const isComplete = await forwardResponse(context, result, backend.value, claim)
-        if (isComplete && options.guard.isActive()) options.guard.noteServed(entryCall.fingerprintCall(call))
+        if (isComplete) options.guard.noteServed(entryCall.describeCall(call))
         if (!isComplete && !context.req.aborted) await options.guard.noteLost(backend.value, entryCall.describeCall(call))
         return 'answered'
       }
@@ -252,7 +252,7 @@
 
   /** Returns the refusal of a call that is blocked because back ends terminated while running it; null if it may be sent. */
   function findBlock (call: sendAttempt.OutgoingCall): FinalOutcome | null {
-    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(entryCall.fingerprintCall(call)) : null
+    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(entryCall.describeCall(call)) : null
     return blockedMs === null ? null : { kind: 'not-run', reason: BLOCKED_REASON, load: undefined, retryAfterMs: blockedMs }
   }
 
--- a/packages/daemon/src/createEntryQuarantine/index.ts
+++ b/packages/daemon/src/createEntryQuarantine/index.ts
@@ -60,7 +60,8 @@
     logger,
     count,
     now,
-    timeOfDay: Date.now
+    timeOfDay: Date.now,
+    random: parts.random
   })
   let isStopped = false
   const facts = spread.createFactExchange({
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -76,7 +76,8 @@
     logger,
     count: metrics.count,
     now,
-    timeOfDay: Date.now
+    timeOfDay: Date.now,
+    random: Math.random
   })
   startedQuarantine = callQuarantine
   const limiter = createRateLimiter.createRateLimiter({
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -142,3 +142,10 @@
 export function computeLatestSendMs (targetMs: number): number {
   return targetMs * LATEST_SEND_FRACTION
 }
+
+const MAXIMUM_LOGGED_PARTS = 16
+
+/** Lists the parts of a call's prompt for a log line, the first ones if there are many. */
+export function describeParts ({ parts }: Pick<CallState, 'parts'>): string {
+  return parts.slice(0, MAXIMUM_LOGGED_PARTS).join()
+}
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -1,6 +1,6 @@
 /** Logs and counts each call when it ends. */
 import type * as callOptions from './callOptions.js'
-import type * as callState from './callState.js'
+import * as callState from './callState.js'
 
 /**
  * How a call ended. `answered`: with a back end's response, `left`: the caller disconnected first, `refused`: the call was not run, `failed`: it may have run, or its
@@ -51,6 +51,7 @@
     version: end.version,
     framed: call.hasUnframedAnswer ? false : undefined,
     fingerprint: end.isBlocked ? call.fingerprint() : undefined,
+    parts: end.isBlocked ? callState.describeParts(call) : undefined,
     reason: end.ending === 'answered' ? undefined : end.reason
   })
 }
--- a/packages/gateway/src/_lib/noteOutcome.ts
+++ b/packages/gateway/src/_lib/noteOutcome.ts
@@ -1,11 +1,9 @@
 /** Updates a gateway's records from attempts that have ended. */
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as callOptions from './callOptions.js'
-import type * as callState from './callState.js'
+import * as callState from './callState.js'
 import type * as runAttempt from './runAttempt.js'
 
-const MAXIMUM_LOGGED_PARTS = 8
-
 /**
  * Records the outcome of an attempt, and logs a failed one.
  *
@@ -22,7 +20,7 @@
   else if (outcome.kind === 'not-run') options.tracker.noteFull(id)
   else if (outcome.kind !== 'failed-answer') options.tracker.noteFailure(id)
   if (outcome.kind === 'done') return
-  const features = outcome.kind === 'broken' ? { fingerprint: call.fingerprint(), parts: call.parts.slice(0, MAXIMUM_LOGGED_PARTS).join() } : {}
+  const features = outcome.kind === 'broken' ? { fingerprint: call.fingerprint(), parts: callState.describeParts(call) } : {}
   options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason, ...features })
 }
 
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -22,7 +22,8 @@
 
 /** How an attempt ended. */
 export type AttemptOutcome =
-  | { readonly kind: 'done' }
+  /** Answered completely; `isSuccess` if not with an error. */
+  | { readonly kind: 'done', readonly isSuccess: boolean }
   /** No connection was established. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The back end reported that it did not run the call. */
@@ -204,7 +205,7 @@
     if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: buffered }
     call.hasUnframedAnswer = !received.isFramed
     reply.sendBuffered(buffered.status, buffered.headers, buffered.body, buffered.isFramed)
-    return { kind: 'done' }
+    return { kind: 'done', isSuccess: isSuccess(answered) }
   }
 
   async function relayStream ({ response, isFramed, isWhole }: ReceivedAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
@@ -254,7 +255,7 @@
         call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
         reply.endStream()
-        resolve({ kind: 'done' })
+        resolve({ kind: 'done', isSuccess: true })
       }
 
       function beginStream (): void {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -289,7 +289,7 @@
 
   /** Whether the call is blocked because back ends ended under it; if so, that is the reason of its refusal. */
   function noteIfBlocked (): boolean {
-    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(call.fingerprint()) : null
+    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(call) : null
     if (blockedMs === null) return false
     isBlocked = true
     lastReason = BLOCKED_REASON
@@ -354,7 +354,8 @@
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
-    if (outcome.kind === 'done' && options.guard.isActive()) options.guard.noteServed(call.fingerprint())
+    // An engine may reject a call without reading its prompt.
+    if (outcome.kind === 'done') options.guard.noteServed({ fingerprint: call.fingerprint, parts: outcome.isSuccess ? call.parts : [] })
     if (outcome.kind === 'broken' && !open.hasResponded) noteOutcome.noteUnansweredAttempt(call, options)
     return outcome
   }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -43,8 +43,8 @@
   let inProgress = 0
   let endsAt: number | null = null
   const calls = new Set<callState.CallState>()
-  options.guard.onBlocked((blocked) => {
-    for (const call of calls) if (call.fingerprint() === blocked) call.withdraw()
+  options.guard.onBlocked((isBlocked) => {
+    for (const call of calls) if (isBlocked(call)) call.withdraw()
   })
 
   async function run (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
--- a/packages/gateway/src/createCallHandler/slowReaders.test.ts
+++ b/packages/gateway/src/createCallHandler/slowReaders.test.ts
@@ -92,7 +92,7 @@
     backoffs: { read: () => ({ waitMs: 0, maximumUnanswered: Infinity }), noteResponse: () => {} },
     leavers: { isLeaving: () => false },
     limiter: { readAllowance: () => null, noteResponse: () => {} },
-    guard: { isActive: () => false, onBlocked: () => {}, noteConnectionLost: async () => {} },
+    guard: { isActive: () => false, onBlocked: () => {}, noteServed: () => {}, noteConnectionLost: async () => {} },
     tracker: createBackEndTracker.createBackEndTracker(() => fixture.time),
     heldBytes: held,
     sendAttempt: startAttempt,
--- a/packages/gateway/src/types/guard.ts
+++ b/packages/gateway/src/types/guard.ts
@@ -7,13 +7,13 @@
   /** Whether any call is suspected or blocked; while none is, no fingerprints need to be computed. */
   readonly isActive: () => boolean
   /** Milliseconds for which a call stays blocked; null if it may run. */
-  readonly readBlockedMs: (call: quarantine.CallFingerprint) => number | null
+  readonly readBlockedMs: (call: quarantine.CallFeatures) => number | null
   /** Reports an attempt whose connection was closed by the back end's side; resolves once it is known whether the back end has ended. */
   readonly noteConnectionLost: (backEnd: gateway.BackEnd, call: quarantine.CallFeatures) => Promise<void>
   /** Checks, for a response whose end only the end of its connection marked, whether the back end has ended unexpectedly, so that the response may be truncated. */
   readonly hasEnded: (backEnd: gateway.BackEnd) => Promise<boolean>
-  /** Reports a call that was served to its end while the guard is active. */
-  readonly noteServed: (call: quarantine.CallFingerprint) => void
-  /** Registers a listener that is called for each call that is blocked. */
-  readonly onBlocked: (listener: (call: quarantine.CallFingerprint) => void) => void
+  /** Reports a call that was served to its end. */
+  readonly noteServed: (call: quarantine.CallFeatures) => void
+  /** Registers a listener for each block; it gets a function that tells whether the block applies to a call. */
+  readonly onBlocked: (listener: (isBlocked: (call: quarantine.CallFeatures) => boolean) => void) => void
 }
--- a/packages/quarantine/src/selectCallsToBlock/index.ts
+++ b/packages/quarantine/src/selectCallsToBlock/index.ts
@@ -1,22 +1,28 @@
-/** Selects, among the calls that were lost with back ends, those that are likely to have ended them. */
+/** Selects, among the calls that were lost with back ends and the parts of their prompts, those that are likely to have ended them. */
+import type * as types from '@switchridge/types'
 import type * as computeFingerprint from '../computeFingerprint/index.js'
+import * as matchesSuspect from '../matchesSuspect/index.js'
 import type * as quarantine from '../types/index.js'
+import type * as suspects from '../types/suspects.js'
+
+/** A call or one part of prompts, which ends are counted against. */
+export type Feature = computeFingerprint.CallFingerprint | types.PromptPartId
 
 /** What a gateway knows of calls; gateways with the same evidence select the same calls. */
 export interface Evidence {
   readonly ends: Iterable<quarantine.BackEndTermination>
-  /** Monotonic time in milliseconds at which a call was last completed, -Infinity if never; earlier ends don't count against it. */
-  readonly servedAt: (call: computeFingerprint.CallFingerprint) => number
-  /** Number of ends after which a call is blocked. */
-  readonly requiredEnds: (call: computeFingerprint.CallFingerprint) => number
-  /** Monotonic time in milliseconds from which on ends count against a call; -Infinity if all of them do. */
-  readonly countEndsFrom: (call: computeFingerprint.CallFingerprint) => number
+  /** Monotonic time in milliseconds at which a call, or a call with a part, was last completed, -Infinity if never; earlier ends don't count against it. */
+  readonly servedAt: (feature: Feature) => number
+  /** Number of ends after which a call or a part is blocked. */
+  readonly requiredEnds: (feature: Feature) => number
+  /** Monotonic time in milliseconds from which on ends count against a call or a part; -Infinity if all of them do. */
+  readonly countEndsFrom: (feature: Feature) => number
 }
 
-/** The calls to block, and those that reached the required number of ends only because they ran beside a blocked call. */
+/** What to block, and what reached the required number of ends only because it was beside something that is blocked. */
 export interface Selection {
-  readonly blocked: ReadonlySet<computeFingerprint.CallFingerprint>
-  readonly explained: ReadonlySet<computeFingerprint.CallFingerprint>
+  readonly blocked: ReadonlySet<suspects.SuspectId>
+  readonly explained: ReadonlySet<suspects.SuspectId>
 }
 
 /**
@@ -29,45 +35,132 @@
  * before its caller gives up, or is completed in between.
  */
 const EXTRA_ENDS = 2
+/** Ends of several back ends within this time may have one cause, such as a rack without power, and count once against a part, which calls on all of them may share. */
+const JOINT_END_MS = 50
+/** A part of a single call can't be told from that call, so at least this many different calls must have been lost with it. */
+const REQUIRED_CALLS = 2
+
+/** A call or a part with the required number of ends. */
+interface Candidate {
+  readonly suspect: suspects.SuspectId
+  readonly ends: readonly quarantine.BackEndTermination[]
+  readonly required: number
+  /** Whether it is known from completed calls. */
+  readonly wasServed: boolean
+  /** Number of different calls that it was lost with; a suspect of few calls explains ends better than one of many. */
+  readonly callCount: number
+  readonly isPart: boolean
+}
 
 /**
- * Selects the calls that explain the ends. A call that ran beside a crashing call and was retried elsewhere may meet it again, so the number of
- * ends alone is not enough: the call with the most ends is blocked first, and its ends don't count against calls with fewer ends.
+ * Selects the calls and parts that explain the ends. A call that ran beside a crashing one and was retried elsewhere may meet it again, and a part may
+ * be shared by crashing and harmless calls, so the number of ends alone is not enough: the candidate with the most ends is blocked first, and its ends don't count
+ * against the others.
  *
  * @param evidence - What is known.
- * @returns The selection; calls with exactly the same ends can't be told apart and are all blocked.
+ * @returns The selection. Calls with exactly the same ends can't be told apart and are all blocked; parts that always came together are blocked only together.
  */
 export function selectCallsToBlock (evidence: Evidence): Selection {
-  const endsByCall = groupEndsByCall(evidence)
-  const candidates = [...endsByCall]
-    .filter(([call, ends]) => ends.length >= evidence.requiredEnds(call))
-    .sort(([, left], [, right]) => right.length - left.length)
-  const blocked = new Map<computeFingerprint.CallFingerprint, number>()
-  const explained = new Set<computeFingerprint.CallFingerprint>()
-  for (const [call, ends] of candidates) {
-    const unexplained = ends.filter((end) => !isExplained(end, ends.length, blocked))
-    const required = evidence.requiredEnds(call)
-    if (unexplained.length >= Math.max(1, required - MAXIMUM_EXPLAINED) || ends.length >= required + EXTRA_ENDS) blocked.set(call, ends.length)
-    else explained.add(call)
+  const ends = [...evidence.ends]
+  const candidates = [...listCalls(ends, evidence), ...listParts(ends, evidence)].sort(compareCandidates)
+  const blocked: Candidate[] = []
+  const explained = new Set<suspects.SuspectId>()
+  for (const candidate of candidates) {
+    const unexplained = candidate.ends.filter((end) => !isExplained(end, candidate, blocked))
+    const isBlocked = candidate.isPart ? countSeparateEnds(unexplained) >= candidate.required : mustBlockCall(candidate, unexplained.length)
+    if (isBlocked) blocked.push(candidate)
+    else explained.add(candidate.suspect)
   }
-  return { blocked: new Set(blocked.keys()), explained }
+  return { blocked: new Set(blocked.map(({ suspect }) => suspect)), explained }
+}
+
+function compareCandidates (left: Candidate, right: Candidate): number {
+  const order = Number(left.wasServed) - Number(right.wasServed) || right.ends.length - left.ends.length || left.callCount - right.callCount
+  // The order in which reports arrived must not matter.
+  return order !== 0 ? order : Number(left.suspect > right.suspect) - Number(left.suspect < right.suspect)
+}
+
+function mustBlockCall ({ ends, required }: Candidate, unexplained: number): boolean {
+  return unexplained >= Math.max(1, required - MAXIMUM_EXPLAINED) || ends.length >= required + EXTRA_ENDS
+}
+
+/** Whether an end counts against a call or a part. */
+function countsAgainst ({ at }: quarantine.BackEndTermination, feature: Feature, { servedAt, countEndsFrom }: Evidence): boolean {
+  return at > servedAt(feature) && at >= countEndsFrom(feature)
 }
 
-function groupEndsByCall ({ ends, servedAt, countEndsFrom }: Evidence): Map<computeFingerprint.CallFingerprint, quarantine.BackEndTermination[]> {
-  const endsByCall = new Map<computeFingerprint.CallFingerprint, quarantine.BackEndTermination[]>()
+function groupEnds<Key extends Feature> (ends: readonly quarantine.BackEndTermination[], keysOf: (end: quarantine.BackEndTermination) => Iterable<Key>, evidence: Evidence): Map<Key, quarantine.BackEndTermination[]> {
+  const grouped = new Map<Key, quarantine.BackEndTermination[]>()
   for (const end of ends) {
-    for (const call of end.calls) {
-      if (end.at <= servedAt(call) || end.at < countEndsFrom(call)) continue
-      const known = endsByCall.get(call)
-      if (known === undefined) endsByCall.set(call, [end])
+    for (const key of keysOf(end)) {
+      if (!countsAgainst(end, key, evidence)) continue
+      const known = grouped.get(key)
+      if (known === undefined) grouped.set(key, [end])
       else known.push(end)
     }
   }
-  return endsByCall
+  return grouped
+}
+
+function listCalls (ends: readonly quarantine.BackEndTermination[], evidence: Evidence): Candidate[] {
+  const candidates: Candidate[] = []
+  for (const [call, counted] of groupEnds(ends, ({ calls }) => calls, evidence)) {
+    const required = evidence.requiredEnds(call)
+    if (counted.length >= required) candidates.push({ suspect: call, ends: counted, required, wasServed: false, callCount: 1, isPart: false })
+  }
+  return candidates
+}
+
+function listParts (ends: readonly quarantine.BackEndTermination[], evidence: Evidence): Candidate[] {
+  const candidates: Candidate[] = []
+  for (const [part, counted] of groupEnds(ends, ({ callsByPart }) => callsByPart?.keys() ?? [], evidence)) {
+    const required = evidence.requiredEnds(part)
+    if (counted.length < required || countSeparateEnds(counted) < required) continue
+    const callCount = new Set(counted.flatMap((end) => [...listCallsWith(end, part)])).size
+    if (callCount < Math.min(required, REQUIRED_CALLS)) continue
+    const companions = required >= REQUIRED_CALLS ? findCompanions(part, counted, evidence) : []
+    const suspect = matchesSuspect.formatPartSet([part, ...companions])
+    candidates.push({ suspect, ends: counted, required, wasServed: evidence.servedAt(part) > -Infinity, callCount, isPart: true })
+  }
+  return candidates
+}
+
+function listCallsWith ({ callsByPart }: quarantine.BackEndTermination, part: types.PromptPartId): ReadonlySet<computeFingerprint.CallFingerprint> {
+  return callsByPart?.get(part) ?? new Set()
+}
+
+/** Finds the parts that no call was completed with and that all lost calls with a part had, too: these can't be told from it. */
+function findCompanions (part: types.PromptPartId, ends: readonly quarantine.BackEndTermination[], { servedAt }: Evidence): types.PromptPartId[] {
+  const others = new Set(ends.flatMap(({ callsByPart }) => [...callsByPart?.keys() ?? []]))
+  return [...others].filter((other) => other !== part && servedAt(other) === -Infinity && ends.every((end) => {
+    const callsWithOther = listCallsWith(end, other)
+    return [...listCallsWith(end, part)].every((call) => callsWithOther.has(call))
+  }))
+}
+
+function countSeparateEnds (ends: readonly quarantine.BackEndTermination[]): number {
+  let count = 0
+  let countedAt = -Infinity
+  for (const at of ends.map((end) => end.at).sort((left, right) => left - right)) {
+    if (at - countedAt < JOINT_END_MS) continue
+    count += 1
+    countedAt = at
+  }
+  return count
+}
+
+/**
+ * Whether the back end was also running something blocked that has more ends than the examined call, or at least as many as the examined part. A part that calls were
+ * completed with is explained by any part that none was, since it may have met several such parts.
+ */
+function isExplained (end: quarantine.BackEndTermination, { ends, isPart, wasServed }: Candidate, blocked: readonly Candidate[]): boolean {
+  const leastEnds = ends.length + (isPart ? 0 : 1)
+  return blocked.some((other) => (other.ends.length >= leastEnds || (wasServed && other.isPart && !other.wasServed)) && wasRunning(end, other.suspect))
 }
 
-/** Whether the back end was also running a blocked call that has more ends than the examined one. */
-function isExplained (end: quarantine.BackEndTermination, endCount: number, blocked: ReadonlyMap<computeFingerprint.CallFingerprint, number>): boolean {
-  for (const [call, blockedEndCount] of blocked) if (blockedEndCount > endCount && end.calls.has(call)) return true
-  return false
+/** Whether a call that a suspect means was lost with a back end. */
+export function wasRunning (end: quarantine.BackEndTermination, suspect: suspects.SuspectId): boolean {
+  const [first, ...others] = matchesSuspect.listPartsOf(suspect)
+  if (first === undefined) return end.calls.has(suspect as computeFingerprint.CallFingerprint)
+  return [...listCallsWith(end, first)].some((call) => others.every((part) => listCallsWith(end, part).has(call)))
 }
--- a/packages/quarantine/src/selectCallsToBlock/test.ts
+++ b/packages/quarantine/src/selectCallsToBlock/test.ts
@@ -56,6 +56,49 @@
   assert.deepEqual(select(ends), [])
 })
 
+/** Creates ends 100 ms apart; each call is written as its name and its parts, such as `x:ab`, where each letter is a part. */
+function createEndsOfPrompts (...calls: readonly string[][]): quarantine.BackEndTermination[] {
+  return calls.map((lost, index) => {
+    const callsByPart = new Map<types.PromptPartId, Set<computeFingerprint.CallFingerprint>>()
+    const names = lost.map((text) => text.split(':') as [string, string])
+    for (const [name, parts] of names) for (const part of parts) types.getOrCreate(callsByPart, types.brandId<types.PromptPartId>(`#${part}`), () => new Set()).add(fingerprint(name))
+    return { life: types.brandId<types.BackEndInstanceId>(`i-${index}`), at: (index + 1) * 100, calls: new Set(names.map(([name]) => fingerprint(name))), callsByPart }
+  })
+}
+
+nodeTest.test('a part that different calls shared at three ends is blocked, the parts beside it are not', () => {
+  assert.deepEqual(select(createEndsOfPrompts(['x:ad', 'y:ae'], ['z:bd'], ['u:cd', 'v:be'])), ['#d'])
+  assert.deepEqual(select(createEndsOfPrompts(['x:ad'], ['z:bd'])), [])
+})
+
+nodeTest.test('parts that always came together are blocked only together, until a call with one of them is completed', () => {
+  const ends = createEndsOfPrompts(['x:ad'], ['y:ad'], ['z:ad'])
+  assert.deepEqual(select(ends), ['#a+#d'])
+  assert.deepEqual(select(ends, { '#a': 350 }), ['#d'])
+})
+
+nodeTest.test('a part that other calls at the same ends have, too, is explained by the part of fewer calls', () => {
+  assert.deepEqual(select(createEndsOfPrompts(['x:ad', 'p:a'], ['y:ad', 'q:a'], ['z:ad', 'r:a'])), ['#a+#d'])
+})
+
+nodeTest.test('a part of a single call is not told from that call', () => {
+  assert.deepEqual(select(createEndsOfPrompts(['x:d'], ['x:d'], ['x:d'])), ['x'])
+})
+
+nodeTest.test('a part that a call was completed with is blocked after the parts that none was, and not for ends that those explain', () => {
+  const ends = createEndsOfPrompts(['x:ad'], ['y:ad'], ['z:ad'], ['u:ae'], ['v:ae'], ['w:ae'])
+  assert.deepEqual(select(ends, { '#a': 50 }), ['#d', '#e'])
+})
+
+nodeTest.test('back ends that end at the same moment count once against a part that calls on all of them share', () => {
+  const ends = createEndsOfPrompts(['x:a'], ['y:a'], ['z:a']).map((end, index) => ({ ...end, at: 100 + index }))
+  assert.deepEqual(select(ends), [])
+})
+
+nodeTest.test('two parts that crash back ends are both blocked, whichever calls they met on one back end', () => {
+  assert.deepEqual(select(createEndsOfPrompts(['x:ad', 'y:ae'], ['z:bd'], ['u:cd'], ['v:be'], ['w:ce'], ['s:ae'], ['q:bd'])), ['#d', '#e'])
+})
+
 nodeTest.test('the order of ends does not change the selection, and each blocked call has at least three ends', () => {
   const call = fastCheck.constantFrom('a', 'b', 'c', 'd', 'e')
   const some = fastCheck.array(fastCheck.array(call, { minLength: 1, maxLength: 4 }), { maxLength: 12 })
--- a/packages/quarantine/src/types/index.ts
+++ b/packages/quarantine/src/types/index.ts
@@ -1,14 +1,7 @@
-/** Types of the evidence against calls, of blocks and of their limits. */
+/** Types of the evidence against calls and parts of prompts, of blocks and of their limits. */
 import type * as types from '@switchridge/types'
 import type * as computeFingerprint from '../computeFingerprint/index.js'
-
-/** What can be recognized of a call when it, or another call that has something in common with it, is sent again. */
-export interface CallFeatures {
-  /** Computed on first use, since it covers the whole body. */
-  readonly fingerprint: () => computeFingerprint.CallFingerprint
-  /** Parts of its prompt that other calls may share. */
-  readonly parts: readonly types.PromptPartId[]
-}
+import type * as suspects from './suspects.js'
 
 /** The unexpected end of a back end process, with the calls that were lost with it. */
 export interface BackEndTermination {
@@ -17,12 +10,14 @@
   readonly at: number
   /** Calls that it was running or had queued, as far as gateways have reported them. */
   readonly calls: ReadonlySet<computeFingerprint.CallFingerprint>
+  /** Parts that the prompts of these calls had, as far as they are known; none when absent. */
+  readonly callsByPart?: suspects.CallsByPart
 }
 
-/** A call that all gateways refuse for a limited time. */
+/** A call, or all calls with certain parts in their prompts, that all gateways refuse for a limited time. */
 export interface CallBlock {
-  readonly fingerprint: computeFingerprint.CallFingerprint
-  /** Number of times the call has been blocked, including this one. */
+  readonly fingerprint: suspects.SuspectId
+  /** Number of times it has been blocked, including this one. */
   readonly count: number
   /** Monotonic time in milliseconds at which the block began. */
   readonly since: number
@@ -30,7 +25,7 @@
 
 /** Limits of the quarantine. */
 export interface QuarantineLimits {
-  /** Number of back ends that must have ended while running a call before it is blocked. */
+  /** Number of back ends that must have ended while running a call, or calls with a part, before it is blocked. */
   readonly ends: number
   /** Milliseconds for which the end of a back end counts against the calls that were lost with it. */
   readonly evidenceMs: number
