Check whether a plain back end has ended at the end of an answer without framing

Cause: the daemon beside the back end took the end of the connection for the end of the answer and passed it on in chunks, whose end looks whole. Evidence: startEntryRole/lethal.test.ts, six truncated answers taken for whole by the time no back end was left, failing before. Change: at such an end the daemon checks the port on its own machine, and breaks the answer off if the process has ended; the entry node then learns of the end as usual. Measured: three back ends end and the call is refused; 21 tests of entry calls, backend calls and the fuzz pass.

--- a/packages/daemon/src/_lib/sendStream.ts
+++ b/packages/daemon/src/_lib/sendStream.ts
@@ -1,13 +1,33 @@
 /** Forwards a streamed response with backpressure. An error or abort on either side ends the other. */
 import * as stream from 'node:stream'
 import type * as Koa from 'koa'
+import * as types from '@switchridge/types'
 
-/** Sends `source` as the response body. Resolves with whether it was forwarded completely. */
-export async function sendStream (context: Koa.Context, source: stream.Readable): Promise<boolean> {
+/**
+ * Sends `source` as the response body.
+ *
+ * @param context - The request to answer.
+ * @param source - The body.
+ * @param confirmEnd - Called at the end of `source`; resolves with whether it is complete. Without it the end is taken for complete.
+ * @returns Whether the body was forwarded completely; the connection is broken off otherwise.
+ */
+export async function sendStream (context: Koa.Context, source: stream.Readable, confirmEnd?: () => Promise<boolean>): Promise<boolean> {
   context.respond = false
   context.res.statusCode = context.status
   context.res.flushHeaders()
   return await new Promise<boolean>((resolve) => {
-    stream.pipeline(source, context.res, (error) => { resolve(error == null) })
+    const settle = (error: Error | null | undefined): void => { resolve(error == null) }
+    if (confirmEnd === undefined) stream.pipeline(source, context.res, settle)
+    else stream.pipeline(source, createConfirmedEnd(confirmEnd), context.res, settle)
+  })
+}
+
+/** Passes bytes on, and fails at their end unless that is confirmed. */
+function createConfirmedEnd (confirmEnd: () => Promise<boolean>): stream.Transform {
+  return new stream.Transform({
+    transform: (bytes, _, done) => { done(null, bytes) },
+    flush: (done) => {
+      void confirmEnd().then((isComplete) => { done(isComplete ? null : new types.UnavailableError('truncated')) })
+    }
   })
 }
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -7,6 +7,7 @@
 import * as rpc from '@switchridge/rpc'
 import type * as transfer from '@switchridge/transfer'
 import type * as createServedVersions from '../createServedVersions/index.js'
+import type * as createBackEndState from '../createBackEndState/index.js'
 import * as callHeaders from '../_lib/callHeaders.js'
 import * as sendStream from '../_lib/sendStream.js'
 
@@ -44,11 +45,18 @@
   readonly after: (milliseconds: number, action: () => void) => () => void
   /** Called when the back end's response headers arrive. */
   readonly onAnswer: () => void
+  /** Checks, for a response whose end only the end of its connection marked, whether the back end has ended; resolves with its instance, or null while it runs. */
+  readonly findTerminatedInstance: createBackEndState.BackEndState['findTerminatedInstance']
 }
 
 const CALL_PREFIX = '/calls'
 const VERSION_NOT_LOADED = 409
 
+/** Whether a length or chunks mark the end of a response. */
+function hasMessageFraming ({ headers }: http.IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 /**
  * Creates the middleware for `POST /calls/...`.
  *
@@ -190,7 +198,7 @@
     if (served !== undefined) context.set(callHeaders.VERSION_HEADER, `${served.row}@${served.version}`)
     response.on('data', (part: Buffer) => { options.uplink.countCallBytes(part.length) })
     response.pause()
-    const isComplete = await sendStream.sendStream(context, response)
+    const isComplete = await sendStream.sendStream(context, response, hasMessageFraming(response) ? undefined : async () => await options.findTerminatedInstance() === null)
     options.count(isComplete ? 'calls.answered' : 'calls.broken')
   }
 
--- a/packages/daemon/src/createBackendCalls/test.ts
+++ b/packages/daemon/src/createBackendCalls/test.ts
@@ -40,6 +40,7 @@
     onQueueFull: () => {},
     after: () => () => {},
     onAnswer: () => {},
+    findTerminatedInstance: async () => null,
     ...parts
   }))
   const listener = await rpc.listenHttp(app.callback(), { host: types.LOOPBACK_HOST, port: 0 })
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -101,7 +101,8 @@
     count,
     onQueueFull: (entryNode) => { waitingEntryNodes.add(entryNode) },
     after: (milliseconds, action) => parts.at(parts.now() + milliseconds, action),
-    onAnswer: backEndState.noteAnswer
+    onAnswer: backEndState.noteAnswer,
+    findTerminatedInstance: backEndState.findTerminatedInstance
   })
 
   /** Tells the entry node that has waited longest since a refused call that a slot is free. */
--- a/packages/daemon/src/startEntryRole/lethal.test.ts
+++ b/packages/daemon/src/startEntryRole/lethal.test.ts
@@ -17,7 +17,12 @@
 /** Number of back ends that a call must have ended before it is blocked. */
 const BLOCK_THRESHOLD = 3
 const LETHAL_PATH = '/lethal'
+/** The answer to a call of this path has neither a length nor chunks, and its back end ends halfway. */
+const LETHAL_UNFRAMED_PATH = '/lethal-unframed'
+const LETHAL_PREFIX = 'prefix-of-lethal-prompts'
 const POLL_MS = 20
+/** Polls for an end that may never become known. */
+const MAXIMUM_POLLS = 50
 const OK = 200
 const NOT_RUN = 503
 
@@ -26,8 +31,8 @@
   readonly entries: string[]
   readonly countEnded: () => number
   /** Waits until every entry node knows of each back end that has ended; before that, an entry node may still forward a lethal call. */
-  readonly waitForKnownEnds: () => Promise<void>
-  readonly ask: (entry: string, path: string) => Promise<Answer>
+  readonly waitForKnownEnds: (maximumPolls?: number) => Promise<void>
+  readonly ask: (entry: string, path: string, prefix?: string) => Promise<Answer>
   /** Stops an entry node without draining and starts it again; returns its base URL once it is healthy and knows a blocked call. */
   readonly restartEntry: (index: number) => Promise<string>
   /** Number of blocks stored on the platform. */
@@ -39,19 +44,27 @@
   readonly reason: string
   /** Value of the `retry-after` header in seconds; NaN if it is absent. */
   readonly retryAfter: number
+  /** Whether the answer was received completely. */
+  readonly isWhole: boolean
 }
 
-async function waitUntil (condition: () => Promise<boolean> | boolean): Promise<void> {
-  while (!(await condition())) await types.delay(POLL_MS)
+async function waitUntil (condition: () => Promise<boolean> | boolean, maximumPolls = Infinity): Promise<void> {
+  for (let poll = 0; poll < maximumPolls && !(await condition()); poll += 1) await types.delay(POLL_MS)
 }
 
 /** Starts a service that ends, as if its process had crashed, when it is called at the lethal path. */
 async function openService (context: nodeTest.TestContext, onEnd: () => void): Promise<string> {
+  function end (): void {
+    onEnd()
+    server.close()
+    server.closeAllConnections()
+  }
+
   const server = http.createServer((request, response) => {
-    if (request.url?.startsWith(LETHAL_PATH) === true) {
-      onEnd()
-      server.close()
-      server.closeAllConnections()
+    const isUnframed = request.url === LETHAL_UNFRAMED_PATH
+    if (request.url?.startsWith(LETHAL_PATH) === true || request.headers['x-prompt-prefix'] === LETHAL_PREFIX) {
+      if (isUnframed) request.socket.write('HTTP/1.1 200 OK\r\n\r\nhalf of', end)
+      else end()
       return
     }
     request.resume()
@@ -89,9 +102,15 @@
   }
   const formatBase = (role: startDaemon.RunningRole): string => `http://${HOST}:${role.callerAddress?.port ?? 0}/services/api`
 
-  async function ask (entry: string, path: string): Promise<Answer> {
-    const answer = await got.got.post(`${entry}${path}`, { body: 'order', retry: { limit: 0 }, throwHttpErrors: false })
-    return { status: answer.statusCode, reason: String(answer.headers['x-switchridge-reason']), retryAfter: Number(answer.headers['retry-after']) }
+  async function ask (entry: string, path: string, prefix?: string): Promise<Answer> {
+    const headers = prefix === undefined ? {} : { 'x-prompt-prefix': prefix }
+    try {
+      const answer = await got.got.post(`${entry}${path}`, { body: 'order', headers, retry: { limit: 0 }, throwHttpErrors: false })
+      return { status: answer.statusCode, reason: String(answer.headers['x-switchridge-reason']), retryAfter: Number(answer.headers['retry-after']), isWhole: true }
+    } catch (thrown) {
+      assert.ok(thrown instanceof got.RequestError)
+      return { status: 0, reason: '', retryAfter: NaN, isWhole: false }
+    }
   }
 
   const client = rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, rpc.createHttpAgents())
@@ -115,7 +134,9 @@
     entries,
     ask,
     countEnded: () => endedCount,
-    waitForKnownEnds: async () => { await waitUntil(async () => (await Promise.all(started.map(async (role) => await readCount(role, 'quarantine.ends')))).every((known) => known === endedCount)) },
+    waitForKnownEnds: async (maximumPolls) => {
+      await waitUntil(async () => (await Promise.all(started.map(async (role) => await readCount(role, 'quarantine.ends')))).every((known) => known === endedCount), maximumPolls)
+    },
     restartEntry: async (index) => {
       const role = started[index] as startDaemon.RunningRole
       roles.splice(roles.indexOf(role), 1)
@@ -161,3 +182,14 @@
   assert.equal((await ask(restarted, LETHAL_PATH)).reason, 'blocked')
   assert.equal(countEnded(), BLOCK_THRESHOLD)
 })
+
+nodeTest.test('a call whose answer without framing ends halfway with its back end is blocked after three, and never looks whole', async (context) => {
+  const { entries: [entry], ask, countEnded, waitForKnownEnds } = await openHall(context, 1)
+  const answers: Answer[] = []
+  for (let index = 0; index < BACKENDS; index += 1) {
+    answers.push(await ask(entry as string, LETHAL_UNFRAMED_PATH))
+    await waitForKnownEnds(MAXIMUM_POLLS)
+  }
+  assert.deepEqual(answers.filter(({ status, isWhole }) => status === OK && isWhole), [])
+  assert.equal(countEnded(), BLOCK_THRESHOLD)
+})
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -125,7 +125,8 @@
     count: () => {},
     onQueueFull: () => {},
     after: (milliseconds, action) => scheduleAt(steadyClock.now() + milliseconds, action),
-    onAnswer: () => {}
+    onAnswer: () => {},
+    findTerminatedInstance: async () => null
   }))
   app.use(rpc.createRpcServer(IDENTITY, {
     ticket: (params) => {
