Block the prompt prefix that calls lost with plain back ends share

What callers saw: the fault of gateways, at entry nodes: calls that name one prompt prefix and differ in all else ended back end after back end. Evidence: startEntryRole/lethal.test.ts, failing before the prefix was passed to the quarantine. Change: the prefix that a caller names (x-prompt-prefix) is a part of its prompt; ids of parts are made in one place.

--- a/packages/daemon/src/_lib/callHeaders.ts
+++ b/packages/daemon/src/_lib/callHeaders.ts
@@ -13,6 +13,8 @@
 export const REQUEST_ID_HEADER = 'x-request-id'
 export const TIMEOUT_HEADER = 'x-request-timeout-ms'
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key'
+/** Names the beginning of a prompt, which other calls may share. */
+export const PROMPT_PREFIX_HEADER = 'x-prompt-prefix'
 /** Marks a stored answer to an earlier request with the same idempotency key. */
 export const REPLAYED_HEADER = 'x-switchridge-replayed'
 export const ENGINE_VERSION_HEADER = 'x-engine-version'
--- a/packages/daemon/src/_lib/entryCall.ts
+++ b/packages/daemon/src/_lib/entryCall.ts
@@ -22,9 +22,10 @@
   return fingerprint
 }
 
-/** Describes a call to the quarantine. Calls of the own interface do not state the parts of their prompts. */
+/** Describes a call to the quarantine. The prefix of a prompt, which a caller may name, is a part that other calls share. */
 export function describeCall (call: sendAttempt.OutgoingCall): quarantine.CallFeatures {
-  return { fingerprint: () => fingerprintCall(call), parts: [] }
+  const prefix = call.headers[callHeaders.PROMPT_PREFIX_HEADER]
+  return { fingerprint: () => fingerprintCall(call), parts: typeof prefix === 'string' && prefix !== '' ? [types.createPromptPartId(prefix)] : [] }
 }
 
 /** Returns whether calls of a service with this HTTP method may be executed more than once. */
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -172,7 +172,7 @@
     const path = (match[3] ?? '/') + context.search
     const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: entryCall.isRepeatable(service, context.method), deadlineAt }
     const key = call.isRepeatable ? '' : context.get(callHeaders.IDEMPOTENCY_KEY_HEADER)
-    return { call, service, affinity: context.get('x-prompt-prefix'), key }
+    return { call, service, affinity: context.get(callHeaders.PROMPT_PREFIX_HEADER), key }
   }
 
   /** Rejects a request because of the caller's own mistake or limit; nothing ran. */
--- a/packages/daemon/src/startEntryRole/lethal.test.ts
+++ b/packages/daemon/src/startEntryRole/lethal.test.ts
@@ -21,6 +21,7 @@
 const LETHAL_UNFRAMED_PATH = '/lethal-unframed'
 const LETHAL_PREFIX = 'prefix-of-lethal-prompts'
 const POLL_MS = 20
+const JOINT_END_MS = 100
 /** Polls for an end that may never become known. */
 const MAXIMUM_POLLS = 50
 const OK = 200
@@ -193,3 +194,20 @@
   assert.deepEqual(answers.filter(({ status, isWhole }) => status === OK && isWhole), [])
   assert.equal(countEnded(), BLOCK_THRESHOLD)
 })
+
+nodeTest.test('different calls with one prompt prefix under which back ends end are refused by every entry node', async (context) => {
+  const { entries, ask, countEnded, waitForKnownEnds } = await openHall(context, 2)
+  for (let index = 0; index < BACKENDS; index += 1) {
+    await ask(entries[index % 2] as string, `/order-${index}`, LETHAL_PREFIX)
+    await waitForKnownEnds()
+    // Ends of different calls at the same moment count once.
+    await types.delay(JOINT_END_MS)
+  }
+  assert.ok(countEnded() < BACKENDS)
+  assert.equal((await ask(entries[0] as string, '/order-last', LETHAL_PREFIX)).reason, 'blocked')
+  const answers: Answer[] = []
+  // An entry node may still try back ends that have ended, which refuse the connection.
+  await waitUntil(async () => answers.push(await ask(entries[1] as string, '/order-last', 'other-prefix')) > 0 && answers.at(-1)?.status === OK, MAXIMUM_POLLS)
+  assert.equal(answers.at(-1)?.status, OK)
+  assert.deepEqual(answers.filter(({ reason }) => reason === 'blocked'), [])
+})
--- a/packages/types/src/ids/index.ts
+++ b/packages/types/src/ids/index.ts
@@ -1,4 +1,6 @@
 /** Branded id types: string types that can't be assigned to each other, so that the compiler detects mixed up ids. */
+import * as crypto from 'node:crypto'
+
 declare const brand: unique symbol
 
 /** A string type tagged with the name of what it identifies. */
@@ -62,6 +64,20 @@
 
 const PROMPT_PART_ID_PATTERN = /^#[0-9a-f]{1,16}$/
 
+const PROMPT_PART_DIGITS = 16
+
+/**
+ * Creates the id of a part of prompts.
+ *
+ * @param name - What identifies the part: hexadecimal digits, kept as they are if there are at most 16, or any other text.
+ * @returns The id, the same for the same name on all daemons.
+ */
+export function createPromptPartId (name: string): PromptPartId {
+  const id = `#${name.toLowerCase()}`
+  if (isPromptPartId(id)) return id
+  return brandId<PromptPartId>(`#${crypto.createHash('sha256').update(name).digest('hex').slice(0, PROMPT_PART_DIGITS)}`)
+}
+
 /** Tells whether a value received from another daemon is a valid id of a part of prompts. */
 export function isPromptPartId (value: unknown): value is PromptPartId {
   return typeof value === 'string' && PROMPT_PART_ID_PATTERN.test(value)
