Let a call explain the ends of a part only if it was at all of them

Cause: a blocked call with the part was compared by its ends since its first one, a part that calls were completed with by those since the last of these calls; so a call with the part explained its ends away, and the part stayed free until it had as many without that call. Change: a call explains the ends of a part only if it was at each of them. The simulation takes a call with a part that was harmless as crashing once it is sent again.

--- a/packages/daemon/src/createBlockArchive/test.ts
+++ b/packages/daemon/src/createBlockArchive/test.ts
@@ -9,19 +9,22 @@
 
 interface OpenedArchive {
   readonly archive: createBlockArchive.BlockArchive
+  /** Blocks that were loaded. */
+  readonly loaded: quarantine.CallBlock[]
   /** Names of the objects that were written. */
   readonly written: string[]
   readonly release: () => void
   readonly pass: () => Promise<void>
 }
 
-function openArchive (context: nodeTest.TestContext): OpenedArchive {
+function openArchive (context: nodeTest.TestContext, stored: unknown[] = []): OpenedArchive {
   context.mock.timers.enable({ apis: ['setTimeout'] })
   const written: string[] = []
+  const loaded: quarantine.CallBlock[] = []
   let isInForce = true
   const archive = createBlockArchive.createBlockArchive({
     store: {
-      listAll: async () => types.succeed({ objects: [], at: 1 }),
+      listAll: async () => types.succeed({ objects: stored.map((value, index) => ({ name: `block-${index}`, revision: index, value })), at: 1 }),
       put: async (kind, name) => {
         written.push(name)
         return types.succeed(1)
@@ -30,7 +33,7 @@
     },
     limits: { blockMs: 60_000, maximumBlockMs: 60_000 },
     mayAskStore: () => true,
-    onBlock: () => {},
+    onBlock: (block) => { loaded.push(block) },
     isInForce: () => isInForce,
     logger: { debug: () => {}, info: () => {}, warn: () => {}, error: () => {} },
     now: () => 0,
@@ -39,6 +42,7 @@
   context.after(archive.stop)
   return {
     archive,
+    loaded,
     written,
     release: () => { isInForce = false },
     pass: async () => {
@@ -60,3 +64,12 @@
   await pass()
   assert.equal(written.length, 2)
 })
+
+nodeTest.test('a block of parts is written under a name of letters, digits and dots, and read as it was written', async (context) => {
+  const block = { ...BLOCK, fingerprint: types.brandId<quarantine.PartSetId>('#a1+#b2') }
+  const { archive, written, loaded, pass } = openArchive(context, [{ ...block, blockedAt: 0 }, { fingerprint: '#b2+#a1', count: 1, blockedAt: 0 }])
+  archive.save(block)
+  await pass()
+  assert.deepEqual(written, ['parts.a1.b2-1'])
+  assert.deepEqual(loaded, [{ ...block, since: 0 }])
+})
--- a/packages/quarantine/src/_lib/crashSimulation.ts
+++ b/packages/quarantine/src/_lib/crashSimulation.ts
@@ -203,7 +203,7 @@
   function send (attempt: Attempt): void {
     const { call, gateway } = attempt
     if (quarantines[gateway]?.readCallBlockedMs(call) !== null) {
-      counts[call.isCrashing ? 'crashingRefused' : 'refused'] += 1
+      counts[crashesEngines(call) ? 'crashingRefused' : 'refused'] += 1
       return
     }
     const available = engines.filter((engine) => !engine.isDown && engine.running.size < scenario.slots)
@@ -211,7 +211,7 @@
     if (engine === undefined) return
     call.attempts += 1
     engine.running.add(attempt)
-    if (call.isCrashing) {
+    if (crashesEngines(call)) {
       const ends = crashTimes.get(call.id) ?? []
       if (ends.length >= 3 && now() > (ends[2] as number) + LATE_MS) lateRuns.set(call.id, (lateRuns.get(call.id) ?? 0) + 1)
       for (const part of call.parts) if (now() > (partCrashTimes.get(part)?.[ENDS_BEFORE_BOUND - 1] ?? Infinity) + LATE_MS) lateSends.set(part, (lateSends.get(part) ?? 0) + 1)
@@ -272,6 +272,12 @@
     return { id, fingerprint: () => id, parts, isCrashing, attempts: 0, tries: 0 }
   }
 
+  /** Whether a call crashes an engine that begins it now; a call with a part that was harmless does so if it is sent again. */
+  function crashesEngines ({ isCrashing, parts }: Call): boolean {
+    const { prompts } = scenario
+    return isCrashing || (prompts !== undefined && now() >= prompts.from * MS_IN_SECOND && parts.some((part) => crashingParts.includes(part)))
+  }
+
   /** Draws a part that most calls share, and one of the others, of which the first ones are the commonest. */
   function drawParts (): types.PromptPartId[] {
     if (scenario.prompts === undefined) return []
--- a/packages/quarantine/src/createQuarantine/crashingParts.test.ts
+++ b/packages/quarantine/src/createQuarantine/crashingParts.test.ts
@@ -28,6 +28,7 @@
   { name: 'five parts at once', change: { prompts: { ...PROMPTS, crashingParts: 5 } } },
   { name: 'one part from the first second on', change: { prompts: { ...PROMPTS, from: 0.5, until: 20 } } },
   { name: 'one part, while ten new parts a second come into use', change: { prompts: { ...PROMPTS, newPartsPerSecond: 10 } } },
+  { name: 'one part that was harmless before', change: { prompts: { ...PROMPTS, wereHarmless: true } } },
   { name: 'one part beside many parts that are rare', change: { prompts: { ...PROMPTS, parts: 2000 } } },
   { name: 'one part, while gateways restart', change: { restarts: [15.2, 15.6, 16, 16.4, 16.8, 17.2, 17.6, 18, 18.4] } },
   { name: 'one part, while all gateways restart', change: { restarts: [15.5, 15.5, 15.5, 15.5, 15.5, 15.5, 15.5] } },
--- a/packages/quarantine/src/selectCallsToBlock/index.ts
+++ b/packages/quarantine/src/selectCallsToBlock/index.ts
@@ -160,13 +160,17 @@
   return count
 }
 
-/**
- * Whether the back end was also running something blocked that has more ends than the examined call, or at least as many as the examined part. A part that calls were
- * completed with is explained by any part that none was, since it may have met several such parts.
- */
-function isExplained (end: quarantine.BackEndTermination, { ends, part, wasServed }: Candidate, blocked: readonly Candidate[]): boolean {
-  const leastEnds = ends.length + (part !== null ? 0 : 1)
-  return blocked.some((other) => (other.ends.length >= leastEnds || (wasServed && other.part !== null && !other.wasServed)) && wasRunning(end, other.suspect))
+/** Whether the back end was also running something blocked that explains the ends of a call or a part better. */
+function isExplained (end: quarantine.BackEndTermination, candidate: Candidate, blocked: readonly Candidate[]): boolean {
+  return blocked.some((other) => wasRunning(end, other.suspect) && explainsBetter(other, candidate))
+}
+
+function explainsBetter (other: Candidate, candidate: Candidate): boolean {
+  if (candidate.part === null) return other.ends.length > candidate.ends.length
+  // Calls with the part were lost without the other call, too.
+  if (other.part === null) return candidate.ends.every((end) => wasRunning(end, other.suspect))
+  // A part that calls were completed with may have met several others that none was.
+  return other.ends.length >= candidate.ends.length || (candidate.wasServed && !other.wasServed)
 }
 
 /** Whether a call that a suspect means was lost with a back end. */
