Lift a block of parts that another gateway made once calls with them are served

What callers would see: a part that is blocked by mistake stays blocked for its ten minutes where no end of it is known, as at a gateway that has started since, although calls with it under way are completed there. Found by reading. Cause: a completed call was looked at only if its parts stood in a stored end. Evidence: a test of createQuarantine, failing before. Change: completed calls are compared with blocked parts as well, and other gateways are told of a block that was lifted.

--- a/packages/quarantine/src/createQuarantine/index.ts
+++ b/packages/quarantine/src/createQuarantine/index.ts
@@ -7,13 +7,13 @@
 import * as quarantine from '../types/index.js'
 import type * as suspects from '../types/suspects.js'
 
-/** Why a block was lifted early: another call explains the ends, or the call was completed after all. */
+/** Why a block was lifted early: another call or part explains the ends, or the call, or calls with all blocked parts, were completed after all. */
 export type ReleaseReason = 'explained' | 'served'
 
 /** Options of {@link createQuarantine}. */
 export interface QuarantineOptions {
   readonly limits: quarantine.QuarantineLimits
-  /** Called for each call that is blocked, with the back ends that ended while running it, as far as known; the list is empty for a block from another gateway or from the store. */
+  /** Called for each call or set of parts that is blocked, with the back ends that ended while running it, as far as known; the list is empty for a block from another gateway or from the store. */
   readonly onBlocked: (block: quarantine.CallBlock, lives: readonly types.BackEndInstanceId[]) => void
   /** Called for each block that is lifted early. */
   readonly onReleased: (block: quarantine.CallBlock, reason: ReleaseReason) => void
@@ -90,7 +90,7 @@
 const RECENTLY_SERVED_MS = 2000
 /** A part of calls that were completed at most this long ago is in common use, and is not named in reports. */
 const COMMON_USE_MS = 300
-/** Number of parts of completed calls that are remembered, about 120 bytes each. */
+/** Number of parts of completed calls that are remembered, some 160 bytes each. */
 const MAXIMUM_SERVED_PARTS = 10_000
 
 /** Combines what two reports say of the same end. */
@@ -117,6 +117,8 @@
   const endsSinceServed = new Map<types.PromptPartId, number>()
   /** Time of the completed call that other gateways were told last, by part under suspicion. */
   const reportedServedAt = new Map<types.PromptPartId, number>()
+  /** Parts of lifted blocks, which other gateways have not been told of. */
+  const unreportedReleases = new Set<types.PromptPartId>()
   const blocks = new Map<suspects.SuspectId, quarantine.CallBlock>()
   /** The parts that stored blocks name. */
   const blockedParts = new Map<suspects.SuspectId, readonly types.PromptPartId[]>()
@@ -278,6 +280,7 @@
 
   /** Whether other gateways may count ends against a part although a call with it was completed at a later time than they know. */
   function hasUnreportedService (part: types.PromptPartId): boolean {
+    if (unreportedReleases.has(part)) return true
     const at = servedParts.servedAt(part)
     const reportedAt = reportedServedAt.get(part)
     if (at === -Infinity || !endsSinceServed.has(part)) return false
@@ -296,10 +299,14 @@
 
   function notePartServed (part: types.PromptPartId, at: number): void {
     const wasKnown = servedParts.servedAt(part) > -Infinity
-    if (!servedParts.note(part, at) || !endsSinceServed.has(part)) return
-    endsSinceServed.set(part, countEndsWith(part, at, Infinity))
-    const named = [...blockedParts].filter(([, parts]) => parts.includes(part)).map(([suspect]) => suspect)
-    for (const suspect of named) if (wereAllServed(suspect, blocks.get(suspect)?.since ?? Infinity)) unblockServed(suspect, Infinity)
+    if (!servedParts.note(part, at)) return
+    if (endsSinceServed.has(part)) endsSinceServed.set(part, countEndsWith(part, at, Infinity))
+    const named = [...blockedParts].filter(([, parts]) => parts.includes(part))
+    for (const [suspect, parts] of named) {
+      if (!wereAllServed(suspect, blocks.get(suspect)?.since ?? Infinity)) continue
+      unblockServed(suspect, Infinity)
+      for (const released of parts) unreportedReleases.add(released)
+    }
     // The other parts that it could not be told from are now suspected alone.
     if (!wasKnown && named.length > 0) updateBlocks()
   }
@@ -345,10 +352,14 @@
     noteServedReport: ({ part, at }) => {
       if (endsSinceServed.has(part)) reportedServedAt.set(part, Math.max(at, reportedServedAt.get(part) ?? -Infinity))
       notePartServed(part, at)
+      unreportedReleases.delete(part)
     },
     takeServedToReport: (parts) => {
       const unreported = parts.filter(hasUnreportedService).map((part) => ({ part, at: servedParts.servedAt(part) }))
-      for (const { part, at } of unreported) reportedServedAt.set(part, at)
+      for (const { part, at } of unreported) {
+        if (endsSinceServed.has(part)) reportedServedAt.set(part, at)
+        unreportedReleases.delete(part)
+      }
       return unreported
     },
     isSuspicious: (part) => now() - servedParts.servedAt(part) > COMMON_USE_MS,
--- a/packages/quarantine/src/createQuarantine/test.ts
+++ b/packages/quarantine/src/createQuarantine/test.ts
@@ -268,6 +268,20 @@
   }
 })
 
+/** Guards against a block that stays everywhere although a call with the part has been completed where no end of it is known, as after a restart. */
+nodeTest.test('a served call lifts a block that another gateway made, and the others are told', () => {
+  const { quarantine: record, isBlocked, now, serve, advance } = createPartsFixture()
+  record.noteBlock({ fingerprint: types.brandId<suspects.PartSetId>('#a1+#bad'), count: 1, since: now() })
+  advance(100)
+  serve('a1')
+  assert.ok(isBlocked('a1', 'bad'))
+  assert.deepEqual(record.takeServedToReport([part('a1')]), [])
+  serve('a1', 'bad')
+  assert.ok(!isBlocked('a1', 'bad'))
+  assert.deepEqual(record.takeServedToReport([part('a1'), part('bad')]).map((served) => served.part), [part('a1'), part('bad')])
+  assert.deepEqual(record.takeServedToReport([part('a1'), part('bad')]), [])
+})
+
 nodeTest.test('other gateways are told once that a call with a suspected part was served, and again after further ends', () => {
   const { quarantine: record, endWith, serve, advance } = createPartsFixture()
   serve('a1')
