Give reports of completed calls with a part a code of their own

Cause: the facts that tell other gateways of a completed call with a suspected part began with the code of another kind, the announcement of a back end that leaves, which is looked for first; gateways logged back-end-leaving for a part and learned nothing of it. The codes stood in four files. Change: all codes stand in one place, each once.

--- a/packages/daemon/src/_lib/backoffFacts.ts
+++ b/packages/daemon/src/_lib/backoffFacts.ts
@@ -1,16 +1,15 @@
 /** Facts that gateways share about back ends that have asked one of them for a backoff. */
 import * as types from '@switchridge/types'
-
-const BACKOFF_CODE = 'r'
+import * as factCodes from './factCodes.js'
 
 /** Encodes the request of a back end as an array, which is short in JSON. */
 export function formatFact (instance: types.BackEndInstanceId): unknown[] {
-  return [BACKOFF_CODE, instance]
+  return [factCodes.FACT_CODES.backoff, instance]
 }
 
 /** Decodes a fact; null if it is malformed or about something else. */
 export function parseFact (content: unknown): types.BackEndInstanceId | null {
   if (!Array.isArray(content)) return null
   const [code, instance] = content as unknown[]
-  return code === BACKOFF_CODE && types.isBackEndInstanceId(instance) ? instance : null
+  return code === factCodes.FACT_CODES.backoff && types.isBackEndInstanceId(instance) ? instance : null
 }
--- a/packages/daemon/src/_lib/quarantineFacts.test.ts
+++ b/packages/daemon/src/_lib/quarantineFacts.test.ts
@@ -3,7 +3,11 @@
 import * as fastCheck from 'fast-check'
 import type * as quarantine from '@switchridge/quarantine'
 import * as types from '@switchridge/types'
+import * as backoffFacts from './backoffFacts.js'
+import * as factCodes from './factCodes.js'
+import * as leavingFacts from './leavingFacts.js'
 import * as quarantineFacts from './quarantineFacts.js'
+import * as rateLimitFacts from './rateLimitFacts.js'
 
 const CALL = types.brandId<quarantine.CallFingerprint>('3w5e11264sg0')
 const OTHER_CALL = types.brandId<quarantine.CallFingerprint>('1a')
@@ -23,13 +27,27 @@
   for (const fact of FACTS) assert.deepEqual(quarantineFacts.parseFact(JSON.parse(JSON.stringify(quarantineFacts.formatFact(fact)))), fact)
 })
 
+/** Guards against reports of completed calls that gateways take for the announcement of a back end that leaves. */
+nodeTest.test('no fact of the quarantine is taken for another kind of fact, nor another kind for one of them', () => {
+  for (const fact of FACTS) {
+    const content = quarantineFacts.formatFact(fact)
+    assert.equal(leavingFacts.parseFact(content), null, fact.kind)
+    assert.equal(backoffFacts.parseFact(content), null, fact.kind)
+    assert.ok(!rateLimitFacts.isFact(content), fact.kind)
+  }
+  const life = types.brandId<types.BackEndInstanceId>('i-1')
+  for (const content of [leavingFacts.formatFact(life), backoffFacts.formatFact(life), rateLimitFacts.formatFact({ life, perSecond: 5, receivedAt: 0 })]) assert.equal(quarantineFacts.parseFact(content), null)
+  const codes = Object.values(factCodes.FACT_CODES)
+  assert.equal(new Set(codes).size, codes.length)
+})
+
 nodeTest.test('process instances of the same backend server have different identifiers', () => {
   assert.notEqual(types.formatBackEndInstanceId(types.brandId('i-1'), 1), types.formatBackEndInstanceId(types.brandId('i-1'), 2))
 })
 
 nodeTest.test('malformed facts decode to null', () => {
   const malformed = [null, 7, {}, [], ['e'], ['e', 'i-1'], ['e', '', CALL], ['e', 'i-1', 'NO'], ['s'], ['s', 7], ['b', CALL], ['b', CALL, 0], ['b', CALL, 1.5], ['x', CALL], ['p'], ['p', 'i-1'], ['p', 'i-1', [PART]], ['p', 'i-1', ['a1', CALL]], ['p', 'i-1', [PART, 'NO']], ['p', 'i-1', PART], ['p', 'i-1', [PART, ...Array(5).fill(CALL)]],
-    ['p', 'i-1', ...Array(9).fill([PART, CALL])], ['v'], ['v', CALL], ['b', '#b2+#a1', 1], ['b', '#', 1]]
+    ['p', 'i-1', ...Array(9).fill([PART, CALL])], ['c'], ['c', CALL], ['b', '#b2+#a1', 1], ['b', '#', 1]]
   for (const value of malformed) assert.equal(quarantineFacts.parseFact(value), null, JSON.stringify(value))
   fastCheck.assert(fastCheck.property(fastCheck.jsonValue(), (value) => { assert.doesNotThrow(() => quarantineFacts.parseFact(value)) }), { seed: 7 })
 })
--- a/packages/daemon/src/_lib/quarantineFacts.ts
+++ b/packages/daemon/src/_lib/quarantineFacts.ts
@@ -1,6 +1,7 @@
 /** Facts that gateways share about calls that terminate backend servers. */
 import * as quarantine from '@switchridge/quarantine'
 import * as types from '@switchridge/types'
+import * as factCodes from './factCodes.js'
 
 /** A fact about the quarantine. */
 export type QuarantineFact =
@@ -15,11 +16,6 @@
   /** A call, or calls with certain parts, were blocked; `count` is the number of times that they have been blocked, from 1. */
   | { readonly kind: 'block', readonly call: quarantine.SuspectId, readonly count: number }
 
-const END_CODE = 'e'
-const PARTS_END_CODE = 'p'
-const SERVED_CODE = 's'
-const PART_SERVED_CODE = 'v'
-const BLOCK_CODE = 'b'
 /** Maximum number of calls in one fact, so that the fact fits into a datagram; further calls go into another fact. */
 export const MAXIMUM_CALLS_PER_FACT = 48
 /** The same for parts, and for the calls that are named with one of them: one call more than would be needed to tell a part from its calls, and some for those that get lost. */
@@ -28,22 +24,22 @@
 
 /** Encodes a fact as an array, which is short in JSON. */
 export function formatFact (fact: QuarantineFact): unknown[] {
-  if (fact.kind === 'end') return [END_CODE, fact.life, ...fact.calls]
-  if (fact.kind === 'end-of-parts') return [PARTS_END_CODE, fact.life, ...[...fact.callsByPart].map(([part, calls]) => [part, ...calls])]
-  if (fact.kind === 'part-served') return [PART_SERVED_CODE, fact.part]
-  return fact.kind === 'served' ? [SERVED_CODE, fact.call] : [BLOCK_CODE, fact.call, fact.count]
+  if (fact.kind === 'end') return [factCodes.FACT_CODES.backEndEnd, fact.life, ...fact.calls]
+  if (fact.kind === 'end-of-parts') return [factCodes.FACT_CODES.partsOfBackEndEnd, fact.life, ...[...fact.callsByPart].map(([part, calls]) => [part, ...calls])]
+  if (fact.kind === 'part-served') return [factCodes.FACT_CODES.partServed, fact.part]
+  return fact.kind === 'served' ? [factCodes.FACT_CODES.callServed, fact.call] : [factCodes.FACT_CODES.block, fact.call, fact.count]
 }
 
 /** Decodes a fact; null if it is malformed or not about the quarantine. */
 export function parseFact (content: unknown): QuarantineFact | null {
   if (!Array.isArray(content)) return null
   const [kind, ...rest] = content as unknown[]
-  if (kind === END_CODE) return parseEnd(rest)
-  if (kind === PARTS_END_CODE) return parseEndOfParts(rest)
+  if (kind === factCodes.FACT_CODES.backEndEnd) return parseEnd(rest)
+  if (kind === factCodes.FACT_CODES.partsOfBackEndEnd) return parseEndOfParts(rest)
   const [subject, count] = rest
-  if (kind === SERVED_CODE) return quarantine.isFingerprint(subject) ? { kind: 'served', call: subject } : null
-  if (kind === PART_SERVED_CODE) return types.isPromptPartId(subject) ? { kind: 'part-served', part: subject } : null
-  if (kind !== BLOCK_CODE || !quarantine.isSuspectId(subject)) return null
+  if (kind === factCodes.FACT_CODES.callServed) return quarantine.isFingerprint(subject) ? { kind: 'served', call: subject } : null
+  if (kind === factCodes.FACT_CODES.partServed) return types.isPromptPartId(subject) ? { kind: 'part-served', part: subject } : null
+  if (kind !== factCodes.FACT_CODES.block || !quarantine.isSuspectId(subject)) return null
   return Number.isInteger(count) && (count as number) > 0 ? { kind: 'block', call: subject, count: count as number } : null
 }
 
--- a/packages/daemon/src/_lib/rateLimitFacts.ts
+++ b/packages/daemon/src/_lib/rateLimitFacts.ts
@@ -1,19 +1,19 @@
 /** Facts that gateways share about the rate limits that backend servers advertise. */
 import type * as rateLimits from '@switchridge/rate-limits'
 import * as types from '@switchridge/types'
+import * as factCodes from './factCodes.js'
 
-const LIMIT_CODE = 'l'
 /** Encodes a limit that has ended; a real limit is never zero. */
 const ENDED_RATE = 0
 
 /** Encodes a limit as an array, which is short in JSON. */
 export function formatFact ({ life, perSecond }: rateLimits.RateLimit): unknown[] {
-  return [LIMIT_CODE, life, perSecond ?? ENDED_RATE]
+  return [factCodes.FACT_CODES.rateLimit, life, perSecond ?? ENDED_RATE]
 }
 
 /** Returns whether a fact is about a rate limit. */
 export function isFact (content: unknown): content is unknown[] {
-  return Array.isArray(content) && content[0] === LIMIT_CODE
+  return Array.isArray(content) && content[0] === factCodes.FACT_CODES.rateLimit
 }
 
 /**
