--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -212,7 +212,7 @@
     call.mayHaveRun = true
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve) => {
-      let hasEnded = false
+      let hasResponseEnded = false
       response.on('data', (bytes: Buffer) => {
         const whole = readDeliverable(bytes)
         if (whole === null) return
@@ -230,11 +230,11 @@
         })
       })
       response.on('end', () => {
-        hasEnded = true
+        hasResponseEnded = true
         void endStream()
       })
-      response.on('error', () => { if (!hasEnded) failStream('stream broken') })
-      response.on('close', () => { if (!hasEnded) failStream('stream closed') })
+      response.on('error', () => { if (!hasResponseEnded) failStream('stream broken') })
+      response.on('close', () => { if (!hasResponseEnded) failStream('stream closed') })
 
       /** Returns what may be passed on: whole events of a resumable stream. The end of a stream without framing must be the end of an event, so its events are split, too. */
       function readDeliverable (bytes: Buffer): Buffer | null {
