--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -111,8 +111,7 @@
       response.on('error', () => {})
       run(request, response).catch((thrown: unknown) => {
         options.logger.error('call-broken', { error: types.describeError(thrown) })
-        // A reset, since a response without framing would look complete.
-        request.socket.resetAndDestroy()
+        response.destroy()
       })
     }
   }
--- a/scripts/build-target.mjs
+++ b/scripts/build-target.mjs
@@ -12,7 +12,7 @@
  */
 const MEDIA_TYPES_PACKAGE = 'mime-db'
 
-removeEarlierBuild()
+fs.rmSync('target', { recursive: true, force: true })
 
 await esbuild.build({
   entryPoints: { switchridged: 'packages/daemon/src/main.ts' },
@@ -30,12 +30,6 @@
   alias: { ...await readWorkspaceAliases(), [MEDIA_TYPES_PACKAGE]: './scripts/media-types.json' }
 })
 
-/** Removes the files of earlier builds; subfolders hold the output of other tools. */
-function removeEarlierBuild () {
-  if (!fs.existsSync('target')) return
-  for (const entry of fs.readdirSync('target', { withFileTypes: true })) if (entry.isFile()) fs.rmSync(`target/${entry.name}`)
-}
-
 /** Maps workspace packages to their sources, so that the bundle doesn't depend on compiled files. */
 async function readWorkspaceAliases () {
   const folders = [...fs.readdirSync('packages').map((name) => `packages/${name}`), 'platform']
