Let only answers that are certainly whole clear calls and parts

What callers would see: a call that ends engines is cleared of them, or a truncated answer looks whole. Cause, found by reading and shown by seven tests that fail before: the end of an answer without framing was taken for whole where the connection that asks got no response, where the engine was leaving, and where a connection up to 10 ms older than the end was shared; a stream without any event, as of an engine that had nothing left to write, and redirections cleared parts. Change: the end is asked by connections opened after it, up to three if there is no response; a refused one means truncated, leaving or not, and silence lets the answer pass but clears nothing; what clears is an answer that is certain, with at least one event of a stream, and parts only a success. Metric unframed_ends now has the label probe.

--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -117,7 +117,7 @@
     budgetOf: () => budget,
     errorBoundOf: () => errorBound,
     sharedTargetOf: gateway.createSharedTargets(now).note,
-    guard: { isActive: () => false, readBlockedMs: () => null, hasEnded: async () => false, noteConnectionLost: async () => {}, noteServed: () => {}, onBlocked: () => {} },
+    guard: { isActive: () => false, readBlockedMs: () => null, checkEnd: async () => 'whole', noteConnectionLost: async () => {}, noteServed: () => {}, onBlocked: () => {} },
     findExclusion,
     onSent: () => {},
     limiter,
--- a/packages/daemon/src/createCallQuarantine/index.ts
+++ b/packages/daemon/src/createCallQuarantine/index.ts
@@ -23,6 +23,9 @@
 const PROBE_CACHE_MS = 50
 /** A process that still listened may have ended since, so a probe that it answered is shared for a shorter time. */
 const ANSWERED_PROBE_CACHE_MS = 10
+/** Connections that are tried at the end of a response without framing until one gets a response. */
+const END_PROBES = 3
+const END_BY_PROBE: Readonly<Record<quarantine.ProbeResult, gateway.ResponseEnd>> = { refused: 'truncated', taken: 'whole', silent: 'uncertain' }
 /** A peer's report that a back end terminated counts as a failure of that back end only up to this age. */
 const RECENT_END_MS = 3000
 
@@ -42,13 +45,14 @@
   const probes = new Map<types.BackEndInstanceId, CachedProbe>()
   const shared = createSharedQuarantine.createSharedQuarantine({ ...options, onReportedEnd: handleReportedEnd })
 
-  /** Opens one connection for all calls that are lost with the same back end. */
-  async function probe (instanceId: types.BackEndInstanceId, address: types.Address): Promise<quarantine.ProbeResult> {
+  /** Opens a connection, unless an earlier one was refused, or is younger than the time for which others may be shared. */
+  async function probe ({ id, bornAt, address }: gateway.BackEnd, sharedMs: number): Promise<quarantine.ProbeResult> {
+    const instanceId = types.formatBackEndInstanceId(id, bornAt)
     const askedAt = now()
     const cached = probes.get(instanceId)
     if (cached !== undefined && askedAt - cached.at < PROBE_CACHE_MS) {
       const result = await cached.result
-      if (result === 'refused' || askedAt - cached.at < ANSWERED_PROBE_CACHE_MS) return result
+      if (result === 'refused' || askedAt - cached.at < sharedMs) return result
     }
     for (const [other, { at }] of probes) if (now() - at >= PROBE_CACHE_MS) probes.delete(other)
     const result = options.probe(address, PROBE_TIMEOUT_MS)
@@ -61,21 +65,18 @@
     return listed === undefined || options.isLeaving(listed)
   }
 
-  async function probeCause (backEnd: gateway.BackEnd): Promise<quarantine.LossCause> {
-    const life = types.formatBackEndInstanceId(backEnd.id, backEnd.bornAt)
-    const wasLeaving = isLeaving(backEnd)
-    return quarantine.classifyLostAttempt({ isClosedByPeer: true, isLeaving: wasLeaving, probe: await probe(life, backEnd.address) })
-  }
-
-  async function hasEnded (backEnd: gateway.BackEnd): Promise<boolean> {
-    const verdict = await probeCause(backEnd)
-    count('unframed_ends', { verdict })
-    return verdict === 'ended'
+  /** A packet of a single connection may be lost, and a process that ended refuses the next one. */
+  async function checkEnd (backEnd: gateway.BackEnd): Promise<gateway.ResponseEnd> {
+    let result: quarantine.ProbeResult = 'silent'
+    for (let attempt = 0; attempt < END_PROBES && result === 'silent'; attempt += 1) result = await probe(backEnd, 0)
+    count('unframed_ends', { probe: result })
+    return END_BY_PROBE[result]
   }
 
   async function noteConnectionLost (backEnd: gateway.BackEnd, call: quarantine.CallFeatures): Promise<void> {
     if (!options.settings.enabled) return
-    const verdict = await probeCause(backEnd)
+    const wasLeaving = isLeaving(backEnd)
+    const verdict = quarantine.classifyLostAttempt({ isClosedByPeer: true, isLeaving: wasLeaving, probe: await probe(backEnd, ANSWERED_PROBE_CACHE_MS) })
     count('calls_lost', { verdict })
     if (verdict !== 'ended') return
     tracker.noteProcessEnded(backEnd.id)
@@ -89,5 +90,5 @@
     if (ended !== undefined) tracker.noteFailure(ended.id)
   }
 
-  return { ...shared, hasEnded, noteConnectionLost }
+  return { ...shared, checkEnd, noteConnectionLost }
 }
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -5,6 +5,7 @@
 import * as readBody from '../readBody/index.js'
 import type * as createEventSplitter from '../createEventSplitter/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
+import type * as guards from '../types/guard.js'
 import type * as gateway from '../types/index.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
@@ -22,8 +23,11 @@
 
 /** How an attempt ended. */
 export type AttemptOutcome =
-  /** Answered completely; `isSuccess` if not with an error. */
-  | { readonly kind: 'done', readonly isSuccess: boolean }
+  /**
+   * Answered. `isCertain`: whether the back end has certainly written the whole response, at least one event of a stream; `isSuccess`: whether the response is
+   * a success, for which the back end has read the prompt.
+   */
+  | { readonly kind: 'done', readonly isCertain: boolean, readonly isSuccess: boolean }
   /** No connection was established. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The back end reported that it did not run the call. */
@@ -53,6 +57,7 @@
 const MINIMUM_EVENT_TIMEOUT_MS = 800
 
 const FIRST_ERROR_STATUS = 400
+const FIRST_REDIRECTION_STATUS = 300
 const ENDED_REASON = 'back end ended at the end of a response without framing'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
@@ -194,18 +199,23 @@
     return { kind: 'broken', reason, isClosedByPeer: isClosedByPeer && !isAborted }
   }
 
+  async function findEnd ({ isFramed }: Pick<ReceivedAnswer, 'isFramed'>): Promise<guards.ResponseEnd> {
+    return isFramed ? 'whole' : await options.guard.checkEnd(choice.backEnd)
+  }
+
   async function receiveBuffered (answered: AnsweredHead, received: ReceivedAnswer): Promise<AttemptOutcome> {
     noteResponse()
     const body = await readBody.readBody(received.response, MAXIMUM_BUFFERED_BYTES)
     if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, body.kind !== 'too-large')
-    if (!received.isFramed && await options.guard.hasEnded(choice.backEnd)) return broken(ENDED_REASON, true)
+    const end = await findEnd(received)
+    if (end === 'truncated') return broken(ENDED_REASON, true)
     call.mayHaveRun = true
     if (reply.hasStarted()) return broken(`status ${answered.status} instead of a stream`, false)
     const buffered = { status: answered.status, headers: answered.headers, body: body.body, isFramed: received.isFramed }
     if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: buffered }
     call.hasUnframedAnswer = !received.isFramed
     reply.sendBuffered(buffered.status, buffered.headers, buffered.body, buffered.isFramed)
-    return { kind: 'done', isSuccess: isSuccess(answered) }
+    return { kind: 'done', isCertain: end === 'whole', isSuccess: answered.status < FIRST_REDIRECTION_STATUS }
   }
 
   async function relayStream ({ response, isFramed, isWhole }: ReceivedAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
@@ -248,14 +258,15 @@
           failStream('stream cut')
           return
         }
-        if (!isFramed && await options.guard.hasEnded(choice.backEnd)) {
+        const end = await findEnd({ isFramed })
+        if (end === 'truncated') {
           failStream(ENDED_REASON)
           return
         }
         call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
         reply.endStream()
-        resolve({ kind: 'done', isSuccess: true })
+        resolve({ kind: 'done', isCertain: end === 'whole' && open.hasResponded, isSuccess: true })
       }
 
       function beginStream (): void {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -354,8 +354,7 @@
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
-    // An engine may reject a call without reading its prompt.
-    if (outcome.kind === 'done') options.guard.noteServed({ fingerprint: call.fingerprint, parts: outcome.isSuccess ? call.parts : [] })
+    if (outcome.kind === 'done' && outcome.isCertain) options.guard.noteServed(outcome.isSuccess ? call : { ...call, parts: [] })
     if (outcome.kind === 'broken' && !open.hasResponded) noteOutcome.noteUnansweredAttempt(call, options)
     return outcome
   }
