Let errors of plain back ends clear no prompt prefix

Cause, found by reading: an entry node took any complete answer as proof that the prefix of its prompt does no harm, also an error of a back end that never read the prompt. Evidence: createEntryCalls/served.test.ts, failing before. Change: only a success clears the prefix; the call itself is cleared as before. Measured: the tests of entry calls and of calls that end plain back ends pass.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -50,6 +50,7 @@
 /** Refusal reasons that are no evidence of a failing server. */
 const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
 /** The call is blocked because back ends terminated while running it. */
+const FIRST_REDIRECTION_STATUS = 300
 const BLOCKED_REASON = 'blocked'
 
 interface PreparedCall {
@@ -213,7 +214,9 @@
       const result = await sendUnlessBlocked(call, backend.value, signal)
       if (result.kind === 'answered') {
         const isComplete = await forwardResponse(context, result, backend.value, claim)
-        if (isComplete) options.guard.noteServed(entryCall.describeCall(call))
+        const features = entryCall.describeCall(call)
+        // A back end that answers with an error may not have read the prompt.
+        if (isComplete) options.guard.noteServed(context.status < FIRST_REDIRECTION_STATUS ? features : { ...features, parts: [] })
         if (!isComplete && !context.req.aborted) await options.guard.noteLost(backend.value, entryCall.describeCall(call))
         return 'answered'
       }
