Log signals, drains, calls that are cut, and exits

Both kinds of roles now use one lifecycle of the process, with the logic that both had: a first SIGTERM or SIGINT drains, a second one ends the process at once. It logs each signal, the begin and the end of a drain with the calls that ended meanwhile, and the exit. Each call is in a register until its response is delivered; one that is cut is logged with id, phase, age and reason, also when the process ends at once.

--- a/packages/daemon/src/_lib/runFleetRole.ts
+++ b/packages/daemon/src/_lib/runFleetRole.ts
@@ -3,11 +3,10 @@
 import * as settings from '@switchridge/settings'
 import * as startAgentRole from '../startAgentRole/index.js'
 import * as startGatewayRole from '../startGatewayRole/index.js'
-import * as drainAndLogErrors from './drainAndLogErrors.js'
+import * as createProcessLifecycle from '../createProcessLifecycle/index.js'
 
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_POLL_INTERVAL_MS = 4000
-const EXIT_FORCED = 4
 
 /**
  * Starts the role in the settings and installs the signal handlers that reload the settings or end the process.
@@ -20,7 +19,6 @@
     ? await startGatewayRole.startGatewayRole(checked)
     : await startAgentRole.startAgentRole(checked)
   let lastText = fs.readFileSync(file, 'utf8')
-  let isStopping = false
 
   function reload (): void {
     const text = readText(file)
@@ -31,17 +29,7 @@
     else process.stderr.write(`level=error event=settings-rejected error=${JSON.stringify(parsed.error.message)}\n`)
   }
 
-  async function stop (): Promise<void> {
-    if (isStopping) process.exit(EXIT_FORCED)
-    isStopping = true
-    await drainAndLogErrors.drainAndLogErrors(role)
-    role.stop()
-    process.exit(0)
-  }
-
-  process.on('SIGHUP', reload)
-  process.on('SIGTERM', () => { void stop() })
-  process.on('SIGINT', () => { void stop() })
+  createProcessLifecycle.createProcessLifecycle({ role, reload })
   setInterval(reload, SETTINGS_POLL_INTERVAL_MS).unref()
 }
 
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -6,9 +6,11 @@
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import type * as transfer from '@switchridge/transfer'
+import type * as observability from '@switchridge/observability'
 import type * as createServedVersions from '../createServedVersions/index.js'
 import type * as createBackEndState from '../createBackEndState/index.js'
 import * as callHeaders from '../_lib/callHeaders.js'
+import * as registerCall from '../_lib/registerCall.js'
 import * as sendStream from '../_lib/sendStream.js'
 
 /** The call description that an entry node sends along with a call. */
@@ -39,6 +41,7 @@
   readonly agents: rpc.HttpAgents
   readonly uplink: transfer.LinkPacer
   readonly count: (name: string) => void
+  readonly register: observability.CallRegister
   /** Called with the entry node of a call that was refused because the queue for slots was full. */
   readonly onQueueFull: (entryNode: types.NodeId) => void
   /** Schedules an action after a delay in milliseconds that includes time spent suspended; returns a function that cancels it. */
@@ -217,6 +220,7 @@
       await next()
       return
     }
+    registerCall.registerCall(options.register, context, context.get(callHeaders.REQUEST_ID_HEADER))
     const admitted = rpc.checkIdentityHeaders(options.identity, context.headers)
     if (admitted.ok) await handle(context)
     else refuse(context, 'identity')
--- a/packages/daemon/src/createBackendCalls/test.ts
+++ b/packages/daemon/src/createBackendCalls/test.ts
@@ -6,6 +6,7 @@
 import * as nodeTest from 'node:test'
 import * as got from 'got'
 import Koa from 'koa'
+import * as observability from '@switchridge/observability'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import * as transfer from '@switchridge/transfer'
@@ -37,6 +38,7 @@
     agents,
     uplink: transfer.createLinkPacer(0, () => 0),
     count: () => {},
+    register: observability.createCallRegister({ logger: observability.createLogger('backend-calls', {}, { level: 'silent' }), count: () => {}, now: () => 0 }),
     onQueueFull: () => {},
     after: () => () => {},
     onAnswer: () => {},
--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -23,6 +23,8 @@
   readonly traffic: rpc.TrafficCounters
   readonly logger: observability.Logger
   readonly metrics: observability.StatsdMetrics
+  /** Adds one to the counter whose name is made of a name and the values of labels. */
+  readonly countLabelled: (name: string, labels: Readonly<Record<string, string>>) => void
   readonly view: membership.MemberView
   readonly keeper: createTableKeeper.TableKeeper
   readonly loads: routing.BackendLoads
@@ -76,6 +78,10 @@
   keeper.onAdopt((table) => {
     view.applyLeavingRows(table.nodes.filter((row) => row.state === 'leaving').map((row) => row.id))
   })
+  const metrics = observability.createStatsdMetrics({
+    ...checked.metrics,
+    tags: { node: checked.node, hall: checked.data_hall, role: checked.role }
+  })
   return {
     settings: checked,
     identity,
@@ -84,10 +90,8 @@
     client: rpc.createRpcClient(identity, agents, traffic),
     traffic,
     logger,
-    metrics: observability.createStatsdMetrics({
-      ...checked.metrics,
-      tags: { node: checked.node, hall: checked.data_hall, role: checked.role }
-    }),
+    metrics,
+    countLabelled: (name, labels) => { metrics.increment([name, ...Object.values(labels)].join('.')) },
     view,
     keeper,
     loads: routing.createBackendLoads(),
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -12,6 +12,7 @@
 import * as sendAttempt from '../sendAttempt/index.js'
 import * as callHeaders from '../_lib/callHeaders.js'
 import * as entryCall from '../_lib/entryCall.js'
+import * as registerCall from '../_lib/registerCall.js'
 import * as sendStream from '../_lib/sendStream.js'
 
 /** Options of {@link createEntryCalls}. */
@@ -32,6 +33,7 @@
   /** Schedules an action at a time of the clock. */
   readonly at: clock.ScheduleAt
   readonly guard: createEntryQuarantine.EntryGuard
+  readonly register: observability.CallRegister
 }
 
 /** The middleware and its calls in progress. */
@@ -105,6 +107,7 @@
   async function handle (context: Koa.Context, match: RegExpExecArray): Promise<void> {
     const requestId = context.get(callHeaders.REQUEST_ID_HEADER) || crypto.randomUUID()
     context.set(callHeaders.REQUEST_ID_HEADER, requestId)
+    registerCall.registerCall(options.register, context, requestId)
     const prepared = await prepare(context, match, requestId)
     if (prepared === null) return
     const startedAt = options.now()
--- /dev/null
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -0,0 +1,75 @@
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as observability from '@switchridge/observability'
+import * as types from '@switchridge/types'
+import * as createProcessLifecycle from './index.js'
+
+interface Fixture {
+  time: number
+  readonly send: (signal: NodeJS.Signals) => Promise<void>
+  readonly register: observability.CallRegister
+  readonly lines: string[]
+  readonly exits: number[]
+  readonly endDrain: () => void
+}
+
+const TURNS = 10
+
+function createFixture (): Fixture {
+  const lines: string[] = []
+  const exits: number[] = []
+  const handlers = new Map<NodeJS.Signals, () => void>()
+  const clock = { time: 0 }
+  const write = (event: string, fields: unknown): void => { lines.push(`${event} ${JSON.stringify(fields)}`) }
+  const logger = { debug: write, info: write, warn: write, error: write }
+  const register = observability.createCallRegister({ logger, count: () => {}, now: () => clock.time })
+  let endDrain = (): void => {}
+  const drained = new Promise<void>((resolve) => { endDrain = resolve })
+  createProcessLifecycle.createProcessLifecycle({
+    role: { drain: async () => { await drained }, stop: () => { lines.push('stop') }, calls: register, logger, count: () => {} },
+    reload: () => { lines.push('reload') },
+    environment: {
+      onSignal: (signal, handle) => { handlers.set(signal, handle) },
+      flush: async () => { lines.push('flush') },
+      exit: (code) => { exits.push(code) },
+      now: () => clock.time
+    }
+  })
+  return Object.assign(clock, {
+    register,
+    lines,
+    exits,
+    endDrain,
+    send: async (signal: NodeJS.Signals) => {
+      handlers.get(signal)?.()
+      for (let turn = 0; turn < TURNS; turn += 1) await types.delay(0)
+    }
+  })
+}
+
+nodeTest.test('a drain is logged from its signal to the exit, with the calls that ended meanwhile', async () => {
+  const fixture = createFixture()
+  const earlier = fixture.register.open({ id: 'a', readPhase: () => 'sent' })
+  earlier.noteEnding('answered')
+  earlier.close()
+  const call = fixture.register.open({ id: 'b', readPhase: () => 'answering' })
+  fixture.register.open({ id: 'c', readPhase: () => 'delivering' })
+  await fixture.send('SIGTERM')
+  fixture.time = 300
+  call.noteEnding('answered')
+  call.close()
+  fixture.endDrain()
+  await fixture.send('SIGHUP')
+  assert.deepEqual(fixture.lines, [
+    'signal {"signal":"SIGTERM","times":1,"phase":"serving","inProgress":2}',
+    'drain-began {"signal":"SIGTERM","inProgress":2}',
+    'signal {"signal":"SIGHUP","times":1,"phase":"draining","inProgress":1}',
+    'reload',
+    'call-cut {"id":"c","phase":"delivering","ageMs":300,"reason":"stopped"}',
+    'drain-ended {"ms":300,"answered":1,"cut":1}',
+    'stop',
+    'exit {"code":0,"uptimeMs":300}',
+    'flush'
+  ])
+  assert.deepEqual(fixture.exits, [0])
+})
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,14 +3,11 @@
 import * as fs from 'node:fs'
 import * as types from '@switchridge/types'
 import * as settings from '@switchridge/settings'
-import type * as startDaemon from './startDaemon/index.js'
-import * as drainAndLogErrors from './_lib/drainAndLogErrors.js'
 
 /** Exit codes, documented in docs/OPERATIONS.md. */
 const EXIT_FAILED = 1
 const EXIT_USAGE = 2
 const EXIT_SETTINGS = 3
-const EXIT_FORCED = 4
 /** Environment variable with the path of the settings file, used if there are no arguments. */
 const SETTINGS_VARIABLE = 'SWITCHRIDGE_NODE_FILE'
 
@@ -53,17 +50,6 @@
   process.exit(EXIT_SETTINGS)
 }
 
-let isStopping = false
-
-async function stop (role: startDaemon.RunningRole, drainSeconds: number): Promise<void> {
-  if (isStopping) process.exit(EXIT_FORCED)
-  isStopping = true
-  const drainTimeout = types.delay(drainSeconds * types.MILLISECONDS_IN_SECOND)
-  await Promise.race([drainAndLogErrors.drainAndLogErrors(role), drainTimeout])
-  role.stop()
-  process.exit(0)
-}
-
 /** Starts the role that the settings name. Only the modules of that kind of role are loaded, which shortens the start. */
 async function run (file: string): Promise<void> {
   const text = readFile(file)
@@ -74,10 +60,9 @@
     return
   }
   const checked = unwrapOrExit(settings.parseSettings(text, file), file)
-  const { startDaemon } = await import('./startDaemon/index.js')
+  const [{ startDaemon }, { createProcessLifecycle }] = await Promise.all([import('./startDaemon/index.js'), import('./createProcessLifecycle/index.js')])
   const role = await startDaemon(checked)
-  process.on('SIGTERM', () => { void stop(role, checked.limits.drain_seconds) })
-  process.on('SIGINT', () => { void stop(role, checked.limits.drain_seconds) })
+  createProcessLifecycle({ role, maximumDrainMs: checked.limits.drain_seconds * types.MILLISECONDS_IN_SECOND })
 }
 
 try {
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -344,6 +344,9 @@
 
   logger.info('started', { role: 'agent', engine: engineAddress, internalPort: checked.internal_port })
   return {
+    calls: null,
+    logger,
+    count: metrics.count,
     drain: async () => {
       isLeaving = true
       gossip.sendNow()
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -6,6 +6,7 @@
 import * as store from '@switchridge/store'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
+import * as observability from '@switchridge/observability'
 import * as transfer from '@switchridge/transfer'
 import * as createBackEndState from '../createBackEndState/index.js'
 import * as createBackendCalls from '../createBackendCalls/index.js'
@@ -87,7 +88,9 @@
   const tickets = routing.createTickets()
   const serving = createServedVersions.createServedVersions()
   const backEndState = createBackEndState.createBackEndState({ url: backEnd.url, name: `${node}/${parts.incarnation}`, probe: gateway.probeAddress })
+  const register = observability.createCallRegister({ logger, count: parts.countLabelled, now: parts.now })
   const calls = createBackendCalls.createBackendCalls({
+    register,
     identity: parts.identity,
     service: types.brandId<types.ServiceName>(backEnd.service),
     incarnation: parts.incarnation,
@@ -181,6 +184,9 @@
   return {
     address: listener.address,
     callerAddress: null,
+    calls: register,
+    logger,
+    count: parts.countLabelled,
     drain: async () => {
       const { running, waiting } = admission.load()
       logger.info('draining', { running, waiting })
--- a/packages/daemon/src/startDaemon/index.ts
+++ b/packages/daemon/src/startDaemon/index.ts
@@ -1,20 +1,17 @@
 /** Starts a daemon in the role that its settings name. */
 import type * as types from '@switchridge/types'
 import type * as settings from '@switchridge/settings'
+import type * as createProcessLifecycle from '../createProcessLifecycle/index.js'
 import * as createCommonParts from '../createCommonParts/index.js'
 import * as startBackendRole from '../startBackendRole/index.js'
 import * as startEntryRole from '../startEntryRole/index.js'
 
 /** A running role. */
-export interface RunningRole {
+export interface RunningRole extends createProcessLifecycle.ManagedRole {
   /** Address for other daemons. */
   readonly address: types.Address
   /** Address for callers; null for a backend daemon. */
   readonly callerAddress: types.Address | null
-  /** Refuses new calls and resolves when all calls in progress have ended. */
-  readonly drain: () => Promise<void>
-  /** Stops immediately, without waiting for calls in progress. */
-  readonly stop: () => void
 }
 
 /**
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -5,6 +5,7 @@
 import * as store from '@switchridge/store'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
+import * as observability from '@switchridge/observability'
 import * as createClaims from '../createClaims/index.js'
 import * as createCommonParts from '../createCommonParts/index.js'
 import * as createDispatcher from '../createDispatcher/index.js'
@@ -65,7 +66,9 @@
   })
   const claims = createClaims.createClaims(parts.store, Date.now)
   const quarantine = createEntryQuarantine.createEntryQuarantine({ parts, mayAskStore: () => createTableWatch.isTableWatcher(self.read(), view.members()) })
+  const register = observability.createCallRegister({ logger, count: parts.countLabelled, now: parts.now })
   const calls = createEntryCalls.createEntryCalls({
+    register,
     table: keeper.current,
     dispatcher,
     loads,
@@ -181,6 +184,9 @@
   return {
     address: listener.address,
     callerAddress: callerListener.address,
+    calls: register,
+    logger,
+    count: parts.countLabelled,
     drain: async () => {
       isLeaving = true
       self.update({ state: 'leaving' })
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -292,14 +292,14 @@
         server.stopAccepting()
         server.closeIdle()
       }
-      if (hasBalancerNoticed && calls.inProgress() === 0) return
+      if (hasBalancerNoticed && calls.register.count() === 0) return
     }
-    logger.warn('drain-ended-early', { inProgress: calls.inProgress() })
+    logger.warn('drain-ended-early', { inProgress: calls.register.count() })
     calls.endAll()
     await types.delay(FINAL_ANSWERS_MS)
   }
 
-  metrics.gauge('calls_in_progress', calls.inProgress)
+  metrics.gauge('calls_in_progress', calls.register.count)
   metrics.gauge('calls_waiting', () => waiting?.size() ?? 0)
   metrics.gauge('prediction_error_bound_ms', () => Math.max(0, ...[...errorBounds.values()].map((bound) => bound.read())))
   metrics.gauge('peers_live', () => gossip.peers().filter(gossip.isLive).length)
@@ -316,7 +316,7 @@
   const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
     isReady: isReady(),
-    inProgress: calls.inProgress(),
+    inProgress: calls.register.count(),
     store: exchange.storeState(),
     blockedCalls: callQuarantine.blocks().map(({ fingerprint, count, since }) => ({ fingerprint, count, ageSeconds: Math.round((now() - since) / types.MILLISECONDS_IN_SECOND) })),
     endsKnown: callQuarantine.countEnds(),
@@ -329,6 +329,9 @@
 
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
   return {
+    calls: calls.register,
+    logger,
+    count: metrics.count,
     drain,
     countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: exchange.reload,
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -103,8 +103,13 @@
 /** The fuzzer's back end breaks connections but never ends, so quarantine stays inactive. */
 const INACTIVE_GUARD: daemon.EntryGuard = { isActive: () => false, readBlockedMs: () => null, noteServed: () => {}, onBlocked: () => {}, noteLost: async () => {} }
 const steadyClock = clock.createSteadyClock()
+const LOGGER = observability.createLogger('fuzz-calls', {}, { level: 'silent' })
 const scheduleAt = clock.createDeadlineScheduler(steadyClock)
 
+function createRegister (): observability.CallRegister {
+  return observability.createCallRegister({ logger: LOGGER, count: () => {}, now: steadyClock.now })
+}
+
 async function startBackendDaemon (index: number, incarnationNumber: number, url: string, agents: rpc.HttpAgents, options: CallFleetOptions): Promise<BackendDaemon> {
   const incarnation = types.brandId<types.IncarnationId>(`life-${incarnationNumber}`)
   const admission = routing.createAdmission(SLOTS, 1)
@@ -123,6 +128,7 @@
     agents,
     uplink: transfer.createLinkPacer(0, () => 0),
     count: () => {},
+    register: createRegister(),
     onQueueFull: () => {},
     after: (milliseconds, action) => scheduleAt(steadyClock.now() + milliseconds, action),
     onAnswer: () => {},
@@ -167,7 +173,8 @@
       const breakableSignal = breakAfterMs === null ? signal : AbortSignal.any([signal, AbortSignal.timeout(breakAfterMs)])
       return await daemon.sendAttempt(call, backend, { self: types.brandId<types.NodeId>(`entry-${index}`), identity: IDENTITY, agents, client, now, signal: breakableSignal })
     },
-    logger: observability.createLogger('fuzz-calls', {}, { level: 'silent' }),
+    logger: LOGGER,
+    register: createRegister(),
     metrics: observability.createStatsdMetrics({ host: HOST, port: 8125, tags: {}, enabled: false }),
     now,
     at: scheduleAt,
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -87,8 +87,9 @@
  * @param call - The call.
  * @param reply - The response to the caller.
  * @param options - Decisions and clock of the gateway.
+ * @returns How the call ended.
  */
-export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options): Promise<void> {
+export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options): Promise<logCall.Ending> {
   const budget = options.budgetOf(call.service)
   budget.noteCall()
   const cancelExpiry = options.at(call.deadline.at, call.expire)
@@ -380,4 +381,5 @@
   const ending = await serve()
   cancelExpiry()
   logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
+  return ending
 }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -1,5 +1,6 @@
 /** Handles one caller's request from its head to the final response. */
 import type * as http from 'node:http'
+import * as observability from '@switchridge/observability'
 import * as types from '@switchridge/types'
 import * as deadlines from '../_lib/deadline.js'
 import * as callState from '../_lib/callState.js'
@@ -18,8 +19,8 @@
 /** Handles callers' requests. */
 export interface CallHandler {
   readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
-  /** Number of calls in progress. */
-  readonly inProgress: () => number
+  /** The calls in progress. */
+  readonly register: observability.CallRegister
   /** Starts draining: asks callers to close their connections, and refuses calls that may not finish before `endsAt`, a monotonic time in milliseconds. */
   readonly drain: (endsAt: number) => void
   /** Ends all calls in progress with a final response now. */
@@ -40,7 +41,7 @@
  * @returns The handler.
  */
 export function createCallHandler (options: callOptions.CallHandlerOptions): CallHandler {
-  let inProgress = 0
+  const register = observability.createCallRegister({ logger: options.logger, count: options.count, now: options.now })
   let endsAt: number | null = null
   const calls = new Set<callState.CallState>()
   options.guard.onBlocked((isBlocked) => {
@@ -50,6 +51,9 @@
   async function run (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const receivedAt = options.now()
     const head = options.protocol.readCall(request)
+    let state: callState.CallState | null = null
+    const registered = register.open({ id: head.requestId, readPhase })
+    response.once('close', registered.close)
     const holding = options.heldBytes?.open(dropCall) ?? null
     const reply = answers.createReply(response, head.requestId, options.protocol, () => endsAt !== null, holding)
     const table = options.routes()
@@ -60,7 +64,7 @@
     holding?.noteRunning()
     if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
     if (table === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
-    if (endsAt !== null && receivedAt + DRAIN_MINIMUM_CALL_MS > endsAt) return reply.refuse(503, 'this gateway ends', DRAIN_RETRY_MS)
+    if (endsAt !== null && receivedAt + DRAIN_MINIMUM_CALL_MS > endsAt) return refuseWhileDraining()
     const routed = routeCall(table, head)
     if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
     if (head.promptParts === null) options.count('prompt_parts_unreadable')
@@ -78,7 +82,8 @@
     })
     response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
     calls.add(call)
-    await runAttempts.runAttempts(call, reply, options)
+    state = call
+    registered.noteEnding(await runAttempts.runAttempts(call, reply, options))
     calls.delete(call)
     holding?.noteRun()
 
@@ -91,6 +96,20 @@
       reply.refuse(408, 'request body stalled', null)
     }
 
+    function readPhase (): observability.CallPhase {
+      if (response.writableEnded) return 'delivering'
+      if (response.headersSent) return 'answering'
+      if (state === null) return 'reading'
+      return state.tried.size > 0 ? 'sent' : 'waiting'
+    }
+
+    function refuseWhileDraining (): void {
+      registered.noteEnding('refused')
+      options.count('calls_refused_draining')
+      options.logger.info('call-refused', { id: head.requestId, reason: 'draining' })
+      reply.refuse(503, 'this gateway ends', DRAIN_RETRY_MS)
+    }
+
     function refuseBody (): void {
       options.count('bodies_refused')
       options.logger.warn('body-refused', { id: head.requestId, heldBytes: options.heldBytes?.read() })
@@ -99,15 +118,16 @@
   }
 
   return {
-    inProgress: () => inProgress,
+    register,
     drain: (at) => {
       endsAt = at
       options.waiting?.end('this gateway ends', DRAIN_RETRY_MS)
     },
-    endAll: () => { for (const call of calls) call.expire() },
+    endAll: () => {
+      register.noteCut('grace-over')
+      for (const call of calls) call.expire()
+    },
     handle: (request, response) => {
-      inProgress += 1
-      response.once('close', () => { inProgress -= 1 })
       response.on('error', () => {})
       run(request, response).catch((thrown: unknown) => {
         options.logger.error('call-broken', { error: types.describeError(thrown) })
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -31,7 +31,7 @@
  * @returns The listening server.
  * @throws The error of the operating system if the address cannot be listened on.
  */
-export async function createCallerServer (handler: createCallHandler.CallHandler, address: types.Address): Promise<CallerServer> {
+export async function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, address: types.Address): Promise<CallerServer> {
   const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS }, handler.handle)
   setLimits(gateway.DEFAULT_CALLER_LIMITS)
   server.requestTimeout = 0
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -25,7 +25,7 @@
     end = () => { response.end('last') }
     noteBegun()
   }
-  const server = await createCallerServer.createCallerServer({ handle, inProgress: () => 0, drain: () => {}, endAll: () => {} }, ADDRESS)
+  const server = await createCallerServer.createCallerServer({ handle }, ADDRESS)
   context.after(server.close)
   const answer = sendRequest()
   await hasBegun
