--- /dev/null
+++ b/packages/daemon/src/_lib/programTesting.ts
@@ -0,0 +1,70 @@
+/** Starts the bundled program as a process of its own, for tests in which signals and exits matter. */
+import * as assert from 'node:assert/strict'
+import * as childProcess from 'node:child_process'
+import * as fs from 'node:fs'
+import type * as nodeTest from 'node:test'
+import * as os from 'node:os'
+import * as path from 'node:path'
+import * as url from 'node:url'
+import * as testing from '@switchridge/platform-testing'
+import * as types from '@switchridge/types'
+import type * as fleetTesting from './fleetTesting.js'
+
+const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../../..')
+const PROGRAM = path.join(ROOT, 'target/switchridged.js')
+const POLL_INTERVAL_MS = 10
+const LINE_WAIT_MS = 15_000
+
+/** A running program. */
+export interface StartedProgram {
+  readonly child: childProcess.ChildProcess
+  readonly settingsFile: string
+  /** What it has written so far. */
+  readonly output: () => string
+  /** Resolves with the exit code, or with the name of the signal that ended it. */
+  readonly ended: Promise<number | string | null>
+  /** Waits until the output contains a text; fails if it still doesn't after {@link LINE_WAIT_MS}. */
+  readonly waitForOutput: (text: string) => Promise<void>
+}
+
+/**
+ * Starts the program with the path of its settings file in the environment, as the platform does.
+ *
+ * @param context - The test; the program is killed when it ends.
+ * @param settings - Text of the settings file.
+ * @returns The program.
+ */
+export function startProgram (context: nodeTest.TestContext, settings: string): StartedProgram {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'switchridge-'))
+  const settingsFile = path.join(folder, 'settings.toml')
+  fs.writeFileSync(settingsFile, settings)
+  const child = childProcess.spawn(process.execPath, [PROGRAM], { env: { ...process.env, SWITCHRIDGE_NODE_FILE: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
+  let output = ''
+  child.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
+  child.stderr.on('data', (bytes: Buffer) => { output += bytes.toString() })
+  const ended = new Promise<number | string | null>((resolve) => { child.once('close', (code, signal) => { resolve(code ?? signal) }) })
+  context.after(() => {
+    child.kill('SIGKILL')
+    fs.rmSync(folder, { recursive: true })
+  })
+  return {
+    child,
+    settingsFile,
+    output: () => output,
+    ended,
+    waitForOutput: async (text) => {
+      const deadline = performance.now() + LINE_WAIT_MS
+      while (!output.includes(text)) {
+        assert.ok(performance.now() < deadline, `no "${text}" in: ${output}`)
+        await types.delay(POLL_INTERVAL_MS)
+      }
+    }
+  }
+}
+
+/** Settings of a gateway before the stand-ins of a test fleet; `limits` are lines of that section. */
+export function formatGatewaySettings (fleet: fleetTesting.TestFleet, host: string, limits = ''): string {
+  return `role = "gateway"\nnode = "gateway"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\nseeds = ["${host}:1"]\ninternal_port = ${fleet.ports.internal}\n` +
+    `[listen]\ncallers = "${host}:${fleet.ports.callers}"\nreadiness = "${host}:${fleet.ports.readiness}"\ncontrol = "${host}:${fleet.ports.control}"\n` +
+    `[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n[limits]\n${limits}`
+}
