Show that a second stop signal cuts calls in progress

Tests of real processes: a gateway, an agent, an entry node and a backend daemon get SIGTERM, SIGINT and SIGHUP several times, 1 ms apart, while calls are in progress. An agent ends with 0, since its drain is over in one turn.

--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -217,7 +217,8 @@
 const PORTS_PER_PROCESS = 4
 const PROCESS_SLOTS = 5600
 
-function choosePorts (): TestPorts {
+/** Chooses the ports of this test process; programs at the same port need different loopback addresses. */
+export function choosePorts (): TestPorts {
   const internal = FIRST_PORT + process.pid % PROCESS_SLOTS * PORTS_PER_PROCESS
   return { internal, callers: internal + 1, readiness: internal + 2, control: internal + 3 }
 }
--- /dev/null
+++ b/packages/daemon/src/signals.test.ts
@@ -0,0 +1,119 @@
+/** Signals to the bundled program in every phase of its process. Sequences repeat a signal, as a supervisor does that signals a process group and passes the signal on. */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as got from 'got'
+import * as rpc from '@switchridge/rpc'
+import * as standins from '@switchridge/standins'
+import * as store from '@switchridge/store'
+import * as tables from '@switchridge/table'
+import * as testing from '@switchridge/platform-testing'
+import * as types from '@switchridge/types'
+import * as fleetTesting from './_lib/fleetTesting.js'
+import * as programTesting from './_lib/programTesting.js'
+
+const CALLS = 8
+/** A stream takes `EVENTS` times `EVENT_MS`. */
+const EVENTS = 12
+const EVENT_MS = 100
+const WORK_MS = 1200
+const TEST_TIMEOUT_MS = 60_000
+const AGENT_HOST_PREFIX = '127.0.0.4'
+const OPTIONS = { timeout: TEST_TIMEOUT_MS }
+
+const STOP_SEQUENCES: ReadonlyArray<{ readonly host: string, readonly signals: readonly NodeJS.Signals[] }> = [
+  { host: '127.0.0.31', signals: ['SIGTERM', 'SIGTERM'] },
+  { host: '127.0.0.32', signals: Array.from({ length: 10 }, () => 'SIGINT' as const) },
+  { host: '127.0.0.33', signals: ['SIGHUP', 'SIGTERM', 'SIGHUP', 'SIGINT', 'SIGTERM', 'SIGINT', 'SIGHUP'] }
+]
+
+async function sendSignals (program: programTesting.StartedProgram, signals: readonly NodeJS.Signals[]): Promise<void> {
+  for (const signal of signals) {
+    program.child.kill(signal)
+    await types.delay(1)
+  }
+}
+
+async function createFleet (context: nodeTest.TestContext): Promise<{ fleet: fleetTesting.TestFleet, engine: testing.EngineStandIn }> {
+  const fleet = await fleetTesting.createTestFleet(context)
+  fleet.configure()
+  const engine = await fleet.startEngine({ id: 'i-1', ...fleetTesting.STREAM_SERVICE.engine, events: EVENTS, eventMs: EVENT_MS })
+  return { fleet, engine }
+}
+
+/** Starts streams, sends the signals once all of them run at the engine, and returns the answers. */
+async function streamAcrossSignals (gateway: programTesting.StartedProgram, callers: types.Address, engine: testing.EngineStandIn, signals: readonly NodeJS.Signals[]): Promise<testing.CallerAnswer[]> {
+  await fleetTesting.waitWithLimit(async () => (await fleetTesting.callService(callers, fleetTesting.STREAM_SERVICE, 'probe')).status === 200)
+  const ids = Array.from({ length: CALLS }, (_, index) => `${callers.host}-${index}`)
+  const answers = Promise.all(ids.map(async (id) => await fleetTesting.callService(callers, fleetTesting.STREAM_SERVICE, id)))
+  await fleetTesting.waitWithLimit(async () => ids.every((id) => engine.arrivals.some(({ requestId }) => requestId === id)))
+  await sendSignals(gateway, signals)
+  return await answers
+}
+
+function assertWhole (answers: readonly testing.CallerAnswer[]): void {
+  assert.deepEqual(answers.map(({ status, isWhole }) => ({ status, isWhole })), answers.map(() => ({ status: 200, isWhole: true })))
+}
+
+nodeTest.test('further stop signals do not cut the streams of a draining gateway', OPTIONS, async (context) => {
+  const { fleet, engine } = await createFleet(context)
+  await Promise.all(STOP_SEQUENCES.map(async ({ host, signals }) => {
+    const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host))
+    assertWhole(await streamAcrossSignals(gateway, { host, port: fleet.ports.callers }, engine, signals))
+    assert.equal(await gateway.ended, 0)
+    assert.equal(gateway.output().match(/event=signal /g)?.length, signals.length)
+  }))
+})
+
+nodeTest.test('further stop signals do not change how an agent ends', OPTIONS, async (context) => {
+  const { fleet, engine } = await createFleet(context)
+  await Promise.all(STOP_SEQUENCES.map(async ({ signals }, index) => {
+    const host = `${AGENT_HOST_PREFIX}${index}`
+    const agent = programTesting.startProgram(context, programTesting.formatAgentSettings(fleet, host, engine.address))
+    await agent.waitForOutput('event=started')
+    await sendSignals(agent, signals)
+    assert.equal(await agent.ended, 0)
+  }))
+})
+
+interface OwnHall {
+  readonly entry: programTesting.StartedProgram
+  readonly backend: programTesting.StartedProgram
+  readonly call: () => Promise<string>
+}
+
+async function serveApp (context: nodeTest.TestContext, app: ReturnType<typeof standins.createPlatformStandIn>): Promise<string> {
+  const listener = await rpc.listenHttp(app.callback(), { host: types.LOOPBACK_HOST, port: 0 })
+  context.after(() => { listener.abort() })
+  return `http://${listener.address.host}:${listener.address.port}`
+}
+
+/** Starts an entry node and a backend daemon as programs, beside a plain service. */
+async function startOwnHall (context: nodeTest.TestContext, { entryHost, backendHost }: { entryHost: string, backendHost: string }): Promise<OwnHall> {
+  const ports = fleetTesting.choosePorts()
+  const platformUrl = await serveApp(context, standins.createPlatformStandIn())
+  const serviceUrl = await serveApp(context, standins.createPlainServiceStandIn(WORK_MS))
+  const objects = store.createObjectStore({ url: platformUrl, timeoutMs: 2000, agents: rpc.createHttpAgents() })
+  const changes = Object.entries({ id: 'api', kind: 'plain' }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
+  assert.ok((await tables.editTable(objects, { editId: types.brandId('api'), editor: 'test', changes }, { attempts: 2 })).ok)
+  const formatCommon = (role: string, host: string): string => `role = "${role}"\nnode = "${role}"\ndeployment = "test"\ndata_hall = "hall"\nregion = "region"\nentry_nodes = ["${entryHost}:${ports.internal}"]\n` +
+    `[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n[listen]\nhost = "${host}"\nport = ${ports.internal}\n`
+  const entry = programTesting.startProgram(context, `${formatCommon('entry', entryHost)}caller_port = ${ports.callers}\n`)
+  const backend = programTesting.startProgram(context, `${formatCommon('backend', backendHost)}[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"\n`)
+  const call = async (): Promise<string> => {
+    const answer = await got.got(`http://${entryHost}:${ports.callers}/services/api/stock`, { retry: { limit: 0 }, throwHttpErrors: false }).catch((thrown: unknown) => ({ headers: { 'x-switchridge-outcome': types.describeError(thrown) } }))
+    return String(answer.headers['x-switchridge-outcome'])
+  }
+  await fleetTesting.waitWithLimit(async () => await call() === 'answered')
+  return { entry, backend, call }
+}
+
+nodeTest.test('further stop signals do not cut the calls of a draining entry node and backend daemon', OPTIONS, async (context) => {
+  await Promise.all(STOP_SEQUENCES.map(async ({ host, signals }, index) => {
+    const { entry, backend, call } = await startOwnHall(context, { entryHost: host, backendHost: `${AGENT_HOST_PREFIX}${index}` })
+    const answers = Promise.all(Array.from({ length: CALLS }, call))
+    await types.delay(WORK_MS / 2)
+    await Promise.all([entry, backend].map(async (program) => { await sendSignals(program, signals) }))
+    assert.deepEqual(await answers, Array.from({ length: CALLS }, () => 'answered'))
+    assert.deepEqual(await Promise.all([entry.ended, backend.ended]), [0, 0])
+  }))
+})
