Let further stop signals leave a drain as it is

Callers saw all calls in progress of a process cut at one moment in a drain. A second SIGTERM or SIGINT was taken for "end now", although a supervisor that signals a process group and passes the signal on sends it twice, and restarts in series repeat it. Now the first one begins the drain, and further ones are logged and counted. An operator who wants out at once sends SIGQUIT: calls in progress are logged as cut, exit code 4.

--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -74,9 +74,11 @@
   const received = new Map<NodeJS.Signals, number>()
   let phase: ProcessPhase = 'serving'
 
+  /** The line of the exit is the last one, so that a signal after it has none. */
   function noteSignal (signal: NodeJS.Signals): void {
     const times = (received.get(signal) ?? 0) + 1
     received.set(signal, times)
+    if (phase === 'ended') return
     count('signals', { signal })
     logger.info('signal', { signal, times, phase, inProgress: calls?.count() })
   }
@@ -87,6 +89,7 @@
     const before = calls?.totals() ?? {}
     logger.info('drain-began', { signal, inProgress: calls?.count() })
     await Promise.race([drainAndLogErrors.drainAndLogErrors(role), ...(maximumDrainMs === Infinity ? [] : [types.delay(maximumDrainMs)])])
+    if (phase !== 'draining') return
     calls?.noteCut('stopped')
     logger.info('drain-ended', { ms: Math.round(environment.now() - beganAt), ...subtractTotals(calls?.totals() ?? {}, before) })
     role.stop()
@@ -94,6 +97,7 @@
   }
 
   async function end (code: number): Promise<void> {
+    if (phase === 'ended') return
     phase = 'ended'
     logger.info('exit', { code, uptimeMs: Math.round(environment.now() - startedAt) })
     await environment.flush()
@@ -103,18 +107,22 @@
   function handleStopSignal (signal: NodeJS.Signals): void {
     noteSignal(signal)
     if (phase === 'serving') void drain(signal)
-    else if (phase === 'draining') {
-      calls?.noteCut('forced')
-      void end(EXIT_FORCED)
-    }
   }
 
+  /** A supervisor may repeat SIGTERM and SIGINT at any time, so that only this signal ends calls in progress. */
+  function handleForceSignal (): void {
+    noteSignal('SIGQUIT')
+    calls?.noteCut('forced')
+    void end(EXIT_FORCED)
+  }
+
+  environment.onSignal('SIGQUIT', handleForceSignal)
   environment.onSignal('SIGTERM', () => { handleStopSignal('SIGTERM') })
   environment.onSignal('SIGINT', () => { handleStopSignal('SIGINT') })
   if (reload !== undefined) {
     environment.onSignal('SIGHUP', () => {
       noteSignal('SIGHUP')
-      reload()
+      if (phase !== 'ended') reload()
     })
   }
   return { phase: () => phase }
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -73,3 +73,22 @@
   ])
   assert.deepEqual(fixture.exits, [0])
 })
+
+nodeTest.test('further stop signals in a drain are logged and end nothing, and SIGQUIT ends the process with the calls that it cuts in the log', async () => {
+  const fixture = createFixture()
+  fixture.register.open({ id: 'a', readPhase: () => 'answering' })
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGTERM', 'SIGQUIT', 'SIGQUIT', 'SIGTERM', 'SIGHUP'] as const) await fixture.send(signal)
+  fixture.endDrain()
+  await fixture.send('SIGINT')
+  assert.deepEqual(fixture.lines, [
+    'signal {"signal":"SIGTERM","times":1,"phase":"serving","inProgress":1}',
+    'drain-began {"signal":"SIGTERM","inProgress":1}',
+    'signal {"signal":"SIGINT","times":1,"phase":"draining","inProgress":1}',
+    'signal {"signal":"SIGTERM","times":2,"phase":"draining","inProgress":1}',
+    'signal {"signal":"SIGQUIT","times":1,"phase":"draining","inProgress":1}',
+    'call-cut {"id":"a","phase":"answering","ageMs":0,"reason":"forced"}',
+    'exit {"code":4,"uptimeMs":0}',
+    'flush'
+  ])
+  assert.deepEqual(fixture.exits, [4])
+})
