Show that signals and changed settings are lost during a start

The settings file of the tests is a named pipe, so that a signal comes at a known moment: JavaScript runs, and the settings are not read. SIGHUP ends the program; a stop signal does so, too, without an exit code of its own. The settings that a gateway compares later ones with are read a second time after its start, so that a change between the two is never applied.

--- a/packages/daemon/src/_lib/programTesting.ts
+++ b/packages/daemon/src/_lib/programTesting.ts
@@ -32,12 +32,13 @@
  *
  * @param context - The test; the program is killed when it ends.
  * @param settings - Text of the settings file.
+ * @param createFile - Creates the settings file.
  * @returns The program.
  */
-export function startProgram (context: nodeTest.TestContext, settings: string): StartedProgram {
+export function startProgram (context: nodeTest.TestContext, settings: string, createFile: (file: string, settings: string) => void = fs.writeFileSync): StartedProgram {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'switchridge-'))
   const settingsFile = path.join(folder, 'settings.toml')
-  fs.writeFileSync(settingsFile, settings)
+  createFile(settingsFile, settings)
   const child = childProcess.spawn(process.execPath, [PROGRAM], { env: { ...process.env, SWITCHRIDGE_NODE_FILE: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
   let output = ''
   child.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
@@ -62,6 +63,45 @@
   }
 }
 
+/**
+ * Starts the program with a named pipe as its settings file and calls back while it waits for the settings, as early as it can be observed from outside.
+ *
+ * @param context - The test; the program is killed when it ends.
+ * @param settings - Text that the program reads from the pipe.
+ * @param whileReading - Called before the settings are passed on, with the program.
+ * @param later - Text that the file has afterwards; the same settings by default.
+ * @returns The program.
+ */
+export async function startProgramSlowly (context: nodeTest.TestContext, settings: string, whileReading: (program: StartedProgram) => Promise<void>, later = settings): Promise<StartedProgram> {
+  const program = startProgram(context, settings, (file) => { childProcess.execFileSync('mkfifo', [file]) })
+  const pipe = await openWhenRead(program.settingsFile)
+  const nextFile = `${program.settingsFile}.next`
+  fs.writeFileSync(nextFile, later)
+  fs.renameSync(nextFile, program.settingsFile)
+  await whileReading(program)
+  try {
+    fs.writeSync(pipe, settings)
+  } catch (thrown) {
+    assert.match(types.describeError(thrown), /EPIPE/)
+  }
+  fs.closeSync(pipe)
+  return program
+}
+
+/** Opens a named pipe for writing as soon as it is open for reading. */
+async function openWhenRead (file: string): Promise<number> {
+  const deadline = performance.now() + LINE_WAIT_MS
+  for (;;) {
+    try {
+      return fs.openSync(file, fs.constants.O_WRONLY | fs.constants.O_NONBLOCK)
+    } catch (thrown) {
+      assert.match(types.describeError(thrown), /ENXIO/)
+      assert.ok(performance.now() < deadline, 'the program does not read its settings')
+    }
+    await types.delay(1)
+  }
+}
+
 /** Settings of a gateway before the stand-ins of a test fleet; `limits` are lines of that section. */
 export function formatGatewaySettings (fleet: fleetTesting.TestFleet, host: string, limits = ''): string {
   return `role = "gateway"\nnode = "gateway"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\nseeds = ["${host}:1"]\ninternal_port = ${fleet.ports.internal}\n` +
--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -3,6 +3,7 @@
 import * as nodeTest from 'node:test'
 import * as got from 'got'
 import * as rpc from '@switchridge/rpc'
+import * as spread from '@switchridge/spread'
 import * as standins from '@switchridge/standins'
 import * as store from '@switchridge/store'
 import * as tables from '@switchridge/table'
@@ -99,20 +100,32 @@
   return `http://${listener.address.host}:${listener.address.port}`
 }
 
+function formatOwnSettings (role: string, host: string, entryHost: string, platformUrl: string): string {
+  const { internal } = fleetTesting.choosePorts()
+  return `role = "${role}"\nnode = "${role}"\ndeployment = "test"\ndata_hall = "hall"\nregion = "region"\nentry_nodes = ["${entryHost}:${internal}"]\n` +
+    `[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n[listen]\nhost = "${host}"\nport = ${internal}\n`
+}
+
+function formatEntrySettings (host: string, platformUrl: string): string {
+  return `${formatOwnSettings('entry', host, host, platformUrl)}caller_port = ${fleetTesting.choosePorts().callers}\n`
+}
+
+function formatBackendSettings (host: string, { entryHost, platformUrl, serviceUrl }: Readonly<Record<'entryHost' | 'platformUrl' | 'serviceUrl', string>>): string {
+  return `${formatOwnSettings('backend', host, entryHost, platformUrl)}[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"\n`
+}
+
 /** Starts an entry node and a backend daemon as programs, beside a plain service. */
 async function startOwnHall (context: nodeTest.TestContext, { entryHost, backendHost }: { entryHost: string, backendHost: string }): Promise<OwnHall> {
-  const ports = fleetTesting.choosePorts()
+  const { callers } = fleetTesting.choosePorts()
   const platformUrl = await serveApp(context, standins.createPlatformStandIn())
   const serviceUrl = await serveApp(context, standins.createPlainServiceStandIn(WORK_MS))
   const objects = store.createObjectStore({ url: platformUrl, timeoutMs: 2000, agents: rpc.createHttpAgents() })
   const changes = Object.entries({ id: 'api', kind: 'plain' }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
   assert.ok((await tables.editTable(objects, { editId: types.brandId('api'), editor: 'test', changes }, { attempts: 2 })).ok)
-  const formatCommon = (role: string, host: string): string => `role = "${role}"\nnode = "${role}"\ndeployment = "test"\ndata_hall = "hall"\nregion = "region"\nentry_nodes = ["${entryHost}:${ports.internal}"]\n` +
-    `[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n[listen]\nhost = "${host}"\nport = ${ports.internal}\n`
-  const entry = programTesting.startProgram(context, `${formatCommon('entry', entryHost)}caller_port = ${ports.callers}\n`)
-  const backend = programTesting.startProgram(context, `${formatCommon('backend', backendHost)}[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"\n`)
+  const entry = programTesting.startProgram(context, formatEntrySettings(entryHost, platformUrl))
+  const backend = programTesting.startProgram(context, formatBackendSettings(backendHost, { entryHost, platformUrl, serviceUrl }))
   const call = async (): Promise<string> => {
-    const answer = await got.got(`http://${entryHost}:${ports.callers}/services/api/stock`, { retry: { limit: 0 }, throwHttpErrors: false }).catch((thrown: unknown) => ({ headers: { 'x-switchridge-outcome': types.describeError(thrown) } }))
+    const answer = await got.got(`http://${entryHost}:${callers}/services/api/stock`, { retry: { limit: 0 }, throwHttpErrors: false }).catch((thrown: unknown) => ({ headers: { 'x-switchridge-outcome': types.describeError(thrown) } }))
     return String(answer.headers['x-switchridge-outcome'])
   }
   await fleetTesting.waitWithLimit(async () => await call() === 'answered')
@@ -129,3 +142,45 @@
     assert.deepEqual(await Promise.all([entry.ended, backend.ended]), [0, 0])
   }))
 })
+
+/** Settings of every role, on addresses of their own. */
+async function formatAllSettings (context: nodeTest.TestContext): Promise<string[]> {
+  const { fleet, engine } = await createFleet(context)
+  const platformUrl = await serveApp(context, standins.createPlatformStandIn())
+  return [
+    programTesting.formatGatewaySettings(fleet, '127.0.0.35'),
+    programTesting.formatAgentSettings(fleet, '127.0.0.36', engine.address),
+    formatEntrySettings('127.0.0.37', platformUrl),
+    formatBackendSettings('127.0.0.38', { entryHost: '127.0.0.37', platformUrl, serviceUrl: platformUrl })
+  ]
+}
+
+nodeTest.test('SIGHUP does not end a program that has not read its settings yet', OPTIONS, async (context) => {
+  await Promise.all((await formatAllSettings(context)).map(async (settings) => {
+    const program = await programTesting.startProgramSlowly(context, settings, async ({ child }) => { child.kill('SIGHUP') })
+    assert.equal(await Promise.race([program.ended, program.waitForOutput('event=started')]), undefined)
+    program.child.kill('SIGTERM')
+    assert.equal(await program.ended, 0)
+  }))
+})
+
+nodeTest.test('a stop signal before a program has read its settings ends it with 0', OPTIONS, async (context) => {
+  await Promise.all((await formatAllSettings(context)).map(async (settings) => {
+    const program = await programTesting.startProgramSlowly(context, settings, async (starting) => { await sendSignals(starting, ['SIGTERM', 'SIGINT']) })
+    assert.equal(await program.ended, 0)
+    assert.doesNotMatch(program.output(), /event=started/)
+  }))
+})
+
+nodeTest.test('settings that change while a gateway starts are applied', OPTIONS, async (context) => {
+  const { fleet } = await createFleet(context)
+  const settings = programTesting.formatGatewaySettings(fleet, '127.0.0.35')
+  const seed = '127.0.0.39'
+  const received: string[] = []
+  const socket = await spread.openDatagrams(seed, fleet.ports.internal)((_bytes, from) => { received.push(from) })
+  context.after(() => { socket.close() })
+  const later = settings.replace('seeds = [', `seeds = ["${seed}:1",`)
+  const gateway = await programTesting.startProgramSlowly(context, settings, async () => {}, later)
+  await gateway.waitForOutput('event=started')
+  await fleetTesting.waitWithLimit(async () => received.includes('127.0.0.35'))
+})
