Handle signals from the start of a process on, in every role

Callers lost what a process had accepted when a signal found no handler, since its default action ends the process: SIGHUP at any time in an entry node or a backend daemon, and any signal to a process that starts, also when it listens already. The handlers were installed after the role was up, and that of SIGHUP only for roles that read their settings again.

The lifecycle is now created before anything else is loaded and knows the phase 'starting'. SIGHUP is remembered, and the settings are read again once the role serves. A stop signal ends the process with 0 as long as the role isn't being started, when nothing can have been accepted; after that it waits for the role and drains it.

--- a/packages/daemon/src/_lib/runFleetRole.ts
+++ b/packages/daemon/src/_lib/startFleetRole.ts
@@ -1,20 +1,21 @@
-/** Process lifecycle of a gateway or an agent: signals, settings changes and shutdown. */
+/** Starts a gateway or an agent and follows its settings file. */
 import * as fs from 'node:fs'
 import * as settings from '@switchridge/settings'
 import * as startAgentRole from '../startAgentRole/index.js'
 import * as startGatewayRole from '../startGatewayRole/index.js'
-import * as createProcessLifecycle from '../createProcessLifecycle/index.js'
+import type * as createProcessLifecycle from '../createProcessLifecycle/index.js'
 
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_POLL_INTERVAL_MS = 4000
 
 /**
- * Starts the role in the settings and installs the signal handlers that reload the settings or end the process.
+ * Starts the role in the settings.
  *
  * @param checked - The settings.
  * @param file - Path of the file that they were read from.
+ * @returns The role. Its reload applies the settings in the file if they are valid and have changed. Rejects if the role can't start.
  */
-export async function runFleetRole (checked: settings.FleetSettings, file: string): Promise<void> {
+export async function startFleetRole (checked: settings.FleetSettings, file: string): Promise<createProcessLifecycle.StartedRole> {
   const role = checked.role === 'gateway'
     ? await startGatewayRole.startGatewayRole(checked)
     : await startAgentRole.startAgentRole(checked)
@@ -26,11 +27,11 @@
     lastText = text
     const parsed = settings.parseFleetSettings(text, file)
     if (parsed.ok) role.reload(parsed.value)
-    else process.stderr.write(`level=error event=settings-rejected error=${JSON.stringify(parsed.error.message)}\n`)
+    else role.logger.error('settings-rejected', { error: parsed.error.message })
   }
 
-  createProcessLifecycle.createProcessLifecycle({ role, reload })
   setInterval(reload, SETTINGS_POLL_INTERVAL_MS).unref()
+  return { role, reload }
 }
 
 function readText (file: string): string | null {
--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -4,7 +4,7 @@
 import * as drainAndLogErrors from '../_lib/drainAndLogErrors.js'
 
 /** Phases of a process, in their order. */
-export type ProcessPhase = 'serving' | 'draining' | 'ended'
+export type ProcessPhase = 'starting' | 'serving' | 'draining' | 'ended'
 
 /** A role whose process is managed. */
 export interface ManagedRole {
@@ -19,32 +19,40 @@
   readonly count: (name: string, labels: Readonly<Record<string, string>>) => void
 }
 
+/** A role that has started. */
+export interface StartedRole {
+  readonly role: ManagedRole
+  /** Reads the settings again; absent for a role that doesn't. */
+  readonly reload?: () => void
+  /** Longest time for a drain in milliseconds, for a role that doesn't bound it itself. */
+  readonly maximumDrainMs?: number
+}
+
 /** What the lifecycle needs of the operating system; replaceable in tests. */
 export interface ProcessEnvironment {
   readonly onSignal: (signal: NodeJS.Signals, handle: () => void) => void
   /** Waits until the log has been passed to the operating system, or until a reader that doesn't read has been waited for long enough. */
   readonly flush: () => Promise<void>
   readonly exit: (code: number) => void
+  /** Writes a line to the log of a process whose role has none yet. */
+  readonly writeLine: (line: string) => void
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
 }
 
-/** Options of {@link createProcessLifecycle}. */
-export interface ProcessLifecycleOptions {
-  readonly role: ManagedRole
-  /** Reads the settings again; absent for a role that doesn't. */
-  readonly reload?: () => void
-  /** Longest time for a drain in milliseconds, for a role that doesn't bound it itself. */
-  readonly maximumDrainMs?: number
-  readonly environment?: ProcessEnvironment
-}
-
 /** The lifecycle of a process. */
 export interface ProcessLifecycle {
   readonly phase: () => ProcessPhase
+  /**
+   * Starts the role and serves with it. A role whose process is being ended isn't started, and a stop signal during the start drains the role as soon as it is up.
+   * Rejects if the start does.
+   */
+  readonly serve: (start: () => Promise<StartedRole>) => Promise<void>
 }
 
-const EXIT_DRAINED = 0
+type StopSignal = 'SIGTERM' | 'SIGINT'
+
+const EXIT_STOPPED = 0
 const EXIT_FORCED = 4
 /** A reader of the log that takes nothing for this long loses the last lines; the process ends without waiting for it. */
 const FLUSH_TIMEOUT_MS = 200
@@ -53,6 +61,7 @@
   onSignal: (signal, handle) => { process.on(signal, handle) },
   flush: flushOutput,
   exit: (code) => { process.exit(code) },
+  writeLine: (line) => { process.stderr.write(`${line}\n`) },
   now: () => performance.now()
 }
 
@@ -63,27 +72,47 @@
 }
 
 /**
- * Creates the lifecycle and installs the handlers of signals. Every signal, the begin and the end of a drain, each call that is cut and the exit are logged.
+ * Creates the lifecycle and installs the handlers of signals, before anything else is loaded, since the default action of a signal ends the process.
+ * Every signal, the begin and the end of a drain, each call that is cut and the exit are logged.
  *
- * @param options - The role and its limits.
- * @returns The lifecycle of the process, which serves.
+ * @param environment - The operating system.
+ * @returns The lifecycle of the process, which is starting.
  */
-export function createProcessLifecycle ({ role, reload, maximumDrainMs = Infinity, environment = PROCESS_ENVIRONMENT }: ProcessLifecycleOptions): ProcessLifecycle {
-  const { logger, count, calls } = role
+export function createProcessLifecycle (environment: ProcessEnvironment = PROCESS_ENVIRONMENT): ProcessLifecycle {
   const startedAt = environment.now()
   const received = new Map<NodeJS.Signals, number>()
-  let phase: ProcessPhase = 'serving'
+  let phase: ProcessPhase = 'starting'
+  let isRoleStarting = false
+  let started: StartedRole | null = null
+  /** Signals of the start, which wait for the role. */
+  const early = { lines: [] as observability.LogFields[], isReload: false, stop: null as StopSignal | null }
 
-  /** The line of the exit is the last one, so that a signal after it has none. */
   function noteSignal (signal: NodeJS.Signals): void {
     const times = (received.get(signal) ?? 0) + 1
     received.set(signal, times)
-    if (phase === 'ended') return
-    count('signals', { signal })
-    logger.info('signal', { signal, times, phase, inProgress: calls?.count() })
+    if (started === null) early.lines.push({ signal, times, phase })
+    else logSignal(started.role, { signal, times, phase, inProgress: started.role.calls?.count() })
+  }
+
+  function logSignal ({ count, logger }: ManagedRole, fields: observability.LogFields): void {
+    count('signals', { signal: String(fields['signal']) })
+    logger.info('signal', fields)
   }
 
-  async function drain (signal: NodeJS.Signals): Promise<void> {
+  async function serve (start: () => Promise<StartedRole>): Promise<void> {
+    if (phase !== 'starting') return
+    isRoleStarting = true
+    const next = await start()
+    if (phase !== 'starting') return
+    phase = 'serving'
+    started = next
+    for (const fields of early.lines) logSignal(next.role, fields)
+    if (early.isReload) next.reload?.()
+    if (early.stop !== null) void drain(next, early.stop)
+  }
+
+  async function drain ({ role, maximumDrainMs = Infinity }: StartedRole, signal: StopSignal): Promise<void> {
+    const { logger, calls } = role
     phase = 'draining'
     const beganAt = environment.now()
     const before = calls?.totals() ?? {}
@@ -93,39 +122,51 @@
     calls?.noteCut('stopped')
     logger.info('drain-ended', { ms: Math.round(environment.now() - beganAt), ...subtractTotals(calls?.totals() ?? {}, before) })
     role.stop()
-    await end(EXIT_DRAINED)
+    await end(EXIT_STOPPED)
   }
 
   async function end (code: number): Promise<void> {
     if (phase === 'ended') return
     phase = 'ended'
-    logger.info('exit', { code, uptimeMs: Math.round(environment.now() - startedAt) })
+    const uptimeMs = Math.round(environment.now() - startedAt)
+    if (started === null) environment.writeLine(`level=info event=exit code=${code} uptimeMs=${uptimeMs} signals=${[...received.keys()].join()}`)
+    else started.role.logger.info('exit', { code, uptimeMs })
     await environment.flush()
     environment.exit(code)
   }
 
-  function handleStopSignal (signal: NodeJS.Signals): void {
-    noteSignal(signal)
-    if (phase === 'serving') void drain(signal)
+  function reload (): void {
+    if (started === null) early.isReload = true
+    else started.reload?.()
   }
 
-  /** A supervisor may repeat SIGTERM and SIGINT at any time, so that only this signal ends calls in progress. */
-  function handleForceSignal (): void {
-    noteSignal('SIGQUIT')
-    calls?.noteCut('forced')
+  function stop (signal: StopSignal): void {
+    if (started !== null) {
+      if (phase === 'serving') void drain(started, signal)
+    } else if (isRoleStarting) early.stop ??= signal
+    else void end(EXIT_STOPPED)
+  }
+
+  /** A supervisor may repeat SIGTERM and SIGINT at any time, so that only SIGQUIT ends calls in progress. */
+  function forceEnd (): void {
+    started?.role.calls?.noteCut('forced')
     void end(EXIT_FORCED)
   }
 
-  environment.onSignal('SIGQUIT', handleForceSignal)
-  environment.onSignal('SIGTERM', () => { handleStopSignal('SIGTERM') })
-  environment.onSignal('SIGINT', () => { handleStopSignal('SIGINT') })
-  if (reload !== undefined) {
-    environment.onSignal('SIGHUP', () => {
-      noteSignal('SIGHUP')
-      if (phase !== 'ended') reload()
+  function handleSignal (signal: NodeJS.Signals, act: () => void): void {
+    environment.onSignal(signal, () => {
+      // The line of the exit is the last one.
+      if (phase === 'ended') return
+      noteSignal(signal)
+      act()
     })
   }
-  return { phase: () => phase }
+
+  handleSignal('SIGTERM', () => { stop('SIGTERM') })
+  handleSignal('SIGINT', () => { stop('SIGINT') })
+  handleSignal('SIGQUIT', forceEnd)
+  handleSignal('SIGHUP', reload)
+  return { phase: () => phase, serve }
 }
 
 /** How many calls ended in each way since `before`. */
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -15,7 +15,7 @@
 
 const TURNS = 10
 
-function createFixture (): Fixture {
+async function createFixture (whileStarting: (send: (signal: NodeJS.Signals) => Promise<void>) => Promise<void> = async () => {}): Promise<Fixture> {
   const lines: string[] = []
   const exits: number[] = []
   const handlers = new Map<NodeJS.Signals, () => void>()
@@ -25,30 +25,29 @@
   const register = observability.createCallRegister({ logger, count: () => {}, now: () => clock.time })
   let endDrain = (): void => {}
   const drained = new Promise<void>((resolve) => { endDrain = resolve })
-  createProcessLifecycle.createProcessLifecycle({
-    role: { drain: async () => { await drained }, stop: () => { lines.push('stop') }, calls: register, logger, count: () => {} },
-    reload: () => { lines.push('reload') },
-    environment: {
-      onSignal: (signal, handle) => { handlers.set(signal, handle) },
-      flush: async () => { lines.push('flush') },
-      exit: (code) => { exits.push(code) },
-      now: () => clock.time
-    }
+  const send = async (signal: NodeJS.Signals): Promise<void> => {
+    handlers.get(signal)?.()
+    for (let turn = 0; turn < TURNS; turn += 1) await types.delay(0)
+  }
+  const lifecycle = createProcessLifecycle.createProcessLifecycle({
+    onSignal: (signal, handle) => { handlers.set(signal, handle) },
+    flush: async () => { lines.push('flush') },
+    exit: (code) => { exits.push(code) },
+    writeLine: (line) => { lines.push(line) },
+    now: () => clock.time
   })
-  return Object.assign(clock, {
-    register,
-    lines,
-    exits,
-    endDrain,
-    send: async (signal: NodeJS.Signals) => {
-      handlers.get(signal)?.()
-      for (let turn = 0; turn < TURNS; turn += 1) await types.delay(0)
+  await lifecycle.serve(async () => {
+    await whileStarting(send)
+    return {
+      role: { drain: async () => { await drained }, stop: () => { lines.push('stop') }, calls: register, logger, count: () => {} },
+      reload: () => { lines.push('reload') }
     }
   })
+  return Object.assign(clock, { register, lines, exits, endDrain, send })
 }
 
 nodeTest.test('a drain is logged from its signal to the exit, with the calls that ended meanwhile', async () => {
-  const fixture = createFixture()
+  const fixture = await createFixture()
   const earlier = fixture.register.open({ id: 'a', readPhase: () => 'sent' })
   earlier.noteEnding('answered')
   earlier.close()
@@ -75,7 +74,7 @@
 })
 
 nodeTest.test('further stop signals in a drain are logged and end nothing, and SIGQUIT ends the process with the calls that it cuts in the log', async () => {
-  const fixture = createFixture()
+  const fixture = await createFixture()
   fixture.register.open({ id: 'a', readPhase: () => 'answering' })
   for (const signal of ['SIGTERM', 'SIGINT', 'SIGTERM', 'SIGQUIT', 'SIGQUIT', 'SIGTERM', 'SIGHUP'] as const) await fixture.send(signal)
   fixture.endDrain()
@@ -92,3 +91,30 @@
   ])
   assert.deepEqual(fixture.exits, [4])
 })
+
+nodeTest.test('signals during the start of the role wait for it, and a stop signal among them begins the drain', async () => {
+  const fixture = await createFixture(async (send) => {
+    for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT'] as const) await send(signal)
+  })
+  fixture.endDrain()
+  await fixture.send('SIGTERM')
+  assert.deepEqual(fixture.lines, [
+    'signal {"signal":"SIGHUP","times":1,"phase":"starting"}',
+    'signal {"signal":"SIGTERM","times":1,"phase":"starting"}',
+    'signal {"signal":"SIGINT","times":1,"phase":"starting"}',
+    'reload',
+    'drain-began {"signal":"SIGTERM","inProgress":0}',
+    'signal {"signal":"SIGTERM","times":2,"phase":"draining","inProgress":0}',
+    'drain-ended {"ms":0}',
+    'stop',
+    'exit {"code":0,"uptimeMs":0}',
+    'flush'
+  ])
+  assert.deepEqual(fixture.exits, [0])
+})
+
+nodeTest.test('SIGQUIT during the start of the role ends the process at once', async () => {
+  const fixture = await createFixture(async (send) => { await send('SIGQUIT') })
+  assert.deepEqual(fixture.lines, ['level=info event=exit code=4 uptimeMs=0 signals=SIGQUIT', 'flush'])
+  assert.deepEqual(fixture.exits, [4])
+})
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,73 +1,7 @@
 #!/usr/bin/env node
-/** The daemon: `switchridged --settings FILE`. */
-import * as fs from 'node:fs'
-import * as types from '@switchridge/types'
-import * as settings from '@switchridge/settings'
+/** The daemon: `switchridged --settings FILE`. Loads little before the lifecycle exists, since a signal ends the process until then. */
+import * as createProcessLifecycle from './createProcessLifecycle/index.js'
 
-/** Exit codes, documented in docs/OPERATIONS.md. */
-const EXIT_FAILED = 1
-const EXIT_USAGE = 2
-const EXIT_SETTINGS = 3
-/** Environment variable with the path of the settings file, used if there are no arguments. */
-const SETTINGS_VARIABLE = 'SWITCHRIDGE_NODE_FILE'
-
-/** Parses the command line. Loads yargs only here: the users' platform starts the daemon without arguments, and loading fewer modules shortens the start. */
-async function parseArguments (): Promise<string> {
-  const { default: yargs } = await import('yargs')
-  const options = await yargs(process.argv.slice(2))
-    .scriptName('switchridged')
-    .usage('$0 --settings FILE\n\nRuns an entry node or the daemon beside a backend server; on the users\' platform, a gateway or an agent.')
-    .option('settings', { type: 'string', demandOption: true, default: process.env[SETTINGS_VARIABLE], describe: 'settings file in TOML' })
-    .example('$0 --settings examples/entry.toml', 'run an entry node')
-    .version('0.1.0')
-    .fail((message, error) => {
-      process.stderr.write(`switchridged: ${message ?? types.describeError(error)}\n`)
-      process.exit(EXIT_USAGE)
-    })
-    .strict()
-    .parseAsync()
-  return options.settings
-}
-
-async function findSettingsFile (): Promise<string> {
-  const fileFromEnvironment = process.env[SETTINGS_VARIABLE]
-  return process.argv.length > 2 || fileFromEnvironment === undefined ? await parseArguments() : fileFromEnvironment
-}
-
-function readFile (file: string): string {
-  try {
-    return fs.readFileSync(file, 'utf8')
-  } catch (thrown) {
-    process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
-    process.exit(EXIT_SETTINGS)
-  }
-}
-
-/** Returns the parsed settings, or prints every problem with its place and exits. */
-function unwrapOrExit<Value> (parsed: types.Outcome<Value, types.InvalidInputError>, file: string): Value {
-  if (parsed.ok) return parsed.value
-  for (const problem of parsed.error.problems) process.stderr.write(`${file}: ${types.formatProblem(problem)}\n`)
-  process.exit(EXIT_SETTINGS)
-}
-
-/** Starts the role that the settings name. Only the modules of that kind of role are loaded, which shortens the start. */
-async function run (file: string): Promise<void> {
-  const text = readFile(file)
-  if (settings.isFleetSettings(text)) {
-    const checked = unwrapOrExit(settings.parseFleetSettings(text, file), file)
-    const { runFleetRole } = await import('./_lib/runFleetRole.js')
-    await runFleetRole(checked, file)
-    return
-  }
-  const checked = unwrapOrExit(settings.parseSettings(text, file), file)
-  const [{ startDaemon }, { createProcessLifecycle }] = await Promise.all([import('./startDaemon/index.js'), import('./createProcessLifecycle/index.js')])
-  const role = await startDaemon(checked)
-  createProcessLifecycle({ role, maximumDrainMs: checked.limits.drain_seconds * types.MILLISECONDS_IN_SECOND })
-}
-
-try {
-  await run(await findSettingsFile())
-} catch (thrown) {
-  process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
-  process.exit(EXIT_FAILED)
-}
+const lifecycle = createProcessLifecycle.createProcessLifecycle()
+const { runDaemon } = await import('./_lib/runDaemon.js')
+await runDaemon(lifecycle)
