Compare changed settings with those that the role started with

An operator who changed a settings file while a gateway or an agent started saw the change ignored: the file was read once for the start and again after it, and later ones were compared with the second text. Now the text of the start is the first one to compare with.

--- a/packages/daemon/src/_lib/runDaemon.ts
+++ b/packages/daemon/src/_lib/runDaemon.ts
@@ -56,7 +56,7 @@
   if (settings.isFleetSettings(text)) {
     const checked = unwrapOrExit(settings.parseFleetSettings(text, file), file)
     const { startFleetRole } = await import('./startFleetRole.js')
-    await lifecycle.serve(async () => await startFleetRole(checked, file))
+    await lifecycle.serve(async () => await startFleetRole(checked, { file, text }))
     return
   }
   const checked = unwrapOrExit(settings.parseSettings(text, file), file)
--- a/packages/daemon/src/_lib/startFleetRole.ts
+++ b/packages/daemon/src/_lib/startFleetRole.ts
@@ -8,18 +8,24 @@
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_POLL_INTERVAL_MS = 4000
 
+/** A settings file as it was read. */
+export interface SettingsFile {
+  readonly file: string
+  readonly text: string
+}
+
 /**
  * Starts the role in the settings.
  *
  * @param checked - The settings.
- * @param file - Path of the file that they were read from.
+ * @param source - The file and the text that they were read from.
  * @returns The role. Its reload applies the settings in the file if they are valid and have changed. Rejects if the role can't start.
  */
-export async function startFleetRole (checked: settings.FleetSettings, file: string): Promise<createProcessLifecycle.StartedRole> {
+export async function startFleetRole (checked: settings.FleetSettings, { file, text: initialText }: SettingsFile): Promise<createProcessLifecycle.StartedRole> {
   const role = checked.role === 'gateway'
     ? await startGatewayRole.startGatewayRole(checked)
     : await startAgentRole.startAgentRole(checked)
-  let lastText = fs.readFileSync(file, 'utf8')
+  let lastText = initialText
 
   function reload (): void {
     const text = readText(file)
