--- a/packages/daemon/src/_lib/programTesting.ts
+++ b/packages/daemon/src/_lib/programTesting.ts
@@ -27,19 +27,27 @@
   readonly waitForOutput: (text: string) => Promise<void>
 }
 
+/** Options of {@link startProgram}. */
+export interface ProgramOptions {
+  /** Creates the settings file; writes it by default. */
+  readonly createFile?: (file: string, settings: string) => void
+  /** Options of Node.js. */
+  readonly nodeOptions?: string
+}
+
 /**
  * Starts the program with the path of its settings file in the environment, as the platform does.
  *
  * @param context - The test; the program is killed when it ends.
  * @param settings - Text of the settings file.
- * @param createFile - Creates the settings file.
+ * @param options - Deviations from the platform.
  * @returns The program.
  */
-export function startProgram (context: nodeTest.TestContext, settings: string, createFile: (file: string, settings: string) => void = fs.writeFileSync): StartedProgram {
+export function startProgram (context: nodeTest.TestContext, settings: string, { createFile = fs.writeFileSync, nodeOptions = '' }: ProgramOptions = {}): StartedProgram {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'switchridge-'))
   const settingsFile = path.join(folder, 'settings.toml')
   createFile(settingsFile, settings)
-  const child = childProcess.spawn(process.execPath, [PROGRAM], { env: { ...process.env, SWITCHRIDGE_NODE_FILE: settingsFile }, stdio: ['ignore', 'pipe', 'pipe'] })
+  const child = childProcess.spawn(process.execPath, [PROGRAM], { env: { ...process.env, SWITCHRIDGE_NODE_FILE: settingsFile, NODE_OPTIONS: nodeOptions }, stdio: ['ignore', 'pipe', 'pipe'] })
   let output = ''
   child.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
   child.stderr.on('data', (bytes: Buffer) => { output += bytes.toString() })
@@ -73,7 +81,7 @@
  * @returns The program.
  */
 export async function startProgramSlowly (context: nodeTest.TestContext, settings: string, whileReading: (program: StartedProgram) => Promise<void>, later = settings): Promise<StartedProgram> {
-  const program = startProgram(context, settings, (file) => { childProcess.execFileSync('mkfifo', [file]) })
+  const program = startProgram(context, settings, { createFile: (file) => { childProcess.execFileSync('mkfifo', [file]) } })
   const pipe = await openWhenRead(program.settingsFile)
   const nextFile = `${program.settingsFile}.next`
   fs.writeFileSync(nextFile, later)
--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -19,6 +19,7 @@
 const WORK_MS = 1200
 const TEST_TIMEOUT_MS = 60_000
 const AGENT_HOST_PREFIX = '127.0.0.4'
+const THROW_ON_SIGUSR2 = '--import=data:text/javascript,process.on(%22SIGUSR2%22,()=>{Promise.reject(Error(%22rejected%22));throw(Error(%22thrown%22))})'
 const OPTIONS = { timeout: TEST_TIMEOUT_MS }
 
 const STOP_SEQUENCES: ReadonlyArray<{ readonly host: string, readonly signals: readonly NodeJS.Signals[] }> = [
@@ -41,13 +42,13 @@
   return { fleet, engine }
 }
 
-/** Starts streams, sends the signals once all of them run at the engine, and returns the answers. */
-async function streamAcrossSignals (gateway: programTesting.StartedProgram, callers: types.Address, engine: testing.EngineStandIn, signals: readonly NodeJS.Signals[]): Promise<testing.CallerAnswer[]> {
+/** Starts streams through a gateway, disturbs it once all of them run at the engine, and returns the answers. */
+async function streamAcross (callers: types.Address, engine: testing.EngineStandIn, disturb: () => Promise<void>): Promise<testing.CallerAnswer[]> {
   await fleetTesting.waitWithLimit(async () => (await fleetTesting.callService(callers, fleetTesting.STREAM_SERVICE, 'probe')).status === 200)
   const ids = Array.from({ length: CALLS }, (_, index) => `${callers.host}-${index}`)
   const answers = Promise.all(ids.map(async (id) => await fleetTesting.callService(callers, fleetTesting.STREAM_SERVICE, id)))
   await fleetTesting.waitWithLimit(async () => ids.every((id) => engine.arrivals.some(({ requestId }) => requestId === id)))
-  await sendSignals(gateway, signals)
+  await disturb()
   return await answers
 }
 
@@ -59,7 +60,7 @@
   const { fleet, engine } = await createFleet(context)
   await Promise.all(STOP_SEQUENCES.map(async ({ host, signals }) => {
     const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host))
-    assertWhole(await streamAcrossSignals(gateway, { host, port: fleet.ports.callers }, engine, signals))
+    assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendSignals(gateway, signals) }))
     assert.equal(await gateway.ended, 0)
     // The system delivers a signal once if it is sent again before the process has taken it.
     assert.ok((gateway.output().match(/event=signal .*phase=draining/g)?.length ?? 0) > 0)
@@ -81,13 +82,36 @@
   const { fleet, engine } = await createFleet(context)
   const host = '127.0.0.31'
   const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host))
-  const answers = await streamAcrossSignals(gateway, { host, port: fleet.ports.callers }, engine, ['SIGTERM', 'SIGQUIT'])
+  const answers = await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendSignals(gateway, ['SIGTERM', 'SIGQUIT']) })
   assert.ok(answers.every(({ isWhole }) => !isWhole))
   assert.equal(await gateway.ended, 4)
   assert.equal(gateway.output().match(/event=call-cut .*reason=forced/g)?.length, CALLS)
   assert.match(gateway.output(), /event=exit .*code=4 [^\n]*\n$/)
 })
 
+nodeTest.test('a log reader that is gone cuts no streams of a draining gateway', OPTIONS, async (context) => {
+  const { fleet, engine } = await createFleet(context)
+  const host = '127.0.0.31'
+  const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host))
+  assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => {
+    for (const output of [gateway.child.stdout, gateway.child.stderr]) output?.destroy()
+    await sendSignals(gateway, ['SIGTERM'])
+  }))
+  assert.equal(await gateway.ended, 0)
+})
+
+nodeTest.test('errors that nothing handles cut no streams of a gateway', OPTIONS, async (context) => {
+  const { fleet, engine } = await createFleet(context)
+  const sequences: ReadonlyArray<readonly NodeJS.Signals[]> = [['SIGUSR2'], ['SIGTERM', 'SIGUSR2']]
+  await Promise.all(sequences.map(async (signals, index) => {
+    const host = `127.0.0.3${index}`
+    const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host), { nodeOptions: THROW_ON_SIGUSR2 })
+    assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendSignals(gateway, signals) }))
+    assert.equal(await gateway.ended, 1)
+    for (const error of ['thrown', 'rejected']) assert.match(gateway.output(), new RegExp(`event=uncaught-error .*${error}`))
+  }))
+})
+
 interface OwnHall {
   readonly entry: programTesting.StartedProgram
   readonly backend: programTesting.StartedProgram
