Go on without a log when its reader has ended

Callers lost all streams of a process when the reader of its log ended: a signal to a process group ends both, and the first line that is written after that raised EPIPE, which nothing handled. The lifecycle handles errors of standard output and standard error and counts them. Real process, reader closed, then SIGTERM: 8 of 8 streams cut before, none of 8 now, exit 0.

--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -31,6 +31,8 @@
 /** What the lifecycle needs of the operating system; replaceable in tests. */
 export interface ProcessEnvironment {
   readonly onSignal: (signal: NodeJS.Signals, handle: () => void) => void
+  /** Reports that the log can't be written, for example since its reader has ended; without a handler such an error ends the process. */
+  readonly onLogError: (handle: () => void) => void
   /** Waits until the log has been passed to the operating system, or until a reader that doesn't read has been waited for long enough. */
   readonly flush: () => Promise<void>
   readonly exit: (code: number) => void
@@ -59,6 +61,7 @@
 
 const PROCESS_ENVIRONMENT: ProcessEnvironment = {
   onSignal: (signal, handle) => { process.on(signal, handle) },
+  onLogError: (handle) => { for (const output of [process.stdout, process.stderr]) output.on('error', handle) },
   flush: flushOutput,
   exit: (code) => { process.exit(code) },
   writeLine: (line) => { process.stderr.write(`${line}\n`) },
@@ -162,6 +165,7 @@
     })
   }
 
+  environment.onLogError(() => { started?.role.count('log_errors', {}) })
   handleSignal('SIGTERM', () => { stop('SIGTERM') })
   handleSignal('SIGINT', () => { stop('SIGINT') })
   handleSignal('SIGQUIT', forceEnd)
