Drain a process after an error that nothing handles

Callers lost all calls in progress of a process when one error or rejection had no handler, also in a drain, and no line named them. Now the error is logged with its stack and counted, the process takes no new work, serves what it has accepted as after SIGTERM, and exits with 1. An error of role.stop() is logged, and the exit still has its line.

--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -31,6 +31,8 @@
 /** What the lifecycle needs of the operating system; replaceable in tests. */
 export interface ProcessEnvironment {
   readonly onSignal: (signal: NodeJS.Signals, handle: () => void) => void
+  /** Reports errors that nothing handles, rejections among them; without a handler such an error ends the process. */
+  readonly onUncaughtError: (handle: (error: unknown) => void) => void
   /** Reports that the log can't be written, for example since its reader has ended; without a handler such an error ends the process. */
   readonly onLogError: (handle: () => void) => void
   /** Waits until the log has been passed to the operating system, or until a reader that doesn't read has been waited for long enough. */
@@ -55,12 +57,14 @@
 type StopSignal = 'SIGTERM' | 'SIGINT'
 
 const EXIT_STOPPED = 0
+const EXIT_FAILED = 1
 const EXIT_FORCED = 4
 /** A reader of the log that takes nothing for this long loses the last lines; the process ends without waiting for it. */
 const FLUSH_TIMEOUT_MS = 200
 
 const PROCESS_ENVIRONMENT: ProcessEnvironment = {
   onSignal: (signal, handle) => { process.on(signal, handle) },
+  onUncaughtError: (handle) => { process.on('uncaughtException', handle) },
   onLogError: (handle) => { for (const output of [process.stdout, process.stderr]) output.on('error', handle) },
   flush: flushOutput,
   exit: (code) => { process.exit(code) },
@@ -87,6 +91,7 @@
   let phase: ProcessPhase = 'starting'
   let isRoleStarting = false
   let started: StartedRole | null = null
+  let exitCode = EXIT_STOPPED
   /** Signals of the start, which wait for the role. */
   const early = { lines: [] as observability.LogFields[], isReload: false, stop: null as StopSignal | null }
 
@@ -114,7 +119,8 @@
     if (early.stop !== null) void drain(next, early.stop)
   }
 
-  async function drain ({ role, maximumDrainMs = Infinity }: StartedRole, signal: StopSignal): Promise<void> {
+  /** @param signal - The signal that began it; absent after an error. */
+  async function drain ({ role, maximumDrainMs = Infinity }: StartedRole, signal?: StopSignal): Promise<void> {
     const { logger, calls } = role
     phase = 'draining'
     const beganAt = environment.now()
@@ -124,8 +130,34 @@
     if (phase !== 'draining') return
     calls?.noteCut('stopped')
     logger.info('drain-ended', { ms: Math.round(environment.now() - beganAt), ...subtractTotals(calls?.totals() ?? {}, before) })
-    role.stop()
-    await end(EXIT_STOPPED)
+    stopRole(role)
+    await end(exitCode)
+  }
+
+  function stopRole (role: ManagedRole): void {
+    try {
+      role.stop()
+    } catch (thrown) {
+      noteError(role, 'stop-failed', thrown)
+    }
+  }
+
+  function noteError ({ logger }: ManagedRole, event: string, thrown: unknown): void {
+    exitCode = EXIT_FAILED
+    logger.error(event, { error: types.describeError(thrown), stack: thrown instanceof Error ? thrown.stack : undefined })
+  }
+
+  /** The state of the process is unknown after such an error, so that it takes no new work; calls in progress rarely depend on each other and go on. */
+  function handleUncaughtError (thrown: unknown): void {
+    if (phase === 'ended') return
+    if (started === null) {
+      environment.writeLine(`switchridged: ${types.describeError(thrown)}`)
+      void end(EXIT_FAILED)
+      return
+    }
+    started.role.count('uncaught_errors', {})
+    noteError(started.role, 'uncaught-error', thrown)
+    if (phase === 'serving') void drain(started)
   }
 
   async function end (code: number): Promise<void> {
@@ -165,6 +197,7 @@
     })
   }
 
+  environment.onUncaughtError(handleUncaughtError)
   environment.onLogError(() => { started?.role.count('log_errors', {}) })
   handleSignal('SIGTERM', () => { stop('SIGTERM') })
   handleSignal('SIGINT', () => { stop('SIGINT') })
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -31,6 +31,7 @@
   }
   const lifecycle = createProcessLifecycle.createProcessLifecycle({
     onSignal: (signal, handle) => { handlers.set(signal, handle) },
+    onUncaughtError: () => {},
     onLogError: () => {},
     flush: async () => { lines.push('flush') },
     exit: (code) => { exits.push(code) },
