Wait for the calls in progress of a drain that fails

Callers lost all calls in progress when the drain of a role threw: it was logged, and the role was stopped at once. Its calls are now waited for, as long as the drain may take, and the process exits with 1. Gateways bound their drain themselves; should that fail, too, it ends 250 ms before the grace period.

--- a/packages/daemon/src/_lib/startFleetRole.ts
+++ b/packages/daemon/src/_lib/startFleetRole.ts
@@ -1,6 +1,7 @@
 /** Starts a gateway or an agent and follows its settings file. */
 import * as fs from 'node:fs'
 import * as settings from '@switchridge/settings'
+import * as types from '@switchridge/types'
 import * as startAgentRole from '../startAgentRole/index.js'
 import * as startGatewayRole from '../startGatewayRole/index.js'
 import type * as createProcessLifecycle from '../createProcessLifecycle/index.js'
@@ -8,6 +9,9 @@
 /** Interval at which the settings file is checked, since it may change without a signal. */
 const SETTINGS_POLL_INTERVAL_MS = 4000
 
+/** A process that has not drained so long before the end of its grace period ends by itself, so that its log tells what it cuts. */
+const GRACE_RESERVE_MS = 250
+
 /** A settings file as it was read. */
 export interface SettingsFile {
   readonly file: string
@@ -37,7 +41,7 @@
   }
 
   setInterval(reload, SETTINGS_POLL_INTERVAL_MS).unref()
-  return { role, reload }
+  return { role, reload, maximumDrainMs: checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS }
 }
 
 function readText (file: string): string | null {
--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -1,7 +1,6 @@
 /** Lifecycle of the process: its phases, the signals that change them, and its end. */
 import type * as observability from '@switchridge/observability'
 import * as types from '@switchridge/types'
-import * as drainAndLogErrors from '../_lib/drainAndLogErrors.js'
 
 /** Phases of a process, in their order. */
 export type ProcessPhase = 'starting' | 'serving' | 'draining' | 'ended'
@@ -24,7 +23,7 @@
   readonly role: ManagedRole
   /** Reads the settings again; absent for a role that doesn't. */
   readonly reload?: () => void
-  /** Longest time for a drain in milliseconds, for a role that doesn't bound it itself. */
+  /** Longest time for a drain in milliseconds; the role may bound it more closely. */
   readonly maximumDrainMs?: number
 }
 
@@ -59,6 +58,7 @@
 const EXIT_STOPPED = 0
 const EXIT_FAILED = 1
 const EXIT_FORCED = 4
+const DRAIN_POLL_MS = 50
 /** A reader of the log that takes nothing for this long loses the last lines; the process ends without waiting for it. */
 const FLUSH_TIMEOUT_MS = 200
 
@@ -120,13 +120,13 @@
   }
 
   /** @param signal - The signal that began it; absent after an error. */
-  async function drain ({ role, maximumDrainMs = Infinity }: StartedRole, signal?: StopSignal): Promise<void> {
+  async function drain ({ role, maximumDrainMs }: StartedRole, signal?: StopSignal): Promise<void> {
     const { logger, calls } = role
     phase = 'draining'
     const beganAt = environment.now()
     const before = calls?.totals() ?? {}
     logger.info('drain-began', { signal, inProgress: calls?.count() })
-    await Promise.race([drainAndLogErrors.drainAndLogErrors(role), ...(maximumDrainMs === Infinity ? [] : [types.delay(maximumDrainMs)])])
+    await Promise.race([drainInAnyCase(role), ...(maximumDrainMs === undefined ? [] : [types.delay(maximumDrainMs)])])
     if (phase !== 'draining') return
     calls?.noteCut('stopped')
     logger.info('drain-ended', { ms: Math.round(environment.now() - beganAt), ...subtractTotals(calls?.totals() ?? {}, before) })
@@ -134,6 +134,16 @@
     await end(exitCode)
   }
 
+  /** A role that can't drain goes on until its calls in progress have ended. */
+  async function drainInAnyCase (role: ManagedRole): Promise<void> {
+    try {
+      await role.drain()
+    } catch (thrown) {
+      noteError(role, 'drain-failed', thrown)
+      while ((role.calls?.count() ?? 0) > 0) await types.delay(DRAIN_POLL_MS)
+    }
+  }
+
   function stopRole (role: ManagedRole): void {
     try {
       role.stop()
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -14,8 +14,16 @@
 }
 
 const TURNS = 10
+const MAXIMUM_TURNS = 1000
+const TURN_MS = 5
 
-async function createFixture (whileStarting: (send: (signal: NodeJS.Signals) => Promise<void>) => Promise<void> = async () => {}): Promise<Fixture> {
+interface FixtureOptions {
+  readonly whileStarting?: (send: (signal: NodeJS.Signals) => Promise<void>) => Promise<void>
+  /** Errors of the role's drain and stop. */
+  readonly failure?: Error
+}
+
+async function createFixture ({ whileStarting = async () => {}, failure }: FixtureOptions = {}): Promise<Fixture> {
   const lines: string[] = []
   const exits: number[] = []
   const handlers = new Map<NodeJS.Signals, () => void>()
@@ -41,7 +49,19 @@
   await lifecycle.serve(async () => {
     await whileStarting(send)
     return {
-      role: { drain: async () => { await drained }, stop: () => { lines.push('stop') }, calls: register, logger, count: () => {} },
+      role: {
+        drain: async () => {
+          if (failure !== undefined) throw failure
+          await drained
+        },
+        stop: () => {
+          lines.push('stop')
+          if (failure !== undefined) throw failure
+        },
+        calls: register,
+        logger,
+        count: () => {}
+      },
       reload: () => { lines.push('reload') }
     }
   })
@@ -95,8 +115,10 @@
 })
 
 nodeTest.test('signals during the start of the role wait for it, and a stop signal among them begins the drain', async () => {
-  const fixture = await createFixture(async (send) => {
-    for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT'] as const) await send(signal)
+  const fixture = await createFixture({
+    whileStarting: async (send) => {
+      for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT'] as const) await send(signal)
+    }
   })
   fixture.endDrain()
   await fixture.send('SIGTERM')
@@ -116,7 +138,28 @@
 })
 
 nodeTest.test('SIGQUIT during the start of the role ends the process at once', async () => {
-  const fixture = await createFixture(async (send) => { await send('SIGQUIT') })
+  const fixture = await createFixture({ whileStarting: async (send) => { await send('SIGQUIT') } })
   assert.deepEqual(fixture.lines, ['level=info event=exit code=4 uptimeMs=0 signals=SIGQUIT', 'flush'])
   assert.deepEqual(fixture.exits, [4])
 })
+
+nodeTest.test('a drain that fails cuts no calls, and a stop that fails loses no exit', async () => {
+  const failure = new Error('store gone')
+  failure.stack = 'stack'
+  const fixture = await createFixture({ failure })
+  const call = fixture.register.open({ id: 'a', readPhase: () => 'answering' })
+  await fixture.send('SIGTERM')
+  assert.deepEqual(fixture.exits, [])
+  call.noteEnding('answered')
+  call.close()
+  for (let turn = 0; turn < MAXIMUM_TURNS && fixture.exits.length === 0; turn += 1) await types.delay(TURN_MS)
+  assert.deepEqual(fixture.lines.slice(2), [
+    'drain-failed {"error":"store gone","stack":"stack"}',
+    'drain-ended {"ms":0,"answered":1}',
+    'stop',
+    'stop-failed {"error":"store gone","stack":"stack"}',
+    'exit {"code":1,"uptimeMs":0}',
+    'flush'
+  ])
+  assert.deepEqual(fixture.exits, [1])
+})
