Bound the memory of log lines that nobody reads

A reader of the log that is stuck, as one that is stopped together with the process, made every line stay in memory: 20,000 lines of 301 bytes queued 6.0 MB (trial with a pipe that nobody reads), without a bound, and the process has 128 MB.

--- a/packages/observability/src/createLogger/index.ts
+++ b/packages/observability/src/createLogger/index.ts
@@ -1,5 +1,6 @@
 /** Structured logging on top of loglevel: one line of key=value pairs per event. */
 import * as loglevel from 'loglevel'
+import * as createLineWriter from '../createLineWriter/index.js'
 
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent'
 export type LogValue = string | number | boolean | null | undefined
@@ -17,7 +18,7 @@
 export interface LoggerOptions {
   /** Lowest level that is written; `info` by default. */
   readonly level?: LogLevel
-  /** Receives each formatted line; writes to standard error by default. */
+  /** Receives each formatted line; writes to standard error by default, within a bound of memory. */
   readonly write?: (line: string) => void
 }
 
@@ -37,7 +38,7 @@
  * // time=2026-01-01T00:00:00.000Z level=info event=started node=node-1 port=7000
  */
 export function createLogger (name: string, fields: LogFields = {}, options: LoggerOptions = {}): Logger {
-  const write = options.write ?? ((line: string) => { process.stderr.write(line + '\n') })
+  const write = options.write ?? createLineWriter.createLineWriter(process.stderr)
   const logger = loglevel.default.getLogger(name)
   logger.methodFactory = (method) => (event: string, eventFields: LogFields) => {
     write(formatLine(method, event, { ...fields, ...eventFields }))
