Let a draining gateway take on only calls that may end in time

Callers that keep their connections saw the stream after the current one cut at the end of the grace period of a gateway that had got a SIGTERM.

A draining gateway admitted every call until 3 s before its end, whatever the call may take, although that is known: the timeout of its route, the caller's remaining time, and for engines the figures of the service.

Now a call is taken on at any time if its deadline is within the drain, and as long as the load balancer may still send new connections also if its predicted first event and its time in a slot fit into what is left. Others are refused at once, as not run, with a short retry time, and another gateway serves them.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -283,7 +283,7 @@
     isLeaving = true
     const startedAt = now()
     const endsBy = startedAt + checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS
-    calls.drain(endsBy)
+    calls.drain({ balancedUntil: startedAt + BALANCER_NOTICE_MS, endsAt: endsBy })
     gossip.sendNow()
     while (now() < endsBy) {
       await types.delay(DRAIN_POLL_MS)
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -6,6 +6,10 @@
 
 /** Milliseconds after which a caller may retry if the gateway has no configuration yet. */
 export const NO_CONFIGURATION_RETRY_MS = 300
+/** Why a draining gateway refuses a call. */
+export const DRAIN_REASON = 'this gateway ends'
+/** A caller that a draining gateway refuses may retry almost at once, because another gateway can take the call. */
+export const DRAIN_RETRY_MS = 20
 
 /** What is known of a call before its first attempt. */
 export interface CallDetails {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -87,9 +87,10 @@
  * @param call - The call.
  * @param reply - The response to the caller.
  * @param options - Decisions and clock of the gateway.
+ * @param mayFinish - Whether an attempt that is sent now, and whose first event is predicted within so many milliseconds, may finish before the gateway ends.
  * @returns How the call ended.
  */
-export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options): Promise<logCall.Ending> {
+export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options, mayFinish: (firstEventMs: number) => boolean = () => true): Promise<logCall.Ending> {
   const budget = options.budgetOf(call.service)
   budget.noteCall()
   const cancelExpiry = options.at(call.deadline.at, call.expire)
@@ -154,6 +155,12 @@
       if (noteIfBlocked()) return endUnserved()
       if (options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0) continue
       if (options.findExclusion(choice.backEnd, call.allowedRegions) !== null) continue
+      if (isFirst && !mayFinish(choice.firstEventMs)) {
+        options.count('calls_refused_draining')
+        lastReason = callState.DRAIN_REASON
+        retryAfterMs = callState.DRAIN_RETRY_MS
+        return endUnserved()
+      }
       if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -8,9 +8,11 @@
 import * as answers from '../_lib/answers.js'
 import type * as callOptions from '../_lib/callOptions.js'
 import * as computeAllowedRegions from '../computeAllowedRegions/index.js'
+import * as computeForecast from '../computeForecast/index.js'
 import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
 import * as computeRank from '../computeRank/index.js'
+import * as mayFinishInTime from '../mayFinishInTime/index.js'
 import * as readBody from '../readBody/index.js'
 import type * as gateway from '../types/index.js'
 
@@ -21,18 +23,14 @@
   readonly handle: (request: http.IncomingMessage, response: http.ServerResponse) => void
   /** The calls in progress. */
   readonly register: observability.CallRegister
-  /** Starts draining: asks callers to close their connections, and refuses calls that may not finish before `endsAt`, a monotonic time in milliseconds. */
-  readonly drain: (endsAt: number) => void
+  /** Starts draining: asks callers to close their connections, and refuses calls that may not finish in time. */
+  readonly drain: (bounds: mayFinishInTime.DrainBounds) => void
   /** Ends all calls in progress with a final response now. */
   readonly endAll: () => void
 }
 
-/** A draining gateway refuses calls that arrive with less than this left until it ends; most streams need as long. */
-const DRAIN_MINIMUM_CALL_MS = 3000
 /** Retry time of a caller whose body can't be held, at most doubled at random; another gateway may have memory. */
 const MEMORY_RETRY_MS = 100
-/** A refused caller may retry almost at once, because another gateway can take the call. */
-const DRAIN_RETRY_MS = 20
 
 /**
  * Creates the handler.
@@ -42,7 +40,7 @@
  */
 export function createCallHandler (options: callOptions.CallHandlerOptions): CallHandler {
   const register = observability.createCallRegister({ logger: options.logger, count: options.count, now: options.now })
-  let endsAt: number | null = null
+  let drain: mayFinishInTime.DrainBounds | null = null
   const calls = new Set<callState.CallState>()
   options.guard.onBlocked((isBlocked) => {
     for (const call of calls) if (isBlocked(call)) call.withdraw()
@@ -55,7 +53,7 @@
     const registered = register.open({ id: head.requestId, readPhase })
     response.once('close', registered.close)
     const holding = options.heldBytes?.open(dropCall) ?? null
-    const reply = answers.createReply(response, head.requestId, options.protocol, () => endsAt !== null, holding)
+    const reply = answers.createReply(response, head.requestId, options.protocol, () => drain !== null, holding)
     const table = options.routes()
     const limits = table?.configuration.limits
     const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, holding?.noteUpload)
@@ -64,11 +62,17 @@
     holding?.noteRunning()
     if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
     if (table === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
-    if (endsAt !== null && receivedAt + DRAIN_MINIMUM_CALL_MS > endsAt) return refuseWhileDraining()
     const routed = routeCall(table, head)
     if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
+    const requestedAt = options.now()
+    const deadlineAt = receivedAt + Math.min(routed.route.timeoutMs, head.remainingMs ?? Infinity)
+    const mayFinish = (firstEventMs: number): boolean => {
+      if (drain === null) return true
+      const holdMs = estimateHoldMs(table, routed.route, head)
+      return mayFinishInTime.mayFinishInTime(drain, { requestedAt, deadlineAt, expectedMs: holdMs === null ? null : firstEventMs + holdMs }, options.now())
+    }
+    if (!mayFinish(0)) return refuseWhileDraining()
     if (head.promptParts === null) options.count('prompt_parts_unreadable')
-    const timeoutMs = Math.min(routed.route.timeoutMs, head.remainingMs ?? Infinity)
     const call = callState.createCallState({
       head,
       route: routed.route,
@@ -77,13 +81,13 @@
       rank: computeRank.computeRank(routed.route, routed.tenant),
       service: pickService(routed.route, options.random()),
       body: toForwardedBody(request, body.body),
-      deadline: deadlines.createDeadline(receivedAt + timeoutMs, options.now),
+      deadline: deadlines.createDeadline(deadlineAt, options.now),
       receivedAt
     })
     response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
     calls.add(call)
     state = call
-    registered.noteEnding(await runAttempts.runAttempts(call, reply, options))
+    registered.noteEnding(await runAttempts.runAttempts(call, reply, options, mayFinish))
     calls.delete(call)
     holding?.noteRun()
 
@@ -107,7 +111,7 @@
       registered.noteEnding('refused')
       options.count('calls_refused_draining')
       options.logger.info('call-refused', { id: head.requestId, reason: 'draining' })
-      reply.refuse(503, 'this gateway ends', DRAIN_RETRY_MS)
+      reply.refuse(503, callState.DRAIN_REASON, callState.DRAIN_RETRY_MS)
     }
 
     function refuseBody (): void {
@@ -119,9 +123,9 @@
 
   return {
     register,
-    drain: (at) => {
-      endsAt = at
-      options.waiting?.end('this gateway ends', DRAIN_RETRY_MS)
+    drain: (bounds) => {
+      drain = bounds
+      options.waiting?.end(callState.DRAIN_REASON, callState.DRAIN_RETRY_MS)
     },
     endAll: () => {
       register.noteCut('grace-over')
@@ -149,6 +153,15 @@
   return { ok: true, route, tenant }
 }
 
+/** Milliseconds for which a call occupies a slot of the slowest service of its route; null if that of one is unknown. */
+function estimateHoldMs (table: createRouteTable.RouteTable, route: gateway.Route, head: gateway.CallHead): number | null {
+  const holdMs = route.splits.map(({ service }) => {
+    const figures = table.findService(service)?.engine ?? null
+    return figures === null ? null : computeForecast.computeHoldMs(figures, head.promptTokens, head.answerTokens)
+  })
+  return holdMs.includes(null) ? null : Math.max(...holdMs as number[])
+}
+
 function pickService (route: gateway.Route, random: number): types.ServiceName {
   const total = route.splits.reduce((sum, split) => sum + split.weight, 0)
   let left = random * total
