--- a/packages/gateway/src/createCallHandler/slowReaders.test.ts
+++ b/packages/gateway/src/createCallHandler/slowReaders.test.ts
@@ -4,10 +4,9 @@
 import type * as net from 'node:net'
 import * as nodeTest from 'node:test'
 import * as stream from 'node:stream'
-import * as types from '@switchridge/types'
-import * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
+import * as handlerTesting from '../_lib/handlerTesting.js'
 import * as createCallHandler from './index.js'
 
 const CALLERS = 200
@@ -53,8 +52,6 @@
   let aborted = 0
   const fixture = { time: 0 }
   const held = createHeldBytes.createHeldBytes({ maximumBytes, now: () => fixture.time })
-  const backEnd = { id: types.brandId<types.NodeId>('i-1'), bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
-  const route = { name: 'stream', kind: 'stream', allowedRegions: [], isResumable, timeoutMs: 1e6, targetMs: 1e6, gapTargetMs: 400, maximumAttempts: 3, isPublic: true, splits: [{ service: 'llm', weight: 1 }] }
 
   function startAttempt (): sendAttempt.Attempt {
     const index = taken.push(0) - 1
@@ -71,38 +68,12 @@
     return { start, abort: () => { if (!response.destroyed) { aborted += 1; response.destroy() } } }
   }
 
-  const handler = createCallHandler.createCallHandler({
-    protocol: {
-      readCall: () => ({ requestId: 'r', host: 'h', path: '/', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, promptParts: [], lastEventId: null, remainingMs: null, key: null, passedHeaders: [] }),
-      formatAttempt: () => [],
-      readAnswer: () => ({ kind: 'answered', status: 200, headers: [], isStream: true, version: null }),
-      readAdvertisedRate: () => ({ kind: 'none' }),
-      readBackoffRequest: () => ({ kind: 'none' }),
-      announcesLeaving: () => false,
-      formatGatewayAnswer: () => []
-    },
-    routes: () => ({ configuration: { limits: { maximumBodyBytes: Infinity } }, findRoute: () => route, needsKeys: false }),
-    choose: () => ({ choice: { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity }),
-    budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
-    sharedTargetOf: () => 1e6,
-    findExclusion: () => null,
-    onSent: () => {},
-    mustConfirmSlots: () => false,
-    errorBoundOf: () => ({ read: () => 0, note: () => {} }),
-    backoffs: { read: () => ({ waitMs: 0, maximumUnanswered: Infinity }), noteResponse: () => {} },
-    leavers: { isLeaving: () => false },
-    limiter: { readAllowance: () => null, noteResponse: () => {} },
-    guard: { isActive: () => false, onBlocked: () => {}, noteServed: () => {}, noteConnectionLost: async () => {} },
-    tracker: createBackEndTracker.createBackEndTracker(() => fixture.time),
+  const handler = createCallHandler.createCallHandler(handlerTesting.createHandlerOptions({ isResumable }, {
     heldBytes: held,
     sendAttempt: startAttempt,
-    logger: { info: () => {}, warn: (event: string) => { events.push(event) }, error: (event: string, fields: unknown) => { events.push(`${event} ${JSON.stringify(fields)}`) } },
-    count: () => {},
-    observe: () => {},
-    now: () => fixture.time,
-    at: () => () => {},
-    random: () => 0
-  } as unknown as createCallHandler.CallHandlerOptions)
+    logger: { info: () => {}, warn: (event: string) => { events.push(event) }, error: (event: string, fields: unknown) => { events.push(`${event} ${JSON.stringify(fields)}`) } } as unknown as createCallHandler.CallHandlerOptions['logger'],
+    now: () => fixture.time
+  }))
 
   function sendCall (body: Buffer | null): Caller {
     let received = ''
