Answer uploads that a draining gateway can't take on

A caller whose body was still arriving when its gateway got a SIGTERM got no answer: the gateway decided on a call once its body was whole, and the end of the grace period ended only such calls, so that the connection was closed.

Now a call is decided on when its head arrives, when the drain begins, when the load balancer sends no more connections, and when its body is whole. What is still arriving at the end of the grace period is refused, as not run.

A refusal closes the connection, and closing one with unread bytes resets it, which may overtake the answer. So the answer is sent whole at once, and the rest of the request is read before the connection is closed, for 2 s at most.

--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -3,6 +3,12 @@
 import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as callOptions from './callOptions.js'
 
+/**
+ * A connection that is closed while bytes of its request are unread is reset, and the reset may overtake the response. So the rest of a request that was refused is
+ * read for this long before its connection is closed.
+ */
+const REFUSED_REQUEST_READ_MS = 2000
+
 /** The response to one request. */
 export interface Reply {
   /** Sends a final response of the gateway itself; `retryAfterMs` tells the caller when to retry. */
@@ -47,6 +53,21 @@
     isEndedByClosing = true
   }
 
+  /** Sends the whole response, and closes its connection only once the request has been read, or no more of it is read. */
+  function endAfterRequest (body: Buffer): void {
+    const { req: request } = response
+    const timer = setTimeout(end, REFUSED_REQUEST_READ_MS)
+    response.write(body)
+    request.once('end', end)
+    request.once('close', end)
+    request.resume()
+
+    function end (): void {
+      clearTimeout(timer)
+      response.end()
+    }
+  }
+
   if (holding !== null) {
     response.on('drain', () => { holding.noteUnread(0) })
     response.once('finish', holding.close)
@@ -64,7 +85,8 @@
       if (response.headersSent || response.destroyed) return
       const body = Buffer.from(`${reason}\n`)
       writeHead(status, [...protocol.formatGatewayAnswer(requestId, retryAfterMs), 'Content-Type', 'text/plain', 'Content-Length', String(body.length)])
-      response.end(body)
+      if (response.shouldKeepAlive || response.req.complete) response.end(body)
+      else endAfterRequest(body)
     },
     sendBuffered: (status, headers, body, isFramed) => {
       if (response.destroyed) return
--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -125,6 +125,7 @@
   fixture.handler.drain(BOUNDS)
   fixture.advanceTo(BOUNDS.endsAt)
   fixture.handler.endAll()
+  assert.deepEqual(fixture.handler.register.totals(), { refused: 1 })
   assertRefused(await caller.receive('ends\n'))
   assert.equal(fixture.attempts(), 0)
 })
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -42,6 +42,8 @@
   const register = observability.createCallRegister({ logger: options.logger, count: options.count, now: options.now })
   let drain: mayFinishInTime.DrainBounds | null = null
   const calls = new Set<callState.CallState>()
+  /** Calls whose requests are still arriving. */
+  const readings = new Set<(isOver: boolean) => void>()
   options.guard.onBlocked((isBlocked) => {
     for (const call of calls) if (isBlocked(call)) call.withdraw()
   })
@@ -56,21 +58,21 @@
     const reply = answers.createReply(response, head.requestId, options.protocol, () => drain !== null, holding)
     const table = options.routes()
     const limits = table?.configuration.limits
-    const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, holding?.noteUpload)
+    const routed = table === null ? null : routeCall(table, head)
+    let requestedAt: number | null = null
+    let isRefused = false
+    readings.add(recheck)
+    recheck(false)
+    const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
+    readings.delete(recheck)
+    requestedAt = options.now()
+    if (isRefused) return
     if (body.kind === 'broken') return
     if (body.kind === 'not-held') return refuseBody()
     holding?.noteRunning()
     if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
-    if (table === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
-    const routed = routeCall(table, head)
+    if (table === null || routed === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
     if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
-    const requestedAt = options.now()
-    const deadlineAt = receivedAt + Math.min(routed.route.timeoutMs, head.remainingMs ?? Infinity)
-    const mayFinish = (firstEventMs: number): boolean => {
-      if (drain === null) return true
-      const holdMs = estimateHoldMs(table, routed.route, head)
-      return mayFinishInTime.mayFinishInTime(drain, { requestedAt, deadlineAt, expectedMs: holdMs === null ? null : firstEventMs + holdMs }, options.now())
-    }
     if (!mayFinish(0)) return refuseWhileDraining()
     if (head.promptParts === null) options.count('prompt_parts_unreadable')
     const call = callState.createCallState({
@@ -81,7 +83,7 @@
       rank: computeRank.computeRank(routed.route, routed.tenant),
       service: pickService(routed.route, options.random()),
       body: toForwardedBody(request, body.body),
-      deadline: deadlines.createDeadline(deadlineAt, options.now),
+      deadline: deadlines.createDeadline(readDeadlineAt(routed.route), options.now),
       receivedAt
     })
     response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
@@ -107,7 +109,27 @@
       return state.tried.size > 0 ? 'sent' : 'waiting'
     }
 
+    function readDeadlineAt (route: gateway.Route): number {
+      return receivedAt + Math.min(route.timeoutMs, head.remainingMs ?? Infinity)
+    }
+
+    /** Whether an attempt whose first event is expected within so many milliseconds may end before the process does; true if nothing would be attempted. */
+    function mayFinish (firstEventMs: number): boolean {
+      if (drain === null || table === null || routed?.ok !== true) return true
+      const holdMs = estimateHoldMs(table, routed.route, head)
+      const expectedMs = holdMs === null ? null : firstEventMs + holdMs
+      return mayFinishInTime.mayFinishInTime(drain, { requestedAt: requestedAt ?? options.now(), deadlineAt: readDeadlineAt(routed.route), expectedMs }, options.now())
+    }
+
+    /** Refuses a call whose request is still arriving, unless it may finish in time once that is complete. `isOver`: the grace period is. */
+    function recheck (isOver: boolean): void {
+      if (!isRefused && (isOver || !mayFinish(0))) refuseWhileDraining()
+      // It has its answer, so it is not one of the calls that are cut.
+      if (isOver) registered.close()
+    }
+
     function refuseWhileDraining (): void {
+      isRefused = true
       registered.noteEnding('refused')
       options.count('calls_refused_draining')
       options.logger.info('call-refused', { id: head.requestId, reason: 'draining' })
@@ -121,13 +143,20 @@
     }
   }
 
+  function recheckReadings (isOver: boolean): void {
+    for (const recheck of readings) recheck(isOver)
+  }
+
   return {
     register,
     drain: (bounds) => {
       drain = bounds
+      recheckReadings(false)
+      options.at(bounds.balancedUntil, () => { recheckReadings(false) })
       options.waiting?.end(callState.DRAIN_REASON, callState.DRAIN_RETRY_MS)
     },
     endAll: () => {
+      recheckReadings(true)
       register.noteCut('grace-over')
       for (const call of calls) call.expire()
     },
