Test expected uploads, second attempts and pipelined requests in a drain

Three faults that callers of a draining gateway see: one that waits for permission to send its body is told to send it and refused then; a call whose back end breaks off is sent to another one that can't answer in time; and the second of two requests that a caller sends at once reaches a back end, while the answer to the first closes their connection.

--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -1,7 +1,8 @@
-/** What a draining gateway does with requests that are still arriving. */
+/** What a draining gateway does with requests that are still arriving, and with those that it has. */
 import * as assert from 'node:assert/strict'
 import * as net from 'node:net'
 import * as nodeTest from 'node:test'
+import type * as sendAttempt from '../sendAttempt/index.js'
 import * as handlerTesting from '../_lib/handlerTesting.js'
 import * as createCallerServer from '../createCallerServer/index.js'
 import * as createCallHandler from './index.js'
@@ -13,6 +14,8 @@
 /** More than the kernel's buffers hold, so that a caller that sends it all needs a peer that reads. */
 const UPLOAD_BYTES = 16_000_000
 const HALF = 0.5
+const EXPECTATION = 'Expect: 100-continue\r\n'
+const GET = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 const WAIT = { timeout: 20_000 }
 
 interface Fixture {
@@ -20,6 +23,8 @@
   /** Advances the clock and runs what is due. */
   readonly advanceTo: (time: number) => void
   readonly attempts: () => number
+  /** Ends the first attempt without an answer. */
+  readonly breakAttempt: () => void
 }
 
 interface Caller {
@@ -29,12 +34,12 @@
   readonly error: () => Error | null
 }
 
-/** Starts a gateway whose back end never answers. */
-async function startGateway (context: nodeTest.TestContext, timeoutMs: number): Promise<Fixture> {
+/** Starts a gateway whose back end answers nothing. */
+async function startGateway (context: nodeTest.TestContext, timeoutMs: number, kind: 'stream' | 'repeatable' = 'stream'): Promise<Fixture> {
   let time = 0
-  let attempts = 0
+  const attempts: Array<(start: sendAttempt.AttemptStart) => void> = []
   let scheduled: Array<{ readonly at: number, readonly action: () => void }> = []
-  const handler = createCallHandler.createCallHandler(handlerTesting.createHandlerOptions({ timeoutMs }, {
+  const handler = createCallHandler.createCallHandler(handlerTesting.createHandlerOptions({ timeoutMs, kind }, {
     now: () => time,
     at: (at, action) => {
       const entry = { at, action }
@@ -42,15 +47,16 @@
       return () => { scheduled = scheduled.filter((each) => each !== entry) }
     },
     sendAttempt: () => {
-      attempts += 1
-      return { start: new Promise(() => {}), abort: () => {} }
+      const start = new Promise<sendAttempt.AttemptStart>((resolve) => { attempts.push(resolve) })
+      return { start, abort: () => {} }
     }
   }))
   const server = await createCallerServer.createCallerServer(handler, ADDRESS)
   context.after(server.close)
   return {
     handler,
-    attempts: () => attempts,
+    attempts: () => attempts.length,
+    breakAttempt: () => { attempts[0]?.({ kind: 'no-answer', reason: 'closed', isClosedByPeer: true }) },
     advanceTo: (to) => {
       time = to
       for (const { action } of scheduled.filter(({ at }) => at <= to)) action()
@@ -61,13 +67,18 @@
 
 /** Opens a connection and sends the head of an upload. */
 function openUpload (context: nodeTest.TestContext, header = ''): Caller {
+  return openCaller(context, `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${UPLOAD_BYTES}\r\n${header}\r\n`)
+}
+
+/** Opens a connection and sends a text. */
+function openCaller (context: nodeTest.TestContext, text: string): Caller {
   const socket = net.connect(ADDRESS)
   let received = ''
   let error: Error | null = null
   socket.on('data', (bytes: Buffer) => { received += bytes.toString() })
   socket.on('error', (thrown) => { error = thrown })
   context.after(() => { socket.destroy() })
-  socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${UPLOAD_BYTES}\r\n${header}\r\n`)
+  socket.write(text)
   return {
     socket,
     error: () => error,
@@ -94,6 +105,10 @@
   assert.equal(handler.register.count(), 1)
 }
 
+async function waitForAttempts ({ attempts }: Fixture, count: number): Promise<void> {
+  while (attempts() < count) await new Promise((resolve) => { setImmediate(resolve) })
+}
+
 function assertRefused (answer: string): void {
   assert.match(answer, /^HTTP\/1.1 503 [^]*\r\nConnection: close\r\n[^]*this gateway ends\n$/)
 }
@@ -129,3 +144,31 @@
   assertRefused(await caller.receive('ends\n'))
   assert.equal(fixture.attempts(), 0)
 })
+
+nodeTest.test('a draining gateway refuses an upload that waits for permission to begin, and does not ask for it first', WAIT, async (context) => {
+  const fixture = await startGateway(context, LONG_MS)
+  assert.match(await openUpload(context, EXPECTATION).receive('\r\n\r\n'), /^HTTP\/1.1 100 Continue\r\n/)
+  fixture.handler.drain(BOUNDS)
+  assertRefused(await openUpload(context, EXPECTATION).receive('ends\n'))
+})
+
+nodeTest.test('a call whose back end breaks off during a drain is not sent to another one that may not answer in time', WAIT, async (context) => {
+  const fixture = await startGateway(context, LONG_MS, 'repeatable')
+  const caller = openCaller(context, GET)
+  await waitForAttempts(fixture, 1)
+  fixture.handler.drain(BOUNDS)
+  fixture.breakAttempt()
+  assert.match(await caller.receive('ends\n'), /^HTTP\/1.1 502 /)
+  assert.equal(fixture.attempts(), 1)
+})
+
+nodeTest.test('a request is not sent to a back end while the answer before it on its connection may close that', WAIT, async (context) => {
+  const fixture = await startGateway(context, SHORT_MS)
+  const caller = openCaller(context, GET + GET)
+  await waitForAttempts(fixture, 1)
+  fixture.handler.drain(BOUNDS)
+  fixture.breakAttempt()
+  await new Promise((resolve) => { caller.socket.once('close', resolve) })
+  assert.equal(fixture.attempts(), 1)
+  assert.equal(fixture.handler.register.count(), 0)
+})
