Send no further attempt that may not end before a draining gateway does

A caller whose call's back end broke off during a drain waited until the end of the grace period for a second attempt that could not end before it. Only first attempts were decided on. Now each attempt is, by the time that is left when it is sent; a call that can't be sent again gets its answer at once. A stream that has begun still goes on at another back end, since its caller would lose it otherwise.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -155,7 +155,8 @@
       if (noteIfBlocked()) return endUnserved()
       if (options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0) continue
       if (options.findExclusion(choice.backEnd, call.allowedRegions) !== null) continue
-      if (isFirst && !mayFinish(choice.firstEventMs)) {
+      // A stream that has begun goes on for as long as the process does.
+      if (!reply.hasStarted() && !mayFinish(choice.firstEventMs)) {
         options.count('calls_refused_draining')
         lastReason = callState.DRAIN_REASON
         retryAfterMs = callState.DRAIN_RETRY_MS
