Begin a request once the answer before it on its connection is sent

The second of two requests that a caller sent at once was passed on to a back end while the first was still being answered. If that answer closed their connection, as each one of a draining gateway does, the second got none, its back end went on, and it counted as in progress until the process ended, so that a drain waited for the whole grace period.

Now a request begins when its response is the next one on its connection.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -157,7 +157,7 @@
       if (options.findExclusion(choice.backEnd, call.allowedRegions) !== null) continue
       // A stream that has begun goes on for as long as the process does.
       if (!reply.hasStarted() && !mayFinish(choice.firstEventMs)) {
-        options.count('calls_refused_draining')
+        if (!call.mayHaveRun) options.count('calls_refused_draining')
         lastReason = callState.DRAIN_REASON
         retryAfterMs = callState.DRAIN_RETRY_MS
         return endUnserved()
--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -172,3 +172,11 @@
   assert.equal(fixture.attempts(), 1)
   assert.equal(fixture.handler.register.count(), 0)
 })
+
+nodeTest.test('requests that a caller sends at once are served one after the other', WAIT, async (context) => {
+  const fixture = await startGateway(context, SHORT_MS)
+  openCaller(context, GET + GET)
+  await waitForAttempts(fixture, 1)
+  fixture.breakAttempt()
+  await waitForAttempts(fixture, 2)
+})
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -162,10 +162,16 @@
     },
     handle: (request, response) => {
       response.on('error', () => {})
-      run(request, response).catch((thrown: unknown) => {
-        options.logger.error('call-broken', { error: types.describeError(thrown) })
-        response.destroy()
-      })
+      // The response before it on its connection may close that, so a request that is sent early waits for its turn.
+      if (response.socket === null) response.once('socket', begin)
+      else begin()
+
+      function begin (): void {
+        run(request, response).catch((thrown: unknown) => {
+          options.logger.error('call-broken', { error: types.describeError(thrown) })
+          response.destroy()
+        })
+      }
     }
   }
 }
