Ask for a body only once its call is not refused

A caller that waits for permission to send its body (Expect: 100-continue) was told to send it by a draining gateway, and then refused: the HTTP server gave the permission before the handler had seen the request. Now the handler gives it.

Evidence: in the test the caller got 100 Continue and then 503; now it gets 503 alone while the gateway drains, and 100 Continue otherwise.

--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -63,6 +63,7 @@
     let isRefused = false
     readings.add(recheck)
     recheck(false)
+    if (!isRefused && request.headers.expect !== undefined) response.writeContinue()
     const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
     readings.delete(recheck)
     requestedAt = options.now()
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -35,6 +35,8 @@
   const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS }, handler.handle)
   setLimits(gateway.DEFAULT_CALLER_LIMITS)
   server.requestTimeout = 0
+  // The handler decides whether the caller may send its body.
+  server.on('checkContinue', handler.handle)
   server.on('clientError', respondToClientError)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
