--- a/packages/daemon/src/_lib/plainHall.ts
+++ b/packages/daemon/src/_lib/plainHall.ts
@@ -14,7 +14,8 @@
 
 /** A hall in which daemons can be started. */
 export interface PlainHall {
-  readonly startEntry: () => Promise<startDaemon.RunningRole>
+  /** `limits`: lines of that section of its settings. */
+  readonly startEntry: (limits?: string) => Promise<startDaemon.RunningRole>
   /** Starts the daemon of a backend server that reports to an entry node. */
   readonly startBackend: (entry: startDaemon.RunningRole) => Promise<startDaemon.RunningRole>
   /** Reads the members as a daemon sees them. */
@@ -59,7 +60,7 @@
   }
 
   return {
-    startEntry: async () => await start(`role = "entry"\nnode = "entry-${roles.length}"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`),
+    startEntry: async (limits = '') => await start(`role = "entry"\nnode = "entry-${roles.length}"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0\n[limits]\n${limits}`),
     startBackend: async (entry) => await start(`role = "backend"\nnode = "backend-${roles.length}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = 0\n[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"`),
     readMembers: async (role) => {
       const status = await client.call<{ members: readonly membership.Member[] }>(role.address, 'status', {})
--- a/packages/daemon/src/startEntryRole/draining.test.ts
+++ b/packages/daemon/src/startEntryRole/draining.test.ts
@@ -7,6 +7,7 @@
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
 import type * as startDaemon from '../startDaemon/index.js'
+import * as callHeaders from '../_lib/callHeaders.js'
 import * as plainHall from '../_lib/plainHall.js'
 
 const HOST = types.LOOPBACK_HOST
@@ -18,42 +19,62 @@
 /** A caller sends at most so many calls, which is more than fit into the time for which a draining entry node still accepts calls. */
 const MAXIMUM_CALLS = 200
 
+/** Shorter than the deadline of the service. */
+const DRAIN_SECONDS = 3
+const SHORT_MS = 1000
+const SERVICE_UNAVAILABLE = 503
+/** Longer than an entry node waits for the balancer and for its callers to close their connections. */
+const READ_AFTER_MS = 5000
+const BODY_BYTES = 32_000_000
+const WAIT = { timeout: 30_000 }
+
 interface Answer {
   readonly status: number
+  readonly reason: unknown
+  readonly bytes: number
   readonly isClosing: boolean
 }
 
 /** Sends a call over the agent's connection; rejects if there is no complete answer. */
-async function send (agent: http.Agent, port: number): Promise<Answer> {
+async function send (agent: http.Agent, port: number, headers: Readonly<Record<string, string>> = {}, mayRead = Promise.resolve()): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    const request = http.request({ agent, host: HOST, port, path: '/services/api/orders', method: 'POST' }, (response) => {
+    const request = http.request({ agent, host: HOST, port, path: '/services/api/orders', method: 'POST', headers }, (response) => {
+      let bytes = 0
       response.on('error', reject)
-      response.on('end', () => { resolve({ status: response.statusCode ?? 0, isClosing: response.headers.connection === 'close' }) })
-      response.resume()
+      response.on('end', () => { resolve({ status: response.statusCode ?? 0, reason: response.headers[callHeaders.REASON_HEADER], bytes, isClosing: response.headers.connection === 'close' }) })
+      void mayRead.then(() => { response.on('data', (part: Buffer) => { bytes += part.length }) })
     })
     request.on('error', reject)
     request.end('order')
   })
 }
 
-async function openEntry (context: nodeTest.TestContext): Promise<startDaemon.RunningRole> {
+interface OpenedEntry {
+  readonly entry: startDaemon.RunningRole
+  readonly port: number
+  /** Number of requests that reached the back end. */
+  readonly requests: () => number
+}
+
+/** Starts an entry node before a back end that answers so many bytes. */
+async function openEntry (context: nodeTest.TestContext, bytes: number, limits = ''): Promise<OpenedEntry> {
   let requests = 0
   const hall = await plainHall.openPlainHall(context, (request, response) => {
     request.resume()
     requests += 1
-    setTimeout(() => { response.end('done') }, WORK_MS[requests % WORK_MS.length])
+    setTimeout(() => { response.end(Buffer.alloc(bytes)) }, WORK_MS[requests % WORK_MS.length])
   })
-  const entry = await hall.startEntry()
+  const entry = await hall.startEntry(limits)
   await hall.startBackend(entry)
   await hall.addService()
   const agent = new http.Agent()
-  while ((await send(agent, entry.callerAddress?.port ?? 0)).status !== OK) await types.delay(POLL_MS)
-  return entry
+  const port = entry.callerAddress?.port ?? 0
+  while ((await send(agent, port)).status !== OK) await types.delay(POLL_MS)
+  return { entry, port, requests: () => requests }
 }
 
 nodeTest.test('a draining entry node cuts no call of callers that go on using their connections, and ends', async (context) => {
-  const entry = await openEntry(context)
-  const port = entry.callerAddress?.port ?? 0
+  const { entry, port } = await openEntry(context, 1)
   const progress = { isDrained: false }
   const statuses: number[] = []
 
@@ -75,3 +96,25 @@
   await drained
   assert.deepEqual(statuses.filter((status) => status !== OK), [])
 })
+
+nodeTest.test('a draining entry node takes on only calls whose deadline is within the drain', WAIT, async (context) => {
+  const { entry, port, requests } = await openEntry(context, 1, `drain_seconds = ${DRAIN_SECONDS}`)
+  const before = requests()
+  const drained = entry.drain()
+  const { status, reason } = await send(new http.Agent(), port)
+  assert.deepEqual([status, reason, requests() - before], [SERVICE_UNAVAILABLE, 'leaving', 0])
+  assert.equal((await send(new http.Agent(), port, { [callHeaders.TIMEOUT_HEADER]: String(SHORT_MS) })).status, OK)
+  await drained
+})
+
+nodeTest.test('an entry node drains until its callers have got their answers', WAIT, async (context) => {
+  const { entry, port } = await openEntry(context, BODY_BYTES)
+  let read: () => void = () => {}
+  const answer = send(new http.Agent(), port, {}, new Promise((resolve) => { read = resolve }))
+  while (entry.calls?.list()[0]?.phase !== 'answering') await types.delay(POLL_MS)
+  const drained = entry.drain()
+  setTimeout(read, READ_AFTER_MS)
+  await drained
+  entry.stop()
+  assert.equal((await answer).bytes, BODY_BYTES)
+})
