--- a/packages/daemon/src/createEntryCalls/blocked.test.ts
+++ b/packages/daemon/src/createEntryCalls/blocked.test.ts
@@ -33,6 +33,7 @@
       sent.push(call)
       return { kind: 'not-run', reason: 'sent', load: undefined }
     },
+    register: { open: () => ({ noteEnding: () => {}, close: () => {} }) },
     guard: { isActive: () => true, readBlockedMs: () => isBlocked ? BLOCKED_MS : null, onBlocked: () => {} },
     logger: { info: () => {} },
     metrics: { increment: () => {}, timing: () => {} },
