Let a draining entry node take on only calls whose deadline is within the drain

A caller of an entry node that drains got its call passed on, also if its deadline is later than the end of limits.drain_seconds, at which the process ends and closes the connection. Such a call is now refused at once, as not run with the reason leaving and a retry time of 0, since another entry node can take it.

--- a/packages/daemon/src/createEntryCalls/blocked.test.ts
+++ b/packages/daemon/src/createEntryCalls/blocked.test.ts
@@ -34,6 +34,7 @@
       return { kind: 'not-run', reason: 'sent', load: undefined }
     },
     register: { open: () => ({ noteEnding: () => {}, close: () => {} }) },
+    endsAt: () => Infinity,
     guard: { isActive: () => true, readBlockedMs: () => isBlocked ? BLOCKED_MS : null, onBlocked: () => {} },
     logger: { info: () => {} },
     metrics: { increment: () => {}, timing: () => {} },
--- a/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
+++ b/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
@@ -24,6 +24,7 @@
     limiter: { take: () => 0 },
     send: async () => result,
     register: { open: () => ({ noteEnding: () => {}, close: () => {} }) },
+    endsAt: () => Infinity,
     guard: { isActive: () => false, onBlocked: () => {}, noteLost: async () => {} },
     logger: { info: (event: string, fields: observability.LogFields) => { events.push([event, fields['reason'], fields['attempt'] ?? fields['attempts'], fields['obstacle'] ?? '', fields['retriesLeft'] ?? ''].join(' ')) } },
     metrics: { increment: () => {}, timing: () => {} },
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -34,6 +34,8 @@
   readonly at: clock.ScheduleAt
   readonly guard: createEntryQuarantine.EntryGuard
   readonly register: observability.CallRegister
+  /** Monotonic time in milliseconds at which the process ends the calls in progress; Infinity before it drains. */
+  readonly endsAt: () => number
 }
 
 /** The middleware and its calls in progress. */
@@ -47,7 +49,7 @@
 const RETRY_AFTER_SECONDS = 1
 /** Attempts of a call, without the first refusal by each process that leaves. */
 const MAXIMUM_ATTEMPTS = 5
-/** The backend server refuses all new calls, since its process is about to end. */
+/** The process that refuses the call is about to end. */
 const LEAVING_REASON = 'leaving'
 /** Refusal reasons that are no evidence of a failing server. */
 const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
@@ -172,6 +174,10 @@
     const deadlineAt = options.now() + entryCall.computeTimeoutMs(context, service)
     const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
     if (!body.ok) return reject(context, 413, body.error.message)
+    if (deadlineAt > options.endsAt()) {
+      sendFailure(context, { kind: 'not-run', reason: LEAVING_REASON, load: undefined, retryAfterMs: 0 })
+      return null
+    }
     const headers = { ...callHeaders.selectForwardedHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
     const path = (match[3] ?? '/') + context.search
     const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: entryCall.isRepeatable(service, context.method), deadlineAt }
--- a/packages/daemon/src/createEntryCalls/served.test.ts
+++ b/packages/daemon/src/createEntryCalls/served.test.ts
@@ -23,6 +23,7 @@
     limiter: { take: () => 0 },
     send: async () => ({ kind: 'answered', response: Object.assign(stream.Readable.from([Buffer.from('answer')]), { statusCode, headers: {} }) as unknown as http.IncomingMessage, load: undefined }),
     register: { open: () => ({ noteEnding: () => {}, close: () => {} }) },
+    endsAt: () => Infinity,
     guard: { isActive: () => true, readBlockedMs: () => null, onBlocked: () => {}, noteServed: (call: quarantine.CallFeatures) => { served.push(call) }, noteLost: async () => {} },
     logger: { info: () => {} },
     metrics: { increment: () => {}, timing: () => {} },
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -31,6 +31,8 @@
 
 /** How long a draining entry node still accepts calls, until the load balancer has seen its health check fail. */
 const BALANCER_GRACE_MS = 2000
+/** Time at the end of a drain for sending the last answers. */
+const DRAIN_RESERVE_MS = 500
 const DRAIN_POLL_MS = 50
 const DISPATCH_INTERVAL_MS = 50
 const SWEEP_INTERVAL_MS = 60_000
@@ -50,6 +52,7 @@
   const health = routing.createBackendHealth(parts.now)
   const startedAt = parts.liveness.now()
   let isLeaving = false
+  let endsAt = Infinity
 
   /** Backend servers report once an interval, so that an entry node that has just started may not have heard all of them. */
   const isStarting = (): boolean => parts.liveness.now() - startedAt < types.HEARTBEAT_TIMEOUT_MS
@@ -83,7 +86,8 @@
     metrics: parts.metrics,
     now: parts.now,
     at: parts.at,
-    guard: quarantine.guard
+    guard: quarantine.guard,
+    endsAt: () => endsAt
   })
 
   /** Whether this entry node removes expired claims for the whole fleet. With different membership views two may do so, which is harmless. */
@@ -189,6 +193,7 @@
     count: parts.countLabelled,
     drain: async () => {
       isLeaving = true
+      endsAt = parts.now() + settings.limits.drain_seconds * types.MILLISECONDS_IN_SECOND - DRAIN_RESERVE_MS
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
       await types.delay(BALANCER_GRACE_MS)
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -174,6 +174,7 @@
       return await daemon.sendAttempt(call, backend, { self: types.brandId<types.NodeId>(`entry-${index}`), identity: IDENTITY, agents, client, now, signal: breakableSignal })
     },
     logger: LOGGER,
+    endsAt: () => Infinity,
     register: createRegister(),
     metrics: observability.createStatsdMetrics({ host: HOST, port: 8125, tags: {}, enabled: false }),
     now,
