--- a/packages/daemon/src/startEntryRole/draining.test.ts
+++ b/packages/daemon/src/startEntryRole/draining.test.ts
@@ -21,7 +21,9 @@
 
 /** Shorter than the deadline of the service. */
 const DRAIN_SECONDS = 3
+const UNANSWERED_PATH = '/unanswered'
 const SHORT_MS = 1000
+const BAD_GATEWAY = 502
 const SERVICE_UNAVAILABLE = 503
 /** Longer than an entry node waits for the balancer and for its callers to close their connections. */
 const READ_AFTER_MS = 5000
@@ -36,9 +38,9 @@
 }
 
 /** Sends a call over the agent's connection; rejects if there is no complete answer. */
-async function send (agent: http.Agent, port: number, headers: Readonly<Record<string, string>> = {}, mayRead = Promise.resolve()): Promise<Answer> {
+async function send (agent: http.Agent, port: number, headers: Readonly<Record<string, string>> = {}, mayRead = Promise.resolve(), path = '/orders'): Promise<Answer> {
   return await new Promise((resolve, reject) => {
-    const request = http.request({ agent, host: HOST, port, path: '/services/api/orders', method: 'POST', headers }, (response) => {
+    const request = http.request({ agent, host: HOST, port, path: `/services/api${path}`, method: 'POST', headers }, (response) => {
       let bytes = 0
       response.on('error', reject)
       response.on('end', () => { resolve({ status: response.statusCode ?? 0, reason: response.headers[callHeaders.REASON_HEADER], bytes, isClosing: response.headers.connection === 'close' }) })
@@ -56,12 +58,13 @@
   readonly requests: () => number
 }
 
-/** Starts an entry node before a back end that answers so many bytes. */
+/** Starts an entry node before a back end that answers so many bytes, or nothing to a request with {@link UNANSWERED_PATH}. */
 async function openEntry (context: nodeTest.TestContext, bytes: number, limits = ''): Promise<OpenedEntry> {
   let requests = 0
   const hall = await plainHall.openPlainHall(context, (request, response) => {
     request.resume()
     requests += 1
+    if (request.url === UNANSWERED_PATH) return
     setTimeout(() => { response.end(Buffer.alloc(bytes)) }, WORK_MS[requests % WORK_MS.length])
   })
   const entry = await hall.startEntry(limits)
@@ -118,3 +121,13 @@
   entry.stop()
   assert.equal((await answer).bytes, BODY_BYTES)
 })
+
+nodeTest.test('callers of calls that outlast the drain of their entry node are told that the outcome is unknown', WAIT, async (context) => {
+  const { entry, port, requests } = await openEntry(context, 1, `drain_seconds = ${DRAIN_SECONDS}`)
+  const before = requests()
+  const answer = send(new http.Agent(), port, {}, undefined, UNANSWERED_PATH)
+  while (requests() === before) await types.delay(POLL_MS)
+  await Promise.race([entry.drain(), types.delay(DRAIN_SECONDS * types.MILLISECONDS_IN_SECOND)])
+  entry.stop()
+  assert.equal((await answer).status, BAD_GATEWAY)
+})
