Answer calls that outlast the drain of their entry node

A caller whose call was still at a back end, or waited for one, at the end of limits.drain_seconds saw its connection closed without an answer. A response that has begun goes on until the process ends.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -42,6 +42,8 @@
 export interface EntryCalls {
   readonly middleware: Koa.Middleware
   readonly inProgress: () => number
+  /** Ends all calls whose response has not begun: as not run where that is certain, or else as unknown. */
+  readonly endAll: () => void
   readonly counts: Readonly<Record<string, number>>
 }
 
@@ -97,6 +99,8 @@
   const counts: Record<string, number> = {}
   let inProgress = 0
   const pendingAttempts = new Set<PendingAttempt>()
+  /** For calls whose response may not have begun. */
+  const endings = new Set<() => void>()
   options.guard.onBlocked((isBlocked) => {
     for (const { call, end } of pendingAttempts) if (isBlocked(entryCall.describeCall(call))) end()
   })
@@ -115,7 +119,10 @@
     const startedAt = options.now()
     const abort = new AbortController()
     const abortCall = (): void => { abort.abort() }
+    const end = (): void => { if (!context.res.headersSent) abort.abort(LEAVING_REASON) }
     context.res.once('close', abortCall)
+    endings.add(end)
+    context.res.once('close', () => { endings.delete(end) })
     if (prepared.key === '') await runOnce(context, prepared, abort.signal, null)
     else await runUnderKey(context, prepared, abort.signal)
     context.res.off('close', abortCall)
@@ -282,7 +289,7 @@
     const queued = { account: call.account.id, share: call.account.share, priority: call.account.priority }
     const dispatched = options.dispatcher.submit({ service: call.service, row: call.row, queued, affinity, tried })
     const cancelExpiry = options.at(call.deadlineAt, () => { dispatched.cancel('deadline') })
-    const cancel = (): void => { dispatched.cancel('cancelled') }
+    const cancel = (): void => { dispatched.cancel(signal.reason === LEAVING_REASON ? LEAVING_REASON : 'cancelled') }
     signal.addEventListener('abort', cancel, { once: true })
     const backend = await dispatched.backend
     cancelExpiry()
@@ -357,7 +364,7 @@
       inProgress -= 1
     }
   }
-  return { middleware, inProgress: () => inProgress, counts }
+  return { middleware, inProgress: () => inProgress, endAll: () => { for (const end of endings) end() }, counts }
 }
 
 function isLeavingRefusal (result: FailedAttempt): boolean {
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -171,8 +171,10 @@
     return hasBackend ? '' : 'no live backend server'
   }
 
+  /** Waits for the calls in progress until the drain is over, and ends them then. */
   async function waitForCalls (): Promise<void> {
-    while (calls.inProgress() > 0) await types.delay(DRAIN_POLL_MS)
+    while (calls.inProgress() > 0 && parts.now() < endsAt) await types.delay(DRAIN_POLL_MS)
+    calls.endAll()
   }
 
   keeper.onAdopt(() => {
