--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -34,12 +34,16 @@
   readonly at: clock.ScheduleAt
   readonly guard: createEntryQuarantine.EntryGuard
   readonly register: observability.CallRegister
+  /** Monotonic time in milliseconds at which the process ends the calls in progress; Infinity before it drains. */
+  readonly endsAt: () => number
 }
 
 /** The middleware and its calls in progress. */
 export interface EntryCalls {
   readonly middleware: Koa.Middleware
   readonly inProgress: () => number
+  /** Ends all calls whose response has not begun: as not run where that is certain, or else as unknown. */
+  readonly endAll: () => void
   readonly counts: Readonly<Record<string, number>>
 }
 
@@ -47,7 +51,7 @@
 const RETRY_AFTER_SECONDS = 1
 /** Attempts of a call, without the first refusal by each process that leaves. */
 const MAXIMUM_ATTEMPTS = 5
-/** The backend server refuses all new calls, since its process is about to end. */
+/** The process that refuses the call is about to end. */
 const LEAVING_REASON = 'leaving'
 /** Refusal reasons that are no evidence of a failing server. */
 const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
@@ -95,6 +99,8 @@
   const counts: Record<string, number> = {}
   let inProgress = 0
   const pendingAttempts = new Set<PendingAttempt>()
+  /** For calls whose response may not have begun. */
+  const endings = new Set<() => void>()
   options.guard.onBlocked((isBlocked) => {
     for (const { call, end } of pendingAttempts) if (isBlocked(entryCall.describeCall(call))) end()
   })
@@ -113,7 +119,10 @@
     const startedAt = options.now()
     const abort = new AbortController()
     const abortCall = (): void => { abort.abort() }
+    const end = (): void => { if (!context.res.headersSent) abort.abort(LEAVING_REASON) }
     context.res.once('close', abortCall)
+    endings.add(end)
+    context.res.once('close', () => { endings.delete(end) })
     if (prepared.key === '') await runOnce(context, prepared, abort.signal, null)
     else await runUnderKey(context, prepared, abort.signal)
     context.res.off('close', abortCall)
@@ -172,6 +181,10 @@
     const deadlineAt = options.now() + entryCall.computeTimeoutMs(context, service)
     const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
     if (!body.ok) return reject(context, 413, body.error.message)
+    if (deadlineAt > options.endsAt()) {
+      sendFailure(context, { kind: 'not-run', reason: LEAVING_REASON, load: undefined, retryAfterMs: 0 })
+      return null
+    }
     const headers = { ...callHeaders.selectForwardedHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
     const path = (match[3] ?? '/') + context.search
     const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: entryCall.isRepeatable(service, context.method), deadlineAt }
@@ -276,7 +289,7 @@
     const queued = { account: call.account.id, share: call.account.share, priority: call.account.priority }
     const dispatched = options.dispatcher.submit({ service: call.service, row: call.row, queued, affinity, tried })
     const cancelExpiry = options.at(call.deadlineAt, () => { dispatched.cancel('deadline') })
-    const cancel = (): void => { dispatched.cancel('cancelled') }
+    const cancel = (): void => { dispatched.cancel(signal.reason === LEAVING_REASON ? LEAVING_REASON : 'cancelled') }
     signal.addEventListener('abort', cancel, { once: true })
     const backend = await dispatched.backend
     cancelExpiry()
@@ -351,7 +364,7 @@
       inProgress -= 1
     }
   }
-  return { middleware, inProgress: () => inProgress, counts }
+  return { middleware, inProgress: () => inProgress, endAll: () => { for (const end of endings) end() }, counts }
 }
 
 function isLeavingRefusal (result: FailedAttempt): boolean {
