Let a gateway end no sooner than its answers are delivered

Callers that read slowly got no whole answer from a gateway that ended, about 2.6 s after its SIGTERM, while its log said answered and its exit code was 0.

Cause: once its caller port is closed, a draining gateway closed idle connections with closeIdleConnections of Node.js, which spares a connection only until the end of its response was handed over, sent or not. http.Server.close does the same and stops checking the time for request heads, too. And what a caller sends to a connection that was closed is answered with a reset, on which the kernel discards what it had not sent yet.

trackConnections now knows the phase of each connection of a server. A drain ends when none is open, within the grace period. Connections are closed once they have been idle for 500 ms, by an end after the last byte, and read on until the peer ends them, too, at most for 2 s. Limits on request heads stay in force. A bad request's connection is bounded in the same way; before, it stayed open until its caller closed it or sent more.

The test of createCallerServer awaits the drain now, which replaces stopAccepting and closeIdle; its checks are unchanged.

--- a/packages/daemon/src/_lib/unreadCall.ts
+++ b/packages/daemon/src/_lib/unreadCall.ts
@@ -22,7 +22,7 @@
  * @returns The call. Rejects if the connection breaks before the head arrives.
  */
 export async function openUnreadCall ({ host, port }: types.Address, path: string, headers: http.OutgoingHttpHeaders): Promise<UnreadCall> {
-  const request = http.get({ host, port, path, headers, agent: false })
+  const request = http.get({ host, port, path, headers, agent: new http.Agent({ keepAlive: true }) })
   const response = await new Promise<http.IncomingMessage>((resolve, reject) => {
     request.once('response', resolve)
     request.once('error', reject)
--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -9,6 +9,7 @@
 const HOST = '127.0.0.23'
 const PATH = '/read/stock'
 const OK = 200
+const LIMIT = { timeout: 60_000 }
 const CALLERS = 4
 /** More than the kernel's buffers take for a caller that doesn't read. */
 const BIG_ANSWER_BYTES = 16_000_000
@@ -36,7 +37,7 @@
   }
 }
 
-nodeTest.test('a gateway ends no sooner than the answers that its callers still read', async (context) => {
+nodeTest.test('a gateway ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
   const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20)
   const calls = await Promise.all(Array.from({ length: CALLERS }, async (_, caller) => await open(`slow-${caller}`)))
   program.child.kill('SIGTERM')
@@ -46,7 +47,7 @@
   assert.doesNotMatch(program.output(), /event=call-cut/)
 })
 
-nodeTest.test('a gateway that ends cuts no answer of a caller whose next request crosses the end of the connection', async (context) => {
+nodeTest.test('a gateway that ends cuts no answer of a caller whose next request crosses the end of the connection', LIMIT, async (context) => {
   const { program, callers, open } = await openGateway(context, SMALL_ANSWER_BYTES, 20)
   const call = await open('crossing')
   program.child.kill('SIGTERM')
@@ -56,7 +57,7 @@
   assert.equal(await program.ended, 0)
 })
 
-nodeTest.test('a gateway whose caller reads no more ends with its grace period and logs the call as cut', async (context) => {
+nodeTest.test('a gateway whose caller reads no more ends with its grace period and logs the call as cut', LIMIT, async (context) => {
   const { program, open } = await openGateway(context, BIG_ANSWER_BYTES, 4)
   await open('stalled')
   program.child.kill('SIGTERM')
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -19,7 +19,6 @@
 const BALANCER_NOTICE_MS = 2600
 /** Part of the grace period that a draining gateway leaves unused, so that it has ended before the period is over. */
 const GRACE_RESERVE_MS = 450
-const DRAIN_POLL_MS = 100
 /** Time for sending the final responses of calls that did not end within the grace period. */
 const FINAL_ANSWERS_MS = 100
 const BYTES_PER_MEGABYTE = 1_000_000
@@ -285,15 +284,9 @@
     const endsBy = startedAt + checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS
     calls.drain(endsBy)
     gossip.sendNow()
-    while (now() < endsBy) {
-      await types.delay(DRAIN_POLL_MS)
-      const hasBalancerNoticed = now() - startedAt >= BALANCER_NOTICE_MS
-      if (hasBalancerNoticed) {
-        server.stopAccepting()
-        server.closeIdle()
-      }
-      if (hasBalancerNoticed && calls.register.count() === 0) return
-    }
+    await types.delay(Math.min(BALANCER_NOTICE_MS, endsBy - now()))
+    const isDelivered = await Promise.race([server.drain().then(() => true), types.delay(endsBy - now())])
+    if (isDelivered === true) return
     logger.warn('drain-ended-early', { inProgress: calls.register.count() })
     calls.endAll()
     await types.delay(FINAL_ANSWERS_MS)
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers, with limits on request heads and idle connections, that can stop without interrupting requests. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as rpc from '@switchridge/rpc'
 import type * as types from '@switchridge/types'
 import type * as createCallHandler from '../createCallHandler/index.js'
 import * as gateway from '../types/index.js'
@@ -9,10 +10,8 @@
 export interface CallerServer {
   /** Applies other limits to future connections and requests. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
-  /** Stops accepting connections; open ones continue. */
-  readonly stopAccepting: () => void
-  /** Closes connections without a request in progress. */
-  readonly closeIdle: () => void
+  /** Stops accepting connections and closes idle ones; resolves when all calls are delivered and all connections are closed. */
+  readonly drain: () => Promise<void>
   /** Stops accepting connections and destroys all open ones. */
   readonly close: () => void
 }
@@ -32,10 +31,11 @@
  * @throws The error of the operating system if the address cannot be listened on.
  */
 export async function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, address: types.Address): Promise<CallerServer> {
-  const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS }, handler.handle)
+  const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS })
+  const connections = rpc.trackConnections(server, handler.handle)
   setLimits(gateway.DEFAULT_CALLER_LIMITS)
   server.requestTimeout = 0
-  server.on('clientError', respondToClientError)
+  server.on('clientError', (error, socket) => { if (!connections.isClosing(socket as net.Socket)) respondToClientError(error, socket as net.Socket) })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(address.port, address.host, LISTEN_BACKLOG, resolve)
@@ -49,12 +49,8 @@
 
   return {
     setLimits,
-    stopAccepting: () => { if (server.listening) server.close() },
-    closeIdle: () => { server.closeIdleConnections() },
-    close: () => {
-      server.close()
-      server.closeAllConnections()
-    }
+    drain: connections.drain,
+    close: connections.abort
   }
 }
 
@@ -72,4 +68,5 @@
   }
   const status = STATUS_OF_ERROR[error.code ?? ''] ?? '400 Bad Request'
   socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  socket.destroySoon()
 }
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -29,8 +29,9 @@
   context.after(server.close)
   const answer = sendRequest()
   await hasBegun
-  server.stopAccepting()
+  const drained = server.drain()
   assert.equal(await sendRequest(), null)
   end()
   assert.equal(await answer, 'first last')
+  await drained
 })
--- /dev/null
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -0,0 +1,154 @@
+/** Phases of the connections of an HTTP server, and their orderly ends. */
+import * as https from 'node:https'
+import * as net from 'node:net'
+import type * as http from 'node:http'
+
+/**
+ * Phases of a connection. `idle`: no request arrives or is handled, `receiving`: a part of a request's head has arrived, `serving`: a request is handled,
+ * `delivering`: its response is complete, and not all of it has been handed to the operating system, `closing`: the server has ended the connection, and discards
+ * what arrives until the peer ends it, too.
+ */
+export type ConnectionPhase = 'idle' | 'receiving' | 'serving' | 'delivering' | 'closing'
+
+/** The connections of a server. */
+export interface ConnectionTracker {
+  /** Number of open connections by phase. */
+  readonly count: () => Readonly<Record<ConnectionPhase, number>>
+  /** Whether the server has ended a connection; what its peer still sends must not be answered. */
+  readonly isClosing: (socket: net.Socket) => boolean
+  /**
+   * Stops accepting connections, asks peers to close theirs after the next response, and closes those that have been idle for {@link IDLE_CLOSE_MS}.
+   * The server's timeouts stay in force. Resolves when no connection is open.
+   */
+  readonly drain: () => Promise<void>
+  /** Stops accepting connections and destroys the open ones. */
+  readonly abort: () => void
+}
+
+/** A peer that has just read a response, or has just connected, may be sending its next request. */
+export const IDLE_CLOSE_MS = 500
+/**
+ * A connection that was ended is read for this long unless its peer ends it, too: bytes that arrive at a closed socket are answered with a reset, on which the
+ * system discards what it has not sent yet.
+ */
+export const LINGER_MS = 2000
+const CHECK_INTERVAL_MS = 50
+
+interface Connection {
+  readonly socket: net.Socket
+  readonly responses: Set<http.ServerResponse>
+  /** Since when no request is handled, a monotonic time in milliseconds. */
+  idleSince: number
+  /** Bytes that had arrived at that time. */
+  idleBytes: number
+  isClosing: boolean
+}
+
+/**
+ * Tracks the connections of a server and handles its requests. Every connection that the server ends is read on until its peer has ended it, too, or until
+ * {@link LINGER_MS} have passed.
+ *
+ * @param server - The server; it must not have accepted connections yet.
+ * @param handle - Handles requests. It is not called for those that arrive after their connection was ended.
+ * @returns The tracker.
+ */
+export function trackConnections (server: http.Server | https.Server, handle: http.RequestListener): ConnectionTracker {
+  const connections = new Map<net.Socket, Connection>()
+  let isDraining = false
+
+  function addConnection (socket: net.Socket): void {
+    const connection: Connection = { socket, responses: new Set(), idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
+    connections.set(socket, connection)
+    socket.once('close', () => { connections.delete(socket) })
+    // Node.js calls it after the last response of a connection.
+    socket.destroySoon = () => { closeGracefully(connection) }
+  }
+
+  function handleRequest (request: http.IncomingMessage, response: http.ServerResponse): void {
+    const connection = connections.get(request.socket)
+    if (connection?.isClosing !== false) {
+      request.resume()
+      return
+    }
+    connection.responses.add(response)
+    response.once('close', () => {
+      if (request.complete) finishRequest(connection, response)
+      else request.once('close', () => { finishRequest(connection, response) })
+    })
+    if (isDraining) response.shouldKeepAlive = false
+    handle(request, response)
+  }
+
+  function finishRequest (connection: Connection, response: http.ServerResponse): void {
+    connection.responses.delete(response)
+    connection.idleSince = performance.now()
+    connection.idleBytes = connection.socket.bytesRead
+  }
+
+  function closeGracefully (connection: Connection): void {
+    const { socket } = connection
+    connection.isClosing = true
+    socket.end()
+    if (socket.writableFinished) linger(socket)
+    else socket.once('finish', () => { linger(socket) })
+  }
+
+  function linger (socket: net.Socket): void {
+    const timer = setTimeout(() => { socket.destroy() }, LINGER_MS)
+    socket.once('close', () => { clearTimeout(timer) })
+    socket.resume()
+  }
+
+  function closeIdle (): void {
+    const now = performance.now()
+    for (const connection of connections.values()) {
+      if (readPhase(connection) === 'idle' && now - connection.idleSince >= IDLE_CLOSE_MS) closeGracefully(connection)
+    }
+  }
+
+  /** `http.Server.close` would also destroy connections whose response is not delivered, and stop checking timeouts. */
+  function stopAccepting (): void {
+    if (server.listening) net.Server.prototype.close.call(server)
+  }
+
+  async function drain (): Promise<void> {
+    isDraining = true
+    stopAccepting()
+    for (const { responses } of connections.values()) {
+      for (const response of responses) if (!response.headersSent) response.shouldKeepAlive = false
+    }
+    await new Promise<void>((resolve) => {
+      const timer = setInterval(check, CHECK_INTERVAL_MS)
+      check()
+
+      function check (): void {
+        closeIdle()
+        if (connections.size > 0) return
+        clearInterval(timer)
+        resolve()
+      }
+    })
+  }
+
+  server.on(server instanceof https.Server ? 'secureConnection' : 'connection', addConnection)
+  server.on('request', handleRequest)
+  return {
+    count: () => {
+      const counts: Record<ConnectionPhase, number> = { idle: 0, receiving: 0, serving: 0, delivering: 0, closing: 0 }
+      for (const connection of connections.values()) counts[readPhase(connection)] += 1
+      return counts
+    },
+    isClosing: (socket) => connections.get(socket)?.isClosing ?? true,
+    drain,
+    abort: () => {
+      server.close()
+      for (const socket of connections.keys()) socket.destroy()
+    }
+  }
+}
+
+function readPhase ({ socket, responses, idleBytes, isClosing }: Connection): ConnectionPhase {
+  if (isClosing) return 'closing'
+  if (responses.size > 0) return [...responses].every((response) => response.writableEnded) ? 'delivering' : 'serving'
+  return socket.bytesRead > idleBytes ? 'receiving' : 'idle'
+}
--- /dev/null
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -0,0 +1,164 @@
+/** Guards against answers and requests that are cut because a server ends their connections at a moment of its own choice. */
+import * as assert from 'node:assert/strict'
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as trackConnections from './index.js'
+
+const HOST = types.LOOPBACK_HOST
+const HEADERS_TIMEOUT_MS = 300
+const POLL_MS = 10
+const WAIT_MS = 10_000
+const LIMIT = { timeout: 2 * WAIT_MS }
+/** More than the kernel's buffers take for a peer that doesn't read. */
+const BIG_BYTES = 16_000_000
+
+interface OpenedServer {
+  readonly tracker: trackConnections.ConnectionTracker
+  /** Opens a connection and sends text over it. */
+  readonly connect: (text: string) => Peer
+  readonly waitForPhase: (phase: trackConnections.ConnectionPhase) => Promise<void>
+}
+
+interface Peer {
+  readonly socket: net.Socket
+  /** What has arrived by the end of the connection; null if it was reset. */
+  readonly received: Promise<string | null>
+}
+
+async function openServer (context: nodeTest.TestContext, handle: http.RequestListener): Promise<OpenedServer> {
+  const server = http.createServer({ connectionsCheckingInterval: POLL_MS, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0 })
+  const tracker = trackConnections.trackConnections(server, handle)
+  context.after(tracker.abort)
+  await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
+  return {
+    tracker,
+    connect: (text) => {
+      const socket = net.connect((server.address() as net.AddressInfo).port, HOST)
+      socket.write(text)
+      return { socket, received: receive(socket) }
+    },
+    waitForPhase: async (phase) => {
+      const deadline = performance.now() + WAIT_MS
+      while (tracker.count()[phase] === 0) {
+        assert.ok(performance.now() < deadline, `no connection is ${phase}`)
+        await types.delay(POLL_MS)
+      }
+    }
+  }
+}
+
+async function receive (socket: net.Socket): Promise<string | null> {
+  const parts: Buffer[] = []
+  return await new Promise((resolve) => {
+    socket.on('data', (bytes: Buffer) => { parts.push(bytes) })
+    socket.on('end', () => { resolve(Buffer.concat(parts).toString('latin1')) })
+    socket.on('error', () => { resolve(null) })
+  })
+}
+
+function formatRequest (path: string, headers = ''): string {
+  return `GET ${path} HTTP/1.1\r\nHost: server\r\n${headers}\r\n`
+}
+
+nodeTest.test('a server that drains delivers a response that its peer has not read yet', LIMIT, async (context) => {
+  const { tracker, connect, waitForPhase } = await openServer(context, (_request, response) => { response.end(Buffer.alloc(BIG_BYTES)) })
+  const { socket, received } = connect(formatRequest('/'))
+  socket.pause()
+  await waitForPhase('delivering')
+  const drained = tracker.drain()
+  await types.delay(2 * trackConnections.IDLE_CLOSE_MS)
+  assert.equal(tracker.count().delivering, 1)
+  socket.resume()
+  assert.ok((await received ?? '').length > BIG_BYTES)
+  await drained
+})
+
+nodeTest.test('a server that drains answers a request whose head had begun to arrive', LIMIT, async (context) => {
+  const { tracker, connect, waitForPhase } = await openServer(context, (_request, response) => { response.end('whole') })
+  const { socket, received } = connect('GET / HTTP/1.1\r\nHo')
+  await waitForPhase('receiving')
+  const drained = tracker.drain()
+  socket.write('st: server\r\n\r\n')
+  assert.match(await received ?? '', /Connection: close\r\n[^]*whole$/)
+  await drained
+})
+
+nodeTest.test('a server that drains still limits the time for a request head', LIMIT, async (context) => {
+  const { tracker, connect, waitForPhase } = await openServer(context, () => { assert.fail('no request is whole') })
+  const { received } = connect('GET / HTTP/1.1\r\nHo')
+  await waitForPhase('receiving')
+  const drained = tracker.drain()
+  assert.match(await received ?? '', /^HTTP\/1.1 408 /)
+  await drained
+})
+
+nodeTest.test('a server that drains answers the next request on a connection whose last response promised to keep it', LIMIT, async (context) => {
+  let endFirst: () => void = () => {}
+  const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
+    response.write('part ')
+    const end = (): void => { response.end(`end of ${request.url ?? ''}`) }
+    if (request.url === '/first') endFirst = end
+    else end()
+  })
+  const { socket, received } = connect(formatRequest('/first'))
+  let text = ''
+  socket.on('data', (bytes: Buffer) => {
+    text += bytes.toString()
+    if (text.endsWith('end of /first\r\n0\r\n\r\n')) socket.write(formatRequest('/next'))
+  })
+  await waitForPhase('serving')
+  const drained = tracker.drain()
+  endFirst()
+  assert.match(await received ?? '', /end of \/first[^]*Connection: close[^]*end of \/next/)
+  await drained
+})
+
+nodeTest.test('a response that asks to close reaches a peer that goes on sending before it reads', LIMIT, async (context) => {
+  const answered: string[] = []
+  const { connect } = await openServer(context, (request, response) => {
+    response.writeHead(413, { connection: 'close' })
+    response.end('too large')
+    answered.push(request.url ?? '')
+  })
+  const { socket, received } = connect('POST / HTTP/1.1\r\nHost: server\r\nContent-Length: 16000000\r\n\r\n')
+  socket.pause()
+  while (answered.length === 0) await types.delay(POLL_MS)
+  for (let part = 0; part < 10; part += 1) {
+    socket.write('part of a body')
+    await types.delay(POLL_MS)
+  }
+  socket.resume()
+  assert.match(await received ?? '', / 413 [^]*too large/)
+})
+
+nodeTest.test('a request that arrives after its connection was ended is not run', LIMIT, async (context) => {
+  const paths: string[] = []
+  const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
+    paths.push(request.url ?? '')
+    response.end('whole')
+  })
+  const { socket, received } = connect(formatRequest('/first'))
+  socket.pause()
+  await waitForPhase('idle')
+  while (paths.length === 0) await types.delay(POLL_MS)
+  const drained = tracker.drain()
+  await waitForPhase('closing')
+  socket.write(formatRequest('/late'))
+  await types.delay(POLL_MS)
+  socket.resume()
+  assert.match(await received ?? '', /whole/)
+  await drained
+  assert.deepEqual(paths, ['/first'])
+})
+
+nodeTest.test('idle connections and peers that do not close theirs do not hold up a server that drains', LIMIT, async (context) => {
+  const { tracker, connect, waitForPhase } = await openServer(context, (_request, response) => { response.end() })
+  const { socket } = connect(formatRequest('/'))
+  socket.allowHalfOpen = true
+  await waitForPhase('idle')
+  await tracker.drain()
+  assert.deepEqual(tracker.count(), { idle: 0, receiving: 0, serving: 0, delivering: 0, closing: 0 })
+  socket.destroy()
+})
