--- a/packages/daemon/src/_lib/plainHall.ts
+++ b/packages/daemon/src/_lib/plainHall.ts
@@ -16,7 +16,9 @@
 export interface PlainHall {
   readonly startEntry: () => Promise<startDaemon.RunningRole>
   /** Starts the daemon of a backend server that reports to an entry node. */
-  readonly startBackend: (entry: startDaemon.RunningRole) => Promise<startDaemon.RunningRole>
+  readonly startBackend: (entry: Pick<startDaemon.RunningRole, 'address'>) => Promise<startDaemon.RunningRole>
+  /** Settings of an entry node, or of the daemon of a backend server that reports to one, to be started as a process of its own. */
+  readonly formatSettings: (entry?: Pick<startDaemon.RunningRole, 'address'>) => string
   /** Reads the members as a daemon sees them. */
   readonly readMembers: (role: startDaemon.RunningRole) => Promise<readonly membership.Member[]>
   /** Adds the service `api` to the table; its calls may not be repeated unless a cell says so. */
@@ -50,8 +52,15 @@
     service.closeAllConnections()
   })
 
+  function formatSettings (entry?: Pick<startDaemon.RunningRole, 'address'>): string {
+    const role = entry === undefined
+      ? `role = "entry"\nnode = "entry-${roles.length}"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`
+      : `role = "backend"\nnode = "backend-${roles.length}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = 0\n[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"`
+    return `deployment = "test"\ndata_hall = "hall"\nregion = "region"\n${role}\n[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n`
+  }
+
   async function start (text: string): Promise<startDaemon.RunningRole> {
-    const parsed = settings.parseSettings(`deployment = "test"\ndata_hall = "hall"\nregion = "region"\n${text}\n[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n[logs]\nlevel = "silent"\n`, 'test')
+    const parsed = settings.parseSettings(`${text}[logs]\nlevel = "silent"\n`, 'test')
     assert.ok(parsed.ok, parsed.ok ? '' : parsed.error.message)
     const role = await startDaemon.startDaemon(parsed.value)
     roles.push(role)
@@ -59,8 +68,9 @@
   }
 
   return {
-    startEntry: async () => await start(`role = "entry"\nnode = "entry-${roles.length}"\n[listen]\nhost = "${HOST}"\nport = 0\ncaller_port = 0`),
-    startBackend: async (entry) => await start(`role = "backend"\nnode = "backend-${roles.length}"\nentry_nodes = ["${HOST}:${entry.address.port}"]\n[listen]\nhost = "${HOST}"\nport = 0\n[back_end]\nservice = "api"\nkind = "plain"\nurl = "${serviceUrl}"`),
+    startEntry: async () => await start(formatSettings()),
+    startBackend: async (entry) => await start(formatSettings(entry)),
+    formatSettings,
     readMembers: async (role) => {
       const status = await client.call<{ members: readonly membership.Member[] }>(role.address, 'status', {})
       assert.ok(status.ok)
--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -1,8 +1,9 @@
 /** Guards against answers that are cut because a process that ends takes them for delivered once they were handed over. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 import * as fleetTesting from './_lib/fleetTesting.js'
+import * as plainHall from './_lib/plainHall.js'
 import * as programTesting from './_lib/programTesting.js'
 import * as unreadCall from './_lib/unreadCall.js'
 
@@ -15,6 +16,8 @@
 const BIG_ANSWER_BYTES = 16_000_000
 /** The kernel's buffers take all of it. */
 const SMALL_ANSWER_BYTES = 1_000_000
+const ANSWER_BYTES: Readonly<Record<string, number>> = { '/big': BIG_ANSWER_BYTES, '/small': SMALL_ANSWER_BYTES }
+const NEXT_REQUEST = 'GET /read/stock HTTP/1.1\r\nHost: app.example\r\n\r\n'
 
 interface OpenedGateway {
   readonly program: programTesting.StartedProgram
@@ -52,7 +55,7 @@
   const call = await open('crossing')
   program.child.kill('SIGTERM')
   await unreadCall.waitUntilRefused(callers)
-  call.socket.write('GET /read/stock HTTP/1.1\r\nHost: app.example\r\n\r\n')
+  call.socket.write(NEXT_REQUEST)
   assert.equal(await call.readOn(), SMALL_ANSWER_BYTES)
   assert.equal(await program.ended, 0)
 })
@@ -64,3 +67,49 @@
   assert.equal(await program.ended, 0)
   assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
 })
+
+interface OpenedEntry {
+  readonly program: programTesting.StartedProgram
+  readonly callers: types.Address
+  readonly hall: plainHall.PlainHall
+}
+
+/** Starts an entry node as a process of its own, and a daemon of a backend server in this one, unless the test starts it. */
+async function openEntry (context: nodeTest.TestContext, startBackend: (hall: plainHall.PlainHall, entry: { readonly address: types.Address }) => Promise<unknown>): Promise<OpenedEntry> {
+  const hall = await plainHall.openPlainHall(context, (request, response) => {
+    request.resume()
+    response.end(Buffer.alloc(ANSWER_BYTES[request.url ?? ''] ?? 0))
+  })
+  const program = programTesting.startProgram(context, hall.formatSettings())
+  await program.waitForOutput('event=started')
+  const [, port, callerPort] = /event=started .*port=(\d+) callerPort=(\d+)/.exec(program.output()) ?? []
+  const callers = { host: types.LOOPBACK_HOST, port: Number(callerPort) }
+  await startBackend(hall, { address: { host: types.LOOPBACK_HOST, port: Number(port) } })
+  await hall.addService()
+  await fleetTesting.waitWithLimit(async () => {
+    const probe = await unreadCall.openUnreadCall(callers, '/services/api/probe', {})
+    await probe.readOn()
+    return probe.status === OK
+  })
+  return { program, callers, hall }
+}
+
+nodeTest.test('an entry node ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
+  const { program, callers } = await openEntry(context, async (hall, entry) => await hall.startBackend(entry))
+  const calls = await Promise.all(Array.from({ length: CALLERS }, async () => await unreadCall.openUnreadCall(callers, '/services/api/big', {})))
+  program.child.kill('SIGTERM')
+  await unreadCall.waitUntilRefused(callers)
+  assert.deepEqual(await Promise.all(calls.map(async ({ readOn }) => await readOn())), calls.map(() => BIG_ANSWER_BYTES))
+  assert.equal(await program.ended, 0)
+  assert.doesNotMatch(program.output(), /event=call-cut/)
+})
+
+nodeTest.test('an entry node that ends cuts no answer of a caller whose next request crosses the end of the connection', LIMIT, async (context) => {
+  const { program, callers } = await openEntry(context, async (hall, entry) => await hall.startBackend(entry))
+  const call = await unreadCall.openUnreadCall(callers, '/services/api/small', {})
+  program.child.kill('SIGTERM')
+  await unreadCall.waitUntilRefused(callers)
+  call.socket.write(NEXT_REQUEST)
+  assert.equal(await call.readOn(), SMALL_ANSWER_BYTES)
+  assert.equal(await program.ended, 0)
+})
--- a/packages/rpc/src/listenHttp/test.ts
+++ b/packages/rpc/src/listenHttp/test.ts
@@ -1,7 +1,10 @@
+import * as https from 'node:https'
+import * as http from 'node:http'
 import * as test from 'node:test'
 import * as assert from 'node:assert/strict'
 import * as selfsigned from 'selfsigned'
 import Koa from 'koa'
+import * as types from '@switchridge/types'
 import * as rpc from '../index.js'
 
 const IDENTITY = { deployment: 'depozit', sharedKey: '' }
@@ -36,3 +39,25 @@
     listener.abort()
   })
 })
+
+/** More than the kernel's buffers take for a peer that doesn't read. */
+const BIG_BYTES = 16_000_000
+
+for (const isSecure of [false, true]) {
+  test.it(`a server${isSecure ? ' with TLS' : ''} that closes delivers a response that its peer has not read yet`, { timeout: 20_000 }, async (context) => {
+    const tls = isSecure ? await createTlsMaterial() : null
+    const listener = await rpc.listenHttp((_request, response) => { response.end(Buffer.alloc(BIG_BYTES)) }, { host: HOST, port: 0, ...(tls === null ? {} : { tls }) })
+    context.after(listener.abort)
+    const options = { ...listener.address, agent: false }
+    const request = tls === null ? http.get(options) : https.get({ ...options, cert: tls.certificate, key: tls.privateKey, ca: tls.authority })
+    const response = await new Promise<http.IncomingMessage>((resolve) => { request.once('response', resolve) })
+    const closed = listener.close()
+    await types.delay(100)
+    let size = 0
+    response.on('error', () => {})
+    response.on('data', (bytes: Buffer) => { size += bytes.length })
+    await new Promise<void>((resolve) => { response.once('close', resolve) })
+    assert.equal(size, BIG_BYTES)
+    await closed
+  })
+}
