Let an entry node end no sooner than its answers are delivered

Callers of the own interface got no whole answer if their next request crossed the end of their connection while an entry node drained. What one had handed over to its server and not sent was cut by http's own close and closeIdleConnections, and after its last call an entry node waited at most two seconds for connections to close.

The daemon of a backend server also waits until its calls are delivered, as their register says, and not only until their slots are free.

--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -71,31 +71,38 @@
 interface OpenedEntry {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
-  readonly hall: plainHall.PlainHall
 }
 
-/** Starts an entry node as a process of its own, and a daemon of a backend server in this one, unless the test starts it. */
-async function openEntry (context: nodeTest.TestContext, startBackend: (hall: plainHall.PlainHall, entry: { readonly address: types.Address }) => Promise<unknown>): Promise<OpenedEntry> {
-  const hall = await plainHall.openPlainHall(context, (request, response) => {
+async function openHall (context: nodeTest.TestContext): Promise<plainHall.PlainHall> {
+  return await plainHall.openPlainHall(context, (request, response) => {
     request.resume()
     response.end(Buffer.alloc(ANSWER_BYTES[request.url ?? ''] ?? 0))
   })
-  const program = programTesting.startProgram(context, hall.formatSettings())
-  await program.waitForOutput('event=started')
-  const [, port, callerPort] = /event=started .*port=(\d+) callerPort=(\d+)/.exec(program.output()) ?? []
-  const callers = { host: types.LOOPBACK_HOST, port: Number(callerPort) }
-  await startBackend(hall, { address: { host: types.LOOPBACK_HOST, port: Number(port) } })
+}
+
+async function waitUntilServed (hall: plainHall.PlainHall, callers: types.Address): Promise<void> {
   await hall.addService()
   await fleetTesting.waitWithLimit(async () => {
     const probe = await unreadCall.openUnreadCall(callers, '/services/api/probe', {})
     await probe.readOn()
     return probe.status === OK
   })
-  return { program, callers, hall }
+}
+
+/** Starts an entry node as a process of its own, and the daemon of a backend server in this one. */
+async function openEntry (context: nodeTest.TestContext): Promise<OpenedEntry> {
+  const hall = await openHall(context)
+  const program = programTesting.startProgram(context, hall.formatSettings())
+  await program.waitForOutput('event=started')
+  const [, port, callerPort] = /event=started .*port=(\d+) callerPort=(\d+)/.exec(program.output()) ?? []
+  const callers = { host: types.LOOPBACK_HOST, port: Number(callerPort) }
+  await hall.startBackend({ address: { host: types.LOOPBACK_HOST, port: Number(port) } })
+  await waitUntilServed(hall, callers)
+  return { program, callers }
 }
 
 nodeTest.test('an entry node ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
-  const { program, callers } = await openEntry(context, async (hall, entry) => await hall.startBackend(entry))
+  const { program, callers } = await openEntry(context)
   const calls = await Promise.all(Array.from({ length: CALLERS }, async () => await unreadCall.openUnreadCall(callers, '/services/api/big', {})))
   program.child.kill('SIGTERM')
   await unreadCall.waitUntilRefused(callers)
@@ -105,7 +112,7 @@
 })
 
 nodeTest.test('an entry node that ends cuts no answer of a caller whose next request crosses the end of the connection', LIMIT, async (context) => {
-  const { program, callers } = await openEntry(context, async (hall, entry) => await hall.startBackend(entry))
+  const { program, callers } = await openEntry(context)
   const call = await unreadCall.openUnreadCall(callers, '/services/api/small', {})
   program.child.kill('SIGTERM')
   await unreadCall.waitUntilRefused(callers)
@@ -113,3 +120,17 @@
   assert.equal(await call.readOn(), SMALL_ANSWER_BYTES)
   assert.equal(await program.ended, 0)
 })
+
+nodeTest.test('a daemon of a backend server ends no sooner than the answers that entry nodes still read', LIMIT, async (context) => {
+  const hall = await openHall(context)
+  const entry = await hall.startEntry()
+  const program = programTesting.startProgram(context, hall.formatSettings(entry))
+  const callers = entry.callerAddress as types.Address
+  await waitUntilServed(hall, callers)
+  const calls = await Promise.all(Array.from({ length: CALLERS }, async () => await unreadCall.openUnreadCall(callers, '/services/api/big', {})))
+  program.child.kill('SIGTERM')
+  await program.waitForOutput('event=drain-began')
+  assert.deepEqual(await Promise.all(calls.map(async ({ readOn }) => await readOn())), calls.map(() => BIG_ANSWER_BYTES))
+  assert.equal(await program.ended, 0)
+  assert.doesNotMatch(program.output(), /event=call-cut/)
+})
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -193,7 +193,7 @@
       admission.close()
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
-      while (admission.load().running > 0) await types.delay(DRAIN_POLL_MS)
+      while (admission.load().running > 0 || register.count() > 0) await types.delay(DRAIN_POLL_MS)
     },
     stop: () => {
       heartbeats.stop()
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -192,9 +192,7 @@
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
       await types.delay(BALANCER_GRACE_MS)
-      const closed = callerListener.close()
-      await waitForCalls()
-      await Promise.race([closed, types.delay(BALANCER_GRACE_MS)])
+      await callerListener.close()
       await waitForCalls()
     },
     stop: () => {
--- a/packages/rpc/src/listenHttp/index.ts
+++ b/packages/rpc/src/listenHttp/index.ts
@@ -4,6 +4,7 @@
 import type * as net from 'node:net'
 import type * as types from '@switchridge/types'
 import type * as agents from '../createHttpAgents/index.js'
+import * as trackConnections from '../trackConnections/index.js'
 
 /** Options of {@link listenHttp}. */
 export interface ListenOptions {
@@ -19,7 +20,7 @@
 /** A listening server. */
 export interface HttpListener {
   readonly address: types.Address
-  /** Stops accepting connections and resolves when the open requests have ended. */
+  /** Stops accepting connections, and resolves when the open requests have been answered and all connections are closed. */
   readonly close: () => Promise<void>
   /** Stops accepting connections and closes the open ones at once. */
   readonly abort: () => void
@@ -27,7 +28,6 @@
 
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024
 const KEEP_ALIVE_MS = 30_000
-const CLOSE_IDLE_INTERVAL_MS = 50
 
 /**
  * Starts a server.
@@ -38,7 +38,8 @@
  * @throws If it can't listen on the address.
  */
 export async function listenHttp (handler: http.RequestListener, options: ListenOptions): Promise<HttpListener> {
-  const server = createServer(handler, options)
+  const server = createServer(options)
+  const connections = trackConnections.trackConnections(server, handler)
   server.keepAliveTimeout = KEEP_ALIVE_MS
   server.requestTimeout = 0
   await new Promise<void>((resolve, reject) => {
@@ -48,24 +49,14 @@
   const boundAddress = server.address() as net.AddressInfo
   return {
     address: { host: options.host, port: boundAddress.port },
-    close: async () => { await closeServer(server) },
-    abort: () => {
-      server.close()
-      server.closeAllConnections()
-    }
+    close: connections.drain,
+    abort: connections.abort
   }
 }
 
-function createServer (handler: http.RequestListener, options: ListenOptions): http.Server | https.Server {
+function createServer (options: ListenOptions): http.Server | https.Server {
   const maxHeaderSize = options.maxHeaderBytes ?? DEFAULT_MAXIMUM_HEADER_BYTES
-  if (options.tls === undefined) return http.createServer({ maxHeaderSize, noDelay: true }, handler)
+  if (options.tls === undefined) return http.createServer({ maxHeaderSize, noDelay: true })
   const { certificate, privateKey, authority } = options.tls
-  return https.createServer({ maxHeaderSize, cert: certificate, key: privateKey, ca: authority, requestCert: true, rejectUnauthorized: true }, handler)
-}
-
-/** Connections that become idle later, after their last response, are closed as well. */
-async function closeServer (server: http.Server | https.Server): Promise<void> {
-  const timer = setInterval(() => { server.closeIdleConnections() }, CLOSE_IDLE_INTERVAL_MS)
-  await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
-  clearInterval(timer)
+  return https.createServer({ maxHeaderSize, cert: certificate, key: privateKey, ca: authority, requestCert: true, rejectUnauthorized: true })
 }
