--- a/packages/daemon/src/_lib/programTesting.ts
+++ b/packages/daemon/src/_lib/programTesting.ts
@@ -68,3 +68,9 @@
     `[listen]\ncallers = "${host}:${fleet.ports.callers}"\nreadiness = "${host}:${fleet.ports.readiness}"\ncontrol = "${host}:${fleet.ports.control}"\n` +
     `[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n[limits]\n${limits}`
 }
+
+/** Settings of an agent beside an engine of a test fleet that knows a gateway's host; `limits` are lines of that section. */
+export function formatAgentSettings (fleet: fleetTesting.TestFleet, host: string, engine: testing.EngineStandIn, gatewayHost: string, limits = ''): string {
+  return `role = "agent"\nnode = "agent"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\nseeds = ["${gatewayHost}:1"]\ninternal_port = ${fleet.ports.internal}\n` +
+    `[engine]\naddress = "${testing.formatAddress(engine.address)}"\nservice = "llm"\n[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n[limits]\n${limits}`
+}
--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -8,10 +8,12 @@
 import * as unreadCall from './_lib/unreadCall.js'
 
 const HOST = '127.0.0.23'
+const GATEWAY_HOST = '127.0.0.24'
 const PATH = '/read/stock'
 const OK = 200
 const LIMIT = { timeout: 60_000 }
 const CALLERS = 4
+const PIECES = 4
 /** More than the kernel's buffers take for a caller that doesn't read. */
 const BIG_ANSWER_BYTES = 16_000_000
 /** The kernel's buffers take all of it. */
@@ -134,3 +136,18 @@
   assert.equal(await program.ended, 0)
   assert.doesNotMatch(program.output(), /event=call-cut/)
 })
+
+nodeTest.test('an agent ends no sooner than the pieces that it sends', LIMIT, async (context) => {
+  const fleet = await fleetTesting.createTestFleet(context, PIECES)
+  fleet.configure()
+  const engine = await fleet.startEngine({ id: 'i-1', model: fleetTesting.MODEL, version: 0, digestsOf: fleet.origin.digestsOf })
+  await fleet.startGateway(GATEWAY_HOST)
+  const program = programTesting.startProgram(context, programTesting.formatAgentSettings(fleet, HOST, engine, GATEWAY_HOST, 'link_megabits_per_second = 0.02\n'))
+  await fleetTesting.waitWithLimit(async () => engine.version() === 1)
+  const pieces = Array.from({ length: PIECES }, async (_, piece) => await fleetTesting.call({ host: HOST, port: fleet.ports.internal }, { path: `/pieces/${fleetTesting.MODEL}/1/${piece}`, id: `piece-${piece}` }))
+  await Promise.race(pieces)
+  program.child.kill('SIGTERM')
+  const areWhole = (await Promise.all(pieces)).map(({ body }, piece) => body === fleet.origin.pieceOf(1, piece).toString())
+  assert.deepEqual(areWhole, pieces.map(() => true))
+  assert.equal(await program.ended, 0)
+})
