Let an agent end no sooner than the pieces that it sends

Agents that fetched pieces from one that ended got 1 of 4 whole, and had to fetch the others again. The same held for every answer to other daemons and operators that was under way at the end of any role, because stop destroys all connections.

Cause: the drain of an agent ended at once, and no role closed its servers for other daemons and operators before it stopped.

Roles now have a step between drain and stop that closes these servers through trackConnections: what was asked for is sent, connections are asked to close, and idle ones end. The text servers use the same tracker.

--- a/packages/daemon/src/_lib/openOperatorEndpoints.ts
+++ b/packages/daemon/src/_lib/openOperatorEndpoints.ts
@@ -13,9 +13,9 @@
  *
  * @param parts - Components of the daemon.
  * @param describeStatus - Returns the status of the role.
- * @returns A function that closes all endpoints.
+ * @returns The server of all endpoints.
  */
-export async function openOperatorEndpoints (parts: createFleetParts.FleetParts, describeStatus: () => unknown): Promise<() => void> {
+export async function openOperatorEndpoints (parts: createFleetParts.FleetParts, describeStatus: () => unknown): Promise<openTextServer.TextServer> {
   const { settings, metrics, logger } = parts
   const paths = {
     [METRICS_PATH]: async () => ({ status: HTTP_OK, type: 'text/plain; version=0.0.4', body: await metrics.format() }),
@@ -32,5 +32,8 @@
       logger.error('listen-failed', { address: `${address.host}:${address.port}`, error: types.describeError(thrown) })
     }
   }
-  return () => { for (const server of servers) server.close() }
+  return {
+    close: async () => { await Promise.all(servers.map(async (server) => { await server.close() })) },
+    abort: () => { for (const server of servers) server.abort() }
+  }
 }
--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -10,6 +10,8 @@
 export interface ManagedRole {
   /** Stops accepting new work; resolves when the work in progress has ended. */
   readonly drain: () => Promise<void>
+  /** Closes the servers after a drain; resolves when what they had begun to answer is delivered and their connections are closed. */
+  readonly close?: () => Promise<void>
   /** Stops immediately, without waiting for work in progress. */
   readonly stop: () => void
   /** Calls in progress; null for a role that takes no calls. */
--- a/packages/daemon/src/openTextServer/index.ts
+++ b/packages/daemon/src/openTextServer/index.ts
@@ -1,5 +1,6 @@
 /** Serves short texts over HTTP by path, such as readiness, metrics and status. */
 import * as http from 'node:http'
+import * as rpc from '@switchridge/rpc'
 import type * as types from '@switchridge/types'
 
 /** A response. */
@@ -11,7 +12,10 @@
 
 /** A running server. */
 export interface TextServer {
-  readonly close: () => void
+  /** Stops accepting connections; resolves when the open requests have been answered and all connections are closed. */
+  readonly close: () => Promise<void>
+  /** Stops accepting connections and closes the open ones at once. */
+  readonly abort: () => void
 }
 
 const KEEP_ALIVE_TIMEOUT_MS = 10_000
@@ -32,7 +36,8 @@
     response.end(found.body)
   }
 
-  const server = http.createServer({ noDelay: true, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (request, response) => {
+  const server = http.createServer({ noDelay: true, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS })
+  const connections = rpc.trackConnections(server, (request, response) => {
     response.on('error', () => {})
     answer(request, response).catch(() => { response.destroy() })
   })
@@ -41,10 +46,5 @@
     server.once('error', reject)
     server.listen(address.port, address.host, resolve)
   })
-  return {
-    close: () => {
-      server.close()
-      server.closeAllConnections()
-    }
-  }
+  return { close: connections.drain, abort: connections.abort }
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -14,6 +14,7 @@
 import * as createAgentPermitServer from '../_lib/createAgentPermitServer.js'
 import * as fetchWithIdleTimeout from '../_lib/fetchWithIdleTimeout.js'
 import * as engineStatus from '../_lib/engineStatus.js'
+import * as gracePeriod from '../_lib/gracePeriod.js'
 import * as openOperatorEndpoints from '../_lib/openOperatorEndpoints.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
@@ -66,6 +67,8 @@
   let isPaused = false
   let changesInMs: number | null = null
   let isLeaving = false
+  /** By when this process must have ended; known once it drains. */
+  let endsBy = Infinity
   let lastReportError = ''
   /** Whether the configuration limits cold engines; until it is known, no health check can be sent. */
   let hasColdSettings = false
@@ -336,7 +339,7 @@
   metrics.gauge('peers_live', () => gossip.peers().filter(gossip.isLive).length)
   metrics.gauge('link_part', () => stager?.linkFraction() ?? 1)
   metrics.gauge('engine_running', () => report?.running ?? 0)
-  const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
+  const operatorServer = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, null, listSuspects()),
     engine: report === null ? null : { ...report, models: Object.fromEntries(report.models), isPaused, changesInMs, coldMs: coldChecks.readColdMs(), ...readReadyIn() },
     agents: listReliableAgents().map((agent) => agent.node)
@@ -349,14 +352,16 @@
     count: metrics.count,
     drain: async () => {
       isLeaving = true
+      endsBy = gracePeriod.computeGraceEnd(checked.limits, now())
       gossip.sendNow()
     },
+    close: async () => { await gracePeriod.waitAtMost(Promise.all([listener.close(), operatorServer.close()]), endsBy - now()) },
     countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: exchange.reload,
     stop: () => {
       clearInterval(reportTimer)
       coldChecks.stop()
-      closeMetrics()
+      operatorServer.abort()
       stager?.stop()
       exchange.stop()
       listener.abort()
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -195,6 +195,7 @@
       await heartbeats.sendNow()
       while (admission.load().running > 0 || register.count() > 0) await types.delay(DRAIN_POLL_MS)
     },
+    close: listener.close,
     stop: () => {
       heartbeats.stop()
       transfers.stop()
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -195,6 +195,7 @@
       await callerListener.close()
       await waitForCalls()
     },
+    close: listener.close,
     stop: () => {
       clearInterval(dispatchTimer)
       clearInterval(sweepTimer)
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -11,14 +11,13 @@
 import * as createSharedBackoffs from '../createSharedBackoffs/index.js'
 import * as openTextServer from '../openTextServer/index.js'
 import * as engineStatus from '../_lib/engineStatus.js'
+import * as gracePeriod from '../_lib/gracePeriod.js'
 import * as leavingFacts from '../_lib/leavingFacts.js'
 import * as openOperatorEndpoints from '../_lib/openOperatorEndpoints.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
 /** Within this time the load balancer notices that a gateway is not ready. */
 const BALANCER_NOTICE_MS = 2600
-/** Part of the grace period that a draining gateway leaves unused, so that it has ended before the period is over. */
-const GRACE_RESERVE_MS = 450
 /** Time for sending the final responses of calls that did not end within the grace period. */
 const FINAL_ANSWERS_MS = 100
 const BYTES_PER_MEGABYTE = 1_000_000
@@ -43,6 +42,8 @@
   const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: parts.evacuations.isEvacuated }
   const startedAt = now()
   let isLeaving = false
+  /** By when this process must have ended; known once it drains. */
+  let endsBy = Infinity
 
   let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
 
@@ -280,13 +281,11 @@
 
   async function drain (): Promise<void> {
     isLeaving = true
-    const startedAt = now()
-    const endsBy = startedAt + checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS
+    endsBy = gracePeriod.computeGraceEnd(checked.limits, now())
     calls.drain(endsBy)
     gossip.sendNow()
     await types.delay(Math.min(BALANCER_NOTICE_MS, endsBy - now()))
-    const isDelivered = await Promise.race([server.drain().then(() => true), types.delay(endsBy - now())])
-    if (isDelivered === true) return
+    if (await gracePeriod.waitAtMost(server.drain(), endsBy - now())) return
     logger.warn('drain-ended-early', { inProgress: calls.register.count() })
     calls.endAll()
     await types.delay(FINAL_ANSWERS_MS)
@@ -306,7 +305,7 @@
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
   metrics.gauge('evacuations_in_force', () => parts.evacuations.list().length)
   metrics.gauge('facts', exchange.facts.count)
-  const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
+  const operatorServer = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
     isReady: isReady(),
     inProgress: calls.register.count(),
@@ -326,14 +325,15 @@
     logger,
     count: metrics.count,
     drain,
+    close: async () => { await gracePeriod.waitAtMost(Promise.all([listener.close(), readiness?.close(), operatorServer.close()]), endsBy - now()) },
     countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: exchange.reload,
     stop: () => {
       callQuarantine.stop()
       exchange.stop()
       server.close()
-      readiness?.close()
-      closeMetrics()
+      readiness?.abort()
+      operatorServer.abort()
       listener.abort()
       parts.agents.destroy()
     }
