--- a/packages/daemon/src/_lib/programTesting.ts
+++ b/packages/daemon/src/_lib/programTesting.ts
@@ -117,8 +117,8 @@
     `[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n[limits]\n${limits}`
 }
 
-/** Settings of an agent beside an engine of a test fleet. */
-export function formatAgentSettings (fleet: fleetTesting.TestFleet, host: string, engine: types.Address): string {
-  return `role = "agent"\nnode = "agent"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\nseeds = ["${host}:1"]\ninternal_port = ${fleet.ports.internal}\n` +
-    `[engine]\naddress = "${testing.formatAddress(engine)}"\nservice = "llm"\n[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n`
+/** Settings of an agent beside an engine of a test fleet that knows a gateway's host; `limits` are lines of that section. */
+export function formatAgentSettings (fleet: fleetTesting.TestFleet, host: string, engine: types.Address, gatewayHost = host, limits = ''): string {
+  return `role = "agent"\nnode = "agent"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\nseeds = ["${gatewayHost}:1"]\ninternal_port = ${fleet.ports.internal}\n` +
+    `[engine]\naddress = "${testing.formatAddress(engine)}"\nservice = "llm"\n[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n[limits]\n${limits}`
 }
--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -9,6 +9,8 @@
 export interface ManagedRole {
   /** Stops accepting new work; resolves when the work in progress has ended. */
   readonly drain: () => Promise<void>
+  /** Closes the servers after a drain; resolves when what they had begun to answer is delivered and their connections are closed. */
+  readonly close?: () => Promise<void>
   /** Stops immediately, without waiting for work in progress. */
   readonly stop: () => void
   /** Calls in progress; null for a role that takes no calls. */
@@ -138,6 +140,7 @@
   async function drainInAnyCase (role: ManagedRole): Promise<void> {
     try {
       await role.drain()
+      await role.close?.()
     } catch (thrown) {
       noteError(role, 'drain-failed', thrown)
       while ((role.calls?.count() ?? 0) > 0) await types.delay(DRAIN_POLL_MS)
--- /dev/null
+++ b/packages/daemon/src/delivery.test.ts
@@ -0,0 +1,153 @@
+/** Guards against answers that are cut because a process that ends takes them for delivered once they were handed over. */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as fleetTesting from './_lib/fleetTesting.js'
+import * as plainHall from './_lib/plainHall.js'
+import * as programTesting from './_lib/programTesting.js'
+import * as unreadCall from './_lib/unreadCall.js'
+
+const HOST = '127.0.0.23'
+const GATEWAY_HOST = '127.0.0.24'
+const PATH = '/read/stock'
+const OK = 200
+const LIMIT = { timeout: 60_000 }
+const CALLERS = 4
+const PIECES = 4
+/** More than the kernel's buffers take for a caller that doesn't read. */
+const BIG_ANSWER_BYTES = 16_000_000
+/** The kernel's buffers take all of it. */
+const SMALL_ANSWER_BYTES = 1_000_000
+const ANSWER_BYTES: Readonly<Record<string, number>> = { '/big': BIG_ANSWER_BYTES, '/small': SMALL_ANSWER_BYTES }
+const NEXT_REQUEST = 'GET /read/stock HTTP/1.1\r\nHost: app.example\r\n\r\n'
+
+interface OpenedGateway {
+  readonly program: programTesting.StartedProgram
+  readonly callers: types.Address
+  readonly open: (id: string) => Promise<unreadCall.UnreadCall>
+}
+
+async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number): Promise<OpenedGateway> {
+  const fleet = await fleetTesting.createTestFleet(context)
+  fleet.configure()
+  await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
+  const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n`))
+  const callers = { host: HOST, port: fleet.ports.callers }
+  await program.waitForOutput('event=started')
+  await fleet.waitForAnswer(callers, PATH, OK)
+  return {
+    program,
+    callers,
+    open: async (id) => await unreadCall.openUnreadCall(callers, PATH, { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` })
+  }
+}
+
+nodeTest.test('a gateway ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
+  const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20)
+  const calls = await Promise.all(Array.from({ length: CALLERS }, async (_, caller) => await open(`slow-${caller}`)))
+  program.child.kill('SIGTERM')
+  await unreadCall.waitUntilRefused(callers)
+  assert.deepEqual(await Promise.all(calls.map(async ({ readOn }) => await readOn())), calls.map(() => BIG_ANSWER_BYTES))
+  assert.equal(await program.ended, 0)
+  assert.doesNotMatch(program.output(), /event=call-cut/)
+})
+
+nodeTest.test('a gateway that ends cuts no answer of a caller whose next request crosses the end of the connection', LIMIT, async (context) => {
+  const { program, callers, open } = await openGateway(context, SMALL_ANSWER_BYTES, 20)
+  const call = await open('crossing')
+  program.child.kill('SIGTERM')
+  await unreadCall.waitUntilRefused(callers)
+  call.socket.write(NEXT_REQUEST)
+  assert.equal(await call.readOn(), SMALL_ANSWER_BYTES)
+  assert.equal(await program.ended, 0)
+})
+
+nodeTest.test('a gateway whose caller reads no more ends with its grace period and logs the call as cut', LIMIT, async (context) => {
+  const { program, open } = await openGateway(context, BIG_ANSWER_BYTES, 4)
+  await open('stalled')
+  program.child.kill('SIGTERM')
+  assert.equal(await program.ended, 0)
+  assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
+})
+
+interface OpenedEntry {
+  readonly program: programTesting.StartedProgram
+  readonly callers: types.Address
+}
+
+async function openHall (context: nodeTest.TestContext): Promise<plainHall.PlainHall> {
+  return await plainHall.openPlainHall(context, (request, response) => {
+    request.resume()
+    response.end(Buffer.alloc(ANSWER_BYTES[request.url ?? ''] ?? 0))
+  })
+}
+
+async function waitUntilServed (hall: plainHall.PlainHall, callers: types.Address): Promise<void> {
+  await hall.addService()
+  await fleetTesting.waitWithLimit(async () => {
+    const probe = await unreadCall.openUnreadCall(callers, '/services/api/probe', {})
+    await probe.readOn()
+    return probe.status === OK
+  })
+}
+
+/** Starts an entry node as a process of its own, and the daemon of a backend server in this one. */
+async function openEntry (context: nodeTest.TestContext): Promise<OpenedEntry> {
+  const hall = await openHall(context)
+  const program = programTesting.startProgram(context, hall.formatSettings())
+  await program.waitForOutput('event=started')
+  const [, port, callerPort] = /event=started .*port=(\d+) callerPort=(\d+)/.exec(program.output()) ?? []
+  const callers = { host: types.LOOPBACK_HOST, port: Number(callerPort) }
+  await hall.startBackend({ address: { host: types.LOOPBACK_HOST, port: Number(port) } })
+  await waitUntilServed(hall, callers)
+  return { program, callers }
+}
+
+nodeTest.test('an entry node ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
+  const { program, callers } = await openEntry(context)
+  const calls = await Promise.all(Array.from({ length: CALLERS }, async () => await unreadCall.openUnreadCall(callers, '/services/api/big', {})))
+  program.child.kill('SIGTERM')
+  await unreadCall.waitUntilRefused(callers)
+  assert.deepEqual(await Promise.all(calls.map(async ({ readOn }) => await readOn())), calls.map(() => BIG_ANSWER_BYTES))
+  assert.equal(await program.ended, 0)
+  assert.doesNotMatch(program.output(), /event=call-cut/)
+})
+
+nodeTest.test('an entry node that ends cuts no answer of a caller whose next request crosses the end of the connection', LIMIT, async (context) => {
+  const { program, callers } = await openEntry(context)
+  const call = await unreadCall.openUnreadCall(callers, '/services/api/small', {})
+  program.child.kill('SIGTERM')
+  await unreadCall.waitUntilRefused(callers)
+  call.socket.write(NEXT_REQUEST)
+  assert.equal(await call.readOn(), SMALL_ANSWER_BYTES)
+  assert.equal(await program.ended, 0)
+})
+
+nodeTest.test('a daemon of a backend server ends no sooner than the answers that entry nodes still read', LIMIT, async (context) => {
+  const hall = await openHall(context)
+  const entry = await hall.startEntry()
+  const program = programTesting.startProgram(context, hall.formatSettings(entry))
+  const callers = entry.callerAddress as types.Address
+  await waitUntilServed(hall, callers)
+  const calls = await Promise.all(Array.from({ length: CALLERS }, async () => await unreadCall.openUnreadCall(callers, '/services/api/big', {})))
+  program.child.kill('SIGTERM')
+  await program.waitForOutput('event=drain-began')
+  assert.deepEqual(await Promise.all(calls.map(async ({ readOn }) => await readOn())), calls.map(() => BIG_ANSWER_BYTES))
+  assert.equal(await program.ended, 0)
+  assert.doesNotMatch(program.output(), /event=call-cut/)
+})
+
+nodeTest.test('an agent ends no sooner than the pieces that it sends', LIMIT, async (context) => {
+  const fleet = await fleetTesting.createTestFleet(context, PIECES)
+  fleet.configure()
+  const engine = await fleet.startEngine({ id: 'i-1', model: fleetTesting.MODEL, version: 0, digestsOf: fleet.origin.digestsOf })
+  await fleet.startGateway(GATEWAY_HOST)
+  const program = programTesting.startProgram(context, programTesting.formatAgentSettings(fleet, HOST, engine.address, GATEWAY_HOST, 'link_megabits_per_second = 0.02\n'))
+  await fleetTesting.waitWithLimit(async () => engine.version() === 1)
+  const pieces = Array.from({ length: PIECES }, async (_, piece) => await fleetTesting.call({ host: HOST, port: fleet.ports.internal }, { path: `/pieces/${fleetTesting.MODEL}/1/${piece}`, id: `piece-${piece}` }))
+  await Promise.race(pieces)
+  program.child.kill('SIGTERM')
+  const areWhole = (await Promise.all(pieces)).map(({ body }, piece) => body === fleet.origin.pieceOf(1, piece).toString())
+  assert.deepEqual(areWhole, pieces.map(() => true))
+  assert.equal(await program.ended, 0)
+})
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -11,15 +11,13 @@
 import * as createSharedBackoffs from '../createSharedBackoffs/index.js'
 import * as openTextServer from '../openTextServer/index.js'
 import * as engineStatus from '../_lib/engineStatus.js'
+import * as gracePeriod from '../_lib/gracePeriod.js'
 import * as leavingFacts from '../_lib/leavingFacts.js'
 import * as openOperatorEndpoints from '../_lib/openOperatorEndpoints.js'
 import type * as fleetRole from '../_lib/fleetRole.js'
 
 /** Within this time the load balancer notices that a gateway is not ready. */
 const BALANCER_NOTICE_MS = 2600
-/** Part of the grace period that a draining gateway leaves unused, so that it has ended before the period is over. */
-const GRACE_RESERVE_MS = 450
-const DRAIN_POLL_MS = 100
 /** Time for sending the final responses of calls that did not end within the grace period. */
 const FINAL_ANSWERS_MS = 100
 const BYTES_PER_MEGABYTE = 1_000_000
@@ -44,6 +42,8 @@
   const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: parts.evacuations.isEvacuated }
   const startedAt = now()
   let isLeaving = false
+  /** By when this process must have ended; known once it drains. */
+  let endsBy = Infinity
 
   let startedQuarantine: createCallQuarantine.CallQuarantine | null = null
 
@@ -281,19 +281,12 @@
 
   async function drain (): Promise<void> {
     isLeaving = true
-    const startedAt = now()
-    const endsBy = startedAt + checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS
-    calls.drain({ balancedUntil: startedAt + BALANCER_NOTICE_MS, endsAt: endsBy })
+    const beganAt = now()
+    endsBy = gracePeriod.computeGraceEnd(checked.limits, beganAt)
+    calls.drain({ balancedUntil: beganAt + BALANCER_NOTICE_MS, endsAt: endsBy })
     gossip.sendNow()
-    while (now() < endsBy) {
-      await types.delay(DRAIN_POLL_MS)
-      const hasBalancerNoticed = now() - startedAt >= BALANCER_NOTICE_MS
-      if (hasBalancerNoticed) {
-        server.stopAccepting()
-        server.closeIdle()
-      }
-      if (hasBalancerNoticed && calls.register.count() === 0) return
-    }
+    await types.delay(Math.min(BALANCER_NOTICE_MS, endsBy - now()))
+    if (await gracePeriod.waitAtMost(server.drain(), endsBy - now())) return
     logger.warn('drain-ended-early', { inProgress: calls.register.count() })
     calls.endAll()
     await types.delay(FINAL_ANSWERS_MS)
@@ -313,7 +306,7 @@
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
   metrics.gauge('evacuations_in_force', () => parts.evacuations.list().length)
   metrics.gauge('facts', exchange.facts.count)
-  const closeMetrics = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
+  const operatorServer = await openOperatorEndpoints.openOperatorEndpoints(parts, () => ({
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
     isReady: isReady(),
     inProgress: calls.register.count(),
@@ -333,14 +326,15 @@
     logger,
     count: metrics.count,
     drain,
+    close: async () => { await gracePeriod.waitAtMost(Promise.all([listener.close(), readiness?.close(), operatorServer.close()]), endsBy - now()) },
     countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: exchange.reload,
     stop: () => {
       callQuarantine.stop()
       exchange.stop()
       server.close()
-      readiness?.close()
-      closeMetrics()
+      readiness?.abort()
+      operatorServer.abort()
       listener.abort()
       parts.agents.destroy()
     }
