--- a/packages/fuzz/src/_lib/gatewaySoakCallers.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakCallers.ts
@@ -107,10 +107,9 @@
 }
 
 function createRequest (planned: gatewaySoakPlan.PlannedCall, id: string): testing.ConnectionRequest {
-  const { route, events, eventMs, eventBytes, bytes, delayMs, bodyBytes, sendMs, readBytesPerSecond } = planned
+  const { route, events, eventMs, eventBytes, bytes, delayMs, statedTokens, bodyBytes, sendMs, awaitsContinue, readBytesPerSecond } = planned
   const shape = isStream(planned) ? { stream: 1, events, eventMs, eventBytes } : { bytes, delayMs }
   const query = Object.entries(shape).map(([name, value]) => `${name}=${Math.round(value)}`).join('&')
-  const answerTokens = Math.ceil(events * eventMs / gatewaySoakFleet.STEP_MS)
   return {
     path: `/${route}/call?${query}`,
     id,
@@ -118,10 +117,11 @@
       host: 'app.example',
       'deadline-remaining': String(DEADLINE_MS),
       authorization: `Bearer ${gatewaySoakFleet.API_KEY}`,
-      ...(isStream(planned) ? { model: gatewaySoakFleet.MODEL, 'token-count': `${PROMPT_TOKENS},${answerTokens}` } : {})
+      ...(isStream(planned) ? { model: gatewaySoakFleet.MODEL, 'token-count': `${PROMPT_TOKENS},${statedTokens}` } : {})
     },
     bodyBytes,
     sendMs,
+    awaitsContinue,
     readBytesPerSecond,
     giveUpMs: GIVE_UP_MS
   }
--- a/packages/fuzz/src/_lib/gatewaySoakFleet.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakFleet.ts
@@ -6,7 +6,7 @@
 import * as platform from '@switchridge/platform'
 import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
-import type * as gatewaySoakPlan from './gatewaySoakPlan.js'
+import * as gatewaySoakPlan from './gatewaySoakPlan.js'
 
 /** One start of a daemon until its end. Times are of the monotonic clock in milliseconds. */
 export interface Incarnation {
@@ -86,7 +86,6 @@
 export const API_KEY = 'key-of-tenant-one'
 export const STREAM_SERVICE = 'llm'
 export const PLAIN_SERVICES = ['api', 'api-2'] as const
-export const STEP_MS = 5
 const PLAIN_ENGINES = 2
 const PIECES = 8
 const PROGRAM = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../../../target/switchridged.js')
@@ -300,7 +299,7 @@
   const [plainService, streamService, weights] = configuration.services as [Record<string, unknown>, Record<string, unknown>, Record<string, unknown>]
   configuration.services = [
     ...PLAIN_SERVICES.map((name) => ({ ...plainService, name })),
-    { ...streamService, engine: { ...streamService.engine as object, kvCapacity: 1_000_000, step_ms: STEP_MS } },
+    { ...streamService, engine: { ...streamService.engine as object, kvCapacity: 1_000_000, step_ms: gatewaySoakPlan.STEP_MS } },
     weights
   ]
   configuration.limits.maxBodyBytes = 1_000_000
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.ts
@@ -63,8 +63,12 @@
   /** Bytes of an answer that is no stream. */
   readonly bytes: number
   readonly delayMs: number
+  /** Most tokens of an answer that is a stream, as the caller states them. */
+  readonly statedTokens: number
   readonly bodyBytes: number
   readonly sendMs: number
+  /** Whether the caller asks before it sends the body. */
+  readonly awaitsContinue: boolean
   readonly readBytesPerSecond: number
 }
 
@@ -76,6 +80,8 @@
   readonly isFresh: boolean
 }
 
+/** Milliseconds of a token by the figures of the engines. */
+export const STEP_MS = 5
 const MEGABYTE = 1_000_000
 const PLANNED_KINDS = ['terminate', 'terminate', 'terminate', 'terminate', 'terminate', 'roll', 'reload', 'reload', 'reload-torn', 'timeouts', 'routes', 'routes', 'version', 'engine-leaves'] as const
 const UNPLANNED_KINDS = ['kill', 'pause', 'engine-crashes'] as const
@@ -164,16 +170,22 @@
   }))
 }
 
-const PLAIN_CALL: PlannedCall = { route: 'read', events: 0, eventMs: 0, eventBytes: 0, bytes: 500, delayMs: 0, bodyBytes: 400, sendMs: 0, readBytesPerSecond: Infinity }
+const PLAIN_CALL: PlannedCall = { route: 'read', events: 0, eventMs: 0, eventBytes: 0, bytes: 500, delayMs: 0, statedTokens: 0, bodyBytes: 400, sendMs: 0, awaitsContinue: false, readBytesPerSecond: Infinity }
 
 /** Plans the next call of a caller. */
 export function planCall (kind: PlannedCaller['kind'], random: () => number): PlannedCall {
   if (kind === 'plain') return { ...PLAIN_CALL, route: pick(['read', 'write', 'removable'], random), delayMs: 10 + random() * (random() < 0.8 ? 300 : 1500) }
-  if (kind === 'slow-senders') return { ...PLAIN_CALL, route: pick(['read', 'write'], random), delayMs: 10 + random() * 200, bodyBytes: 100_000, sendMs: 500 + random() * 2500 }
+  if (kind === 'slow-senders') return { ...PLAIN_CALL, route: pick(['read', 'write'], random), delayMs: 10 + random() * 200, bodyBytes: 100_000, sendMs: 500 + random() * 2500, awaitsContinue: random() < 0.3 }
   if (kind === 'slow-readers' && random() < 0.5) return { ...PLAIN_CALL, bytes: Math.round((4 + random() * 8) * MEGABYTE), delayMs: 10, readBytesPerSecond: 2.5 * MEGABYTE }
   const route = pick(['stream', 'stream', 'talk'] as const, random)
-  if (kind === 'slow-readers') return { ...PLAIN_CALL, route, events: 30, eventMs: 50, eventBytes: 200_000, readBytesPerSecond: 2 * MEGABYTE }
+  if (kind === 'slow-readers') return { ...PLAIN_CALL, route, events: 30, eventMs: 50, eventBytes: 200_000, statedTokens: stateTokens(1500, random), readBytesPerSecond: 2 * MEGABYTE }
   const eventMs = 100
   const forMs = kind === 'long-streams' ? 2500 + random() * 2500 : 300 + random() * 1500
-  return { ...PLAIN_CALL, route, events: Math.round(forMs / eventMs), eventMs, eventBytes: 70 }
+  return { ...PLAIN_CALL, route, events: Math.round(forMs / eventMs), eventMs, eventBytes: 70, statedTokens: stateTokens(forMs, random) }
+}
+
+/** States more tokens than most answers have; an engine may be slower than its figures. */
+function stateTokens (forMs: number, random: () => number): number {
+  const slowness = 1 + random() * 0.25
+  return Math.ceil(forMs / STEP_MS / slowness * (1 + random() * 0.5))
 }
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.ts
@@ -1,4 +1,5 @@
 /** Finds the broken promises of a soak of gateways in what its callers and engines saw, with the allowances of the platform's rules. */
+import * as types from '@switchridge/types'
 import type * as gatewaySoakCallers from './gatewaySoakCallers.js'
 import type * as gatewaySoakFleet from './gatewaySoakFleet.js'
 import * as soakBalancer from './soakBalancer.js'
@@ -83,11 +84,12 @@
  * @returns The broken promises.
  */
 export function judgeGatewaySoak (seen: GatewaySoakObservations): GatewayProblem[] {
-  return [...seen.records.flatMap((record) => judgeCall(record, seen)), ...seen.incarnations.flatMap((incarnation) => judgeIncarnation(incarnation, seen))]
+  const runsById = new Map<string, gatewaySoakFleet.EngineRun[]>()
+  for (const run of seen.runs) types.getOrCreate(runsById, run.id, () => []).push(run)
+  return [...seen.records.flatMap((record) => judgeCall(record, runsById.get(record.id) ?? [], seen)), ...seen.incarnations.flatMap((incarnation) => judgeIncarnation(incarnation, seen))]
 }
 
-function judgeCall (record: gatewaySoakCallers.GatewayCallRecord, seen: GatewaySoakObservations): GatewayProblem[] {
-  const runs = seen.runs.filter(({ id }) => id === record.id)
+function judgeCall (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly gatewaySoakFleet.EngineRun[], seen: GatewaySoakObservations): GatewayProblem[] {
   const problems: GatewayProblem[] = []
   const add = (rule: GatewayRule, text: string): void => { problems.push({ rule, node: record.node, id: record.id, logged: formatCutLine(record, seen), text: `${text}: ${describeCall(record, runs, seen)}` }) }
   if (record.fault !== '') add('MIXED', record.fault)
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -8,8 +8,6 @@
 
 /** Milliseconds in which the disturbances of one soak begin. */
 const SOAK_DURATION_MS = 10_000
-/** Longer, since a drain alone takes up to 8 s. */
-const GATEWAY_SOAK_DURATION_MS = 15_000
 /** One fault can break a promise hundreds of times. */
 const PRINTED_PROBLEMS = 5
 
@@ -29,10 +27,10 @@
 async function soakGateways ({ seed, runs, processes }: fuzz.FuzzOptions & { readonly processes: number | undefined }): Promise<void> {
   let failedSeeds = 0
   for (let each = seed; each < seed + runs; each += 1) {
-    const { calls, disturbances, problems, keptFolder, longestStallMs } = await fuzz.soakGateways({ seed: each, durationMs: GATEWAY_SOAK_DURATION_MS, ...(processes === undefined ? {} : { size: fuzz.planSoakSize(processes) }) })
+    const { calls, disturbances, problems, ownEnds, keptFolder, longestStallMs } = await fuzz.soakGateways({ seed: each, ...(processes === undefined ? {} : { size: fuzz.planSoakSize(processes) }) })
     const counts: Record<string, number> = {}
     for (const { rule, logged } of problems) counts[`${rule} ${logged}`] = (counts[`${rule} ${logged}`] ?? 0) + 1
-    process.stdout.write(`seed ${each}: ${problems.length} broken promises ${JSON.stringify(counts)}; ${JSON.stringify(disturbances)}; ${JSON.stringify(calls)}; longest stall of the soak ${longestStallMs} ms; ${keptFolder ?? 'nothing kept'}\n`)
+    process.stdout.write(`seed ${each}: ${problems.length} broken promises ${JSON.stringify(counts)}; ${JSON.stringify(disturbances)}; ${JSON.stringify(calls)}; ${ownEnds} own ends; longest stall of the soak ${longestStallMs} ms; ${keptFolder ?? 'nothing kept'}\n`)
     const firstOfEach = problems.filter((problem, index) => problems.findIndex(({ rule, logged }) => rule === problem.rule && logged === problem.logged) === index)
     for (const { rule, text } of firstOfEach) process.stdout.write(`  ${rule} ${text}\n`)
     if (problems.length > 0) failedSeeds += 1
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -16,8 +16,8 @@
 /** Options of {@link soakGateways}. */
 export interface GatewaySoakOptions {
   readonly seed: number
-  /** Time in milliseconds in which disturbances begin. */
-  readonly durationMs: number
+  /** Time in milliseconds in which disturbances begin; {@link SOAK_MS} when absent. */
+  readonly durationMs?: number
   readonly size?: gatewaySoakPlan.GatewaySoakSize
 }
 
@@ -27,6 +27,8 @@
   readonly calls: Readonly<Record<string, number>>
   /** Number of disturbances by kind. */
   readonly disturbances: Readonly<Record<string, number>>
+  /** Number of processes that ended without SIGTERM or SIGKILL, also shortly after their start. */
+  readonly ownEnds: number
   readonly problems: readonly judgeGatewaySoak.GatewayProblem[]
   /** Folder with logs, settings, calls and disturbances; null if no promise was broken. */
   readonly keptFolder: string | null
@@ -36,6 +38,8 @@
 
 export const SMALL_SOAK: gatewaySoakPlan.GatewaySoakSize = { gateways: [3, 1], agents: [2, 1], callersPerGateway: 10 }
 
+/** Long enough for drains of 8 s that overlap. */
+const SOAK_MS = 15_000
 const GRACE_MS = 8000
 const START_TIMEOUT_MS = 60_000
 const SETTLE_MS = 1500
@@ -51,7 +55,7 @@
  * @param options - Seed, length and size.
  * @returns Counts of calls and disturbances, and the broken promises. Rejects if the fleet does not start.
  */
-export async function soakGateways ({ seed, durationMs, size = SMALL_SOAK }: GatewaySoakOptions): Promise<GatewaySoakReport> {
+export async function soakGateways ({ seed, durationMs = SOAK_MS, size = SMALL_SOAK }: GatewaySoakOptions): Promise<GatewaySoakReport> {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), `switchridge-soak-${seed}-`))
   const processes = launcher.createLauncher(folder)
   const fleet = await gatewaySoakFleet.startGatewaySoakFleet(processes, size, GRACE_MS)
@@ -118,6 +122,7 @@
   return {
     calls: countBy(callers.records, ({ route, isWhole, status, sentAt }) => `${route} ${isWhole ? status === OK ? 'answered' : status : sentAt === null ? 'unsent' : 'cut'}`),
     disturbances: countBy(plan, ({ kind }) => kind),
+    ownEnds: incarnations.filter(({ exitedAt, signals }) => exitedAt !== null && !signals.some(({ signal }) => signal === 'SIGTERM' || signal === 'SIGKILL')).length,
     problems,
     keptFolder: problems.length > 0 ? folder : null,
     longestStallMs: Math.round(stalls.max / NANOSECONDS_IN_MILLISECOND)
