Start soaked gateways as the platform does

The path of the settings file comes in the environment, without arguments, so that the command line is not parsed at the start.

--- a/packages/launcher/src/createLauncher/index.ts
+++ b/packages/launcher/src/createLauncher/index.ts
@@ -27,8 +27,8 @@
 export interface Launcher {
   /** Folder for settings and logs. */
   readonly folder: string
-  /** Starts a module as a process; `name` is that of its log file. */
-  readonly start: (name: string, module: string, args: readonly string[]) => LaunchedProcess
+  /** Starts a module as a process; `name` is that of its log file, `environment` is added to this process's own. */
+  readonly start: (name: string, module: string, args: readonly string[], environment?: Readonly<Record<string, string>>) => LaunchedProcess
   /** Runs a module as a command and waits until it exits. */
   readonly run: (module: string, args: readonly string[], environment: Readonly<Record<string, string>>) => Promise<CommandResult>
   /** Returns the processes that are still running. */
@@ -66,10 +66,10 @@
   process.once('exit', killAll)
   for (const signal of SIGNALS) process.once(signal, killAndExit)
 
-  function start (name: string, module: string, args: readonly string[]): LaunchedProcess {
+  function start (name: string, module: string, args: readonly string[], environment: Readonly<Record<string, string>> = {}): LaunchedProcess {
     const logFile = path.join(folder, `${name}.log`)
     const log = fs.openSync(logFile, 'a')
-    const child = childProcess.spawn(process.execPath, [...readFlags(), '--enable-source-maps', module, ...args], { stdio: ['ignore', log, log] })
+    const child = childProcess.spawn(process.execPath, [...readFlags(), '--enable-source-maps', module, ...args], { env: { ...process.env, ...environment }, stdio: ['ignore', log, log] })
     fs.closeSync(log)
     const pid = child.pid ?? 0
     const exited = new Promise<number | null>((resolve) => {
