--- /dev/null
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
@@ -0,0 +1,20 @@
+/** Guards against soaks that differ for the same seed, or that hide cuts around planned work behind unplanned disruptions. */
+import * as assert from 'node:assert/strict'
+import * as nodeTest from 'node:test'
+import * as gatewaySoakPlan from './gatewaySoakPlan.js'
+
+const DURATION_MS = 15_000
+const SEEDS = Array.from({ length: 40 }, (_, index) => index + 1)
+const UNPLANNED: readonly string[] = ['kill', 'pause', 'engine-crashes']
+
+nodeTest.test('a seed gives the same plan of a soak each time, and another seed another one', () => {
+  const plans = SEEDS.map((seed) => JSON.stringify(gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1)))
+  assert.deepEqual(SEEDS.map((seed) => JSON.stringify(gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1))), plans)
+  assert.equal(new Set(plans).size, plans.length)
+})
+
+nodeTest.test('every second seed of a soak has planned work alone, and the others have kills, pauses and crashes', () => {
+  const kindsOf = (isUnplanned: boolean): Set<string> => new Set(SEEDS.filter((seed) => (seed % 2 === 1) === isUnplanned).flatMap((seed) => gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1).map(({ kind }) => kind)))
+  assert.deepEqual(UNPLANNED.filter((kind) => kindsOf(false).has(kind)), [])
+  assert.deepEqual(UNPLANNED.filter((kind) => kindsOf(true).has(kind)), UNPLANNED)
+})
