Soak gateways whose calls wait for slots

Every fifth seed has engines with few slots, for which calls wait at gateways; engines report how many requests run. The soak stops its callers and services also when it fails, so that its process ends.

--- a/packages/fuzz/src/_lib/gatewaySoakFleet.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakFleet.ts
@@ -86,6 +86,13 @@
   readonly nameVersion: () => void
   /** Starts no process or engine again. */
   readonly noteEnding: () => void
+}
+
+/** The platform's services, and the servers of all engines that were started. */
+export interface PlatformServices {
+  readonly store: testing.StoreStandIn
+  readonly origin: testing.OriginStandIn
+  readonly servers: Array<{ readonly close: () => void }>
   readonly close: () => void
 }
 
@@ -108,22 +115,29 @@
 const POLL_MS = 100
 const HALL_NAMES = 'abcdefgh'
 
+/** Starts the platform's services. */
+export async function startPlatformServices (): Promise<PlatformServices> {
+  const store = await testing.createStoreStandIn()
+  const origin = await testing.createOriginStandIn(PIECES)
+  const servers: PlatformServices['servers'] = [store, origin]
+  return { store, origin, servers, close: () => { for (const server of servers) server.close() } }
+}
+
 /**
  * Starts the fleet.
  *
  * @param processes - Starts the processes and keeps their settings and logs.
+ * @param services - The platform's services.
  * @param size - Size of the fleet.
  * @param graceMs - Milliseconds from SIGTERM to SIGKILL.
  * @returns The fleet, whose daemons may not be ready yet.
  */
-export async function startGatewaySoakFleet (processes: launcher.Launcher, size: gatewaySoakPlan.GatewaySoakSize, graceMs: number): Promise<GatewaySoakFleet> {
-  const store = await testing.createStoreStandIn()
-  const origin = await testing.createOriginStandIn(PIECES)
+export async function startGatewaySoakFleet (processes: launcher.Launcher, { store, origin, servers }: PlatformServices, size: gatewaySoakPlan.GatewaySoakSize, graceMs: number): Promise<GatewaySoakFleet> {
   const [internalPort = 0, callerPort = 0, readinessPort = 0, enginePort = 0] = await launcher.findPorts(4)
   const network = FIRST_NETWORK + process.pid % NETWORKS
   const runs: EngineRun[] = []
   const configurations: ConfiguredTimeouts[] = []
-  let configuration = createSoakConfiguration(testing.formatAddress(origin.address))
+  let configuration = createSoakConfiguration(testing.formatAddress(origin.address), size.slots)
   let isEnding = false
   let version = 1
   let engineIds = 0
@@ -139,12 +153,12 @@
 
     function register (engine: testing.EngineStandIn, state: 'ready' | 'draining'): void {
       const model = service === STREAM_SERVICE ? { name: MODEL, version: engine.version() } : undefined
-      store.put(platform.OBJECT_KINDS.backEnds, engine.id, { ...testing.describeEngine(engine, service, nameZone(hall), model) as object, state })
+      store.put(platform.OBJECT_KINDS.backEnds, engine.id, { ...testing.describeEngine(engine, service, nameZone(hall), model) as object, slots: size.slots, state })
     }
 
     async function start (): Promise<testing.EngineStandIn> {
       const id = `i-${engineIds++}`
-      const engine = await testing.createEngineStandIn({
+      const engine: testing.EngineStandIn = await testing.createEngineStandIn({
         id,
         host,
         port: enginePort,
@@ -154,13 +168,16 @@
           const run: EngineRun = { id: requestId, engine: id, beganAt: performance.now(), endedAt: Infinity, isWhole: false, isEngineEnded: false }
           runs.push(run)
           open.add(run)
+          engine.load.running += 1
           return (isWhole) => {
             open.delete(run)
+            engine.load.running -= 1
             run.endedAt = performance.now()
             run.isWhole = isWhole
           }
         }
       })
+      servers.push(engine)
       incarnations.push(engine)
       register(engine, 'ready')
       return engine
@@ -208,7 +225,7 @@
     function changeSettings (torn: boolean): void {
       settingsTurn += 1
       const text = `role = "${role}"\nnode = "${name}"\nzone = "${nameZone(hall)}"\nregion = "region-a"\nhost = "${host}"\nseeds = [${seeds.map((seed) => `"${seed}:1"`).join()}]\ninternal_port = ${internalPort}\n` +
-        `[store]\naddress = "${testing.formatAddress(store.address)}"\n${section}[limits]\ngrace_seconds = ${graceMs / types.MILLISECONDS_IN_SECOND}\n# Change ${settingsTurn}\n`
+        `[store]\naddress = "${testing.formatAddress(store.address)}"\n${section}[limits]\ngrace_seconds = ${graceMs / types.MILLISECONDS_IN_SECOND}\n[waiting]\nmaximum_calls = ${size.waitingCalls}\n# Change ${settingsTurn}\n`
       fs.writeFileSync(settingsFile, torn ? text.slice(0, text.length / 2) : text)
     }
 
@@ -280,13 +297,7 @@
       version += 1
       store.put(platform.OBJECT_KINDS.versions, MODEL, { model: MODEL, version })
     },
-    noteEnding: () => { isEnding = true },
-    close: () => {
-      isEnding = true
-      for (const { incarnations } of engines) for (const engine of incarnations) engine.close()
-      store.close()
-      origin.close()
-    }
+    noteEnding: () => { isEnding = true }
   }
 }
 
@@ -294,7 +305,7 @@
   return `zone-${HALL_NAMES[hall] ?? ''}`
 }
 
-function createSoakConfiguration (originAddress: string): testing.Configuration {
+function createSoakConfiguration (originAddress: string, slots: number): testing.Configuration {
   const configuration = testing.createConfiguration(originAddress, PIECES, MODEL, API_KEY)
   const plainRoute = { timeoutMs: 7000, targetLatencyMs: 2500 }
   const [read, write, , stream] = configuration.routes as [Record<string, unknown>, Record<string, unknown>, unknown, Record<string, unknown>]
@@ -308,7 +319,7 @@
   const [plainService, streamService, weights] = configuration.services as [Record<string, unknown>, Record<string, unknown>, Record<string, unknown>]
   configuration.services = [
     ...PLAIN_SERVICES.map((name) => ({ ...plainService, name })),
-    { ...streamService, engine: { ...streamService.engine as object, kvCapacity: 1_000_000, step_ms: gatewaySoakPlan.STEP_MS } },
+    { ...streamService, engine: { ...streamService.engine as object, slots, kvCapacity: 1_000_000, step_ms: gatewaySoakPlan.STEP_MS } },
     weights
   ]
   configuration.limits.maxBodyBytes = 1_000_000
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.ts
@@ -8,6 +8,10 @@
   /** Agents, each with an engine, of each hall. */
   readonly agents: readonly number[]
   readonly callersPerGateway: number
+  /** Requests that an engine runs at a time, as it states. */
+  readonly slots: number
+  /** Calls that may wait at a gateway for a slot. */
+  readonly waitingCalls: number
 }
 
 /** What happens to a process, an engine or the configuration. */
@@ -89,7 +93,6 @@
 /** Shorter and longer than what other processes take for an end. */
 const PAUSES_MS = [100, 500, 2000, 4500]
 const MAXIMUM_DOWN_MS = 1500
-const LARGE_FLEET_CALLERS = 8
 const WARM_UP_TURNS = 10
 const CALLER_KINDS = ['streams', 'streams', 'long-streams', 'long-streams', 'plain', 'plain', 'slow-readers', 'slow-senders'] as const
 const FRESH_SHARE = 0.25
@@ -102,14 +105,17 @@
 }
 
 /**
- * Plans a fleet of two halls.
+ * Plans a fleet of two halls. Every fifth seed has few slots, for which calls wait.
  *
- * @param processes - Number of gateways and agents together.
- * @returns Its size; half of the processes are gateways.
+ * @param seed - Seed of the soak.
+ * @param processes - Number of gateways and agents together; half of them are gateways. A few when absent.
+ * @returns Its size.
  */
-export function planSoakSize (processes: number): GatewaySoakSize {
+export function planSoakSize (seed: number, processes?: number): GatewaySoakSize {
+  const capacity = seed % 5 === 0 ? { slots: 6, waitingCalls: 64 } : { slots: 16, waitingCalls: 0 }
+  if (processes === undefined) return { gateways: [3, 1], agents: [2, 1], callersPerGateway: 10, ...capacity }
   const perHall = Math.max(1, Math.floor(processes / 4))
-  return { gateways: [perHall, perHall], agents: [perHall, perHall], callersPerGateway: LARGE_FLEET_CALLERS }
+  return { gateways: [perHall, perHall], agents: [perHall, perHall], callersPerGateway: 8, ...capacity }
 }
 
 function pick<Item> (items: readonly Item[], random: () => number): Item {
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -10,14 +10,13 @@
 import * as judgeGatewaySoak from '../_lib/judgeGatewaySoak.js'
 import * as soakBalancer from '../_lib/soakBalancer.js'
 
-export { planSoakSize } from '../_lib/gatewaySoakPlan.js'
-
 /** Options of {@link soakGateways}. */
 export interface GatewaySoakOptions {
   readonly seed: number
   /** Time in milliseconds in which disturbances begin; {@link SOAK_MS} when absent. */
   readonly durationMs?: number
-  readonly size?: gatewaySoakPlan.GatewaySoakSize
+  /** Number of gateways and agents; a few when absent. */
+  readonly processes?: number
 }
 
 /** Result of a soak. */
@@ -35,8 +34,6 @@
   readonly longestStallMs: number
 }
 
-export const SMALL_SOAK: gatewaySoakPlan.GatewaySoakSize = { gateways: [3, 1], agents: [2, 1], callersPerGateway: 10 }
-
 /** Long enough for drains of 8 s that overlap. */
 const SOAK_MS = 15_000
 const GRACE_MS = 8000
@@ -53,21 +50,27 @@
  * @param options - Seed, length and size.
  * @returns Counts of calls and disturbances, and the broken promises. Rejects if the fleet does not start.
  */
-export async function soakGateways ({ seed, durationMs = SOAK_MS, size = SMALL_SOAK }: GatewaySoakOptions): Promise<GatewaySoakReport> {
+export async function soakGateways ({ seed, durationMs = SOAK_MS, processes: processCount }: GatewaySoakOptions): Promise<GatewaySoakReport> {
+  const size = gatewaySoakPlan.planSoakSize(seed, processCount)
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), `switchridge-soak-${seed}-`))
   const processes = launcher.createLauncher(folder)
-  const fleet = await gatewaySoakFleet.startGatewaySoakFleet(processes, size, GRACE_MS)
-  const balancer = soakBalancer.startSoakBalancer(fleet)
+  const services = await gatewaySoakFleet.startPlatformServices()
   let hasProblems = true
+  let stop = (): void => {}
   try {
+    const fleet = await gatewaySoakFleet.startGatewaySoakFleet(processes, services, size, GRACE_MS)
+    const balancer = soakBalancer.startSoakBalancer(fleet)
+    stop = () => {
+      balancer.stop()
+      fleet.noteEnding()
+    }
     const report = await runSoak({ seed, durationMs, size, folder, fleet, balancer })
     hasProblems = report.problems.length > 0
     return report
   } finally {
-    balancer.stop()
-    fleet.noteEnding()
+    stop()
     await processes.close()
-    fleet.close()
+    services.close()
     if (!hasProblems) fs.rmSync(folder, { recursive: true, force: true })
   }
 }
@@ -89,13 +92,16 @@
   const plan = gatewaySoakPlan.planGatewayDisturbances(seed, durationMs, Math.max(1, nodes.length / PROCESSES_PER_RATE))
   const disruptions: judgeGatewaySoak.UnplannedDisruption[] = []
   const endsAt = performance.now() + durationMs
-  await Promise.all(plan.map(async (disturbance) => {
-    await types.delay(disturbance.atMs)
-    await carryOut(disturbance, { fleet, balancer, disruptions, endsAt })
-  }))
-  await launcher.waitUntil(() => !nodes.some(isDraining), GRACE_MS + SETTLE_MS, 'the end of all drains')
-  await types.delay(SETTLE_MS)
-  await callers.stop()
+  try {
+    await Promise.all(plan.map(async (disturbance) => {
+      await types.delay(disturbance.atMs)
+      await carryOut(disturbance, { fleet, balancer, disruptions, endsAt })
+    }))
+    await launcher.waitUntil(() => !nodes.some(isDraining), GRACE_MS + SETTLE_MS, 'the end of all drains')
+    await types.delay(SETTLE_MS)
+  } finally {
+    await callers.stop()
+  }
   const endedAt = performance.now()
   const incarnations = nodes.flatMap((node) => node.incarnations)
   const logs = new Map(incarnations.map(({ logFile }) => [logFile, fs.readFileSync(logFile, 'utf8')]))
