--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -171,10 +171,9 @@
     return hasBackend ? '' : 'no live backend server'
   }
 
-  /** Waits for the calls in progress until the drain is over, and ends them then. */
+  /** A call may still have to record its answer after its caller has got it. */
   async function waitForCalls (): Promise<void> {
-    while (calls.inProgress() > 0 && parts.now() < endsAt) await types.delay(DRAIN_POLL_MS)
-    calls.endAll()
+    while (calls.inProgress() > 0) await types.delay(DRAIN_POLL_MS)
   }
 
   keeper.onAdopt(() => {
@@ -199,8 +198,10 @@
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
       await types.delay(BALANCER_GRACE_MS)
+      const cancelEnd = parts.at(endsAt, calls.endAll)
       await callerListener.close()
       await waitForCalls()
+      cancelEnd()
     },
     close: listener.close,
     stop: () => {
