Wait for a silent engine while a stream can't go on at another one

Callers saw streams cut about a second after the last event, although their engines were still at work. The gateway broke an attempt off for silence (2.5 times the gap target, at least 0.8 s) before it knew whether another engine, an attempt or the retry budget was left, and then had to end the answer. Silence says nothing of what the engine will still send.

Before it breaks the attempt off, the gateway now asks whether the stream may go on elsewhere, and asks again after the same time if not; the deadline stays the bound. Streams that have not begun are given up as before, with an answer, so that their callers can go elsewhere.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -99,9 +99,10 @@
  * @param choice - The back end.
  * @param open - The attempt as the back end records know it.
  * @param options - Protocol, records and clock.
+ * @param mayMove - Whether a stream that has begun may go on at another back end now; until then a silent engine is waited for.
  * @returns How the attempt ended.
  */
-export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options): Promise<AttemptOutcome> {
+export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options, mayMove: () => boolean = () => true): Promise<AttemptOutcome> {
   const { head, route } = call
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
   const attempt = options.sendAttempt({
@@ -127,7 +128,7 @@
   let isAborted = false
   call.setAbortAttempt(abort)
   const waitsForDeadline = !(route.kind === 'stream' && route.isResumable)
-  const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), abort)
+  const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), () => !reply.hasStarted() || mayMove(), abort)
   const cancelWithdrawal = scheduleWithdrawal()
   const start = await attempt.start
   if (start.kind === 'not-sent') {
@@ -298,13 +299,20 @@
   readonly hasExpired: () => boolean
 }
 
-/** Aborts an attempt whose response brings no event within a timeout; without a timeout for the first event the attempt waits for the deadline. */
-function createEventTimer (firstTimeoutMs: number | null, abort: () => void): EventTimer {
+/**
+ * Aborts an attempt whose response brings no event within a timeout, unless `mayAbort` returns false then; it is asked again after the same time. Without a timeout for
+ * the first event the attempt waits for the deadline.
+ */
+function createEventTimer (firstTimeoutMs: number | null, mayAbort: () => boolean, abort: () => void): EventTimer {
   let hasExpired = false
   let timer: NodeJS.Timeout | null = null
 
   function start (timeoutMs: number): void {
     timer = setTimeout(() => {
+      if (!mayAbort()) {
+        start(timeoutMs)
+        return
+      }
       hasExpired = true
       abort()
     }, timeoutMs)
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -343,6 +343,11 @@
     return callState.canMeetTarget(callState.readElapsedMs(call, options.now()) + delayMs, call.route.targetMs)
   }
 
+  /** Whether a stream that has begun may go on at another back end now. */
+  function mayMove (): boolean {
+    return call.attempts < call.route.maximumAttempts && budget.hasRoom() && choose(call.tried, false).choice !== null
+  }
+
   function mayRetry (outcome: runAttempt.AttemptOutcome): boolean {
     if (call.attempts >= call.route.maximumAttempts) return false
     if (outcome.kind === 'not-run') return !call.mayHaveRun || call.isRepeatable
@@ -359,7 +364,7 @@
     }
     options.tracker.noteSent(choice.backEnd.id, open)
     options.onSent(choice.backEnd)
-    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options)
+    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options, mayMove)
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
--- a/packages/gateway/src/createRetryBudget/index.ts
+++ b/packages/gateway/src/createRetryBudget/index.ts
@@ -14,6 +14,8 @@
 export interface RetryBudget {
   /** Records a call, which raises the budget for one window. */
   readonly noteCall: () => void
+  /** Whether the window has room for a retry. */
+  readonly hasRoom: () => boolean
   /** Spends one retry if the window has room for it; returns whether it had. */
   readonly trySpend: () => boolean
 }
@@ -48,11 +50,16 @@
     return SAFETY_FRACTION * (limits.ratio * calls.length + slack)
   }
 
+  function hasRoom (): boolean {
+    removeExpired(spent)
+    return spent.length + 1 <= computeAllowance()
+  }
+
   return {
     noteCall: () => { calls.push(now()) },
+    hasRoom,
     trySpend: () => {
-      removeExpired(spent)
-      if (spent.length + 1 > computeAllowance()) return false
+      if (!hasRoom()) return false
       spent.push(now())
       return true
     }
