--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -67,7 +67,7 @@
 
 const PROCESS_ENVIRONMENT: PartsEnvironment = {
   clocks: clock.SYSTEM_CLOCKS,
-  writeLine: (line) => { process.stdout.write(line + '\n') }
+  writeLine: observability.createLineWriter(process.stdout)
 }
 
 /**
