End pipelined requests whose connection breaks off before their turn

A server did not learn that the caller of a pipelined request was gone if an earlier response was still to be sent on its connection: Node.js closes only the response whose turn it is. Such a call stayed registered as in progress for good, its bytes stayed accounted for, and a process that drains would have waited for it until its time was over and logged it as cut.

trackConnections closes all responses of a connection that is closed.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -59,7 +59,10 @@
   function addConnection (socket: net.Socket): void {
     const connection: Connection = { socket, responses: new Set(), idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
     connections.set(socket, connection)
-    socket.once('close', () => { connections.delete(socket) })
+    socket.once('close', () => {
+      connections.delete(socket)
+      setImmediate(() => { closeResponses(connection) })
+    })
     // Node.js calls it after the last response of a connection.
     socket.destroySoon = () => { closeGracefully(connection) }
   }
@@ -72,19 +75,27 @@
     }
     connection.responses.add(response)
     response.once('close', () => {
-      if (request.complete) finishRequest(connection, response)
-      else request.once('close', () => { finishRequest(connection, response) })
+      connection.responses.delete(response)
+      noteIdle(connection)
+      if (!request.complete) request.once('close', () => { noteIdle(connection) })
     })
     if (isDraining) response.shouldKeepAlive = false
     handle(request, response)
   }
 
-  function finishRequest (connection: Connection, response: http.ServerResponse): void {
-    connection.responses.delete(response)
+  function noteIdle (connection: Connection): void {
     connection.idleSince = performance.now()
     connection.idleBytes = connection.socket.bytesRead
   }
 
+  /** Node.js closes only the response that is being sent; those of pipelined requests behind it would stay open. */
+  function closeResponses ({ responses }: Connection): void {
+    for (const response of responses) {
+      response.destroy()
+      response.emit('close')
+    }
+  }
+
   function closeGracefully (connection: Connection): void {
     const { socket } = connection
     connection.isClosing = true
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -162,3 +162,20 @@
   assert.deepEqual(tracker.count(), { idle: 0, receiving: 0, serving: 0, delivering: 0, closing: 0 })
   socket.destroy()
 })
+
+nodeTest.test('a pipelined request whose connection breaks off before its turn is ended', LIMIT, async (context) => {
+  const open = new Set<string>()
+  const { connect } = await openServer(context, (request, response) => {
+    const path = request.url ?? ''
+    open.add(path)
+    response.once('close', () => { open.delete(path) })
+  })
+  const { socket } = connect(formatRequest('/first') + formatRequest('/second'))
+  while (open.size < 2) await types.delay(POLL_MS)
+  socket.resetAndDestroy()
+  const deadline = performance.now() + WAIT_MS
+  while (open.size > 0) {
+    assert.ok(performance.now() < deadline, [...open].join())
+    await types.delay(POLL_MS)
+  }
+})
