Say in the log and the status how far callers' connections are

drain-ended-early named calls alone, so that a drain that ended with its grace period because callers read no more looked like one whose engines were slow. It and the status now count callers' connections by phase.

--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -67,6 +67,7 @@
   await open('stalled')
   program.child.kill('SIGTERM')
   assert.equal(await program.ended, 0)
+  assert.match(program.output(), /event=drain-ended-early .*delivering=1 /)
   assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
 })
 
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -286,7 +286,7 @@
     gossip.sendNow()
     await types.delay(Math.min(BALANCER_NOTICE_MS, endsBy - now()))
     if (await gracePeriod.waitAtMost(server.drain(), endsBy - now())) return
-    logger.warn('drain-ended-early', { inProgress: calls.register.count() })
+    logger.warn('drain-ended-early', { inProgress: calls.register.count(), ...server.countConnections() })
     calls.endAll()
     await types.delay(FINAL_ANSWERS_MS)
   }
@@ -309,6 +309,7 @@
     ...createFleetParts.describeSelf(parts, { isLeaving, isStoreLost: exchange.isStoreLost() }),
     isReady: isReady(),
     inProgress: calls.register.count(),
+    connections: server.countConnections(),
     store: exchange.storeState(),
     blockedCalls: callQuarantine.blocks().map(({ fingerprint, count, since }) => ({ fingerprint, count, ageSeconds: Math.round((now() - since) / types.MILLISECONDS_IN_SECOND) })),
     endsKnown: callQuarantine.countEnds(),
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -10,6 +10,8 @@
 export interface CallerServer {
   /** Applies other limits to future connections and requests. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
+  /** Number of open connections by phase. */
+  readonly countConnections: () => Readonly<Record<rpc.ConnectionPhase, number>>
   /** Stops accepting connections and closes idle ones; resolves when all calls are delivered and all connections are closed. */
   readonly drain: () => Promise<void>
   /** Stops accepting connections and destroys all open ones. */
@@ -49,6 +51,7 @@
 
   return {
     setLimits,
+    countConnections: connections.count,
     drain: connections.drain,
     close: connections.abort
   }
