Soak gateways before engines that stand still

Every seventh seed has engines that send nothing for 0.5 to 1.5 s and then go on, as engines do that run out of memory.

--- a/packages/fuzz/src/_lib/gatewaySoakPlan.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.ts
@@ -38,6 +38,8 @@
   | 'engine-leaves'
   /** An engine ends at once, with all its connections; another one takes its place. */
   | 'engine-crashes'
+  /** An engine sends nothing for a while, and then goes on. */
+  | 'engine-stalls'
 
 /** A signal that follows the first one of a disturbance. */
 export interface FurtherSignal {
@@ -92,6 +94,7 @@
 const UNPLANNED_SHARE = 0.2
 /** Shorter and longer than what other processes take for an end. */
 const PAUSES_MS = [100, 500, 2000, 4500]
+const SHORTEST_STALL_MS = 500
 const MAXIMUM_DOWN_MS = 1500
 const WARM_UP_TURNS = 10
 const CALLER_KINDS = ['streams', 'streams', 'long-streams', 'long-streams', 'plain', 'plain', 'slow-readers', 'slow-senders'] as const
@@ -148,6 +151,21 @@
       reloadsAfterStartMs: random() < 0.3 ? Array.from({ length: 3 }, () => random() * 1000) : []
     })
   }
+  return hasStalls(seed) ? [...plan, ...planStalls(seed, durationMs, rate)] : plan
+}
+
+/** Every seventh seed has engines that stand still now and then, as engines that run out of memory do. */
+function hasStalls (seed: number): boolean {
+  return seed % 7 === 0
+}
+
+function planStalls (seed: number, durationMs: number, rate: number): GatewayDisturbance[] {
+  const random = createPlanRandom(seed)
+  const plan: GatewayDisturbance[] = []
+  let atMs = 0
+  while ((atMs += random() * 2000 / rate) < durationMs) {
+    plan.push({ atMs, kind: 'engine-stalls', target: random(), forMs: SHORTEST_STALL_MS + random() * 1000, furtherSignals: [], reloadsAfterStartMs: [] })
+  }
   return plan
 }
 
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -202,6 +202,14 @@
     await engine.crash(forMs)
   }
 
+  async function stallEngine (): Promise<void> {
+    const engine = pick(fleet.engines.filter(({ service }) => service === gatewaySoakFleet.STREAM_SERVICE)).incarnations.at(-1)
+    if (engine === undefined) return
+    engine.stall.isStalled = true
+    await types.delay(forMs)
+    engine.stall.isStalled = false
+  }
+
   /** The first engine of each service stays, so that calls can be served. */
   function pickDisturbableEngine (): gatewaySoakFleet.SoakEngine {
     return pick(fleet.engines.filter((engine) => fleet.engines.find(({ service }) => service === engine.service) !== engine))
@@ -218,7 +226,8 @@
     routes: () => { fleet.configure(changeRoutes) },
     version: () => { fleet.nameVersion() },
     'engine-leaves': async () => { await pickDisturbableEngine().leave(forMs) },
-    'engine-crashes': crashEngine
+    'engine-crashes': crashEngine,
+    'engine-stalls': stallEngine
   }
   await actions[kind]()
 }
