Spend a retry when a silent stream may move, not when it is sent again

Streams whose engine had stood still were cut although the engine went on: with few retries left, several streams found room in the retry budget at the same moment, gave up their attempts, and only the first could spend it. The stream that may move now spends the retry at once; the others wait for their engines.

--- a/packages/daemon/src/_lib/regions.test.ts
+++ b/packages/daemon/src/_lib/regions.test.ts
@@ -134,7 +134,7 @@
       acquire: async (backEnd) => await ask(backEnd) ? { isGranted: true } : { isGranted: false, retryAfterMs: 1 } as unknown as Awaited<ReturnType<gateway.RateLimiter['acquire']>>
     },
     reserver: { reserve: ask, ask: async (backEnd) => await ask(backEnd) ? 'reserved' : 'refused' },
-    budget: { noteCall: () => {}, hasRoom: () => true, trySpend: () => true },
+    budget: { noteCall: () => {}, trySpend: () => true },
     sendAttempt: (request) => {
       const hall = scenario.backEnds[backEnds.findIndex(({ address }) => address === request.address)]?.hall as string
       sent.push({ hall, evacuated: new Set(evacuated), bodyBytes: request.body?.length ?? 0 })
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -102,6 +102,7 @@
   let lastReason = ''
   let backEnd = ''
   let isBlocked = false
+  let isRetrySpent = false
 
   const waiting = findWaiting()
   waiting?.noteCall(call.service, call.rank)
@@ -162,10 +163,11 @@
         retryAfterMs = callState.DRAIN_RETRY_MS
         return endUnserved()
       }
-      if (!isFirst && !budget.trySpend()) {
+      if (!isFirst && !isRetrySpent && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
       }
+      isRetrySpent = false
       backEnd = choice.backEnd.id
       const outcome = await attempt(connectWithinMs === Infinity ? choice : { ...choice, connectWithinMs })
       if (call.isCallerGone()) return 'left'
@@ -343,9 +345,10 @@
     return callState.canMeetTarget(callState.readElapsedMs(call, options.now()) + delayMs, call.route.targetMs)
   }
 
-  /** Whether a stream that has begun may go on at another back end now. */
+  /** Whether a stream that has begun may go on at another back end now; if so, the retry is spent, so that no other call can take it before the stream moves. */
   function mayMove (): boolean {
-    return call.attempts < call.route.maximumAttempts && budget.hasRoom() && choose(call.tried, false).choice !== null
+    isRetrySpent ||= call.attempts < call.route.maximumAttempts && choose(call.tried, false).choice !== null && budget.trySpend()
+    return isRetrySpent
   }
 
   function mayRetry (outcome: runAttempt.AttemptOutcome): boolean {
--- a/packages/gateway/src/createRetryBudget/index.ts
+++ b/packages/gateway/src/createRetryBudget/index.ts
@@ -14,8 +14,6 @@
 export interface RetryBudget {
   /** Records a call, which raises the budget for one window. */
   readonly noteCall: () => void
-  /** Whether the window has room for a retry. */
-  readonly hasRoom: () => boolean
   /** Spends one retry if the window has room for it; returns whether it had. */
   readonly trySpend: () => boolean
 }
@@ -50,16 +48,11 @@
     return SAFETY_FRACTION * (limits.ratio * calls.length + slack)
   }
 
-  function hasRoom (): boolean {
-    removeExpired(spent)
-    return spent.length + 1 <= computeAllowance()
-  }
-
   return {
     noteCall: () => { calls.push(now()) },
-    hasRoom,
     trySpend: () => {
-      if (!hasRoom()) return false
+      removeExpired(spent)
+      if (spent.length + 1 > computeAllowance()) return false
       spent.push(now())
       return true
     }
