Show that half-written settings cut nothing, and lengthen time-outs

New: a gateway whose settings file is empty, cut in a section, and cut between sections (which still parses) gets SIGHUP twice each time while streams run. This could not be made to fail, also by reading.

The test of the gateway failed once in a run of the package beside others (load average about 30 on 8 processors): 8 of 8 streams of one gateway without their end, status 200. Suspected: the time-out of the route, 2 s for streams of 1.2 s. The time-out is 6 s now, so that nothing but the signals can cut a stream, and a failure prints the log of the gateway.

--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -1,5 +1,6 @@
 /** Signals to the bundled program in every phase of its process. Sequences repeat a signal, as a supervisor does that signals a process group and passes the signal on. */
 import * as assert from 'node:assert/strict'
+import * as fs from 'node:fs'
 import * as nodeTest from 'node:test'
 import * as got from 'got'
 import * as rpc from '@switchridge/rpc'
@@ -17,6 +18,8 @@
 const EVENTS = 12
 const EVENT_MS = 100
 const WORK_MS = 1200
+/** Much longer than a stream, so that no time-out cuts one beside other load. */
+const CALL_TIMEOUT_MS = 6000
 const TEST_TIMEOUT_MS = 60_000
 const AGENT_HOST_PREFIX = '127.0.0.4'
 const THROW_ON_SIGUSR2 = '--import=data:text/javascript,process.on(%22SIGUSR2%22,()=>{Promise.reject(Error(%22rejected%22));throw(Error(%22thrown%22))})'
@@ -44,30 +47,36 @@
 
 async function createFleet (context: nodeTest.TestContext): Promise<{ fleet: fleetTesting.TestFleet, engine: testing.EngineStandIn }> {
   const fleet = await fleetTesting.createTestFleet(context)
-  fleet.configure()
+  fleet.configure(({ routes }) => { for (const route of routes) route['timeoutMs'] = CALL_TIMEOUT_MS })
   const engine = await fleet.startEngine({ id: 'i-1', ...fleetTesting.STREAM_SERVICE.engine, events: EVENTS, eventMs: EVENT_MS })
   return { fleet, engine }
 }
 
+async function callStream (gateway: types.Address, id: string): Promise<testing.CallerAnswer> {
+  const headers = { ...testing.formatModelHeaders(fleetTesting.MODEL), 'deadline-remaining': String(CALL_TIMEOUT_MS) }
+  return await fleetTesting.call(gateway, { method: 'POST', path: fleetTesting.STREAM_SERVICE.path, id, body: 'quote', headers })
+}
+
 /** Starts streams through a gateway, disturbs it once all of them run at the engine, and returns the answers. */
 async function streamAcross (callers: types.Address, engine: testing.EngineStandIn, disturb: () => Promise<void>): Promise<testing.CallerAnswer[]> {
-  await fleetTesting.waitWithLimit(async () => (await fleetTesting.callService(callers, fleetTesting.STREAM_SERVICE, 'probe')).status === 200)
-  const ids = Array.from({ length: CALLS }, (_, index) => `${callers.host}-${index}`)
-  const answers = Promise.all(ids.map(async (id) => await fleetTesting.callService(callers, fleetTesting.STREAM_SERVICE, id)))
+  await fleetTesting.waitWithLimit(async () => (await callStream(callers, 'probe')).status === 200)
+  const ids = Array.from({ length: CALLS }, (_, index) => `${callers.host}-${engine.arrivals.length}-${index}`)
+  const answers = Promise.all(ids.map(async (id) => await callStream(callers, id)))
   await fleetTesting.waitWithLimit(async () => ids.every((id) => engine.arrivals.some(({ requestId }) => requestId === id)))
   await disturb()
   return await answers
 }
 
-function assertWhole (answers: readonly testing.CallerAnswer[]): void {
-  assert.deepEqual(answers.map(({ status, isWhole }) => ({ status, isWhole })), answers.map(() => ({ status: 200, isWhole: true })))
+function assertWhole (answers: readonly testing.CallerAnswer[], { output }: programTesting.StartedProgram): void {
+  const received = answers.map(({ status, isWhole }) => ({ status, isWhole }))
+  assert.deepEqual(received, answers.map(() => ({ status: 200, isWhole: true })), `${JSON.stringify(received)}\n${output()}`)
 }
 
 nodeTest.test('further stop signals do not cut the streams of a draining gateway', OPTIONS, async (context) => {
   const { fleet, engine } = await createFleet(context)
   await Promise.all(STOP_SEQUENCES.map(async ({ host, signals }) => {
     const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host))
-    assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendStopSignals(gateway, signals) }))
+    assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendStopSignals(gateway, signals) }), gateway)
     assert.equal(await gateway.ended, 0)
     for (const signal of ['SIGTERM', 'SIGINT']) assert.match(gateway.output(), new RegExp(`event=signal .*signal=${signal} .*phase=draining`))
   }))
@@ -102,7 +111,7 @@
   assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => {
     for (const output of [gateway.child.stdout, gateway.child.stderr]) output?.destroy()
     await sendSignals(gateway, ['SIGTERM'])
-  }))
+  }), gateway)
   assert.equal(await gateway.ended, 0)
 })
 
@@ -112,7 +121,7 @@
   await Promise.all(sequences.map(async (signals, index) => {
     const host = `127.0.0.3${index}`
     const gateway = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, host), { nodeOptions: THROW_ON_SIGUSR2 })
-    assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendSignals(gateway, signals) }))
+    assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendSignals(gateway, signals) }), gateway)
     assert.equal(await gateway.ended, 1)
     for (const error of ['thrown', 'rejected']) assert.match(gateway.output(), new RegExp(`event=uncaught-error .*${error}`))
   }))
@@ -214,3 +223,19 @@
   await gateway.waitForOutput('event=started')
   await fleetTesting.waitWithLimit(async () => received.includes('127.0.0.35'))
 })
+
+nodeTest.test('settings that are read half written cut no streams and remove nothing', OPTIONS, async (context) => {
+  const { fleet, engine } = await createFleet(context)
+  const host = '127.0.0.35'
+  const settings = programTesting.formatGatewaySettings(fleet, host)
+  const gateway = programTesting.startProgram(context, settings)
+  const withoutLimits = settings.indexOf('[limits]')
+  assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => {
+    for (const length of [0, settings.indexOf('[listen]'), withoutLimits - 1, withoutLimits, settings.length]) {
+      fs.writeFileSync(gateway.settingsFile, settings.slice(0, length))
+      await sendSignals(gateway, ['SIGHUP', 'SIGHUP'])
+    }
+  }), gateway)
+  assertWhole(await streamAcross({ host, port: fleet.ports.callers }, engine, async () => { await sendStopSignals(gateway, ['SIGHUP', 'SIGTERM']) }), gateway)
+  assert.equal(await gateway.ended, 0)
+})
