--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -161,7 +161,7 @@
   function handleUncaughtError (thrown: unknown): void {
     if (phase === 'ended') return
     if (started === null) {
-      environment.writeLine(`switchridged: ${types.describeError(thrown)}`)
+      environment.writeLine(`switchridged: ${thrown instanceof Error ? thrown.stack : types.describeError(thrown)}`)
       void end(EXIT_FAILED)
       return
     }
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -18,7 +18,7 @@
 const TURN_MS = 5
 
 interface FixtureOptions {
-  readonly whileStarting?: (send: (signal: NodeJS.Signals) => Promise<void>) => Promise<void>
+  readonly whileStarting?: (send: (signal: NodeJS.Signals) => Promise<void>, raise: (error: unknown) => void) => Promise<void>
   /** Errors of the role's drain and stop. */
   readonly failure?: Error
 }
@@ -37,9 +37,10 @@
     handlers.get(signal)?.()
     for (let turn = 0; turn < TURNS; turn += 1) await types.delay(0)
   }
+  let raise: (error: unknown) => void = () => {}
   const lifecycle = createProcessLifecycle.createProcessLifecycle({
     onSignal: (signal, handle) => { handlers.set(signal, handle) },
-    onUncaughtError: () => {},
+    onUncaughtError: (handle) => { raise = handle },
     onLogError: () => {},
     flush: async () => { lines.push('flush') },
     exit: (code) => { exits.push(code) },
@@ -47,7 +48,7 @@
     now: () => clock.time
   })
   await lifecycle.serve(async () => {
-    await whileStarting(send)
+    await whileStarting(send, raise)
     return {
       role: {
         drain: async () => {
@@ -143,6 +144,15 @@
   assert.deepEqual(fixture.exits, [4])
 })
 
+nodeTest.test('an error during the start that nothing handles ends the process with its stack in the log', async () => {
+  const failure = new Error('no memory')
+  failure.stack = 'stack'
+  const fixture = await createFixture({ whileStarting: async (_send, raise) => { raise(failure) } })
+  for (let turn = 0; turn < TURNS; turn += 1) await types.delay(0)
+  assert.deepEqual(fixture.lines, ['switchridged: stack', 'level=info event=exit code=1 uptimeMs=0 signals=', 'flush'])
+  assert.deepEqual(fixture.exits, [1])
+})
+
 nodeTest.test('a drain that fails cuts no calls, and a stop that fails loses no exit', async () => {
   const failure = new Error('store gone')
   failure.stack = 'stack'
