Give callers of HTTP/1.0 no permission to send their body

A caller of HTTP/1.0 that names an expectation got 100 Continue before its answer, since the handler gave the permission to each caller that asks for it. Only HTTP/1.1 knows it. The test got 100 Continue before, and 502 alone now.

--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -152,6 +152,14 @@
   assertRefused(await openUpload(context, EXPECTATION).receive('ends\n'))
 })
 
+nodeTest.test('a caller of HTTP/1.0 gets no permission to send its body, which it does not know', WAIT, async (context) => {
+  const fixture = await startGateway(context, LONG_MS)
+  const caller = openCaller(context, GET.replace('HTTP/1.1', 'HTTP/1.0').replace('\r\n', `\r\n${EXPECTATION}`))
+  await waitForAttempts(fixture, 1)
+  fixture.breakAttempt()
+  assert.match(await caller.receive('closed\n'), /^HTTP\/1.1 502 /)
+})
+
 nodeTest.test('a call whose back end breaks off during a drain is not sent to another one that may not answer in time', WAIT, async (context) => {
   const fixture = await startGateway(context, LONG_MS, 'repeatable')
   const caller = openCaller(context, GET)
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -29,6 +29,8 @@
   readonly endAll: () => void
 }
 
+/** Callers of earlier versions know no permission to send a body. */
+const HTTP_WITH_CONTINUE = '1.1'
 /** Retry time of a caller whose body can't be held, at most doubled at random; another gateway may have memory. */
 const MEMORY_RETRY_MS = 100
 
@@ -63,7 +65,7 @@
     let isRefused = false
     readings.add(recheck)
     recheck(false)
-    if (!isRefused && request.headers.expect !== undefined) response.writeContinue()
+    if (!isRefused && request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
     const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
     readings.delete(recheck)
     requestedAt = options.now()
