Accept the connections that are established when a port is closed

Callers whose connection was established, and whose request may already have been sent, got a reset when a draining process closed its port.

Cause: the event loop accepts one connection in each turn, so that a queue builds up in a busy process, and the timer that closes the port runs before the next turn looks at it. The system resets all that wait.

A drain now accepts until two turns of the event loop have brought no connection, at most for 250 ms, and closes the listening socket then.

createCallerServer's test gives the port time to close before it checks that connections are refused; what it checks is unchanged.

--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -1,8 +1,11 @@
 import * as assert from 'node:assert/strict'
 import * as http from 'node:http'
 import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
 import * as createCallerServer from './index.js'
 
+/** Connections that were established before are still accepted. */
+const STOP_MS = 100
 const ADDRESS = { host: '127.0.0.31', port: 18_431 }
 
 /** Sends a request and returns the response body; null if the connection fails. */
@@ -30,6 +33,7 @@
   const answer = sendRequest()
   await hasBegun
   const drained = server.drain()
+  await types.delay(STOP_MS)
   assert.equal(await sendRequest(), null)
   end()
   assert.equal(await answer, 'first last')
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -1,6 +1,7 @@
 /** Phases of the connections of an HTTP server, and their orderly ends. */
 import * as https from 'node:https'
 import * as net from 'node:net'
+import * as timers from 'node:timers/promises'
 import type * as http from 'node:http'
 
 /**
@@ -33,6 +34,10 @@
  */
 export const LINGER_MS = 2000
 const CHECK_INTERVAL_MS = 50
+/** A server to which peers go on connecting stops accepting after this time. */
+const MAXIMUM_ACCEPT_MS = 250
+/** In the first turn without a new connection, the event loop may not have looked for one. */
+const QUIET_TURNS = 2
 
 interface Connection {
   readonly socket: net.Socket
@@ -55,6 +60,7 @@
 export function trackConnections (server: http.Server | https.Server, handle: http.RequestListener): ConnectionTracker {
   const connections = new Map<net.Socket, Connection>()
   let isDraining = false
+  let accepted = 0
 
   function addConnection (socket: net.Socket): void {
     const connection: Connection = { socket, responses: new Set(), idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
@@ -117,6 +123,17 @@
     }
   }
 
+  /** The event loop accepts one connection in each turn; those that the system has established would be reset together with the listening socket. */
+  async function acceptEstablished (): Promise<void> {
+    const endsBy = performance.now() + MAXIMUM_ACCEPT_MS
+    let quietTurns = 0
+    while (quietTurns < QUIET_TURNS && performance.now() < endsBy) {
+      const before = accepted
+      await timers.setImmediate()
+      quietTurns = accepted === before ? quietTurns + 1 : 0
+    }
+  }
+
   /** `http.Server.close` would also destroy connections whose response is not delivered, and stop checking timeouts. */
   function stopAccepting (): void {
     if (server.listening) net.Server.prototype.close.call(server)
@@ -124,6 +141,7 @@
 
   async function drain (): Promise<void> {
     isDraining = true
+    await acceptEstablished()
     stopAccepting()
     for (const { responses } of connections.values()) {
       for (const response of responses) if (!response.headersSent) response.shouldKeepAlive = false
@@ -142,6 +160,7 @@
   }
 
   server.on(server instanceof https.Server ? 'secureConnection' : 'connection', addConnection)
+  server.on('connection', () => { accepted += 1 })
   server.on('request', handleRequest)
   return {
     count: () => {
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -3,6 +3,7 @@
 import * as http from 'node:http'
 import * as net from 'node:net'
 import * as nodeTest from 'node:test'
+import * as timers from 'node:timers/promises'
 import * as types from '@switchridge/types'
 import * as trackConnections from './index.js'
 
@@ -32,10 +33,11 @@
   const tracker = trackConnections.trackConnections(server, handle)
   context.after(tracker.abort)
   await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
+  const { port } = server.address() as net.AddressInfo
   return {
     tracker,
     connect: (text) => {
-      const socket = net.connect((server.address() as net.AddressInfo).port, HOST)
+      const socket = net.connect(port, HOST)
       socket.write(text)
       return { socket, received: receive(socket) }
     },
@@ -179,3 +181,23 @@
     await types.delay(POLL_MS)
   }
 })
+
+nodeTest.test('a server that drains answers connections that the system had established before', LIMIT, async (context) => {
+  const { tracker, connect } = await openServer(context, (_request, response) => { response.end('whole') })
+  const peers = Array.from({ length: 50 }, () => connect(formatRequest('/')))
+  const drained = tracker.drain()
+  const texts = await Promise.all(peers.map(async ({ received }) => await received))
+  assert.deepEqual(texts.filter((text) => text?.endsWith('whole') !== true), [])
+  await drained
+})
+
+nodeTest.test('peers that go on connecting do not hold up a server that drains', LIMIT, async (context) => {
+  const { tracker, connect } = await openServer(context, (_request, response) => { response.end('whole') })
+  const drained = tracker.drain()
+  let isRefused = false
+  while (!isRefused) {
+    connect(formatRequest('/')).socket.once('error', () => { isRefused = true })
+    await timers.setImmediate()
+  }
+  await drained
+})
