--- a/packages/fuzz/src/_lib/gatewaySoakCallers.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakCallers.ts
@@ -4,6 +4,7 @@
 import * as gatewaySoakFleet from './gatewaySoakFleet.js'
 import * as gatewaySoakPlan from './gatewaySoakPlan.js'
 import type * as soakBalancer from './soakBalancer.js'
+import type * as soakNode from './soakNode.js'
 import * as stallRecord from './stallRecord.js'
 
 /** What became of a call, as its caller saw it. Times are of the monotonic clock in milliseconds. */
@@ -65,7 +66,7 @@
 
   async function runCaller (caller: gatewaySoakPlan.PlannedCaller, hall: number): Promise<void> {
     const random = gatewaySoakPlan.createPlanRandom(caller.seed)
-    let open: { readonly node: gatewaySoakFleet.SoakNode, readonly connection: testing.CallerConnection } | null = null
+    let open: { readonly node: soakNode.SoakNode, readonly connection: testing.CallerConnection } | null = null
     for (let call = 0; !stopping.signal.aborted; call += 1) {
       const planned = gatewaySoakPlan.planCall(caller.kind, random)
       if (open === null || caller.isFresh || !open.connection.isOpen()) {
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.test.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.test.ts
@@ -2,8 +2,9 @@
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
 import type * as gatewaySoakCallers from './gatewaySoakCallers.js'
-import type * as gatewaySoakFleet from './gatewaySoakFleet.js'
 import * as judgeGatewaySoak from './judgeGatewaySoak.js'
+import type * as soakEngine from './soakEngine.js'
+import type * as soakNode from './soakNode.js'
 
 const NODE = 'gateway-a0'
 const GRACE_MS = 8000
@@ -32,9 +33,9 @@
   error: 'aborted',
   deadlineMs: 7000
 }
-const RUN: gatewaySoakFleet.EngineRun = { id: 'c', engine: 'i-0', beganAt: TERM_AT - 490, endedAt: TERM_AT + 2000, isWhole: false, isEngineEnded: false }
-const DRAINED: gatewaySoakFleet.Incarnation = { node: NODE, role: 'gateway', startedAt: 0, signals: [{ signal: 'SIGTERM', at: TERM_AT }], exitedAt: TERM_AT + 3000, code: 0, wasOverdue: false, logFile: LOG }
-const SERVING: gatewaySoakFleet.Incarnation = { ...DRAINED, signals: [], exitedAt: null, code: null }
+const RUN: soakEngine.EngineRun = { id: 'c', engine: 'i-0', beganAt: TERM_AT - 490, endedAt: TERM_AT + 2000, isWhole: false, isEngineEnded: false }
+const DRAINED: soakNode.Incarnation = { node: NODE, role: 'gateway', startedAt: 0, signals: [{ signal: 'SIGTERM', at: TERM_AT }], exitedAt: TERM_AT + 3000, code: 0, wasOverdue: false, logFile: LOG }
+const SERVING: soakNode.Incarnation = { ...DRAINED, signals: [], exitedAt: null, code: null }
 
 function findRules (changes: Partial<Seen> & { readonly call?: Partial<Call> }): string[] {
   const { call = {}, ...others } = changes
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.ts
@@ -1,8 +1,10 @@
 /** Finds the broken promises of a soak of gateways in what its callers and engines saw, with the allowances of the platform's rules. */
 import * as types from '@switchridge/types'
 import type * as gatewaySoakCallers from './gatewaySoakCallers.js'
-import * as gatewaySoakFleet from './gatewaySoakFleet.js'
+import type * as gatewaySoakFleet from './gatewaySoakFleet.js'
 import * as soakBalancer from './soakBalancer.js'
+import type * as soakEngine from './soakEngine.js'
+import * as soakNode from './soakNode.js'
 
 /** A process or an engine that was killed, paused or crashed. Times are of the monotonic clock in milliseconds. */
 export interface UnplannedDisruption {
@@ -23,10 +25,10 @@
 export interface GatewaySoakObservations {
   readonly graceMs: number
   readonly records: readonly gatewaySoakCallers.GatewayCallRecord[]
-  readonly runs: readonly gatewaySoakFleet.EngineRun[]
+  readonly runs: readonly soakEngine.EngineRun[]
   /** Engines at which each request arrived, whether they ran it or not. */
   readonly arrivals: ReadonlyMap<string, readonly string[]>
-  readonly incarnations: readonly gatewaySoakFleet.Incarnation[]
+  readonly incarnations: readonly soakNode.Incarnation[]
   readonly disruptions: readonly UnplannedDisruption[]
   readonly configurations: readonly gatewaySoakFleet.ConfiguredTimeouts[]
   readonly balancerChanges: readonly soakBalancer.BalancerChange[]
@@ -84,12 +86,12 @@
  * @returns The broken promises.
  */
 export function judgeGatewaySoak (seen: GatewaySoakObservations): GatewayProblem[] {
-  const runsById = new Map<string, gatewaySoakFleet.EngineRun[]>()
+  const runsById = new Map<string, soakEngine.EngineRun[]>()
   for (const run of seen.runs) types.getOrCreate(runsById, run.id, () => []).push(run)
   return [...seen.records.flatMap((record) => judgeCall(record, runsById.get(record.id) ?? [], seen)), ...seen.incarnations.flatMap((incarnation) => judgeIncarnation(incarnation, seen))]
 }
 
-function judgeCall (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly gatewaySoakFleet.EngineRun[], seen: GatewaySoakObservations): GatewayProblem[] {
+function judgeCall (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], seen: GatewaySoakObservations): GatewayProblem[] {
   const problems: GatewayProblem[] = []
   const add = (rule: GatewayRule, text: string): void => { problems.push({ rule, node: record.node, id: record.id, logged: formatCutLine(record, seen), text: `${text}: ${describeCall(record, runs, seen)}` }) }
   if (record.fault !== '') add('MIXED', record.fault)
@@ -111,7 +113,7 @@
 }
 
 /** Whether the engine broke off, the time of the call was over, or an unplanned disruption of its gateway or of one of its engines was near. */
-function isExcused (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly gatewaySoakFleet.EngineRun[], seen: GatewaySoakObservations): boolean {
+function isExcused (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], seen: GatewaySoakObservations): boolean {
   const concerned = [record.node, ...seen.arrivals.get(record.id) ?? []]
   const isNearDisruption = seen.disruptions.some((each) => concerned.includes(each.of) && each.beganAt <= record.endedAt && each.endedAt >= record.beganAt - CONTACT_MS)
   return isNearDisruption || runs.some(({ isEngineEnded }) => isEngineEnded) || record.endedAt - record.beganAt >= findTimeoutMs(record, seen)
@@ -126,18 +128,18 @@
 /** When the process to which the call's connection belonged was told to stop. */
 function findTerm (record: gatewaySoakCallers.GatewayCallRecord, { incarnations }: GatewaySoakObservations): number | null {
   const incarnation = incarnations.filter(({ node, startedAt }) => node === record.node && startedAt <= record.connectionOpenedAt).at(-1)
-  return incarnation === undefined ? null : gatewaySoakFleet.findStop(incarnation)
+  return incarnation === undefined ? null : soakNode.findStop(incarnation)
 }
 
 /** Whether the engine still worked in the last sixth of the grace period on a request sent shortly after the SIGTERM. */
-function isLateWork ({ sentAt }: gatewaySoakCallers.GatewayCallRecord, runs: readonly gatewaySoakFleet.EngineRun[], term: number, graceMs: number): boolean {
+function isLateWork ({ sentAt }: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], term: number, graceMs: number): boolean {
   const lastPartFrom = term + graceMs * (1 - LAST_PART_OF_GRACE)
   return sentAt !== null && sentAt <= term + LATE_REQUEST_MS && runs.some(({ beganAt, endedAt }) => endedAt >= lastPartFrom && beganAt <= term + graceMs)
 }
 
-function judgeIncarnation (incarnation: gatewaySoakFleet.Incarnation, seen: GatewaySoakObservations): GatewayProblem[] {
+function judgeIncarnation (incarnation: soakNode.Incarnation, seen: GatewaySoakObservations): GatewayProblem[] {
   const { node, role, startedAt, signals, exitedAt, code, wasOverdue, logFile } = incarnation
-  const term = gatewaySoakFleet.findStop(incarnation)
+  const term = soakNode.findStop(incarnation)
   const until = exitedAt ?? seen.endedAt
   const disruptions = seen.disruptions.filter((each) => each.of === node)
   const isDisruptedIn = (from: number, to: number): boolean => disruptions.some(({ beganAt, endedAt }) => beganAt <= to && endedAt >= from)
@@ -163,7 +165,7 @@
 }
 
 /** Describes a call with all times relative to its end. */
-function describeCall (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly gatewaySoakFleet.EngineRun[], seen: GatewaySoakObservations): string {
+function describeCall (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], seen: GatewaySoakObservations): string {
   const { id, kind, route, node, connectionOpenedAt, beganAt, sentAt, endedAt, status, bytes, expectedBytes, error } = record
   const since = (at: number): string => formatMs(at - endedAt)
   const signals = seen.incarnations.filter((incarnation) => incarnation.node === node).flatMap((incarnation) => incarnation.signals)
--- a/packages/fuzz/src/_lib/soakBalancer.ts
+++ b/packages/fuzz/src/_lib/soakBalancer.ts
@@ -3,6 +3,7 @@
 import * as platform from '@switchridge/platform'
 import * as types from '@switchridge/types'
 import type * as gatewaySoakFleet from './gatewaySoakFleet.js'
+import type * as soakNode from './soakNode.js'
 
 /** When a gateway was put in or out. */
 export interface BalancerChange {
@@ -15,8 +16,8 @@
 /** A running balancer. */
 export interface SoakBalancer {
   /** Chooses a gateway for a new connection of a caller in a hall. */
-  readonly choose: (hall: number, random: () => number) => gatewaySoakFleet.SoakNode
-  readonly isIn: (node: gatewaySoakFleet.SoakNode) => boolean
+  readonly choose: (hall: number, random: () => number) => soakNode.SoakNode
+  readonly isIn: (node: soakNode.SoakNode) => boolean
   readonly changes: readonly BalancerChange[]
   readonly stop: () => void
 }
@@ -36,9 +37,9 @@
   const gateways = fleet.nodes.filter(({ role }) => role === 'gateway')
   const misses = new Map(gateways.map(({ node }) => [node, MISSES]))
   const changes: BalancerChange[] = []
-  const isIn = ({ node }: gatewaySoakFleet.SoakNode): boolean => (misses.get(node) ?? MISSES) < MISSES
+  const isIn = ({ node }: soakNode.SoakNode): boolean => (misses.get(node) ?? MISSES) < MISSES
 
-  async function ask (node: gatewaySoakFleet.SoakNode): Promise<void> {
+  async function ask (node: soakNode.SoakNode): Promise<void> {
     const { host, port } = fleet.readinessAddressOf(node)
     let isReady = false
     try {
@@ -59,7 +60,7 @@
       const inOfHall = ofHall.filter(isIn)
       const inAnywhere = gateways.filter(isIn)
       const candidates = inOfHall.length * 2 >= ofHall.length ? inOfHall : inOfHall.length > 0 || inAnywhere.length === 0 ? ofHall : inAnywhere
-      return candidates[Math.floor(random() * candidates.length)] as gatewaySoakFleet.SoakNode
+      return candidates[Math.floor(random() * candidates.length)] as soakNode.SoakNode
     },
     isIn,
     changes,
@@ -73,7 +74,7 @@
 }
 
 /** Waits until a gateway is in, or until a time limit is over; tells whether it is. */
-export async function waitUntilIn (balancer: SoakBalancer, node: gatewaySoakFleet.SoakNode, timeoutMs: number): Promise<boolean> {
+export async function waitUntilIn (balancer: SoakBalancer, node: soakNode.SoakNode, timeoutMs: number): Promise<boolean> {
   const endsAt = performance.now() + timeoutMs
   while (!balancer.isIn(node) && performance.now() < endsAt) await types.delay(WAIT_POLL_MS)
   return balancer.isIn(node)
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -9,6 +9,8 @@
 import * as gatewaySoakPlan from '../_lib/gatewaySoakPlan.js'
 import * as judgeGatewaySoak from '../_lib/judgeGatewaySoak.js'
 import * as soakBalancer from '../_lib/soakBalancer.js'
+import type * as soakEngine from '../_lib/soakEngine.js'
+import * as soakNode from '../_lib/soakNode.js'
 
 /** Options of {@link soakGateways}. */
 export interface GatewaySoakOptions {
@@ -124,16 +126,16 @@
   return {
     calls: countBy(callers.records, ({ route, isWhole, status, sentAt }) => `${route} ${isWhole ? status === OK ? 'answered' : status : sentAt === null ? 'unsent' : 'cut'}`),
     disturbances: countBy(plan, ({ kind }) => kind),
-    ownEnds: incarnations.filter((each) => each.exitedAt !== null && gatewaySoakFleet.findStop(each) === null && !each.signals.some(({ signal }) => signal === 'SIGKILL')).length,
+    ownEnds: incarnations.filter((each) => each.exitedAt !== null && soakNode.findStop(each) === null && !each.signals.some(({ signal }) => signal === 'SIGKILL')).length,
     problems,
     keptFolder: problems.length > 0 ? folder : null,
     longestStallMs: Math.round(callers.longestStallMs())
   }
 }
 
-function isDraining ({ incarnations, isRunning }: gatewaySoakFleet.SoakNode): boolean {
+function isDraining ({ incarnations, isRunning }: soakNode.SoakNode): boolean {
   const current = incarnations.at(-1)
-  return isRunning() && current !== undefined && gatewaySoakFleet.findStop(current) !== null
+  return isRunning() && current !== undefined && soakNode.findStop(current) !== null
 }
 
 interface Stage {
@@ -149,13 +151,13 @@
   const pick = <Item>(items: readonly Item[]): Item => items[Math.floor(target * items.length)] as Item
   const node = pick(fleet.nodes)
   const next = { downMs: forMs, reloadsAfterStartMs }
-  const sendFurther = async (to: gatewaySoakFleet.SoakNode): Promise<void> => {
+  const sendFurther = async (to: soakNode.SoakNode): Promise<void> => {
     await Promise.all(furtherSignals.map(async ({ afterMs, signal }) => {
       await types.delay(afterMs)
       to.signal(signal)
     }))
   }
-  const terminate = async (to: gatewaySoakFleet.SoakNode): Promise<void> => {
+  const terminate = async (to: soakNode.SoakNode): Promise<void> => {
     to.next = next
     to.signal('SIGTERM')
     await sendFurther(to)
@@ -212,7 +214,7 @@
   }
 
   /** The first engine of each service stays, so that calls can be served. */
-  function pickDisturbableEngine (): gatewaySoakFleet.SoakEngine {
+  function pickDisturbableEngine (): soakEngine.SoakEngine {
     return pick(fleet.engines.filter((engine) => fleet.engines.find(({ service }) => service === engine.service) !== engine))
   }
 
