Show that cut answers without framing look complete

An answer of an engine that has neither a length nor chunks is passed on the same way, so that only the end of the connection marks its end. A stream in progress is already reset at the end of the grace period; an answer that is only being delivered is not.

--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -1,6 +1,7 @@
 /** Guards against answers that are cut because a process that ends takes them for delivered once they were handed over. */
 import * as assert from 'node:assert/strict'
 import * as nodeTest from 'node:test'
+import type * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as fleetTesting from './_lib/fleetTesting.js'
 import * as plainHall from './_lib/plainHall.js'
@@ -24,13 +25,14 @@
 interface OpenedGateway {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
+  readonly engine: testing.EngineStandIn
   readonly open: (id: string) => Promise<unreadCall.UnreadCall>
 }
 
 async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number): Promise<OpenedGateway> {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
-  await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
+  const engine = await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
   const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n`))
   const callers = { host: HOST, port: fleet.ports.callers }
   await program.waitForOutput('event=started')
@@ -38,6 +40,7 @@
   return {
     program,
     callers,
+    engine,
     open: async (id) => await unreadCall.openUnreadCall(callers, PATH, { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` })
   }
 }
@@ -71,6 +74,20 @@
   assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
 })
 
+for (const signal of ['SIGTERM', 'SIGQUIT'] as const) {
+  nodeTest.test(`an answer without framing that a gateway cuts after ${signal} does not look complete`, LIMIT, async (context) => {
+    const { program, engine, open } = await openGateway(context, BIG_ANSWER_BYTES, 4)
+    Object.assign(engine.faults, { next: 'unframed', count: 1 })
+    const { socket, readOn } = await open('unframed')
+    let isReset = false
+    socket.once('error', () => { isReset = true })
+    program.child.kill(signal)
+    await program.ended
+    const received = await readOn()
+    assert.ok(isReset, `the caller takes ${received ?? 0} of ${BIG_ANSWER_BYTES} bytes for the whole answer`)
+  })
+}
+
 interface OpenedEntry {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
