--- a/packages/fuzz/src/_lib/gatewaySoakCallers.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakCallers.ts
@@ -125,10 +125,8 @@
     path: `/${route}/call?${query}`,
     id,
     headers: {
-      host: 'app.example',
-      'deadline-remaining': String(DEADLINE_MS),
-      authorization: `Bearer ${gatewaySoakFleet.API_KEY}`,
-      ...(isStream(planned) ? { model: gatewaySoakFleet.MODEL, 'token-count': `${PROMPT_TOKENS},${statedTokens}` } : {})
+      ...testing.formatCallerHeaders(gatewaySoakFleet.API_KEY, DEADLINE_MS),
+      ...(isStream(planned) ? testing.formatModelHeaders(gatewaySoakFleet.MODEL, PROMPT_TOKENS, statedTokens) : {})
     },
     bodyBytes,
     sendMs,
@@ -145,9 +143,7 @@
 
 /** Finds what is wrong with a whole response. */
 function findFault (id: string, expected: Buffer, answer: testing.ConnectionAnswer): string {
-  if (answer.headers['request-id'] !== undefined && answer.headers['request-id'] !== id) return 'answer of another request'
-  if (answer.status !== OK) return ''
-  if (answer.headers['engine-seal'] === undefined) return 'success without the signature of an engine'
-  if (answer.body.equals(expected)) return ''
+  const headFault = testing.findHeadFault(id, answer)
+  if (headFault !== '' || answer.status !== OK || answer.body.equals(expected)) return headFault
   return answer.body.length < expected.length ? 'shorter than what the engine answers' : 'other bytes than those of the engine'
 }
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -3,6 +3,7 @@
 import * as os from 'node:os'
 import * as path from 'node:path'
 import * as launcher from '@switchridge/launcher'
+import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as gatewaySoakCallers from '../_lib/gatewaySoakCallers.js'
 import * as gatewaySoakFleet from '../_lib/gatewaySoakFleet.js'
@@ -241,7 +242,7 @@
 
 const changeTimeouts: Change = (configuration, turn) => {
   for (const route of configuration.routes) {
-    if (route.routeType === 'stream') route.timeoutMs = STREAM_TIMEOUTS_MS[turn % STREAM_TIMEOUTS_MS.length]
+    if (testing.isStreamRoute(route)) route.timeoutMs = STREAM_TIMEOUTS_MS[turn % STREAM_TIMEOUTS_MS.length]
   }
 }
 
