Show that cut answers without framing look complete

An answer of an engine that has neither a length nor chunks is passed on the same way, so that only the end of the connection marks its end. A stream in progress is already reset at the end of the grace period; an answer that is only being delivered is not.

The caller is a process that stops itself: a socket of Node.js that was paused when the reset came reports an end instead (trial on this runtime).

--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -1,6 +1,9 @@
 /** Guards against answers that are cut because a process that ends takes them for delivered once they were handed over. */
 import * as assert from 'node:assert/strict'
+import * as childProcess from 'node:child_process'
+import type * as http from 'node:http'
 import * as nodeTest from 'node:test'
+import type * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as fleetTesting from './_lib/fleetTesting.js'
 import * as plainHall from './_lib/plainHall.js'
@@ -24,13 +27,14 @@
 interface OpenedGateway {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
+  readonly engine: testing.EngineStandIn
   readonly open: (id: string) => Promise<unreadCall.UnreadCall>
 }
 
 async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number): Promise<OpenedGateway> {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
-  await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
+  const engine = await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
   const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n`))
   const callers = { host: HOST, port: fleet.ports.callers }
   await program.waitForOutput('event=started')
@@ -38,10 +42,15 @@
   return {
     program,
     callers,
-    open: async (id) => await unreadCall.openUnreadCall(callers, PATH, { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` })
+    engine,
+    open: async (id) => await unreadCall.openUnreadCall(callers, PATH, formatHeaders(id))
   }
 }
 
+function formatHeaders (id: string): http.OutgoingHttpHeaders {
+  return { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` }
+}
+
 nodeTest.test('a gateway ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
   const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20)
   const calls = await Promise.all(Array.from({ length: CALLERS }, async (_, caller) => await open(`slow-${caller}`)))
@@ -71,6 +80,36 @@
   assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
 })
 
+/** Stops itself once the head of the answer has arrived; once it goes on, prints how the answer ended. A paused socket of Node.js would take a reset for an end. */
+const BLOCKED_CALLER = `
+  require('http').get({ host: process.argv[1], port: process.argv[2], path: process.argv[3], headers: JSON.parse(process.argv[4]), agent: false }, (response) => {
+    let size = 0
+    response.socket.once('error', () => { console.log('reset') })
+    response.on('data', (bytes) => { size += bytes.length })
+    response.on('close', () => { console.log('closed', response.complete, size) })
+    response.on('error', () => {})
+    require('fs').writeSync(1, 'head\\n')
+    process.kill(process.pid, 'SIGSTOP')
+  }).on('error', () => {})`
+
+for (const signal of ['SIGTERM', 'SIGQUIT'] as const) {
+  nodeTest.test(`an answer without framing that a gateway cuts after ${signal} does not look complete`, LIMIT, async (context) => {
+    const { program, engine, callers } = await openGateway(context, BIG_ANSWER_BYTES, 4)
+    Object.assign(engine.faults, { next: 'unframed', count: 1 })
+    const caller = childProcess.spawn(process.execPath, ['-e', BLOCKED_CALLER, callers.host, String(callers.port), PATH, JSON.stringify(formatHeaders('unframed'))], { stdio: ['ignore', 'pipe', 'inherit'] })
+    context.after(() => { caller.kill('SIGKILL') })
+    let output = ''
+    caller.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
+    const callerEnded = new Promise((resolve) => { caller.once('close', resolve) })
+    await fleetTesting.waitWithLimit(async () => output.includes('head'))
+    program.child.kill(signal)
+    await program.ended
+    caller.kill('SIGCONT')
+    await callerEnded
+    assert.match(output, /reset/)
+  })
+}
+
 interface OpenedEntry {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
