Reset connections whose response is cut by the end of a process

Callers took a part of an answer for all of it when its end was marked by the end of the connection alone, and the gateway ended at the end of its grace period or by SIGQUIT while it was being delivered.

http.Server.close, called first, closed these connections by an ordinary end, and at SIGQUIT the exit of the process did. Connections with a response that is not delivered are now reset before the server is closed, and SIGQUIT stops the role before the process exits. What was delivered, or waits for its caller to close, is left alone, so that no answer that was whole is lost. With TLS the end of a connection marks a truncation.

--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -197,7 +197,10 @@
 
   /** A supervisor may repeat SIGTERM and SIGINT at any time, so that only SIGQUIT ends calls in progress. */
   function forceEnd (): void {
-    started?.role.calls?.noteCut('forced')
+    if (started !== null) {
+      started.role.calls?.noteCut('forced')
+      stopRole(started.role)
+    }
     void end(EXIT_FORCED)
   }
 
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -108,6 +108,7 @@
     'signal {"signal":"SIGTERM","times":2,"phase":"draining","inProgress":1}',
     'signal {"signal":"SIGQUIT","times":1,"phase":"draining","inProgress":1}',
     'call-cut {"id":"a","phase":"answering","ageMs":0,"reason":"forced"}',
+    'stop',
     'exit {"code":4,"uptimeMs":0}',
     'flush'
   ])
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -1,6 +1,7 @@
 /** Phases of the connections of an HTTP server, and their orderly ends. */
 import * as https from 'node:https'
 import * as net from 'node:net'
+import * as tls from 'node:tls'
 import type * as http from 'node:http'
 
 /**
@@ -23,7 +24,7 @@
    * The server's timeouts stay in force. Resolves when no connection is open.
    */
   readonly drain: () => Promise<void>
-  /** Stops accepting connections and destroys the open ones. */
+  /** Stops accepting connections and destroys the open ones, by a reset where a response is not delivered, so that it never looks complete. */
   readonly abort: () => void
 }
 
@@ -112,6 +113,12 @@
     socket.resume()
   }
 
+  function destroy ({ socket, responses, isClosing }: Connection): void {
+    // TLS marks the end of a connection itself.
+    if (responses.size > 0 && !isClosing && !(socket instanceof tls.TLSSocket)) socket.resetAndDestroy()
+    else socket.destroy()
+  }
+
   function closeIdle (): void {
     const now = performance.now()
     for (const connection of connections.values()) {
@@ -155,8 +162,8 @@
     isClosing: (socket) => connections.get(socket)?.isClosing ?? true,
     drain,
     abort: () => {
+      for (const connection of connections.values()) destroy(connection)
       server.close()
-      for (const socket of connections.keys()) socket.destroy()
     }
   }
 }
