Show that a short drain of an entry node cuts calls

A call that outlasts the drain of its entry node is answered as unknown half a second before its end. That is scheduled only after the heartbeat and the two seconds for the balancer, so that with limits.drain_seconds of 2 or less the process ends first. The test beside it moves its steps to a function that both use; its check is unchanged.

--- a/packages/daemon/src/startEntryRole/draining.test.ts
+++ b/packages/daemon/src/startEntryRole/draining.test.ts
@@ -21,6 +21,7 @@
 
 /** Shorter than the deadline of the service. */
 const DRAIN_SECONDS = 3
+const SHORT_DRAIN_SECONDS = 1
 const UNANSWERED_PATH = '/unanswered'
 const SHORT_MS = 1000
 const BAD_GATEWAY = 502
@@ -122,12 +123,21 @@
   assert.equal((await answer).bytes, BODY_BYTES)
 })
 
-nodeTest.test('callers of calls that outlast the drain of their entry node are told that the outcome is unknown', WAIT, async (context) => {
-  const { entry, port, requests } = await openEntry(context, 1, `drain_seconds = ${DRAIN_SECONDS}`)
+/** Sends a call that the back end doesn't answer, ends the entry node as its process does, and returns the status of the answer. */
+async function endDuringCall (context: nodeTest.TestContext, drainSeconds: number): Promise<number> {
+  const { entry, port, requests } = await openEntry(context, 1, `drain_seconds = ${drainSeconds}`)
   const before = requests()
   const answer = send(new http.Agent(), port, {}, undefined, UNANSWERED_PATH)
   while (requests() === before) await types.delay(POLL_MS)
-  await Promise.race([entry.drain(), types.delay(DRAIN_SECONDS * types.MILLISECONDS_IN_SECOND)])
+  await Promise.race([entry.drain(), types.delay(drainSeconds * types.MILLISECONDS_IN_SECOND)])
   entry.stop()
-  assert.equal((await answer).status, BAD_GATEWAY)
+  return (await answer).status
+}
+
+nodeTest.test('callers of calls that outlast the drain of their entry node are told that the outcome is unknown', WAIT, async (context) => {
+  assert.equal(await endDuringCall(context, DRAIN_SECONDS), BAD_GATEWAY)
+})
+
+nodeTest.test('callers of calls that outlast a drain that is over before the balancer has noticed it are told that the outcome is unknown', WAIT, async (context) => {
+  assert.equal(await endDuringCall(context, SHORT_DRAIN_SECONDS), BAD_GATEWAY)
 })
