Schedule the end of calls when an entry node begins to drain

Callers whose calls outlasted a drain of 2 s or less lost their connections without an answer, because the end of calls was scheduled only after the heartbeat and the time for the balancer. It is scheduled first now, so that it applies however long these take.

--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -195,10 +195,10 @@
     drain: async () => {
       isLeaving = true
       endsAt = parts.now() + settings.limits.drain_seconds * types.MILLISECONDS_IN_SECOND - DRAIN_RESERVE_MS
+      const cancelEnd = parts.at(endsAt, calls.endAll)
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
       await types.delay(BALANCER_GRACE_MS)
-      const cancelEnd = parts.at(endsAt, calls.endAll)
       await callerListener.close()
       await waitForCalls()
       cancelEnd()
