--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -1,9 +1,8 @@
 /** Guards against answers that are cut because a process that ends takes them for delivered once they were handed over. */
 import * as assert from 'node:assert/strict'
 import * as childProcess from 'node:child_process'
-import type * as http from 'node:http'
 import * as nodeTest from 'node:test'
-import type * as testing from '@switchridge/platform-testing'
+import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as fleetTesting from './_lib/fleetTesting.js'
 import * as plainHall from './_lib/plainHall.js'
@@ -24,6 +23,10 @@
 const ANSWER_BYTES: Readonly<Record<string, number>> = { '/big': BIG_ANSWER_BYTES, '/small': SMALL_ANSWER_BYTES }
 const NEXT_REQUEST = 'GET /read/stock HTTP/1.1\r\nHost: app.example\r\n\r\n'
 
+const SLOW_BYTES_PER_SECOND = 3_000_000
+/** Longer than the time after which a caller that reads nothing counts as stalled. */
+const SLOW_MS = 1500
+
 interface OpenedGateway {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
@@ -31,11 +34,11 @@
   readonly open: (id: string) => Promise<unreadCall.UnreadCall>
 }
 
-async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number): Promise<OpenedGateway> {
+async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number, limits = ''): Promise<OpenedGateway> {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const engine = await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
-  const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n`))
+  const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n${limits}`))
   const callers = { host: HOST, port: fleet.ports.callers }
   await program.waitForOutput('event=started')
   await fleet.waitForAnswer(callers, PATH, OK)
@@ -47,7 +50,7 @@
   }
 }
 
-function formatHeaders (id: string): http.OutgoingHttpHeaders {
+function formatHeaders (id: string): Record<string, string> {
   return { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` }
 }
 
@@ -110,6 +113,18 @@
   })
 }
 
+nodeTest.test('a caller that reads an answer slowly keeps its connection when memory becomes short', LIMIT, async (context) => {
+  const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20, 'memory_megabytes = 128\nheld_share = 0.15\n')
+  const connection = testing.createCallerConnection(callers)
+  const answered = connection.send({ id: 'slow', path: PATH, headers: formatHeaders('slow'), bodyBytes: 0, sendMs: 0, awaitsContinue: false, giveUpMs: LIMIT.timeout, readBytesPerSecond: SLOW_BYTES_PER_SECOND })
+  await types.delay(SLOW_MS)
+  const other = await open('other')
+  const { isWhole, body } = await answered
+  connection.close()
+  assert.deepEqual([isWhole, body.length], [true, BIG_ANSWER_BYTES], program.output())
+  assert.equal(await other.readOn(), BIG_ANSWER_BYTES)
+})
+
 interface OpenedEntry {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
