Give the retry budgets of tests the room that streams ask for

The test of a caller that does not read failed on the merged work with "budget.hasRoom is not a function": a stream now asks its budget before it moves, and the stand-ins of budgets, which are not checked against the type, lacked that. Their checks are unchanged.

--- a/packages/gateway/src/_lib/handlerTesting.ts
+++ b/packages/gateway/src/_lib/handlerTesting.ts
@@ -34,7 +34,7 @@
     },
     routes: () => ({ configuration: { limits: { maximumBodyBytes: Infinity } }, findRoute: () => row, findService: () => null, needsKeys: false }),
     choose: () => ({ choice: { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity }),
-    budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
+    budgetOf: () => ({ noteCall: () => {}, hasRoom: () => true, trySpend: () => true }),
     sharedTargetOf: () => LONG_MS,
     findExclusion: () => null,
     onSent: () => {},
--- a/packages/gateway/src/_lib/runAttempt.test.ts
+++ b/packages/gateway/src/_lib/runAttempt.test.ts
@@ -66,7 +66,7 @@
       readBackoffRequest: () => ({ kind: 'none' }),
       announcesLeaving: () => false
     },
-    budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
+    budgetOf: () => ({ noteCall: () => {}, hasRoom: () => true, trySpend: () => true }),
     choose: () => ({
       choice: isSent ? null : { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
       passedOver: {},
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -37,7 +37,7 @@
   } as unknown as callState.CallDetails)
   const reply = { hasStarted: () => false, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
   const options = {
-    budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
+    budgetOf: () => ({ noteCall: () => {}, hasRoom: () => true, trySpend: () => true }),
     choose: () => ({
       choice: happened !== 'nothing' && happened !== 'blocked' ? null : { backEnd, isRateLimited: meanwhile !== 'became-cold', firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
       passedOver: { [happened === 'leaving' ? 'draining' : happened === 'evacuated' ? 'evacuated' : 'backing-off']: 1 },
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -72,7 +72,7 @@
   const options = {
     routes: () => ({ configuration, findService: () => ({ name: SERVICE, engine: FIGURES, originAddress: null, linkMbps: null }) }),
     waiting,
-    budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
+    budgetOf: () => ({ noteCall: () => {}, hasRoom: () => true, trySpend: () => true }),
     choose: ({ tried }: { readonly tried: ReadonlySet<types.NodeId> }) => ({
       choice: isServing() && !tried.has(ENGINE) ? { backEnd, isRateLimited: false, firstEventMs: 50, discountedFirstEventMs: 50, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null } : null,
       passedOver: { [passedOver]: 1 },
