--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -1,7 +1,8 @@
 /** Guards against answers that are cut because a process that ends takes them for delivered once they were handed over. */
 import * as assert from 'node:assert/strict'
+import * as childProcess from 'node:child_process'
 import * as nodeTest from 'node:test'
-import type * as testing from '@switchridge/platform-testing'
+import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as fleetTesting from './_lib/fleetTesting.js'
 import * as plainHall from './_lib/plainHall.js'
@@ -22,6 +23,10 @@
 const ANSWER_BYTES: Readonly<Record<string, number>> = { '/big': BIG_ANSWER_BYTES, '/small': SMALL_ANSWER_BYTES }
 const NEXT_REQUEST = 'GET /read/stock HTTP/1.1\r\nHost: app.example\r\n\r\n'
 
+const SLOW_BYTES_PER_SECOND = 3_000_000
+/** Longer than the time after which a caller that reads nothing counts as stalled. */
+const SLOW_MS = 1500
+
 interface OpenedGateway {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
@@ -29,11 +34,11 @@
   readonly open: (id: string) => Promise<unreadCall.UnreadCall>
 }
 
-async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number): Promise<OpenedGateway> {
+async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number, limits = ''): Promise<OpenedGateway> {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const engine = await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
-  const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n`))
+  const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n${limits}`))
   const callers = { host: HOST, port: fleet.ports.callers }
   await program.waitForOutput('event=started')
   await fleet.waitForAnswer(callers, PATH, OK)
@@ -41,10 +46,14 @@
     program,
     callers,
     engine,
-    open: async (id) => await unreadCall.openUnreadCall(callers, PATH, { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` })
+    open: async (id) => await unreadCall.openUnreadCall(callers, PATH, formatHeaders(id))
   }
 }
 
+function formatHeaders (id: string): Record<string, string> {
+  return { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` }
+}
+
 nodeTest.test('a gateway ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
   const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20)
   const calls = await Promise.all(Array.from({ length: CALLERS }, async (_, caller) => await open(`slow-${caller}`)))
@@ -74,20 +83,48 @@
   assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
 })
 
+/** Stops itself once the head of the answer has arrived; once it goes on, prints how the answer ended. A paused socket of Node.js would take a reset for an end. */
+const BLOCKED_CALLER = `
+  require('http').get({ host: process.argv[1], port: process.argv[2], path: process.argv[3], headers: JSON.parse(process.argv[4]), agent: false }, (response) => {
+    let size = 0
+    response.socket.once('error', () => { console.log('reset') })
+    response.on('data', (bytes) => { size += bytes.length })
+    response.on('close', () => { console.log('closed', response.complete, size) })
+    response.on('error', () => {})
+    require('fs').writeSync(1, 'head\\n')
+    process.kill(process.pid, 'SIGSTOP')
+  }).on('error', () => {})`
+
 for (const signal of ['SIGTERM', 'SIGQUIT'] as const) {
   nodeTest.test(`an answer without framing that a gateway cuts after ${signal} does not look complete`, LIMIT, async (context) => {
-    const { program, engine, open } = await openGateway(context, BIG_ANSWER_BYTES, 4)
+    const { program, engine, callers } = await openGateway(context, BIG_ANSWER_BYTES, 4)
     Object.assign(engine.faults, { next: 'unframed', count: 1 })
-    const { socket, readOn } = await open('unframed')
-    let isReset = false
-    socket.once('error', () => { isReset = true })
+    const caller = childProcess.spawn(process.execPath, ['-e', BLOCKED_CALLER, callers.host, String(callers.port), PATH, JSON.stringify(formatHeaders('unframed'))], { stdio: ['ignore', 'pipe', 'inherit'] })
+    context.after(() => { caller.kill('SIGKILL') })
+    let output = ''
+    caller.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
+    const callerEnded = new Promise((resolve) => { caller.once('close', resolve) })
+    await fleetTesting.waitWithLimit(async () => output.includes('head'))
     program.child.kill(signal)
     await program.ended
-    const received = await readOn()
-    assert.ok(isReset, `the caller takes ${received ?? 0} of ${BIG_ANSWER_BYTES} bytes for the whole answer`)
+    caller.kill('SIGCONT')
+    await callerEnded
+    assert.match(output, /reset/)
   })
 }
 
+nodeTest.test('a caller that reads an answer slowly keeps its connection when memory becomes short', LIMIT, async (context) => {
+  const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20, 'memory_megabytes = 128\nheld_share = 0.15\n')
+  const connection = testing.createCallerConnection(callers)
+  const answered = connection.send({ id: 'slow', path: PATH, headers: formatHeaders('slow'), bodyBytes: 0, sendMs: 0, awaitsContinue: false, giveUpMs: LIMIT.timeout, readBytesPerSecond: SLOW_BYTES_PER_SECOND })
+  await types.delay(SLOW_MS)
+  const other = await open('other')
+  const { isWhole, body } = await answered
+  connection.close()
+  assert.deepEqual([isWhole, body.length], [true, BIG_ANSWER_BYTES], program.output())
+  assert.equal(await other.readOn(), BIG_ANSWER_BYTES)
+})
+
 interface OpenedEntry {
   readonly program: programTesting.StartedProgram
   readonly callers: types.Address
--- a/packages/daemon/src/startGatewayRole/silent.test.ts
+++ b/packages/daemon/src/startGatewayRole/silent.test.ts
@@ -41,6 +41,14 @@
   assert.equal(engines[0]?.arrivals.length, 1)
 })
 
+nodeTest.test('a resumable stream is not cut while its engine is silent and the next engine refuses it', async (context) => {
+  const { engines, callStream } = await startSilentEngines(context, ['i-1', 'i-2'], 'retry_ratio = 10\n')
+  const answered = callStream('silent')
+  await fleetTesting.waitWithLimit(async () => engines.some(({ arrivals }) => arrivals.length > 0))
+  Object.assign(engines.find(({ arrivals }) => arrivals.length === 0)?.faults ?? {}, { next: 'full', count: 100 })
+  assert.deepEqual(await answered, { status: 200, isWhole: true, events: EVENTS })
+})
+
 nodeTest.test('streams whose engines are silent at the same time are not cut where the retry budget pays for some of them only', async (context) => {
   const { engines, callStream } = await startSilentEngines(context, ['i-1', 'i-2'], RETRY_BOUNDS)
   const answers = await Promise.all(Array.from({ length: STREAMS }, async (_, index) => await callStream(`silent-${index}`)))
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -2,6 +2,7 @@
 import * as https from 'node:https'
 import * as net from 'node:net'
 import * as timers from 'node:timers/promises'
+import * as tls from 'node:tls'
 import type * as http from 'node:http'
 
 /**
@@ -24,7 +25,7 @@
    * The server's timeouts stay in force. Resolves when no connection is open.
    */
   readonly drain: () => Promise<void>
-  /** Stops accepting connections and destroys the open ones. */
+  /** Stops accepting connections and destroys the open ones, by a reset where a response is not delivered, so that it never looks complete. */
   readonly abort: () => void
 }
 
@@ -118,6 +119,12 @@
     socket.resume()
   }
 
+  function destroy ({ socket, responses, isClosing }: Connection): void {
+    // TLS marks the end of a connection itself.
+    if (responses.size > 0 && !isClosing && !(socket instanceof tls.TLSSocket)) socket.resetAndDestroy()
+    else socket.destroy()
+  }
+
   function closeIdle (): void {
     const now = performance.now()
     for (const connection of connections.values()) {
@@ -174,8 +181,8 @@
     isClosing: (socket) => connections.get(socket)?.isClosing ?? true,
     drain,
     abort: () => {
+      for (const connection of connections.values()) destroy(connection)
       server.close()
-      for (const socket of connections.keys()) socket.destroy()
     }
   }
 }
