Remove a call from those to end without a listener of its own

Each call of an entry node whose answer is a stream of bytes had eleven listeners of the end of its response, and Node.js warned of a leak in the log of the process, which is made of key=value lines. The list of calls to end is now left when the call has run, also when that fails.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -122,10 +122,13 @@
     const end = (): void => { if (!context.res.headersSent) abort.abort(LEAVING_REASON) }
     context.res.once('close', abortCall)
     endings.add(end)
-    context.res.once('close', () => { endings.delete(end) })
-    if (prepared.key === '') await runOnce(context, prepared, abort.signal, null)
-    else await runUnderKey(context, prepared, abort.signal)
-    context.res.off('close', abortCall)
+    try {
+      if (prepared.key === '') await runOnce(context, prepared, abort.signal, null)
+      else await runUnderKey(context, prepared, abort.signal)
+    } finally {
+      endings.delete(end)
+      context.res.off('close', abortCall)
+    }
     options.metrics.timing('calls.time', options.now() - startedAt)
   }
 
