--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -55,7 +55,10 @@
     const head = options.protocol.readCall(request)
     let state: callState.CallState | null = null
     const registered = register.open({ id: head.requestId, readPhase })
-    response.once('close', registered.close)
+    response.once('close', () => {
+      if (state !== null && response.writableEnded && !response.writableFinished) registered.noteEnding('left')
+      registered.close()
+    })
     const holding = options.heldBytes?.open(dropCall) ?? null
     const reply = answers.createReply(response, head.requestId, options.protocol, () => drain !== null, holding)
     const table = options.routes()
