Bound by number, not by time, what a draining server still accepts

Connections that the system had established when a drain began were reset on a busy machine: they were accepted for 250 ms at most, and the event loop takes one a turn. Now as many are accepted as may wait in the system's queue, 1,024; peers that go on connecting still don't hold up the drain (test).

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -37,8 +37,8 @@
  */
 export const LINGER_MS = 2000
 const CHECK_INTERVAL_MS = 50
-/** A server to which peers go on connecting stops accepting after this time. */
-const MAXIMUM_ACCEPT_MS = 250
+/** A server to which peers go on connecting accepts so many more at the begin of a drain: as many as may wait in the queue of the system, with the backlog of the servers. */
+const MAXIMUM_ACCEPTED = 1024
 /** In the first turn without a new connection, the event loop may not have looked for one. */
 const QUIET_TURNS = 2
 
@@ -134,12 +134,13 @@
 
   /** The event loop accepts one connection in each turn; those that the system has established would be reset together with the listening socket. */
   async function acceptEstablished (): Promise<void> {
-    const endsBy = performance.now() + MAXIMUM_ACCEPT_MS
+    const acceptedBefore = accepted
     let quietTurns = 0
-    while (quietTurns < QUIET_TURNS && performance.now() < endsBy) {
-      const before = accepted
+    while (quietTurns < QUIET_TURNS) {
+      const acceptedBeforeTurn = accepted
       await timers.setImmediate()
-      quietTurns = accepted === before ? quietTurns + 1 : 0
+      if (accepted - acceptedBefore >= MAXIMUM_ACCEPTED) return
+      quietTurns = accepted === acceptedBeforeTurn ? quietTurns + 1 : 0
     }
   }
 
