--- a/packages/daemon/src/_lib/registerCall.ts
+++ b/packages/daemon/src/_lib/registerCall.ts
@@ -13,9 +13,10 @@
 export function registerCall (register: observability.CallRegister, context: Koa.Context, id: string): void {
   const { req: request, res: response } = context
   const call = register.open({ id, readPhase: () => response.writableEnded ? 'delivering' : response.headersSent ? 'answering' : request.complete ? 'sent' : 'reading' })
-  response.once('close', () => {
+  // Node.js also finishes a response whose connection breaks before all of it was sent.
+  response.once('finish', () => {
     const outcome = response.getHeader(callHeaders.OUTCOME_HEADER)
-    if (response.writableFinished && typeof outcome === 'string') call.noteEnding(outcome)
-    call.close()
+    if (!request.socket.destroyed && typeof outcome === 'string') call.noteEnding(outcome)
   })
+  response.once('close', call.close)
 }
--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -83,6 +83,16 @@
   assert.match(program.output(), /event=call-cut .*id=stalled phase=delivering .*reason=grace-over/)
 })
 
+nodeTest.test('an answer that its caller does not wait for is not counted as answered', LIMIT, async (context) => {
+  const { program, open } = await openGateway(context, BIG_ANSWER_BYTES, 20)
+  const { socket } = await open('leaving')
+  program.child.kill('SIGTERM')
+  await program.waitForOutput('event=drain-began')
+  socket.destroy()
+  assert.equal(await program.ended, 0)
+  assert.match(program.output(), /event=drain-ended .*left=1/)
+})
+
 /** Stops itself once the head of the answer has arrived; once it goes on, prints how the answer ended. A paused socket of Node.js would take a reset for an end. */
 const BLOCKED_CALLER = `
   require('http').get({ host: process.argv[1], port: process.argv[2], path: process.argv[3], headers: JSON.parse(process.argv[4]), agent: false }, (response) => {
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -55,8 +55,11 @@
     const head = options.protocol.readCall(request)
     let state: callState.CallState | null = null
     const registered = register.open({ id: head.requestId, readPhase })
+    let isDelivered = false
+    // Node.js also finishes a response whose connection breaks before all of it was sent.
+    response.once('finish', () => { isDelivered = !request.socket.destroyed })
     response.once('close', () => {
-      if (state !== null && response.writableEnded && !response.writableFinished) registered.noteEnding('left')
+      if (state !== null && response.writableEnded && !isDelivered) registered.noteEnding('left')
       registered.close()
     })
     const holding = options.heldBytes?.open(dropCall) ?? null
