--- a/packages/daemon/src/_lib/startFleetRole.ts
+++ b/packages/daemon/src/_lib/startFleetRole.ts
@@ -10,7 +10,7 @@
 const SETTINGS_POLL_INTERVAL_MS = 4000
 
 /** A process that has not drained so long before the end of its grace period ends by itself, so that its log tells what it cuts. */
-const GRACE_RESERVE_MS = 250
+const FORCED_END_RESERVE_MS = 250
 
 /** A settings file as it was read. */
 export interface SettingsFile {
@@ -41,7 +41,7 @@
   }
 
   setInterval(reload, SETTINGS_POLL_INTERVAL_MS).unref()
-  return { role, reload, maximumDrainMs: checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - GRACE_RESERVE_MS }
+  return { role, reload, maximumDrainMs: checked.limits.grace_seconds * types.MILLISECONDS_IN_SECOND - FORCED_END_RESERVE_MS }
 }
 
 function readText (file: string): string | null {
--- a/packages/daemon/src/startGatewayRole/draining.test.ts
+++ b/packages/daemon/src/startGatewayRole/draining.test.ts
@@ -17,6 +17,7 @@
 const ANSWER_TOKENS = 60
 const STEP_MS = 50
 const SERVICE_UNAVAILABLE = 503
+const LIMIT = { timeout: 120_000 }
 
 interface StartedGateway {
   readonly program: programTesting.StartedProgram
@@ -56,7 +57,7 @@
   return answers
 }
 
-nodeTest.test('streams that follow on kept connections during a drain are whole, or refused before an engine gets them', async (context) => {
+nodeTest.test('streams that follow on kept connections during a drain are whole, or refused before an engine gets them', LIMIT, async (context) => {
   const { program, address, engine } = await startGateway(context)
   const series = Array.from({ length: CALLERS }, async (_, caller) => {
     await types.delay(caller * STREAM_MS / CALLERS)
--- a/packages/daemon/src/startGatewayRole/silent.test.ts
+++ b/packages/daemon/src/startGatewayRole/silent.test.ts
@@ -9,6 +9,7 @@
 /** Longer than the time after which the stream is requested from another engine. */
 const SILENCE_MS = 1200
 const STREAMS = 20
+const LIMIT = { timeout: 60_000 }
 /** Pays for two retries of {@link STREAMS} streams, since a gateway uses only a part of it. */
 const RETRY_BOUNDS = 'retry_ratio = 0.2\n'
 
@@ -35,13 +36,13 @@
   }
 }
 
-nodeTest.test('a resumable stream is not cut while its engine is silent and no other engine can go on with it', async (context) => {
+nodeTest.test('a resumable stream is not cut while its engine is silent and no other engine can go on with it', LIMIT, async (context) => {
   const { engines, callStream } = await startSilentEngines(context, ['i-1'])
   assert.deepEqual(await callStream('silent'), { status: 200, isWhole: true, events: EVENTS })
   assert.equal(engines[0]?.arrivals.length, 1)
 })
 
-nodeTest.test('a resumable stream is not cut while its engine is silent and the next engine refuses it', async (context) => {
+nodeTest.test('a resumable stream is not cut while its engine is silent and the next engine refuses it', LIMIT, async (context) => {
   const { engines, callStream } = await startSilentEngines(context, ['i-1', 'i-2'], 'retry_ratio = 10\n')
   const answered = callStream('silent')
   await fleetTesting.waitWithLimit(async () => engines.some(({ arrivals }) => arrivals.length > 0))
@@ -49,7 +50,7 @@
   assert.deepEqual(await answered, { status: 200, isWhole: true, events: EVENTS })
 })
 
-nodeTest.test('streams whose engines are silent at the same time are not cut where the retry budget pays for some of them only', async (context) => {
+nodeTest.test('streams whose engines are silent at the same time are not cut where the retry budget pays for some of them only', LIMIT, async (context) => {
   const { engines, callStream } = await startSilentEngines(context, ['i-1', 'i-2'], RETRY_BOUNDS)
   const answers = await Promise.all(Array.from({ length: STREAMS }, async (_, index) => await callStream(`silent-${index}`)))
   assert.deepEqual(answers, answers.map(() => ({ status: 200, isWhole: true, events: EVENTS })))
