Give the test's request of the gateway the socket that each request has

Since the handler reads the state of the request's connection there. The test's request now has the connection that its response is assigned to; nothing that it checks changes.

--- a/packages/gateway/src/createCallHandler/slowReaders.test.ts
+++ b/packages/gateway/src/createCallHandler/slowReaders.test.ts
@@ -88,7 +88,7 @@
       }
     })
     socket.on('error', () => {})
-    const request = Object.assign(stream.Readable.from(body === null ? [] : [body]), { headers: body === null ? {} : { 'content-length': String(body.length) }, complete: true, httpVersionMajor: 1, httpVersionMinor: 1, method: 'POST' }) as unknown as http.IncomingMessage
+    const request = Object.assign(stream.Readable.from(body === null ? [] : [body]), { headers: body === null ? {} : { 'content-length': String(body.length) }, socket, complete: true, httpVersionMajor: 1, httpVersionMinor: 1, method: 'POST' }) as unknown as http.IncomingMessage
     const response = new http.ServerResponse(request)
     response.assignSocket(socket as net.Socket)
     // A server passes this event on.
