Open the port for callers last, so that a start that fails cuts no calls

Callers saw their streams cut, all at once, when a gateway whose readiness address could not be opened ended: it accepted calls as soon as its port for callers was open, opened the readiness address after that, and exited when this failed.

The port for callers is opened by the last step of the start now. Between its opening and the begin of the lifecycle's phase `serving` no turn of the event loop passes, so that every later error drains the role. The gateway reports itself as ready only once the port is open. The limits on callers are applied before the port opens, too; a configuration that arrived while the port was being opened could be missed until the next one. An entry node already opens its port for callers last, and an agent sends pieces only after its start.

Tests of the caller server open their port by the new function; their checks are unchanged.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -41,6 +41,7 @@
   const errorBounds = new Map<types.ServiceName, gateway.ErrorBound>()
   const exclusionRules: gateway.ExclusionRules = { regions: new Map(Object.entries(checked.regions)), isEvacuated: parts.evacuations.isEvacuated }
   const startedAt = now()
+  let isListening = false
   let isLeaving = false
   /** By when this process must have ended; known once it drains. */
   let endsBy = Infinity
@@ -258,7 +259,7 @@
     at: parts.at,
     random: Math.random
   })
-  const server = await gateway.createCallerServer(calls, platform.parseAddress(checked.listen.callers as string))
+  const server = gateway.createCallerServer(calls)
   parts.evacuations.onTakenBack(limiter.noteTakenBack)
   parts.onRoutes((table) => {
     server.setLimits(table.configuration.limits)
@@ -276,7 +277,7 @@
     : await openTextServer.openTextServer(platform.parseAddress(checked.listen.readiness), { [platform.READINESS_PATH]: () => ({ status: isReady() ? OK : UNAVAILABLE }) })
 
   function isReady (): boolean {
-    return !isLeaving && parts.routes() !== null && parts.areBackEndsKnown() && parts.evacuations.isKnown() && callQuarantine.isInitialized()
+    return isListening && !isLeaving && parts.routes() !== null && parts.areBackEndsKnown() && parts.evacuations.isKnown() && callQuarantine.isInitialized()
   }
 
   async function drain (): Promise<void> {
@@ -321,6 +322,9 @@
     backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), models: Object.fromEntries(backEnd.models) }))
   }))
 
+  // Last, since a start that fails ends the process, and with it the calls that it has accepted.
+  await server.listen(platform.parseAddress(checked.listen.callers as string))
+  isListening = true
   logger.info('started', { role: 'gateway', internalPort: checked.internal_port })
   return {
     calls: calls.register,
--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -51,7 +51,8 @@
       return { start, abort: () => {} }
     }
   }))
-  const server = await createCallerServer.createCallerServer(handler, ADDRESS)
+  const server = createCallerServer.createCallerServer(handler)
+  await server.listen(ADDRESS)
   context.after(server.close)
   return {
     handler,
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -6,8 +6,10 @@
 import type * as createCallHandler from '../createCallHandler/index.js'
 import * as gateway from '../types/index.js'
 
-/** A listening server. */
+/** A server for callers. */
 export interface CallerServer {
+  /** Accepts connections at an address. Rejects with the error of the operating system if it can't be listened on. */
+  readonly listen: (address: types.Address) => Promise<void>
   /** Applies other limits to future connections and requests. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
   /** Number of open connections by phase. */
@@ -25,14 +27,12 @@
 const LISTEN_BACKLOG = 1024
 
 /**
- * Starts the server.
+ * Creates the server.
  *
  * @param handler - Handles requests.
- * @param address - Address to listen on.
- * @returns The listening server.
- * @throws The error of the operating system if the address cannot be listened on.
+ * @returns The server, which doesn't listen yet.
  */
-export async function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, address: types.Address): Promise<CallerServer> {
+export function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>): CallerServer {
   const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS })
   const connections = rpc.trackConnections(server, handler.handle)
   setLimits(gateway.DEFAULT_CALLER_LIMITS)
@@ -40,10 +40,6 @@
   // The handler decides whether the caller may send its body.
   server.on('checkContinue', connections.handle)
   server.on('clientError', (error, socket) => { if (!connections.isClosing(socket as net.Socket)) respondToClientError(error, socket as net.Socket) })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(address.port, address.host, LISTEN_BACKLOG, resolve)
-  })
 
   function setLimits (limits: gateway.CallerLimits): void {
     (server as http.Server & { maxHeaderSize: number }).maxHeaderSize = limits.maximumHeaderBytes
@@ -52,6 +48,12 @@
   }
 
   return {
+    listen: async (address) => {
+      await new Promise<void>((resolve, reject) => {
+        server.once('error', reject)
+        server.listen(address.port, address.host, LISTEN_BACKLOG, resolve)
+      })
+    },
     setLimits,
     countConnections: connections.count,
     drain: connections.drain,
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -40,7 +40,8 @@
     end = () => { response.end('last') }
     noteBegun()
   }
-  const server = await createCallerServer.createCallerServer({ handle }, ADDRESS)
+  const server = createCallerServer.createCallerServer({ handle })
+  await server.listen(ADDRESS)
   context.after(server.close)
   const answer = sendRequest()
   await hasBegun
