Let a draining agent complete the change of versions that it has begun

An agent that was told to end while its engine was paused for a change of versions ended within 2 ms, without the order: its engine stayed on the old version, got no new calls until gateways dropped the last report, and the next process had to fetch all pieces again before it could order the change. An order that was given had no observer until then: gateways don't know an engine as busy whose agent is gone.

The cause: `drain` and `close` of the agent waited for its servers alone, so that without open connections the process ended at once.

Now `Stager.finishChange` begins no further change and resolves when the one in progress has ended, or the engine doesn't answer; so does an attempt to unload an old version. The agent calls it once its servers are closed, and waits until the end of its grace period at most.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -345,6 +345,12 @@
     agents: listReliableAgents().map((agent) => agent.node)
   }))
 
+  /** A change of versions that is not completed leaves the engine without new calls, and the next process has to fetch the pieces again before it can order it. */
+  async function close (): Promise<void> {
+    await Promise.all([listener.close(), operatorServer.close()])
+    await stager?.finishChange()
+  }
+
   logger.info('started', { role: 'agent', engine: engineAddress, internalPort: checked.internal_port })
   return {
     calls: null,
@@ -355,7 +361,7 @@
       endsBy = gracePeriod.computeGraceEnd(checked.limits, now())
       gossip.sendNow()
     },
-    close: async () => { await gracePeriod.waitAtMost(Promise.all([listener.close(), operatorServer.close()]), endsBy - now()) },
+    close: async () => { await gracePeriod.waitAtMost(close(), endsBy - now()) },
     countPeers: () => gossip.peers().filter(gossip.isLive).length,
     reload: exchange.reload,
     stop: () => {
--- a/packages/staging/src/_lib/unloadOldVersion.ts
+++ b/packages/staging/src/_lib/unloadOldVersion.ts
@@ -18,6 +18,8 @@
 export interface OldVersionUnloader {
   /** Sets the timer for the deadline of the version that the engine holds, 0 for none; call it regularly, and when a version is named. */
   readonly schedule: (held: number) => void
+  /** Resolves when the engine has answered an attempt in progress, or takes too long to. */
+  readonly finishAttempt: () => Promise<void>
   readonly stop: () => void
 }
 
@@ -41,6 +43,7 @@
   let timer: NodeJS.Timeout | undefined
   let isStopped = false
   let isAttempting = false
+  let lastAttempt: Promise<void> = Promise.resolve()
   /** Monotonic time in milliseconds before which no attempt is made. */
   let retryAt = -Infinity
   /** Pause after the next attempt. */
@@ -54,7 +57,7 @@
     const successor = findSuccessor.findSuccessor(options.named(), held)
     if (successor === undefined) return
     const dueAt = Math.max(successor.deadlineAt - UNLOAD_LEAD_MS, retryAt)
-    timer = setTimeout(() => { void attempt(held) }, Math.max(0, dueAt - options.now()))
+    timer = setTimeout(() => { lastAttempt = attempt(held) }, Math.max(0, dueAt - options.now()))
   }
 
   async function attempt (lastHeld: number): Promise<void> {
@@ -91,6 +94,7 @@
 
   return {
     schedule,
+    finishAttempt: async () => { await lastAttempt },
     stop: () => {
       isStopped = true
       clearTimeout(timer)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -44,6 +44,8 @@
   readonly readyInMs: () => number | null
   /** Performs the next step; call it regularly, and when the named versions or the engine change. */
   readonly wake: () => void
+  /** Begins no further change of the engine's version; resolves when one in progress has ended, or the engine doesn't answer. */
+  readonly finishChange: () => Promise<void>
   readonly stop: () => void
 }
 
@@ -109,6 +111,9 @@
   let firstLoad: { readonly version: number, readonly tookMs: number } | null = null
   /** Version that the engine didn't hold after it was ordered to load it, 0 for none: when it will is unknown. */
   let failedVersion = 0
+  /** The last change of versions that was begun. */
+  let change: Promise<void> = Promise.resolve()
+  let mayBeginChange = true
   let isStepping = false
   let mustStepAgain = false
   let turnTimer: NodeJS.Timeout | undefined
@@ -197,10 +202,10 @@
     }
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
-    if (options.now() < turnAt || !isStagedFor(ready)) return
+    if (options.now() < turnAt || !isStagedFor(ready) || !mayBeginChange) return
     orderedAt = options.now()
-    if (state.held === 0) await orders.orderFirstVersion(ready, state)
-    else await orders.order(ready, turn.method)
+    change = state.held === 0 ? orders.orderFirstVersion(ready, state) : orders.order(ready, turn.method)
+    await change
     if (state.held === 0) firstLoad = { version: ready.id.version, tookMs: options.now() - orderedAt }
     orderedAt = null
   }
@@ -370,6 +375,10 @@
       readiness.note(readReadiness())
       return readiness.read()
     },
+    finishChange: async () => {
+      mayBeginChange = false
+      await Promise.all([change, unloader.finishAttempt()])
+    },
     stop: () => {
       stopping.abort()
       clearTimeout(timer)
