Answer calls in progress before an entry node ends with drain_seconds = 0

Callers of an entry node with `limits.drain_seconds = 0` got no answer when it was told to end: the bound of the drain was 0 ms, so that the process closed their connections in the turn in which it should have told them that the outcome is unknown.

Callers are told all the same: a drain takes at least the half second that its end reserves for the last answers, and both the role and the process compute its length by one function now.

--- a/packages/daemon/src/_lib/runDaemon.ts
+++ b/packages/daemon/src/_lib/runDaemon.ts
@@ -2,6 +2,7 @@
 import * as fs from 'node:fs'
 import * as types from '@switchridge/types'
 import * as settings from '@switchridge/settings'
+import * as drainPeriod from './drainPeriod.js'
 import type * as createProcessLifecycle from '../createProcessLifecycle/index.js'
 
 /** Exit codes, documented in docs/OPERATIONS.md. */
@@ -61,7 +62,7 @@
   }
   const checked = unwrapOrExit(settings.parseSettings(text, file), file)
   const { startDaemon } = await import('../startDaemon/index.js')
-  await lifecycle.serve(async () => ({ role: await startDaemon(checked), maximumDrainMs: checked.limits.drain_seconds * types.MILLISECONDS_IN_SECOND }))
+  await lifecycle.serve(async () => ({ role: await startDaemon(checked), maximumDrainMs: drainPeriod.computeDrainMs(checked.limits) }))
 }
 
 /**
--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -145,8 +145,8 @@
     `[platform]\nurl = "${platformUrl}"\n[origin]\nurl = "${platformUrl}"\n[listen]\nhost = "${host}"\nport = ${internal}\n`
 }
 
-function formatEntrySettings (host: string, platformUrl: string): string {
-  return `${formatOwnSettings('entry', host, host, platformUrl)}caller_port = ${fleetTesting.choosePorts().callers}\n`
+function formatEntrySettings (host: string, platformUrl: string, limits = ''): string {
+  return `${formatOwnSettings('entry', host, host, platformUrl)}caller_port = ${fleetTesting.choosePorts().callers}\n[limits]\n${limits}`
 }
 
 function formatBackendSettings (host: string, { entryHost, platformUrl, serviceUrl }: Readonly<Record<'entryHost' | 'platformUrl' | 'serviceUrl', string>>): string {
@@ -154,14 +154,14 @@
 }
 
 /** Starts an entry node and a backend daemon as programs, beside a plain service. */
-async function startOwnHall (context: nodeTest.TestContext, { entryHost, backendHost }: { entryHost: string, backendHost: string }): Promise<OwnHall> {
+async function startOwnHall (context: nodeTest.TestContext, { entryHost, backendHost, limits }: { entryHost: string, backendHost: string, limits?: string }): Promise<OwnHall> {
   const { callers } = fleetTesting.choosePorts()
   const platformUrl = await serveApp(context, standins.createPlatformStandIn())
   const serviceUrl = await serveApp(context, standins.createPlainServiceStandIn(WORK_MS))
   const objects = store.createObjectStore({ url: platformUrl, timeoutMs: 2000, agents: rpc.createHttpAgents() })
   const changes = Object.entries({ id: 'api', kind: 'plain' }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
   assert.ok((await tables.editTable(objects, { editId: types.brandId('api'), editor: 'test', changes }, { attempts: 2 })).ok)
-  const entry = programTesting.startProgram(context, formatEntrySettings(entryHost, platformUrl))
+  const entry = programTesting.startProgram(context, formatEntrySettings(entryHost, platformUrl, limits))
   const backend = programTesting.startProgram(context, formatBackendSettings(backendHost, { entryHost, platformUrl, serviceUrl }))
   const call = async (): Promise<string> => {
     const answer = await got.got(`http://${entryHost}:${callers}/services/api/stock`, { retry: { limit: 0 }, throwHttpErrors: false }).catch((thrown: unknown) => ({ headers: { 'x-switchridge-outcome': types.describeError(thrown) } }))
@@ -182,6 +182,15 @@
   }))
 })
 
+nodeTest.test('an entry node that must not wait for its calls answers them before it ends', OPTIONS, async (context) => {
+  const { entry, call } = await startOwnHall(context, { entryHost: '127.0.0.31', backendHost: `${AGENT_HOST_PREFIX}0`, limits: 'drain_seconds = 0\n' })
+  const answers = Promise.all(Array.from({ length: CALLS }, call))
+  await types.delay(WORK_MS / 2)
+  entry.child.kill('SIGTERM')
+  assert.deepEqual(await answers, Array.from({ length: CALLS }, () => 'unknown'))
+  assert.equal(await entry.ended, 0)
+})
+
 /** Settings of every role, on addresses of their own. */
 async function formatAllSettings (context: nodeTest.TestContext): Promise<string[]> {
   const { fleet, engine } = await createFleet(context)
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -18,6 +18,7 @@
 import * as sendAttempt from '../sendAttempt/index.js'
 import * as backendMembers from '../_lib/backendMembers.js'
 import * as createDrillMethods from '../_lib/createDrillMethods.js'
+import * as drainPeriod from '../_lib/drainPeriod.js'
 import * as schemas from '../_lib/schemas.js'
 import type * as startDaemon from '../startDaemon/index.js'
 
@@ -31,8 +32,6 @@
 
 /** How long a draining entry node still accepts calls, until the load balancer has seen its health check fail. */
 const BALANCER_GRACE_MS = 2000
-/** Time at the end of a drain for sending the last answers. */
-const DRAIN_RESERVE_MS = 500
 const DRAIN_POLL_MS = 50
 const DISPATCH_INTERVAL_MS = 50
 const SWEEP_INTERVAL_MS = 60_000
@@ -194,7 +193,7 @@
     count: parts.countLabelled,
     drain: async () => {
       isLeaving = true
-      endsAt = parts.now() + settings.limits.drain_seconds * types.MILLISECONDS_IN_SECOND - DRAIN_RESERVE_MS
+      endsAt = parts.now() + drainPeriod.computeDrainMs(settings.limits) - drainPeriod.LAST_ANSWERS_MS
       const cancelEnd = parts.at(endsAt, calls.endAll)
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
