Tell operators how to repeat an edit that they interrupt

An operator who interrupted `switchridge table set`, `unset` or `import` while its edit was under way got no output: the signal ended the process, the edit may have taken effect, and its id, with which a repetition takes effect once, was never printed.

While an edit is written, SIGINT, SIGTERM and SIGHUP now print that the platform has not confirmed it, with its id, and exit with 5, as after answers that don't come. The table is one object, so that an edit is never half done; nothing waits for the answer, since an operator who interrupts a command wants it to end.

--- a/packages/command-line/src/tableCommands/index.ts
+++ b/packages/command-line/src/tableCommands/index.ts
@@ -8,6 +8,7 @@
 import * as tables from '@switchridge/table'
 import * as transfer from '@switchridge/transfer'
 import * as connections from '../_lib/connect.js'
+import * as onInterrupt from '../_lib/onInterrupt.js'
 import * as prepareEdit from '../_lib/prepareEdit.js'
 import * as report from '../_lib/report.js'
 
@@ -159,11 +160,16 @@
 
 async function writeEdit (options: EditArguments, store: platform.ObjectStore, changes: readonly types.CellChange[], status: types.Outcome<connections.StatusReport, Error>): Promise<void> {
   const editId = types.brandId<types.EditId>(options.editId ?? crypto.randomUUID())
+  const stopListening = onInterrupt.onInterrupt(() => {
+    reportFailure(new tables.EditUnknownError(`interrupted before the platform confirmed edit ${editId}`), editId)
+    process.exit()
+  })
   const written = await tables.editTable(store, { editId, editor: options.operator, changes }, {
     auditKeep: options.auditKeep,
     revisionFloor: status.ok ? status.value.self.revision : 0,
     check: (table) => status.ok && !options.force ? prepareEdit.checkCapacity(table, status.value.members) : types.succeed(null)
   })
+  stopListening()
   if (written.ok) report.print(options.json ? JSON.stringify({ revision: written.value.revision, editId }) : `accepted as revision ${written.value.revision}`)
   else reportFailure(written.error, editId)
 }
