Probe a back end whose connection broke to the end after a pause

What callers saw: a call that crashes engines could end a fourth engine, where three ends block it, and the calls beside it there were lost.

Cause: a gateway finds out by a connection whether an engine's process has ended, with a timeout of 100 ms. A process that is paused for longer, right after it began to connect, runs its timers before it reads its sockets. So the timeout won although the refusal had arrived, the probe counted as silent, and the end counted against no call.

The timeout now gives way to what had arrived: it runs its action after a few turns of the event loop (runAfterReads), and the result cancels it.

--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,4 +1,5 @@
-/** A monotonic clock that includes the time during which the machine was suspended, and timers based on it. */
+/** A monotonic clock that includes the time during which the machine was suspended, timers based on it, and timeouts of paused processes. */
 export * from './createDeadlineScheduler/index.js'
 export * from './createLivenessClock/index.js'
 export * from './createSteadyClock/index.js'
+export * from './runAfterReads/index.js'
--- a/packages/gateway/src/probeAddress/index.ts
+++ b/packages/gateway/src/probeAddress/index.ts
@@ -1,5 +1,6 @@
 /** Checks whether a process listens at an address. */
 import * as net from 'node:net'
+import * as clock from '@switchridge/clock'
 import type * as quarantine from '@switchridge/quarantine'
 import type * as types from '@switchridge/types'
 
@@ -13,10 +14,12 @@
 export async function probeAddress ({ host, port }: types.Address, timeoutMs: number): Promise<quarantine.ProbeResult> {
   return await new Promise((resolve) => {
     const socket = net.connect({ host, port })
-    const timer = setTimeout(() => { settle('silent') }, timeoutMs)
+    let cancelSilent = (): void => {}
+    const timer = setTimeout(() => { cancelSilent = clock.runAfterReads(() => { settle('silent') }) }, timeoutMs)
 
     function settle (result: quarantine.ProbeResult): void {
       clearTimeout(timer)
+      cancelSilent()
       socket.destroy()
       resolve(result)
     }
