Read an agent's reply that arrived during a pause of the gateway

What callers saw: calls refused although an agent had a slot for them, or, where slots are confirmed, sent to an engine whose agent had refused them.

Cause: a gateway waits 40 ms for an agent's reply to a request for a slot. If its process is paused for longer, its timers run before its sockets are read, and a reply that had arrived counted as missing. The timeout now gives way to what had arrived (runAfterReads). A request without a reply still fails after 40 ms, and a reply that comes later still has no effect.

--- a/packages/gateway/src/createReservationClient/index.ts
+++ b/packages/gateway/src/createReservationClient/index.ts
@@ -1,5 +1,5 @@
 /** Requests slots of engines from their agents, over datagrams. */
-import type * as clock from '@switchridge/clock'
+import * as clock from '@switchridge/clock'
 import * as reservationWire from '../_lib/reservationWire.js'
 import type * as createSlotReservations from '../createSlotReservations/index.js'
 import type * as gateway from '../types/index.js'
@@ -48,7 +48,7 @@
     lastRequestNumber += 1
     const requestNumber = lastRequestNumber
     return await new Promise((resolve) => {
-      const cancel = options.at(now() + REPLY_TIMEOUT_MS, () => { finish('unanswered') })
+      let cancel = options.at(now() + REPLY_TIMEOUT_MS, () => { cancel = clock.runAfterReads(() => { finish('unanswered') }) })
       pending.set(requestNumber, { host, finish })
       options.send(host, reservationWire.formatRequest({ number: requestNumber, ...request }))
 
--- a/packages/gateway/src/createReservationClient/test.ts
+++ b/packages/gateway/src/createReservationClient/test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict'
+import * as dgram from 'node:dgram'
 import * as nodeTest from 'node:test'
 import * as fastCheck from 'fast-check'
 import * as types from '@switchridge/types'
@@ -10,6 +11,8 @@
 const GATEWAY = '10.0.0.1'
 const AGENT = '10.0.1.1'
 const BACK_END: gateway.BackEnd = { id: types.brandId('engine-1'), bornAt: null, service: types.brandId('llm'), address: { host: AGENT, port: 9000 }, zone: 'a', slots: 4, isDraining: false, models: new Map() }
+/** Longer than a client waits for a reply. */
+const PAUSE_MS = 60
 const REQUEST = { promptTokens: 700, withinMs: 300 }
 
 interface ConnectedClient {
@@ -80,6 +83,29 @@
   assert.deepEqual(counts, ['slots_lapsed', 'datagrams_dropped bad-reservation', 'slots_asked none'])
 })
 
+/** Guards against an agent's refusal being taken for no reply, upon which calls are sent to a full engine, because the timeout fires before the reply is read. */
+nodeTest.test('a pause of the process beyond the timeout does not hide a reply that has arrived', async (context) => {
+  const sockets = [dgram.createSocket('udp4'), dgram.createSocket('udp4')] as const
+  context.after(() => { for (const socket of sockets) socket.close() })
+  for (const socket of sockets) await new Promise<void>((resolve) => { socket.bind(0, '127.0.0.1', resolve) })
+  const [agent, gatewaySocket] = sockets
+  agent.connect(gatewaySocket.address().port, '127.0.0.1')
+  await new Promise((resolve) => { agent.once('connect', resolve) })
+  const { client, asked, counts } = connectClient(0, (bytes) => {
+    if (reservationWire.isReply(bytes)) agent.send(bytes)
+    return reservationWire.isReply(bytes)
+  })
+  gatewaySocket.on('message', (bytes) => { client.receive(bytes, AGENT) })
+  // From this callback on, timers run before sockets are read.
+  await new Promise((resolve) => { setImmediate(resolve) })
+  const answer = client.ask(BACK_END, REQUEST)
+  while (asked.length === 0) await Promise.resolve()
+  const pausedUntil = performance.now() + PAUSE_MS
+  while (performance.now() < pausedUntil);
+  assert.equal(await answer, 'refused')
+  assert.deepEqual(counts, ['slots_answered refused', 'slots_asked refused'])
+})
+
 nodeTest.test('formatted messages are decoded, and other bytes are neither request nor reply', () => {
   fastCheck.assert(fastCheck.property(fastCheck.nat(), fastCheck.nat(), fastCheck.nat(), fastCheck.boolean(), (number, promptTokens, withinMs, isReserved) => {
     assert.deepEqual(reservationWire.decodeRequest(reservationWire.formatRequest({ number, promptTokens, withinMs })), { number, promptTokens, withinMs })
