--- a/packages/daemon/src/startGatewayRole/lethal.test.ts
+++ b/packages/daemon/src/startGatewayRole/lethal.test.ts
@@ -23,6 +23,8 @@
   readonly fleet: fleetTesting.TestFleet
   readonly gateways: types.Address[]
   readonly engines: testing.EngineStandIn[]
+  /** Number of calls that run at the engines. */
+  readonly countRunning: () => number
 }
 
 /** Starts gateways and the engines of one service, each of which ends when it runs the lethal call. */
@@ -30,13 +32,18 @@
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const engines: testing.EngineStandIn[] = []
+  let running = 0
+  const onRun = (): () => void => {
+    running += 1
+    return () => { running -= 1 }
+  }
   for (let index = 0; index < ENGINES; index += 1) {
-    engines.push(await fleet.startEngine({ id: `i-${index}`, model: fleetTesting.MODEL, version: 1, events: 3, crashesOn: ({ path }) => path === LETHAL_PATH, crashDelayMs }))
+    engines.push(await fleet.startEngine({ id: `i-${index}`, model: fleetTesting.MODEL, version: 1, events: 3, crashesOn: ({ path }) => path === LETHAL_PATH, crashDelayMs, onRun }))
   }
   const gateways: types.Address[] = []
   for (const host of HOSTS.slice(0, count)) gateways.push(await fleet.startGateway(host, [HOSTS[0]]))
   for (const gateway of gateways) await fleetTesting.waitUntilServed(gateway, '/stream/probe')
-  return { fleet, gateways, engines }
+  return { fleet, gateways, engines, countRunning: () => running }
 }
 
 async function send (gateway: types.Address, id: string, path: string): Promise<testing.CallerAnswer> {
@@ -106,7 +113,7 @@
 })
 
 nodeTest.test('a call in progress at an engine is cancelled once it is known to end engines', async (context) => {
-  const { gateways, engines } = await openLethalFleet(context, 2, 300)
+  const { gateways, engines, countRunning } = await openLethalFleet(context, 2, 300)
   const [first, second] = gateways as [types.Address, types.Address]
   const sent: Array<Promise<testing.CallerAnswer>> = []
   // Two of the calls may be sent to the same engine by chance.
@@ -118,7 +125,7 @@
   const last = await send(second, 'lethal-last', LETHAL_PATH)
   await Promise.all(sent)
   assert.equal(last.status, BAD_GATEWAY, 'it may have run')
-  await types.delay(300)
+  await fleetTesting.waitUntil(() => countRunning() === 0)
   assert.equal(countEnded(engines), BLOCK_THRESHOLD)
 })
 
