Use connections that were established in time while the gateway stalled

Callers got 503 (no connection in time) beside a back end that had accepted the connection at once.

Cause: Node.js runs expired timers before it handles the events of sockets. When the process stalls for longer than the connect timeout of 250 ms, the timer comes first after the stall, and the attempt counts as not sent, although its connection has been established meanwhile. No other back end was left for the call. The probe of a back end has the same order: after a stall of 100 ms it took a refused connection for silence, so that the end of a process was not recognized, and one more back end was lost to the same call.

The events that are pending when the timer expires are handled first. An attempt under a permit is exempt, since it must not be sent after the permit has expired, and so is a stall of more than 1.5 s: the peer may have closed the connection since, and a call sent over it would count as one that may have run.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -120,6 +120,7 @@
     }),
     body: call.body,
     connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, choice.connectWithinMs ?? CONNECT_TIMEOUT_MS),
+    mustSendInTime: choice.connectWithinMs !== undefined,
     onConnect: (tookMs) => {
       options.tracker.noteConnect(choice.backEnd.id, tookMs)
       margin.noteConnect()
--- /dev/null
+++ b/packages/gateway/src/_lib/startTimeout.ts
@@ -0,0 +1,25 @@
+/** A timeout for the answer of a socket that allows for stalls of this process. */
+
+/** After a longer stall the peer may have closed the connection or ended, so that an earlier answer of it is of no use. */
+const LONGEST_STALL_MS = 1500
+
+/**
+ * Starts a timeout. Node.js runs expired timers before it handles the events of sockets, so an answer that arrived in time while the process was busy would
+ * come after the timeout. Therefore the events that are pending when the timer expires are handled first.
+ *
+ * @param timeoutMs - The timeout in milliseconds.
+ * @param onTimeout - Called when it has expired, unless it is cancelled.
+ * @returns A function that cancels it.
+ */
+export function startTimeout (timeoutMs: number, onTimeout: () => void): () => void {
+  const expiresAt = performance.now() + timeoutMs
+  let immediate: NodeJS.Immediate | undefined
+  const timer = setTimeout(() => {
+    if (performance.now() - expiresAt > LONGEST_STALL_MS) onTimeout()
+    else immediate = setImmediate(onTimeout)
+  }, timeoutMs)
+  return () => {
+    clearTimeout(timer)
+    clearImmediate(immediate)
+  }
+}
--- a/packages/gateway/src/probeAddress/index.ts
+++ b/packages/gateway/src/probeAddress/index.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import type * as quarantine from '@switchridge/quarantine'
 import type * as types from '@switchridge/types'
+import * as startTimeout from '../_lib/startTimeout.js'
 
 /**
  * Opens a connection and closes it at once.
@@ -13,10 +14,10 @@
 export async function probeAddress ({ host, port }: types.Address, timeoutMs: number): Promise<quarantine.ProbeResult> {
   return await new Promise((resolve) => {
     const socket = net.connect({ host, port })
-    const timer = setTimeout(() => { settle('silent') }, timeoutMs)
+    const cancelTimeout = startTimeout.startTimeout(timeoutMs, () => { settle('silent') })
 
     function settle (result: quarantine.ProbeResult): void {
-      clearTimeout(timer)
+      cancelTimeout()
       socket.destroy()
       resolve(result)
     }
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as types from '@switchridge/types'
+import * as startTimeout from '../_lib/startTimeout.js'
 
 /** The request to send. */
 export interface AttemptRequest {
@@ -13,6 +14,8 @@
   readonly body: Buffer | null
   /** Milliseconds within which the connection must be established. */
   readonly connectTimeoutMs: number
+  /** Whether nothing may be sent after that time, not even over a connection that was established in time while this process stalled; false when absent. */
+  readonly mustSendInTime?: boolean
   /** Called with the milliseconds that connecting took; not called if no connection was established. */
   readonly onConnect: (tookMs: number) => void
 }
@@ -60,6 +63,12 @@
   return socket.remoteAddress !== undefined
 }
 
+function startConnectTimeout ({ connectTimeoutMs, mustSendInTime = false }: AttemptRequest, onTimeout: () => void): () => void {
+  if (!mustSendInTime) return startTimeout.startTimeout(connectTimeoutMs, onTimeout)
+  const timer = setTimeout(onTimeout, connectTimeoutMs)
+  return () => { clearTimeout(timer) }
+}
+
 /**
  * Sends an attempt.
  *
@@ -83,10 +92,10 @@
     setHost: false,
     insecureHTTPParser: false
   })
-  const connectTimer = setTimeout(() => { outgoing.destroy(new types.UnavailableError('no connection in time')) }, request.connectTimeoutMs)
+  const cancelTimeout = startConnectTimeout(request, () => { outgoing.destroy(new types.UnavailableError('no connection in time')) })
 
   function fail (reason: string, isClosedByPeer: boolean): void {
-    clearTimeout(connectTimer)
+    cancelTimeout()
     settle(isConnected ? { kind: 'no-answer', reason, isClosedByPeer } : { kind: 'not-sent', reason })
   }
 
@@ -96,7 +105,7 @@
     socket.once('connect', () => {
       isConnected = true
       request.onConnect(performance.now() - startedAt)
-      clearTimeout(connectTimer)
+      cancelTimeout()
     })
   })
   outgoing.on('response', (response) => {
--- a/packages/gateway/src/sendAttempt/test.ts
+++ b/packages/gateway/src/sendAttempt/test.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
+import * as stallTesting from '../_lib/stallTesting.js'
 import * as readBody from '../readBody/index.js'
 import * as sendAttempt from './index.js'
 
@@ -9,6 +10,9 @@
 const ATTEMPTS = 300
 const PARALLEL = 30
 const RESET_AFTER_MS = 3
+const CONNECT_TIMEOUT_MS = 50
+const STALL_MS = 200
+const LONG_STALL_MS = 2000
 const UNFRAMED = 'HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\nanswe'
 
 /** Starts a back end whose response has no length; `finish` ends its connection. */
@@ -55,3 +59,21 @@
   const address = await openBackEnd(context, (socket) => { socket.end() })
   assert.equal(await countWhole(address), ATTEMPTS)
 })
+
+/** Sends an attempt, stalls the process until its connect timeout is over, and returns the first result. */
+async function sendBeforeStall (context: nodeTest.TestContext, stallMs: number, mustSendInTime: boolean): Promise<string> {
+  const address = await openBackEnd(context, (socket) => { socket.end() })
+  const attempt = await stallTesting.startBeforeStall(() => sendAttempt.sendAttempt({ address, method: 'GET', path: '/', headers: ['Host', 'app.example'], body: null, connectTimeoutMs: CONNECT_TIMEOUT_MS, mustSendInTime, onConnect: () => {} }), stallMs)
+  const { kind } = await attempt.start
+  attempt.abort()
+  return kind
+}
+
+nodeTest.test('a call is not refused for a connection that was established in time while the process stalled', async (context) => {
+  assert.equal(await sendBeforeStall(context, STALL_MS, false), 'answer')
+})
+
+nodeTest.test('nothing is sent after a stall that has outlasted a permit, or after a long one', async (context) => {
+  assert.equal(await sendBeforeStall(context, STALL_MS, true), 'not-sent')
+  assert.equal(await sendBeforeStall(context, LONG_STALL_MS, false), 'not-sent')
+})
