--- a/packages/gateway/src/probeAddress/index.ts
+++ b/packages/gateway/src/probeAddress/index.ts
@@ -1,8 +1,8 @@
 /** Checks whether a process listens at an address. */
 import * as net from 'node:net'
-import * as clock from '@switchridge/clock'
 import type * as quarantine from '@switchridge/quarantine'
 import type * as types from '@switchridge/types'
+import * as startTimeout from '../_lib/startTimeout.js'
 
 /**
  * Opens a connection and closes it at once.
@@ -14,12 +14,10 @@
 export async function probeAddress ({ host, port }: types.Address, timeoutMs: number): Promise<quarantine.ProbeResult> {
   return await new Promise((resolve) => {
     const socket = net.connect({ host, port })
-    let cancelSilent = (): void => {}
-    const timer = setTimeout(() => { cancelSilent = clock.runAfterReads(() => { settle('silent') }) }, timeoutMs)
+    const cancelTimeout = startTimeout.startTimeout(timeoutMs, () => { settle('silent') })
 
     function settle (result: quarantine.ProbeResult): void {
-      clearTimeout(timer)
-      cancelSilent()
+      cancelTimeout()
       socket.destroy()
       resolve(result)
     }
