Keep a silent stream open until another engine goes on with it

Callers of resumable streams saw their connection cut in the middle of an answer: an engine was silent for longer than 2.5 times the route's gap target (800 ms at least), and the next engine refused the call.

Cause: the silent attempt was aborted as soon as another engine could be chosen and the retry was paid for. Whether that engine would go on with the stream was only known afterwards: it may refuse, be out of reach, want a permit, break, or hold another version of the weights. A call that was blocked meanwhile was cut for the same reason.

Now the attempts of a stream that has begun may overlap. Silence requests another engine within the same bounds as before (attempts of the route, permit, exclusions, retry budget), and the silent attempt stays open. The first attempt with a complete event goes on and aborts the others; each attempt splits its own events, so that no bytes of another one, and no part of an event, can be passed on. An attempt that fails leaves the others open, and a further engine is requested after the same time. An attempt that is overtaken says nothing about its engine, which is not avoided for it. Blocking takes a call back only from engines that have not answered.

An answer with another version than the one that began the stream is not passed on. A connection that this gateway itself aborts is no longer counted as one that took the whole connect timeout.

createEventSplitter loses dropPartial, since each attempt has a splitter of its own; its test checks the same with the splitter of the next attempt.

--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -50,17 +50,17 @@
   readonly isCallerGone: () => boolean
   /** Whether the call's deadline has passed, or its gateway is shutting down. */
   readonly isExpired: () => boolean
-  /** Aborts the current attempt, so that the call gets its final response now. */
+  /** Aborts the attempts in progress, so that the call gets its final response now. */
   readonly expire: () => void
-  /** Records that the caller disconnected, and aborts the current attempt. */
+  /** Records that the caller disconnected, and aborts the attempts in progress. */
   readonly noteCallerGone: () => void
-  /** Sets the function that aborts the current attempt, in place of that of the attempt before. */
-  readonly setAbortAttempt: (abort: () => void) => void
-  /** Whether any part of the response to the current attempt has arrived. */
-  hasAttemptResponded: boolean
-  /** Aborts the current attempt if nothing of its response has arrived, because the call is now blocked everywhere. */
+  /**
+   * Sets the functions that abort what the call is waiting for, and that abort only attempts of whose responses nothing has arrived, in place of those set before.
+   * The second is the first one if it is absent.
+   */
+  readonly setAbortAttempt: (abort: () => void, withdraw?: () => void) => void
+  /** Aborts the attempts of whose responses nothing has arrived, because the call is now blocked everywhere. */
   readonly withdraw: () => void
-  readonly isWithdrawn: () => boolean
   /** Whether the call may run more than once. */
   readonly isRepeatable: boolean
   /** Whether the call was answered with a response whose end HTTP framing did not mark. */
@@ -76,8 +76,8 @@
 export function createCallState (details: CallDetails): CallState {
   let isCallerGone = false
   let isExpired = false
-  let isWithdrawn = false
   let abortAttempt: () => void = () => {}
+  let withdrawAttempt: () => void = () => {}
   let fingerprint: quarantine.CallFingerprint | null = null
   const { kind, isResumable } = details.route
   const state: CallState = {
@@ -88,7 +88,6 @@
     predictedMs: null,
     firstEventAt: null,
     wait: null,
-    hasAttemptResponded: false,
     hasUnframedAnswer: false,
     parts: details.head.promptParts ?? [],
     isRepeatable: kind === 'repeatable' || (kind === 'stream' && isResumable),
@@ -106,15 +105,10 @@
       isCallerGone = true
       abortAttempt()
     },
-    isWithdrawn: () => isWithdrawn,
-    withdraw: () => {
-      if (state.hasAttemptResponded) return
-      isWithdrawn = true
-      abortAttempt()
-    },
-    setAbortAttempt: (abort) => {
+    withdraw: () => { withdrawAttempt() },
+    setAbortAttempt: (abort, withdraw = abort) => {
       abortAttempt = abort
-      state.hasAttemptResponded = false
+      withdrawAttempt = withdraw
       if (isCallerGone || isExpired) abort()
     }
   }
--- a/packages/gateway/src/_lib/noteOutcome.ts
+++ b/packages/gateway/src/_lib/noteOutcome.ts
@@ -24,6 +24,18 @@
   options.logger.info('attempt-failed', { id: call.head.requestId, backEnd: id, outcome: outcome.kind, reason: outcome.reason, ...features })
 }
 
+/**
+ * Counts and logs an attempt that was aborted because an earlier one, which had been silent, went on first. It says nothing about its back end.
+ *
+ * @param call - The call.
+ * @param choice - The back end.
+ * @param options - Logger and counters.
+ */
+export function noteOvertaken (call: callState.CallState, choice: chooseBackEnd.Choice, options: Pick<callOptions.CallHandlerOptions, 'count' | 'logger'>): void {
+  options.count('attempts', { outcome: 'overtaken' })
+  options.logger.info('attempt-overtaken', { id: call.head.requestId, backEnd: choice.backEnd.id })
+}
+
 /**
  * Records the prediction error of a first attempt that was given up before anything of its response arrived. If it was already late, it counts as having
  * begun when it was given up.
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -3,7 +3,7 @@
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as readBody from '../readBody/index.js'
-import type * as createEventSplitter from '../createEventSplitter/index.js'
+import * as createEventSplitter from '../createEventSplitter/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
 import type * as guards from '../types/guard.js'
 import type * as gateway from '../types/index.js'
@@ -11,6 +11,7 @@
 import * as callState from './callState.js'
 import * as createMarginNotes from './createMarginNotes.js'
 import type * as callOptions from './callOptions.js'
+import * as raceAttempts from './raceAttempts.js'
 
 /** A back end's response, read to its end. */
 export interface BufferedAnswer {
@@ -39,7 +40,8 @@
 
 /** State shared by the attempts of one stream. */
 export interface StreamState {
-  readonly splitter: createEventSplitter.EventSplitter
+  /** Splitter of the attempt that was the last to pass on events; before the first one it only knows the event id that the caller gave. */
+  splitter: createEventSplitter.EventSplitter
   /** Version of the weights that began the stream; only this version may resume it. */
   version: number | null
   /** Whether HTTP framing marks the end of the response that was started; null before the start. */
@@ -52,7 +54,7 @@
 const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024
 /** Timeout for the first event as a multiple of the target; after it a resumable stream is requested from another back end. */
 const FIRST_EVENT_TIMEOUT_FACTOR = 3
-/** Timeout for the next event as a multiple of the route's gap target; after it a stream is resumed at another back end. */
+/** Timeout for the next event as a multiple of the route's gap target; after it a stream is requested from another back end, too. */
 const NEXT_EVENT_TIMEOUT_FACTOR = 2.5
 const MINIMUM_EVENT_TIMEOUT_MS = 800
 
@@ -83,7 +85,7 @@
 /**
  * Creates the state shared by the attempts of one stream.
  *
- * @param splitter - Splits the events of all attempts.
+ * @param splitter - Knows the last event id that the caller already has.
  * @returns The state before the first attempt.
  */
 export function createStreamState (splitter: createEventSplitter.EventSplitter): StreamState {
@@ -99,11 +101,12 @@
  * @param choice - The back end.
  * @param open - The attempt as the back end records know it.
  * @param options - Protocol, records and clock.
- * @param mayMove - Whether a stream that has begun may go on at another back end now; until then a silent engine is waited for.
+ * @param contender - The attempt among those of the call that are open at the same time. A silent attempt of a stream that has begun requests another one, and is waited for.
  * @returns How the attempt ended.
  */
-export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options, mayMove: () => boolean = () => true): Promise<AttemptOutcome> {
+export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options, contender: raceAttempts.Contender = raceAttempts.SOLE_CONTENDER): Promise<AttemptOutcome> {
   const { head, route } = call
+  const splitter = createEventSplitter.createEventSplitter(stream.splitter.lastEventId())
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
   const attempt = options.sendAttempt({
     address: choice.backEnd.address,
@@ -115,7 +118,7 @@
       tenant: call.tenant,
       urgency: !reply.hasStarted() && isLate(call, options.now()) ? LATE_URGENCY : null,
       version: choice.expectedVersion,
-      lastEventId: stream.splitter.lastEventId(),
+      lastEventId: splitter.lastEventId(),
       bodyBytes: call.body === null ? null : call.body.length
     }),
     body: call.body,
@@ -126,13 +129,14 @@
     }
   })
   let isAborted = false
-  call.setAbortAttempt(abort)
+  contender.setAbort(abort)
+  if (call.isCallerGone() || call.isExpired()) abort()
   const waitsForDeadline = !(route.kind === 'stream' && route.isResumable)
-  const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), () => !reply.hasStarted() || mayMove(), abort)
+  const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), isGivenUp, abort)
   const cancelWithdrawal = scheduleWithdrawal()
   const start = await attempt.start
   if (start.kind === 'not-sent') {
-    options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
+    if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
     return finish({ kind: 'not-sent', reason: start.reason })
   }
   call.attempts += 1
@@ -148,6 +152,7 @@
   if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
   if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
   if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
+  if (reply.hasStarted() && isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
   stream.version = answer.version ?? stream.version
   const relayed = await relayStream(start, answer)
   return finish(relayed)
@@ -168,6 +173,17 @@
     options.backoffs.noteResponse(choice.backEnd, options.protocol.readBackoffRequest(response), isSuccess(read))
   }
 
+  /** Whether a back end that is silent is given up, which no stream is that has begun: it may go on as long as no other back end does. */
+  function isGivenUp (): boolean {
+    if (!reply.hasStarted()) return true
+    contender.requestNext()
+    return false
+  }
+
+  function isOtherVersion ({ version }: AnsweredHead): boolean {
+    return version !== null && stream.version !== null && version !== stream.version
+  }
+
   /** Aborts the attempt from this side. */
   function abort (): void {
     isAborted = true
@@ -189,7 +205,6 @@
 
   function noteResponse (): void {
     open.hasResponded = true
-    call.hasAttemptResponded = true
     if (call.firstEventAt !== null) return
     call.firstEventAt = options.now()
     if (call.attempts === 1 && call.predictedMs !== null) options.errorBoundOf(call.service).note(call.predictedMs, call.firstEventAt - call.receivedAt)
@@ -226,7 +241,8 @@
       let hasResponseEnded = false
       response.on('data', (bytes: Buffer) => {
         const whole = readDeliverable(bytes)
-        if (whole === null) return
+        if (whole === null || !contender.claim()) return
+        stream.splitter = splitter
         noteResponse()
         eventTimer.restart(nextEventMs)
         if (!reply.hasStarted()) beginStream()
@@ -249,13 +265,13 @@
 
       /** Returns what may be passed on: whole events of a resumable stream. The end of a stream without framing must be the end of an event, so its events are split, too. */
       function readDeliverable (bytes: Buffer): Buffer | null {
-        const events = route.isResumable || !isFramed ? stream.splitter.push(bytes) : null
+        const events = route.isResumable || !isFramed ? splitter.push(bytes) : null
         return route.isResumable ? events : bytes
       }
 
       async function endStream (): Promise<void> {
         eventTimer.stop()
-        if (!isWhole() || stream.splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
+        if (!isWhole() || splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
           failStream('stream cut')
           return
         }
@@ -264,6 +280,10 @@
           failStream(ENDED_REASON)
           return
         }
+        if (!contender.claim()) {
+          failStream('stream ended')
+          return
+        }
         call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
         reply.endStream()
@@ -276,8 +296,8 @@
       }
 
       function failStream (reason: string): void {
-        stream.splitter.dropPartial()
-        resolve(broken(eventTimer.hasExpired() ? 'no event in time' : reason, true))
+        const isSilent = eventTimer.hasExpired() || contender.readReplacedBy() === 'later'
+        resolve(broken(isSilent ? 'no event in time' : reason, true))
       }
     })
   }
@@ -300,16 +320,16 @@
 }
 
 /**
- * Aborts an attempt whose response brings no event within a timeout, unless `mayAbort` returns false then; it is asked again after the same time. Without a timeout for
+ * Aborts an attempt whose response brings no event within a timeout, unless `isGivenUp` returns false then; it is asked again after the same time. Without a timeout for
  * the first event the attempt waits for the deadline.
  */
-function createEventTimer (firstTimeoutMs: number | null, mayAbort: () => boolean, abort: () => void): EventTimer {
+function createEventTimer (firstTimeoutMs: number | null, isGivenUp: () => boolean, abort: () => void): EventTimer {
   let hasExpired = false
   let timer: NodeJS.Timeout | null = null
 
   function start (timeoutMs: number): void {
     timer = setTimeout(() => {
-      if (!mayAbort()) {
+      if (!isGivenUp()) {
         start(timeoutMs)
         return
       }
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -12,6 +12,7 @@
 import * as confirmSlot from './confirmSlot.js'
 import * as logCall from './logCall.js'
 import * as noteOutcome from './noteOutcome.js'
+import * as raceAttempts from './raceAttempts.js'
 import * as reserveSlot from './reserveSlot.js'
 import * as runAttempt from './runAttempt.js'
 import * as waitingCalls from './waitingCalls.js'
@@ -102,7 +103,6 @@
   let lastReason = ''
   let backEnd = ''
   let isBlocked = false
-  let isRetrySpent = false
 
   const waiting = findWaiting()
   waiting?.noteCall(call.service, call.rank)
@@ -137,25 +137,18 @@
         if (slot.kind === 'choose-again') continue
         choice = slot.choice
       }
-      let connectWithinMs = Infinity
-      // The back end may have become known as cold while the call waited for a slot.
-      if (choice.isRateLimited || options.limiter.readAllowance(choice.backEnd, isLate, call.route.priority)?.isCold === true) {
-        const permit = await options.limiter.acquire(choice.backEnd, isLate, call.route.priority)
+      let permitted: runAttempt.PermittedChoice | null = choice
+      if (needsPermit(choice, isLate)) {
+        permitted = await acquirePermit(choice, isLate)
         if (call.isCallerGone()) return 'left'
         if (call.isExpired()) {
           lastReason = 'no permit in time'
           return endUnserved()
         }
-        if (permit.isGranted && permit.expiresAt !== undefined) connectWithinMs = permit.expiresAt - options.now()
-        if (!permit.isGranted || connectWithinMs <= 0) {
-          permitsRefused += 1
-          continue
-        }
+        if (permitted === null) continue
       }
-      // While the call waited for a slot or a permit, it may have been blocked, or its back end may have announced its end, asked for a backoff or been excluded.
       if (noteIfBlocked()) return endUnserved()
-      if (options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0) continue
-      if (options.findExclusion(choice.backEnd, call.allowedRegions) !== null) continue
+      if (!isStillEligible(choice)) continue
       // A stream that has begun goes on for as long as the process does.
       if (!reply.hasStarted() && !mayFinish(choice.firstEventMs)) {
         if (!call.mayHaveRun) options.count('calls_refused_draining')
@@ -163,13 +156,17 @@
         retryAfterMs = callState.DRAIN_RETRY_MS
         return endUnserved()
       }
-      if (!isFirst && !isRetrySpent && !budget.trySpend()) {
+      if (!isFirst && !budget.trySpend()) {
         lastReason = `${lastReason}; retry budget spent`
         return endUnserved()
       }
-      isRetrySpent = false
       backEnd = choice.backEnd.id
-      const outcome = await attempt(connectWithinMs === Infinity ? choice : { ...choice, connectWithinMs })
+      const outcome = await raceAttempts.raceAttempts(permitted, {
+        run: attempt,
+        findNext,
+        isDone: ({ kind }) => kind === 'done',
+        setAbort: call.setAbortAttempt
+      })
       if (call.isCallerGone()) return 'left'
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
@@ -187,6 +184,43 @@
     }
   }
 
+  /** Whether the back end needs a permit; it may have become known as cold while the call waited for a slot. */
+  function needsPermit (choice: chooseBackEnd.Choice, isLate: boolean): boolean {
+    return choice.isRateLimited || options.limiter.readAllowance(choice.backEnd, isLate, call.route.priority)?.isCold === true
+  }
+
+  /** Requests a permit; null if none is granted. */
+  async function acquirePermit (choice: chooseBackEnd.Choice, isLate: boolean): Promise<runAttempt.PermittedChoice | null> {
+    const permit = await options.limiter.acquire(choice.backEnd, isLate, call.route.priority)
+    if (permit.isGranted && permit.expiresAt === undefined) return choice
+    const connectWithinMs = permit.isGranted && permit.expiresAt !== undefined ? permit.expiresAt - options.now() : 0
+    if (connectWithinMs > 0) return { ...choice, connectWithinMs }
+    permitsRefused += 1
+    return null
+  }
+
+  /** Whether a back end may still be sent to: while the call waited for a slot or a permit, it may have announced its end, asked for a backoff or been excluded. */
+  function isStillEligible (choice: chooseBackEnd.Choice): boolean {
+    const isResting = options.leavers.isLeaving(choice.backEnd) || options.backoffs.read(choice.backEnd).waitMs > 0
+    return !isResting && options.findExclusion(choice.backEnd, call.allowedRegions) === null
+  }
+
+  /** Finds another back end for a stream that has begun and whose back ends are silent, and spends the retry; null if the call may not be sent to any now. */
+  async function findNext (isWanted: () => boolean): Promise<runAttempt.PermittedChoice | null> {
+    if (!mayAttempt()) return null
+    const { choice } = choose(call.tried, false)
+    if (choice === null) return null
+    const permitted = needsPermit(choice, false) ? await acquirePermit(choice, false) : choice
+    if (permitted === null || !isWanted() || !mayAttempt() || !isStillEligible(choice)) return null
+    if (!budget.trySpend()) return null
+    options.logger.info('attempt-added', { id: call.head.requestId, backEnd: choice.backEnd.id, silent: backEnd })
+    return permitted
+  }
+
+  function mayAttempt (): boolean {
+    return call.attempts < call.route.maximumAttempts && !call.isCallerGone() && !call.isExpired() && readBlockedMs() === null
+  }
+
   /** While engines return, all gateways see the same free slots, so every call reserves one. */
   function mustReserve (): boolean {
     return waiting?.isRecovering(call.service) === true && !reply.hasStarted()
@@ -300,7 +334,7 @@
 
   /** Whether the call is blocked because back ends ended under it; if so, that is the reason of its refusal. */
   function noteIfBlocked (): boolean {
-    const blockedMs = options.guard.isActive() ? options.guard.readBlockedMs(call) : null
+    const blockedMs = readBlockedMs()
     if (blockedMs === null) return false
     isBlocked = true
     lastReason = BLOCKED_REASON
@@ -308,6 +342,10 @@
     return true
   }
 
+  function readBlockedMs (): number | null {
+    return options.guard.isActive() ? options.guard.readBlockedMs(call) : null
+  }
+
   function choose (tried: ReadonlySet<types.NodeId>, isLate: boolean): chooseBackEnd.ChoiceOutcome {
     return options.choose({
       service: call.service,
@@ -345,19 +383,14 @@
     return callState.canMeetTarget(callState.readElapsedMs(call, options.now()) + delayMs, call.route.targetMs)
   }
 
-  /** Whether a stream that has begun may go on at another back end now; if so, the retry is spent, so that no other call can take it before the stream moves. */
-  function mayMove (): boolean {
-    isRetrySpent ||= call.attempts < call.route.maximumAttempts && choose(call.tried, false).choice !== null && budget.trySpend()
-    return isRetrySpent
-  }
-
   function mayRetry (outcome: runAttempt.AttemptOutcome): boolean {
     if (call.attempts >= call.route.maximumAttempts) return false
     if (outcome.kind === 'not-run') return !call.mayHaveRun || call.isRepeatable
     return call.isRepeatable
   }
 
-  async function attempt (choice: runAttempt.PermittedChoice): Promise<runAttempt.AttemptOutcome> {
+  async function attempt (choice: runAttempt.PermittedChoice, contender: raceAttempts.Contender): Promise<runAttempt.AttemptOutcome> {
+    let isWithdrawn = false
     call.tried.add(choice.backEnd.id)
     const open: createBackEndTracker.OpenAttempt = {
       promptTokens: call.head.promptTokens,
@@ -367,9 +400,24 @@
     }
     options.tracker.noteSent(choice.backEnd.id, open)
     options.onSent(choice.backEnd)
-    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options, mayMove)
+    const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options, {
+      ...contender,
+      claim: () => {
+        const isOurs = contender.claim()
+        if (isOurs) backEnd = choice.backEnd.id
+        return isOurs
+      },
+      setAbort: (abort) => {
+        contender.setAbort(abort, () => {
+          if (open.hasResponded) return
+          isWithdrawn = true
+          abort()
+        })
+      }
+    })
     options.tracker.noteEnded(choice.backEnd.id, open)
-    if (!call.isCallerGone() && !call.isExpired() && !call.isWithdrawn()) noteOutcome.noteOutcome(call, choice, outcome, options)
+    if (contender.readReplacedBy() === 'earlier') noteOutcome.noteOvertaken(call, choice, options)
+    else if (!call.isCallerGone() && !call.isExpired() && !isWithdrawn) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
     if (outcome.kind === 'done' && outcome.isCertain) options.guard.noteServed(outcome.isSuccess ? call : { ...call, parts: [] })
     if (outcome.kind === 'broken' && !open.hasResponded) noteOutcome.noteUnansweredAttempt(call, options)
--- a/packages/gateway/src/createEventSplitter/index.ts
+++ b/packages/gateway/src/createEventSplitter/index.ts
@@ -1,11 +1,9 @@
 /** Splits a stream of server-sent events (text/event-stream) into complete events and tracks the last event id. */
 
-/** Splits one stream; a resumed stream continues with the same splitter. */
+/** Splits the stream of one attempt; a resumed stream has a new splitter that begins with the last event id of the one before. */
 export interface EventSplitter {
   /** Adds bytes; returns the bytes up to the end of the last complete event, or null if no event is complete. */
   readonly push: (bytes: Buffer) => Buffer | null
-  /** Discards the bytes of an incomplete event. */
-  readonly dropPartial: () => void
   readonly hasPartial: () => boolean
   /** Id of the last complete event. */
   readonly lastEventId: () => string | null
@@ -40,7 +38,6 @@
 
   return {
     push,
-    dropPartial: () => { partial = EMPTY },
     hasPartial: () => partial.length > 0,
     lastEventId: () => lastId
   }
--- a/packages/gateway/src/createEventSplitter/test.ts
+++ b/packages/gateway/src/createEventSplitter/test.ts
@@ -22,11 +22,13 @@
   }), { seed: 7 })
 })
 
-nodeTest.test('an incomplete event is dropped, and its id is ignored', () => {
+nodeTest.test('an incomplete event is not passed on, and a resumed stream ignores it and its id', () => {
   const splitter = createEventSplitter.createEventSplitter('4')
   splitter.push(Buffer.from('id: 5\r\ndata: a\r\n\r\nid: 6\nda'))
   assert.equal(splitter.hasPartial(), true)
-  splitter.dropPartial()
   assert.equal(splitter.lastEventId(), '5')
-  assert.equal(splitter.push(Buffer.from('id: 6\ndata: b\n\n'))?.toString(), 'id: 6\ndata: b\n\n')
+  const resumed = createEventSplitter.createEventSplitter(splitter.lastEventId())
+  assert.equal(resumed.hasPartial(), false)
+  assert.equal(resumed.lastEventId(), '5')
+  assert.equal(resumed.push(Buffer.from('id: 6\ndata: b\n\n'))?.toString(), 'id: 6\ndata: b\n\n')
 })
