Record the progress of callers that read a large response slowly

While memory was short, a caller that read an answer of 16 MB at 3 MB/s was cut as stalled. Its progress was recorded only once everything handed over had been read, and a body is handed over by one write.

A body of more than 256 KB is now passed to the operating system in parts, all of which wait in the connection at once, so that the end of a response, its phases and a caller that shuts down its sending side are handled as before. Each part that is taken counts as progress. A socket would join all parts that wait into one write, so it does without that method until the response is delivered. All of the body counts as held until then, because its parts share its memory.

--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -8,6 +8,8 @@
  * read for this long before its connection is closed.
  */
 const REFUSED_REQUEST_READ_MS = 2000
+/** A body larger than this is passed to the operating system in parts of this size. */
+const PART_BYTES = 262_144
 
 /** The response to one request. */
 export interface Reply {
@@ -68,6 +70,26 @@
     }
   }
 
+  /** Passes a large body to the operating system in parts, so that the progress of a caller that reads slowly is recorded. All of it is held until its end. */
+  function endWithBody (body: Buffer): void {
+    const { socket } = response
+    if (holding === null || socket === null || body.length <= PART_BYTES) {
+      response.end(body)
+      noteUnread()
+      return
+    }
+    // The head is passed on together with the first part.
+    socket.cork()
+    response.write(body.subarray(0, PART_BYTES), holding.noteRead)
+    socket.uncork()
+    // With this method, a socket would pass on all parts that wait as one.
+    socket._writev = undefined
+    response.once('close', () => { Reflect.deleteProperty(socket, '_writev') })
+    for (let offset = PART_BYTES; offset < body.length; offset += PART_BYTES) response.write(body.subarray(offset, offset + PART_BYTES), holding.noteRead)
+    response.end()
+    if (response.writableLength > 0) holding.noteUnread(body.length)
+  }
+
   if (holding !== null) {
     response.on('drain', () => { holding.noteUnread(0) })
     response.once('finish', holding.close)
@@ -92,8 +114,7 @@
       if (response.destroyed) return
       if (!isFramed) endByClosing()
       writeHead(status, isFramed ? [...headers, 'Content-Length', String(body.length)] : headers)
-      response.end(body)
-      noteUnread()
+      endWithBody(body)
     },
     beginStream: (status, headers, isFramed) => {
       if (response.destroyed) return
--- a/packages/gateway/src/createHeldBytes/index.ts
+++ b/packages/gateway/src/createHeldBytes/index.ts
@@ -29,6 +29,8 @@
   readonly noteRun: () => void
   /** Records how many bytes of the response wait for the caller; 0 when it has read them. */
   readonly noteUnread: (bytes: number) => void
+  /** Records that the caller has read a part of the response, all of which is held until its end. */
+  readonly noteRead: () => void
   readonly close: () => void
 }
 
@@ -111,6 +113,7 @@
           set(account, account.bodyBytes, bytes)
           dropStalled()
         },
+        noteRead: () => { account.progressedAt = now() },
         close: () => { remove(account) }
       }
     }
--- a/packages/gateway/src/createHeldBytes/test.ts
+++ b/packages/gateway/src/createHeldBytes/test.ts
@@ -73,6 +73,25 @@
   assert.deepEqual(fixture.dropped, [])
 })
 
+/** Guards against callers that are cut in the middle of a large response that they read. */
+nodeTest.test('a caller that reads a part of a response now and then is not dropped until it stalls, and one that reads nothing is', () => {
+  const fixture = createFixture()
+  const [reader, deaf] = [fixture.open('reader'), fixture.open('deaf')]
+  reader.noteUnread(900)
+  deaf.noteUnread(90)
+  for (let parts = 0; parts < 4; parts += 1) {
+    fixture.time += 900
+    reader.noteRead()
+  }
+  assert.equal(fixture.held.read(), 990)
+  assert.equal(fixture.open('next').noteUpload(100), true)
+  assert.deepEqual(fixture.dropped, ['deaf answer 90 3600'])
+  assert.equal(fixture.open('refused').noteUpload(100), false)
+  fixture.time += 1000
+  assert.equal(fixture.open('later').noteUpload(100), true)
+  assert.deepEqual(fixture.dropped.slice(1), ['reader answer 900 1000'])
+})
+
 /** Guards against a sum that drifts away from what is held, after which everything or nothing would be refused. */
 nodeTest.test('the sum never exceeds the bound by more than unread responses, and is zero when all calls have closed', () => {
   const step = fastCheck.record({ call: fastCheck.integer({ min: 0, max: 9 }), action: fastCheck.constantFrom('upload', 'running', 'run', 'unread', 'read', 'close'), bytes: fastCheck.integer({ min: 0, max: 600 }), passMs: fastCheck.integer({ min: 0, max: 900 }) })
