Reset streams that only the end of their connection marks as complete

A caller of HTTP/1.0 took a cut stream for a complete one: it gets no chunks, and the connection was ended in an orderly way. The same happened to any stream without framing whose caller had shut down its sending side, since the server ends the connection then.

Whether a response has framing is now decided for what the caller gets, and such a response that isn't complete is reset in both cases. A body that was handed over whole is still delivered to a caller that shuts down its sending side.

A Node.js caller that has bytes unread may still take a reset for an end if its last read was a short one; nothing on this side can tell.

--- a/packages/gateway/src/_lib/answers.test.ts
+++ b/packages/gateway/src/_lib/answers.test.ts
@@ -99,3 +99,34 @@
   await closed
   assert.equal(socket._writev, writeAll)
 })
+
+const OLD_REQUEST = `GET / HTTP/1.0${END_OF_HEAD}`
+const STREAMS = [
+  { name: 'to a caller of HTTP/1.0', request: OLD_REQUEST, isFramed: true },
+  { name: 'without framing', request: REQUEST, isFramed: false }
+]
+
+for (const { name, request, isFramed } of STREAMS) {
+  for (const cause of ['the gateway breaks it off', 'its caller shuts down its sending side'] as const) {
+    nodeTest.test(`a stream ${name} does not look complete when ${cause}`, LIMIT, async (context) => {
+      const { reply, caller, received } = await openReply(context, request)
+      caller.resume()
+      reply.beginStream(200, [], isFramed)
+      reply.write(Buffer.from('event'))
+      await new Promise((resolve) => { caller.once('data', resolve) })
+      if (cause === 'the gateway breaks it off') reply.abort()
+      else caller.end()
+      assert.equal((await received).isReset, true)
+    })
+  }
+
+  nodeTest.test(`a stream ${name} ends in an orderly way when it is complete`, LIMIT, async (context) => {
+    const { reply, caller, received } = await openReply(context, request)
+    caller.resume()
+    reply.beginStream(200, [], isFramed)
+    reply.write(Buffer.from('event'))
+    reply.endStream()
+    const { body, isReset } = await received
+    assert.deepEqual([body.toString(), isReset], ['event', false])
+  })
+}
--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -48,11 +48,19 @@
     response.writeHead(status, headers as string[])
   }
 
-  /** Ends the response by closing the connection, without a length or chunked encoding. */
-  function endByClosing (): void {
+  /** Writes the head of a response whose end is marked by that of its connection. */
+  function writeUnframedHead (status: number, headers: readonly string[]): void {
     response.useChunkedEncodingByDefault = false
     response.shouldKeepAlive = false
+    writeHead(status, headers)
     isEndedByClosing = true
+    // A server ends the connection in an orderly way when the caller shuts down its sending side.
+    response.socket?.prependOnceListener('end', () => { if (!response.writableEnded) abort() })
+  }
+
+  function abort (): void {
+    if (isEndedByClosing) response.socket?.resetAndDestroy()
+    else response.destroy()
   }
 
   /** Sends the whole response, and closes its connection only once the request has been read, or no more of it is read. */
@@ -112,14 +120,15 @@
     },
     sendBuffered: (status, headers, body, isFramed) => {
       if (response.destroyed) return
-      if (!isFramed) endByClosing()
-      writeHead(status, isFramed ? [...headers, 'Content-Length', String(body.length)] : headers)
+      if (isFramed) writeHead(status, [...headers, 'Content-Length', String(body.length)])
+      else writeUnframedHead(status, headers)
       endWithBody(body)
     },
     beginStream: (status, headers, isFramed) => {
       if (response.destroyed) return
-      if (!isFramed) endByClosing()
-      writeHead(status, headers)
+      // Callers of HTTP/1.0 know no chunked encoding.
+      if (isFramed && response.useChunkedEncodingByDefault) writeHead(status, headers)
+      else writeUnframedHead(status, headers)
     },
     write: (bytes) => {
       const isRead = response.write(bytes)
@@ -131,9 +140,6 @@
       response.end()
       noteUnread()
     },
-    abort: () => {
-      if (isEndedByClosing) response.socket?.resetAndDestroy()
-      else response.destroy()
-    }
+    abort
   }
 }
