Don't take an empty line after a request for the begin of another

Some peers send an empty line after a body.

Up to two bytes beyond the last request no longer count as the begin of a head (RFC 9112, section 2.2).

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -39,6 +39,8 @@
 const CHECK_INTERVAL_MS = 50
 /** A server to which peers go on connecting accepts so many more at the begin of a drain: as many as may wait in the queue of the system, with the backlog of the servers. */
 const MAXIMUM_ACCEPTED = 1024
+/** A server ignores an empty line before a request (RFC 9112, section 2.2), which some peers send after a body; so few bytes are not taken for the begin of a request. */
+const EMPTY_LINE_BYTES = 2
 /** In the first turn without a new connection, the event loop may not have looked for one. */
 const QUIET_TURNS = 2
 
@@ -191,5 +193,5 @@
 function readPhase ({ socket, responses, idleBytes, isClosing }: Connection): ConnectionPhase {
   if (isClosing) return 'closing'
   if (responses.size > 0) return [...responses].every((response) => response.writableEnded) ? 'delivering' : 'serving'
-  return socket.bytesRead > idleBytes ? 'receiving' : 'idle'
+  return socket.bytesRead > idleBytes + EMPTY_LINE_BYTES ? 'receiving' : 'idle'
 }
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -165,6 +165,23 @@
   socket.destroy()
 })
 
+nodeTest.test('an empty line after a request does not keep a connection from being closed as idle', LIMIT, async (context) => {
+  const sockets: net.Socket[] = []
+  const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
+    sockets.push(request.socket)
+    response.end('whole')
+  })
+  const { socket, received } = connect(formatRequest('/'))
+  await new Promise((resolve) => { socket.once('data', resolve) })
+  await waitForPhase('idle')
+  const bytesRead = sockets[0]?.bytesRead
+  socket.write('\r\n')
+  while (sockets[0]?.bytesRead === bytesRead) await types.delay(POLL_MS)
+  assert.equal(tracker.count().idle, 1)
+  await tracker.drain()
+  assert.match(await received ?? '', /whole$/)
+})
+
 nodeTest.test('a pipelined request whose connection breaks off before its turn is ended', LIMIT, async (context) => {
   const open = new Set<string>()
   const { connect } = await openServer(context, (request, response) => {
