--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -8,6 +8,8 @@
  * read for this long before its connection is closed.
  */
 const REFUSED_REQUEST_READ_MS = 2000
+/** A body larger than this is passed to the operating system in parts of this size. */
+const PART_BYTES = 262_144
 
 /** The response to one request. */
 export interface Reply {
@@ -46,11 +48,19 @@
     response.writeHead(status, headers as string[])
   }
 
-  /** Ends the response by closing the connection, without a length or chunked encoding. */
-  function endByClosing (): void {
+  /** Writes the head of a response whose end is marked by that of its connection. */
+  function writeUnframedHead (status: number, headers: readonly string[]): void {
     response.useChunkedEncodingByDefault = false
     response.shouldKeepAlive = false
+    writeHead(status, headers)
     isEndedByClosing = true
+    // A server ends the connection in an orderly way when the caller shuts down its sending side.
+    response.socket?.prependOnceListener('end', () => { if (!response.writableEnded) abort() })
+  }
+
+  function abort (): void {
+    if (isEndedByClosing) response.socket?.resetAndDestroy()
+    else response.destroy()
   }
 
   /** Sends the whole response, and closes its connection only once the request has been read, or no more of it is read. */
@@ -68,6 +78,26 @@
     }
   }
 
+  /** Passes a large body to the operating system in parts, so that the progress of a caller that reads slowly is recorded. All of it is held until its end. */
+  function endWithBody (body: Buffer): void {
+    const { socket } = response
+    if (holding === null || socket === null || body.length <= PART_BYTES) {
+      response.end(body)
+      noteUnread()
+      return
+    }
+    // The head is passed on together with the first part.
+    socket.cork()
+    response.write(body.subarray(0, PART_BYTES), holding.noteRead)
+    socket.uncork()
+    // With this method, a socket would pass on all parts that wait as one.
+    socket._writev = undefined
+    response.once('close', () => { Reflect.deleteProperty(socket, '_writev') })
+    for (let offset = PART_BYTES; offset < body.length; offset += PART_BYTES) response.write(body.subarray(offset, offset + PART_BYTES), holding.noteRead)
+    response.end()
+    if (response.writableLength > 0) holding.noteUnread(body.length)
+  }
+
   if (holding !== null) {
     response.on('drain', () => { holding.noteUnread(0) })
     response.once('finish', holding.close)
@@ -90,15 +120,15 @@
     },
     sendBuffered: (status, headers, body, isFramed) => {
       if (response.destroyed) return
-      if (!isFramed) endByClosing()
-      writeHead(status, isFramed ? [...headers, 'Content-Length', String(body.length)] : headers)
-      response.end(body)
-      noteUnread()
+      if (isFramed) writeHead(status, [...headers, 'Content-Length', String(body.length)])
+      else writeUnframedHead(status, headers)
+      endWithBody(body)
     },
     beginStream: (status, headers, isFramed) => {
       if (response.destroyed) return
-      if (!isFramed) endByClosing()
-      writeHead(status, headers)
+      // Callers of HTTP/1.0 know no chunked encoding.
+      if (isFramed && response.useChunkedEncodingByDefault) writeHead(status, headers)
+      else writeUnframedHead(status, headers)
     },
     write: (bytes) => {
       const isRead = response.write(bytes)
@@ -110,9 +140,6 @@
       response.end()
       noteUnread()
     },
-    abort: () => {
-      if (isEndedByClosing) response.socket?.resetAndDestroy()
-      else response.destroy()
-    }
+    abort
   }
 }
