Judge a caller that reads in steps by its own pauses

With its progress recorded, a caller that reads a large response slowly was still cut once beside load (load average 27 on 8 processors): nothing was taken for 1,138 ms. The operating system takes further bytes only once about a third of its send buffer is free, 1.4 MB here, so that a caller at 1 MB/s shows progress every 1.4 s (trial), more than the second after which a caller counts as stalled.

A caller that has read after a pause is now dropped only after twice its longest pause, at least one second as before and at most five. A caller that reads nothing has no such pause and is dropped after a second, as before.

--- a/packages/gateway/src/createHeldBytes/index.ts
+++ b/packages/gateway/src/createHeldBytes/index.ts
@@ -44,6 +44,10 @@
 
 /** A caller that has sent or read something within this time is not dropped. Callers on saturated links pause for hundreds of milliseconds. */
 const STALLED_MS = 1000
+/** A caller that pauses regularly, because the system takes further bytes only once a large part of its buffer is free, is not dropped within this many of its pauses. */
+const STALLED_PAUSES = 2
+/** A caller that has sent or read nothing for so long may be dropped however long its pauses were. */
+const MAXIMUM_STALLED_MS = 5000
 
 interface Account {
   bodyBytes: number
@@ -51,6 +55,8 @@
   /** Whether the request's body is still arriving. */
   isUploading: boolean
   progressedAt: number
+  /** Longest time in milliseconds for which unread bytes waited until the caller read some. */
+  longestPauseMs: number
   readonly drop: (dropped: DroppedCall) => void
 }
 
@@ -77,8 +83,14 @@
     accounts.delete(account)
   }
 
-  function isStalled ({ isUploading, bodyBytes, unreadBytes, progressedAt }: Account): boolean {
-    return ((isUploading && bodyBytes > 0) || unreadBytes > 0) && now() - progressedAt >= STALLED_MS
+  function isStalled ({ isUploading, bodyBytes, unreadBytes, progressedAt, longestPauseMs }: Account): boolean {
+    const limitMs = Math.min(MAXIMUM_STALLED_MS, Math.max(STALLED_MS, STALLED_PAUSES * longestPauseMs))
+    return ((isUploading && bodyBytes > 0) || unreadBytes > 0) && now() - progressedAt >= limitMs
+  }
+
+  function noteRead (account: Account): void {
+    if (account.unreadBytes > 0) account.longestPauseMs = Math.max(account.longestPauseMs, now() - account.progressedAt)
+    account.progressedAt = now()
   }
 
   function dropStalled (): void {
@@ -95,7 +107,7 @@
   return {
     read: () => total,
     open: (drop) => {
-      const account: Account = { bodyBytes: 0, unreadBytes: 0, isUploading: true, progressedAt: now(), drop }
+      const account: Account = { bodyBytes: 0, unreadBytes: 0, isUploading: true, progressedAt: now(), longestPauseMs: 0, drop }
       accounts.add(account)
       return {
         noteUpload: (bytes) => {
@@ -109,11 +121,11 @@
         noteRunning: () => { account.isUploading = false },
         noteRun: () => { set(account, 0, account.unreadBytes) },
         noteUnread: (bytes) => {
-          if (bytes === 0 || account.unreadBytes === 0) account.progressedAt = now()
+          if (bytes === 0 || account.unreadBytes === 0) noteRead(account)
           set(account, account.bodyBytes, bytes)
           dropStalled()
         },
-        noteRead: () => { account.progressedAt = now() },
+        noteRead: () => { noteRead(account) },
         close: () => { remove(account) }
       }
     }
