Count the time of a pipelined request from its arrival

Back ends got more time for a call than its caller and its route left it: a request that waits for the answer before it on its connection began its deadline only when that answer was sent, so that both the time that it was forwarded with and the gateway's own time-out were too long by the time that it had waited.

The cause: requests have waited for their turn since, and the time of arrival was still read when a request is handled. It is read when the request arrives now.

--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -23,6 +23,8 @@
   /** Advances the clock and runs what is due. */
   readonly advanceTo: (time: number) => void
   readonly attempts: () => number
+  /** Milliseconds that each attempt had left when it was sent. */
+  readonly remaining: readonly number[]
   /** Ends the first attempt without an answer. */
   readonly breakAttempt: () => void
 }
@@ -39,7 +41,8 @@
   let time = 0
   const attempts: Array<(start: sendAttempt.AttemptStart) => void> = []
   let scheduled: Array<{ readonly at: number, readonly action: () => void }> = []
-  const handler = createCallHandler.createCallHandler(handlerTesting.createHandlerOptions({ timeoutMs, kind }, {
+  const remaining: number[] = []
+  const options = handlerTesting.createHandlerOptions({ timeoutMs, kind }, {
     now: () => time,
     at: (at, action) => {
       const entry = { at, action }
@@ -50,12 +53,18 @@
       const start = new Promise<sendAttempt.AttemptStart>((resolve) => { attempts.push(resolve) })
       return { start, abort: () => {} }
     }
-  }))
+  })
+  const formatAttempt: typeof options.protocol.formatAttempt = (_head, { remainingMs }) => {
+    remaining.push(remainingMs)
+    return []
+  }
+  const handler = createCallHandler.createCallHandler({ ...options, protocol: { ...options.protocol, formatAttempt } })
   const server = createCallerServer.createCallerServer(handler)
   await server.listen(ADDRESS)
   context.after(server.close)
   return {
     handler,
+    remaining,
     attempts: () => attempts.length,
     breakAttempt: () => { attempts[0]?.({ kind: 'no-answer', reason: 'closed', isClosedByPeer: true }) },
     advanceTo: (to) => {
@@ -189,3 +198,13 @@
   fixture.breakAttempt()
   await waitForAttempts(fixture, 2)
 })
+
+nodeTest.test('a request that waits for the answer before it on its connection has no more time than from its arrival on', WAIT, async (context) => {
+  const fixture = await startGateway(context, SHORT_MS)
+  openCaller(context, GET + GET)
+  await waitForAttempts(fixture, 1)
+  fixture.advanceTo(SHORT_MS * HALF)
+  fixture.breakAttempt()
+  await waitForAttempts(fixture, 2)
+  assert.deepEqual(fixture.remaining, [SHORT_MS, SHORT_MS * HALF])
+})
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -50,8 +50,7 @@
     for (const call of calls) if (isBlocked(call)) call.withdraw()
   })
 
-  async function run (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const receivedAt = options.now()
+  async function run (request: http.IncomingMessage, response: http.ServerResponse, receivedAt: number): Promise<void> {
     const head = options.protocol.readCall(request)
     let state: callState.CallState | null = null
     const registered = register.open({ id: head.requestId, readPhase })
@@ -170,13 +169,14 @@
       for (const call of calls) call.expire()
     },
     handle: (request, response) => {
+      const receivedAt = options.now()
       response.on('error', () => {})
       // The response before it on its connection may close that, so a request that is sent early waits for its turn.
       if (response.socket === null) response.once('socket', begin)
       else begin()
 
       function begin (): void {
-        run(request, response).catch((thrown: unknown) => {
+        run(request, response, receivedAt).catch((thrown: unknown) => {
           options.logger.error('call-broken', { error: types.describeError(thrown) })
           response.destroy()
         })
