End calls that an entry node ends while their keys are claimed

Callers of calls with an idempotency key got no answer when the drain of their entry node ended while the platform was still confirming the claim and no back end was free afterwards: the call went into the queue and waited for a back end until its own deadline, and its connection was closed without an answer. A call whose caller left meanwhile kept its place in the queue in the same way.

The cause: waiting for a back end ends by the abort event of the call, and an event that came before has no listener. Whether the call was aborted already is checked once it is in the queue now.

Test: a call that is ended between the request of the claim and its confirmation.

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -294,6 +294,8 @@
     const cancelExpiry = options.at(call.deadlineAt, () => { dispatched.cancel('deadline') })
     const cancel = (): void => { dispatched.cancel(signal.reason === LEAVING_REASON ? LEAVING_REASON : 'cancelled') }
     signal.addEventListener('abort', cancel, { once: true })
+    // It may have been ended before, while its idempotency key was claimed.
+    if (signal.aborted) cancel()
     const backend = await dispatched.backend
     cancelExpiry()
     signal.removeEventListener('abort', cancel)
