Handle pipelined requests of all servers in their turn

Callers of a draining entry node that send requests without waiting for the answers lost all but the first: its answer closes the connection, and the requests behind it were sent to back ends meanwhile, so that calls that must not run twice ran without an answer.

The wait for the turn of a request is a function of its own now, used by gateways and by all servers of daemons.

Test: two calls sent at once to a draining entry node.

--- a/packages/daemon/src/startEntryRole/draining.test.ts
+++ b/packages/daemon/src/startEntryRole/draining.test.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'node:assert/strict'
 import * as http from 'node:http'
+import * as net from 'node:net'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
 import type * as startDaemon from '../startDaemon/index.js'
@@ -29,6 +30,7 @@
 /** Longer than an entry node waits for the balancer and for its callers to close their connections. */
 const READ_AFTER_MS = 5000
 const BODY_BYTES = 32_000_000
+const REQUEST = 'POST /services/api/orders HTTP/1.1\r\nHost: entry\r\nContent-Length: 5\r\n\r\norder'
 const WAIT = { timeout: 30_000 }
 
 interface Answer {
@@ -141,3 +143,16 @@
 nodeTest.test('callers of calls that outlast a drain that is over before the balancer has noticed it are told that the outcome is unknown', WAIT, async (context) => {
   assert.equal(await endDuringCall(context, SHORT_DRAIN_SECONDS), BAD_GATEWAY)
 })
+
+nodeTest.test('a draining entry node sends no request to a back end that it cannot answer, since the answer before it closes their connection', WAIT, async (context) => {
+  const { entry, port, requests } = await openEntry(context, 1)
+  const before = requests()
+  const socket = net.connect(port, HOST)
+  let received = ''
+  socket.on('data', (bytes: Buffer) => { received += bytes.toString() })
+  const drained = entry.drain()
+  socket.write(REQUEST + REQUEST)
+  await new Promise((resolve) => { socket.once('close', resolve) })
+  await drained
+  assert.deepEqual([received.match(/^HTTP/gm)?.length, requests() - before], [1, 1])
+})
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -1,6 +1,7 @@
 /** Handles one caller's request from its head to the final response. */
 import type * as http from 'node:http'
 import * as observability from '@switchridge/observability'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as deadlines from '../_lib/deadline.js'
 import * as callState from '../_lib/callState.js'
@@ -171,16 +172,12 @@
     handle: (request, response) => {
       const receivedAt = options.now()
       response.on('error', () => {})
-      // The response before it on its connection may close that, so a request that is sent early waits for its turn.
-      if (response.socket === null) response.once('socket', begin)
-      else begin()
-
-      function begin (): void {
+      rpc.handleInTurn(response, () => {
         run(request, response, receivedAt).catch((thrown: unknown) => {
           options.logger.error('call-broken', { error: types.describeError(thrown) })
           response.destroy()
         })
-      }
+      })
     }
   }
 }
--- a/packages/rpc/src/listenHttp/index.ts
+++ b/packages/rpc/src/listenHttp/index.ts
@@ -4,6 +4,7 @@
 import type * as net from 'node:net'
 import type * as types from '@switchridge/types'
 import type * as agents from '../createHttpAgents/index.js'
+import * as handleInTurn from '../handleInTurn/index.js'
 import * as trackConnections from '../trackConnections/index.js'
 
 /** Options of {@link listenHttp}. */
@@ -39,7 +40,9 @@
  */
 export async function listenHttp (handler: http.RequestListener, options: ListenOptions): Promise<HttpListener> {
   const server = createServer(options)
-  const connections = trackConnections.trackConnections(server, handler)
+  const connections = trackConnections.trackConnections(server, (request, response) => {
+    handleInTurn.handleInTurn(response, () => { handler(request, response) })
+  })
   server.keepAliveTimeout = KEEP_ALIVE_MS
   server.requestTimeout = 0
   await new Promise<void>((resolve, reject) => {
