Keep a stream at its engine if its event arrived during a pause of the gateway

What callers saw: a stream moved to another engine, at the cost of a retry and of work done twice, or was cut where the other engine failed it.

An attempt that brings no event in time is broken off. A process that is paused for longer than that runs the timer before it reads the event that has arrived meanwhile. The timer now gives way to what had arrived (runAfterReads); only then the call is asked whether it may move, so that it spends no retry either.

The other tests of the file are as before; what they stand in for an engine now closes its answer when the attempt is broken off, as a connection does.

--- a/packages/gateway/src/_lib/runAttempt.test.ts
+++ b/packages/gateway/src/_lib/runAttempt.test.ts
@@ -14,6 +14,8 @@
 import * as runAttempts from './runAttempts.js'
 
 const DEADLINE_MS = 5000
+/** A resumable stream whose target is the deadline waits so long for its first event. */
+const FIRST_EVENT_TIMEOUT_MS = 3 * DEADLINE_MS
 const EVENT = 'id: 1\ndata: a\n\n'
 const PART = types.brandId<types.PromptPartId>('#a1')
 
@@ -24,6 +26,8 @@
   readonly body: string
   /** What the gateway finds out about the end of an answer without framing. */
   readonly end?: guards.ResponseEnd
+  /** Called before the body arrives. */
+  readonly onWait?: () => void
 }
 
 interface Outcome {
@@ -33,7 +37,7 @@
   readonly reply: 'ended' | 'aborted' | 'refused'
 }
 
-async function runCall ({ isFramed, isStream, status = 200, body, end = 'whole' }: Answer): Promise<Outcome> {
+async function runCall ({ isFramed, isStream, status = 200, body, end = 'whole', onWait = () => {} }: Answer): Promise<Outcome> {
   const served: quarantine.CallFeatures[] = []
   let outcome: Outcome['reply'] = 'refused'
   let hasStarted = false
@@ -92,8 +96,8 @@
     },
     tracker: createBackEndTracker.createBackEndTracker(() => 0),
     sendAttempt: () => {
-      const response = Object.assign(stream.Readable.from(body === '' ? [] : [Buffer.from(body)]), { complete: true }) as unknown as http.IncomingMessage
-      return { start: Promise.resolve({ kind: 'answer', response, isFramed, isWhole: () => true } as const), abort: () => {} }
+      const response = Object.assign(stream.Readable.from(readBody()), { complete: true }) as unknown as http.IncomingMessage
+      return { start: Promise.resolve({ kind: 'answer', response, isFramed, isWhole: () => true } as const), abort: () => { response.destroy() } }
     },
     at: () => () => {},
     now: () => 0,
@@ -102,6 +106,11 @@
     observe: () => {},
     logger: { info: () => {}, warn: () => {} }
   }
+  function * readBody (): Generator<Buffer> {
+    onWait()
+    if (body !== '') yield Buffer.from(body)
+  }
+
   await runAttempts.runAttempts(call, reply as never, options as never)
   return { served, reply: outcome }
 }
@@ -137,3 +146,10 @@
 nodeTest.test('an answer that is no success clears its call but no part, since its back end may not have read the prompt', async () => {
   for (const status of [304, 404]) assert.deepEqual(listCleared(await runCall({ isStream: false, isFramed: true, status, body: 'no' })), [])
 })
+
+/** Guards against a stream being broken off although its event has arrived: a process that was paused runs its timers before it reads its sockets. */
+nodeTest.test('a stream whose event has arrived when the timeout for it fires is not broken off', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] })
+  const outcome = await runCall({ isStream: true, isFramed: true, body: EVENT, onWait: () => { context.mock.timers.tick(FIRST_EVENT_TIMEOUT_MS) } })
+  assert.equal(outcome.reply, 'ended')
+})
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -1,5 +1,6 @@
 /** Runs one attempt, from its connection to the end of its response. */
 import type * as http from 'node:http'
+import * as clock from '@switchridge/clock'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as readBody from '../readBody/index.js'
@@ -305,26 +306,29 @@
  */
 function createEventTimer (firstTimeoutMs: number | null, mayAbort: () => boolean, abort: () => void): EventTimer {
   let hasExpired = false
-  let timer: NodeJS.Timeout | null = null
+  let cancel = (): void => {}
 
   function start (timeoutMs: number): void {
-    timer = setTimeout(() => {
-      if (!mayAbort()) {
-        start(timeoutMs)
-        return
-      }
-      hasExpired = true
-      abort()
-    }, timeoutMs)
+    const timer = setTimeout(() => { cancel = clock.runAfterReads(() => { expire(timeoutMs) }) }, timeoutMs)
+    cancel = () => { clearTimeout(timer) }
+  }
+
+  function expire (timeoutMs: number): void {
+    if (!mayAbort()) {
+      start(timeoutMs)
+      return
+    }
+    hasExpired = true
+    abort()
   }
 
   if (firstTimeoutMs !== null) start(firstTimeoutMs)
   return {
     hasExpired: () => hasExpired,
-    stop: () => { if (timer !== null) clearTimeout(timer) },
+    stop: () => { cancel() },
     restart: (timeoutMs) => {
       if (firstTimeoutMs === null) return
-      if (timer !== null) clearTimeout(timer)
+      cancel()
       start(timeoutMs)
     }
   }
