Bound the engines at which a silent stream is open, and let it return to an overtaken one

A stream whose engines were silent from the start of their answers was requested from a further one after each silence: an attempt counted toward the most attempts of its route only once the head of its response had arrived. In a test 6 engines ran a call with a bound of 3 at the same time. And a stream was cut where its engine went on after a silence and broke later, because the engine that had been asked meanwhile counted as tried. Both came with the attempts of a silent stream that overlap.

Attempts count from when they are sent, unless no connection is made, and an engine that was overtaken may be chosen again.

--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -45,6 +45,7 @@
   retries: number
   isBlocked: boolean
   needsPermit: boolean
+  ids: string[]
 }
 
 async function settle (): Promise<void> {
@@ -120,7 +121,7 @@
     }
   }
 
-  const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false }
+  const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false, ids: ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] }
   const options = handlerTesting.createHandlerOptions({}, {
     now: () => 0,
     tracker,
@@ -140,10 +141,10 @@
       }
     }),
     choose: ({ tried, mayRequestPermit }) => {
-      const id = ['i-1', 'i-2', 'i-3', 'i-4'].map((name) => types.brandId<types.NodeId>(name)).find((name) => !tried.has(name))
+      const id = fixture.ids.map((name) => types.brandId<types.NodeId>(name)).find((name) => !tried.has(name))
       const backEnd = { id, bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
       const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }
-      return { choice: fixture.needsPermit && !mayRequestPermit ? null : choice, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity } as unknown as chooseBackEnd.ChoiceOutcome
+      return { choice: id === undefined || (fixture.needsPermit && !mayRequestPermit) ? null : choice, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity } as unknown as chooseBackEnd.ChoiceOutcome
     },
     limiter: { readAllowance: () => null, noteResponse: () => {}, acquire: async () => ({ isGranted: false, waitMs: 1 }) } as unknown as callOptions.CallHandlerOptions['limiter'],
     guard: { isActive: () => true, readBlockedMs: () => fixture.isBlocked ? 1 : null, noteServed: () => {}, noteConnectionLost: async () => {}, onBlocked: () => {} } as unknown as callOptions.CallHandlerOptions['guard']
@@ -271,3 +272,21 @@
   assert.equal(fixture.tracker.read(types.brandId('i-2')).avoidedUntil, 0)
   await finish(fixture, at(fixture, 0), 2)
 })
+
+nodeTest.test('a silent stream is open at no more engines than the most attempts of its route while they have not answered', LIMIT, async (context) => {
+  const fixture = await createFixture(context)
+  fixture.retries = 100
+  for (let round = 0; round < 6; round += 1) await fixture.wait(SILENCE_MS)
+  assert.equal(fixture.engines.filter((engine) => !engine.isAborted()).length, MAXIMUM_ATTEMPTS)
+})
+
+nodeTest.test('a stream goes on at the engine that was overtaken if the silent one breaks off later, and no other is left', LIMIT, async (context) => {
+  const fixture = await createFixture(context)
+  fixture.ids = ['i-1', 'i-2']
+  await fixture.wait(SILENCE_MS)
+  await at(fixture, 1).answer(1)
+  await at(fixture, 0).send(event(2))
+  await at(fixture, 0).breakOff()
+  await at(fixture, 2).answer(1)
+  await finish(fixture, at(fixture, 2), 3)
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -103,6 +103,8 @@
   let lastReason = ''
   let backEnd = ''
   let isBlocked = false
+  /** Attempts that were sent or are being sent; those that had no connection are not counted. */
+  let sentCount = 0
 
   const waiting = findWaiting()
   waiting?.noteCall(call.service, call.rank)
@@ -218,7 +220,7 @@
   }
 
   function mayAttempt (): boolean {
-    return call.attempts < call.route.maximumAttempts && !call.isCallerGone() && !call.isExpired() && readBlockedMs() === null
+    return sentCount < call.route.maximumAttempts && !call.isCallerGone() && !call.isExpired() && readBlockedMs() === null
   }
 
   /** While engines return, all gateways see the same free slots, so every call reserves one. */
@@ -392,6 +394,7 @@
   async function attempt (choice: runAttempt.PermittedChoice, contender: raceAttempts.Contender): Promise<runAttempt.AttemptOutcome> {
     let isWithdrawn = false
     call.tried.add(choice.backEnd.id)
+    sentCount += 1
     const open: createBackEndTracker.OpenAttempt = {
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
@@ -416,8 +419,11 @@
       }
     })
     options.tracker.noteEnded(choice.backEnd.id, open)
-    if (contender.readReplacedBy() === 'earlier') noteOutcome.noteOvertaken(call, choice, options)
-    else if (!call.isCallerGone() && !call.isExpired() && !isWithdrawn) noteOutcome.noteOutcome(call, choice, outcome, options)
+    if (outcome.kind === 'not-sent') sentCount -= 1
+    if (contender.readReplacedBy() === 'earlier') {
+      call.tried.delete(choice.backEnd.id)
+      noteOutcome.noteOvertaken(call, choice, options)
+    } else if (!call.isCallerGone() && !call.isExpired() && !isWithdrawn) noteOutcome.noteOutcome(call, choice, outcome, options)
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
     if (outcome.kind === 'done' && outcome.isCertain) options.guard.noteServed(outcome.isSuccess ? call : { ...call, parts: [] })
     if (outcome.kind === 'broken' && !open.hasResponded) noteOutcome.noteUnansweredAttempt(call, options)
