--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -345,10 +345,9 @@
     agents: listReliableAgents().map((agent) => agent.node)
   }))
 
-  /** A change of versions that is not completed leaves the engine without new calls, and the next process has to fetch the pieces again before it can order it. */
+  /** Waits for uploads in progress, and for a change of versions that has begun: without its end the engine gets no new calls. No further change begins. */
   async function close (): Promise<void> {
-    await Promise.all([listener.close(), operatorServer.close()])
-    await stager?.finishChange()
+    await Promise.all([listener.close(), operatorServer.close(), stager?.finishChange()])
   }
 
   logger.info('started', { role: 'agent', engine: engineAddress, internalPort: checked.internal_port })
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -30,7 +30,7 @@
   readonly endAll: () => void
 }
 
-/** Callers of earlier versions know no permission to send a body. */
+/** Callers of HTTP/1.0 know no permission to send a body. */
 const HTTP_WITH_CONTINUE = '1.1'
 /** Retry time of a caller whose body can't be held, at most doubled at random; another gateway may have memory. */
 const MEMORY_RETRY_MS = 100
