Cut a stream that expires with events of its engine unread

A caller that reads slowly makes the gateway pause the engine's response. If the rest of that response had arrived when the call was ended, by its deadline or at the end of a drain, callers saw a stream that looked whole and lacked its last events.

Cause: Node.js discards what of a response has arrived and was not read when its request is destroyed, and then emits the end of the response. The parser had seen the end, so the response counted as complete, and the gateway sent its end to the caller. It takes an engine that leaves its connection open after the answer; after a close of the connection nothing is discarded.

An attempt that is aborted with unread bytes is no longer whole, so that whoever reads it takes it for cut; one of which all was read still is.

--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -80,6 +80,8 @@
   let isConnected = false
   let hasFailed = false
   let hasEndedOrderly = false
+  let hasDiscarded = false
+  let received: http.IncomingMessage | null = null
   let settle: (start: AttemptStart) => void = () => {}
   const start = new Promise<AttemptStart>((resolve) => { settle = resolve })
   const outgoing = http.request({
@@ -99,6 +101,12 @@
     settle(isConnected ? { kind: 'no-answer', reason, isClosedByPeer } : { kind: 'not-sent', reason })
   }
 
+  function abort (): void {
+    // Node.js discards what has arrived and was not read, and then ends the response.
+    if (!outgoing.destroyed && received !== null && received.readableLength > 0) hasDiscarded = true
+    outgoing.destroy()
+  }
+
   outgoing.on('socket', (socket: net.Socket) => {
     socket.prependListener('error', () => { hasFailed = true })
     socket.prependListener('end', () => { hasEndedOrderly = isPeerKnown(socket) })
@@ -109,13 +117,14 @@
     })
   })
   outgoing.on('response', (response) => {
+    received = response
     response.on('error', () => {})
     const isFramed = hasMessageFraming(response, request.method)
-    settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && (isFramed || (hasEndedOrderly && !hasFailed)) })
+    settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || (hasEndedOrderly && !hasFailed)) })
   })
   outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true) })
   outgoing.on('close', () => { fail('connection closed', true) })
   if (request.body === null) outgoing.end()
   else outgoing.end(request.body)
-  return { start, abort: () => { outgoing.destroy() } }
+  return { start, abort }
 }
