End an attempt whose response has arrived and is not read

If a caller left a stream that it had not read to the end, and the engine had sent all of it and closed its connection, the attempt never ended: the call had no log line, and the gateway's records went on counting it as running at its engine.

Cause: once the connection has closed, destroying the request does nothing, and the paused response, which is complete, neither ends nor closes until it is read. An attempt that is aborted destroys such a response now, and lets one of which nothing is left end.

--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -102,8 +102,11 @@
   }
 
   function abort (): void {
-    // Node.js discards what has arrived and was not read, and then ends the response.
-    if (!outgoing.destroyed && received !== null && received.readableLength > 0) hasDiscarded = true
+    if (received !== null && received.readableLength > 0) {
+      // Node.js would end a complete response as if all of it had been read; if its connection has closed, it would not end it at all.
+      hasDiscarded = true
+      received.destroy()
+    } else received?.resume()
     outgoing.destroy()
   }
 
