--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -63,7 +63,7 @@
 export interface GatewayStatus {
   readonly copies: Readonly<Record<string, { readonly at: number }>>
   readonly versions: ReadonlyArray<{ readonly model: string, readonly version: number }>
-  readonly backEnds: ReadonlyArray<{ readonly id: string, readonly isLeaving: boolean, readonly readyInMs: number | null }>
+  readonly backEnds: ReadonlyArray<{ readonly id: string, readonly isLeaving: boolean }>
   readonly endsKnown: number
   readonly blockedCalls: readonly unknown[]
   readonly rateLimits: readonly unknown[]
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -214,12 +214,6 @@
     return gateway.listForecastEngines(backEnds, tracker, model, (version) => parts.versions.lastBeginAt(model, version) > now(), now())
   }
 
-  /** Milliseconds until a back end is expected to serve; null if it serves or the time is unknown. */
-  function readReadyInMs ({ id }: gateway.BackEnd): number | null {
-    const { readyAt } = tracker.read(id)
-    return readyAt === null ? null : Math.max(0, Math.round(readyAt - now()))
-  }
-
   function computeUsualHoldMs (service: types.ServiceName): number | null {
     const figures = parts.routes()?.findService(service)?.engine ?? null
     return figures === null || figures.usualPromptTokens === null ? null : gateway.computeHoldMs(figures, figures.usualPromptTokens, 0)
@@ -325,7 +319,7 @@
     coldBackEnds: limiter.listCold(),
     evacuations: parts.evacuations.list(),
     peers: gossip.peers().map((peer) => ({ node: peer.heartbeat.node, role: peer.heartbeat.role, zone: peer.heartbeat.zone, isLive: gossip.isLive(peer) })),
-    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), readyInMs: readReadyInMs(backEnd), models: Object.fromEntries(backEnd.models) }))
+    backEnds: parts.backEnds().map((backEnd) => ({ id: backEnd.id, service: backEnd.service, isDraining: backEnd.isDraining, isLeaving: isLeavingBackEnd(backEnd), backoffMs: Math.round(backoffs.read(backEnd).waitMs), models: Object.fromEntries(backEnd.models) }))
   }))
 
   // Last, since a start that fails ends the process, and with it the calls that it has accepted.
