--- a/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
+++ b/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
@@ -11,7 +11,6 @@
 const BACKEND = { node: types.brandId<types.NodeId>('backend'), incarnation: types.brandId<types.IncarnationId>('1') } as unknown as types.MemberFacts
 const FULL: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'full', load: undefined }
 const LEAVING: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'leaving', load: undefined }
-const UNREACHABLE: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'back-end-unreachable', load: undefined }
 const BROKEN: sendAttempt.AttemptResult = { kind: 'unknown', reason: 'connection-broke-running', load: undefined }
 
 /** Sends a call whose attempts all have the same result; returns the events of its log, each with the fields that say how it went on. */
@@ -53,7 +52,3 @@
 nodeTest.test('a refusal by a backend server that leaves is not charged to the retry budget, but each further one by the same process is', async (context) => {
   assert.deepEqual(await logCall(context, LEAVING, 0.02), ['attempt-failed leaving 1  1', 'attempt-failed leaving 2  0', 'attempt-failed leaving 3 budget 0', 'call-not-answered leaving 3 budget '])
 })
-
-nodeTest.test('a refusal by a daemon whose back end accepts no connection is not charged to the retry budget, and a call is sent to five back ends at most', async (context) => {
-  assert.deepEqual(await logCall(context, UNREACHABLE, 0.02), [1, 2, 3, 4].map((attempt) => `attempt-failed back-end-unreachable ${attempt}  1`).concat(['attempt-failed back-end-unreachable 5 attempts 1', 'call-not-answered back-end-unreachable 5 attempts ']))
-})
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -53,8 +53,6 @@
 const MAXIMUM_ATTEMPTS = 5
 /** The process that refuses the call is about to end. */
 const LEAVING_REASON = 'leaving'
-/** Refusal reasons of attempts that reached no back end, because the daemon or the back end beside it accepted no connection. */
-const UNREACHED_REASONS = new Set([sendAttempt.NOT_CONNECTED_REASON, 'back-end-unreachable'])
 /** Refusal reasons that are no evidence of a failing server. */
 const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
 /** The call is blocked because back ends terminated while running it. */
@@ -246,8 +244,8 @@
       mayHaveRun ||= result.kind === 'unknown'
       const isFirstLeavingRefusal = isLeavingRefusal(result) && !leavingProcesses.has(backend.value.incarnation)
       if (isFirstLeavingRefusal) leavingProcesses.add(backend.value.incarnation)
-      // Repeating an attempt that reached no back end, or one that leaves, puts no load on any, so it does not count against the budget.
-      const isCovered = isFirstLeavingRefusal || UNREACHED_REASONS.has(result.reason) || budget.trySpend()
+      // Repeating an attempt that reached no server, or one that leaves, puts no load on any, so it does not count against the budget.
+      const isCovered = isFirstLeavingRefusal || result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
       // A process that leaves is asked once for each call, so that its refusal needs no other limit.
       const obstacle = findRepeatObstacle(call, result, attempts - leavingProcesses.size, signal) ?? (isCovered ? null : 'budget')
       logFailedAttempt(call, backend.value, result, { attempt: attempts, obstacle: obstacle ?? undefined, retriesLeft: Math.floor(budget.readBalance()) })
--- a/packages/daemon/src/startEntryRole/lethal.test.ts
+++ b/packages/daemon/src/startEntryRole/lethal.test.ts
@@ -20,8 +20,6 @@
 /** The answer to a call of this path has neither a length nor chunks, and its back end ends halfway. */
 const LETHAL_UNFRAMED_PATH = '/lethal-unframed'
 const LETHAL_PREFIX = 'prefix-of-lethal-prompts'
-/** So many that each ended back end is very likely chosen for one. */
-const OTHER_CALLS = 40
 const POLL_MS = 20
 const JOINT_END_MS = 100
 /** Polls for an end that may never become known. */
@@ -169,18 +167,6 @@
   assert.ok((answers.at(-1)?.retryAfter ?? 0) > 1)
 })
 
-nodeTest.test('calls are served by the other back ends once heartbeats show those that a call ended as idle', async (context) => {
-  const { entries: [entry], ask, countEnded } = await openHall(context, 1)
-  // Its own attempts spend most of the retry budget.
-  await ask(entry as string, LETHAL_PATH)
-  assert.equal(countEnded(), BLOCK_THRESHOLD)
-  // The last answers of the ended back ends' daemons count the lost call as running, so the others are preferred until a heartbeat.
-  await types.delay(2 * types.HEARTBEAT_INTERVAL_MS)
-  const statuses: number[] = []
-  for (let index = 0; index < OTHER_CALLS; index += 1) statuses.push((await ask(entry as string, '/other')).status)
-  assert.deepEqual(statuses.filter((status) => status !== OK), [])
-})
-
 nodeTest.test('an entry node that restarts gets the blocked calls from the others', async (context) => {
   const { entries, ask, countEnded, restartEntry } = await openHall(context, 2)
   for (let index = 0; index < BLOCK_THRESHOLD; index += 1) await ask(entries[0] as string, LETHAL_PATH)
