--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -329,7 +329,7 @@
     const model = figures?.models[0]
     if (report !== null && !hasColdSettings && findService()?.coldPerSecond !== undefined) coldChecks.noteMaybeCold()
     hasColdSettings = findService()?.coldPerSecond !== undefined
-    if (stager === null && figures !== null && model !== undefined && figures.chunks > 0) stager = startStager(figures, model)
+    if (stager === null && !isLeaving && figures !== null && model !== undefined && figures.chunks > 0) stager = startStager(figures, model)
   })
   parts.onVersions(() => { stager?.wake() })
   parts.clock.onSuspension(() => { stager?.wake() })
