Take back wider deadlines, a target and a retry budget in three tests

They had let tests of signals, deliveries and cut streams pass where they failed once beside load, without a run that shows the cause. The budget stays for "a call that is already late ...", which looked at nothing without it.

Two waits get a limit, or a condition that can't be missed: calls are counted from so many arrivals on, and the end of runs at engines is waited for with the limit of the other waits.

--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -14,8 +14,6 @@
 const PATH = '/read/stock'
 const OK = 200
 const LIMIT = { timeout: 60_000 }
-/** Much longer than an answer takes beside other load. */
-const DEADLINE_MS = 20_000
 const CALLERS = 4
 const PIECES = 4
 /** More than the kernel's buffers take for a caller that doesn't read. */
@@ -38,7 +36,7 @@
 
 async function openGateway (context: nodeTest.TestContext, answerBytes: number, graceSeconds: number, limits = ''): Promise<OpenedGateway> {
   const fleet = await fleetTesting.createTestFleet(context)
-  fleet.configure(({ routes }) => { for (const route of routes) route['timeoutMs'] = DEADLINE_MS })
+  fleet.configure()
   const engine = await fleet.startEngine({ id: 'i-1', plainAnswer: 'x'.repeat(answerBytes) }, 'api')
   const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, `grace_seconds = ${graceSeconds}\n${limits}`))
   const callers = { host: HOST, port: fleet.ports.callers }
@@ -53,7 +51,7 @@
 }
 
 function formatHeaders (id: string): Record<string, string> {
-  return { host: 'app.example', 'request-id': id, 'deadline-remaining': String(DEADLINE_MS), authorization: `Bearer ${fleetTesting.API_KEY}` }
+  return { host: 'app.example', 'request-id': id, 'deadline-remaining': '3000', authorization: `Bearer ${fleetTesting.API_KEY}` }
 }
 
 nodeTest.test('a gateway ends no sooner than the answers that its callers still read', LIMIT, async (context) => {
--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -20,8 +20,6 @@
 const WORK_MS = 1200
 /** Much longer than a stream, so that no time-out cuts one beside other load. */
 const CALL_TIMEOUT_MS = 6000
-/** A third of the time after which a stream without any event is given up. */
-const TARGET_MS = 2000
 const TEST_TIMEOUT_MS = 60_000
 const AGENT_HOST_PREFIX = '127.0.0.4'
 const THROW_ON_SIGUSR2 = '--import=data:text/javascript,process.on(%22SIGUSR2%22,()=>{Promise.reject(Error(%22rejected%22));throw(Error(%22thrown%22))})'
@@ -49,7 +47,7 @@
 
 async function createFleet (context: nodeTest.TestContext): Promise<{ fleet: fleetTesting.TestFleet, engine: testing.EngineStandIn }> {
   const fleet = await fleetTesting.createTestFleet(context)
-  fleet.configure(({ routes }) => { for (const route of routes) Object.assign(route, { timeoutMs: CALL_TIMEOUT_MS, targetLatencyMs: TARGET_MS }) })
+  fleet.configure(({ routes }) => { for (const route of routes) route['timeoutMs'] = CALL_TIMEOUT_MS })
   const engine = await fleet.startEngine({ id: 'i-1', ...fleetTesting.STREAM_SERVICE.engine, events: EVENTS, eventMs: EVENT_MS })
   return { fleet, engine }
 }
@@ -179,7 +177,7 @@
   const startCalls = async (): Promise<{ readonly answers: Promise<string[]> }> => {
     const earlierArrivals = arrivals
     const answers = Promise.all(Array.from({ length: CALLS }, call))
-    await fleetTesting.waitWithLimit(async () => arrivals === earlierArrivals + CALLS)
+    await fleetTesting.waitWithLimit(async () => arrivals >= earlierArrivals + CALLS)
     return { answers }
   }
   await fleetTesting.waitWithLimit(async () => await call() === 'answered')
--- a/packages/daemon/src/startGatewayRole/lethal.test.ts
+++ b/packages/daemon/src/startGatewayRole/lethal.test.ts
@@ -125,7 +125,7 @@
   const last = await send(second, 'lethal-last', LETHAL_PATH)
   await Promise.all(sent)
   assert.equal(last.status, BAD_GATEWAY, 'it may have run')
-  await fleetTesting.waitUntil(() => countRunning() === 0)
+  await fleetTesting.waitWithLimit(async () => countRunning() === 0)
   assert.equal(countEnded(engines), BLOCK_THRESHOLD)
 })
 
--- a/packages/daemon/src/startGatewayRole/test.ts
+++ b/packages/daemon/src/startGatewayRole/test.ts
@@ -6,7 +6,7 @@
 
 const HOST = '127.0.0.1'
 const OTHER_HOST = '127.0.0.2'
-/** A young gateway's retry budget would pay for two of about 20 streams, and a stall of this process may spend one of them. */
+/** Pays for the retry of a single stream, which the budget of a young gateway does not. */
 const RETRY_BOUNDS = 'retry_ratio = 10\n'
 
 interface OpenedGateway {
@@ -26,14 +26,14 @@
 }
 
 /** Starts a gateway and two engines that answer with event streams. */
-async function openStreamService (context: nodeTest.TestContext, events = 6): Promise<OpenedGateway> {
+async function openStreamService (context: nodeTest.TestContext, events = 6, bounds = ''): Promise<OpenedGateway> {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const engines = [
     await fleet.startEngine({ id: 'i-1', model: fleetTesting.MODEL, version: 1, events }),
     await fleet.startEngine({ id: 'i-2', model: fleetTesting.MODEL, version: 1, events })
   ]
-  const address = await fleet.startGateway(HOST, [], undefined, { bounds: RETRY_BOUNDS })
+  const address = await fleet.startGateway(HOST, [], undefined, { bounds })
   await fleetTesting.waitUntilServed(address, '/stream/probe')
   return { fleet, address, engines }
 }
@@ -145,7 +145,7 @@
  * first, most calls of the first two seconds are late although the engines are fast.
  */
 nodeTest.test('a call that is already late is sent to an engine with lower urgency, and a stream that has begun is not', async (context) => {
-  const { address, engines } = await openStreamService(context)
+  const { address, engines } = await openStreamService(context, undefined, RETRY_BOUNDS)
   const send = async (id: string, remaining: string): Promise<unknown> => await fleetTesting.call(address, { path: '/stream/1', id, headers: { ...STREAM_HEADERS, 'deadline-remaining': remaining } })
   await send('s-first', '2000')
   await send('s-late', '1200')
