Log the exit of a process that can't start

An end of a process left no `exit` line where its start failed or its settings could not be used: runDaemon ended the process by itself. It prints what is wrong as before and then ends by the lifecycle, which logs the exit and flushes. Exit codes are unchanged.

--- a/packages/daemon/src/_lib/runDaemon.ts
+++ b/packages/daemon/src/_lib/runDaemon.ts
@@ -35,38 +35,39 @@
   return process.argv.length > 2 || fileFromEnvironment === undefined ? await parseArguments() : fileFromEnvironment
 }
 
+/** The settings can't be used; the message has a line for each problem. */
+class SettingsFailure extends Error {}
+
 function readFile (file: string): string {
   try {
     return fs.readFileSync(file, 'utf8')
   } catch (thrown) {
-    process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
-    process.exit(EXIT_SETTINGS)
+    throw new SettingsFailure(`switchridged: ${types.describeError(thrown)}`)
   }
 }
 
-/** Returns the parsed settings, or prints every problem with its place and exits. */
-function unwrapOrExit<Value> (parsed: types.Outcome<Value, types.InvalidInputError>, file: string): Value {
+/** Returns the parsed settings; throws a failure that names every problem with its place. */
+function unwrap<Value> (parsed: types.Outcome<Value, types.InvalidInputError>, file: string): Value {
   if (parsed.ok) return parsed.value
-  for (const problem of parsed.error.problems) process.stderr.write(`${file}: ${types.formatProblem(problem)}\n`)
-  process.exit(EXIT_SETTINGS)
+  throw new SettingsFailure(parsed.error.problems.map((problem) => `${file}: ${types.formatProblem(problem)}`).join('\n'))
 }
 
 /** Starts the role that the settings name. Only the modules of that kind of role are loaded, which shortens the start. */
 async function startRole (lifecycle: createProcessLifecycle.ProcessLifecycle, file: string): Promise<void> {
   const text = readFile(file)
   if (settings.isFleetSettings(text)) {
-    const checked = unwrapOrExit(settings.parseFleetSettings(text, file), file)
+    const checked = unwrap(settings.parseFleetSettings(text, file), file)
     const { startFleetRole } = await import('./startFleetRole.js')
     await lifecycle.serve(async () => await startFleetRole(checked, { file, text }))
     return
   }
-  const checked = unwrapOrExit(settings.parseSettings(text, file), file)
+  const checked = unwrap(settings.parseSettings(text, file), file)
   const { startDaemon } = await import('../startDaemon/index.js')
   await lifecycle.serve(async () => ({ role: await startDaemon(checked), maximumDrainMs: drainPeriod.computeDrainMs(checked.limits) }))
 }
 
 /**
- * Runs the daemon. Prints what is wrong and exits if it can't start.
+ * Runs the daemon. Prints what is wrong and ends the process if it can't start.
  *
  * @param lifecycle - The lifecycle of the process.
  */
@@ -74,7 +75,8 @@
   try {
     await startRole(lifecycle, await findSettingsFile())
   } catch (thrown) {
-    process.stderr.write(`switchridged: ${types.describeError(thrown)}\n`)
-    process.exit(EXIT_FAILED)
+    const isSettings = thrown instanceof SettingsFailure
+    process.stderr.write(`${isSettings ? thrown.message : `switchridged: ${types.describeError(thrown)}`}\n`)
+    await lifecycle.end(isSettings ? EXIT_SETTINGS : EXIT_FAILED)
   }
 }
--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -53,6 +53,8 @@
    * Rejects if the start does.
    */
   readonly serve: (start: () => Promise<StartedRole>) => Promise<void>
+  /** Logs the exit and ends the process with an exit code, without waiting for work in progress. */
+  readonly end: (code: number) => Promise<void>
 }
 
 type StopSignal = 'SIGTERM' | 'SIGINT'
@@ -219,7 +221,7 @@
   handleSignal('SIGINT', () => { stop('SIGINT') })
   handleSignal('SIGQUIT', forceEnd)
   handleSignal('SIGHUP', reload)
-  return { phase: () => phase, serve }
+  return { phase: () => phase, serve, end }
 }
 
 /** How many calls ended in each way since `before`. */
--- a/packages/daemon/src/starting.test.ts
+++ b/packages/daemon/src/starting.test.ts
@@ -31,4 +31,5 @@
   assert.deepEqual(engine.arrivals.filter(({ requestId }) => !wholeIds.has(requestId)).map(({ requestId }) => requestId), [])
   assert.equal(await gateway.ended, 1)
   assert.match(gateway.output(), new RegExp(`${UNRESOLVED_HOST} not found`))
+  assert.match(gateway.output(), /event=exit code=1/)
 })
