Log every connection that ends without a whole answer, with its configuration

Callers of a lost request have no line of the gateway to go by: a connection that a process closed within a call left none unless the process ended, an idle connection none at all, and call-broken named no request.

call-cut now covers connections that this process closes for one call (reason=aborted), call-left those that callers close; both, and connection-closed-idle, have the configuration in force. call-broken has the request's id. Counters for each, and for configurations in force. Lines are as bounded as before (one a call, none for idle connections closed in time) and go through the same writer, which never blocks.

No decision changed.

--- a/packages/daemon/src/_lib/registerCall.ts
+++ b/packages/daemon/src/_lib/registerCall.ts
@@ -1,6 +1,7 @@
 /** Registers a call of the own interface for as long as its response isn't delivered. */
 import type * as Koa from 'koa'
 import type * as observability from '@switchridge/observability'
+import * as rpc from '@switchridge/rpc'
 import * as callHeaders from './callHeaders.js'
 
 /**
@@ -13,10 +14,11 @@
 export function registerCall (register: observability.CallRegister, context: Koa.Context, id: string): void {
   const { req: request, res: response } = context
   const call = register.open({ id, readPhase: () => response.writableEnded ? 'delivering' : response.headersSent ? 'answering' : request.complete ? 'sent' : 'reading' })
-  // Node.js also finishes a response whose connection breaks before all of it was sent.
-  response.once('finish', () => {
+  const readDelivery = rpc.watchDelivery(response)
+  response.once('close', () => {
+    const delivery = readDelivery()
     const outcome = response.getHeader(callHeaders.OUTCOME_HEADER)
-    if (!request.socket.destroyed && typeof outcome === 'string') call.noteEnding(outcome)
+    if (delivery === 'delivered' && typeof outcome === 'string') call.noteEnding(outcome)
+    call.close(delivery)
   })
-  response.once('close', call.close)
 }
--- a/packages/daemon/src/createBackendCalls/test.ts
+++ b/packages/daemon/src/createBackendCalls/test.ts
@@ -38,7 +38,7 @@
     agents,
     uplink: transfer.createLinkPacer(0, () => 0),
     count: () => {},
-    register: observability.createCallRegister({ logger: observability.createLogger('backend-calls', {}, { level: 'silent' }), count: () => {}, now: () => 0 }),
+    register: observability.createCallRegister({ logger: observability.createLogger('backend-calls', {}, { level: 'silent' }), count: () => {}, readConfiguration: () => null, now: () => 0 }),
     onQueueFull: () => {},
     after: () => () => {},
     onAnswer: () => {},
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -115,6 +115,7 @@
       return
     }
     routes = gateway.createRouteTable(parsed.value)
+    metrics.count('configurations')
     logger.info('configuration', { revision: object.revision, version: parsed.value.version, routes: parsed.value.routes.length })
     for (const service of parsed.value.services) logFigures(service)
     logUnknownRegions(parsed.value)
--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -30,7 +30,7 @@
   const clock = { time: 0 }
   const write = (event: string, fields: unknown): void => { lines.push(`${event} ${JSON.stringify(fields)}`) }
   const logger = { debug: write, info: write, warn: write, error: write }
-  const register = observability.createCallRegister({ logger, count: () => {}, now: () => clock.time })
+  const register = observability.createCallRegister({ logger, count: () => {}, readConfiguration: () => null, now: () => clock.time })
   let endDrain = (): void => {}
   const drained = new Promise<void>((resolve) => { endDrain = resolve })
   const send = async (signal: NodeJS.Signals): Promise<void> => {
@@ -73,13 +73,13 @@
   const fixture = await createFixture()
   const earlier = fixture.register.open({ id: 'a', readPhase: () => 'sent' })
   earlier.noteEnding('answered')
-  earlier.close()
+  earlier.close('delivered')
   const call = fixture.register.open({ id: 'b', readPhase: () => 'answering' })
   fixture.register.open({ id: 'c', readPhase: () => 'delivering' })
   await fixture.send('SIGTERM')
   fixture.time = 300
   call.noteEnding('answered')
-  call.close()
+  call.close('delivered')
   fixture.endDrain()
   await fixture.send('SIGHUP')
   assert.deepEqual(fixture.lines, [
@@ -162,7 +162,7 @@
   await fixture.send('SIGTERM')
   assert.deepEqual(fixture.exits, [])
   call.noteEnding('answered')
-  call.close()
+  call.close('delivered')
   for (let turn = 0; turn < MAXIMUM_TURNS && fixture.exits.length === 0; turn += 1) await types.delay(TURN_MS)
   assert.deepEqual(fixture.lines.slice(2), [
     'drain-failed {"error":"store gone","stack":"stack"}',
--- a/packages/daemon/src/startBackendRole/index.ts
+++ b/packages/daemon/src/startBackendRole/index.ts
@@ -88,7 +88,7 @@
   const tickets = routing.createTickets()
   const serving = createServedVersions.createServedVersions()
   const backEndState = createBackEndState.createBackEndState({ url: backEnd.url, name: `${node}/${parts.incarnation}`, probe: gateway.probeAddress })
-  const register = observability.createCallRegister({ logger, count: parts.countLabelled, now: parts.now })
+  const register = observability.createCallRegister({ logger, count: parts.countLabelled, readConfiguration: () => parts.keeper.current().revision, now: parts.now })
   const calls = createBackendCalls.createBackendCalls({
     register,
     identity: parts.identity,
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -68,7 +68,7 @@
   })
   const claims = createClaims.createClaims(parts.store, Date.now)
   const quarantine = createEntryQuarantine.createEntryQuarantine({ parts, mayAskStore: () => createTableWatch.isTableWatcher(self.read(), view.members()) })
-  const register = observability.createCallRegister({ logger, count: parts.countLabelled, now: parts.now })
+  const register = observability.createCallRegister({ logger, count: parts.countLabelled, readConfiguration, now: parts.now })
   const calls = createEntryCalls.createEntryCalls({
     register,
     table: keeper.current,
@@ -89,6 +89,10 @@
     endsAt: () => endsAt
   })
 
+  function readConfiguration (): number {
+    return keeper.current().revision
+  }
+
   /** Whether this entry node removes expired claims for the whole fleet. With different membership views two may do so, which is harmless. */
   function isClaimSweeper (): boolean {
     const live = view.members().filter((member) => member.facts.role === 'entry' && member.condition === 'live')
@@ -143,7 +147,11 @@
   callerApp.use(closeWhileLeaving)
   callerApp.use(answerHealth)
   callerApp.use(calls.middleware)
-  const callerListener = await rpc.listenHttp(callerApp.callback(), { host: settings.listen.host, port: settings.listen.caller_port ?? 0 })
+  const callerListener = await rpc.listenHttp(callerApp.callback(), {
+    host: settings.listen.host,
+    port: settings.listen.caller_port ?? 0,
+    onIdleClose: observability.createIdleCloseLog({ logger, count: parts.countLabelled, readConfiguration, readLimitMs: () => rpc.KEEP_ALIVE_MS })
+  })
 
   /** Ends callers' connections with their next answer, so that a draining entry node becomes idle while its callers go on. */
   async function closeWhileLeaving (context: Koa.Context, next: Koa.Next): Promise<void> {
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -1,5 +1,6 @@
 /** The gateway role: accepts calls, follows the store's objects and forwards the calls to back ends. */
 import * as gateway from '@switchridge/gateway'
+import * as observability from '@switchridge/observability'
 import * as platform from '@switchridge/platform'
 import type * as settings from '@switchridge/settings'
 import * as spread from '@switchridge/spread'
@@ -206,6 +207,10 @@
     })
   }
 
+  function readConfiguration (): number | null {
+    return parts.routes()?.configuration.version ?? null
+  }
+
   const heldBytes = gateway.createHeldBytes({ maximumBytes: checked.limits.held_share > 0 ? checked.limits.held_share * checked.limits.memory_megabytes * BYTES_PER_MEGABYTE : Infinity, now })
   function listForecastEngines (service: types.ServiceName): readonly gateway.ForecastEngine[] {
     const model = parts.soleModelOf(service)
@@ -259,7 +264,12 @@
     at: parts.at,
     random: Math.random
   })
-  const server = gateway.createCallerServer(calls)
+  const server = gateway.createCallerServer(calls, observability.createIdleCloseLog({
+    logger,
+    count: metrics.count,
+    readConfiguration,
+    readLimitMs: () => server.readIdleLimitMs()
+  }))
   parts.evacuations.onTakenBack(limiter.noteTakenBack)
   parts.onRoutes((table) => {
     server.setLimits(table.configuration.limits)
@@ -297,6 +307,7 @@
   metrics.gauge('calls_waiting', () => waiting?.size() ?? 0)
   metrics.gauge('prediction_error_bound_ms', () => Math.max(0, ...[...errorBounds.values()].map((bound) => bound.read())))
   metrics.gauge('peers_live', () => gossip.peers().filter(gossip.isLive).length)
+  metrics.gauge('configuration_version', () => readConfiguration() ?? 0)
   metrics.gauge('back_ends', () => parts.backEnds().length)
   metrics.gauge('calls_blocked_now', () => callQuarantine.blocks().length)
   metrics.gauge('calls_suspected', callQuarantine.countSuspects)
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -107,7 +107,7 @@
 const scheduleAt = clock.createDeadlineScheduler(steadyClock)
 
 function createRegister (): observability.CallRegister {
-  return observability.createCallRegister({ logger: LOGGER, count: () => {}, now: steadyClock.now })
+  return observability.createCallRegister({ logger: LOGGER, count: () => {}, readConfiguration: () => null, now: steadyClock.now })
 }
 
 async function startBackendDaemon (index: number, incarnationNumber: number, url: string, agents: rpc.HttpAgents, options: CallFleetOptions): Promise<BackendDaemon> {
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -42,7 +42,7 @@
  * @returns The handler.
  */
 export function createCallHandler (options: callOptions.CallHandlerOptions): CallHandler {
-  const register = observability.createCallRegister({ logger: options.logger, count: options.count, now: options.now })
+  const register = observability.createCallRegister({ logger: options.logger, count: options.count, readConfiguration: () => options.routes()?.configuration.version ?? null, now: options.now })
   let drain: mayFinishInTime.DrainBounds | null = null
   const calls = new Set<callState.CallState>()
   /** Calls whose requests are still arriving. */
@@ -52,16 +52,23 @@
   })
 
   async function run (request: http.IncomingMessage, response: http.ServerResponse, receivedAt: number): Promise<void> {
-    const head = options.protocol.readCall(request)
+    let id = ''
+    try {
+      const head = options.protocol.readCall(request)
+      id = head.requestId
+      await serve(head, request, response, receivedAt)
+    } catch (thrown) {
+      options.count('calls_broken')
+      options.logger.error('call-broken', { id, error: types.describeError(thrown) })
+      response.destroy()
+    }
+  }
+
+  async function serve (head: gateway.CallHead, request: http.IncomingMessage, response: http.ServerResponse, receivedAt: number): Promise<void> {
     let state: callState.CallState | null = null
     const registered = register.open({ id: head.requestId, readPhase })
-    let isDelivered = false
-    // Node.js also finishes a response whose connection breaks before all of it was sent.
-    response.once('finish', () => { isDelivered = !request.socket.destroyed })
-    response.once('close', () => {
-      if (state !== null && response.writableEnded && !isDelivered) registered.noteEnding('left')
-      registered.close()
-    })
+    const readDelivery = rpc.watchDelivery(response)
+    response.once('close', () => { registered.close(readDelivery()) })
     const holding = options.heldBytes?.open(dropCall) ?? null
     const reply = answers.createReply(response, head.requestId, options.protocol, () => drain !== null, holding)
     const table = options.routes()
@@ -134,7 +141,7 @@
     function recheck (isOver: boolean): void {
       if (!isRefused && (isOver || !mayFinish(0))) refuseWhileDraining()
       // It has its answer, so it is not one of the calls that are cut.
-      if (isOver) registered.close()
+      if (isOver) registered.close('delivered')
     }
 
     function refuseWhileDraining (): void {
@@ -172,12 +179,7 @@
     handle: (request, response) => {
       const receivedAt = options.now()
       response.on('error', () => {})
-      rpc.handleInTurn(response, () => {
-        run(request, response, receivedAt).catch((thrown: unknown) => {
-          options.logger.error('call-broken', { error: types.describeError(thrown) })
-          response.destroy()
-        })
-      })
+      rpc.handleInTurn(response, () => { void run(request, response, receivedAt) })
     }
   }
 }
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -12,6 +12,8 @@
   readonly listen: (address: types.Address) => Promise<void>
   /** Applies other limits to future connections and requests. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
+  /** Time in milliseconds after which an idle connection is closed. */
+  readonly readIdleLimitMs: () => number
   /** Number of open connections by phase. */
   readonly countConnections: () => Readonly<Record<rpc.ConnectionPhase, number>>
   /** Stops accepting connections and closes idle ones; resolves when all calls are delivered and all connections are closed. */
@@ -30,11 +32,12 @@
  * Creates the server.
  *
  * @param handler - Handles requests.
+ * @param onIdleClose - Called before a connection is closed because no request came in time.
  * @returns The server, which doesn't listen yet.
  */
-export function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>): CallerServer {
+export function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, onIdleClose?: (close: rpc.IdleClose) => void): CallerServer {
   const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS })
-  const connections = rpc.trackConnections(server, handler.handle)
+  const connections = rpc.trackConnections(server, handler.handle, onIdleClose)
   setLimits(gateway.DEFAULT_CALLER_LIMITS)
   server.requestTimeout = 0
   // The handler decides whether the caller may send its body.
@@ -55,6 +58,7 @@
       })
     },
     setLimits,
+    readIdleLimitMs: () => server.keepAliveTimeout,
     countConnections: connections.count,
     drain: connections.drain,
     close: connections.abort
--- a/packages/observability/src/createCallRegister/index.ts
+++ b/packages/observability/src/createCallRegister/index.ts
@@ -7,8 +7,14 @@
  */
 export type CallPhase = 'reading' | 'waiting' | 'sent' | 'answering' | 'delivering'
 
-/** Why a process ended a call before its response was delivered: its grace period was over, it was told to end at once, or it stopped. */
-export type CutReason = 'grace-over' | 'forced' | 'stopped'
+/**
+ * Why a process ended a call before its response was delivered: its grace period was over, it was told to end at once, it stopped, or it closed the connection of
+ * this call alone, `aborted`.
+ */
+export type CutReason = 'grace-over' | 'forced' | 'stopped' | 'aborted'
+
+/** How a call ended for its caller: with the whole response, because the caller closed the connection, or because this process did. */
+export type CallClosing = 'delivered' | 'left' | 'cut'
 
 /** A call to register. */
 export interface RegisteredCall {
@@ -29,8 +35,8 @@
 export interface OpenCall {
   /** Records how the call ended; its response may not be delivered yet. */
   readonly noteEnding: (ending: string) => void
-  /** Removes the call and counts its ending, because its response was delivered or its connection is closed. */
-  readonly close: () => void
+  /** Removes the call, counts its ending, and logs it unless its response was delivered. */
+  readonly close: (closing: CallClosing) => void
 }
 
 /** The calls of a process. */
@@ -51,6 +57,8 @@
   readonly logger: createLogger.Logger
   /** Adds one to a counter. */
   readonly count: (name: string, labels: Readonly<Record<string, string>>) => void
+  /** Version of the configuration or revision of the table in force; null before the first one. */
+  readonly readConfiguration: () => number | null
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
 }
@@ -72,7 +80,7 @@
  * @param options - Log, counters and clock.
  * @returns The register, without calls.
  */
-export function createCallRegister ({ logger, count, now }: CallRegisterOptions): CallRegister {
+export function createCallRegister ({ logger, count, readConfiguration, now }: CallRegisterOptions): CallRegister {
   const entries = new Set<Entry>()
   const totals = new Map<string, number>()
 
@@ -84,15 +92,24 @@
     return { id, phase: readPhase(), ageMs: Math.round(now() - openedAt) }
   }
 
+  function noteCutEntry (entry: Entry, reason: CutReason, isLogged: boolean): void {
+    const { id, phase, ageMs } = describe(entry)
+    entry.isCut = true
+    add(CUT)
+    count('calls_cut', { phase, reason })
+    if (isLogged) logger.warn('call-cut', { id, phase, ageMs, configuration: readConfiguration(), reason })
+  }
+
+  function noteLeft (entry: Entry): void {
+    const { id, phase, ageMs } = describe(entry)
+    entry.ending = LEFT
+    count('calls_left', { phase })
+    logger.info('call-left', { id, phase, ageMs, configuration: readConfiguration() })
+  }
+
   function noteCut (reason: CutReason): number {
     const cut = [...entries].filter(({ isCut }) => !isCut)
-    for (const [index, entry] of cut.entries()) {
-      const { id, phase, ageMs } = describe(entry)
-      entry.isCut = true
-      add(CUT)
-      count('calls_cut', { phase, reason })
-      if (index < MAXIMUM_LOGGED_CUTS) logger.warn('call-cut', { id, phase, ageMs, reason })
-    }
+    for (const [index, entry] of cut.entries()) noteCutEntry(entry, reason, index < MAXIMUM_LOGGED_CUTS)
     if (cut.length > MAXIMUM_LOGGED_CUTS) logger.warn('calls-cut', { count: cut.length, logged: MAXIMUM_LOGGED_CUTS, reason })
     return cut.length
   }
@@ -103,7 +120,12 @@
       entries.add(entry)
       return {
         noteEnding: (ending) => { entry.ending = ending },
-        close: () => { if (entries.delete(entry) && !entry.isCut) add(entry.ending) }
+        close: (closing) => {
+          if (!entries.delete(entry) || entry.isCut) return
+          if (closing === 'cut') return noteCutEntry(entry, 'aborted', true)
+          if (closing === 'left') noteLeft(entry)
+          add(entry.ending)
+        }
       }
     },
     count: () => entries.size,
--- a/packages/rpc/src/listenHttp/index.ts
+++ b/packages/rpc/src/listenHttp/index.ts
@@ -16,6 +16,8 @@
   readonly tls?: agents.TlsMaterial
   /** Largest size of the request headers; 16 KiB by default. */
   readonly maxHeaderBytes?: number
+  /** Called before a connection is closed because no request came in time. */
+  readonly onIdleClose?: (close: trackConnections.IdleClose) => void
 }
 
 /** A listening server. */
@@ -28,7 +30,8 @@
 }
 
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024
-const KEEP_ALIVE_MS = 30_000
+/** Time in milliseconds after which a server closes an idle connection. */
+export const KEEP_ALIVE_MS = 30_000
 
 /**
  * Starts a server.
@@ -42,7 +45,7 @@
   const server = createServer(options)
   const connections = trackConnections.trackConnections(server, (request, response) => {
     handleInTurn.handleInTurn(response, () => { handler(request, response) })
-  })
+  }, options.onIdleClose)
   server.keepAliveTimeout = KEEP_ALIVE_MS
   server.requestTimeout = 0
   await new Promise<void>((resolve, reject) => {
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -29,6 +29,14 @@
   readonly abort: () => void
 }
 
+/** A connection that is closed because no request came in time. */
+export interface IdleClose {
+  /** Milliseconds since the end of the last response. */
+  readonly idleMs: number
+  /** Bytes that had arrived since then, the begin of a request. */
+  readonly receivedBytes: number
+}
+
 /** A peer that has just read a response, or has just connected, may be sending its next request. */
 export const IDLE_CLOSE_MS = 500
 /**
@@ -60,9 +68,10 @@
  *
  * @param server - The server; it must not have accepted connections yet.
  * @param handle - Handles requests. It is not called for those that arrive after their connection was ended.
+ * @param onIdleClose - Called before a connection is closed after the server's `keepAliveTimeout`.
  * @returns The tracker.
  */
-export function trackConnections (server: http.Server | https.Server, handle: http.RequestListener): ConnectionTracker {
+export function trackConnections (server: http.Server | https.Server, handle: http.RequestListener, onIdleClose: (close: IdleClose) => void = () => {}): ConnectionTracker {
   const connections = new Map<net.Socket, Connection>()
   let isDraining = false
   let accepted = 0
@@ -174,6 +183,11 @@
   server.on(server instanceof https.Server ? 'secureConnection' : 'connection', addConnection)
   server.on('connection', () => { accepted += 1 })
   server.on('request', handleRequest)
+  server.on('timeout', (socket: net.Socket) => {
+    const connection = connections.get(socket)
+    if (connection !== undefined) onIdleClose({ idleMs: performance.now() - connection.idleSince, receivedBytes: socket.bytesRead - connection.idleBytes })
+    socket.destroy()
+  })
   return {
     handle: handleRequest,
     count: () => {
