Watch deliveries with one listener, and read the socket of a response at its end

Change: watchDelivery calls back on close; the closing side is read then. The response of the test's call path has a socket.

--- a/packages/daemon/src/_lib/registerCall.ts
+++ b/packages/daemon/src/_lib/registerCall.ts
@@ -14,9 +14,7 @@
 export function registerCall (register: observability.CallRegister, context: Koa.Context, id: string): void {
   const { req: request, res: response } = context
   const call = register.open({ id, readPhase: () => response.writableEnded ? 'delivering' : response.headersSent ? 'answering' : request.complete ? 'sent' : 'reading' })
-  const readDelivery = rpc.watchDelivery(response)
-  response.once('close', () => {
-    const delivery = readDelivery()
+  rpc.watchDelivery(response, (delivery) => {
     const outcome = response.getHeader(callHeaders.OUTCOME_HEADER)
     if (delivery === 'delivered' && typeof outcome === 'string') call.noteEnding(outcome)
     call.close(delivery)
--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -152,7 +152,7 @@
 function createResponse (onEnded: (status: number, text: string) => void): { readonly destroy: () => void } {
   let status = 0
   let text = ''
-  const state = { req: { complete: true }, shouldKeepAlive: true, useChunkedEncodingByDefault: true, headersSent: false, destroyed: false, writableFinished: false }
+  const state = { req: { complete: true, socket: { destroyed: false, errored: null, readableEnded: true } }, shouldKeepAlive: true, useChunkedEncodingByDefault: true, headersSent: false, destroyed: false, writableFinished: false }
   const response = Object.assign(new events.EventEmitter(), state, {
     writeHead: (sent: number) => {
       response.headersSent = true
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -67,8 +67,7 @@
   async function serve (head: gateway.CallHead, request: http.IncomingMessage, response: http.ServerResponse, receivedAt: number): Promise<void> {
     let state: callState.CallState | null = null
     const registered = register.open({ id: head.requestId, readPhase })
-    const readDelivery = rpc.watchDelivery(response)
-    response.once('close', () => { registered.close(readDelivery()) })
+    rpc.watchDelivery(response, registered.close)
     const holding = options.heldBytes?.open(dropCall) ?? null
     const reply = answers.createReply(response, head.requestId, options.protocol, () => drain !== null, holding)
     const table = options.routes()
--- a/packages/rpc/src/watchDelivery/index.ts
+++ b/packages/rpc/src/watchDelivery/index.ts
@@ -5,26 +5,18 @@
 export type Delivery = 'delivered' | 'left' | 'cut'
 
 /**
- * Watches a response.
+ * Watches a response until it is closed.
  *
  * @param response - The response, of which nothing was sent yet.
- * @returns A function that tells how the response ended; call it once the response is closed.
+ * @param onClose - Called with how it ended.
  */
-export function watchDelivery (response: http.ServerResponse): () => Delivery {
-  const { socket } = response.req
+export function watchDelivery (response: http.ServerResponse, onClose: (delivery: Delivery) => void): void {
   let isDelivered = false
-  let hasPeerEnded = false
   // Node.js also finishes a response whose connection breaks before all of it was sent.
-  response.once('finish', () => { isDelivered = !socket.destroyed })
-  socket.once('end', notePeerEnd)
-  response.once('close', () => { socket.off('end', notePeerEnd) })
-
-  function notePeerEnd (): void {
-    hasPeerEnded = true
-  }
+  response.once('finish', () => { isDelivered = !response.req.socket.destroyed })
+  response.once('close', () => { onClose(isDelivered ? 'delivered' : isClosedByPeer(response) ? 'left' : 'cut') })
+}
 
-  return () => {
-    if (isDelivered) return 'delivered'
-    return hasPeerEnded || socket.errored !== null ? 'left' : 'cut'
-  }
+function isClosedByPeer ({ req: { socket } }: http.ServerResponse): boolean {
+  return socket.readableEnded || socket.errored !== null
 }
--- a/packages/rpc/src/watchDelivery/test.ts
+++ b/packages/rpc/src/watchDelivery/test.ts
@@ -12,8 +12,7 @@
   let resolveDelivery: (delivery: watchDelivery.Delivery) => void = () => {}
   const delivery = new Promise<watchDelivery.Delivery>((resolve) => { resolveDelivery = resolve })
   const server = http.createServer((request, response) => {
-    const readDelivery = watchDelivery.watchDelivery(response)
-    response.once('close', () => { resolveDelivery(readDelivery()) })
+    watchDelivery.watchDelivery(response, resolveDelivery)
     handle(request, response)
   })
   await new Promise<void>((resolve) => { server.listen(0, types.LOOPBACK_HOST, resolve) })
