Expect the configuration in the lines of cut calls in tests of the process

Cause: added the field configuration to call-cut; two tests compare whole lines.

Change: the lines expected have the field, null without a configuration. All else that they compare is as before.

Measured: both failed before and pass now.

--- a/packages/daemon/src/createProcessLifecycle/test.ts
+++ b/packages/daemon/src/createProcessLifecycle/test.ts
@@ -87,7 +87,7 @@
     'drain-began {"signal":"SIGTERM","inProgress":2}',
     'signal {"signal":"SIGHUP","times":1,"phase":"draining","inProgress":1}',
     'reload',
-    'call-cut {"id":"c","phase":"delivering","ageMs":300,"reason":"stopped"}',
+    'call-cut {"id":"c","phase":"delivering","ageMs":300,"configuration":null,"reason":"stopped"}',
     'drain-ended {"ms":300,"answered":1,"cut":1}',
     'stop',
     'exit {"code":0,"uptimeMs":300}',
@@ -108,7 +108,7 @@
     'signal {"signal":"SIGINT","times":1,"phase":"draining","inProgress":1}',
     'signal {"signal":"SIGTERM","times":2,"phase":"draining","inProgress":1}',
     'signal {"signal":"SIGQUIT","times":1,"phase":"draining","inProgress":1}',
-    'call-cut {"id":"a","phase":"answering","ageMs":0,"reason":"forced"}',
+    'call-cut {"id":"a","phase":"answering","ageMs":0,"configuration":null,"reason":"forced"}',
     'stop',
     'exit {"code":4,"uptimeMs":0}',
     'flush'
