Test that an entry node answers its calls if it stands still until its drain is over

Callers of an entry node that is told to stop, and that then does not run until its drain is over, lose their connections without an answer.

Found by a test that failed once beside other work (an entry node with drain_seconds = 0: 2 of 8 calls reset, load average 13 to 17).

--- a/packages/daemon/src/signals.test.ts
+++ b/packages/daemon/src/signals.test.ts
@@ -13,6 +13,8 @@
 import * as fleetTesting from './_lib/fleetTesting.js'
 import * as programTesting from './_lib/programTesting.js'
 
+/** Longer than the drain of an entry node with `drain_seconds = 1`. */
+const STOPPED_MS = 1500
 const CALLS = 8
 /** A stream takes `EVENTS` times `EVENT_MS`. */
 const EVENTS = 12
@@ -202,6 +204,18 @@
   assert.equal(await entry.ended, 0)
 })
 
+nodeTest.test('an entry node that stands still until its drain is over answers its calls before it ends', OPTIONS, async (context) => {
+  const { entry, startCalls } = await startOwnHall(context, { entryHost: '127.0.0.32', backendHost: `${AGENT_HOST_PREFIX}1`, limits: 'drain_seconds = 1\n' })
+  const { answers } = await startCalls()
+  entry.child.kill('SIGTERM')
+  await entry.waitForOutput('event=drain-began')
+  entry.child.kill('SIGSTOP')
+  await types.delay(STOPPED_MS)
+  entry.child.kill('SIGCONT')
+  assert.deepEqual((await answers).filter((outcome) => outcome !== 'unknown' && outcome !== 'answered'), [])
+  assert.equal(await entry.ended, 0)
+})
+
 /** Settings of every role, on addresses of their own. */
 async function formatAllSettings (context: nodeTest.TestContext): Promise<string[]> {
   const { fleet, engine } = await createFleet(context)
