Let a process that stood still until its drain is over answer its calls

Callers of an entry node that was paused from within its drain until after it had their connections reset, without an answer; a gateway that was paused likewise cut them as well (by reading).

Cause: when the process goes on, Node.js runs all expired timers before it reads or writes. The timer that ends the calls and the one that ends the process expire in the same turn, so that no answer of the former is sent.

Change: the last 200 ms of the longest drain are timed from the end of the others, and what has arrived is read before calls are ended at the end of a drain (waitAndRead, for all roles).

--- a/packages/daemon/src/_lib/gracePeriod.ts
+++ b/packages/daemon/src/_lib/gracePeriod.ts
@@ -1,4 +1,5 @@
 /** The grace period of gateways and agents, at whose end the platform kills them. */
+import * as clock from '@switchridge/clock'
 import type * as settings from '@switchridge/settings'
 import * as types from '@switchridge/types'
 
@@ -17,12 +18,12 @@
 }
 
 /**
- * Waits for work, at most until a time.
+ * Waits for work, at most until a time. A process that stood still until then first reads what has arrived.
  *
  * @param work - The work.
  * @param remainingMs - Milliseconds until that time.
  * @returns Whether the work has ended.
  */
 export async function waitAtMost (work: Promise<unknown>, remainingMs: number): Promise<boolean> {
-  return await Promise.race([work.then(() => true), types.delay(Math.max(0, remainingMs)).then(() => false)])
+  return await Promise.race([work.then(() => true), clock.waitAndRead(Math.max(0, remainingMs)).then(() => false)])
 }
--- a/packages/daemon/src/createProcessLifecycle/index.ts
+++ b/packages/daemon/src/createProcessLifecycle/index.ts
@@ -1,4 +1,5 @@
 /** Lifecycle of the process: its phases, the signals that change them, and its end. */
+import * as clock from '@switchridge/clock'
 import type * as observability from '@switchridge/observability'
 import * as types from '@switchridge/types'
 
@@ -57,6 +58,9 @@
   readonly end: (code: number) => Promise<void>
 }
 
+/** Time in milliseconds in which a role that has ended its calls writes their answers. */
+const LAST_PART_MS = 200
+
 type StopSignal = 'SIGTERM' | 'SIGINT'
 
 const EXIT_STOPPED = 0
@@ -130,7 +134,7 @@
     const beganAt = environment.now()
     const before = calls?.totals() ?? {}
     logger.info('drain-began', { signal, inProgress: calls?.count() })
-    await Promise.race([drainInAnyCase(role), ...(maximumDrainMs === undefined ? [] : [types.delay(maximumDrainMs)])])
+    await Promise.race([drainInAnyCase(role), ...(maximumDrainMs === undefined ? [] : [waitUntilDrainIsOver(maximumDrainMs)])])
     if (phase !== 'draining') return
     calls?.noteCut('stopped')
     logger.info('drain-ended', { ms: Math.round(environment.now() - beganAt), ...subtractTotals(calls?.totals() ?? {}, before) })
@@ -224,6 +228,13 @@
   return { phase: () => phase, serve, end }
 }
 
+/** The last part of a drain is timed from the end of the others, so that a process that stood still until the drain is over can answer its calls. */
+async function waitUntilDrainIsOver (maximumDrainMs: number): Promise<void> {
+  const lastPartMs = Math.min(LAST_PART_MS, maximumDrainMs)
+  await types.delay(maximumDrainMs - lastPartMs)
+  await clock.waitAndRead(lastPartMs)
+}
+
 /** How many calls ended in each way since `before`. */
 function subtractTotals (totals: Readonly<Record<string, number>>, before: Readonly<Record<string, number>>): Record<string, number> {
   return Object.fromEntries(Object.entries(totals).map(([ending, count]) => [ending, count - (before[ending] ?? 0)]))
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -1,5 +1,6 @@
 /** The entry role: accepts calls, maintains the data hall's membership view and watches the table. */
 import Koa from 'koa'
+import * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import * as membership from '@switchridge/membership'
 import * as store from '@switchridge/store'
@@ -202,7 +203,7 @@
     drain: async () => {
       isLeaving = true
       endsAt = parts.now() + drainPeriod.computeDrainMs(settings.limits) - drainPeriod.LAST_ANSWERS_MS
-      const cancelEnd = parts.at(endsAt, calls.endAll)
+      const cancelEnd = parts.at(endsAt, () => { clock.runAfterReads(calls.endAll) })
       self.update({ state: 'leaving' })
       await heartbeats.sendNow()
       await types.delay(BALANCER_GRACE_MS)
