--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -10,6 +10,11 @@
 const HOST = types.LOOPBACK_HOST
 const HEADERS_TIMEOUT_MS = 300
 const POLL_MS = 10
+const IDLE_MS = 100
+/** Node.js closes an idle connection a second later than told. */
+const IDLE_CLOSED_MS = IDLE_MS + 1000
+/** Longer than the idle limit and the limit for a request head. */
+const STALL_MS = IDLE_CLOSED_MS + 300
 const WAIT_MS = 10_000
 const LIMIT = { timeout: 2 * WAIT_MS }
 /** More than the kernel's buffers take for a peer that doesn't read. */
@@ -28,8 +33,8 @@
   readonly received: Promise<string | null>
 }
 
-async function openServer (context: nodeTest.TestContext, handle: http.RequestListener): Promise<OpenedServer> {
-  const server = http.createServer({ connectionsCheckingInterval: POLL_MS, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0 })
+async function openServer (context: nodeTest.TestContext, handle: http.RequestListener, options: http.ServerOptions = {}): Promise<OpenedServer> {
+  const server = http.createServer({ connectionsCheckingInterval: POLL_MS, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0, ...options })
   const tracker = trackConnections.trackConnections(server, handle)
   context.after(tracker.abort)
   await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
@@ -64,6 +69,30 @@
   return `GET ${path} HTTP/1.1\r\nHost: server\r\n${headers}\r\n`
 }
 
+/** Sends text and keeps the process from reading it for so long. Expired timers run before sockets are read then, as they do after a pause of the process. */
+async function sendBeforeStall ({ socket }: Peer, text: string, stallMs: number): Promise<void> {
+  await new Promise<void>((resolve) => {
+    setImmediate(() => {
+      socket.write(text)
+      const endsAt = performance.now() + stallMs
+      while (performance.now() < endsAt);
+      resolve()
+    })
+  })
+}
+
+async function waitForText ({ socket }: Peer, pattern: RegExp): Promise<void> {
+  let text = ''
+  await new Promise<void>((resolve) => {
+    socket.on('data', function append (bytes: Buffer) {
+      text += bytes.toString()
+      if (!pattern.test(text)) return
+      socket.off('data', append)
+      resolve()
+    })
+  })
+}
+
 nodeTest.test('a server that drains delivers a response that its peer has not read yet', LIMIT, async (context) => {
   const { tracker, connect, waitForPhase } = await openServer(context, (_request, response) => { response.end(Buffer.alloc(BIG_BYTES)) })
   const { socket, received } = connect(formatRequest('/'))
@@ -218,3 +247,33 @@
   }
   await drained
 })
+
+/** Opens a kept connection whose first request has been answered. */
+async function openIdle (context: nodeTest.TestContext): Promise<{ server: OpenedServer, peer: Peer }> {
+  const server = await openServer(context, (request, response) => { response.end(`end of ${request.url ?? ''}`) }, { keepAliveTimeout: IDLE_MS, headersTimeout: WAIT_MS })
+  const peer = server.connect(formatRequest('/first'))
+  await waitForText(peer, /end of \/first$/)
+  await server.waitForPhase('idle')
+  return { server, peer }
+}
+
+nodeTest.test('a request that arrives within the idle limit at a server that stands still until after it is answered', LIMIT, async (context) => {
+  const { peer } = await openIdle(context)
+  await sendBeforeStall(peer, formatRequest('/next', 'Connection: close\r\n'), STALL_MS)
+  assert.match(await peer.received ?? '', /end of \/next$/)
+})
+
+nodeTest.test('a request that begins within the idle limit at a server that stands still until after it has its time for the head', LIMIT, async (context) => {
+  const { server, peer } = await openIdle(context)
+  await sendBeforeStall(peer, 'GET /next HTTP/1.1\r\nHo', STALL_MS)
+  await server.waitForPhase('receiving')
+  await types.delay(IDLE_CLOSED_MS)
+  peer.socket.write('st: server\r\nConnection: close\r\n\r\n')
+  assert.match(await peer.received ?? '', /end of \/next$/)
+})
+
+nodeTest.test('a connection is closed after the idle limit, also if empty lines arrive', LIMIT, async (context) => {
+  const { peer } = await openIdle(context)
+  peer.socket.write('\r\n\r\n')
+  assert.match(await peer.received ?? '', /end of \/first/)
+})
