Read what has arrived before a connection is closed as idle

Callers of a process that stood still (paused, or busy for long) from before their request arrived, within the idle limit, until after it saw a reset, with neither an answer nor a refusal.

Cause: Node.js runs expired timers before it reads sockets, and its idle timer destroys the connection with the request unread.

The connection tracker, which all servers share, now closes a connection some turns of the event loop after its idle timer, and only if it is still idle. A head that has begun to arrive gets its time. Bytes that begin no request (empty lines) are limited by the time for a head, since Node.js sets them no limit.

rpc now depends on clock, which depends on types only.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -4,6 +4,7 @@
 import * as timers from 'node:timers/promises'
 import * as tls from 'node:tls'
 import type * as http from 'node:http'
+import * as clock from '@switchridge/clock'
 
 /**
  * Phases of a connection. `idle`: no request arrives or is handled, `receiving`: a part of a request's head has arrived, `serving`: a request is handled,
@@ -143,6 +144,24 @@
     }
   }
 
+  /** Closes an idle connection unless a request, or a part of its head, had arrived while the process stood still: Node.js runs timers before it reads sockets. */
+  function closeAfterReads (connection: Connection): void {
+    const { socket, idleSince } = connection
+    const { bytesRead } = socket
+    clock.runAfterReads(() => {
+      if (connection.idleSince !== idleSince) return
+      const phase = readPhase(connection)
+      const isStalled = phase === 'receiving' && socket.bytesRead === bytesRead
+      // Node.js limits the time for the head; it does not for bytes that begin none, such as empty lines.
+      if (isStalled && (socket.timeout ?? 0) < server.headersTimeout) {
+        socket.setTimeout(server.headersTimeout)
+      } else if (isStalled || phase === 'idle') {
+        onIdleClose({ idleMs: performance.now() - idleSince, receivedBytes: socket.bytesRead - connection.idleBytes })
+        socket.destroy()
+      }
+    })
+  }
+
   /** The event loop accepts one connection in each turn; those that the system has established would be reset together with the listening socket. */
   async function acceptEstablished (): Promise<void> {
     const acceptedBefore = accepted
@@ -185,8 +204,8 @@
   server.on('request', handleRequest)
   server.on('timeout', (socket: net.Socket) => {
     const connection = connections.get(socket)
-    if (connection !== undefined) onIdleClose({ idleMs: performance.now() - connection.idleSince, receivedBytes: socket.bytesRead - connection.idleBytes })
-    socket.destroy()
+    if (connection === undefined) socket.destroy()
+    else closeAfterReads(connection)
   })
   return {
     handle: handleRequest,
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -250,7 +250,7 @@
 
 /** Opens a kept connection whose first request has been answered. */
 async function openIdle (context: nodeTest.TestContext): Promise<{ server: OpenedServer, peer: Peer }> {
-  const server = await openServer(context, (request, response) => { response.end(`end of ${request.url ?? ''}`) }, { keepAliveTimeout: IDLE_MS, headersTimeout: WAIT_MS })
+  const server = await openServer(context, (request, response) => { response.end(`end of ${request.url ?? ''}`) }, { keepAliveTimeout: IDLE_MS, headersTimeout: 2 * IDLE_CLOSED_MS })
   const peer = server.connect(formatRequest('/first'))
   await waitForText(peer, /end of \/first$/)
   await server.waitForPhase('idle')
