Report an idle connection as closed late only beyond the limit in force for it

A limit that changed while a connection rested was compared wrongly, too.

The tracker now reports the lateness against the timeout that the socket has.

--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -150,7 +150,7 @@
   const callerListener = await rpc.listenHttp(callerApp.callback(), {
     host: settings.listen.host,
     port: settings.listen.caller_port ?? 0,
-    onIdleClose: observability.createIdleCloseLog({ logger, count: parts.countLabelled, readConfiguration, readLimitMs: () => rpc.KEEP_ALIVE_MS })
+    onIdleClose: observability.createIdleCloseLog({ logger, count: parts.countLabelled, readConfiguration })
   })
 
   /** Ends callers' connections with their next answer, so that a draining entry node becomes idle while its callers go on. */
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -267,8 +267,7 @@
   const server = gateway.createCallerServer(calls, observability.createIdleCloseLog({
     logger,
     count: metrics.count,
-    readConfiguration,
-    readLimitMs: () => server.readIdleLimitMs()
+    readConfiguration
   }))
   parts.evacuations.onTakenBack(limiter.noteTakenBack)
   parts.onRoutes((table) => {
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -12,8 +12,6 @@
   readonly listen: (address: types.Address) => Promise<void>
   /** Applies other limits to future connections and requests. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
-  /** Time in milliseconds after which an idle connection is closed. */
-  readonly readIdleLimitMs: () => number
   /** Number of open connections by phase. */
   readonly countConnections: () => Readonly<Record<rpc.ConnectionPhase, number>>
   /** Stops accepting connections and closes idle ones; resolves when all calls are delivered and all connections are closed. */
@@ -58,7 +56,6 @@
       })
     },
     setLimits,
-    readIdleLimitMs: () => server.keepAliveTimeout,
     countConnections: connections.count,
     drain: connections.drain,
     close: connections.abort
--- a/packages/observability/src/createIdleCloseLog/index.ts
+++ b/packages/observability/src/createIdleCloseLog/index.ts
@@ -8,8 +8,6 @@
   readonly count: (name: string, labels: Readonly<Record<string, string>>) => void
   /** Version of the configuration or revision of the table in force; null before the first one. */
   readonly readConfiguration: () => number | null
-  /** Idle limit in force, in milliseconds. */
-  readonly readLimitMs: () => number
 }
 
 /** A process that was paused or busy for this long beyond the limit may not have read a request that arrived before it. */
@@ -18,14 +16,13 @@
 /**
  * Creates a function that counts a closed connection, and logs it if a request was arriving or the limit was noticed late.
  *
- * @param options - Log, counter, configuration and limit.
+ * @param options - Log, counter and configuration.
  * @returns The function.
  */
-export function createIdleCloseLog ({ logger, count, readConfiguration, readLimitMs }: IdleCloseLogOptions): (close: { readonly idleMs: number, readonly receivedBytes: number }) => void {
-  return ({ idleMs, receivedBytes }) => {
-    const lateMs = Math.round(idleMs - readLimitMs())
+export function createIdleCloseLog ({ logger, count, readConfiguration }: IdleCloseLogOptions): (close: { readonly idleMs: number, readonly lateMs: number, readonly receivedBytes: number }) => void {
+  return ({ idleMs, lateMs, receivedBytes }) => {
     const isLate = lateMs >= LATE_MS
     count('connections_closed_idle', { late: String(isLate) })
-    if (isLate || receivedBytes > 0) logger.warn('connection-closed-idle', { idleMs: Math.round(idleMs), lateMs, receivedBytes, configuration: readConfiguration() })
+    if (isLate || receivedBytes > 0) logger.warn('connection-closed-idle', { idleMs: Math.round(idleMs), lateMs: Math.round(lateMs), receivedBytes, configuration: readConfiguration() })
   }
 }
--- a/packages/observability/src/createIdleCloseLog/test.ts
+++ b/packages/observability/src/createIdleCloseLog/test.ts
@@ -7,10 +7,10 @@
   const lines: string[] = []
   const counted: string[] = []
   const logger = { warn: (event: string, fields: unknown) => { lines.push(`${event} ${JSON.stringify(fields)}`) } } as unknown as createLogger.Logger
-  const log = createIdleCloseLog.createIdleCloseLog({ logger, count: (name, { late }) => { counted.push(`${name} ${late ?? ''}`) }, readConfiguration: () => 7, readLimitMs: () => 1000 })
-  log({ idleMs: 1000.4, receivedBytes: 0 })
-  log({ idleMs: 1100, receivedBytes: 0 })
-  log({ idleMs: 1000, receivedBytes: 3 })
+  const log = createIdleCloseLog.createIdleCloseLog({ logger, count: (name, { late }) => { counted.push(`${name} ${late ?? ''}`) }, readConfiguration: () => 7 })
+  log({ idleMs: 1000.4, lateMs: 0.4, receivedBytes: 0 })
+  log({ idleMs: 1100, lateMs: 100.2, receivedBytes: 0 })
+  log({ idleMs: 1000, lateMs: 0, receivedBytes: 3 })
   assert.deepEqual(lines, [
     'connection-closed-idle {"idleMs":1100,"lateMs":100,"receivedBytes":0,"configuration":7}',
     'connection-closed-idle {"idleMs":1000,"lateMs":0,"receivedBytes":3,"configuration":7}'
--- a/packages/rpc/src/listenHttp/index.ts
+++ b/packages/rpc/src/listenHttp/index.ts
@@ -31,7 +31,7 @@
 
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1024
 /** Time in milliseconds after which a server closes an idle connection. */
-export const KEEP_ALIVE_MS = 30_000
+const KEEP_ALIVE_MS = 30_000
 
 /**
  * Starts a server.
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -34,6 +34,8 @@
 export interface IdleClose {
   /** Milliseconds since the end of the last response. */
   readonly idleMs: number
+  /** Milliseconds by which the end of the idle limit was noticed too late. */
+  readonly lateMs: number
   /** Bytes that had arrived since then, the begin of a request. */
   readonly receivedBytes: number
 }
@@ -156,7 +158,8 @@
       if (isStalled && (socket.timeout ?? 0) < server.headersTimeout) {
         socket.setTimeout(server.headersTimeout)
       } else if (isStalled || phase === 'idle') {
-        onIdleClose({ idleMs: performance.now() - idleSince, receivedBytes: socket.bytesRead - connection.idleBytes })
+        const idleMs = performance.now() - idleSince
+        onIdleClose({ idleMs, lateMs: idleMs - (socket.timeout ?? 0), receivedBytes: socket.bytesRead - connection.idleBytes })
         socket.destroy()
       }
     })
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -33,9 +33,9 @@
   readonly received: Promise<string | null>
 }
 
-async function openServer (context: nodeTest.TestContext, handle: http.RequestListener, options: http.ServerOptions = {}): Promise<OpenedServer> {
+async function openServer (context: nodeTest.TestContext, handle: http.RequestListener, options: http.ServerOptions = {}, onIdleClose?: (close: trackConnections.IdleClose) => void): Promise<OpenedServer> {
   const server = http.createServer({ connectionsCheckingInterval: POLL_MS, headersTimeout: HEADERS_TIMEOUT_MS, requestTimeout: 0, ...options })
-  const tracker = trackConnections.trackConnections(server, handle)
+  const tracker = trackConnections.trackConnections(server, handle, onIdleClose)
   context.after(tracker.abort)
   await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
   const { port } = server.address() as net.AddressInfo
@@ -249,8 +249,8 @@
 })
 
 /** Opens a kept connection whose first request has been answered. */
-async function openIdle (context: nodeTest.TestContext): Promise<{ server: OpenedServer, peer: Peer }> {
-  const server = await openServer(context, (request, response) => { response.end(`end of ${request.url ?? ''}`) }, { keepAliveTimeout: IDLE_MS, headersTimeout: 2 * IDLE_CLOSED_MS })
+async function openIdle (context: nodeTest.TestContext, onIdleClose?: (close: trackConnections.IdleClose) => void): Promise<{ server: OpenedServer, peer: Peer }> {
+  const server = await openServer(context, (request, response) => { response.end(`end of ${request.url ?? ''}`) }, { keepAliveTimeout: IDLE_MS, headersTimeout: 2 * IDLE_CLOSED_MS }, onIdleClose)
   const peer = server.connect(formatRequest('/first'))
   await waitForText(peer, /end of \/first$/)
   await server.waitForPhase('idle')
@@ -277,3 +277,10 @@
   peer.socket.write('\r\n\r\n')
   assert.match(await peer.received ?? '', /end of \/first/)
 })
+
+nodeTest.test('a connection that is closed at its idle limit is not reported as late by the second that Node.js adds', LIMIT, async (context) => {
+  const closes: trackConnections.IdleClose[] = []
+  const { peer } = await openIdle(context, (close) => { closes.push(close) })
+  await peer.received
+  assert.deepEqual(closes.map(({ lateMs }) => lateMs < IDLE_CLOSED_MS - IDLE_MS), [true], JSON.stringify(closes))
+})
