Test heads that arrive at a server that stands still beyond its limit for heads

Callers whose whole head had arrived in time got 408 because the process had not read it. Two further ones guard what holds today: a head that does not go on gets 408, and one that can't be read 400 or 431.

--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -284,3 +284,43 @@
   await peer.received
   assert.deepEqual(closes.map(({ lateMs }) => lateMs < IDLE_CLOSED_MS - IDLE_MS), [true], JSON.stringify(closes))
 })
+
+nodeTest.test('a head whose rest arrives in time at a server that stands still until after the limit for heads is answered', LIMIT, async (context) => {
+  const { connect, waitForPhase } = await openServer(context, (_request, response) => { response.end('whole') })
+  const peer = connect('GET / HTTP/1.1\r\nHo')
+  await waitForPhase('receiving')
+  await sendBeforeStall(peer, 'st: server\r\nConnection: close\r\n\r\n', STALL_MS)
+  assert.match(await peer.received ?? '', / 200 [^]*whole$/)
+})
+
+nodeTest.test('a request that arrives over a new connection at a server that stands still until after the limit for heads is answered', LIMIT, async (context) => {
+  const { connect, waitForPhase } = await openServer(context, (_request, response) => { response.end('whole') })
+  const peer = connect('')
+  await waitForPhase('idle')
+  await sendBeforeStall(peer, formatRequest('/', 'Connection: close\r\n'), STALL_MS)
+  assert.match(await peer.received ?? '', / 200 [^]*whole$/)
+})
+
+nodeTest.test('a head that begins over a new connection at a server that stands still until after the limit for heads has its time', LIMIT, async (context) => {
+  const { connect, waitForPhase } = await openServer(context, (_request, response) => { response.end('whole') })
+  const peer = connect('')
+  await waitForPhase('idle')
+  await sendBeforeStall(peer, 'GET / HTTP/1.1\r\nHo', STALL_MS)
+  await waitForPhase('receiving')
+  peer.socket.write('st: server\r\nConnection: close\r\n\r\n')
+  assert.match(await peer.received ?? '', / 200 [^]*whole$/)
+})
+
+nodeTest.test('a head that begins at a server that stands still and does not go on is refused', LIMIT, async (context) => {
+  const { connect, waitForPhase } = await openServer(context, () => { assert.fail('no request is whole') })
+  const peer = connect('')
+  await waitForPhase('idle')
+  await sendBeforeStall(peer, 'GET / HTTP/1.1\r\nHo', STALL_MS)
+  assert.match(await peer.received ?? '', /^HTTP\/1.1 408 /)
+})
+
+nodeTest.test('each server answers a head that it cannot read with a status and reads on until its peer has the answer', LIMIT, async (context) => {
+  const { connect } = await openServer(context, () => { assert.fail('no request is whole') })
+  const texts = await Promise.all([`GET / HTTP/1.1\r\nLong: ${'x'.repeat(BIG_BYTES)}\r\n\r\n`, 'no request\r\n\r\n'].map(async (text) => await connect(text).received))
+  assert.deepEqual(texts.map((text) => text?.slice(0, 13)), ['HTTP/1.1 431 ', 'HTTP/1.1 400 '])
+})
