Read what has arrived before a request is refused for a late head

Callers of a process that stood still while their head arrived got 408 although it was whole, or had just begun.

Cause: Node.js checks the time for heads by a timer, before it reads sockets, and then forgets the connection until the next request begins on it.

The tracker now answers 408 some turns of the event loop later, unless a request was read meanwhile or a head has only just begun, which Node.js limits anew.

--- a/packages/daemon/src/openTextServer/index.ts
+++ b/packages/daemon/src/openTextServer/index.ts
@@ -41,7 +41,6 @@
     response.on('error', () => {})
     answer(request, response).catch(() => { response.destroy() })
   })
-  server.on('clientError', (_error, socket) => { socket.destroy() })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(address.port, address.host, resolve)
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -1,6 +1,5 @@
 /** HTTP server for callers, with limits on request heads and idle connections, that can stop without interrupting requests. */
 import * as http from 'node:http'
-import type * as net from 'node:net'
 import * as rpc from '@switchridge/rpc'
 import type * as types from '@switchridge/types'
 import type * as createCallHandler from '../createCallHandler/index.js'
@@ -40,7 +39,6 @@
   server.requestTimeout = 0
   // The handler decides whether the caller may send its body.
   server.on('checkContinue', connections.handle)
-  server.on('clientError', (error, socket) => { if (!connections.isClosing(socket as net.Socket)) respondToClientError(error, socket as net.Socket) })
 
   function setLimits (limits: gateway.CallerLimits): void {
     (server as http.Server & { maxHeaderSize: number }).maxHeaderSize = limits.maximumHeaderBytes
@@ -61,20 +59,3 @@
     close: connections.abort
   }
 }
-
-const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
-}
-
-/** Answers an invalid or timed-out request and closes its connection. */
-function respondToClientError (error: NodeJS.ErrnoException, socket: net.Socket): void {
-  const pendingResponse = (socket as net.Socket & { _httpMessage?: http.ServerResponse })._httpMessage
-  if (error.code === 'ECONNRESET' || !socket.writable || pendingResponse?.headersSent === true) {
-    socket.destroy()
-    return
-  }
-  const status = STATUS_OF_ERROR[error.code ?? ''] ?? '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-  socket.destroySoon()
-}
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -19,8 +19,6 @@
   readonly handle: http.RequestListener
   /** Number of open connections by phase. */
   readonly count: () => Readonly<Record<ConnectionPhase, number>>
-  /** Whether the server has ended a connection; what its peer still sends must not be answered. */
-  readonly isClosing: (socket: net.Socket) => boolean
   /**
    * Stops accepting connections, asks peers to close theirs after the next response, and closes those that have been idle for {@link IDLE_CLOSE_MS}.
    * The server's timeouts stay in force. Resolves when no connection is open.
@@ -55,9 +53,19 @@
 /** In the first turn without a new connection, the event loop may not have looked for one. */
 const QUIET_TURNS = 2
 
+/** Statuses of requests that can't be parsed or whose head does not arrive in time, by the code of the error. */
+const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+const DEFAULT_ERROR_STATUS = '400 Bad Request'
+
 interface Connection {
   readonly socket: net.Socket
   readonly responses: Set<http.ServerResponse>
+  /** Number of requests whose head has been read. */
+  requests: number
   /** Since when no request is handled, a monotonic time in milliseconds. */
   idleSince: number
   /** Bytes that had arrived at that time. */
@@ -66,7 +74,7 @@
 }
 
 /**
- * Tracks the connections of a server and handles its requests. Every connection that the server ends is read on until its peer has ended it, too, or until
+ * Tracks the connections of a server, handles its requests, and refuses those that can't be parsed or don't arrive in time. Every connection that the server ends is read on until its peer has ended it, too, or until
  * {@link LINGER_MS} have passed.
  *
  * @param server - The server; it must not have accepted connections yet.
@@ -80,7 +88,7 @@
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const connection: Connection = { socket, responses: new Set(), idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
+    const connection: Connection = { socket, responses: new Set(), requests: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -96,6 +104,7 @@
       request.resume()
       return
     }
+    connection.requests += 1
     connection.responses.add(response)
     response.once('close', () => {
       connection.responses.delete(response)
@@ -146,12 +155,16 @@
     }
   }
 
-  /** Closes an idle connection unless a request, or a part of its head, had arrived while the process stood still: Node.js runs timers before it reads sockets. */
-  function closeAfterReads (connection: Connection): void {
+  /** Runs an action unless a request arrives on a connection, or had arrived while the process stood still: Node.js runs timers before it reads sockets. */
+  function runWithoutRequest (connection: Connection, action: () => void): void {
+    const { requests } = connection
+    clock.runAfterReads(() => { if (connection.requests === requests && !connection.isClosing) action() })
+  }
+
+  function closeIdleConnection (connection: Connection): void {
     const { socket, idleSince } = connection
     const { bytesRead } = socket
-    clock.runAfterReads(() => {
-      if (connection.idleSince !== idleSince) return
+    runWithoutRequest(connection, () => {
       const phase = readPhase(connection)
       const isStalled = phase === 'receiving' && socket.bytesRead === bytesRead
       // Node.js limits the time for the head; it does not for bytes that begin none, such as empty lines.
@@ -165,6 +178,14 @@
     })
   }
 
+  function refuseLateHead (connection: Connection, error: NodeJS.ErrnoException): void {
+    const wasIdle = readPhase(connection) === 'idle'
+    runWithoutRequest(connection, () => {
+      // Node.js limits the time of a head that has only just begun.
+      if (!wasIdle || readPhase(connection) === 'idle') refuse(connection, error)
+    })
+  }
+
   /** The event loop accepts one connection in each turn; those that the system has established would be reset together with the listening socket. */
   async function acceptEstablished (): Promise<void> {
     const acceptedBefore = accepted
@@ -208,7 +229,13 @@
   server.on('timeout', (socket: net.Socket) => {
     const connection = connections.get(socket)
     if (connection === undefined) socket.destroy()
-    else closeAfterReads(connection)
+    else closeIdleConnection(connection)
+  })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
+    const connection = connections.get(socket)
+    if (connection === undefined) socket.destroy()
+    else if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') refuseLateHead(connection, error)
+    else if (!connection.isClosing) refuse(connection, error)
   })
   return {
     handle: handleRequest,
@@ -217,7 +244,6 @@
       for (const connection of connections.values()) counts[readPhase(connection)] += 1
       return counts
     },
-    isClosing: (socket) => connections.get(socket)?.isClosing ?? true,
     drain,
     abort: () => {
       for (const connection of connections.values()) destroy(connection)
@@ -226,6 +252,17 @@
   }
 }
 
+/** Answers a request that can't be parsed or whose head does not arrive in time, and closes its connection. */
+function refuse ({ socket, responses }: Connection, { code = '' }: NodeJS.ErrnoException): void {
+  const [pendingResponse] = responses
+  if (code === 'ECONNRESET' || !socket.writable || pendingResponse?.headersSent === true) {
+    socket.destroy()
+    return
+  }
+  socket.end(`HTTP/1.1 ${STATUS_OF_ERROR[code] ?? DEFAULT_ERROR_STATUS}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  socket.destroySoon()
+}
+
 function readPhase ({ socket, responses, idleBytes, isClosing }: Connection): ConnectionPhase {
   if (isClosing) return 'closing'
   if (responses.size > 0) return [...responses].every((response) => response.writableEnded) ? 'delivering' : 'serving'
