--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -324,3 +324,12 @@
   const texts = await Promise.all([`GET / HTTP/1.1\r\nLong: ${'x'.repeat(BIG_BYTES)}\r\n\r\n`, 'no request\r\n\r\n'].map(async (text) => await connect(text).received))
   assert.deepEqual(texts.map((text) => text?.slice(0, 13)), ['HTTP/1.1 431 ', 'HTTP/1.1 400 '])
 })
+
+nodeTest.test('a request that arrives at a draining server that stands still until it would close the connection as idle is answered', LIMIT, async (context) => {
+  const { server: { tracker }, peer } = await openIdle(context)
+  const drained = tracker.drain()
+  await types.delay(trackConnections.IDLE_CLOSE_MS / 5)
+  await sendBeforeStall(peer, formatRequest('/next'), 2 * trackConnections.IDLE_CLOSE_MS)
+  assert.match(await peer.received ?? '', /Connection: close[^]*end of \/next$/)
+  await drained
+})
