Read what has arrived before a draining server closes an idle connection

Callers whose request had arrived while a draining process stood still saw the end of the connection instead of an answer.

Cause: the timer of the drain closes connections that have been idle for 500 ms, and runs before sockets are read; what is read afterwards is discarded.

The check now takes place some turns of the event loop after its timer, with the time of the timer, so that a request that is read meanwhile keeps its connection.

An idle connection of a drain is still ended and read on for 2 s: peers may hold unread bytes of its answer, which a reset would discard (a test of a whole gateway demands it), and a caller whose request crosses the close sees the end at once, so that nothing is gained by leaving it unread. A connection closed after its idle limit is destroyed: a request that crosses it is never read, and a peer that sends one has read the answer before it.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -149,10 +149,12 @@
   }
 
   function closeIdle (): void {
-    const now = performance.now()
-    for (const connection of connections.values()) {
-      if (readPhase(connection) === 'idle' && now - connection.idleSince >= IDLE_CLOSE_MS) closeGracefully(connection)
-    }
+    const idleBefore = performance.now() - IDLE_CLOSE_MS
+    clock.runAfterReads(() => {
+      for (const connection of connections.values()) {
+        if (readPhase(connection) === 'idle' && connection.idleSince <= idleBefore) closeGracefully(connection)
+      }
+    })
   }
 
   /** Runs an action unless a request arrives on a connection, or had arrived while the process stood still: Node.js runs timers before it reads sockets. */
