Send requests after a stall only once ends of kept connections have been read

Requests between daemons, to the store and to back ends over a kept connection that the peer had closed while this process stood still failed with socket hang up, which leaves unknown whether a call ran.

Cause: after a pause or a busy time the end of the connection waits unread in its socket, and the agent takes the connection for open: because it rested meanwhile, or because its last answer is read just before its end.

Agents that keep connections defer requests after one for some turns of the event loop, in which the ends are read and the connections leave the pool. Nothing is closed that is open.

--- a/packages/rpc/src/createHttpAgents/index.ts
+++ b/packages/rpc/src/createHttpAgents/index.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as https from 'node:https'
 import type * as net from 'node:net'
+import * as clock from '@switchridge/clock'
 
 /** Certificate, private key and certificate authority in PEM. */
 export interface TlsMaterial {
@@ -51,14 +52,20 @@
     return Object.assign(socket, { endpoint })
   }
 
+  /** A connection that the peer closed while this process stood still looks open until its end is read. */
+  const stallGuard = clock.createStallGuard()
   const httpAgent = new http.Agent({ keepAlive: true, maxFreeSockets: MAXIMUM_IDLE_SOCKETS, noDelay: true })
   const tlsOptions = tls === undefined ? {} : { cert: tls.certificate, key: tls.privateKey, ca: tls.authority }
   const httpsAgent = new https.Agent({ keepAlive: true, maxFreeSockets: MAXIMUM_IDLE_SOCKETS, ...tlsOptions })
   const noKeepAliveAgents = { http: new http.Agent({ keepAlive: false, noDelay: true }), https: new https.Agent({ keepAlive: false, ...tlsOptions }) }
-  for (const agent of [httpAgent, httpsAgent, noKeepAliveAgents.http, noKeepAliveAgents.https] as unknown as ConnectionFactory[]) {
+  for (const agent of [httpAgent, httpsAgent, noKeepAliveAgents.http, noKeepAliveAgents.https] as unknown as AgentMethods[]) {
     const connect = agent.createConnection.bind(agent)
     agent.createConnection = (options, callback) => trackSocket(connect(options, callback), options)
   }
+  for (const agent of [httpAgent, httpsAgent] as unknown as AgentMethods[]) {
+    const addRequest = agent.addRequest.bind(agent)
+    agent.addRequest = (request, options) => { stallGuard.run(() => { addRequest(request, options) }) }
+  }
   return {
     http: httpAgent,
     https: httpsAgent,
@@ -69,6 +76,7 @@
       for (const socket of openSockets) if (endpoints.has((socket as net.Socket & { endpoint: string }).endpoint)) socket.destroy()
     },
     destroy: () => {
+      stallGuard.stop()
       for (const agent of [httpAgent, httpsAgent, noKeepAliveAgents.http, noKeepAliveAgents.https]) agent.destroy()
     }
   }
@@ -77,7 +85,8 @@
 /** Errors are reported by the request that uses the socket; a socket that no request uses, not yet or no longer, has nobody to report to. */
 function ignoreError (): void {}
 
-/** The method of an agent that opens connections, which the Node.js type definitions omit. */
-interface ConnectionFactory {
+/** Methods of an agent that the Node.js type definitions omit: one opens a connection, the other gives a request a kept one or a new one. */
+interface AgentMethods {
   createConnection: (options: ConnectionOptions, callback?: () => void) => net.Socket
+  addRequest: (request: http.ClientRequest, options: ConnectionOptions) => void
 }
