Show resumable streams that are given up before their first event

A gateway answers 502 "no first event in time" at three times the target of the route, though the only engine that can serve the stream is only silent.

--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -56,8 +56,8 @@
   return `id: ${id}\ndata: ${id}\n\n`
 }
 
-/** Runs a resumable stream whose first engine has sent event 1 and is silent since then. */
-async function createFixture (context: nodeTest.TestContext): Promise<Fixture> {
+/** Runs a resumable stream whose first engine has sent event 1, unless the stream has not begun, and is silent since then. */
+async function createFixture (context: nodeTest.TestContext, { hasBegun = true } = {}): Promise<Fixture> {
   context.mock.timers.enable({ apis: ['setTimeout'] })
   const engines: Engine[] = []
   const tracker = createBackEndTracker.createBackEndTracker(() => 0)
@@ -151,8 +151,10 @@
   })
   const ending = runAttempts.runAttempts(call, reply as never, options)
   await settle()
-  await engines[0]?.answer(1)
-  await engines[0]?.send(event(1))
+  if (hasBegun) {
+    await engines[0]?.answer(1)
+    await engines[0]?.send(event(1))
+  }
   return Object.assign(fixture, {
     ending,
     wait: async (milliseconds: number) => {
@@ -290,3 +292,16 @@
   await at(fixture, 2).answer(1)
   await finish(fixture, at(fixture, 2), 3)
 })
+
+nodeTest.test('a stream without any event is not given up for the silence of its engine if no other engine can serve it', LIMIT, async (context) => {
+  for (const answersAtOnce of [true, false]) {
+    const fixture = await createFixture(context, { hasBegun: false })
+    fixture.ids = ['i-1']
+    if (answersAtOnce) await at(fixture, 0).answer(1)
+    for (let round = 0; round < 3; round += 1) await fixture.wait(SILENCE_MS)
+    assert.equal(at(fixture, 0).isAborted(), false)
+    if (!answersAtOnce) await at(fixture, 0).answer(1)
+    await finish(fixture, at(fixture, 0), 1)
+    context.mock.timers.reset()
+  }
+})
