Wait for silent engines of resumable streams that have not begun

Callers of a resumable stream got 502 "no first event in time" at three times the target of its route (800 ms at least), long before their deadline, though the only engine that could serve them was only silent.

Cause: after the time-out the attempt was aborted before it was known whether another engine could take the stream over. Only streams that had begun were kept open meanwhile.

Now a time-out never ends an attempt. It requests another engine, which gets the stream if one may have it (most attempts of the route, retry budget, permits, versions, exclusions, drain); the first with an event, or with an answer that is no stream, serves the call and aborts the others. Without one the silent attempt is waited for until the deadline. The silence is recorded when the time-out fires, once for each attempt (the engine is avoided, the prediction error is noted, attempt-silent is logged), because the attempt may stay open until the deadline. A server error is kept and passed on only if the other attempts bring nothing. The version of a stream is bound by its first event, and no longer by the head of an answer without any.

What the queue places of silent engines cost under overload was not measured.

--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -43,6 +43,8 @@
   mayHaveRun: boolean
   /** Milliseconds until the first event that the first choice predicted; null before a choice. */
   predictedMs: number | null
+  /** Whether the error of that prediction was recorded. */
+  isPredictionNoted: boolean
   /** Monotonic time in milliseconds of the first event, or of a response that is not a stream. */
   firstEventAt: number | null
   /** How long the call was held, and its place in the queue when it was first held; null if it wasn't. */
@@ -86,6 +88,7 @@
     attempts: 0,
     mayHaveRun: false,
     predictedMs: null,
+    isPredictionNoted: false,
     firstEventAt: null,
     wait: null,
     hasUnframedAnswer: false,
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -12,6 +12,7 @@
 import * as callState from './callState.js'
 import * as createMarginNotes from './createMarginNotes.js'
 import type * as callOptions from './callOptions.js'
+import * as noteOutcome from './noteOutcome.js'
 import * as raceAttempts from './raceAttempts.js'
 
 /** A back end's response, read to its end. */
@@ -43,7 +44,7 @@
 export interface StreamState {
   /** Splitter of the attempt that was the last to pass on events; before the first one it only knows the event id that the caller gave. */
   splitter: createEventSplitter.EventSplitter
-  /** Version of the weights that began the stream; only this version may resume it. */
+  /** Version of the weights that began the stream, which only this version may resume; null before the first event. */
   version: number | null
   /** Whether HTTP framing marks the end of the response that was started; null before the start. */
   isFramed: boolean | null
@@ -53,7 +54,7 @@
 const CONNECT_TIMEOUT_MS = 250
 /** Size of the largest response that is buffered in memory before it is forwarded. */
 const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024
-/** Timeout for the first event as a multiple of the target; after it a resumable stream is requested from another back end. */
+/** Timeout for the first event as a multiple of the target; after it a resumable stream is requested from another back end, too. */
 const FIRST_EVENT_TIMEOUT_FACTOR = 3
 /** Timeout for the next event as a multiple of the route's gap target; after it a stream is requested from another back end, too. */
 const NEXT_EVENT_TIMEOUT_FACTOR = 2.5
@@ -102,7 +103,7 @@
  * @param choice - The back end.
  * @param open - The attempt as the back end records know it.
  * @param options - Protocol, records and clock.
- * @param contender - The attempt among those of the call that are open at the same time. A silent attempt of a stream that has begun requests another one, and is waited for.
+ * @param contender - The attempt among those of the call that are open at the same time. A silent attempt of a resumable stream requests another one, and is waited for.
  * @returns How the attempt ended.
  */
 export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options, contender: raceAttempts.Contender = raceAttempts.SOLE_CONTENDER): Promise<AttemptOutcome> {
@@ -134,7 +135,7 @@
   contender.setAbort(abort)
   if (call.isCallerGone() || call.isExpired()) abort()
   const waitsForDeadline = !(route.kind === 'stream' && route.isResumable)
-  const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), isGivenUp, abort)
+  const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), contender.requestNext)
   const cancelWithdrawal = scheduleWithdrawal()
   const start = await attempt.start
   if (start.kind === 'not-sent') {
@@ -144,7 +145,7 @@
   call.attempts += 1
   if (start.kind === 'no-answer') {
     margin.noteNoAnswer()
-    return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
+    return finish(broken(contender.readReplacedBy() === 'later' ? 'no first event in time' : start.reason, start.isClosedByPeer))
   }
   const answer = options.protocol.readAnswer(start.response, head.requestId)
   if (isSuccess(answer)) margin.noteAnswer(answer.version)
@@ -154,10 +155,8 @@
   if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
   if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
   if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
-  if (reply.hasStarted() && isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
-  stream.version = answer.version ?? stream.version
-  const relayed = await relayStream(start, answer)
-  return finish(relayed)
+  if (isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
+  return finish(await relayStream(start, answer))
 
   /**
    * Records the rate limit that a response advertises. A response to another call, or from another process at the address, is ignored. Only a success
@@ -175,13 +174,6 @@
     options.backoffs.noteResponse(choice.backEnd, options.protocol.readBackoffRequest(response), isSuccess(read))
   }
 
-  /** Whether a back end that is silent is given up, which no stream is that has begun: it may go on as long as no other back end does. */
-  function isGivenUp (): boolean {
-    if (!reply.hasStarted()) return true
-    contender.requestNext()
-    return false
-  }
-
   function isOtherVersion ({ version }: AnsweredHead): boolean {
     return version !== null && stream.version !== null && version !== stream.version
   }
@@ -209,7 +201,7 @@
     open.hasResponded = true
     if (call.firstEventAt !== null) return
     call.firstEventAt = options.now()
-    if (call.attempts === 1 && call.predictedMs !== null) options.errorBoundOf(call.service).note(call.predictedMs, call.firstEventAt - call.receivedAt)
+    if (call.attempts === 1) noteOutcome.notePrediction(call, options)
   }
 
   function broken (reason: string, isClosedByPeer: boolean): AttemptOutcome {
@@ -231,6 +223,7 @@
     if (reply.hasStarted()) return broken(`status ${answered.status} instead of a stream`, false)
     const buffered = { status: answered.status, headers: answered.headers, body: body.body, isFramed: received.isFramed }
     if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: buffered }
+    if (!contender.claim()) return broken('overtaken', false)
     call.hasUnframedAnswer = !received.isFramed
     reply.sendBuffered(buffered.status, buffered.headers, buffered.body, buffered.isFramed)
     return { kind: 'done', isCertain: end === 'whole', isSuccess: answered.status < FIRST_REDIRECTION_STATUS }
@@ -243,8 +236,7 @@
       let hasResponseEnded = false
       response.on('data', (bytes: Buffer) => {
         const whole = readDeliverable(bytes)
-        if (whole === null || !contender.claim()) return
-        stream.splitter = splitter
+        if (whole === null || !claimStream()) return
         noteResponse()
         eventTimer.restart(nextEventMs)
         if (!reply.hasStarted()) beginStream()
@@ -282,7 +274,7 @@
           failStream(ENDED_REASON)
           return
         }
-        if (!contender.claim()) {
+        if (!claimStream()) {
           failStream('stream ended')
           return
         }
@@ -292,14 +284,21 @@
         resolve({ kind: 'done', isCertain: end === 'whole' && open.hasResponded, isSuccess: true })
       }
 
+      /** Makes this attempt the one that serves the stream, whose version is the one that resumes it from now on; returns false if another one has replaced it. */
+      function claimStream (): boolean {
+        if (!contender.claim()) return false
+        stream.splitter = splitter
+        stream.version = answered.version ?? stream.version
+        return true
+      }
+
       function beginStream (): void {
         stream.isFramed = isFramed
         reply.beginStream(answered.status, answered.headers, isFramed)
       }
 
       function failStream (reason: string): void {
-        const isSilent = eventTimer.hasExpired() || contender.readReplacedBy() === 'later'
-        resolve(broken(isSilent ? 'no event in time' : reason, true))
+        resolve(broken(contender.readReplacedBy() === 'later' ? 'no event in time' : reason, true))
       }
     })
   }
@@ -318,15 +317,13 @@
   /** Sets the timeout for the next event; has no effect on a timer that was created without a timeout. */
   readonly restart: (timeoutMs: number) => void
   readonly stop: () => void
-  readonly hasExpired: () => boolean
 }
 
 /**
- * Aborts an attempt whose response brings no event within a timeout, unless `isGivenUp` returns false then; it is asked again after the same time. Without a timeout for
- * the first event the attempt waits for the deadline.
+ * Calls `onSilence` whenever a response has brought no event within a timeout since the last one or the last call. Without a timeout for the first event it is never
+ * called.
  */
-function createEventTimer (firstTimeoutMs: number | null, isGivenUp: () => boolean, abort: () => void): EventTimer {
-  let hasExpired = false
+function createEventTimer (firstTimeoutMs: number | null, onSilence: () => void): EventTimer {
   let cancel = (): void => {}
 
   function start (timeoutMs: number): void {
@@ -335,17 +332,12 @@
   }
 
   function expire (timeoutMs: number): void {
-    if (!isGivenUp()) {
-      start(timeoutMs)
-      return
-    }
-    hasExpired = true
-    abort()
+    start(timeoutMs)
+    onSilence()
   }
 
   if (firstTimeoutMs !== null) start(firstTimeoutMs)
   return {
-    hasExpired: () => hasExpired,
     stop: () => { cancel() },
     restart: (timeoutMs) => {
       if (firstTimeoutMs === null) return
--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -21,7 +21,9 @@
 const LIMIT = { timeout: 10_000 }
 
 /** What an engine's answer says; a `number` is the version of the weights of a stream. */
-type Head = number | 'refused' | 'not-reached' | 'broken'
+type Head = number | 'refused' | 'not-reached' | 'broken' | 'error' | 'not-found'
+
+const STATUSES = { error: 500, 'not-found': 404 }
 
 interface Engine {
   readonly id: string
@@ -45,6 +47,10 @@
   retries: number
   isBlocked: boolean
   needsPermit: boolean
+  /** Whether the gateway ends before a call that is sent now. */
+  isEnding: boolean
+  /** The version that each choice was bound to. */
+  readonly pinnedVersions: Array<number | null>
   ids: string[]
 }
 
@@ -56,6 +62,12 @@
   return `id: ${id}\ndata: ${id}\n\n`
 }
 
+function readHead (head: Head): unknown {
+  if (head === 'refused') return { kind: 'not-run', status: 503, reason: 'full' }
+  if (head === 'error' || head === 'not-found') return { kind: 'answered', status: STATUSES[head], headers: [], isStream: false, version: null }
+  return { kind: 'answered', status: 200, headers: [], isStream: true, version: head }
+}
+
 /** Runs a resumable stream whose first engine has sent event 1, unless the stream has not begun, and is silent since then. */
 async function createFixture (context: nodeTest.TestContext, { hasBegun = true } = {}): Promise<Fixture> {
   context.mock.timers.enable({ apis: ['setTimeout'] })
@@ -81,7 +93,8 @@
     },
     onDrain: () => {},
     endStream: () => { received += 'end' },
-    refuse: () => { received += 'refused' },
+    sendBuffered: (status: number) => { received += `status ${status}` },
+    refuse: (status: number) => { received += `refused ${status}` },
     abort: () => { received += 'cut' }
   }
 
@@ -97,7 +110,7 @@
       answer: async (head) => {
         if (head === 'not-reached') respond({ kind: 'not-sent', reason: 'refused' })
         else if (head === 'broken') respond({ kind: 'no-answer', reason: 'connection closed', isClosedByPeer: true })
-        else respond({ kind: 'answer', response: Object.assign(response, { head }) as unknown as http.IncomingMessage, isFramed: true, isWhole: () => !response.errored })
+        else respond({ kind: 'answer', response: Object.assign(response, { head, complete: true }) as unknown as http.IncomingMessage, isFramed: true, isWhole: () => !response.errored })
         await settle()
       },
       send: async (bytes) => {
@@ -121,14 +134,14 @@
     }
   }
 
-  const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false, ids: ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] }
+  const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false, isEnding: false, pinnedVersions: [] as Array<number | null>, ids: ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] }
   const options = handlerTesting.createHandlerOptions({}, {
     now: () => 0,
     tracker,
     sendAttempt: ({ headers: [id = '', lastEventId = ''] }) => startAttempt(id, lastEventId === '' ? null : lastEventId),
     protocol: {
       formatAttempt: (_head: unknown, { backEnd, lastEventId }: { backEnd: string, lastEventId: string | null }) => [backEnd, lastEventId ?? ''],
-      readAnswer: ({ head }: { head: Head }) => head === 'refused' ? { kind: 'not-run', status: 503, reason: 'full' } : { kind: 'answered', status: 200, headers: [], isStream: true, version: head },
+      readAnswer: ({ head }: { head: Head }) => readHead(head),
       readAdvertisedRate: () => ({ kind: 'none' }),
       readBackoffRequest: () => ({ kind: 'none' }),
       announcesLeaving: () => false
@@ -140,7 +153,8 @@
         return fixture.retries >= 0
       }
     }),
-    choose: ({ tried, mayRequestPermit }) => {
+    choose: ({ tried, mayRequestPermit, version }) => {
+      fixture.pinnedVersions.push(version)
       const id = fixture.ids.map((name) => types.brandId<types.NodeId>(name)).find((name) => !tried.has(name))
       const backEnd = { id, bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
       const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }
@@ -149,7 +163,7 @@
     limiter: { readAllowance: () => null, noteResponse: () => {}, acquire: async () => ({ isGranted: false, waitMs: 1 }) } as unknown as callOptions.CallHandlerOptions['limiter'],
     guard: { isActive: () => true, readBlockedMs: () => fixture.isBlocked ? 1 : null, noteServed: () => {}, noteConnectionLost: async () => {}, onBlocked: () => {} } as unknown as callOptions.CallHandlerOptions['guard']
   })
-  const ending = runAttempts.runAttempts(call, reply as never, options)
+  const ending = runAttempts.runAttempts(call, reply as never, options, () => !fixture.isEnding)
   await settle()
   if (hasBegun) {
     await engines[0]?.answer(1)
@@ -305,3 +319,106 @@
     context.mock.timers.reset()
   }
 })
+
+for (const head of ['refused', 'not-reached', 'broken', 'error'] as const) {
+  nodeTest.test(`a stream without any event is not given up if the next engine can't serve it: ${head}`, LIMIT, async (context) => {
+    const fixture = await createFixture(context, { hasBegun: false })
+    await fixture.wait(SILENCE_MS)
+    await at(fixture, 1).answer(head)
+    if (head === 'error') await at(fixture, 1).send(null)
+    assert.equal(at(fixture, 0).isAborted(), false)
+    await at(fixture, 0).answer(1)
+    await finish(fixture, at(fixture, 0), 1)
+  })
+}
+
+nodeTest.test('a stream without any event is served by the first engine that has one, whatever version the silent one has named', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false })
+  await at(fixture, 0).answer(1)
+  await fixture.wait(SILENCE_MS)
+  await at(fixture, 1).answer(2)
+  assert.equal(at(fixture, 0).isAborted(), false)
+  await Promise.all([at(fixture, 1).send(event(1)), at(fixture, 0).send(event(1))])
+  assert.equal(at(fixture, 0).isAborted(), true)
+  await fixture.wait(SILENCE_MS)
+  assert.deepEqual(fixture.pinnedVersions, [null, null, 2])
+  await finish(fixture, at(fixture, 1), 2)
+})
+
+nodeTest.test('a stream without any event waits for its silent engine where a permit is refused, the retry budget is spent or the gateway ends', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false })
+  for (const change of [{ needsPermit: true }, { needsPermit: false, retries: 0 }, { retries: MAXIMUM_ATTEMPTS, isEnding: true }]) {
+    Object.assign(fixture, change)
+    await fixture.wait(SILENCE_MS)
+  }
+  assert.equal(fixture.engines.length, 1)
+  assert.equal(fixture.retries, MAXIMUM_ATTEMPTS)
+  await at(fixture, 0).answer(1)
+  await finish(fixture, at(fixture, 0), 1)
+})
+
+nodeTest.test('a stream without any event is open at no more engines than the most attempts of its route, and at none after its deadline', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false })
+  fixture.retries = 100
+  for (let round = 0; round < 6; round += 1) await fixture.wait(SILENCE_MS)
+  assert.equal(fixture.engines.length, MAXIMUM_ATTEMPTS)
+  assert.ok(fixture.engines.every((engine) => !engine.isAborted()))
+  fixture.call.expire()
+  assert.ok(fixture.engines.every((engine) => engine.isAborted()))
+  assert.equal(await fixture.ending, 'expired')
+  assert.equal(fixture.received(), 'refused 504')
+})
+
+nodeTest.test('an engine without any event in time is avoided while its attempt is open, and once only', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false })
+  fixture.ids = ['i-1']
+  await fixture.wait(SILENCE_MS - 1)
+  assert.equal(fixture.tracker.read(types.brandId('i-1')).avoidedUntil, 0)
+  await fixture.wait(1)
+  const { avoidedUntil } = fixture.tracker.read(types.brandId('i-1'))
+  assert.ok(avoidedUntil > 0)
+  fixture.ids = ['i-1', 'i-2']
+  await fixture.wait(SILENCE_MS)
+  await at(fixture, 1).answer(1)
+  await finish(fixture, at(fixture, 1), 1)
+  assert.equal(at(fixture, 0).isAborted(), true)
+  assert.equal(fixture.tracker.read(types.brandId('i-1')).avoidedUntil, avoidedUntil)
+})
+
+nodeTest.test('an answer that is no stream ends a call whose other engine is silent, which is aborted; a server error does so only if the other one breaks off', LIMIT, async (context) => {
+  for (const head of ['not-found', 'error'] as const) {
+    const fixture = await createFixture(context, { hasBegun: false })
+    await fixture.wait(SILENCE_MS)
+    await at(fixture, 1).answer(head)
+    await at(fixture, 1).send(null)
+    assert.equal(at(fixture, 0).isAborted(), head === 'not-found')
+    fixture.ids = []
+    if (head === 'error') await at(fixture, 0).answer('broken')
+    assert.equal(await fixture.ending, 'answered')
+    assert.equal(fixture.received(), `status ${STATUSES[head]}`)
+    context.mock.timers.reset()
+  }
+})
+
+nodeTest.test('a call is refused as not run only if all engines that it was open at have refused it', LIMIT, async (context) => {
+  for (const head of ['refused', 'broken'] as const) {
+    const fixture = await createFixture(context, { hasBegun: false })
+    await fixture.wait(SILENCE_MS)
+    fixture.ids = []
+    await at(fixture, 0).answer(head)
+    await at(fixture, 1).answer('refused')
+    assert.equal(await fixture.ending, head === 'refused' ? 'refused' : 'failed')
+    assert.equal(fixture.received(), head === 'refused' ? 'refused 503' : 'refused 502')
+    context.mock.timers.reset()
+  }
+})
+
+nodeTest.test('no other engine is requested if the event of a stream has arrived when the timeout for it fires', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false })
+  await at(fixture, 0).answer(1)
+  const waited = fixture.wait(SILENCE_MS)
+  await new Promise(setImmediate)
+  await Promise.all([waited, at(fixture, 0).send(event(1))])
+  assert.equal(fixture.engines.length, 1)
+  await finish(fixture, at(fixture, 0), 2)
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -151,8 +151,7 @@
       }
       if (noteIfBlocked()) return endUnserved()
       if (!isStillEligible(choice)) continue
-      // A stream that has begun goes on for as long as the process does.
-      if (!reply.hasStarted() && !mayFinish(choice.firstEventMs)) {
+      if (!mayFinishAt(choice)) {
         if (!call.mayHaveRun) options.count('calls_refused_draining')
         lastReason = callState.DRAIN_REASON
         retryAfterMs = callState.DRAIN_RETRY_MS
@@ -172,7 +171,6 @@
       if (call.isCallerGone()) return 'left'
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
-      if (outcome.kind === 'failed-answer') failedAnswer = outcome.answer
       if (call.isExpired()) {
         lastReason = `no answer within ${Math.round(call.deadline.at - call.receivedAt)} ms`
         return endUnserved()
@@ -207,18 +205,24 @@
     return !isResting && options.findExclusion(choice.backEnd, call.allowedRegions) === null
   }
 
-  /** Finds another back end for a stream that has begun and whose back ends are silent, and spends the retry; null if the call may not be sent to any now. */
+  /** Finds another back end for a stream whose back ends are silent, and spends the retry; null if the call may not be sent to any now. */
   async function findNext (isWanted: () => boolean): Promise<runAttempt.PermittedChoice | null> {
     if (!mayAttempt()) return null
-    const { choice } = choose(call.tried, false)
+    const isLate = !reply.hasStarted() && !canMeetTarget(0)
+    const { choice } = choose(call.tried, isLate)
     if (choice === null) return null
-    const permitted = needsPermit(choice, false) ? await acquirePermit(choice, false) : choice
-    if (permitted === null || !isWanted() || !mayAttempt() || !isStillEligible(choice)) return null
+    const permitted = needsPermit(choice, isLate) ? await acquirePermit(choice, isLate) : choice
+    if (permitted === null || !isWanted() || !mayAttempt() || !isStillEligible(choice) || !mayFinishAt(choice)) return null
     if (!budget.trySpend()) return null
     options.logger.info('attempt-added', { id: call.head.requestId, backEnd: choice.backEnd.id, silent: backEnd })
     return permitted
   }
 
+  /** Whether the call may be sent to a back end in a draining gateway. A stream that has begun goes on for as long as the process does. */
+  function mayFinishAt ({ firstEventMs }: chooseBackEnd.Choice): boolean {
+    return reply.hasStarted() || mayFinish(firstEventMs)
+  }
+
   function mayAttempt (): boolean {
     return sentCount < call.route.maximumAttempts && !call.isCallerGone() && !call.isExpired() && readBlockedMs() === null
   }
@@ -393,6 +397,7 @@
 
   async function attempt (choice: runAttempt.PermittedChoice, contender: raceAttempts.Contender): Promise<runAttempt.AttemptOutcome> {
     let isWithdrawn = false
+    let isSilenceNoted = false
     call.tried.add(choice.backEnd.id)
     sentCount += 1
     const open: createBackEndTracker.OpenAttempt = {
@@ -410,6 +415,14 @@
         if (isOurs) backEnd = choice.backEnd.id
         return isOurs
       },
+      requestNext: () => {
+        if (!reply.hasStarted() && !isSilenceNoted) {
+          isSilenceNoted = true
+          noteOutcome.noteSilence(call, choice, options)
+          if (sentCount === 1) noteOutcome.noteUnansweredAttempt(call, options)
+        }
+        contender.requestNext()
+      },
       setAbort: (abort) => {
         contender.setAbort(abort, () => {
           if (open.hasResponded) return
@@ -420,13 +433,14 @@
     })
     options.tracker.noteEnded(choice.backEnd.id, open)
     if (outcome.kind === 'not-sent') sentCount -= 1
+    if (outcome.kind === 'failed-answer') failedAnswer = outcome.answer
     if (contender.readReplacedBy() === 'earlier') {
       call.tried.delete(choice.backEnd.id)
       noteOutcome.noteOvertaken(call, choice, options)
-    } else if (!call.isCallerGone() && !call.isExpired() && !isWithdrawn) noteOutcome.noteOutcome(call, choice, outcome, options)
+    } else if (!call.isCallerGone() && !call.isExpired() && !isWithdrawn) noteOutcome.noteOutcome(call, choice, outcome, options, isSilenceNoted && contender.readReplacedBy() === 'later')
     if (outcome.kind === 'broken' && outcome.isClosedByPeer) await options.guard.noteConnectionLost(choice.backEnd, call)
     if (outcome.kind === 'done' && outcome.isCertain) options.guard.noteServed(outcome.isSuccess ? call : { ...call, parts: [] })
-    if (outcome.kind === 'broken' && !open.hasResponded) noteOutcome.noteUnansweredAttempt(call, options)
+    if (outcome.kind === 'broken' && !open.hasResponded && call.attempts === 1) noteOutcome.noteUnansweredAttempt(call, options)
     return outcome
   }
 
