Show a stream that is taken back although its engine has begun it

A gateway aborts an attempt without any event shortly after the bound of the version, also if the head of its answer has arrived, which an engine sends only once it has begun the call.

--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -68,8 +68,8 @@
   return { kind: 'answered', status: 200, headers: [], isStream: true, version: head }
 }
 
-/** Runs a resumable stream whose first engine has sent event 1, unless the stream has not begun, and is silent since then. */
-async function createFixture (context: nodeTest.TestContext, { hasBegun = true } = {}): Promise<Fixture> {
+/** Runs a stream, resumable if not said otherwise, whose first engine has sent event 1, unless the stream has not begun, and is silent since then. */
+async function createFixture (context: nodeTest.TestContext, { hasBegun = true, isResumable = true, mustBeginBy = Infinity } = {}): Promise<Fixture> {
   context.mock.timers.enable({ apis: ['setTimeout'] })
   const engines: Engine[] = []
   const tracker = createBackEndTracker.createBackEndTracker(() => 0)
@@ -77,7 +77,7 @@
   let hasStarted = false
   const call = callState.createCallState({
     head: { requestId: 'r', host: 'h', path: '/x', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, promptParts: [], lastEventId: null, remainingMs: DEADLINE_MS },
-    route: { name: 'x', kind: 'stream', isResumable: true, timeoutMs: DEADLINE_MS, targetMs: 100, gapTargetMs: 100, maximumAttempts: MAXIMUM_ATTEMPTS },
+    route: { name: 'x', kind: 'stream', isResumable, timeoutMs: DEADLINE_MS, targetMs: 100, gapTargetMs: 100, maximumAttempts: MAXIMUM_ATTEMPTS },
     tenant: null,
     service: types.brandId('llm'),
     body: null,
@@ -137,6 +137,10 @@
   const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false, isEnding: false, pinnedVersions: [] as Array<number | null>, ids: ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] }
   const options = handlerTesting.createHandlerOptions({}, {
     now: () => 0,
+    at: (time, action) => {
+      const timer = setTimeout(action, time)
+      return () => { clearTimeout(timer) }
+    },
     tracker,
     sendAttempt: ({ headers: [id = '', lastEventId = ''] }) => startAttempt(id, lastEventId === '' ? null : lastEventId),
     protocol: {
@@ -157,7 +161,7 @@
       fixture.pinnedVersions.push(version)
       const id = fixture.ids.map((name) => types.brandId<types.NodeId>(name)).find((name) => !tried.has(name))
       const backEnd = { id, bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
-      const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }
+      const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy, olderVersion: null }
       return { choice: id === undefined || (fixture.needsPermit && !mayRequestPermit) ? null : choice, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity } as unknown as chooseBackEnd.ChoiceOutcome
     },
     limiter: { readAllowance: () => null, noteResponse: () => {}, acquire: async () => ({ isGranted: false, waitMs: 1 }) } as unknown as callOptions.CallHandlerOptions['limiter'],
@@ -422,3 +426,23 @@
   assert.equal(fixture.engines.length, 1)
   await finish(fixture, at(fixture, 0), 2)
 })
+
+nodeTest.test('a stream that its engine has begun is not taken back while it is silent at the bound of its version', LIMIT, async (context) => {
+  for (const isResumable of [true, false]) {
+    const fixture = await createFixture(context, { hasBegun: false, isResumable, mustBeginBy: SILENCE_MS })
+    fixture.ids = ['i-1']
+    await at(fixture, 0).answer(1)
+    for (let round = 0; round < 3; round += 1) await fixture.wait(SILENCE_MS)
+    assert.equal(at(fixture, 0).isAborted(), false)
+    await finish(fixture, at(fixture, 0), 1)
+    context.mock.timers.reset()
+  }
+})
+
+nodeTest.test('a stream that its engine may not have begun is taken back at the bound of its version, and sent to another one', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false, mustBeginBy: SILENCE_MS / 2 })
+  await fixture.wait(SILENCE_MS - 1)
+  assert.equal(at(fixture, 0).isAborted(), true)
+  await at(fixture, 1).answer(2)
+  await finish(fixture, at(fixture, 1), 1)
+})
