Take back no call that its engine has begun

Beside a change of versions, a stream whose engine had answered with its head and was then silent was aborted 0.3 s after the last time at which calls may begin on the engine's version: its caller got 502, or, where it could be repeated, the work began anew at another engine. It struck streams that can't be resumed, too.

Cause: the withdrawal asked whether an event had arrived. It is there for calls that the engine may begin too late, and an engine answers with the head of a success only once it has begun (createMarginNotes counts on the same).

Now the head of a success cancels the withdrawal. A call without one is taken back as before, and sent to another engine.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -148,7 +148,11 @@
     return finish(broken(contender.readReplacedBy() === 'later' ? 'no first event in time' : start.reason, start.isClosedByPeer))
   }
   const answer = options.protocol.readAnswer(start.response, head.requestId)
-  if (isSuccess(answer)) margin.noteAnswer(answer.version)
+  if (isSuccess(answer)) {
+    // An engine answers so only once it has begun the call.
+    cancelWithdrawal()
+    margin.noteAnswer(answer.version)
+  }
   noteRate(answer, start.response)
   noteBackoff(answer, start.response)
   if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
