Add failing tests of members whose state hubs do not tell each other

What callers saw: nothing was recorded; an entry node that takes an ended backend server for live goes on sending calls there, and one that takes a live one for gone does not use it.

Two hubs of a hall that both heard a member keep it live after its end: each trusts the claim of the other, so that its own condition does not change, and only changes of its own condition are told. The same omission the other way round is the listed failure of createHeartbeats/halls: a hub that first knew a member from another entry node tells nothing once the member reports to it.

--- a/packages/daemon/src/createHeartbeats/halls.test.ts
+++ b/packages/daemon/src/createHeartbeats/halls.test.ts
@@ -25,6 +25,8 @@
 const SETTLED_MS = 60_000
 const DRAINS = 4
 const DRAIN_OBSERVED_MS = 5000
+/** Several silence limits: of the hub that a daemon reported to, and of the entry nodes that hear of it from there. */
+const END_OBSERVED_MS = 15_000
 
 interface Daemon {
   readonly self: createSelfFacts.SelfFacts
@@ -150,3 +152,20 @@
   }
   assert.deepEqual(unknown, [])
 })
+
+nodeTest.test('no entry node takes daemons for live that have ended in a steady fleet of two halls', async (context) => {
+  const takenForLive: string[] = []
+  for (const seed of SEEDS) {
+    const fleet = startFleet(context, standins.createSeededRandom(seed * SEED_FACTOR))
+    await fleet.advance(SETTLED_MS)
+    const ended = fleet.daemons.filter(({ self }) => self.read().role === 'backend').filter((_, index) => index % DRAINS === 0)
+    for (const { heartbeats } of ended) heartbeats.stop()
+    await fleet.advance(END_OBSERVED_MS)
+    for (const entryNode of fleet.daemons.filter(({ self }) => self.read().role === 'entry')) {
+      for (const each of ended) if (entryNode.view.find(readName(each))?.condition === 'live') takenForLive.push(`seed ${seed}: ${readName(entryNode)} takes ${readName(each)} for live`)
+    }
+    for (const { heartbeats } of fleet.daemons) heartbeats.stop()
+    context.mock.timers.reset()
+  }
+  assert.deepEqual(takenForLive, [])
+})
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -157,4 +157,35 @@
     assert.equal(view.changesSince(0, 'first-hand').claims.length, 0)
     assert.equal(view.changesSince(0, 'all').claims.length, 1)
   })
+
+  test.it('tells other hubs of a member that it first knew from a relay, as soon as the member reports to it', () => {
+    const { view } = createView()
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1'), condition: 'live', leaving: false }])
+    const before = view.changesSince(0, 'first-hand')
+    view.applyHeartbeat(makeFacts('b1'))
+    assert.deepEqual(view.changesSince(before.counter, 'first-hand').claims.map(({ condition }) => condition), ['live'])
+  })
+
+  test.it('takes a member that has ended for silent at two hubs that both heard it and told each other so', () => {
+    const hubs = [ENTRY, types.brandId<types.NodeId>('e2')].map((node) => ({ node, ...createView(), since: 0 }))
+
+    function exchange (now: number): void {
+      for (const { clock, view } of hubs) {
+        clock.now = now
+        for (const { node } of hubs) view.applyHeartbeat(makeFacts(node, { role: 'entry' }))
+        view.refresh()
+      }
+      for (const hub of hubs) {
+        for (const other of hubs.filter(({ node }) => node !== hub.node)) {
+          const changes = other.view.changesSince(hub.since, 'first-hand')
+          hub.since = changes.counter
+          hub.view.applyClaims(other.node, changes.claims.filter(({ facts }) => facts.node !== hub.node))
+        }
+      }
+    }
+
+    for (const { view } of hubs) view.applyHeartbeat(makeFacts('b1'))
+    for (let now = 0; now <= 3000; now += 500) exchange(now)
+    assert.deepEqual(hubs.map(({ condition }) => condition()), ['silent', 'silent'])
+  })
 })
