Tell other hubs when a member begins or ceases to report to this one

What callers saw: nothing was recorded; entry nodes took live daemons of a steady fleet of two halls for gone, and ended ones for live, for good.

Cause: a hub tells other hubs only what it heard itself, but counted a change only when its own condition of the member changed. A claim of another entry node keeps that condition the same: a hub that first knew a member from a relay never said that the member reports to it, and two hubs that had told each other of a member each took the other's claim for current after its end.

Fix: whether a member was heard is kept beside its condition, is what hubs tell each other, and each change of it is told.

--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -86,6 +86,8 @@
   facts: types.MemberFacts
   /** Monotonic time in milliseconds of the last heartbeat from the member itself; null if none was received. */
   heardAt: number | null
+  /** Whether the member itself was heard recently, as told to other hubs. */
+  isHeard: boolean
   /** Condition as last reported by each relaying entry node. */
   readonly relayedConditions: Map<types.NodeId, MemberCondition>
   /** Whether the last relay reported the node as leaving by the node list. */
@@ -129,7 +131,7 @@
     const wasLeaving = known !== undefined && known.facts.incarnation === facts.incarnation && isLeavingProcess(known)
     if (facts.state === 'leaving' && !wasLeaving && types.isNewerFacts(facts, known?.facts)) options.onLeaving?.(facts, source)
     if (known === undefined) {
-      const entry: Entry = { facts, heardAt: null, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
+      const entry: Entry = { facts, heardAt: null, isHeard: false, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
       entries.set(facts.node, entry)
       return entry
     }
@@ -153,6 +155,7 @@
     const entry = upsert(facts, 'heartbeat')
     if (facts.incarnation < entry.facts.incarnation) return
     entry.heardAt = options.now()
+    setHeard(entry, true)
     setCondition(entry, 'live')
   }
 
@@ -174,6 +177,13 @@
     entry.changeCounter = ++counter
   }
 
+  /** Hubs tell each other what they heard themselves, which may change while claims of others keep the condition. */
+  function setHeard (entry: Entry, isHeard: boolean): void {
+    if (entry.isHeard === isHeard) return
+    entry.isHeard = isHeard
+    entry.changeCounter = ++counter
+  }
+
   function isHeardRecently (entry: Entry | undefined): boolean {
     return entry !== undefined && entry.heardAt !== null && options.now() - entry.heardAt <= silenceLimitMs
   }
@@ -210,6 +220,7 @@
   function refresh (): void {
     silenceLimitMs = options.computeSilenceLimitMs?.() ?? silenceLimitMs
     for (const [node, entry] of entries) {
+      setHeard(entry, isHeardRecently(entry))
       setCondition(entry, computeCondition(entry))
       const isExpired = entry.condition === 'gone' && options.now() - (entry.silentSince ?? 0) > hallHoldMs + REMOVAL_DELAY_MS
       if (isExpired) entries.delete(node)
@@ -234,7 +245,7 @@
       .filter((entry) => entry.changeCounter > since && isInScope(entry, scope))
       .map((entry): MemberClaim => ({
         facts: entry.facts,
-        condition: scope === 'first-hand' && !isHeardRecently(entry) ? 'silent' : entry.condition,
+        condition: scope === 'first-hand' && !entry.isHeard ? 'silent' : entry.condition,
         leaving: listedLeaving.has(entry.facts.node) || (scope === 'all' && entry.relayedLeaving)
       }))
     return { counter, claims }
