Withdraw claims of members that an entry node reports no longer

What callers saw: nothing was recorded; entry nodes took ended backend servers for live, for good.

Cause: an entry node tells a daemon all it knows, but a hub only what it heard itself. When a daemon becomes a hub, members that the other one had told it of drop out of the scope, and so do all later changes of them, while the claims received before stay: two hubs that became hubs after they had asked each other keep each other's members live.

Fix: each answer names the scope of its claims, and each heartbeat the scope of those received before. Claims of another scope, or of another process, are complete, and withdraw earlier ones that they lack. A withdrawn claim counts for another silence limit, so that a member which another hub reports by then does not lose its condition in between. Earlier versions name no scope and are answered as before.

The new test of createMemberView fails with the withdrawal left out of the compiled code.

--- a/packages/daemon/src/_lib/schemas.ts
+++ b/packages/daemon/src/_lib/schemas.ts
@@ -30,12 +30,15 @@
   load: loadSchema.nullable(),
   /** Incarnation of the receiver that `since` refers to. */
   incarnation: zod.string().max(256),
+  /** Scope of the claims that the sender has received; earlier versions lack it. */
+  scope: zod.string().max(256).optional(),
   since: zod.int().min(0)
 })
 
 export const heartbeatAnswerSchema = zod.object({
   facts: factsSchema,
   counter: zod.int().min(0),
+  scope: zod.string().max(256).optional(),
   claims: zod.array(zod.object({ facts: factsSchema, condition: zod.enum(['live', 'silent', 'gone']), leaving: zod.boolean() })).max(MAXIMUM_LIST_LENGTH)
 })
 
--- a/packages/daemon/src/createHeartbeats/index.ts
+++ b/packages/daemon/src/createHeartbeats/index.ts
@@ -11,6 +11,8 @@
 export interface HeartbeatAnswer {
   readonly facts: types.MemberFacts
   readonly counter: number
+  /** Name of the scope of the claims; absent from earlier versions. */
+  readonly scope?: string | undefined
   readonly claims: readonly membership.MemberClaim[]
 }
 
@@ -46,10 +48,14 @@
 /** Position in another daemon's sequence of claims, up to which they have been received. */
 interface ClaimCursor {
   readonly incarnation: string
+  /** Name of the scope of the received claims. */
+  readonly scope: string
   readonly counter: number
 }
 
 const HEARTBEAT_METHOD = 'heartbeat'
+/** Name of the scope of a single data hall. */
+const HALL_SCOPE = 'hall'
 const TABLE_METHOD = 'table'
 const HEARTBEAT_TIMEOUT_MS = 1000
 const TABLE_TIMEOUT_MS = 5000
@@ -119,16 +125,18 @@
 
   async function sendHeartbeat (address: types.Address): Promise<void> {
     const key = formatAddress(address)
-    const cursor = cursors.get(key) ?? { incarnation: '', counter: 0 }
-    const params = { facts: self.read(), load: options.readLoad(), incarnation: cursor.incarnation, since: cursor.counter }
+    const cursor = cursors.get(key) ?? { incarnation: '', scope: '', counter: 0 }
+    const params = { facts: self.read(), load: options.readLoad(), incarnation: cursor.incarnation, scope: cursor.scope, since: cursor.counter }
     const sent = await options.client.call<unknown>(address, HEARTBEAT_METHOD, params, HEARTBEAT_TIMEOUT_MS)
     if (!sent.ok) return
     const parsed = schemas.heartbeatAnswerSchema.safeParse(sent.value)
     if (!parsed.success) return
     const answer = parsed.data as unknown as HeartbeatAnswer
-    cursors.set(key, { incarnation: answer.facts.incarnation, counter: answer.counter })
+    const scope = answer.scope ?? ''
+    const isComplete = answer.facts.incarnation !== cursor.incarnation || scope !== cursor.scope
+    cursors.set(key, { incarnation: answer.facts.incarnation, scope, counter: answer.counter })
     view.applyHeartbeat(answer.facts)
-    view.applyClaims(answer.facts.node, answer.claims.filter((claim) => claim.facts.node !== self.read().node))
+    view.applyClaims(answer.facts.node, answer.claims.filter((claim) => claim.facts.node !== self.read().node), isComplete)
     await fetchNewerTable(answer.facts)
   }
 
@@ -151,9 +159,12 @@
     void fetchNewerTable(facts)
     if (known?.condition !== 'live' || types.isNewerFacts(facts, known.facts)) options.onRefresh()
     const own = self.read()
-    const since = heartbeat.incarnation === own.incarnation ? heartbeat.since : 0
-    const changes = view.changesSince(since, findScope(facts))
-    return { facts: own, counter: changes.counter, claims: changes.claims }
+    const claimScope = findScope(facts)
+    const scope = typeof claimScope === 'string' ? claimScope : HALL_SCOPE
+    // Changes refer to what the sender has received, which has to be of the same scope.
+    const isContinued = heartbeat.incarnation === own.incarnation && (heartbeat.scope ?? scope) === scope
+    const changes = view.changesSince(isContinued ? heartbeat.since : 0, claimScope)
+    return { facts: own, counter: changes.counter, scope, claims: changes.claims }
   }
 
   function findScope (facts: types.MemberFacts): membership.ClaimScope {
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -61,8 +61,8 @@
 export interface MemberView {
   /** Applies the facts that a member sent in its own heartbeat. */
   readonly applyHeartbeat: (facts: types.MemberFacts) => void
-  /** Applies the claims of an entry node about other members. */
-  readonly applyClaims: (relay: types.NodeId, claims: readonly MemberClaim[]) => void
+  /** Applies the claims of an entry node about other members. Complete claims withdraw its earlier ones about members that they lack. */
+  readonly applyClaims: (relay: types.NodeId, claims: readonly MemberClaim[], isComplete?: boolean) => void
   /** Records that a process of a member refused a call because it leaves. This holds until another process of the member is heard of, and is not relayed. */
   readonly noteLeavingRefusal: (node: types.NodeId, incarnation: types.IncarnationId) => void
   /** Replaces the nodes that the platform's list marks as leaving. A node that the list lacks keeps its condition. */
@@ -82,6 +82,12 @@
 /** A gone member is removed from the view when it was silent for the hold time of a hall and this many further milliseconds. */
 const REMOVAL_DELAY_MS = 600_000
 
+interface RelayedCondition {
+  readonly condition: MemberCondition
+  /** Monotonic time in milliseconds at which the relay withdrew the claim; null if it did not. */
+  readonly withdrawnAt: number | null
+}
+
 interface Entry {
   facts: types.MemberFacts
   /** Monotonic time in milliseconds of the last heartbeat from the member itself; null if none was received. */
@@ -89,7 +95,7 @@
   /** Whether the member itself was heard recently, as told to other hubs. */
   isHeard: boolean
   /** Condition as last reported by each relaying entry node. */
-  readonly relayedConditions: Map<types.NodeId, MemberCondition>
+  readonly relayedConditions: Map<types.NodeId, RelayedCondition>
   /** Whether the last relay reported the node as leaving by the node list. */
   relayedLeaving: boolean
   /** The process that refused a call because it leaves; null if none did. */
@@ -159,16 +165,25 @@
     setCondition(entry, 'live')
   }
 
-  function applyClaims (relay: types.NodeId, claims: readonly MemberClaim[]): void {
+  function applyClaims (relay: types.NodeId, claims: readonly MemberClaim[], isComplete = false): void {
+    if (isComplete) withdrawClaims(relay, new Set(claims.map(({ facts }) => facts.node)))
     for (const claim of claims) {
       const entry = upsert(claim.facts, 'relay')
-      entry.relayedConditions.set(relay, claim.condition)
+      entry.relayedConditions.set(relay, { condition: claim.condition, withdrawnAt: null })
       if (entry.relayedLeaving !== claim.leaving) entry.changeCounter = ++counter
       entry.relayedLeaving = claim.leaving
       setCondition(entry, computeCondition(entry))
     }
   }
 
+  /** Withdraws the claims of a relay about all members except those that it still claims. */
+  function withdrawClaims (relay: types.NodeId, claimed: ReadonlySet<types.NodeId>): void {
+    for (const { facts, relayedConditions } of entries.values()) {
+      const relayed = relayedConditions.get(relay)
+      if (relayed?.withdrawnAt === null && !claimed.has(facts.node)) relayedConditions.set(relay, { ...relayed, withdrawnAt: options.now() })
+    }
+  }
+
   function setCondition (entry: Entry, condition: MemberCondition): void {
     if (condition === 'live') entry.silentSince = null
     else entry.silentSince ??= options.now()
@@ -195,11 +210,12 @@
     return silentFor >= holdMs ? 'gone' : 'silent'
   }
 
+  /** A withdrawn claim counts for another silence limit, in which other hubs report the member if it is live. */
   function isRelayedLive (entry: Entry): boolean {
-    const relays = [...entry.relayedConditions.entries()]
+    const relays = [...entry.relayedConditions.entries()].filter(([, { withdrawnAt }]) => withdrawnAt === null || options.now() - withdrawnAt <= silenceLimitMs)
     const fresh = relays.filter(([relay]) => isHeardRecently(entries.get(relay)))
     const trusted = fresh.length > 0 || hasFreshRelay(entry) ? fresh : relays
-    return trusted.some(([, condition]) => condition === 'live')
+    return trusted.some(([, { condition }]) => condition === 'live')
   }
 
   /** Tells whether any other entry node was heard recently; if none was, the last claims stay valid. */
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -188,4 +188,18 @@
     for (let now = 0; now <= 3000; now += 500) exchange(now)
     assert.deepEqual(hubs.map(({ condition }) => condition()), ['silent', 'silent'])
   })
+
+  test.it('takes no member for live by a claim that its relay withdrew, once other hubs had time to report it', () => {
+    const { clock, view, condition } = createView()
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1'), condition: 'live', leaving: false }, { facts: makeFacts('b2'), condition: 'live', leaving: false }])
+    const conditions: unknown[] = []
+    for (const now of [500, 1000, 1600]) {
+      clock.now = now
+      view.applyHeartbeat(makeFacts('e1', { role: 'entry' }))
+      view.applyClaims(ENTRY, now === 500 ? [{ facts: makeFacts('b2'), condition: 'live', leaving: false }] : [], now === 500)
+      view.refresh()
+      conditions.push([condition(), condition(types.brandId<types.NodeId>('b2'))])
+    }
+    assert.deepEqual(conditions, [['live', 'live'], ['live', 'live'], ['silent', 'live']])
+  })
 })
