Trust claims of an entry node only while it answers heartbeats

What callers saw: nothing was recorded; entry nodes took ended backend servers for live, for good.

Cause: claims come with the answers to a daemon's own heartbeats, but counted for as long as the entry node that made them was heard, also by heartbeats that it sent. A daemon that reports to other hubs than before goes on hearing the earlier one, and keeps its members as it last told them.

Fix: the claims of an entry node count as current for a silence limit after its last answer. As before, the last claims stay valid where none are current.

--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -127,6 +127,8 @@
   const nodeHoldMs = options.nodeHoldMs ?? types.PLACEMENT_HOLD_MS
   const hallHoldMs = options.hallHoldMs ?? HALL_HOLD_MS
   const entries = new Map<types.NodeId, Entry>()
+  /** Monotonic time in milliseconds of the last claims of each entry node. */
+  const claimedAt = new Map<types.NodeId, number>()
   let listedLeaving: ReadonlySet<types.NodeId> = new Set()
   let tableLeaving: ReadonlySet<types.NodeId> = new Set()
   let counter = 0
@@ -166,6 +168,7 @@
   }
 
   function applyClaims (relay: types.NodeId, claims: readonly MemberClaim[], isComplete = false): void {
+    claimedAt.set(relay, options.now())
     if (isComplete) withdrawClaims(relay, new Set(claims.map(({ facts }) => facts.node)))
     for (const claim of claims) {
       const entry = upsert(claim.facts, 'relay')
@@ -213,17 +216,20 @@
   /** A withdrawn claim counts for another silence limit, in which other hubs report the member if it is live. */
   function isRelayedLive (entry: Entry): boolean {
     const relays = [...entry.relayedConditions.entries()].filter(([, { withdrawnAt }]) => withdrawnAt === null || options.now() - withdrawnAt <= silenceLimitMs)
-    const fresh = relays.filter(([relay]) => isHeardRecently(entries.get(relay)))
-    const trusted = fresh.length > 0 || hasFreshRelay(entry) ? fresh : relays
+    const fresh = relays.filter(([relay]) => isClaimingRecently(relay))
+    const trusted = fresh.length > 0 || hasFreshRelay() ? fresh : relays
     return trusted.some(([, { condition }]) => condition === 'live')
   }
 
-  /** Tells whether any other entry node was heard recently; if none was, the last claims stay valid. */
-  function hasFreshRelay (entry: Entry): boolean {
-    for (const other of entries.values()) {
-      if (other.facts.role === 'entry' && other !== entry && isHeardRecently(other)) return true
-    }
-    return false
+  /** An entry node may be heard that this daemon asks for no claims any more, so that the earlier ones say nothing about the present. */
+  function isClaimingRecently (relay: types.NodeId): boolean {
+    const at = claimedAt.get(relay)
+    return at !== undefined && options.now() - at <= silenceLimitMs
+  }
+
+  /** Tells whether the claims of any entry node are recent; if none are, the last claims stay valid. */
+  function hasFreshRelay (): boolean {
+    return [...claimedAt.keys()].some(isClaimingRecently)
   }
 
   function isHallSilent (hall: types.DataHallId): boolean {
@@ -239,7 +245,10 @@
       setHeard(entry, isHeardRecently(entry))
       setCondition(entry, computeCondition(entry))
       const isExpired = entry.condition === 'gone' && options.now() - (entry.silentSince ?? 0) > hallHoldMs + REMOVAL_DELAY_MS
-      if (isExpired) entries.delete(node)
+      if (isExpired) {
+        entries.delete(node)
+        claimedAt.delete(node)
+      }
     }
   }
 
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -202,4 +202,16 @@
     }
     assert.deepEqual(conditions, [['live', 'live'], ['live', 'live'], ['silent', 'live']])
   })
+
+  test.it('takes no member for live by an earlier claim of an entry node that it hears but no longer asks', () => {
+    const { clock, view, condition } = createView()
+    const asked = types.brandId<types.NodeId>('e2')
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1'), condition: 'live', leaving: false }])
+    for (clock.now = 500; clock.now <= 1500; clock.now += 500) {
+      for (const node of [ENTRY, asked]) view.applyHeartbeat(makeFacts(node, { role: 'entry' }))
+      view.applyClaims(asked, [])
+      view.refresh()
+    }
+    assert.equal(condition(), 'silent')
+  })
 })
