--- a/packages/daemon/src/startEntryRole/leaving.test.ts
+++ b/packages/daemon/src/startEntryRole/leaving.test.ts
@@ -104,6 +104,23 @@
   assert.deepEqual(listRefused(hall), [])
 })
 
+nodeTest.test('calls wait for the only backend server after a restart until its new process is heard of, and for a silence limit at most', async (context) => {
+  const random = standins.createSeededRandom(1)
+  const hall = await drainingHall.openDrainingHall(context, { backends: 1, notification: AT_ONCE, retryBudget: 0, random })
+  const [restarted] = hall.backends as [drainingHall.DrainingBackend]
+  await restarted.restart(types.HEARTBEAT_INTERVAL_MS)
+  await hall.send(LATER_CALLS)
+  await hall.advance(2 * types.HEARTBEAT_INTERVAL_MS)
+  await hall.release(Infinity)
+  assert.equal(hall.results.length, LATER_CALLS)
+  assert.deepEqual(listRefused(hall), [])
+
+  await restarted.restart(Infinity)
+  await hall.send(LATER_CALLS)
+  await hall.advance(types.HEARTBEAT_TIMEOUT_MS + 2 * types.HEARTBEAT_INTERVAL_MS)
+  assert.deepEqual(listRefused(hall).map(({ reason }) => reason), Array.from({ length: LATER_CALLS }, () => 'no-backend'))
+})
+
 for (const seed of SEEDS) {
   nodeTest.test(`no call is refused beside a free backend server while others leave, however late that becomes known (seed ${seed})`, async (context) => {
     // Neighbouring seeds of the generator differ by a constant in each number, so that they would not cover all combinations.
