Send no calls for a process that has ended, and don't charge the refusal

An entry node learned nothing from the refusal and went on sending calls for the process that had ended, and each refusal was charged to the retry budget and to the attempts of its call.

Fix: a process on whose account a call is refused as restarted is recorded as ended in the member view, which takes its member for silent until another process of it is heard of. Calls go to other servers, or wait for a silence limit at most if there is none, and the server stays in the placement. It is logged as member-ended and not relayed, since another node may already know the new process. The first refusal on account of each process is not charged.

--- a/packages/daemon/src/createCommonParts/index.ts
+++ b/packages/daemon/src/createCommonParts/index.ts
@@ -72,7 +72,8 @@
     now: liveness.now,
     computeSilenceLimitMs: () => membership.computeSilenceLimitMs(countHallMembers()),
     // Backend daemons send no calls; a line from each of them for each that leaves would be of no use in a large hall.
-    onLeaving: ({ node, incarnation }, source) => { if (checked.role === 'entry') logger.info('member-leaving', { member: node, incarnation, source }) }
+    onLeaving: ({ node, incarnation }, source) => { if (checked.role === 'entry') logger.info('member-leaving', { member: node, incarnation, source }) },
+    onEnded: ({ node, incarnation }) => { logger.info('member-ended', { member: node, incarnation }) }
   })
   const keeper = createTableKeeper.createTableKeeper(logger)
   keeper.onAdopt((table) => {
--- a/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
+++ b/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
@@ -11,6 +11,7 @@
 const BACKEND = { node: types.brandId<types.NodeId>('backend'), incarnation: types.brandId<types.IncarnationId>('1') } as unknown as types.MemberFacts
 const FULL: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'full', load: undefined }
 const LEAVING: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'leaving', load: undefined }
+const ENDED: sendAttempt.AttemptResult = { kind: 'not-run', reason: 'restarted', load: undefined }
 const BROKEN: sendAttempt.AttemptResult = { kind: 'unknown', reason: 'connection-broke-running', load: undefined }
 
 /** Sends a call whose attempts all have the same result; returns the events of its log, each with the fields that say how it went on. */
@@ -30,6 +31,7 @@
     metrics: { increment: () => {}, timing: () => {} },
     health: { noteFailure: () => {} },
     onLeaving: () => {},
+    onEnded: () => {},
     now: () => 0,
     at: () => () => {}
   } as unknown as createEntryCalls.EntryCallsOptions)
@@ -52,3 +54,7 @@
 nodeTest.test('a refusal by a backend server that leaves is not charged to the retry budget, but each further one by the same process is', async (context) => {
   assert.deepEqual(await logCall(context, LEAVING, 0.02), ['attempt-failed leaving 1  1', 'attempt-failed leaving 2  0', 'attempt-failed leaving 3 budget 0', 'call-not-answered leaving 3 budget '])
 })
+
+nodeTest.test('a refusal on account of a process that has ended is not charged to the retry budget, but each further one is', async (context) => {
+  assert.deepEqual(await logCall(context, ENDED, 0.02), ['attempt-failed restarted 1  1', 'attempt-failed restarted 2  0', 'attempt-failed restarted 3 budget 0', 'call-not-answered restarted 3 budget '])
+})
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -25,6 +25,8 @@
   readonly claims: createClaims.Claims
   /** Called with a backend server that refused an attempt because it leaves. */
   readonly onLeaving: (backend: types.MemberFacts) => void
+  /** Called with a backend server at whose address another process refused an attempt. */
+  readonly onEnded: (backend: types.MemberFacts) => void
   readonly send: (call: sendAttempt.OutgoingCall, backend: types.MemberFacts, signal: AbortSignal) => Promise<sendAttempt.AttemptResult>
   readonly logger: observability.Logger
   readonly metrics: observability.StatsdMetrics
@@ -49,12 +51,14 @@
 
 const SERVICE_PATH = /^\/services\/([\w.-]+)(?:\/models\/([\w.-]+))?(\/.*)?$/
 const RETRY_AFTER_SECONDS = 1
-/** Attempts of a call, without the first refusal by each process that leaves. */
+/** Attempts of a call, without the first refusal on account of each process that leaves or has ended. */
 const MAXIMUM_ATTEMPTS = 5
 /** The process that refuses the call is about to end. */
 const LEAVING_REASON = 'leaving'
+/** The process that the call was meant for has ended. */
+const ENDED_REASON = 'restarted'
 /** Refusal reasons that are no evidence of a failing server. */
-const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, 'restarted', 'not-serving', 'version-not-loaded', 'deadline'])
+const NEUTRAL_REFUSALS = new Set(['full', LEAVING_REASON, ENDED_REASON, 'not-serving', 'version-not-loaded', 'deadline'])
 /** The call is blocked because back ends terminated while running it. */
 const FIRST_REDIRECTION_STATUS = 300
 const BLOCKED_REASON = 'blocked'
@@ -214,7 +218,7 @@
     const { call, service } = prepared
     const budget = findBudget(service)
     const tried = new Set<types.NodeId>()
-    const leavingProcesses = new Set<types.IncarnationId>()
+    const unavailableProcesses = new Set<types.IncarnationId>()
     let mayHaveRun = false
     budget.noteCall()
     for (let attempts = 1; ; attempts += 1) {
@@ -242,12 +246,12 @@
       if (result.kind === 'unknown' && !signal.aborted) await options.guard.noteLost(backend.value, entryCall.describeCall(call))
       noteFailure(backend.value, result)
       mayHaveRun ||= result.kind === 'unknown'
-      const isFirstLeavingRefusal = isLeavingRefusal(result) && !leavingProcesses.has(backend.value.incarnation)
-      if (isFirstLeavingRefusal) leavingProcesses.add(backend.value.incarnation)
-      // Repeating an attempt that reached no server, or one that leaves, puts no load on any, so it does not count against the budget.
-      const isCovered = isFirstLeavingRefusal || result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
-      // A process that leaves is asked once for each call, so that its refusal needs no other limit.
-      const obstacle = findRepeatObstacle(call, result, attempts - leavingProcesses.size, signal) ?? (isCovered ? null : 'budget')
+      const isFirstRefusal = (isLeavingRefusal(result) || isEndedRefusal(result)) && !unavailableProcesses.has(backend.value.incarnation)
+      if (isFirstRefusal) unavailableProcesses.add(backend.value.incarnation)
+      // Repeating an attempt that reached no server, or a process that leaves or has ended, puts no load on any, so it does not count against the budget.
+      const isCovered = isFirstRefusal || result.reason === sendAttempt.NOT_CONNECTED_REASON || budget.trySpend()
+      // A process that leaves or has ended is asked once for each call, so that its refusal needs no other limit.
+      const obstacle = findRepeatObstacle(call, result, attempts - unavailableProcesses.size, signal) ?? (isCovered ? null : 'budget')
       logFailedAttempt(call, backend.value, result, { attempt: attempts, obstacle: obstacle ?? undefined, retriesLeft: Math.floor(budget.readBalance()) })
       if (obstacle !== null) return finalizeOutcome({ ...result, attempts, obstacle }, mayHaveRun)
       count('retries')
@@ -305,6 +309,7 @@
   function noteFailure (backend: types.MemberFacts, result: FailedAttempt): void {
     options.loads.noteEnded(backend.node, result.load)
     if (isLeavingRefusal(result)) options.onLeaving(backend)
+    if (isEndedRefusal(result)) options.onEnded(backend)
     if (result.kind === 'unknown' || !NEUTRAL_REFUSALS.has(result.reason)) options.health.noteFailure(backend.node)
     count(`attempt.${result.kind}`)
     options.dispatcher.dispatchWaiting()
@@ -376,6 +381,10 @@
   return result.kind === 'not-run' && result.reason === LEAVING_REASON
 }
 
+function isEndedRefusal (result: FailedAttempt): boolean {
+  return result.kind === 'not-run' && result.reason === ENDED_REASON
+}
+
 /** A call may have run if an earlier attempt may have, whatever the last attempt returned. */
 function finalizeOutcome (result: FinalOutcome, mayHaveRun: boolean): FinalOutcome {
   return mayHaveRun ? { ...result, kind: 'unknown' } : result
--- a/packages/daemon/src/startEntryRole/index.ts
+++ b/packages/daemon/src/startEntryRole/index.ts
@@ -78,6 +78,7 @@
     claims,
     limiter: routing.createAccountLimiter(parts.now, () => 1 / Math.max(1, countEntryNodes())),
     onLeaving: ({ node, incarnation }) => { view.noteLeavingRefusal(node, incarnation) },
+    onEnded: ({ node, incarnation }) => { view.noteEndedProcess(node, incarnation) },
     send: async (call, backend, signal) => await sendAttempt.sendAttempt(call, backend, {
       self: self.read().node, identity: parts.identity, agents: parts.agents, client: parts.client, now: parts.now, signal
     }),
--- a/packages/fuzz/src/_lib/callFleet.ts
+++ b/packages/fuzz/src/_lib/callFleet.ts
@@ -168,6 +168,7 @@
     limiter: routing.createAccountLimiter(now, () => 1),
     claims: daemon.createClaims(store, Date.now),
     onLeaving: ({ incarnation }) => { leaving.add(incarnation) },
+    onEnded: () => {},
     send: async (call, backend, signal) => {
       const breakAfterMs = options.nextBreakMs()
       const breakableSignal = breakAfterMs === null ? signal : AbortSignal.any([signal, AbortSignal.timeout(breakAfterMs)])
--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -55,6 +55,8 @@
   readonly hallHoldMs?: number
   /** Called once for each process of a member that has announced that it leaves. */
   readonly onLeaving?: (facts: types.MemberFacts, source: LeavingSource) => void
+  /** Called once for each process of a member that has ended while its member counts as live. */
+  readonly onEnded?: (facts: types.MemberFacts) => void
 }
 
 /** Members as one daemon sees them. */
@@ -65,6 +67,11 @@
   readonly applyClaims: (relay: types.NodeId, claims: readonly MemberClaim[], isComplete?: boolean) => void
   /** Records that a process of a member refused a call because it leaves. This holds until another process of the member is heard of, and is not relayed. */
   readonly noteLeavingRefusal: (node: types.NodeId, incarnation: types.IncarnationId) => void
+  /**
+   * Records that another process answers at the address of a member, so that the given one has ended. Until another process of the member is heard of, it counts as silent
+   * from now on. This is not relayed.
+   */
+  readonly noteEndedProcess: (node: types.NodeId, incarnation: types.IncarnationId) => void
   /** Replaces the nodes that the platform's list marks as leaving. A node that the list lacks keeps its condition. */
   readonly applyNodeList: (nodes: readonly ListedNode[]) => void
   /** Sets the nodes that the table takes out of service. */
@@ -100,6 +107,8 @@
   relayedLeaving: boolean
   /** The process that refused a call because it leaves; null if none did. */
   refusingIncarnation: types.IncarnationId | null
+  /** The process that has ended and since when that is known, as a monotonic time in milliseconds; null if none has. */
+  endedProcess: { readonly incarnation: types.IncarnationId, readonly since: number } | null
   condition: MemberCondition
   silentSince: number | null
   /** Counter value of the last change. */
@@ -139,7 +148,7 @@
     const wasLeaving = known !== undefined && known.facts.incarnation === facts.incarnation && isLeavingProcess(known)
     if (facts.state === 'leaving' && !wasLeaving && types.isNewerFacts(facts, known?.facts)) options.onLeaving?.(facts, source)
     if (known === undefined) {
-      const entry: Entry = { facts, heardAt: null, isHeard: false, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
+      const entry: Entry = { facts, heardAt: null, isHeard: false, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, endedProcess: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
       entries.set(facts.node, entry)
       return entry
     }
@@ -159,6 +168,14 @@
     options.onLeaving?.(entry.facts, 'refusal')
   }
 
+  /** The process that answers at the address may be one of another node, so that nothing is known of it. */
+  function noteEndedProcess (node: types.NodeId, incarnation: types.IncarnationId): void {
+    const entry = entries.get(node)
+    if (entry === undefined || entry.facts.incarnation !== incarnation || entry.endedProcess?.incarnation === incarnation) return
+    entry.endedProcess = { incarnation, since: options.now() }
+    if (entry.condition === 'live') options.onEnded?.(entry.facts)
+  }
+
   function applyHeartbeat (facts: types.MemberFacts): void {
     const entry = upsert(facts, 'heartbeat')
     if (facts.incarnation < entry.facts.incarnation) return
@@ -261,8 +278,11 @@
   function toMember (entry: Entry): Member {
     const { node } = entry.facts
     const leaving = isLeavingProcess(entry) || listedLeaving.has(node) || entry.relayedLeaving || tableLeaving.has(node)
-    const recentlySilent = entry.condition === 'silent' && options.now() - (entry.silentSince ?? options.now()) < silenceLimitMs
-    return { facts: entry.facts, condition: entry.condition, leaving, recentlySilent }
+    const endedSince = entry.endedProcess?.incarnation === entry.facts.incarnation ? entry.endedProcess.since : Infinity
+    const condition = entry.condition === 'live' && endedSince < Infinity ? 'silent' : entry.condition
+    const silentSince = Math.min(entry.silentSince ?? options.now(), endedSince)
+    const recentlySilent = condition === 'silent' && options.now() - silentSince < silenceLimitMs
+    return { facts: entry.facts, condition, leaving, recentlySilent }
   }
 
   function changesSince (since: number, scope: ClaimScope): ClaimChanges {
@@ -280,6 +300,7 @@
     applyHeartbeat,
     applyClaims,
     noteLeavingRefusal,
+    noteEndedProcess,
     refresh,
     changesSince,
     applyNodeList,
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -214,4 +214,22 @@
     }
     assert.equal(condition(), 'silent')
   })
+
+  test.it('takes a member whose process has ended for silent until another process of it is heard of, and does not relay that', () => {
+    const { clock, view } = createView()
+    const ended: string[] = []
+    const hub = createMemberView.createMemberView({ now: () => clock.now, computeSilenceLimitMs: () => 1000, onEnded: ({ node, incarnation }) => { ended.push(`${node}/${incarnation}`) } })
+    const read = (): unknown => { const { condition, recentlySilent } = hub.find(NODE) ?? {}; return [condition, recentlySilent] }
+    for (const each of [view, hub]) each.applyHeartbeat(makeFacts('b1'))
+    for (const incarnation of ['1', '2', '1']) hub.noteEndedProcess(NODE, types.brandId(incarnation))
+    hub.refresh()
+    assert.deepEqual(read(), ['silent', true])
+    assert.deepEqual(hub.changesSince(0, 'all').claims, view.changesSince(0, 'all').claims)
+    clock.now = 1000
+    hub.applyHeartbeat(makeFacts('b1'))
+    assert.deepEqual(read(), ['silent', false])
+    hub.applyHeartbeat(makeFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2') }))
+    assert.deepEqual(read(), ['live', false])
+    assert.deepEqual(ended, ['b1/1'])
+  })
 })
