--- a/packages/membership/src/createMemberView/index.ts
+++ b/packages/membership/src/createMemberView/index.ts
@@ -55,16 +55,23 @@
   readonly hallHoldMs?: number
   /** Called once for each process of a member that has announced that it leaves. */
   readonly onLeaving?: (facts: types.MemberFacts, source: LeavingSource) => void
+  /** Called once for each process of a member that has ended while its member counts as live. */
+  readonly onEnded?: (facts: types.MemberFacts) => void
 }
 
 /** Members as one daemon sees them. */
 export interface MemberView {
   /** Applies the facts that a member sent in its own heartbeat. */
   readonly applyHeartbeat: (facts: types.MemberFacts) => void
-  /** Applies the claims of an entry node about other members. */
-  readonly applyClaims: (relay: types.NodeId, claims: readonly MemberClaim[]) => void
+  /** Applies the claims of an entry node about other members. Complete claims withdraw its earlier ones about members that they lack. */
+  readonly applyClaims: (relay: types.NodeId, claims: readonly MemberClaim[], isComplete?: boolean) => void
   /** Records that a process of a member refused a call because it leaves. This holds until another process of the member is heard of, and is not relayed. */
   readonly noteLeavingRefusal: (node: types.NodeId, incarnation: types.IncarnationId) => void
+  /**
+   * Records that another process answers at the address of a member, so that the given one has ended. Until another process of the member is heard of, it counts as silent
+   * from now on. This is not relayed.
+   */
+  readonly noteEndedProcess: (node: types.NodeId, incarnation: types.IncarnationId) => void
   /** Replaces the nodes that the platform's list marks as leaving. A node that the list lacks keeps its condition. */
   readonly applyNodeList: (nodes: readonly ListedNode[]) => void
   /** Sets the nodes that the table takes out of service. */
@@ -82,16 +89,26 @@
 /** A gone member is removed from the view when it was silent for the hold time of a hall and this many further milliseconds. */
 const REMOVAL_DELAY_MS = 600_000
 
+interface RelayedCondition {
+  readonly condition: MemberCondition
+  /** Monotonic time in milliseconds at which the relay withdrew the claim; null if it did not. */
+  readonly withdrawnAt: number | null
+}
+
 interface Entry {
   facts: types.MemberFacts
   /** Monotonic time in milliseconds of the last heartbeat from the member itself; null if none was received. */
   heardAt: number | null
+  /** Whether the member itself was heard recently, as told to other hubs. */
+  isHeard: boolean
   /** Condition as last reported by each relaying entry node. */
-  readonly relayedConditions: Map<types.NodeId, MemberCondition>
+  readonly relayedConditions: Map<types.NodeId, RelayedCondition>
   /** Whether the last relay reported the node as leaving by the node list. */
   relayedLeaving: boolean
   /** The process that refused a call because it leaves; null if none did. */
   refusingIncarnation: types.IncarnationId | null
+  /** The process that has ended and since when that is known, as a monotonic time in milliseconds; null if none has. */
+  endedProcess: { readonly incarnation: types.IncarnationId, readonly since: number } | null
   condition: MemberCondition
   silentSince: number | null
   /** Counter value of the last change. */
@@ -119,6 +136,8 @@
   const nodeHoldMs = options.nodeHoldMs ?? types.PLACEMENT_HOLD_MS
   const hallHoldMs = options.hallHoldMs ?? HALL_HOLD_MS
   const entries = new Map<types.NodeId, Entry>()
+  /** Monotonic time in milliseconds of the last claims of each entry node. */
+  const claimedAt = new Map<types.NodeId, number>()
   let listedLeaving: ReadonlySet<types.NodeId> = new Set()
   let tableLeaving: ReadonlySet<types.NodeId> = new Set()
   let counter = 0
@@ -129,7 +148,7 @@
     const wasLeaving = known !== undefined && known.facts.incarnation === facts.incarnation && isLeavingProcess(known)
     if (facts.state === 'leaving' && !wasLeaving && types.isNewerFacts(facts, known?.facts)) options.onLeaving?.(facts, source)
     if (known === undefined) {
-      const entry: Entry = { facts, heardAt: null, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
+      const entry: Entry = { facts, heardAt: null, isHeard: false, relayedConditions: new Map(), relayedLeaving: false, refusingIncarnation: null, endedProcess: null, condition: 'silent', silentSince: options.now(), changeCounter: ++counter }
       entries.set(facts.node, entry)
       return entry
     }
@@ -149,23 +168,42 @@
     options.onLeaving?.(entry.facts, 'refusal')
   }
 
+  /** The process that answers at the address may be one of another node, so that nothing is known of it. */
+  function noteEndedProcess (node: types.NodeId, incarnation: types.IncarnationId): void {
+    const entry = entries.get(node)
+    if (entry === undefined || entry.facts.incarnation !== incarnation || entry.endedProcess?.incarnation === incarnation) return
+    entry.endedProcess = { incarnation, since: options.now() }
+    if (entry.condition === 'live') options.onEnded?.(entry.facts)
+  }
+
   function applyHeartbeat (facts: types.MemberFacts): void {
     const entry = upsert(facts, 'heartbeat')
     if (facts.incarnation < entry.facts.incarnation) return
     entry.heardAt = options.now()
+    setHeard(entry, true)
     setCondition(entry, 'live')
   }
 
-  function applyClaims (relay: types.NodeId, claims: readonly MemberClaim[]): void {
+  function applyClaims (relay: types.NodeId, claims: readonly MemberClaim[], isComplete = false): void {
+    claimedAt.set(relay, options.now())
+    if (isComplete) withdrawClaims(relay, new Set(claims.map(({ facts }) => facts.node)))
     for (const claim of claims) {
       const entry = upsert(claim.facts, 'relay')
-      entry.relayedConditions.set(relay, claim.condition)
+      entry.relayedConditions.set(relay, { condition: claim.condition, withdrawnAt: null })
       if (entry.relayedLeaving !== claim.leaving) entry.changeCounter = ++counter
       entry.relayedLeaving = claim.leaving
       setCondition(entry, computeCondition(entry))
     }
   }
 
+  /** Withdraws the claims of a relay about all members except those that it still claims. */
+  function withdrawClaims (relay: types.NodeId, claimed: ReadonlySet<types.NodeId>): void {
+    for (const { facts, relayedConditions } of entries.values()) {
+      const relayed = relayedConditions.get(relay)
+      if (relayed?.withdrawnAt === null && !claimed.has(facts.node)) relayedConditions.set(relay, { ...relayed, withdrawnAt: options.now() })
+    }
+  }
+
   function setCondition (entry: Entry, condition: MemberCondition): void {
     if (condition === 'live') entry.silentSince = null
     else entry.silentSince ??= options.now()
@@ -174,6 +212,13 @@
     entry.changeCounter = ++counter
   }
 
+  /** Hubs tell each other what they heard themselves, which may change while claims of others keep the condition. */
+  function setHeard (entry: Entry, isHeard: boolean): void {
+    if (entry.isHeard === isHeard) return
+    entry.isHeard = isHeard
+    entry.changeCounter = ++counter
+  }
+
   function isHeardRecently (entry: Entry | undefined): boolean {
     return entry !== undefined && entry.heardAt !== null && options.now() - entry.heardAt <= silenceLimitMs
   }
@@ -185,19 +230,23 @@
     return silentFor >= holdMs ? 'gone' : 'silent'
   }
 
+  /** A withdrawn claim counts for another silence limit, in which other hubs report the member if it is live. */
   function isRelayedLive (entry: Entry): boolean {
-    const relays = [...entry.relayedConditions.entries()]
-    const fresh = relays.filter(([relay]) => isHeardRecently(entries.get(relay)))
-    const trusted = fresh.length > 0 || hasFreshRelay(entry) ? fresh : relays
-    return trusted.some(([, condition]) => condition === 'live')
+    const relays = [...entry.relayedConditions.entries()].filter(([, { withdrawnAt }]) => withdrawnAt === null || options.now() - withdrawnAt <= silenceLimitMs)
+    const fresh = relays.filter(([relay]) => isClaimingRecently(relay))
+    const trusted = fresh.length > 0 || hasFreshRelay() ? fresh : relays
+    return trusted.some(([, { condition }]) => condition === 'live')
   }
 
-  /** Tells whether any other entry node was heard recently; if none was, the last claims stay valid. */
-  function hasFreshRelay (entry: Entry): boolean {
-    for (const other of entries.values()) {
-      if (other.facts.role === 'entry' && other !== entry && isHeardRecently(other)) return true
-    }
-    return false
+  /** An entry node may be heard that this daemon asks for no claims any more, so that the earlier ones say nothing about the present. */
+  function isClaimingRecently (relay: types.NodeId): boolean {
+    const at = claimedAt.get(relay)
+    return at !== undefined && options.now() - at <= silenceLimitMs
+  }
+
+  /** Tells whether the claims of any entry node are recent; if none are, the last claims stay valid. */
+  function hasFreshRelay (): boolean {
+    return [...claimedAt.keys()].some(isClaimingRecently)
   }
 
   function isHallSilent (hall: types.DataHallId): boolean {
@@ -210,9 +259,13 @@
   function refresh (): void {
     silenceLimitMs = options.computeSilenceLimitMs?.() ?? silenceLimitMs
     for (const [node, entry] of entries) {
+      setHeard(entry, isHeardRecently(entry))
       setCondition(entry, computeCondition(entry))
       const isExpired = entry.condition === 'gone' && options.now() - (entry.silentSince ?? 0) > hallHoldMs + REMOVAL_DELAY_MS
-      if (isExpired) entries.delete(node)
+      if (isExpired) {
+        entries.delete(node)
+        claimedAt.delete(node)
+      }
     }
   }
 
@@ -225,8 +278,11 @@
   function toMember (entry: Entry): Member {
     const { node } = entry.facts
     const leaving = isLeavingProcess(entry) || listedLeaving.has(node) || entry.relayedLeaving || tableLeaving.has(node)
-    const recentlySilent = entry.condition === 'silent' && options.now() - (entry.silentSince ?? options.now()) < silenceLimitMs
-    return { facts: entry.facts, condition: entry.condition, leaving, recentlySilent }
+    const endedSince = entry.endedProcess?.incarnation === entry.facts.incarnation ? entry.endedProcess.since : Infinity
+    const condition = entry.condition === 'live' && endedSince < Infinity ? 'silent' : entry.condition
+    const silentSince = Math.min(entry.silentSince ?? options.now(), endedSince)
+    const recentlySilent = condition === 'silent' && options.now() - silentSince < silenceLimitMs
+    return { facts: entry.facts, condition, leaving, recentlySilent }
   }
 
   function changesSince (since: number, scope: ClaimScope): ClaimChanges {
@@ -234,7 +290,7 @@
       .filter((entry) => entry.changeCounter > since && isInScope(entry, scope))
       .map((entry): MemberClaim => ({
         facts: entry.facts,
-        condition: scope === 'first-hand' && !isHeardRecently(entry) ? 'silent' : entry.condition,
+        condition: scope === 'first-hand' && !entry.isHeard ? 'silent' : entry.condition,
         leaving: listedLeaving.has(entry.facts.node) || (scope === 'all' && entry.relayedLeaving)
       }))
     return { counter, claims }
@@ -244,6 +300,7 @@
     applyHeartbeat,
     applyClaims,
     noteLeavingRefusal,
+    noteEndedProcess,
     refresh,
     changesSince,
     applyNodeList,
--- a/packages/membership/src/createMemberView/test.ts
+++ b/packages/membership/src/createMemberView/test.ts
@@ -157,4 +157,79 @@
     assert.equal(view.changesSince(0, 'first-hand').claims.length, 0)
     assert.equal(view.changesSince(0, 'all').claims.length, 1)
   })
+
+  test.it('tells other hubs of a member that it first knew from a relay, as soon as the member reports to it', () => {
+    const { view } = createView()
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1'), condition: 'live', leaving: false }])
+    const before = view.changesSince(0, 'first-hand')
+    view.applyHeartbeat(makeFacts('b1'))
+    assert.deepEqual(view.changesSince(before.counter, 'first-hand').claims.map(({ condition }) => condition), ['live'])
+  })
+
+  test.it('takes a member that has ended for silent at two hubs that both heard it and told each other so', () => {
+    const hubs = [ENTRY, types.brandId<types.NodeId>('e2')].map((node) => ({ node, ...createView(), since: 0 }))
+
+    function exchange (now: number): void {
+      for (const { clock, view } of hubs) {
+        clock.now = now
+        for (const { node } of hubs) view.applyHeartbeat(makeFacts(node, { role: 'entry' }))
+        view.refresh()
+      }
+      for (const hub of hubs) {
+        for (const other of hubs.filter(({ node }) => node !== hub.node)) {
+          const changes = other.view.changesSince(hub.since, 'first-hand')
+          hub.since = changes.counter
+          hub.view.applyClaims(other.node, changes.claims.filter(({ facts }) => facts.node !== hub.node))
+        }
+      }
+    }
+
+    for (const { view } of hubs) view.applyHeartbeat(makeFacts('b1'))
+    for (let now = 0; now <= 3000; now += 500) exchange(now)
+    assert.deepEqual(hubs.map(({ condition }) => condition()), ['silent', 'silent'])
+  })
+
+  test.it('takes no member for live by a claim that its relay withdrew, once other hubs had time to report it', () => {
+    const { clock, view, condition } = createView()
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1'), condition: 'live', leaving: false }, { facts: makeFacts('b2'), condition: 'live', leaving: false }])
+    const conditions: unknown[] = []
+    for (const now of [500, 1000, 1600]) {
+      clock.now = now
+      view.applyHeartbeat(makeFacts('e1', { role: 'entry' }))
+      view.applyClaims(ENTRY, now === 500 ? [{ facts: makeFacts('b2'), condition: 'live', leaving: false }] : [], now === 500)
+      view.refresh()
+      conditions.push([condition(), condition(types.brandId<types.NodeId>('b2'))])
+    }
+    assert.deepEqual(conditions, [['live', 'live'], ['live', 'live'], ['silent', 'live']])
+  })
+
+  test.it('takes no member for live by an earlier claim of an entry node that it hears but no longer asks', () => {
+    const { clock, view, condition } = createView()
+    const asked = types.brandId<types.NodeId>('e2')
+    view.applyClaims(ENTRY, [{ facts: makeFacts('b1'), condition: 'live', leaving: false }])
+    for (clock.now = 500; clock.now <= 1500; clock.now += 500) {
+      for (const node of [ENTRY, asked]) view.applyHeartbeat(makeFacts(node, { role: 'entry' }))
+      view.applyClaims(asked, [])
+      view.refresh()
+    }
+    assert.equal(condition(), 'silent')
+  })
+
+  test.it('takes a member whose process has ended for silent until another process of it is heard of, and does not relay that', () => {
+    const { clock, view } = createView()
+    const ended: string[] = []
+    const hub = createMemberView.createMemberView({ now: () => clock.now, computeSilenceLimitMs: () => 1000, onEnded: ({ node, incarnation }) => { ended.push(`${node}/${incarnation}`) } })
+    const read = (): unknown => { const { condition, recentlySilent } = hub.find(NODE) ?? {}; return [condition, recentlySilent] }
+    for (const each of [view, hub]) each.applyHeartbeat(makeFacts('b1'))
+    for (const incarnation of ['1', '2', '1']) hub.noteEndedProcess(NODE, types.brandId(incarnation))
+    hub.refresh()
+    assert.deepEqual(read(), ['silent', true])
+    assert.deepEqual(hub.changesSince(0, 'all').claims, view.changesSince(0, 'all').claims)
+    clock.now = 1000
+    hub.applyHeartbeat(makeFacts('b1'))
+    assert.deepEqual(read(), ['silent', false])
+    hub.applyHeartbeat(makeFacts('b1', { incarnation: types.brandId<types.IncarnationId>('2') }))
+    assert.deepEqual(read(), ['live', false])
+    assert.deepEqual(ended, ['b1/1'])
+  })
 })
