Soak gateways beside silent engines and further changes of the configuration

Engines of the platform may fall silent for about a second and go on. Seeds from 200 on have, beside all earlier disturbances: some or all engines, also plain ones, that send nothing for 1.0 to 1.3 s, one after the other and overlapping; engines that accept connections and read nothing for as long; answers that stand still halfway; smaller and larger limits, tenants added and removed, a service that moves, a split, fewer and more attempts and 350 routes at once; and callers that take up a connection that has rested for up to four fifths of the shortest idle limit that may be in force.

The judge counts a cut beside a change of the configuration as LOST (until 3 s after it was sent, unless the call has used seven tenths of its time) and, stricter than before, a cut without its call-cut line as UNLOGGED also where the process was not told to end. All other cuts are problems as before.

--- a/packages/fuzz/src/_lib/gatewaySoakCallers.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakCallers.ts
@@ -49,6 +49,10 @@
 const REPEATABLE_ROUTES: ReadonlySet<string> = new Set(['read', 'removable', 'stream'])
 /** Longest pause between two calls of a caller; most are shorter. */
 const MAXIMUM_PAUSE_MS = 1500
+/** Callers take up connections that have rested for up to this share of the idle limit. */
+const REST_SHARE = 0.8
+/** Callers that rest for longer make too few calls. */
+const MAXIMUM_REST_MS = 4000
 
 /**
  * Starts the callers.
@@ -66,10 +70,12 @@
 
   async function runCaller (caller: gatewaySoakPlan.PlannedCaller, hall: number): Promise<void> {
     const random = gatewaySoakPlan.createPlanRandom(caller.seed)
+    let restingSince = Infinity
     let open: { readonly node: soakNode.SoakNode, readonly connection: testing.CallerConnection } | null = null
     for (let call = 0; !stopping.signal.aborted; call += 1) {
       const planned = gatewaySoakPlan.planCall(caller.kind, random)
-      if (open === null || caller.isFresh || !open.connection.isOpen()) {
+      const hasRestedTooLong = performance.now() - restingSince > REST_SHARE * fleet.readShortestIdleMs()
+      if (open === null || caller.isFresh || hasRestedTooLong || !open.connection.isOpen()) {
         open?.connection.close()
         const node = balancer.choose(hall, random)
         open = { node, connection: testing.createCallerConnection(fleet.callerAddressOf(node)) }
@@ -96,7 +102,8 @@
         error: answer.error,
         deadlineMs: DEADLINE_MS
       })
-      await types.delay(random() < 0.8 ? random() * 40 : random() * MAXIMUM_PAUSE_MS)
+      restingSince = answer.endedAt
+      await types.delay(choosePauseMs(caller, fleet.readShortestIdleMs(), random))
     }
     open?.connection.close()
   }
@@ -113,13 +120,18 @@
   }
 }
 
+function choosePauseMs ({ kind }: gatewaySoakPlan.PlannedCaller, idleMs: number, random: () => number): number {
+  if (kind === 'resting') return Math.min(MAXIMUM_REST_MS, REST_SHARE * idleMs) * (1 - random() * random())
+  return random() < 0.8 ? random() * 40 : random() * MAXIMUM_PAUSE_MS
+}
+
 function isStream ({ route }: gatewaySoakPlan.PlannedCall): boolean {
   return route === 'stream' || route === 'talk'
 }
 
 function createRequest (planned: gatewaySoakPlan.PlannedCall, id: string): testing.ConnectionRequest {
-  const { route, events, eventMs, eventBytes, bytes, delayMs, statedTokens, bodyBytes, sendMs, awaitsContinue, readBytesPerSecond } = planned
-  const shape = isStream(planned) ? { stream: 1, events, eventMs, eventBytes } : { bytes, delayMs }
+  const { route, events, eventMs, eventBytes, bytes, delayMs, pauseMs, statedTokens, bodyBytes, sendMs, awaitsContinue, readBytesPerSecond } = planned
+  const shape = isStream(planned) ? { stream: 1, events, eventMs, eventBytes } : { bytes, delayMs, pauseMs }
   const query = Object.entries(shape).map(([name, value]) => `${name}=${Math.round(value)}`).join('&')
   return {
     path: `/${route}/call?${query}`,
--- a/packages/fuzz/src/_lib/gatewaySoakFleet.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakFleet.ts
@@ -19,6 +19,8 @@
   readonly engines: readonly soakEngine.SoakEngine[]
   readonly runs: readonly soakEngine.EngineRun[]
   readonly configurations: readonly ConfiguredTimeouts[]
+  /** Shortest time in milliseconds for which a connection may rest by a configuration that may be in force. */
+  readonly readShortestIdleMs: () => number
   readonly callerAddressOf: (node: soakNode.SoakNode) => types.Address
   readonly readinessAddressOf: (node: soakNode.SoakNode) => types.Address
   readonly configure: (change: (configuration: testing.Configuration, turn: number) => void) => void
@@ -39,6 +41,8 @@
 export const API_KEY = 'key-of-tenant-one'
 export const STREAM_SERVICE = 'llm'
 export const PLAIN_SERVICES = ['api', 'api-2'] as const
+/** A configuration may be in force for this long after the next one was sent. */
+export const CONFIGURATION_MS = 3000
 const PLAIN_ENGINES = 2
 const PIECES = 8
 /** Loopback networks that differ for soaks that run at the same time. */
@@ -68,6 +72,7 @@
   const network = FIRST_NETWORK + process.pid % NETWORKS
   const runs: soakEngine.EngineRun[] = []
   const configurations: ConfiguredTimeouts[] = []
+  const idleLimits: Array<{ readonly replacedAt: () => number, readonly ms: number }> = []
   let configuration = createSoakConfiguration(testing.formatAddress(origin.address), size.slots)
   let isEnding = false
   let version = 1
@@ -75,6 +80,8 @@
 
   function writeConfiguration (): void {
     store.put(platform.OBJECT_KINDS.configuration, platform.CONFIGURATION_NAME, configuration)
+    const index = configurations.length
+    idleLimits.push({ ms: Number(configuration.limits['idleTimeoutMs']), replacedAt: () => configurations[index + 1]?.at ?? Infinity })
     configurations.push({ at: performance.now(), timeoutMsByRoute: new Map(configuration.routes.map((route) => [String(route.name), Number(route.timeoutMs)])) })
   }
 
@@ -108,6 +115,7 @@
     engines,
     runs,
     configurations,
+    readShortestIdleMs: () => Math.min(...idleLimits.filter(({ replacedAt }) => replacedAt() + CONFIGURATION_MS >= performance.now()).map(({ ms }) => ms)),
     callerAddressOf: ({ host }) => ({ host, port: callerPort }),
     readinessAddressOf: ({ host }) => ({ host, port: readinessPort }),
     configure: (change) => {
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
@@ -5,6 +5,8 @@
 
 const DURATION_MS = 15_000
 const SEEDS = Array.from({ length: 40 }, (_, index) => index + 1)
+const SILENT_SEEDS = SEEDS.map((seed) => 200 + seed)
+const SILENT_KINDS: readonly string[] = ['engines-silent', 'engine-reads-nothing', 'limits', 'tenants', 'service-moves', 'split', 'attempts', 'many-routes']
 const UNPLANNED: readonly string[] = ['kill', 'pause', 'engine-crashes']
 
 nodeTest.test('a seed gives the same plan of a soak each time, and another seed another one', () => {
@@ -18,3 +20,9 @@
   assert.deepEqual(UNPLANNED.filter((kind) => kindsOf(false).has(kind)), [])
   assert.deepEqual(UNPLANNED.filter((kind) => kindsOf(true).has(kind)), UNPLANNED)
 })
+
+nodeTest.test('seeds from 200 on have silences and further changes of the configuration, and the seeds before keep plans without them', () => {
+  const kindsOf = (seeds: readonly number[]): Set<string> => new Set(seeds.flatMap((seed) => gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1).map(({ kind }) => kind)))
+  assert.deepEqual(SILENT_KINDS.filter((kind) => kindsOf(SEEDS).has(kind)), [])
+  assert.deepEqual(SILENT_KINDS.filter((kind) => kindsOf(SILENT_SEEDS).has(kind)), SILENT_KINDS)
+})
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.ts
@@ -1,4 +1,5 @@
 /** Plans the fleet, the disturbances and the calls of a soak of gateways and agents from its seed. */
+import type * as testing from '@switchridge/platform-testing'
 import * as standins from '@switchridge/standins'
 
 /** Size of the fleet. */
@@ -40,6 +41,11 @@
   | 'engine-crashes'
   /** An engine sends nothing for a while, and then goes on. */
   | 'engine-stalls'
+  /** Several engines, also plain ones, send nothing for about a second, and then go on. */
+  | 'engines-silent'
+  /** An engine accepts connections and reads nothing for about a second, and then goes on. */
+  | 'engine-reads-nothing'
+  | testing.ConfigurationChangeKind
 
 /** A signal that follows the first one of a disturbance. */
 export interface FurtherSignal {
@@ -69,6 +75,8 @@
   /** Bytes of an answer that is no stream. */
   readonly bytes: number
   readonly delayMs: number
+  /** Milliseconds for which an answer that is no stream stands still halfway. */
+  readonly pauseMs: number
   /** Most tokens of an answer that is a stream, as the caller states them. */
   readonly statedTokens: number
   readonly bodyBytes: number
@@ -81,7 +89,7 @@
 /** How a caller uses its connections. */
 export interface PlannedCaller {
   readonly seed: number
-  readonly kind: 'streams' | 'long-streams' | 'plain' | 'slow-readers' | 'slow-senders'
+  readonly kind: 'streams' | 'long-streams' | 'plain' | 'slow-readers' | 'slow-senders' | 'resting' | 'halting-answers'
   /** Whether it opens a connection for each call; else it uses one until it is closed. */
   readonly isFresh: boolean
 }
@@ -95,9 +103,17 @@
 /** Shorter and longer than what other processes take for an end. */
 const PAUSES_MS = [100, 500, 2000, 4500]
 const SHORTEST_STALL_MS = 500
+const SHORTEST_SILENCE_MS = 1000
+const LONGEST_SILENCE_MS = 1300
+/** Seeds from this one on have silences, further changes of the configuration and further kinds of callers. */
+const FIRST_SILENT_SEED = 200
+const SILENCE_KINDS = ['engines-silent', 'engines-silent', 'engine-reads-nothing'] as const
+const CHANGE_KINDS = ['limits', 'limits', 'tenants', 'service-moves', 'split', 'attempts', 'many-routes', 'timeouts', 'routes'] as const
+const MAXIMUM_CHANGE_INTERVAL_MS = 1000
 const MAXIMUM_DOWN_MS = 1500
 const WARM_UP_TURNS = 10
 const CALLER_KINDS = ['streams', 'streams', 'long-streams', 'long-streams', 'plain', 'plain', 'slow-readers', 'slow-senders'] as const
+const SILENT_SEED_CALLER_KINDS = [...CALLER_KINDS, 'resting', 'halting-answers', 'resting', 'halting-answers'] as const
 /** More of them keep the process of the soak busy, which sends and reads all their bytes. */
 const MAXIMUM_SLOW_READERS = 5
 const FRESH_SHARE = 0.25
@@ -151,7 +167,7 @@
       reloadsAfterStartMs: random() < 0.3 ? Array.from({ length: 3 }, () => random() * 1000) : []
     })
   }
-  return hasStalls(seed) ? [...plan, ...planStalls(seed, durationMs, rate)] : plan
+  return [...plan, ...hasStalls(seed) ? planStalls(seed, durationMs, rate) : [], ...hasSilences(seed) ? planSilences(seed, durationMs) : []]
 }
 
 /** Every seventh seed has engines that stand still now and then, as engines that run out of memory do. */
@@ -169,6 +185,24 @@
   return plan
 }
 
+function hasSilences (seed: number): boolean {
+  return seed >= FIRST_SILENT_SEED
+}
+
+/** Silences that follow one another closely and may overlap, beside changes of the configuration. */
+function planSilences (seed: number, durationMs: number): GatewayDisturbance[] {
+  const random = createPlanRandom(seed)
+  const plan: GatewayDisturbance[] = []
+  const add = (atMs: number, kind: GatewayDisturbanceKind): void => {
+    plan.push({ atMs, kind, target: random(), forMs: SHORTEST_SILENCE_MS + random() * (LONGEST_SILENCE_MS - SHORTEST_SILENCE_MS), furtherSignals: [], reloadsAfterStartMs: [] })
+  }
+  let atMs = 0
+  while ((atMs += random() * 2 * LONGEST_SILENCE_MS) < durationMs) add(atMs, pick(SILENCE_KINDS, random))
+  atMs = 0
+  while ((atMs += random() * MAXIMUM_CHANGE_INTERVAL_MS) < durationMs) add(atMs, pick(CHANGE_KINDS, random))
+  return plan
+}
+
 function planFurtherSignals (kind: GatewayDisturbanceKind, random: () => number): FurtherSignal[] {
   if (kind === 'reload' || kind === 'reload-torn') return Array.from({ length: Math.floor(random() * 5) + 1 }, () => ({ afterMs: random() * 300, signal: 'SIGHUP' as const }))
   if (kind !== 'terminate' && kind !== 'roll') return []
@@ -189,18 +223,21 @@
  */
 export function planCallers (seed: number, count: number): PlannedCaller[] {
   const random = createPlanRandom(seed)
+  const kinds = hasSilences(seed) ? SILENT_SEED_CALLER_KINDS : CALLER_KINDS
   return Array.from({ length: count }, (_, index) => {
-    const kind = CALLER_KINDS[index % CALLER_KINDS.length] as PlannedCaller['kind']
-    const isOneTooMany = kind === 'slow-readers' && index >= MAXIMUM_SLOW_READERS * CALLER_KINDS.length
-    return { seed: seed * 1000 + index, kind: isOneTooMany ? 'streams' : kind, isFresh: random() < FRESH_SHARE }
+    const kind = kinds[index % kinds.length] as PlannedCaller['kind']
+    const isOneTooMany = kind === 'slow-readers' && index >= MAXIMUM_SLOW_READERS * kinds.length
+    return { seed: seed * 1000 + index, kind: isOneTooMany ? 'streams' : kind, isFresh: random() < FRESH_SHARE && kind !== 'resting' }
   })
 }
 
-const PLAIN_CALL: PlannedCall = { route: 'read', events: 0, eventMs: 0, eventBytes: 0, bytes: 500, delayMs: 0, statedTokens: 0, bodyBytes: 400, sendMs: 0, awaitsContinue: false, readBytesPerSecond: Infinity }
+const PLAIN_CALL: PlannedCall = { route: 'read', events: 0, eventMs: 0, eventBytes: 0, bytes: 500, delayMs: 0, pauseMs: 0, statedTokens: 0, bodyBytes: 400, sendMs: 0, awaitsContinue: false, readBytesPerSecond: Infinity }
 
 /** Plans the next call of a caller. */
 export function planCall (kind: PlannedCaller['kind'], random: () => number): PlannedCall {
   if (kind === 'plain') return { ...PLAIN_CALL, route: pick(['read', 'write', 'removable'], random), delayMs: 10 + random() * (random() < 0.8 ? 300 : 1500) }
+  if (kind === 'halting-answers') return { ...PLAIN_CALL, route: pick(['read', 'write', 'removable'], random), delayMs: 10 + random() * 100, pauseMs: SHORTEST_SILENCE_MS - 200 + random() * 500 }
+  if (kind === 'resting' && random() < 0.5) return { ...PLAIN_CALL, route: pick(['read', 'write'], random), delayMs: 10 + random() * 100 }
   if (kind === 'slow-senders') return { ...PLAIN_CALL, route: pick(['read', 'write'], random), delayMs: 10 + random() * 200, bodyBytes: 100_000, sendMs: 500 + random() * 2500, awaitsContinue: random() < 0.3 }
   if (kind === 'slow-readers' && random() < 0.5) return { ...PLAIN_CALL, bytes: Math.round((4 + random() * 8) * MEGABYTE), delayMs: 10, readBytesPerSecond: 2.5 * MEGABYTE }
   const route = pick(['stream', 'stream', 'talk'] as const, random)
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.test.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.test.ts
@@ -61,6 +61,11 @@
 const RUN_UNTIL_GRACE = { ...RUN, beganAt: TERM_AT + 2910, endedAt: TERM_AT + 7600 }
 const DRAINED_LATE = [{ ...DRAINED, exitedAt: TERM_AT + 7700 }]
 
+/** Two configurations with equal time-outs. */
+function configureAt (at: number): Seen['configurations'] {
+  return [0, at].map((each) => ({ at: each, timeoutMsByRoute: new Map([['stream', 6000]]) }))
+}
+
 const CASES: ReadonlyArray<readonly [string, Parameters<typeof findRules>[0], string[]]> = [
   ['a call cut in the grace period', {}, ['LOST']],
   ['a whole call', { call: WHOLE }, []],
@@ -80,6 +85,11 @@
   ['a pause of another gateway', { disruptions: [{ of: 'gateway-a1', beganAt: TERM_AT - 1000, endedAt: TERM_AT }] }, ['LOST']],
   ['a crash of the engine', { disruptions: [{ of: 'i-0', beganAt: TERM_AT, endedAt: TERM_AT }] }, []],
   ['a call cut by a process that serves', { incarnations: [SERVING] }, ['CUT']],
+  ['a call cut by a process that serves and did not log it', { incarnations: [SERVING], cutLines: new Map() }, ['CUT', 'UNLOGGED']],
+  ['a call cut beside a change of the configuration', { incarnations: [SERVING], configurations: configureAt(TERM_AT - 900) }, ['LOST']],
+  ['the same later than 3 s after the change', { incarnations: [SERVING], configurations: configureAt(TERM_AT - 1100) }, ['CUT']],
+  ['the same for a call that has used most of its time', { incarnations: [SERVING], configurations: configureAt(TERM_AT + 1900), call: { beganAt: TERM_AT - 2300 } }, ['CUT']],
+  ['the first configuration, which is no change', { incarnations: [SERVING], configurations: configureAt(TERM_AT).slice(1) }, ['CUT']],
   ['a call of an earlier process', { incarnations: [{ ...DRAINED, exitedAt: TERM_AT + 100 }, { ...SERVING, startedAt: TERM_AT + 200 }], call: { connectionOpenedAt: TERM_AT + 300 } }, ['CUT']],
   ['a call that may not be repeated and ran twice', { call: WHOLE, runs: [RUN, RUN] }, ['TWICE']],
   ['a call that may be repeated and ran twice', { call: { ...WHOLE, isRepeatable: true }, runs: [RUN, RUN] }, []],
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.ts
@@ -42,9 +42,9 @@
 
 /** Kinds of broken promises. */
 export type GatewayRule =
-  /** A call was cut around a SIGTERM of its gateway. */
+  /** A call was cut around a SIGTERM of its gateway or beside a change of the configuration. */
   | 'LOST'
-  /** A call was cut by a gateway that was not told to end. */
+  /** A call was cut by a gateway that was not told to end, without a change of the configuration near. */
   | 'CUT'
   | 'DRAIN' | 'TWICE' | 'REFUSED' | 'MIXED'
   /** A process did not end by itself with exit code 0 within the grace period. */
@@ -71,6 +71,9 @@
 /** From here on the names and figures are those of the platform's rules. */
 const LOSS_SLACK_MS = 200
 const CONTACT_MS = 3000
+const CONFIGURATION_MS = 2000
+const AFTER_CONFIGURATION_MS = 1000
+const EARLY_PART_OF_TIME = 0.7
 const AFTER_GRACE_MS = 1000
 const LATE_REQUEST_MS = 3000
 const LAST_PART_OF_GRACE = 1 / 6
@@ -98,25 +101,64 @@
   if (!record.isRepeatable && runs.length > 1) add('TWICE', `ran ${runs.length} times`)
   if (!record.isRepeatable && record.isWhole && PROMISES_NOT_RUN.has(record.status) && runs.length > 0) add('REFUSED', `refused with ${record.status} but ran`)
   if (record.error === 'given up') add('STUCK', 'no whole answer')
-  if (record.isWhole || record.error === 'given up' || !mustBeAnswered(record, seen) || isExcused(record, runs, seen)) return problems
-  const term = findTerm(record, seen)
-  const isAroundTerm = term !== null && record.endedAt >= term && record.endedAt <= term + seen.graceMs + AFTER_GRACE_MS
-  if (!isAroundTerm) add('CUT', 'cut by a gateway that was not told to end')
-  else if (!isLateWork(record, runs, term, seen.graceMs)) add('LOST', 'cut around a SIGTERM')
-  if (isAroundTerm && !seen.cutLines.has(record.id)) add('UNLOGGED', 'no call-cut line')
+  if (record.isWhole || record.error === 'given up') return problems
+  const excuse = findExcuse(record, runs, seen)
+  const isAroundTerm = findTermAround(record, seen) !== null
+  if (excuse === null && !isAroundTerm && isBesideConfiguration(record, seen)) add('LOST', 'cut beside a change of the configuration')
+  else if (excuse === null && !isAroundTerm) add('CUT', 'cut by a gateway that was not told to end')
+  else if (excuse === null) add('LOST', 'cut around a SIGTERM')
+  if ((excuse === null || excuse === 'late-work') && !seen.cutLines.has(record.id)) add('UNLOGGED', 'no call-cut line')
   return problems
 }
 
+/** Why the rules allow that a call was cut. */
+export type Excuse =
+  /** It was not sent completely. */
+  | 'unsent'
+  /** It crossed the close of its connection and was not passed on. */
+  | 'crossed'
+  /** A disruption that was not planned was near. */
+  | 'disruption'
+  /** Its engine ended. */
+  | 'engine-ended'
+  /** Its time was over. */
+  | 'time-over'
+  /** Its engine worked on it at the end of the grace period. */
+  | 'late-work'
+
+/**
+ * Finds why the rules allow that a call was cut.
+ *
+ * @param record - The call.
+ * @param runs - Work of engines on it.
+ * @param seen - What callers, engines and the balancer saw.
+ * @returns The excuse; null if there is none.
+ */
+export function findExcuse (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], seen: GatewaySoakObservations): Excuse | null {
+  if (record.sentAt === null) return 'unsent'
+  if (!mustBeAnswered(record, seen)) return 'crossed'
+  if (isNearDisruption(record, seen)) return 'disruption'
+  if (runs.some(({ isEngineEnded }) => isEngineEnded)) return 'engine-ended'
+  if (record.endedAt - record.beganAt >= findTimeoutMs(record, seen)) return 'time-over'
+  const term = findTermAround(record, seen)
+  return term !== null && isLateWork(record, runs, term, seen.graceMs) ? 'late-work' : null
+}
+
+/** When the process of a call was told to stop; null if the call ended at another time. */
+function findTermAround (record: gatewaySoakCallers.GatewayCallRecord, seen: GatewaySoakObservations): number | null {
+  const term = findTerm(record, seen)
+  return term !== null && record.endedAt >= term && record.endedAt <= term + seen.graceMs + AFTER_GRACE_MS ? term : null
+}
+
 /** Whether the request was sent completely and either passed on or read for certain. */
 function mustBeAnswered ({ id, sentAt, endedAt, stalledMs }: gatewaySoakCallers.GatewayCallRecord, { arrivals }: GatewaySoakObservations): boolean {
   return sentAt !== null && (arrivals.has(id) || endedAt - sentAt - stalledMs > LOSS_SLACK_MS)
 }
 
-/** Whether the engine broke off, the time of the call was over, or an unplanned disruption of its gateway or of one of its engines was near. */
-function isExcused (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], seen: GatewaySoakObservations): boolean {
+/** Whether an unplanned disruption of the call's gateway or of one of its engines was near. */
+function isNearDisruption (record: gatewaySoakCallers.GatewayCallRecord, seen: GatewaySoakObservations): boolean {
   const concerned = [record.node, ...seen.arrivals.get(record.id) ?? []]
-  const isNearDisruption = seen.disruptions.some((each) => concerned.includes(each.of) && each.beganAt <= record.endedAt && each.endedAt >= record.beganAt - CONTACT_MS)
-  return isNearDisruption || runs.some(({ isEngineEnded }) => isEngineEnded) || record.endedAt - record.beganAt >= findTimeoutMs(record, seen)
+  return seen.disruptions.some((each) => concerned.includes(each.of) && each.beganAt <= record.endedAt && each.endedAt >= record.beganAt - CONTACT_MS)
 }
 
 /** The shortest time-out that may have been in force for the call, or its deadline. */
@@ -125,6 +167,13 @@
   return Math.min(deadlineMs, ...inForce.map(({ timeoutMsByRoute }) => timeoutMsByRoute.get(route) ?? Infinity))
 }
 
+/** Whether a configuration that may be in force was new at the end of a call that had not used most of its time. */
+function isBesideConfiguration (record: gatewaySoakCallers.GatewayCallRecord, seen: GatewaySoakObservations): boolean {
+  const { beganAt, endedAt } = record
+  const isEarly = endedAt - beganAt < EARLY_PART_OF_TIME * findTimeoutMs(record, seen)
+  return isEarly && seen.configurations.slice(1).some(({ at }) => at <= endedAt && endedAt <= at + CONFIGURATION_MS + AFTER_CONFIGURATION_MS)
+}
+
 /** When the process to which the call's connection belonged was told to stop. */
 function findTerm (record: gatewaySoakCallers.GatewayCallRecord, { incarnations }: GatewaySoakObservations): number | null {
   const incarnation = incarnations.filter(({ node, startedAt }) => node === record.node && startedAt <= record.connectionOpenedAt).at(-1)
--- a/packages/fuzz/src/_lib/soakEngine.ts
+++ b/packages/fuzz/src/_lib/soakEngine.ts
@@ -131,5 +131,5 @@
 function readShape (requestPath: string): testing.AnswerShape {
   const { searchParams } = new URL(requestPath, 'http://engine')
   const read = (name: string): number => Number(searchParams.get(name))
-  return { events: read('events'), eventMs: read('eventMs'), eventBytes: read('eventBytes'), bytes: read('bytes'), delayMs: read('delayMs') }
+  return { events: read('events'), eventMs: read('eventMs'), eventBytes: read('eventBytes'), bytes: read('bytes'), delayMs: read('delayMs'), pauseMs: read('pauseMs') }
 }
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -27,10 +27,10 @@
 async function soakGateways ({ seed, runs, processes }: fuzz.FuzzOptions & { readonly processes: number | undefined }): Promise<void> {
   let failedSeeds = 0
   for (let each = seed; each < seed + runs; each += 1) {
-    const { calls, disturbances, problems, ownEnds, keptFolder, longestStallMs } = await fuzz.soakGateways({ seed: each, ...(processes === undefined ? {} : { processes }) })
+    const { calls, excused, disturbances, problems, ownEnds, keptFolder, longestStallMs } = await fuzz.soakGateways({ seed: each, ...(processes === undefined ? {} : { processes }) })
     const counts: Record<string, number> = {}
     for (const { rule, logged } of problems) counts[`${rule} ${logged}`] = (counts[`${rule} ${logged}`] ?? 0) + 1
-    process.stdout.write(`seed ${each}: ${problems.length} broken promises ${JSON.stringify(counts)}; ${JSON.stringify(disturbances)}; ${JSON.stringify(calls)}; ${ownEnds} own ends; longest stall of the soak ${longestStallMs} ms; ${keptFolder ?? 'nothing kept'}\n`)
+    process.stdout.write(`seed ${each}: ${problems.length} broken promises ${JSON.stringify(counts)}; ${JSON.stringify(disturbances)}; ${JSON.stringify(calls)}; cut as the rules allow ${JSON.stringify(excused)}; ${ownEnds} own ends; longest stall of the soak ${longestStallMs} ms; ${keptFolder ?? 'nothing kept'}\n`)
     const firstOfEach = problems.filter((problem, index) => problems.findIndex(({ rule, logged }) => rule === problem.rule && logged === problem.logged) === index)
     for (const { rule, text } of firstOfEach) process.stdout.write(`  ${rule} ${text}\n`)
     if (problems.length > 0) failedSeeds += 1
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -26,6 +26,8 @@
 export interface GatewaySoakReport {
   /** Number of calls by route and outcome. */
   readonly calls: Readonly<Record<string, number>>
+  /** Number of cut calls by the reason for which the rules allow it. */
+  readonly excused: Readonly<Record<string, number>>
   /** Number of disturbances by kind. */
   readonly disturbances: Readonly<Record<string, number>>
   /** Number of processes that ended without a signal that stops or kills them, also shortly after their start. */
@@ -126,6 +128,7 @@
   if (problems.length > 0) keepObservations(folder, seen, plan, problems)
   return {
     calls: countBy(callers.records, ({ route, isWhole, status, sentAt }) => `${route} ${isWhole ? status === OK ? 'answered' : status : sentAt === null ? 'unsent' : 'cut'}`),
+    excused: countBy(callers.records.filter(({ isWhole, error }) => !isWhole && error !== 'given up'), (record) => judgeGatewaySoak.findExcuse(record, fleet.runs.filter(({ id }) => id === record.id), seen) ?? 'none'),
     disturbances: countBy(plan, ({ kind }) => kind),
     ownEnds: incarnations.filter((each) => each.exitedAt !== null && soakNode.findStop(each) === null && !each.signals.some(({ signal }) => signal === 'SIGKILL')).length,
     problems,
@@ -214,6 +217,25 @@
     engine.stall.isStalled = false
   }
 
+  /** Half of the silences are of some engines, the others of all. */
+  async function silenceEngines (): Promise<void> {
+    const some = fleet.engines.filter((_, index) => target >= 0.5 || (index + Math.floor(target * 10)) % 2 === 0)
+    const silent = some.flatMap(({ incarnations }) => incarnations.slice(-1))
+    const undo = silent.map(({ suspendSending }) => suspendSending())
+    await types.delay(forMs)
+    for (const resume of undo) resume()
+  }
+
+  async function suspendReading (): Promise<void> {
+    const resume = pick(fleet.engines).incarnations.at(-1)?.suspendReading()
+    await types.delay(forMs)
+    resume?.()
+  }
+
+  const change = (changeKind: testing.ConfigurationChangeKind) => (): void => {
+    fleet.configure((configuration, turn) => { testing.changeConfiguration(configuration, changeKind, turn) })
+  }
+
   /** The first engine of each service stays, so that calls can be served. */
   function pickDisturbableEngine (): soakEngine.SoakEngine {
     return pick(fleet.engines.filter((engine) => fleet.engines.find(({ service }) => service === engine.service) !== engine))
@@ -231,7 +253,15 @@
     version: () => { fleet.nameVersion() },
     'engine-leaves': async () => { await pickDisturbableEngine().leave(forMs) },
     'engine-crashes': crashEngine,
-    'engine-stalls': stallEngine
+    'engine-stalls': stallEngine,
+    'engines-silent': silenceEngines,
+    'engine-reads-nothing': suspendReading,
+    limits: change('limits'),
+    tenants: change('tenants'),
+    'service-moves': change('service-moves'),
+    split: change('split'),
+    attempts: change('attempts'),
+    'many-routes': change('many-routes')
   }
   await actions[kind]()
 }
