Let limits of callers' connections become shorter only after the time of the longer ones

Callers that keep to the limits of one configuration while another comes into force found their connection closed, or got 408: a connection that rested when the idle limit became longer was closed at the old one, and shorter limits struck heads that were arriving and connections whose callers had been told a longer time.

Cause: Node.js sets the idle timer when a response ends, and the caller server applied each limit at once.

The tracker compares an idle connection with the limit in force when its timer expires, and waits for the rest of a longer one. A shorter idle limit or time for heads comes into force once the longer one has passed; until then the longer one is also what Keep-Alive tells. The first configuration applies at once.

--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http'
 import * as rpc from '@switchridge/rpc'
 import type * as types from '@switchridge/types'
+import * as createTimeLimit from '../_lib/createTimeLimit.js'
 import type * as createCallHandler from '../createCallHandler/index.js'
 import * as gateway from '../types/index.js'
 
@@ -9,7 +10,7 @@
 export interface CallerServer {
   /** Accepts connections at an address. Rejects with the error of the operating system if it can't be listened on. */
   readonly listen: (address: types.Address) => Promise<void>
-  /** Applies other limits to future connections and requests. */
+  /** Applies other limits to future connections and requests; shorter times apply once callers that know the longer ones have had them. */
   readonly setLimits: (limits: gateway.CallerLimits) => void
   /** Number of open connections by phase. */
   readonly countConnections: () => Readonly<Record<rpc.ConnectionPhase, number>>
@@ -24,6 +25,7 @@
 /** Interval at which Node.js looks for connections whose request head is overdue. */
 const CHECK_INTERVAL_MS = 500
 const LISTEN_BACKLOG = 1024
+const { maximumHeaderBytes, headerTimeoutMs, idleTimeoutMs } = gateway.DEFAULT_CALLER_LIMITS
 
 /**
  * Creates the server.
@@ -33,17 +35,24 @@
  * @returns The server, which doesn't listen yet.
  */
 export function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, onIdleClose?: (close: rpc.IdleClose) => void): CallerServer {
-  const server = http.createServer({ maxHeaderSize: gateway.DEFAULT_CALLER_LIMITS.maximumHeaderBytes, noDelay: true, connectionsCheckingInterval: CHECK_INTERVAL_MS })
+  const server = http.createServer({
+    maxHeaderSize: maximumHeaderBytes,
+    headersTimeout: headerTimeoutMs,
+    keepAliveTimeout: idleTimeoutMs + IDLE_MARGIN_MS,
+    requestTimeout: 0,
+    noDelay: true,
+    connectionsCheckingInterval: CHECK_INTERVAL_MS
+  })
   const connections = rpc.trackConnections(server, handler.handle, onIdleClose)
-  setLimits(gateway.DEFAULT_CALLER_LIMITS)
-  server.requestTimeout = 0
+  const setHeaderTimeout = createTimeLimit.createTimeLimit((limitMs) => { server.headersTimeout = limitMs })
+  const setIdleTimeout = createTimeLimit.createTimeLimit((limitMs) => { server.keepAliveTimeout = limitMs + IDLE_MARGIN_MS })
   // The handler decides whether the caller may send its body.
   server.on('checkContinue', connections.handle)
 
   function setLimits (limits: gateway.CallerLimits): void {
     (server as http.Server & { maxHeaderSize: number }).maxHeaderSize = limits.maximumHeaderBytes
-    server.headersTimeout = limits.headerTimeoutMs
-    server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    setHeaderTimeout(limits.headerTimeoutMs)
+    setIdleTimeout(limits.idleTimeoutMs)
   }
 
   return {
--- a/packages/gateway/src/createCallerServer/test.ts
+++ b/packages/gateway/src/createCallerServer/test.ts
@@ -111,9 +111,13 @@
 })
 
 nodeTest.test('shorter limits come into force once the time of the longer ones is over', LIMIT, async (context) => {
-  const { change, socket, waitFor } = await openLimited(context, { headerTimeoutMs: LONG_MS / 3 })
+  const { change, socket, waitFor } = await openLimited(context, { headerTimeoutMs: LONG_MS })
+  socket.write('GET /first HTTP/1.1\r\nHost: server\r\n\r\n')
+  await waitFor('end of /first')
   change({ headerTimeoutMs: SHORT_MS })
+  await types.delay(LONG_MS + SHORT_MS)
+  socket.write('GET /next HTTP/1.1\r\n')
   await types.delay(LONG_MS / 2)
-  socket.write('GET /first HTTP/1.1\r\n')
+  socket.write('Host: server\r\n\r\n')
   await waitFor(' 408 ')
 })
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -46,6 +46,8 @@
  */
 export const LINGER_MS = 2000
 const CHECK_INTERVAL_MS = 50
+/** Node.js closes an idle connection this much later than `keepAliveTimeout`, which it tells the peer. */
+const KEEP_ALIVE_BUFFER_MS = 1000
 /** A server to which peers go on connecting accepts so many more at the begin of a drain: as many as may wait in the queue of the system, with the backlog of the servers. */
 const MAXIMUM_ACCEPTED = 1024
 /** A server ignores an empty line before a request (RFC 9112, section 2.2), which some peers send after a body; so few bytes are not taken for the begin of a request. */
@@ -169,12 +171,16 @@
     runWithoutRequest(connection, () => {
       const phase = readPhase(connection)
       const isStalled = phase === 'receiving' && socket.bytesRead === bytesRead
+      const idleMs = performance.now() - idleSince
+      // The limit may have become longer since the timer was set.
+      const limitMs = server.keepAliveTimeout + KEEP_ALIVE_BUFFER_MS
       // Node.js limits the time for the head; it does not for bytes that begin none, such as empty lines.
       if (isStalled && (socket.timeout ?? 0) < server.headersTimeout) {
         socket.setTimeout(server.headersTimeout)
+      } else if (phase === 'idle' && idleMs < limitMs) {
+        socket.setTimeout(limitMs - idleMs)
       } else if (isStalled || phase === 'idle') {
-        const idleMs = performance.now() - idleSince
-        onIdleClose({ idleMs, lateMs: idleMs - (socket.timeout ?? 0), receivedBytes: socket.bytesRead - connection.idleBytes })
+        onIdleClose({ idleMs, lateMs: idleMs - Math.max(limitMs, socket.timeout ?? 0), receivedBytes: socket.bytesRead - connection.idleBytes })
         socket.destroy()
       }
     })
