--- a/packages/rpc/src/openRequest/test.ts
+++ b/packages/rpc/src/openRequest/test.ts
@@ -6,6 +6,7 @@
 const HOST = '127.0.0.1'
 const CHUNKS = 5
 const IDLE_TIMEOUT_MS = 1000
+const STALL_MS = 400
 
 interface TestServer {
   readonly base: string
@@ -120,3 +121,17 @@
   assert.ok(!result.ok)
   assert.match(result.error.message, /exceeds 10 bytes/)
 })
+
+for (const limits of [{ idleTimeoutMs: STALL_MS / 2 }, { timeoutMs: STALL_MS / 2 }]) {
+  nodeTest.test(`an answer that arrives in time at a process that stands still until after its limit is received (${Object.keys(limits).join()})`, async (context) => {
+    const server = await openServer(context)
+    const pendingResponse = server.nextResponse()
+    const pendingResult = send(server, limits)
+    const response = await pendingResponse
+    response.end('whole')
+    const endsAt = performance.now() + STALL_MS
+    while (performance.now() < endsAt);
+    const result = await pendingResult
+    assert.equal(result.ok ? result.value.body.toString() : result.error.message, 'whole')
+  })
+}
