Read what has arrived before a request is given up

An entry node that stood still gave up calls whose answer had arrived in time, and callers got a refusal or an unknown outcome; reads of the store and of peers failed in the same way (a gateway paused for 3 s logged three times "no byte of the answer").

Cause: Node.js runs the timers of a request before it reads its socket.

Both time-outs of openRequest now pass through runAfterReads; bytes that are read meanwhile, or the end of the answer, cancel them. A process that was not paused gives up some turns of its event loop later.

--- a/packages/rpc/src/openRequest/index.ts
+++ b/packages/rpc/src/openRequest/index.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http'
 import * as https from 'node:https'
+import * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import type * as createHttpAgents from '../createHttpAgents/index.js'
 
@@ -73,12 +74,12 @@
       incoming?.destroy(new Error(reason))
       outgoing.destroy(new Error(reason))
     }
-    const timer = request.timeoutMs === undefined
-      ? undefined
-      : setTimeout(() => { abort(`no whole answer within ${request.timeoutMs ?? 0} ms`) }, request.timeoutMs)
+    if (request.timeoutMs !== undefined) {
+      const { timeoutMs } = request
+      outgoing.once('close', startTimeout(timeoutMs, () => { abort(`no whole answer within ${timeoutMs} ms`) }))
+    }
     if (request.idleTimeoutMs !== undefined) abortWhenIdle(outgoing, request.idleTimeoutMs, request.firstByteTimeoutMs ?? request.idleTimeoutMs, abort)
     outgoing.on('error', (error) => { resolve(types.fail(new RequestError(error))) })
-    outgoing.once('close', () => { clearTimeout(timer) })
     outgoing.once('response', (response) => {
       incoming = response
       request.onHeaders?.()
@@ -88,24 +89,34 @@
   })
 }
 
+/** Starts a timeout that lets what had arrived be read first, since Node.js runs timers before it reads sockets. Returns a function that cancels it. */
+function startTimeout (limitMs: number, action: () => void): () => void {
+  let cancelAction = (): void => {}
+  const timer = setTimeout(() => { cancelAction = clock.runAfterReads(action) }, limitMs)
+  return () => {
+    clearTimeout(timer)
+    cancelAction()
+  }
+}
+
 /** Aborts a request whose socket receives no data for a time; a consumer that stops reading the body has the same effect. */
 function abortWhenIdle (outgoing: http.ClientRequest, idleTimeoutMs: number, firstByteTimeoutMs: number, abort: (reason: string) => void): void {
-  let timer = startTimer(firstByteTimeoutMs)
+  let cancelTimeout = startIdleTimeout(firstByteTimeoutMs)
 
-  function startTimer (limitMs: number): NodeJS.Timeout {
-    return setTimeout(() => { abort(`no byte of the answer for ${limitMs} ms`) }, limitMs)
+  function startIdleTimeout (limitMs: number): () => void {
+    return startTimeout(limitMs, () => { abort(`no byte of the answer for ${limitMs} ms`) })
   }
 
-  function restartTimer (): void {
-    clearTimeout(timer)
-    timer = startTimer(idleTimeoutMs)
+  function restartTimeout (): void {
+    cancelTimeout()
+    cancelTimeout = startIdleTimeout(idleTimeoutMs)
   }
 
   outgoing.once('socket', (socket) => {
-    socket.on('data', restartTimer)
-    outgoing.once('close', () => { socket.off('data', restartTimer) })
+    socket.on('data', restartTimeout)
+    outgoing.once('close', () => { socket.off('data', restartTimeout) })
   })
-  outgoing.once('close', () => { clearTimeout(timer) })
+  outgoing.once('close', () => { cancelTimeout() })
 }
 
 /**
