Refuse held calls once every engine is excluded for them

Calls that were held for returning engines stayed held when the last hall that might serve them was evacuated: their callers learned only shortly before their deadlines ("no slot before the deadline") that nothing could serve them, too late to try elsewhere, and each held call took a place in the queue.

Cause: exclusions were read when a call was about to be held and when a slot was chosen. The forecast counts excluded engines, and nothing asked again when an evacuation began.

Now the waits of such calls end when an evacuation begins or the list of back ends changes, and the call is decided again as a new one is: refused at once, with the exclusion as reason. Calls for which one engine isn't excluded stay.

--- a/packages/daemon/src/createEvacuations/index.ts
+++ b/packages/daemon/src/createEvacuations/index.ts
@@ -30,6 +30,8 @@
   readonly isKnown: () => boolean
   readonly isEvacuated: (zone: string) => boolean
   readonly list: () => Evacuation[]
+  /** Registers a listener that is called after each hall whose evacuation begins. */
+  readonly onEvacuated: (listener: () => void) => void
   /** Registers a listener that is called with each hall that is taken back into service. */
   readonly onTakenBack: (listener: (hall: string) => void) => void
   /** Records that a request is sent to a hall now. */
@@ -44,12 +46,13 @@
  */
 export function createEvacuations (options: EvacuationsOptions): Evacuations {
   const { boundMs, now } = options
-  if (boundMs === null) return { mirror: null, isKnown: () => true, isEvacuated: () => false, list: () => [], onTakenBack: () => {}, noteSent: () => {} }
+  if (boundMs === null) return { mirror: null, isKnown: () => true, isEvacuated: () => false, list: () => [], onEvacuated: () => {}, onTakenBack: () => {}, noteSent: () => {} }
   const bound = boundMs
   const objects = store.createMirror(platform.OBJECT_KINDS.evacuations)
   /** Evacuated halls with the earliest time at which the store may have accepted the evacuation; null if unknown. */
   const startedAt = new Map<string, number | null>()
   const lastSentAt = new Map<string, number>()
+  const evacuatedListeners: Array<() => void> = []
   const takenBackListeners: Array<(hall: string) => void> = []
   /** When the copy was last found to be current; null before the first list. */
   let confirmedAt: number | null = null
@@ -73,6 +76,7 @@
       if (startedAt.has(hall)) continue
       startedAt.set(hall, confirmedAt)
       options.logger.info('evacuation', { hall, isEvacuated: true, revision, ageMs })
+      for (const listener of evacuatedListeners) listener()
       const sentAt = lastSentAt.get(hall)
       if (sentAt !== undefined && confirmedAt !== null) options.observe('evacuation_margin', Math.max(0, bound - Math.max(0, sentAt - confirmedAt)))
     }
@@ -108,6 +112,7 @@
       const at = startedAt.get(name) ?? null
       return { hall: name, revision, ageMs: at === null ? null : Math.round(now() - at) }
     }),
+    onEvacuated: (listener) => { evacuatedListeners.push(listener) },
     onTakenBack: (listener) => { takenBackListeners.push(listener) },
     noteSent: (zone) => { lastSentAt.set(zone, now()) }
   }
--- a/packages/daemon/src/createEvacuations/test.ts
+++ b/packages/daemon/src/createEvacuations/test.ts
@@ -54,6 +54,17 @@
   assert.deepEqual(logged.at(-1), { event: 'evacuation', hall: 'hall-a', isEvacuated: false, revision: 13, ageMs: 500 })
 })
 
+/** Guards against calls that go on waiting for engines of a hall, since nothing says that it is evacuated now. */
+nodeTest.test('listeners hear of an evacuation once it is in force', () => {
+  const { record, mirror } = openRecord()
+  const heard: boolean[] = []
+  record.onEvacuated(() => { heard.push(record.isEvacuated('hall-a')) })
+  mirror.applyList({ objects: [describe('hall-a', 4)], at: 9 })
+  mirror.applyList({ objects: [describe('hall-a', 4)], at: 10 })
+  mirror.applyList({ objects: [], at: 11 })
+  assert.deepEqual(heard, [true])
+})
+
 /** Guards against the older of two revisions that arrive in another order, as from a peer that lags behind. */
 nodeTest.test('changes of an earlier revision do not bring an evacuation back', () => {
   const { record, mirror } = openRecord()
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -271,6 +271,7 @@
     readLimitMs: () => server.readIdleLimitMs()
   }))
   parts.evacuations.onTakenBack(limiter.noteTakenBack)
+  parts.evacuations.onEvacuated(() => { waiting?.endExcluded() })
   parts.onRoutes((table) => {
     server.setLimits(table.configuration.limits)
     waitingServices = waiting === null ? new Set() : gateway.listWaitingServices(table.configuration)
@@ -281,6 +282,7 @@
     leavers.noteListed(parts.backEnds())
     leavers.removeUnlisted(parts.backEnds())
     backoffs.removeUnlisted(parts.backEnds())
+    waiting?.endExcluded()
   })
   const readiness = checked.listen.readiness === undefined
     ? null
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -320,8 +320,10 @@
       promptTokens: call.promptTokens,
       deadlineAt: call.askedAt + CALL_TIMEOUT_MS,
       choose: (others) => choose(from, call, others).choice,
+      isExcluded: () => false,
       onEnd: (end) => {
         if (end.kind === 'reserved') return serve(from, call, end.choice, new Set())
+        if (end.kind === 'excluded') throw new Error('no engine is excluded here')
         if (call.isInGap && !call.hasLeft) gapCounts.heldRefused += 1
         refuse(call, end.retryAfterMs)
       }
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -59,7 +59,7 @@
 type Options = callOptions.CallHandlerOptions
 
 /** How the attempt to hold a call ended: with a reserved slot, a refusal, or a call that must end or be decided again. */
-type Held = { readonly kind: 'reserved', readonly choice: chooseBackEnd.Choice } | { readonly kind: 'refused' } | { readonly kind: 'removed' }
+type Held = { readonly kind: 'reserved', readonly choice: chooseBackEnd.Choice } | { readonly kind: 'refused' | 'removed' | 'excluded' }
 
 /** Describes how many back ends were passed over for each reason. */
 function describePassedOver (passedOver: chooseBackEnd.PassedOver): string {
@@ -259,7 +259,7 @@
     const end = await hold(held, refusal, refusalRetryAfterMs)
     if (call.isCallerGone()) return { kind: 'ended', ending: 'left' }
     if (end.kind === 'refused' || call.isExpired()) return { kind: 'ended', ending: endUnserved() }
-    return end.kind === 'removed' ? { kind: 'choose-again' } : { kind: 'send', choice: end.choice }
+    return end.kind === 'reserved' ? { kind: 'send', choice: end.choice } : { kind: 'choose-again' }
   }
 
   /** The waiting calls of the gateway, if this call may be one of them. */
@@ -307,6 +307,7 @@
         promptTokens: call.head.promptTokens,
         deadlineAt: call.deadline.at,
         choose: (others) => choose(new Set([...listTriedSinceReturn(), ...others]), !canMeetTarget(0)).choice,
+        isExcluded: () => findSoleExclusion(choose(call.tried, !canMeetTarget(0)).passedOver) !== null,
         onEnd: resolve
       }
       const decision = held.add(waitingCall)
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -22,6 +22,8 @@
   readonly linkMbps?: number
   /** Reason for which the engine is passed over until it returns. */
   readonly passedOver?: string
+  /** When its data hall is evacuated. */
+  readonly evacuatedAt?: number
   /** Whether the agent grants slots. */
   readonly hasSlots?: boolean
 }
@@ -40,14 +42,15 @@
 }
 
 function startCall (scenario: Scenario = {}): Running {
-  const { returnAt = RETURN_AT, statedReturnAt = () => returnAt, linkMbps = 4.38, passedOver = 'empty', hasSlots = true } = scenario
+  const { returnAt = RETURN_AT, statedReturnAt = () => returnAt, linkMbps = 4.38, passedOver = 'empty', evacuatedAt = Infinity, hasSlots = true } = scenario
   const clock = standins.createVirtualClock()
   const refusals: Array<Running['refusals'][number]> = []
   const sentAt: number[] = []
   const logged: Array<Readonly<Record<string, unknown>>> = []
   const backEnd = { id: ENGINE, bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
   const tracker = createBackEndTracker.createBackEndTracker(clock.now)
-  const isServing = (): boolean => clock.now() >= returnAt
+  const isEvacuated = (): boolean => clock.now() >= evacuatedAt
+  const isServing = (): boolean => clock.now() >= returnAt && !isEvacuated()
   function at (time: number, action: () => void): () => void {
     let isCancelled = false
     clock.at(time, () => { if (!isCancelled) action() })
@@ -75,7 +78,7 @@
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: ({ tried }: { readonly tried: ReadonlySet<types.NodeId> }) => ({
       choice: isServing() && !tried.has(ENGINE) ? { backEnd, isRateLimited: false, firstEventMs: 50, discountedFirstEventMs: 50, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null } : null,
-      passedOver: { [passedOver]: 1 },
+      passedOver: { [isEvacuated() ? 'evacuated' : passedOver]: 1 },
       utilization: 0,
       permitWaitMs: Infinity,
       backoffWaitMs: Infinity
@@ -212,3 +215,16 @@
     assert.equal(refusals.length, hasSlots ? 0 : 2)
   }
 })
+
+/** Guards against callers that are held until their deadline although their data hall has been evacuated meanwhile. */
+nodeTest.test('a held call is refused as soon as every engine is excluded for it', async () => {
+  const { run, waiting, refusals } = startCall({ evacuatedAt: 500 })
+  await run(450)
+  waiting.endExcluded()
+  assert.equal(waiting.size(), 1)
+  await run(500)
+  waiting.endExcluded()
+  await run(550)
+  assert.deepEqual(refusals.map(({ status, reason }) => [status, reason]), [[503, 'evacuated: every data hall that may serve the call (1 evacuated)']])
+  assert.equal(waiting.size(), 0)
+})
--- a/packages/gateway/src/createWaitingCalls/index.ts
+++ b/packages/gateway/src/createWaitingCalls/index.ts
@@ -15,6 +15,8 @@
   readonly deadlineAt: number
   /** Chooses an engine other than the given ones; null if there is none now. */
   readonly choose: (others: ReadonlySet<types.NodeId>) => chooseBackEnd.Choice | null
+  /** Whether every listed engine is excluded for it. */
+  readonly isExcluded: () => boolean
   /** Called once when the wait ends, unless the call is removed. */
   readonly onEnd: (end: WaitEnd) => void
 }
@@ -23,6 +25,8 @@
 export type WaitEnd =
   | { readonly kind: 'reserved', readonly choice: chooseBackEnd.Choice }
   | { readonly kind: 'refused', readonly reason: string, readonly retryAfterMs: number }
+  /** Every engine is excluded for it now. */
+  | { readonly kind: 'excluded' }
 
 /** Whether a call is held. `retryAfterMs`: when capacity for it is expected; null if that is unknown. */
 export type WaitDecision =
@@ -64,6 +68,8 @@
   readonly remove: (call: WaitingCall, reason: string) => void
   /** Hands out calls after a report of an engine has arrived. */
   readonly wake: () => void
+  /** Ends the waits of calls for which every engine is excluded; to be called after back ends or their exclusions have changed. */
+  readonly endExcluded: () => void
   /** Refuses all waiting calls, and holds no more, because the gateway ends. */
   readonly end: (reason: string, retryAfterMs: number) => void
   readonly size: () => number
@@ -308,6 +314,9 @@
       if (queue.size() === 0) return
       for (const service of states.keys()) handOut(service)
     },
+    endExcluded: () => {
+      for (const call of queue.list()) if (call.isExcluded()) finish(call, { kind: 'excluded' }, 'excluded')
+    },
     end: (reason, retryAfterMs) => {
       isEnding = true
       for (const call of queue.list()) finish(call, { kind: 'refused', reason, retryAfterMs }, 'ended')
--- a/packages/gateway/src/createWaitingCalls/test.ts
+++ b/packages/gateway/src/createWaitingCalls/test.ts
@@ -74,6 +74,7 @@
       deadlineAt: DEADLINE_MS,
       promptTokens: 100,
       choose: (others) => isServing() && !others.has(ENGINE) ? CHOICE : null,
+      isExcluded: () => false,
       onEnd: (end) => { ended.push({ name, end }) },
       ...more
     })
