Show a stream that asks for no permit after its silent engine breaks off

Permits that are refused while an engine is silent count toward the most refused permits of the call, so that no limited engine is asked when the silent one breaks off.

--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -47,6 +47,7 @@
   retries: number
   isBlocked: boolean
   needsPermit: boolean
+  isPermitGranted: boolean
   /** Whether the gateway ends before a call that is sent now. */
   isEnding: boolean
   /** The version that each choice was bound to. */
@@ -134,7 +135,7 @@
     }
   }
 
-  const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false, isEnding: false, pinnedVersions: [] as Array<number | null>, ids: ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] }
+  const fixture = { engines, call, tracker, received: () => received, retries: MAXIMUM_ATTEMPTS, isBlocked: false, needsPermit: false, isPermitGranted: false, isEnding: false, pinnedVersions: [] as Array<number | null>, ids: ['i-1', 'i-2', 'i-3', 'i-4', 'i-5', 'i-6'] }
   const options = handlerTesting.createHandlerOptions({}, {
     now: () => 0,
     at: (time, action) => {
@@ -164,7 +165,7 @@
       const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy, olderVersion: null }
       return { choice: id === undefined || (fixture.needsPermit && !mayRequestPermit) ? null : choice, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity } as unknown as chooseBackEnd.ChoiceOutcome
     },
-    limiter: { readAllowance: () => null, noteResponse: () => {}, acquire: async () => ({ isGranted: false, waitMs: 1 }) } as unknown as callOptions.CallHandlerOptions['limiter'],
+    limiter: { readAllowance: () => null, noteResponse: () => {}, acquire: async () => fixture.isPermitGranted ? { isGranted: true } : { isGranted: false, waitMs: 1 } } as unknown as callOptions.CallHandlerOptions['limiter'],
     guard: { isActive: () => true, readBlockedMs: () => fixture.isBlocked ? 1 : null, noteServed: () => {}, noteConnectionLost: async () => {}, onBlocked: () => {} } as unknown as callOptions.CallHandlerOptions['guard']
   })
   const ending = runAttempts.runAttempts(call, reply as never, options, () => !fixture.isEnding)
@@ -446,3 +447,13 @@
   await at(fixture, 1).answer(2)
   await finish(fixture, at(fixture, 1), 1)
 })
+
+nodeTest.test('a stream is sent to another engine with a permit if its silent one breaks off after some permits were refused', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false })
+  fixture.needsPermit = true
+  for (let round = 0; round < 3; round += 1) await fixture.wait(SILENCE_MS)
+  fixture.isPermitGranted = true
+  await at(fixture, 0).answer('broken')
+  await at(fixture, 1).answer(1)
+  await finish(fixture, at(fixture, 1), 1)
+})
