Let the slow caller of a test read in a process of its own

Cause: the caller, the engine and the test share a process. While that stalls, the caller reads nothing, and a gateway may cut a caller that has read nothing for a second when memory is short (docs/design/slow-readers.md).

Replaced: the caller reads at the same rate in a process of its own. The check is the same: the whole answer arrives, and the other caller's too.

--- a/packages/daemon/src/delivery.test.ts
+++ b/packages/daemon/src/delivery.test.ts
@@ -93,6 +93,21 @@
   assert.match(program.output(), /event=drain-ended .*left=1/)
 })
 
+interface StartedCaller {
+  readonly child: childProcess.ChildProcess
+  readonly output: () => string
+  readonly ended: Promise<unknown>
+}
+
+/** Starts a program that calls the gateway; it gets the address, the path and the headers of the call, and further arguments. */
+function startCaller (context: nodeTest.TestContext, program: string, { host, port }: types.Address, id: string, ...rest: string[]): StartedCaller {
+  const child = childProcess.spawn(process.execPath, ['-e', program, host, String(port), PATH, JSON.stringify(formatHeaders(id)), ...rest], { stdio: ['ignore', 'pipe', 'inherit'] })
+  context.after(() => { child.kill('SIGKILL') })
+  let output = ''
+  child.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
+  return { child, output: () => output, ended: new Promise((resolve) => { child.once('close', resolve) }) }
+}
+
 /** Stops itself once the head of the answer has arrived; once it goes on, prints how the answer ended. A paused socket of Node.js would take a reset for an end. */
 const BLOCKED_CALLER = `
   require('http').get({ host: process.argv[1], port: process.argv[2], path: process.argv[3], headers: JSON.parse(process.argv[4]), agent: false }, (response) => {
@@ -109,29 +124,38 @@
   nodeTest.test(`an answer without framing that a gateway cuts after ${signal} does not look complete`, LIMIT, async (context) => {
     const { program, engine, callers } = await openGateway(context, BIG_ANSWER_BYTES, 4)
     Object.assign(engine.faults, { next: 'unframed', count: 1 })
-    const caller = childProcess.spawn(process.execPath, ['-e', BLOCKED_CALLER, callers.host, String(callers.port), PATH, JSON.stringify(formatHeaders('unframed'))], { stdio: ['ignore', 'pipe', 'inherit'] })
-    context.after(() => { caller.kill('SIGKILL') })
-    let output = ''
-    caller.stdout.on('data', (bytes: Buffer) => { output += bytes.toString() })
-    const callerEnded = new Promise((resolve) => { caller.once('close', resolve) })
-    await fleetTesting.waitWithLimit(async () => output.includes('head'))
+    const caller = startCaller(context, BLOCKED_CALLER, callers, 'unframed')
+    await fleetTesting.waitWithLimit(async () => caller.output().includes('head'))
     program.child.kill(signal)
     await program.ended
-    caller.kill('SIGCONT')
-    await callerEnded
-    assert.match(output, /reset/)
+    caller.child.kill('SIGCONT')
+    await caller.ended
+    assert.match(caller.output(), /reset/)
   })
 }
 
+/** Reads an answer at a steady rate in a process of its own, since a caller whose process stalls counts as one that reads nothing. Prints how the answer ended. */
+const SLOW_CALLER = `
+  require('http').get({ host: process.argv[1], port: process.argv[2], path: process.argv[3], headers: JSON.parse(process.argv[4]), agent: false }, (response) => {
+    let size = 0
+    console.log('head')
+    response.on('data', (bytes) => {
+      size += bytes.length
+      response.pause()
+      setTimeout(() => { response.resume() }, bytes.length * 1000 / Number(process.argv[5]))
+    })
+    response.on('error', () => {})
+    response.on('close', () => { console.log('closed', response.complete, size) })
+  }).on('error', () => {})`
+
 nodeTest.test('a caller that reads an answer slowly keeps its connection when memory becomes short', LIMIT, async (context) => {
   const { program, callers, open } = await openGateway(context, BIG_ANSWER_BYTES, 20, 'memory_megabytes = 128\nheld_share = 0.15\n')
-  const connection = testing.createCallerConnection(callers)
-  const answered = connection.send({ id: 'slow', path: PATH, headers: formatHeaders('slow'), bodyBytes: 0, sendMs: 0, awaitsContinue: false, giveUpMs: LIMIT.timeout, readBytesPerSecond: SLOW_BYTES_PER_SECOND })
+  const caller = startCaller(context, SLOW_CALLER, callers, 'slow', String(SLOW_BYTES_PER_SECOND))
+  await fleetTesting.waitWithLimit(async () => caller.output().includes('head'))
   await types.delay(SLOW_MS)
   const other = await open('other')
-  const { isWhole, body } = await answered
-  connection.close()
-  assert.deepEqual([isWhole, body.length], [true, BIG_ANSWER_BYTES], program.output())
+  await caller.ended
+  assert.match(caller.output(), new RegExp(`closed true ${BIG_ANSWER_BYTES}\n`), program.output())
   assert.equal(await other.readOn(), BIG_ANSWER_BYTES)
 })
 
