--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -60,6 +60,8 @@
 const NEXT_EVENT_TIMEOUT_FACTOR = 2.5
 const MINIMUM_EVENT_TIMEOUT_MS = 800
 
+/** Lower ones are those of interim responses (RFC 9110), or none at all; Node.js reads them, and refuses to write some. */
+const FIRST_FINAL_STATUS = 200
 const FIRST_ERROR_STATUS = 400
 const FIRST_REDIRECTION_STATUS = 300
 const ENDED_REASON = 'back end ended at the end of a response without framing'
@@ -137,30 +139,42 @@
   const waitsForDeadline = !(route.kind === 'stream' && route.isResumable)
   const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), contender.requestNext)
   const cancelWithdrawal = scheduleWithdrawal()
-  const start = await attempt.start
-  if (start.kind === 'not-sent') {
-    if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
-    return finish({ kind: 'not-sent', reason: start.reason })
-  }
-  call.attempts += 1
-  if (start.kind === 'no-answer') {
-    margin.noteNoAnswer()
-    return finish(broken(contender.readReplacedBy() === 'later' ? 'no first event in time' : start.reason, start.isClosedByPeer))
+  return await follow().catch(fail)
+
+  /** Waits for the answer, and passes it on. */
+  async function follow (): Promise<AttemptOutcome> {
+    const start = await attempt.start
+    if (start.kind === 'not-sent') {
+      if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
+      return finish({ kind: 'not-sent', reason: start.reason })
+    }
+    call.attempts += 1
+    if (start.kind === 'no-answer') {
+      margin.noteNoAnswer()
+      return finish(broken(contender.readReplacedBy() === 'later' ? 'no first event in time' : start.reason, start.isClosedByPeer))
+    }
+    const answer = options.protocol.readAnswer(start.response, head.requestId)
+    if (isSuccess(answer)) {
+      // An engine answers so only once it has begun the call.
+      cancelWithdrawal()
+      margin.noteAnswer(answer.version)
+    }
+    noteRate(answer, start.response)
+    noteBackoff(answer, start.response)
+    if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
+    if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
+    if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
+    if (answer.status < FIRST_FINAL_STATUS) return finish(broken(`status ${answer.status} is not that of a final response`, false))
+    if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
+    if (isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
+    return finish(await relayStream(start, answer))
   }
-  const answer = options.protocol.readAnswer(start.response, head.requestId)
-  if (isSuccess(answer)) {
-    // An engine answers so only once it has begun the call.
-    cancelWithdrawal()
-    margin.noteAnswer(answer.version)
+
+  /** Ends an attempt whose handling threw. */
+  function fail (thrown: unknown): never {
+    finish(broken('handling failed', false))
+    throw thrown
   }
-  noteRate(answer, start.response)
-  noteBackoff(answer, start.response)
-  if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
-  if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
-  if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
-  if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
-  if (isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
-  return finish(await relayStream(start, answer))
 
   /**
    * Records the rate limit that a response advertises. A response to another call, or from another process at the address, is ignored. Only a success
@@ -236,9 +250,23 @@
   async function relayStream ({ response, isFramed, isWhole }: ReceivedAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
     call.mayHaveRun = true
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
-    return await new Promise<AttemptOutcome>((resolve) => {
+    return await new Promise<AttemptOutcome>((resolve, reject) => {
       let hasResponseEnded = false
       response.on('data', (bytes: Buffer) => {
+        try {
+          passOn(bytes)
+        } catch (thrown) {
+          reject(thrown)
+        }
+      })
+      response.on('end', () => {
+        hasResponseEnded = true
+        endStream().catch(reject)
+      })
+      response.on('error', () => { if (!hasResponseEnded) failStream('stream broken') })
+      response.on('close', () => { if (!hasResponseEnded) failStream('stream closed') })
+
+      function passOn (bytes: Buffer): void {
         const whole = readDeliverable(bytes)
         if (whole === null || !claimStream()) return
         noteResponse()
@@ -253,13 +281,7 @@
           eventTimer.restart(nextEventMs)
           response.resume()
         })
-      })
-      response.on('end', () => {
-        hasResponseEnded = true
-        void endStream()
-      })
-      response.on('error', () => { if (!hasResponseEnded) failStream('stream broken') })
-      response.on('close', () => { if (!hasResponseEnded) failStream('stream closed') })
+      }
 
       /** Returns what may be passed on: whole events of a resumable stream. The end of a stream without framing must be the end of an event, so its events are split, too. */
       function readDeliverable (bytes: Buffer): Buffer | null {
@@ -309,7 +331,7 @@
 }
 
 function isSuccess (answer: gateway.AnswerHead): answer is AnsweredHead {
-  return answer.kind === 'answered' && answer.status < FIRST_ERROR_STATUS
+  return answer.kind === 'answered' && answer.status >= FIRST_FINAL_STATUS && answer.status < FIRST_ERROR_STATUS
 }
 
 /** Whether the first event can no longer be in time, counted from the caller's first try. */
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -431,8 +431,7 @@
           abort()
         })
       }
-    })
-    options.tracker.noteEnded(choice.backEnd.id, open)
+    }).finally(() => { options.tracker.noteEnded(choice.backEnd.id, open) })
     if (outcome.kind === 'not-sent') sentCount -= 1
     if (outcome.kind === 'failed-answer') failedAnswer = outcome.answer
     if (contender.readReplacedBy() === 'earlier') {
@@ -463,8 +462,7 @@
     return call.isExpired() ? 'expired' : 'failed'
   }
 
-  const ending = await serve()
-  cancelExpiry()
+  const ending = await serve().finally(cancelExpiry)
   logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
   return ending
 }
