--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -184,6 +184,26 @@
   assert.deepEqual(paths, ['/first'])
 })
 
+nodeTest.test('a request that crosses the close of an idle connection by a server that drains is not read', LIMIT, async (context) => {
+  const sockets: net.Socket[] = []
+  const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
+    sockets.push(request.socket)
+    response.end('whole')
+  })
+  const peer = connect(formatRequest('/first'))
+  await waitForText(peer, /whole$/)
+  await waitForPhase('idle')
+  peer.socket.allowHalfOpen = true
+  const bytesRead = sockets[0]?.bytesRead
+  const drained = tracker.drain()
+  while (tracker.count().idle > 0) await types.delay(POLL_MS)
+  peer.socket.write(formatRequest('/late'))
+  await types.delay(5 * POLL_MS)
+  assert.equal(sockets[0]?.bytesRead, bytesRead)
+  peer.socket.destroy()
+  await drained
+})
+
 nodeTest.test('idle connections and peers that do not close theirs do not hold up a server that drains', LIMIT, async (context) => {
   const { tracker, connect, waitForPhase } = await openServer(context, (_request, response) => { response.end() })
   const { socket } = connect(formatRequest('/'))
