Close idle connections of a drain without reading what crosses the close

Callers whose request crossed the close of an idle connection saw it end, and could not repeat a request that must not run twice: the process had read it.

Cause: every connection that a drain ended was read on for up to 2 s and what came was discarded, so that no reset destroys an answer that is not sent yet.

An idle connection whose last answer is at most 16 KiB is now destroyed: a peer's receive buffer takes as much, so the answer has left 500 ms after its end. Longer answers, and connections ended by a response, are read on as before.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -45,6 +45,8 @@
  * system discards what it has not sent yet.
  */
 export const LINGER_MS = 2000
+/** An answer that is not longer has left this system, since the receive buffer of a peer that does not read takes it. */
+const RECEIVE_BUFFER_BYTES = 16 * 1024
 const CHECK_INTERVAL_MS = 50
 /** Node.js closes an idle connection this much later than `keepAliveTimeout`, which it tells the peer. */
 const KEEP_ALIVE_BUFFER_MS = 1000
@@ -68,6 +70,8 @@
   readonly responses: Set<http.ServerResponse>
   /** Number of requests whose head has been read. */
   requests: number
+  /** Bytes that had been written before the last request; its peer has read those. */
+  writtenBefore: number
   /** Since when no request is handled, a monotonic time in milliseconds. */
   idleSince: number
   /** Bytes that had arrived at that time. */
@@ -76,8 +80,8 @@
 }
 
 /**
- * Tracks the connections of a server, handles its requests, and refuses those that can't be parsed or don't arrive in time. Every connection that the server ends is read on until its peer has ended it, too, or until
- * {@link LINGER_MS} have passed.
+ * Tracks the connections of a server, handles its requests, and refuses those that can't be parsed or don't arrive in time. Connections that the server ends after a response, or while a
+ * long one may still be unsent, are read on until their peer has ended them, too, or until {@link LINGER_MS} have passed.
  *
  * @param server - The server; it must not have accepted connections yet.
  * @param handle - Handles requests. It is not called for those that arrive after their connection was ended.
@@ -90,7 +94,7 @@
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const connection: Connection = { socket, responses: new Set(), requests: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
+    const connection: Connection = { socket, responses: new Set(), requests: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -107,6 +111,7 @@
       return
     }
     connection.requests += 1
+    if (connection.responses.size === 0) connection.writtenBefore = request.socket.bytesWritten
     connection.responses.add(response)
     response.once('close', () => {
       connection.responses.delete(response)
@@ -154,11 +159,18 @@
     const idleBefore = performance.now() - IDLE_CLOSE_MS
     clock.runAfterReads(() => {
       for (const connection of connections.values()) {
-        if (readPhase(connection) === 'idle' && connection.idleSince <= idleBefore) closeGracefully(connection)
+        if (readPhase(connection) === 'idle' && connection.idleSince <= idleBefore) closeUnread(connection)
       }
     })
   }
 
+  /** Closes an idle connection without reading on, so that a peer whose request crosses the close knows that it was not read, unless a reset could discard an answer. */
+  function closeUnread (connection: Connection): void {
+    const { socket, writtenBefore } = connection
+    if (socket.bytesWritten - writtenBefore > RECEIVE_BUFFER_BYTES) closeGracefully(connection)
+    else socket.destroy()
+  }
+
   /** Runs an action unless a request arrives on a connection, or had arrived while the process stood still: Node.js runs timers before it reads sockets. */
   function runWithoutRequest (connection: Connection, action: () => void): void {
     const { requests } = connection
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -19,6 +19,8 @@
 const LIMIT = { timeout: 2 * WAIT_MS }
 /** More than the kernel's buffers take for a peer that doesn't read. */
 const BIG_BYTES = 16_000_000
+/** The kernel's buffers take all of it, a peer's alone may not. */
+const HELD_BYTES = 500_000
 
 interface OpenedServer {
   readonly tracker: trackConnections.ConnectionTracker
@@ -168,7 +170,7 @@
   const paths: string[] = []
   const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
     paths.push(request.url ?? '')
-    response.end('whole')
+    response.end(`${'x'.repeat(HELD_BYTES)}whole`)
   })
   const { socket, received } = connect(formatRequest('/first'))
   socket.pause()
@@ -179,7 +181,7 @@
   socket.write(formatRequest('/late'))
   await types.delay(POLL_MS)
   socket.resume()
-  assert.match(await received ?? '', /whole/)
+  assert.match(await received ?? '', /xwhole$/)
   await drained
   assert.deepEqual(paths, ['/first'])
 })
