--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -19,6 +19,8 @@
 const LIMIT = { timeout: 2 * WAIT_MS }
 /** More than the kernel's buffers take for a peer that doesn't read. */
 const BIG_BYTES = 16_000_000
+/** The kernel's buffers take all of it, a peer's alone may not. */
+const HELD_BYTES = 500_000
 
 interface OpenedServer {
   readonly tracker: trackConnections.ConnectionTracker
@@ -168,7 +170,7 @@
   const paths: string[] = []
   const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
     paths.push(request.url ?? '')
-    response.end('whole')
+    response.end(`${'x'.repeat(HELD_BYTES)}whole`)
   })
   const { socket, received } = connect(formatRequest('/first'))
   socket.pause()
@@ -179,11 +181,31 @@
   socket.write(formatRequest('/late'))
   await types.delay(POLL_MS)
   socket.resume()
-  assert.match(await received ?? '', /whole/)
+  assert.match(await received ?? '', /xwhole$/)
   await drained
   assert.deepEqual(paths, ['/first'])
 })
 
+nodeTest.test('a request that crosses the close of an idle connection by a server that drains is not read', LIMIT, async (context) => {
+  const sockets: net.Socket[] = []
+  const { tracker, connect, waitForPhase } = await openServer(context, (request, response) => {
+    sockets.push(request.socket)
+    response.end('whole')
+  })
+  const peer = connect(formatRequest('/first'))
+  await waitForText(peer, /whole$/)
+  await waitForPhase('idle')
+  peer.socket.allowHalfOpen = true
+  const bytesRead = sockets[0]?.bytesRead
+  const drained = tracker.drain()
+  while (tracker.count().idle > 0) await types.delay(POLL_MS)
+  peer.socket.write(formatRequest('/late'))
+  await types.delay(5 * POLL_MS)
+  assert.equal(sockets[0]?.bytesRead, bytesRead)
+  peer.socket.destroy()
+  await drained
+})
+
 nodeTest.test('idle connections and peers that do not close theirs do not hold up a server that drains', LIMIT, async (context) => {
   const { tracker, connect, waitForPhase } = await openServer(context, (_request, response) => { response.end() })
   const { socket } = connect(formatRequest('/'))
