Count no permits that are refused while an attempt is open

A stream whose engine was silent asked for permits of limited engines meanwhile. After two refusals it asked for none any more: when its silent engine broke off, it was ended (502, or cut if it had begun) although a permit was to be had for a free engine.

Cause: refused permits are counted so that a call that waits for a round trip each time isn't refused late, but a call loses no time by those that are refused while an attempt is open. Since silent attempts are kept until the deadline, there may be many of them.

Now only permits count for which the call itself waits.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -33,7 +33,10 @@
 const BLOCKED_REASON = 'blocked: back ends ended under this call'
 /** Number of connections that may fail before the call is given up. */
 const MAXIMUM_CONNECT_FAILURES = 4
-/** After this many refused permits, each of which cost a round trip, the call goes to a back end without a limit, or its caller retries. */
+/**
+ * After this many refused permits, each of which cost a round trip, the call goes to a back end without a limit, or its caller retries. Those that are refused while an
+ * attempt is open are not counted: the call loses no time by them.
+ */
 const MAXIMUM_PERMITS_REFUSED = 2
 /** Random extension of the retry time, so that callers that wait for permits of one back end do not retry simultaneously. */
 const PERMIT_RETRY_JITTER_FRACTION = 0.5
@@ -147,7 +150,10 @@
           lastReason = 'no permit in time'
           return endUnserved()
         }
-        if (permitted === null) continue
+        if (permitted === null) {
+          permitsRefused += 1
+          continue
+        }
       }
       if (noteIfBlocked()) return endUnserved()
       if (!isStillEligible(choice)) continue
@@ -194,9 +200,7 @@
     const permit = await options.limiter.acquire(choice.backEnd, isLate, call.route.priority)
     if (permit.isGranted && permit.expiresAt === undefined) return choice
     const connectWithinMs = permit.isGranted && permit.expiresAt !== undefined ? permit.expiresAt - options.now() : 0
-    if (connectWithinMs > 0) return { ...choice, connectWithinMs }
-    permitsRefused += 1
-    return null
+    return connectWithinMs > 0 ? { ...choice, connectWithinMs } : null
   }
 
   /** Whether a back end may still be sent to: while the call waited for a slot or a permit, it may have announced its end, asked for a backoff or been excluded. */
