Keep the figures of a call's service that it began with

Streams whose engine broke off after their service had been removed from the configuration were sent to engines with another version of the weights, which can't resume them, and cut beside an engine that could.

Cause: the choice of an engine looked the service up in the configuration in force. Without one it took the engines for plain back ends, for which versions aren't compared.

Now a call keeps the figures of its service's engines from its arrival, like its route, for the choice and for its place among held calls.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -180,8 +180,7 @@
   }
 
   function chooseBackEnd (choice: gateway.CallChoice): gateway.ChoiceOutcome {
-    const figures = parts.routes()?.findService(choice.service)?.engine ?? null
-    const { model } = choice
+    const { figures, model } = choice
     return gateway.chooseBackEnd({
       backEnds: parts.backEnds().filter((backEnd) => backEnd.service === choice.service),
       tracker,
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -79,6 +79,8 @@
 /** Properties of a call that the choice of a back end needs. */
 export interface CallChoice {
   readonly service: types.ServiceName
+  /** Figures of the service's engines when the call arrived; null for a plain service. */
+  readonly figures: gateway.EngineFigures | null
   readonly model: string | null
   readonly promptTokens: number
   /** Expected length of the response in tokens; 0 if unknown. */
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -17,6 +17,8 @@
   readonly route: gateway.Route
   readonly tenant: types.AccountId | null
   readonly service: types.ServiceName
+  /** Figures of the service's engines when the call arrived; null for a plain service. */
+  readonly figures: gateway.EngineFigures | null
   /** Regions that the call may enter; null for no restriction. */
   readonly allowedRegions: gateway.AllowedRegions
   /** Lower is more urgent. */
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -276,8 +276,7 @@
   }
 
   function readHoldMs (): number | null {
-    const figures = options.routes()?.findService(call.service)?.engine ?? null
-    return figures === null ? null : computeForecast.computeHoldMs(figures, call.head.promptTokens, call.head.answerTokens)
+    return call.figures === null ? null : computeForecast.computeHoldMs(call.figures, call.head.promptTokens, call.head.answerTokens)
   }
 
   function toQueued (): createWaitingQueue.QueuedCall {
@@ -360,6 +359,7 @@
   function choose (tried: ReadonlySet<types.NodeId>, isLate: boolean): chooseBackEnd.ChoiceOutcome {
     return options.choose({
       service: call.service,
+      figures: call.figures,
       model: call.head.model,
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -114,6 +114,7 @@
       route: { name: 'stream', kind: 'stream', isResumable: true, timeoutMs: TIMEOUT_MS, targetMs: 400, maximumAttempts: 2 },
       tenant: null,
       service: SERVICE,
+      figures: FIGURES,
       rank: 0,
       allowedRegions: new Set(['east']),
       body: Buffer.from('body'),
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -90,13 +90,15 @@
     if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
     if (!mayFinish(0)) return refuseWhileDraining()
     if (head.promptParts === null) options.count('prompt_parts_unreadable')
+    const service = pickService(routed.route, options.random())
     const call = callState.createCallState({
       head,
       route: routed.route,
       tenant: routed.tenant?.name ?? null,
       allowedRegions: computeAllowedRegions.computeAllowedRegions(routed.route, routed.tenant),
       rank: computeRank.computeRank(routed.route, routed.tenant),
-      service: pickService(routed.route, options.random()),
+      service,
+      figures: table.findService(service)?.engine ?? null,
       body: toForwardedBody(request, body.body),
       deadline: deadlines.createDeadline(readDeadlineAt(routed.route), options.now),
       receivedAt
