Show that a call whose handling throws gets no answer

Callers saw their connection close without an answer, even if nothing had been sent; an exception in the handler of an event ended the whole process.

--- /dev/null
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -0,0 +1,190 @@
+/** Guards against callers that get neither an answer nor a refusal, and against leftovers of their calls, because the handling of a call throws. */
+import * as assert from 'node:assert/strict'
+import * as net from 'node:net'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as handlerTesting from '../_lib/handlerTesting.js'
+import * as createCallerServer from '../createCallerServer/index.js'
+import * as createHeldBytes from '../createHeldBytes/index.js'
+import type * as createRouteTable from '../createRouteTable/index.js'
+import * as sendAttempt from '../sendAttempt/index.js'
+import * as createCallHandler from './index.js'
+
+const ADDRESS = { host: '127.0.0.47', port: 18_447 }
+const LIMIT = { timeout: 20_000 }
+const BODY = 'body'
+const EVENT = 'id: 1\ndata: a\n\n'
+const FRAMED_STREAM = `HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n`
+const UNFRAMED_STREAM = `HTTP/1.1 200 OK\r\n\r\n${EVENT}`
+const RESET = 'ECONNRESET'
+
+type Options = createCallHandler.CallHandlerOptions
+
+interface Fixture {
+  readonly handler: createCallHandler.CallHandler
+  readonly heldBytes: createHeldBytes.HeldBytes
+  /** Number of attempts that the records of the back ends know as open. */
+  readonly countOpen: () => number
+  /** Number of attempts that were not aborted. */
+  readonly countUnaborted: () => number
+  /** Number of scheduled actions that were not cancelled. */
+  readonly countScheduled: () => number
+  readonly loggedIds: readonly unknown[]
+  /** Resets the connection of the last attempt. */
+  readonly resetEngine: () => void
+}
+
+interface Received {
+  readonly text: string
+  /** Error of the connection; null if it ended in an orderly way. */
+  readonly errorCode: string | null
+}
+
+function throwFault (): never {
+  throw new Error('fault')
+}
+
+/** Starts a gateway with one engine that sends `answer` and leaves its connection open. */
+async function startGateway (context: nodeTest.TestContext, answer: string, change: (options: Options) => Partial<Options>): Promise<Fixture> {
+  const sockets: net.Socket[] = []
+  const engine = net.createServer((socket) => {
+    sockets.push(socket)
+    socket.on('error', () => {})
+    socket.once('data', () => { socket.write(answer) })
+  })
+  await new Promise<void>((resolve) => { engine.listen(0, types.LOOPBACK_HOST, resolve) })
+  const heldBytes = createHeldBytes.createHeldBytes({ maximumBytes: Infinity, now: () => 0 })
+  const open = new Set<unknown>()
+  const unaborted = new Set<sendAttempt.Attempt>()
+  const scheduled = new Set<unknown>()
+  const loggedIds: unknown[] = []
+  const options = handlerTesting.createHandlerOptions({ isResumable: true }, {
+    now: () => 0,
+    heldBytes,
+    at: (_at, action) => {
+      scheduled.add(action)
+      return () => { scheduled.delete(action) }
+    },
+    sendAttempt: (request) => {
+      const attempt = sendAttempt.sendAttempt({ ...request, address: { host: types.LOOPBACK_HOST, port: (engine.address() as net.AddressInfo).port } })
+      unaborted.add(attempt)
+      return {
+        start: attempt.start,
+        abort: () => {
+          unaborted.delete(attempt)
+          attempt.abort()
+        }
+      }
+    }
+  })
+  const { tracker } = options
+  const watched: Options = {
+    ...options,
+    logger: { ...options.logger, error: (event, fields) => { if (event === 'call-broken') loggedIds.push(fields?.id) } },
+    tracker: {
+      ...tracker,
+      noteSent: (id, attempt) => {
+        open.add(attempt)
+        tracker.noteSent(id, attempt)
+      },
+      noteEnded: (id, attempt) => {
+        open.delete(attempt)
+        tracker.noteEnded(id, attempt)
+      }
+    }
+  }
+  const handler = createCallHandler.createCallHandler({ ...watched, ...change(watched) })
+  const server = createCallerServer.createCallerServer(handler)
+  await server.listen(ADDRESS)
+  context.after(() => {
+    server.close()
+    engine.close()
+    for (const socket of sockets) socket.destroy()
+  })
+  return { handler, heldBytes, countOpen: () => open.size, countUnaborted: () => unaborted.size, countScheduled: () => scheduled.size, loggedIds, resetEngine: () => { sockets.at(-1)?.resetAndDestroy() } }
+}
+
+/** Sends a call and receives until the connection ends. */
+async function call (onReceived: () => void = () => {}): Promise<Received> {
+  const socket = net.connect(ADDRESS)
+  let text = ''
+  let errorCode: string | null = null
+  socket.on('data', (bytes: Buffer) => {
+    text += bytes.toString('latin1')
+    if (text.includes(EVENT)) onReceived()
+  })
+  socket.on('error', (error: NodeJS.ErrnoException) => { errorCode = error.code ?? '' })
+  socket.write(`POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`)
+  await new Promise((resolve) => { socket.once('close', resolve) })
+  return { text, errorCode }
+}
+
+/** Options whose protocol has another function. */
+function withProtocol (change: Partial<Options['protocol']>): (options: Options) => Partial<Options> {
+  return ({ protocol }) => ({ protocol: { ...protocol, ...change } })
+}
+
+/** Options without any usable route. */
+function withoutRoutes ({ routes }: Options): Partial<Options> {
+  return { routes: () => ({ ...routes() as createRouteTable.RouteTable, findRoute: throwFault }) }
+}
+
+/** Options with which only one attempt can be chosen. */
+function withOneChoice ({ choose }: Options): Partial<Options> {
+  let isFirst = true
+  return {
+    choose: (wanted) => {
+      if (!isFirst) throwFault()
+      isFirst = false
+      return choose(wanted)
+    }
+  }
+}
+
+async function assertReleased ({ handler, heldBytes, countOpen, countUnaborted, countScheduled, loggedIds }: Fixture): Promise<void> {
+  await new Promise(setImmediate)
+  assert.deepEqual({ calls: handler.register.count(), bytes: heldBytes.read(), open: countOpen(), unaborted: countUnaborted(), scheduled: countScheduled(), logged: loggedIds.length }, { calls: 0, bytes: 0, open: 0, unaborted: 0, scheduled: 0, logged: 1 })
+}
+
+const UNSENT: ReadonlyArray<readonly [string, (options: Options) => Partial<Options>]> = [
+  ['its head is read', withProtocol({ readCall: throwFault })],
+  ['its route is looked up', withoutRoutes],
+  ['its service is looked up', () => ({ budgetOf: throwFault })],
+  ['its back end is chosen', () => ({ choose: throwFault })],
+  ['its attempt is prepared', withProtocol({ formatAttempt: throwFault })],
+  ['its attempt is sent', () => ({ sendAttempt: throwFault })]
+]
+for (const [when, change] of UNSENT) {
+  nodeTest.test(`a call whose handling throws when ${when} is refused and leaves nothing behind`, LIMIT, async (context) => {
+    const gateway = await startGateway(context, '', change)
+    const { text, errorCode } = await call()
+    assert.match(text, /^HTTP\/1\.1 503 /)
+    assert.equal(errorCode, null)
+    await assertReleased(gateway)
+  })
+}
+
+nodeTest.test('a call whose handling throws after it was sent gets an error that doesn\'t promise that it has not run, and its attempt ends', LIMIT, async (context) => {
+  const gateway = await startGateway(context, FRAMED_STREAM, withProtocol({ readAnswer: throwFault }))
+  const { text, errorCode } = await call()
+  assert.match(text, /^HTTP\/1\.1 502 /)
+  assert.equal(errorCode, null)
+  await assertReleased(gateway)
+})
+
+for (const [framing, answer] of [['with', FRAMED_STREAM], ['without', UNFRAMED_STREAM]] as const) {
+  nodeTest.test(`a stream ${framing} framing that has begun doesn't look whole if the handling of its call throws`, LIMIT, async (context) => {
+    const gateway = await startGateway(context, answer, withOneChoice)
+    const { text, errorCode } = await call(gateway.resetEngine)
+    assert.ok(text.includes(EVENT))
+    assert.ok(framing === 'with' ? !text.endsWith('0\r\n\r\n') : errorCode === RESET)
+    await assertReleased(gateway)
+  })
+}
+
+nodeTest.test('a call with an event whose handling throws gets an error, and its process goes on', LIMIT, async (context) => {
+  const gateway = await startGateway(context, FRAMED_STREAM, () => ({ errorBoundOf: () => ({ read: () => 0, note: throwFault }) }))
+  const { text } = await call()
+  assert.match(text, /^HTTP\/1\.1 502 /)
+  await assertReleased(gateway)
+})
