Answer a call whose handling throws

Callers saw their connection close without an answer although their call had been sent to no back end; a stream without framing ended as if it were whole.

Cause: the handler destroyed the response on any exception, and left the expiry, the attempt's timer, the attempt and its entry in the records of the back ends behind.

Fix: such a call gets 503 with a retry time if no attempt had been sent, since it surely has not run then; 502 if an attempt may have been read by an engine; if its answer has begun, the connection is ended so that it never looks whole. Its attempts are aborted and everything held for it is released. An attempt that throws counts as one that may have run from the time it was sent.

--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -27,6 +27,8 @@
   /** Destroys the connection, by a reset if only its end marks the end of the response, so that a truncated response never looks complete. */
   readonly abort: () => void
   readonly hasStarted: () => boolean
+  /** Whether all of the response has been written; it may not be delivered yet. */
+  readonly hasEnded: () => boolean
 }
 
 /**
@@ -111,6 +113,7 @@
 
   return {
     hasStarted: () => response.headersSent,
+    hasEnded: () => response.writableEnded,
     refuse: (status, reason, retryAfterMs) => {
       if (response.headersSent || response.destroyed) return
       const body = Buffer.from(`${reason}\n`)
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -1,4 +1,5 @@
 /** Logs and counts each call when it ends. */
+import * as types from '@switchridge/types'
 import type * as callOptions from './callOptions.js'
 import * as callState from './callState.js'
 
@@ -55,3 +56,15 @@
     reason: end.ending === 'answered' ? undefined : end.reason
   })
 }
+
+/**
+ * Logs and counts a call whose handling threw.
+ *
+ * @param id - Request id; empty if unknown.
+ * @param thrown - What was thrown.
+ * @param options - Logger and counters.
+ */
+export function logBroken (id: string, thrown: unknown, options: Pick<callOptions.CallHandlerOptions, 'count' | 'logger'>): void {
+  options.count('calls_broken')
+  options.logger.error('call-broken', { id, error: types.describeError(thrown) })
+}
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -136,28 +136,39 @@
   const waitsForDeadline = !(route.kind === 'stream' && route.isResumable)
   const eventTimer = createEventTimer(waitsForDeadline ? null : Math.max(MINIMUM_EVENT_TIMEOUT_MS, FIRST_EVENT_TIMEOUT_FACTOR * route.targetMs), isGivenUp, abort)
   const cancelWithdrawal = scheduleWithdrawal()
-  const start = await attempt.start
-  if (start.kind === 'not-sent') {
-    if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
-    return finish({ kind: 'not-sent', reason: start.reason })
+  return await follow().catch(fail)
+
+  /** Waits for the answer, and passes it on. */
+  async function follow (): Promise<AttemptOutcome> {
+    const start = await attempt.start
+    if (start.kind === 'not-sent') {
+      if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
+      return finish({ kind: 'not-sent', reason: start.reason })
+    }
+    call.attempts += 1
+    if (start.kind === 'no-answer') {
+      margin.noteNoAnswer()
+      return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
+    }
+    const answer = options.protocol.readAnswer(start.response, head.requestId)
+    if (isSuccess(answer)) margin.noteAnswer(answer.version)
+    noteRate(answer, start.response)
+    noteBackoff(answer, start.response)
+    if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
+    if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
+    if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
+    if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
+    if (reply.hasStarted() && isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
+    stream.version = answer.version ?? stream.version
+    const relayed = await relayStream(start, answer)
+    return finish(relayed)
   }
-  call.attempts += 1
-  if (start.kind === 'no-answer') {
-    margin.noteNoAnswer()
-    return finish(broken(eventTimer.hasExpired() ? 'no first event in time' : start.reason, start.isClosedByPeer))
+
+  /** Ends an attempt whose handling threw. */
+  function fail (thrown: unknown): never {
+    finish(broken('handling failed', false))
+    throw thrown
   }
-  const answer = options.protocol.readAnswer(start.response, head.requestId)
-  if (isSuccess(answer)) margin.noteAnswer(answer.version)
-  noteRate(answer, start.response)
-  noteBackoff(answer, start.response)
-  if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
-  if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
-  if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
-  if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
-  if (reply.hasStarted() && isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
-  stream.version = answer.version ?? stream.version
-  const relayed = await relayStream(start, answer)
-  return finish(relayed)
 
   /**
    * Records the rate limit that a response advertises. A response to another call, or from another process at the address, is ignored. Only a success
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -417,8 +417,7 @@
           abort()
         })
       }
-    })
-    options.tracker.noteEnded(choice.backEnd.id, open)
+    }).finally(() => { options.tracker.noteEnded(choice.backEnd.id, open) })
     if (outcome.kind === 'not-sent') sentCount -= 1
     if (contender.readReplacedBy() === 'earlier') {
       call.tried.delete(choice.backEnd.id)
@@ -448,8 +447,7 @@
     return call.isExpired() ? 'expired' : 'failed'
   }
 
-  const ending = await serve()
-  cancelExpiry()
+  const ending = await serve().finally(cancelExpiry)
   logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
   return ending
 }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -5,6 +5,7 @@
 import * as types from '@switchridge/types'
 import * as deadlines from '../_lib/deadline.js'
 import * as callState from '../_lib/callState.js'
+import * as logCall from '../_lib/logCall.js'
 import * as runAttempts from '../_lib/runAttempts.js'
 import * as answers from '../_lib/answers.js'
 import type * as callOptions from '../_lib/callOptions.js'
@@ -34,6 +35,10 @@
 const HTTP_WITH_CONTINUE = '1.1'
 /** Retry time of a caller whose body can't be held, at most doubled at random; another gateway may have memory. */
 const MEMORY_RETRY_MS = 100
+/** Why a call ends whose handling threw. */
+const BROKEN_REASON = 'handling failed'
+/** Retry time of such a call; another gateway may serve it. */
+const BROKEN_RETRY_MS = 400
 
 /**
  * Creates the handler.
@@ -52,16 +57,15 @@
   })
 
   async function run (request: http.IncomingMessage, response: http.ServerResponse, receivedAt: number): Promise<void> {
-    let id = ''
+    let head: gateway.CallHead
     try {
-      const head = options.protocol.readCall(request)
-      id = head.requestId
-      await serve(head, request, response, receivedAt)
+      head = options.protocol.readCall(request)
     } catch (thrown) {
-      options.count('calls_broken')
-      options.logger.error('call-broken', { id, error: types.describeError(thrown) })
-      response.destroy()
+      logCall.logBroken('', thrown, options)
+      answers.createReply(response, '', options.protocol, () => drain !== null).refuse(503, BROKEN_REASON, BROKEN_RETRY_MS)
+      return
     }
+    await serve(head, request, response, receivedAt)
   }
 
   async function serve (head: gateway.CallHead, request: http.IncomingMessage, response: http.ServerResponse, receivedAt: number): Promise<void> {
@@ -72,42 +76,60 @@
     const reply = answers.createReply(response, head.requestId, options.protocol, () => drain !== null, holding)
     const table = options.routes()
     const limits = table?.configuration.limits
-    const routed = table === null ? null : routeCall(table, head)
+    let routed: RoutedCall | null = null
     let requestedAt: number | null = null
     let isRefused = false
-    readings.add(recheck)
-    recheck(false)
-    if (!isRefused && request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
-    const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
+    await serveRouted().catch(endBroken)
     readings.delete(recheck)
-    requestedAt = options.now()
-    if (isRefused) return
-    if (body.kind === 'broken') return
-    if (body.kind === 'not-held') return refuseBody()
-    holding?.noteRunning()
-    if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
-    if (table === null || routed === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
-    if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
-    if (!mayFinish(0)) return refuseWhileDraining()
-    if (head.promptParts === null) options.count('prompt_parts_unreadable')
-    const call = callState.createCallState({
-      head,
-      route: routed.route,
-      tenant: routed.tenant?.name ?? null,
-      allowedRegions: computeAllowedRegions.computeAllowedRegions(routed.route, routed.tenant),
-      rank: computeRank.computeRank(routed.route, routed.tenant),
-      service: pickService(routed.route, options.random()),
-      body: toForwardedBody(request, body.body),
-      deadline: deadlines.createDeadline(readDeadlineAt(routed.route), options.now),
-      receivedAt
-    })
-    response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
-    calls.add(call)
-    state = call
-    registered.noteEnding(await runAttempts.runAttempts(call, reply, options, mayFinish))
-    calls.delete(call)
+    if (state !== null) calls.delete(state)
     holding?.noteRun()
 
+    async function serveRouted (): Promise<void> {
+      routed = table === null ? null : routeCall(table, head)
+      readings.add(recheck)
+      recheck(false)
+      if (!isRefused && request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
+      const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
+      readings.delete(recheck)
+      requestedAt = options.now()
+      if (isRefused) return
+      if (body.kind === 'broken') return
+      if (body.kind === 'not-held') return refuseBody()
+      holding?.noteRunning()
+      if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
+      if (table === null || routed === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
+      if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
+      if (!mayFinish(0)) return refuseWhileDraining()
+      if (head.promptParts === null) options.count('prompt_parts_unreadable')
+      const call = callState.createCallState({
+        head,
+        route: routed.route,
+        tenant: routed.tenant?.name ?? null,
+        allowedRegions: computeAllowedRegions.computeAllowedRegions(routed.route, routed.tenant),
+        rank: computeRank.computeRank(routed.route, routed.tenant),
+        service: pickService(routed.route, options.random()),
+        body: toForwardedBody(request, body.body),
+        deadline: deadlines.createDeadline(readDeadlineAt(routed.route), options.now),
+        receivedAt
+      })
+      response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
+      calls.add(call)
+      state = call
+      registered.noteEnding(await runAttempts.runAttempts(call, reply, options, mayFinish))
+    }
+
+    /** Ends a call whose handling threw, and its attempts. */
+    function endBroken (thrown: unknown): void {
+      logCall.logBroken(head.requestId, thrown, options)
+      state?.expire()
+      if (reply.hasEnded()) return
+      const mayHaveRun = reply.hasStarted() || state?.mayHaveRun === true
+      registered.noteEnding(mayHaveRun ? 'failed' : 'refused')
+      if (reply.hasStarted()) reply.abort()
+      else if (mayHaveRun) reply.refuse(502, BROKEN_REASON, null)
+      else reply.refuse(503, BROKEN_REASON, BROKEN_RETRY_MS)
+    }
+
     /** Ends a call whose caller has stalled while memory is short; a body that is not complete was not forwarded. */
     function dropCall ({ phase, bytes, stalledMs }: createHeldBytes.DroppedCall): void {
       options.count('calls_dropped', { phase })
