Answer a call if the handler of an event of its stream throws

Callers of the whole gateway lost their connections at the end of the grace period: an exception in the handler of an event was an uncaughtException, which ends the process, and the call concerned got no answer until then.

Fix: the exception rejects the attempt, so that it ends this call alone.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -250,9 +250,23 @@
   async function relayStream ({ response, isFramed, isWhole }: ReceivedAnswer, answered: AnsweredHead): Promise<AttemptOutcome> {
     call.mayHaveRun = true
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
-    return await new Promise<AttemptOutcome>((resolve) => {
+    return await new Promise<AttemptOutcome>((resolve, reject) => {
       let hasResponseEnded = false
       response.on('data', (bytes: Buffer) => {
+        try {
+          passOn(bytes)
+        } catch (thrown) {
+          reject(thrown)
+        }
+      })
+      response.on('end', () => {
+        hasResponseEnded = true
+        endStream().catch(reject)
+      })
+      response.on('error', () => { if (!hasResponseEnded) failStream('stream broken') })
+      response.on('close', () => { if (!hasResponseEnded) failStream('stream closed') })
+
+      function passOn (bytes: Buffer): void {
         const whole = readDeliverable(bytes)
         if (whole === null || !contender.claim()) return
         stream.splitter = splitter
@@ -268,13 +282,7 @@
           eventTimer.restart(nextEventMs)
           response.resume()
         })
-      })
-      response.on('end', () => {
-        hasResponseEnded = true
-        void endStream()
-      })
-      response.on('error', () => { if (!hasResponseEnded) failStream('stream broken') })
-      response.on('close', () => { if (!hasResponseEnded) failStream('stream closed') })
+      }
 
       /** Returns what may be passed on: whole events of a resumable stream. The end of a stream without framing must be the end of an event, so its events are split, too. */
       function readDeliverable (bytes: Buffer): Buffer | null {
