Take an answer with the status of no final response for a broken one

Callers got no answer if their engine's response had a status below 100, which Node.js reads but refuses to write: in a stream that was an uncaughtException, which ended the gateway. Those of an engine that answered 101 got the head of an interim response and waited for the final one on a connection that closed.

Fix: such an answer is an attempt that may have run and has failed; it is repeated if the route allows that, and answered 502 otherwise.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -59,6 +59,8 @@
 const NEXT_EVENT_TIMEOUT_FACTOR = 2.5
 const MINIMUM_EVENT_TIMEOUT_MS = 800
 
+/** Lower ones are those of interim responses (RFC 9110), or none at all; Node.js reads them, and refuses to write some. */
+const FIRST_FINAL_STATUS = 200
 const FIRST_ERROR_STATUS = 400
 const FIRST_REDIRECTION_STATUS = 300
 const ENDED_REASON = 'back end ended at the end of a response without framing'
@@ -157,6 +159,7 @@
     if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
     if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
     if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
+    if (answer.status < FIRST_FINAL_STATUS) return finish(broken(`status ${answer.status} is not that of a final response`, false))
     if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
     if (reply.hasStarted() && isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
     stream.version = answer.version ?? stream.version
@@ -325,7 +328,7 @@
 }
 
 function isSuccess (answer: gateway.AnswerHead): answer is AnsweredHead {
-  return answer.kind === 'answered' && answer.status < FIRST_ERROR_STATUS
+  return answer.kind === 'answered' && answer.status >= FIRST_FINAL_STATUS && answer.status < FIRST_ERROR_STATUS
 }
 
 /** Whether the first event can no longer be in time, counted from the caller's first try. */
--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -188,3 +188,15 @@
   assert.match(text, /^HTTP\/1\.1 502 /)
   await assertReleased(gateway)
 })
+
+for (const status of ['000', '099', '101']) {
+  for (const isStream of [true, false]) {
+    nodeTest.test(`a call whose engine answers with status ${status}, which is none of a final response, gets an error (${isStream ? 'stream' : 'plain'})`, LIMIT, async (context) => {
+      const readAnswer: Options['protocol']['readAnswer'] = ({ statusCode = 0 }) => ({ kind: 'answered', status: statusCode, headers: [], isStream, version: null })
+      const gateway = await startGateway(context, `HTTP/1.1 ${status} Odd\r\nContent-Length: ${EVENT.length}\r\n\r\n${EVENT}`, withProtocol({ readAnswer }))
+      const { text } = await call()
+      assert.match(text, /^HTTP\/1\.1 502 /)
+      assert.deepEqual([gateway.handler.register.count(), gateway.countOpen(), gateway.countUnaborted(), gateway.loggedIds], [0, 0, 0, []])
+    })
+  }
+}
