Log a call that can't be ended after its handling threw

An exception outside of what ends a broken call would be an unhandled rejection, which ends the process. Read in the code after the fix of calls whose handling throws; no test brings it about. Such a call is logged, and its connection is closed. The tests of createCallHandler pass in one run.

--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -200,7 +200,12 @@
     handle: (request, response) => {
       const receivedAt = options.now()
       response.on('error', () => {})
-      rpc.handleInTurn(response, () => { void run(request, response, receivedAt) })
+      rpc.handleInTurn(response, () => {
+        run(request, response, receivedAt).catch((thrown: unknown) => {
+          response.destroy()
+          logCall.logBroken('', thrown, options)
+        })
+      })
     }
   }
 }
