Let calls with a very long time-out go on

Callers that state no deadline got 504 or 503 after a millisecond on a route with a time-out over 2^31 ms (24.8 days): a timer of Node.js that is set for longer runs out at once.

Fix: the scheduler of deadlines waits for the longest time that a timer can, and sets it again until the time has come.

--- a/packages/clock/src/createDeadlineScheduler/index.ts
+++ b/packages/clock/src/createDeadlineScheduler/index.ts
@@ -4,6 +4,9 @@
 /** Runs an action at a time of the steady clock, in milliseconds; the returned function cancels it. */
 export type ScheduleAt = (time: number, action: () => void) => () => void
 
+/** Longest time in milliseconds that a timer of Node.js can wait; a longer one would run out at once. */
+export const LONGEST_TIMER_MS = 2 ** 31 - 1
+
 interface PendingAction {
   readonly time: number
   readonly action: () => void
@@ -21,10 +24,15 @@
   const pending = new Set<PendingAction>()
 
   function setTimer (entry: PendingAction): void {
+    const waitMs = Math.max(0, entry.time - clock.now())
     entry.timer = setTimeout(() => {
+      if (waitMs > LONGEST_TIMER_MS) {
+        setTimer(entry)
+        return
+      }
       pending.delete(entry)
       entry.action()
-    }, Math.max(0, entry.time - clock.now()))
+    }, Math.min(waitMs, LONGEST_TIMER_MS))
   }
 
   clock.onSuspension(() => {
--- a/packages/clock/src/createDeadlineScheduler/test.ts
+++ b/packages/clock/src/createDeadlineScheduler/test.ts
@@ -19,3 +19,22 @@
   context.mock.timers.tick(3499)
   assert.deepEqual(done, ['1000', '4000', '9000'])
 })
+
+/** Guards against calls that expire at once, because a timer of Node.js runs out after a millisecond if its time is too long. */
+nodeTest.test('an action whose time no timer can wait for runs at that time, not at once', async (context) => {
+  const far = 2 ** 32
+  let time = 0
+  const done: number[] = []
+  const at = createDeadlineScheduler.createDeadlineScheduler({ now: () => time, onSuspension: () => {} })
+  const cancel = at(far, () => { done.push(-1) })
+  await new Promise((resolve) => { setTimeout(resolve, 20) })
+  cancel()
+  assert.equal(done.length, 0)
+  context.mock.timers.enable({ apis: ['setTimeout'] })
+  at(far, () => { done.push(time) })
+  while (time < far) {
+    time += 2 ** 28
+    context.mock.timers.tick(2 ** 28)
+  }
+  assert.deepEqual(done, [far])
+})
