Wait for streams and slots with a very long target

Callers of a resumable stream got 502 "no first event in time" after a millisecond on a route with a target of 2^31 ms or more, since three times the target is more than a timer of Node.js can wait for; time-outs for the next event and for the answer of an agent overflowed alike.

Fix: these timers wait for the longest time that a timer can.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -352,7 +352,7 @@
   let cancel = (): void => {}
 
   function start (timeoutMs: number): void {
-    const timer = setTimeout(() => { cancel = clock.runAfterReads(() => { expire(timeoutMs) }) }, timeoutMs)
+    const timer = setTimeout(() => { cancel = clock.runAfterReads(() => { expire(timeoutMs) }) }, Math.min(timeoutMs, clock.LONGEST_TIMER_MS))
     cancel = () => { clearTimeout(timer) }
   }
 
--- a/packages/gateway/src/_lib/startTimeout.ts
+++ b/packages/gateway/src/_lib/startTimeout.ts
@@ -18,7 +18,7 @@
   const timer = setTimeout(() => {
     if (performance.now() - expiresAt > LONGEST_STALL_MS) onTimeout()
     else cancelWait = clock.runAfterReads(onTimeout)
-  }, timeoutMs)
+  }, Math.min(timeoutMs, clock.LONGEST_TIMER_MS))
   return () => {
     clearTimeout(timer)
     cancelWait()
