Test the answers that engines may send against whole answers to callers

A raw engine sends heads that Node.js refuses to read, reads but may not write, or reads in a way of its own; each caller gets a whole answer, 502 for those that can't be read. No fault was found beyond the statuses mended before: what Node.js 20 reads of a head, except for statuses below 100, it also writes.

--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -200,3 +200,36 @@
     })
   }
 }
+
+const PLAIN = `Content-Length: ${EVENT.length}\r\n\r\n${EVENT}`
+/** Responses of engines, and the statuses that their callers get. */
+const ODD_ANSWERS: Readonly<Record<string, readonly [status: string, answer: string]>> = {
+  'a control character in a header': ['502', `HTTP/1.1 200 OK\r\nX: a\x01b\r\n${PLAIN}`],
+  'a header without a name': ['502', `HTTP/1.1 200 OK\r\n: a\r\n${PLAIN}`],
+  'a folded header': ['502', `HTTP/1.1 200 OK\r\nX: a\r\n b\r\n${PLAIN}`],
+  'two lengths': ['502', `HTTP/1.1 200 OK\r\nContent-Length: 1\r\n${PLAIN}`],
+  'a head larger than is read': ['502', `HTTP/1.1 200 OK\r\nX: ${'a'.repeat(20_000)}\r\n${PLAIN}`],
+  'a status of four digits': ['502', `HTTP/1.1 2000 OK\r\n${PLAIN}`],
+  'another protocol': ['502', 'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n'],
+  'no HTTP': ['502', 'no HTTP\r\n\r\n'],
+  'an interim response before the final one': ['200', `HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n${PLAIN}`],
+  'a header beyond ASCII': ['200', `HTTP/1.1 200 \xe9\r\nX: \xe9\r\n${PLAIN}`],
+  'a trailer': ['200', `HTTP/1.1 200 OK\r\nTrailer: X\r\nTransfer-Encoding: chunked\r\n\r\n${EVENT.length.toString(16)}\r\n${EVENT}\r\n0\r\nX: a\r\n\r\n`],
+  'a status that is not registered': ['799', `HTTP/1.1 799 Odd\r\n${PLAIN}`],
+  'no content': ['204', 'HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n']
+}
+for (const [kind, [status, answer]] of Object.entries(ODD_ANSWERS)) {
+  nodeTest.test(`a call whose engine answers with ${kind} gets a whole answer`, LIMIT, async (context) => {
+    for (const isStream of [true, false]) {
+      await context.test(isStream ? 'stream' : 'plain', async (part) => {
+        const readAnswer: Options['protocol']['readAnswer'] = ({ statusCode = 0, rawHeaders }) => ({ kind: 'answered', status: statusCode, headers: rawHeaders.slice(0, rawHeaders[0] === 'X' ? 2 : 0), isStream: isStream && statusCode < 300, version: null })
+        const gateway = await startGateway(part, answer, withProtocol({ readAnswer }))
+        const { text, errorCode } = await call()
+        assert.equal(text.slice(0, 'HTTP/1.1 200'.length), `HTTP/1.1 ${status}`)
+        assert.equal(errorCode, null)
+        assert.ok(status !== '200' || text.endsWith(isStream ? `${EVENT}\r\n0\r\n\r\n` : EVENT))
+        assert.deepEqual([gateway.handler.register.count(), gateway.countOpen(), gateway.countUnaborted(), gateway.loggedIds], [0, 0, 0, []])
+      })
+    }
+  })
+}
