Promise nothing of a call whose handling throws while an attempt is open

Callers could get 503, which promises that their call has not run, although a silent engine had it.

Cause: the call is known to may have run only once an attempt ends; one that is open when the search for another engine throws was aborted after the answer.

Change: an attempt that is open then counts as one that may run.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -108,6 +108,7 @@
   let isBlocked = false
   /** Attempts that were sent or are being sent; those that had no connection are not counted. */
   let sentCount = 0
+  let openCount = 0
 
   const waiting = findWaiting()
   waiting?.noteCall(call.service, call.rank)
@@ -173,7 +174,7 @@
         findNext,
         isDone: ({ kind }) => kind === 'done',
         setAbort: call.setAbortAttempt
-      })
+      }).catch(failRace)
       if (call.isCallerGone()) return 'left'
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
@@ -222,6 +223,12 @@
     return permitted
   }
 
+  /** The attempts that are open when the handling of another one throws may run. */
+  function failRace (thrown: unknown): never {
+    call.mayHaveRun ||= openCount > 0
+    throw thrown
+  }
+
   /** Whether the call may be sent to a back end in a draining gateway. A stream that has begun goes on for as long as the process does. */
   function mayFinishAt ({ firstEventMs }: chooseBackEnd.Choice): boolean {
     return reply.hasStarted() || mayFinish(firstEventMs)
@@ -405,6 +412,7 @@
     let isSilenceNoted = false
     call.tried.add(choice.backEnd.id)
     sentCount += 1
+    openCount += 1
     const open: createBackEndTracker.OpenAttempt = {
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
@@ -435,7 +443,10 @@
           abort()
         })
       }
-    }).finally(() => { options.tracker.noteEnded(choice.backEnd.id, open) })
+    }).finally(() => {
+      openCount -= 1
+      options.tracker.noteEnded(choice.backEnd.id, open)
+    })
     if (outcome.kind === 'not-sent') sentCount -= 1
     if (outcome.kind === 'failed-answer') failedAnswer = outcome.answer
     if (contender.readReplacedBy() === 'earlier') {
--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -7,6 +7,7 @@
 import * as createCallerServer from '../createCallerServer/index.js'
 import * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
+import type * as gateway from '../types/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
 import * as createCallHandler from './index.js'
 
@@ -129,6 +130,12 @@
   return { routes: () => ({ ...routes() as createRouteTable.RouteTable, findRoute: throwFault }) }
 }
 
+/** Options with a target after which a silent engine is soon overtaken. */
+function withShortTarget ({ routes }: Options): Partial<Options> {
+  const table = routes() as createRouteTable.RouteTable
+  return { routes: () => ({ ...table, findRoute: (host, path) => ({ ...table.findRoute(host, path) as gateway.Route, targetMs: 1 }) }) }
+}
+
 /** Options with which only one attempt can be chosen. */
 function withOneChoice ({ choose }: Options): Partial<Options> {
   let isFirst = true
@@ -172,6 +179,13 @@
   await assertReleased(gateway)
 })
 
+nodeTest.test('a call that no second engine can be chosen for while its first one is silent gets an error that does not promise that it has not run', LIMIT, async (context) => {
+  const gateway = await startGateway(context, '', (options) => ({ ...withOneChoice(options), ...withShortTarget(options) }))
+  const { text } = await call()
+  assert.match(text, /^HTTP\/1\.1 502 /)
+  await assertReleased(gateway)
+})
+
 for (const [framing, answer] of [['with', FRAMED_STREAM], ['without', UNFRAMED_STREAM]] as const) {
   nodeTest.test(`a stream ${framing} framing that has begun doesn't look whole if the handling of its call throws`, LIMIT, async (context) => {
     const gateway = await startGateway(context, answer, withOneChoice)
