Take back no call whose head has arrived when its withdrawal fires

Beside a change of versions, a stream whose engine had begun it could be taken back: its caller got 502, or its work began anew elsewhere.

Cause: the timer of the withdrawal runs before the head that has arrived is read, after a pause of the gateway or within one turn of its event loop.

Change: the withdrawal first lets what has arrived be read.

Evidence: the new test of runAttempts.silent failed before, 1 of 1 run, and passes now; 56 of 56 tests of attempts and of the bound of a version, unchanged.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -212,7 +212,14 @@
   /** Withdraws the call from an engine that has not begun it by the time at which its version must not begin calls any more. */
   function scheduleWithdrawal (): () => void {
     if (choice.mustBeginBy === Infinity) return () => {}
-    return options.at(choice.mustBeginBy + WITHDRAWAL_DELAY_MS, () => { if (!open.hasResponded) abort() })
+    let cancelWait = (): void => {}
+    const cancel = options.at(choice.mustBeginBy + WITHDRAWAL_DELAY_MS, () => {
+      cancelWait = clock.runAfterReads(() => { if (!open.hasResponded) abort() })
+    })
+    return () => {
+      cancel()
+      cancelWait()
+    }
   }
 
   function noteResponse (): void {
--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -440,6 +440,15 @@
   }
 })
 
+nodeTest.test('a stream whose head has arrived when its withdrawal at the bound of its version fires is not taken back', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false, mustBeginBy: SILENCE_MS / 2 })
+  const waited = fixture.wait(SILENCE_MS - 1)
+  await new Promise(setImmediate)
+  await Promise.all([waited, at(fixture, 0).answer(1)])
+  assert.equal(at(fixture, 0).isAborted(), false)
+  await finish(fixture, at(fixture, 0), 1)
+})
+
 nodeTest.test('a stream that its engine may not have begun is taken back at the bound of its version, and sent to another one', LIMIT, async (context) => {
   const fixture = await createFixture(context, { hasBegun: false, mustBeginBy: SILENCE_MS / 2 })
   await fixture.wait(SILENCE_MS - 1)
