Don't tell callers that a call has not run while an attempt of it is open

Callers of a call whose handling throws while its engine is silent got 503 with a retry time, which says that the call surely has not run, although the engine may be running it.

Cause: an attempt counts as one that may have run only when it ends, and a failure of the search for another engine, or of a second attempt, ends the call while the first attempt is open.

Fix: if the handling throws while an attempt is open, the call may have run, so that it gets 502.

--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -105,6 +105,8 @@
   let isBlocked = false
   /** Attempts that were sent or are being sent; those that had no connection are not counted. */
   let sentCount = 0
+  /** Attempts that have not ended. */
+  let openCount = 0
 
   const waiting = findWaiting()
   waiting?.noteCall(call.service, call.rank)
@@ -401,6 +403,7 @@
     let isSilenceNoted = false
     call.tried.add(choice.backEnd.id)
     sentCount += 1
+    openCount += 1
     const open: createBackEndTracker.OpenAttempt = {
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
@@ -431,7 +434,10 @@
           abort()
         })
       }
-    }).finally(() => { options.tracker.noteEnded(choice.backEnd.id, open) })
+    }).finally(() => {
+      openCount -= 1
+      options.tracker.noteEnded(choice.backEnd.id, open)
+    })
     if (outcome.kind === 'not-sent') sentCount -= 1
     if (outcome.kind === 'failed-answer') failedAnswer = outcome.answer
     if (contender.readReplacedBy() === 'earlier') {
@@ -462,7 +468,13 @@
     return call.isExpired() ? 'expired' : 'failed'
   }
 
-  const ending = await serve().finally(cancelExpiry)
+  /** An attempt that is open when the handling throws may run. */
+  function noteThrown (thrown: unknown): never {
+    call.mayHaveRun ||= openCount > 0
+    throw thrown
+  }
+
+  const ending = await serve().catch(noteThrown).finally(cancelExpiry)
   logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
   return ending
 }
--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -8,6 +8,7 @@
 import * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
+import type * as gateway from '../types/index.js'
 import * as createCallHandler from './index.js'
 
 const ADDRESS = { host: '127.0.0.47', port: 18_447 }
@@ -141,6 +142,12 @@
   }
 }
 
+/** Options whose route requests another attempt if the first one is silent for a short time. */
+function withShortTarget ({ routes }: Options): Partial<Options> {
+  const table = routes() as createRouteTable.RouteTable
+  return { routes: () => ({ ...table, findRoute: (host, path) => ({ ...table.findRoute(host, path) as gateway.Route, targetMs: 1 }) }) }
+}
+
 async function assertReleased ({ handler, heldBytes, countOpen, countUnaborted, countScheduled, loggedIds }: Fixture): Promise<void> {
   await new Promise(setImmediate)
   assert.deepEqual({ calls: handler.register.count(), bytes: heldBytes.read(), open: countOpen(), unaborted: countUnaborted(), scheduled: countScheduled(), logged: loggedIds.length }, { calls: 0, bytes: 0, open: 0, unaborted: 0, scheduled: 0, logged: 1 })
@@ -182,6 +189,13 @@
   })
 }
 
+nodeTest.test('a call whose handling throws while its engine is silent gets an error that doesn\'t promise that it has not run', LIMIT, async (context) => {
+  const gateway = await startGateway(context, '', (options) => ({ ...withOneChoice(options), ...withShortTarget(options) }))
+  const { text } = await call()
+  assert.match(text, /^HTTP\/1\.1 502 /)
+  await assertReleased(gateway)
+})
+
 nodeTest.test('a call with an event whose handling throws gets an error, and its process goes on', LIMIT, async (context) => {
   const gateway = await startGateway(context, FRAMED_STREAM, () => ({ errorBoundOf: () => ({ read: () => 0, note: throwFault }) }))
   const { text } = await call()
