Refuse a late or malformed head only after the answers before it

Callers that send a part of their next request while the one before it is served lost its answer: at the limit for heads the connection was closed within the answer, or got 408 in place of it; a malformed head did so at once, with 400. A shorter limit for heads in a new configuration makes it strike sooner.

Cause: Node.js reports a late or malformed head by an event, on which the connection was closed whatever was still under way on it.

Fix: the refusal waits until the whole requests before it have their answers, and is dropped if the head arrives meanwhile. A malformed body is refused at once, as before, unless whole requests come before its own.

The test of a malformed body guards against a refusal that waits for a request that never becomes whole; it was not run on the code before.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -72,6 +72,8 @@
   idleSince: number
   /** Bytes that had arrived at that time. */
   idleBytes: number
+  /** Why what follows the whole requests that are handled is refused after their answers; null if it isn't. */
+  refusal: NodeJS.ErrnoException | null
   isClosing: boolean
 }
 
@@ -90,7 +92,7 @@
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const connection: Connection = { socket, responses: new Set(), requests: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, isClosing: false }
+    const connection: Connection = { socket, responses: new Set(), requests: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -107,10 +109,13 @@
       return
     }
     connection.requests += 1
+    connection.refusal = null
     connection.responses.add(response)
     response.once('close', () => {
       connection.responses.delete(response)
       noteIdle(connection)
+      const { refusal } = connection
+      if (refusal !== null && !hasWholeRequest(connection)) runWithoutRequest(connection, () => { refuse(connection, refusal) })
       if (!request.complete) request.once('close', () => { noteIdle(connection) })
     })
     if (isDraining) response.shouldKeepAlive = false
@@ -190,10 +195,16 @@
     const wasIdle = readPhase(connection) === 'idle'
     runWithoutRequest(connection, () => {
       // Node.js limits the time of a head that has only just begun.
-      if (!wasIdle || readPhase(connection) === 'idle') refuse(connection, error)
+      if (!wasIdle || readPhase(connection) === 'idle') refuseAfterAnswers(connection, error)
     })
   }
 
+  /** What follows whole requests that are handled must not cut their answers. */
+  function refuseAfterAnswers (connection: Connection, error: NodeJS.ErrnoException): void {
+    if (!hasWholeRequest(connection) || error.code === 'ECONNRESET') refuse(connection, error)
+    else connection.refusal ??= error
+  }
+
   /** The event loop accepts one connection in each turn; those that the system has established would be reset together with the listening socket. */
   async function acceptEstablished (): Promise<void> {
     const acceptedBefore = accepted
@@ -243,7 +254,7 @@
     const connection = connections.get(socket)
     if (connection === undefined) socket.destroy()
     else if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') refuseLateHead(connection, error)
-    else if (!connection.isClosing) refuse(connection, error)
+    else if (!connection.isClosing) refuseAfterAnswers(connection, error)
   })
   return {
     handle: handleRequest,
@@ -271,6 +282,10 @@
   socket.destroySoon()
 }
 
+function hasWholeRequest ({ responses }: Connection): boolean {
+  return [...responses].some(({ req: request }) => request.complete)
+}
+
 function readPhase ({ socket, responses, idleBytes, isClosing }: Connection): ConnectionPhase {
   if (isClosing) return 'closing'
   if (responses.size > 0) return [...responses].every((response) => response.writableEnded) ? 'delivering' : 'serving'
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -311,6 +311,31 @@
   assert.match(await peer.received ?? '', / 200 [^]*whole$/)
 })
 
+for (const [what, text, refusal] of [['late', 'GET /next HTTP/1.1\r\nHo', 408], ['malformed', 'no request\r\n\r\n', 400]] as const) {
+  for (const hasBegun of [true, false]) {
+    nodeTest.test(`a ${what} head cuts no answer of the request before it, which ${hasBegun ? 'has' : 'has not'} begun, and is refused after it`, LIMIT, async (context) => {
+      const { connect, waitForPhase } = await openServer(context, (_request, response) => {
+        if (hasBegun) response.write('begin ')
+        setTimeout(() => { response.end('end') }, 3 * HEADERS_TIMEOUT_MS)
+      })
+      const peer = connect(formatRequest('/'))
+      await waitForPhase('serving')
+      peer.socket.write(text)
+      assert.match(await peer.received ?? '', new RegExp(`^HTTP/1.1 200 [^]*end[^]*HTTP/1.1 ${refusal} `))
+    })
+  }
+}
+
+nodeTest.test('a malformed body is refused at once, and the request before it is answered', LIMIT, async (context) => {
+  const { connect } = await openServer(context, (request, response) => {
+    request.resume().on('end', () => { setTimeout(() => { response.end('end') }, HEADERS_TIMEOUT_MS) }).on('error', () => {})
+  })
+  const malformed = formatRequest('/malformed', 'Transfer-Encoding: chunked\r\n') + 'no chunk\r\n'
+  const texts = await Promise.all([malformed, formatRequest('/whole') + malformed].map(async (text) => await connect(text).received))
+  assert.match(texts[0] ?? '', /^HTTP\/1.1 400 /)
+  assert.match(texts[1] ?? '', /^HTTP\/1.1 200 [^]*endHTTP\/1.1 400 /)
+})
+
 nodeTest.test('a head that begins at a server that stands still and does not go on is refused', LIMIT, async (context) => {
   const { connect, waitForPhase } = await openServer(context, () => { assert.fail('no request is whole') })
   const peer = connect('')
