Read what has arrived before a gateway takes a call back or lets its time end

Callers whose engine had begun their stream lost it when their gateway stood still over the time at which calls that have not begun are taken back (0.3 s after the bound of an older version); those whose answer had arrived by the deadline got 504.

Cause: Node.js runs timers before it reads sockets, so that the head or the answer came after the decision. Entry nodes, and requests of daemons, read first already; gateways did not.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -14,6 +14,7 @@
 import type * as callOptions from './callOptions.js'
 import * as noteOutcome from './noteOutcome.js'
 import * as raceAttempts from './raceAttempts.js'
+import * as scheduleAfterReads from './scheduleAfterReads.js'
 
 /** A back end's response, read to its end. */
 export interface BufferedAnswer {
@@ -212,7 +213,7 @@
   /** Withdraws the call from an engine that has not begun it by the time at which its version must not begin calls any more. */
   function scheduleWithdrawal (): () => void {
     if (choice.mustBeginBy === Infinity) return () => {}
-    return options.at(choice.mustBeginBy + WITHDRAWAL_DELAY_MS, () => { if (!open.hasResponded) abort() })
+    return scheduleAfterReads.scheduleAfterReads(options.at, choice.mustBeginBy + WITHDRAWAL_DELAY_MS, () => { if (!open.hasResponded) abort() })
   }
 
   function noteResponse (): void {
--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -457,3 +457,20 @@
   await at(fixture, 1).answer(1)
   await finish(fixture, at(fixture, 1), 1)
 })
+
+nodeTest.test('a stream is not taken back if the head of its answer arrived while the gateway stood still', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false, isResumable: false, mustBeginBy: SILENCE_MS })
+  context.mock.timers.tick(DEADLINE_MS / 2)
+  await at(fixture, 0).answer(1)
+  assert.equal(at(fixture, 0).isAborted(), false)
+  await at(fixture, 0).send(event(1))
+  await finish(fixture, at(fixture, 0), 2)
+})
+
+nodeTest.test('a call is answered if its answer arrived by its deadline while the gateway stood still', LIMIT, async (context) => {
+  const fixture = await createFixture(context, { hasBegun: false, isResumable: false })
+  context.mock.timers.tick(DEADLINE_MS)
+  await Promise.all([at(fixture, 0).answer('not-found'), at(fixture, 0).send(null)])
+  assert.equal(await fixture.ending, 'answered')
+  assert.equal(fixture.received(), 'status 404')
+})
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -15,6 +15,7 @@
 import * as raceAttempts from './raceAttempts.js'
 import * as reserveSlot from './reserveSlot.js'
 import * as runAttempt from './runAttempt.js'
+import * as scheduleAfterReads from './scheduleAfterReads.js'
 import * as waitingCalls from './waitingCalls.js'
 import type * as callOptions from './callOptions.js'
 import type * as gateway from '../types/index.js'
@@ -94,7 +95,7 @@
 export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options, mayFinish: (firstEventMs: number) => boolean = () => true): Promise<logCall.Ending> {
   const budget = options.budgetOf(call.service)
   budget.noteCall()
-  const cancelExpiry = options.at(call.deadline.at, call.expire)
+  const cancelExpiry = scheduleAfterReads.scheduleAfterReads(options.at, call.deadline.at, call.expire)
   const stream = runAttempt.createStreamState(createEventSplitter.createEventSplitter(call.head.lastEventId))
   let failedAnswer: runAttempt.BufferedAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
