Let limits become shorter also while the configuration changes often

A shorter time for heads or idle connections never came into force while each next configuration brought another one within the time of the longest.

Cause: each change began the wait for the longer limit anew.

Now each replaced limit counts until its own time has passed since it was replaced, and the longest that counts is in force.

--- a/packages/gateway/src/_lib/createTimeLimit.ts
+++ b/packages/gateway/src/_lib/createTimeLimit.ts
@@ -4,7 +4,8 @@
 export type SetTimeLimit = (limitMs: number) => void
 
 /**
- * Creates a limit. A longer limit comes into force at once, a shorter one when the time of the longer one has passed, since what began under it may take that time.
+ * Creates a limit. A longer limit comes into force at once, a shorter one when the time of each longer one has passed since that was replaced, since what began under it may
+ * take that time.
  *
  * @param apply - Called with each limit that comes into force, in milliseconds.
  * @returns A function that sets the limit.
@@ -12,18 +13,24 @@
 export function createTimeLimit (apply: (limitMs: number) => void): SetTimeLimit {
   let currentMs = 0
   let newestMs = 0
-  let timer: NodeJS.Timeout | undefined
+  const replacedLimits: number[] = []
 
-  function bringIntoForce (): void {
-    currentMs = newestMs
+  function applyLongest (): void {
+    const longestMs = Math.max(newestMs, ...replacedLimits)
+    if (longestMs === currentMs) return
+    currentMs = longestMs
     apply(currentMs)
   }
 
   return (limitMs) => {
     if (limitMs === newestMs) return
+    const replacedMs = newestMs
+    replacedLimits.push(replacedMs)
+    setTimeout(() => {
+      replacedLimits.splice(replacedLimits.indexOf(replacedMs), 1)
+      applyLongest()
+    }, replacedMs).unref()
     newestMs = limitMs
-    clearTimeout(timer)
-    if (limitMs >= currentMs) bringIntoForce()
-    else timer = setTimeout(bringIntoForce, currentMs).unref()
+    applyLongest()
   }
 }
