--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -15,6 +15,7 @@
 import * as raceAttempts from './raceAttempts.js'
 import * as reserveSlot from './reserveSlot.js'
 import * as runAttempt from './runAttempt.js'
+import * as scheduleAfterReads from './scheduleAfterReads.js'
 import * as waitingCalls from './waitingCalls.js'
 import type * as callOptions from './callOptions.js'
 import type * as gateway from '../types/index.js'
@@ -97,7 +98,7 @@
 export async function runAttempts (call: callState.CallState, reply: answers.Reply, options: Options, mayFinish: (firstEventMs: number) => boolean = () => true): Promise<logCall.Ending> {
   const budget = options.budgetOf(call.service)
   budget.noteCall()
-  const cancelExpiry = options.at(call.deadline.at, call.expire)
+  const cancelExpiry = scheduleAfterReads.scheduleAfterReads(options.at, call.deadline.at, call.expire)
   const stream = runAttempt.createStreamState(createEventSplitter.createEventSplitter(call.head.lastEventId))
   let failedAnswer: runAttempt.BufferedAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
@@ -108,6 +109,7 @@
   let isBlocked = false
   /** Attempts that were sent or are being sent; those that had no connection are not counted. */
   let sentCount = 0
+  /** Attempts that have not ended. */
   let openCount = 0
 
   const waiting = findWaiting()
@@ -174,7 +176,7 @@
         findNext,
         isDone: ({ kind }) => kind === 'done',
         setAbort: call.setAbortAttempt
-      }).catch(failRace)
+      })
       if (call.isCallerGone()) return 'left'
       if (outcome.kind === 'done') return 'answered'
       lastReason = outcome.reason
@@ -223,12 +225,6 @@
     return permitted
   }
 
-  /** The attempts that are open when the handling of another one throws may run. */
-  function failRace (thrown: unknown): never {
-    call.mayHaveRun ||= openCount > 0
-    throw thrown
-  }
-
   /** Whether the call may be sent to a back end in a draining gateway. A stream that has begun goes on for as long as the process does. */
   function mayFinishAt ({ firstEventMs }: chooseBackEnd.Choice): boolean {
     return reply.hasStarted() || mayFinish(firstEventMs)
@@ -477,7 +473,13 @@
     return call.isExpired() ? 'expired' : 'failed'
   }
 
-  const ending = await serve().finally(cancelExpiry)
+  /** An attempt that is open when the handling throws may run. */
+  function noteThrown (thrown: unknown): never {
+    call.mayHaveRun ||= openCount > 0
+    throw thrown
+  }
+
+  const ending = await serve().catch(noteThrown).finally(cancelExpiry)
   logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
   return ending
 }
--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -7,8 +7,8 @@
 import * as createCallerServer from '../createCallerServer/index.js'
 import * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
-import type * as gateway from '../types/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
+import type * as gateway from '../types/index.js'
 import * as createCallHandler from './index.js'
 
 const ADDRESS = { host: '127.0.0.47', port: 18_447 }
@@ -130,12 +130,6 @@
   return { routes: () => ({ ...routes() as createRouteTable.RouteTable, findRoute: throwFault }) }
 }
 
-/** Options with a target after which a silent engine is soon overtaken. */
-function withShortTarget ({ routes }: Options): Partial<Options> {
-  const table = routes() as createRouteTable.RouteTable
-  return { routes: () => ({ ...table, findRoute: (host, path) => ({ ...table.findRoute(host, path) as gateway.Route, targetMs: 1 }) }) }
-}
-
 /** Options with which only one attempt can be chosen. */
 function withOneChoice ({ choose }: Options): Partial<Options> {
   let isFirst = true
@@ -148,6 +142,12 @@
   }
 }
 
+/** Options whose route requests another attempt if the first one is silent for a short time. */
+function withShortTarget ({ routes }: Options): Partial<Options> {
+  const table = routes() as createRouteTable.RouteTable
+  return { routes: () => ({ ...table, findRoute: (host, path) => ({ ...table.findRoute(host, path) as gateway.Route, targetMs: 1 }) }) }
+}
+
 async function assertReleased ({ handler, heldBytes, countOpen, countUnaborted, countScheduled, loggedIds }: Fixture): Promise<void> {
   await new Promise(setImmediate)
   assert.deepEqual({ calls: handler.register.count(), bytes: heldBytes.read(), open: countOpen(), unaborted: countUnaborted(), scheduled: countScheduled(), logged: loggedIds.length }, { calls: 0, bytes: 0, open: 0, unaborted: 0, scheduled: 0, logged: 1 })
