Refuse a new connection over which only empty lines arrive after a stall

A new connection over which empty lines arrived while the process stood still over the limit for heads stayed open for good; it would hold up a drain until its end.

Cause: Node.js reports a late head once. If bytes are read before the refusal, it is taken for a head that has just begun, whose time Node.js limits; but empty lines begin none.

Such a connection now gets the time for a head from then on by a timer of its own.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -192,11 +192,19 @@
   }
 
   function refuseLateHead (connection: Connection, error: NodeJS.ErrnoException): void {
+    const { requests } = connection
     const wasIdle = readPhase(connection) === 'idle'
     runWithoutRequest(connection, () => {
-      // Node.js limits the time of a head that has only just begun.
       if (!wasIdle || readPhase(connection) === 'idle') refuseAfterAnswers(connection, error)
+      else startHeadTimeout()
     })
+
+    /** Limits the time of a head that has only just begun. Node.js does not if it consists of empty lines so far. */
+    function startHeadTimeout (): void {
+      const { socket } = connection
+      const timer = setTimeout(() => { if (connection.requests === requests) refuseLateHead(connection, error) }, server.headersTimeout)
+      socket.once('close', () => { clearTimeout(timer) })
+    }
   }
 
   /** What follows whole requests that are handled must not cut their answers. */
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -344,6 +344,14 @@
   assert.match(await peer.received ?? '', /^HTTP\/1.1 408 /)
 })
 
+nodeTest.test('a new connection over which only empty lines arrive at a server that stands still is refused', LIMIT, async (context) => {
+  const { connect, waitForPhase } = await openServer(context, () => { assert.fail('no request is whole') })
+  const peer = connect('')
+  await waitForPhase('idle')
+  await sendBeforeStall(peer, '\r\n\r\n', STALL_MS)
+  assert.match(await peer.received ?? '', /^HTTP\/1.1 408 /)
+})
+
 nodeTest.test('each server answers a head that it cannot read with a status and reads on until its peer has the answer', LIMIT, async (context) => {
   const { connect } = await openServer(context, () => { assert.fail('no request is whole') })
   const texts = await Promise.all([`GET / HTTP/1.1\r\nLong: ${'x'.repeat(BIG_BYTES)}\r\n\r\n`, 'no request\r\n\r\n'].map(async (text) => await connect(text).received))
