--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -70,7 +70,7 @@
   readonly responses: Set<http.ServerResponse>
   /** Number of requests whose head has been read. */
   requests: number
-  /** Bytes that had been written before the last request; its peer has read those. */
+  /** Bytes that had been written before the last request. */
   writtenBefore: number
   /** Since when no request is handled, a monotonic time in milliseconds. */
   idleSince: number
@@ -82,8 +82,8 @@
 }
 
 /**
- * Tracks the connections of a server, handles its requests, and refuses those that can't be parsed or don't arrive in time. Connections that the server ends after a response, or while a
- * long one may still be unsent, are read on until their peer has ended them, too, or until {@link LINGER_MS} have passed.
+ * Tracks the connections of a server, handles its requests, and refuses those that can't be parsed or don't arrive in time. Connections that the server ends after a
+ * response, or while a long one may still be unsent, are read on until their peer has ended them, too, or until {@link LINGER_MS} have passed.
  *
  * @param server - The server; it must not have accepted connections yet.
  * @param handle - Handles requests. It is not called for those that arrive after their connection was ended.
