Review, case 4: two runs joined in one answer

review/4/run.sh: an engine of an idempotent route crashes in the middle of an answer of type text/event-stream; the caller gets its first events and then all of another engine's, as one whole answer.

--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -5,6 +5,7 @@
 import * as net from 'node:net'
 import * as os from 'node:os'
 import * as path from 'node:path'
+import * as readline from 'node:readline'
 
 const START_TIMEOUT_MS = 20_000
 const EXIT_HELD = 0
@@ -212,7 +213,7 @@
   const child = childProcess.spawn('node', ['--max-old-space-size=160', 'target/switchridged.js', '--settings', file], { cwd: ROOT, stdio: ['ignore', log, log] })
   children.add(child)
   const exited = new Promise((resolve) => { child.once('exit', (code, signal) => { resolve({ code, signal }) }) })
-  const gateway = { host, port: callers, child, exited, readLog: () => fs.readFileSync(logFile, 'utf8') }
+  const gateway = { host, port: callers, child, exited, internal, seeds, readLog: () => fs.readFileSync(logFile, 'utf8') }
   await waitUntil(async () => {
     if (child.exitCode !== null) throw new Error(`the gateway ended: ${gateway.readLog()}`)
     return await isReady(host, readiness)
@@ -221,6 +222,47 @@
   return gateway
 }
 
+/** Starts an agent beside an engine with the command of the deploy file, with the settings of its template. `onLog` gets each line of its log. */
+export async function startAgent ({ store, host, engine, service, node = 'side-a-1', onLog, ...fixed }) {
+  const file = path.join(folder, `${node}.toml`)
+  const metrics = await findPort(host)
+  fs.writeFileSync(file, `role = "agent"
+node = "${node}"
+zone = "zone-a"
+region = "region-a"
+zones = ["zone-a"]
+host = "${host}"
+seeds = [${fixed.seeds.map((seed) => `"${seed}"`).join()}]
+internal_port = ${fixed.internal}
+[listen]
+[store]
+address = "${store}"
+[engine]
+address = "${engine}"
+service = "${service}"
+[regions]
+"zone-a" = "region-a"
+[limits]
+link_megabits_per_second = 7.3
+grace_seconds = 8
+memory_megabytes = 218
+[bounds]
+version_ms = 8000
+contact_ms = 3000
+configuration_ms = 2000
+retry_ratio = 0.2
+retry_slack = 102
+retry_window_seconds = 10
+[metrics]
+port = ${metrics}
+`)
+  const child = childProcess.spawn('node', ['--max-old-space-size=96', 'target/switchridged.js', '--settings', file], { cwd: ROOT, stdio: ['ignore', 'pipe', 'ignore'] })
+  children.add(child)
+  readline.createInterface({ input: child.stdout }).on('line', onLog)
+  note(`agent ${node} started`)
+  return { child }
+}
+
 async function isReady (host, port) {
   return await new Promise((resolve) => {
     const request = http.get({ host, port, path: '/v1/readiness', agent: false }, (response) => {
@@ -303,6 +345,7 @@
   function finish (exitCode, result) {
     clearTimeout(watchdog)
     note(result)
+    // A stopped process is ended by it, too.
     for (const child of children) child.kill('SIGKILL')
     for (const close of closers) close()
     fs.writeFileSync(path.join(scriptFolder, 'record.txt'), `${hasTrouble ? 'with' : 'without'} the disruption\n${lines.join('\n')}\n`)
