Log the age of a stage's check at each order, and pauses of gateways and agents

Change: version-ordered has begin, end, oldest read and repairs of the check, the pause since it began and the time of the answer; histograms of age and answer; paused lines, counter and histogram of gateways and agents. No change of logic.

--- a/packages/daemon/src/_lib/simulatedStager.ts
+++ b/packages/daemon/src/_lib/simulatedStager.ts
@@ -147,6 +147,8 @@
       options.onPause()
     },
     onEvent: () => {},
+    observe: () => {},
+    pausedMsSince: () => 0,
     uplink: { backlogMs: uplink.backlogMs, send: () => uplink.send(SENT_PIECE) },
     fullFetchMs: PIECES * PIECE_BYTES / (options.linkBytesPerMs * LINK_SHARE) + RAMP_UP_MS,
     pieceBytes: PIECE_BYTES,
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -44,6 +44,8 @@
   readonly clock: clock.SteadyClock
   /** The time of {@link clock}, in milliseconds. */
   readonly now: () => number
+  /** Pauses of this process; a suspension of the machine counts, too. */
+  readonly pauses: clock.PauseMonitor
   /** Runs an action at a time of {@link clock}. */
   readonly at: clock.ScheduleAt
 }
@@ -84,6 +86,7 @@
   const identity = { deployment: checked.deployment, sharedKey: checked.security.shared_key ?? '' }
   const steadyClock = clock.createSteadyClock(environment.clocks)
   const { now } = steadyClock
+  const pauses = clock.createPauseMonitor({ now, onPause: logPause })
   const configurations = store.createMirror(platform.OBJECT_KINDS.configuration)
   const backEndObjects = store.createMirror(platform.OBJECT_KINDS.backEnds)
   const namedVersions = store.createMirror(platform.OBJECT_KINDS.versions)
@@ -100,6 +103,12 @@
   })
   const seenVersionObjects = new WeakSet<store.StoredObject>()
 
+  function logPause (pausedMs: number): void {
+    metrics.count('pauses')
+    metrics.observe('pause', pausedMs)
+    logger.warn('paused', { pausedMs: Math.round(pausedMs) })
+  }
+
   function adoptConfiguration (): void {
     const object = configurations.objects().get(platform.CONFIGURATION_NAME)
     if (object === undefined || object.revision <= adoptedRevision) return
@@ -207,6 +216,7 @@
     mirrors: checked.role === 'gateway' ? [configurations, backEndObjects, namedVersions, ...(evacuations.mirror === null ? [] : [evacuations.mirror])] : [configurations, namedVersions],
     clock: steadyClock,
     now,
+    pauses,
     at: clock.createDeadlineScheduler(steadyClock)
   }
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -243,6 +243,8 @@
         metrics.count('weights_events', { event })
         logger.info(event, fields)
       },
+      observe: metrics.observe,
+      pausedMsSince: parts.pauses.pausedMsSince,
       uplink,
       pieceBytes: figures.chunkBytes,
       linkBytesPerSecond,
@@ -369,6 +371,7 @@
       operatorServer.abort()
       stager?.stop()
       exchange.stop()
+      parts.pauses.stop()
       listener.abort()
       parts.agents.destroy()
     }
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -348,6 +348,7 @@
     stop: () => {
       callQuarantine.stop()
       exchange.stop()
+      parts.pauses.stop()
       server.close()
       readiness?.abort()
       operatorServer.abort()
--- a/packages/staging/src/_lib/orderVersion.ts
+++ b/packages/staging/src/_lib/orderVersion.ts
@@ -10,16 +10,32 @@
   /** Called with true when the engine is about to change its version and must get no new calls, and with false afterwards. */
   readonly onPause: (isPaused: boolean) => void
   readonly onEvent: (event: string, fields: Readonly<Record<string, string | number | boolean>>) => void
+  /** Records a duration in milliseconds in the histogram of that name. */
+  readonly observe: (name: string, milliseconds: number) => void
+  /** Milliseconds for which this process was paused since a time of the clock. */
+  readonly pausedMsSince: (time: number) => number
   /** Monotonic clock in milliseconds. */
   readonly now: () => number
 }
 
+/** Age of the verification of a stage. */
+export interface StageAge {
+  /** Milliseconds since the verification began, since it ended, and since its oldest read was sent. */
+  readonly beganMs: number
+  readonly endedMs: number
+  readonly oldestReadMs: number
+  /** Milliseconds for which this process was paused since it began. */
+  readonly pausedMs: number
+  /** Pieces that it had to write again. */
+  readonly repaired: number
+}
+
 /** Orders to one engine, whose stage must hold the verified version. */
 export interface VersionOrders {
   /** Orders an engine that holds no version, without waiting. */
-  readonly orderFirstVersion: (ready: staging.NamedVersion, state: staging.EngineState) => Promise<void>
+  readonly orderFirstVersion: (ready: staging.NamedVersion, state: staging.EngineState, readStageAge: () => StageAge) => Promise<void>
   /** Pauses new calls, waits until queued ones have begun, and orders the change. */
-  readonly order: (ready: staging.NamedVersion, method: staging.SwitchMethod) => Promise<void>
+  readonly order: (ready: staging.NamedVersion, method: staging.SwitchMethod, readStageAge: () => StageAge) => Promise<void>
 }
 
 const POLL_MS = 50
@@ -40,22 +56,40 @@
  */
 export function createVersionOrders (options: OrderOptions & { readonly isStopped: () => boolean }): VersionOrders {
   /** Does not wait, because an engine without a version gets no calls, and after a restart of the whole fleet nobody is served until it has one. */
-  async function orderFirstVersion (ready: staging.NamedVersion, state: staging.EngineState): Promise<void> {
-    await startVersion(ready, state, 'finish')
+  async function orderFirstVersion (ready: staging.NamedVersion, state: staging.EngineState, readStageAge: () => StageAge): Promise<void> {
+    await startVersion(ready, state, 'finish', readStageAge)
     options.onPause(false)
   }
 
-  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod): Promise<void> {
+  async function order (ready: staging.NamedVersion, method: staging.SwitchMethod, readStageAge: () => StageAge): Promise<void> {
     options.onPause(true)
     const state = await waitForEmptyQueue()
     if (method === 'break-off') await waitForShortCalls()
-    if (state !== null && !state.isBusy && !state.isLeaving) await startVersion(ready, state, method)
+    if (state !== null && !state.isBusy && !state.isLeaving) await startVersion(ready, state, method, readStageAge)
     options.onPause(false)
   }
 
-  async function startVersion ({ id, namedAt }: staging.NamedVersion, state: staging.EngineState, method: staging.SwitchMethod): Promise<void> {
+  async function startVersion ({ id, namedAt }: staging.NamedVersion, state: staging.EngineState, method: staging.SwitchMethod, readStageAge: () => StageAge): Promise<void> {
+    const age = readStageAge()
+    const sentAt = options.now()
     const outcome = await options.engine.start(id, state.sequence, method)
-    options.onEvent('version-ordered', { version: id.version, held: state.held, method, outcome, running: state.running, afterMs: Math.round(options.now() - namedAt) })
+    const answeredMs = options.now() - sentAt
+    options.observe('stage_age_at_order', age.oldestReadMs)
+    options.observe('order_answer', answeredMs)
+    options.onEvent('version-ordered', {
+      version: id.version,
+      held: state.held,
+      method,
+      outcome,
+      running: state.running,
+      afterMs: Math.round(options.now() - namedAt),
+      checkBeganMs: Math.round(age.beganMs),
+      checkEndedMs: Math.round(age.endedMs),
+      oldestReadMs: Math.round(age.oldestReadMs),
+      repaired: age.repaired,
+      pausedMs: Math.round(age.pausedMs),
+      answeredMs: Math.round(answeredMs)
+    })
     await types.delay(ORDER_SETTLE_MS)
     const switchedMs = await waitForSwitch(id.version)
     options.onEvent('version-switched', { version: id.version, tookMs: switchedMs, afterMs: Math.round(options.now() - namedAt) })
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -394,6 +394,8 @@
       },
       onTurn: () => {},
       onPause: () => {},
+      observe: () => {},
+      pausedMsSince: () => 0,
       onEvent: (event, fields) => {
         report(name, event, fields)
         const agent = running.get(name)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -58,6 +58,11 @@
 interface StagedVersion {
   readonly version: number
   readonly verifiedAt: number
+  /** Monotonic time in milliseconds at which the verification began. */
+  readonly beganAt: number
+  /** Monotonic time in milliseconds at which the oldest read of the verification was sent. */
+  readonly oldestReadAt: number
+  readonly repaired: number
 }
 
 /** Interval of steps while the engine has calls, or a version is being fetched or is to be ordered. */
@@ -204,7 +209,7 @@
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready) || !mayBeginChange) return
     orderedAt = options.now()
-    change = state.held === 0 ? orders.orderFirstVersion(ready, state) : orders.order(ready, turn.method)
+    change = state.held === 0 ? orders.orderFirstVersion(ready, state, describeStage) : orders.order(ready, turn.method, describeStage)
     await change
     if (state.held === 0) firstLoad = { version: ready.id.version, tookMs: options.now() - orderedAt }
     orderedAt = null
@@ -324,16 +329,23 @@
     return staged !== null && staged.version === ready.id.version && options.now() - staged.verifiedAt <= VERIFICATION_VALID_MS
   }
 
+  /** How old the verification is that an order relies on, in milliseconds, for the log of the order. */
+  function describeStage (): orderVersion.StageAge {
+    const now = options.now()
+    const { beganAt = -Infinity, verifiedAt = -Infinity, oldestReadAt = -Infinity, repaired = 0 } = staged ?? {}
+    return { beganMs: now - beganAt, endedMs: now - verifiedAt, oldestReadMs: now - oldestReadAt, pausedMs: options.pausedMsSince(beganAt), repaired }
+  }
+
   async function stage (ready: staging.NamedVersion): Promise<void> {
     const pieces = findPieces(ready.id.version)
     if (pieces === null) return
     const isRewritten = staged?.version !== ready.id.version
     staged = null
     const startedAt = options.now()
-    const written = await writeStage.writeStage(options.engine, pieces, isRewritten)
+    const written = await writeStage.writeStage(options.engine, pieces, isRewritten, options.now)
     if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
     if (written.failed > 0) return
-    staged = { version: ready.id.version, verifiedAt: options.now() }
+    staged = { version: ready.id.version, verifiedAt: options.now(), beganAt: startedAt, oldestReadAt: written.oldestReadAt, repaired: written.repaired }
     if (isRewritten) readiness.noteTook('stage', options.now() - startedAt)
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
--- a/packages/staging/src/writeStage/index.ts
+++ b/packages/staging/src/writeStage/index.ts
@@ -8,6 +8,8 @@
   readonly repaired: number
   /** Pieces that are still wrong; the engine must not be ordered to use the stage. */
   readonly failed: number
+  /** Monotonic time in milliseconds at which the oldest of the last reads of all pieces was sent. */
+  readonly oldestReadAt: number
 }
 
 /** Number of pieces that are written or read at a time. */
@@ -19,12 +21,14 @@
  * @param engine - The engine.
  * @param pieces - All pieces of the version.
  * @param mustWriteAll - Whether every piece is written first; otherwise only the missing or wrong ones are written.
+ * @param now - Monotonic clock in milliseconds.
  * @returns How many pieces had to be repaired, and how many could not be.
  */
-export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, mustWriteAll: boolean): Promise<StageResult> {
+export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, mustWriteAll: boolean, now: () => number): Promise<StageResult> {
   const { id, digests } = pieces.manifest
   let repaired = 0
   let failed = 0
+  let oldestReadAt = Infinity
 
   async function write (piece: number): Promise<boolean> {
     const bytes = pieces.get(piece)
@@ -32,8 +36,11 @@
   }
 
   async function isStagedCorrectly (piece: number): Promise<boolean> {
+    const sentAt = now()
     const staged = await engine.getPiece(id.model, piece)
-    return staged.ok && staged.value !== null && createPieceStore.matchesDigest(staged.value, digests[piece])
+    if (!staged.ok || staged.value === null || !createPieceStore.matchesDigest(staged.value, digests[piece])) return false
+    oldestReadAt = Math.min(oldestReadAt, sentAt)
+    return true
   }
 
   async function verify (piece: number): Promise<void> {
@@ -44,7 +51,7 @@
 
   if (mustWriteAll) await forEachPiece(digests.length, async (piece) => { await write(piece) })
   await forEachPiece(digests.length, verify)
-  return { repaired, failed }
+  return { repaired, failed, oldestReadAt }
 }
 
 /** Visits all pieces, a few concurrently. */
--- a/packages/staging/src/writeStage/test.ts
+++ b/packages/staging/src/writeStage/test.ts
@@ -25,6 +25,6 @@
     return types.fail(new types.UnavailableError('no answer in time'))
   }
   const engine = { putPiece: timeOut, getPiece: timeOut } as unknown as staging.StagedEngine
-  assert.deepEqual(await writeStage.writeStage(engine, pieces, true), { repaired: PIECES, failed: PIECES })
+  assert.deepEqual(await writeStage.writeStage(engine, pieces, true, () => 0), { repaired: PIECES, failed: PIECES, oldestReadAt: Infinity })
   assert.ok(most <= 4, `${most} at a time`)
 })
