--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -90,11 +90,12 @@
  *
  * @param context - The test; everything is stopped when it ends.
  * @param pieces - Number of pieces in a version of the weights.
+ * @param shape - Size of a piece, and number of layers; small when absent. The configuration is the test's to adapt.
  * @returns The fleet.
  */
-export async function createTestFleet (context: nodeTest.TestContext, pieces = 8): Promise<TestFleet> {
+export async function createTestFleet (context: nodeTest.TestContext, pieces = 8, shape?: testing.WeightsShape): Promise<TestFleet> {
   const store = await testing.createStoreStandIn()
-  const origin = await testing.createOriginStandIn(pieces)
+  const origin = await testing.createOriginStandIn(pieces, shape)
   const roles: fleetRole.FleetRole[] = []
   const gateways = new Map<string, fleetRole.FleetRole>()
   const servers: Array<{ close: () => void }> = [store, origin]
