Load a version in two orders, and its last layer only once the others were verified after they were taken

Cause: an agent checked the stage, stamped the whole check with the time of its end, and sent its order 80 to 750 ms later or after any pause; what the engine took, and when, was never looked at. Class: a check whose validity is counted from its end, and an act that isn't bound to it. Change: all layers but the last one are ordered first and read back once the engine has taken them; the last one follows only then, at most 1 s after the reads of its own pieces, asked in the turn of the event loop that writes the bytes to an open connection, and under the order count of the verified order. Wrong pieces that were taken are discarded and loaded anew. Until the last layer was read back, too, the agent states no version. Reads go up to 16 at a time while an engine answers slowly, and no read-back has to end in time, so that an order always follows.

--- a/packages/daemon/src/_lib/platformCalls.test.ts
+++ b/packages/daemon/src/_lib/platformCalls.test.ts
@@ -31,12 +31,26 @@
     engine.close()
   })
   const control = platform.createEngineClient(engine.address, agents, () => {})
-  assert.equal(await control.start({ model: 'm', version: 2 }, 0, 'break-off'), 'begun')
-  assert.equal(await control.start({ model: 'm', version: 3 }, 0, 'finish'), 'refused')
-  assert.equal(await control.start({ model: 'm', version: 3 }, 1, 'finish'), 'begun')
+  const whole = { layers: null, mayStillSend: () => true }
+  assert.equal(await control.start({ id: { model: 'm', version: 2 }, sequence: 0, method: 'break-off', ...whole }), 'begun')
+  assert.equal(await control.start({ id: { model: 'm', version: 3 }, sequence: 0, method: 'finish', ...whole }), 'refused')
+  assert.equal(await control.start({ id: { model: 'm', version: 3 }, sequence: 1, method: 'finish', ...whole }), 'begun')
   assert.deepEqual(engine.orderMethods, ['truncate', 'queue'])
 })
 
+nodeTest.test('an order that is withdrawn right before it is written does not reach the engine', async (context) => {
+  const engine = await testing.createEngineStandIn({ id: 'i-1', model: 'm', version: 1 })
+  const agents = rpc.createHttpAgents()
+  context.after(() => {
+    agents.destroy()
+    engine.close()
+  })
+  const control = platform.createEngineClient(engine.address, agents, () => {})
+  const order = { id: { model: 'm', version: 2 }, sequence: 0, method: 'finish', layers: null } as const
+  assert.equal(await control.start({ ...order, mayStillSend: () => false }), 'unsent')
+  assert.deepEqual(engine.acceptedOrders, [])
+})
+
 const STORE_TIMEOUT_MS = 1200
 const WATCH_WAIT_MS = 4000
 
--- a/packages/daemon/src/_lib/simulatedVersionEngine.ts
+++ b/packages/daemon/src/_lib/simulatedVersionEngine.ts
@@ -126,8 +126,8 @@
       beginWaiting()
       return () => { remove(run) }
     },
-    readState: () => ({ bornAt: null, held, running: running.size, waiting: waiting.length, isBusy: ordered !== null, isLeaving: false, sequence }),
-    start: async ({ version }, expectedSequence, method) => takeOrder(version, expectedSequence, method),
+    readState: () => ({ bornAt: null, held, running: running.size, waiting: waiting.length, isBusy: ordered !== null, isLeaving: false, sequence, layers: null, layerCount: 1 }),
+    start: async ({ id, sequence: expectedSequence, method }) => takeOrder(id.version, expectedSequence, method),
     unload: async (_id, expectedSequence) => takeOrder(0, expectedSequence, 'finish')
   }
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -63,7 +63,7 @@
   const engine = platform.createEngineClient(platform.parseAddress(engineAddress), parts.agents, logUnreadableReport)
   const linkBytesPerSecond = checked.limits.link_megabits_per_second * BITS_PER_MEGABIT / BITS_PER_BYTE
   const uplink = staging.createPieceUplink(linkBytesPerSecond, () => (isServing() ? SERVING_LINK_SHARE : IDLE_LINK_SHARE) * (stager?.linkFraction() ?? 1), now)
-  let report: gateway.EngineReport | null = null
+  let report: platform.LocalEngineReport | null = null
   let isPaused = false
   let changesInMs: number | null = null
   let isLeaving = false
@@ -103,7 +103,7 @@
     store: null,
     openDatagrams: spread.openDatagrams(checked.host, checked.internal_port),
     fetchChanges: createFleetParts.createChangesFetcher(parts),
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report, isPaused, changesInMs, ...readColdField(), ...readReadyIn() }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report: describeReport(report), isPaused, changesInMs, ...readColdField(), ...readReadyIn() }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.recordPeerVersions(parts, heartbeat)) stager?.wake() },
     onFact: () => {},
     onDatagram: (bytes, from) => permits.receive(bytes, from) || reservations.receive(bytes, from),
@@ -148,7 +148,14 @@
   }
 
   function isServing (): boolean {
-    return report !== null && report.models.size > 0
+    return report !== null && describeReport(report).models.size > 0
+  }
+
+  /** Gateways must not send calls to an engine that may have taken wrong pieces of its version. */
+  function describeReport (made: platform.LocalEngineReport): gateway.EngineReport {
+    const [model] = findFigures()?.models ?? []
+    if (stager === null || model === undefined || stager.isTrusted({ bornAt: made.bornAt, held: made.models.get(model) ?? 0 })) return made
+    return { ...made, models: new Map() }
   }
 
   function reserveSlot (request: gateway.SlotRequest): boolean {
@@ -178,7 +185,7 @@
     return findOriginService()?.originAddress ?? null
   }
 
-  async function readReport (): Promise<gateway.EngineReport | null> {
+  async function readReport (): Promise<platform.LocalEngineReport | null> {
     const next = await engine.readReport(findFigures()?.layers ?? 1)
     if (isFromEarlierProcess(next, report)) return report
     const hadReport = report !== null
@@ -208,7 +215,7 @@
       named: () => parts.areVersionsKnown() ? parts.versions.named(model) : [],
       readEngine: async () => {
         const fresh = await readReport()
-        return fresh === null ? null : { bornAt: fresh.bornAt, held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, isLeaving: fresh.isLeaving, sequence: fresh.sequence }
+        return fresh === null ? null : { bornAt: fresh.bornAt, held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, isLeaving: fresh.isLeaving, sequence: fresh.sequence, layers: fresh.layers, layerCount: fresh.layerCount }
       },
       engine,
       origin: platform.createOriginClient(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
--- a/packages/rpc/src/openRequest/index.ts
+++ b/packages/rpc/src/openRequest/index.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http'
 import * as https from 'node:https'
+import * as tls from 'node:tls'
 import * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import type * as createHttpAgents from '../createHttpAgents/index.js'
@@ -30,8 +31,13 @@
   readonly onBytes?: (bytes: number) => void
   /** Whether to use a connection without keep-alive, which is closed after the response. */
   readonly closeAfterResponse?: boolean
+  /** Asked once the connection is open, right before the request is written to it; if it returns false, nothing is sent and the request fails with the code {@link UNSENT_CODE}. */
+  readonly mayStillSend?: () => boolean
 }
 
+/** Code of the error of a request that was not sent because its sender no longer wanted it. */
+export const UNSENT_CODE = 'UNSENT'
+
 /** System calls whose errors say that no connection was made. */
 const CONNECTING_SYSCALLS = new Set(['connect', 'getaddrinfo'])
 
@@ -85,7 +91,20 @@
       request.onHeaders?.()
       resolve(types.succeed(response))
     })
-    outgoing.end(request.body)
+    if (request.mayStillSend === undefined) outgoing.end(request.body)
+    else sendOnceConnected(outgoing, request.body, request.mayStillSend)
+  })
+}
+
+/** Writes a request only once its connection is open, so that no time passes between the last question whether it is still wanted and its bytes. */
+function sendOnceConnected (outgoing: http.ClientRequest, body: Buffer | string | undefined, mayStillSend: () => boolean): void {
+  const send = (): void => {
+    if (mayStillSend()) outgoing.end(body)
+    else outgoing.destroy(Object.assign(new Error('no longer wanted when its connection was open'), { code: UNSENT_CODE }))
+  }
+  outgoing.once('socket', (socket) => {
+    if (!socket.connecting) send()
+    else socket.once(socket instanceof tls.TLSSocket ? 'secureConnect' : 'connect', send)
   })
 }
 
--- a/packages/rpc/src/openRequest/test.ts
+++ b/packages/rpc/src/openRequest/test.ts
@@ -135,3 +135,25 @@
     assert.equal(result.ok ? result.value.body.toString() : result.error.message, 'whole')
   })
 }
+
+nodeTest.test('a request that is no longer wanted when its connection is open is not sent, over a new connection or a kept one', async (context) => {
+  const server = await openServer(context)
+  let arrived = 0
+  const answer = async (): Promise<void> => {
+    const response = await server.nextResponse()
+    arrived += 1
+    response.end()
+  }
+  void answer()
+  const asked: boolean[] = []
+  const ask = (isWanted: boolean) => () => {
+    asked.push(isWanted)
+    return isWanted
+  }
+  const withdrawn = await send(server, { mayStillSend: ask(false) })
+  assert.ok(!withdrawn.ok && withdrawn.error.code === rpc.UNSENT_CODE)
+  assert.ok((await send(server, { method: 'POST', body: 'x', mayStillSend: ask(true) })).ok)
+  const withdrawnAgain = await send(server, { mayStillSend: ask(false) })
+  assert.ok(!withdrawnAgain.ok && withdrawnAgain.error.code === rpc.UNSENT_CODE)
+  assert.deepEqual({ arrived, asked }, { arrived: 1, asked: [false, true, false] })
+})
--- /dev/null
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -0,0 +1,201 @@
+/**
+ * Loads a staged version into an engine. The engine takes pieces from its stage whenever it gets to an order, and a piece may have turned bad by then. So all layers but
+ * the last one are loaded first, and the last one only when the stage was found right after the engine had taken the others: an engine serves no call without all layers.
+ */
+import * as types from '@switchridge/types'
+import type * as staging from '../types/index.js'
+import * as verifyStage from '../verifyStage/index.js'
+
+/** Options of {@link createVersionLoader}. */
+export interface LoaderOptions {
+  /** Reads the current state of the engine; null when it does not answer. */
+  readonly readEngine: () => Promise<staging.EngineState | null>
+  readonly engine: staging.StagedEngine
+  readonly onEvent: (event: string, fields: Readonly<Record<string, string | number | boolean>>) => void
+  /** Records a duration in milliseconds in the histogram of that name. */
+  readonly observe: (name: string, milliseconds: number) => void
+  /** Milliseconds for which this process was paused since a time of the clock. */
+  readonly pausedMsSince: (time: number) => number
+  /** Monotonic clock in milliseconds. */
+  readonly now: () => number
+  readonly isStopped: () => boolean
+}
+
+/** The stage that an engine is ordered to load. */
+export interface StagedWeights {
+  readonly manifest: staging.StageManifest
+  /** Verifies all pieces unless that was done shortly before, and writes wrong ones again; resolves to whether each was right when it was last read. */
+  readonly ensureVerified: () => Promise<boolean>
+  /** Verifies all pieces, and writes wrong ones again; resolves as above. */
+  readonly repair: () => Promise<boolean>
+}
+
+/** Loads versions into one engine. */
+export interface VersionLoader {
+  /** Resolves when the engine runs the version, or when this attempt to load it has failed. */
+  readonly load: (ready: staging.NamedVersion, staged: StagedWeights, state: staging.EngineState, method: staging.SwitchMethod) => Promise<void>
+  /** Whether the layers that an engine in this state holds were verified, as far as this process ordered them. */
+  readonly isTrusted: (state: Pick<staging.EngineState, 'bornAt' | 'held'>) => boolean
+}
+
+/** One order of a load. */
+interface LoadStep {
+  readonly name: 'discard' | 'body' | 'last' | 'whole'
+  readonly layers: staging.LayerRange
+  /** Layers that the engine takes from its stage. */
+  readonly taken: staging.LayerRange
+}
+
+/** An engine process whose layers but the last one are known to be right. */
+interface VerifiedBody {
+  readonly bornAt: number | null
+  readonly version: number
+  readonly sequence: number
+}
+
+/**
+ * Longest age of the reads of the last layer's pieces when their order is written. A piece may have been bad for 3 s when it is taken; the engine has the rest of that time to
+ * take the order.
+ */
+const LAST_CHECK_VALID_MS = 1000
+/** The last layer has few pieces, whose reads must not wait for each other. */
+const LAST_CHECK_CONCURRENCY = 16
+/** Most orders of one load: three if the engine takes bad pieces once, and as many again. */
+const MAXIMUM_STEPS = 8
+const POLL_MS = 50
+/** Interval of polls while the last layer is loaded, which takes less time than the others. */
+const LAST_POLL_MS = 20
+/** Time after an order until which an engine that reports itself idle may not have begun it. */
+const ORDER_SETTLE_MS = 100
+/** An order without an answer is taken within this time, or taken for lost. */
+const UNANSWERED_ORDER_MS = 1000
+
+/**
+ * Creates the loader of one engine.
+ *
+ * @param options - Engine and clock.
+ * @returns The loader.
+ */
+export function createVersionLoader (options: LoaderOptions): VersionLoader {
+  let verifiedBody: VerifiedBody | null = null
+  /** The version whose last order was sent and whose pieces were not yet found right after it. */
+  let unverified: { readonly bornAt: number | null, readonly version: number } | null = null
+
+  async function load (ready: staging.NamedVersion, staged: StagedWeights, first: staging.EngineState, method: staging.SwitchMethod): Promise<void> {
+    const startedAt = options.now()
+    let state: staging.EngineState | null = first
+    for (let steps = 0; steps < MAXIMUM_STEPS && state !== null && !options.isStopped(); steps += 1) {
+      const isHeld = state.held === ready.id.version
+      // Where a model has one layer, an engine that holds it takes nothing anew.
+      if (state.isLeaving || (isHeld && (isTrusted(state) || state.layerCount === 1))) break
+      const step = chooseStep(state, ready.id.version)
+      // Only the first order meets calls of the old version: without all layers the engine has none.
+      state = await takeStep(step, ready, staged, state, steps === 0 ? method : 'finish')
+    }
+    const isSwitched = state !== null && state.held === ready.id.version && isTrusted(state)
+    options.onEvent(isSwitched ? 'version-switched' : 'version-not-switched', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt), afterMs: Math.round(options.now() - ready.namedAt) })
+  }
+
+  function chooseStep ({ bornAt, sequence, layers, layerCount }: staging.EngineState, version: number): LoadStep {
+    const whole = { from: 0, to: layerCount }
+    if (layerCount === 1) return { name: 'whole', layers: whole, taken: whole }
+    const body = { from: 0, to: layerCount - 1 }
+    const last = { from: layerCount - 1, to: layerCount }
+    const isBodyVerified = verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
+    if (isBodyVerified) return { name: 'last', layers: whole, taken: last }
+    // An engine keeps the layers that it holds of a version, so that those taken before are dropped first.
+    const holdsBodyLayers = layers !== null && layers.version === version && layers.from < body.to
+    return holdsBodyLayers ? { name: 'discard', layers: last, taken: last } : { name: 'body', layers: body, taken: body }
+  }
+
+  /** Gives one order and waits until it is done; resolves to the engine's state then, or to null if the load can't go on. */
+  async function takeStep (step: LoadStep, ready: staging.NamedVersion, staged: StagedWeights, state: staging.EngineState, method: staging.SwitchMethod): Promise<staging.EngineState | null> {
+    const { id } = ready
+    if (step.name === 'body' && !await staged.ensureVerified()) return null
+    const completesLayers = step.name === 'last' || step.name === 'whole'
+    const pieces = listPieces(step.taken, state.layerCount, staged.manifest.digests.length)
+    const check = completesLayers ? await verifyStage.verifyStage(options.engine, staged.manifest, pieces, options.now, LAST_CHECK_CONCURRENCY) : null
+    if (check !== null && check.wrong.length > 0) return await staged.repair() ? state : null
+    const checkedAt = check?.oldestReadAt ?? -Infinity
+    if (completesLayers) unverified = { bornAt: state.bornAt, version: id.version }
+    const sentAt = options.now()
+    const outcome = await options.engine.start({
+      id,
+      sequence: state.sequence,
+      method,
+      layers: step.layers.to - step.layers.from === state.layerCount ? null : step.layers,
+      mayStillSend: () => !completesLayers || options.now() - checkedAt <= LAST_CHECK_VALID_MS
+    })
+    logOrder(ready, step, state, method, outcome, { sentAt, checkedAt })
+    if (outcome === 'unsent' && completesLayers) return await options.readEngine()
+    const isTaken = outcome === 'begun' || outcome === 'done' || (outcome === 'unknown' && await waitUntilTaken(state))
+    if (!isTaken) return null
+    const [after, afterwards] = await Promise.all([
+      step.name === 'discard' ? null : verifyStage.verifyStage(options.engine, staged.manifest, pieces, options.now),
+      waitUntilDone(id.version, step)
+    ])
+    if (after === null) return afterwards
+    if (after.wrong.length > 0) {
+      options.onEvent('load-discarded', { version: id.version, step: step.name, wrong: after.wrong.length })
+      return await staged.repair() ? afterwards : null
+    }
+    if (completesLayers) unverified = null
+    else verifiedBody = { bornAt: state.bornAt, version: id.version, sequence: state.sequence + 1 }
+    return afterwards
+  }
+
+  function logOrder ({ id, namedAt }: staging.NamedVersion, step: LoadStep, state: staging.EngineState, method: staging.SwitchMethod, outcome: staging.OrderOutcome, { sentAt, checkedAt }: { readonly sentAt: number, readonly checkedAt: number }): void {
+    const answeredMs = options.now() - sentAt
+    options.observe('order_answer', answeredMs)
+    if (checkedAt > -Infinity) options.observe('stage_age_at_order', sentAt - checkedAt)
+    options.onEvent('version-ordered', {
+      version: id.version,
+      held: state.held,
+      step: step.name,
+      method,
+      outcome,
+      running: state.running,
+      afterMs: Math.round(options.now() - namedAt),
+      answeredMs: Math.round(answeredMs),
+      ...(checkedAt > -Infinity ? { oldestReadMs: Math.round(sentAt - checkedAt), pausedMs: Math.round(options.pausedMsSince(checkedAt)) } : {})
+    })
+  }
+
+  /** Waits until the engine's order count shows that it took an order that it didn't answer. */
+  async function waitUntilTaken ({ bornAt, sequence }: staging.EngineState): Promise<boolean> {
+    const state = await pollEngine((next) => next.bornAt !== bornAt || next.sequence > sequence, UNANSWERED_ORDER_MS, POLL_MS)
+    return state !== null && state.bornAt === bornAt && state.sequence === sequence + 1
+  }
+
+  /** Waits until the engine holds what it was ordered to, or is no longer busy with it. */
+  async function waitUntilDone (version: number, { name, layers }: LoadStep): Promise<staging.EngineState | null> {
+    const startedAt = options.now()
+    const completesLayers = name === 'last' || name === 'whole'
+    const isHeld = (state: staging.EngineState): boolean => completesLayers ? state.held >= version : state.layers?.version === version && state.layers.from === layers.from && state.layers.to === layers.to
+    const isDone = (state: staging.EngineState): boolean => options.isStopped() || (!state.isBusy && (isHeld(state) || options.now() - startedAt >= ORDER_SETTLE_MS))
+    return await pollEngine(isDone, Infinity, name === 'last' ? LAST_POLL_MS : POLL_MS)
+  }
+
+  /** Polls the engine's state until the condition holds, the time is over or the engine does not answer. */
+  async function pollEngine (isDone: (state: staging.EngineState) => boolean, maximumMs: number, intervalMs: number): Promise<staging.EngineState | null> {
+    const endsAt = options.now() + maximumMs
+    for (;;) {
+      await types.delay(intervalMs)
+      const state = await options.readEngine()
+      if (state === null || isDone(state) || options.now() >= endsAt) return state
+    }
+  }
+
+  function isTrusted ({ bornAt, held }: Pick<staging.EngineState, 'bornAt' | 'held'>): boolean {
+    return unverified === null || unverified.bornAt !== bornAt || unverified.version !== held
+  }
+
+  return { load, isTrusted }
+}
+
+/** Lists the pieces that layers of a model are made of; neighbouring layers may share one. */
+function listPieces ({ from, to }: staging.LayerRange, layerCount: number, pieceCount: number): number[] {
+  const first = Math.floor(from * pieceCount / layerCount)
+  const end = Math.ceil(to * pieceCount / layerCount)
+  return Array.from({ length: end - first }, (_, index) => first + index)
+}
--- a/packages/staging/src/_lib/stagingFleet.ts
+++ b/packages/staging/src/_lib/stagingFleet.ts
@@ -349,7 +349,7 @@
       self,
       model: ID.model,
       named: () => [{ id: ID, namedAt: startedAt, deadlineAt: startedAt + deadlineMs }],
-      readEngine: async () => ({ bornAt: null, held, running: 0, waiting: 0, isBusy: false, isLeaving: false, sequence: 0 }),
+      readEngine: async () => ({ bornAt: null, held, running: 0, waiting: 0, isBusy: false, isLeaving: false, sequence: 0, layers: null, layerCount: 1 }),
       engine: {
         putPiece: async (_model, piece, bytes) => {
           stage.set(piece, bytes)
--- a/packages/staging/src/_lib/unloadOldVersion.test.ts
+++ b/packages/staging/src/_lib/unloadOldVersion.test.ts
@@ -9,7 +9,7 @@
 const DEADLINE_MS = 8000
 /** Longer than anything that a test waits for. */
 const END_MS = 10_000
-const SERVING: staging.EngineState = { bornAt: null, held: 1, running: 3, waiting: 0, isBusy: false, isLeaving: false, sequence: 4 }
+const SERVING: staging.EngineState = { bornAt: null, held: 1, running: 3, waiting: 0, isBusy: false, isLeaving: false, layers: null, layerCount: 1, sequence: 4 }
 
 /** How long the client of an engine waits for an answer. */
 const CLIENT_TIMEOUT_MS = 1000
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -9,6 +9,7 @@
 import * as createReceiveWindow from '../createReceiveWindow/index.js'
 import * as selectVersion from '../selectVersion/index.js'
 import * as findSuccessor from '../_lib/findSuccessor.js'
+import type * as loadVersion from '../_lib/loadVersion.js'
 import * as offerPieces from '../_lib/offerPieces.js'
 import * as orderVersion from '../_lib/orderVersion.js'
 import * as unloadOldVersion from '../_lib/unloadOldVersion.js'
@@ -42,6 +43,8 @@
   readonly linkFraction: () => number
   /** Milliseconds until the engine, which may serve no call now, is expected to serve; null if it serves or the time is unknown. */
   readonly readyInMs: () => number | null
+  /** Whether calls may run on the version that an engine in this state holds. */
+  readonly isTrusted: loadVersion.VersionLoader['isTrusted']
   /** Performs the next step; call it regularly, and when the named versions or the engine change. */
   readonly wake: () => void
   /** Begins no further change of the engine's version; resolves when one in progress has ended, or the engine doesn't answer. */
@@ -58,11 +61,6 @@
 interface StagedVersion {
   readonly version: number
   readonly verifiedAt: number
-  /** Monotonic time in milliseconds at which the verification began. */
-  readonly beganAt: number
-  /** Monotonic time in milliseconds at which the oldest read of the verification was sent. */
-  readonly oldestReadAt: number
-  readonly repaired: number
 }
 
 /** Interval of steps while the engine has calls, or a version is being fetched or is to be ordered. */
@@ -78,7 +76,7 @@
 /** After this lead no calls are sent to the older version any more. */
 const LAST_CALL_LEAD_MS = 800
 const LIMITED_FETCH_REQUESTS = 4
-/** A stage that was verified longer ago than this is verified again before the order. */
+/** A stage that was verified longer ago than this is verified again before the first order: an engine that takes a wrong piece has to load the version once more. */
 const VERIFICATION_VALID_MS = 1500
 
 /**
@@ -100,8 +98,10 @@
   let staged: StagedVersion | null = null
   /** Start time of the engine process for which the stage was written. */
   let bornAt: number | null = null
-  /** Version that the engine last reported as held completely. */
+  /** Version that the engine last reported as held completely, unless it may have taken wrong pieces of it. */
   let held = 0
+  /** The same, whatever it took. */
+  let reported = 0
   /** Whether the engine had calls when its state was last read. */
   let isServing = false
   /** Monotonic times in milliseconds at which versions were complete. */
@@ -170,7 +170,7 @@
     isStepping = true
     try {
       const state = await options.readEngine()
-      if (state !== null && !stopping.signal.aborted) await advance(state)
+      if (state !== null && !stopping.signal.aborted) await advance(orders.isTrusted(state) ? state : { ...state, held: 0 }, state.held)
     } finally {
       isStepping = false
     }
@@ -179,10 +179,11 @@
     void step()
   }
 
-  async function advance (state: staging.EngineState): Promise<void> {
+  async function advance (state: staging.EngineState, reportedVersion: number): Promise<void> {
     checkEngineRestart(state)
     held = state.held
-    unloader.schedule(held)
+    reported = reportedVersion
+    unloader.schedule(reported)
     isServing = state.running + state.waiting > 0
     isLeaving = state.isLeaving
     if (firstLoad !== null) noteFirstLoad(firstLoad)
@@ -209,7 +210,9 @@
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready) || !mayBeginChange) return
     orderedAt = options.now()
-    change = state.held === 0 ? orders.orderFirstVersion(ready, state, describeStage) : orders.order(ready, turn.method, describeStage)
+    const weights = describeStage(ready)
+    if (weights === null) return
+    change = state.held === 0 ? orders.orderFirstVersion(ready, weights, state) : orders.order(ready, weights, turn.method)
     await change
     if (state.held === 0) firstLoad = { version: ready.id.version, tookMs: options.now() - orderedAt }
     orderedAt = null
@@ -329,11 +332,20 @@
     return staged !== null && staged.version === ready.id.version && options.now() - staged.verifiedAt <= VERIFICATION_VALID_MS
   }
 
-  /** How old the verification is that an order relies on, in milliseconds, for the log of the order. */
-  function describeStage (): orderVersion.StageAge {
-    const now = options.now()
-    const { beganAt = -Infinity, verifiedAt = -Infinity, oldestReadAt = -Infinity, repaired = 0 } = staged ?? {}
-    return { beganMs: now - beganAt, endedMs: now - verifiedAt, oldestReadMs: now - oldestReadAt, pausedMs: options.pausedMsSince(beganAt), repaired }
+  function describeStage (ready: staging.NamedVersion): loadVersion.StagedWeights | null {
+    const pieces = findPieces(ready.id.version)
+    if (pieces === null) return null
+    return {
+      manifest: pieces.manifest,
+      ensureVerified: async () => {
+        if (!isStagedFor(ready)) await stage(ready)
+        return staged !== null
+      },
+      repair: async () => {
+        await stage(ready)
+        return staged !== null
+      }
+    }
   }
 
   async function stage (ready: staging.NamedVersion): Promise<void> {
@@ -345,7 +357,7 @@
     const written = await writeStage.writeStage(options.engine, pieces, isRewritten, options.now)
     if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
     if (written.failed > 0) return
-    staged = { version: ready.id.version, verifiedAt: options.now(), beganAt: startedAt, oldestReadAt: written.oldestReadAt, repaired: written.repaired }
+    staged = { version: ready.id.version, verifiedAt: options.now() }
     if (isRewritten) readiness.noteTook('stage', options.now() - startedAt)
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
   }
@@ -360,7 +372,7 @@
 
   function wake (): void {
     if (stopping.signal.aborted) return
-    unloader.schedule(held)
+    unloader.schedule(reported)
     void step()
   }
 
@@ -378,6 +390,7 @@
   runTicks()
   return {
     wake,
+    isTrusted: orders.isTrusted,
     providePiece,
     linkFraction: window.linkFraction,
     fetchingMs: () => fetchingSince === null ? 0 : options.now() - fetchingSince,
--- a/packages/staging/src/types/index.ts
+++ b/packages/staging/src/types/index.ts
@@ -32,8 +32,33 @@
 /** What an engine does with running calls when it changes its version: complete them first, or abort them. */
 export type SwitchMethod = 'finish' | 'break-off'
 
-/** Result of an order to change the version, as far as the engine reported it; `unknown` when it did not answer. */
-export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown'
+/** Result of an order to change the version, as far as the engine reported it; `unsent` when nothing of it left this process, `unknown` when the engine did not answer. */
+export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unsent' | 'unknown'
+
+/** Contiguous range of a model's layers. */
+export interface LayerRange {
+  readonly from: number
+  /** Number of the first layer after the range. */
+  readonly to: number
+}
+
+/** Layers of one version that an engine holds. */
+export interface HeldLayers extends LayerRange {
+  readonly version: number
+}
+
+/** An order to load layers of the staged version. */
+export interface LoadOrder {
+  readonly id: VersionId
+  /** Order count that the engine last reported. */
+  readonly sequence: number
+  /** What happens to running calls. */
+  readonly method: SwitchMethod
+  /** Layers that the engine holds afterwards: it keeps those that it has, and takes the others from its stage at the moment at which it takes the order. Null for all. */
+  readonly layers: LayerRange | null
+  /** Asked right before the order is written to its open connection; false withdraws it. */
+  readonly mayStillSend: () => boolean
+}
 
 /** State of an agent's engine. */
 export interface EngineState {
@@ -50,6 +75,10 @@
   readonly isLeaving: boolean
   /** Number of orders that this engine process has accepted. */
   readonly sequence: number
+  /** Layers that it holds, of a version that may be incomplete; null for none, or where models are not divided into layers. */
+  readonly layers: HeldLayers | null
+  /** Number of layers of the model; 1 where models are not divided into layers. */
+  readonly layerCount: number
 }
 
 /** An agent's engine, as the adapter of a platform accesses it. */
@@ -57,11 +86,8 @@
   readonly putPiece: (model: string, piece: number, bytes: Buffer) => Promise<types.Outcome<null, types.UnavailableError>>
   /** The bytes of the piece in the stage, or null when there are none. */
   readonly getPiece: (model: string, piece: number) => Promise<types.Outcome<Buffer | null, types.UnavailableError>>
-  /**
-   * Orders the engine to change to the staged version; `method` says what happens to running calls, and `sequence` is the
-   * order count that the engine last reported.
-   */
-  readonly start: (id: VersionId, sequence: number, method: SwitchMethod) => Promise<OrderOutcome>
+  /** Orders the engine to load layers of the staged version. */
+  readonly start: (order: LoadOrder) => Promise<OrderOutcome>
   /** Orders the engine to unload the version that it holds once its running calls are complete; it begins no further call on it. */
   readonly unload: (id: VersionId, sequence: number) => Promise<OrderOutcome>
 }
--- a/packages/staging/src/writeStage/index.ts
+++ b/packages/staging/src/writeStage/index.ts
@@ -1,6 +1,8 @@
 /** Writes a version into the stage of an engine and verifies every piece by reading it back. */
-import * as createPieceStore from '../createPieceStore/index.js'
+import type * as createPieceStore from '../createPieceStore/index.js'
 import type * as staging from '../types/index.js'
+import * as verifyStage from '../verifyStage/index.js'
+import * as visitPieces from '../_lib/visitPieces.js'
 
 /** Result of writing and verifying a stage. */
 export interface StageResult {
@@ -12,9 +14,6 @@
   readonly oldestReadAt: number
 }
 
-/** Number of pieces that are written or read at a time. */
-const CONCURRENCY = 4
-
 /**
  * Writes and verifies the pieces of a version.
  *
@@ -25,44 +24,18 @@
  * @returns How many pieces had to be repaired, and how many could not be.
  */
 export async function writeStage (engine: staging.StagedEngine, pieces: createPieceStore.VersionPieces, mustWriteAll: boolean, now: () => number): Promise<StageResult> {
-  const { id, digests } = pieces.manifest
-  let repaired = 0
-  let failed = 0
-  let oldestReadAt = Infinity
+  const { manifest } = pieces
+  const all = [...manifest.digests.keys()]
 
-  async function write (piece: number): Promise<boolean> {
+  async function write (piece: number): Promise<void> {
     const bytes = pieces.get(piece)
-    return bytes !== null && (await engine.putPiece(id.model, piece, bytes)).ok
-  }
-
-  async function isStagedCorrectly (piece: number): Promise<boolean> {
-    const sentAt = now()
-    const staged = await engine.getPiece(id.model, piece)
-    if (!staged.ok || staged.value === null || !createPieceStore.matchesDigest(staged.value, digests[piece])) return false
-    oldestReadAt = Math.min(oldestReadAt, sentAt)
-    return true
-  }
-
-  async function verify (piece: number): Promise<void> {
-    if (await isStagedCorrectly(piece)) return
-    repaired += 1
-    if (!await write(piece) || !await isStagedCorrectly(piece)) failed += 1
+    if (bytes !== null) await engine.putPiece(manifest.id.model, piece, bytes)
   }
 
-  if (mustWriteAll) await forEachPiece(digests.length, async (piece) => { await write(piece) })
-  await forEachPiece(digests.length, verify)
-  return { repaired, failed, oldestReadAt }
-}
-
-/** Visits all pieces, a few concurrently. */
-async function forEachPiece (size: number, visit: (piece: number) => Promise<void>): Promise<void> {
-  let next = 0
-  async function runWorker (): Promise<void> {
-    while (next < size) {
-      const piece = next
-      next += 1
-      await visit(piece)
-    }
-  }
-  await Promise.all(Array.from({ length: CONCURRENCY }, runWorker))
+  if (mustWriteAll) await visitPieces.visitPieces(all, write)
+  const first = await verifyStage.verifyStage(engine, manifest, all, now)
+  if (first.wrong.length === 0) return { repaired: 0, failed: 0, oldestReadAt: first.oldestReadAt }
+  await visitPieces.visitPieces(first.wrong, write)
+  const second = await verifyStage.verifyStage(engine, manifest, first.wrong, now)
+  return { repaired: first.wrong.length, failed: second.wrong.length, oldestReadAt: Math.min(first.oldestReadAt, second.oldestReadAt) }
 }
