Soak gateways and agents beside stages that turn stale

Answers made with weights that turned bad before they were loaded were seen by no soak: pieces never turned bad in it, its engines took an order at once, pauses struck an agent between check and order only by chance, and its judge didn't ask what engines had taken. The stand-in counted an order on an incomplete stage as negative, and the soak did not read that.

Seeds from 300 on name versions beside which pieces turn bad and an agent stands still for 4 s: at a moment drawn around the check and the order, or while the engine takes its order late. The judge reports WHOLE for each call that ran on faulty layers, in all seeds. Plans of seeds before 300 stay as they are.

--- a/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
@@ -6,6 +6,8 @@
 const DURATION_MS = 15_000
 const SEEDS = Array.from({ length: 40 }, (_, index) => index + 1)
 const SILENT_SEEDS = SEEDS.map((seed) => 200 + seed)
+const STALE_SEEDS = SEEDS.map((seed) => 299 + seed)
+const STALE_KINDS: readonly string[] = ['stage-turns-stale', 'order-taken-late']
 const SILENT_KINDS: readonly string[] = ['engines-silent', 'engine-reads-nothing', 'limits', 'tenants', 'service-moves', 'split', 'attempts', 'many-routes']
 const UNPLANNED: readonly string[] = ['kill', 'pause', 'engine-crashes']
 
@@ -26,3 +28,12 @@
   assert.deepEqual(SILENT_KINDS.filter((kind) => kindsOf(SEEDS).has(kind)), [])
   assert.deepEqual(SILENT_KINDS.filter((kind) => kindsOf(SILENT_SEEDS).has(kind)), SILENT_KINDS)
 })
+
+nodeTest.test('seeds from 300 on have stages that turn stale beside new versions, and the seeds before keep plans without them', () => {
+  for (const seed of [...SEEDS, ...SILENT_SEEDS]) assert.ok(gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1).every(({ kind }) => !STALE_KINDS.includes(kind)))
+  for (const seed of STALE_SEEDS) {
+    const plan = gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1)
+    for (const stale of plan.filter(({ kind }) => STALE_KINDS.includes(kind))) assert.ok(plan.some(({ kind, atMs }) => kind === 'version' && atMs === stale.atMs))
+    for (const stale of STALE_KINDS) assert.ok(plan.some(({ kind }) => kind === stale))
+  }
+})
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.ts
@@ -45,6 +45,10 @@
   | 'engines-silent'
   /** An engine accepts connections and reads nothing for about a second, and then goes on. */
   | 'engine-reads-nothing'
+  /** When the stage of an engine is next read, pieces of it turn bad a moment later, and its agent stands still for a while. */
+  | 'stage-turns-stale'
+  /** An engine takes its next order late; pieces of its stage turn bad and its agent stands still meanwhile. */
+  | 'order-taken-late'
   | testing.ConfigurationChangeKind
 
 /** A signal that follows the first one of a disturbance. */
@@ -59,7 +63,7 @@
   readonly kind: GatewayDisturbanceKind
   /** Between 0 and 1; picks what is disturbed among the candidates. */
   readonly target: number
-  /** Length of a pause, or time between the end of a process or an engine and its next start, in milliseconds. */
+  /** Length of a pause, time between the end of a process or an engine and its next start, or time from a read of a stage to the moment at which it turns stale, in milliseconds. */
   readonly forMs: number
   readonly furtherSignals: readonly FurtherSignal[]
   /** Times in milliseconds after the next start of the process at which it gets a SIGHUP. */
@@ -110,6 +114,14 @@
 const SILENCE_KINDS = ['engines-silent', 'engines-silent', 'engine-reads-nothing'] as const
 const CHANGE_KINDS = ['limits', 'limits', 'tenants', 'service-moves', 'split', 'attempts', 'many-routes', 'timeouts', 'routes'] as const
 const MAXIMUM_CHANGE_INTERVAL_MS = 1000
+/** Seeds from this one on have stages that turn stale beside new versions. */
+const FIRST_STALE_SEED = 300
+const SHORTEST_VERSION_INTERVAL_MS = 4000
+/** Longest time from the first read of a stage to the moment at which pieces turn bad; it covers the order. */
+const MAXIMUM_STALE_DELAY_MS = 1000
+/** Half of the stages turn stale at about the time of the order. */
+const ORDER_DELAY_MS = 450
+const ORDER_DELAY_SPREAD_MS = 200
 const MAXIMUM_DOWN_MS = 1500
 const WARM_UP_TURNS = 10
 const CALLER_KINDS = ['streams', 'streams', 'long-streams', 'long-streams', 'plain', 'plain', 'slow-readers', 'slow-senders'] as const
@@ -167,7 +179,21 @@
       reloadsAfterStartMs: random() < 0.3 ? Array.from({ length: 3 }, () => random() * 1000) : []
     })
   }
-  return [...plan, ...hasStalls(seed) ? planStalls(seed, durationMs, rate) : [], ...hasSilences(seed) ? planSilences(seed, durationMs) : []]
+  return [...plan, ...hasStalls(seed) ? planStalls(seed, durationMs, rate) : [], ...hasSilences(seed) ? planSilences(seed, durationMs) : [], ...seed >= FIRST_STALE_SEED ? planStaleStages(seed, durationMs) : []]
+}
+
+/** Versions, each beside stages that turn stale. */
+function planStaleStages (seed: number, durationMs: number): GatewayDisturbance[] {
+  const random = createPlanRandom(seed)
+  const plan: GatewayDisturbance[] = []
+  const add = (atMs: number, kind: GatewayDisturbanceKind): void => {
+    plan.push({ atMs, kind, target: random(), forMs: random() < 0.5 ? random() * MAXIMUM_STALE_DELAY_MS : ORDER_DELAY_MS + random() * ORDER_DELAY_SPREAD_MS, furtherSignals: [], reloadsAfterStartMs: [] })
+  }
+  let atMs = 0
+  while ((atMs += SHORTEST_VERSION_INTERVAL_MS * (1 + random())) < durationMs) {
+    for (const kind of ['stage-turns-stale', 'order-taken-late', 'version'] as const) add(atMs, kind)
+  }
+  return plan
 }
 
 /** Every seventh seed has engines that stand still now and then, as engines that run out of memory do. */
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.ts
@@ -1,4 +1,5 @@
 /** Finds the broken promises of a soak of gateways in what its callers and engines saw, with the allowances of the platform's rules. */
+import type * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import type * as gatewaySoakCallers from './gatewaySoakCallers.js'
 import type * as gatewaySoakFleet from './gatewaySoakFleet.js'
@@ -28,6 +29,8 @@
   readonly runs: readonly soakEngine.EngineRun[]
   /** Engines at which each request arrived, whether they ran it or not. */
   readonly arrivals: ReadonlyMap<string, readonly string[]>
+  /** Calls that ran on faulty layers, with the engine. */
+  readonly faultyAnswers: ReadonlyArray<testing.FaultyAnswer & { readonly engine: string }>
   readonly incarnations: readonly soakNode.Incarnation[]
   readonly disruptions: readonly UnplannedDisruption[]
   readonly configurations: readonly gatewaySoakFleet.ConfiguredTimeouts[]
@@ -55,11 +58,13 @@
   | 'UNLOGGED'
   /** A call got no answer for too long. */
   | 'STUCK'
+  /** An answer was made with layers that were taken while their pieces had been bad for too long. */
+  | 'WHOLE'
 
 /** A broken promise. */
 export interface GatewayProblem {
   readonly rule: GatewayRule
-  /** Node that broke it. */
+  /** Node that broke it, or the engine whose layers are faulty. */
   readonly node: string
   /** Request id; empty for a process. */
   readonly id: string
@@ -91,7 +96,12 @@
 export function judgeGatewaySoak (seen: GatewaySoakObservations): GatewayProblem[] {
   const runsById = new Map<string, soakEngine.EngineRun[]>()
   for (const run of seen.runs) types.getOrCreate(runsById, run.id, () => []).push(run)
-  return [...seen.records.flatMap((record) => judgeCall(record, runsById.get(record.id) ?? [], seen)), ...seen.incarnations.flatMap((incarnation) => judgeIncarnation(incarnation, seen))]
+  return [...seen.records.flatMap((record) => judgeCall(record, runsById.get(record.id) ?? [], seen)), ...seen.incarnations.flatMap((incarnation) => judgeIncarnation(incarnation, seen)), ...seen.faultyAnswers.map(describeFaultyAnswer)]
+}
+
+function describeFaultyAnswer ({ engine, requestId, version, badPieces }: GatewaySoakObservations['faultyAnswers'][number]): GatewayProblem {
+  const pieces = badPieces.map(({ layer, piece, badMs }) => `piece ${piece} of layer ${layer}, bad for ${Math.round(badMs)} ms`)
+  return { rule: 'WHOLE', node: engine, id: requestId, logged: '', text: `${requestId} ran on version ${version} of ${engine}, taken with ${pieces.join('; ')}` }
 }
 
 function judgeCall (record: gatewaySoakCallers.GatewayCallRecord, runs: readonly soakEngine.EngineRun[], seen: GatewaySoakObservations): GatewayProblem[] {
--- a/packages/fuzz/src/_lib/soakEngine.ts
+++ b/packages/fuzz/src/_lib/soakEngine.ts
@@ -18,6 +18,7 @@
 export interface SoakEngine {
   readonly service: string
   readonly hall: number
+  readonly host: string
   readonly incarnations: testing.EngineStandIn[]
   /** Ends at once with all connections, and starts again. */
   readonly crash: (downMs: number) => Promise<void>
@@ -113,6 +114,7 @@
   return {
     service,
     hall,
+    host: options.host,
     incarnations,
     crash: async (downMs) => { await changeOnce(async () => { await end(current, downMs) }) },
     leave: async (downMs) => {
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -49,6 +49,12 @@
 const PROCESSES_PER_RATE = 8
 const MAXIMUM_RATE = 2
 const OK = 200
+/** Longer than a piece may be bad that an engine takes. */
+const STALE_PAUSE_MS = 4000
+/** Every so many pieces of a stage turn bad together. */
+const STALE_PIECE_STEP = 5
+/** A version is ordered within this time after it was named, or not at all. */
+const ORDER_LIMIT_MS = 8000
 
 /**
  * Runs one soak.
@@ -116,6 +122,7 @@
     records: callers.records,
     runs: fleet.runs,
     arrivals: listArrivals(fleet),
+    faultyAnswers: fleet.engines.flatMap(({ incarnations }) => incarnations).flatMap(({ id, faultyAnswers }) => faultyAnswers.map((answer) => ({ ...answer, engine: id }))),
     incarnations: incarnations.map((incarnation) => ({ ...incarnation })),
     disruptions,
     configurations: fleet.configurations,
@@ -186,13 +193,13 @@
     node.signal('SIGHUP')
   }
 
-  async function pause (): Promise<void> {
+  async function pause (paused: soakNode.SoakNode, pausedMs: number): Promise<void> {
     const beganAt = performance.now()
-    const disruption = { of: node.node, beganAt, endedAt: Infinity }
+    const disruption = { of: paused.node, beganAt, endedAt: Infinity }
     disruptions.push(disruption)
-    node.signal('SIGSTOP')
-    await types.delay(forMs)
-    node.signal('SIGCONT')
+    paused.signal('SIGSTOP')
+    await types.delay(pausedMs)
+    paused.signal('SIGCONT')
     disruption.endedAt = performance.now()
   }
 
@@ -232,6 +239,29 @@
     resume?.()
   }
 
+  async function turnStageStale (): Promise<void> {
+    const { current, agent } = pickStreamEngine()
+    if (!await waitForRequest(current, 'onStageRead', () => {})) return
+    await types.delay(forMs)
+    spoilPieces(current)
+    await pause(agent, STALE_PAUSE_MS)
+  }
+
+  async function delayOrder (): Promise<void> {
+    const { current, agent } = pickStreamEngine()
+    const isOrdered = await waitForRequest(current, 'onOrder', () => {
+      current.delays.orderMs = STALE_PAUSE_MS
+      spoilPieces(current)
+    })
+    current.delays.orderMs = 0
+    if (isOrdered) await pause(agent, STALE_PAUSE_MS)
+  }
+
+  function pickStreamEngine (): { readonly current: testing.EngineStandIn, readonly agent: soakNode.SoakNode } {
+    const engine = pick(fleet.engines.filter(({ service }) => service === gatewaySoakFleet.STREAM_SERVICE))
+    return { current: engine.incarnations.at(-1) as testing.EngineStandIn, agent: fleet.nodes.find(({ role, host }) => role === 'agent' && host === engine.host) as soakNode.SoakNode }
+  }
+
   const change = (changeKind: testing.ConfigurationChangeKind) => (): void => {
     fleet.configure((configuration, turn) => { testing.changeConfiguration(configuration, changeKind, turn) })
   }
@@ -247,7 +277,7 @@
     reload: async () => { await reload(false) },
     'reload-torn': async () => { await reload(true) },
     kill,
-    pause,
+    pause: async () => { await pause(node, forMs) },
     timeouts: () => { fleet.configure(changeTimeouts) },
     routes: () => { fleet.configure(changeRoutes) },
     version: () => { fleet.nameVersion() },
@@ -256,6 +286,8 @@
     'engine-stalls': stallEngine,
     'engines-silent': silenceEngines,
     'engine-reads-nothing': suspendReading,
+    'stage-turns-stale': turnStageStale,
+    'order-taken-late': delayOrder,
     limits: change('limits'),
     tenants: change('tenants'),
     'service-moves': change('service-moves'),
@@ -266,6 +298,30 @@
   await actions[kind]()
 }
 
+/** Calls `action` when the next such request reaches an engine, and resolves then; false if none does within {@link ORDER_LIMIT_MS}. */
+async function waitForRequest ({ hooks }: testing.EngineStandIn, kind: 'onStageRead' | 'onOrder', action: () => void): Promise<boolean> {
+  return await new Promise((resolve) => {
+    const previous = hooks[kind] as ((request: unknown) => void) | undefined
+    let isOver = false
+    const finish = (hasCome: boolean): void => {
+      clearTimeout(timer)
+      if (!isOver && hasCome) action()
+      isOver = true
+      resolve(hasCome)
+    }
+    const timer = setTimeout(() => { finish(false) }, ORDER_LIMIT_MS)
+    hooks[kind] = (request: unknown) => {
+      previous?.(request)
+      finish(true)
+    }
+  })
+}
+
+/** Turns some staged pieces bad. */
+function spoilPieces (engine: testing.EngineStandIn): void {
+  for (const piece of engine.stage.keys()) if (piece % STALE_PIECE_STEP === 0) engine.spoilPiece(piece)
+}
+
 type Change = Parameters<gatewaySoakFleet.GatewaySoakFleet['configure']>[0]
 
 const STREAM_TIMEOUTS_MS = [6000, 5500, 7000]
