Order the last layer of a version only to an engine that holds the others

What callers saw: possibly answers from faulty layers; not seen outside the test. Cause: an order without an answer counted as taken once the engine's order count had risen by one, whichever order had raised it. If the engine had taken an unload order in place of the one for all layers but the last, the read-back that followed marked layers as verified that it didn't hold, and the order for the last layer made it take all of them, of which only the last layer's pieces were read shortly before and after. Evidence: a test in which an unload is taken in place of the unanswered order and a piece of the first layer has been bad for 4 s at the next one: the engine served with a faulty layer, and its agent stated the version. Change: the last order needs an engine that reports exactly the layers that were verified; any other one begins again.

--- /dev/null
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -0,0 +1,150 @@
+/** Guards against versions that are trusted although an engine took their layers in another order than their loader gave, or without one. */
+import * as assert from 'node:assert/strict'
+import * as crypto from 'node:crypto'
+import * as nodeTest from 'node:test'
+import * as types from '@switchridge/types'
+import * as loadVersion from './loadVersion.js'
+import type * as staging from '../types/index.js'
+
+const MODEL = 'm'
+const OLD_VERSION = 1
+const VERSION = 2
+const PIECES = 12
+const EXCUSE_MS = 3000
+const PAUSE_MS = 4000
+const BYTES = Array.from({ length: PIECES }, (_, piece) => Buffer.from(`piece ${piece}`))
+const MANIFEST: staging.StageManifest = {
+  id: { model: MODEL, version: VERSION },
+  digests: BYTES.map((bytes) => types.brandId<types.Digest>(crypto.createHash('sha256').update(bytes).digest('hex')))
+}
+const READY: staging.NamedVersion = { id: MANIFEST.id, namedAt: 0, deadlineAt: Infinity }
+
+interface Scene {
+  readonly loader: loadVersion.VersionLoader
+  readonly readState: () => staging.EngineState
+  /** Lets the engine take an order at once. */
+  readonly take: (version: number, layers: staging.LayerRange, sequence: number) => staging.OrderOutcome
+  /** Turns a piece bad, as if that had happened the milliseconds ago. */
+  readonly spoil: (piece: number, agoMs: number) => void
+  readonly hasFaultyLayers: () => boolean
+  readonly load: () => Promise<void>
+}
+
+interface SceneOptions {
+  readonly layerCount: number
+  /** Layers that the engine holds at first. */
+  readonly held: staging.HeldLayers
+  readonly readMs?: number
+  /** Called before a piece is read. */
+  readonly onRead?: (scene: Scene, piece: number) => void
+  /** Called for each order; the engine takes it at once when absent. */
+  readonly onOrder?: (scene: Scene, order: staging.LoadOrder, count: number) => staging.OrderOutcome
+}
+
+function createScene (context: nodeTest.TestContext, { layerCount, held: heldAtFirst, readMs = 1, onRead, onOrder }: SceneOptions): Scene {
+  context.mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: 0 })
+  const now = (): number => Date.now()
+  const stage = new Map<number, Buffer>(BYTES.entries())
+  const badSince = new Map<number, number>()
+  let version = heldAtFirst.version
+  let layers = new Map(Array.from({ length: heldAtFirst.to - heldAtFirst.from }, (_, index) => [heldAtFirst.from + index, false]))
+  let sequence = 1
+  let orders = 0
+
+  const isFaulty = (layer: number): boolean => BYTES.some((_, piece) => Math.floor(piece * layerCount / PIECES) === layer && now() - (badSince.get(piece) ?? Infinity) > EXCUSE_MS)
+
+  function readState (): staging.EngineState {
+    const from = Math.min(...layers.keys())
+    const isComplete = layers.size === layerCount
+    return { bornAt: 1, held: isComplete ? version : 0, running: 0, waiting: 0, isBusy: false, isLeaving: false, sequence, layers: layerCount === 1 || layers.size === 0 ? null : { version, from, to: from + layers.size }, layerCount }
+  }
+
+  function take (next: number, { from, to }: staging.LayerRange, expected: number): staging.OrderOutcome {
+    if (expected !== sequence) return 'refused'
+    const kept = next === version ? layers : new Map<number, boolean>()
+    const wanted = Array.from({ length: to - from }, (_, index) => from + index)
+    if (kept.size === wanted.length && wanted.every((layer) => kept.has(layer))) return 'done'
+    sequence += 1
+    version = next
+    layers = new Map(wanted.map((layer) => [layer, kept.get(layer) ?? isFaulty(layer)]))
+    return 'begun'
+  }
+
+  const engine: staging.StagedEngine = {
+    putPiece: async (_model, piece, bytes) => {
+      await types.delay(1)
+      stage.set(piece, bytes)
+      badSince.delete(piece)
+      return types.succeed(null)
+    },
+    getPiece: async (_model, piece) => {
+      onRead?.(scene, piece)
+      await types.delay(readMs)
+      return types.succeed(stage.get(piece) ?? null)
+    },
+    start: async (order) => {
+      await types.delay(1)
+      if (!order.mayStillSend()) return 'unsent'
+      orders += 1
+      return onOrder === undefined ? take(order.id.version, order.layers ?? { from: 0, to: layerCount }, order.sequence) : onOrder(scene, order, orders)
+    },
+    unload: async () => 'refused'
+  }
+
+  async function repair (): Promise<boolean> {
+    for (const [piece, bytes] of BYTES.entries()) if (stage.get(piece) !== bytes) await engine.putPiece(MODEL, piece, bytes)
+    return true
+  }
+
+  const loader = loadVersion.createVersionLoader({ engine, readEngine: async () => { await types.delay(1); return readState() }, onEvent: () => {}, observe: () => {}, pausedMsSince: () => 0, now, isStopped: () => false })
+  const scene: Scene = {
+    loader,
+    readState,
+    take,
+    spoil: (piece, agoMs) => {
+      stage.set(piece, Buffer.from('bad'))
+      badSince.set(piece, now() - agoMs)
+    },
+    hasFaultyLayers: () => [...layers.values()].includes(true),
+    load: async () => {
+      const state = readState()
+      const over = { isReached: false }
+      // An agent passes on a version that isn't trusted as none.
+      const loaded = loader.load(READY, { manifest: MANIFEST, ensureVerified: repair, repair }, loader.isTrusted(state) ? state : { ...state, held: 0 }, 'finish').then(() => { over.isReached = true })
+      while (!over.isReached) {
+        context.mock.timers.tick(1)
+        for (let turn = 0; turn < 30; turn += 1) await Promise.resolve()
+      }
+      await loaded
+    }
+  }
+  return scene
+}
+
+function takeInFull ({ take }: Scene, { id, layers, sequence }: staging.LoadOrder, layerCount: number): staging.OrderOutcome {
+  return take(id.version, layers ?? { from: 0, to: layerCount }, sequence)
+}
+
+nodeTest.test('an engine that took another order in place of an unanswered one for all layers but the last does not serve faulty layers', async (context) => {
+  const layerCount = 4
+  let isPaused = false
+  const scene = createScene(context, {
+    layerCount,
+    held: { version: OLD_VERSION, from: 0, to: layerCount },
+    onOrder: (each, order, count) => {
+      if (count > 1) return takeInFull(each, order, layerCount)
+      each.take(OLD_VERSION, { from: 0, to: 1 }, order.sequence)
+      return 'unknown'
+    },
+    // The agent stands still before it reads the last layer's pieces.
+    onRead: (each, piece) => {
+      if (piece < 9 || isPaused) return
+      isPaused = true
+      each.spoil(0, PAUSE_MS)
+    }
+  })
+  await scene.load()
+  const state = scene.readState()
+  assert.ok(isPaused)
+  assert.deepEqual({ held: state.held, isUsable: state.held === VERSION && scene.loader.isTrusted(state), isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isUsable: true, isFaulty: false })
+})
--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -101,7 +101,9 @@
     if (layerCount === 1) return { name: 'whole', layers: whole, taken: whole }
     const body = { from: 0, to: layerCount - 1 }
     const last = { from: layerCount - 1, to: layerCount }
-    const isBodyVerified = verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
+    // An order without an answer may have been refused, and another one taken in its place.
+    const holdsBody = layers !== null && layers.version === version && layers.from === body.from && layers.to === body.to
+    const isBodyVerified = holdsBody && verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
     if (isBodyVerified) return { name: 'last', layers: whole, taken: last }
     // An engine keeps the layers that it holds of a version, so that those taken before are dropped first.
     const holdsBodyLayers = layers !== null && layers.version === version && layers.from < body.to
