Let no entry of another writer cost a call that a sound engine can serve

What callers saw: beside one entry of service discovery whose port does not exist (127.0.0.1:70000), about 5 of 120 calls of its service were served, and the others got 503 at once while a sound engine was idle, for as long as the entry was listed, at every gateway.

Cause: the parser of entries took any five digits for a port and any name. Forming the request threw, which ended the call as call-broken instead of counting as a failed attempt, so that nothing was recorded against the entry and it never had a call in progress: the choice preferred it.

Change: an address is an IPv4 address and a port from 1 to 65535, a name one that a header can hold; entries that don't parse name no back end and are logged once for each change. The same for the names of models in named versions, the hosts in messages of peers and members, the incarnations of members, and ports in settings. An origin whose address is none is left out with a line of its own, and the configuration is used. Whatever throws while an attempt is made or its answer is read is a failed attempt of that back end, not sent where nothing had left the process, and the call goes on; what arrives of such an answer afterwards is not passed on. On the own interface an attempt that can't be formed was not run.

Why it works: no request is formed for what can't be requested, and a throw that remains is recorded against the back end and can't end the call.

--- /dev/null
+++ b/packages/daemon/src/_lib/createUnreadableObjects.ts
@@ -0,0 +1,34 @@
+/** Reports objects of the store that can't be parsed, each state of an object once. */
+import type * as observability from '@switchridge/observability'
+import type * as store from '@switchridge/store'
+import type * as types from '@switchridge/types'
+
+/** Logger and counter. */
+export interface UnreadableObjectsOptions {
+  readonly logger: Pick<observability.Logger, 'warn'>
+  readonly count: (name: string, labels: Readonly<Record<string, string>>) => void
+}
+
+/** Counts and logs an object, unless this was done for the same state of it; `mirror` holds all objects of its kind. The others stay in use. */
+export type ReportUnreadable = (mirror: Pick<store.Mirror, 'kind' | 'objects'>, object: store.StoredObject, error: types.InvalidInputError) => void
+
+/**
+ * Creates the report function. A list or a copy holds the same states again, which are not new.
+ *
+ * @param options - Logger and counter.
+ * @returns The function.
+ */
+export function createUnreadableObjects ({ logger, count }: UnreadableObjectsOptions): ReportUnreadable {
+  /** Revisions of the objects that were reported, by kind and name. */
+  const revisions = new Map<string, Map<string, number>>()
+
+  return ({ kind, objects }, { name, revision }, { message }) => {
+    const listed = objects()
+    const reported = new Map([...revisions.get(kind) ?? []].filter(([known]) => listed.has(known)))
+    revisions.set(kind, reported)
+    if (reported.get(name) === revision) return
+    reported.set(name, revision)
+    count('objects_unreadable', { kind })
+    logger.warn('object-unreadable', { kind, name, revision, error: message })
+  }
+}
--- a/packages/daemon/src/_lib/schemas.ts
+++ b/packages/daemon/src/_lib/schemas.ts
@@ -5,14 +5,17 @@
 
 const digest = zod.string().regex(/^[0-9a-f]{64}$/)
 const name = zod.string().min(1).max(256)
+/** Attempts carry it in a header. */
+const incarnation = name.regex(/^[\x21-\x7e]+$/)
+const host = zod.union([zod.ipv4(), zod.ipv6(), zod.hostname()])
 
 const factsSchema = zod.object({
   node: name,
   role: zod.enum(['entry', 'backend']),
   dataHall: name,
   region: name,
-  address: zod.object({ host: name, port: zod.int().min(1).max(65_535) }),
-  incarnation: name,
+  address: zod.object({ host, port: zod.int().min(1).max(65_535) }),
+  incarnation,
   factsVersion: zod.int().min(0),
   state: zod.enum(['live', 'leaving']),
   service: name.nullable(),
--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -39,6 +39,8 @@
   readonly reserver?: gateway.SlotReserver
   /** Retry budget; that of a gateway that has just started if absent. */
   readonly budget?: gateway.RetryBudget
+  /** Replaces functions of the protocol between this gateway and the sender. */
+  readonly protocol?: Partial<gateway.CallProtocol>
 }
 
 /** The call path of a gateway. */
@@ -88,7 +90,8 @@
       readAdvertisedRate: () => ({ kind: 'none' }),
       announcesLeaving: () => false,
       readBackoffRequest: () => ({ kind: 'none' }),
-      formatGatewayAnswer: () => []
+      formatGatewayAnswer: () => [],
+      ...options.protocol
     },
     routes: () => routes,
     tracker,
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -272,6 +272,7 @@
       incarnation: backend.incarnation,
       outcome: result.kind,
       reason: result.reason,
+      error: result.kind === 'not-run' ? result.error : undefined,
       ...fields
     })
   }
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -11,6 +11,7 @@
 import * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as createBackEndList from '../_lib/createBackEndList.js'
+import * as createUnreadableObjects from '../_lib/createUnreadableObjects.js'
 import * as createCopyAnswers from '../createCopyAnswers/index.js'
 import * as createEvacuations from '../createEvacuations/index.js'
 import * as createVersionRecord from '../createVersionRecord/index.js'
@@ -96,12 +97,13 @@
   let routes: gateway.RouteTable | null = null
   const loggedFigures = new Map<types.ServiceName, string>()
   let adoptedRevision = 0
+  let unreadableRevision = 0
   let isMissingTableLogged = false
+  const reportUnreadable = createUnreadableObjects.createUnreadableObjects({ logger, count: metrics.count })
   const backEnds = createBackEndList.createBackEndList({
     layersOf: (service) => routes?.findService(service)?.engine?.layers ?? 1,
-    onUnreadable: (object, error) => { reportUnreadable(backEndObjects.kind, object, error) }
+    onUnreadable: (object, error) => { reportUnreadable(backEndObjects, object, error) }
   })
-  const seenVersionObjects = new WeakSet<store.StoredObject>()
 
   function logPause (pausedMs: number): void {
     metrics.count('pauses')
@@ -114,7 +116,8 @@
     if (object === undefined || object.revision <= adoptedRevision) return
     const parsed = platform.parseConfiguration(object.value)
     if (!parsed.ok) {
-      logger.error('configuration-unreadable', { revision: object.revision, error: parsed.error.message })
+      if (object.revision !== unreadableRevision) logger.error('configuration-unreadable', { revision: object.revision, error: parsed.error.message })
+      unreadableRevision = object.revision
       return
     }
     adoptedRevision = object.revision
@@ -126,6 +129,7 @@
     routes = gateway.createRouteTable(parsed.value)
     metrics.count('configurations')
     logger.info('configuration', { revision: object.revision, version: parsed.value.version, routes: parsed.value.routes.length })
+    for (const { place, given, allowed } of parsed.value.unusable ?? []) logger.warn('configuration-field-unusable', { version: parsed.value.version, place, given, allowed })
     for (const service of parsed.value.services) logFigures(service)
     logUnknownRegions(parsed.value)
     backEnds.update(backEndObjects.objects())
@@ -174,17 +178,10 @@
     for (const object of namedVersions.objects().values()) {
       const version = platform.parseNamedVersion(object)
       if (version.ok) versions.note(version.value, 0)
-      else if (!seenVersionObjects.has(object)) reportUnreadable(namedVersions.kind, object, version.error)
-      seenVersionObjects.add(object)
+      else reportUnreadable(namedVersions, object, version.error)
     }
   }
 
-  /** An unreadable object is counted and logged; the other objects stay in use. */
-  function reportUnreadable (kind: string, { name, revision }: store.StoredObject, { message }: types.InvalidInputError): void {
-    metrics.count('objects_unreadable', { kind })
-    logger.warn('object-unreadable', { kind, name, revision, error: message })
-  }
-
   steadyClock.onSuspension((suspension) => {
     metrics.count('suspensions')
     logger.warn('suspended', { lostMs: Math.round(suspension.lostMs) })
--- a/packages/daemon/src/sendAttempt/index.ts
+++ b/packages/daemon/src/sendAttempt/index.ts
@@ -24,8 +24,8 @@
 /** Outcome of an attempt, with the load that the backend daemon reported. */
 export type AttemptResult =
   | { readonly kind: 'answered', readonly response: http.IncomingMessage, readonly load: routing.ReportedLoad | undefined }
-  /** The call was not executed, and this attempt never will be. */
-  | { readonly kind: 'not-run', readonly reason: string, readonly load: routing.ReportedLoad | undefined }
+  /** The call was not executed, and this attempt never will be. `error`: what was thrown when it was sent. */
+  | { readonly kind: 'not-run', readonly reason: string, readonly load: routing.ReportedLoad | undefined, readonly error?: string }
   /** The call may have been executed. */
   | { readonly kind: 'unknown', readonly reason: string, readonly load: routing.ReportedLoad | undefined }
 
@@ -67,7 +67,7 @@
     deadlineMs: remainingMs,
     isRepeatable: call.isRepeatable
   }
-  const opened = await rpc.openRequest(options.agents, {
+  const request = {
     base: rpc.formatBaseUrl(options.agents, backend.address),
     path: `/calls${call.path}`,
     method: 'POST',
@@ -82,7 +82,14 @@
     body: call.body,
     timeoutMs: remainingMs + RESPONSE_GRACE_MS,
     signal: options.signal
-  })
+  }
+  let opened: Awaited<ReturnType<typeof rpc.openRequest>>
+  try {
+    opened = await rpc.openRequest(options.agents, request)
+  } catch (thrown) {
+    // Only an address or a header that no request can hold throws, so nothing was sent.
+    return { kind: 'not-run', reason: NOT_CONNECTED_REASON, load: undefined, error: types.describeError(thrown) }
+  }
   if (opened.ok) return readOutcome(opened.value)
   if (opened.error.wasConnecting) return { kind: 'not-run', reason: NOT_CONNECTED_REASON, load: undefined }
   return await resolveTicket(ticket, backend, options, opened.error)
--- a/packages/daemon/src/sendAttempt/test.ts
+++ b/packages/daemon/src/sendAttempt/test.ts
@@ -24,7 +24,7 @@
   return port
 }
 
-async function send (port: number): Promise<sendAttempt.AttemptResult> {
+async function send (port: number, member: Partial<types.MemberFacts> = {}): Promise<sendAttempt.AttemptResult> {
   const agents = rpc.createHttpAgents()
   const identity = { deployment: 'test', sharedKey: '' }
   const call = {
@@ -38,7 +38,7 @@
     isRepeatable: false,
     deadlineAt: performance.now() + DEADLINE_MS
   }
-  const backend = { node: 'backend', incarnation: '1', address: { host: types.LOOPBACK_HOST, port } } as unknown as types.MemberFacts
+  const backend = { node: 'backend', incarnation: '1', address: { host: types.LOOPBACK_HOST, port }, ...member } as unknown as types.MemberFacts
   const result = await sendAttempt.sendAttempt(call, backend, {
     self: types.brandId('entry'), identity, agents, client: rpc.createRpcClient(identity, agents), now: () => performance.now(), signal: new AbortController().signal
   })
@@ -53,3 +53,13 @@
 nodeTest.test('a call whose connection broke after it was sent may have run', async (context) => {
   assert.equal((await send(await listenAndClose(context))).kind, 'unknown')
 })
+
+/** Guards against a call that ends because one of its back ends has an address or an incarnation that no request can hold. */
+nodeTest.test('a call to a member that no request can be sent to was not run, and goes elsewhere', async () => {
+  const members = [{ address: { host: types.LOOPBACK_HOST, port: 70_000 } }, { address: { host: 'a b', port: 80 } }, { incarnation: types.brandId<types.IncarnationId>('a\r\nb') }]
+  for (const member of members) {
+    const result = await send(await findClosedPort(), member)
+    assert.deepEqual([result.kind, result.kind === 'answered' ? '' : result.reason], ['not-run', sendAttempt.NOT_CONNECTED_REASON])
+    assert.ok(result.kind === 'not-run' && result.error !== undefined)
+  }
+})
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -68,3 +68,16 @@
   options.count('calls_broken')
   options.logger.error('call-broken', { id, error: types.describeError(thrown) })
 }
+
+/**
+ * Logs and counts an attempt whose sending or handling threw. The call may go on elsewhere.
+ *
+ * @param id - Request id of the call.
+ * @param backEnd - The back end.
+ * @param thrown - What was thrown.
+ * @param options - Logger and counters.
+ */
+export function logAttemptError (id: string, backEnd: types.NodeId, thrown: unknown, options: Pick<callOptions.CallHandlerOptions, 'count' | 'logger'>): void {
+  options.count('attempt_errors')
+  options.logger.error('attempt-error', { id, backEnd, error: types.describeError(thrown) })
+}
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -10,6 +10,7 @@
 import type * as gateway from '../types/index.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
+import * as logCall from './logCall.js'
 import * as createMarginNotes from './createMarginNotes.js'
 import type * as callOptions from './callOptions.js'
 import * as noteOutcome from './noteOutcome.js'
@@ -65,6 +66,7 @@
 const FIRST_FINAL_STATUS = 200
 const FIRST_ERROR_STATUS = 400
 const FIRST_REDIRECTION_STATUS = 300
+const ERROR_REASON = 'handling failed'
 const ENDED_REASON = 'back end ended at the end of a response without framing'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
@@ -113,27 +115,14 @@
   const { head, route } = call
   const splitter = createEventSplitter.createEventSplitter(stream.splitter.lastEventId())
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
-  const attempt = options.sendAttempt({
-    address: choice.backEnd.address,
-    method: head.method,
-    path: head.path,
-    headers: options.protocol.formatAttempt(head, {
-      backEnd: choice.backEnd.id,
-      remainingMs: Math.floor(call.deadline.remainingMs()),
-      tenant: call.tenant,
-      urgency: !reply.hasStarted() && isLate(call, options.now()) ? LATE_URGENCY : null,
-      version: choice.expectedVersion,
-      lastEventId: splitter.lastEventId(),
-      bodyBytes: call.body === null ? null : call.body.length
-    }),
-    body: call.body,
-    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, choice.connectWithinMs ?? CONNECT_TIMEOUT_MS),
-    mustSendInTime: choice.connectWithinMs !== undefined,
-    onConnect: (tookMs) => {
-      options.tracker.noteConnect(choice.backEnd.id, tookMs)
-      margin.noteConnect()
-    }
-  })
+  let attempt: sendAttempt.Attempt
+  try {
+    attempt = send()
+  } catch (thrown) {
+    logCall.logAttemptError(head.requestId, choice.backEnd.id, thrown, options)
+    return { kind: 'not-sent', reason: ERROR_REASON }
+  }
+  let hasBeenSent = false
   let isAborted = false
   contender.setAbort(abort)
   if (call.isCallerGone() || call.isExpired()) abort()
@@ -142,6 +131,30 @@
   const cancelWithdrawal = scheduleWithdrawal()
   return await follow().catch(fail)
 
+  function send (): sendAttempt.Attempt {
+    return options.sendAttempt({
+      address: choice.backEnd.address,
+      method: head.method,
+      path: head.path,
+      headers: options.protocol.formatAttempt(head, {
+        backEnd: choice.backEnd.id,
+        remainingMs: Math.floor(call.deadline.remainingMs()),
+        tenant: call.tenant,
+        urgency: !reply.hasStarted() && isLate(call, options.now()) ? LATE_URGENCY : null,
+        version: choice.expectedVersion,
+        lastEventId: splitter.lastEventId(),
+        bodyBytes: call.body === null ? null : call.body.length
+      }),
+      body: call.body,
+      connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, choice.connectWithinMs ?? CONNECT_TIMEOUT_MS),
+      mustSendInTime: choice.connectWithinMs !== undefined,
+      onConnect: (tookMs) => {
+        options.tracker.noteConnect(choice.backEnd.id, tookMs)
+        margin.noteConnect()
+      }
+    })
+  }
+
   /** Waits for the answer, and passes it on. */
   async function follow (): Promise<AttemptOutcome> {
     const start = await attempt.start
@@ -149,6 +162,7 @@
       if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
       return finish({ kind: 'not-sent', reason: start.reason })
     }
+    hasBeenSent = true
     call.attempts += 1
     if (start.kind === 'no-answer') {
       margin.noteNoAnswer()
@@ -171,10 +185,10 @@
     return finish(await relayStream(start, answer))
   }
 
-  /** Ends an attempt whose handling threw. */
-  function fail (thrown: unknown): never {
-    finish(broken('handling failed', false))
-    throw thrown
+  /** Ends an attempt whose handling threw, as its back end's failure: the call goes on elsewhere. */
+  function fail (thrown: unknown): AttemptOutcome {
+    logCall.logAttemptError(head.requestId, choice.backEnd.id, thrown, options)
+    return finish(hasBeenSent ? broken(ERROR_REASON, false) : { kind: 'not-sent', reason: ERROR_REASON })
   }
 
   /**
@@ -253,14 +267,19 @@
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve, reject) => {
       let hasResponseEnded = false
+      /** Whether handling the response threw: what still arrives of it must not be passed on. */
+      let hasThrown = false
       response.on('data', (bytes: Buffer) => {
+        if (hasThrown) return
         try {
           passOn(bytes)
         } catch (thrown) {
+          hasThrown = true
           reject(thrown)
         }
       })
       response.on('end', () => {
+        if (hasThrown) return
         hasResponseEnded = true
         endStream().catch(reject)
       })
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -8,6 +8,8 @@
   readonly services: readonly Service[]
   readonly limits: CallerLimits
   readonly tenants: readonly Tenant[]
+  /** Fields whose values can't be used and that count as absent; absent if there are none. */
+  readonly unusable?: readonly types.InputProblem[]
 }
 
 /** `repeatable`: may run more than once; `once`: runs at most once; `stream`: a stream of events. */
--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -4,7 +4,8 @@
 import * as parseToml from '../_lib/parseToml.js'
 import * as quarantine from '../_lib/quarantine.js'
 
-const address = zod.string().regex(/^[^:]+:\d+$/, 'an address of the form IP:PORT')
+const MAXIMUM_PORT = 65_535
+const address = zod.string().regex(/^[^:]+:[1-9]\d*$/, 'an address of the form IP:PORT').refine((text) => Number(text.slice(text.indexOf(':') + 1)) <= MAXIMUM_PORT, 'an address with a port from 1 to 65535')
 const milliseconds = zod.number().positive()
 
 const fleetSettingsSchema = zod.strictObject({
@@ -17,7 +18,7 @@
   host: zod.union([zod.ipv4(), zod.ipv6()]),
   deployment: zod.string().min(1).default('fleet'),
   seeds: zod.array(address).default([]),
-  internal_port: zod.int().min(1).max(65_535),
+  internal_port: zod.int().min(1).max(MAXIMUM_PORT),
   listen: zod.strictObject({
     callers: address.optional(),
     readiness: address.optional(),
@@ -60,7 +61,7 @@
   logs: zod.strictObject({
     level: zod.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info')
   }).prefault({}),
-  metrics: zod.strictObject({ port: zod.int().min(0).max(65_535).default(0) }).prefault({}),
+  metrics: zod.strictObject({ port: zod.int().min(0).max(MAXIMUM_PORT).default(0) }).prefault({}),
   security: zod.strictObject({ shared_key: zod.string().min(16).optional() }).prefault({})
 }).superRefine((settings, context) => {
   if (settings.role === 'gateway' && settings.listen.callers === undefined) {
--- a/packages/settings/src/parseFleetSettings/test.ts
+++ b/packages/settings/src/parseFleetSettings/test.ts
@@ -34,6 +34,15 @@
   assert.ok(!parseFleetSettings.isFleetSettings('role = '))
 })
 
+/** Guards against a process that starts and then fails with each request to an address of its settings. */
+nodeTest.test('an address with a port that does not exist is rejected with its path', () => {
+  for (const port of ['0', '65536', '70000', '99999999999']) {
+    const parsed = parseFleetSettings.parseFleetSettings(readExample('agent.toml').replace('10.2.0.43:8001', `10.2.0.43:${port}`), 'agent.toml')
+    assert.ok(!parsed.ok, port)
+    assert.deepEqual(parsed.error.problems.map(({ place }) => place), ['engine.address'])
+  }
+})
+
 nodeTest.test('quarantine limits have defaults and are validated', () => {
   const example = readExample('gateway.toml')
   const parsed = parseFleetSettings.parseFleetSettings(example, 'gateway.toml')
--- a/packages/spread/src/_lib/wire.ts
+++ b/packages/spread/src/_lib/wire.ts
@@ -1,4 +1,5 @@
 /** Datagram format of the gossip: JSON arrays that begin with the kind; a digest has a header on a separate line before its body. */
+import * as net from 'node:net'
 import type * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 import type * as heartbeats from './heartbeat.js'
@@ -191,6 +192,10 @@
 export const isNonNegativeNumber = (value: unknown): value is number => isNumber(value) && value >= 0
 const isFlags = (value: unknown): value is number => isNonNegativeNumber(value) && (value & ~ALL_FLAGS) === 0 && Number.isInteger(value)
 const isArray = (value: unknown): value is unknown[] => Array.isArray(value)
+const HOST_NAME = /^[0-9A-Za-z._-]{1,253}$/
+/** Tells whether a value is an IP address or a host name that a URL can hold. */
+const isHost = (value: unknown): value is string => isString(value) && (net.isIP(value) !== 0 || (HOST_NAME.test(value) && URL.canParse(`http://${value}`)))
+const isHostList = (value: unknown): value is string[] => isArray(value) && value.every(isHost)
 const isStringList = (value: unknown): value is string[] => isArray(value) && value.every(isString)
 const isRecord = (value: unknown): value is Record<string, unknown> => typeof value === 'object' && value !== null && !Array.isArray(value)
 
@@ -237,7 +242,7 @@
       ...parseFlags(flags),
       node: types.brandId<types.NodeId>(requireShape(node, isString)),
       zone: requireShape(zone, isString),
-      host: requireShape(host, isString),
+      host: requireShape(host, isHost),
       copies: parseCopies(copies),
       versions: parseVersions(versions),
       suspects: requireShape(suspects, isStringList),
@@ -255,7 +260,7 @@
       ...parseFlags(flags),
       node: types.brandId<types.NodeId>(requireShape(node, isString)),
       zone,
-      host: requireShape(host, isString),
+      host: requireShape(host, isHost),
       copies: {},
       versions: [],
       suspects: suspects === 0 ? [] : requireShape(suspects, isStringList),
@@ -266,13 +271,13 @@
 
 function parseUpdate (value: unknown): MemberUpdate {
   const [host, ageMs, delayMs, engine] = requireShape(value, isArray)
-  return { host: requireShape(host, isString), ageMs: requireShape(ageMs, isNonNegativeNumber), delayMs: requireShape(delayMs, isNonNegativeNumber), engine: engine ?? null }
+  return { host: requireShape(host, isHost), ageMs: requireShape(ageMs, isNonNegativeNumber), delayMs: requireShape(delayMs, isNonNegativeNumber), engine: engine ?? null }
 }
 
 function parseHallCopies (value: unknown): HallCopies {
   return Object.fromEntries(Object.entries(requireShape(value, isRecord)).map(([kind, copy]) => {
     const [state, host] = requireShape(copy, isArray)
-    return [kind, { state: parseState(state), host: requireShape(host, isString) }]
+    return [kind, { state: parseState(state), host: requireShape(host, isHost) }]
   }))
 }
 
@@ -306,7 +311,7 @@
     case 'h': return parseHeartbeat(head)
     case 'n': return { type: 'engine-report', sentAt: requireShape(head[1], isNumber), engine: head[2] ?? null }
     case 'r': return { type: 'keepalive', isRound: requireShape(head[1], isNumber) === 1 }
-    case 'a': return { type: 'hosts', hosts: requireShape(head[1], isStringList) }
+    case 'a': return { type: 'hosts', hosts: requireShape(head[1], isHostList) }
     case 'd': return parseDigest(head, text.slice(end + 1))
     default: return null
   }
