Break off a body without framing of a plain back end that is reset

What callers saw: on the own interface, a part of an answer with neither a length nor chunks as a whole one, when its back end reset the connection.

Cause: Node.js ends a response without framing on a reset, too. The daemon beside the back end only asked whether the process at the port had ended, which one that resets a connection has not. Gateways have told a reset from an orderly end all along.

Change: the checks of gateways move to rpc (watchOrderlyEnd and hasMessageFraming, which knows responses that can have no body), and the daemon uses them as well before it ends the chunks that it sends on.

Why it works: a reset is an error of the connection, or leaves it without a peer, so that the end is not confirmed and the chunks stay without their end.

--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -55,11 +55,6 @@
 const CALL_PREFIX = '/calls'
 const VERSION_NOT_LOADED = 409
 
-/** Whether a length or chunks mark the end of a response. */
-function hasMessageFraming ({ headers }: http.IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
 /**
  * Creates the middleware for `POST /calls/...`.
  *
@@ -144,7 +139,7 @@
       answerWrongVersion(context, ticket, started.value)
       return
     }
-    await forwardResponse(context, started.value, served)
+    await forwardResponse(context, call.method, started.value, served)
     tickets.finish(ticket)
   }
 
@@ -192,7 +187,7 @@
     answerFailure(context, ticket, new Error('the engine answered from another version'))
   }
 
-  async function forwardResponse (context: Koa.Context, response: http.IncomingMessage, served: types.ServedVersion | undefined): Promise<void> {
+  async function forwardResponse (context: Koa.Context, method: string, response: http.IncomingMessage, served: types.ServedVersion | undefined): Promise<void> {
     context.status = response.statusCode ?? 502
     for (const [name, value] of Object.entries(callHeaders.selectForwardedHeaders(response.headers))) context.set(name, value)
     if (response.headers['content-length'] !== undefined) context.set('content-length', response.headers['content-length'])
@@ -201,7 +196,9 @@
     if (served !== undefined) context.set(callHeaders.VERSION_HEADER, `${served.row}@${served.version}`)
     response.on('data', (part: Buffer) => { options.uplink.countCallBytes(part.length) })
     response.pause()
-    const isComplete = await sendStream.sendStream(context, response, hasMessageFraming(response) ? undefined : async () => await options.findTerminatedInstance() === null)
+    const hasEndedOrderly = rpc.watchOrderlyEnd(response.socket)
+    const confirmEnd = async (): Promise<boolean> => hasEndedOrderly() && await options.findTerminatedInstance() === null
+    const isComplete = await sendStream.sendStream(context, response, rpc.hasMessageFraming(response, method) ? undefined : confirmEnd)
     options.count(isComplete ? 'calls.answered' : 'calls.broken')
   }
 
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -1,6 +1,7 @@
 /** Sends one attempt of a call to a back end over a connection of its own. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as startTimeout from '../_lib/startTimeout.js'
 
@@ -42,26 +43,6 @@
 
 /** Prefix of the error codes of the Node.js HTTP parser: the bytes received were not a response. */
 const PARSER_ERROR_PREFIX = 'HPE_'
-const STATUS_NO_CONTENT = 204
-const STATUS_NOT_MODIFIED = 304
-
-/**
- * Whether HTTP framing marks the end of a response. Without it the end of the connection ends the response; Node.js also ends it on a reset, but only an
- * orderly end of the connection counts, and even that may come too early.
- */
-function hasMessageFraming (response: http.IncomingMessage, method: string): boolean {
-  const { headers, statusCode } = response
-  if (headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined) return true
-  return method === 'HEAD' || statusCode === STATUS_NO_CONTENT || statusCode === STATUS_NOT_MODIFIED
-}
-
-/**
- * Whether a connection that ended still knows its peer. Node.js reports a reset that arrives together with data as an orderly end, but the system only
- * keeps the peer's address after an orderly one. The address must not have been read before, because the socket caches it.
- */
-function isPeerKnown (socket: net.Socket): boolean {
-  return socket.remoteAddress !== undefined
-}
 
 function startConnectTimeout ({ connectTimeoutMs, mustSendInTime = false }: AttemptRequest, onTimeout: () => void): () => void {
   if (!mustSendInTime) return startTimeout.startTimeout(connectTimeoutMs, onTimeout)
@@ -78,8 +59,7 @@
 export function sendAttempt (request: AttemptRequest): Attempt {
   const startedAt = performance.now()
   let isConnected = false
-  let hasFailed = false
-  let hasEndedOrderly = false
+  let hasEndedOrderly = (): boolean => false
   let hasDiscarded = false
   let received: http.IncomingMessage | null = null
   let settle: (start: AttemptStart) => void = () => {}
@@ -111,8 +91,7 @@
   }
 
   outgoing.on('socket', (socket: net.Socket) => {
-    socket.prependListener('error', () => { hasFailed = true })
-    socket.prependListener('end', () => { hasEndedOrderly = isPeerKnown(socket) })
+    hasEndedOrderly = rpc.watchOrderlyEnd(socket)
     socket.once('connect', () => {
       isConnected = true
       request.onConnect(performance.now() - startedAt)
@@ -122,8 +101,8 @@
   outgoing.on('response', (response) => {
     received = response
     response.on('error', () => {})
-    const isFramed = hasMessageFraming(response, request.method)
-    settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || (hasEndedOrderly && !hasFailed)) })
+    const isFramed = rpc.hasMessageFraming(response, request.method)
+    settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || hasEndedOrderly()) })
   })
   outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true) })
   outgoing.on('close', () => { fail('connection closed', true) })
