Continue no answer that has begun with another run

What callers saw: a request of an idempotent route whose engine crashed in the middle of an answer of events got the first events of that run and all of another one, as one whole answer with the first engine's seal.

Cause: whether a further attempt is allowed was decided by the route alone. The answer that had begun was not asked, and the events of the next attempt were appended to it. Only resumable routes ask the next engine to go on.

Change: the reply knows its run. Bytes are passed on for the run that began it, or for one that was asked to go on after the id of the last event that was passed on; others break the answer off. Attempts are made only while the reply may be continued: before it has begun, or when its last event has an id. Events without ids, of a route that may be resumed, were continued from the beginning as well. The id comes from what was passed on, no longer from what a failed attempt had read.

Why it works: no attempt can append to the reply without naming its run, and a run from the beginning is never the continuation of an answer that has begun. An answer that has not begun is repeated as before.

Stand-ins of the reply in other tests got its new functions, their checks are unchanged.

--- a/packages/daemon/src/_lib/plainHall.ts
+++ b/packages/daemon/src/_lib/plainHall.ts
@@ -22,6 +22,10 @@
   readonly formatSettings: (entry?: Pick<startDaemon.RunningRole, 'address'>) => string
   /** Reads the members as a daemon sees them. */
   readonly readMembers: (role: startDaemon.RunningRole) => Promise<readonly membership.Member[]>
+  /** Closes the port of the service and all its connections, as the end of its process does. */
+  readonly crashService: () => void
+  /** Opens the port again. */
+  readonly reopenService: () => Promise<void>
   /** Adds the service `api` to the table; its calls may not be repeated unless a cell says so. */
   readonly addService: (cells?: Readonly<Record<string, types.CellValue>>) => Promise<void>
 }
@@ -41,7 +45,14 @@
   const platformUrl = `http://${HOST}:${platform.address.port}`
   const service = http.createServer(serve)
   await new Promise<void>((resolve) => { service.listen(0, HOST, resolve) })
-  const serviceUrl = `http://${HOST}:${(service.address() as net.AddressInfo).port}`
+  const servicePort = (service.address() as net.AddressInfo).port
+  const serviceSockets = new Set<net.Socket>()
+  service.on('connection', (socket) => {
+    serviceSockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => { serviceSockets.delete(socket) })
+  })
+  const serviceUrl = `http://${HOST}:${servicePort}`
   const agents = rpc.createHttpAgents()
   const client = rpc.createRpcClient({ deployment: 'test', sharedKey: '' }, agents)
   const roles: startDaemon.RunningRole[] = []
@@ -77,6 +88,14 @@
       assert.ok(status.ok)
       return status.value.members
     },
+    crashService: () => {
+      service.close()
+      for (const socket of serviceSockets) socket.end()
+    },
+    reopenService: async () => {
+      if (service.listening) return
+      await new Promise<void>((resolve) => { service.listen(servicePort, HOST, resolve) })
+    },
     addService: async (cells = {}) => {
       const objectStore = store.createObjectStore({ url: platformUrl, timeoutMs: STORE_TIMEOUT_MS, agents })
       const changes = Object.entries({ id: 'api', kind: 'plain', repeatable: 'none', ...cells }).map(([column, after]): types.CellChange => ({ section: 'services', row: 'api', column, before: null, after }))
--- a/packages/gateway/src/_lib/answers.test.ts
+++ b/packages/gateway/src/_lib/answers.test.ts
@@ -100,6 +100,7 @@
   assert.equal(socket._writev, writeAll)
 })
 
+const RUN = { resumesAfter: null }
 const OLD_REQUEST = `GET / HTTP/1.0${END_OF_HEAD}`
 const STREAMS = [
   { name: 'to a caller of HTTP/1.0', request: OLD_REQUEST, isFramed: true },
@@ -111,8 +112,8 @@
     nodeTest.test(`a stream ${name} does not look complete when ${cause}`, LIMIT, async (context) => {
       const { reply, caller, received } = await openReply(context, request)
       caller.resume()
-      reply.beginStream(200, [], isFramed)
-      reply.write(Buffer.from('event'))
+      reply.beginStream(RUN, 200, [], isFramed)
+      reply.write(RUN, Buffer.from('event'), null)
       await new Promise((resolve) => { caller.once('data', resolve) })
       if (cause === 'the gateway breaks it off') reply.abort()
       else caller.end()
@@ -123,10 +124,38 @@
   nodeTest.test(`a stream ${name} ends in an orderly way when it is complete`, LIMIT, async (context) => {
     const { reply, caller, received } = await openReply(context, request)
     caller.resume()
-    reply.beginStream(200, [], isFramed)
-    reply.write(Buffer.from('event'))
-    reply.endStream()
+    reply.beginStream(RUN, 200, [], isFramed)
+    reply.write(RUN, Buffer.from('event'), null)
+    reply.endStream(RUN)
     const { body, isReset } = await received
     assert.deepEqual([body.toString(), isReset], ['event', false])
   })
 }
+
+const EVENT_ID = '3'
+/** Runs that follow one whose last event that was passed on has an id, or none, and whether they may be passed on. */
+const FOLLOWERS: ReadonlyArray<readonly [string, string | null, answers.Run, boolean]> = [
+  ['a run from the beginning', EVENT_ID, { resumesAfter: null }, false],
+  ['a run that goes on after the last event', EVENT_ID, { resumesAfter: EVENT_ID }, true],
+  ['a run that goes on after an earlier event', EVENT_ID, { resumesAfter: '2' }, false],
+  ['a run from the beginning, whose events have no ids', null, { resumesAfter: null }, false],
+  ['a run after an event that the caller named, whose events have no ids', null, { resumesAfter: '2' }, false]
+]
+for (const [name, lastEventId, follower, isContinued] of FOLLOWERS) {
+  for (const step of ['head', 'bytes', 'end'] as const) {
+    nodeTest.test(`an answer that has begun is ${isContinued ? 'continued' : 'broken off'} by ${name} (${step})`, LIMIT, async (context) => {
+      const { reply, caller, received } = await openReply(context, REQUEST)
+      caller.resume()
+      reply.beginStream(RUN, 200, [], true)
+      reply.write(RUN, Buffer.from('event'), lastEventId)
+      assert.equal(reply.mayContinue(), lastEventId !== null)
+      assert.equal(reply.mayPassOn(follower), isContinued)
+      if (step === 'bytes' || isContinued) reply.write(follower, Buffer.from('other'), null)
+      if (step === 'end' || isContinued) reply.endStream(follower)
+      if (step === 'head' && !isContinued) reply.beginStream(follower, 200, [], true)
+      const body = (await received).body.toString()
+      assert.equal(body.includes('other'), isContinued)
+      assert.equal(body.endsWith('0\r\n\r\n'), isContinued)
+    })
+  }
+}
--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -11,19 +11,31 @@
 /** A body larger than this is passed to the operating system in parts of this size. */
 const PART_BYTES = 262_144
 
-/** The response to one request. */
+/** One run of a call at a back end. */
+export interface Run {
+  /** Id of the event after which the back end was asked to go on; null if it began at the first one. */
+  readonly resumesAfter: string | null
+}
+
+/** The response to one request. A stream that has begun holds the events of one run, and of those that were asked to go on after its last event. */
 export interface Reply {
   /** Sends a final response of the gateway itself; `retryAfterMs` tells the caller when to retry. */
   readonly refuse: (status: number, reason: string, retryAfterMs: number | null) => void
   /** Sends a complete response of a back end. If the back end's response had no HTTP framing, neither has this one. */
   readonly sendBuffered: (status: number, headers: readonly string[], body: Buffer, isFramed: boolean) => void
-  /** Sends the head of a stream; `isFramed` says whether HTTP framing marks its end, otherwise the connection is closed at its end. */
-  readonly beginStream: (status: number, headers: readonly string[], isFramed: boolean) => void
-  /** Sends bytes of a stream; false if the caller reads too slowly. */
-  readonly write: (bytes: Buffer) => boolean
+  /** Whether bytes of a run may be passed on: none have been, or only those of this run, or it goes on after the last event. */
+  readonly mayPassOn: (run: Run) => boolean
+  /** Whether another run may be passed on, too: none has been, or the last event can be named to another back end. */
+  readonly mayContinue: () => boolean
+  /** Id of the last event that was passed on; null if there is none. */
+  readonly readLastEventId: () => string | null
+  /** Sends the head of a stream; `isFramed` says whether HTTP framing marks its end, otherwise the connection is closed at its end. A run that may not be passed on breaks the stream off, also in the functions below. */
+  readonly beginStream: (run: Run, status: number, headers: readonly string[], isFramed: boolean) => void
+  /** Sends bytes of a stream, the last event of which has the given id, if any; false if the caller reads too slowly. */
+  readonly write: (run: Run, bytes: Buffer, lastEventId: string | null) => boolean
   /** Calls `resume` once when the caller has read what was buffered. */
   readonly onDrain: (resume: () => void) => void
-  readonly endStream: () => void
+  readonly endStream: (run: Run) => void
   /** Destroys the connection, by a reset if only its end marks the end of the response, so that a truncated response never looks complete. */
   readonly abort: () => void
   readonly hasStarted: () => boolean
@@ -43,6 +55,22 @@
  */
 export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isDraining: () => boolean, holding: createHeldBytes.CallHolding | null = null): Reply {
   let isEndedByClosing = false
+  let passedOn: Run | null = null
+  let lastEventId: string | null = null
+
+  function mayPassOn (run: Run): boolean {
+    return passedOn === null || run === passedOn || (lastEventId !== null && run.resumesAfter === lastEventId)
+  }
+
+  /** Makes a run the one that is passed on; breaks the stream off, and returns false, if it may not be. */
+  function accept (run: Run): boolean {
+    if (!mayPassOn(run)) {
+      abort()
+      return false
+    }
+    passedOn = run
+    return true
+  }
 
   function writeHead (status: number, headers: readonly string[]): void {
     response.sendDate = false
@@ -127,19 +155,25 @@
       else writeUnframedHead(status, headers)
       endWithBody(body)
     },
-    beginStream: (status, headers, isFramed) => {
-      if (response.destroyed) return
+    mayPassOn,
+    mayContinue: () => passedOn === null || lastEventId !== null,
+    readLastEventId: () => lastEventId,
+    beginStream: (run, status, headers, isFramed) => {
+      if (response.destroyed || !accept(run)) return
       // Callers of HTTP/1.0 know no chunked encoding.
       if (isFramed && response.useChunkedEncodingByDefault) writeHead(status, headers)
       else writeUnframedHead(status, headers)
     },
-    write: (bytes) => {
+    write: (run, bytes, eventId) => {
+      if (!accept(run)) return true
       const isRead = response.write(bytes)
+      lastEventId = eventId
       if (!isRead) noteUnread()
       return isRead
     },
     onDrain: (resume) => { response.once('drain', resume) },
-    endStream: () => {
+    endStream: (run) => {
+      if (!accept(run)) return
       response.end()
       noteUnread()
     },
--- a/packages/gateway/src/_lib/createMarginNotes.test.ts
+++ b/packages/gateway/src/_lib/createMarginNotes.test.ts
@@ -6,7 +6,6 @@
 import * as types from '@switchridge/types'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as gateway from '../types/index.js'
-import * as createEventSplitter from '../createEventSplitter/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
 import * as callState from './callState.js'
 import * as runAttempt from './runAttempt.js'
@@ -63,7 +62,7 @@
   }
   const choice = { backEnd, expectedVersion: null, mustBeginBy: ENDED_AT, olderVersion }
   const open = { promptTokens: 0, answerTokens: 0, sentAt: SENT_AT, hasResponded: false }
-  const stream = runAttempt.createStreamState(createEventSplitter.createEventSplitter(null))
+  const stream = runAttempt.createStreamState()
   const reply = { hasStarted: () => false, sendBuffered: () => {} }
   try {
     await runAttempt.runAttempt(call, reply as never, stream, choice as never, open, options as never)
--- a/packages/gateway/src/_lib/runAttempt.test.ts
+++ b/packages/gateway/src/_lib/runAttempt.test.ts
@@ -54,6 +54,9 @@
   } as unknown as callState.CallDetails)
   const reply = {
     hasStarted: () => hasStarted,
+    mayPassOn: () => true,
+    mayContinue: () => !hasStarted,
+    readLastEventId: () => null,
     beginStream: () => { hasStarted = true },
     write: () => true,
     onDrain: () => {},
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -44,8 +44,6 @@
 
 /** State shared by the attempts of one stream. */
 export interface StreamState {
-  /** Splitter of the attempt that was the last to pass on events; before the first one it only knows the event id that the caller gave. */
-  splitter: createEventSplitter.EventSplitter
   /** Version of the weights that began the stream, which only this version may resume; null before the first event. */
   version: number | null
   /** Whether HTTP framing marks the end of the response that was started; null before the start. */
@@ -92,11 +90,10 @@
 /**
  * Creates the state shared by the attempts of one stream.
  *
- * @param splitter - Knows the last event id that the caller already has.
  * @returns The state before the first attempt.
  */
-export function createStreamState (splitter: createEventSplitter.EventSplitter): StreamState {
-  return { splitter, version: null, isFramed: null }
+export function createStreamState (): StreamState {
+  return { version: null, isFramed: null }
 }
 
 /**
@@ -113,7 +110,8 @@
  */
 export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options, contender: raceAttempts.Contender = raceAttempts.SOLE_CONTENDER): Promise<AttemptOutcome> {
   const { head, route } = call
-  const splitter = createEventSplitter.createEventSplitter(stream.splitter.lastEventId())
+  const run: answers.Run = { resumesAfter: reply.hasStarted() ? reply.readLastEventId() : head.lastEventId }
+  const splitter = createEventSplitter.createEventSplitter(run.resumesAfter)
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
   let attempt: sendAttempt.Attempt
   try {
@@ -142,7 +140,7 @@
         tenant: call.tenant,
         urgency: !reply.hasStarted() && isLate(call, options.now()) ? LATE_URGENCY : null,
         version: choice.expectedVersion,
-        lastEventId: splitter.lastEventId(),
+        lastEventId: run.resumesAfter,
         bodyBytes: call.body === null ? null : call.body.length
       }),
       body: call.body,
@@ -288,11 +286,16 @@
 
       function passOn (bytes: Buffer): void {
         const whole = readDeliverable(bytes)
-        if (whole === null || !claimStream()) return
+        if (whole === null) return
+        if (!reply.mayPassOn(run)) {
+          failStream('the answer has begun with another run')
+          return
+        }
+        if (!claimStream()) return
         noteResponse()
         eventTimer.restart(nextEventMs)
         if (!reply.hasStarted()) beginStream()
-        if (reply.write(whole)) return
+        if (reply.write(run, whole, route.isResumable ? splitter.lastEventId() : null)) return
         // A caller that doesn't read says nothing about the engine, so no event is expected meanwhile.
         response.pause()
         eventTimer.stop()
@@ -320,27 +323,26 @@
           failStream(ENDED_REASON)
           return
         }
-        if (!claimStream()) {
+        if (!reply.mayPassOn(run) || !claimStream()) {
           failStream('stream ended')
           return
         }
         call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
-        reply.endStream()
+        reply.endStream(run)
         resolve({ kind: 'done', isCertain: end === 'whole' && open.hasResponded, isSuccess: true })
       }
 
       /** Makes this attempt the one that serves the stream, whose version is the one that resumes it from now on; returns false if another one has replaced it. */
       function claimStream (): boolean {
         if (!contender.claim()) return false
-        stream.splitter = splitter
         stream.version = answered.version ?? stream.version
         return true
       }
 
       function beginStream (): void {
         stream.isFramed = isFramed
-        reply.beginStream(answered.status, answered.headers, isFramed)
+        reply.beginStream(run, answered.status, answered.headers, isFramed)
       }
 
       function failStream (reason: string): void {
--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -8,6 +8,7 @@
 import * as createBackEndTracker from '../createBackEndTracker/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
 import type * as callOptions from './callOptions.js'
+import type * as answers from './answers.js'
 import * as callState from './callState.js'
 import * as handlerTesting from './handlerTesting.js'
 import type * as logCall from './logCall.js'
@@ -76,6 +77,7 @@
   const tracker = createBackEndTracker.createBackEndTracker(() => 0)
   let received = ''
   let hasStarted = false
+  let lastEventId: string | null = null
   const call = callState.createCallState({
     head: { requestId: 'r', host: 'h', path: '/x', method: 'POST', model: null, promptTokens: 0, answerTokens: 0, promptParts: [], lastEventId: null, remainingMs: DEADLINE_MS },
     route: { name: 'x', kind: 'stream', isResumable, timeoutMs: DEADLINE_MS, targetMs: 100, gapTargetMs: 100, maximumAttempts: MAXIMUM_ATTEMPTS },
@@ -87,9 +89,13 @@
   } as unknown as callState.CallDetails)
   const reply = {
     hasStarted: () => hasStarted,
+    mayPassOn: () => true,
+    mayContinue: () => !hasStarted || lastEventId !== null,
+    readLastEventId: () => lastEventId,
     beginStream: () => { hasStarted = true },
-    write: (bytes: Buffer) => {
+    write: (_run: answers.Run, bytes: Buffer, eventId: string | null) => {
       received += bytes.toString()
+      lastEventId = eventId
       return true
     },
     onDrain: () => {},
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -35,7 +35,7 @@
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
     receivedAt: 0
   } as unknown as callState.CallDetails)
-  const reply = { hasStarted: () => false, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
+  const reply = { hasStarted: () => false, mayContinue: () => true, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -3,7 +3,6 @@
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import * as computeForecast from '../computeForecast/index.js'
-import * as createEventSplitter from '../createEventSplitter/index.js'
 import type * as createWaitingCalls from '../createWaitingCalls/index.js'
 import type * as createWaitingQueue from '../createWaitingQueue/index.js'
 import * as admitCall from './admitCall.js'
@@ -99,7 +98,7 @@
   const budget = options.budgetOf(call.service)
   budget.noteCall()
   const cancelExpiry = scheduleAfterReads.scheduleAfterReads(options.at, call.deadline.at, call.expire)
-  const stream = runAttempt.createStreamState(createEventSplitter.createEventSplitter(call.head.lastEventId))
+  const stream = runAttempt.createStreamState()
   let failedAnswer: runAttempt.BufferedAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
   let connectFailures = 0
@@ -231,7 +230,7 @@
   }
 
   function mayAttempt (): boolean {
-    return sentCount < call.route.maximumAttempts && !call.isCallerGone() && !call.isExpired() && readBlockedMs() === null
+    return sentCount < call.route.maximumAttempts && reply.mayContinue() && !call.isCallerGone() && !call.isExpired() && readBlockedMs() === null
   }
 
   /** While engines return, all gateways see the same free slots, so every call reserves one. */
@@ -398,7 +397,7 @@
   }
 
   function mayRetry (outcome: runAttempt.AttemptOutcome): boolean {
-    if (call.attempts >= call.route.maximumAttempts) return false
+    if (call.attempts >= call.route.maximumAttempts || !reply.mayContinue()) return false
     if (outcome.kind === 'not-run') return !call.mayHaveRun || call.isRepeatable
     return call.isRepeatable
   }
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -121,7 +121,7 @@
       deadline: { at: receivedAt + TIMEOUT_MS, remainingMs: () => Math.max(0, receivedAt + TIMEOUT_MS - clock.now()) },
       receivedAt
     } as unknown as callState.CallDetails)
-    const reply = { hasStarted: () => false, refuse: (status: number, reason: string, retryAfterMs: number | null) => { refusals.push({ status, reason, retryAfterMs, at: clock.now() }) } }
+    const reply = { hasStarted: () => false, mayContinue: () => true, refuse: (status: number, reason: string, retryAfterMs: number | null) => { refusals.push({ status, reason, retryAfterMs, at: clock.now() }) } }
     void runAttempts.runAttempts(call, reply as never, options as never).catch((thrown: unknown) => { assert.match(String(thrown), /sent/) })
     return call
   }
--- a/packages/gateway/src/createEventSplitter/index.ts
+++ b/packages/gateway/src/createEventSplitter/index.ts
@@ -5,14 +5,16 @@
   /** Adds bytes; returns the bytes up to the end of the last complete event, or null if no event is complete. */
   readonly push: (bytes: Buffer) => Buffer | null
   readonly hasPartial: () => boolean
-  /** Id of the last complete event. */
+  /** Id of the last complete event; null if it has none. Comments and other lines that make no event are not counted. */
   readonly lastEventId: () => string | null
 }
 
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const EMPTY = Buffer.alloc(0)
+const EVENT_END = /\r?\n\r?\n/
 const ID_LINE = /^id:[ ]?(.*?)\r?$/gm
+const DATA_LINE = /^data(:|\r?$)/m
 
 /**
  * Creates a splitter.
@@ -32,7 +34,7 @@
     partial = all.subarray(end)
     if (end === 0) return null
     const whole = all.subarray(0, end)
-    for (const match of whole.toString('latin1').matchAll(ID_LINE)) lastId = match[1] ?? lastId
+    lastId = findLastId(whole.toString('latin1'), lastId)
     return whole
   }
 
@@ -43,6 +45,16 @@
   }
 }
 
+/** Finds the id of the last event of a text that ends with one; a text without any leaves the one before. */
+function findLastId (text: string, before: string | null): string | null {
+  for (const event of text.split(EVENT_END).reverse()) {
+    const id = [...event.matchAll(ID_LINE)].at(-1)?.[1]
+    if (id !== undefined) return id === '' ? null : id
+    if (DATA_LINE.test(event)) return null
+  }
+  return before
+}
+
 /** Finds the end of the last complete event, which is an empty line; 0 if there is none. */
 function findLastEnd (bytes: Buffer): number {
   for (let index = bytes.length - 1; index > 0; index -= 1) {
--- a/packages/gateway/src/createEventSplitter/test.ts
+++ b/packages/gateway/src/createEventSplitter/test.ts
@@ -32,3 +32,13 @@
   assert.equal(resumed.lastEventId(), '5')
   assert.equal(resumed.push(Buffer.from('id: 6\ndata: b\n\n'))?.toString(), 'id: 6\ndata: b\n\n')
 })
+
+/** Guards against events that are missing or come twice because a stream was resumed after another event than its last one. */
+nodeTest.test('the last event has an id only if it names one itself', () => {
+  const ids = ['id: 1\ndata: a\n\n', 'data: b\n\n', 'id: 2\ndata: c\n\n: comment\n\n', 'retry: 5\n\n', 'id: 3\r\ndata: d\r\n\r\n', 'event: e\ndata\n\n', 'id:4\n\n', 'id:\ndata: f\n\n']
+  const splitter = createEventSplitter.createEventSplitter(null)
+  assert.deepEqual(ids.map((text) => {
+    splitter.push(Buffer.from(text))
+    return splitter.lastEventId()
+  }), ['1', null, '2', '2', '3', null, '4', null])
+})
