Pass answers without framing on in chunks

What callers saw: a stream that its engine sends with neither a length nor chunks looked whole when its gateway was killed in the middle: two callers of a killed gateway got 4 of 20 events and an orderly end.

Cause: the gateway passed such an answer on as it came, so that the end of the caller's connection marked its end. It resets connections to break an answer off, but the system closes those of a killed process in order.

Change: callers of HTTP/1.1 get chunks where the engine sent neither a length nor chunks, and the last chunk is sent once the end is confirmed, by the same probe as before. Callers of HTTP/1.0 keep the end of the connection. Entry nodes sent chunks before; what they break off to a caller of HTTP/1.0 is reset now, as gateways do it (rpc.resetUnfinished), since its end was an orderly one.

Why it works: whatever ends a process, the last chunk is not sent. The body is the same byte for byte.

Tests: unframed.test.ts and startGatewayRole/test.ts demanded no chunks and demand them now; they still compare status, body and wholeness. answers.test.ts and broken.test.ts demanded a reset of streams without framing to callers of HTTP/1.1; they demand chunks without their end, and the reset for callers of HTTP/1.0, with framing or without.

--- a/packages/daemon/src/_lib/sendStream.ts
+++ b/packages/daemon/src/_lib/sendStream.ts
@@ -1,6 +1,7 @@
 /** Forwards a streamed response with backpressure. An error or abort on either side ends the other. */
 import * as stream from 'node:stream'
 import type * as Koa from 'koa'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 
 /**
@@ -15,6 +16,8 @@
   context.respond = false
   context.res.statusCode = context.status
   context.res.flushHeaders()
+  // The end of its connection marks the end of a response without a length to a caller of HTTP/1.0.
+  if (!context.res.chunkedEncoding && !context.res.hasHeader('content-length')) rpc.resetUnfinished(context.res)
   return await new Promise<boolean>((resolve) => {
     const settle = (error: Error | null | undefined): void => { resolve(error == null) }
     if (confirmEnd === undefined) stream.pipeline(source, context.res, settle)
--- a/packages/daemon/src/startGatewayRole/test.ts
+++ b/packages/daemon/src/startGatewayRole/test.ts
@@ -128,7 +128,7 @@
   assert.equal(unframed.status, 200)
   assert.match(unframed.body, /to w-2$/)
   assert.equal(unframed.headers['content-length'], undefined)
-  assert.equal(unframed.headers['transfer-encoding'], undefined)
+  assert.equal(unframed.headers['transfer-encoding'], 'chunked')
 })
 
 nodeTest.test('a surplus response on a connection is not given to the next call', async (context) => {
--- a/packages/daemon/src/startGatewayRole/unframed.test.ts
+++ b/packages/daemon/src/startGatewayRole/unframed.test.ts
@@ -86,7 +86,7 @@
       assert.equal(answer.status, OK)
       assert.ok(answer.isWhole)
       assert.equal(answer.headers['content-length'], undefined)
-      assert.equal(answer.headers['transfer-encoding'], undefined)
+      assert.equal(answer.headers['transfer-encoding'], 'chunked')
       if (kind.isStream) assert.deepEqual(answer.body.match(/id: \d+/g), Array.from({ length: EVENTS }, (_, event) => `id: ${event + 1}`))
       else assert.match(answer.body, PLAIN_ENGINE_TEXT)
     }
--- a/packages/gateway/src/_lib/answers.test.ts
+++ b/packages/gateway/src/_lib/answers.test.ts
@@ -102,33 +102,49 @@
 
 const RUN = { resumesAfter: null }
 const OLD_REQUEST = `GET / HTTP/1.0${END_OF_HEAD}`
-const STREAMS = [
-  { name: 'to a caller of HTTP/1.0', request: OLD_REQUEST, isFramed: true },
-  { name: 'without framing', request: REQUEST, isFramed: false }
-]
+const CHUNKED_EVENT = '5\r\nevent\r\n'
 
-for (const { name, request, isFramed } of STREAMS) {
-  for (const cause of ['the gateway breaks it off', 'its caller shuts down its sending side'] as const) {
-    nodeTest.test(`a stream ${name} does not look complete when ${cause}`, LIMIT, async (context) => {
-      const { reply, caller, received } = await openReply(context, request)
+for (const cause of ['the gateway breaks it off', 'its caller shuts down its sending side', 'its response is destroyed'] as const) {
+  for (const [name, request] of [['HTTP/1.0', OLD_REQUEST], ['HTTP/1.1', REQUEST]] as const) {
+    nodeTest.test(`a stream to a caller of ${name} does not look complete when ${cause}`, LIMIT, async (context) => {
+      const { reply, response, caller, received } = await openReply(context, request)
       caller.resume()
-      reply.beginStream(RUN, 200, [], isFramed)
+      reply.beginStream(RUN, 200, [])
       reply.write(RUN, Buffer.from('event'), null)
       await new Promise((resolve) => { caller.once('data', resolve) })
       if (cause === 'the gateway breaks it off') reply.abort()
+      else if (cause === 'its response is destroyed') response.destroy()
       else caller.end()
-      assert.equal((await received).isReset, true)
+      const { body, isReset } = await received
+      assert.ok(name === 'HTTP/1.0' ? isReset : body.toString() === CHUNKED_EVENT)
     })
   }
+}
+
+nodeTest.test('a stream to a caller of HTTP/1.0 ends with its connection when it is complete', LIMIT, async (context) => {
+  const { reply, caller, received } = await openReply(context, OLD_REQUEST)
+  caller.resume()
+  reply.beginStream(RUN, 200, [])
+  reply.write(RUN, Buffer.from('event'), null)
+  reply.endStream(RUN)
+  const { head, body, isReset } = await received
+  assert.deepEqual([body.toString(), isReset], ['event', false])
+  assert.doesNotMatch(head, /transfer-encoding|content-length/i)
+})
 
-  nodeTest.test(`a stream ${name} ends in an orderly way when it is complete`, LIMIT, async (context) => {
-    const { reply, caller, received } = await openReply(context, request)
+for (const isBuffered of [true, false]) {
+  nodeTest.test(`${isBuffered ? 'a buffered answer' : 'a stream'} without a length comes in chunks to a caller of HTTP/1.1`, LIMIT, async (context) => {
+    const { reply, caller, received } = await openReply(context, REQUEST)
     caller.resume()
-    reply.beginStream(RUN, 200, [], isFramed)
-    reply.write(RUN, Buffer.from('event'), null)
-    reply.endStream(RUN)
-    const { body, isReset } = await received
-    assert.deepEqual([body.toString(), isReset], ['event', false])
+    if (isBuffered) reply.sendBuffered(200, [], Buffer.from('event'), false)
+    else {
+      reply.beginStream(RUN, 200, [])
+      reply.write(RUN, Buffer.from('event'), null)
+      reply.endStream(RUN)
+    }
+    const { head, body, isReset } = await received
+    assert.match(head, /transfer-encoding: chunked/i)
+    assert.deepEqual([body.toString(), isReset], [`${CHUNKED_EVENT}0\r\n\r\n`, false])
   })
 }
 
@@ -146,13 +162,13 @@
     nodeTest.test(`an answer that has begun is ${isContinued ? 'continued' : 'broken off'} by ${name} (${step})`, LIMIT, async (context) => {
       const { reply, caller, received } = await openReply(context, REQUEST)
       caller.resume()
-      reply.beginStream(RUN, 200, [], true)
+      reply.beginStream(RUN, 200, [])
       reply.write(RUN, Buffer.from('event'), lastEventId)
       assert.equal(reply.mayContinue(), lastEventId !== null)
       assert.equal(reply.mayPassOn(follower), isContinued)
       if (step === 'bytes' || isContinued) reply.write(follower, Buffer.from('other'), null)
       if (step === 'end' || isContinued) reply.endStream(follower)
-      if (step === 'head' && !isContinued) reply.beginStream(follower, 200, [], true)
+      if (step === 'head' && !isContinued) reply.beginStream(follower, 200, [])
       const body = (await received).body.toString()
       assert.equal(body.includes('other'), isContinued)
       assert.equal(body.endsWith('0\r\n\r\n'), isContinued)
--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -1,5 +1,6 @@
 /** Writes the response to a call: a back end's, or one of the gateway itself. */
 import type * as http from 'node:http'
+import * as rpc from '@switchridge/rpc'
 import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as callOptions from './callOptions.js'
 
@@ -21,7 +22,7 @@
 export interface Reply {
   /** Sends a final response of the gateway itself; `retryAfterMs` tells the caller when to retry. */
   readonly refuse: (status: number, reason: string, retryAfterMs: number | null) => void
-  /** Sends a complete response of a back end. If the back end's response had no HTTP framing, neither has this one. */
+  /** Sends a complete response of a back end, with its length if the back end's response had HTTP framing. */
   readonly sendBuffered: (status: number, headers: readonly string[], body: Buffer, isFramed: boolean) => void
   /** Whether bytes of a run may be passed on: none have been, or only those of this run, or it goes on after the last event. */
   readonly mayPassOn: (run: Run) => boolean
@@ -29,8 +30,8 @@
   readonly mayContinue: () => boolean
   /** Id of the last event that was passed on; null if there is none. */
   readonly readLastEventId: () => string | null
-  /** Sends the head of a stream; `isFramed` says whether HTTP framing marks its end, otherwise the connection is closed at its end. A run that may not be passed on breaks the stream off, also in the functions below. */
-  readonly beginStream: (run: Run, status: number, headers: readonly string[], isFramed: boolean) => void
+  /** Sends the head of a stream. A run that may not be passed on breaks the stream off, also in the functions below. */
+  readonly beginStream: (run: Run, status: number, headers: readonly string[]) => void
   /** Sends bytes of a stream, the last event of which has the given id, if any; false if the caller reads too slowly. */
   readonly write: (run: Run, bytes: Buffer, lastEventId: string | null) => boolean
   /** Calls `resume` once when the caller has read what was buffered. */
@@ -54,7 +55,6 @@
  * @returns The reply.
  */
 export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isDraining: () => boolean, holding: createHeldBytes.CallHolding | null = null): Reply {
-  let isEndedByClosing = false
   let passedOn: Run | null = null
   let lastEventId: string | null = null
 
@@ -78,19 +78,16 @@
     response.writeHead(status, headers as string[])
   }
 
-  /** Writes the head of a response whose end is marked by that of its connection. */
-  function writeUnframedHead (status: number, headers: readonly string[]): void {
-    response.useChunkedEncodingByDefault = false
-    response.shouldKeepAlive = false
+  /** Writes the head of a response without a length: in chunks, so that an early end shows, whatever ends this process. Callers of HTTP/1.0, who know none, get the end of the connection. */
+  function writeHeadWithoutLength (status: number, headers: readonly string[]): void {
+    const isChunked = response.useChunkedEncodingByDefault
+    if (!isChunked) response.shouldKeepAlive = false
     writeHead(status, headers)
-    isEndedByClosing = true
-    // A server ends the connection in an orderly way when the caller shuts down its sending side.
-    response.socket?.prependOnceListener('end', () => { if (!response.writableEnded) abort() })
+    if (!isChunked) rpc.resetUnfinished(response)
   }
 
   function abort (): void {
-    if (isEndedByClosing) response.socket?.resetAndDestroy()
-    else response.destroy()
+    response.destroy()
   }
 
   /** Sends the whole response, and closes its connection only once the request has been read, or no more of it is read. */
@@ -152,17 +149,15 @@
     sendBuffered: (status, headers, body, isFramed) => {
       if (response.destroyed) return
       if (isFramed) writeHead(status, [...headers, 'Content-Length', String(body.length)])
-      else writeUnframedHead(status, headers)
+      else writeHeadWithoutLength(status, headers)
       endWithBody(body)
     },
     mayPassOn,
     mayContinue: () => passedOn === null || lastEventId !== null,
     readLastEventId: () => lastEventId,
-    beginStream: (run, status, headers, isFramed) => {
+    beginStream: (run, status, headers) => {
       if (response.destroyed || !accept(run)) return
-      // Callers of HTTP/1.0 know no chunked encoding.
-      if (isFramed && response.useChunkedEncodingByDefault) writeHead(status, headers)
-      else writeUnframedHead(status, headers)
+      writeHeadWithoutLength(status, headers)
     },
     write: (run, bytes, eventId) => {
       if (!accept(run)) return true
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -46,7 +46,7 @@
 export interface StreamState {
   /** Version of the weights that began the stream, which only this version may resume; null before the first event. */
   version: number | null
-  /** Whether HTTP framing marks the end of the response that was started; null before the start. */
+  /** Whether HTTP framing marked the end of the back end's response that began the stream; null before the start. */
   isFramed: boolean | null
 }
 
@@ -342,7 +342,7 @@
 
       function beginStream (): void {
         stream.isFramed = isFramed
-        reply.beginStream(run, answered.status, answered.headers, isFramed)
+        reply.beginStream(run, answered.status, answered.headers)
       }
 
       function failStream (reason: string): void {
--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -116,7 +116,7 @@
 }
 
 /** Sends a call and receives until the connection ends. */
-async function call (onReceived: () => void = () => {}): Promise<Received> {
+async function call (onReceived: () => void = () => {}, version = '1.1'): Promise<Received> {
   const socket = net.connect(ADDRESS)
   let text = ''
   let errorCode: string | null = null
@@ -125,7 +125,7 @@
     if (text.includes(EVENT)) onReceived()
   })
   socket.on('error', (error: NodeJS.ErrnoException) => { errorCode = error.code ?? '' })
-  socket.write(`POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`)
+  socket.write(`POST / HTTP/${version}\r\nHost: h\r\nConnection: close\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`)
   await new Promise((resolve) => { socket.once('close', resolve) })
   return { text, errorCode }
 }
@@ -249,13 +249,15 @@
 })
 
 for (const [framing, answer] of [['with', FRAMED_STREAM], ['without', UNFRAMED_STREAM]] as const) {
-  nodeTest.test(`a stream ${framing} framing that has begun doesn't look whole if the handling of its call throws`, LIMIT, async (context) => {
-    const gateway = await startGateway(context, answer, withOneChoice)
-    const { text, errorCode } = await call(gateway.resetEngine)
-    assert.ok(text.includes(EVENT))
-    assert.ok(framing === 'with' ? !text.endsWith('0\r\n\r\n') : errorCode === RESET)
-    await assertReleased(gateway)
-  })
+  for (const version of ['1.0', '1.1']) {
+    nodeTest.test(`a stream ${framing} framing that has begun doesn't look whole to a caller of HTTP/${version} if the handling of its call throws`, LIMIT, async (context) => {
+      const gateway = await startGateway(context, answer, withOneChoice)
+      const { text, errorCode } = await call(gateway.resetEngine, version)
+      assert.ok(text.includes(EVENT))
+      assert.ok(version === '1.0' ? errorCode === RESET : text.includes('Transfer-Encoding: chunked') && !text.endsWith('0\r\n\r\n'))
+      await assertReleased(gateway)
+    })
+  }
 }
 
 nodeTest.test('a call with an event whose handling throws is served by its next attempt, and its process goes on', LIMIT, async (context) => {
