--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -10,6 +10,7 @@
 import type * as gateway from '../types/index.js'
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
+import * as logCall from './logCall.js'
 import * as createMarginNotes from './createMarginNotes.js'
 import type * as callOptions from './callOptions.js'
 import * as noteOutcome from './noteOutcome.js'
@@ -43,11 +44,9 @@
 
 /** State shared by the attempts of one stream. */
 export interface StreamState {
-  /** Splitter of the attempt that was the last to pass on events; before the first one it only knows the event id that the caller gave. */
-  splitter: createEventSplitter.EventSplitter
   /** Version of the weights that began the stream, which only this version may resume; null before the first event. */
   version: number | null
-  /** Whether HTTP framing marks the end of the response that was started; null before the start. */
+  /** Whether HTTP framing marked the end of the back end's response that began the stream; null before the start. */
   isFramed: boolean | null
 }
 
@@ -65,6 +64,7 @@
 const FIRST_FINAL_STATUS = 200
 const FIRST_ERROR_STATUS = 400
 const FIRST_REDIRECTION_STATUS = 300
+const ERROR_REASON = 'handling failed'
 const ENDED_REASON = 'back end ended at the end of a response without framing'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
@@ -90,11 +90,10 @@
 /**
  * Creates the state shared by the attempts of one stream.
  *
- * @param splitter - Knows the last event id that the caller already has.
  * @returns The state before the first attempt.
  */
-export function createStreamState (splitter: createEventSplitter.EventSplitter): StreamState {
-  return { splitter, version: null, isFramed: null }
+export function createStreamState (): StreamState {
+  return { version: null, isFramed: null }
 }
 
 /**
@@ -111,29 +110,17 @@
  */
 export async function runAttempt (call: callState.CallState, reply: answers.Reply, stream: StreamState, choice: PermittedChoice, open: createBackEndTracker.OpenAttempt, options: Options, contender: raceAttempts.Contender = raceAttempts.SOLE_CONTENDER): Promise<AttemptOutcome> {
   const { head, route } = call
-  const splitter = createEventSplitter.createEventSplitter(stream.splitter.lastEventId())
+  const run: answers.Run = { resumesAfter: reply.hasStarted() ? reply.readLastEventId() : head.lastEventId }
+  const splitter = createEventSplitter.createEventSplitter(run.resumesAfter)
   const margin = createMarginNotes.createMarginNotes(head.requestId, choice, open.sentAt, options)
-  const attempt = options.sendAttempt({
-    address: choice.backEnd.address,
-    method: head.method,
-    path: head.path,
-    headers: options.protocol.formatAttempt(head, {
-      backEnd: choice.backEnd.id,
-      remainingMs: Math.floor(call.deadline.remainingMs()),
-      tenant: call.tenant,
-      urgency: !reply.hasStarted() && isLate(call, options.now()) ? LATE_URGENCY : null,
-      version: choice.expectedVersion,
-      lastEventId: splitter.lastEventId(),
-      bodyBytes: call.body === null ? null : call.body.length
-    }),
-    body: call.body,
-    connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, choice.connectWithinMs ?? CONNECT_TIMEOUT_MS),
-    mustSendInTime: choice.connectWithinMs !== undefined,
-    onConnect: (tookMs) => {
-      options.tracker.noteConnect(choice.backEnd.id, tookMs)
-      margin.noteConnect()
-    }
-  })
+  let attempt: sendAttempt.Attempt
+  try {
+    attempt = send()
+  } catch (thrown) {
+    logCall.logAttemptError(head.requestId, choice.backEnd.id, thrown, options)
+    return { kind: 'not-sent', reason: ERROR_REASON }
+  }
+  let hasBeenSent = false
   let isAborted = false
   contender.setAbort(abort)
   if (call.isCallerGone() || call.isExpired()) abort()
@@ -142,6 +129,30 @@
   const cancelWithdrawal = scheduleWithdrawal()
   return await follow().catch(fail)
 
+  function send (): sendAttempt.Attempt {
+    return options.sendAttempt({
+      address: choice.backEnd.address,
+      method: head.method,
+      path: head.path,
+      headers: options.protocol.formatAttempt(head, {
+        backEnd: choice.backEnd.id,
+        remainingMs: Math.floor(call.deadline.remainingMs()),
+        tenant: call.tenant,
+        urgency: !reply.hasStarted() && isLate(call, options.now()) ? LATE_URGENCY : null,
+        version: choice.expectedVersion,
+        lastEventId: run.resumesAfter,
+        bodyBytes: call.body === null ? null : call.body.length
+      }),
+      body: call.body,
+      connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, choice.connectWithinMs ?? CONNECT_TIMEOUT_MS),
+      mustSendInTime: choice.connectWithinMs !== undefined,
+      onConnect: (tookMs) => {
+        options.tracker.noteConnect(choice.backEnd.id, tookMs)
+        margin.noteConnect()
+      }
+    })
+  }
+
   /** Waits for the answer, and passes it on. */
   async function follow (): Promise<AttemptOutcome> {
     const start = await attempt.start
@@ -149,6 +160,7 @@
       if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
       return finish({ kind: 'not-sent', reason: start.reason })
     }
+    hasBeenSent = true
     call.attempts += 1
     if (start.kind === 'no-answer') {
       margin.noteNoAnswer()
@@ -171,10 +183,10 @@
     return finish(await relayStream(start, answer))
   }
 
-  /** Ends an attempt whose handling threw. */
-  function fail (thrown: unknown): never {
-    finish(broken('handling failed', false))
-    throw thrown
+  /** Ends an attempt whose handling threw, as its back end's failure: the call goes on elsewhere. */
+  function fail (thrown: unknown): AttemptOutcome {
+    logCall.logAttemptError(head.requestId, choice.backEnd.id, thrown, options)
+    return finish(hasBeenSent ? broken(ERROR_REASON, false) : { kind: 'not-sent', reason: ERROR_REASON })
   }
 
   /**
@@ -253,14 +265,19 @@
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve, reject) => {
       let hasResponseEnded = false
+      /** Whether handling the response threw: what still arrives of it must not be passed on. */
+      let hasThrown = false
       response.on('data', (bytes: Buffer) => {
+        if (hasThrown) return
         try {
           passOn(bytes)
         } catch (thrown) {
+          hasThrown = true
           reject(thrown)
         }
       })
       response.on('end', () => {
+        if (hasThrown) return
         hasResponseEnded = true
         endStream().catch(reject)
       })
@@ -269,11 +286,16 @@
 
       function passOn (bytes: Buffer): void {
         const whole = readDeliverable(bytes)
-        if (whole === null || !claimStream()) return
+        if (whole === null) return
+        if (!reply.mayPassOn(run)) {
+          failStream('the answer has begun with another run')
+          return
+        }
+        if (!claimStream()) return
         noteResponse()
         eventTimer.restart(nextEventMs)
         if (!reply.hasStarted()) beginStream()
-        if (reply.write(whole)) return
+        if (reply.write(run, whole, route.isResumable ? splitter.lastEventId() : null)) return
         // A caller that doesn't read says nothing about the engine, so no event is expected meanwhile.
         response.pause()
         eventTimer.stop()
@@ -301,27 +323,26 @@
           failStream(ENDED_REASON)
           return
         }
-        if (!claimStream()) {
+        if (!reply.mayPassOn(run) || !claimStream()) {
           failStream('stream ended')
           return
         }
         call.hasUnframedAnswer = !isFramed
         if (!reply.hasStarted()) beginStream()
-        reply.endStream()
+        reply.endStream(run)
         resolve({ kind: 'done', isCertain: end === 'whole' && open.hasResponded, isSuccess: true })
       }
 
       /** Makes this attempt the one that serves the stream, whose version is the one that resumes it from now on; returns false if another one has replaced it. */
       function claimStream (): boolean {
         if (!contender.claim()) return false
-        stream.splitter = splitter
         stream.version = answered.version ?? stream.version
         return true
       }
 
       function beginStream (): void {
         stream.isFramed = isFramed
-        reply.beginStream(answered.status, answered.headers, isFramed)
+        reply.beginStream(run, answered.status, answered.headers)
       }
 
       function failStream (reason: string): void {
