Trust a version that was seen incomplete only once it was verified

What callers saw: possibly answers from faulty layers; not seen outside the test. Cause: an agent trusted each version that its engine held, unless it had sent the last order for it itself. An agent that had seen its engine with all layers but the last one, left by an agent that was killed, trusted the version once an order of that agent, taken late, had completed it. Change: the loader records each state that the agent reads; a version that the engine was seen to hold in part counts as unverified until this process has found its pieces right after its own last order, and is discarded otherwise. An order that is taken before the successor has read the engine's state for the first time is still not noticed.

--- a/packages/staging/src/_lib/loadVersion.orders.test.ts
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -148,3 +148,23 @@
   assert.ok(isPaused)
   assert.deepEqual({ held: state.held, isUsable: state.held === VERSION && scene.loader.isTrusted(state), isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isUsable: true, isFaulty: false })
 })
+
+nodeTest.test('faulty layers that an order of an ended agent completes are not served by its successor', async (context) => {
+  const layerCount = 4
+  const scene = createScene(context, {
+    layerCount,
+    held: { version: VERSION, from: 0, to: layerCount - 1 },
+    onOrder: (each, order, count) => {
+      if (count === 1) {
+        each.spoil(PIECES - 1, PAUSE_MS)
+        each.take(VERSION, { from: 0, to: layerCount }, order.sequence)
+      }
+      return takeInFull(each, order, layerCount)
+    }
+  })
+  await scene.load()
+  const state = scene.readState()
+  assert.deepEqual({ isUsable: state.held === VERSION && scene.loader.isTrusted(state), isFaulty: scene.hasFaultyLayers() }, { isUsable: false, isFaulty: true })
+  await scene.load()
+  assert.deepEqual({ held: scene.readState().held, isTrusted: scene.loader.isTrusted(scene.readState()), isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isTrusted: true, isFaulty: false })
+})
--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -34,7 +34,9 @@
 export interface VersionLoader {
   /** Resolves when the engine runs the version, or when this attempt to load it has failed. */
   readonly load: (ready: staging.NamedVersion, staged: StagedWeights, state: staging.EngineState, method: staging.SwitchMethod) => Promise<void>
-  /** Whether the layers that an engine in this state holds were verified, as far as this process ordered them. */
+  /** Records the engine's state. A version that it was seen to hold in part is not trusted until this process has verified it, since an order of an ended process may complete it. */
+  readonly noteState: (state: Pick<staging.EngineState, 'bornAt' | 'held' | 'layers'>) => void
+  /** Whether the layers that an engine in this state holds were verified, as far as this process ordered them or saw them being completed. */
   readonly isTrusted: (state: Pick<staging.EngineState, 'bornAt' | 'held'>) => boolean
 }
 
@@ -53,6 +55,12 @@
   readonly sequence: number
 }
 
+/** A version of an engine process whose pieces were not found right after their last order. */
+interface UnverifiedVersion {
+  readonly bornAt: number | null
+  readonly version: number
+}
+
 /**
  * Longest age of the reads of the last layer's pieces when their order is written. A piece may have been bad for 3 s when it is taken; the engine has the rest of that time to
  * take the order.
@@ -78,12 +86,13 @@
  */
 export function createVersionLoader (options: LoaderOptions): VersionLoader {
   let verifiedBody: VerifiedBody | null = null
-  /** The version whose last order was sent and whose pieces were not yet found right after it. */
-  let unverified: { readonly bornAt: number | null, readonly version: number } | null = null
+  /** The version that the engine didn't hold completely, and whose pieces were not yet found right after its last order. */
+  let unverified: UnverifiedVersion | null = null
 
   async function load (ready: staging.NamedVersion, staged: StagedWeights, first: staging.EngineState, method: staging.SwitchMethod): Promise<void> {
     const startedAt = options.now()
     let state: staging.EngineState | null = first
+    noteState(first)
     for (let steps = 0; steps < MAXIMUM_STEPS && state !== null && !options.isStopped(); steps += 1) {
       const isHeld = state.held === ready.id.version
       // Where a model has one layer, an engine that holds it takes nothing anew.
@@ -188,11 +197,15 @@
     }
   }
 
+  function noteState ({ bornAt, held, layers }: Pick<staging.EngineState, 'bornAt' | 'held' | 'layers'>): void {
+    if (layers !== null && layers.version !== held) unverified = { bornAt, version: layers.version }
+  }
+
   function isTrusted ({ bornAt, held }: Pick<staging.EngineState, 'bornAt' | 'held'>): boolean {
     return unverified === null || unverified.bornAt !== bornAt || unverified.version !== held
   }
 
-  return { load, isTrusted }
+  return { load, noteState, isTrusted }
 }
 
 /** Lists the pieces that layers of a model are made of; neighbouring layers may share one. */
--- a/packages/staging/src/_lib/orderVersion.ts
+++ b/packages/staging/src/_lib/orderVersion.ts
@@ -10,7 +10,7 @@
 }
 
 /** Orders to one engine, whose stage must hold the version. */
-export interface VersionOrders extends Pick<loadVersion.VersionLoader, 'isTrusted'> {
+export interface VersionOrders extends Pick<loadVersion.VersionLoader, 'noteState' | 'isTrusted'> {
   /** Orders an engine that holds no version, without waiting. */
   readonly orderFirstVersion: (ready: staging.NamedVersion, staged: loadVersion.StagedWeights, state: staging.EngineState) => Promise<void>
   /** Pauses new calls, waits until queued ones have begun, and orders the change. */
@@ -72,5 +72,5 @@
     }
   }
 
-  return { orderFirstVersion, order, isTrusted: loader.isTrusted }
+  return { orderFirstVersion, order, noteState: loader.noteState, isTrusted: loader.isTrusted }
 }
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -170,6 +170,7 @@
     isStepping = true
     try {
       const state = await options.readEngine()
+      if (state !== null) orders.noteState(state)
       if (state !== null && !stopping.signal.aborted) await advance(orders.isTrusted(state) ? state : { ...state, held: 0 }, state.held)
     } finally {
       isStepping = false
