State a silent engine without a version while its last order may be taken

What callers saw: possibly answers from faulty layers; not seen outside the test. Cause: an agent whose engine didn't answer stated nothing about it, and after 1.5 s gateways went by the engine's own entry. An engine that stood still for some seconds when the last order was written took it late, wrote its entry with the whole version, and got calls before its agent had read the pieces back; the agent ran and was in touch all the time. The tests of stale stages can't show it, since their engines' entries keep the old version. Change: the agent goes on stating the last known report, without a version, while the version that the engine was last seen with isn't verified. Other silent engines are stated as before.

--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -64,6 +64,8 @@
   const linkBytesPerSecond = checked.limits.link_megabits_per_second * BITS_PER_MEGABIT / BITS_PER_BYTE
   const uplink = staging.createPieceUplink(linkBytesPerSecond, () => (isServing() ? SERVING_LINK_SHARE : IDLE_LINK_SHARE) * (stager?.linkFraction() ?? 1), now)
   let report: platform.LocalEngineReport | null = null
+  /** The last report that the engine answered with, which it may not do at the moment. */
+  let lastReport: platform.LocalEngineReport | null = null
   let isPaused = false
   let changesInMs: number | null = null
   let isLeaving = false
@@ -103,7 +105,7 @@
     store: null,
     openDatagrams: spread.openDatagrams(checked.host, checked.internal_port),
     fetchChanges: createFleetParts.createChangesFetcher(parts),
-    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, report === null ? null : engineStatus.encodeEngineStatus({ address: engineAddress, report: describeReport(report), isPaused, changesInMs, ...readColdField(), ...readReadyIn() }, { host: checked.host, soleModel: findSoleModel }), listSuspects()),
+    describeSelf: () => createFleetParts.describeSelf(parts, { isLeaving: isLeavingNode(), isStoreLost: false }, describeEngine(), listSuspects()),
     onHeartbeat: (heartbeat) => { if (createFleetParts.recordPeerVersions(parts, heartbeat)) stager?.wake() },
     onFact: () => {},
     onDatagram: (bytes, from) => permits.receive(bytes, from) || reservations.receive(bytes, from),
@@ -151,11 +153,23 @@
     return report !== null && describeReport(report).models.size > 0
   }
 
+  /** Gateways go by the engine's own entry where its agent states nothing, so an engine that may complete a version with wrong pieces is described while it is silent, too. */
+  function describeEngine (): unknown {
+    const described = report ?? (lastReport !== null && !isTrusted(lastReport) ? lastReport : null)
+    if (described === null) return null
+    const readyIn = report === null ? {} : readReadyIn()
+    return engineStatus.encodeEngineStatus({ address: engineAddress, report: describeReport(described), isPaused, changesInMs, ...readColdField(), ...readyIn }, { host: checked.host, soleModel: findSoleModel })
+  }
+
   /** Gateways must not send calls to an engine that may have taken wrong pieces of its version. */
   function describeReport (made: platform.LocalEngineReport): gateway.EngineReport {
+    return isTrusted(made) ? made : { ...made, models: new Map() }
+  }
+
+  /** Whether calls may run on the version that the engine holds, or whose last layers it lacks. */
+  function isTrusted ({ bornAt, layers, models }: platform.LocalEngineReport): boolean {
     const [model] = findFigures()?.models ?? []
-    if (stager === null || model === undefined || stager.isTrusted({ bornAt: made.bornAt, held: made.models.get(model) ?? 0 })) return made
-    return { ...made, models: new Map() }
+    return stager === null || model === undefined || stager.isTrusted({ bornAt, held: layers?.version ?? models.get(model) ?? 0 })
   }
 
   function reserveSlot (request: gateway.SlotRequest): boolean {
@@ -192,6 +206,7 @@
     const wasLeaving = isLeavingNode()
     const mayBeCold = next !== null && (report === null || next.bornAt !== report.bornAt)
     report = next
+    lastReport = next ?? lastReport
     if (mayBeCold) noteMaybeCold()
     slots.noteReport(next)
     if (wasLeaving !== isLeavingNode()) {
