Count an unanswered order as verified only if the stage wasn't written since it was sent

What callers saw: possibly answers from faulty layers; not seen outside the test. Cause: an order without an answer could be taken with a wrong piece while the next attempt was verifying the stage. That attempt repaired the piece and sent an order that got no answer either; the engine's raised count passed for that second order, and the read-back found the repaired piece. Evidence: a test with two unanswered orders for the last layer, of which the engine takes the first one right before the repair: the agent trusted a version with a faulty layer. Change: the loader remembers when the first of several unanswered orders under one order count was sent, and the stager when it last wrote into the stage; a read-back that follows an unanswered order proves something only if nothing was written since. Otherwise the layers are discarded and loaded anew.

--- a/packages/staging/src/_lib/loadVersion.orders.test.ts
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -38,7 +38,7 @@
   /** Called before a piece is read. */
   readonly onRead?: (scene: Scene, piece: number) => void
   /** Called for each order; the engine takes it at once when absent. */
-  readonly onOrder?: (scene: Scene, order: staging.LoadOrder, count: number) => staging.OrderOutcome
+  readonly onOrder?: (scene: Scene, order: staging.LoadOrder, count: number) => staging.OrderOutcome | Promise<staging.OrderOutcome>
 }
 
 function createScene (context: nodeTest.TestContext, { layerCount, held: heldAtFirst, readMs = 1, onRead, onOrder }: SceneOptions): Scene {
@@ -49,6 +49,7 @@
   let version = heldAtFirst.version
   let layers = new Map(Array.from({ length: heldAtFirst.to - heldAtFirst.from }, (_, index) => [heldAtFirst.from + index, false]))
   let sequence = 1
+  let writtenAt = -Infinity
   let orders = 0
 
   const isFaulty = (layer: number): boolean => BYTES.some((_, piece) => Math.floor(piece * layerCount / PIECES) === layer && now() - (badSince.get(piece) ?? Infinity) > EXCUSE_MS)
@@ -75,6 +76,7 @@
       await types.delay(1)
       stage.set(piece, bytes)
       badSince.delete(piece)
+      writtenAt = now()
       return types.succeed(null)
     },
     getPiece: async (_model, piece) => {
@@ -86,7 +88,7 @@
       await types.delay(1)
       if (!order.mayStillSend()) return 'unsent'
       orders += 1
-      return onOrder === undefined ? take(order.id.version, order.layers ?? { from: 0, to: layerCount }, order.sequence) : onOrder(scene, order, orders)
+      return onOrder === undefined ? take(order.id.version, order.layers ?? { from: 0, to: layerCount }, order.sequence) : await onOrder(scene, order, orders)
     },
     unload: async () => 'refused'
   }
@@ -108,19 +110,24 @@
     hasFaultyLayers: () => [...layers.values()].includes(true),
     load: async () => {
       const state = readState()
-      const over = { isReached: false }
       // An agent passes on a version that isn't trusted as none.
-      const loaded = loader.load(READY, { manifest: MANIFEST, ensureVerified: repair, repair }, loader.isTrusted(state) ? state : { ...state, held: 0 }, 'finish').then(() => { over.isReached = true })
-      while (!over.isReached) {
-        context.mock.timers.tick(1)
-        for (let turn = 0; turn < 30; turn += 1) await Promise.resolve()
-      }
-      await loaded
+      await passUntilDone(context, loader.load(READY, { manifest: MANIFEST, ensureVerified: repair, repair, writtenAt: () => writtenAt }, loader.isTrusted(state) ? state : { ...state, held: 0 }, 'finish'))
     }
   }
   return scene
 }
 
+/** Lets time pass until the work is done. */
+async function passUntilDone (context: nodeTest.TestContext, work: Promise<void>): Promise<void> {
+  const over = { isReached: false }
+  const done = work.then(() => { over.isReached = true })
+  while (!over.isReached) {
+    context.mock.timers.tick(1)
+    for (let turn = 0; turn < 30; turn += 1) await Promise.resolve()
+  }
+  await done
+}
+
 function takeInFull ({ take }: Scene, { id, layers, sequence }: staging.LoadOrder, layerCount: number): staging.OrderOutcome {
   return take(id.version, layers ?? { from: 0, to: layerCount }, sequence)
 }
@@ -168,3 +175,30 @@
   await scene.load()
   assert.deepEqual({ held: scene.readState().held, isTrusted: scene.loader.isTrusted(scene.readState()), isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isTrusted: true, isFaulty: false })
 })
+
+nodeTest.test('faulty layers that an unanswered order has loaded before the stage was repaired are not served', async (context) => {
+  const layerCount = 4
+  let sequence = 0
+  let isTaken = false
+  const scene = createScene(context, {
+    layerCount,
+    held: { version: OLD_VERSION, from: 0, to: layerCount },
+    onOrder: (each, order, count) => {
+      if (count === 1) return takeInFull(each, order, layerCount)
+      if (count === 2) sequence = order.sequence
+      return count <= 3 ? 'unknown' : takeInFull(each, order, layerCount)
+    },
+    // The engine takes the second order when the last layer's pieces are read for the third one.
+    onRead: (each, piece) => {
+      if (piece < 9 || sequence === 0 || isTaken) return
+      isTaken = true
+      each.spoil(piece, PAUSE_MS)
+      each.take(VERSION, { from: 0, to: layerCount }, sequence)
+    }
+  })
+  await scene.load()
+  await scene.load()
+  const state = scene.readState()
+  assert.ok(isTaken)
+  assert.equal(state.held === VERSION && scene.loader.isTrusted(state) && scene.hasFaultyLayers(), false)
+})
--- a/packages/staging/src/_lib/loadVersion.test.ts
+++ b/packages/staging/src/_lib/loadVersion.test.ts
@@ -63,6 +63,7 @@
   let bornAt = 1
   let busyUntil = -Infinity
   let isTroubled = true
+  let lastWrittenAt = -Infinity
   const orders: string[] = []
   const faulty: Array<{ atMs: number, isTrusted: boolean }> = []
   const strikes = (): boolean => isTroubled && random() < trouble.rate
@@ -120,6 +121,7 @@
       await pass(1)
       stage.set(piece, bytes)
       badSince.delete(piece)
+      lastWrittenAt = now()
       return types.succeed(null)
     },
     getPiece: async (_model, piece) => {
@@ -148,13 +150,14 @@
     for (const [piece, bytes] of BYTES.entries()) if (stage.get(piece) !== bytes) await engine.putPiece(MODEL, piece, bytes)
     return true
   }
+  const writtenAt = (): number => lastWrittenAt
   let isServing = false
   const played = (async () => {
     for (let attempt = 0; attempt < ATTEMPTS && !isServing; attempt += 1) {
       isTroubled = attempt < TROUBLE_ATTEMPTS
       const state = readState()
       if (!isTroubled && state.held === VERSION && loader.isTrusted(state)) isServing = true
-      else if (!state.isBusy) await loader.load(READY, { manifest: MANIFEST, ensureVerified: repair, repair }, state, 'finish')
+      else if (!state.isBusy) await loader.load(READY, { manifest: MANIFEST, ensureVerified: repair, repair, writtenAt }, state, 'finish')
       await types.delay(RETRY_MS)
     }
   })()
--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -28,6 +28,8 @@
   readonly ensureVerified: () => Promise<boolean>
   /** Verifies all pieces, and writes wrong ones again; resolves as above. */
   readonly repair: () => Promise<boolean>
+  /** Monotonic time in milliseconds at which pieces were last written; -Infinity if none were. */
+  readonly writtenAt: () => number
 }
 
 /** Loads versions into one engine. */
@@ -55,6 +57,17 @@
   readonly sequence: number
 }
 
+/** Orders without an answer, one of which the engine may have taken at any time. */
+interface UnansweredOrders {
+  readonly bornAt: number | null
+  /** Version of the last one. */
+  readonly version: number
+  /** Order count of the engine once it has taken one of them. */
+  readonly sequence: number
+  /** Monotonic time in milliseconds at which the first one was sent. */
+  readonly sentAt: number
+}
+
 /** A version of an engine process whose pieces were not found right after their last order. */
 interface UnverifiedVersion {
   readonly bornAt: number | null
@@ -86,6 +99,7 @@
  */
 export function createVersionLoader (options: LoaderOptions): VersionLoader {
   let verifiedBody: VerifiedBody | null = null
+  let unanswered: UnansweredOrders | null = null
   /** The version that the engine didn't hold completely, and whose pieces were not yet found right after its last order. */
   let unverified: UnverifiedVersion | null = null
 
@@ -105,14 +119,14 @@
     options.onEvent(isSwitched ? 'version-switched' : 'version-not-switched', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt), afterMs: Math.round(options.now() - ready.namedAt) })
   }
 
-  function chooseStep ({ bornAt, sequence, layers, layerCount }: staging.EngineState, version: number): LoadStep {
+  function chooseStep (state: staging.EngineState, version: number): LoadStep {
+    const { bornAt, sequence, layers, layerCount } = state
     const whole = { from: 0, to: layerCount }
     if (layerCount === 1) return { name: 'whole', layers: whole, taken: whole }
     const body = { from: 0, to: layerCount - 1 }
     const last = { from: layerCount - 1, to: layerCount }
     // An order without an answer may have been refused, and another one taken in its place.
-    const holdsBody = layers !== null && layers.version === version && layers.from === body.from && layers.to === body.to
-    const isBodyVerified = holdsBody && verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
+    const isBodyVerified = holdsBody(state, version) && verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
     if (isBodyVerified) return { name: 'last', layers: whole, taken: last }
     // An engine keeps the layers that it holds of a version, so that those taken before are dropped first.
     const holdsBodyLayers = layers !== null && layers.version === version && layers.from < body.to
@@ -138,6 +152,7 @@
       mayStillSend: () => !completesLayers || options.now() - checkedAt <= LAST_CHECK_VALID_MS
     })
     logOrder(ready, step, state, method, outcome, { sentAt, checkedAt })
+    if (outcome === 'unknown') noteUnanswered(state, id.version, sentAt)
     if (outcome === 'unsent' && completesLayers) return await options.readEngine()
     const isTaken = outcome === 'begun' || outcome === 'done' || (outcome === 'unknown' && await waitUntilTaken(state))
     if (!isTaken) return null
@@ -150,11 +165,23 @@
       options.onEvent('load-discarded', { version: id.version, step: step.name, wrong: after.wrong.length })
       return await staged.repair() ? afterwards : null
     }
+    if (outcome === 'unknown' && !isStageUnchanged(staged)) return afterwards
     if (completesLayers) unverified = null
     else verifiedBody = { bornAt: state.bornAt, version: id.version, sequence: state.sequence + 1 }
     return afterwards
   }
 
+  function noteUnanswered ({ bornAt, sequence: before }: staging.EngineState, version: number, sentAt: number): void {
+    const sequence = before + 1
+    const isFirst = unanswered === null || unanswered.bornAt !== bornAt || unanswered.sequence !== sequence
+    unanswered = { bornAt, version, sequence, sentAt: isFirst ? sentAt : (unanswered as UnansweredOrders).sentAt }
+  }
+
+  /** Whether nothing was written since the first of the unanswered orders: otherwise the stage says nothing about what the engine took. */
+  function isStageUnchanged (staged: StagedWeights): boolean {
+    return unanswered !== null && staged.writtenAt() < unanswered.sentAt
+  }
+
   function logOrder ({ id, namedAt }: staging.NamedVersion, step: LoadStep, state: staging.EngineState, method: staging.SwitchMethod, outcome: staging.OrderOutcome, { sentAt, checkedAt }: { readonly sentAt: number, readonly checkedAt: number }): void {
     const answeredMs = options.now() - sentAt
     options.observe('order_answer', answeredMs)
@@ -208,6 +235,11 @@
   return { load, noteState, isTrusted }
 }
 
+/** Whether the engine holds exactly the layers of a version without the last one. */
+function holdsBody ({ layers, layerCount }: staging.EngineState, version: number): boolean {
+  return layers !== null && layers.version === version && layers.from === 0 && layers.to === layerCount - 1
+}
+
 /** Lists the pieces that layers of a model are made of; neighbouring layers may share one. */
 function listPieces ({ from, to }: staging.LayerRange, layerCount: number, pieceCount: number): number[] {
   const first = Math.floor(from * pieceCount / layerCount)
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -96,6 +96,8 @@
   /** Version of the last fetch that was started; older ones are not fetched again. */
   let minimumVersion = 0
   let staged: StagedVersion | null = null
+  /** Monotonic time in milliseconds at which pieces were last written into the stage. */
+  let writtenAt = -Infinity
   /** Start time of the engine process for which the stage was written. */
   let bornAt: number | null = null
   /** Version that the engine last reported as held completely, unless it may have taken wrong pieces of it. */
@@ -338,6 +340,7 @@
     if (pieces === null) return null
     return {
       manifest: pieces.manifest,
+      writtenAt: () => writtenAt,
       ensureVerified: async () => {
         if (!isStagedFor(ready)) await stage(ready)
         return staged !== null
@@ -356,6 +359,7 @@
     staged = null
     const startedAt = options.now()
     const written = await writeStage.writeStage(options.engine, pieces, isRewritten, options.now)
+    if (isRewritten || written.repaired > 0) writtenAt = options.now()
     if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
     if (written.failed > 0) return
     staged = { version: ready.id.version, verifiedAt: options.now() }
