Verify layers that an engine has loaded after the attempt that ordered them

What callers saw: an engine that never served again. Cause: an attempt to load a version waits 2 s for an order without an answer; layers that were loaded between two attempts counted as unknown and were discarded. Evidence: tests with 2,100 and 4,300 ms, whose engines held no version after 12 attempts. Change: an attempt that finds the layers of an unanswered order reads their pieces back first, if nothing was written into the stage since that order, and goes on with the last layer if all are right.

--- a/packages/staging/src/_lib/loadVersion.orders.test.ts
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -12,6 +12,9 @@
 const PIECES = 12
 const EXCUSE_MS = 3000
 const PAUSE_MS = 4000
+const CLIENT_TIMEOUT_MS = 1000
+const RETRY_MS = 200
+const MAXIMUM_LOADS = 12
 const BYTES = Array.from({ length: PIECES }, (_, piece) => Buffer.from(`piece ${piece}`))
 const MANIFEST: staging.StageManifest = {
   id: { model: MODEL, version: VERSION },
@@ -176,6 +179,25 @@
   assert.deepEqual({ held: scene.readState().held, isTrusted: scene.loader.isTrusted(scene.readState()), isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isTrusted: true, isFaulty: false })
 })
 
+for (const orderMs of [2100, 4300]) {
+  nodeTest.test(`an engine that takes each order ${orderMs} ms after it was sent gets its version`, async (context) => {
+    const layerCount = 4
+    const scene = createScene(context, {
+      layerCount,
+      held: { version: OLD_VERSION, from: 0, to: layerCount },
+      onOrder: async (each, order) => {
+        const taken = types.delay(orderMs).then(() => takeInFull(each, order, layerCount))
+        return await Promise.race([taken, types.delay(CLIENT_TIMEOUT_MS).then(() => 'unknown' as const)])
+      }
+    })
+    for (let load = 0; load < MAXIMUM_LOADS && scene.readState().held !== VERSION; load += 1) {
+      await scene.load()
+      await passUntilDone(context, types.delay(RETRY_MS))
+    }
+    assert.deepEqual({ held: scene.readState().held, isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isFaulty: false })
+  })
+}
+
 nodeTest.test('faulty layers that an unanswered order has loaded before the stage was repaired are not served', async (context) => {
   const layerCount = 4
   let sequence = 0
--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -107,6 +107,7 @@
     const startedAt = options.now()
     let state: staging.EngineState | null = first
     noteState(first)
+    await verifyLateBody(staged, first)
     for (let steps = 0; steps < MAXIMUM_STEPS && state !== null && !options.isStopped(); steps += 1) {
       const isHeld = state.held === ready.id.version
       // Where a model has one layer, an engine that holds it takes nothing anew.
@@ -182,6 +183,16 @@
     return unanswered !== null && staged.writtenAt() < unanswered.sentAt
   }
 
+  /** Verifies the layers that an unanswered order has loaded after the load that gave it. */
+  async function verifyLateBody (staged: StagedWeights, state: staging.EngineState): Promise<void> {
+    const { version } = staged.manifest.id
+    if (unanswered === null || unanswered.bornAt !== state.bornAt || unanswered.version !== version || unanswered.sequence !== state.sequence) return
+    if (!holdsBody(state, version) || !isStageUnchanged(staged)) return
+    const pieces = listPieces({ from: 0, to: state.layerCount - 1 }, state.layerCount, staged.manifest.digests.length)
+    const { wrong } = await verifyStage.verifyStage(options.engine, staged.manifest, pieces, options.now)
+    if (wrong.length === 0) verifiedBody = unanswered
+  }
+
   function logOrder ({ id, namedAt }: staging.NamedVersion, step: LoadStep, state: staging.EngineState, method: staging.SwitchMethod, outcome: staging.OrderOutcome, { sentAt, checkedAt }: { readonly sentAt: number, readonly checkedAt: number }): void {
     const answeredMs = options.now() - sentAt
     options.observe('order_answer', answeredMs)
