Send an order to an engine without fences only while its lease is held

What callers saw: not seen outside the test; two daemons could order one engine. Cause: the lease was checked before the request was made, and the order was written once a connection was open, at any later time. Class: an act that isn't bound to its check, as in the order of agents to load a version. Evidence: a test whose lease lapses while the connection is made: the engine took the order. Change: the lease is asked again in the turn of the event loop that writes the order to the open connection; an engine that checks fences gets it as before and refuses an outdated one itself. The request goes through the client that has that question.

--- a/packages/daemon/src/createEngineOrders/index.ts
+++ b/packages/daemon/src/createEngineOrders/index.ts
@@ -1,9 +1,8 @@
 /** Sends orders to the engine beside this daemon, each with a fencing token. */
-import * as got from 'got'
 import * as zod from 'zod'
 import * as types from '@switchridge/types'
 import type * as platform from '@switchridge/store'
-import type * as rpc from '@switchridge/rpc'
+import * as rpc from '@switchridge/rpc'
 
 /** The engine refused an order, or the order couldn't be sent. */
 export class OrderError extends types.SwitchridgeError {}
@@ -36,6 +35,8 @@
 }
 
 const DEFAULT_LOAD_TIMEOUT_MS = 120_000
+const OK = 200
+const CONFLICT = 409
 
 const orderAnswerSchema = zod.object({ fileDigest: zod.string().nullable() })
 
@@ -77,20 +78,24 @@
     const fence = await obtainGeneration()
     if (!fence.ok) return fence
     sequence += 1
+    const sent = await rpc.sendRequest(options.agents, {
+      base: options.url,
+      path: '/orders',
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ ...order, fence: { generation: fence.value, sequence } }),
+      timeoutMs: options.loadTimeoutMs ?? DEFAULT_LOAD_TIMEOUT_MS,
+      // The lease may lapse while the connection is made.
+      mayStillSend: () => options.checksFences || options.lease.currentGeneration() === fence.value
+    })
+    if (!sent.ok) return types.fail(new OrderError(sent.error.code === rpc.UNSENT_CODE ? 'the lease lapsed before the order was sent' : `engine: ${sent.error.message}`))
+    const text = sent.value.body.toString()
+    if (sent.value.status !== OK) {
+      if (sent.value.status === CONFLICT) generation = null
+      return types.fail(new OrderError(`engine: status ${sent.value.status} ${text}`))
+    }
     try {
-      const response = await got.got.post(`${options.url}/orders`, {
-        json: { ...order, fence: { generation: fence.value, sequence } },
-        agent: { http: options.agents.http, https: options.agents.https },
-        timeout: { request: options.loadTimeoutMs ?? DEFAULT_LOAD_TIMEOUT_MS },
-        retry: { limit: 0 },
-        throwHttpErrors: false,
-        responseType: 'json'
-      })
-      if (response.statusCode !== 200) {
-        if (response.statusCode === 409) generation = null
-        return types.fail(new OrderError(`engine: status ${response.statusCode} ${JSON.stringify(response.body)}`))
-      }
-      return types.succeed(orderAnswerSchema.parse(response.body).fileDigest)
+      return types.succeed(orderAnswerSchema.parse(JSON.parse(text)).fileDigest)
     } catch (thrown) {
       return types.fail(new OrderError(`engine: ${types.describeError(thrown)}`))
     }
