--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -28,13 +28,17 @@
   readonly ensureVerified: () => Promise<boolean>
   /** Verifies all pieces, and writes wrong ones again; resolves as above. */
   readonly repair: () => Promise<boolean>
+  /** Monotonic time in milliseconds at which pieces were last written; -Infinity if none were. */
+  readonly writtenAt: () => number
 }
 
 /** Loads versions into one engine. */
 export interface VersionLoader {
   /** Resolves when the engine runs the version, or when this attempt to load it has failed. */
   readonly load: (ready: staging.NamedVersion, staged: StagedWeights, state: staging.EngineState, method: staging.SwitchMethod) => Promise<void>
-  /** Whether the layers that an engine in this state holds were verified, as far as this process ordered them. */
+  /** Records the engine's state. A version that it was seen to hold in part is not trusted until this process has verified it, since an order of an ended process may complete it. */
+  readonly noteState: (state: Pick<staging.EngineState, 'bornAt' | 'held' | 'layers'>) => void
+  /** Whether the layers that an engine in this state holds were verified, as far as this process ordered them or saw them being completed. */
   readonly isTrusted: (state: Pick<staging.EngineState, 'bornAt' | 'held'>) => boolean
 }
 
@@ -53,6 +57,23 @@
   readonly sequence: number
 }
 
+/** Orders without an answer, one of which the engine may have taken at any time. */
+interface UnansweredOrders {
+  readonly bornAt: number | null
+  /** Version of the last one. */
+  readonly version: number
+  /** Order count of the engine once it has taken one of them. */
+  readonly sequence: number
+  /** Monotonic time in milliseconds at which the first one was sent. */
+  readonly sentAt: number
+}
+
+/** A version of an engine process whose pieces were not found right after their last order. */
+interface UnverifiedVersion {
+  readonly bornAt: number | null
+  readonly version: number
+}
+
 /**
  * Longest age of the reads of the last layer's pieces when their order is written. A piece may have been bad for 3 s when it is taken; the engine has the rest of that time to
  * take the order.
@@ -78,12 +99,15 @@
  */
 export function createVersionLoader (options: LoaderOptions): VersionLoader {
   let verifiedBody: VerifiedBody | null = null
-  /** The version whose last order was sent and whose pieces were not yet found right after it. */
-  let unverified: { readonly bornAt: number | null, readonly version: number } | null = null
+  let unanswered: UnansweredOrders | null = null
+  /** The version that the engine didn't hold completely, and whose pieces were not yet found right after its last order. */
+  let unverified: UnverifiedVersion | null = null
 
   async function load (ready: staging.NamedVersion, staged: StagedWeights, first: staging.EngineState, method: staging.SwitchMethod): Promise<void> {
     const startedAt = options.now()
     let state: staging.EngineState | null = first
+    noteState(first)
+    await verifyLateBody(staged, first)
     for (let steps = 0; steps < MAXIMUM_STEPS && state !== null && !options.isStopped(); steps += 1) {
       const isHeld = state.held === ready.id.version
       // Where a model has one layer, an engine that holds it takes nothing anew.
@@ -96,14 +120,14 @@
     options.onEvent(isSwitched ? 'version-switched' : 'version-not-switched', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt), afterMs: Math.round(options.now() - ready.namedAt) })
   }
 
-  function chooseStep ({ bornAt, sequence, layers, layerCount }: staging.EngineState, version: number): LoadStep {
+  function chooseStep (state: staging.EngineState, version: number): LoadStep {
+    const { bornAt, sequence, layers, layerCount } = state
     const whole = { from: 0, to: layerCount }
     if (layerCount === 1) return { name: 'whole', layers: whole, taken: whole }
     const body = { from: 0, to: layerCount - 1 }
     const last = { from: layerCount - 1, to: layerCount }
     // An order without an answer may have been refused, and another one taken in its place.
-    const holdsBody = layers !== null && layers.version === version && layers.from === body.from && layers.to === body.to
-    const isBodyVerified = holdsBody && verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
+    const isBodyVerified = holdsBody(state, version) && verifiedBody !== null && verifiedBody.bornAt === bornAt && verifiedBody.version === version && verifiedBody.sequence === sequence
     if (isBodyVerified) return { name: 'last', layers: whole, taken: last }
     // An engine keeps the layers that it holds of a version, so that those taken before are dropped first.
     const holdsBodyLayers = layers !== null && layers.version === version && layers.from < body.to
@@ -129,6 +153,7 @@
       mayStillSend: () => !completesLayers || options.now() - checkedAt <= LAST_CHECK_VALID_MS
     })
     logOrder(ready, step, state, method, outcome, { sentAt, checkedAt })
+    if (outcome === 'unknown') noteUnanswered(state, id.version, sentAt)
     if (outcome === 'unsent' && completesLayers) return await options.readEngine()
     const isTaken = outcome === 'begun' || outcome === 'done' || (outcome === 'unknown' && await waitUntilTaken(state))
     if (!isTaken) return null
@@ -141,11 +166,33 @@
       options.onEvent('load-discarded', { version: id.version, step: step.name, wrong: after.wrong.length })
       return await staged.repair() ? afterwards : null
     }
+    if (outcome === 'unknown' && !isStageUnchanged(staged)) return afterwards
     if (completesLayers) unverified = null
     else verifiedBody = { bornAt: state.bornAt, version: id.version, sequence: state.sequence + 1 }
     return afterwards
   }
 
+  function noteUnanswered ({ bornAt, sequence: before }: staging.EngineState, version: number, sentAt: number): void {
+    const sequence = before + 1
+    const isFirst = unanswered === null || unanswered.bornAt !== bornAt || unanswered.sequence !== sequence
+    unanswered = { bornAt, version, sequence, sentAt: isFirst ? sentAt : (unanswered as UnansweredOrders).sentAt }
+  }
+
+  /** Whether nothing was written since the first of the unanswered orders: otherwise the stage says nothing about what the engine took. */
+  function isStageUnchanged (staged: StagedWeights): boolean {
+    return unanswered !== null && staged.writtenAt() < unanswered.sentAt
+  }
+
+  /** Verifies the layers that an unanswered order has loaded after the load that gave it. */
+  async function verifyLateBody (staged: StagedWeights, state: staging.EngineState): Promise<void> {
+    const { version } = staged.manifest.id
+    if (unanswered === null || unanswered.bornAt !== state.bornAt || unanswered.version !== version || unanswered.sequence !== state.sequence) return
+    if (!holdsBody(state, version) || !isStageUnchanged(staged)) return
+    const pieces = listPieces({ from: 0, to: state.layerCount - 1 }, state.layerCount, staged.manifest.digests.length)
+    const { wrong } = await verifyStage.verifyStage(options.engine, staged.manifest, pieces, options.now)
+    if (wrong.length === 0) verifiedBody = unanswered
+  }
+
   function logOrder ({ id, namedAt }: staging.NamedVersion, step: LoadStep, state: staging.EngineState, method: staging.SwitchMethod, outcome: staging.OrderOutcome, { sentAt, checkedAt }: { readonly sentAt: number, readonly checkedAt: number }): void {
     const answeredMs = options.now() - sentAt
     options.observe('order_answer', answeredMs)
@@ -188,11 +235,20 @@
     }
   }
 
+  function noteState ({ bornAt, held, layers }: Pick<staging.EngineState, 'bornAt' | 'held' | 'layers'>): void {
+    if (layers !== null && layers.version !== held) unverified = { bornAt, version: layers.version }
+  }
+
   function isTrusted ({ bornAt, held }: Pick<staging.EngineState, 'bornAt' | 'held'>): boolean {
     return unverified === null || unverified.bornAt !== bornAt || unverified.version !== held
   }
 
-  return { load, isTrusted }
+  return { load, noteState, isTrusted }
+}
+
+/** Whether the engine holds exactly the layers of a version without the last one. */
+function holdsBody ({ layers, layerCount }: staging.EngineState, version: number): boolean {
+  return layers !== null && layers.version === version && layers.from === 0 && layers.to === layerCount - 1
 }
 
 /** Lists the pieces that layers of a model are made of; neighbouring layers may share one. */
