Bound response heads, and close kept connections on bytes that answer nothing

What callers saw: a request whose server sends interim (1xx) responses one after the other never ends, and reads at full speed until its timeout, or for ever without one. A kept connection whose server sends on after a whole answer is read and discarded for as long as it is open, at the cost of a core.

Cause: Node.js limits one head to 16 KiB, but neither the number of interim responses nor what arrives on a connection that waits for its next request.

Change: the agents of createHttpAgents count the bytes before the final head and destroy the request beyond 64 KiB (boundResponseHead; requests of got over the same agents included), and a kept connection is destroyed at the first byte that no request has asked for.

--- a/packages/rpc/src/createHttpAgents/index.ts
+++ b/packages/rpc/src/createHttpAgents/index.ts
@@ -3,6 +3,7 @@
 import * as https from 'node:https'
 import type * as net from 'node:net'
 import * as clock from '@switchridge/clock'
+import * as boundResponseHead from '../boundResponseHead/index.js'
 
 /** Certificate, private key and certificate authority in PEM. */
 export interface TlsMaterial {
@@ -62,10 +63,21 @@
     const connect = agent.createConnection.bind(agent)
     agent.createConnection = (options, callback) => trackSocket(connect(options, callback), options)
   }
+  for (const agent of [noKeepAliveAgents.http, noKeepAliveAgents.https] as unknown as AgentMethods[]) {
+    const addRequest = agent.addRequest.bind(agent)
+    agent.addRequest = (request, options) => {
+      boundResponseHead.boundResponseHead(request)
+      addRequest(request, options)
+    }
+  }
   for (const agent of [httpAgent, httpsAgent] as unknown as AgentMethods[]) {
     const addRequest = agent.addRequest.bind(agent)
-    agent.addRequest = (request, options) => { stallGuard.run(() => { addRequest(request, options) }) }
+    agent.addRequest = (request, options) => {
+      boundResponseHead.boundResponseHead(request)
+      stallGuard.run(() => { addRequest(request, options) })
+    }
   }
+  for (const agent of [httpAgent, httpsAgent]) closeOnUnrequestedData(agent)
   return {
     http: httpAgent,
     https: httpsAgent,
@@ -82,6 +94,27 @@
   }
 }
 
+/** Closes a kept connection on which bytes arrive that answer no request. Node.js would discard them for as long as they come. */
+function closeOnUnrequestedData (agent: http.Agent): void {
+  const methods = agent as unknown as KeptSocketMethods
+  const keepSocketAlive = methods.keepSocketAlive.bind(agent)
+  const reuseSocket = methods.reuseSocket.bind(agent)
+  const listeners = new WeakMap<net.Socket, () => void>()
+  methods.keepSocketAlive = (socket) => {
+    const isKept = keepSocketAlive(socket)
+    if (!isKept) return false
+    const close = (): void => { socket.destroy() }
+    listeners.set(socket, close)
+    socket.once('data', close)
+    return true
+  }
+  methods.reuseSocket = (socket, request) => {
+    const close = listeners.get(socket)
+    if (close !== undefined) socket.off('data', close)
+    reuseSocket(socket, request)
+  }
+}
+
 /** Errors are reported by the request that uses the socket; a socket that no request uses, not yet or no longer, has nobody to report to. */
 function ignoreError (): void {}
 
@@ -90,3 +123,9 @@
   createConnection: (options: ConnectionOptions, callback?: () => void) => net.Socket
   addRequest: (request: http.ClientRequest, options: ConnectionOptions) => void
 }
+
+/** Methods of an agent that it calls when a connection begins to wait for a request and when one is sent over it again; the Node.js type definitions omit them. */
+interface KeptSocketMethods {
+  keepSocketAlive: (socket: net.Socket) => boolean
+  reuseSocket: (socket: net.Socket, request: http.ClientRequest) => void
+}
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,4 +1,5 @@
 /** JSON-RPC 2.0 between daemons, authentication headers, and HTTP client and server utilities. */
+export * from './boundResponseHead/index.js'
 export * from './createHttpAgents/index.js'
 export * from './createIdentity/index.js'
 export * from './createRpcClient/index.js'
