Require a size limit for each response that is read whole

Cause: `sendRequest` read a body of any size unless its caller named a limit, which most did not; bodies that got reads had none at all; and chunk extensions were limited for each chunk alone. Sixteen answers of peers could be 16 MiB each.

Framing is limited along with the body. A response that announces too large a length is closed before any of it is read. got's requests get their limit by `limitDownload`.

Why it works: no read of a whole response can be written without a limit, and the connection is destroyed at the first byte beyond it.

--- a/packages/command-line/src/statusCommand/index.ts
+++ b/packages/command-line/src/statusCommand/index.ts
@@ -1,6 +1,7 @@
 /** `switchridge status`: prints the condition of each daemon, what it serves and what it waits for, or the evacuated data halls as a gateway knows them. */
 import * as got from 'got'
 import type * as yargs from 'yargs'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as connections from '../_lib/connect.js'
 import * as report from '../_lib/report.js'
@@ -14,6 +15,8 @@
   readonly evacuations?: ReadonlyArray<{ readonly hall: string, readonly revision: number, readonly ageMs: number | null }>
 }
 
+/** A status lists the daemons and the engines, with a few hundred bytes for each. */
+const MAXIMUM_STATUS_BYTES = 16 * types.BYTES_IN_MEBIBYTE
 const STATUS_TIMEOUT_MS = 5000
 
 /** Adds the `status` command. */
@@ -41,7 +44,8 @@
 
 async function readGatewayStatus (gateway: string): Promise<types.Outcome<GatewayStatus, types.UnavailableError>> {
   try {
-    return types.succeed(await got.got(`http://${gateway}/status`, { retry: { limit: 0 }, timeout: { request: STATUS_TIMEOUT_MS } }).json<GatewayStatus>())
+    const request = got.got<GatewayStatus>(`http://${gateway}/status`, { retry: { limit: 0 }, timeout: { request: STATUS_TIMEOUT_MS }, responseType: 'json', resolveBodyOnly: true })
+    return types.succeed(await rpc.limitDownload(request, MAXIMUM_STATUS_BYTES))
   } catch (thrown) {
     return types.fail(new types.UnavailableError(`${gateway}: ${types.describeError(thrown)}`))
   }
--- a/packages/command-line/src/tableCommands/index.ts
+++ b/packages/command-line/src/tableCommands/index.ts
@@ -3,6 +3,7 @@
 import * as fs from 'node:fs'
 import * as got from 'got'
 import type * as yargs from 'yargs'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import type * as platform from '@switchridge/store'
 import * as tables from '@switchridge/table'
@@ -85,6 +86,7 @@
 }
 
 const MAX_CELL_LENGTH = 24
+const MANIFEST_TIMEOUT_MS = 60_000
 
 function truncateCell (cell: string): string {
   return cell.length <= MAX_CELL_LENGTH ? cell : `${cell.slice(0, MAX_CELL_LENGTH - 1)}~`
@@ -114,7 +116,9 @@
   const isPinned = cells.some((cell) => cell.startsWith('manifest='))
   if (section !== 'models' || source === undefined || isPinned || origin === undefined) return types.succeed(cells)
   try {
-    const bytes = await got.got(`${origin}/${source}.manifest.json`, { retry: { limit: 0 } }).buffer()
+    const url = `${origin}/${source}.manifest.json`
+    const request = got.got(url, { retry: { limit: 0 }, timeout: { request: MANIFEST_TIMEOUT_MS }, responseType: 'buffer', resolveBodyOnly: true })
+    const bytes = await rpc.limitDownload(request, transfer.MAXIMUM_MANIFEST_BYTES)
     const digest = transfer.computeDigest(bytes)
     const manifest = transfer.parseManifest(bytes, digest)
     if (!manifest.ok) return types.fail(new types.UnavailableError(manifest.error.message))
--- a/packages/daemon/src/_lib/createTransferRequests.ts
+++ b/packages/daemon/src/_lib/createTransferRequests.ts
@@ -31,7 +31,7 @@
 
   return {
     fetchManifest,
-    fetchChunk: async (peer, digest, chunk, have, timeoutMs, signal) => await transfer.fetchChunk(peer.address, digest, chunk, have, createFetchOptions(timeoutMs, signal)),
+    fetchChunk: async (peer, digest, chunk, have, chunkBytes, timeoutMs, signal) => await transfer.fetchChunk(peer.address, digest, chunk, have, chunkBytes, createFetchOptions(timeoutMs, signal)),
     fetchOrigin: async (source, from, length, timeoutMs, signal) => await transfer.fetchOriginRange(formatOriginUrl(source), from, length, createFetchOptions(timeoutMs, signal)),
     announce: (peer, digest, have) => { void parts.client.call(peer.address, 'transfer.announce', { digest, node: self, have, backlog: backlog() }, CONTROL_TIMEOUT_MS) },
     queryProvider: async (peer, digest, chunk, wouldTakeOver) => {
--- a/packages/daemon/src/_lib/drainingHall.ts
+++ b/packages/daemon/src/_lib/drainingHall.ts
@@ -223,7 +223,7 @@
   }
 
   async function call (id: string): Promise<void> {
-    const sent = await rpc.sendRequest(agents, { base, path: `/services/${SERVICE}/orders`, method: 'POST', headers: { 'x-request-id': id }, body: 'order' })
+    const sent = await rpc.sendRequest(agents, { base, path: `/services/${SERVICE}/orders`, method: 'POST', headers: { 'x-request-id': id }, body: 'order' }, types.BYTES_IN_MEBIBYTE)
     const status = sent.ok ? sent.value.status : 0
     results.push({ id, status, reason: sent.ok ? String(sent.value.headers['x-switchridge-reason'] ?? '') : sent.error.message })
   }
--- a/packages/daemon/src/_lib/fetchWithIdleTimeout.test.ts
+++ b/packages/daemon/src/_lib/fetchWithIdleTimeout.test.ts
@@ -45,7 +45,7 @@
 async function fetchFrom (context: nodeTest.TestContext, base: string, idleTimeoutMs: number): Promise<types.Outcome<rpc.BufferedResponse, types.UnavailableError>> {
   const agents = rpc.createHttpAgents()
   context.after(() => { agents.destroy() })
-  return await fetchWithIdleTimeout.fetchWithIdleTimeout(agents, { base, path: '/', method: 'GET', headers: {} }, idleTimeoutMs)
+  return await fetchWithIdleTimeout.fetchWithIdleTimeout(agents, { base, path: '/', method: 'GET', headers: {} }, idleTimeoutMs, MAXIMUM_FETCH_BYTES)
 }
 
 async function fetchFromSlowServer (context: nodeTest.TestContext, sentParts: number): Promise<types.Outcome<rpc.BufferedResponse, types.UnavailableError>> {
--- a/packages/daemon/src/_lib/platformCalls.test.ts
+++ b/packages/daemon/src/_lib/platformCalls.test.ts
@@ -8,6 +8,8 @@
 import type * as store from '@switchridge/store'
 import type * as types from '@switchridge/types'
 
+const SIZES: platform.WeightSizes = { pieces: 4, pieceBytes: 4096 }
+
 nodeTest.test('reads from the origin leave no connection open, since the origin limits the number of open connections', async (context) => {
   const origin = await testing.createOriginStandIn(4)
   const agents = rpc.createHttpAgents()
@@ -15,7 +17,7 @@
     agents.destroy()
     origin.close()
   })
-  const reader = platform.createOriginClient(() => origin.address, agents, () => {})
+  const reader = platform.createOriginClient(() => origin.address, agents, () => SIZES, () => {})
   const id = { model: 'm', version: 1 }
   assert.ok((await reader.readManifest(id)).ok)
   for (const piece of [0, 1, 2]) assert.ok((await reader.readPiece(id, piece)).ok)
@@ -30,7 +32,7 @@
     agents.destroy()
     engine.close()
   })
-  const control = platform.createEngineClient(engine.address, agents, () => {})
+  const control = platform.createEngineClient(engine.address, agents, () => {}, () => SIZES.pieceBytes)
   assert.equal(await control.start({ model: 'm', version: 2 }, 0, 'break-off'), 'begun')
   assert.equal(await control.start({ model: 'm', version: 3 }, 0, 'finish'), 'refused')
   assert.equal(await control.start({ model: 'm', version: 3 }, 1, 'finish'), 'begun')
@@ -109,7 +111,7 @@
 
 nodeTest.test('a piece from the origin is accepted as long as it keeps arriving over a congested link', async (context) => {
   const { address, agents, response } = await startSlowServer(context)
-  const reader = platform.createOriginClient(() => address, agents, () => {})
+  const reader = platform.createOriginClient(() => address, agents, () => SIZES, () => {})
   const read = reader.readPiece({ model: 'm', version: 2 }, 7)
   const answer = await response
   for (let part = 0; part < PIECE_PARTS; part += 1) {
@@ -141,7 +143,7 @@
     server.close()
   })
   const address = { host: '127.0.0.1', port: (server.address() as net.AddressInfo).port }
-  const reader = platform.createOriginClient(() => address, agents, () => {})
+  const reader = platform.createOriginClient(() => address, agents, () => SIZES, () => {})
   for (let piece = 0; piece < 3; piece += 1) assert.equal((await reader.readPiece({ model: 'm', version: 2 }, piece)).ok, true)
   assert.equal(closedSockets.length, 3)
   await Promise.all(closedSockets)
--- a/packages/daemon/src/_lib/programTesting.ts
+++ b/packages/daemon/src/_lib/programTesting.ts
@@ -122,3 +122,9 @@
   return `role = "agent"\nnode = "agent"\nzone = "zone-a"\nregion = "region-a"\nhost = "${host}"\nseeds = ["${gatewayHost}:1"]\ninternal_port = ${fleet.ports.internal}\n` +
     `[engine]\naddress = "${testing.formatAddress(engine)}"\nservice = "llm"\n[store]\naddress = "${testing.formatAddress(fleet.store.address)}"\n[limits]\n${limits}`
 }
+
+/** Largest resident memory of a program since its start, in bytes. */
+export function readPeakMemoryBytes ({ child }: StartedProgram): number {
+  const status = fs.readFileSync(`/proc/${child.pid ?? 0}/status`, 'utf8')
+  return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]) * types.BYTES_IN_KIBIBYTE
+}
--- a/packages/daemon/src/createCopyAnswers/test.ts
+++ b/packages/daemon/src/createCopyAnswers/test.ts
@@ -7,6 +7,7 @@
 import * as testing from '@switchridge/platform-testing'
 import * as rpc from '@switchridge/rpc'
 import * as store from '@switchridge/store'
+import * as types from '@switchridge/types'
 import * as copyParts from '../_lib/copyParts.js'
 import * as readCopyAnswer from '../readCopyAnswer/index.js'
 import * as createCopyAnswers from './index.js'
@@ -104,7 +105,7 @@
 nodeTest.test('only daemons of the same deployment get an answer', async (context) => {
   const { listener, agents } = await startAnswerServer(context)
   const ask = async (identity: rpc.Identity, path: string): Promise<number> => {
-    const sent = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path, method: 'GET', headers: rpc.createIdentityHeaders(identity) })
+    const sent = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path, method: 'GET', headers: rpc.createIdentityHeaders(identity) }, types.BYTES_IN_MEBIBYTE)
     return sent.ok ? sent.value.status : 0
   }
   const path = copyParts.formatCopyPath(KIND, 'whole', 0)
@@ -117,12 +118,12 @@
 nodeTest.test('a request without a valid revision is refused with its reason', async (context) => {
   const { listener, agents } = await startAnswerServer(context)
   for (const since of ['', '/', '/late', '/-1', '/Infinity', '/9e99', '/0x10', '/1.2.3', '/%20', '/3/4']) {
-    const sent = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path: `${copyParts.COPIES_PATH}${KIND}/whole${since}`, method: 'GET', headers: rpc.createIdentityHeaders(IDENTITY) })
+    const sent = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path: `${copyParts.COPIES_PATH}${KIND}/whole${since}`, method: 'GET', headers: rpc.createIdentityHeaders(IDENTITY) }, types.BYTES_IN_MEBIBYTE)
     assert.ok(sent.ok)
     assert.equal(sent.value.status, 400, since)
     assert.match(sent.value.body.toString(), /is no revision/)
   }
-  const half = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path: copyParts.formatCopyPath(KIND, 'whole', 0.5), method: 'GET', headers: rpc.createIdentityHeaders(IDENTITY) })
+  const half = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path: copyParts.formatCopyPath(KIND, 'whole', 0.5), method: 'GET', headers: rpc.createIdentityHeaders(IDENTITY) }, types.BYTES_IN_MEBIBYTE)
   assert.ok(half.ok)
   assert.equal(half.value.status, 200)
 })
--- a/packages/daemon/src/createEngineOrders/index.ts
+++ b/packages/daemon/src/createEngineOrders/index.ts
@@ -3,7 +3,7 @@
 import * as zod from 'zod'
 import * as types from '@switchridge/types'
 import type * as platform from '@switchridge/store'
-import type * as rpc from '@switchridge/rpc'
+import * as rpc from '@switchridge/rpc'
 
 /** The engine refused an order, or the order couldn't be sent. */
 export class OrderError extends types.SwitchridgeError {}
@@ -36,6 +36,8 @@
 }
 
 const DEFAULT_LOAD_TIMEOUT_MS = 120_000
+/** An answer holds a digest or an error's text. */
+const MAXIMUM_ANSWER_BYTES = 64 * types.BYTES_IN_KIBIBYTE
 
 const orderAnswerSchema = zod.object({ fileDigest: zod.string().nullable() })
 
@@ -78,7 +80,7 @@
     if (!fence.ok) return fence
     sequence += 1
     try {
-      const response = await got.got.post(`${options.url}/orders`, {
+      const request = got.got.post(`${options.url}/orders`, {
         json: { ...order, fence: { generation: fence.value, sequence } },
         agent: { http: options.agents.http, https: options.agents.https },
         timeout: { request: options.loadTimeoutMs ?? DEFAULT_LOAD_TIMEOUT_MS },
@@ -86,6 +88,7 @@
         throwHttpErrors: false,
         responseType: 'json'
       })
+      const response = await rpc.limitDownload(request, MAXIMUM_ANSWER_BYTES)
       if (response.statusCode !== 200) {
         if (response.statusCode === 409) generation = null
         return types.fail(new OrderError(`engine: status ${response.statusCode} ${JSON.stringify(response.body)}`))
--- a/packages/daemon/src/createEntryCalls/ended.test.ts
+++ b/packages/daemon/src/createEntryCalls/ended.test.ts
@@ -47,7 +47,7 @@
   context.after(() => { listener.abort() })
   const agents = rpc.createHttpAgents()
   context.after(agents.destroy)
-  const answer = rpc.sendRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${listener.address.port}`, path: '/services/api/orders', method: 'POST', headers: { [callHeaders.IDEMPOTENCY_KEY_HEADER]: 'key' } })
+  const answer = rpc.sendRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${listener.address.port}`, path: '/services/api/orders', method: 'POST', headers: { [callHeaders.IDEMPOTENCY_KEY_HEADER]: 'key' } }, types.BYTES_IN_MEBIBYTE)
   await isClaimed
   calls.endAll()
   confirmClaim({ kind: 'taken', claim: { finish: async () => {}, release: async () => {} } })
--- a/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
+++ b/packages/daemon/src/createEntryCalls/failedAttempts.test.ts
@@ -41,7 +41,7 @@
   context.after(() => { listener.abort() })
   const agents = rpc.createHttpAgents()
   context.after(agents.destroy)
-  assert.ok((await rpc.sendRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${listener.address.port}`, path: '/services/api/orders', method: 'POST', headers: {} })).ok)
+  assert.ok((await rpc.sendRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${listener.address.port}`, path: '/services/api/orders', method: 'POST', headers: {} }, types.BYTES_IN_MEBIBYTE)).ok)
   return events
 }
 
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -46,6 +46,10 @@
 const MAY_REFER_HEADER = 'x-switchridge-may-refer'
 /** Response header with the node to request the piece from. */
 const HOLDER_HEADER = 'x-switchridge-holder'
+/** The text of an error may be longer than a small piece. */
+const ERROR_TEXT_BYTES = 4096
+/** A digest in hexadecimal and a comma, as agents send them to each other. */
+const DIGEST_BYTES = 65
 const OK = 200
 
 /**
@@ -60,7 +64,7 @@
   const startedAt = now()
   const self: staging.StagingPeer = { node: types.brandId(checked.node), zone: checked.zone, address: createFleetParts.getInternalAddress(parts, checked.host) }
   const engineAddress = checked.engine.address as string
-  const engine = platform.createEngineClient(platform.parseAddress(engineAddress), parts.agents, logUnreadableReport)
+  const engine = platform.createEngineClient(platform.parseAddress(engineAddress), parts.agents, logUnreadableReport, () => readSizes().pieceBytes)
   const linkBytesPerSecond = checked.limits.link_megabits_per_second * BITS_PER_MEGABIT / BITS_PER_BYTE
   const uplink = staging.createPieceUplink(linkBytesPerSecond, () => (isServing() ? SERVING_LINK_SHARE : IDLE_LINK_SHARE) * (stager?.linkFraction() ?? 1), now)
   let report: gateway.EngineReport | null = null
@@ -165,6 +169,11 @@
     return findService()?.engine ?? null
   }
 
+  function readSizes (): platform.WeightSizes {
+    const figures = findFigures()
+    return { pieces: figures?.chunks ?? 0, pieceBytes: Math.max(figures?.chunkBytes ?? 0, ERROR_TEXT_BYTES) }
+  }
+
   function findSoleModel (): string | null {
     const name = checked.engine.service
     return name === undefined ? null : parts.soleModelOf(types.brandId<types.ServiceName>(name))
@@ -211,19 +220,19 @@
         return fresh === null ? null : { bornAt: fresh.bornAt, held: fresh.models.get(model) ?? 0, running: fresh.running, waiting: fresh.waiting, isBusy: fresh.isBusy, isLeaving: fresh.isLeaving, sequence: fresh.sequence }
       },
       engine,
-      origin: platform.createOriginClient(findOrigin, parts.agents, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
+      origin: platform.createOriginClient(findOrigin, parts.agents, readSizes, (bytes) => { metrics.count('origin_bytes', {}, bytes) }),
       agents: listReliableAgents,
       expectedZones: () => now() - startedAt < ZONE_DISCOVERY_MS ? checked.zones : [],
       fetchFromPeer: async (peer, id, wanted, mayRefer, { onHeaders, onBytes }) => {
         const headers = { [NODE_HEADER]: self.node, ...(mayRefer ? { [MAY_REFER_HEADER]: '1' } : {}) }
-        const fetched = await requestFromAgent(peer, `${PIECES_PATH}${encodeURIComponent(id.model)}/${id.version}/${wanted.join()}`, headers, { onHeaders, onBytes })
+        const fetched = await requestFromAgent(peer, `${PIECES_PATH}${encodeURIComponent(id.model)}/${id.version}/${wanted.join()}`, readSizes().pieceBytes, headers, { onHeaders, onBytes })
         if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
         const piece = Number(fetched.value.headers[PIECE_HEADER])
         const holder = fetched.value.headers[HOLDER_HEADER]
         return types.succeed(typeof holder === 'string' ? { piece, holder: types.brandId(holder) } : { piece, bytes: fetched.value.body })
       },
       fetchManifest: async (peer, id) => {
-        const fetched = await requestFromAgent(peer, `${MANIFESTS_PATH}${encodeURIComponent(id.model)}/${id.version}`)
+        const fetched = await requestFromAgent(peer, `${MANIFESTS_PATH}${encodeURIComponent(id.model)}/${id.version}`, DIGEST_BYTES * readSizes().pieces)
         if (!fetched.ok || fetched.value === null) return fetched.ok ? types.succeed(null) : fetched
         return types.succeed(fetched.value.body.toString().split(',').map((digest) => types.brandId<types.Digest>(digest)))
       },
@@ -277,14 +286,15 @@
   }
 
   /** Sends a GET request to another agent; null when it does not have what is requested. */
-  async function requestFromAgent (peer: staging.StagingPeer, path: string, headers: Readonly<Record<string, string>> = {}, receiver: Pick<rpc.OutgoingRequest, 'onHeaders' | 'onBytes'> = {}): Promise<types.Outcome<rpc.BufferedResponse | null, types.UnavailableError>> {
+  async function requestFromAgent (peer: staging.StagingPeer, path: string, maximumBytes: number, headers: Readonly<Record<string, string>> = {}, receiver: Pick<rpc.OutgoingRequest, 'onHeaders' | 'onBytes'> = {}): Promise<types.Outcome<rpc.BufferedResponse | null, types.UnavailableError>> {
     const sent = await fetchWithIdleTimeout.fetchWithIdleTimeout(parts.agents, {
       base: `http://${peer.address.host}:${peer.address.port}`,
       path,
       method: 'GET',
       headers: { ...rpc.createIdentityHeaders(parts.identity), ...headers },
       ...receiver
-    }, PIECE_IDLE_TIMEOUT_MS)
+    }, PIECE_IDLE_TIMEOUT_MS, maximumBytes)
+    if (!sent.ok && sent.error instanceof rpc.ResponseTooLargeError) logger.warn('peer-answer-too-large', { from: peer.node, reason: sent.error.message })
     return sent.ok ? types.succeed(sent.value.status === OK ? sent.value : null) : sent
   }
 
--- a/packages/fuzz/src/fuzzCalls/index.ts
+++ b/packages/fuzz/src/fuzzCalls/index.ts
@@ -14,6 +14,7 @@
 const BEHAVIOURS: readonly callFleet.Behaviour[] = ['answer', 'answer', 'slow', 'break-before-run', 'break-after-run', 'break-in-answer']
 /** Time for requests that are still on their way to reach the back end before the oracles read the executions. */
 const SETTLE_MS = 60
+const MAXIMUM_ANSWER_BYTES = types.BYTES_IN_MEBIBYTE
 
 const callArbitrary = fc.record({
   kind: fc.constant('call' as const),
@@ -83,7 +84,7 @@
 async function sendCall (agents: rpc.HttpAgents, base: string, id: string, call: PlannedCall): Promise<ObservedCall> {
   const { method, behaviour, key } = call
   const headers = { 'x-request-id': id, 'x-fuzz': behaviour, ...(key < 0 ? {} : { 'idempotency-key': `key-${key}` }) }
-  const answer = await rpc.sendRequest(agents, { base, path: '/services/stoc/things', method, headers })
+  const answer = await rpc.sendRequest(agents, { base, path: '/services/stoc/things', method, headers }, MAXIMUM_ANSWER_BYTES)
   const common = { id, method, key: method === 'POST' ? key : -1 }
   if (!answer.ok) return { ...common, outcome: 'broken', body: null, isReplayed: false }
   const { headers: answered, body } = answer.value
--- a/packages/measure/src/runRouting/index.ts
+++ b/packages/measure/src/runRouting/index.ts
@@ -47,6 +47,7 @@
 const SETTLE_MS = 2500
 const WARM_UP_SECONDS = 3
 const WARM_UP_LOAD = 0.5
+const MAXIMUM_ANSWER_BYTES = types.BYTES_IN_MEBIBYTE
 const CALL_TIMEOUT_MS = 20_000
 /** Call rate of the small account in the fairness experiment. */
 const SMALL_CALLS_PER_SECOND = 8
@@ -129,7 +130,7 @@
 async function sendCall (agents: rpc.HttpAgents, base: string, path: string, serviceMs: number, account: Account): Promise<CallOutcome> {
   const sentAt = performance.now()
   const headers = { authorization: `Bearer ${API_KEYS[account]}`, 'x-work-ms': serviceMs, 'x-request-id': crypto.randomUUID() }
-  const answer = await rpc.sendRequest(agents, { base, path, method: 'POST', headers, body: '{}', timeoutMs: CALL_TIMEOUT_MS })
+  const answer = await rpc.sendRequest(agents, { base, path, method: 'POST', headers, body: '{}', timeoutMs: CALL_TIMEOUT_MS }, MAXIMUM_ANSWER_BYTES)
   return { account, outcome: answer.ok ? String(answer.value.headers['x-switchridge-outcome'] ?? 'answered') : 'broken', delayMs: performance.now() - sentAt }
 }
 
--- a/packages/rpc/src/boundResponseHead/test.ts
+++ b/packages/rpc/src/boundResponseHead/test.ts
@@ -29,15 +29,15 @@
   }
 }
 
-nodeTest.test('the error names the request and the limit that was exceeded', LIMIT, async (context) => {
+nodeTest.test('the error names the limit that was exceeded', LIMIT, async (context) => {
   const server = await endlessServer.openEndlessServer(context, INTERIM.repeat(1000))
   const sent = await rpc.sendRequest(server.agents, { base: server.base, path: '/report', method: 'GET', headers: {} }, MAXIMUM_BODY_BYTES)
-  assert.match(sent.ok ? '' : sent.error.message, /the head of the answer to GET \/report exceeds 65536 bytes/)
+  assert.match(sent.ok ? '' : sent.error.message, /the head of the answer exceeds 65536 bytes/)
 })
 
 nodeTest.test('interim responses without end: a request of got over the same agents fails', LIMIT, async (context) => {
   const server = await endlessServer.openEndlessServer(context, INTERIM.repeat(1000))
-  await assert.rejects(got.got(server.base, { agent: { http: server.agents.http }, retry: { limit: 0 } }).text(), /the head of the answer to GET \/ exceeds 65536 bytes/)
+  await assert.rejects(got.got(server.base, { agent: { http: server.agents.http }, retry: { limit: 0 } }).text(), /the head of the answer exceeds 65536 bytes/)
 })
 
 nodeTest.test('a large body after an interim response is received', LIMIT, async (context) => {
--- a/packages/rpc/src/createHttpAgents/kept.test.ts
+++ b/packages/rpc/src/createHttpAgents/kept.test.ts
@@ -7,6 +7,7 @@
 
 const LIMIT = { timeout: 20_000 }
 const STALL_MS = 1000
+const MAXIMUM_BYTES = 1024
 /** Runs beside the stalled event loop. Reports each request, answers it after 100 ms, and closes the connection after 100 more although the answer promised to keep it. */
 const SERVER = `
   const { parentPort } = require('node:worker_threads')
@@ -33,7 +34,7 @@
   const port = await new Promise((resolve) => { worker.once('message', resolve) })
   return {
     send: async () => {
-      const sent = await rpc.sendRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${String(port)}`, path: '/', method: 'GET', headers: {} })
+      const sent = await rpc.sendRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${String(port)}`, path: '/', method: 'GET', headers: {} }, MAXIMUM_BYTES)
       return sent.ok ? sent.value.body.toString() : sent.error.message
     },
     waitForRequest: async () => { await new Promise((resolve) => { worker.once('message', resolve) }) }
--- a/packages/rpc/src/createRpcClient/index.ts
+++ b/packages/rpc/src/createRpcClient/index.ts
@@ -34,6 +34,8 @@
 
 export const RPC_PATH = '/rpc'
 const DEFAULT_TIMEOUT_MS = 2000
+/** The largest response holds the table, which is stored as one object, or the status of a large hall. */
+const MAXIMUM_RESPONSE_BYTES = 4 * types.MAXIMUM_OBJECT_BYTES
 /** Each call has its own HTTP request, so all calls can share one JSON-RPC id. */
 const CALL_ID = 1
 const HTTP_OK = 200
@@ -51,7 +53,7 @@
 
   async function call<Result> (address: types.Address, method: string, params: unknown, timeoutMs = DEFAULT_TIMEOUT_MS): Promise<types.Outcome<Result, RpcFailure>> {
     const request = JSON.stringify(jsonRpc.createJSONRPCRequest(CALL_ID, method, params))
-    const sent = await openRequest.sendRequest(httpAgents, { base: formatBaseUrl(httpAgents, address), path: RPC_PATH, method: 'POST', headers, body: request, timeoutMs })
+    const sent = await openRequest.sendRequest(httpAgents, { base: formatBaseUrl(httpAgents, address), path: RPC_PATH, method: 'POST', headers, body: request, timeoutMs }, MAXIMUM_RESPONSE_BYTES)
     traffic.exchanges += 1
     traffic.bytes += request.length
     if (!sent.ok) return sent
--- a/packages/rpc/src/openRequest/index.ts
+++ b/packages/rpc/src/openRequest/index.ts
@@ -32,6 +32,10 @@
   readonly closeAfterResponse?: boolean
 }
 
+/** The framing of a body whose bytes come in a chunk each: a line with its size, the byte and the end of its line. */
+const CHUNKED_BYTES_PER_BYTE = 6
+/** Largest size of what frames a body, such as chunk extensions and trailers, beyond that. */
+const MAXIMUM_FRAMING_BYTES = 64 * types.BYTES_IN_KIBIBYTE
 /** System calls whose errors say that no connection was made. */
 const CONNECTING_SYSCALLS = new Set(['connect', 'getaddrinfo'])
 
@@ -49,6 +53,16 @@
   }
 }
 
+/** Part of a response whose size is limited; the framing are chunk extensions and the like. */
+export type LimitedPart = 'head' | 'body' | 'framing'
+
+/** A part of the response exceeded a limit in bytes, and its connection was closed. */
+export class ResponseTooLargeError extends RequestError {
+  constructor (part: LimitedPart, maximumBytes: number) {
+    super(new Error(`the ${part} of the answer exceeds ${maximumBytes} bytes`))
+  }
+}
+
 /**
  * Sends a request and waits for the response headers.
  *
@@ -79,7 +93,11 @@
       outgoing.once('close', startTimeout(timeoutMs, () => { abort(`no whole answer within ${timeoutMs} ms`) }))
     }
     if (request.idleTimeoutMs !== undefined) abortWhenIdle(outgoing, request.idleTimeoutMs, request.firstByteTimeoutMs ?? request.idleTimeoutMs, abort)
-    outgoing.on('error', (error) => { resolve(types.fail(new RequestError(error))) })
+    outgoing.on('error', (error) => {
+      // Otherwise the consumer of the body would only learn that it was aborted. Bytes after a complete body don't concern it.
+      if (incoming?.complete === false) incoming.destroy(error)
+      resolve(types.fail(error instanceof RequestError ? error : new RequestError(error)))
+    })
     outgoing.once('response', (response) => {
       incoming = response
       request.onHeaders?.()
@@ -124,27 +142,43 @@
  *
  * @param httpAgents - Connection pools.
  * @param request - The request.
- * @param maximumBytes - Largest accepted body; a longer one is a failure.
+ * @param maximumBytes - Largest accepted body. The connection of a longer one is closed, and the request fails with a {@link ResponseTooLargeError}.
  * @returns Status, headers and body of the response.
  */
-export async function sendRequest (httpAgents: createHttpAgents.HttpAgents, request: OutgoingRequest, maximumBytes = Infinity): Promise<types.Outcome<BufferedResponse, RequestError>> {
+export async function sendRequest (httpAgents: createHttpAgents.HttpAgents, request: OutgoingRequest, maximumBytes: number): Promise<types.Outcome<BufferedResponse, RequestError>> {
   const opened = await openRequest(httpAgents, request)
   if (!opened.ok) return opened
   const response = opened.value
   const chunks: Buffer[] = []
   let size = 0
+  const { socket } = response
+  const receivedBefore = socket.bytesRead
   try {
+    // A whole body of this size would be refused, so none of it is read.
+    checkSize(Number(response.headers['content-length'] ?? 0))
     for await (const chunk of response as AsyncIterable<Buffer>) {
       size += chunk.length
       request.onBytes?.(chunk.length)
-      if (size > maximumBytes) throw new Error(`the answer exceeds ${maximumBytes} bytes`)
+      checkSize(size)
+      checkFraming(socket.bytesRead - receivedBefore)
       chunks.push(chunk)
     }
   } catch (thrown) {
-    return types.fail(new RequestError(thrown as NodeJS.ErrnoException))
+    response.destroy()
+    return types.fail(thrown instanceof RequestError ? thrown : new RequestError(thrown as NodeJS.ErrnoException))
   }
   const body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
   return types.succeed({ status: response.statusCode ?? 0, headers: response.headers, body })
+
+  function checkSize (bytes: number): void {
+    if (bytes > maximumBytes) throw new ResponseTooLargeError('body', maximumBytes)
+  }
+
+  /** Node.js limits the extensions of a chunk, but not those of all chunks together. */
+  function checkFraming (receivedBytes: number): void {
+    const allowedBytes = CHUNKED_BYTES_PER_BYTE * maximumBytes + MAXIMUM_FRAMING_BYTES
+    if (receivedBytes > allowedBytes) throw new ResponseTooLargeError('framing', allowedBytes)
+  }
 }
 
 /** A response whose body was read completely. */
--- a/packages/rpc/src/openRequest/test.ts
+++ b/packages/rpc/src/openRequest/test.ts
@@ -7,6 +7,7 @@
 const CHUNKS = 5
 const IDLE_TIMEOUT_MS = 1000
 const STALL_MS = 400
+const MAXIMUM_BYTES = 1024
 
 interface TestServer {
   readonly base: string
@@ -32,7 +33,7 @@
   for (let turn = 0; turn < 20; turn += 1) await new Promise((resolve) => { setImmediate(resolve) })
 }
 
-function send (server: TestServer, limits: Partial<rpc.OutgoingRequest>, maximumBytes?: number): ReturnType<typeof rpc.sendRequest> {
+function send (server: TestServer, limits: Partial<rpc.OutgoingRequest>, maximumBytes = MAXIMUM_BYTES): ReturnType<typeof rpc.sendRequest> {
   return rpc.sendRequest(server.agents, { base: server.base, path: '/', method: 'GET', headers: {}, ...limits }, maximumBytes)
 }
 
--- a/packages/store/src/createObjectStore/index.ts
+++ b/packages/store/src/createObjectStore/index.ts
@@ -1,7 +1,7 @@
 /** HTTP client of the platform's object API, with conditional requests by ETag, If-Match and If-None-Match (RFC 9110). */
 import * as got from 'got'
 import * as types from '@switchridge/types'
-import type * as rpc from '@switchridge/rpc'
+import * as rpc from '@switchridge/rpc'
 import type * as platform from '../types/index.js'
 
 /** Options of {@link createObjectStore}. */
@@ -18,6 +18,8 @@
 
 const WATCH_TIMEOUT_MS = 15_000
 const DEFAULT_RETRY_AFTER_MS = 1000
+/** Room for sixteen objects of the largest size; those that are listed, of call blocks, have a few hundred bytes each. */
+const MAXIMUM_RESPONSE_BYTES = 16 * types.MAXIMUM_OBJECT_BYTES
 
 /**
  * Creates a client of the object API.
@@ -39,7 +41,7 @@
 
   async function send (path: string, request: got.OptionsOfJSONResponseBody): Promise<types.Outcome<got.Response<unknown>, types.UnavailableError>> {
     try {
-      const response = await client(path, request) as got.Response<unknown>
+      const response = await rpc.limitDownload(client(path, request), MAXIMUM_RESPONSE_BYTES)
       if (response.statusCode === 429 || response.statusCode >= 500) return types.fail(createUnavailableError(response))
       return types.succeed(response)
     } catch (thrown) {
--- a/packages/store/src/readNodeList/index.ts
+++ b/packages/store/src/readNodeList/index.ts
@@ -2,7 +2,10 @@
 import * as got from 'got'
 import * as zod from 'zod'
 import * as types from '@switchridge/types'
-import type * as rpc from '@switchridge/rpc'
+import * as rpc from '@switchridge/rpc'
+
+/** Room for tens of thousands of nodes, with about 100 bytes for each. */
+const MAXIMUM_LIST_BYTES = 4 * types.BYTES_IN_MEBIBYTE
 
 const nodeListSchema = zod.array(zod.object({
   node: zod.string(),
@@ -25,11 +28,14 @@
  */
 export async function readNodeList (url: string, agents: rpc.HttpAgents, timeoutMs: number): Promise<types.Outcome<readonly ListedNode[], types.UnavailableError>> {
   try {
-    const body = await got.got(`${url}/nodes`, {
+    const request = got.got(`${url}/nodes`, {
       agent: { http: agents.http, https: agents.https },
       timeout: { request: timeoutMs },
-      retry: { limit: 0 }
-    }).json()
+      retry: { limit: 0 },
+      responseType: 'json',
+      resolveBodyOnly: true
+    })
+    const body = await rpc.limitDownload(request, MAXIMUM_LIST_BYTES)
     return types.succeed(nodeListSchema.parse(body) as unknown as ListedNode[])
   } catch (thrown) {
     return types.fail(new types.UnavailableError(`node list: ${types.describeError(thrown)}`))
--- a/packages/transfer/src/createDownload/index.ts
+++ b/packages/transfer/src/createDownload/index.ts
@@ -11,7 +11,7 @@
 
 /** Requests to other processes, passed as functions so that tests can replace them. */
 export interface DownloadRequests {
-  readonly fetchChunk: (peer: transfer.Peer, digest: types.Digest, chunk: number, have: string, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.ChunkAnswer>
+  readonly fetchChunk: (peer: transfer.Peer, digest: types.Digest, chunk: number, have: string, chunkBytes: number, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.ChunkAnswer>
   readonly fetchOrigin: (source: string, from: number, length: number, timeoutMs: number, signal: AbortSignal) => Promise<fetchChunk.OriginAnswer>
   readonly announce: (peer: transfer.Peer, digest: types.Digest, have: string) => void
   /** Queries a provider for the state of a chunk. The provider gives the chunk up only if the requester would take it over. */
@@ -195,7 +195,7 @@
     counts.requests += 1
     const startedAt = now()
     requestStartedAt.set(chunk, startedAt)
-    const answer = await requests.fetchChunk(peer, digest, chunk, bitmaps.encodeBitmap(holding.bitmap), computeTimeoutMs(), abort.signal)
+    const answer = await requests.fetchChunk(peer, digest, chunk, bitmaps.encodeBitmap(holding.bitmap), parseManifest.computeChunkBytes(holding.manifest, chunk), computeTimeoutMs(), abort.signal)
     peer.outstanding -= 1
     await handlePeerAnswer(chunk, peer, answer, now() - startedAt)
     openPeerRequests -= 1
--- a/packages/transfer/src/createTransferManager/test.ts
+++ b/packages/transfer/src/createTransferManager/test.ts
@@ -84,7 +84,7 @@
       return version === undefined ? types.fail(new types.UnavailableError('none')) : types.succeed(transfer.formatManifest(version.manifest))
     },
     fetchOrigin: async (source, from, length) => await readOrigin(self.node, source, from, length),
-    fetchChunk: async (peer, digest, chunk, have, timeoutMs) => {
+    fetchChunk: async (peer, digest, chunk, have, _chunkBytes, timeoutMs) => {
       const provider = nodes.get(peer.node)
       const emptyReport = { have: '', backlog: 0, holders: [] }
       if (provider === undefined || faults.unreachable.has(peer.node) || faults.unreachable.has(self.node)) {
--- a/packages/transfer/src/fetchChunk/index.ts
+++ b/packages/transfer/src/fetchChunk/index.ts
@@ -41,6 +41,10 @@
 }
 
 const OK = 200
+/** Room for 250,000 chunks: a terabyte of weights in chunks of 4 MiB. */
+export const MAXIMUM_MANIFEST_BYTES = 16 * types.BYTES_IN_MEBIBYTE
+/** The text of a refusal may be longer than a small chunk. */
+const MAXIMUM_REFUSAL_BYTES = 4096
 const EMPTY_REPORT: PeerReport = { have: '', backlog: 0, holders: [] }
 
 /**
@@ -50,10 +54,11 @@
  * @param digest - Digest of the manifest.
  * @param chunk - Number of the chunk.
  * @param have - This node's own bitmap in base64, sent along for the peer to record.
+ * @param chunkBytes - Size of the chunk in bytes; a longer body is a failure.
  * @param options - Connection pools, identity and limits.
  * @returns The bytes, not verified, and what the peer reports about itself.
  */
-export async function fetchChunk (address: types.Address, digest: types.Digest, chunk: number, have: string, options: FetchOptions): Promise<ChunkAnswer> {
+export async function fetchChunk (address: types.Address, digest: types.Digest, chunk: number, have: string, chunkBytes: number, options: FetchOptions): Promise<ChunkAnswer> {
   const sent = await rpc.sendRequest(options.agents, {
     base: rpc.formatBaseUrl(options.agents, address),
     path: `/chunks/${digest}/${chunk}`,
@@ -61,7 +66,7 @@
     headers: { ...rpc.createIdentityHeaders(options.identity), [NODE_HEADER]: options.self, [HAVE_HEADER]: have },
     timeoutMs: options.timeoutMs,
     signal: options.signal
-  })
+  }, Math.max(chunkBytes, MAXIMUM_REFUSAL_BYTES))
   if (!sent.ok) return { report: EMPTY_REPORT, outcome: sent }
   const { status, headers, body } = sent.value
   const report = {
@@ -122,8 +127,10 @@
       if (response.statusCode !== 206) stream.destroy(new types.UnavailableError(`status ${response.statusCode} for a range`))
     })
     for await (const part of stream as AsyncIterable<Buffer>) {
-      parts.push(part)
       size += part.length
+      // Breaking off closes the connection.
+      if (size > length) throw new types.UnavailableError(`more than the ${length} bytes of a range`)
+      parts.push(part)
     }
     if (size === length) return { bytes: Buffer.concat(parts) }
     return { bytes: Buffer.concat(parts), error: new types.UnavailableError(`${size} of ${length} bytes`) }
@@ -137,7 +144,7 @@
 
 async function fetchBody (url: string, headers: Record<string, string>, options: Omit<FetchOptions, 'identity' | 'self'>): Promise<types.Outcome<Buffer, types.UnavailableError>> {
   try {
-    const response = await got.got(url, { ...createRequestOptions(options), headers, responseType: 'buffer' })
+    const response = await rpc.limitDownload(got.got(url, { ...createRequestOptions(options), headers, responseType: 'buffer' }), MAXIMUM_MANIFEST_BYTES)
     if (response.statusCode === 200) return types.succeed(response.rawBody)
     return types.fail(new types.UnavailableError(`status ${response.statusCode} for ${url}`))
   } catch (thrown) {
