Bound what a gateway holds of answers without end

What callers saw: with four engines that answer 80 calls without end, a gateway took 527 MB, of which its machine has 350 MB, and was ended with all its calls.

Cause: each answer that is no stream was limited to 16 MiB, but not all of them together; an event of a resumable or unframed stream was held without any limit until its end; the interim responses before a head were not limited.

Change: createAnswerBuffers holds the account of all answers that are buffered until they are complete, a quarter of the memory of the settings and at least four of the largest size. Beyond it the largest is given up, since one without end soon is the largest. An event is given up at 1 MiB, a head at 64 KiB. Each is a failed attempt, as for any bytes that are no answer; the line of the attempt names what exceeded which bound, and none counts as an end of its engine. Streams that are passed on as they come were held back by their callers already, and end with the time of their call.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -24,6 +24,10 @@
 const BYTES_PER_MEGABYTE = 1_000_000
 /** A gateway that has just started may not know most of the others yet, and would take their share of what returning engines can serve. */
 const PEERS_UNKNOWN_MS = 1500
+/** Share of the memory for answers that are buffered until they are complete; the same bytes may be held twice for a moment. */
+const ANSWERS_SHARE = 0.25
+/** Room for four answers of the largest size, whatever the share is. */
+const MINIMUM_ANSWERS_BYTES = 4 * gateway.MAXIMUM_BUFFERED_BYTES
 const OK = 200
 const UNAVAILABLE = 503
 
@@ -211,6 +215,8 @@
   }
 
   const heldBytes = gateway.createHeldBytes({ maximumBytes: checked.limits.held_share > 0 ? checked.limits.held_share * checked.limits.memory_megabytes * BYTES_PER_MEGABYTE : Infinity, now })
+  const answerBuffers = gateway.createAnswerBuffers(Math.max(MINIMUM_ANSWERS_BYTES, ANSWERS_SHARE * checked.limits.memory_megabytes * BYTES_PER_MEGABYTE))
+
   function listForecastEngines (service: types.ServiceName): readonly gateway.ForecastEngine[] {
     const model = parts.soleModelOf(service)
     if (model === null) return []
@@ -254,6 +260,7 @@
     backoffs,
     reserver,
     heldBytes,
+    answerBuffers,
     ...(waiting === null ? {} : { waiting }),
     sendAttempt: gateway.sendAttempt,
     logger,
@@ -314,6 +321,7 @@
   metrics.gauge('ends_known', callQuarantine.countEnds)
   metrics.gauge('rate_limits_in_force', () => limiter.inForce().length)
   metrics.gauge('held_bytes', heldBytes.read)
+  metrics.gauge('buffered_answer_bytes', answerBuffers.read)
   metrics.gauge('back_ends_cold', () => limiter.listCold().length)
   metrics.gauge('backoffs_in_force', backoffs.countInForce)
   metrics.gauge('evacuations_in_force', () => parts.evacuations.list().length)
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -4,6 +4,7 @@
 import type * as observability from '@switchridge/observability'
 import type * as rateLimits from '@switchridge/rate-limits'
 import type * as types from '@switchridge/types'
+import type * as createAnswerBuffers from '../createAnswerBuffers/index.js'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import type * as createErrorBound from '../createErrorBound/index.js'
@@ -61,6 +62,8 @@
   readonly reserver: reservers.SlotReserver
   /** Accounts of the bytes held for callers and engines; absent if they are not bounded. */
   readonly heldBytes?: createHeldBytes.HeldBytes
+  /** Accounts of the answers that are buffered until they are complete; absent if only each of them is bounded. */
+  readonly answerBuffers?: createAnswerBuffers.AnswerBuffers
   /** Holds calls until engines return; absent where the settings switch that off. */
   readonly waiting?: createWaitingCalls.WaitingCalls
   /** Sends an attempt to its back end. */
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -54,7 +54,9 @@
 /** Connect timeout; a machine that is down never answers. */
 const CONNECT_TIMEOUT_MS = 250
 /** Size of the largest response that is buffered in memory before it is forwarded. */
-const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024
+export const MAXIMUM_BUFFERED_BYTES = 16 * 1024 * 1024
+/** Size of the largest event that is buffered until it is complete; an event holds a few tokens. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024
 /** Timeout for the first event as a multiple of the target; after it a resumable stream is requested from another back end, too. */
 const FIRST_EVENT_TIMEOUT_FACTOR = 3
 /** Timeout for the next event as a multiple of the route's gap target; after it a stream is requested from another back end, too. */
@@ -65,6 +67,7 @@
 const FIRST_FINAL_STATUS = 200
 const FIRST_ERROR_STATUS = 400
 const FIRST_REDIRECTION_STATUS = 300
+const NO_MEMORY_REASON = 'no memory for the answer'
 const ENDED_REASON = 'back end ended at the end of a response without framing'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
@@ -135,6 +138,11 @@
     }
   })
   let isAborted = false
+  let isDropped = false
+  const buffer = options.answerBuffers?.open(() => {
+    isDropped = true
+    abort()
+  })
   contender.setAbort(abort)
   if (call.isCallerGone() || call.isExpired()) abort()
   const waitsForDeadline = !(route.kind === 'stream' && route.isResumable)
@@ -206,6 +214,7 @@
   function finish (outcome: AttemptOutcome): AttemptOutcome {
     eventTimer.stop()
     cancelWithdrawal()
+    buffer?.close()
     attempt.abort()
     return outcome
   }
@@ -234,8 +243,10 @@
 
   async function receiveBuffered (answered: AnsweredHead, received: ReceivedAnswer): Promise<AttemptOutcome> {
     noteResponse()
-    const body = await readBody.readBody(received.response, MAXIMUM_BUFFERED_BYTES)
-    if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, body.kind !== 'too-large')
+    const body = await readBody.readBody(received.response, MAXIMUM_BUFFERED_BYTES, buffer?.note)
+    if (body.kind === 'too-large') return broken(`answer exceeds ${MAXIMUM_BUFFERED_BYTES} bytes`, false)
+    if (body.kind === 'not-held' || isDropped) return broken(NO_MEMORY_REASON, false)
+    if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, true)
     const end = await findEnd(received)
     if (end === 'truncated') return broken(ENDED_REASON, true)
     call.mayHaveRun = true
@@ -269,6 +280,7 @@
 
       function passOn (bytes: Buffer): void {
         const whole = readDeliverable(bytes)
+        if (!mayHold(splitter.partialBytes())) return
         if (whole === null || !claimStream()) return
         noteResponse()
         eventTimer.restart(nextEventMs)
@@ -290,6 +302,16 @@
         return route.isResumable ? events : bytes
       }
 
+      /** Gives the stream up if an event is too large to be held until it is complete. */
+      function mayHold (bytes: number): boolean {
+        if (isAborted) return false
+        const isTooLarge = bytes > MAXIMUM_EVENT_BYTES
+        if (!isTooLarge && (buffer?.note(bytes) ?? true)) return true
+        abort()
+        failStream(isTooLarge ? `event exceeds ${MAXIMUM_EVENT_BYTES} bytes` : NO_MEMORY_REASON)
+        return false
+      }
+
       async function endStream (): Promise<void> {
         eventTimer.stop()
         if (!isWhole() || splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
@@ -325,7 +347,7 @@
       }
 
       function failStream (reason: string): void {
-        resolve(broken(contender.readReplacedBy() === 'later' ? 'no event in time' : reason, true))
+        resolve(broken(isDropped ? NO_MEMORY_REASON : contender.readReplacedBy() === 'later' ? 'no event in time' : reason, true))
       }
     })
   }
--- a/packages/gateway/src/createEventSplitter/index.ts
+++ b/packages/gateway/src/createEventSplitter/index.ts
@@ -5,6 +5,8 @@
   /** Adds bytes; returns the bytes up to the end of the last complete event, or null if no event is complete. */
   readonly push: (bytes: Buffer) => Buffer | null
   readonly hasPartial: () => boolean
+  /** Size of the event that is not complete yet, which is held. */
+  readonly partialBytes: () => number
   /** Id of the last complete event. */
   readonly lastEventId: () => string | null
 }
@@ -39,6 +41,7 @@
   return {
     push,
     hasPartial: () => partial.length > 0,
+    partialBytes: () => partial.length,
     lastEventId: () => lastId
   }
 }
--- a/packages/gateway/src/createEventSplitter/test.ts
+++ b/packages/gateway/src/createEventSplitter/test.ts
@@ -32,3 +32,11 @@
   assert.equal(resumed.lastEventId(), '5')
   assert.equal(resumed.push(Buffer.from('id: 6\ndata: b\n\n'))?.toString(), 'id: 6\ndata: b\n\n')
 })
+
+nodeTest.test('the size of an event that is not complete is known', () => {
+  const splitter = createEventSplitter.createEventSplitter(null)
+  splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\n'))
+  assert.equal(splitter.partialBytes(), 6)
+  splitter.push(Buffer.from('\n'))
+  assert.equal(splitter.partialBytes(), 0)
+})
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -1,6 +1,7 @@
 /** Sends one attempt of a call to a back end over a connection of its own. */
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as startTimeout from '../_lib/startTimeout.js'
 
@@ -94,6 +95,7 @@
     setHost: false,
     insecureHTTPParser: false
   })
+  rpc.boundResponseHead(outgoing)
   const cancelTimeout = startConnectTimeout(request, () => { outgoing.destroy(new types.UnavailableError('no connection in time')) })
 
   function fail (reason: string, isClosedByPeer: boolean): void {
@@ -125,7 +127,7 @@
     const isFramed = hasMessageFraming(response, request.method)
     settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || (hasEndedOrderly && !hasFailed)) })
   })
-  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true) })
+  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true && !(error instanceof rpc.ResponseTooLargeError)) })
   outgoing.on('close', () => { fail('connection closed', true) })
   if (request.body === null) outgoing.end()
   else outgoing.end(request.body)
