Bound what is discarded of a request that was answered

What callers saw: nothing; but one whose request went on without end after its answer (413, 503, 404 and the like, at any listener of a daemon) was read and discarded for as long as it sent, at the cost of a core. Before the first configuration, a gateway buffered bodies of any size.

Cause: Node.js discards the rest of an answered request whatever its size, so that the next one can be read; the limit of bodies was that of the configuration, and none without one.

Change: trackConnections, which all listeners use, closes the connection once more than 16 MiB were discarded. Without a configuration the default limit of bodies holds, 4 MiB.

The default limit of bodies has no test of its own.

--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -16,7 +16,7 @@
 import * as computeRank from '../computeRank/index.js'
 import * as mayFinishInTime from '../mayFinishInTime/index.js'
 import * as readBody from '../readBody/index.js'
-import type * as gateway from '../types/index.js'
+import * as gateway from '../types/index.js'
 
 export type { CallChoice, CallHandlerOptions, CallProtocol } from '../_lib/callOptions.js'
 
@@ -89,7 +89,7 @@
       readings.add(recheck)
       recheck(false)
       if (!isRefused && request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
-      const body = await readBody.readBody(request, limits?.maximumBodyBytes ?? Infinity, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
+      const body = await readBody.readBody(request, (limits ?? gateway.DEFAULT_CALLER_LIMITS).maximumBodyBytes, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
       readings.delete(recheck)
       requestedAt = options.now()
       if (isRefused) return
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -5,6 +5,7 @@
 import * as tls from 'node:tls'
 import type * as http from 'node:http'
 import * as clock from '@switchridge/clock'
+import * as boundDiscardedBody from '../_lib/boundDiscardedBody.js'
 
 /**
  * Phases of a connection. `idle`: no request arrives or is handled, `receiving`: a part of a request's head has arrived, `serving`: a request is handled,
@@ -121,7 +122,9 @@
       noteIdle(connection)
       const { refusal } = connection
       if (refusal !== null && !hasWholeRequest(connection)) runWithoutRequest(connection, () => { refuse(connection, refusal) })
-      if (!request.complete) request.once('close', () => { noteIdle(connection) })
+      if (request.complete) return
+      request.once('close', () => { noteIdle(connection) })
+      boundDiscardedBody.boundDiscardedBody(request)
     })
     if (isDraining) response.shouldKeepAlive = false
     handle(request, response)
