--- a/packages/daemon/src/createEngineOrders/index.ts
+++ b/packages/daemon/src/createEngineOrders/index.ts
@@ -37,6 +37,8 @@
 const DEFAULT_LOAD_TIMEOUT_MS = 120_000
 const OK = 200
 const CONFLICT = 409
+/** An answer holds a digest or an error's text. */
+const MAXIMUM_ANSWER_BYTES = 64 * types.BYTES_IN_KIBIBYTE
 
 const orderAnswerSchema = zod.object({ fileDigest: zod.string().nullable() })
 
@@ -87,7 +89,7 @@
       timeoutMs: options.loadTimeoutMs ?? DEFAULT_LOAD_TIMEOUT_MS,
       // The lease may lapse while the connection is made.
       mayStillSend: () => options.checksFences || options.lease.currentGeneration() === fence.value
-    })
+    }, MAXIMUM_ANSWER_BYTES)
     if (!sent.ok) return types.fail(new OrderError(sent.error.code === rpc.UNSENT_CODE ? 'the lease lapsed before the order was sent' : `engine: ${sent.error.message}`))
     const text = sent.value.body.toString()
     if (sent.value.status !== OK) {
--- a/packages/gateway/src/createEventSplitter/test.ts
+++ b/packages/gateway/src/createEventSplitter/test.ts
@@ -42,3 +42,11 @@
     return splitter.lastEventId()
   }), ['1', null, '2', '2', '3', null, '4', null])
 })
+
+nodeTest.test('the size of an event that is not complete is known', () => {
+  const splitter = createEventSplitter.createEventSplitter(null)
+  splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\n'))
+  assert.equal(splitter.partialBytes(), 6)
+  splitter.push(Buffer.from('\n'))
+  assert.equal(splitter.partialBytes(), 0)
+})
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -74,6 +74,7 @@
     setHost: false,
     insecureHTTPParser: false
   })
+  rpc.boundResponseHead(outgoing)
   const cancelTimeout = startConnectTimeout(request, () => { outgoing.destroy(new types.UnavailableError('no connection in time')) })
 
   function fail (reason: string, isClosedByPeer: boolean): void {
@@ -104,7 +105,7 @@
     const isFramed = rpc.hasMessageFraming(response, request.method)
     settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || hasEndedOrderly()) })
   })
-  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true) })
+  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true && !(error instanceof rpc.ResponseTooLargeError)) })
   outgoing.on('close', () => { fail('connection closed', true) })
   if (request.body === null) outgoing.end()
   else outgoing.end(request.body)
