--- a/packages/daemon/src/oneRun.test.ts
+++ b/packages/daemon/src/oneRun.test.ts
@@ -41,6 +41,7 @@
 
 /** A run as the back end saw it. */
 interface Run {
+  readonly requestId: string
   readonly resumedAfter: number
   pieces: number
   /** Whether its caller may take what was sent for a whole answer. */
@@ -69,7 +70,7 @@
 
 /** Answers a request over its socket: the first run of a call ends as told, and a later one is whole, but silent if the first one returns. */
 async function answerRequest ({ socket, requestId, lastEventId }: Request, answer: Answer, runs: Run[], crash: () => void): Promise<void> {
-  const run: Run = { resumedAfter: lastEventId, pieces: 0, isEnded: false }
+  const run: Run = { requestId, resumedAfter: lastEventId, pieces: 0, isEnded: false }
   runs.push(run)
   const number = runs.length
   const isFirst = number === 1
@@ -140,7 +141,7 @@
   const { content, stage, end, framing } = answer
   const isContinued = isResumable && content === 'events'
   if (runs.length === 0) faults.push(`not run: ${received.status} ${received.body}`)
-  if (!isRepeatable && runs.length > 1) faults.push('run more than once')
+  if (!isRepeatable && runs.length > 1) faults.push(`run more than once: ${runs.map(({ requestId }) => requestId).join()}`)
   const isBroken = end === 'reset' || end === 'crash' || (end === 'end' && (framing !== 'connection' || stage === 'nothing'))
   const mustBeServed = isRepeatable && isBuffered && (isBroken || (end === 'overtaken' && isContinued)) && (isContinued || content === 'plain' || stage !== 'pieces')
   if (mustBeServed && !(received.status === STATUS_OK && received.isWhole)) faults.push(`not served: ${received.status} ${received.body}`)
@@ -175,12 +176,18 @@
   })
 }
 
-async function startEngine (context: nodeTest.TestContext, answer: Answer, runs: Run[]): Promise<types.Address> {
+/** Starts an engine for the calls of one path; another process may send its own to a port that was a listener of its tests before. */
+async function startEngine (context: nodeTest.TestContext, path: string, answer: Answer, runs: Run[]): Promise<types.Address> {
   const sockets = new Set<net.Socket>()
   const server = net.createServer((socket) => {
     sockets.add(socket)
     socket.on('close', () => { sockets.delete(socket) })
     readRequests(socket, (head) => {
+      if (head.split(' ')[1] !== path) {
+        context.diagnostic(`request of another process: ${JSON.stringify(head)}`)
+        socket.destroy()
+        return
+      }
       const requestId = /\r\nRequest-Id: (.*)/i.exec(head)?.[1] ?? ''
       const lastEventId = Number(/\r\nLast-Event-Id: (\d+)/i.exec(head)?.[1] ?? 0)
       void answerRequest({ socket, requestId, lastEventId }, answer, runs, () => {
@@ -207,25 +214,26 @@
 for (const [name, { routeType, resumable }] of Object.entries(ROUTES)) {
   nodeTest.test(`an answer holds one run, or is cut, whatever its back end does (${name})`, LIMIT, async (context) => {
     const fleet = await fleetTesting.createTestFleet(context)
-    const path = (index: number): string => `/one-run-${index}/x`
+    const prefix = (index: number): string => `/one-run-${process.pid}-${index}/`
+    const path = (index: number): string => `${prefix(index)}x`
     const runs = ANSWERS.map((): Run[] => [])
     for (const [index, answer] of ANSWERS.entries()) {
       for (let engine = 0; engine < ENGINES; engine += 1) {
-        const address = await startEngine(context, answer, runs[index] as Run[])
+        const address = await startEngine(context, path(index), answer, runs[index] as Run[])
         fleet.store.put(platform.OBJECT_KINDS.backEnds, `i-${index}-${engine}`, testing.describeEngine({ address } as unknown as testing.EngineStandIn, `s-${index}`, 'zone-a'))
       }
     }
     fleet.configure((configuration) => {
       for (const index of ANSWERS.keys()) {
         configuration.services.push({ name: `s-${index}`, healthPath: '/health', maxConnections: 50 })
-        configuration.routes.push({ name: `r-${index}`, hostname: 'app.example', pathPrefix: `/one-run-${index}/`, routeType, timeoutMs: TIMEOUT_MS, targetLatencyMs: 100, priority: 1, service: `s-${index}`, maxAttempts: 3, public: true, resumable, gapTargetMs: 100 })
+        configuration.routes.push({ name: `r-${index}`, hostname: 'app.example', pathPrefix: prefix(index), routeType, timeoutMs: TIMEOUT_MS, targetLatencyMs: 100, priority: 1, service: `s-${index}`, maxAttempts: 3, public: true, resumable, gapTargetMs: 100 })
       }
     })
     // Each call has room for its retries at once.
     const gateway = await fleet.startGateway(HOST, [], undefined, { bounds: 'retry_ratio = 10\n' })
     await fleet.waitForRevision(platform.OBJECT_KINDS.backEnds, fleet.store.copy().revision)
     const faults = await Promise.all(ANSWERS.map(async (answer, index) => {
-      const received = await fleetTesting.call(gateway, { method: 'POST', path: path(index), id: `c-${index}`, body: 'ask' })
+      const received = await fleetTesting.call(gateway, { method: 'POST', path: path(index), id: `c-${process.pid}-${index}`, body: 'ask' })
       const isRepeatable = routeType === 'idempotent' || resumable
       return findFaults({ answer, runs: runs[index] as Run[], received, isRepeatable, isResumable: resumable, isBuffered: true }).map((fault) => `${describe(answer)}: ${fault}`)
     }))
@@ -247,7 +255,7 @@
     const index = Number(request.url?.slice(1))
     request.resume()
     // A run that is not the first one is whole.
-    request.once('end', () => { void answerRequest({ socket: request.socket, requestId: 'r', lastEventId: 0 }, answers[index] ?? SOUND_ANSWER, runs[index] ?? [{ resumedAfter: 0, pieces: 0, isEnded: true }], hall.crashService) })
+    request.once('end', () => { void answerRequest({ socket: request.socket, requestId: 'r', lastEventId: 0 }, answers[index] ?? SOUND_ANSWER, runs[index] ?? [{ requestId: 'r', resumedAfter: 0, pieces: 0, isEnded: true }], hall.crashService) })
   })
   await hall.addService({ repeatable })
   const entry = await hall.startEntry()
