Log the age of reads at the moment at which an order is written

What operators saw: `oldestReadMs`, `pausedMs` and the metric of the stage's age left out the time until the connection to the engine was open, and `pausedMs` included pauses after the order was written. An order withdrawn for its age could be logged with a small one. Cause: both were taken around the request, and not when it was written. Evidence: a test with a connection that opens after 700 ms: the logged age was 1 ms. Change: both are taken when the loader is asked whether the order may still be sent.

--- a/packages/staging/src/_lib/loadVersion.orders.test.ts
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -31,6 +31,8 @@
   readonly spoil: (piece: number, agoMs: number) => void
   readonly hasFaultyLayers: () => boolean
   readonly load: () => Promise<void>
+  /** Fields of each logged order. */
+  readonly loggedOrders: ReadonlyArray<Readonly<Record<string, string | number | boolean>>>
 }
 
 interface SceneOptions {
@@ -38,13 +40,15 @@
   /** Layers that the engine holds at first. */
   readonly held: staging.HeldLayers
   readonly readMs?: number
+  /** Time from the call that gives an order to the moment at which its connection is open. */
+  readonly connectMs?: number
   /** Called before a piece is read. */
   readonly onRead?: (scene: Scene, piece: number) => void
   /** Called for each order; the engine takes it at once when absent. */
   readonly onOrder?: (scene: Scene, order: staging.LoadOrder, count: number) => staging.OrderOutcome | Promise<staging.OrderOutcome>
 }
 
-function createScene (context: nodeTest.TestContext, { layerCount, held: heldAtFirst, readMs = 1, onRead, onOrder }: SceneOptions): Scene {
+function createScene (context: nodeTest.TestContext, { layerCount, held: heldAtFirst, readMs = 1, connectMs = 1, onRead, onOrder }: SceneOptions): Scene {
   context.mock.timers.enable({ apis: ['setTimeout', 'setInterval', 'Date'], now: 0 })
   const now = (): number => Date.now()
   const stage = new Map<number, Buffer>(BYTES.entries())
@@ -54,6 +58,7 @@
   let sequence = 1
   let writtenAt = -Infinity
   let orders = 0
+  const loggedOrders: Array<Scene['loggedOrders'][number]> = []
 
   const isFaulty = (layer: number): boolean => BYTES.some((_, piece) => Math.floor(piece * layerCount / PIECES) === layer && now() - (badSince.get(piece) ?? Infinity) > EXCUSE_MS)
 
@@ -88,7 +93,7 @@
       return types.succeed(stage.get(piece) ?? null)
     },
     start: async (order) => {
-      await types.delay(1)
+      await types.delay(connectMs)
       if (!order.mayStillSend()) return 'unsent'
       orders += 1
       return onOrder === undefined ? take(order.id.version, order.layers ?? { from: 0, to: layerCount }, order.sequence) : await onOrder(scene, order, orders)
@@ -101,9 +106,10 @@
     return true
   }
 
-  const loader = loadVersion.createVersionLoader({ engine, readEngine: async () => { await types.delay(1); return readState() }, onEvent: () => {}, observe: () => {}, pausedMsSince: () => 0, now, isStopped: () => false })
+  const loader = loadVersion.createVersionLoader({ engine, readEngine: async () => { await types.delay(1); return readState() }, onEvent: (event, fields) => { if (event === 'version-ordered') loggedOrders.push(fields) }, observe: () => {}, pausedMsSince: () => 0, now, isStopped: () => false })
   const scene: Scene = {
     loader,
+    loggedOrders,
     readState,
     take,
     spoil: (piece, agoMs) => {
@@ -224,3 +230,11 @@
   assert.ok(isTaken)
   assert.equal(state.held === VERSION && scene.loader.isTrusted(state) && scene.hasFaultyLayers(), false)
 })
+
+nodeTest.test('the logged age of the reads that an order relies on includes the time until its connection was open', async (context) => {
+  const connectMs = 700
+  const scene = createScene(context, { layerCount: 4, held: { version: OLD_VERSION, from: 0, to: 4 }, connectMs })
+  await scene.load()
+  const last = scene.loggedOrders.find(({ step }) => step === 'last')
+  assert.ok(Number(last?.oldestReadMs) >= connectMs, JSON.stringify(last))
+})
--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -68,6 +68,18 @@
   readonly sentAt: number
 }
 
+/** Monotonic times of an order in milliseconds, for its log line. */
+interface OrderTimes {
+  /** Beginning of the request, before its connection was open. */
+  readonly beganAt: number
+  /** When it was written, or withdrawn. */
+  readonly sentAt: number
+  /** When the oldest read that it relies on was sent; -Infinity if it relies on none. */
+  readonly checkedAt: number
+  /** Milliseconds for which the process was paused between the last two. */
+  readonly pausedMs: number
+}
+
 /** A version of an engine process whose pieces were not found right after their last order. */
 interface UnverifiedVersion {
   readonly bornAt: number | null
@@ -144,16 +156,22 @@
     if (check !== null && check.wrong.length > 0) return await staged.repair() ? state : null
     const checkedAt = check?.oldestReadAt ?? -Infinity
     if (completesLayers) unverified = { bornAt: state.bornAt, version: id.version }
-    const sentAt = options.now()
+    const beganAt = options.now()
+    let sentAt = beganAt
+    let pausedMs = 0
     const outcome = await options.engine.start({
       id,
       sequence: state.sequence,
       method,
       layers: step.layers.to - step.layers.from === state.layerCount ? null : step.layers,
-      mayStillSend: () => !completesLayers || options.now() - checkedAt <= LAST_CHECK_VALID_MS
+      mayStillSend: () => {
+        sentAt = options.now()
+        pausedMs = options.pausedMsSince(checkedAt)
+        return !completesLayers || sentAt - checkedAt <= LAST_CHECK_VALID_MS
+      }
     })
-    logOrder(ready, step, state, method, outcome, { sentAt, checkedAt })
-    if (outcome === 'unknown') noteUnanswered(state, id.version, sentAt)
+    logOrder(ready, step, state, method, outcome, { beganAt, sentAt, checkedAt, pausedMs })
+    if (outcome === 'unknown') noteUnanswered(state, id.version, beganAt)
     if (outcome === 'unsent' && completesLayers) return await options.readEngine()
     const isTaken = outcome === 'begun' || outcome === 'done' || (outcome === 'unknown' && await waitUntilTaken(state))
     if (!isTaken) return null
@@ -193,8 +211,8 @@
     if (wrong.length === 0) verifiedBody = unanswered
   }
 
-  function logOrder ({ id, namedAt }: staging.NamedVersion, step: LoadStep, state: staging.EngineState, method: staging.SwitchMethod, outcome: staging.OrderOutcome, { sentAt, checkedAt }: { readonly sentAt: number, readonly checkedAt: number }): void {
-    const answeredMs = options.now() - sentAt
+  function logOrder ({ id, namedAt }: staging.NamedVersion, step: LoadStep, state: staging.EngineState, method: staging.SwitchMethod, outcome: staging.OrderOutcome, { beganAt, sentAt, checkedAt, pausedMs }: OrderTimes): void {
+    const answeredMs = options.now() - beganAt
     options.observe('order_answer', answeredMs)
     if (checkedAt > -Infinity) options.observe('stage_age_at_order', sentAt - checkedAt)
     options.onEvent('version-ordered', {
@@ -206,7 +224,7 @@
       running: state.running,
       afterMs: Math.round(options.now() - namedAt),
       answeredMs: Math.round(answeredMs),
-      ...(checkedAt > -Infinity ? { oldestReadMs: Math.round(sentAt - checkedAt), pausedMs: Math.round(options.pausedMsSince(checkedAt)) } : {})
+      ...(checkedAt > -Infinity ? { oldestReadMs: Math.round(sentAt - checkedAt), pausedMs: Math.round(pausedMs) } : {})
     })
   }
 
