Leave more room beside the answers that a gateway buffers

What was seen: the test of whole answers in chunks without end failed once in a run beside other work (load average 30 to 44 on 8 processors); its output was lost, and a later trial reached 294 MB where the test allowed 280.

Cause: answers that are given up hold their memory until the garbage collector frees them, about as much again as the bound of all buffered answers.

Change: the bound is 0.15 of the memory in place of a quarter, still at least four answers of the largest size.

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -24,8 +24,8 @@
 const BYTES_PER_MEGABYTE = 1_000_000
 /** A gateway that has just started may not know most of the others yet, and would take their share of what returning engines can serve. */
 const PEERS_UNKNOWN_MS = 1500
-/** Share of the memory for answers that are buffered until they are complete; the same bytes may be held twice for a moment. */
-const ANSWERS_SHARE = 0.25
+/** Share of the memory for answers that are buffered until they are complete. Those that were given up take as much again until the garbage collector frees them. */
+const ANSWERS_SHARE = 0.15
 /** Room for four answers of the largest size, whatever the share is. */
 const MINIMUM_ANSWERS_BYTES = 4 * gateway.MAXIMUM_BUFFERED_BYTES
 const OK = 200
