Never send a paused upload that was answered 408

Seen by callers: with limits.held_share above 0, a caller that paused in an upload while memory was short got 408, which promises that the request has not run and never will. Where the connection is closed after the answer (Connection: close, or a gateway that drains), the rest of the body could still arrive, and the call was then sent to a back end and ran (REFUSED).

Cause: dropCall answered the call, but did not record that it was over. The connection is closed gracefully, so what arrives within two seconds is read, and the complete body went on as that of any other call.

Change: dropCall marks the call as refused, as a drain does; its body is no longer held, and it ends when the body does. A drain that begins afterwards no longer answers it a second time.

Why it works: the same mark is read after the body and before anything else becomes of the call.

--- a/packages/gateway/src/createCallHandler/draining.test.ts
+++ b/packages/gateway/src/createCallHandler/draining.test.ts
@@ -5,6 +5,7 @@
 import type * as sendAttempt from '../sendAttempt/index.js'
 import * as handlerTesting from '../_lib/handlerTesting.js'
 import * as createCallerServer from '../createCallerServer/index.js'
+import * as createHeldBytes from '../createHeldBytes/index.js'
 import * as createCallHandler from './index.js'
 
 const ADDRESS = { host: '127.0.0.32', port: 18_432 }
@@ -14,6 +15,8 @@
 /** More than the kernel's buffers hold, so that a caller that sends it all needs a peer that reads. */
 const UPLOAD_BYTES = 16_000_000
 const HALF = 0.5
+const SMALL_UPLOAD_BYTES = 20_000
+const STALLED_MS = 6000
 const EXPECTATION = 'Expect: 100-continue\r\n'
 const GET = 'GET / HTTP/1.1\r\nHost: h\r\n\r\n'
 const WAIT = { timeout: 20_000 }
@@ -23,6 +26,8 @@
   /** Advances the clock and runs what is due. */
   readonly advanceTo: (time: number) => void
   readonly attempts: () => number
+  /** Bytes held for callers. */
+  readonly heldBytes: () => number
   /** Milliseconds that each attempt had left when it was sent. */
   readonly remaining: readonly number[]
   /** Ends the first attempt without an answer. */
@@ -37,13 +42,15 @@
 }
 
 /** Starts a gateway whose back end answers nothing. */
-async function startGateway (context: nodeTest.TestContext, timeoutMs: number, kind: 'stream' | 'repeatable' = 'stream'): Promise<Fixture> {
+async function startGateway (context: nodeTest.TestContext, timeoutMs: number, kind: 'stream' | 'repeatable' = 'stream', maximumHeldBytes = Infinity): Promise<Fixture> {
   let time = 0
   const attempts: Array<(start: sendAttempt.AttemptStart) => void> = []
   let scheduled: Array<{ readonly at: number, readonly action: () => void }> = []
   const remaining: number[] = []
+  const heldBytes = createHeldBytes.createHeldBytes({ maximumBytes: maximumHeldBytes, now: () => time })
   const options = handlerTesting.createHandlerOptions({ timeoutMs, kind }, {
     now: () => time,
+    heldBytes,
     at: (at, action) => {
       const entry = { at, action }
       scheduled.push(entry)
@@ -66,6 +73,7 @@
     handler,
     remaining,
     attempts: () => attempts.length,
+    heldBytes: heldBytes.read,
     breakAttempt: () => { attempts[0]?.({ kind: 'no-answer', reason: 'closed', isClosedByPeer: true }) },
     advanceTo: (to) => {
       time = to
@@ -208,3 +216,21 @@
   await waitForAttempts(fixture, 2)
   assert.deepEqual(fixture.remaining, [SHORT_MS, SHORT_MS * HALF])
 })
+
+/** Guards against a call that runs although its caller was told that it has not, since the rest of its body arrived before the connection was closed. */
+for (const header of ['', 'Connection: close\r\n']) {
+  nodeTest.test(`a paused upload that is answered 408 while memory is short is never sent, though its rest arrives (${header.trim()})`, WAIT, async (context) => {
+    const gateway = await startGateway(context, LONG_MS, 'stream', SMALL_UPLOAD_BYTES)
+    const paused = openCaller(context, `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${SMALL_UPLOAD_BYTES}\r\n${header}\r\n`)
+    await send(paused.socket, SMALL_UPLOAD_BYTES - 1)
+    while (gateway.heldBytes() < SMALL_UPLOAD_BYTES - 1) await new Promise(setImmediate)
+    gateway.advanceTo(STALLED_MS)
+    const other = openCaller(context, `POST / HTTP/1.1\r\nHost: h\r\nContent-Length: ${SMALL_UPLOAD_BYTES}\r\n\r\n`)
+    await send(other.socket, SMALL_UPLOAD_BYTES)
+    assert.match(await paused.receive('\r\n\r\n'), /^HTTP\/1\.1 408 /)
+    paused.socket.write('x')
+    while (gateway.attempts() === 0) await new Promise(setImmediate)
+    await new Promise<void>((resolve) => { paused.socket.once('close', () => { resolve() }).resume() })
+    assert.equal(gateway.attempts(), 1, 'only the other call was sent')
+  })
+}
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -132,11 +132,12 @@
       else reply.refuse(503, BROKEN_REASON, BROKEN_RETRY_MS)
     }
 
-    /** Ends a call whose caller has stalled while memory is short; a body that is not complete was not forwarded. */
+    /** Ends a call whose caller has stalled while memory is short. A body that is not complete was not forwarded, and is not if the rest of it arrives. */
     function dropCall ({ phase, bytes, stalledMs }: createHeldBytes.DroppedCall): void {
       options.count('calls_dropped', { phase })
       options.logger.warn('call-dropped', { id: head.requestId, phase, bytes, stalledMs: Math.round(stalledMs) })
       if (phase === 'answer') return reply.abort()
+      isRefused = true
       response.once('finish', () => { request.destroy() })
       reply.refuse(408, 'request body stalled', null)
     }
