Test an agent that is killed twice within seconds beside a change of versions

Callers get no answers from an engine that holds the new version for 9 s and more. Cause: an agent that is killed about a second after its start and started again has a clock less than a second behind the one before, which the estimate of delays takes for datagrams out of order and not for a restart. All its heartbeats then look as late as the time that it was away, and each exchange adds that to the ages of versions.

--- a/packages/daemon/src/staleStageSeeds.test.ts
+++ b/packages/daemon/src/staleStageSeeds.test.ts
@@ -30,8 +30,8 @@
 /** Distinguish these scenes from those of other test files of the same process. */
 const FIRST_NETWORK = 400
 const NETWORKS = 400
-/** Freezes at the first, half and last reads of a check, for the first and a later version. */
-const CI_SEEDS = [5, 23, 28, 36]
+/** Freezes at the first, half and last reads of a check, for the first and a later version, and an agent that is killed twice within seconds. */
+const CI_SEEDS = [5, 23, 28, 36, 93]
 
 const MOMENTS: readonly staleStageScene.Moment[] = ['at-request', 'at-request', 'at-request', 'early-read-back', 'amid-read-back', 'last-reads', 'after-check', 'amid-pause', 'at-order', 'at-order']
 const KINDS: ReadonlyArray<staleStageScene.Strike['kind']> = ['freeze', 'freeze', 'freeze', 'freeze', 'kill-agent', 'kill-agent', 'crash-engine', 'power-loss', 'none']
