Trust no layers that an engine without layers of its own took before its stage was repaired

What callers saw: not seen outside the test; answers from faulty layers of a model that is not divided into layers. Cause: an engine that holds such a model answers a further order as done and takes nothing, and the read-back after it found the repaired stage. Change: a done order proves what the engine holds only if nothing was written into the stage since its first order.

--- a/packages/staging/src/_lib/loadVersion.orders.test.ts
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -238,3 +238,19 @@
   const last = scene.loggedOrders.find(({ step }) => step === 'last')
   assert.ok(Number(last?.oldestReadMs) >= connectMs, JSON.stringify(last))
 })
+
+nodeTest.test('an engine of a model without layers that took wrong pieces does not serve them once its stage is right again', async (context) => {
+  const scene = createScene(context, {
+    layerCount: 1,
+    held: { version: OLD_VERSION, from: 0, to: 1 },
+    // The engine takes the first order late.
+    onOrder: (each, order, count) => {
+      if (count === 1) each.spoil(0, PAUSE_MS)
+      return takeInFull(each, order, 1)
+    }
+  })
+  await scene.load()
+  assert.deepEqual({ isTrusted: scene.loader.isTrusted(scene.readState()), isFaulty: scene.hasFaultyLayers() }, { isTrusted: false, isFaulty: true })
+  await scene.load()
+  assert.deepEqual({ isTrusted: scene.loader.isTrusted(scene.readState()), isFaulty: scene.hasFaultyLayers() }, { isTrusted: false, isFaulty: true })
+})
--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -84,6 +84,8 @@
 interface UnverifiedVersion {
   readonly bornAt: number | null
   readonly version: number
+  /** Monotonic time in milliseconds at which its first order that completes the layers was sent by this process; -Infinity if it may have been sent by another one. */
+  readonly orderedAt: number
 }
 
 /**
@@ -155,8 +157,8 @@
     const check = completesLayers ? await verifyStage.verifyStage(options.engine, staged.manifest, pieces, options.now, LAST_CHECK_CONCURRENCY) : null
     if (check !== null && check.wrong.length > 0) return await staged.repair() ? state : null
     const checkedAt = check?.oldestReadAt ?? -Infinity
-    if (completesLayers) unverified = { bornAt: state.bornAt, version: id.version }
     const beganAt = options.now()
+    if (completesLayers && (unverified === null || unverified.bornAt !== state.bornAt || unverified.version !== id.version)) unverified = { bornAt: state.bornAt, version: id.version, orderedAt: beganAt }
     let sentAt = beganAt
     let pausedMs = 0
     const outcome = await options.engine.start({
@@ -185,6 +187,8 @@
       return await staged.repair() ? afterwards : null
     }
     if (outcome === 'unknown' && !isStageUnchanged(staged)) return afterwards
+    // The engine may have taken the layers at an earlier order, and nothing at this one.
+    if (outcome === 'done' && completesLayers && unverified !== null && staged.writtenAt() >= unverified.orderedAt) return null
     if (completesLayers) unverified = null
     else verifiedBody = { bornAt: state.bornAt, version: id.version, sequence: state.sequence + 1 }
     return afterwards
@@ -254,7 +258,7 @@
   }
 
   function noteState ({ bornAt, held, layers }: Pick<staging.EngineState, 'bornAt' | 'held' | 'layers'>): void {
-    if (layers !== null && layers.version !== held) unverified = { bornAt, version: layers.version }
+    if (layers !== null && layers.version !== held) unverified = { bornAt, version: layers.version, orderedAt: -Infinity }
   }
 
   function isTrusted ({ bornAt, held }: Pick<staging.EngineState, 'bornAt' | 'held'>): boolean {
