Say when an attempt to load began, and return what a check of the stage found

Readiness stated a load as under way if the pieces had been evicted meanwhile, and a check of another version's stage could count as that of the version; found by reading, not seen. The body of the load reads the result in place of the shared state.

--- a/packages/staging/src/_lib/loadVersion.ts
+++ b/packages/staging/src/_lib/loadVersion.ts
@@ -95,7 +95,7 @@
 const LAST_CHECK_VALID_MS = 1000
 /** The last layer has few pieces, whose reads must not wait for each other. */
 const LAST_CHECK_CONCURRENCY = 16
-/** Most orders of one load: three if the engine takes bad pieces once, and as many again. */
+/** Most orders of one load, which takes two, and two more each time that the engine takes wrong pieces; a later step of the agent begins anew. */
 const MAXIMUM_STEPS = 8
 const POLL_MS = 50
 /** Interval of polls while the last layer is loaded, which takes less time than the others. */
@@ -242,7 +242,7 @@
   async function waitUntilDone (version: number, { name, layers }: LoadStep): Promise<staging.EngineState | null> {
     const startedAt = options.now()
     const completesLayers = name === 'last' || name === 'whole'
-    const isHeld = (state: staging.EngineState): boolean => completesLayers ? state.held >= version : state.layers?.version === version && state.layers.from === layers.from && state.layers.to === layers.to
+    const isHeld = (state: staging.EngineState): boolean => completesLayers ? state.held === version : state.layers?.version === version && state.layers.from === layers.from && state.layers.to === layers.to
     const isDone = (state: staging.EngineState): boolean => options.isStopped() || (!state.isBusy && (isHeld(state) || options.now() - startedAt >= ORDER_SETTLE_MS))
     return await pollEngine(isDone, Infinity, name === 'last' ? LAST_POLL_MS : POLL_MS)
   }
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -212,9 +212,9 @@
     if (!isStagedFor(ready)) await stage(ready)
     if (options.now() < turnAt) wakeAt(turnAt)
     if (options.now() < turnAt || !isStagedFor(ready) || !mayBeginChange) return
-    orderedAt = options.now()
     const weights = describeStage(ready)
     if (weights === null) return
+    orderedAt = options.now()
     change = state.held === 0 ? orders.orderFirstVersion(ready, weights, state) : orders.order(ready, weights, turn.method)
     await change
     if (state.held === 0) firstLoad = { version: ready.id.version, tookMs: options.now() - orderedAt }
@@ -341,30 +341,26 @@
     return {
       manifest: pieces.manifest,
       writtenAt: () => writtenAt,
-      ensureVerified: async () => {
-        if (!isStagedFor(ready)) await stage(ready)
-        return staged !== null
-      },
-      repair: async () => {
-        await stage(ready)
-        return staged !== null
-      }
+      ensureVerified: async () => isStagedFor(ready) || await stage(ready),
+      repair: async () => await stage(ready)
     }
   }
 
-  async function stage (ready: staging.NamedVersion): Promise<void> {
+  /** Writes what is missing or wrong in the stage; returns whether every piece of the version was right when it was last read. */
+  async function stage (ready: staging.NamedVersion): Promise<boolean> {
     const pieces = findPieces(ready.id.version)
-    if (pieces === null) return
+    if (pieces === null) return false
     const isRewritten = staged?.version !== ready.id.version
     staged = null
     const startedAt = options.now()
     const written = await writeStage.writeStage(options.engine, pieces, isRewritten, options.now)
     if (isRewritten || written.repaired > 0) writtenAt = options.now()
     if (written.repaired > 0) options.onEvent('stage-repaired', { version: ready.id.version, pieces: written.repaired, failed: written.failed })
-    if (written.failed > 0) return
+    if (written.failed > 0) return false
     staged = { version: ready.id.version, verifiedAt: options.now() }
     if (isRewritten) readiness.noteTook('stage', options.now() - startedAt)
     options.onEvent('staged', { version: ready.id.version, tookMs: Math.round(options.now() - startedAt) })
+    return true
   }
 
   /** Wakes at the exact time if it comes before the next tick. */
