--- a/packages/daemon/src/_lib/staleStageScene.ts
+++ b/packages/daemon/src/_lib/staleStageScene.ts
@@ -172,7 +172,7 @@
 
   async function call (): Promise<void> {
     const { status, isWhole, headers } = await callStream(gateway, `call-${count++}`)
-    if (status === OK && isWhole) answered.push({ version: Number(headers['weight-versions']), engineId: String(headers['engine-seal']).replace('seal-', ''), at: performance.now() })
+    if (status === OK && isWhole) answered.push({ ...testing.readServingEngine(headers), at: performance.now() })
   }
 
   const timer = setInterval(() => {
