--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -217,7 +217,7 @@
     report = next
     lastReport = next ?? lastReport
     if (mayBeCold) noteMaybeCold()
-    slots.noteReport(next === null ? null : describeReport(next))
+    slots.noteReport(next)
     if (wasLeaving !== isLeavingNode()) {
       logger.info('engine-leaving', { address: engineAddress, isLeaving: isLeavingNode() })
       gossip.sendNow('gateway')
