Tell a restarted daemon by its incarnation, not by its clock

What callers saw: no call reached an engine for 9 s and more after its agent had been killed a second after its start and started again.

Cause: gossip took a sender for restarted only if its clock had gone back by more than 1,000 ms. The second run's clock had not, so each of its datagrams counted as in transit for the time between the two starts (2.5 s): reports were too old to use, and the ages of versions ran away with every hop. Class: a restart judged by a clock, although the process knows it exactly.

Change: heartbeats and engine reports state an incarnation, a random id of at most five characters. Another one is another process; the clock decides only where a datagram states none, as those of earlier releases and digests do, until the next heartbeat of their sender. A datagram of the same process that arrives seconds after a later one is late, no longer a restart, and a clock is no longer compared with that of another process.

--- a/packages/daemon/src/createFleetExchange/index.ts
+++ b/packages/daemon/src/createFleetExchange/index.ts
@@ -42,6 +42,8 @@
   readonly stop: () => void
 }
 
+/** Number of different incarnations, of up to five digits each. */
+const INCARNATIONS = 36 ** 5
 /** Time for the next watch after a dead connection, and for the other gateways to copy the change. */
 const EVACUATION_SPREAD_MS = 600
 
@@ -107,6 +109,7 @@
 
   const gossip = await spread.createGossip({
     host: parts.settings.host,
+    incarnation: createIncarnation(options.random),
     openDatagrams,
     seeds: createFleetParts.readSeedHosts(parts.settings),
     describeSelf: () => options.describeSelf(isStoreLost()),
@@ -178,6 +181,11 @@
   return Math.max(timeout, Math.min(usualMs, bounds.evacuation_ms - EVACUATION_SPREAD_MS - timeout))
 }
 
+/** Short, since it is part of each heartbeat and engine report; it only has to differ from those of earlier runs on the same host. */
+function createIncarnation (random: () => number): types.IncarnationId {
+  return types.brandId(Math.floor(random() * INCARNATIONS).toString(36))
+}
+
 function formatHallLabel (isOwnHall: boolean): string {
   return isOwnHall ? 'own' : 'other'
 }
--- a/packages/spread/src/_lib/createDelayEstimator.ts
+++ b/packages/spread/src/_lib/createDelayEstimator.ts
@@ -1,8 +1,12 @@
 /** Estimates how much longer a datagram was in transit than the fastest one of its sender, as behind a full link. */
+import type * as types from '@switchridge/types'
+import type * as wire from './wire.js'
 
 interface ClockDifference {
   readonly differenceMs: number
   readonly sentAt: number
+  /** The process whose clock was compared; null if it is not known. */
+  readonly incarnation: types.IncarnationId | null
 }
 
 /** Delay of a datagram, in milliseconds beyond the fastest one of its sender. */
@@ -12,7 +16,7 @@
   readonly isRestarted: boolean
 }
 
-/** A sender whose clock went back by more has restarted; less may be two datagrams that arrived out of order. */
+/** A sender that states no incarnation has restarted if its clock went back by more; less may be two datagrams that arrived out of order. */
 const RESTART_CLOCK_DROP_MS = 1000
 /**
  * No datagram is in transit, or unread at a frozen receiver, for longer; one that seems to be was sent by a restarted daemon, whose clock starts
@@ -23,10 +27,10 @@
 
 /** Compares the clocks of senders with the own clock. */
 export interface DelayEstimator {
-  /** Returns the delay of a datagram, from its sender, the sender's clock at sending and the own clock, both in milliseconds. */
-  readonly measure: (host: string, sentAt: number, now: number) => Delay
-  /** Returns by how many milliseconds the sender's clock is ahead of its known difference, or null if none is known. Records nothing. */
-  readonly compareClock: (host: string, sentAt: number, now: number) => number | null
+  /** Returns the delay of a datagram, from its sender, its origin and the own clock in milliseconds. */
+  readonly measure: (host: string, origin: wire.Origin, now: number) => Delay
+  /** Returns by how many milliseconds the sender's clock is ahead of its known difference, or null if none is known of that process. Records nothing. */
+  readonly compareClock: (host: string, origin: wire.Origin, now: number) => number | null
 }
 
 /**
@@ -37,18 +41,28 @@
 export function createDelayEstimator (): DelayEstimator {
   const smallestDifferences = new Map<string, ClockDifference>()
   return {
-    compareClock: (host, sentAt, now) => {
+    compareClock: (host, { sentAt, incarnation }, now) => {
       const known = smallestDifferences.get(host)
-      return known === undefined ? null : known.differenceMs - (now - sentAt)
+      return known === undefined || areDifferent(incarnation, known.incarnation) ? null : known.differenceMs - (now - sentAt)
     },
-    measure: (host, sentAt, now) => {
+    measure: (host, { sentAt, incarnation }, now) => {
       const differenceMs = now - sentAt
       const known = smallestDifferences.get(host)
-      const isRestarted = known !== undefined && (sentAt < known.sentAt - RESTART_CLOCK_DROP_MS || differenceMs - known.differenceMs > MAXIMUM_DELAY_MS)
+      const isRestarted = known !== undefined && (isOtherProcess({ sentAt, incarnation }, known) || differenceMs - known.differenceMs > MAXIMUM_DELAY_MS)
       const isFirst = known === undefined || isRestarted
       const smallestMs = isFirst ? differenceMs : Math.min(known.differenceMs, differenceMs)
-      smallestDifferences.set(host, { differenceMs: smallestMs, sentAt: isFirst ? sentAt : Math.max(sentAt, known.sentAt) })
+      smallestDifferences.set(host, { differenceMs: smallestMs, sentAt: isFirst ? sentAt : Math.max(sentAt, known.sentAt), incarnation: incarnation ?? (isFirst ? null : known.incarnation) })
       return { delayMs: differenceMs - smallestMs, isRestarted }
     }
   }
 }
+
+/** Whether a datagram is from another process than the known one, by their incarnations, or by the clock if one of them is not known. */
+function isOtherProcess ({ sentAt, incarnation }: wire.Origin, known: ClockDifference): boolean {
+  if (incarnation === null || known.incarnation === null) return sentAt < known.sentAt - RESTART_CLOCK_DROP_MS
+  return incarnation !== known.incarnation
+}
+
+function areDifferent (one: types.IncarnationId | null, other: types.IncarnationId | null): boolean {
+  return one !== null && other !== null && one !== other
+}
--- a/packages/spread/src/_lib/createPeriodicBroadcaster.ts
+++ b/packages/spread/src/_lib/createPeriodicBroadcaster.ts
@@ -1,4 +1,5 @@
 /** Periodic datagrams of a daemon: heartbeats, keepalives and engine reports, scheduled for each member separately. */
+import type * as types from '@switchridge/types'
 import type * as fleetView from './fleetView.js'
 import * as hashes from './hashes.js'
 import type * as heartbeats from './heartbeat.js'
@@ -8,6 +9,8 @@
 /** Options of {@link createPeriodicBroadcaster}. */
 export interface PeriodicBroadcasterOptions {
   readonly ownHost: string
+  /** Id of this process, which tells its datagrams from those of an earlier run. */
+  readonly incarnation: types.IncarnationId
   readonly describeSelf: () => heartbeats.Heartbeat
   readonly getView: () => fleetView.FleetView
   /** Whether this daemon is a relay of its hall or a standby. */
@@ -49,7 +52,7 @@
  * @returns The broadcaster; nothing periodic is sent before its first tick.
  */
 export function createPeriodicBroadcaster (options: PeriodicBroadcasterOptions): PeriodicBroadcaster {
-  const { ownHost, getView, send, now } = options
+  const { ownHost, incarnation, getView, send, now } = options
   const { role: ownRole, isStoreLost: initialStoreLost } = options.describeSelf()
   const heartbeatSentAt = new Map<string, number>()
   const lastSentAt = new Map<string, number>()
@@ -65,7 +68,7 @@
   }
 
   function formatSelf (urgency: wire.Urgency): string {
-    return wire.formatHeartbeat(now(), options.describeSelf(), getView().viewHash, urgency)
+    return wire.formatHeartbeat({ sentAt: now(), incarnation }, options.describeSelf(), getView().viewHash, urgency)
   }
 
   function sendHeartbeat (host: string, urgency: wire.Urgency = 'nobody'): void {
@@ -122,7 +125,7 @@
     const { near, intervals, isRelayed, relayHosts } = getView()
     const due = near.filter(({ heartbeat: { role, host } }) => (isRelayed ? relayHosts.has(host) : role === 'gateway') && isDue(lastSentAt.get(host), intervals.engineReportMs))
     if (due.length === 0) return
-    const text = wire.formatEngineReport(now(), options.describeSelf().engine)
+    const text = wire.formatEngineReport({ sentAt: now(), incarnation }, options.describeSelf().engine)
     for (const { heartbeat: { host } } of due) {
       lastSentAt.set(host, now())
       send(host, text)
--- a/packages/spread/src/_lib/fleetTesting.ts
+++ b/packages/spread/src/_lib/fleetTesting.ts
@@ -41,6 +41,8 @@
   readonly newestRevision: { revision: number, host: string }
   /** Ages of versions as last received, in milliseconds by version. */
   readonly versionAges: Map<number, number>
+  /** Transit time of the last state of each daemon beyond that of the fastest datagrams, in milliseconds by host. */
+  readonly delays: Map<string, number>
   /** Received heartbeats, with their times. */
   readonly heartbeats: Array<{ readonly host: string, readonly at: number }>
 }
@@ -203,14 +205,17 @@
     const newestRevision = { revision: 0, host: '' }
     const dropped: string[] = []
     const versionAges = new Map<number, number>()
+    const delays = new Map<string, number>()
     const heartbeats: TestDaemon['heartbeats'] = []
     const gossip = await createGossip.createGossip({
       clock: { isUncertain: () => false, recordPeerOffset: () => {} },
       host: each.host,
+      incarnation: types.brandId(`run-${clockOrigin}`),
       openDatagrams: open(each.host, traffic, heartbeats),
       seeds: (plan.seedsOf ?? seedsOf)(each, planned),
       describeSelf: () => describe(each, state),
-      onHeartbeat: (heartbeat) => {
+      onHeartbeat: (heartbeat, delayMs) => {
+        delays.set(heartbeat.host, delayMs)
         const revision = heartbeat.copies['versions']?.at ?? 0
         if (revision > newestRevision.revision) Object.assign(newestRevision, { revision, host: heartbeat.host })
         for (const { version, ageMs } of heartbeat.versions) versionAges.set(version, ageMs)
@@ -224,7 +229,7 @@
       now: () => Date.now() - clockOrigin
     })
     context.after(gossip.stop)
-    return { ...each, gossip, traffic, reports, dropped, state, pauses, newestRevision, heartbeats, versionAges }
+    return { ...each, gossip, traffic, reports, dropped, state, pauses, newestRevision, heartbeats, versionAges, delays }
   }
 
   const order = planned.map((each) => ({ each, at: random() * START_MS })).sort((left, right) => left.at - right.at)
--- a/packages/spread/src/_lib/wire.test.ts
+++ b/packages/spread/src/_lib/wire.test.ts
@@ -12,6 +12,7 @@
 const AUDIENCES: readonly wire.Audience[] = ['nobody', 'gateways', 'all']
 
 const tenths = fastCheck.integer({ min: 0, max: 1_000_000_000 }).map((value) => value / TENTHS)
+const origin = fastCheck.record({ sentAt: tenths, incarnation: fastCheck.oneof(fastCheck.constant(null), fastCheck.string().map((id) => types.brandId<types.IncarnationId>(id))) }, { noNullPrototype: true })
 const wholeMs = fastCheck.nat(1_000_000)
 const version = fastCheck.record({ model: fastCheck.string(), version: fastCheck.nat(), ageMs: tenths }, { noNullPrototype: true })
 const kind = fastCheck.string().filter((name) => name !== '__proto__')
@@ -41,8 +42,8 @@
 }
 
 nodeTest.test('a heartbeat is parsed as it was formatted', () => {
-  fastCheck.assert(fastCheck.property(tenths, anyHeartbeat(true), fastCheck.nat(), fastCheck.constantFrom(...AUDIENCES), (sentAt, heartbeat, viewHash, urgency) => {
-    assert.deepEqual(decode(wire.formatHeartbeat(sentAt, heartbeat, viewHash, urgency)), { type: 'heartbeat', sentAt, heartbeat, viewHash, urgency })
+  fastCheck.assert(fastCheck.property(origin, anyHeartbeat(true), fastCheck.nat(), fastCheck.constantFrom(...AUDIENCES), (sent, heartbeat, viewHash, urgency) => {
+    assert.deepEqual(decode(wire.formatHeartbeat(sent, heartbeat, viewHash, urgency)), { type: 'heartbeat', origin: sent, heartbeat, viewHash, urgency })
   }), { seed: SEED, numRuns: RUNS })
 })
 
@@ -85,7 +86,7 @@
   const heartbeat = fastCheck.sample(anyHeartbeat(true), { seed: SEED, numRuns: 1 })[0] as heartbeats.Heartbeat
   for (const odd of ['', ' ', 'a b', 'a:1', '999.1.1.1', '1.2.3.4.5', '東京', 'a\r\nb', 'a/b', 'a@b', '[::1]', 'a'.repeat(300)]) {
     const texts = [
-      wire.formatHeartbeat(1, { ...heartbeat, host: odd }, 1, 'all'),
+      wire.formatHeartbeat({ sentAt: 1, incarnation: null }, { ...heartbeat, host: odd }, 1, 'all'),
       `["a",[${JSON.stringify(odd)}]]`,
       wire.formatDigest({ sentAt: 1, delayMs: 0, audience: 'all', range: null, ingressHost: '' }, JSON.stringify(['hall-1', {}, [], [['n', odd, 0, 0, 0, 0, null]]]))
     ]
--- a/packages/spread/src/_lib/wire.ts
+++ b/packages/spread/src/_lib/wire.ts
@@ -59,10 +59,18 @@
   readonly ingressHost: string
 }
 
-/** A datagram: a heartbeat, an engine report, a keepalive, hosts to contact, or a digest. `sentAt` is the sender's monotonic clock in milliseconds. */
+/** When and by which process a datagram was sent. */
+export interface Origin {
+  /** Monotonic clock of the sender, in milliseconds. */
+  readonly sentAt: number
+  /** The sender's process; null in datagrams that don't state it. */
+  readonly incarnation: types.IncarnationId | null
+}
+
+/** A datagram: a heartbeat, an engine report, a keepalive, hosts to contact, or a digest. */
 export type Message =
-  | { readonly type: 'heartbeat', readonly sentAt: number, readonly heartbeat: heartbeats.Heartbeat, readonly viewHash: number, readonly urgency: Urgency }
-  | { readonly type: 'engine-report', readonly sentAt: number, readonly engine: unknown }
+  | { readonly type: 'heartbeat', readonly origin: Origin, readonly heartbeat: heartbeats.Heartbeat, readonly viewHash: number, readonly urgency: Urgency }
+  | { readonly type: 'engine-report', readonly origin: Origin, readonly engine: unknown }
   | { readonly type: 'keepalive', readonly isRound: boolean }
   | { readonly type: 'hosts', readonly hosts: readonly string[] }
   | { readonly type: 'digest', readonly header: DigestHeader, readonly digest: Digest, readonly body: string }
@@ -114,14 +122,14 @@
 }
 
 /** Formats a heartbeat. */
-export function formatHeartbeat (sentAt: number, heartbeat: heartbeats.Heartbeat, viewHash: number, urgency: Urgency): string {
+export function formatHeartbeat ({ sentAt, incarnation }: Origin, heartbeat: heartbeats.Heartbeat, viewHash: number, urgency: Urgency): string {
   const { node, zone, host, copies, versions, suspects, engine } = heartbeat
-  return JSON.stringify(['h', roundToTenth(sentAt), formatFlags(heartbeat), node, zone, host, viewHash, URGENCIES.indexOf(urgency), formatCopies(copies), formatVersions(versions), suspects, engine])
+  return JSON.stringify(['h', roundToTenth(sentAt), formatFlags(heartbeat), node, zone, host, viewHash, URGENCIES.indexOf(urgency), formatCopies(copies), formatVersions(versions), suspects, engine, incarnation])
 }
 
 /** Formats a report of the own engine, for receivers that know the sender. */
-export function formatEngineReport (sentAt: number, engine: unknown): string {
-  return JSON.stringify(['n', roundToTenth(sentAt), engine])
+export function formatEngineReport ({ sentAt, incarnation }: Origin, engine: unknown): string {
+  return JSON.stringify(['n', roundToTenth(sentAt), engine, incarnation])
 }
 
 /** Formats a keepalive; `isRound` tells that the sender, a relay, has just begun a digest round. */
@@ -232,10 +240,15 @@
   return { role: (flags & AGENT_FLAG) > 0 ? 'agent' : 'gateway', isLeaving: (flags & LEAVING_FLAG) > 0, isStoreLost: (flags & STORE_LOST_FLAG) > 0 }
 }
 
-function parseHeartbeat ([, sentAt, flags, node, zone, host, viewHash, urgency, copies, versions, suspects, engine]: readonly unknown[]): Message {
+/** Datagrams of earlier releases state no incarnation. */
+function parseOrigin (sentAt: unknown, incarnation: unknown): Origin {
+  return { sentAt: requireShape(sentAt, isNumber), incarnation: incarnation === undefined || incarnation === null ? null : types.brandId<types.IncarnationId>(requireShape(incarnation, isString)) }
+}
+
+function parseHeartbeat ([, sentAt, flags, node, zone, host, viewHash, urgency, copies, versions, suspects, engine, incarnation]: readonly unknown[]): Message {
   return {
     type: 'heartbeat',
-    sentAt: requireShape(sentAt, isNumber),
+    origin: parseOrigin(sentAt, incarnation),
     viewHash: requireShape(viewHash, isNumber),
     urgency: parseOneOf(URGENCIES, urgency),
     heartbeat: {
@@ -309,7 +322,7 @@
   const head = requireShape(JSON.parse(end < 0 ? text : text.slice(0, end)), isArray)
   switch (head[0]) {
     case 'h': return parseHeartbeat(head)
-    case 'n': return { type: 'engine-report', sentAt: requireShape(head[1], isNumber), engine: head[2] ?? null }
+    case 'n': return { type: 'engine-report', origin: parseOrigin(head[1], head[3]), engine: head[2] ?? null }
     case 'r': return { type: 'keepalive', isRound: requireShape(head[1], isNumber) === 1 }
     case 'a': return { type: 'hosts', hosts: requireShape(head[1], isHostList) }
     case 'd': return parseDigest(head, text.slice(end + 1))
--- a/packages/spread/src/createGossip/faults.test.ts
+++ b/packages/spread/src/createGossip/faults.test.ts
@@ -42,6 +42,9 @@
 /** Delay of the late heartbeat, and the bound for the transit of the fastest one. */
 const LATE_MS = 400
 const FASTEST_MS = 5
+/** Shorter than any difference of clocks by which a restart could be told. */
+const SHORT_RUN_MS = 900
+const DOWN_MS = 2500
 const HALL = 'hall-2'
 
 function knowsAll (fleet: fleetTesting.TestFleet, where: 'near' | 'far'): boolean {
@@ -326,7 +329,7 @@
   const fleet = await startSettled(context, { gateways: 2, agents: 1, halls: 1 })
   const [broadcaster, receiver] = fleet.daemons as [fleetTesting.TestDaemon, fleetTesting.TestDaemon]
   const heartbeat = { ...fleetTesting.describeForRank(broadcaster), versions: [{ model: 'base', version: 9, ageMs: 100 }] }
-  fleet.inject(broadcaster.host, receiver.host, Buffer.from(wire.formatHeartbeat(Date.now() - LATE_MS, heartbeat, 0, 'nobody')))
+  fleet.inject(broadcaster.host, receiver.host, Buffer.from(wire.formatHeartbeat({ sentAt: Date.now() - LATE_MS, incarnation: null }, heartbeat, 0, 'nobody')))
   const age = receiver.versionAges.get(9) ?? 0
   assert.ok(age >= 100 + LATE_MS - FASTEST_MS && age <= 100 + LATE_MS, `${age} ms`)
 })
@@ -368,3 +371,19 @@
   for (const text of bad) fleet.inject('10.40.9.9', daemon.host, Buffer.from(text))
   assert.deepEqual(daemon.dropped, ['not-json', 'unknown-kind', 'bad-shape', 'bad-shape', 'bad-shape', 'unknown-sender', 'unknown-sender'])
 })
+
+nodeTest.test('the reports of a daemon that is killed within a second of its start and started again do not count as delayed', async (context) => {
+  const fleet = await startSettled(context, SMALL)
+  const old = fleet.daemons.find((daemon) => daemon.role === 'agent' && daemon.zone === HALL) as fleetTesting.TestDaemon
+  const first = await fleet.restart(old)
+  fleet.advance(SHORT_RUN_MS)
+  first.gossip.stop()
+  fleet.advance(DOWN_MS)
+  await fleet.restart(first)
+  fleet.advance(SETTLE_MS)
+  for (const receiver of fleet.daemons) {
+    if (receiver === old) continue
+    const delayMs = receiver.delays.get(old.host) ?? Infinity
+    assert.ok(delayMs <= FASTEST_MS, `${receiver.host} counts them as ${delayMs} ms late`)
+  }
+})
--- a/packages/spread/src/createGossip/index.ts
+++ b/packages/spread/src/createGossip/index.ts
@@ -1,5 +1,6 @@
 /** Gossip between daemons by UDP: membership, states of store copies, and reports of engines. */
 import type * as clock from '@switchridge/clock'
+import type * as types from '@switchridge/types'
 import * as createChangeBroadcaster from '../_lib/createChangeBroadcaster.js'
 import * as createDiscovery from '../_lib/createDiscovery.js'
 import * as createMemberExpiry from '../_lib/createMemberExpiry.js'
@@ -25,6 +26,8 @@
 /** Options of {@link createGossip}. */
 export interface GossipOptions {
   readonly host: string
+  /** Id of this process, different in each run, so that other daemons notice a restart. */
+  readonly incarnation: types.IncarnationId
   readonly openDatagrams: openDatagrams.OpenDatagrams
   /** Hosts to contact first in order to discover other daemons. */
   readonly seeds: readonly string[]
@@ -84,7 +87,7 @@
   const hostExchange = createHostExchange.createHostExchange({ ownZone, getView, send, now })
   const relay = createHallRelay.createHallRelay({ ownHost, describeSelf: options.describeSelf, find: table.get, getView, send, schedule, now })
   const announceChange = createChangeBroadcaster.createChangeBroadcaster({ describeSelf: options.describeSelf, getView, broadcast: relay.broadcastChange, schedule, now })
-  const broadcaster = createPeriodicBroadcaster.createPeriodicBroadcaster({ ownHost, describeSelf: options.describeSelf, getView, isRelayCandidate: () => isRelayCandidate, send, now })
+  const broadcaster = createPeriodicBroadcaster.createPeriodicBroadcaster({ ownHost, incarnation: options.incarnation, describeSelf: options.describeSelf, getView, isRelayCandidate: () => isRelayCandidate, send, now })
   const memberExpiry = createMemberExpiry.createMemberExpiry({ table, ownZone, isHallKnown, onExpired: (host) => { broadcaster.forget(host) }, now })
   let view: fleetView.FleetView | null = null
   let viewedAt = -Infinity
@@ -148,15 +151,20 @@
 
   /** Only compares clocks: a message whose age may be wrong is not applied, since its age would spread to all daemons; all of it is sent again later. */
   function compareClocks (message: wire.Message, from: string): void {
-    const sentAt = message.type === 'digest' ? message.header.sentAt : message.type === 'heartbeat' || message.type === 'engine-report' ? message.sentAt : null
-    const aheadMs = sentAt === null ? null : compareClock(from, sentAt, now())
+    const origin = message.type === 'digest' ? readDigestOrigin(message.header) : message.type === 'heartbeat' || message.type === 'engine-report' ? message.origin : null
+    const aheadMs = origin === null ? null : compareClock(from, origin, now())
     if (aheadMs !== null) options.clock.recordPeerOffset(from, aheadMs)
   }
 
-  function noteHeartbeat ({ heartbeat, sentAt, viewHash, urgency }: wire.Message & { type: 'heartbeat' }, from: string): void {
+  /** A digest states no incarnation: the heartbeats of its sender do. */
+  function readDigestOrigin ({ sentAt }: wire.DigestHeader): wire.Origin {
+    return { sentAt, incarnation: null }
+  }
+
+  function noteHeartbeat ({ heartbeat, origin, viewHash, urgency }: wire.Message & { type: 'heartbeat' }, from: string): void {
     if (heartbeat.host === ownHost) return
     const isNewHall = !isHallKnown(heartbeat.zone)
-    const { delayMs, isRestarted } = measureDelay(heartbeat.host, sentAt, now())
+    const { delayMs, isRestarted } = measureDelay(heartbeat.host, origin, now())
     const wasLive = isLiveHost(heartbeat.host) && !isRestarted
     table.noteHeartbeat(heartbeat, delayMs, now())
     if (!wasLive) answerNewPeer(heartbeat, from)
@@ -174,13 +182,13 @@
     return versions.map((each) => ({ ...each, ageMs: each.ageMs + delayMs }))
   }
 
-  function noteEngineReport ({ engine, sentAt }: wire.Message & { type: 'engine-report' }, from: string): void {
+  function noteEngineReport ({ engine, origin }: wire.Message & { type: 'engine-report' }, from: string): void {
     const member = table.get(from)
     if (member === undefined) {
       options.onDrop?.('unknown-sender')
       return
     }
-    const { delayMs, isRestarted } = measureDelay(from, sentAt, now())
+    const { delayMs, isRestarted } = measureDelay(from, origin, now())
     table.noteHeartbeat({ ...member.heartbeat, engine }, delayMs, now())
     if (isRestarted) answerNewPeer(member.heartbeat, from)
     options.onHeartbeat({ ...member.heartbeat, versions: [] }, delayMs, 0)
@@ -198,7 +206,7 @@
   }
 
   function noteDigest ({ header, digest, body }: wire.Message & { type: 'digest' }, from: string): void {
-    const delayMs = header.delayMs + measureDelay(from, header.sentAt, now()).delayMs
+    const delayMs = header.delayMs + measureDelay(from, readDigestOrigin(header), now()).delayMs
     if (isNear(digest.zone)) noteHallUpdates(digest, delayMs)
     const newerMembers = isNear(digest.zone) ? [] : digest.members.filter((member) => noteRelayed(member, delayMs))
     relay.forwardDigest(header, delayMs, body, newerMembers.length > 0 || hallCopies.hasNewerCopies(digest.copies, relay.collectOwnCopies()))
--- a/packages/spread/src/createGossip/test.ts
+++ b/packages/spread/src/createGossip/test.ts
@@ -30,6 +30,7 @@
   const gossip = await createGossip.createGossip({
     clock: { isUncertain: () => false, recordPeerOffset: () => {} },
     host: OWN_HOST,
+    incarnation: types.brandId('run-1'),
     openDatagrams: openDatagrams.openDatagrams(OWN_HOST, seed.port),
     seeds: [SEED_HOST],
     describeSelf: describe,
