--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -184,7 +184,7 @@
     noteBackoff(answer, start.response)
     if (answer.kind !== 'foreign' && options.protocol.announcesLeaving(start.response)) options.leavers.noteResponse(choice.backEnd)
     if (answer.kind === 'not-run') return finish({ kind: 'not-run', reason: `${answer.status} ${answer.reason}`, isGone: answer.reason === 'wrong-instance' && choice.expectedVersion === null })
-    if (answer.kind === 'foreign') return finish(broken('answer to another call', false))
+    if (answer.kind === 'foreign') return finish(broken(answer.reason, false))
     if (answer.status < FIRST_FINAL_STATUS) return finish(broken(`status ${answer.status} is not that of a final response`, false))
     if (!answer.isStream || answer.status >= 300) return finish(await receiveBuffered(answer, start))
     if (isOtherVersion(answer)) return finish(broken(`version ${answer.version ?? ''} instead of ${stream.version ?? ''}`, false))
--- a/packages/gateway/src/types/index.ts
+++ b/packages/gateway/src/types/index.ts
@@ -189,5 +189,5 @@
   | { readonly kind: 'answered', readonly status: number, readonly headers: readonly string[], readonly isStream: boolean, readonly version: number | null }
   /** The back end did not run the call. */
   | { readonly kind: 'not-run', readonly reason: 'full' | 'wrong-instance' | 'other', readonly status: number }
-  /** The response belongs to another call or is invalid; the call may have run. */
-  | { readonly kind: 'foreign' }
+  /** The response belongs to another call or is not that of a back end, as `reason` says; the call may have run. */
+  | { readonly kind: 'foreign', readonly reason: string }
