State the length of each buffered answer

What callers of HTTP/1.0 saw: a plain answer that its engine had sent with neither a length nor chunks looked whole although its gateway was killed while it delivered it.

Cause: the gateway knows the length of an answer that it has buffered, but sent it in chunks to callers of HTTP/1.1 and up to the end of the connection to those of HTTP/1.0, as the engine had. The system closes the connections of a killed process in order.

Change: a buffered answer always has its length. Streams stay as they are: chunks, or for HTTP/1.0 the end of the connection, where nothing can tell that the process was killed.

--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -22,8 +22,8 @@
 export interface Reply {
   /** Sends a final response of the gateway itself; `retryAfterMs` tells the caller when to retry. */
   readonly refuse: (status: number, reason: string, retryAfterMs: number | null) => void
-  /** Sends a complete response of a back end, with its length if the back end's response had HTTP framing. */
-  readonly sendBuffered: (status: number, headers: readonly string[], body: Buffer, isFramed: boolean) => void
+  /** Sends a complete response of a back end with its length, so that an early end shows to callers of all versions of HTTP, whatever ends this process. */
+  readonly sendBuffered: (status: number, headers: readonly string[], body: Buffer) => void
   /** Whether bytes of a run may be passed on: none have been, or only those of this run, or it goes on after the last event. */
   readonly mayPassOn: (run: Run) => boolean
   /** Whether another run may be passed on, too: none has been, or the last event can be named to another back end. */
@@ -146,10 +146,9 @@
       if (response.shouldKeepAlive || response.req.complete) response.end(body)
       else endAfterRequest(body)
     },
-    sendBuffered: (status, headers, body, isFramed) => {
+    sendBuffered: (status, headers, body) => {
       if (response.destroyed) return
-      if (isFramed) writeHead(status, [...headers, 'Content-Length', String(body.length)])
-      else writeHeadWithoutLength(status, headers)
+      writeHead(status, [...headers, 'Content-Length', String(body.length)])
       endWithBody(body)
     },
     mayPassOn,
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -22,8 +22,6 @@
   readonly status: number
   readonly headers: readonly string[]
   readonly body: Buffer
-  /** Whether HTTP framing marked its end. */
-  readonly isFramed: boolean
 }
 
 /** How an attempt ended. */
@@ -263,11 +261,11 @@
     if (end === 'truncated') return broken(ENDED_REASON, true)
     call.mayHaveRun = true
     if (reply.hasStarted()) return broken(`status ${answered.status} instead of a stream`, false)
-    const buffered = { status: answered.status, headers: answered.headers, body: body.body, isFramed: received.isFramed }
+    const buffered = { status: answered.status, headers: answered.headers, body: body.body }
     if (answered.status >= 500) return { kind: 'failed-answer', reason: `status ${answered.status}`, answer: buffered }
     if (!contender.claim()) return broken('overtaken', false)
     call.hasUnframedAnswer = !received.isFramed
-    reply.sendBuffered(buffered.status, buffered.headers, buffered.body, buffered.isFramed)
+    reply.sendBuffered(buffered.status, buffered.headers, buffered.body)
     return { kind: 'done', isCertain: end === 'whole', isSuccess: answered.status < FIRST_REDIRECTION_STATUS }
   }
 
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -461,7 +461,7 @@
       return 'failed'
     }
     if (failedAnswer !== null) {
-      reply.sendBuffered(failedAnswer.status, failedAnswer.headers, failedAnswer.body, failedAnswer.isFramed)
+      reply.sendBuffered(failedAnswer.status, failedAnswer.headers, failedAnswer.body)
       return 'answered'
     }
     if (!call.mayHaveRun) {
