Serve calls beside entries that lead to no engine

What callers saw: beside well-formed entries of another writer that lead to no engine, calls ended though a sound engine was idle.

Cause: an entry without calls in progress is preferred, whatever it leads to; each call learned that anew, two attempts or four connections ended it, and an attempt that leads back to a gateway is a call of that gateway. At an address with several names, the last one listed got the reports of the agent.

Change: - addresses that no host can have (0.0.0.0/8, multicast, reserved, broadcast) name no engine; nor do those of the gateways and the store, which are logged once per change of their entry; - refused connections don't count among the four that end a call; - an instance that has neither responded nor reported gets one call at a time, no call that has failed elsewhere while another may serve it, and no call that may not be repeated unless the others are busy; after failures it is avoided for up to 10 s in place of 3, until its agent reports; - where several entries name an address, the one that answers there displaces the others that were not born later, and the agent's reports count for it.

Why it works: what is known of an entry is known for all calls, and the choice prefers what has answered; nothing is excluded that could be the only engine.

--- a/packages/daemon/src/_lib/createBackEndList.ts
+++ b/packages/daemon/src/_lib/createBackEndList.ts
@@ -2,25 +2,29 @@
 import type * as gateway from '@switchridge/gateway'
 import * as platform from '@switchridge/platform'
 import type * as store from '@switchridge/store'
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 
 /** Options of {@link createBackEndList}. */
 export interface BackEndListOptions {
   /** Returns the number of layers of the models of a service; entries state how many of them a backend server holds. */
   readonly layersOf: (service: types.ServiceName) => number
-  /** Called once for each state of an entry that cannot be parsed. */
+  /** Whether a process other than a backend server listens at an address of the form IP:PORT, so that its entry can't be right; an entry is asked for at each update. */
+  readonly isReserved?: (address: string) => boolean
+  /** Called for each state of an entry that cannot be used: once if it can't be parsed, at each update if its address is reserved. */
   readonly onUnreadable: (object: store.StoredObject, error: types.InvalidInputError) => void
 }
 
 /** The listed backend servers. */
 export interface BackEndList {
   readonly all: () => readonly gateway.BackEnd[]
-  /** Returns the backend server at an address of the form IP:PORT; the last listed one if there are several. */
-  readonly at: (address: string) => gateway.BackEnd | undefined
+  /** Returns the backend servers listed with an address of the form IP:PORT; only one of them can be there. */
+  readonly at: (address: string) => readonly gateway.BackEnd[]
   /** Replaces the list with the current entries. Must also be called when the number of layers of a service has changed. */
   readonly update: (objects: ReadonlyMap<string, store.StoredObject>) => void
 }
 
+const ENTRY_SUBJECT = 'entry of a back end'
+
 /** Result of parsing an entry, with the number of layers that it was parsed for. */
 interface CachedEntry {
   readonly backEnd: gateway.BackEnd | null
@@ -33,11 +37,11 @@
  * @param options - The layers to parse entries with, and the callback for unreadable ones.
  * @returns The list.
  */
-export function createBackEndList ({ layersOf, onUnreadable }: BackEndListOptions): BackEndList {
+export function createBackEndList ({ layersOf, isReserved = () => false, onUnreadable }: BackEndListOptions): BackEndList {
   /** {@link BackEndList} is given all entries again when one has changed; the cache avoids parsing the unchanged ones. */
   const parseCache = new WeakMap<store.StoredObject, CachedEntry>()
   let backEnds: readonly gateway.BackEnd[] = []
-  let byAddress: ReadonlyMap<string, gateway.BackEnd> = new Map()
+  let byAddress: ReadonlyMap<string, readonly gateway.BackEnd[]> = new Map()
 
   function parse (object: store.StoredObject): gateway.BackEnd | null {
     const cached = parseCache.get(object)
@@ -49,12 +53,34 @@
     return backEnd
   }
 
+  function isUsable (object: store.StoredObject, { address }: gateway.BackEnd): boolean {
+    const text = formatAddress(address)
+    if (!isReserved(text)) return true
+    onUnreadable(object, new types.InvalidInputError(ENTRY_SUBJECT, [{ place: 'address', given: text, allowed: 'an address at which no gateway and no store listens' }]))
+    return false
+  }
+
+  function read (object: store.StoredObject): readonly gateway.BackEnd[] {
+    const backEnd = parse(object)
+    return backEnd !== null && isUsable(object, backEnd) ? [backEnd] : []
+  }
+
   return {
     all: () => backEnds,
-    at: (address) => byAddress.get(address),
+    at: (address) => byAddress.get(address) ?? [],
     update: (objects) => {
-      backEnds = [...objects.values()].flatMap((object) => parse(object) ?? [])
-      byAddress = new Map(backEnds.map((backEnd) => [`${backEnd.address.host}:${backEnd.address.port}`, backEnd]))
+      backEnds = [...objects.values()].flatMap(read)
+      byAddress = groupByAddress(backEnds)
     }
   }
 }
+
+function groupByAddress (backEnds: readonly gateway.BackEnd[]): Map<string, gateway.BackEnd[]> {
+  const groups = new Map<string, gateway.BackEnd[]>()
+  for (const backEnd of backEnds) types.getOrCreate(groups, formatAddress(backEnd.address), () => []).push(backEnd)
+  return groups
+}
+
+function formatAddress ({ host, port }: types.Address): string {
+  return `${host}:${port}`
+}
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -11,6 +11,7 @@
 import * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 import * as createBackEndList from '../_lib/createBackEndList.js'
+import * as createReservedAddresses from '../_lib/createReservedAddresses.js'
 import * as createUnreadableObjects from '../_lib/createUnreadableObjects.js'
 import * as createCopyAnswers from '../createCopyAnswers/index.js'
 import * as createEvacuations from '../createEvacuations/index.js'
@@ -29,8 +30,10 @@
   readonly routes: () => gateway.RouteTable | null
   readonly onRoutes: (listener: (table: gateway.RouteTable) => void) => void
   readonly backEnds: () => readonly gateway.BackEnd[]
+  /** Records that a gateway runs on a host, so that no entry leads calls back to it. */
+  readonly noteGatewayHost: (host: string) => void
   /** The back end with an address of the form IP:PORT; the last one listed if there are several. */
-  readonly backEndAt: (address: string) => gateway.BackEnd | undefined
+  readonly backEndsAt: (address: string) => readonly gateway.BackEnd[]
   /** The model that a service's engines run, or null unless there is exactly one. */
   readonly soleModelOf: (service: types.ServiceName) => string | null
   readonly areBackEndsKnown: () => boolean
@@ -100,7 +103,9 @@
   let unreadableRevision = 0
   let isMissingTableLogged = false
   const reportUnreadable = createUnreadableObjects.createUnreadableObjects({ logger, count: metrics.count })
+  const reservedAddresses = createReservedAddresses.createReservedAddresses(checked)
   const backEnds = createBackEndList.createBackEndList({
+    isReserved: reservedAddresses.has,
     layersOf: (service) => routes?.findService(service)?.engine?.layers ?? 1,
     onUnreadable: (object, error) => { reportUnreadable(backEndObjects, object, error) }
   })
@@ -199,11 +204,12 @@
     routes: () => routes,
     onRoutes: (listener) => { routeListeners.push(listener) },
     backEnds: backEnds.all,
+    noteGatewayHost: (host) => { if (reservedAddresses.addGateway(host)) backEnds.update(backEndObjects.objects()) },
     soleModelOf: (service) => {
       const models = routes?.findService(service)?.engine?.models ?? []
       return models.length === 1 ? models[0] as string : null
     },
-    backEndAt: backEnds.at,
+    backEndsAt: backEnds.at,
     areBackEndsKnown: backEndObjects.isInitialized,
     onBackEnds: (listener) => { backEndObjects.onChange(listener) },
     versions,
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -142,19 +142,44 @@
 
   function handleHeartbeat (heartbeat: spread.Heartbeat, delayMs: number, ageMs: number): void {
     createFleetParts.recordPeerVersions(parts, heartbeat)
+    if (heartbeat.role === 'gateway') parts.noteGatewayHost(heartbeat.host)
     const engineUpdate = engineStatus.decodeEngineStatus(heartbeat.engine, { host: heartbeat.host, soleModel: findSoleModel })
     if (engineUpdate === null) return
-    const backEnd = parts.backEndAt(engineUpdate.address)
-    if (backEnd === undefined) return
-    tracker.noteReport(backEnd.id, engineUpdate, now() - delayMs - ageMs, delayMs)
-    limiter.noteReportedCold(backEnd, { bornAt: engineUpdate.report.bornAt, ...(engineUpdate.coldMs === undefined ? {} : { coldMs: engineUpdate.coldMs }) }, now() - delayMs - ageMs)
-    waiting?.wake()
-    if (engineUpdate.report.limitPerSecond !== null) limiter.noteReportedLimit(backEnd, engineUpdate.report.limitPerSecond, now() - delayMs - ageMs)
+    const reported = listReported(engineUpdate.address, engineUpdate.report.bornAt)
+    for (const backEnd of reported) noteEngineUpdate(backEnd, engineUpdate, delayMs, ageMs)
+    if (reported.length > 0) waiting?.wake()
+  }
+
+  function noteEngineUpdate (backEnd: gateway.BackEnd, update: engineStatus.EngineStatus, delayMs: number, ageMs: number): void {
+    const { coldMs, report: { bornAt, limitPerSecond } } = update
+    const madeAt = now() - delayMs - ageMs
+    tracker.noteReport(backEnd.id, update, madeAt, delayMs)
+    limiter.noteReportedCold(backEnd, { bornAt, ...(coldMs === undefined ? {} : { coldMs }) }, madeAt)
+    if (limitPerSecond !== null) limiter.noteReportedLimit(backEnd, limitPerSecond, madeAt)
+  }
+
+  /** Lists the entries that a report from an address may be about: where several name it, those with the instance that reports and those that no other one has displaced. */
+  function listReported (address: string, bornAt: number | null): readonly gateway.BackEnd[] {
+    const listed = parts.backEndsAt(address)
+    if (listed.length < 2) return listed
+    const sameInstance = keepIfAny(listed, (backEnd) => backEnd.bornAt === bornAt)
+    return keepIfAny(sameInstance, (backEnd) => !tracker.read(backEnd.id).isGone && !isDisplaced(backEnd))
+  }
+
+  /** Whether another instance that is not older answers at the address of a back end: one process listens there, so that at most one entry is right. */
+  function isDisplaced ({ id, address, bornAt }: gateway.BackEnd): boolean {
+    const listed = parts.backEndsAt(`${address.host}:${address.port}`)
+    if (listed.length < 2) return false
+    const { answeredAt } = tracker.read(id)
+    return listed.some((other) => {
+      const load = tracker.read(other.id)
+      return other.id !== id && !load.isGone && load.answeredAt > answeredAt && (other.bornAt ?? Infinity) >= (bornAt ?? -Infinity)
+    })
   }
 
   function findSoleModel (address: string): string | null {
-    const service = parts.backEndAt(address)?.service
-    return service === undefined ? null : parts.soleModelOf(service)
+    const models = parts.backEndsAt(address).map(({ service }) => parts.soleModelOf(service))
+    return models.find((model) => model !== null) ?? null
   }
 
   /** Counts peers that are no longer live, too, since they may still be sending: so a gateway's budget never exceeds its share. */
@@ -199,6 +224,8 @@
       endsAt: now() + choice.remainingMs,
       pinnedVersion: choice.version,
       tried: choice.tried,
+      isDisplaced,
+      isRepeatable: choice.isRepeatable,
       isLeaving: leavers.isLeaving,
       findExclusion: (backEnd) => findExclusion(backEnd, choice.allowedRegions),
       mustConfirm: waitingServices.has(choice.service),
@@ -220,7 +247,7 @@
   function listForecastEngines (service: types.ServiceName): readonly gateway.ForecastEngine[] {
     const model = parts.soleModelOf(service)
     if (model === null) return []
-    const backEnds = parts.backEnds().filter((backEnd) => backEnd.service === service && !isLeavingBackEnd(backEnd))
+    const backEnds = parts.backEnds().filter((backEnd) => backEnd.service === service && !isLeavingBackEnd(backEnd) && !isDisplaced(backEnd))
     return gateway.listForecastEngines(backEnds, tracker, model, (version) => parts.versions.lastBeginAt(model, version) > now(), now())
   }
 
@@ -365,3 +392,9 @@
     }
   }
 }
+
+/** The items that meet a condition, or all of them if none does. */
+function keepIfAny<Item> (items: readonly Item[], condition: (item: Item) => boolean): readonly Item[] {
+  const kept = items.filter(condition)
+  return kept.length > 0 ? kept : items
+}
--- a/packages/gateway/src/_lib/callOptions.ts
+++ b/packages/gateway/src/_lib/callOptions.ts
@@ -90,6 +90,8 @@
   readonly answerTokens: number
   /** Milliseconds until the call's deadline. */
   readonly remainingMs: number
+  /** Whether the call may be sent to another back end if its response is lost. */
+  readonly isRepeatable: boolean
   /** Back ends that are passed over, because the call was already sent to them or they refused it a slot. */
   readonly tried: ReadonlySet<types.NodeId>
   /** Whether a rate-limit permit may be requested. */
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -31,8 +31,8 @@
    * a success, for which the back end has read the prompt.
    */
   | { readonly kind: 'done', readonly isCertain: boolean, readonly isSuccess: boolean }
-  /** No connection was established. */
-  | { readonly kind: 'not-sent', readonly reason: string }
+  /** No connection was established; `isRefused` if it was refused at once, no if absent. */
+  | { readonly kind: 'not-sent', readonly reason: string, readonly isRefused?: boolean }
   /** The back end reported that it did not run the call. */
   | { readonly kind: 'not-run', readonly reason: string, readonly isGone: boolean }
   /** The back end answered with a server error. */
@@ -164,7 +164,7 @@
     const start = await attempt.start
     if (start.kind === 'not-sent') {
       if (!isAborted) options.tracker.noteConnect(choice.backEnd.id, CONNECT_TIMEOUT_MS)
-      return finish({ kind: 'not-sent', reason: start.reason })
+      return finish(start)
     }
     hasBeenSent = true
     call.attempts += 1
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -31,7 +31,7 @@
 /** Shortest retry time while the first call of each instance that may serve is still under way. */
 const UNCONFIRMED_RETRY_MS = 100
 const BLOCKED_REASON = 'blocked: back ends ended under this call'
-/** Number of connections that may fail before the call is given up. */
+/** Number of connections that may fail before the call is given up. Those that were refused are not counted: they took no time, and each back end is tried once. */
 const MAXIMUM_CONNECT_FAILURES = 4
 /**
  * After this many refused permits, each of which cost a round trip, the call goes to a back end without a limit, or its caller retries. Those that are refused while an
@@ -102,6 +102,7 @@
   let failedAnswer: runAttempt.BufferedAnswer | null = null
   let retryAfterMs = DEFAULT_RETRY_AFTER_MS
   let connectFailures = 0
+  let hasConnectFailed = false
   let permitsRefused = 0
   let lastReason = ''
   let backEnd = ''
@@ -138,7 +139,7 @@
         return endUnserved()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
-      if (isFirst && chosen.choice !== null && (connectFailures === 0 || mustReserve())) {
+      if (isFirst && chosen.choice !== null && (!hasConnectFailed || mustReserve())) {
         const slot = await admit(choice, utilization, isLate)
         if (slot.kind === 'ended') return slot.ending
         if (slot.kind === 'choose-again') continue
@@ -184,7 +185,8 @@
         return endUnserved()
       }
       if (outcome.kind === 'not-sent') {
-        connectFailures += 1
+        hasConnectFailed = true
+        if (outcome.isRefused !== true) connectFailures += 1
         if (connectFailures >= MAXIMUM_CONNECT_FAILURES) return endUnserved()
         continue
       }
@@ -366,6 +368,7 @@
       promptTokens: call.head.promptTokens,
       answerTokens: call.head.answerTokens,
       remainingMs: call.deadline.remainingMs(),
+      isRepeatable: call.isRepeatable,
       tried,
       mayRequestPermit: permitsRefused < MAXIMUM_PERMITS_REFUSED,
       isLate,
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -28,6 +28,10 @@
   readonly pinnedVersion: number | null
   /** Back ends that this call was already sent to. */
   readonly tried: ReadonlySet<types.NodeId>
+  /** Whether the call may be sent to another back end if its response is lost; yes if absent. */
+  readonly isRepeatable?: boolean
+  /** Whether another instance answers at its address; no if absent. */
+  readonly isDisplaced?: (backEnd: gateway.BackEnd) => boolean
   /** Whether a back end has announced in a response that it is about to end. */
   readonly isLeaving: (backEnd: gateway.BackEnd) => boolean
   /** Why a back end may not serve this call even if it has room; null if it may. */
@@ -78,6 +82,8 @@
   | 'tried'
   /** The instance has ended: another process answers at its address, or none. */
   | 'gone'
+  /** Another listed instance answers at its address. */
+  | 'displaced'
   /** It holds no complete version of the model's weights. */
   | 'empty'
   /** A resumed stream needs a version that it does not hold. */
@@ -145,6 +151,12 @@
 const VERSION_CHANGE_DELAY_WEIGHT = 0.25
 /** The same weight for a resumed stream, which cannot be moved a second time. */
 const RESUMED_VERSION_CHANGE_DELAY_WEIGHT = 1
+/**
+ * Penalties in milliseconds for an instance that has neither responded nor reported, since its entry may lead to no engine. The larger one applies while the first call there
+ * is unanswered, and to a call that has failed elsewhere and has few attempts left; the other one to a call that would be lost with its answer.
+ */
+const UNCONFIRMED_PENALTY_MS = 100
+const UNCONFIRMED_RISK_PENALTY_MS = 1000
 /** Random addition to the score in milliseconds, so that gateways do not all choose the same engine. */
 const JITTER_MS = 20
 /** A rate-limited back end counts as having as many slots as its rate admits requests in this time, about the duration of one request. */
@@ -173,7 +185,7 @@
     }
     const allowance = input.readAllowance(backEnd)
     const scored = score(backEnd, allowance, input)
-    if (scored !== 'draining' && scored !== 'gone') backoffWaits.push(Math.max(input.readBackoff(backEnd).waitMs, scored === 'backing-off' ? RESUMING_WAIT_MS : 0))
+    if (scored !== 'draining' && scored !== 'gone' && scored !== 'displaced') backoffWaits.push(Math.max(input.readBackoff(backEnd).waitMs, scored === 'backing-off' ? RESUMING_WAIT_MS : 0))
     const slots = allowance === null ? backEnd.slots : Math.min(backEnd.slots, allowance.perSecond * LIMITED_REQUEST_SECONDS)
     if (typeof scored === 'string') {
       passedOver[scored] = (passedOver[scored] ?? 0) + 1
@@ -205,6 +217,7 @@
 function score (backEnd: gateway.BackEnd, allowance: limiters.RateAllowance | null, input: ChoiceInput): ScoredChoice | PassedOverReason {
   if (backEnd.isDraining || input.isLeaving(backEnd)) return 'draining'
   if (input.tried.has(backEnd.id)) return 'tried'
+  if (input.isDisplaced?.(backEnd) === true) return 'displaced'
   const load = input.tracker.read(backEnd.id)
   if (load.isGone) return 'gone'
   if (load.report?.isLeaving === true) return 'draining'
@@ -221,6 +234,7 @@
   const penalty = (backEnd.zone === input.zone ? 0 : OTHER_ZONE_PENALTY_MS) +
     (load.isReportOverdue ? OVERDUE_REPORT_PENALTY_MS : 0) +
     (load.avoidedUntil > input.now ? AVOIDED_PENALTY_MS : 0) +
+    (load.isConfirmed ? 0 : computeUnconfirmedPenaltyMs(load, input)) +
     (load.isPaused ? PAUSED_PENALTY_MS : computeVersionChangeDelayMs(load, predicted.firstEventMs, input) * (input.pinnedVersion === null ? VERSION_CHANGE_DELAY_WEIGHT : RESUMED_VERSION_CHANGE_DELAY_WEIGHT)) +
     input.random() * JITTER_MS
   const areOldVersionsRefused = input.lastBeginAt(0) <= input.now
@@ -229,6 +243,11 @@
   return { backEnd, isRateLimited: allowance !== null, expectedVersion, mustBeginBy, olderVersion: findOlderVersion(version, input), ...predicted, score: predicted.firstEventMs + penalty, taken: countOccupied(load, input) }
 }
 
+function computeUnconfirmedPenaltyMs ({ open }: createBackEndTracker.BackEndLoad, { tried, isRepeatable = true }: ChoiceInput): number {
+  if (tried.size > 0 || open.size > 0) return UNCONFIRMED_RISK_PENALTY_MS
+  return isRepeatable ? 0 : UNCONFIRMED_PENALTY_MS
+}
+
 function isBackingOff (load: createBackEndTracker.BackEndLoad, { waitMs, maximumUnanswered }: backoffs.Backoff): boolean {
   if (waitMs > 0) return true
   return maximumUnanswered !== Infinity && [...load.open].filter(({ hasResponded }) => !hasResponded).length >= maximumUnanswered
--- a/packages/gateway/src/createBackEndTracker/index.ts
+++ b/packages/gateway/src/createBackEndTracker/index.ts
@@ -51,6 +51,8 @@
   readonly readyAt: number | null
   /** Monotonic time in milliseconds at which a report first showed it serving again; -Infinity if it has not been seen to return. */
   readonly returnedAt: number
+  /** Monotonic time in milliseconds of the last call that this instance answered; -Infinity if it has answered none. */
+  readonly answeredAt: number
   /** Whether this instance has reported or responded; until then it is known only from the list of back ends. */
   readonly isConfirmed: boolean
 }
@@ -98,6 +100,7 @@
   versionChangesAt: number
   readyAt: number | null
   returnedAt: number
+  answeredAt: number
   isConfirmed: boolean
   open: Set<OpenAttempt>
   failures: number
@@ -133,6 +136,8 @@
 /** How long a back end is avoided after its first failure in a row, at most after many, and after a rejection because it was full. */
 const AVOID_BASE_MS = 300
 const AVOID_MAXIMUM_MS = 3000
+/** The same for an instance that has neither responded nor reported: its entry may lead to no engine, so that each further attempt fails as well. */
+const AVOID_UNCONFIRMED_MAXIMUM_MS = 10_000
 const AVOID_FULL_MS = 60
 /** Service discovery keeps listing an ended process for three heartbeats of 1.2 s; the end is only known by address, so it is believed no longer than this. */
 const PROCESS_ENDED_VALID_MS = 4000
@@ -141,7 +146,7 @@
 
 /** State of a new instance. The link delay and the report interval are kept, because they belong to the machine and the agent. */
 function createInstanceState (): Omit<BackEndState, 'bornAt' | 'typicalReportAgeMs' | 'linkDelayMs'> {
-  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, readyAt: null, returnedAt: -Infinity, isConfirmed: false, open: new Set(), failures: 0, avoidedUntil: 0, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
+  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, readyAt: null, returnedAt: -Infinity, answeredAt: -Infinity, isConfirmed: false, open: new Set(), failures: 0, avoidedUntil: 0, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
 }
 
 /** Whether the engine serves now, but didn't when it was last reported. */
@@ -209,6 +214,7 @@
       isGone: hasInstanceEnded(state) || hasProcessEnded(state),
       readyAt: reportAgeMs <= READY_VALID_MS ? state.readyAt : null,
       returnedAt: state.returnedAt,
+      answeredAt: state.answeredAt,
       isConfirmed
     }
   }
@@ -233,7 +239,7 @@
     noteReport: (id, status, madeAt, delayMs) => {
       const state = find(id)
       if (!noteInstance(state, status.report.bornAt) || madeAt < state.reportAt) return
-      if (haveVersionsChanged(state.report, status.report)) {
+      if (!state.isConfirmed || haveVersionsChanged(state.report, status.report)) {
         state.failures = 0
         state.avoidedUntil = 0
       }
@@ -255,13 +261,14 @@
     noteSuccess: (id) => {
       const state = find(id)
       state.failures = 0
+      state.answeredAt = now()
       state.isConfirmed = true
     },
     noteFailure: (id) => {
       const state = find(id)
       if (state.isPaused) return
       state.failures += 1
-      const pauseMs = Math.min(AVOID_MAXIMUM_MS, AVOID_BASE_MS * 2 ** (state.failures - 1))
+      const pauseMs = Math.min(state.isConfirmed ? AVOID_MAXIMUM_MS : AVOID_UNCONFIRMED_MAXIMUM_MS, AVOID_BASE_MS * 2 ** (state.failures - 1))
       state.avoidedUntil = Math.max(state.avoidedUntil, now() + pauseMs)
     },
     noteFull: (id) => {
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -23,8 +23,8 @@
 
 /** First result of an attempt. */
 export type AttemptStart =
-  /** Nothing was sent: no connection was established. */
-  | { readonly kind: 'not-sent', readonly reason: string }
+  /** Nothing was sent: no connection was established. `isRefused` if it was refused at once, no if absent. */
+  | { readonly kind: 'not-sent', readonly reason: string, readonly isRefused?: boolean }
   /** Sent, but no response arrived; the call may have run. `isClosedByPeer` is false if the bytes received were not an HTTP response. */
   | { readonly kind: 'no-answer', readonly reason: string, readonly isClosedByPeer: boolean }
   /** The head of the response has arrived. `isWhole`: whether the response was received completely; call it after the response has ended. */
@@ -41,6 +41,8 @@
 /** Each connection serves one attempt, so that a late or duplicate response cannot be taken for that of another call. */
 const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity, noDelay: true })
 
+/** Error code of a connection to a port at which nobody listens. */
+const REFUSED_CODE = 'ECONNREFUSED'
 /** Prefix of the error codes of the Node.js HTTP parser: the bytes received were not a response. */
 const PARSER_ERROR_PREFIX = 'HPE_'
 
@@ -77,9 +79,9 @@
   rpc.boundResponseHead(outgoing)
   const cancelTimeout = startConnectTimeout(request, () => { outgoing.destroy(new types.UnavailableError('no connection in time')) })
 
-  function fail (reason: string, isClosedByPeer: boolean): void {
+  function fail (reason: string, isClosedByPeer: boolean, isRefused = false): void {
     cancelTimeout()
-    settle(isConnected ? { kind: 'no-answer', reason, isClosedByPeer } : { kind: 'not-sent', reason })
+    settle(isConnected ? { kind: 'no-answer', reason, isClosedByPeer } : { kind: 'not-sent', reason, isRefused })
   }
 
   function abort (): void {
@@ -105,7 +107,7 @@
     const isFramed = rpc.hasMessageFraming(response, request.method)
     settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || hasEndedOrderly()) })
   })
-  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true && !(error instanceof rpc.ResponseTooLargeError)) })
+  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true && !(error instanceof rpc.ResponseTooLargeError), error.code === REFUSED_CODE) })
   outgoing.on('close', () => { fail('connection closed', true) })
   if (request.body === null) outgoing.end()
   else outgoing.end(request.body)
