Read an engine's stage before fetching what it holds

What callers saw: an agent that is killed between the two orders of a version leaves its engine without one, and its successor fetched all pieces again, over a link of about 5 Mbit/s, though the engine's stage still held them; the same after a crash of an engine whose version the agent had never fetched.

Change: an agent whose engine holds no version reads the stage once before its first fetch, verifies each piece by its digest, and fetches the others. A stage of another version costs one read. An engine that serves is not read: its agent has time to fetch, and reads would compete with calls.

--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -147,3 +147,19 @@
   await types.delay(SEVERAL_STEPS_MS)
   assert.deepEqual(engines.map(({ cold }) => cold.checks), [0, 0])
 })
+
+for (const spoilt of [0, 2]) {
+  nodeTest.test(`an agent that is started again beside an engine without a version fetches only what the stage lacks (${spoilt} wrong pieces)`, async (context) => {
+    const fleet = await fleetTesting.createTestFleet(context, PIECES)
+    fleet.configure()
+    announceVersion(fleet, 2)
+    await fleet.startGateway(GATEWAY_HOST)
+    const engine = await fleet.startEngine({ id: 'i-0', model: fleetTesting.MODEL, version: 0, digestsOf: fleet.origin.digestsOf })
+    fillStage(fleet, engine, 2)
+    for (let piece = 1; piece <= spoilt; piece += 1) engine.stage.set(piece, Buffer.from('wrong'))
+    await fleet.startAgent(AGENT_HOSTS[0], engine, [GATEWAY_HOST])
+    await fleetTesting.waitUntil(() => engine.version() === 2)
+    assertWholeOrders([engine])
+    assert.equal(fleet.origin.sent(), spoilt)
+  })
+}
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -12,6 +12,7 @@
 import type * as loadVersion from '../_lib/loadVersion.js'
 import * as offerPieces from '../_lib/offerPieces.js'
 import * as orderVersion from '../_lib/orderVersion.js'
+import * as readStage from '../_lib/readStage.js'
 import * as unloadOldVersion from '../_lib/unloadOldVersion.js'
 import * as writeStage from '../writeStage/index.js'
 import type * as staging from '../types/index.js'
@@ -96,6 +97,8 @@
   /** Version of the last fetch that was started; older ones are not fetched again. */
   let minimumVersion = 0
   let staged: StagedVersion | null = null
+  /** Whether the stage may hold pieces that this process doesn't have: it is read once, and holds no others once this process writes it. */
+  let mayReuseStage = true
   /** Monotonic time in milliseconds at which pieces were last written into the stage. */
   let writtenAt = -Infinity
   /** Start time of the engine process for which the stage was written. */
@@ -297,9 +300,12 @@
     const originFallbackAt = deadlineAt - ORIGIN_FALLBACK_LEAD_MS
     const manifest = await manifests.obtain(id, originFallbackAt, isCurrent)
     if (manifest === null || !isCurrent()) return
+    const pieces = store.open(manifest)
+    if (mayReuseStage && held === 0) await reuseStage(pieces, isCurrent)
+    if (!isCurrent()) return
     current.fetcher = createPieceFetcher.createPieceFetcher({
       ...options,
-      pieces: store.open(manifest),
+      pieces,
       window,
       isPrefetching: () => active !== current,
       onEvent: ({ event, ...fields }) => { options.onEvent(event, fields) }
@@ -310,6 +316,13 @@
     wake()
   }
 
+  /** Takes pieces that an earlier process of this agent has staged, for an engine that serves no call meanwhile. */
+  async function reuseStage (pieces: createPieceStore.VersionPieces, isCurrent: () => boolean): Promise<void> {
+    mayReuseStage = false
+    const count = await readStage.readStage(options.engine, pieces, isCurrent)
+    if (count > 0) options.onEvent('stage-reused', { version: pieces.manifest.id.version, pieces: count })
+  }
+
   function findTurn (ready: staging.NamedVersion, state: staging.EngineState): computeTurn.Turn {
     const ranked = membership.rankByRendezvous(`turn/${ready.id.version}`, options.agents(), (agent) => agent.node)
     return computeTurn.computeTurn({
@@ -352,6 +365,7 @@
     if (pieces === null) return false
     const isRewritten = staged?.version !== ready.id.version
     staged = null
+    mayReuseStage = false
     const startedAt = options.now()
     const written = await writeStage.writeStage(options.engine, pieces, isRewritten, options.now)
     if (isRewritten || written.repaired > 0) writtenAt = options.now()
