Let an entry that is about to leave displace no other one

What callers would see, by reading: where a new engine gets the address of one that drained and ended, the old entry, which is never tried, could keep the new one out of use until it was removed. An entry displaces others only while it may get calls. Entries that share an address are looked up by id in a map that is empty where there are none, since each choice asks for each back end.

--- a/packages/daemon/src/_lib/createBackEndList.ts
+++ b/packages/daemon/src/_lib/createBackEndList.ts
@@ -8,7 +8,7 @@
 export interface BackEndListOptions {
   /** Returns the number of layers of the models of a service; entries state how many of them a backend server holds. */
   readonly layersOf: (service: types.ServiceName) => number
-  /** Whether a process other than a backend server listens at an address of the form IP:PORT, so that its entry can't be right; an entry is asked for at each update. */
+  /** Whether a process other than a backend server listens at an address of the form IP:PORT, so that an entry with it can't be right; none is reserved if absent. */
   readonly isReserved?: (address: string) => boolean
   /** Called for each state of an entry that cannot be used: once if it can't be parsed, at each update if its address is reserved. */
   readonly onUnreadable: (object: store.StoredObject, error: types.InvalidInputError) => void
@@ -19,11 +19,14 @@
   readonly all: () => readonly gateway.BackEnd[]
   /** Returns the backend servers listed with an address of the form IP:PORT; only one of them can be there. */
   readonly at: (address: string) => readonly gateway.BackEnd[]
+  /** Returns the other backend servers that are listed with the address of one. */
+  readonly othersAtAddressOf: (id: types.NodeId) => readonly gateway.BackEnd[]
   /** Replaces the list with the current entries. Must also be called when the number of layers of a service has changed. */
   readonly update: (objects: ReadonlyMap<string, store.StoredObject>) => void
 }
 
 const ENTRY_SUBJECT = 'entry of a back end'
+const NONE: readonly gateway.BackEnd[] = []
 
 /** Result of parsing an entry, with the number of layers that it was parsed for. */
 interface CachedEntry {
@@ -42,6 +45,8 @@
   const parseCache = new WeakMap<store.StoredObject, CachedEntry>()
   let backEnds: readonly gateway.BackEnd[] = []
   let byAddress: ReadonlyMap<string, readonly gateway.BackEnd[]> = new Map()
+  /** Only those that share their address, so that the usual look-up finds an empty map. */
+  let othersById: ReadonlyMap<types.NodeId, readonly gateway.BackEnd[]> = new Map()
 
   function parse (object: store.StoredObject): gateway.BackEnd | null {
     const cached = parseCache.get(object)
@@ -67,10 +72,13 @@
 
   return {
     all: () => backEnds,
-    at: (address) => byAddress.get(address) ?? [],
+    at: (address) => byAddress.get(address) ?? NONE,
+    othersAtAddressOf: (id) => othersById.get(id) ?? NONE,
     update: (objects) => {
       backEnds = [...objects.values()].flatMap(read)
       byAddress = groupByAddress(backEnds)
+      const shared = [...byAddress.values()].filter((group) => group.length > 1)
+      othersById = new Map(shared.flatMap((group) => group.map(({ id }) => [id, group.filter((other) => other.id !== id)])))
     }
   }
 }
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -33,7 +33,8 @@
   /** Records that a gateway runs on a host, so that no entry leads calls back to it. */
   readonly noteGatewayHost: (host: string) => void
   /** The back end with an address of the form IP:PORT; the last one listed if there are several. */
-  readonly backEndsAt: (address: string) => readonly gateway.BackEnd[]
+  readonly backEndsAt: createBackEndList.BackEndList['at']
+  readonly othersAtAddressOf: createBackEndList.BackEndList['othersAtAddressOf']
   /** The model that a service's engines run, or null unless there is exactly one. */
   readonly soleModelOf: (service: types.ServiceName) => string | null
   readonly areBackEndsKnown: () => boolean
@@ -210,6 +211,7 @@
       return models.length === 1 ? models[0] as string : null
     },
     backEndsAt: backEnds.at,
+    othersAtAddressOf: backEnds.othersAtAddressOf,
     areBackEndsKnown: backEndObjects.isInitialized,
     onBackEnds: (listener) => { backEndObjects.onChange(listener) },
     versions,
--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -167,13 +167,14 @@
   }
 
   /** Whether another instance that is not older answers at the address of a back end: one process listens there, so that at most one entry is right. */
-  function isDisplaced ({ id, address, bornAt }: gateway.BackEnd): boolean {
-    const listed = parts.backEndsAt(`${address.host}:${address.port}`)
-    if (listed.length < 2) return false
+  function isDisplaced ({ id, bornAt }: gateway.BackEnd): boolean {
+    const others = parts.othersAtAddressOf(id)
+    if (others.length === 0) return false
     const { answeredAt } = tracker.read(id)
-    return listed.some((other) => {
+    return others.some((other) => {
       const load = tracker.read(other.id)
-      return other.id !== id && !load.isGone && load.answeredAt > answeredAt && (other.bornAt ?? Infinity) >= (bornAt ?? -Infinity)
+      const isOlder = other.bornAt !== null && bornAt !== null && other.bornAt < bornAt
+      return load.answeredAt > answeredAt && !load.isGone && !isOlder && !isLeavingBackEnd(other)
     })
   }
 
--- a/packages/spread/src/_lib/createDelayEstimator.ts
+++ b/packages/spread/src/_lib/createDelayEstimator.ts
@@ -27,7 +27,7 @@
 
 /** Compares the clocks of senders with the own clock. */
 export interface DelayEstimator {
-  /** Returns the delay of a datagram, from its sender, its origin and the own clock in milliseconds. */
+  /** Returns the delay of a datagram, from its sender's host, its origin, and the own clock in milliseconds. */
   readonly measure: (host: string, origin: wire.Origin, now: number) => Delay
   /** Returns by how many milliseconds the sender's clock is ahead of its known difference, or null if none is known of that process. Records nothing. */
   readonly compareClock: (host: string, origin: wire.Origin, now: number) => number | null
