Read the stage only of an engine that holds some layers of the version

Change: the stage is read only where the engine reports some layers of the version, as an agent leaves it that ends between the two orders. After a crash of an engine its agent has the pieces, or fetches them as before.

--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -149,13 +149,14 @@
 })
 
 for (const spoilt of [0, 2]) {
-  nodeTest.test(`an agent that is started again beside an engine without a version fetches only what the stage lacks (${spoilt} wrong pieces)`, async (context) => {
+  nodeTest.test(`an agent that is started again beside an engine with some layers of a version fetches only what the stage lacks (${spoilt} wrong pieces)`, async (context) => {
     const fleet = await fleetTesting.createTestFleet(context, PIECES)
     fleet.configure()
     announceVersion(fleet, 2)
     await fleet.startGateway(GATEWAY_HOST)
     const engine = await fleet.startEngine({ id: 'i-0', model: fleetTesting.MODEL, version: 0, digestsOf: fleet.origin.digestsOf })
     fillStage(fleet, engine, 2)
+    await orderLayers(engine, { version: 2, source: 0, targetVersion: 3 })
     for (let piece = 1; piece <= spoilt; piece += 1) engine.stage.set(piece, Buffer.from('wrong'))
     await fleet.startAgent(AGENT_HOSTS[0], engine, [GATEWAY_HOST])
     await fleetTesting.waitUntil(() => engine.version() === 2)
@@ -163,3 +164,9 @@
     assert.equal(fleet.origin.sent(), spoilt)
   })
 }
+
+/** Orders an engine to load some layers, as an agent does that is killed afterwards, and waits until it holds them. */
+async function orderLayers (engine: testing.EngineStandIn, layers: { readonly version: number, readonly source: number, readonly targetVersion: number }): Promise<void> {
+  await testing.sendCallerRequest(engine.address, '', { method: 'POST', path: '/v1/order', id: 'order', body: JSON.stringify({ operation: 'start', model: fleetTesting.MODEL, method: 'queue', ...layers }) })
+  await fleetTesting.waitUntil(() => engine.heldLayers()?.version === layers.version)
+}
--- a/packages/staging/src/_lib/readStage.ts
+++ b/packages/staging/src/_lib/readStage.ts
@@ -1,4 +1,4 @@
-/** Reads pieces that the stage of an engine holds already, so that they need not be fetched: a stage outlasts the agent that wrote it. */
+/** Reads pieces that the stage of an engine holds already, so that they need not be fetched: a stage outlasts the agent that has written it. */
 import type * as createPieceStore from '../createPieceStore/index.js'
 import type * as staging from '../types/index.js'
 import * as visitPieces from './visitPieces.js'
--- a/packages/staging/src/createStager/index.ts
+++ b/packages/staging/src/createStager/index.ts
@@ -97,6 +97,8 @@
   /** Version of the last fetch that was started; older ones are not fetched again. */
   let minimumVersion = 0
   let staged: StagedVersion | null = null
+  /** Version of which the engine last reported some of the layers, which it took from its stage; 0 for none. */
+  let partialVersion = 0
   /** Whether the stage may hold pieces that this process doesn't have: it is read once, and holds no others once this process writes it. */
   let mayReuseStage = true
   /** Monotonic time in milliseconds at which pieces were last written into the stage. */
@@ -188,6 +190,7 @@
   async function advance (state: staging.EngineState, reportedVersion: number): Promise<void> {
     checkEngineRestart(state)
     held = state.held
+    partialVersion = held === 0 ? state.layers?.version ?? 0 : 0
     reported = reportedVersion
     unloader.schedule(reported)
     isServing = state.running + state.waiting > 0
@@ -301,7 +304,7 @@
     const manifest = await manifests.obtain(id, originFallbackAt, isCurrent)
     if (manifest === null || !isCurrent()) return
     const pieces = store.open(manifest)
-    if (mayReuseStage && held === 0) await reuseStage(pieces, isCurrent)
+    if (mayReuseStage && partialVersion === id.version) await reuseStage(pieces, isCurrent)
     if (!isCurrent()) return
     current.fetcher = createPieceFetcher.createPieceFetcher({
       ...options,
@@ -316,7 +319,7 @@
     wake()
   }
 
-  /** Takes pieces that an earlier process of this agent has staged, for an engine that serves no call meanwhile. */
+  /** Takes the pieces that an earlier process of this agent has staged. */
   async function reuseStage (pieces: createPieceStore.VersionPieces, isCurrent: () => boolean): Promise<void> {
     mayReuseStage = false
     const count = await readStage.readStage(options.engine, pieces, isCurrent)
