Test a gateway's first call beside entries with ports at which nobody listens

Counting refused connections among those that end a call was noticed by no test (a mutation on a scratch copy): where one engine has answered, the choice prefers it.

--- a/packages/daemon/src/unusableEntries.test.ts
+++ b/packages/daemon/src/unusableEntries.test.ts
@@ -127,6 +127,22 @@
   }
 })
 
+const FRESH_GATEWAY_HOSTS = ['127.0.0.54', '127.0.0.55', '127.0.0.56']
+
+nodeTest.test('the first call of a gateway is served, however many entries lead to ports at which nobody listens', LIMIT, async (context) => {
+  const fleet = await fleetTesting.createTestFleet(context)
+  fleet.configure()
+  const engine = await fleet.startEngine({ id: 'i-sound' }, SERVICE)
+  for (const [index, address] of (await listUnusedAddresses(UNUSED_PORTS)).entries()) {
+    fleet.store.put(platform.OBJECT_KINDS.backEnds, `i-other-${index}`, { ...testing.describeEngine(engine, SERVICE, 'zone-a') as object, address })
+  }
+  for (const host of FRESH_GATEWAY_HOSTS) {
+    const gateway = await fleet.startGateway(host)
+    await fleet.waitUntilReady(host)
+    assert.deepEqual(await callInTurn(gateway, '/write/x', 0, 1), [`${OK} seal-${engine.id}`])
+  }
+})
+
 const AGENT_HOST = '127.0.0.51'
 const MODEL_GATEWAY_HOST = '127.0.0.52'
 /** After the bound of the version, attempts name it, so that a back end may reject one for its version as well as for its name. */
