--- a/packages/daemon/src/unusableEntries.test.ts
+++ b/packages/daemon/src/unusableEntries.test.ts
@@ -152,9 +152,9 @@
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure()
   const { model, version } = fleetTesting.STREAM_SERVICE.engine as { readonly model: string, readonly version: number }
-  const engine = await fleet.startEngine({ id: 'i-sound', host: AGENT_HOST, model, version, reportsStart: true })
+  const engine = await fleet.startEngine({ id: 'i-sound', host: AGENT_HOST, model, version, reportsStart: true, digestsOf: fleet.origin.digestsOf })
   for (let index = 0; index < SHARED_NAMES; index += 1) {
-    fleet.store.put(platform.OBJECT_KINDS.backEnds, `i-other-${index}`, testing.describeEngine(engine, fleetTesting.STREAM_SERVICE.name, 'zone-a', { name: model, version }))
+    fleet.store.put(platform.OBJECT_KINDS.backEnds, `${index % 2 === 0 ? 'a' : 'z'}-other-${index}`, testing.describeEngine(engine, fleetTesting.STREAM_SERVICE.name, 'zone-a', { name: model, version }))
   }
   fleet.store.put(platform.OBJECT_KINDS.versions, model, { model, version })
   const gateway = await fleet.startGateway(MODEL_GATEWAY_HOST)
@@ -164,6 +164,11 @@
   await callStreams(gateway, EARLIER_CALLS)
   const answers = await callStreams(gateway, CALLS)
   assert.deepEqual(answers.filter((answer) => answer !== ''), [])
+  // The entries still state the old version, so that only the agent's reports tell of the new one.
+  fleet.store.put(platform.OBJECT_KINDS.versions, model, { model, version: version + 1 })
+  await fleetTesting.waitUntil(() => engine.version() === version + 1)
+  await types.delay(VERSION_MS)
+  assert.deepEqual((await callStreams(gateway, CALLS)).filter((answer) => answer !== ''), [])
 })
 
 /** Calls for streams, each caller one after the other; returns an empty text for each that was served whole. */
