--- a/packages/staging/src/_lib/loadVersion.orders.test.ts
+++ b/packages/staging/src/_lib/loadVersion.orders.test.ts
@@ -254,3 +254,27 @@
   await scene.load()
   assert.deepEqual({ isTrusted: scene.loader.isTrusted(scene.readState()), isFaulty: scene.hasFaultyLayers() }, { isTrusted: false, isFaulty: true })
 })
+
+nodeTest.test('faulty layers that other orders have loaded in place of verified ones are not served', async (context) => {
+  const layerCount = 4
+  const last = { from: layerCount - 1, to: layerCount }
+  let isReplaced = false
+  const scene = createScene(context, {
+    layerCount,
+    held: { version: OLD_VERSION, from: 0, to: layerCount },
+    // Late orders of an ended agent are taken while the last layer's pieces are read.
+    onRead: (each, piece) => {
+      const { sequence, layers } = each.readState()
+      if (piece < 9 || isReplaced || layers?.version !== VERSION) return
+      isReplaced = true
+      each.take(VERSION, last, sequence)
+      each.spoil(0, PAUSE_MS)
+      each.take(VERSION, { from: 0, to: last.from }, sequence + 1)
+    }
+  })
+  await scene.load()
+  await scene.load()
+  const state = scene.readState()
+  assert.ok(isReplaced)
+  assert.deepEqual({ held: state.held, isFaulty: scene.hasFaultyLayers() }, { held: VERSION, isFaulty: false })
+})
