--- a/packages/daemon/src/startAgentRole/test.ts
+++ b/packages/daemon/src/startAgentRole/test.ts
@@ -8,6 +8,7 @@
 const GATEWAY_HOST = '127.0.0.1'
 const AGENT_HOSTS = ['127.0.0.11', '127.0.0.12', '127.0.0.13'] as const
 const PIECES = 8
+const LIMIT = { timeout: 60_000 }
 /** In this time an agent would order a version that it holds completely. */
 const SEVERAL_STEPS_MS = 1500
 
@@ -149,7 +150,7 @@
 })
 
 for (const spoilt of [0, 2]) {
-  nodeTest.test(`an agent that is started again beside an engine with some layers of a version fetches only what the stage lacks (${spoilt} wrong pieces)`, async (context) => {
+  nodeTest.test(`an agent that is started again beside an engine with some layers of a version fetches only what the stage lacks (${spoilt} wrong pieces)`, LIMIT, async (context) => {
     const fleet = await fleetTesting.createTestFleet(context, PIECES)
     fleet.configure()
     announceVersion(fleet, 2)
--- a/packages/daemon/src/unusableEntries.test.ts
+++ b/packages/daemon/src/unusableEntries.test.ts
@@ -127,6 +127,19 @@
   }
 })
 
+nodeTest.test('an engine at the address of one that has drained and ended is used while the old entry is still listed', LIMIT, async (context) => {
+  const fleet = await fleetTesting.createTestFleet(context)
+  fleet.configure()
+  const old = await fleet.startEngine({ id: 'i-old' }, SERVICE)
+  const gateway = await fleet.startGateway(HOST)
+  await fleetTesting.waitUntilServed(gateway, '/read/probe')
+  fleet.store.put(platform.OBJECT_KINDS.backEnds, old.id, { ...testing.describeEngine(old, SERVICE, 'zone-a') as object, state: 'draining' })
+  old.close()
+  const next = await fleet.startEngine({ id: 'i-next', port: old.address.port }, SERVICE)
+  await fleet.waitForRevision(platform.OBJECT_KINDS.backEnds, fleet.store.copy().revision)
+  assert.deepEqual(await callInTurn(gateway, '/write/x', 0, 1), [`${OK} seal-${next.id}`])
+})
+
 const FRESH_GATEWAY_HOSTS = ['127.0.0.54', '127.0.0.55', '127.0.0.56']
 
 nodeTest.test('the first call of a gateway is served, however many entries lead to ports at which nobody listens', LIMIT, async (context) => {
