--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -49,6 +49,8 @@
   readonly gap?: GapScenario
   /** Classes of calls, {@link STREAM_CLASSES} if absent. */
   readonly classes?: readonly StreamClass[]
+  /** Whether the lengths of answers vary from call to call, as those of prompts do; false if absent. */
+  readonly doAnswersVary?: boolean
   /** Seed of the random numbers, {@link SEED} if absent. */
   readonly seed?: number
 }
@@ -95,9 +97,19 @@
   readonly rejected: number
 }
 
+/** What became of one call of a stream class. */
+export interface CallOutcome {
+  readonly promptTokens: number
+  readonly answerTokens: number
+  /** `unserved`: refused, rejected, or without a first event at the end of the simulation. */
+  ending: 'in-time' | 'late' | 'unserved'
+}
+
 /** Results of each stream class, and of all together. */
 export interface LoadResult extends CallerResult {
   readonly kinds: readonly CallerResult[]
+  /** The calls of each stream class that were made after the warm-up. */
+  readonly outcomes: ReadonlyArray<readonly CallOutcome[]>
   /** Largest number of requests that a rate-limited engine received in any four seconds. */
   readonly maximumLimitedRequests: number
   /** Null without a gap. */
@@ -164,7 +176,9 @@
 interface Call {
   readonly kind: StreamClass
   readonly counts: Counts
+  readonly outcome: CallOutcome
   readonly promptTokens: number
+  readonly events: number
   readonly askedAt: number
   tries: number
   /** Whether it is counted in the results of the gap. */
@@ -216,6 +230,7 @@
   const shedding = new Set(backEnds.slice(scenario.engines - (scenario.shedding?.count ?? 0)).map(({ id }) => id))
   const classes = scenario.classes ?? STREAM_CLASSES
   const counts = classes.map(createCounts)
+  const outcomes = classes.map((): CallOutcome[] => [])
   const limit = scenario.limited ?? { count: 0, perSecond: 1, isEnforced: false }
   const limited = new Map(backEnds.slice(scenario.engines - limit.count).map(({ id }) => [id, [] as number[]]))
   const counter = rateLimits.createPermitCounter(clock.now)
@@ -308,8 +323,8 @@
     })
   }
 
-  function toQueued ({ kind, askedAt, promptTokens }: Call, holdFraction = 1): createWaitingQueue.QueuedCall {
-    return waitingCalls.toQueuedCall({ rank: 1, bytes: BODY_BYTES, targetAt: askedAt + kind.targetMs, targetMs: kind.targetMs, deadlineAt: askedAt + CALL_TIMEOUT_MS, holdMs: holdFraction * (computeForecast.computeHoldMs(figures, promptTokens, kind.events * simulatedEngine.STEPS_PER_PASS) ?? 0) })
+  function toQueued ({ kind, askedAt, promptTokens, events }: Call, holdFraction = 1): createWaitingQueue.QueuedCall {
+    return waitingCalls.toQueuedCall({ rank: 1, bytes: BODY_BYTES, targetAt: askedAt + kind.targetMs, targetMs: kind.targetMs, deadlineAt: askedAt + CALL_TIMEOUT_MS, holdMs: holdFraction * (computeForecast.computeHoldMs(figures, promptTokens, events * simulatedEngine.STEPS_PER_PASS) ?? 0) })
   }
 
   /** Holds a call at a gateway, or refuses it. */
@@ -342,7 +357,7 @@
         if (next === undefined) break
         oracleCalls.delete(next)
         const open = { promptTokens: next.promptTokens, answerTokens: 0, sentAt: now, hasResponded: false }
-        const enqueued = { isUrgent: false, unreadTokens: next.promptTokens + 1, eventsLeft: next.kind.events, onEnd: () => { noteEnd(next) } }
+        const enqueued = { isUrgent: false, unreadTokens: next.promptTokens + 1, eventsLeft: next.events, onEnd: () => { noteEnd(next) } }
         engine.enqueue({ ...enqueued, onFirstEvent: () => { noteFirstEvent(next, open, null) } })
       }
     }
@@ -378,7 +393,7 @@
     return answer.isGranted
   }
 
-  function choose (from: SimulatedGateway, { kind, promptTokens, askedAt }: Call, tried: ReadonlySet<types.NodeId>): chooseBackEnd.ChoiceOutcome {
+  function choose (from: SimulatedGateway, { outcome: { promptTokens, answerTokens }, askedAt }: Call, tried: ReadonlySet<types.NodeId>): chooseBackEnd.ChoiceOutcome {
     return chooseBackEnd.chooseBackEnd({
       backEnds,
       tracker: from.tracker,
@@ -387,7 +402,7 @@
       gateways: scenario.gateways,
       model: simulatedEngine.MODEL,
       promptTokens,
-      answerTokens: kind.events * simulatedEngine.STEPS_PER_PASS,
+      answerTokens,
       lastBeginAt: () => Infinity,
       versionBoundAt: () => Infinity,
       endsAt: askedAt + CALL_TIMEOUT_MS,
@@ -406,10 +421,16 @@
   function startCall (): void {
     const kind = classes[pickStreamClassIndex(classes, random())] as StreamClass
     const isCounted = clock.now() >= WARM_UP_MS
+    const promptTokens = Math.round(kind.promptTokens * -Math.log(1 - random()))
+    const events = scenario.doAnswersVary === true ? Math.ceil(kind.events * -Math.log(1 - random())) : kind.events
+    const outcome: CallOutcome = { promptTokens, answerTokens: events * simulatedEngine.STEPS_PER_PASS, ending: 'unserved' }
+    if (isCounted) outcomes[classes.indexOf(kind)]?.push(outcome)
     const call: Call = {
       kind,
       counts: isCounted ? counts[classes.indexOf(kind)] as Counts : createCounts(),
-      promptTokens: Math.round(kind.promptTokens * -Math.log(1 - random())),
+      outcome,
+      promptTokens,
+      events,
       askedAt: clock.now(),
       tries: 0,
       isInGap: gap !== null && clock.now() >= GAP_FROM_MS && clock.now() < GAP_FROM_MS + gap.lengthMs + gap.returnOverMs + GAP_RESULT_MS,
@@ -511,7 +532,7 @@
     const { id } = choice.backEnd
     tried.add(id)
     const sentAt = clock.now()
-    const open: createBackEndTracker.OpenAttempt = { promptTokens: call.promptTokens, answerTokens: call.kind.events * simulatedEngine.STEPS_PER_PASS, sentAt, hasResponded: false }
+    const open: createBackEndTracker.OpenAttempt = { promptTokens: call.promptTokens, answerTokens: call.outcome.answerTokens, sentAt, hasResponded: false }
     from.tracker.noteSent(id, open)
     const latencyMs = choice.backEnd.zone === from.zone ? HALL_LATENCY_MS : CROSS_HALL_LATENCY_MS
     clock.at(sentAt + latencyMs, () => {
@@ -519,7 +540,7 @@
       const isTaken = !isShedding(id) && byId.get(id)?.enqueue({
         isUrgent: sentAt - call.askedAt <= call.kind.targetMs,
         unreadTokens: call.promptTokens + 1,
-        eventsLeft: call.kind.events,
+        eventsLeft: call.events,
         onFirstEvent: () => { clock.at(clock.now() + latencyMs, () => { noteFirstEvent(call, open, { from, choice }) }) },
         onEnd: () => {
           clock.at(clock.now() + latencyMs, () => {
@@ -546,7 +567,8 @@
     sent?.from.backoffs.noteResponse(sent.choice.backEnd, { kind: 'none' }, true)
     call.hasFirstEvent = true
     call.isInTime = clock.now() - call.askedAt <= call.kind.targetMs
-    if (clock.now() - call.askedAt <= call.kind.targetMs) call.counts.inTime += 1
+    call.outcome.ending = call.isInTime ? 'in-time' : 'late'
+    if (call.isInTime) call.counts.inTime += 1
     else call.counts.late += 1
   }
 
@@ -570,7 +592,7 @@
   clock.at(0, scheduleCalls)
   clock.run(WARM_UP_MS + scenario.seconds * types.MILLISECONDS_IN_SECOND)
   const kinds = counts.map((each) => divideBySeconds(each, scenario.seconds))
-  return { ...kinds.reduce(addResults, createCounts()), kinds, maximumLimitedRequests: Math.max(0, ...[...limited.values()].map(countMostInWindow)), gap: gap === null ? null : gapCounts }
+  return { ...kinds.reduce(addResults, createCounts()), kinds, outcomes, maximumLimitedRequests: Math.max(0, ...[...limited.values()].map(countMostInWindow)), gap: gap === null ? null : gapCounts }
 }
 
 /** Largest number of the given times in any four seconds. */
