--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -1,6 +1,7 @@
 /** State of one call while it is served. */
 import * as quarantine from '@switchridge/quarantine'
 import type * as types from '@switchridge/types'
+import type * as createSizeClasses from '../createSizeClasses/index.js'
 import type * as gateway from '../types/index.js'
 import type * as deadlines from './deadline.js'
 
@@ -25,8 +26,12 @@
   readonly rank: number
   readonly body: Buffer | null
   readonly deadline: deadlines.Deadline
-  /** Monotonic time in milliseconds at which the gateway received the request. */
+  /** Monotonic time in milliseconds at which the request's head arrived; the caller's target and timeout count from it. */
   readonly receivedAt: number
+  /** Monotonic time in milliseconds at which the request was complete, so that back ends could be chosen. */
+  readonly completeAt: number
+  /** How large the call is among those of its route. */
+  readonly sizeClass: createSizeClasses.SizeClass
 }
 
 /** Time that a call was held until an engine returned. */
@@ -45,6 +50,8 @@
   mayHaveRun: boolean
   /** Milliseconds until the first event that the first choice predicted; null before a choice. */
   predictedMs: number | null
+  /** Part of that time in which the engine would read the call's own prompt; null before a choice. */
+  predictedReadMs: number | null
   /** Whether the error of that prediction was recorded. */
   isPredictionNoted: boolean
   /** Monotonic time in milliseconds of the first event, or of a response that is not a stream. */
@@ -90,6 +97,7 @@
     attempts: 0,
     mayHaveRun: false,
     predictedMs: null,
+    predictedReadMs: null,
     isPredictionNoted: false,
     firstEventAt: null,
     wait: null,
--- a/packages/gateway/src/_lib/createMarginNotes.test.ts
+++ b/packages/gateway/src/_lib/createMarginNotes.test.ts
@@ -44,7 +44,9 @@
     route: { name: 'write', kind: 'once', isResumable: false, timeoutMs: 5000, targetMs: 5000, maximumAttempts: 1 },
     deadline: { at: 5000, remainingMs: () => 5000 },
     body: null,
-    receivedAt: SENT_AT
+    receivedAt: SENT_AT,
+    completeAt: SENT_AT,
+    sizeClass: 'usual'
   } as unknown as callState.CallDetails)
   const options = {
     protocol: { formatAttempt: () => ['Host', 'app.example'], readAnswer: () => read, readAdvertisedRate: () => ({ kind: 'none' }), readBackoffRequest: () => null, announcesLeaving: () => false },
--- a/packages/gateway/src/_lib/handlerTesting.ts
+++ b/packages/gateway/src/_lib/handlerTesting.ts
@@ -33,7 +33,7 @@
       formatGatewayAnswer: () => []
     },
     routes: () => ({ configuration: { limits: { maximumBodyBytes: Infinity } }, findRoute: () => row, findService: () => null, needsKeys: false }),
-    choose: () => ({ choice: { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity }),
+    choose: () => ({ choice: { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, ownReadMs: 0, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null }, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity }),
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     sharedTargetOf: () => LONG_MS,
     findExclusion: () => null,
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -33,6 +33,9 @@
   const elapsedMs = Math.round(options.now() - call.receivedAt)
   const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
   options.count('calls', { ending: end.ending })
+  options.count('calls_by_size', { route: call.route.name, size: call.sizeClass, ending: end.ending })
+  const uploadMs = Math.round(call.completeAt - call.receivedAt)
+  options.observe('call_upload', uploadMs)
   if (end.isBlocked) options.count('calls_blocked', { service: call.service })
   options.observe('call', elapsedMs)
   if (firstEventMs !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(firstEventMs - call.predictedMs))
@@ -45,7 +48,12 @@
     attempts: call.attempts,
     ending: end.ending,
     ms: elapsedMs,
+    promptTokens: call.head.promptTokens,
+    bodyBytes: call.body?.length ?? 0,
+    size: call.sizeClass,
+    uploadMs,
     predictedMs: call.predictedMs,
+    predictedReadMs: call.predictedReadMs,
     firstEventMs,
     waitedMs: call.wait?.ms,
     place: call.wait?.place,
--- a/packages/gateway/src/_lib/runAttempt.test.ts
+++ b/packages/gateway/src/_lib/runAttempt.test.ts
@@ -50,7 +50,9 @@
     service: types.brandId('llm'),
     body: null,
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
-    receivedAt: 0
+    receivedAt: 0,
+    completeAt: 0,
+    sizeClass: 'usual'
   } as unknown as callState.CallDetails)
   const reply = {
     hasStarted: () => hasStarted,
@@ -75,7 +77,7 @@
     },
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
-      choice: isSent ? null : { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
+      choice: isSent ? null : { backEnd, isRateLimited: false, firstEventMs: 1, discountedFirstEventMs: 1, ownReadMs: 0, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
       passedOver: {},
       utilization: 0,
       permitWaitMs: Infinity,
--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -85,7 +85,9 @@
     service: types.brandId('llm'),
     body: null,
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
-    receivedAt: 0
+    receivedAt: 0,
+    completeAt: 0,
+    sizeClass: 'usual'
   } as unknown as callState.CallDetails)
   const reply = {
     hasStarted: () => hasStarted,
@@ -168,7 +170,7 @@
       fixture.pinnedVersions.push(version)
       const id = fixture.ids.map((name) => types.brandId<types.NodeId>(name)).find((name) => !tried.has(name))
       const backEnd = { id, bornAt: null, address: { host: types.LOOPBACK_HOST, port: 9 }, isDraining: false, models: new Map() }
-      const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy, olderVersion: null }
+      const choice = { backEnd, isRateLimited: fixture.needsPermit, firstEventMs: 1, discountedFirstEventMs: 1, ownReadMs: 0, queuedAhead: 0, expectedVersion: null, mustBeginBy, olderVersion: null }
       return { choice: id === undefined || (fixture.needsPermit && !mayRequestPermit) ? null : choice, passedOver: {}, utilization: 0, permitWaitMs: Infinity, backoffWaitMs: Infinity } as unknown as chooseBackEnd.ChoiceOutcome
     },
     limiter: { readAllowance: () => null, noteResponse: () => {}, acquire: async () => fixture.isPermitGranted ? { isGranted: true } : { isGranted: false, waitMs: 1 } } as unknown as callOptions.CallHandlerOptions['limiter'],
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -33,13 +33,15 @@
     service: types.brandId('api'),
     body: null,
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
-    receivedAt: 0
+    receivedAt: 0,
+    completeAt: 0,
+    sizeClass: 'usual'
   } as unknown as callState.CallDetails)
   const reply = { hasStarted: () => false, mayContinue: () => true, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
   const options = {
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: () => ({
-      choice: happened !== 'nothing' && happened !== 'blocked' ? null : { backEnd, isRateLimited: meanwhile !== 'became-cold', firstEventMs: 1, discountedFirstEventMs: 1, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
+      choice: happened !== 'nothing' && happened !== 'blocked' ? null : { backEnd, isRateLimited: meanwhile !== 'became-cold', firstEventMs: 1, discountedFirstEventMs: 1, ownReadMs: 0, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null },
       passedOver: { [happened === 'leaving' ? 'draining' : happened === 'evacuated' ? 'evacuated' : 'backing-off']: 1 },
       utilization: 0,
       permitWaitMs: Infinity,
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -139,6 +139,7 @@
         return endUnserved()
       }
       call.predictedMs ??= Math.round(choice.firstEventMs)
+      call.predictedReadMs ??= Math.round(choice.ownReadMs)
       if (isFirst && chosen.choice !== null && (!hasConnectFailed || mustReserve())) {
         const slot = await admit(choice, utilization, isLate)
         if (slot.kind === 'ended') return slot.ending
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -77,7 +77,7 @@
     waiting,
     budgetOf: () => ({ noteCall: () => {}, trySpend: () => true }),
     choose: ({ tried }: { readonly tried: ReadonlySet<types.NodeId> }) => ({
-      choice: isServing() && !tried.has(ENGINE) ? { backEnd, isRateLimited: false, firstEventMs: 50, discountedFirstEventMs: 50, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null } : null,
+      choice: isServing() && !tried.has(ENGINE) ? { backEnd, isRateLimited: false, firstEventMs: 50, discountedFirstEventMs: 50, ownReadMs: 0, queuedAhead: 0, expectedVersion: null, mustBeginBy: Infinity, olderVersion: null } : null,
       passedOver: { [isEvacuated() ? 'evacuated' : passedOver]: 1 },
       utilization: 0,
       permitWaitMs: Infinity,
@@ -119,7 +119,9 @@
       allowedRegions: new Set(['east']),
       body: Buffer.from('body'),
       deadline: { at: receivedAt + TIMEOUT_MS, remainingMs: () => Math.max(0, receivedAt + TIMEOUT_MS - clock.now()) },
-      receivedAt
+      receivedAt,
+      completeAt: receivedAt,
+      sizeClass: 'usual'
     } as unknown as callState.CallDetails)
     const reply = { hasStarted: () => false, mayContinue: () => true, refuse: (status: number, reason: string, retryAfterMs: number | null) => { refusals.push({ status, reason, retryAfterMs, at: clock.now() }) } }
     void runAttempts.runAttempts(call, reply as never, options as never).catch((thrown: unknown) => { assert.match(String(thrown), /sent/) })
--- a/packages/gateway/src/chooseBackEnd/index.ts
+++ b/packages/gateway/src/chooseBackEnd/index.ts
@@ -56,6 +56,8 @@
   readonly firstEventMs: number
   /** Predicted time to the first event with half of the prompt's excess over the usual length discounted; admission uses it. */
   readonly discountedFirstEventMs: number
+  /** Part of `firstEventMs` in which the back end would read the call's own prompt. */
+  readonly ownReadMs: number
   /** Requests that would be queued there before this one. */
   readonly queuedAhead: number
   /** Whether the back end advertises a rate limit or is cold, so that a permit must be requested. */
@@ -316,5 +318,5 @@
 function predict (backEnd: gateway.BackEnd, load: createBackEndTracker.BackEndLoad, input: ChoiceInput): predictFirstEvent.Prediction {
   if (input.figures !== null) return predictFirstEvent.predictFirstEvent(input.figures, backEnd.slots, load, input.promptTokens, input.gateways)
   const open = load.open.size
-  return { firstEventMs: open * ASSUMED_PLAIN_REQUEST_MS, discountedFirstEventMs: open * ASSUMED_PLAIN_REQUEST_MS, queuedAhead: Math.max(0, open + 1 - backEnd.slots) }
+  return { firstEventMs: open * ASSUMED_PLAIN_REQUEST_MS, discountedFirstEventMs: open * ASSUMED_PLAIN_REQUEST_MS, ownReadMs: 0, queuedAhead: Math.max(0, open + 1 - backEnd.slots) }
 }
--- a/packages/gateway/src/predictFirstEvent/index.ts
+++ b/packages/gateway/src/predictFirstEvent/index.ts
@@ -8,6 +8,8 @@
   readonly firstEventMs: number
   /** The same with half of the prompt's excess over the usual length discounted; admission uses it. */
   readonly discountedFirstEventMs: number
+  /** Part of `firstEventMs` in which the engine would read the call's own prompt. */
+  readonly ownReadMs: number
   /** Requests beyond the engine's slots that would be queued before this one. */
   readonly queuedAhead: number
 }
@@ -45,10 +47,11 @@
   const stepMs = (figures.stepMs ?? 0) + (figures.stepMsPerSequence ?? 0) * Math.min(slots, occupied)
   const unreadTokens = load.promptTokensSinceReport * gatewayFactor * UNREAD_FRACTION + waiting * (figures.usualPromptTokens ?? 0)
   const readMs = figures.prefillTokensPerMs === null ? 0 : (unreadTokens + promptTokens) / figures.prefillTokensPerMs
+  const ownReadMs = figures.prefillTokensPerMs === null ? 0 : pace * promptTokens / figures.prefillTokensPerMs
   const answerMs = (figures.usualAnswerTokens ?? 0) * stepMs * 2
   const slotWaitMs = queuedAhead * answerMs / slots
   const firstEventMs = pace * (slotWaitMs + readMs + TOKENS_PER_EVENT * stepMs)
   const excessTokens = Math.max(0, promptTokens - (figures.usualPromptTokens ?? promptTokens))
   const excessMs = figures.prefillTokensPerMs === null ? 0 : pace * excessTokens / figures.prefillTokensPerMs
-  return { firstEventMs, discountedFirstEventMs: firstEventMs - EXCESS_DISCOUNT * excessMs, queuedAhead }
+  return { firstEventMs, discountedFirstEventMs: firstEventMs - EXCESS_DISCOUNT * excessMs, ownReadMs, queuedAhead }
 }
