--- a/packages/daemon/src/_lib/simulatedCallPath.ts
+++ b/packages/daemon/src/_lib/simulatedCallPath.ts
@@ -13,6 +13,8 @@
   readonly promptTokens: number
   readonly events: number
   readonly bodyBytes: number
+  /** Milliseconds after its head in which its body arrives; at once if absent. */
+  readonly uploadMs?: number
   readonly remainingMs: number
   /** API key; none if absent. */
   readonly key?: string
@@ -144,8 +146,12 @@
       const request = Object.assign(new events.EventEmitter(), { call: head, complete: true, headers: { 'content-length': String(call.bodyBytes) } })
       const response = createResponse(call.onEnded ?? (() => {}))
       handler.handle(request as unknown as http.IncomingMessage, response as unknown as http.ServerResponse)
-      request.emit('data', Buffer.alloc(call.bodyBytes))
-      request.emit('end')
+      const endUpload = (): void => {
+        request.emit('data', Buffer.alloc(call.bodyBytes))
+        request.emit('end')
+      }
+      if (call.uploadMs === undefined) endUpload()
+      else setTimeout(endUpload, call.uploadMs)
       return () => { response.destroy() }
     }
   }
--- a/packages/gateway/src/createCallHandler/broken.test.ts
+++ b/packages/gateway/src/createCallHandler/broken.test.ts
@@ -307,7 +307,7 @@
 for (const [kind, [status, answer]] of Object.entries(ODD_ANSWERS)) {
   nodeTest.test(`a call whose engine answers with ${kind} gets a whole answer`, LIMIT, async (context) => {
     for (const isStream of [true, false]) {
-      await context.test(isStream ? 'stream' : 'plain', async (part) => {
+      await context.test(`${isStream ? 'stream' : 'plain'}, ${kind}`, async (part) => {
         const readAnswer: Options['protocol']['readAnswer'] = ({ statusCode = 0, rawHeaders }) => ({ kind: 'answered', status: statusCode, headers: rawHeaders.slice(0, rawHeaders[0] === 'X' ? 2 : 0), isStream: isStream && statusCode < 300, version: null })
         const gateway = await startGateway(part, answer, withProtocol({ readAnswer }))
         const { text, errorCode } = await call()
