Judge engines and waiting calls without the time of their uploads

Callers whose bodies took long to arrive made the gateway refuse all calls of their service: 503 with half of the engines' slots free.

Cause: times that belong to the caller counted as times of the engines. The error of a prediction was taken from the beginning of the request, so each slow upload raised the bound by which all calls are refused; a call whose upload was longer than its target got no slot from agents, no permit unless the bucket was full, the last place among waiting calls, and the least urgency at its engine.

Change: a call has two times. readElapsedMs counts from its first byte, as the caller's target does, and decides when a caller may retry; readWaitedMs counts from the complete request and decides on slots, permits, places and urgency.

--- a/packages/gateway/src/_lib/admitCall.ts
+++ b/packages/gateway/src/_lib/admitCall.ts
@@ -11,7 +11,7 @@
   readonly isContended: boolean
   /** Milliseconds after which the caller may retry. */
   readonly retryAfterMs: number
-  /** Milliseconds within which the first event would still be in time; negative for a call that is late already. */
+  /** Milliseconds within which the first event would still be in time, not counting the time in which the call's body arrived; negative for a call that is late already. */
   readonly withinMs: number
   /** The figures behind the decision. */
   readonly reason: string
@@ -27,13 +27,14 @@
  * @returns The decision.
  */
 export function admitCall (call: callState.CallState, choice: chooseBackEnd.Choice, utilization: number, options: Pick<callOptions.CallHandlerOptions, 'errorBoundOf' | 'sharedTargetOf' | 'now' | 'random'>): CallAdmission {
+  const now = options.now()
   const input = {
     firstEventMs: choice.discountedFirstEventMs,
     queuedAhead: choice.queuedAhead,
     utilization,
     errorMs: options.errorBoundOf(call.service).read(),
     targetMs: options.sharedTargetOf({ service: call.service, priority: call.route.priority, targetMs: call.route.targetMs, hasModel: call.head.model !== null }, decideAdmission.isContended(utilization)),
-    elapsedMs: callState.readElapsedMs(call, options.now()),
+    elapsedMs: callState.readElapsedMs(call, now),
     remainingMs: call.deadline.remainingMs(),
     random: options.random()
   }
@@ -42,7 +43,7 @@
     isAdmitted: admission.isAdmitted,
     isContended: admission.isAdmitted && admission.isContended,
     retryAfterMs: admission.isAdmitted ? decideAdmission.computeRetryAfterMs(input) : admission.retryAfterMs,
-    withinMs: input.targetMs - input.elapsedMs,
+    withinMs: input.targetMs - callState.readWaitedMs(call, now),
     reason: describeFigures(input)
   }
 }
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -48,10 +48,12 @@
   attempts: number
   /** Whether a back end may have begun to run the call. */
   mayHaveRun: boolean
-  /** Milliseconds until the first event that the first choice predicted; null before a choice. */
+  /** Milliseconds until the first event as predicted for the back end of the first attempt, or of the first choice before there is one; null before a choice. */
   predictedMs: number | null
   /** Part of that time in which the engine would read the call's own prompt; null before a choice. */
   predictedReadMs: number | null
+  /** Monotonic time in milliseconds at which the first attempt that had a connection was begun; null before one. */
+  firstSentAt: number | null
   /** Whether the error of that prediction was recorded. */
   isPredictionNoted: boolean
   /** Monotonic time in milliseconds of the first event, or of a response that is not a stream. */
@@ -98,6 +100,7 @@
     mayHaveRun: false,
     predictedMs: null,
     predictedReadMs: null,
+    firstSentAt: null,
     isPredictionNoted: false,
     firstEventAt: null,
     wait: null,
@@ -129,16 +132,31 @@
 }
 
 /**
- * Milliseconds since the caller's first try. A caller that retries has less time left in each try, so the time of earlier tries is inferred from the
- * route's timeout. A caller that always allows less time than the route does is treated as retrying; this affects all callers of the route alike.
+ * Milliseconds since the caller's first try, which the caller's target counts from. A caller that retries has less time left in each try, so the time of earlier tries is inferred
+ * from the route's timeout. A caller that always allows less time than the route does is treated as retrying; this affects all callers of the route alike.
  *
  * @param call - The call.
  * @param now - Monotonic time in milliseconds.
  * @returns Milliseconds.
  */
-export function readElapsedMs ({ head, route, receivedAt }: CallDetails, now: number): number {
-  const earlierTriesMs = Math.max(0, route.timeoutMs - (head.remainingMs ?? route.timeoutMs))
-  return earlierTriesMs + now - receivedAt
+export function readElapsedMs (call: CallDetails, now: number): number {
+  return readEarlierTriesMs(call) + now - call.receivedAt
+}
+
+/**
+ * Milliseconds that the call has waited for a back end: as {@link readElapsedMs}, but without the time in which the body of this try arrived. That time depends on the caller and
+ * the size of the body, so calls that compete for back ends are compared without it.
+ *
+ * @param call - The call.
+ * @param now - Monotonic time in milliseconds.
+ * @returns Milliseconds.
+ */
+export function readWaitedMs (call: CallDetails, now: number): number {
+  return readEarlierTriesMs(call) + now - call.completeAt
+}
+
+function readEarlierTriesMs ({ head, route }: CallDetails): number {
+  return Math.max(0, route.timeoutMs - (head.remainingMs ?? route.timeoutMs))
 }
 
 /** A call sent after this fraction of its target is unlikely to be answered in time. */
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -38,7 +38,7 @@
   options.observe('call_upload', uploadMs)
   if (end.isBlocked) options.count('calls_blocked', { service: call.service })
   options.observe('call', elapsedMs)
-  if (firstEventMs !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(firstEventMs - call.predictedMs))
+  if (call.firstEventAt !== null && call.firstSentAt !== null && call.predictedMs !== null) options.observe('prediction_error', Math.abs(call.firstEventAt - call.firstSentAt - call.predictedMs))
   if (call.hasUnframedAnswer) options.count('answers_unframed', { service: call.service })
   options.logger.info('call', {
     id: call.head.requestId,
--- a/packages/gateway/src/_lib/noteOutcome.ts
+++ b/packages/gateway/src/_lib/noteOutcome.ts
@@ -57,7 +57,7 @@
  * @param options - Prediction errors and clock.
  */
 export function noteUnansweredAttempt (call: callState.CallState, options: Pick<callOptions.CallHandlerOptions, 'errorBoundOf' | 'now'>): void {
-  if (options.now() - call.receivedAt > call.route.targetMs) notePrediction(call, options)
+  if (call.firstSentAt !== null && options.now() - call.firstSentAt > call.route.targetMs) notePrediction(call, options)
 }
 
 /**
@@ -67,7 +67,7 @@
  * @param options - Prediction errors and clock.
  */
 export function notePrediction (call: callState.CallState, options: Pick<callOptions.CallHandlerOptions, 'errorBoundOf' | 'now'>): void {
-  if (call.isPredictionNoted || call.predictedMs === null) return
+  if (call.isPredictionNoted || call.predictedMs === null || call.firstSentAt === null) return
   call.isPredictionNoted = true
-  options.errorBoundOf(call.service).note(call.predictedMs, options.now() - call.receivedAt)
+  options.errorBoundOf(call.service).note(call.predictedMs, options.now() - call.firstSentAt)
 }
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -376,9 +376,9 @@
   return answer.kind === 'answered' && answer.status >= FIRST_FINAL_STATUS && answer.status < FIRST_ERROR_STATUS
 }
 
-/** Whether the first event can no longer be in time, counted from the caller's first try. */
+/** Whether the first event can no longer be in time, not counting the time in which the call's body arrived. */
 function isLate (call: callState.CallState, now: number): boolean {
-  return callState.readElapsedMs(call, now) > call.route.targetMs
+  return callState.readWaitedMs(call, now) > call.route.targetMs
 }
 
 interface EventTimer {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -118,7 +118,7 @@
   async function serve (): Promise<logCall.Ending> {
     for (;;) {
       const isFirst = call.attempts === 0
-      const isLate = !reply.hasStarted() && !canMeetTarget(0)
+      const isLate = !reply.hasStarted() && hasWaitedTooLong()
       if (noteIfBlocked()) return endUnserved()
       const chosen = choose(call.tried, isLate)
       const { passedOver, utilization, permitWaitMs, backoffWaitMs } = chosen
@@ -217,7 +217,7 @@
   /** Finds another back end for a stream whose back ends are silent, and spends the retry; null if the call may not be sent to any now. */
   async function findNext (isWanted: () => boolean): Promise<runAttempt.PermittedChoice | null> {
     if (!mayAttempt()) return null
-    const isLate = !reply.hasStarted() && !canMeetTarget(0)
+    const isLate = !reply.hasStarted() && hasWaitedTooLong()
     const { choice } = choose(call.tried, isLate)
     if (choice === null) return null
     const permitted = needsPermit(choice, isLate) ? await acquirePermit(choice, isLate) : choice
@@ -289,7 +289,7 @@
     return waitingCalls.toQueuedCall({
       rank: call.rank,
       bytes: call.body?.length ?? 0,
-      targetAt: now - callState.readElapsedMs(call, now) + call.route.targetMs,
+      targetAt: now - callState.readWaitedMs(call, now) + call.route.targetMs,
       targetMs: call.route.targetMs,
       deadlineAt: call.deadline.at,
       holdMs: readHoldMs() ?? 0
@@ -314,8 +314,8 @@
         service: call.service,
         promptTokens: call.head.promptTokens,
         deadlineAt: call.deadline.at,
-        choose: (others) => choose(new Set([...listTriedSinceReturn(), ...others]), !canMeetTarget(0)).choice,
-        isExcluded: () => findSoleExclusion(choose(call.tried, !canMeetTarget(0)).passedOver) !== null,
+        choose: (others) => choose(new Set([...listTriedSinceReturn(), ...others]), hasWaitedTooLong()).choice,
+        isExcluded: () => findSoleExclusion(choose(call.tried, hasWaitedTooLong()).passedOver) !== null,
         onEnd: resolve
       }
       const decision = held.add(waitingCall)
@@ -396,6 +396,12 @@
     return backoffWaitMs + Math.max(BACKOFF_RETRY_SPREAD_MS, backoffWaitMs * BACKOFF_RETRY_SPREAD_FRACTION) * options.random()
   }
 
+  /** Whether the call can no longer be in time, even if its body had arrived at once; others come first then. */
+  function hasWaitedTooLong (): boolean {
+    return !callState.canMeetTarget(callState.readWaitedMs(call, options.now()), call.route.targetMs)
+  }
+
+  /** Whether the caller can still be answered in time if it retries after a delay. */
   function canMeetTarget (delayMs: number): boolean {
     return callState.canMeetTarget(callState.readElapsedMs(call, options.now()) + delayMs, call.route.targetMs)
   }
@@ -418,6 +424,11 @@
       sentAt: options.now(),
       hasResponded: false
     }
+    if (sentCount === 1) {
+      call.firstSentAt = open.sentAt
+      call.predictedMs = Math.round(choice.firstEventMs)
+      call.predictedReadMs = Math.round(choice.ownReadMs)
+    }
     options.tracker.noteSent(choice.backEnd.id, open)
     options.onSent(choice.backEnd)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options, {
