Serve large calls at half the rate of their route or more

Cause: admission compares a predicted time that holds the reading of the call's own prompt with a target that is the same for all sizes, and agents compare all of it with 0.6 of the time. Under contention predictions settle near the target, so the outcome follows the prompt. No fixed discount suits both light and heavy contention.

Change: each gateway tracks, by route, how far the largest tenth and the quarter below it are behind 0.6 of the rate of the route, and requests their slots with a discount on their own prompts that grows with it (createSizeShares). Only agents make the exception.

--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -1,7 +1,7 @@
 /** State of one call while it is served. */
 import * as quarantine from '@switchridge/quarantine'
 import type * as types from '@switchridge/types'
-import type * as createSizeClasses from '../createSizeClasses/index.js'
+import type * as createSizeShares from '../createSizeShares/index.js'
 import type * as gateway from '../types/index.js'
 import type * as deadlines from './deadline.js'
 
@@ -30,8 +30,8 @@
   readonly receivedAt: number
   /** Monotonic time in milliseconds at which the request was complete, so that back ends could be chosen. */
   readonly completeAt: number
-  /** How large the call is among those of its route. */
-  readonly sizeClass: createSizeClasses.SizeClass
+  /** The call among those of its route, by size. */
+  readonly sized: createSizeShares.SizedCall
 }
 
 /** Time that a call was held until an engine returned. */
--- a/packages/gateway/src/_lib/confirmSlot.test.ts
+++ b/packages/gateway/src/_lib/confirmSlot.test.ts
@@ -31,7 +31,7 @@
       return answer
     }
   }
-  const choice = await confirmSlot.confirmSlot(call, createChoice('engine-0'), withinMs, (tried) => createChoice(`engine-${tried.size}`), { reserver, now: () => time })
+  const choice = await confirmSlot.confirmSlot(call, createChoice('engine-0'), { withinMs }, (tried) => createChoice(`engine-${tried.size}`), { reserver, now: () => time })
   return { backEnd: choice === null ? null : choice.backEnd.id, askedWithinMs }
 }
 
--- a/packages/gateway/src/_lib/createMarginNotes.test.ts
+++ b/packages/gateway/src/_lib/createMarginNotes.test.ts
@@ -9,6 +9,7 @@
 import * as sendAttempt from '../sendAttempt/index.js'
 import * as callState from './callState.js'
 import * as runAttempt from './runAttempt.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 
 const SENT_AT = 1000
 const ENDED_AT = 1600
@@ -46,7 +47,7 @@
     body: null,
     receivedAt: SENT_AT,
     completeAt: SENT_AT,
-    sizeClass: 'usual'
+    sized: createSizeShares.createSizeShares().open('r', 1)
   } as unknown as callState.CallDetails)
   const options = {
     protocol: { formatAttempt: () => ['Host', 'app.example'], readAnswer: () => read, readAdvertisedRate: () => ({ kind: 'none' }), readBackoffRequest: () => null, announcesLeaving: () => false },
--- a/packages/gateway/src/_lib/loadSimulation.ts
+++ b/packages/gateway/src/_lib/loadSimulation.ts
@@ -11,6 +11,7 @@
 import * as createSlotReservations from '../createSlotReservations/index.js'
 import * as createWaitingCalls from '../createWaitingCalls/index.js'
 import * as createWaitingQueue from '../createWaitingQueue/index.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 import * as decideAdmission from '../decideAdmission/index.js'
 import type * as gateway from '../types/index.js'
 import * as callState from './callState.js'
@@ -183,6 +184,8 @@
   tries: number
   /** Whether it is counted in the results of the gap. */
   readonly isInGap: boolean
+  /** The call at the gateway that it was sent to last. */
+  sized: createSizeShares.SizedCall | null
   hasLeft: boolean
   hasFirstEvent: boolean
   isInTime: boolean
@@ -195,6 +198,7 @@
   tracker: createBackEndTracker.BackEndTracker
   readonly errors: createErrorBound.ErrorBound
   readonly targets: createSharedTargets.SharedTargets
+  readonly sizes: createSizeShares.SizeShares
   readonly backoffs: createBackoffRecord.BackoffRecord
   /** When a permit of a rate-limited engine is expected to be available. */
   readonly permitExpectedAt: Map<types.NodeId, number>
@@ -207,6 +211,7 @@
 interface SlotSearch {
   readonly targetMs: number
   readonly maximumAgents: number
+  readonly promptDiscount: number
   /** Called when no agent that was asked has reserved a slot. */
   readonly onNone: () => void
 }
@@ -226,7 +231,7 @@
   const engines = Array.from({ length: scenario.engines }, (_, at) => simulatedEngine.createSimulatedEngine(`engine-${at}`, zoneOf(at), at < (scenario.slow?.count ?? 0) ? scenario.slow?.pace ?? 1 : 1, figures, clock))
   const backEnds = engines.map(({ backEnd }) => backEnd)
   const byId = new Map(engines.map((engine) => [engine.backEnd.id, engine]))
-  const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), backoffs: createBackoffs(), permitExpectedAt: new Map(), waiting: null, knowsFrom: 0 }))
+  const gateways: readonly SimulatedGateway[] = Array.from({ length: scenario.gateways }, (_, at) => ({ zone: zoneOf(at), tracker: createBackEndTracker.createBackEndTracker(clock.now), errors: createErrorBound.createErrorBound(clock.now), targets: createSharedTargets.createSharedTargets(clock.now), sizes: createSizeShares.createSizeShares(), backoffs: createBackoffs(), permitExpectedAt: new Map(), waiting: null, knowsFrom: 0 }))
   const shedding = new Set(backEnds.slice(scenario.engines - (scenario.shedding?.count ?? 0)).map(({ id }) => id))
   const classes = scenario.classes ?? STREAM_CLASSES
   const counts = classes.map(createCounts)
@@ -434,6 +439,7 @@
       askedAt: clock.now(),
       tries: 0,
       isInGap: gap !== null && clock.now() >= GAP_FROM_MS && clock.now() < GAP_FROM_MS + gap.lengthMs + gap.returnOverMs + GAP_RESULT_MS,
+      sized: null,
       hasLeft: false,
       hasFirstEvent: false,
       isInTime: false,
@@ -460,7 +466,9 @@
   function tryGateway (call: Call): void {
     if (call.hasLeft) return
     call.tries += 1
-    handleCall(gateways[Math.floor(random() * gateways.length)] as SimulatedGateway, call)
+    const from = gateways[Math.floor(random() * gateways.length)] as SimulatedGateway
+    call.sized = from.sizes.open(String(classes.indexOf(call.kind)), call.promptTokens)
+    handleCall(from, call)
   }
 
   function handleCall (from: SimulatedGateway, call: Call): void {
@@ -476,6 +484,7 @@
     if (choice === null && gap !== null) return refuse(call, computeRetryMs(call))
     if (choice === null) return refuse(call, callState.canMeetTarget(elapsedMs + permitWaitMs, call.kind.targetMs) ? permitWaitMs : LATE_RETRY_MS * (1 + random()))
     const targetMs = from.targets.note({ service: simulatedEngine.SERVICE, priority: call.kind.priority ?? USUAL_PRIORITY, targetMs: call.kind.targetMs, hasModel: true }, decideAdmission.isContended(utilization))
+    const promptDiscount = call.sized?.readPromptDiscount() ?? 0
     const input: decideAdmission.AdmissionInput = {
       firstEventMs: choice.discountedFirstEventMs,
       queuedAhead: choice.queuedAhead,
@@ -491,9 +500,9 @@
     const retryAfterMs = admission.isAdmitted ? null : admission.retryAfterMs
     if (waiting?.isRecovering(simulatedEngine.SERVICE) === true) {
       if (waiting.hasEarlier(simulatedEngine.SERVICE, toQueued(call))) hold(from, waiting, call, retryAfterMs)
-      else reserveSlot(from, call, choice, { targetMs, maximumAgents: reserveSlots.MAXIMUM_AGENTS_ASKED, onNone: () => { hold(from, waiting, call, retryAfterMs) } }, new Set())
-    } else if (!admission.isAdmitted) reserveSlot(from, call, choice, { targetMs, maximumAgents: reserveSlots.MAXIMUM_AGENTS_ASKED, onNone: () => { refuse(call, admission.retryAfterMs) } }, new Set())
-    else if (mustConfirm) reserveSlot(from, call, choice, { targetMs, maximumAgents: confirmSlots.MAXIMUM_AGENTS_ASKED, onNone: () => { refuse(call, decideAdmission.computeRetryAfterMs(input)) } }, new Set())
+      else reserveSlot(from, call, choice, { targetMs, promptDiscount: 0, maximumAgents: reserveSlots.MAXIMUM_AGENTS_ASKED, onNone: () => { hold(from, waiting, call, retryAfterMs) } }, new Set())
+    } else if (!admission.isAdmitted) reserveSlot(from, call, choice, { targetMs, promptDiscount, maximumAgents: reserveSlots.MAXIMUM_AGENTS_ASKED, onNone: () => { refuse(call, admission.retryAfterMs) } }, new Set())
+    else if (mustConfirm) reserveSlot(from, call, choice, { targetMs, promptDiscount, maximumAgents: confirmSlots.MAXIMUM_AGENTS_ASKED, onNone: () => { refuse(call, decideAdmission.computeRetryAfterMs(input)) } }, new Set())
     else if (isPermitted(from, choice.backEnd.id, isLate)) serve(from, call, choice, new Set())
     else if (isLate) refuse(call, LATE_RETRY_MS * (1 + random()))
     else handleCall(from, call)
@@ -507,7 +516,7 @@
     asked.add(id)
     const latencyMs = zone === from.zone ? HALL_LATENCY_MS : CROSS_HALL_LATENCY_MS
     clock.at(clock.now() + latencyMs, () => {
-      const isReserved = slots.get(id)?.reserve({ promptTokens: call.promptTokens, withinMs }, figures) === true
+      const isReserved = slots.get(id)?.reserve({ promptTokens: call.promptTokens, withinMs, promptDiscount: search.promptDiscount }, figures) === true
       clock.at(clock.now() + latencyMs, () => {
         if (isReserved && isPermitted(from, id, false)) return serve(from, call, choice, new Set())
         const next = asked.size < maximumAgents ? choose(from, call, asked).choice : null
@@ -531,6 +540,7 @@
   function serve (from: SimulatedGateway, call: Call, choice: chooseBackEnd.Choice, tried: Set<types.NodeId>): void {
     const { id } = choice.backEnd
     tried.add(id)
+    call.sized?.noteSent()
     const sentAt = clock.now()
     const open: createBackEndTracker.OpenAttempt = { promptTokens: call.promptTokens, answerTokens: call.outcome.answerTokens, sentAt, hasResponded: false }
     from.tracker.noteSent(id, open)
@@ -555,8 +565,10 @@
         from.tracker.noteEnded(id, open)
         noteTurnedAway(from, choice.backEnd)
         const next = tried.size < ATTEMPTS ? choose(from, call, tried).choice : null
-        if (next === null || !isPermitted(from, next.backEnd.id, false)) call.counts.rejected += 1
-        else serve(from, call, next, tried)
+        if (next === null || !isPermitted(from, next.backEnd.id, false)) {
+          call.counts.rejected += 1
+          call.sized?.noteUnserved()
+        } else serve(from, call, next, tried)
       })
     })
   }
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -32,8 +32,9 @@
 export function logCall (call: callState.CallState, end: CallEnd, options: Pick<callOptions.CallHandlerOptions, 'count' | 'observe' | 'logger' | 'now'>): void {
   const elapsedMs = Math.round(options.now() - call.receivedAt)
   const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
+  if (end.ending !== 'answered' && end.ending !== 'left') call.sized.noteUnserved()
   options.count('calls', { ending: end.ending })
-  options.count('calls_by_size', { route: call.route.name, size: call.sizeClass, ending: end.ending })
+  options.count('calls_by_size', { route: call.route.name, size: call.sized.sizeClass, ending: end.ending })
   const uploadMs = Math.round(call.completeAt - call.receivedAt)
   options.observe('call_upload', uploadMs)
   if (end.isBlocked) options.count('calls_blocked', { service: call.service })
@@ -50,7 +51,7 @@
     ms: elapsedMs,
     promptTokens: call.head.promptTokens,
     bodyBytes: call.body?.length ?? 0,
-    size: call.sizeClass,
+    size: call.sized.sizeClass,
     uploadMs,
     predictedMs: call.predictedMs,
     predictedReadMs: call.predictedReadMs,
--- a/packages/gateway/src/_lib/reservationWire.ts
+++ b/packages/gateway/src/_lib/reservationWire.ts
@@ -28,8 +28,8 @@
 }
 
 /** Formats a request. */
-export function formatRequest ({ number, promptTokens, withinMs }: ReservationRequest): Buffer {
-  return Buffer.from(`${REQUEST_PREFIX}${number},${Math.round(promptTokens)},${Math.floor(withinMs)}]`)
+export function formatRequest ({ number, promptTokens, withinMs, promptDiscount = 0 }: ReservationRequest): Buffer {
+  return Buffer.from(`${REQUEST_PREFIX}${number},${Math.round(promptTokens)},${Math.floor(withinMs)}${promptDiscount > 0 ? `,${promptDiscount}` : ''}]`)
 }
 
 /** Formats a reply. */
@@ -39,8 +39,10 @@
 
 /** Decodes a request; null if it is invalid. */
 export function decodeRequest (bytes: Buffer): ReservationRequest | null {
-  const [, number, promptTokens, withinMs] = types.parseJsonArray(bytes)
-  return types.isNonNegativeNumber(number) && types.isNonNegativeNumber(promptTokens) && types.isNonNegativeNumber(withinMs) ? { number, promptTokens, withinMs } : null
+  const [, number, promptTokens, withinMs, promptDiscount = 0] = types.parseJsonArray(bytes)
+  if (!types.isNonNegativeNumber(number) || !types.isNonNegativeNumber(promptTokens) || !types.isNonNegativeNumber(withinMs)) return null
+  if (!types.isNonNegativeNumber(promptDiscount) || promptDiscount > 1) return null
+  return { number, promptTokens, withinMs, ...(promptDiscount > 0 ? { promptDiscount } : {}) }
 }
 
 /** Decodes a reply; null if it is invalid. */
--- a/packages/gateway/src/_lib/reserveSlot.test.ts
+++ b/packages/gateway/src/_lib/reserveSlot.test.ts
@@ -16,7 +16,7 @@
     },
     ask: async () => { throw new Error('not used') }
   }
-  return await reserveSlot.reserveSlot(call, choice, 300, () => null, { reserver, now: () => 0 })
+  return await reserveSlot.reserveSlot(call, choice, { withinMs: 300 }, () => null, { reserver, now: () => 0 })
 }
 
 nodeTest.test('a call that expires while a slot is requested is not sent', async () => {
--- a/packages/gateway/src/_lib/runAttempt.test.ts
+++ b/packages/gateway/src/_lib/runAttempt.test.ts
@@ -12,6 +12,7 @@
 import type * as guards from '../types/guard.js'
 import * as callState from './callState.js'
 import * as runAttempts from './runAttempts.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 
 const DEADLINE_MS = 5000
 /** A resumable stream whose target is the deadline waits so long for its first event. */
@@ -52,7 +53,7 @@
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
     receivedAt: 0,
     completeAt: 0,
-    sizeClass: 'usual'
+    sized: createSizeShares.createSizeShares().open('r', 1)
   } as unknown as callState.CallDetails)
   const reply = {
     hasStarted: () => hasStarted,
--- a/packages/gateway/src/_lib/runAttempts.silent.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.silent.test.ts
@@ -13,6 +13,7 @@
 import * as handlerTesting from './handlerTesting.js'
 import type * as logCall from './logCall.js'
 import * as runAttempts from './runAttempts.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 
 const DEADLINE_MS = 60_000
 /** Time after which another engine is requested, for both the first event and the next one. */
@@ -87,7 +88,7 @@
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
     receivedAt: 0,
     completeAt: 0,
-    sizeClass: 'usual'
+    sized: createSizeShares.createSizeShares().open('r', 1)
   } as unknown as callState.CallDetails)
   const reply = {
     hasStarted: () => hasStarted,
--- a/packages/gateway/src/_lib/runAttempts.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.test.ts
@@ -5,6 +5,7 @@
 import * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as callState from './callState.js'
 import * as runAttempts from './runAttempts.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 
 const BLOCKED_MS = 60_000
 const BACKOFF_MS = 3000
@@ -35,7 +36,7 @@
     deadline: { at: DEADLINE_MS, remainingMs: () => DEADLINE_MS },
     receivedAt: 0,
     completeAt: 0,
-    sizeClass: 'usual'
+    sized: createSizeShares.createSizeShares().open('r', 1)
   } as unknown as callState.CallDetails)
   const reply = { hasStarted: () => false, mayContinue: () => true, refuse: (status: number, reason: string) => { refusal = `${status} ${reason}` } }
   const options = {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -249,7 +249,10 @@
     if (admission.isAdmitted && !mustReserveSlot && !mustConfirm) return { kind: 'send', choice }
     const hasEarlier = waiting !== null && mustReserveSlot && waiting.hasEarlier(call.service, toQueued())
     const obtainSlot = mustConfirm ? confirmSlot.confirmSlot : reserveSlot.reserveSlot
-    const reserved = hasEarlier ? null : await obtainSlot(call, choice, admission.withinMs, (tried) => choose(tried, isLate).choice, options)
+    // Calls that wait for engines to return get slots in turn, whatever their size.
+    const promptDiscount = mustReserveSlot ? 0 : call.sized.readPromptDiscount()
+    if (promptDiscount > 0) options.count('slots_discounted', { size: call.sized.sizeClass })
+    const reserved = hasEarlier ? null : await obtainSlot(call, choice, { withinMs: admission.withinMs, promptDiscount }, (tried) => choose(tried, isLate).choice, options)
     if (call.isCallerGone()) return { kind: 'ended', ending: 'left' }
     if (reserved !== null) return { kind: 'send', choice: reserved }
     if (waiting !== null && mustReserveSlot && !call.isExpired()) {
@@ -429,6 +432,7 @@
       call.predictedMs = Math.round(choice.firstEventMs)
       call.predictedReadMs = Math.round(choice.ownReadMs)
     }
+    call.sized.noteSent()
     options.tracker.noteSent(choice.backEnd.id, open)
     options.onSent(choice.backEnd)
     const outcome = await runAttempt.runAttempt(call, reply, stream, choice, open, options, {
--- a/packages/gateway/src/_lib/runAttempts.waiting.test.ts
+++ b/packages/gateway/src/_lib/runAttempts.waiting.test.ts
@@ -7,6 +7,7 @@
 import * as createWaitingCalls from '../createWaitingCalls/index.js'
 import * as callState from './callState.js'
 import * as runAttempts from './runAttempts.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 
 const TIMEOUT_MS = 6000
 const SERVICE = types.brandId<types.ServiceName>('llm')
@@ -121,7 +122,7 @@
       deadline: { at: receivedAt + TIMEOUT_MS, remainingMs: () => Math.max(0, receivedAt + TIMEOUT_MS - clock.now()) },
       receivedAt,
       completeAt: receivedAt,
-      sizeClass: 'usual'
+      sized: createSizeShares.createSizeShares().open('r', 1)
     } as unknown as callState.CallDetails)
     const reply = { hasStarted: () => false, mayContinue: () => true, refuse: (status: number, reason: string, retryAfterMs: number | null) => { refusals.push({ status, reason, retryAfterMs, at: clock.now() }) } }
     void runAttempts.runAttempts(call, reply as never, options as never).catch((thrown: unknown) => { assert.match(String(thrown), /sent/) })
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -14,7 +14,7 @@
 import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as createRouteTable from '../createRouteTable/index.js'
 import * as computeRank from '../computeRank/index.js'
-import * as createSizeClasses from '../createSizeClasses/index.js'
+import * as createSizeShares from '../createSizeShares/index.js'
 import * as mayFinishInTime from '../mayFinishInTime/index.js'
 import * as readBody from '../readBody/index.js'
 import * as gateway from '../types/index.js'
@@ -51,7 +51,7 @@
   const register = observability.createCallRegister({ logger: options.logger, count: options.count, readConfiguration: () => options.routes()?.configuration.version ?? null, now: options.now })
   let drain: mayFinishInTime.DrainBounds | null = null
   const calls = new Set<callState.CallState>()
-  const sizeClasses = createSizeClasses.createSizeClasses()
+  const sizeShares = createSizeShares.createSizeShares()
   /** Calls whose requests are still arriving. */
   const readings = new Set<(isOver: boolean) => void>()
   options.guard.onBlocked((isBlocked) => {
@@ -116,7 +116,7 @@
         deadline: deadlines.createDeadline(readDeadlineAt(routed.route), options.now),
         receivedAt,
         completeAt: requestedAt,
-        sizeClass: sizeClasses.classify(routed.route.name, head.promptTokens > 0 ? head.promptTokens : body.body.length)
+        sized: head.promptTokens > 0 ? sizeShares.open(`${routed.route.name} (tokens)`, head.promptTokens) : sizeShares.open(`${routed.route.name} (bytes)`, body.body.length)
       })
       response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
       calls.add(call)
--- a/packages/gateway/src/createSlotReservations/index.ts
+++ b/packages/gateway/src/createSlotReservations/index.ts
@@ -8,6 +8,8 @@
   readonly promptTokens: number
   /** Milliseconds within which the first event counts as in time. */
   readonly withinMs: number
+  /** Fraction, from 0 to 1, of the time in which the call's own prompt is read that is left out of the comparison; 0 if absent. */
+  readonly promptDiscount?: number
 }
 
 /** The reservations of one engine. */
@@ -51,11 +53,11 @@
       reportAt = now()
       reserved = reserved.filter(({ at }) => now() - at <= ARRIVAL_TIMEOUT_MS)
     },
-    reserve: ({ promptTokens, withinMs }, figures) => {
+    reserve: ({ promptTokens, withinMs, promptDiscount = 0 }, figures) => {
       if (report === null || report.models.size === 0 || now() - reportAt > REPORT_VALID_MS) return false
       const load = { report, open: NO_OPEN_ATTEMPTS, sentSinceReport: reserved.length, promptTokensSinceReport: reserved.reduce((sum, each) => sum + each.promptTokens, 0) }
-      const { firstEventMs, queuedAhead } = predictFirstEvent.predictFirstEvent(figures, figures.slots, load, promptTokens, SENDING_GATEWAYS)
-      if (queuedAhead > 0 || firstEventMs > withinMs * TIME_FRACTION) return false
+      const { firstEventMs, ownReadMs, queuedAhead } = predictFirstEvent.predictFirstEvent(figures, figures.slots, load, promptTokens, SENDING_GATEWAYS)
+      if (queuedAhead > 0 || firstEventMs - promptDiscount * ownReadMs > withinMs * TIME_FRACTION) return false
       reserved.push({ promptTokens, at: now() })
       return true
     }
