Record a call as unserved where it ends, and test discounts of slot requests

The end of a call was recorded in the function that logs it. The test of slow uploads is written with functions, as the others are. No behaviour is changed.

--- a/packages/daemon/src/slowUploads.test.ts
+++ b/packages/daemon/src/slowUploads.test.ts
@@ -28,47 +28,48 @@
 const LARGE: Upload = { ms: 900, bytes: 1_000_000 }
 const SLOW: Upload = { ms: 2000, bytes: 200_000 }
 
-interface Sent {
-  readonly urgency: number | null
-}
-
 /** A gateway before one engine of which a part of the slots is taken by others. */
-class SimulatedGateway {
-  #time = 0
-  readonly sent: Sent[] = []
-  readonly requestedSlots: gateway.SlotRequest[] = []
-  readonly statuses: number[] = []
-  readonly #path: simulatedCallPath.SimulatedCallPath
+interface SimulatedGateway {
+  /** Urgencies with which attempts were sent. */
+  readonly urgencies: ReadonlyArray<number | null>
+  readonly requestedSlots: readonly gateway.SlotRequest[]
+  readonly statuses: readonly number[]
+  readonly call: (upload: Upload) => void
+  /** Lets time pass, in milliseconds. */
+  readonly pass: (forMs: number) => Promise<void>
+}
 
-  constructor (private readonly timers: nodeTest.TestContext['mock']['timers'], private readonly running: number) {
-    timers.enable({ apis: ['setTimeout', 'setInterval'] })
-    const now = (): number => this.#time
-    this.#path = simulatedCallPath.createSimulatedCallPath({
-      zone: ENGINE.zone,
-      gateways: 1,
-      figures: FIGURES,
-      versions: createVersionRecord.createVersionRecord({ boundMs: 1, marginMs: 0, startupBoundMs: 1, onBound: () => {}, now }),
-      backEnds: () => [ENGINE],
-      reserver: {
-        reserve: async (_backEnd, request) => {
-          this.requestedSlots.push(request)
-          return true
-        },
-        ask: async () => 'unanswered'
-      },
-      protocol: {
-        formatAttempt: (_call, { urgency }) => {
-          this.sent.push({ urgency })
-          return []
-        }
+function createSimulatedGateway (timers: nodeTest.TestContext['mock']['timers'], running: number): SimulatedGateway {
+  let time = 0
+  const urgencies: Array<number | null> = []
+  const requestedSlots: gateway.SlotRequest[] = []
+  const statuses: number[] = []
+  timers.enable({ apis: ['setTimeout', 'setInterval'] })
+  const path = simulatedCallPath.createSimulatedCallPath({
+    zone: ENGINE.zone,
+    gateways: 1,
+    figures: FIGURES,
+    versions: createVersionRecord.createVersionRecord({ boundMs: 1, marginMs: 0, startupBoundMs: 1, onBound: () => {}, now: () => time }),
+    backEnds: () => [ENGINE],
+    reserver: {
+      reserve: async (_backEnd, request) => {
+        requestedSlots.push(request)
+        return true
       },
-      sendAttempt: () => ({ start: this.#answer(), abort: () => {} }),
-      now,
-      random: standins.createSeededRandom(7)
-    })
-  }
+      ask: async () => 'unanswered'
+    },
+    protocol: {
+      formatAttempt: (_call, { urgency }) => {
+        urgencies.push(urgency)
+        return []
+      }
+    },
+    sendAttempt: () => ({ start: answer(), abort: () => {} }),
+    now: () => time,
+    random: standins.createSeededRandom(7)
+  })
 
-  async #answer (): Promise<gateway.AttemptStart> {
+  async function answer (): Promise<gateway.AttemptStart> {
     await types.delay(WORK_MS)
     const response = Object.assign(new events.EventEmitter(), { head: { kind: 'answered', status: SUCCESS, headers: [], isStream: true, version: 1 } satisfies gateway.AnswerHead, pause: () => {}, resume: () => {} })
     setTimeout(() => {
@@ -78,22 +79,25 @@
     return { kind: 'answer', response: response as unknown as http.IncomingMessage, isFramed: true, isWhole: () => true }
   }
 
-  call (upload: Upload): void {
-    this.#path.call({ requestId: 'r', promptTokens: PROMPT_TOKENS, events: 1, bodyBytes: upload.bytes, uploadMs: upload.ms, remainingMs: REMAINING_MS, onEnded: (status) => { this.statuses.push(status) } })
-  }
-
-  async pass (milliseconds: number): Promise<void> {
-    for (let passed = 0; passed < milliseconds; passed += STEP_MS) {
-      this.#path.tracker.noteReport(ENGINE.id, { report: { bornAt: null, running: this.running, waiting: 0, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, isLeaving: false, models: ENGINE.models }, isPaused: false, changesInMs: null }, this.#time, 0)
-      this.#time += STEP_MS
-      this.timers.tick(STEP_MS)
-      for (let turn = 0; turn < TURNS; turn += 1) await new Promise((resolve) => { setImmediate(resolve) })
+  return {
+    urgencies,
+    requestedSlots,
+    statuses,
+    call: (upload) => { path.call({ requestId: 'r', promptTokens: PROMPT_TOKENS, events: 1, bodyBytes: upload.bytes, uploadMs: upload.ms, remainingMs: REMAINING_MS, onEnded: (status) => { statuses.push(status) } }) },
+    pass: async (forMs) => {
+      const report = { bornAt: null, running, waiting: 0, isBusy: false, sequence: 0, pace: 1, limitPerSecond: null, isLeaving: false, models: ENGINE.models }
+      for (let passedMs = 0; passedMs < forMs; passedMs += STEP_MS) {
+        path.tracker.noteReport(ENGINE.id, { report, isPaused: false, changesInMs: null }, time, 0)
+        time += STEP_MS
+        timers.tick(STEP_MS)
+        for (let turn = 0; turn < TURNS; turn += 1) await new Promise((resolve) => { setImmediate(resolve) })
+      }
     }
   }
 }
 
 nodeTest.test('calls of all sizes are served at an engine with free slots while others upload large bodies slowly', async (context) => {
-  const simulated = new SimulatedGateway(context.mock.timers, 5)
+  const simulated = createSimulatedGateway(context.mock.timers, 5)
   for (let at = 0; at < 100; at += 1) {
     simulated.call([LARGE, SMALL, SLOW, SMALL][at % 4] as Upload)
     await simulated.pass(50)
@@ -103,14 +107,14 @@
 })
 
 nodeTest.test('a call whose body took longer than its target to arrive is sent with the urgency of others', async (context) => {
-  const simulated = new SimulatedGateway(context.mock.timers, 0)
+  const simulated = createSimulatedGateway(context.mock.timers, 0)
   simulated.call(SLOW)
   await simulated.pass(SLOW.ms + 500)
-  assert.deepEqual(simulated.sent, [{ urgency: null }])
+  assert.deepEqual(simulated.urgencies, [null])
 })
 
 nodeTest.test('a slot is requested for a call whose body took longer than its target to arrive', async (context) => {
-  const simulated = new SimulatedGateway(context.mock.timers, 40)
+  const simulated = createSimulatedGateway(context.mock.timers, 40)
   simulated.call(SLOW)
   await simulated.pass(SLOW.ms + 500)
   assert.deepEqual([simulated.requestedSlots.length, simulated.statuses], [1, [SUCCESS]])
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -30,7 +30,7 @@
   readonly receivedAt: number
   /** Monotonic time in milliseconds at which the request was complete, so that back ends could be chosen. */
   readonly completeAt: number
-  /** The call among those of its route, by size. */
+  /** How the call's size compares with that of others of its route, and whether calls of its size are served too rarely. */
   readonly sized: createSizeShares.SizedCall
 }
 
@@ -52,7 +52,7 @@
   predictedMs: number | null
   /** Part of that time in which the engine would read the call's own prompt; null before a choice. */
   predictedReadMs: number | null
-  /** Monotonic time in milliseconds at which the first attempt that had a connection was begun; null before one. */
+  /** Monotonic time in milliseconds at which the first attempt was begun, or the next one if that had no connection; null before one. */
   firstSentAt: number | null
   /** Whether the error of that prediction was recorded. */
   isPredictionNoted: boolean
--- a/packages/gateway/src/_lib/logCall.ts
+++ b/packages/gateway/src/_lib/logCall.ts
@@ -32,7 +32,6 @@
 export function logCall (call: callState.CallState, end: CallEnd, options: Pick<callOptions.CallHandlerOptions, 'count' | 'observe' | 'logger' | 'now'>): void {
   const elapsedMs = Math.round(options.now() - call.receivedAt)
   const firstEventMs = call.firstEventAt === null ? null : Math.round(call.firstEventAt - call.receivedAt)
-  if (end.ending !== 'answered' && end.ending !== 'left') call.sized.noteUnserved()
   options.count('calls', { ending: end.ending })
   options.count('calls_by_size', { route: call.route.name, size: call.sized.sizeClass, ending: end.ending })
   const uploadMs = Math.round(call.completeAt - call.receivedAt)
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -498,6 +498,7 @@
   }
 
   const ending = await serve().catch(noteThrown).finally(cancelExpiry)
+  if (ending !== 'answered' && ending !== 'left') call.sized.noteUnserved()
   logCall.logCall(call, { ending, backEnd, version: stream.version, reason: lastReason, isBlocked }, options)
   return ending
 }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -116,7 +116,7 @@
         deadline: deadlines.createDeadline(readDeadlineAt(routed.route), options.now),
         receivedAt,
         completeAt: requestedAt,
-        sized: head.promptTokens > 0 ? sizeShares.open(`${routed.route.name} (tokens)`, head.promptTokens) : sizeShares.open(`${routed.route.name} (bytes)`, body.body.length)
+        sized: recordSize(routed.route, head, body.body)
       })
       response.once('close', () => { if (!response.writableFinished) call.noteCallerGone() })
       calls.add(call)
@@ -124,6 +124,11 @@
       registered.noteEnding(await runAttempts.runAttempts(call, reply, options, mayFinish))
     }
 
+    /** Tokens are not compared with bytes, so a route whose callers do not all state the length of their prompts counts as two. */
+    function recordSize ({ name }: gateway.Route, { promptTokens }: gateway.CallHead, body: Buffer): createSizeShares.SizedCall {
+      return promptTokens > 0 ? sizeShares.open(`${name} (tokens)`, promptTokens) : sizeShares.open(`${name} (bytes)`, body.length)
+    }
+
     /** Ends a call whose handling threw, and its attempts. */
     function endBroken (thrown: unknown): void {
       logCall.logBroken(head.requestId, thrown, options)
--- a/packages/gateway/src/createReservationClient/test.ts
+++ b/packages/gateway/src/createReservationClient/test.ts
@@ -115,6 +115,10 @@
     reservationWire.decodeRequest(Buffer.from(`["s",${text}`))
     reservationWire.decodeReply(Buffer.from(`["t",${text}`))
   }))
-  for (const text of ['["s",1,-1,5]', '["s","1",1,5]', '["s",1]', '["s",1,null,5]']) assert.equal(reservationWire.decodeRequest(Buffer.from(text)), null)
+  fastCheck.assert(fastCheck.property(fastCheck.double({ min: 0, minExcluded: true, max: 1, noNaN: true }), (promptDiscount) => {
+    const request = { number: 1, promptTokens: 2, withinMs: 3, promptDiscount }
+    assert.deepEqual(reservationWire.decodeRequest(reservationWire.formatRequest(request)), request)
+  }))
+  for (const text of ['["s",1,1,5,2]', '["s",1,1,5,"1"]', '["s",1,1,5,-0.5]', '["s",1,-1,5]', '["s","1",1,5]', '["s",1]', '["s",1,null,5]']) assert.equal(reservationWire.decodeRequest(Buffer.from(text)), null)
   for (const text of ['["t",1,2]', '["t",1]', '["t",null,1]']) assert.equal(reservationWire.decodeReply(Buffer.from(text)), null)
 })
--- a/packages/gateway/src/createSlotReservations/test.ts
+++ b/packages/gateway/src/createSlotReservations/test.ts
@@ -46,6 +46,13 @@
   assert.equal(createReservations(createReport(1, 3)).reserve(), false)
 })
 
+nodeTest.test('a discount on a call\'s own prompt leaves out its own reading time, not that of earlier calls or a queue', () => {
+  assert.equal(createReservations(createReport(0)).reserve({ promptTokens: 4000, promptDiscount: 0.5 }), true)
+  const engine = createReservations(createReport(0))
+  assert.deepEqual([4000, 500, 4000].map((promptTokens) => engine.reserve({ promptTokens, promptDiscount: 1 })), [true, false, false])
+  assert.equal(createReservations(createReport(4)).reserve({ promptDiscount: 1 }), false)
+})
+
 nodeTest.test('no slot is reserved without a recent report of an engine that holds weights', () => {
   assert.equal(createReservations(null).reserve(), false)
   assert.equal(createReservations({ ...createReport(0), models: new Map() }).reserve(), false)
