--- a/packages/gateway/src/decideAdmission/sizes.test.ts
+++ b/packages/gateway/src/decideAdmission/sizes.test.ts
@@ -6,7 +6,7 @@
 
 const FLEET = { halls: 3, gateways: 6, engines: 8, seconds: 60, doCallersRetry: true, doAnswersVary: true }
 const ALL_ENGINES = { count: FLEET.engines, pace: 3 }
-const LOADS: Readonly<Record<string, Pick<loadSimulation.LoadScenario, 'callsPerSecond' | 'slow' | 'doGatewaysConfirm'>>> = {
+const LOADS: Readonly<Record<string, Pick<loadSimulation.LoadScenario, 'callsPerSecond' | 'slow' | 'doGatewaysConfirm' | 'doCallersRetry'>>> = {
   'ample engines': { callsPerSecond: 60 },
   'too few engines': { callsPerSecond: 100 },
   'twice as many calls as engines serve': { callsPerSecond: 180 },
@@ -14,7 +14,10 @@
   'calls confirmed by agents': { callsPerSecond: 180, doGatewaysConfirm: true },
   'half of the engines slow': { callsPerSecond: 150, slow: { count: 4, pace: 3 } },
   'all engines slow': { callsPerSecond: 60, slow: ALL_ENGINES },
-  'all engines slow and few calls': { callsPerSecond: 30, slow: ALL_ENGINES }
+  'all engines slow and few calls': { callsPerSecond: 30, slow: ALL_ENGINES },
+  'too few engines, without retries': { callsPerSecond: 100, doCallersRetry: false },
+  'all engines slow, without retries': { callsPerSecond: 60, slow: ALL_ENGINES, doCallersRetry: false },
+  'all engines slow and few calls, without retries': { callsPerSecond: 30, slow: ALL_ENGINES, doCallersRetry: false }
 }
 const SEEDS = [7, 11, 23]
 const MINIMUM_RATIO = 0.5
