--- a/packages/daemon/src/slowUploads.test.ts
+++ b/packages/daemon/src/slowUploads.test.ts
@@ -39,7 +39,7 @@
   readonly pass: (forMs: number) => Promise<void>
 }
 
-function createSimulatedGateway (timers: nodeTest.TestContext['mock']['timers'], running: number): SimulatedGateway {
+function createSimulatedGateway (timers: nodeTest.TestContext['mock']['timers'], running: number, { kind = 'stream', doAgentsReserve = false }: { readonly kind?: gateway.RouteKind, readonly doAgentsReserve?: boolean } = {}): SimulatedGateway {
   let time = 0
   const urgencies: Array<number | null> = []
   const requestedSlots: gateway.SlotRequest[] = []
@@ -48,13 +48,14 @@
   const path = simulatedCallPath.createSimulatedCallPath({
     zone: ENGINE.zone,
     gateways: 1,
+    route: { kind },
     figures: FIGURES,
     versions: createVersionRecord.createVersionRecord({ boundMs: 1, marginMs: 0, startupBoundMs: 1, onBound: () => {}, now: () => time }),
     backEnds: () => [ENGINE],
     reserver: {
       reserve: async (_backEnd, request) => {
         requestedSlots.push(request)
-        return true
+        return doAgentsReserve
       },
       ask: async () => 'unanswered'
     },
@@ -71,7 +72,7 @@
 
   async function answer (): Promise<gateway.AttemptStart> {
     await types.delay(WORK_MS)
-    const response = Object.assign(new events.EventEmitter(), { head: { kind: 'answered', status: SUCCESS, headers: [], isStream: true, version: 1 } satisfies gateway.AnswerHead, pause: () => {}, resume: () => {} })
+    const response = Object.assign(new events.EventEmitter(), { head: { kind: 'answered', status: SUCCESS, headers: [], isStream: kind === 'stream', version: 1 } satisfies gateway.AnswerHead, complete: true, pause: () => {}, resume: () => {} })
     setTimeout(() => {
       response.emit('data', Buffer.from('id: 1\ndata: x\n\n'))
       response.emit('end')
@@ -96,15 +97,17 @@
   }
 }
 
-nodeTest.test('calls of all sizes are served at an engine with free slots while others upload large bodies slowly', async (context) => {
-  const simulated = createSimulatedGateway(context.mock.timers, 5)
-  for (let at = 0; at < 100; at += 1) {
-    simulated.call([LARGE, SMALL, SLOW, SMALL][at % 4] as Upload)
-    await simulated.pass(50)
-  }
-  await simulated.pass(SLOW.ms + 500)
-  assert.deepEqual([simulated.statuses.length, simulated.statuses.filter((status) => status !== SUCCESS).length], [100, 0])
-})
+for (const kind of ['stream', 'repeatable', 'once'] as const) {
+  nodeTest.test(`calls of all sizes are served at an engine with free slots while others upload large bodies slowly (${kind})`, async (context) => {
+    const simulated = createSimulatedGateway(context.mock.timers, 5, { kind })
+    for (let at = 0; at < 100; at += 1) {
+      simulated.call([LARGE, SMALL, SLOW, SMALL][at % 4] as Upload)
+      await simulated.pass(50)
+    }
+    await simulated.pass(SLOW.ms + 500)
+    assert.deepEqual([simulated.statuses.length, simulated.statuses.filter((status) => status !== SUCCESS).length], [100, 0])
+  })
+}
 
 nodeTest.test('a call whose body took longer than its target to arrive is sent with the urgency of others', async (context) => {
   const simulated = createSimulatedGateway(context.mock.timers, 0)
@@ -114,7 +117,7 @@
 })
 
 nodeTest.test('a slot is requested for a call whose body took longer than its target to arrive', async (context) => {
-  const simulated = createSimulatedGateway(context.mock.timers, 40)
+  const simulated = createSimulatedGateway(context.mock.timers, 40, { doAgentsReserve: true })
   simulated.call(SLOW)
   await simulated.pass(SLOW.ms + 500)
   assert.deepEqual([simulated.requestedSlots.length, simulated.statuses], [1, [SUCCESS]])
--- a/packages/gateway/src/_lib/admitCall.ts
+++ b/packages/gateway/src/_lib/admitCall.ts
@@ -43,7 +43,7 @@
     isAdmitted: admission.isAdmitted,
     isContended: admission.isAdmitted && admission.isContended,
     retryAfterMs: admission.isAdmitted ? decideAdmission.computeRetryAfterMs(input) : admission.retryAfterMs,
-    withinMs: input.targetMs - callState.readWaitedMs(call, now),
+    withinMs: input.targetMs - callState.readElapsedWithoutUploadMs(call, now),
     reason: describeFigures(input)
   }
 }
--- a/packages/gateway/src/_lib/callState.ts
+++ b/packages/gateway/src/_lib/callState.ts
@@ -144,14 +144,14 @@
 }
 
 /**
- * Milliseconds that the call has waited for a back end: as {@link readElapsedMs}, but without the time in which the body of this try arrived. That time depends on the caller and
+ * As {@link readElapsedMs}, but without the time in which the body of this try arrived. That time depends on the caller and
  * the size of the body, so calls that compete for back ends are compared without it.
  *
  * @param call - The call.
  * @param now - Monotonic time in milliseconds.
  * @returns Milliseconds.
  */
-export function readWaitedMs (call: CallDetails, now: number): number {
+export function readElapsedWithoutUploadMs (call: CallDetails, now: number): number {
   return readEarlierTriesMs(call) + now - call.completeAt
 }
 
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -378,7 +378,7 @@
 
 /** Whether the first event can no longer be in time, not counting the time in which the call's body arrived. */
 function isLate (call: callState.CallState, now: number): boolean {
-  return callState.readWaitedMs(call, now) > call.route.targetMs
+  return callState.readElapsedWithoutUploadMs(call, now) > call.route.targetMs
 }
 
 interface EventTimer {
--- a/packages/gateway/src/_lib/runAttempts.ts
+++ b/packages/gateway/src/_lib/runAttempts.ts
@@ -118,7 +118,7 @@
   async function serve (): Promise<logCall.Ending> {
     for (;;) {
       const isFirst = call.attempts === 0
-      const isLate = !reply.hasStarted() && hasWaitedTooLong()
+      const isLate = !reply.hasStarted() && isTooLateForTarget()
       if (noteIfBlocked()) return endUnserved()
       const chosen = choose(call.tried, isLate)
       const { passedOver, utilization, permitWaitMs, backoffWaitMs } = chosen
@@ -217,7 +217,7 @@
   /** Finds another back end for a stream whose back ends are silent, and spends the retry; null if the call may not be sent to any now. */
   async function findNext (isWanted: () => boolean): Promise<runAttempt.PermittedChoice | null> {
     if (!mayAttempt()) return null
-    const isLate = !reply.hasStarted() && hasWaitedTooLong()
+    const isLate = !reply.hasStarted() && isTooLateForTarget()
     const { choice } = choose(call.tried, isLate)
     if (choice === null) return null
     const permitted = needsPermit(choice, isLate) ? await acquirePermit(choice, isLate) : choice
@@ -292,7 +292,7 @@
     return waitingCalls.toQueuedCall({
       rank: call.rank,
       bytes: call.body?.length ?? 0,
-      targetAt: now - callState.readWaitedMs(call, now) + call.route.targetMs,
+      targetAt: now - callState.readElapsedWithoutUploadMs(call, now) + call.route.targetMs,
       targetMs: call.route.targetMs,
       deadlineAt: call.deadline.at,
       holdMs: readHoldMs() ?? 0
@@ -317,8 +317,8 @@
         service: call.service,
         promptTokens: call.head.promptTokens,
         deadlineAt: call.deadline.at,
-        choose: (others) => choose(new Set([...listTriedSinceReturn(), ...others]), hasWaitedTooLong()).choice,
-        isExcluded: () => findSoleExclusion(choose(call.tried, hasWaitedTooLong()).passedOver) !== null,
+        choose: (others) => choose(new Set([...listTriedSinceReturn(), ...others]), isTooLateForTarget()).choice,
+        isExcluded: () => findSoleExclusion(choose(call.tried, isTooLateForTarget()).passedOver) !== null,
         onEnd: resolve
       }
       const decision = held.add(waitingCall)
@@ -400,8 +400,8 @@
   }
 
   /** Whether the call can no longer be in time, even if its body had arrived at once; others come first then. */
-  function hasWaitedTooLong (): boolean {
-    return !callState.canMeetTarget(callState.readWaitedMs(call, options.now()), call.route.targetMs)
+  function isTooLateForTarget (): boolean {
+    return !callState.canMeetTarget(callState.readElapsedWithoutUploadMs(call, options.now()), call.route.targetMs)
   }
 
   /** Whether the caller can still be answered in time if it retries after a delay. */
