Show what a gateway's memory and time go to, and which engine's answer was given up

No decision changes.

Gateways and agents: resident_memory_bytes, heap_used_bytes, buffer_bytes, longest_turn_ms. Gateways: held_upload_bytes, held_unread_bytes, connection_requests_most, answers_given_up_total by reason, and the line answer-given-up with the call, engine, reason, bytes and chunks.

--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -51,6 +51,8 @@
   readonly now: () => number
   /** Pauses of this process; a suspension of the machine counts, too. */
   readonly pauses: clock.PauseMonitor
+  /** Memory and turns of this process. */
+  readonly usage: observability.ProcessUsage
   /** Runs an action at a time of {@link clock}. */
   readonly at: clock.ScheduleAt
 }
@@ -92,6 +94,8 @@
   const steadyClock = clock.createSteadyClock(environment.clocks)
   const { now } = steadyClock
   const pauses = clock.createPauseMonitor({ now, onPause: logPause })
+  const usage = observability.createProcessUsage()
+  observability.gaugeProcessUsage(usage, metrics.gauge)
   const configurations = store.createMirror(platform.OBJECT_KINDS.configuration)
   const backEndObjects = store.createMirror(platform.OBJECT_KINDS.backEnds)
   const namedVersions = store.createMirror(platform.OBJECT_KINDS.versions)
@@ -222,6 +226,7 @@
     clock: steadyClock,
     now,
     pauses,
+    usage,
     at: clock.createDeadlineScheduler(steadyClock)
   }
 }
--- a/packages/daemon/src/startAgentRole/index.ts
+++ b/packages/daemon/src/startAgentRole/index.ts
@@ -404,6 +404,7 @@
       stager?.stop()
       exchange.stop()
       parts.pauses.stop()
+      parts.usage.stop()
       listener.abort()
       parts.agents.destroy()
     }
--- a/packages/daemon/src/target.test.ts
+++ b/packages/daemon/src/target.test.ts
@@ -20,6 +20,7 @@
   await fleetTesting.waitUntilServed(callers, '/stream/1')
   const metrics = await fleetTesting.call({ host: GATEWAY_HOST, port: fleet.ports.readiness }, { path: '/metrics', id: 'm' })
   assert.match(metrics.body, /switchridge_calls_total\{.*ending="answered"/)
+  for (const name of ['resident_memory_bytes', 'heap_used_bytes', 'buffer_bytes', 'longest_turn_ms', 'held_upload_bytes', 'held_unread_bytes', 'connection_requests_most']) assert.match(metrics.body, new RegExp(`switchridge_${name}\\{.*\\} \\d`))
   gateway.child.kill('SIGTERM')
   agent.child.kill('SIGTERM')
   assert.equal(await gateway.ended, 0)
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -11,6 +11,7 @@
 import type * as answers from './answers.js'
 import * as callState from './callState.js'
 import * as logCall from './logCall.js'
+import * as logGivenUp from './logGivenUp.js'
 import * as createMarginNotes from './createMarginNotes.js'
 import type * as callOptions from './callOptions.js'
 import * as noteOutcome from './noteOutcome.js'
@@ -124,6 +125,7 @@
   let hasBeenSent = false
   let isAborted = false
   let isDropped = false
+  let givenUpReason: logGivenUp.GivenUpReason | null = null
   const buffer = options.answerBuffers?.open(() => {
     isDropped = true
     abort()
@@ -225,10 +227,18 @@
     eventTimer.stop()
     cancelWithdrawal()
     buffer?.close()
+    const received = attempt.readReceived?.() ?? null
+    const reason = givenUpReason ?? (isDropped ? 'no-memory' : received?.violation ?? null)
+    if (outcome.kind === 'broken' && reason !== null) logGivenUp.logGivenUp({ id: head.requestId, backEnd: choice.backEnd.id, reason, received }, options)
     attempt.abort()
     return outcome
   }
 
+  function giveUp (reason: logGivenUp.GivenUpReason, text: string): AttemptOutcome {
+    givenUpReason = reason
+    return broken(text, false)
+  }
+
   /** Withdraws the call from an engine that has not begun it by the time at which its version must not begin calls any more. */
   function scheduleWithdrawal (): () => void {
     if (choice.mustBeginBy === Infinity) return () => {}
@@ -254,8 +264,8 @@
   async function receiveBuffered (answered: AnsweredHead, received: ReceivedAnswer): Promise<AttemptOutcome> {
     noteResponse()
     const body = await readBody.readBody(received.response, MAXIMUM_BUFFERED_BYTES, buffer?.note)
-    if (body.kind === 'too-large') return broken(`answer exceeds ${MAXIMUM_BUFFERED_BYTES} bytes`, false)
-    if (body.kind === 'not-held' || isDropped) return broken(NO_MEMORY_REASON, false)
+    if (body.kind === 'too-large') return giveUp('answer-too-large', `answer exceeds ${MAXIMUM_BUFFERED_BYTES} bytes`)
+    if (body.kind === 'not-held' || isDropped) return giveUp('no-memory', NO_MEMORY_REASON)
     if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, true)
     const end = await findEnd(received)
     if (end === 'truncated') return broken(ENDED_REASON, true)
@@ -328,6 +338,7 @@
         const isTooLarge = bytes > MAXIMUM_EVENT_BYTES
         if (!isTooLarge && (buffer?.note(bytes) ?? true)) return true
         abort()
+        givenUpReason = isTooLarge ? 'event-too-large' : 'no-memory'
         failStream(isTooLarge ? `event exceeds ${MAXIMUM_EVENT_BYTES} bytes` : NO_MEMORY_REASON)
         return false
       }
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -14,6 +14,8 @@
   readonly setLimits: (limits: gateway.CallerLimits) => void
   /** Number of open connections by phase. */
   readonly countConnections: () => Readonly<Record<rpc.ConnectionPhase, number>>
+  /** Number of requests in progress on the connection with the most of them. */
+  readonly countMostRequests: () => number
   /** Stops accepting connections and closes idle ones; resolves when all calls are delivered and all connections are closed. */
   readonly drain: () => Promise<void>
   /** Stops accepting connections and destroys all open ones. */
@@ -64,6 +66,7 @@
     },
     setLimits,
     countConnections: connections.count,
+    countMostRequests: connections.countMostRequests,
     drain: connections.drain,
     close: connections.abort
   }
--- a/packages/gateway/src/createHeldBytes/index.ts
+++ b/packages/gateway/src/createHeldBytes/index.ts
@@ -40,6 +40,8 @@
   readonly open: (drop: (dropped: DroppedCall) => void) => CallHolding
   /** All bytes held. */
   readonly read: () => number
+  /** Bytes of request bodies among them; the others are of responses that wait for their callers. */
+  readonly readUploads: () => number
 }
 
 /** A caller that has sent or read something within this time is not dropped. Callers on saturated links pause for hundreds of milliseconds. */
@@ -106,6 +108,7 @@
 
   return {
     read: () => total,
+    readUploads: () => [...accounts].reduce((sum, { bodyBytes }) => sum + bodyBytes, 0),
     open: (drop) => {
       const account: Account = { bodyBytes: 0, unreadBytes: 0, isUploading: true, progressedAt: now(), longestPauseMs: 0, drop }
       accounts.add(account)
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -30,12 +30,27 @@
   /** The head of the response has arrived. `isWhole`: whether the response was received completely; call it after the response has ended. */
   | { readonly kind: 'answer', readonly response: http.IncomingMessage, readonly isFramed: boolean, readonly isWhole: () => boolean }
 
+/** What a back end sent instead of an answer: bytes that are no HTTP response, or a head or trailers that are too large. */
+export type Violation = 'no-response' | 'head-too-large'
+
+/** What has arrived from a back end. */
+export interface ReceivedCounts {
+  /** Bytes of its connection, with heads and framing. */
+  readonly bytes: number
+  /** Parts in which the body arrived; a chunk of a chunked body is one. */
+  readonly chunks: number
+  /** What ended the attempt; null if nothing did, or something else. */
+  readonly violation: Violation | null
+}
+
 /** An attempt in progress. */
 export interface Attempt {
   /** Resolves with the head of the response, or with the reason why there is none; never rejects. */
   readonly start: Promise<AttemptStart>
   /** Closes the connection at once, which stops the back end's work on the call. */
   readonly abort: () => void
+  /** What has arrived so far; absent if it isn't counted. */
+  readonly readReceived?: () => ReceivedCounts
 }
 
 /** Each connection serves one attempt, so that a late or duplicate response cannot be taken for that of another call. */
@@ -45,6 +60,13 @@
 const REFUSED_CODE = 'ECONNREFUSED'
 /** Prefix of the error codes of the Node.js HTTP parser: the bytes received were not a response. */
 const PARSER_ERROR_PREFIX = 'HPE_'
+/** The parser's error code of a head or of trailers that are too large. */
+const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW'
+
+function findViolation (error: NodeJS.ErrnoException): Violation | null {
+  if (error instanceof rpc.ResponseTooLargeError || error.code === HEAD_OVERFLOW_CODE) return 'head-too-large'
+  return error.code?.startsWith(PARSER_ERROR_PREFIX) === true ? 'no-response' : null
+}
 
 function startConnectTimeout ({ connectTimeoutMs, mustSendInTime = false }: AttemptRequest, onTimeout: () => void): () => void {
   if (!mustSendInTime) return startTimeout.startTimeout(connectTimeoutMs, onTimeout)
@@ -64,6 +86,9 @@
   let hasEndedOrderly = (): boolean => false
   let hasDiscarded = false
   let received: http.IncomingMessage | null = null
+  let connection: net.Socket | null = null
+  let chunks = 0
+  let violation: Violation | null = null
   let settle: (start: AttemptStart) => void = () => {}
   const start = new Promise<AttemptStart>((resolve) => { settle = resolve })
   const outgoing = http.request({
@@ -94,6 +119,7 @@
   }
 
   outgoing.on('socket', (socket: net.Socket) => {
+    connection = socket
     hasEndedOrderly = rpc.watchOrderlyEnd(socket)
     socket.once('connect', () => {
       isConnected = true
@@ -104,12 +130,17 @@
   outgoing.on('response', (response) => {
     received = response
     response.on('error', () => {})
+    // A listener that is added sooner would begin to read the body.
+    response.once('resume', () => { response.on('data', () => { chunks += 1 }) })
     const isFramed = rpc.hasMessageFraming(response, request.method)
     settle({ kind: 'answer', response, isFramed, isWhole: () => response.complete && !hasDiscarded && (isFramed || hasEndedOrderly()) })
   })
-  outgoing.on('error', (error: NodeJS.ErrnoException) => { fail(types.describeError(error), error.code?.startsWith(PARSER_ERROR_PREFIX) !== true && !(error instanceof rpc.ResponseTooLargeError), error.code === REFUSED_CODE) })
+  outgoing.on('error', (error: NodeJS.ErrnoException) => {
+    violation ??= findViolation(error)
+    fail(types.describeError(error), violation === null, error.code === REFUSED_CODE)
+  })
   outgoing.on('close', () => { fail('connection closed', true) })
   if (request.body === null) outgoing.end()
   else outgoing.end(request.body)
-  return { start, abort }
+  return { start, abort, readReceived: () => ({ bytes: connection?.bytesRead ?? 0, chunks, violation }) }
 }
--- a/packages/gateway/src/sendAttempt/test.ts
+++ b/packages/gateway/src/sendAttempt/test.ts
@@ -77,3 +77,28 @@
   assert.equal(await sendBeforeStall(context, STALL_MS, true), 'not-sent')
   assert.equal(await sendBeforeStall(context, LONG_STALL_MS, false), 'not-sent')
 })
+
+nodeTest.test('an attempt counts the bytes and the chunks that have arrived, and says why they are no answer', async (context) => {
+  const head = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+  const cases = [
+    { text: `${head}1\r\na\r\n2\r\nbc\r\n0\r\n\r\n`, chunks: 2, violation: null },
+    { text: `${head}1\r\na\r\nno length`, chunks: 1, violation: 'no-response' },
+    { text: 'no response', chunks: 0, violation: 'no-response' },
+    { text: `HTTP/1.1 200 OK\r\nname: ${'x'.repeat(20_000)}`, chunks: 0, violation: 'head-too-large' }
+  ]
+  for (const { text, chunks, violation } of cases) {
+    const server = net.createServer((socket) => {
+      socket.on('error', () => {})
+      socket.once('data', () => { socket.write(text) })
+    })
+    await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
+    context.after(() => { server.close() })
+    const attempt = sendAttempt.sendAttempt({ address: { host: HOST, port: (server.address() as net.AddressInfo).port }, method: 'GET', path: '/', headers: ['Host', 'app.example'], body: null, connectTimeoutMs: 5000, onConnect: () => {} })
+    const start = await attempt.start
+    if (start.kind === 'answer') await readBody.readBody(start.response, Infinity)
+    const received = attempt.readReceived?.()
+    attempt.abort()
+    assert.deepEqual({ chunks: received?.chunks, violation: received?.violation }, { chunks, violation })
+    assert.ok((received?.bytes ?? 0) > 0 && (received?.bytes ?? 0) <= text.length)
+  }
+})
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -20,6 +20,8 @@
   readonly handle: http.RequestListener
   /** Number of open connections by phase. */
   readonly count: () => Readonly<Record<ConnectionPhase, number>>
+  /** Number of requests in progress on the connection with the most of them, those that wait for their turn included. */
+  readonly countMostRequests: () => number
   /**
    * Stops accepting connections, asks peers to close theirs after the next response, and closes those that have been idle for {@link IDLE_CLOSE_MS}.
    * The server's timeouts stay in force. Resolves when no connection is open.
@@ -286,6 +288,7 @@
       for (const connection of connections.values()) counts[readPhase(connection)] += 1
       return counts
     },
+    countMostRequests: () => Math.max(0, ...Array.from(connections.values(), ({ responses }) => responses.size)),
     drain,
     abort: () => {
       for (const connection of connections.values()) destroy(connection)
--- a/packages/rpc/src/trackConnections/test.ts
+++ b/packages/rpc/src/trackConnections/test.ts
@@ -388,3 +388,17 @@
   assert.match(await peer.received ?? '', /Connection: close[^]*end of \/next$/)
   await drained
 })
+
+nodeTest.test('the requests in progress are counted for the connection with the most of them', LIMIT, async (context) => {
+  const responses: http.ServerResponse[] = []
+  const { tracker, connect } = await openServer(context, (_request, response) => { responses.push(response) })
+  assert.equal(tracker.countMostRequests(), 0)
+  const peers = [connect(formatRequest('/1')), connect(formatRequest('/2').repeat(5))]
+  context.after(() => { for (const { socket } of peers) socket.destroy() })
+  const deadline = performance.now() + WAIT_MS
+  while (responses.length < 6) {
+    assert.ok(performance.now() < deadline, 'not all requests have arrived')
+    await types.delay(POLL_MS)
+  }
+  assert.equal(tracker.countMostRequests(), 5)
+})
