--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -38,6 +38,21 @@
   if (failedSeeds > 0) throw new Error(`${failedSeeds} of ${runs} seeds failed`)
 }
 
+/** Runs the rows whose name contains a text, some at a time, and prints what came of each. */
+async function runEndlessPeers ({ rows: text, parallel, program }: { readonly rows: string, readonly parallel: number, readonly program: string | undefined }): Promise<void> {
+  const rows = fuzz.ENDLESS_ROWS.filter(({ name }) => name.includes(text))
+  const left = [...rows]
+  let failedRows = 0
+  await Promise.all(Array.from({ length: parallel }, async () => {
+    for (let row = left.shift(); row !== undefined; row = left.shift()) {
+      const { problems, ...observed } = await fuzz.runEndlessPeer(row, program)
+      process.stdout.write(`${problems.length === 0 ? 'ok' : 'FAILED'}: ${row.name}: ${problems.join('; ')} ${JSON.stringify(observed)}\n`)
+      if (problems.length > 0) failedRows += 1
+    }
+  }))
+  if (failedRows > 0) throw new Error(`${failedRows} of ${rows.length} rows failed`)
+}
+
 const FUZZERS: Readonly<Record<string, (options: fuzz.FuzzOptions) => Promise<void>>> = {
   edits: fuzz.fuzzEdits,
   lease: fuzz.fuzzLease,
@@ -53,6 +68,10 @@
   .option('soak', { type: 'boolean', default: false, describe: 'soaks fleets of processes instead, one for each run' })
   .option('soak-gateways', { type: 'boolean', default: false, describe: 'soaks fleets of gateways and agents instead, one for each run' })
   .option('processes', { type: 'number', describe: 'number of gateways and agents of such a fleet' })
+  .option('endless-peers', { type: 'boolean', default: false, describe: 'runs gateways beside peers that send without end instead' })
+  .option('rows', { type: 'string', default: '', describe: 'text in the names of the rows of endless peers to run' })
+  .option('parallel', { type: 'number', default: 2, describe: 'rows of endless peers to run at a time' })
+  .option('program', { type: 'string', describe: 'bundled program of the gateway beside endless peers' })
   .strict()
   .parseAsync()
 
@@ -65,4 +84,11 @@
   }
 }
 
-await (options.soak ? soak(options) : options.soakGateways ? soakGateways(options) : fuzzAll())
+async function run (): Promise<void> {
+  if (options.soak) await soak(options)
+  else if (options.soakGateways) await soakGateways(options)
+  else if (options.endlessPeers) await runEndlessPeers({ rows: options.rows, parallel: options.parallel, program: options.program })
+  else await fuzzAll()
+}
+
+await run()
