Keep the platform's header names of endless peers in its folder, and measure turns less often

A timer each 10 ms in every process is work that an idle process does; 50 ms tells the turns that callers notice. The table of endless peers used names of the platform's protocol outside its folder.

--- a/packages/fuzz/src/_lib/endlessShapes.ts
+++ b/packages/fuzz/src/_lib/endlessShapes.ts
@@ -1,4 +1,5 @@
 /** What faulty engines and callers send to a gateway without end. */
+import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 
 /** The route over which a faulty engine is called: without streams, with streams, or with streams that another engine may resume. */
@@ -40,7 +41,8 @@
 const INTERIM_RESPONSE = 'HTTP/1.1 103 Early Hints\r\n\r\n'
 
 function formatHead (id: string, headers: string, status = OK): string {
-  return `HTTP/1.1 ${status}\r\nrequest-id: ${id}\r\nengine-seal: seal\r\n${headers}\r\n`
+  const lines = Object.entries(testing.formatEngineHeaders(id)).map(([name, value]) => `${name}: ${value}\r\n`)
+  return `HTTP/1.1 ${status}\r\n${lines.join('')}${headers}\r\n`
 }
 
 /** Formats a chunk of a chunked body. */
--- a/packages/observability/src/createProcessUsage/index.ts
+++ b/packages/observability/src/createProcessUsage/index.ts
@@ -19,7 +19,7 @@
 }
 
 /** Turns are measured at this interval; shorter ones are not told apart. */
-const RESOLUTION_MS = 10
+const RESOLUTION_MS = 50
 const NANOSECONDS_IN_MILLISECOND = 1e6
 
 /** Starts measuring the turns of this process. */
--- a/packages/observability/src/createProcessUsage/test.ts
+++ b/packages/observability/src/createProcessUsage/test.ts
@@ -4,7 +4,7 @@
 import * as createProcessUsage from './index.js'
 
 const BLOCKED_MS = 100
-const RESOLUTION_MS = 10
+const RESOLUTION_MS = 50
 const MEBIBYTE = 1024 * 1024
 
 nodeTest.test('a turn that blocks the event loop is reported once', async (context) => {
