Read each byte of an event stream once, into storage of the splitter's own

The splitter concatenated what it held with each chunk, scanned all of it anew, and decoded whole reads to text for the last id. An event of many chunks cost the square of its size, a slice of a 64 KiB read was kept for the sake of a few bytes, and the id of an event kept the text of the whole read.

Lines are now read once, as bytes; an incomplete event is copied into storage that doubles when it is full and is released after a large event. heldBytes tells its capacity. A property test compares it with a simple splitter that reads everything again (5,000 runs).

--- a/packages/gateway/src/createEventSplitter/test.ts
+++ b/packages/gateway/src/createEventSplitter/test.ts
@@ -50,3 +50,59 @@
   splitter.push(Buffer.from('\n'))
   assert.equal(splitter.partialBytes(), 0)
 })
+
+/** A splitter that keeps all text since the last complete event and reads it again with each push. */
+function createSimpleSplitter (lastSeenEventId: string | null): Pick<createEventSplitter.EventSplitter, 'push' | 'partialBytes' | 'lastEventId'> {
+  let partial = ''
+  let lastId = lastSeenEventId
+  return {
+    push: (bytes) => {
+      const all = partial + bytes.toString('latin1')
+      const end = [...all.matchAll(/(?<=\n)\r?\n/g)].map((match) => match.index + match[0].length).at(-1) ?? 0
+      partial = all.slice(end)
+      for (const event of all.slice(0, end).split(/\r?\n\r?\n/)) {
+        const id = [...event.matchAll(/^id:[ ]?(.*?)\r?$/gm)].at(-1)?.[1]
+        if (id !== undefined) lastId = id === '' ? null : id
+        else if (/^data(:|\r?$)/m.test(event)) lastId = null
+      }
+      return end === 0 ? null : Buffer.from(all.slice(0, end), 'latin1')
+    },
+    partialBytes: () => partial.length,
+    lastEventId: () => lastId
+  }
+}
+
+nodeTest.test('it splits any bytes as a splitter does that reads all text again', () => {
+  const piece = fastCheck.oneof(
+    fastCheck.constantFrom('\n', '\r', '\r\n', '\n\n', '\r\n\r\n', 'id:', 'id: ', 'id', 'i', 'data', 'data:', 'data: ', 'dat', ': ', ' ', 'x', 'event: e', '\u00e4'),
+    fastCheck.nat({ max: 9 }).map(String)
+  )
+  const pushes = fastCheck.array(fastCheck.array(piece, { maxLength: 12 }).map((pieces) => pieces.join('')), { maxLength: 12 })
+  fastCheck.assert(fastCheck.property(pushes, fastCheck.constantFrom(null, '7'), (texts, lastSeenEventId) => {
+    const splitter = createEventSplitter.createEventSplitter(lastSeenEventId)
+    const simple = createSimpleSplitter(lastSeenEventId)
+    for (const text of texts) {
+      const bytes = Buffer.from(text, 'latin1')
+      const whole = splitter.push(bytes)
+      assert.deepEqual(whole === null ? null : Buffer.from(whole), simple.push(bytes))
+      assert.equal(splitter.partialBytes(), simple.partialBytes())
+      assert.equal(splitter.hasPartial(), simple.partialBytes() > 0)
+      assert.equal(splitter.lastEventId(), simple.lastEventId())
+      assert.ok(splitter.heldBytes() >= splitter.partialBytes())
+    }
+  }), { seed: 88, numRuns: 5000 })
+})
+
+/** Guards against a splitter whose work grows with the square of an event's size, or that keeps whole reads for the sake of a few bytes. */
+nodeTest.test('a partial event is read once and held in storage of its own size', { timeout: 60_000 }, () => {
+  const splitter = createEventSplitter.createEventSplitter(null)
+  const read = Buffer.alloc(65_536, 'x')
+  assert.equal(splitter.push(read.subarray(0, 1)), null)
+  assert.ok(splitter.heldBytes() <= 1024)
+  for (let index = 0; index < 1_000_000; index += 1) splitter.push(read.subarray(0, 1))
+  assert.equal(splitter.partialBytes(), 1_000_001)
+  assert.ok(splitter.heldBytes() <= 2 * splitter.partialBytes())
+  read.fill('\n')
+  assert.equal(splitter.push(read.subarray(0, 2))?.length, 1_000_003)
+  assert.ok(splitter.heldBytes() <= 1024)
+})
