Pace streams that are passed on, and gather small writes to callers

Cause: a gateway handled all that an engine's stream brought at once, chunk by chunk, and wrote each chunk to its caller. Chunks of a few bytes kept its event loop busy, and each write that a caller hadn't read cost hundreds of bytes beside its few, as did each chunk in a response that was paused.

Change: relayStream paces its response. When the caller doesn't read, the socket of the engine is held instead of the response, so that no chunks wait in it. Replies write through createGatheredWriter: a part goes out at once if the system has taken those before, otherwise it is gathered with those that follow, so that one write waits at a time. What is accounted for the caller and for an incomplete event is memory, not payload.

--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -32,7 +32,7 @@
   readonly readLastEventId: () => string | null
   /** Sends the head of a stream. A run that may not be passed on breaks the stream off, also in the functions below. */
   readonly beginStream: (run: Run, status: number, headers: readonly string[]) => void
-  /** Sends bytes of a stream, the last event of which has the given id, if any; false if the caller reads too slowly. */
+  /** Sends bytes of a stream, the last event of which has the given id, if any; false if the caller reads too slowly. Small parts are gathered while earlier ones wait. */
   readonly write: (run: Run, bytes: Buffer, lastEventId: string | null) => boolean
   /** Calls `resume` once when the caller has read what was buffered. */
   readonly onDrain: (resume: () => void) => void
@@ -55,6 +55,7 @@
  * @returns The reply.
  */
 export function createReply (response: http.ServerResponse, requestId: string, protocol: callOptions.CallProtocol, isDraining: () => boolean, holding: createHeldBytes.CallHolding | null = null): Reply {
+  const writer = rpc.createGatheredWriter(response)
   let passedOn: Run | null = null
   let lastEventId: string | null = null
 
@@ -126,14 +127,17 @@
   }
 
   if (holding !== null) {
-    response.on('drain', () => { holding.noteUnread(0) })
+    response.on('drain', () => {
+      holding.noteUnread(0)
+      if (writer.waitingBytes() > 0) noteUnread()
+    })
     response.once('finish', holding.close)
     response.once('close', holding.close)
   }
 
   /** A response that is complete, or that the caller doesn't read as fast as it arrives, waits in memory. */
   function noteUnread (): void {
-    holding?.noteUnread(response.writableLength)
+    holding?.noteUnread(writer.waitingBytes())
   }
 
   return {
@@ -160,15 +164,20 @@
     },
     write: (run, bytes, eventId) => {
       if (!accept(run)) return true
-      const isRead = response.write(bytes)
+      const isRead = writer.write(bytes)
       lastEventId = eventId
       if (!isRead) noteUnread()
       return isRead
     },
-    onDrain: (resume) => { response.once('drain', resume) },
+    onDrain: (resume) => {
+      writer.onDrain(() => {
+        holding?.noteUnread(0)
+        resume()
+      })
+    },
     endStream: (run) => {
       if (!accept(run)) return
-      response.end()
+      writer.end()
       noteUnread()
     },
     abort
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -1,6 +1,7 @@
 /** Runs one attempt, from its connection to the end of its response. */
 import type * as http from 'node:http'
 import * as clock from '@switchridge/clock'
+import * as rpc from '@switchridge/rpc'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
 import * as readBody from '../readBody/index.js'
@@ -284,6 +285,8 @@
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve, reject) => {
       let hasResponseEnded = false
+      let isHeld = false
+      const pacer = rpc.paceMessage(response)
       /** Whether handling the response threw: what still arrives of it must not be passed on. */
       let hasThrown = false
       response.on('data', (bytes: Buffer) => {
@@ -305,7 +308,7 @@
 
       function passOn (bytes: Buffer): void {
         const whole = readDeliverable(bytes)
-        if (!mayHold(splitter.partialBytes())) return
+        if (!mayHold()) return
         if (whole === null) return
         if (!reply.mayPassOn(run)) {
           failStream('the answer has begun with another run')
@@ -313,16 +316,22 @@
         }
         if (!claimStream()) return
         noteResponse()
-        eventTimer.restart(nextEventMs)
+        if (!isHeld) eventTimer.restart(nextEventMs)
         if (!reply.hasStarted()) beginStream()
-        if (reply.write(run, whole, route.isResumable ? splitter.lastEventId() : null)) return
-        // A caller that doesn't read says nothing about the engine, so no event is expected meanwhile.
-        response.pause()
+        const isRead = reply.write(run, whole, route.isResumable ? splitter.lastEventId() : null)
+        if (!isRead && !isHeld) holdUntilRead()
+      }
+
+      /** A caller that doesn't read says nothing about the engine, so no event is expected meanwhile. */
+      function holdUntilRead (): void {
+        isHeld = true
+        pacer.hold()
         eventTimer.stop()
         reply.onDrain(() => {
           if (response.destroyed) return
+          isHeld = false
           eventTimer.restart(nextEventMs)
-          response.resume()
+          pacer.release()
         })
       }
 
@@ -333,10 +342,10 @@
       }
 
       /** Gives the stream up if an event is too large to be held until it is complete. */
-      function mayHold (bytes: number): boolean {
+      function mayHold (): boolean {
         if (isAborted) return false
-        const isTooLarge = bytes > MAXIMUM_EVENT_BYTES
-        if (!isTooLarge && (buffer?.note(bytes) ?? true)) return true
+        const isTooLarge = splitter.partialBytes() > MAXIMUM_EVENT_BYTES
+        if (!isTooLarge && (buffer?.note(splitter.heldBytes()) ?? true)) return true
         abort()
         givenUpReason = isTooLarge ? 'event-too-large' : 'no-memory'
         failStream(isTooLarge ? `event exceeds ${MAXIMUM_EVENT_BYTES} bytes` : NO_MEMORY_REASON)
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -2,6 +2,7 @@
 export * from './boundResponseHead/index.js'
 export * from './createByteCollector/index.js'
 export * from './createFramingBound/index.js'
+export * from './createGatheredWriter/index.js'
 export * from './createHttpAgents/index.js'
 export * from './createIdentity/index.js'
 export * from './createRpcClient/index.js'
--- a/packages/rpc/src/paceMessage/index.ts
+++ b/packages/rpc/src/paceMessage/index.ts
@@ -1,5 +1,6 @@
 /** Limits the work that the body of one message causes in a turn of the event loop. */
 import type * as http from 'node:http'
+import type * as stream from 'node:stream'
 import * as createTurnQueue from '../_lib/createTurnQueue.js'
 
 /** Controls the reading of a paced message. */
@@ -40,7 +41,8 @@
  * @returns Controls for a consumer that applies backpressure; without effect once the message has ended or closed.
  */
 export function paceMessage (message: http.IncomingMessage): MessagePacer {
-  const { socket } = message
+  // A message that has been received completely may have no socket any more.
+  const source: stream.Readable = (message.socket as stream.Readable | null | undefined) ?? message
   let countedTurn = -1
   let units = 0
   let isHeld = false
@@ -72,17 +74,17 @@
     if (mustGate === isGated) return
     isGated = mustGate
     if (isGated) {
-      socket.on('resume', keepPaused)
-      socket.pause()
+      source.on('resume', keepPaused)
+      source.pause()
     } else {
-      socket.off('resume', keepPaused)
-      socket.resume()
+      source.off('resume', keepPaused)
+      source.resume()
     }
   }
 
   /** A message resumes its socket whenever its own buffer has room. */
   function keepPaused (): void {
-    socket.pause()
+    source.pause()
   }
 
   function stop (): void {
