Read requests and answers between daemons within memory, framing and turns

Cause: sendRequest and the servers of daemons collected the buffers that the parser hands out. Framing was allowed six times the bound of a body, so that chunks of one byte passed up to it: an object each, and a whole read of 64 KiB behind many of them. Besides, a server iterated over the request: when it gave up a body that was too long, Node.js took the socket from the request, and boundDiscardedBody threw a TypeError that nothing caught, which ends the process.

Change: both use readBoundedBody, which also paces the body. A body whose framing exceeds its bound gets its answer (400, calls 413) and loses its connection (closeAfterResponse); one that is too long is refused by its length, if it has one, and the rest is discarded within the bounds of trackConnections.

--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -118,7 +118,7 @@
   }
 
   async function execute (context: Koa.Context, call: Call, ticket: types.TicketId, served: types.ServedVersion | undefined): Promise<void> {
-    const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
+    const body = await rpc.readBody(context, types.MAXIMUM_CALL_BODY_BYTES)
     if (!body.ok) {
       tickets.refuse(ticket)
       refuse(context, 'body')
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -186,7 +186,7 @@
     const waitMs = options.limiter.take(account.id, account.callsPerSecond)
     if (waitMs > 0) return rejectOverLimit(context, waitMs)
     const deadlineAt = options.now() + entryCall.computeTimeoutMs(context, service)
-    const body = await rpc.readBody(context.req, types.MAXIMUM_CALL_BODY_BYTES)
+    const body = await rpc.readBody(context, types.MAXIMUM_CALL_BODY_BYTES)
     if (!body.ok) return reject(context, 413, body.error.message)
     if (deadlineAt > options.endsAt()) {
       sendFailure(context, { kind: 'not-run', reason: LEAVING_REASON, load: undefined, retryAfterMs: 0 })
--- a/packages/rpc/src/createRpcServer/index.ts
+++ b/packages/rpc/src/createRpcServer/index.ts
@@ -2,8 +2,10 @@
 import * as jsonRpc from 'json-rpc-2.0'
 import type * as Koa from 'koa'
 import * as types from '@switchridge/types'
+import * as closeAfterResponse from '../closeAfterResponse/index.js'
 import * as identity from '../createIdentity/index.js'
 import * as client from '../createRpcClient/index.js'
+import * as readBoundedBody from '../readBoundedBody/index.js'
 
 /** Handler of one method; a thrown error is returned as a JSON-RPC error. */
 export type RpcMethod = (params: unknown) => Promise<unknown> | unknown
@@ -33,7 +35,7 @@
       context.body = { error: checked.error.message }
       return
     }
-    const body = await readJson(context.req)
+    const body = await readJson(context)
     if (!body.ok) {
       context.status = 400
       context.body = { error: body.error.message }
@@ -50,12 +52,12 @@
 /**
  * Reads a JSON body of limited size.
  *
- * @param stream - The request body.
+ * @param exchange - The request and its response.
  * @param limit - Largest accepted size in bytes.
  * @returns The parsed value, or the reason for the failure.
  */
-export async function readJson (stream: AsyncIterable<Buffer | string>, limit = MAXIMUM_BODY_BYTES): Promise<types.Outcome<unknown, types.SwitchridgeError>> {
-  const body = await readBody(stream, limit)
+export async function readJson (exchange: Pick<Koa.Context, 'req' | 'res'>, limit = MAXIMUM_BODY_BYTES): Promise<types.Outcome<unknown, types.SwitchridgeError>> {
+  const body = await readBody(exchange, limit)
   if (!body.ok) return body
   try {
     return types.succeed(JSON.parse(body.value.toString('utf8')) as unknown)
@@ -65,24 +67,17 @@
 }
 
 /**
- * Reads a body of limited size.
+ * Reads a body of limited size. The connection of one whose framing exceeds its bound is closed after the response.
  *
- * @param stream - The request body.
+ * @param exchange - The request and its response.
  * @param limit - Largest accepted size in bytes.
  * @returns The bytes, or the reason for the failure.
  */
-export async function readBody (stream: AsyncIterable<Buffer | string>, limit: number): Promise<types.Outcome<Buffer, types.SwitchridgeError>> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of stream) {
-      const bytes = typeof chunk === 'string' ? Buffer.from(chunk) : chunk
-      size += bytes.length
-      if (size > limit) return types.fail(new types.SwitchridgeError(`the body exceeds ${limit} bytes`))
-      chunks.push(bytes)
-    }
-  } catch (thrown) {
-    return types.fail(new types.SwitchridgeError(`the body broke off: ${types.describeError(thrown)}`))
-  }
-  return types.succeed(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))
+export async function readBody ({ req: request, res: response }: Pick<Koa.Context, 'req' | 'res'>, limit: number): Promise<types.Outcome<Buffer, types.SwitchridgeError>> {
+  const read = await readBoundedBody.readBoundedBody(request, limit)
+  if (read.kind === 'whole') return types.succeed(read.body)
+  if (read.kind === 'broken') return types.fail(new types.SwitchridgeError(`the body broke off: ${types.describeError(read.error)}`))
+  if (read.kind !== 'over-framed') return types.fail(new types.SwitchridgeError(`the body exceeds ${limit} bytes`))
+  closeAfterResponse.closeAfterResponse(request, response)
+  return types.fail(new types.SwitchridgeError(`the framing of the body exceeds it by more than ${read.allowedBytes} bytes`))
 }
--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,5 +1,6 @@
 /** JSON-RPC 2.0 between daemons, authentication headers, and HTTP client and server utilities. */
 export * from './boundResponseHead/index.js'
+export * from './closeAfterResponse/index.js'
 export * from './createByteCollector/index.js'
 export * from './createFramingBound/index.js'
 export * from './createGatheredWriter/index.js'
--- a/packages/rpc/src/openRequest/index.ts
+++ b/packages/rpc/src/openRequest/index.ts
@@ -8,6 +8,7 @@
 import * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import type * as createHttpAgents from '../createHttpAgents/index.js'
+import * as readBoundedBody from '../readBoundedBody/index.js'
 
 /** An HTTP request with its timeouts and callbacks. */
 export interface OutgoingRequest {
@@ -38,10 +39,6 @@
 /** Code of the error of a request that was not sent because its sender no longer wanted it. */
 export const UNSENT_CODE = 'UNSENT'
 
-/** The framing of a body whose bytes come in a chunk each: a line with its size, the byte and the end of its line. */
-const CHUNKED_BYTES_PER_BYTE = 6
-/** Largest size of what frames a body, such as chunk extensions and trailers, beyond that. */
-const MAXIMUM_FRAMING_BYTES = 64 * types.BYTES_IN_KIBIBYTE
 /** System calls whose errors say that no connection was made. */
 const CONNECTING_SYSCALLS = new Set(['connect', 'getaddrinfo'])
 
@@ -59,7 +56,7 @@
   }
 }
 
-/** Part of a response whose size is limited; the framing are chunk extensions and the like. */
+/** Part of a response whose size is limited; the framing, such as the lines and extensions of chunks, is limited beyond the size of the body. */
 export type LimitedPart = 'head' | 'body' | 'framing'
 
 /** A part of the response exceeded a limit in bytes, and its connection was closed. */
@@ -168,36 +165,11 @@
   const opened = await openRequest(httpAgents, request)
   if (!opened.ok) return opened
   const response = opened.value
-  const chunks: Buffer[] = []
-  let size = 0
-  const { socket } = response
-  const receivedBefore = socket.bytesRead
-  try {
-    // A whole body of this size would be refused, so none of it is read.
-    checkSize(Number(response.headers['content-length'] ?? 0))
-    for await (const chunk of response as AsyncIterable<Buffer>) {
-      size += chunk.length
-      request.onBytes?.(chunk.length)
-      checkSize(size)
-      checkFraming(socket.bytesRead - receivedBefore)
-      chunks.push(chunk)
-    }
-  } catch (thrown) {
-    response.destroy()
-    return types.fail(thrown instanceof RequestError ? thrown : new RequestError(thrown as NodeJS.ErrnoException))
-  }
-  const body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
-  return types.succeed({ status: response.statusCode ?? 0, headers: response.headers, body })
-
-  function checkSize (bytes: number): void {
-    if (bytes > maximumBytes) throw new ResponseTooLargeError('body', maximumBytes)
-  }
-
-  /** Node.js limits the extensions of a chunk, but not those of all chunks together. */
-  function checkFraming (receivedBytes: number): void {
-    const allowedBytes = CHUNKED_BYTES_PER_BYTE * maximumBytes + MAXIMUM_FRAMING_BYTES
-    if (receivedBytes > allowedBytes) throw new ResponseTooLargeError('framing', allowedBytes)
-  }
+  const read = await readBoundedBody.readBoundedBody(response, maximumBytes, request.onBytes === undefined ? {} : { onBytes: request.onBytes })
+  if (read.kind === 'whole') return types.succeed({ status: response.statusCode ?? 0, headers: response.headers, body: read.body })
+  response.destroy()
+  if (read.kind === 'broken') return types.fail(read.error instanceof RequestError ? read.error : new RequestError(read.error))
+  return types.fail(read.kind === 'over-framed' ? new ResponseTooLargeError('framing', read.allowedBytes) : new ResponseTooLargeError('body', maximumBytes))
 }
 
 /** A response whose body was read completely. */
--- a/packages/rpc/src/readBoundedBody/index.ts
+++ b/packages/rpc/src/readBoundedBody/index.ts
@@ -1,7 +1,8 @@
-/** Reads the complete body of an HTTP message, within bounds of its size, its framing and the memory held for it. */
+/** Reads the complete body of an HTTP message, within bounds of its size, its framing, the memory held for it and the work in a turn of the event loop. */
 import type * as http from 'node:http'
 import * as createByteCollector from '../createByteCollector/index.js'
 import * as createFramingBound from '../createFramingBound/index.js'
+import * as paceMessage from '../paceMessage/index.js'
 
 /** A body, or why there is none. */
 export type BodyOutcome =
@@ -70,6 +71,7 @@
     })
     message.on('error', fail)
     message.on('close', () => { fail(new Error('the connection was closed before the end of the body')) })
+    paceMessage.paceMessage(message)
     if (statedBytes > maximumBytes && statedBytes !== Infinity) reject({ kind: 'too-large' })
     if (message.readableEnded || message.destroyed) fail(message.errored ?? new Error('the connection was closed before the body was read'))
   })
--- a/packages/standins/src/_lib/admin.ts
+++ b/packages/standins/src/_lib/admin.ts
@@ -6,7 +6,7 @@
 export function createAdmin<Faults extends object> (faults: Faults, readCounts: () => unknown): Koa.Middleware {
   return async (context, next) => {
     if (context.path === '/admin/faults' && context.method === 'PUT') {
-      const body = await rpc.readJson(context.req)
+      const body = await rpc.readJson(context)
       if (body.ok) Object.assign(faults, body.value)
       context.status = body.ok ? 200 : 400
       context.body = body.ok ? faults : { error: body.error.message }
--- a/packages/standins/src/createEngineStandIn/index.ts
+++ b/packages/standins/src/createEngineStandIn/index.ts
@@ -71,7 +71,7 @@
   }
 
   async function handleOrder (context: Koa.Context): Promise<void> {
-    const body = await rpc.readJson(context.req)
+    const body = await rpc.readJson(context)
     const order = body.ok ? orderSchema.safeParse(body.value) : null
     if (order?.success !== true) {
       context.status = 400
@@ -107,7 +107,7 @@
   async function generate (context: Koa.Context): Promise<void> {
     const manifest = context.get('x-engine-version')
     const version = versions.get(manifest)
-    const body = await rpc.readJson(context.req)
+    const body = await rpc.readJson(context)
     const parsed = body.ok ? generateSchema.safeParse(body.value) : null
     if (version === undefined || parsed?.success !== true) {
       context.status = version === undefined ? 409 : 400
--- a/packages/standins/src/createOriginStandIn/index.ts
+++ b/packages/standins/src/createOriginStandIn/index.ts
@@ -51,7 +51,7 @@
   const link = transfer.createLinkPacer(bytesPerSecond, () => performance.now())
 
   async function publish (context: Koa.Context): Promise<void> {
-    const body = await rpc.readJson(context.req)
+    const body = await rpc.readJson(context)
     if (!body.ok) {
       context.status = 400
       return
--- a/packages/standins/src/createPlainServiceStandIn/index.ts
+++ b/packages/standins/src/createPlainServiceStandIn/index.ts
@@ -32,7 +32,7 @@
     requests += 1
     const requestNumber = requests
     const id = context.get('x-request-id')
-    const body = await rpc.readBody(context.req, MAX_BODY_BYTES)
+    const body = await rpc.readBody(context, MAX_BODY_BYTES)
     if (!body.ok) {
       context.status = 413
       return
--- a/packages/standins/src/createPlatformStandIn/index.ts
+++ b/packages/standins/src/createPlatformStandIn/index.ts
@@ -79,7 +79,7 @@
 
   async function writeObject (context: Koa.Context, kind: string, name: string): Promise<void> {
     count('write')
-    const body = await rpc.readJson(context.req, types.MAXIMUM_OBJECT_BYTES)
+    const body = await rpc.readJson(context, types.MAXIMUM_OBJECT_BYTES)
     if (!body.ok) {
       context.status = 413
       return
@@ -130,7 +130,7 @@
   }
 
   async function changeNode (context: Koa.Context): Promise<void> {
-    const body = await rpc.readJson(context.req)
+    const body = await rpc.readJson(context)
     if (body.ok) nodeChanges.push({ ...body.value as { node: string, state: NodeChange['state'] }, at: performance.now() })
     context.body = {}
   }
