Read bodies of callers and answers of engines within memory and framing

Cause: the gateway collected the buffers that the parser hands out, and its accounts (held bytes, answer buffers) were told the payload. A body of 4 MB in chunks of one byte, or an answer of 16 MiB, is in bounds by payload and takes more than a gigabyte.

Change: calls and whole answers are read by readBoundedBody, the gateway's own readBody is removed. The accounts are told the memory that is taken: that of a body with a length is its length, that of one in chunks at most twice what has arrived.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -4,7 +4,6 @@
 import * as rpc from '@switchridge/rpc'
 import type * as chooseBackEnd from '../chooseBackEnd/index.js'
 import type * as createBackEndTracker from '../createBackEndTracker/index.js'
-import * as readBody from '../readBody/index.js'
 import * as createEventSplitter from '../createEventSplitter/index.js'
 import type * as sendAttempt from '../sendAttempt/index.js'
 import type * as guards from '../types/guard.js'
@@ -264,8 +263,9 @@
 
   async function receiveBuffered (answered: AnsweredHead, received: ReceivedAnswer): Promise<AttemptOutcome> {
     noteResponse()
-    const body = await readBody.readBody(received.response, MAXIMUM_BUFFERED_BYTES, buffer?.note)
+    const body = await rpc.readBoundedBody(received.response, MAXIMUM_BUFFERED_BYTES, buffer === undefined ? {} : { mayHold: buffer.note })
     if (body.kind === 'too-large') return giveUp('answer-too-large', `answer exceeds ${MAXIMUM_BUFFERED_BYTES} bytes`)
+    if (body.kind === 'over-framed') return giveUp('framing-too-large', describeFraming(body.allowedBytes))
     if (body.kind === 'not-held' || isDropped) return giveUp('no-memory', NO_MEMORY_REASON)
     if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, true)
     const end = await findEnd(received)
@@ -392,6 +392,10 @@
   }
 }
 
+function describeFraming (allowedBytes: number): string {
+  return `framing of the answer exceeds it by more than ${allowedBytes} bytes`
+}
+
 function isSuccess (answer: gateway.AnswerHead): answer is AnsweredHead {
   return answer.kind === 'answered' && answer.status >= FIRST_FINAL_STATUS && answer.status < FIRST_ERROR_STATUS
 }
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -16,7 +16,6 @@
 import * as computeRank from '../computeRank/index.js'
 import * as createSizeShares from '../createSizeShares/index.js'
 import * as mayFinishInTime from '../mayFinishInTime/index.js'
-import * as readBody from '../readBody/index.js'
 import * as gateway from '../types/index.js'
 
 export type { CallChoice, CallHandlerOptions, CallProtocol } from '../_lib/callOptions.js'
@@ -91,11 +90,12 @@
       readings.add(recheck)
       recheck(false)
       if (!isRefused && request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
-      const body = await readBody.readBody(request, (limits ?? gateway.DEFAULT_CALLER_LIMITS).maximumBodyBytes, (bytes) => !isRefused && (holding?.noteUpload(bytes) ?? true))
+      const body = await rpc.readBoundedBody(request, (limits ?? gateway.DEFAULT_CALLER_LIMITS).maximumBodyBytes, { mayHold: (heldBytes) => !isRefused && (holding?.noteUpload(heldBytes) ?? true) })
       readings.delete(recheck)
       requestedAt = options.now()
       if (isRefused) return
       if (body.kind === 'broken') return
+      if (body.kind === 'over-framed') return refuseFraming(body.allowedBytes)
       if (body.kind === 'not-held') return refuseBody()
       holding?.noteRunning()
       if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
@@ -185,9 +185,18 @@
       reply.refuse(503, callState.DRAIN_REASON, callState.DRAIN_RETRY_MS)
     }
 
+    /** Refuses a call whose body consists of chunks so small that reading them costs far more than their bytes. */
+    function refuseFraming (allowedBytes: number): void {
+      registered.noteEnding('refused')
+      options.count('bodies_over_framed')
+      options.logger.warn('body-refused', { id: head.requestId, reason: 'framing', allowedBytes })
+      rpc.closeAfterResponse(request, response)
+      reply.refuse(400, 'the framing of the body exceeds the body', null)
+    }
+
     function refuseBody (): void {
       options.count('bodies_refused')
-      options.logger.warn('body-refused', { id: head.requestId, heldBytes: options.heldBytes?.read() })
+      options.logger.warn('body-refused', { id: head.requestId, reason: 'memory', heldBytes: options.heldBytes?.read() })
       reply.refuse(503, 'no memory for the request body', Math.round(MEMORY_RETRY_MS * (1 + options.random())))
     }
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,7 +29,6 @@
 export { MAXIMUM_BUFFERED_BYTES } from './_lib/runAttempt.js'
 export * from './predictFirstEvent/index.js'
 export * from './probeAddress/index.js'
-export * from './readBody/index.js'
 export * from './createEventSplitter/index.js'
 export * from './sendAttempt/index.js'
 export * from './types/index.js'
--- a/packages/gateway/src/sendAttempt/test.ts
+++ b/packages/gateway/src/sendAttempt/test.ts
@@ -1,9 +1,9 @@
 import * as assert from 'node:assert/strict'
 import * as net from 'node:net'
 import * as nodeTest from 'node:test'
+import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 import * as stallTesting from '../_lib/stallTesting.js'
-import * as readBody from '../readBody/index.js'
 import * as sendAttempt from './index.js'
 
 const HOST = '127.0.0.1'
@@ -31,7 +31,7 @@
   const attempt = sendAttempt.sendAttempt({ address, method: 'GET', path: '/', headers: ['Host', 'app.example'], body: null, connectTimeoutMs: 5000, onConnect: () => {} })
   const start = await attempt.start
   if (start.kind !== 'answer') return false
-  const body = await readBody.readBody(start.response, Infinity)
+  const body = await rpc.readBoundedBody(start.response, Infinity)
   const isWhole = body.kind === 'whole' && start.isWhole()
   attempt.abort()
   return isWhole
@@ -95,7 +95,7 @@
     context.after(() => { server.close() })
     const attempt = sendAttempt.sendAttempt({ address: { host: HOST, port: (server.address() as net.AddressInfo).port }, method: 'GET', path: '/', headers: ['Host', 'app.example'], body: null, connectTimeoutMs: 5000, onConnect: () => {} })
     const start = await attempt.start
-    if (start.kind === 'answer') await readBody.readBody(start.response, Infinity)
+    if (start.kind === 'answer') await rpc.readBoundedBody(start.response, Infinity)
     const received = attempt.readReceived?.()
     attempt.abort()
     assert.deepEqual({ chunks: received?.chunks, violation: received?.violation }, { chunks, violation })
--- a/packages/rpc/src/createFramingBound/index.ts
+++ b/packages/rpc/src/createFramingBound/index.ts
@@ -1,7 +1,11 @@
 /** Limits what frames the body of an HTTP message beside its payload. */
 import type * as http from 'node:http'
+import type * as stream from 'node:stream'
 import * as types from '@switchridge/types'
 
+/** A request or a response, or a simulated one: without a connection, it has no framing. */
+export type FramedMessage = stream.Readable & Partial<Pick<http.IncomingMessage, 'headers' | 'complete' | 'socket'>>
+
 /** The framing of one message. */
 export interface FramingBound {
   /** Records payload that has been read of the message; returns false once its framing exceeds the bound. Called for each part, in the order of arrival. */
@@ -26,10 +30,10 @@
  * @param maximumBodyBytes - Largest accepted body; one that is shorter than the fixed number may come in chunks of one byte.
  * @returns The bound.
  */
-export function createFramingBound (message: http.IncomingMessage, maximumBodyBytes = Infinity): FramingBound {
+export function createFramingBound (message: FramedMessage, maximumBodyBytes = Infinity): FramingBound {
   const allowedBytes = MAXIMUM_SURPLUS_BYTES + Math.min(READ_BYTES, CHUNK_BYTES_PER_BYTE * maximumBodyBytes)
   const { socket } = message
-  const bytesBefore = message.complete ? 0 : socket.bytesRead
+  const bytesBefore = socket?.bytesRead ?? 0
   let payloadBytes = 0
   let leastSurplusBytes = 0
 
@@ -37,7 +41,7 @@
     allowedBytes,
     accept: (bytes) => {
       payloadBytes += bytes
-      if (message.complete) return true
+      if (message.complete === true || socket === undefined) return true
       // What is parsed and not read yet is payload, too.
       const framingBytes = socket.bytesRead - bytesBefore - payloadBytes - message.readableLength
       const surplusBytes = framingBytes - payloadBytes - message.readableLength
--- a/packages/rpc/src/readBoundedBody/index.ts
+++ b/packages/rpc/src/readBoundedBody/index.ts
@@ -31,9 +31,9 @@
  * @param options - Callbacks.
  * @returns The body, or why there is none; never rejects.
  */
-export async function readBoundedBody (message: http.IncomingMessage, maximumBytes: number, { mayHold, onBytes }: BodyReadOptions = {}): Promise<BodyOutcome> {
+export async function readBoundedBody (message: createFramingBound.FramedMessage, maximumBytes: number, { mayHold, onBytes }: BodyReadOptions = {}): Promise<BodyOutcome> {
   return await new Promise((resolve) => {
-    const statedBytes = Number(message.headers['content-length'] ?? Infinity)
+    const statedBytes = Number(message.headers?.['content-length'] ?? Infinity)
     const collector = createByteCollector.createByteCollector(Math.min(maximumBytes, statedBytes), mayHold)
     const framing = createFramingBound.createFramingBound(message, maximumBytes)
     let isRejected = false
@@ -66,12 +66,12 @@
     })
     message.on('end', () => {
       if (isRejected) return
-      if (message.complete) resolve({ kind: 'whole', body: collector.take() })
+      if (message.complete === true) resolve({ kind: 'whole', body: collector.take() })
       else fail(new Error('the connection ended before the body'))
     })
     message.on('error', fail)
     message.on('close', () => { fail(new Error('the connection was closed before the end of the body')) })
-    paceMessage.paceMessage(message)
+    if (message.socket !== undefined) paceMessage.paceMessage(message as http.IncomingMessage)
     if (statedBytes > maximumBytes && statedBytes !== Infinity) reject({ kind: 'too-large' })
     if (message.readableEnded || message.destroyed) fail(message.errored ?? new Error('the connection was closed before the body was read'))
   })
