Hold no more of a keyed call's answer than is stored for its key

Cause: an entry node kept the whole answer of a call with an idempotency key, without any bound, in the buffers of the parser, and threw it away at the end if it was longer than the 16 KiB that a claim takes.

Change: a copy is collected within that bound while the answer is passed on. A longer answer is passed on whole as before, its key stays claimed, and the line answer-not-stored (counter calls.not-stored) says so; sent again, the call doesn't run and gets unknown, idempotency-key-held.

--- a/packages/daemon/src/createClaims/index.ts
+++ b/packages/daemon/src/createClaims/index.ts
@@ -5,7 +5,8 @@
 import type * as platform from '@switchridge/store'
 
 const CLAIM_KIND = 'claims'
-const MAXIMUM_STORED_ANSWER_BYTES = 16 * types.BYTES_IN_KIBIBYTE
+/** A key whose answer is longer stays claimed without it. */
+export const MAXIMUM_STORED_ANSWER_BYTES = 16 * types.BYTES_IN_KIBIBYTE
 const RETENTION_MS = 24 * 3600 * types.MILLISECONDS_IN_SECOND
 const SWEEP_PAGE_SIZE = 200
 
@@ -29,7 +30,7 @@
 
 /** A claim that this process holds. */
 export interface Claim {
-  /** Stores the answer, to be replayed to repeated requests. */
+  /** Stores the answer, to be replayed to repeated requests; a body of more than {@link MAXIMUM_STORED_ANSWER_BYTES} is not stored. */
   readonly finish: (answer: StoredAnswer) => Promise<void>
   /** Releases the key because the call did not run. */
   readonly release: () => Promise<void>
--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -1,12 +1,13 @@
 /** Handles callers' requests: retries failed attempts and ends each call with one of three outcomes: answered, not run or unknown. */
 import * as crypto from 'node:crypto'
+import type * as http from 'node:http'
 import type * as Koa from 'koa'
 import type * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import type * as observability from '@switchridge/observability'
-import type * as createClaims from '../createClaims/index.js'
+import * as createClaims from '../createClaims/index.js'
 import type * as createEntryQuarantine from '../createEntryQuarantine/index.js'
 import type * as createDispatcher from '../createDispatcher/index.js'
 import * as sendAttempt from '../sendAttempt/index.js'
@@ -324,10 +325,9 @@
     context.set(callHeaders.OUTCOME_HEADER, 'answered')
     const version = response.headers[callHeaders.VERSION_HEADER]
     if (typeof version === 'string') context.set(callHeaders.VERSION_HEADER, version)
-    const received: Buffer[] = []
-    if (claim !== null) response.on('data', (part: Buffer) => { received.push(part) }).pause()
+    const readStored = claim === null ? null : storeBody(response)
     const isComplete = await sendStream.sendStream(context, response)
-    if (isComplete) await claim?.finish({ status: context.status, contentType: String(response.headers['content-type'] ?? ''), version: typeof version === 'string' ? version : '', body: Buffer.concat(received) })
+    if (isComplete && claim !== null) await finishClaim(context, claim, response, readStored?.() ?? null)
     options.loads.noteEnded(backend.node, load === undefined ? undefined : { ...load, running: Math.max(0, load.running - 1) })
     if (isComplete) options.health.noteSuccess(backend.node)
     else if (!context.req.aborted) options.health.noteFailure(backend.node)
@@ -336,6 +336,24 @@
     return isComplete
   }
 
+  /** Keeps a copy of a body while it is passed on; returns a function that hands it over at its end, or null if it is too long to be stored. */
+  function storeBody (response: http.IncomingMessage): () => Buffer | null {
+    const collector = rpc.createByteCollector(createClaims.MAXIMUM_STORED_ANSWER_BYTES)
+    let isTooLong = false
+    response.on('data', (part: Buffer) => { isTooLong ||= collector.append(part) !== 'collected' }).pause()
+    return () => isTooLong ? null : collector.take()
+  }
+
+  /** Stores an answer for its idempotency key. A key whose answer is too long stays claimed, so that the call doesn't run again. */
+  async function finishClaim (context: Koa.Context, claim: createClaims.Claim, { headers }: http.IncomingMessage, body: Buffer | null): Promise<void> {
+    if (body === null) {
+      count('not-stored')
+      options.logger.warn('answer-not-stored', { request: String(context.response.get(callHeaders.REQUEST_ID_HEADER)), path: context.path, reason: 'too-long', maximumBytes: createClaims.MAXIMUM_STORED_ANSWER_BYTES })
+      return
+    }
+    await claim.finish({ status: context.status, contentType: String(headers['content-type'] ?? ''), version: String(headers[callHeaders.VERSION_HEADER] ?? ''), body })
+  }
+
   function sendFailure (context: Koa.Context, result: FinalOutcome): void {
     count(result.kind)
     options.logger.info('call-not-answered', {
