Bound the framing of answers that daemons pass on, and pace them

Cause: entry nodes and backend daemons pass an answer on as it comes, chunk by chunk. Chunks of one byte without end cost each process on the way, and the caller's connection, far more than their bytes, and nothing ended them before the call's deadline.

Change: sendStream breaks off an answer whose framing exceeds its payload by more than 128 KiB, as any answer that is broken, and paces its message.

Measured by the new test: an endless answer in chunks of one byte is broken off within 8 MiB sent; 200,000 chunks of 20 and of 60 bytes are passed on whole.

--- a/packages/daemon/src/_lib/sendStream.ts
+++ b/packages/daemon/src/_lib/sendStream.ts
@@ -1,23 +1,25 @@
 /** Forwards a streamed response with backpressure. An error or abort on either side ends the other. */
+import type * as http from 'node:http'
 import * as stream from 'node:stream'
 import type * as Koa from 'koa'
 import * as rpc from '@switchridge/rpc'
 import * as types from '@switchridge/types'
 
 /**
- * Sends `source` as the response body.
+ * Sends `source` as the response body. A message whose framing exceeds its payload by too much is broken off.
  *
  * @param context - The request to answer.
  * @param source - The body.
  * @param confirmEnd - Called at the end of `source`; resolves with whether it is complete. Without it the end is taken for complete.
  * @returns Whether the body was forwarded completely; the connection is broken off otherwise.
  */
-export async function sendStream (context: Koa.Context, source: stream.Readable, confirmEnd?: () => Promise<boolean>): Promise<boolean> {
+export async function sendStream (context: Koa.Context, source: rpc.FramedMessage, confirmEnd?: () => Promise<boolean>): Promise<boolean> {
   context.respond = false
   context.res.statusCode = context.status
   context.res.flushHeaders()
   // The end of its connection marks the end of a response without a length to a caller of HTTP/1.0.
   if (!context.res.chunkedEncoding && !context.res.hasHeader('content-length')) rpc.resetUnfinished(context.res)
+  boundFraming(source)
   return await new Promise<boolean>((resolve) => {
     const settle = (error: Error | null | undefined): void => { resolve(error == null) }
     if (confirmEnd === undefined) stream.pipeline(source, context.res, settle)
@@ -25,6 +27,16 @@
   })
 }
 
+/** Each chunk is work and memory on the whole way to the caller, however small it is. */
+function boundFraming (source: rpc.FramedMessage): void {
+  const framing = rpc.createFramingBound(source)
+  source.on('data', (bytes: Buffer) => {
+    if (!framing.accept(bytes.length)) source.destroy(new rpc.ResponseTooLargeError('framing', framing.allowedBytes))
+  })
+  if (source.socket !== undefined) rpc.paceMessage(source as http.IncomingMessage)
+  source.pause()
+}
+
 /** Passes bytes on, and fails at their end unless that is confirmed. */
 function createConfirmedEnd (confirmEnd: () => Promise<boolean>): stream.Transform {
   return new stream.Transform({
