Give up streams whose framing outweighs them

Cause: a stream that is passed on as it comes had no bound of its framing. Chunks of one byte cost the gateway and the caller's connection far more than their bytes until the deadline of the call.

--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -285,8 +285,11 @@
     const nextEventMs = Math.max(MINIMUM_EVENT_TIMEOUT_MS, NEXT_EVENT_TIMEOUT_FACTOR * route.gapTargetMs)
     return await new Promise<AttemptOutcome>((resolve, reject) => {
       let hasResponseEnded = false
+      /** Whether bytes arrived after the attempt was aborted: the end that follows them must not be passed on. */
+      let hasSkipped = false
       let isHeld = false
       const pacer = rpc.paceMessage(response)
+      const framing = rpc.createFramingBound(response)
       /** Whether handling the response threw: what still arrives of it must not be passed on. */
       let hasThrown = false
       response.on('data', (bytes: Buffer) => {
@@ -307,6 +310,14 @@
       response.on('close', () => { if (!hasResponseEnded) failStream('stream closed') })
 
       function passOn (bytes: Buffer): void {
+        if (isAborted) {
+          hasSkipped = true
+          return
+        }
+        if (!framing.accept(bytes.length)) {
+          giveUpStream('framing-too-large', describeFraming(framing.allowedBytes))
+          return
+        }
         const whole = readDeliverable(bytes)
         if (!mayHold()) return
         if (whole === null) return
@@ -343,18 +354,23 @@
 
       /** Gives the stream up if an event is too large to be held until it is complete. */
       function mayHold (): boolean {
-        if (isAborted) return false
         const isTooLarge = splitter.partialBytes() > MAXIMUM_EVENT_BYTES
         if (!isTooLarge && (buffer?.note(splitter.heldBytes()) ?? true)) return true
-        abort()
-        givenUpReason = isTooLarge ? 'event-too-large' : 'no-memory'
-        failStream(isTooLarge ? `event exceeds ${MAXIMUM_EVENT_BYTES} bytes` : NO_MEMORY_REASON)
+        if (isTooLarge) giveUpStream('event-too-large', `event exceeds ${MAXIMUM_EVENT_BYTES} bytes`)
+        else giveUpStream('no-memory', NO_MEMORY_REASON)
         return false
       }
 
+      function giveUpStream (reason: logGivenUp.GivenUpReason, text: string): void {
+        abort()
+        hasSkipped = true
+        givenUpReason = reason
+        failStream(text)
+      }
+
       async function endStream (): Promise<void> {
         eventTimer.stop()
-        if (!isWhole() || splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
+        if (hasSkipped || !isWhole() || splitter.hasPartial() || (stream.isFramed === true && !isFramed)) {
           failStream('stream cut')
           return
         }
