Give up streams that are many times faster than their engine can be

Cause: whole small events without end are in all bounds of size, and were passed on until the deadline of the call.

Where the configuration has no stepMs, nothing is bounded.

--- a/packages/gateway/src/_lib/logGivenUp.ts
+++ b/packages/gateway/src/_lib/logGivenUp.ts
@@ -4,7 +4,7 @@
 import type * as callOptions from './callOptions.js'
 
 /** Why an answer was given up: what arrived was no answer, or was too large, or there was no memory for it. */
-export type GivenUpReason = sendAttempt.Violation | 'answer-too-large' | 'event-too-large' | 'framing-too-large' | 'no-memory'
+export type GivenUpReason = sendAttempt.Violation | 'answer-too-large' | 'event-too-large' | 'framing-too-large' | 'stream-too-fast' | 'no-memory'
 
 /** An answer that was given up. */
 export interface GivenUpAnswer {
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -13,6 +13,7 @@
 import * as logCall from './logCall.js'
 import * as logGivenUp from './logGivenUp.js'
 import * as createMarginNotes from './createMarginNotes.js'
+import * as createStreamRateBound from './createStreamRateBound.js'
 import type * as callOptions from './callOptions.js'
 import * as noteOutcome from './noteOutcome.js'
 import * as raceAttempts from './raceAttempts.js'
@@ -67,6 +68,7 @@
 const FIRST_REDIRECTION_STATUS = 300
 const ERROR_REASON = 'handling failed'
 const NO_MEMORY_REASON = 'no memory for the answer'
+const TOO_FAST_REASON = 'stream is faster than its engine can be'
 const ENDED_REASON = 'back end ended at the end of a response without framing'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
@@ -290,6 +292,7 @@
       let isHeld = false
       const pacer = rpc.paceMessage(response)
       const framing = rpc.createFramingBound(response)
+      const rate = createStreamRateBound.createStreamRateBound(call.figures, options.now)
       /** Whether handling the response threw: what still arrives of it must not be passed on. */
       let hasThrown = false
       response.on('data', (bytes: Buffer) => {
@@ -318,6 +321,10 @@
           giveUpStream('framing-too-large', describeFraming(framing.allowedBytes))
           return
         }
+        if (!rate.accept(bytes.length)) {
+          giveUpStream('stream-too-fast', TOO_FAST_REASON)
+          return
+        }
         const whole = readDeliverable(bytes)
         if (!mayHold()) return
         if (whole === null) return
--- a/packages/gateway/src/createCallHandler/endlessStreams.test.ts
+++ b/packages/gateway/src/createCallHandler/endlessStreams.test.ts
@@ -66,6 +66,17 @@
   })
 }
 
+for (const stepMs of [20, null]) {
+  nodeTest.test(`a stream of 20,000 events at once is ${stepMs === null ? 'passed on if the speed of its engine is unknown' : 'given up if its engine needs 20 ms for a token'}`, LIMIT, async (context) => {
+    const { routes } = handlerTesting.createHandlerOptions({ kind: 'stream', isResumable: false }, { now: () => 0, sendAttempt: sendAttempt.sendAttempt })
+    const engine = { slots: 4, models: [], layers: 1, chunks: 1, chunkBytes: 1, stepMs, stepMsPerSequence: 0, prefillTokensPerMs: null, usualPromptTokens: null, usualAnswerTokens: null }
+    const table = { ...routes(), findService: () => ({ engine }) } as unknown as ReturnType<typeof routes>
+    const { text, reasons } = await serveCall(context, `${HEAD}${`14\r\ndata: ${'x'.repeat(12)}\n\n\r\n`.repeat(20_000)}${END}`, { routes: () => table })
+    assert.deepEqual(reasons, stepMs === null ? [] : ['stream-too-fast'])
+    assert.equal(text.endsWith(END), stepMs === null)
+  })
+}
+
 nodeTest.test('a stream of 50,000 chunks of 20 bytes is passed on whole', LIMIT, async (context) => {
   const { text, reasons } = await serveCall(context, `${HEAD}${`14\r\n${'x'.repeat(20)}\r\n`.repeat(50_000)}${END}`)
   assert.deepEqual(reasons, [])
