Bound what got reads: parts, framing, ranges of the origin and redirections

Cause: got collects the body of an answer in parts, and follows a redirection while the body of it is discarded without any limit of bytes or time. limitDownload bounds payload alone, and a range of the origin was collected in the buffers of the reader.

What came of a range is kept as before.

--- a/packages/rpc/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,4 +1,5 @@
 /** JSON-RPC 2.0 between daemons, authentication headers, and HTTP client and server utilities. */
+export * from './boundRedirections/index.js'
 export * from './boundResponseHead/index.js'
 export * from './closeAfterResponse/index.js'
 export * from './createByteCollector/index.js'
--- a/packages/transfer/src/fetchChunk/index.ts
+++ b/packages/transfer/src/fetchChunk/index.ts
@@ -118,24 +118,26 @@
  * @returns The bytes received, not verified, with an error if the range is incomplete.
  */
 export async function fetchOriginRange (url: string, from: number, length: number, options: Omit<FetchOptions, 'identity' | 'self'>): Promise<OriginAnswer> {
-  const parts: Buffer[] = []
-  let size = 0
+  const collector = rpc.createByteCollector(length)
+  let framing: rpc.FramingBound | null = null
   try {
     const stream = got.got.stream(url, { ...createRequestOptions(options), throwHttpErrors: true, headers: { range: `bytes=${from}-${from + length - 1}` } })
     stream.on('error', ignoreLateError)
+    rpc.boundRedirections(stream)
     stream.on('response', (response: got.Response) => {
+      framing = rpc.createFramingBound(response, length)
       if (response.statusCode !== 206) stream.destroy(new types.UnavailableError(`status ${response.statusCode} for a range`))
     })
     for await (const part of stream as AsyncIterable<Buffer>) {
-      size += part.length
       // Breaking off closes the connection.
-      if (size > length) throw new types.UnavailableError(`more than the ${length} bytes of a range`)
-      parts.push(part)
+      if (collector.readLength() + part.length > length) throw new types.UnavailableError(`more than the ${length} bytes of a range`)
+      if ((framing as rpc.FramingBound | null)?.accept(part.length) === false) throw new types.UnavailableError('the framing of a range exceeds it')
+      collector.append(part)
     }
-    if (size === length) return { bytes: Buffer.concat(parts) }
-    return { bytes: Buffer.concat(parts), error: new types.UnavailableError(`${size} of ${length} bytes`) }
+    const bytes = collector.take()
+    return bytes.length === length ? { bytes } : { bytes, error: new types.UnavailableError(`${bytes.length} of ${length} bytes`) }
   } catch (thrown) {
-    return { bytes: Buffer.concat(parts), error: new types.UnavailableError(types.describeError(thrown)) }
+    return { bytes: collector.take(), error: new types.UnavailableError(types.describeError(thrown)) }
   }
 }
 
