Take a success without framing that ends right after its head for broken off

What callers saw: an engine whose connection ended in an orderly way right after a head with neither a length nor chunks gave callers a 200 with `Content-Length: 0`, or an empty stream in chunks, framed as whole. On the own interface that answer was kept under its idempotency key, too, and served again.

Cause: RFC 9112, 6.3, takes the end of the connection for the end of such a body, an empty one as well, and an engine that keeps running passed the question whether it had ended. An engine that stops after its head looks the same as one with an empty body.

Change: `expectsBody` says which statuses can't be whole so: successes, 205 excepted. Gateways give such an attempt up as broken, a stream without one event alike. Backend daemons wait for the first byte of a body without framing before they answer the entry node, so that the outcome is unknown in place of a 200 that breaks off. A repeatable call is sent elsewhere; any other reaches no other engine and ends with 502, its key held. Whether an engine may end an empty success so is a question to the users.

--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -139,7 +139,15 @@
       answerWrongVersion(context, ticket, started.value)
       return
     }
-    await forwardResponse(context, call.method, started.value, served)
+    const isFramed = rpc.hasMessageFraming(started.value, call.method)
+    const hasEndedOrderly = rpc.watchOrderlyEnd(started.value.socket)
+    if (!isFramed && rpc.expectsBody(started.value.statusCode ?? 0) && !await waitForBody(started.value)) {
+      started.value.destroy()
+      answerFailure(context, ticket, new Error('the response without framing ended before its body'))
+      return
+    }
+    const confirmEnd = async (): Promise<boolean> => hasEndedOrderly() && await options.findTerminatedInstance() === null
+    await forwardResponse(context, started.value, served, isFramed ? undefined : confirmEnd)
     tickets.finish(ticket)
   }
 
@@ -187,7 +195,7 @@
     answerFailure(context, ticket, new Error('the engine answered from another version'))
   }
 
-  async function forwardResponse (context: Koa.Context, method: string, response: http.IncomingMessage, served: types.ServedVersion | undefined): Promise<void> {
+  async function forwardResponse (context: Koa.Context, response: http.IncomingMessage, served: types.ServedVersion | undefined, confirmEnd: (() => Promise<boolean>) | undefined): Promise<void> {
     context.status = response.statusCode ?? 502
     for (const [name, value] of Object.entries(callHeaders.selectForwardedHeaders(response.headers))) context.set(name, value)
     if (response.headers['content-length'] !== undefined) context.set('content-length', response.headers['content-length'])
@@ -196,9 +204,7 @@
     if (served !== undefined) context.set(callHeaders.VERSION_HEADER, `${served.row}@${served.version}`)
     response.on('data', (part: Buffer) => { options.uplink.countCallBytes(part.length) })
     response.pause()
-    const hasEndedOrderly = rpc.watchOrderlyEnd(response.socket)
-    const confirmEnd = async (): Promise<boolean> => hasEndedOrderly() && await options.findTerminatedInstance() === null
-    const isComplete = await sendStream.sendStream(context, response, rpc.hasMessageFraming(response, method) ? undefined : confirmEnd)
+    const isComplete = await sendStream.sendStream(context, response, confirmEnd)
     options.count(isComplete ? 'calls.answered' : 'calls.broken')
   }
 
@@ -224,6 +230,21 @@
   }
 }
 
+/** Waits for the first bytes of a body; resolves with false if the response ends, or breaks off, without any. */
+async function waitForBody (response: http.IncomingMessage): Promise<boolean> {
+  if (response.readableLength > 0) return true
+  return await new Promise((resolve) => {
+    const settle = (): void => {
+      response.off('readable', settle)
+      response.off('close', settle)
+      resolve(response.readableLength > 0)
+    }
+    response.on('error', () => {})
+    response.once('readable', settle)
+    response.once('close', settle)
+  })
+}
+
 function parseCall (text: string): Call | null {
   try {
     return callSchema.parse(JSON.parse(text))
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -70,6 +70,7 @@
 const NO_MEMORY_REASON = 'no memory for the answer'
 const TOO_FAST_REASON = 'stream is faster than its engine can be'
 const ENDED_REASON = 'back end ended at the end of a response without framing'
+const EMPTY_REASON = 'response without framing ended before its body'
 
 /** A call that has not begun is withdrawn this long after the last time at which calls may be sent to its version. */
 const WITHDRAWAL_DELAY_MS = 300
@@ -270,6 +271,7 @@
     if (body.kind === 'over-framed') return giveUp('framing-too-large', describeFraming(body.allowedBytes))
     if (body.kind === 'not-held' || isDropped) return giveUp('no-memory', NO_MEMORY_REASON)
     if (body.kind !== 'whole' || !received.isWhole()) return broken(`answer ${body.kind === 'whole' ? 'reset' : body.kind}`, true)
+    if (!received.isFramed && body.body.length === 0 && rpc.expectsBody(answered.status)) return broken(EMPTY_REASON, true)
     const end = await findEnd(received)
     if (end === 'truncated') return broken(ENDED_REASON, true)
     call.mayHaveRun = true
@@ -381,6 +383,10 @@
           failStream('stream cut')
           return
         }
+        if (!isFramed && !open.hasResponded) {
+          failStream(EMPTY_REASON)
+          return
+        }
         const end = await findEnd({ isFramed })
         if (end === 'truncated') {
           failStream(ENDED_REASON)
