Break off a stream without framing that ends inside an event on the own interface, too

A back end that keeps running and ends a stream of events with neither a length nor chunks inside an event has broken it off, in the users' words. Gateways took it so; the backend daemons of the own interface asked only whether the connection had ended in order and the back end still ran, and gave callers chunks with an end.

--- a/packages/daemon/src/brokenAnswers.test.ts
+++ b/packages/daemon/src/brokenAnswers.test.ts
@@ -249,3 +249,27 @@
   const answer = await callHall(entry, '/empty', '')
   assert.deepEqual([answer.status, answer.body, attempts], [OK, PLAIN_BODY, 2])
 })
+
+const STREAM_PARTS: Readonly<Record<string, boolean>> = {
+  [EVENT]: true,
+  'id: 1\r\ndata: a\r\n\r\n': true,
+  ': comment\n\n': true,
+  'id: 1\nda': false,
+  'id: 1\ndata: a\n': false,
+  [`${EVENT}id: 2`]: false,
+  [`${EVENT}id: 2\r\n`]: false
+}
+
+nodeTest.test('a stream without framing is whole to a caller of an entry node only if it ends with an event', LIMIT, async (context) => {
+  const parts = Object.keys(STREAM_PARTS)
+  const { entry } = await openHall(context, 'none', Object.fromEntries(parts.map((part, index) => [`/part-${index}`, (socket: net.Socket) => {
+    socket.end(`HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: ${STREAM_TYPE}\r\n\r\n${part}`)
+  }])))
+  const waitUntilServed = async (): Promise<void> => { await fleetTesting.waitUntil(async () => looksWhole(await callHall(entry, '/whole', ''))) }
+  const wholeness: Record<string, boolean> = {}
+  for (const [index, part] of parts.entries()) {
+    await waitUntilServed()
+    wholeness[part] = looksWhole(await callHall(entry, `/part-${index}`, ''))
+  }
+  assert.deepEqual(wholeness, STREAM_PARTS)
+})
--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -12,6 +12,7 @@
 import * as callHeaders from '../_lib/callHeaders.js'
 import * as registerCall from '../_lib/registerCall.js'
 import * as sendStream from '../_lib/sendStream.js'
+import * as watchEventEnd from '../_lib/watchEventEnd.js'
 
 /** The call description that an entry node sends along with a call. */
 export const callSchema = zod.object({
@@ -146,7 +147,8 @@
       answerFailure(context, ticket, new Error('the response without framing ended before its body'))
       return
     }
-    const confirmEnd = async (): Promise<boolean> => hasEndedOrderly() && await options.findTerminatedInstance() === null
+    const endsInsideEvent = isFramed ? () => false : watchEventEnd.watchEventEnd(started.value)
+    const confirmEnd = async (): Promise<boolean> => hasEndedOrderly() && !endsInsideEvent() && await options.findTerminatedInstance() === null
     await forwardResponse(context, started.value, served, isFramed ? undefined : confirmEnd)
     tickets.finish(ticket)
   }
