Parse requests that a peer sends ahead only up to a bound

A caller that sent requests one after the other over one connection and read nothing ended its gateway: Node.js parses all that a read has brought, up to 64 KiB or 2,600 requests, and reads on while earlier requests wait, so that requests and responses were kept without limit. Those that followed an answer that closes the connection were parsed and kept, too, until the peer closed.

trackConnections, which all servers of the project use, now passes what arrives to the parser in parts of 1 KiB. It stops beyond 16 open requests of a connection, or 16 KiB after the first that waits for another (chunks of one byte cost hundreds of bytes each), and goes on as answers are delivered; meanwhile the socket's buffer fills, and the peer is held up by TCP. One connection has at most 16 requests parsed in a turn of the event loop, and one part more. What arrives after the server has ended a connection, or behind bytes that are no request, isn't parsed at all. The socket is read by its documented means: while somebody listens to `readable`, only `read` emits `data`, to which the server listens. A head that waits behind others isn't refused as late.

--- a/packages/rpc/src/_lib/boundDiscardedBody.ts
+++ b/packages/rpc/src/_lib/boundDiscardedBody.ts
@@ -13,6 +13,7 @@
  */
 export function boundDiscardedBody (request: http.IncomingMessage): void {
   const { socket } = request
+  if (socket.destroyed) return
   const bytesBefore = socket.bytesRead
   const timer = setInterval(check, CHECK_INTERVAL_MS)
   request.once('close', () => { clearInterval(timer) })
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http'
 import * as clock from '@switchridge/clock'
 import * as boundDiscardedBody from '../_lib/boundDiscardedBody.js'
+import * as createParserFeed from '../_lib/createParserFeed.js'
 
 /**
  * Phases of a connection. `idle`: no request arrives or is handled, `receiving`: a part of a request's head has arrived, `serving`: a request is handled,
@@ -60,19 +61,31 @@
 /** In the first turn without a new connection, the event loop may not have looked for one. */
 const QUIET_TURNS = 2
 
+/** Requests of a connection that are handled or wait for those before them; what a peer sends beyond is not parsed until one is answered. */
+export const MAXIMUM_OPEN_REQUESTS = 16
+/** Bytes that are parsed since the begin of the first request that waits for another. */
+const MAXIMUM_BYTES_AHEAD = 16 * 1024
+/** Requests of a connection that are parsed in one turn of the event loop. */
+const REQUESTS_PER_TURN = MAXIMUM_OPEN_REQUESTS
+
+const LATE_HEAD_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 /** Statuses of requests that can't be parsed or whose head does not arrive in time, by the code of the error. */
 const STATUS_OF_ERROR: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+  [LATE_HEAD_CODE]: '408 Request Timeout'
 }
 const DEFAULT_ERROR_STATUS = '400 Bad Request'
 
 interface Connection {
   readonly socket: net.Socket
-  readonly responses: Set<http.ServerResponse>
+  readonly feed: createParserFeed.ParserFeed
+  /** The responses that are not closed, in the order of their requests, and the bytes that had been parsed when the heads of these were. */
+  readonly responses: Map<http.ServerResponse, number>
   /** Number of requests whose head has been read. */
   requests: number
+  /** Requests that had been read at the begin of this turn of the event loop. */
+  requestsBeforeTurn: number
   /** Bytes that had been written before the last request. */
   writtenBefore: number
   /** Since when no request is handled, a monotonic time in milliseconds. */
@@ -99,7 +112,8 @@
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const connection: Connection = { socket, responses: new Set(), requests: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
+    const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), setImmediate)
+    const connection: Connection = { socket, feed, responses: new Map(), requests: 0, requestsBeforeTurn: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -115,13 +129,15 @@
       request.resume()
       return
     }
+    if (connection.requests === connection.requestsBeforeTurn) setImmediate(() => { connection.requestsBeforeTurn = connection.requests })
     connection.requests += 1
     if (connection.responses.size === 0) connection.writtenBefore = request.socket.bytesWritten
     connection.refusal = null
-    connection.responses.add(response)
+    connection.responses.set(response, connection.feed.readBytes())
     response.once('close', () => {
       connection.responses.delete(response)
       noteIdle(connection)
+      connection.feed.resume()
       const { refusal } = connection
       if (refusal !== null && !hasWholeRequest(connection)) runWithoutRequest(connection, () => { refuse(connection, refusal) })
       if (request.complete) return
@@ -139,7 +155,7 @@
 
   /** Node.js closes only the response that is being sent; those of pipelined requests behind it would stay open. */
   function closeResponses ({ responses }: Connection): void {
-    for (const response of responses) {
+    for (const response of responses.keys()) {
       response.destroy()
       response.emit('close')
     }
@@ -149,6 +165,7 @@
     const { socket } = connection
     connection.isClosing = true
     socket.end()
+    connection.feed.discard()
     if (socket.writableFinished) linger(socket)
     else socket.once('finish', () => { linger(socket) })
   }
@@ -156,7 +173,6 @@
   function linger (socket: net.Socket): void {
     const timer = setTimeout(() => { socket.destroy() }, LINGER_MS)
     socket.once('close', () => { clearTimeout(timer) })
-    socket.resume()
   }
 
   function destroy ({ socket, responses, isClosing }: Connection): void {
@@ -192,7 +208,7 @@
     const { bytesRead } = socket
     runWithoutRequest(connection, () => {
       const phase = readPhase(connection)
-      const isStalled = phase === 'receiving' && socket.bytesRead === bytesRead
+      const isStalled = phase === 'receiving' && socket.bytesRead === bytesRead && !connection.feed.isBehind()
       const idleMs = performance.now() - idleSince
       // The limit may have become longer since the timer was set.
       const limitMs = server.keepAliveTimeout + KEEP_ALIVE_BUFFER_MS
@@ -212,11 +228,11 @@
     const { requests } = connection
     const wasIdle = readPhase(connection) === 'idle'
     runWithoutRequest(connection, () => {
-      if (!wasIdle || readPhase(connection) === 'idle') refuseAfterAnswers(connection, error)
+      if (!connection.feed.isBehind() && (!wasIdle || readPhase(connection) === 'idle')) refuseAfterAnswers(connection, error)
       else startHeadTimeout()
     })
 
-    /** Limits the time of a head that has only just begun. Node.js does not if it consists of empty lines so far. */
+    /** Limits the time of a head that has only just begun, or of which the rest may have arrived. Node.js does not if it consists of empty lines so far. */
     function startHeadTimeout (): void {
       const { socket } = connection
       const timer = setTimeout(() => { if (connection.requests === requests) refuseLateHead(connection, error) }, server.headersTimeout)
@@ -252,7 +268,7 @@
     await acceptEstablished()
     stopAccepting()
     for (const { responses } of connections.values()) {
-      for (const response of responses) if (!response.headersSent) response.shouldKeepAlive = false
+      for (const response of responses.keys()) if (!response.headersSent) response.shouldKeepAlive = false
     }
     await new Promise<void>((resolve) => {
       const timer = setInterval(check, CHECK_INTERVAL_MS)
@@ -278,7 +294,7 @@
   server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
     const connection = connections.get(socket)
     if (connection === undefined) socket.destroy()
-    else if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') refuseLateHead(connection, error)
+    else if (error.code === LATE_HEAD_CODE) refuseLateHead(connection, error)
     else if (!connection.isClosing) refuseAfterAnswers(connection, error)
   })
   return {
@@ -299,7 +315,7 @@
 
 /** Answers a request that can't be parsed or whose head does not arrive in time, and closes its connection. */
 function refuse ({ socket, responses }: Connection, { code = '' }: NodeJS.ErrnoException): void {
-  const [pendingResponse] = responses
+  const [pendingResponse] = responses.keys()
   if (code === 'ECONNRESET' || !socket.writable || pendingResponse?.headersSent === true) {
     socket.destroy()
     return
@@ -308,12 +324,20 @@
   socket.destroySoon()
 }
 
+/** Whether the parser may get more of what a peer has sent ahead. */
+function decideFeed ({ feed, responses, requests, requestsBeforeTurn, refusal }: Connection): createParserFeed.FeedDecision {
+  const [, waitingSinceBytes] = responses.values()
+  const isAhead = waitingSinceBytes !== undefined && feed.readBytes() - waitingSinceBytes > MAXIMUM_BYTES_AHEAD
+  if (responses.size >= MAXIMUM_OPEN_REQUESTS || isAhead || (refusal !== null && refusal.code !== LATE_HEAD_CODE)) return 'held'
+  return requests - requestsBeforeTurn >= REQUESTS_PER_TURN ? 'later' : 'now'
+}
+
 function hasWholeRequest ({ responses }: Connection): boolean {
-  return [...responses].some(({ req: request }) => request.complete)
+  return [...responses.keys()].some(({ req: request }) => request.complete)
 }
 
-function readPhase ({ socket, responses, idleBytes, isClosing }: Connection): ConnectionPhase {
+function readPhase ({ socket, feed, responses, idleBytes, isClosing }: Connection): ConnectionPhase {
   if (isClosing) return 'closing'
-  if (responses.size > 0) return [...responses].every((response) => response.writableEnded) ? 'delivering' : 'serving'
-  return socket.bytesRead > idleBytes + EMPTY_LINE_BYTES ? 'receiving' : 'idle'
+  if (responses.size > 0) return [...responses.keys()].every((response) => response.writableEnded) ? 'delivering' : 'serving'
+  return socket.bytesRead > idleBytes + EMPTY_LINE_BYTES || feed.isBehind() ? 'receiving' : 'idle'
 }
