Parse requests that were sent ahead in turn with the work of other peers

Beside one caller that sends requests without end, answered at once, and more so beside many, a turn of the event loop was as long as all that their reads had brought. A connection that has had its share of a turn goes on in the queue of runInTurns, as does one whose bytes are discarded before it is closed.

--- a/packages/rpc/src/_lib/createParserFeed.ts
+++ b/packages/rpc/src/_lib/createParserFeed.ts
@@ -39,25 +39,32 @@
   function feed (): void {
     if (isFeeding || isScheduled || socket.destroyed) return
     isFeeding = true
+    if (isDiscarding) discardRead()
     while (mayPassOn()) {
-      const bytes = isDiscarding ? socket.readableLength : Math.min(socket.readableLength, PART_BYTES)
+      const bytes = Math.min(socket.readableLength, PART_BYTES)
       readBytes += bytes
       socket.read(bytes)
     }
     isFeeding = false
     // Emits the end of the stream, and reads on.
-    if (socket.readableLength === 0) socket.read(0)
+    if (!isScheduled && socket.readableLength === 0) socket.read(0)
   }
 
   function mayPassOn (): boolean {
-    if (socket.destroyed || socket.readableLength === 0) return false
-    if (isDiscarding) return true
+    if (isDiscarding || socket.destroyed || socket.readableLength === 0) return false
     if (isPaused || isPausedByServer(socket)) return false
     const decision = decide()
     if (decision === 'later') feedLater()
     return decision === 'now'
   }
 
+  /** Discards what one read has brought; the next is made in a later turn. */
+  function discardRead (): void {
+    if (socket.readableLength === 0) return
+    socket.read(socket.readableLength)
+    feedLater()
+  }
+
   function feedLater (): void {
     isScheduled = true
     schedule(() => {
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -7,6 +7,7 @@
 import * as clock from '@switchridge/clock'
 import * as boundDiscardedBody from '../_lib/boundDiscardedBody.js'
 import * as createParserFeed from '../_lib/createParserFeed.js'
+import * as runInTurns from '../runInTurns/index.js'
 
 /**
  * Phases of a connection. `idle`: no request arrives or is handled, `receiving`: a part of a request's head has arrived, `serving`: a request is handled,
@@ -67,6 +68,8 @@
 const MAXIMUM_BYTES_AHEAD = 16 * 1024
 /** Requests of a connection that are parsed in one turn of the event loop. */
 const REQUESTS_PER_TURN = MAXIMUM_OPEN_REQUESTS
+/** Estimate of their work, in the units of {@link runInTurns.runInTurns}. */
+const UNITS_PER_TURN = 100 * REQUESTS_PER_TURN
 
 const LATE_HEAD_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 /** Statuses of requests that can't be parsed or whose head does not arrive in time, by the code of the error. */
@@ -112,7 +115,12 @@
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), setImmediate)
+    const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), (run) => {
+      runInTurns.runInTurns(() => {
+        connection.requestsBeforeTurn = connection.requests
+        run()
+      }, UNITS_PER_TURN)
+    })
     const connection: Connection = { socket, feed, responses: new Map(), requests: 0, requestsBeforeTurn: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
