Refuse calls that can't be served by their head, and discard little of their bodies

A gateway read and kept the whole body of a call, 4 MiB or gigabytes in chunks of one byte, before it refused the call for its unknown key, for a path without a route, or since it had no configuration yet. Eight callers without a key could end it. Such calls, and those that a draining gateway refuses by their head, get their answer at once and without 100 Continue; nothing of their bodies is kept. A body that states more than 64 KiB, or waits for a permission, has its connection closed after the answer; one in chunks is discarded up to 64 KiB with its framing. What is still sent then is read unparsed for up to two seconds, so that no reset overtakes the answer. A body within the bound leaves the connection open as before.

--- a/packages/gateway/src/_lib/answers.ts
+++ b/packages/gateway/src/_lib/answers.ts
@@ -1,6 +1,7 @@
 /** Writes the response to a call: a back end's, or one of the gateway itself. */
 import type * as http from 'node:http'
 import * as rpc from '@switchridge/rpc'
+import * as types from '@switchridge/types'
 import type * as createHeldBytes from '../createHeldBytes/index.js'
 import type * as callOptions from './callOptions.js'
 
@@ -9,6 +10,8 @@
  * read for this long before its connection is closed.
  */
 const REFUSED_REQUEST_READ_MS = 2000
+/** Bytes that are discarded of the body of a request that was refused by its head; a longer one ends its connection. */
+const MAXIMUM_REFUSED_BODY_BYTES = 64 * types.BYTES_IN_KIBIBYTE
 /** A body larger than this is passed to the operating system in parts of this size. */
 const PART_BYTES = 262_144
 
@@ -22,6 +25,8 @@
 export interface Reply {
   /** Sends a final response of the gateway itself; `retryAfterMs` tells the caller when to retry. */
   readonly refuse: (status: number, reason: string, retryAfterMs: number | null) => void
+  /** Sends a final response of the gateway itself at once, and discards little of the request's body, which has not begun to be read. */
+  readonly refuseUnread: (status: number, reason: string, retryAfterMs: number | null) => void
   /** Sends a complete response of a back end with its length, so that an early end shows to callers of all versions of HTTP, whatever ends this process. */
   readonly sendBuffered: (status: number, headers: readonly string[], body: Buffer) => void
   /** Whether bytes of a run may be passed on: none have been, or only those of this run, or it goes on after the last event. */
@@ -91,6 +96,12 @@
     response.destroy()
   }
 
+  function writeRefusalHead (status: number, reason: string, retryAfterMs: number | null): Buffer {
+    const body = Buffer.from(`${reason}\n`)
+    writeHead(status, [...protocol.formatGatewayAnswer(requestId, retryAfterMs), 'Content-Type', 'text/plain', 'Content-Length', String(body.length)])
+    return body
+  }
+
   /** Sends the whole response, and closes its connection only once the request has been read, or no more of it is read. */
   function endAfterRequest (body: Buffer): void {
     const { req: request } = response
@@ -145,11 +156,15 @@
     hasEnded: () => response.writableEnded,
     refuse: (status, reason, retryAfterMs) => {
       if (response.headersSent || response.destroyed) return
-      const body = Buffer.from(`${reason}\n`)
-      writeHead(status, [...protocol.formatGatewayAnswer(requestId, retryAfterMs), 'Content-Type', 'text/plain', 'Content-Length', String(body.length)])
+      const body = writeRefusalHead(status, reason, retryAfterMs)
       if (response.shouldKeepAlive || response.req.complete) response.end(body)
       else endAfterRequest(body)
     },
+    refuseUnread: (status, reason, retryAfterMs) => {
+      if (response.headersSent || response.destroyed) return
+      rpc.discardBody(response.req, response, MAXIMUM_REFUSED_BODY_BYTES)
+      response.end(writeRefusalHead(status, reason, retryAfterMs))
+    },
     sendBuffered: (status, headers, body) => {
       if (response.destroyed) return
       writeHead(status, [...headers, 'Content-Length', String(body.length)])
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -79,6 +79,7 @@
     const limits = table?.configuration.limits
     let routed: RoutedCall | null = null
     let requestedAt: number | null = null
+    let isReading = false
     let isRefused = false
     await serveRouted().catch(endBroken)
     readings.delete(recheck)
@@ -86,10 +87,14 @@
     holding?.noteRun()
 
     async function serveRouted (): Promise<void> {
-      routed = table === null ? null : routeCall(table, head)
+      if (table === null) return reply.refuseUnread(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
+      routed = routeCall(table, head)
+      if (!routed.ok) return reply.refuseUnread(routed.status, routed.reason, null)
       readings.add(recheck)
       recheck(false)
-      if (!isRefused && request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
+      if (isRefused) return
+      isReading = true
+      if (request.headers.expect !== undefined && request.httpVersion === HTTP_WITH_CONTINUE) response.writeContinue()
       const body = await rpc.readBoundedBody(request, (limits ?? gateway.DEFAULT_CALLER_LIMITS).maximumBodyBytes, { mayHold: (heldBytes) => !isRefused && (holding?.noteUpload(heldBytes) ?? true) })
       readings.delete(recheck)
       requestedAt = options.now()
@@ -99,8 +104,6 @@
       if (body.kind === 'not-held') return refuseBody()
       holding?.noteRunning()
       if (body.kind === 'too-large') return reply.refuse(413, 'body too large', null)
-      if (table === null || routed === null) return reply.refuse(503, 'no configuration yet', callState.NO_CONFIGURATION_RETRY_MS)
-      if (!routed.ok) return reply.refuse(routed.status, routed.reason, null)
       if (!mayFinish(0)) return refuseWhileDraining()
       if (head.promptParts === null) options.count('prompt_parts_unreadable')
       const service = pickService(routed.route, options.random())
@@ -182,7 +185,8 @@
       registered.noteEnding('refused')
       options.count('calls_refused_draining')
       options.logger.info('call-refused', { id: head.requestId, reason: 'draining' })
-      reply.refuse(503, callState.DRAIN_REASON, callState.DRAIN_RETRY_MS)
+      const refuse = isReading ? reply.refuse : reply.refuseUnread
+      refuse(503, callState.DRAIN_REASON, callState.DRAIN_RETRY_MS)
     }
 
     /** Refuses a call whose body consists of chunks so small that reading them costs far more than their bytes. */
--- /dev/null
+++ b/packages/rpc/src/discardBody/index.ts
@@ -0,0 +1,28 @@
+/** Discards the body of a request that is refused by its head. */
+import type * as http from 'node:http'
+
+/** Framing of the shortest chunk: its length, and two ends of lines. */
+const CHUNK_FRAMING_BYTES = 5
+
+/**
+ * Discards the body of a request within a bound; the connection stays open if it ends there. Otherwise it is closed after the response, at once if the request states a longer body,
+ * or waits for the permission to send it.
+ *
+ * @param request - A request whose body has not begun to be read.
+ * @param response - Its response, whose head is not sent yet, and which is to be ended at once.
+ * @param maximumBytes - Bytes of the body that are discarded, with the framing of its chunks.
+ */
+export function discardBody (request: http.IncomingMessage, response: http.ServerResponse, maximumBytes: number): void {
+  const { headers, socket } = request
+  if (request.complete) return
+  if (headers.expect !== undefined || Number(headers['content-length'] ?? 0) > maximumBytes) response.shouldKeepAlive = false
+  if (headers['transfer-encoding'] === undefined) return
+  let bytes = 0
+  request.on('data', (part: Buffer) => {
+    bytes += part.length + CHUNK_FRAMING_BYTES
+    if (bytes <= maximumBytes || request.isPaused()) return
+    request.pause()
+    if (response.writableFinished) socket.destroySoon()
+    else response.once('finish', () => { socket.destroySoon() })
+  })
+}
