Send one call at a time to an engine whose answers were none, until it answers one

Cause: an engine that sends what is no answer (no HTTP, heads, framing, events or streams without end) was avoided like one that fails, for 0.3 to 3 s, and then got all calls again until the first of them was given up. Each such call costs its gateway far more than a call that fails.

Change: noteNoAnswer avoids the engine as after a failure, also while its agent has paused calls, and keeps avoiding it while the call that tries it again is open, until one succeeds or its instance changes. It is avoided by penalty, as before, so that a service whose only engine it is keeps being served.

--- a/packages/daemon/src/startGatewayRole/endlessStreams.test.ts
+++ b/packages/daemon/src/startGatewayRole/endlessStreams.test.ts
@@ -18,6 +18,9 @@
 const JUDGED_MS = 4000
 const LATENCY_OBJECTIVE_MS = 500
 const ANSWERED_FRACTION = 0.99
+/** An engine is avoided for 3 s at most after a failure; it is tried again so often at most, after 0.3, 0.6, 1.2, 2.4 and 3 s. */
+const AVOIDANCE_JUDGED_MS = 8000
+const MAXIMUM_TRIES = 6
 const HTTP_OK = 200
 
 interface EndlessStream {
@@ -51,14 +54,14 @@
   readonly inTime: number
 }
 
-/** Calls the sound service, one call after the other from each caller. */
-async function callSoundService (gateway: types.Address, name: string, forMs: number): Promise<SoundCalls> {
+/** Calls a service, one call after the other from each caller. */
+async function callService (gateway: types.Address, service: fleetTesting.TestService, name: string, forMs: number): Promise<SoundCalls> {
   const endsAt = performance.now() + forMs
   const calls: Array<{ status: number, tookMs: number }> = []
   await Promise.all(Array.from({ length: SOUND_CALLERS }, async (_, caller) => {
     for (let index = 0; performance.now() < endsAt; index += 1) {
       const sentAt = performance.now()
-      const status = await fleetTesting.callService(gateway, fleetTesting.PLAIN_SERVICE, `${name}-${caller}-${index}`).then((answer) => answer.status, () => 0)
+      const status = await fleetTesting.callService(gateway, service, `${name}-${caller}-${index}`).then((answer) => answer.status, () => 0)
       calls.push({ status, tookMs: performance.now() - sentAt })
     }
   }))
@@ -72,7 +75,7 @@
   readonly beginFaulty: () => void
 }
 
-async function openGateway (context: nodeTest.TestContext, stream: EndlessStream, callers: number, isResumable: boolean): Promise<Opened> {
+async function openGateway (context: nodeTest.TestContext, stream: Pick<EndlessStream, 'text'>, callers: number, isResumable: boolean, hasSoundStreams = false): Promise<Opened> {
   const fleet = await fleetTesting.createTestFleet(context)
   fleet.configure((configuration) => {
     for (const route of configuration.routes) Object.assign(route, { resumable: isResumable && testing.isStreamRoute(route) })
@@ -85,6 +88,7 @@
   const faulty = await fleet.startEngine({ id: 'i-faulty', ...engine }, name)
   fleet.store.put('servers', 'i-faulty', testing.describeEngine({ ...faulty, address: { host: types.LOOPBACK_HOST, port } }, name, 'zone-a', { name: fleetTesting.MODEL, version: 1 }))
   await fleet.startEngine({ id: 'i-sound', shapeAnswer: () => ({ delayMs: SOUND_ANSWER_MS }) }, fleetTesting.PLAIN_SERVICE.name)
+  if (hasSoundStreams) await fleet.startEngine({ id: 'i-streams', ...engine }, name)
   const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, 'memory_megabytes = 350\n'), { nodeOptions: NODE_OPTIONS })
   await program.waitForOutput('event=started')
   await fleet.waitUntilReady(HOST)
@@ -97,9 +101,9 @@
     for (const callers of [1, 64]) {
       nodeTest.test(`sound calls are served beside ${callers} endless streams: ${stream.name} (${isResumable ? 'resumable' : 'not resumable'})`, OPTIONS, async (context) => {
         const { gateway, program, beginFaulty } = await openGateway(context, stream, callers, isResumable)
-        await callSoundService(gateway, 'before', 300)
+        await callService(gateway, fleetTesting.PLAIN_SERVICE, 'before', 300)
         beginFaulty()
-        const sound = await callSoundService(gateway, 'beside', JUDGED_MS)
+        const sound = await callService(gateway, fleetTesting.PLAIN_SERVICE, 'beside', JUDGED_MS)
         const peakBytes = programTesting.readPeakMemoryBytes(program)
         const figures = `${sound.answered} of ${sound.sent} answered, ${sound.inTime} in time, slowest ${Math.round(sound.slowestMs)} ms, ${Math.round(peakBytes / 1e6)} MB`
         context.diagnostic(figures)
@@ -111,3 +115,14 @@
     }
   }
 }
+
+nodeTest.test('calls are answered by the sound engine of the same service, and the one whose streams have no end is tried again', OPTIONS, async (context) => {
+  const { gateway, program } = await openGateway(context, { text: 'data: x\n' }, 0, true, true)
+  const calls = await callService(gateway, fleetTesting.STREAM_SERVICE, 'stream', AVOIDANCE_JUDGED_MS)
+  // The first calls were sent before the first answer was given up.
+  const triedAgain = program.output().match(/event=answer-given-up .*id=stream-\d+-[1-9]\d* backEnd=i-faulty/g)?.length ?? 0
+  const figures = `${calls.answered} of ${calls.sent} answered, tried again ${triedAgain} times`
+  context.diagnostic(figures)
+  assert.ok(calls.answered >= ANSWERED_FRACTION * calls.sent, figures)
+  assert.ok(triedAgain >= 1 && triedAgain <= MAXIMUM_TRIES, figures)
+})
--- a/packages/gateway/src/_lib/noteOutcome.ts
+++ b/packages/gateway/src/_lib/noteOutcome.ts
@@ -19,6 +19,7 @@
   if (outcome.kind === 'done') options.tracker.noteSuccess(id)
   else if (outcome.kind === 'not-run' && outcome.isGone) options.tracker.noteInstanceEnded(id)
   else if (outcome.kind === 'not-run') options.tracker.noteFull(id)
+  else if (outcome.kind === 'broken' && outcome.isNoAnswer === true) options.tracker.noteNoAnswer(id)
   else if (outcome.kind !== 'failed-answer' && !isFailureNoted) options.tracker.noteFailure(id)
   if (outcome.kind === 'done') return
   const features = outcome.kind === 'broken' ? { fingerprint: call.fingerprint(), parts: callState.describeParts(call) } : {}
--- a/packages/gateway/src/_lib/runAttempt.ts
+++ b/packages/gateway/src/_lib/runAttempt.ts
@@ -39,8 +39,11 @@
   | { readonly kind: 'not-run', readonly reason: string, readonly isGone: boolean }
   /** The back end answered with a server error. */
   | { readonly kind: 'failed-answer', readonly reason: string, readonly answer: BufferedAnswer }
-  /** The call may have run, and its response is lost or truncated; `isClosedByPeer` if the back end's side ended the connection. */
-  | { readonly kind: 'broken', readonly reason: string, readonly isClosedByPeer: boolean }
+  /**
+   * The call may have run, and its response is lost or truncated; `isClosedByPeer` if the back end's side ended the connection, `isNoAnswer` if what arrived was none:
+   * no HTTP, or without end.
+   */
+  | { readonly kind: 'broken', readonly reason: string, readonly isClosedByPeer: boolean, readonly isNoAnswer?: boolean }
 
 /** State shared by the attempts of one stream. */
 export interface StreamState {
@@ -232,9 +235,10 @@
     buffer?.close()
     const received = attempt.readReceived?.() ?? null
     const reason = givenUpReason ?? (isDropped ? 'no-memory' : received?.violation ?? null)
-    if (outcome.kind === 'broken' && reason !== null) logGivenUp.logGivenUp({ id: head.requestId, backEnd: choice.backEnd.id, reason, received }, options)
     attempt.abort()
-    return outcome
+    if (outcome.kind !== 'broken' || reason === null) return outcome
+    logGivenUp.logGivenUp({ id: head.requestId, backEnd: choice.backEnd.id, reason, received }, options)
+    return { ...outcome, isNoAnswer: reason !== 'no-memory' }
   }
 
   function giveUp (reason: logGivenUp.GivenUpReason, text: string): AttemptOutcome {
--- a/packages/gateway/src/createBackEndTracker/index.ts
+++ b/packages/gateway/src/createBackEndTracker/index.ts
@@ -43,7 +43,7 @@
   readonly linkDelayMs: number
   /** Whether a recent connection measured the round trip. Heartbeats only measure the direction from the back end, and a link may be saturated in one direction only. */
   readonly isRoundTripMeasured: boolean
-  /** Monotonic time in milliseconds until which it is avoided after failures. */
+  /** Monotonic time in milliseconds until which it is avoided after failures; Infinity while a call tries whether it sends answers again. */
   readonly avoidedUntil: number
   /** Whether this instance of the back end has ended: another process answers at its address, or none. */
   readonly isGone: boolean
@@ -72,6 +72,11 @@
   readonly noteSuccess: (id: types.NodeId) => void
   /** Records a failure. The back end is avoided for a time that doubles with each failure, unless its agent has paused new calls. */
   readonly noteFailure: (id: types.NodeId) => void
+  /**
+   * Records that what the back end sent was no answer, such as bytes without end. It is avoided as after a failure, and then gets one call at a time until it has answered
+   * one, since each such call costs much before it is given up.
+   */
+  readonly noteNoAnswer: (id: types.NodeId) => void
   /** Records that the back end rejected a call because it was full. */
   readonly noteFull: (id: types.NodeId) => void
   /**
@@ -105,6 +110,8 @@
   open: Set<OpenAttempt>
   failures: number
   avoidedUntil: number
+  /** Whether it has sent bytes that were no answer, and has answered no call since. */
+  isSuspect: boolean
   /** Monotonic time in milliseconds at which a call showed that another instance answers at its address. */
   instanceEndedAt: number
   /** Monotonic time in milliseconds at which its process was found to have ended. */
@@ -146,7 +153,7 @@
 
 /** State of a new instance. The link delay and the report interval are kept, because they belong to the machine and the agent. */
 function createInstanceState (): Omit<BackEndState, 'bornAt' | 'typicalReportAgeMs' | 'linkDelayMs'> {
-  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, readyAt: null, returnedAt: -Infinity, answeredAt: -Infinity, isConfirmed: false, open: new Set(), failures: 0, avoidedUntil: 0, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
+  return { report: null, reportAt: 0, isPaused: false, versionChangesAt: Infinity, readyAt: null, returnedAt: -Infinity, answeredAt: -Infinity, isConfirmed: false, open: new Set(), failures: 0, avoidedUntil: 0, isSuspect: false, instanceEndedAt: -Infinity, processEndedAt: -Infinity, connectMs: 0, connectedAt: 0 }
 }
 
 /** Whether the engine serves now, but didn't when it was last reported. */
@@ -210,7 +217,7 @@
       versionChangesAt: isFresh ? state.versionChangesAt : Infinity,
       linkDelayMs: Math.max(isFresh ? state.linkDelayMs : 0, now() - state.connectedAt > CONNECT_VALID_MS ? 0 : state.connectMs),
       isRoundTripMeasured: state.connectedAt > 0 && now() - state.connectedAt <= CONNECT_VALID_MS,
-      avoidedUntil: state.avoidedUntil,
+      avoidedUntil: state.isSuspect && state.open.size > 0 ? Infinity : state.avoidedUntil,
       isGone: hasInstanceEnded(state) || hasProcessEnded(state),
       readyAt: reportAgeMs <= READY_VALID_MS ? state.readyAt : null,
       returnedAt: state.returnedAt,
@@ -219,6 +226,12 @@
     }
   }
 
+  function avoid (state: BackEndState): void {
+    state.failures += 1
+    const pauseMs = Math.min(state.isConfirmed ? AVOID_MAXIMUM_MS : AVOID_UNCONFIRMED_MAXIMUM_MS, AVOID_BASE_MS * 2 ** (state.failures - 1))
+    state.avoidedUntil = Math.max(state.avoidedUntil, now() + pauseMs)
+  }
+
   function hasInstanceEnded (state: BackEndState): boolean {
     const isIdentified = state.report !== null && state.report.bornAt !== null && state.report.bornAt === state.bornAt
     return state.instanceEndedAt > -Infinity && !(isIdentified && hasReportedAfter(state, state.instanceEndedAt))
@@ -261,15 +274,18 @@
     noteSuccess: (id) => {
       const state = find(id)
       state.failures = 0
+      state.isSuspect = false
       state.answeredAt = now()
       state.isConfirmed = true
     },
     noteFailure: (id) => {
       const state = find(id)
-      if (state.isPaused) return
-      state.failures += 1
-      const pauseMs = Math.min(state.isConfirmed ? AVOID_MAXIMUM_MS : AVOID_UNCONFIRMED_MAXIMUM_MS, AVOID_BASE_MS * 2 ** (state.failures - 1))
-      state.avoidedUntil = Math.max(state.avoidedUntil, now() + pauseMs)
+      if (!state.isPaused) avoid(state)
+    },
+    noteNoAnswer: (id) => {
+      const state = find(id)
+      state.isSuspect = true
+      avoid(state)
     },
     noteFull: (id) => {
       const state = find(id)
