Gather small writes of answers that daemons pass on

Cause: entry nodes and backend daemons wrote each chunk of an answer to their caller, and what had been read while the caller didn't read waited chunk by chunk in the message and in the response; each such chunk takes hundreds of bytes beside its few.

Change: sendStream writes through createGatheredWriter, and holds the socket of the answer instead of its message while the caller doesn't read.

--- a/packages/daemon/src/_lib/sendStream.test.ts
+++ b/packages/daemon/src/_lib/sendStream.test.ts
@@ -77,3 +77,46 @@
     assert.equal(isComplete, true)
   })
 }
+
+/** Guards against a queue of small writes to a caller that reads slowly, which takes many times the memory of its bytes. */
+nodeTest.test('what a caller has not read waits in few writes, and all of it arrives in order', LIMIT, async (context) => {
+  const words = Array.from({ length: 400_000 }, (_, index) => `${index} `.padStart(20, '.'))
+  const engine = net.createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n')
+      socket.write(`${words.map((word) => `14\r\n${word}\r\n`).join('')}0\r\n\r\n`)
+    })
+  })
+  await new Promise<void>((resolve) => { engine.listen(0, types.LOOPBACK_HOST, resolve) })
+  const agents = rpc.createHttpAgents()
+  const app = new Koa()
+  let writes = 0
+  let isComplete = false
+  app.use(async (koa) => {
+    const opened = await rpc.openRequest(agents, { base: `http://${types.LOOPBACK_HOST}:${(engine.address() as net.AddressInfo).port}`, path: '/', method: 'GET', headers: {} })
+    assert.ok(opened.ok)
+    koa.status = 200
+    const write = koa.res.write.bind(koa.res) as (bytes: Buffer, callback: () => void) => boolean
+    koa.res.write = ((bytes: Buffer, callback: () => void) => {
+      writes += 1
+      return write(bytes, callback)
+    }) as typeof koa.res.write
+    isComplete = await sendStream.sendStream(koa, opened.value)
+  })
+  const listener = await rpc.listenHttp(app.callback(), { host: types.LOOPBACK_HOST, port: 0 })
+  context.after(() => {
+    agents.destroy()
+    listener.abort()
+    engine.close()
+  })
+  const response = await rpc.openRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path: '/', method: 'GET', headers: {} })
+  assert.ok(response.ok)
+  response.value.pause()
+  await types.delay(300)
+  const parts: Buffer[] = []
+  for await (const part of response.value) parts.push(part as Buffer)
+  assert.ok(Buffer.concat(parts).toString() === words.join(''))
+  assert.equal(isComplete, true)
+  assert.ok(writes < words.length / 100, `${writes} writes`)
+})
--- a/packages/daemon/src/_lib/sendStream.ts
+++ b/packages/daemon/src/_lib/sendStream.ts
@@ -20,10 +20,11 @@
   // The end of its connection marks the end of a response without a length to a caller of HTTP/1.0.
   if (!context.res.chunkedEncoding && !context.res.hasHeader('content-length')) rpc.resetUnfinished(context.res)
   boundFraming(source)
+  const sink = createSink(context.res, source)
   return await new Promise<boolean>((resolve) => {
     const settle = (error: Error | null | undefined): void => { resolve(error == null) }
-    if (confirmEnd === undefined) stream.pipeline(source, context.res, settle)
-    else stream.pipeline(source, createConfirmedEnd(confirmEnd), context.res, settle)
+    if (confirmEnd === undefined) stream.pipeline(source, sink, settle)
+    else stream.pipeline(source, createConfirmedEnd(confirmEnd), sink, settle)
   })
 }
 
@@ -33,10 +34,40 @@
   source.on('data', (bytes: Buffer) => {
     if (!framing.accept(bytes.length)) source.destroy(new rpc.ResponseTooLargeError('framing', framing.allowedBytes))
   })
-  if (source.socket !== undefined) rpc.paceMessage(source as http.IncomingMessage)
   source.pause()
 }
 
+/** Creates the destination of the body: it gathers small parts, holds the message while the caller doesn't read, and ends as the response does. */
+function createSink (response: http.ServerResponse, source: rpc.FramedMessage): stream.Writable {
+  const writer = rpc.createGatheredWriter(response)
+  const pacer = source.socket === undefined ? null : rpc.paceMessage(source as http.IncomingMessage)
+  source.pause()
+  const sink = new stream.Writable({
+    write: (bytes: Buffer, _, done) => {
+      if (writer.write(bytes)) {
+        done()
+      } else if (pacer === null) {
+        writer.onDrain(done)
+      } else {
+        // Parts that the sink or the message kept would take more memory than gathered ones.
+        pacer.hold()
+        writer.onDrain(pacer.release)
+        done()
+      }
+    },
+    final: (done) => {
+      response.once('finish', () => { done() })
+      writer.end()
+    },
+    destroy: (error, done) => {
+      if (!response.writableFinished) response.destroy()
+      done(error)
+    }
+  })
+  response.once('close', () => { if (!response.writableFinished) sink.destroy(new types.UnavailableError('closed')) })
+  return sink
+}
+
 /** Passes bytes on, and fails at their end unless that is confirmed. */
 function createConfirmedEnd (confirmEnd: () => Promise<boolean>): stream.Transform {
   return new stream.Transform({
