Bound the nesting and the memory of what is read from the store, object by object

What callers saw: one entry that another writer left in the store, or a few large ones, stopped every reader of its kind, whatever sound entries stood beside it.

- The same nesting in any kind made the answers to peers that copy it throw: agents, which read the store from gateways alone, learnt of no later version.
- A list of more than 16 MiB failed as a whole, again and again (`store-lost`).
Pages have about 1 MB, so that 17 objects of the largest size the store takes are enough.
- A name with half a character at the end of a page threw where it was to continue the list.

Cause: bounds counted the text of a page or list as one, and each value was parsed before anything was known of it.

A value nested deeper than 64 levels is omitted, and so are the largest if those of a page, a list or a mirror exceed 16 MiB of memory by estimate; the object keeps its name and revision, so that lists, watches and digests of copies hold, and its parser reports it once, with the reason (`omitted`).

--- a/packages/daemon/src/_lib/createUnreadableObjects.ts
+++ b/packages/daemon/src/_lib/createUnreadableObjects.ts
@@ -1,6 +1,6 @@
 /** Reports objects of the store that can't be parsed, each state of an object once. */
 import type * as observability from '@switchridge/observability'
-import type * as store from '@switchridge/store'
+import * as store from '@switchridge/store'
 import type * as types from '@switchridge/types'
 
 /** Logger and counter. */
@@ -22,13 +22,13 @@
   /** Revisions of the objects that were reported, by kind and name. */
   const revisions = new Map<string, Map<string, number>>()
 
-  return ({ kind, objects }, { name, revision }, { message }) => {
+  return ({ kind, objects }, { name, revision, value }, { message }) => {
     const listed = objects()
     const reported = new Map([...revisions.get(kind) ?? []].filter(([known]) => listed.has(known)))
     revisions.set(kind, reported)
     if (reported.get(name) === revision) return
     reported.set(name, revision)
     count('objects_unreadable', { kind })
-    logger.warn('object-unreadable', { kind, name, revision, error: message })
+    logger.warn('object-unreadable', { kind, name, revision, error: message, omitted: store.readOmission(value) })
   }
 }
--- a/packages/daemon/src/createBlockArchive/index.ts
+++ b/packages/daemon/src/createBlockArchive/index.ts
@@ -3,7 +3,7 @@
 import * as platform from '@switchridge/platform'
 import * as quarantine from '@switchridge/quarantine'
 import type * as observability from '@switchridge/observability'
-import type * as store from '@switchridge/store'
+import * as store from '@switchridge/store'
 import * as types from '@switchridge/types'
 
 /** Options of {@link createBlockArchive}. */
@@ -70,7 +70,7 @@
   function read (object: store.StoredObject): void {
     const parsed = blockSchema.safeParse(object.value)
     if (!parsed.success) {
-      logger.warn('object-unreadable', { kind: platform.OBJECT_KINDS.blocks, name: object.name, revision: object.revision, error: parsed.error.message })
+      logger.warn('object-unreadable', { kind: platform.OBJECT_KINDS.blocks, name: object.name, revision: object.revision, error: parsed.error.message, omitted: store.readOmission(object.value) })
       return
     }
     const { fingerprint, count, blockedAt } = parsed.data
--- a/packages/daemon/src/createFleetParts/index.ts
+++ b/packages/daemon/src/createFleetParts/index.ts
@@ -126,7 +126,7 @@
     if (object === undefined || object.revision <= adoptedRevision) return
     const parsed = platform.parseConfiguration(object.value)
     if (!parsed.ok) {
-      if (object.revision !== unreadableRevision) logger.error('configuration-unreadable', { revision: object.revision, error: parsed.error.message })
+      if (object.revision !== unreadableRevision) logger.error('configuration-unreadable', { revision: object.revision, error: parsed.error.message, omitted: store.readOmission(object.value) })
       unreadableRevision = object.revision
       return
     }
--- a/packages/store/src/createMirror/index.ts
+++ b/packages/store/src/createMirror/index.ts
@@ -1,6 +1,7 @@
 /** A local copy of all objects of one kind, updated by a list and watch of the store or by changes from a peer. */
 import * as types from '@switchridge/types'
 import * as digestObjects from '../_lib/digestObjects.js'
+import * as limitHeldBytes from '../limitHeldBytes/index.js'
 
 /** An object of the store. */
 export interface StoredObject {
@@ -128,7 +129,9 @@
     for (const name of objects.keys()) if (!next.has(name)) recordRemoval(name, at)
     for (const name of removals.keys()) if (next.has(name)) removals.delete(name)
     const hasChanged = !isInitialized || digest !== state.digest
-    objects = next
+    const values = [...next.values()]
+    const limited = limitHeldBytes.limitHeldBytes(values)
+    objects = limited === values ? next : new Map(limited.map((object) => [object.name, object]))
     state = { at, digest }
     isInitialized = true
     if (hasChanged) for (const listener of listeners) listener()
