Keep following the store after the handling of what it returned threw

The loop that follows a kind of objects had nothing to catch an exception of the store's client or of a listener of the mirror. The process went on (uncaught exceptions are logged), but nothing of that kind was followed again: neither engines nor configurations nor versions.

The new test, a listener and then a watch that throw, fails without it, and ends the loop.

--- a/packages/daemon/src/createFleetExchange/index.ts
+++ b/packages/daemon/src/createFleetExchange/index.ts
@@ -147,7 +147,8 @@
       random: options.random,
       mayWatch: () => watchDuty.mayWatch(mirror.isInitialized(), mirrorSyncs.get(mirror.kind)?.isReachable() ?? true, mirror.kind === platform.OBJECT_KINDS.configuration ? 'each-hall' : 'few-halls'),
       mayWatchChanged: async () => { await new Promise<void>((resolve) => { pendingWakes.push(resolve) }) },
-      onReachabilityChange: (isReachable, reason) => { parts.logger.warn(isReachable ? 'store-regained' : 'store-lost', { kind: mirror.kind, reason }) }
+      onReachabilityChange: (isReachable, reason) => { parts.logger.warn(isReachable ? 'store-regained' : 'store-lost', { kind: mirror.kind, reason }) },
+      onError: (thrown) => { parts.logger.error('store-sync-failed', { kind: mirror.kind, error: types.describeError(thrown) }) }
     }))
     mirror.onChange(() => { gossip.sendNow() })
   }
--- a/packages/store/src/syncMirror/index.ts
+++ b/packages/store/src/syncMirror/index.ts
@@ -16,6 +16,8 @@
   readonly mayWatchChanged: () => Promise<void>
   /** Called when the store becomes unreachable and when it is reachable again. */
   readonly onReachabilityChange: (isReachable: boolean, reason: string) => void
+  /** Called with what a request, or the handling of what it returned, threw; the synchronization goes on after a delay. */
+  readonly onError: (thrown: unknown) => void
 }
 
 /** A running synchronization of a mirror. */
@@ -108,9 +110,14 @@
   async function run (): Promise<void> {
     while (!stopping.signal.aborted) {
       isPaused = !options.mayWatch()
-      if (isPaused) await options.mayWatchChanged()
-      else if (isHistoryGone || !mirror.isInitialized()) await list()
-      else await watch()
+      try {
+        if (isPaused) await options.mayWatchChanged()
+        else if (isHistoryGone || !mirror.isInitialized()) await list()
+        else await watch()
+      } catch (thrown) {
+        options.onError(thrown)
+        await types.delay(RETRY_MAXIMUM_MS)
+      }
     }
   }
 
--- a/packages/store/src/syncMirror/test.ts
+++ b/packages/store/src/syncMirror/test.ts
@@ -42,8 +42,8 @@
   }
 }
 
-function startSync (mirror: createMirror.Mirror, store: createMirror.CollectionStore, mayWatch: () => boolean): syncMirror.MirrorSync {
-  return syncMirror.syncMirror({ mirror, store, waitMs: WAIT_MS, random: () => 0.5, mayWatch, mayWatchChanged: async () => { await types.delay(MAY_WATCH_POLL_MS) }, onReachabilityChange: () => {} })
+function startSync (mirror: createMirror.Mirror, store: createMirror.CollectionStore, mayWatch: () => boolean, onError: (thrown: unknown) => void = () => {}): syncMirror.MirrorSync {
+  return syncMirror.syncMirror({ mirror, store, waitMs: WAIT_MS, random: () => 0.5, mayWatch, mayWatchChanged: async () => { await types.delay(MAY_WATCH_POLL_MS) }, onReachabilityChange: () => {}, onError })
 }
 
 nodeTest.test('sends no requests while it may not watch, and then watches from the revision that peers advanced the mirror to', async (context) => {
@@ -94,3 +94,30 @@
   assert.equal(recording.calls.length, 4)
   sync.stop()
 })
+
+nodeTest.test('goes on after a listener of the mirror or the store threw', async (context) => {
+  context.mock.timers.enable({ apis: ['setTimeout'] })
+  let revision = 60
+  const recording = createRecordingStore(() => ++revision)
+  const mirror = createMirror.createMirror(KIND)
+  const errors: unknown[] = []
+  const listed: number[] = []
+  mirror.onChange(() => {
+    listed.push(mirror.objects().size)
+    if (listed.length === 1) throw new Error('listener')
+  })
+  const store: createMirror.CollectionStore = {
+    ...recording.store,
+    watchAll: async (kind, from, waitMs) => {
+      const watched = await recording.store.watchAll(kind, from, waitMs)
+      if (recording.calls.length === 3) throw new Error('store')
+      return watched.ok ? types.succeed({ at: revision, events: [{ isGone: false, object: { name: 'a', revision, value: {} } }] }) : watched
+    }
+  }
+  const sync = startSync(mirror, store, () => true, (thrown) => { errors.push((thrown as Error).message) })
+  await advance(context, 8000)
+  sync.stop()
+  assert.deepEqual(errors, ['listener', 'store'])
+  assert.deepEqual(listed.slice(0, 2), [0, 1])
+  assert.equal(mirror.state().at, revision)
+})
