--- a/packages/daemon/src/_lib/createUnreadableObjects.ts
+++ b/packages/daemon/src/_lib/createUnreadableObjects.ts
@@ -1,7 +1,7 @@
 /** Reports objects of the store that can't be parsed, each state of an object once. */
 import type * as observability from '@switchridge/observability'
 import * as store from '@switchridge/store'
-import type * as types from '@switchridge/types'
+import * as types from '@switchridge/types'
 
 /** Logger and counter. */
 export interface UnreadableObjectsOptions {
@@ -24,11 +24,15 @@
 
   return ({ kind, objects }, { name, revision, value }, { message }) => {
     const listed = objects()
-    const reported = new Map([...revisions.get(kind) ?? []].filter(([known]) => listed.has(known)))
-    revisions.set(kind, reported)
+    const reported = types.getOrCreate(revisions, kind, () => new Map<string, number>())
+    if (reported.size > listed.size) forgetRemoved(reported, listed)
     if (reported.get(name) === revision) return
     reported.set(name, revision)
     count('objects_unreadable', { kind })
     logger.warn('object-unreadable', { kind, name, revision, error: message, omitted: store.readOmission(value) })
   }
 }
+
+function forgetRemoved (reported: Map<string, number>, listed: ReadonlyMap<string, unknown>): void {
+  for (const name of reported.keys()) if (!listed.has(name)) reported.delete(name)
+}
