Keep following the table beside what another writer left in it

On the own interface, describing an odd cell threw: a row that is null, a value nested 20,000 deep, an id that is an object without a text. The exception ended the loop that watches the table, so that an entry node stayed with the table it had, and every later edit was lost to its hall. A text of 1 MB stood in the log whole. A table of 1 MB of empty rows gave so many violations that a process with a heap of 160 MB ended (trial); 35,000 rows of nodes took 0.7 s to be compared with each other, 43 ms now (trial).

Lists and objects are named in messages, texts shortened, rows read until 200 violations are found, and ids compared by a set. `createTableWatch` reports what handling an object threw (`table-watch-failed`) and goes on. The new tests failed before: 44 of the odd values in places of a table threw or gave long messages, and no table was adopted after an odd one.

--- a/packages/daemon/src/createTableWatch/index.ts
+++ b/packages/daemon/src/createTableWatch/index.ts
@@ -57,13 +57,22 @@
         await types.delay(ROLE_CHECK_INTERVAL_MS)
         continue
       }
-      const watched = await options.store.watch(tables.TABLE_KIND, tables.TABLE_NAME, lastVersion, abort.signal)
-      if (abort.signal.aborted) return
-      if (watched.ok) applyObject(watched.value)
-      else await backOff(watched.error)
+      try {
+        await watchOnce()
+      } catch (thrown) {
+        options.logger.error('table-watch-failed', { version: lastVersion, error: types.describeError(thrown) })
+        await types.delay(BACKOFF_MAXIMUM_MS)
+      }
     }
   }
 
+  async function watchOnce (): Promise<void> {
+    const watched = await options.store.watch(tables.TABLE_KIND, tables.TABLE_NAME, lastVersion, abort.signal)
+    if (abort.signal.aborted) return
+    if (watched.ok) applyObject(watched.value)
+    else await backOff(watched.error)
+  }
+
   function applyObject (object: platform.VersionedObject | null): void {
     if (failures > 0) options.logger.info('platform-back', { failures })
     failures = 0
--- a/packages/table/src/parseTable/index.ts
+++ b/packages/table/src/parseTable/index.ts
@@ -3,11 +3,17 @@
 import * as schema from '../_lib/schema.js'
 import * as sections from '../_lib/sections.js'
 
+/** Characters of a value that a message names; ids and most cells are shorter. */
+const LONGEST_DESCRIPTION = 200
+
+/** Rows are read until so many violations are found; those of a whole table of odd rows would take hundreds of megabytes. */
+const MAXIMUM_PROBLEMS = 200
+
 /**
  * Parses a table from untrusted JSON.
  *
  * @param value - Parsed JSON.
- * @returns The table, or all violations.
+ * @returns The table, or its violations; all of them unless there are very many.
  */
 export function parseTable (value: unknown): types.Outcome<types.Table, types.InvalidInputError> {
   const document = schema.tableSchema.safeParse(value)
@@ -26,9 +32,10 @@
 
 function parseRows (section: types.SectionName, rows: readonly unknown[], problems: types.InputProblem[]): unknown[] {
   return rows.map((row) => {
+    if (problems.length >= MAXIMUM_PROBLEMS) return null
     const result = schema.ROW_SCHEMAS[section].safeParse(row)
     if (result.success) return result.data
-    const id = String((row as { id?: unknown }).id)
+    const id = readId(row)
     for (const issue of result.error.issues) problems.push(...describeIssue(section, id, issue, row))
     return null
   })
@@ -47,14 +54,34 @@
     return keys.map((key) => ({ place: sections.formatPlace(section, id, key), given: 'an unknown column', allowed: columns }))
   }
   const column = String(path[0] ?? 'id')
-  const value = (row as Record<string, unknown>)[column]
-  return [{ place: sections.formatPlace(section, id, column), given: value === undefined ? 'nothing' : JSON.stringify(value), allowed: message }]
+  return [{ place: sections.formatPlace(section, id, column), given: describeValue(readColumn(row, column)), allowed: message }]
+}
+
+function readColumn (row: unknown, column: string): unknown {
+  return (row as Record<string, unknown> | null)?.[column]
+}
+
+function readId (row: unknown): string {
+  const id = readColumn(row, 'id')
+  return typeof id === 'string' ? shorten(id) : describeValue(id)
+}
+
+/** Describes a value of any shape. Lists and objects are only named, since their text may be of any length, and overflow the stack where they are nested deeply. */
+function describeValue (value: unknown): string {
+  if (value === undefined) return 'nothing'
+  if (typeof value === 'object' && value !== null) return Array.isArray(value) ? 'a list' : 'an object'
+  return shorten(JSON.stringify(value))
+}
+
+function shorten (text: string): string {
+  return text.length > LONGEST_DESCRIPTION ? `${text.slice(0, LONGEST_DESCRIPTION)}...` : text
 }
 
 function findDuplicates (table: types.Table): types.InputProblem[] {
   return sections.SECTIONS.flatMap((section) => {
-    const ids = table[section].map((row) => row.id as string)
-    const duplicates = new Set(ids.filter((id, index) => ids.indexOf(id) !== index))
+    const known = new Set<string>()
+    const duplicates = new Set<string>()
+    for (const { id } of table[section]) (known.has(id) ? duplicates : known).add(id)
     return [...duplicates].map((id) => ({ place: sections.formatPlace(section, id), given: 'two rows', allowed: 'one row for each id' }))
   })
 }
