Drop datagrams that are nested too deeply

A heartbeat, a digest or a fact may fill a datagram of 64 KiB, and its report of an engine or its content may be of any shape. One nested 16,000 deep was decoded and kept, and formatting it for other halls or peers threw a RangeError (trial): each time, as long as its sender is known, so that nothing is relayed beside it (by reading).

`isNestedDeeper` measures a text without parsing it; datagrams of more than 16 levels are dropped as `bad-shape`, facts without a count, as other unreadable ones. The test of four such datagrams needs it: all four were decoded before.

--- a/packages/spread/src/_lib/factWire.ts
+++ b/packages/spread/src/_lib/factWire.ts
@@ -1,4 +1,5 @@
 /** Datagram format of the fact exchange: JSON arrays that begin with the kind. */
+import * as types from '@switchridge/types'
 import * as wire from './wire.js'
 
 /** A fact as it is sent. */
@@ -50,7 +51,9 @@
 export function decodeFacts (bytes: Buffer): FactMessage | null {
   let parsed: unknown
   try {
-    parsed = JSON.parse(bytes.toString())
+    const text = bytes.toString()
+    if (types.isNestedDeeper(text, wire.MAXIMUM_NESTING)) return null
+    parsed = JSON.parse(text)
   } catch {
     return null
   }
--- a/packages/spread/src/_lib/wire.test.ts
+++ b/packages/spread/src/_lib/wire.test.ts
@@ -2,6 +2,7 @@
 import * as nodeTest from 'node:test'
 import * as fastCheck from 'fast-check'
 import * as types from '@switchridge/types'
+import * as factWire from './factWire.js'
 import type * as heartbeats from './heartbeat.js'
 import * as wire from './wire.js'
 
@@ -93,3 +94,12 @@
     for (const text of texts) assert.deepEqual(wire.decode(Buffer.from(text)), { ok: false, reason: 'bad-shape' }, text.slice(0, 100))
   }
 })
+
+nodeTest.test('datagrams with parts that are nested too deeply to be formatted for others are dropped', () => {
+  const deep = '['.repeat(16_000) + ']'.repeat(16_000)
+  const texts = [`["h",1,0,"n","z","127.0.0.9",1,0,{},[],[],${deep},"x"]`, `["n",1,${deep},"x"]`, `["d",1,0,0]\n["z",{},[],[["n","127.0.0.9",0,0,0,0,${deep}]]]`]
+  for (const text of texts) assert.deepEqual(wire.decode(Buffer.from(text)), { ok: false, reason: 'bad-shape' })
+  assert.equal(factWire.decodeFacts(Buffer.from(`["f",[["id",1,1000,${deep}]]]`)), null)
+  const facts = factWire.decodeFacts(Buffer.from('["f",[["id",1,1000,[[[["a"]]]]]]]'))
+  assert.ok(facts?.type === 'facts' && facts.facts.length === 1)
+})
--- a/packages/spread/src/_lib/wire.ts
+++ b/packages/spread/src/_lib/wire.ts
@@ -85,6 +85,8 @@
 export const DATAGRAM_BYTES = 1200
 /** Bytes of a digest's datagram reserved for its header: three hosts and three numbers. */
 const HEADER_BYTES = 120
+/** Levels of nesting of a datagram, about twice those of a digest; parts of it are formatted again for others by functions that recurse. */
+export const MAXIMUM_NESTING = 16
 const AUDIENCES: readonly Audience[] = ['nobody', 'gateways', 'all']
 const URGENCIES: readonly Urgency[] = [...AUDIENCES, 'sender']
 const AGENT_FLAG = 1
@@ -338,7 +340,9 @@
  */
 export function decode (bytes: Buffer): Decoded {
   try {
-    const message = parse(bytes.toString())
+    const text = bytes.toString()
+    if (types.isNestedDeeper(text, MAXIMUM_NESTING)) return { ok: false, reason: 'bad-shape' }
+    const message = parse(text)
     return message === null ? { ok: false, reason: 'unknown-kind' } : { ok: true, message }
   } catch (error) {
     return { ok: false, reason: error instanceof ShapeError ? 'bad-shape' : 'not-json' }
