Soak gateways beside engines and callers that send without end

From seed 400 on a soak has an engine of a service of its own and callers, each in a thread, that send bytes without end over 1, 8 or 64 connections, in each shape of the table of endless peers, beside signals, restarts, silences and changes of the configuration. Its processes have the heaps of their deployment, and a gateway that uses more than the 350 MB of its machine breaks a promise (MEMORY). The seeds before keep their plans.

--- a/packages/fuzz/src/_lib/endlessGateway.ts
+++ b/packages/fuzz/src/_lib/endlessGateway.ts
@@ -7,6 +7,7 @@
 import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import type * as endlessShapes from './endlessShapes.js'
+import * as readProcessMemory from './readProcessMemory.js'
 
 /** The engines of the services. */
 export interface EndlessEngines {
@@ -83,15 +84,6 @@
     `[store]\naddress = "${testing.formatAddress(store)}"\n[limits]\nmemory_megabytes = ${CLASS_MEGABYTES}\n`
 }
 
-function readStatus (pid: number, name: string): number | null {
-  try {
-    const [, kibibytes] = new RegExp(`^${name}:\\s+(\\d+) kB$`, 'm').exec(fs.readFileSync(`/proc/${pid}/status`, 'utf8')) ?? []
-    return kibibytes === undefined ? null : Number(kibibytes) * types.BYTES_IN_KIBIBYTE
-  } catch {
-    return null
-  }
-}
-
 /**
  * Starts the gateway with the heap of its deployment.
  *
@@ -119,8 +111,8 @@
   void started.exited.then(() => { isAlive = false })
 
   function sample (): void {
-    peakBytes = Math.max(peakBytes, readStatus(started.pid, 'VmHWM') ?? 0)
-    residentBytes = readStatus(started.pid, 'VmRSS') ?? residentBytes
+    peakBytes = Math.max(peakBytes, readProcessMemory.readProcessMemory(started.pid, 'VmHWM') ?? 0)
+    residentBytes = readProcessMemory.readProcessMemory(started.pid, 'VmRSS') ?? residentBytes
   }
 
   const sampler = setInterval(sample, SAMPLE_INTERVAL_MS)
--- a/packages/fuzz/src/_lib/gatewaySoakFleet.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakFleet.ts
@@ -4,6 +4,7 @@
 import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as gatewaySoakPlan from './gatewaySoakPlan.js'
+import * as soakEndlessPeers from './soakEndlessPeers.js'
 import * as soakEngine from './soakEngine.js'
 import * as soakNode from './soakNode.js'
 
@@ -25,6 +26,8 @@
   readonly readinessAddressOf: (node: soakNode.SoakNode) => types.Address
   readonly configure: (change: (configuration: testing.Configuration, turn: number) => void) => void
   readonly nameVersion: () => void
+  /** Peers that send without end; null in a fleet without them. */
+  readonly endlessPeers: soakEndlessPeers.EndlessPeers | null
   /** Starts no process or engine again. */
   readonly noteEnding: () => void
 }
@@ -48,6 +51,8 @@
 /** Loopback networks that differ for soaks that run at the same time. */
 const FIRST_NETWORK = 80
 const NETWORKS = 100
+/** Options of the processes in the deployment file. */
+const HEAP_OPTIONS: Readonly<Record<soakNode.SoakNode['role'], string>> = { gateway: '--max-old-space-size=160', agent: '--max-old-space-size=96' }
 const HALL_NAMES = 'abcdefgh'
 
 /** Starts the platform's services. */
@@ -65,15 +70,17 @@
  * @param services - The platform's services.
  * @param size - Size of the fleet.
  * @param graceMs - Milliseconds from SIGTERM to SIGKILL.
+ * @param hasEndlessPeers - Whether peers send without end; its processes then have the heaps of their deployment.
  * @returns The fleet, whose daemons may not be ready yet.
  */
-export async function startGatewaySoakFleet (processes: launcher.Launcher, { store, origin, servers }: PlatformServices, size: gatewaySoakPlan.GatewaySoakSize, graceMs: number): Promise<GatewaySoakFleet> {
+export async function startGatewaySoakFleet (processes: launcher.Launcher, { store, origin, servers }: PlatformServices, size: gatewaySoakPlan.GatewaySoakSize, graceMs: number, hasEndlessPeers = false): Promise<GatewaySoakFleet> {
   const [internalPort = 0, callerPort = 0, readinessPort = 0, enginePort = 0] = await launcher.findPorts(4)
   const network = FIRST_NETWORK + process.pid % NETWORKS
   const runs: soakEngine.EngineRun[] = []
   const configurations: ConfiguredTimeouts[] = []
   const idleLimits: Array<{ readonly replacedAt: () => number, readonly ms: number }> = []
   let configuration = createSoakConfiguration(testing.formatAddress(origin.address), size.slots)
+  if (hasEndlessPeers) soakEndlessPeers.addEndlessRoutes(configuration)
   let isEnding = false
   let version = 1
   let engineIds = 0
@@ -94,7 +101,7 @@
   function startNode (role: soakNode.SoakNode['role'], hall: number, host: string, node: string, section: string): soakNode.SoakNode {
     const settings = `role = "${role}"\nnode = "${node}"\nzone = "${nameZone(hall)}"\nregion = "region-a"\nhost = "${host}"\nseeds = [${seeds.map((seed) => `"${seed}:1"`).join()}]\ninternal_port = ${internalPort}\n` +
       `[store]\naddress = "${testing.formatAddress(store.address)}"\n${section}[limits]\ngrace_seconds = ${graceMs / types.MILLISECONDS_IN_SECOND}\n[waiting]\nmaximum_calls = ${size.waitingCalls}\n`
-    return soakNode.startSoakNode({ processes, node, role, hall, host, settings, graceMs, mayRestart: () => !isEnding })
+    return soakNode.startSoakNode({ processes, node, role, hall, host, settings, graceMs, ...(hasEndlessPeers ? { nodeOptions: HEAP_OPTIONS[role] } : {}), mayRestart: () => !isEnding })
   }
 
   writeConfiguration()
@@ -128,6 +135,7 @@
       version += 1
       store.put(platform.OBJECT_KINDS.versions, MODEL, { model: MODEL, version })
     },
+    endlessPeers: hasEndlessPeers ? soakEndlessPeers.createEndlessPeers(store, nameZone(0), API_KEY) : null,
     noteEnding: () => { isEnding = true }
   }
 }
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.test.ts
@@ -9,6 +9,8 @@
 const STALE_SEEDS = SEEDS.map((seed) => 299 + seed)
 const STALE_KINDS: readonly string[] = ['stage-turns-stale', 'order-taken-late']
 const SILENT_KINDS: readonly string[] = ['engines-silent', 'engine-reads-nothing', 'limits', 'tenants', 'service-moves', 'split', 'attempts', 'many-routes']
+const ENDLESS_SEEDS = SEEDS.map((seed) => 399 + seed)
+const ENDLESS_KINDS: readonly string[] = ['engine-endless', 'callers-endless']
 const UNPLANNED: readonly string[] = ['kill', 'pause', 'engine-crashes']
 
 nodeTest.test('a seed gives the same plan of a soak each time, and another seed another one', () => {
@@ -37,3 +39,12 @@
     for (const stale of STALE_KINDS) assert.ok(plan.some(({ kind }) => kind === stale))
   }
 })
+
+nodeTest.test('seeds from 400 on have peers that send bytes without end, over one connection and over many, and the seeds before keep plans without them', () => {
+  const planAll = (seeds: readonly number[]): readonly gatewaySoakPlan.GatewayDisturbance[] => seeds.flatMap((seed) => gatewaySoakPlan.planGatewayDisturbances(seed, DURATION_MS, 1))
+  assert.ok(planAll([...SEEDS, ...SILENT_SEEDS, ...STALE_SEEDS]).every(({ kind }) => !ENDLESS_KINDS.includes(kind)))
+  for (const kind of ENDLESS_KINDS) {
+    const connections = new Set(planAll(ENDLESS_SEEDS).filter((each) => each.kind === kind).map((each) => each.connections))
+    assert.deepEqual([...connections].sort((one, other) => Number(one) - Number(other)), [1, 8, 64])
+  }
+})
--- a/packages/fuzz/src/_lib/gatewaySoakPlan.ts
+++ b/packages/fuzz/src/_lib/gatewaySoakPlan.ts
@@ -49,6 +49,10 @@
   | 'stage-turns-stale'
   /** An engine takes its next order late; pieces of its stage turn bad and its agent stands still meanwhile. */
   | 'order-taken-late'
+  /** The engine of a service of its own answers calls with bytes without end, in a form that the target picks. */
+  | 'engine-endless'
+  /** Callers send bytes or requests without end to a gateway, in a form that the target picks. */
+  | 'callers-endless'
   | testing.ConfigurationChangeKind
 
 /** A signal that follows the first one of a disturbance. */
@@ -63,11 +67,13 @@
   readonly kind: GatewayDisturbanceKind
   /** Between 0 and 1; picks what is disturbed among the candidates. */
   readonly target: number
-  /** Length of a pause, time between the end of a process or an engine and its next start, or time from a read of a stage to the moment at which it turns stale, in milliseconds. */
+  /** Length of a pause or of bytes without end, time between the end of a process or an engine and its next start, or time from a read of a stage to the moment at which it turns stale, in milliseconds. */
   readonly forMs: number
   readonly furtherSignals: readonly FurtherSignal[]
   /** Times in milliseconds after the next start of the process at which it gets a SIGHUP. */
   readonly reloadsAfterStartMs: readonly number[]
+  /** Number of connections over which bytes without end come at the same time; 1 when absent. */
+  readonly connections?: number
 }
 
 /** Kinds of calls, with how long and how much they are. */
@@ -123,6 +129,13 @@
 const ORDER_DELAY_MS = 450
 const ORDER_DELAY_SPREAD_MS = 200
 const MAXIMUM_DOWN_MS = 1500
+/** Seeds from this one on have peers that send bytes without end. */
+const FIRST_ENDLESS_SEED = 400
+const ENDLESS_KINDS = ['engine-endless', 'callers-endless'] as const
+/** Each kind of peer sends bytes without end this often at least. */
+const MAXIMUM_ENDLESS_INTERVAL_MS = 5000
+const MAXIMUM_ENDLESS_MS = 2500
+const ENDLESS_CONNECTIONS = [1, 1, 8, 64] as const
 const WARM_UP_TURNS = 10
 const CALLER_KINDS = ['streams', 'streams', 'long-streams', 'long-streams', 'plain', 'plain', 'slow-readers', 'slow-senders'] as const
 const SILENT_SEED_CALLER_KINDS = [...CALLER_KINDS, 'resting', 'halting-answers', 'resting', 'halting-answers'] as const
@@ -179,7 +192,25 @@
       reloadsAfterStartMs: random() < 0.3 ? Array.from({ length: 3 }, () => random() * 1000) : []
     })
   }
-  return [...plan, ...hasStalls(seed) ? planStalls(seed, durationMs, rate) : [], ...hasSilences(seed) ? planSilences(seed, durationMs) : [], ...seed >= FIRST_STALE_SEED ? planStaleStages(seed, durationMs) : []]
+  return [...plan, ...hasStalls(seed) ? planStalls(seed, durationMs, rate) : [], ...hasSilences(seed) ? planSilences(seed, durationMs) : [], ...seed >= FIRST_STALE_SEED ? planStaleStages(seed, durationMs) : [], ...hasEndlessPeers(seed) ? planEndlessPeers(seed, durationMs) : []]
+}
+
+/** Whether a soak has peers that send bytes without end. */
+export function hasEndlessPeers (seed: number): boolean {
+  return seed >= FIRST_ENDLESS_SEED
+}
+
+/** Engines and callers that send bytes without end, over one connection or many; those of different kinds overlap. */
+function planEndlessPeers (seed: number, durationMs: number): GatewayDisturbance[] {
+  const random = createPlanRandom(seed)
+  const plan: GatewayDisturbance[] = []
+  for (const kind of ENDLESS_KINDS) {
+    let atMs = 0
+    while ((atMs += random() * MAXIMUM_ENDLESS_INTERVAL_MS) < durationMs) {
+      plan.push({ atMs, kind, target: random(), forMs: random() * MAXIMUM_ENDLESS_MS, furtherSignals: [], reloadsAfterStartMs: [], connections: pick(ENDLESS_CONNECTIONS, random) })
+    }
+  }
+  return plan
 }
 
 /** Versions, each beside stages that turn stale. */
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.test.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.test.ts
@@ -34,7 +34,7 @@
   deadlineMs: 7000
 }
 const RUN: soakEngine.EngineRun = { id: 'c', engine: 'i-0', beganAt: TERM_AT - 490, endedAt: TERM_AT + 2000, isWhole: false, isEngineEnded: false }
-const DRAINED: soakNode.Incarnation = { node: NODE, role: 'gateway', startedAt: 0, signals: [{ signal: 'SIGTERM', at: TERM_AT }], exitedAt: TERM_AT + 3000, code: 0, wasOverdue: false, logFile: LOG }
+const DRAINED: soakNode.Incarnation = { node: NODE, role: 'gateway', startedAt: 0, signals: [{ signal: 'SIGTERM', at: TERM_AT }], exitedAt: TERM_AT + 3000, code: 0, wasOverdue: false, peakBytes: 0, logFile: LOG }
 const SERVING: soakNode.Incarnation = { ...DRAINED, signals: [], exitedAt: null, code: null }
 
 function findRules (changes: Partial<Seen> & { readonly call?: Partial<Call> }): string[] {
@@ -100,6 +100,8 @@
   ['no answer', { call: { error: 'given up' } }, ['STUCK']],
   ['an answer from layers with bad pieces', { call: WHOLE, faultyAnswers: [{ engine: 'i-0', requestId: 'c', version: 2, badPieces: [{ layer: 0, piece: 1, badMs: 4000 }] }] }, ['WHOLE']],
   ['an exit code other than 0', { call: WHOLE, incarnations: [{ ...DRAINED, code: 4 }] }, ['EXIT']],
+  ['a gateway that uses more memory than its machine has', { call: WHOLE, incarnations: [{ ...DRAINED, peakBytes: 350_000_001 }] }, ['MEMORY']],
+  ['an agent that uses as much', { call: WHOLE, incarnations: [{ ...DRAINED, role: 'agent', peakBytes: 350_000_001 }] }, []],
   ['a process that is killed at the end of its grace period', { call: WHOLE, incarnations: [{ ...DRAINED, exitedAt: TERM_AT + 8000, code: null, wasOverdue: true }] }, ['EXIT']],
   ['the same after a pause', { call: WHOLE, incarnations: [{ ...DRAINED, exitedAt: TERM_AT + 8000, code: null, wasOverdue: true }], disruptions: [{ of: NODE, beganAt: TERM_AT, endedAt: TERM_AT + 100 }] }, []],
   ['a process that never exits', { call: WHOLE, incarnations: [{ ...DRAINED, exitedAt: null, code: null }] }, ['EXIT']],
--- a/packages/fuzz/src/_lib/judgeGatewaySoak.ts
+++ b/packages/fuzz/src/_lib/judgeGatewaySoak.ts
@@ -54,6 +54,8 @@
   | 'EXIT'
   /** A process ended without being told to. */
   | 'ENDED'
+  /** A gateway used more memory than its machine has. */
+  | 'MEMORY'
   /** A process cut a call and did not log it. */
   | 'UNLOGGED'
   /** A call got no answer for too long. */
@@ -85,6 +87,8 @@
 const DRAIN_NOTICE_MS = 4000
 /** A process that ends within this time after its start or a disruption has not ended by itself. */
 const OWN_END_MS = 1000
+/** Memory of a gateway's machine. */
+const MAXIMUM_GATEWAY_BYTES = 350_000_000
 const PROMISES_NOT_RUN: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 /**
@@ -197,7 +201,7 @@
 }
 
 function judgeIncarnation (incarnation: soakNode.Incarnation, seen: GatewaySoakObservations): GatewayProblem[] {
-  const { node, role, startedAt, signals, exitedAt, code, wasOverdue, logFile } = incarnation
+  const { node, role, startedAt, signals, exitedAt, code, wasOverdue, peakBytes, logFile } = incarnation
   const term = soakNode.findStop(incarnation)
   const until = exitedAt ?? seen.endedAt
   const disruptions = seen.disruptions.filter((each) => each.of === node)
@@ -205,6 +209,7 @@
   const describe = (text: string): string => `${text}: started ${formatMs(startedAt - until)}, ${signals.map(({ signal, at }) => `${signal} ${formatMs(at - until)}`).join(', ')}, ended 0 with code ${String(code)}; ${logFile}`
   const problem = (rule: GatewayRule, text: string): GatewayProblem => ({ rule, node, id: '', logged: '', text: describe(text) })
   const problems: GatewayProblem[] = []
+  if (role === 'gateway' && peakBytes > MAXIMUM_GATEWAY_BYTES) problems.push(problem('MEMORY', `used ${peakBytes} bytes`))
   if (term === null) {
     const isNearStart = until - startedAt <= OWN_END_MS
     if (exitedAt !== null && !isNearStart && !isDisruptedIn(until - OWN_END_MS, until)) problems.push(problem('ENDED', 'ended without being told to'))
--- a/packages/fuzz/src/_lib/soakNode.ts
+++ b/packages/fuzz/src/_lib/soakNode.ts
@@ -4,6 +4,7 @@
 import * as url from 'node:url'
 import type * as launcher from '@switchridge/launcher'
 import * as types from '@switchridge/types'
+import * as readProcessMemory from './readProcessMemory.js'
 
 /** One start of a daemon until its end. Times are of the monotonic clock in milliseconds. */
 export interface Incarnation {
@@ -17,6 +18,8 @@
   code: number | null
   /** Whether it was killed because it still ran at the end of the grace period. */
   wasOverdue: boolean
+  /** Largest resident memory in bytes; 0 for a process without options of Node.js, whose heap isn't limited as in a deployment. */
+  peakBytes: number
   readonly logFile: string
 }
 
@@ -54,6 +57,8 @@
   readonly settings: string
   /** Milliseconds from the first signal that stops it to SIGKILL. */
   readonly graceMs: number
+  /** Options of Node.js. */
+  readonly nodeOptions?: string
   /** Whether it is started again. */
   readonly mayRestart: () => boolean
 }
@@ -62,6 +67,7 @@
 /** The platform passes the path of the settings file in this environment variable. */
 const SETTINGS_VARIABLE = 'SWITCHRIDGE_NODE_FILE'
 const DOWN_MS = 300
+const SAMPLE_INTERVAL_MS = 100
 
 /**
  * Starts a daemon.
@@ -69,7 +75,7 @@
  * @param options - What it is, and its settings.
  * @returns The daemon, which may not be ready yet.
  */
-export function startSoakNode ({ processes, node: name, role, hall, host, settings, graceMs, mayRestart }: SoakNodeOptions): SoakNode {
+export function startSoakNode ({ processes, node: name, role, hall, host, settings, graceMs, nodeOptions, mayRestart }: SoakNodeOptions): SoakNode {
   const settingsFile = path.join(processes.folder, `${name}.toml`)
   const incarnations: Incarnation[] = []
   let running: launcher.LaunchedProcess | null = null
@@ -82,13 +88,15 @@
   }
 
   function start (): void {
-    const started = processes.start(`${name}.${incarnations.length}`, PROGRAM, [], { [SETTINGS_VARIABLE]: settingsFile })
-    const incarnation: Incarnation = { node: name, role, startedAt: performance.now(), signals: [], exitedAt: null, code: null, wasOverdue: false, logFile: started.logFile }
+    const started = processes.start(`${name}.${incarnations.length}`, PROGRAM, [], { [SETTINGS_VARIABLE]: settingsFile, ...(nodeOptions === undefined ? {} : { NODE_OPTIONS: nodeOptions }) })
+    const incarnation: Incarnation = { node: name, role, startedAt: performance.now(), signals: [], exitedAt: null, code: null, wasOverdue: false, peakBytes: 0, logFile: started.logFile }
     incarnations.push(incarnation)
     running = started
+    const sampler = nodeOptions === undefined ? undefined : setInterval(() => { incarnation.peakBytes = Math.max(incarnation.peakBytes, readProcessMemory.readProcessMemory(started.pid, 'VmHWM') ?? 0) }, SAMPLE_INTERVAL_MS)
     for (const afterMs of node.next.reloadsAfterStartMs) setTimeout(() => { if (running === started) signal('SIGHUP') }, afterMs)
     void started.exited.then(async (code) => {
       running = null
+      clearInterval(sampler)
       incarnation.exitedAt = performance.now()
       incarnation.code = code
       await types.delay(node.next.downMs)
--- a/packages/fuzz/src/runEndlessPeer/index.ts
+++ b/packages/fuzz/src/runEndlessPeer/index.ts
@@ -1,11 +1,12 @@
 /** Judges a gateway beside a peer that sends without end. */
 import * as timers from 'node:timers/promises'
-import * as workerThreads from 'node:worker_threads'
+import type * as workerThreads from 'node:worker_threads'
 import * as testing from '@switchridge/platform-testing'
 import type * as types from '@switchridge/types'
 import * as endlessGateway from '../_lib/endlessGateway.js'
 import type * as endlessPeer from '../_lib/endlessPeer.js'
 import * as endlessShapes from '../_lib/endlessShapes.js'
+import * as endlessThreads from '../_lib/endlessThreads.js'
 import * as soundCalls from '../_lib/soundCalls.js'
 import * as stallRecord from '../_lib/stallRecord.js'
 
@@ -52,18 +53,6 @@
   connections
 })))
 
-function startThread (data: endlessPeer.PeerThread): workerThreads.Worker {
-  return new workerThreads.Worker(new URL('../_lib/endlessPeer.js', import.meta.url), { workerData: data })
-}
-
-async function startEngine (shape: string | null, addresses: number): Promise<{ readonly thread: workerThreads.Worker, readonly addresses: readonly types.Address[] }> {
-  const thread = startThread({ role: 'engine', shape, addresses })
-  return await new Promise((resolve, reject) => {
-    thread.once('message', (started: readonly types.Address[]) => { resolve({ thread, addresses: started }) })
-    thread.once('error', reject)
-  })
-}
-
 function describeCallers ({ shape, connections }: EndlessRow, gateway: types.Address): endlessPeer.CallersThread {
   const hasKey = shape.kind === 'engine' || shape.hasKey
   return {
@@ -104,7 +93,7 @@
 export async function runEndlessPeer (row: EndlessRow, program?: string): Promise<EndlessResult> {
   const soundEngine = await soundCalls.startSoundEngine()
   const { shape } = row
-  const engine = await startEngine(shape.kind === 'engine' ? shape.name : null, Math.ceil(row.connections / CONNECTIONS_OF_AN_ENGINE))
+  const engine = await endlessThreads.startEngineThread(shape.kind === 'engine' ? shape.name : null, Math.ceil(row.connections / CONNECTIONS_OF_AN_ENGINE))
   const stalls = stallRecord.createStallRecord()
   let gateway: endlessGateway.EndlessGateway | null = null
   let callers: workerThreads.Worker | null = null
@@ -115,8 +104,7 @@
       route: shape.kind === 'engine' ? shape.route : 'plain'
     })
     await gateway.readGauge('longest_turn_ms')
-    callers = startThread(describeCallers(row, gateway.callers))
-    await new Promise((resolve) => { callers?.once('online', resolve) })
+    callers = await endlessThreads.startCallersThread(describeCallers(row, gateway.callers))
     const { isAlive } = gateway
     let endsAt = performance.now() + DURATION_MS
     const sound = await soundCalls.runSoundCalls({
--- a/packages/fuzz/src/soakGateways/index.ts
+++ b/packages/fuzz/src/soakGateways/index.ts
@@ -10,6 +10,7 @@
 import * as gatewaySoakPlan from '../_lib/gatewaySoakPlan.js'
 import * as judgeGatewaySoak from '../_lib/judgeGatewaySoak.js'
 import * as soakBalancer from '../_lib/soakBalancer.js'
+import type * as soakEndlessPeers from '../_lib/soakEndlessPeers.js'
 import type * as soakEngine from '../_lib/soakEngine.js'
 import * as soakNode from '../_lib/soakNode.js'
 
@@ -53,6 +54,8 @@
 const STALE_PAUSE_MS = 4000
 /** Every so many pieces of a stage turn bad together. */
 const STALE_PIECE_STEP = 5
+/** The same number between 0 and 1 picks a gateway and, times this, a shape. */
+const SHAPES_SPREAD = 97
 /** A version is ordered within this time after it was named, or not at all. */
 const ORDER_LIMIT_MS = 8000
 
@@ -70,7 +73,7 @@
   let hasProblems = true
   let stop = (): void => {}
   try {
-    const fleet = await gatewaySoakFleet.startGatewaySoakFleet(processes, services, size, GRACE_MS)
+    const fleet = await gatewaySoakFleet.startGatewaySoakFleet(processes, services, size, GRACE_MS, gatewaySoakPlan.hasEndlessPeers(seed))
     const balancer = soakBalancer.startSoakBalancer(fleet)
     stop = () => {
       balancer.stop()
@@ -262,6 +265,12 @@
     return { current: engine.incarnations.at(-1) as testing.EngineStandIn, agent: fleet.nodes.find(({ role, host }) => role === 'agent' && host === engine.host) as soakNode.SoakNode }
   }
 
+  /** Bytes without end for a gateway that may be disturbed meanwhile. */
+  function describeEndlessBytes (): soakEndlessPeers.EndlessBytes {
+    const gateway = pick(fleet.nodes.filter(({ role }) => role === 'gateway'))
+    return { gateway: fleet.callerAddressOf(gateway), target: target * SHAPES_SPREAD % 1, connections: disturbance.connections ?? 1, forMs }
+  }
+
   const change = (changeKind: testing.ConfigurationChangeKind) => (): void => {
     fleet.configure((configuration, turn) => { testing.changeConfiguration(configuration, changeKind, turn) })
   }
@@ -288,6 +297,8 @@
     'engine-reads-nothing': suspendReading,
     'stage-turns-stale': turnStageStale,
     'order-taken-late': delayOrder,
+    'engine-endless': async () => { await fleet.endlessPeers?.sendFromEngine(describeEndlessBytes()) },
+    'callers-endless': async () => { await fleet.endlessPeers?.sendFromCallers(describeEndlessBytes()) },
     limits: change('limits'),
     tenants: change('tenants'),
     'service-moves': change('service-moves'),
