--- a/packages/daemon/src/_lib/endlessStreamPeers.ts
+++ b/packages/daemon/src/_lib/endlessStreamPeers.ts
@@ -1,6 +1,7 @@
 /** Runs in a thread of its own: an engine whose event streams have no end, and the callers that read them. */
 import * as net from 'node:net'
 import * as workerThreads from 'node:worker_threads'
+import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 
 /** What the thread is started with. */
@@ -31,7 +32,8 @@
     socket.on('error', () => {})
     socket.once('data', (bytes: Buffer) => {
       const id = /^request-id: (.*?)\r$/im.exec(bytes.toString('latin1'))?.[1] ?? ''
-      socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nengine-seal: seal\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`)
+      const headers = Object.entries({ ...testing.formatEngineHeaders(id), 'content-type': 'text/event-stream', 'transfer-encoding': 'chunked' })
+      socket.write(`HTTP/1.1 200 OK\r\n${headers.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`)
       sendWithoutEnd(socket, part)
     })
   })
