--- a/packages/rpc/src/_lib/createParserFeed.ts
+++ b/packages/rpc/src/_lib/createParserFeed.ts
@@ -3,7 +3,7 @@
 
 /** Controls what a parser gets. */
 export interface ParserFeed {
-  /** Bytes that were passed to the parser. */
+  /** Bytes that were passed to the parser, without the part that it is parsing. */
   readonly readBytes: () => number
   /** Whether bytes have arrived that the parser did not get yet. */
   readonly isBehind: () => boolean
@@ -16,7 +16,7 @@
 /** What to do with the next part: pass it on, in a later turn of the event loop, or once {@link ParserFeed.resume} is called. */
 export type FeedDecision = 'now' | 'later' | 'held'
 
-/** Bytes that the parser gets at once; the shortest requests have 25, so these are about 40 of them. */
+/** Bytes that the parser gets at once if they may hold requests; the shortest requests have 25, so these are about 40 of them. */
 export const PART_BYTES = 1024
 
 /**
@@ -25,10 +25,11 @@
  *
  * @param socket - A connection that its HTTP server listens to, and of which nothing was read yet.
  * @param decide - Decides on the next part.
+ * @param countBodyBytes - Returns how many of the next bytes can only be those of one body, which is passed on in larger parts.
  * @param schedule - Calls a function in a later turn of the event loop.
  * @returns The feed.
  */
-export function createParserFeed (socket: net.Socket, decide: () => FeedDecision, schedule: (run: () => void) => void): ParserFeed {
+export function createParserFeed (socket: net.Socket, decide: () => FeedDecision, countBodyBytes: () => number, schedule: (run: () => void) => void): ParserFeed {
   let readBytes = 0
   let isPaused = false
   let isFeeding = false
@@ -41,9 +42,9 @@
     isFeeding = true
     if (isDiscarding) discardRead()
     while (mayPassOn()) {
-      const bytes = Math.min(socket.readableLength, PART_BYTES)
-      readBytes += bytes
+      const bytes = Math.min(socket.readableLength, Math.max(PART_BYTES, countBodyBytes()))
       socket.read(bytes)
+      readBytes += bytes
     }
     isFeeding = false
     // Emits the end of the stream, and reads on.
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -83,7 +83,7 @@
 interface Connection {
   readonly socket: net.Socket
   readonly feed: createParserFeed.ParserFeed
-  /** The responses that are not closed, in the order of their requests, and the bytes that had been parsed when the heads of these were. */
+  /** The responses that are not closed, in the order of their requests, and the bytes that had been parsed before the part that completed the heads of these. */
   readonly responses: Map<http.ServerResponse, number>
   /** Number of requests whose head has been read. */
   requests: number
@@ -115,7 +115,7 @@
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), (run) => {
+    const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), () => countBodyBytes(connection), (run) => {
       runInTurns.runInTurns(() => {
         connection.requestsBeforeTurn = connection.requests
         run()
@@ -340,6 +340,13 @@
   return requests - requestsBeforeTurn >= REQUESTS_PER_TURN ? 'later' : 'now'
 }
 
+/** How many of the next bytes belong to the body of the last request at least: its bytes begin in or after the part that completed its head. */
+function countBodyBytes ({ feed, responses }: Connection): number {
+  const [response, sinceBytes] = [...responses].at(-1) ?? []
+  if (response === undefined || sinceBytes === undefined || response.req.complete) return 0
+  return Number(response.req.headers['content-length'] ?? 0) - (feed.readBytes() - sinceBytes)
+}
+
 function hasWholeRequest ({ responses }: Connection): boolean {
   return [...responses.keys()].some(({ req: request }) => request.complete)
 }
