Count the bytes of paced messages at what looking at them costs

A read of large chunks was taken for 65 units of work, a unit being about a microsecond; splitting events takes 300 us for it. So a turn could have 63 of them.

--- a/packages/rpc/src/_lib/createTurnQueue.ts
+++ b/packages/rpc/src/_lib/createTurnQueue.ts
@@ -18,8 +18,8 @@
  * its estimate.
  */
 export const WORK_UNITS_PER_TURN = 4096
-/** Bytes that cost as much as a chunk. */
-export const UNIT_BYTES = 1024
+/** Bytes that cost as much as a chunk where each of them is looked at. */
+export const UNIT_BYTES = 256
 
 /**
  * Creates a queue.
--- a/packages/rpc/src/paceMessage/index.ts
+++ b/packages/rpc/src/paceMessage/index.ts
@@ -14,7 +14,7 @@
   readonly release: () => void
 }
 
-/** Work of one message in a turn, in units of the turn queue: half a millisecond, or seven reads of large chunks. */
+/** Work of one message in a turn, in units of the turn queue: half a millisecond, or two reads of large chunks. */
 const UNITS_PER_TURN = 512
 
 /** The turn of the event loop, as far as messages are concerned: it ends in its check phase. */
--- a/packages/rpc/src/runInTurns/index.ts
+++ b/packages/rpc/src/runInTurns/index.ts
@@ -6,7 +6,7 @@
  * that all of them together take a few milliseconds of a turn.
  *
  * @param run - The work, which should take a millisecond at most; more of it is added when it is run.
- * @param units - Estimate of the work: chunks or KiB handled, each about a microsecond.
+ * @param units - Estimate of the work: one for each chunk, or 256 bytes, that is handled, about a microsecond.
  * @returns A function that takes the work out of the queue; without effect once it has run.
  */
 export function runInTurns (run: () => void, units: number): () => void {
