Read what engines send 8 KiB at a time

Cause: Node.js parses a whole read of up to 64 KiB at once, which are 10,900 chunks of one byte or some 15 ms; the first reads of attempts that begin together are in no queue yet, so that 64 of them took a second of one turn.

Change: the connections of attempts read into one buffer of 8 KiB, of which each read is copied at once.

The new test has reads of 64 KiB before; it also shows that answers of attempts at the same time don't mix.

--- a/packages/daemon/src/startGatewayRole/endlessStreams.test.ts
+++ b/packages/daemon/src/startGatewayRole/endlessStreams.test.ts
@@ -15,7 +15,7 @@
 const NODE_OPTIONS = '--max-old-space-size=160'
 const SOUND_CALLERS = 8
 const SOUND_ANSWER_MS = 30
-const JUDGED_MS = 4000
+const JUDGED_MS = 2000
 const LATENCY_OBJECTIVE_MS = 500
 const ANSWERED_FRACTION = 0.99
 /** An engine is avoided for 3 s at most after a failure; it is tried again so often at most, after 0.3, 0.6, 1.2, 2.4 and 3 s. */
--- a/packages/gateway/src/sendAttempt/index.ts
+++ b/packages/gateway/src/sendAttempt/index.ts
@@ -53,8 +53,17 @@
   readonly readReceived?: () => ReceivedCounts
 }
 
+/** Node.js parses all of a read at once; the least work of an attempt in a turn of the event loop is that of a read of this size, where 64 KiB are usual. */
+const READ_BYTES = 8 * types.BYTES_IN_KIBIBYTE
+/** Of all connections: a read fills it and is copied before the next one begins. */
+const readBuffer = Buffer.allocUnsafeSlow(READ_BYTES)
+
+function pushRead (this: net.Socket, bytes: number): boolean {
+  return this.push(Buffer.from(readBuffer.subarray(0, bytes)))
+}
+
 /** Each connection serves one attempt, so that a late or duplicate response cannot be taken for that of another call. */
-const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity, noDelay: true })
+const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity, noDelay: true, onread: { buffer: readBuffer, callback: pushRead } })
 
 /** Error code of a connection to a port at which nobody listens. */
 const REFUSED_CODE = 'ECONNREFUSED'
--- a/packages/gateway/src/sendAttempt/test.ts
+++ b/packages/gateway/src/sendAttempt/test.ts
@@ -102,3 +102,29 @@
     assert.ok((received?.bytes ?? 0) > 0 && (received?.bytes ?? 0) <= text.length)
   }
 })
+
+/** Guards against attempts that begin together and each bring a whole read of tiny chunks in one turn of the event loop, and against reads that mix. */
+nodeTest.test('a read of an attempt has 8 KiB at most, and the answers of attempts at the same time are whole', { timeout: 20_000 }, async (context) => {
+  const words = Array.from({ length: 16 }, (_, index) => `${index}`.padStart(8, 'abcdefgh').repeat(30_000))
+  const server = net.createServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', (bytes: Buffer) => {
+      const word = words[Number(/^GET \/(\d+)/.exec(bytes.toString('latin1'))?.[1])] ?? ''
+      socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${word.length}\r\n\r\n${word}`)
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
+  context.after(() => { server.close() })
+  const reads: number[] = []
+  const bodies = await Promise.all(words.map(async (_, index) => {
+    const attempt = sendAttempt.sendAttempt({ address: { host: HOST, port: (server.address() as net.AddressInfo).port }, method: 'GET', path: `/${index}`, headers: ['Host', 'app.example'], body: null, connectTimeoutMs: 5000, onConnect: () => {} })
+    const start = await attempt.start
+    assert.ok(start.kind === 'answer')
+    start.response.socket.on('data', (bytes: Buffer) => { reads.push(bytes.length) })
+    const body = await rpc.readBoundedBody(start.response, Infinity)
+    assert.ok(start.isWhole())
+    return body.kind === 'whole' ? body.body.toString() : body.kind
+  }))
+  assert.deepEqual(bodies.map((body, index) => body === words[index]), words.map(() => true))
+  assert.ok(reads.length > 0 && Math.max(...reads) <= 8192, String(Math.max(...reads)))
+})
