Bound the nesting and the memory of lists of the platform's object API

A body that is no list was handed on as one, and threw where it was walked through.

Bodies of refusals aren't parsed, as before. A list of more than 16 MiB still fails as a whole on this interface.

--- a/packages/store/src/createObjectStore/index.ts
+++ b/packages/store/src/createObjectStore/index.ts
@@ -1,8 +1,13 @@
 /** HTTP client of the platform's object API, with conditional requests by ETag, If-Match and If-None-Match (RFC 9110). */
+import type * as http from 'node:http'
 import * as got from 'got'
 import * as types from '@switchridge/types'
 import * as rpc from '@switchridge/rpc'
 import type * as platform from '../types/index.js'
+import * as limitHeldBytes from '../limitHeldBytes/index.js'
+import * as omitValue from '../omitValue/index.js'
+import * as scanJson from '../scanJson/index.js'
+import * as selectLargest from '../selectLargest/index.js'
 
 /** Options of {@link createObjectStore}. */
 export interface ObjectStoreOptions {
@@ -16,6 +21,13 @@
   readonly onCall?: (operation: 'read' | 'write' | 'list' | 'watch' | 'remove') => void
 }
 
+/** A response with its parsed body. */
+interface ObjectResponse {
+  readonly statusCode: number
+  readonly headers: http.IncomingHttpHeaders
+  readonly body: unknown
+}
+
 const WATCH_TIMEOUT_MS = 15_000
 const DEFAULT_RETRY_AFTER_MS = 1000
 /** Room for sixteen objects of the largest size; those that are listed, of call blocks, have a few hundred bytes each. */
@@ -35,15 +47,15 @@
     timeout: { request: options.timeoutMs },
     retry: { limit: 0 },
     throwHttpErrors: false,
-    responseType: 'json'
+    responseType: 'buffer'
   })
   const reportCall = options.onCall ?? (() => {})
 
-  async function send (path: string, request: got.OptionsOfJSONResponseBody): Promise<types.Outcome<got.Response<unknown>, types.UnavailableError>> {
+  async function send (path: string, request: got.OptionsOfBufferResponseBody, parseBody = parseJson): Promise<types.Outcome<ObjectResponse, types.UnavailableError>> {
     try {
       const response = await rpc.limitDownload(client(path, request), MAXIMUM_RESPONSE_BYTES)
       if (response.statusCode === 429 || response.statusCode >= 500) return types.fail(createUnavailableError(response))
-      return types.succeed(response)
+      return types.succeed({ statusCode: response.statusCode, headers: response.headers, body: response.ok ? parseBody(response.body) : null })
     } catch (thrown) {
       return types.fail(new types.UnavailableError(`platform: ${types.describeError(thrown)}`))
     }
@@ -76,7 +88,7 @@
     },
     list: async (kind, from, limit) => {
       reportCall('list')
-      const sent = await send(`objects/${kind}`, { method: 'GET', searchParams: { from, limit } })
+      const sent = await send(`objects/${kind}`, { method: 'GET', searchParams: { from, limit } }, parseList)
       if (!sent.ok) return sent
       return types.succeed(sent.value.body as platform.VersionedObject[])
     },
@@ -97,16 +109,36 @@
   return `"${version}"`
 }
 
-function parseETag (response: got.Response<unknown>): number {
+function parseETag (response: ObjectResponse): number {
   return Number((response.headers.etag ?? '').replaceAll('"', ''))
 }
 
-function parseObject (name: string, response: got.Response<unknown>): platform.VersionedObject {
+function parseObject (name: string, response: ObjectResponse): platform.VersionedObject {
   return { name, version: parseETag(response), value: response.body }
 }
 
-function createUnavailableError (response: got.Response<unknown>): types.UnavailableError {
+function createUnavailableError (response: ObjectResponse): types.UnavailableError {
   const seconds = Number(response.headers['retry-after'])
   const retryAfterMs = Number.isFinite(seconds) ? seconds * types.MILLISECONDS_IN_SECOND : DEFAULT_RETRY_AFTER_MS
   return new types.UnavailableError(`platform: status ${response.statusCode}`, retryAfterMs)
 }
+
+function parseJson (body: Buffer): unknown {
+  return body.length === 0 ? null : JSON.parse(body.toString())
+}
+
+/** Parses a list; the values of objects that are nested too deeply, or of the largest if all together take too much memory, are omitted. */
+function parseList (body: Buffer): unknown {
+  const elements = scanJson.findElements(body, 0)
+  if (elements === null) throw new SyntaxError('the body is no list')
+  const tooLarge = selectLargest.selectLargest(elements.map(limitHeldBytes.estimateHeldBytes), limitHeldBytes.MAXIMUM_HELD_BYTES)
+  return elements.map((element, index) => {
+    const isOmitted = tooLarge.has(index) || element.depth > limitHeldBytes.MAXIMUM_DEPTH
+    return isOmitted ? parseWithoutValue(body, element) : scanJson.parseExtent(body, element)
+  })
+}
+
+function parseWithoutValue (body: Buffer, { start }: scanJson.Extent): unknown {
+  const members = [...scanJson.findMembers(body, start) ?? []].filter(([, { depth }]) => depth === 0)
+  return { ...Object.fromEntries(members.map(([key, extent]) => [key, scanJson.parseExtent(body, extent)])), value: omitValue.omitValue('too large, or nested too deeply') }
+}
--- a/packages/store/src/limitHeldBytes/index.ts
+++ b/packages/store/src/limitHeldBytes/index.ts
@@ -1,12 +1,28 @@
 /** Keeps the objects of a kind within a bound of memory. */
 import * as types from '@switchridge/types'
 import type * as createMirror from '../createMirror/index.js'
+import type * as scanJson from '../scanJson/index.js'
 import * as omitValue from '../omitValue/index.js'
 import * as selectLargest from '../selectLargest/index.js'
 
 /** Memory that the values of one kind may take; the longest list is that of the back ends, with about 4 KB for each. */
 export const MAXIMUM_HELD_BYTES = 16 * types.BYTES_IN_MEBIBYTE
 
+/** Levels of nesting of an object with its metadata; configurations have six. Functions that walk through a value recurse once a level. */
+export const MAXIMUM_DEPTH = 64
+/** Largest memory that a parsed value takes beyond its text: an array or object without members. */
+const BYTES_PER_VALUE = 64
+
+/**
+ * Estimates the memory that a value takes once it is parsed.
+ *
+ * @param extent - Where its JSON text stands.
+ * @returns Bytes, about the largest that such a value takes.
+ */
+export function estimateHeldBytes ({ start, end, values }: scanJson.Extent): number {
+  return end - start + values * BYTES_PER_VALUE
+}
+
 /** Kept beside the objects, since they are compared and handed on to peers. */
 const heldBytes = new WeakMap<createMirror.StoredObject, number>()
 
