--- a/packages/store/src/limitHeldBytes/index.ts
+++ b/packages/store/src/limitHeldBytes/index.ts
@@ -5,13 +5,15 @@
 import * as omitValue from '../omitValue/index.js'
 import * as selectLargest from '../selectLargest/index.js'
 
-/** Memory that the values of one kind may take; the longest list is that of the back ends, with about 4 KB for each. */
-export const MAXIMUM_HELD_BYTES = 16 * types.BYTES_IN_MEBIBYTE
+/** Memory that the values of one kind may take, less than a copy of them for peers may have; the longest list is that of the back ends, with about 2.5 KB for each. */
+export const MAXIMUM_HELD_BYTES = 12 * types.BYTES_IN_MEBIBYTE
 
 /** Levels of nesting of an object with its metadata; configurations have six. Functions that walk through a value recurse once a level. */
 export const MAXIMUM_DEPTH = 64
-/** Largest memory that a parsed value takes beyond its text: an array or object without members. */
-const BYTES_PER_VALUE = 64
+/** Largest memory that an object or array takes beyond its text and what is in it. */
+const BYTES_PER_CONTAINER = 64
+/** The same for a number, a literal, a text or the key of a member. */
+const BYTES_PER_SCALAR = 24
 
 /**
  * Estimates the memory that a value takes once it is parsed.
@@ -19,8 +21,8 @@
  * @param extent - Where its JSON text stands.
  * @returns Bytes, about the largest that such a value takes.
  */
-export function estimateHeldBytes ({ start, end, values }: scanJson.Extent): number {
-  return end - start + values * BYTES_PER_VALUE
+export function estimateHeldBytes ({ start, end, containers, scalars }: scanJson.Extent): number {
+  return end - start + containers * BYTES_PER_CONTAINER + scalars * BYTES_PER_SCALAR
 }
 
 /** Kept beside the objects, since they are compared and handed on to peers. */
--- a/packages/store/src/scanJson/index.ts
+++ b/packages/store/src/scanJson/index.ts
@@ -7,8 +7,10 @@
   readonly end: number
   /** Levels of nesting; 0 for a value that is neither an object nor an array. */
   readonly depth: number
-  /** Number of values within it, itself and the keys of objects included. */
-  readonly values: number
+  /** Number of objects and arrays, itself and those within it. */
+  readonly containers: number
+  /** Number of other values, the keys of objects included. */
+  readonly scalars: number
 }
 
 const QUOTE = '"'.charCodeAt(0)
@@ -46,18 +48,19 @@
   const start = skipSpaces(json, offset)
   let depth = 0
   let deepest = 0
-  let values = 0
+  let containers = 0
+  let scalars = 0
   let index = start
   while (index < json.length) {
     switch (classOf(json, index)) {
       case STRING:
         index = skipString(json, index)
-        values += 1
+        scalars += 1
         break
       case OPENING:
         depth += 1
         if (depth > deepest) deepest = depth
-        values += 1
+        containers += 1
         index += 1
         break
       case CLOSING:
@@ -72,9 +75,9 @@
         continue
       default:
         index = skipPrimitive(json, index)
-        values += 1
+        scalars += 1
     }
-    if (depth === 0) return { start, end: index, depth: deepest, values }
+    if (depth === 0) return { start, end: index, depth: deepest, containers, scalars }
   }
   return null
 }
