Cut answers by the end of a real engine process, too

The table of cut answers closed the port of its engine to stand for the end of its process. It now also kills a process right after each of the 18 cuts, on each kind of route.

--- a/packages/daemon/src/brokenAnswers.test.ts
+++ b/packages/daemon/src/brokenAnswers.test.ts
@@ -3,6 +3,7 @@
  * announces neither a length nor chunks, of which an orderly end leaves an empty body.
  */
 import * as assert from 'node:assert/strict'
+import * as childProcess from 'node:child_process'
 import * as net from 'node:net'
 import * as nodeTest from 'node:test'
 import * as platform from '@switchridge/platform'
@@ -21,6 +22,7 @@
 const PLAIN_BODY = 'whole'
 const INTERIM = 'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n'
 const CUT_MARK = '|'
+const REQUEST_ID_MARK = 'REQUEST-ID'
 const REQUEST_ID = /\r\nrequest-id: (\S+)/i
 const STREAM_TYPE = 'text/event-stream'
 
@@ -61,7 +63,8 @@
 
 interface RawEngine {
   readonly address: types.Address
-  readonly requests: string[]
+  /** Ids of the requests that reached it. */
+  readonly requests: readonly string[]
 }
 
 /** Starts an engine that answers each request with the same text and ends its connection. */
@@ -87,6 +90,27 @@
 
 let hosts = 0
 
+/** An engine that answers its first request and is killed; the text of its answer holds the mark for the id of the request. */
+const KILLED_ENGINE = `
+  const server = require('node:net').createServer((socket) => {
+    socket.once('data', (bytes) => {
+      const id = /\\r\\nrequest-id: (\\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? ''
+      socket.write(process.argv[1].replace('${REQUEST_ID_MARK}', id), () => { process.kill(process.pid, 'SIGKILL') })
+    })
+  })
+  server.listen(0, '${HOST}', () => { process.stdout.write(String(server.address().port)) })
+`
+
+/** Starts such an engine as a process; a request is listed once it has ended. */
+async function startKilledEngine (context: nodeTest.TestContext, formatAnswer: FormatAnswer): Promise<RawEngine> {
+  const requests: string[] = []
+  const child = childProcess.spawn(process.execPath, ['-e', KILLED_ENGINE, formatAnswer(REQUEST_ID_MARK)], { stdio: ['ignore', 'pipe', 'inherit'] })
+  context.after(() => { child.kill('SIGKILL') })
+  const port = await new Promise<Buffer>((resolve) => { child.stdout.once('data', resolve) })
+  child.once('exit', () => { requests.push('killed') })
+  return { address: { host: HOST, port: Number(port.toString()) }, requests }
+}
+
 interface Kind {
   readonly path: string
   readonly service: string
@@ -143,8 +167,15 @@
   return status === OK && isWhole
 }
 
-void nodeTest.describe('no caller of a gateway takes an answer for whole that was cut', { concurrency: Object.keys(ENDS).length * KINDS.length }, () => {
-  for (const [when, end] of Object.entries(ENDS)) {
+type StartEngine = (context: nodeTest.TestContext, formatAnswer: FormatAnswer) => Promise<RawEngine>
+
+const STARTS: Readonly<Record<string, StartEngine>> = {
+  ...Object.fromEntries(Object.entries(ENDS).map(([when, end]): [string, StartEngine] => [when, async (context, formatAnswer) => await startRawEngine(context, formatAnswer, end)])),
+  'its process is killed': startKilledEngine
+}
+
+void nodeTest.describe('no caller of a gateway takes an answer for whole that was cut', { concurrency: Object.keys(STARTS).length * KINDS.length }, () => {
+  for (const [when, start] of Object.entries(STARTS)) {
     for (const kind of KINDS) {
       const host = `127.0.49.${++hosts}`
       nodeTest.test(`a call of ${kind.path} when ${when}`, LIMIT, async (context) => {
@@ -153,12 +184,13 @@
         await fleet.waitUntilReady(host)
         const faults: string[] = []
         for (const [index, [cut, template]] of Object.entries(CUTS).entries()) {
-          const engine = await startRawEngine(context, formatCut(template, kind), end)
+          const engine = await start(context, formatCut(template, kind))
           fleet.store.remove(platform.OBJECT_KINDS.backEnds, `i-${index - 1}`)
           listRawEngine(fleet, engine, kind.service, index)
           await fleet.waitForRevision(platform.OBJECT_KINDS.backEnds, fleet.store.copy().revision)
           const answer = await call(gateway, kind.path, cut.replaceAll(/[ ,]+/g, '-'))
-          if (looksWhole(answer) || engine.requests.length === 0) faults.push(`${cut}: ${answer.status} ${answer.body} after ${engine.requests.length} attempts`)
+          if (looksWhole(answer)) faults.push(`${cut}: ${answer.status} ${answer.body}`)
+          await fleetTesting.waitWithLimit(async () => engine.requests.length > 0)
         }
         assert.deepEqual(faults, [])
       })
