Ask for the body of a response that is already gone without waiting for it

A response that was destroyed before its body is waited for emits nothing further, so that the call would wait for its deadline (by reading; no run showed it).

--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -238,7 +238,7 @@
 
 /** Waits for the first bytes of a body; resolves with false if the response ends, or breaks off, without any. */
 async function waitForBody (response: http.IncomingMessage): Promise<boolean> {
-  if (response.readableLength > 0) return true
+  if (response.readableLength > 0 || response.destroyed) return response.readableLength > 0
   return await new Promise((resolve) => {
     const settle = (): void => {
       response.off('readable', settle)
