Run endless peers beside daemons of the own interface, agents and the store, too

The table of endless peers has rows for an entry node and backend daemons: calls of a plain service, calls with an idempotency key, and requests of daemons, with the same shapes, bounds and verdict.

The peers are processes of their own.

--- a/packages/daemon/src/startAgentRole/endless.test.ts
+++ b/packages/daemon/src/startAgentRole/endless.test.ts
@@ -17,6 +17,10 @@
 /** After so many answers each further one would take as much as those before. */
 const ANSWERS = 12
 const PART = 'x'.repeat(65_536)
+/** Chunks of one byte. */
+const SMALL_CHUNKS = '1\r\nx\r\n'.repeat(10_000)
+/** The heap of an agent's deployment. */
+const HEAP_OPTION = '--max-old-space-size=96'
 const JSON_HEADERS = { 'content-type': 'application/json' }
 
 interface EndlessCase {
@@ -34,7 +38,11 @@
   { name: 'an answer to a staged piece', at: 'engine', path: /^\/v1\/stage-put/, answer: { headers: {}, part: PART }, line: /event=engine-report-unreadable .*\/v1\/stage-put.*65536 bytes/ },
   { name: 'a manifest', at: 'origin', path: /^\/v1\/manifest/, answer: { headers: JSON_HEADERS, begin: '{"version":2,"digests":["', part: PART }, line: /event=manifest-failed .*exceeds 5120 bytes/ },
   { name: 'a piece', at: 'origin', path: /^\/v1\/piece/, answer: { headers: {}, part: PART }, line: /event=origin-failed .*exceeds 4096 bytes/ },
-  { name: 'a piece with its length', at: 'origin', path: /^\/v1\/piece/, answer: { headers: { 'content-length': 314_572_800 }, part: PART }, line: /event=origin-failed .*exceeds 4096 bytes/ }
+  { name: 'a piece with its length', at: 'origin', path: /^\/v1\/piece/, answer: { headers: { 'content-length': 314_572_800 }, part: PART }, line: /event=origin-failed .*exceeds 4096 bytes/ },
+  { name: 'a report in chunks of one byte', at: 'engine', path: /^\/v1\/report/, answer: { headers: JSON_HEADERS, begin: '{"stage":"', part: SMALL_CHUNKS, isFramed: true }, line: /event=engine-report-unreadable .*\/v1\/report.*exceeds \d+ bytes/ },
+  { name: 'a staged piece in chunks of one byte', at: 'engine', path: /^\/v1\/stage-get/, answer: { headers: {}, part: SMALL_CHUNKS, isFramed: true }, line: /event=engine-report-unreadable .*\/v1\/stage-get.*exceeds \d+ bytes/ },
+  { name: 'a manifest in chunks of one byte', at: 'origin', path: /^\/v1\/manifest/, answer: { headers: JSON_HEADERS, begin: '{"version":2,"digests":["', part: SMALL_CHUNKS, isFramed: true }, line: /event=manifest-failed .*exceeds \d+ bytes/ },
+  { name: 'a piece in chunks of one byte', at: 'origin', path: /^\/v1\/piece/, answer: { headers: {}, part: SMALL_CHUNKS, isFramed: true }, line: /event=origin-failed .*exceeds \d+ bytes/ }
 ]
 
 for (const { name, at, path, answer, line } of CASES) {
@@ -47,7 +55,7 @@
       if (at === 'origin') for (const service of configuration.services) if (service['origin'] !== undefined) service['origin'] = testing.formatAddress(proxy.address)
     })
     await fleet.startGateway(GATEWAY_HOST)
-    const agent = programTesting.startProgram(context, programTesting.formatAgentSettings(fleet, AGENT_HOST, at === 'engine' ? proxy.address : engine.address, GATEWAY_HOST))
+    const agent = programTesting.startProgram(context, programTesting.formatAgentSettings(fleet, AGENT_HOST, at === 'engine' ? proxy.address : engine.address, GATEWAY_HOST), { nodeOptions: HEAP_OPTION })
     await agent.waitForOutput('event=engine-figures')
     fleet.store.put('versions', fleetTesting.MODEL, { model: fleetTesting.MODEL, version: 2 })
     await fleetTesting.waitUntil(() => proxy.begun() >= ANSWERS)
--- a/packages/fuzz/src/_lib/endlessPeer.ts
+++ b/packages/fuzz/src/_lib/endlessPeer.ts
@@ -1,13 +1,12 @@
-/** Thread of a faulty engine or of callers: it sends without end, whatever else the process of the test does. */
+/** Process of a faulty engine or of callers: it sends without end, whatever else the process of the test does. Its argument is what it is, as JSON. */
 import * as http from 'node:http'
 import * as net from 'node:net'
-import * as workerThreads from 'node:worker_threads'
 import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import * as endlessShapes from './endlessShapes.js'
 
-/** A thread that is an engine. */
-export interface EngineThread {
+/** A process that is an engine. */
+export interface EngineProcess {
   readonly role: 'engine'
   /** Name of its shape; an engine without one answers each call at once. */
   readonly shape: string | null
@@ -15,20 +14,22 @@
   readonly addresses: number
 }
 
-/** A thread with callers, each with one connection at a time. */
-export interface CallersThread {
+/** A process with callers, each with one connection at a time. */
+export interface CallersProcess {
   readonly role: 'callers'
-  readonly gateway: types.Address
+  readonly address: types.Address
   readonly connections: number
   readonly path: string
   readonly headers: Readonly<Record<string, string>>
+  /** Names of the headers with the id of a request. */
+  readonly idHeaders: readonly string[]
   /** What they send; without one they send calls and read the answers. */
   readonly shape: endlessShapes.CallerShape | null
   /** Size of the bodies in bytes. */
   readonly bodyBytes: number
 }
 
-export type PeerThread = EngineThread | CallersThread
+export type PeerProcess = EngineProcess | CallersProcess
 
 /** A caller begins again so long after its connection has ended. */
 const PAUSE_MS = 50
@@ -73,7 +74,7 @@
   })
 }
 
-async function startEngine ({ shape: name, addresses }: EngineThread): Promise<types.Address[]> {
+async function startEngine ({ shape: name, addresses }: EngineProcess): Promise<types.Address[]> {
   const shape = name === null ? null : endlessShapes.ENGINE_SHAPES.find((each) => each.name === name)
   if (shape === undefined) throw new Error(`no shape "${name ?? ''}"`)
   return await Promise.all(Array.from({ length: addresses }, async () => {
@@ -83,57 +84,66 @@
   }))
 }
 
+function createHeaders ({ headers, idHeaders }: CallersProcess, id: string): Record<string, string> {
+  return { ...headers, ...Object.fromEntries(idHeaders.map((name) => [name, id])) }
+}
+
 /** Sends calls one after the other, and reads their answers. */
-function callAgain (thread: CallersThread, caller: number, turn = 0): void {
-  const outgoing = http.request({ host: thread.gateway.host, port: thread.gateway.port, path: thread.path, headers: { ...thread.headers, 'request-id': `faulty-${caller}-${turn}` }, agent: false }, (response) => {
+function callAgain (callers: CallersProcess, caller: number, turn = 0): void {
+  const outgoing = http.request({ host: callers.address.host, port: callers.address.port, path: callers.path, headers: createHeaders(callers, `faulty-${caller}-${turn}`), agent: false }, (response) => {
     response.on('error', () => {})
     response.resume()
   })
   outgoing.on('error', () => {})
-  outgoing.once('close', () => { setTimeout(() => { callAgain(thread, caller, turn + 1) }, PAUSE_MS) })
+  outgoing.once('close', () => { setTimeout(() => { callAgain(callers, caller, turn + 1) }, PAUSE_MS) })
   outgoing.end()
 }
 
-function formatRequest ({ path, headers }: CallersThread, method: string, id: string, framing = ''): string {
-  const lines = Object.entries({ ...headers, 'request-id': id }).map(([name, value]) => `${name}: ${value}\r\n`)
-  return `${method} ${path} HTTP/1.1\r\n${lines.join('')}${framing}\r\n`
+function formatRequest (callers: CallersProcess, method: string, id: string, framing = ''): string {
+  const lines = Object.entries(createHeaders(callers, id)).map(([name, value]) => `${name}: ${value}\r\n`)
+  return `${method} ${callers.path} HTTP/1.1\r\n${lines.join('')}${framing}\r\n`
 }
 
 /** Creates the bytes of a connection; they end if it has a single body. */
-function createBytes (thread: CallersThread, { chunkBytes }: endlessShapes.CallerShape, id: string): () => Buffer | null {
+function createBytes (callers: CallersProcess, { chunkBytes }: endlessShapes.CallerShape, id: string): () => Buffer | null {
   if (chunkBytes === null) {
-    const block = Buffer.from(Array.from({ length: REQUESTS_IN_BLOCK }, (_, index) => formatRequest(thread, 'GET', `${id}-${index}`)).join(''))
+    const block = Buffer.from(Array.from({ length: REQUESTS_IN_BLOCK }, (_, index) => formatRequest(callers, 'GET', `${id}-${index}`)).join(''))
     return () => block
   }
   const chunk = endlessShapes.formatChunk('x'.repeat(chunkBytes))
   const chunksInBlock = Math.ceil(BLOCK_BYTES / chunk.length)
   const block = Buffer.from(chunk.repeat(chunksInBlock))
-  const parts = [Buffer.from(formatRequest(thread, 'POST', id, 'transfer-encoding: chunked\r\n')), ...new Array<Buffer>(Math.floor(thread.bodyBytes / (chunksInBlock * chunkBytes))).fill(block), Buffer.from('0\r\n\r\n')]
+  const parts = [Buffer.from(formatRequest(callers, 'POST', id, 'transfer-encoding: chunked\r\n')), ...new Array<Buffer>(Math.floor(callers.bodyBytes / (chunksInBlock * chunkBytes))).fill(block), Buffer.from('0\r\n\r\n')]
   return () => parts.shift() ?? null
 }
 
 /** Opens a connection over and over, and sends the shape over it. */
-function sendAgain (thread: CallersThread, shape: endlessShapes.CallerShape, caller: number, turn = 0): void {
-  const socket = net.connect(thread.gateway.port, thread.gateway.host)
+function sendAgain (callers: CallersProcess, shape: endlessShapes.CallerShape, caller: number, turn = 0): void {
+  const socket = net.connect(callers.address.port, callers.address.host)
   socket.on('error', () => {})
-  socket.once('connect', () => { send(socket, createBytes(thread, shape, `faulty-${caller}-${turn}`), undefined) })
-  socket.once('close', () => { setTimeout(() => { sendAgain(thread, shape, caller, turn + 1) }, PAUSE_MS) })
+  socket.once('connect', () => { send(socket, createBytes(callers, shape, `faulty-${caller}-${turn}`), undefined) })
+  socket.once('close', () => { setTimeout(() => { sendAgain(callers, shape, caller, turn + 1) }, PAUSE_MS) })
   if (!shape.isReading) socket.pause()
   // The answer to a single body is the end of its connection.
   else if (shape.chunkBytes !== null) socket.once('data', () => { socket.destroy() })
   else socket.resume()
 }
 
-function startCallers (thread: CallersThread): void {
-  for (let caller = 0; caller < thread.connections; caller += 1) {
-    if (thread.shape === null) callAgain(thread, caller)
-    else sendAgain(thread, thread.shape, caller)
+function startCallers (callers: CallersProcess): void {
+  for (let caller = 0; caller < callers.connections; caller += 1) {
+    if (callers.shape === null) callAgain(callers, caller)
+    else sendAgain(callers, callers.shape, caller)
   }
 }
 
-if (workerThreads.parentPort !== null) {
-  const port = workerThreads.parentPort
-  const thread = workerThreads.workerData as PeerThread
-  if (thread.role === 'engine') port.postMessage(await startEngine(thread))
-  else startCallers(thread)
+// The channel to the process of the test is absent when the module is only imported.
+if (process.send !== undefined) {
+  const peer = JSON.parse(process.argv[2] ?? '') as PeerProcess
+  process.once('disconnect', () => { process.exit() })
+  if (peer.role === 'engine') {
+    process.send(await startEngine(peer))
+  } else {
+    startCallers(peer)
+    process.send([])
+  }
 }
--- a/packages/fuzz/src/_lib/soakEndlessPeers.ts
+++ b/packages/fuzz/src/_lib/soakEndlessPeers.ts
@@ -3,8 +3,8 @@
 import * as testing from '@switchridge/platform-testing'
 import * as types from '@switchridge/types'
 import type * as endlessPeer from './endlessPeer.js'
+import * as endlessProcesses from './endlessProcesses.js'
 import * as endlessShapes from './endlessShapes.js'
-import * as endlessThreads from './endlessThreads.js'
 
 /** How bytes without end are sent. */
 export interface EndlessBytes {
@@ -55,31 +55,32 @@
 export function createEndlessPeers (store: testing.StoreStandIn, zone: string, key: string): EndlessPeers {
   let engines = 0
 
-  function describeCallers ({ gateway, connections }: EndlessBytes, route: endlessShapes.EndlessRoute, shape: endlessShapes.CallerShape | null): endlessPeer.CallersThread {
+  function describeCallers ({ gateway, connections }: EndlessBytes, route: endlessShapes.EndlessRoute, shape: endlessShapes.CallerShape | null): endlessPeer.CallersProcess {
     const { path, model } = ENDLESS_ROUTES[route]
     const ownKey = shape?.hasKey === false ? UNKNOWN_KEY : key
     return {
       role: 'callers',
-      gateway,
+      address: gateway,
       connections,
       path: `${path}call`,
       headers: { ...testing.formatCallerHeaders(ownKey, DEADLINE_MS), ...(model === null ? {} : testing.formatModelHeaders(model)) },
+      idHeaders: ['request-id'],
       shape,
       bodyBytes: BODY_BYTES
     }
   }
 
-  async function runCallers (callers: endlessPeer.CallersThread, forMs: number): Promise<void> {
-    const thread = await endlessThreads.startCallersThread(callers)
+  async function runCallers (callers: endlessPeer.CallersProcess, forMs: number): Promise<void> {
+    const peer = await endlessProcesses.startEndlessProcess(callers)
     await types.delay(forMs)
-    await thread.terminate()
+    peer.stop()
   }
 
   return {
     sendFromEngine: async (bytes) => {
       const shape = pick(endlessShapes.ENGINE_SHAPES, bytes.target)
       const { service, model } = ENDLESS_ROUTES[shape.route]
-      const { thread, addresses: [address] } = await endlessThreads.startEngineThread(shape.name, 1)
+      const { stop, addresses: [address] } = await endlessProcesses.startEndlessProcess({ role: 'engine', shape: shape.name, addresses: 1 })
       if (address === undefined) throw new Error('an engine without an address')
       const id = `i-endless-${engines++}`
       const entry = testing.describeEngine({ address }, service, zone, model === null ? undefined : { name: model, version: 1 }) as object
@@ -87,7 +88,7 @@
       await types.delay(LISTING_MS)
       await runCallers(describeCallers(bytes, shape.route, null), bytes.forMs)
       store.remove(platform.OBJECT_KINDS.backEnds, id)
-      await thread.terminate()
+      stop()
     },
     sendFromCallers: async (bytes) => {
       const shape = pick(endlessShapes.CALLER_SHAPES, bytes.target)
--- a/packages/fuzz/src/_lib/soundCalls.ts
+++ b/packages/fuzz/src/_lib/soundCalls.ts
@@ -19,7 +19,7 @@
 
 /** Options of {@link runSoundCalls}. */
 export interface SoundCallsOptions {
-  readonly gateway: types.Address
+  readonly address: types.Address
   readonly key: string
   readonly path: string
   readonly callers: number
@@ -60,16 +60,16 @@
 /**
  * Sends calls over kept connections, each caller one after the other, until it is over.
  *
- * @param options - Gateway, callers and bounds.
+ * @param options - Address, callers and bounds.
  * @returns What became of the calls.
  */
-export async function runSoundCalls ({ gateway, key, path, callers, timeoutMs, isOver, stalls }: SoundCallsOptions): Promise<SoundCalls> {
+export async function runSoundCalls ({ address, key, path, callers, timeoutMs, isOver, stalls }: SoundCallsOptions): Promise<SoundCalls> {
   const agent = new http.Agent({ keepAlive: true })
   const counts = { calls: 0, answered: 0, refused: 0, lost: 0, slowestMs: 0 }
 
   async function callOnce (id: string): Promise<void> {
     const from = performance.now()
-    const answer = await testing.sendCallerRequest(gateway, key, { path, id, agent, abortAfterMs: timeoutMs + 5 * TRANSPORT_MS })
+    const answer = await testing.sendCallerRequest(address, key, { path, id, agent, abortAfterMs: timeoutMs + 5 * TRANSPORT_MS })
     const to = performance.now()
     const tookMs = to - from - stalls.readMs(from, to)
     const isInTime = tookMs <= timeoutMs + TRANSPORT_MS
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -38,9 +38,9 @@
   if (failedSeeds > 0) throw new Error(`${failedSeeds} of ${runs} seeds failed`)
 }
 
-/** Runs the rows whose name contains a text, some at a time, and prints what came of each. */
-async function runEndlessPeers ({ rows: text, parallel, program }: { readonly rows: string, readonly parallel: number, readonly program: string | undefined }): Promise<void> {
-  const rows = fuzz.ENDLESS_ROWS.filter(({ name }) => name.includes(text))
+/** Runs the rows whose name contains all texts, some at a time, and prints what came of each. */
+async function runEndlessPeers ({ rows: texts, parallel, program }: { readonly rows: readonly string[], readonly parallel: number, readonly program: string | undefined }): Promise<void> {
+  const rows = fuzz.ENDLESS_ROWS.filter(({ name }) => texts.every((text) => name.includes(text)))
   const left = [...rows]
   let failedRows = 0
   await Promise.all(Array.from({ length: parallel }, async () => {
@@ -69,7 +69,7 @@
   .option('soak-gateways', { type: 'boolean', default: false, describe: 'soaks fleets of gateways and agents instead, one for each run' })
   .option('processes', { type: 'number', describe: 'number of gateways and agents of such a fleet' })
   .option('endless-peers', { type: 'boolean', default: false, describe: 'runs gateways beside peers that send without end instead' })
-  .option('rows', { type: 'string', default: '', describe: 'text in the names of the rows of endless peers to run' })
+  .option('rows', { type: 'string', array: true, default: [], describe: 'texts that the names of the rows of endless peers to run contain' })
   .option('parallel', { type: 'number', default: 2, describe: 'rows of endless peers to run at a time' })
   .option('program', { type: 'string', describe: 'bundled program of the gateway beside endless peers' })
   .strict()
--- a/packages/fuzz/src/runEndlessPeer/index.ts
+++ b/packages/fuzz/src/runEndlessPeer/index.ts
@@ -1,18 +1,19 @@
-/** Judges a gateway beside a peer that sends without end. */
+/** Judges daemons beside a peer that sends without end. */
 import * as timers from 'node:timers/promises'
-import type * as workerThreads from 'node:worker_threads'
-import * as testing from '@switchridge/platform-testing'
-import type * as types from '@switchridge/types'
 import * as endlessGateway from '../_lib/endlessGateway.js'
-import type * as endlessPeer from '../_lib/endlessPeer.js'
+import * as endlessHall from '../_lib/endlessHall.js'
+import * as endlessProcesses from '../_lib/endlessProcesses.js'
 import * as endlessShapes from '../_lib/endlessShapes.js'
-import * as endlessThreads from '../_lib/endlessThreads.js'
+import * as endlessTarget from '../_lib/endlessTarget.js'
 import * as soundCalls from '../_lib/soundCalls.js'
 import * as stallRecord from '../_lib/stallRecord.js'
+import * as watchedProgram from '../_lib/watchedProgram.js'
 
 /** A row of the table. */
 export interface EndlessRow {
   readonly name: string
+  /** What it sends to: a gateway, or a part of a hall of the own interface. */
+  readonly target: 'gateway' | endlessHall.HallPart
   readonly shape: endlessShapes.EndlessShape
   /** Connections over which the peer sends at the same time. */
   readonly connections: number
@@ -20,12 +21,14 @@
 
 /** What came of a row. */
 export interface EndlessResult {
+  /** Whether all processes live. */
   readonly isAlive: boolean
-  /** The error with which the process ended by itself; empty if it didn't, or without one. */
+  /** The error with which a process ended by itself; empty if it didn't, or without one. */
   readonly fatalError: string
+  /** Largest resident memory of any of the processes. */
   readonly peakMegabytes: number
   readonly sound: soundCalls.SoundCalls
-  /** Longest turn of the gateway's event loop in milliseconds; NaN if it can't be read. */
+  /** Longest turn of a gateway's event loop in milliseconds; NaN if it can't be read. */
   readonly longestTurnMs: number
   /** Lines about answers that it gave up. */
   readonly givenUp: number
@@ -42,39 +45,44 @@
 const OBJECTIVE_MS = 500
 const CONNECTIONS_OF_AN_ENGINE = 16
 const BYTES_PER_MEGABYTE = 1_000_000
-const UNKNOWN_KEY = 'no-key'
-/** After the end of the gateway its callers go on for so long. */
+/** After the end of a process its callers go on for so long. */
 const END_NOTICE_MS = 200
 
-/** All rows: each shape with each number of connections. */
-export const ENDLESS_ROWS: readonly EndlessRow[] = [...endlessShapes.ENGINE_SHAPES, ...endlessShapes.CALLER_SHAPES].flatMap((shape) => CONNECTIONS.map((connections) => ({
-  name: `${shape.kind === 'engine' ? 'engine' : 'caller'}, ${shape.name}, ${connections} ${connections === 1 ? 'connection' : 'connections'}`,
-  shape,
-  connections
-})))
+function createRows (target: EndlessRow['target'], shapes: readonly endlessShapes.EndlessShape[]): EndlessRow[] {
+  const prefix = target === 'gateway' ? '' : `own interface, ${target}, `
+  return shapes.flatMap((shape) => CONNECTIONS.map((connections) => ({
+    name: `${prefix}${shape.kind}, ${shape.name}, ${connections} ${connections === 1 ? 'connection' : 'connections'}`,
+    target,
+    shape,
+    connections
+  })))
+}
 
-function describeCallers ({ shape, connections }: EndlessRow, gateway: types.Address): endlessPeer.CallersThread {
-  const hasKey = shape.kind === 'engine' || shape.hasKey
-  return {
-    role: 'callers',
-    gateway,
-    connections,
-    path: endlessGateway.FAULTY_PATHS[shape.kind === 'engine' ? shape.route : 'plain'],
-    headers: { ...testing.formatCallerHeaders(hasKey ? endlessGateway.API_KEY : UNKNOWN_KEY, endlessGateway.TIMEOUT_MS), ...testing.formatModelHeaders(endlessGateway.MODEL) },
-    shape: shape.kind === 'engine' ? null : shape,
-    bodyBytes: endlessGateway.BODY_BYTES
-  }
+const PLAIN_SHAPES = endlessShapes.ENGINE_SHAPES.filter(({ route }) => route === 'plain')
+const BODY_SHAPES = endlessShapes.CALLER_SHAPES.filter(({ chunkBytes }) => chunkBytes !== null)
+
+/** All rows: each shape with each number of connections, as far as it differs at its target. */
+export const ENDLESS_ROWS: readonly EndlessRow[] = [
+  ...createRows('gateway', [...endlessShapes.ENGINE_SHAPES, ...endlessShapes.CALLER_SHAPES]),
+  ...createRows('calls', [...PLAIN_SHAPES, ...endlessShapes.CALLER_SHAPES.filter(({ hasKey }) => hasKey)]),
+  ...createRows('keyed calls', PLAIN_SHAPES),
+  ...createRows('requests to an entry node', BODY_SHAPES),
+  ...createRows('requests to a backend daemon', BODY_SHAPES)
+]
+
+async function startTarget (target: EndlessRow['target'], options: endlessTarget.EndlessTargetOptions): Promise<endlessTarget.EndlessTarget> {
+  return target === 'gateway' ? await endlessGateway.startEndlessGateway(options) : await endlessHall.startEndlessHall(target, options)
 }
 
 /**
- * Finds what breaks the target: the gateway lives, and keeps within the memory of its class; beside one connection sound calls are answered in time but for one in a
+ * Finds what breaks the target: all processes live, and keeps within the memory of its class; beside one connection sound calls are answered in time but for one in a
  * hundred, and beside several none is lost.
  */
-function judge ({ connections }: EndlessRow, { isAlive, fatalError, peakMegabytes, sound }: Omit<EndlessResult, 'problems'>): string[] {
+function judge (connections: number, { isAlive, fatalError, peakMegabytes, sound }: Omit<EndlessResult, 'problems'>): string[] {
   const { calls, answered, lost, slowestMs } = sound
   const checks: Array<[boolean, string]> = [
-    [isAlive, `the gateway ended${fatalError === '' ? '' : ` (${fatalError})`}`],
-    [peakMegabytes < endlessGateway.CLASS_MEGABYTES, `${peakMegabytes} MB`],
+    [isAlive, `a process ended${fatalError === '' ? '' : ` (${fatalError})`}`],
+    [peakMegabytes < endlessTarget.CLASS_MEGABYTES, `${peakMegabytes} MB`],
     [calls > 0, 'no sound calls'],
     [connections > 1 || answered >= ANSWERED_FRACTION * calls, `${answered} of ${calls} sound calls answered`],
     [connections > 1 || slowestMs <= OBJECTIVE_MS, `slowest sound call ${slowestMs} ms`],
@@ -84,59 +92,55 @@
 }
 
 /**
- * Runs a gateway as a process beside a peer that sends without end, and sound calls beside it.
+ * Runs daemons as processes beside a peer that sends without end, and sound calls beside it.
  *
- * @param row - Peer, shape and number of connections.
- * @param program - The bundled program of a gateway; that of this workspace by default.
- * @returns What came of it. Rejects if the gateway can't be started.
+ * @param row - Target, peer, shape and number of connections.
+ * @param program - The bundled program of the daemons; that of this workspace by default.
+ * @returns What came of it. Rejects if the daemons can't be started.
  */
-export async function runEndlessPeer (row: EndlessRow, program?: string): Promise<EndlessResult> {
+export async function runEndlessPeer ({ target: targetName, shape, connections }: EndlessRow, program = watchedProgram.PROGRAM): Promise<EndlessResult> {
   const soundEngine = await soundCalls.startSoundEngine()
-  const { shape } = row
-  const engine = await endlessThreads.startEngineThread(shape.kind === 'engine' ? shape.name : null, Math.ceil(row.connections / CONNECTIONS_OF_AN_ENGINE))
+  const engine = await endlessProcesses.startEndlessProcess({ role: 'engine', shape: shape.kind === 'engine' ? shape.name : null, addresses: Math.ceil(connections / CONNECTIONS_OF_AN_ENGINE) })
   const stalls = stallRecord.createStallRecord()
-  let gateway: endlessGateway.EndlessGateway | null = null
-  let callers: workerThreads.Worker | null = null
+  let target: endlessTarget.EndlessTarget | null = null
+  let callers: endlessProcesses.EndlessProcess | null = null
   try {
-    gateway = await endlessGateway.startEndlessGateway({
-      ...(program === undefined ? {} : { program }),
-      engines: { sound: soundEngine.address, faulty: engine.addresses },
-      route: shape.kind === 'engine' ? shape.route : 'plain'
-    })
-    await gateway.readGauge('longest_turn_ms')
-    callers = await endlessThreads.startCallersThread(describeCallers(row, gateway.callers))
-    const { isAlive } = gateway
+    target = await startTarget(targetName, { program, engines: { sound: soundEngine.address, faulty: engine.addresses }, shape })
+    const { programs, sound: { address, path }, faulty } = target
+    const isAlive = (): boolean => programs.every((watched) => watched.isAlive())
+    await target.readLongestTurnMs()
+    callers = await endlessProcesses.startEndlessProcess({ role: 'callers', ...faulty, connections, shape: shape.kind === 'engine' ? null : shape })
     let endsAt = performance.now() + DURATION_MS
     const sound = await soundCalls.runSoundCalls({
-      gateway: gateway.callers,
-      key: endlessGateway.API_KEY,
-      path: endlessGateway.SOUND_PATH,
+      address,
+      key: endlessTarget.API_KEY,
+      path,
       callers: SOUND_CALLERS,
-      timeoutMs: endlessGateway.TIMEOUT_MS,
+      timeoutMs: endlessTarget.TIMEOUT_MS,
       isOver: () => {
         if (!isAlive()) endsAt = Math.min(endsAt, performance.now() + END_NOTICE_MS)
         return performance.now() > endsAt
       },
       stalls
     })
-    const longestTurnMs = Math.round(await gateway.readGauge('longest_turn_ms'))
+    const longestTurnMs = Math.round(await target.readLongestTurnMs())
     // The end of a process may be noticed later than those of its connections.
     await timers.setTimeout(END_NOTICE_MS)
-    const log = gateway.readLog()
+    const log = programs.map(({ readLog }) => readLog()).join('')
     const observed = {
       isAlive: isAlive(),
       fatalError: /^FATAL ERROR: (.*)$/m.exec(log)?.[1] ?? '',
-      peakMegabytes: Math.round(gateway.readPeakBytes() / BYTES_PER_MEGABYTE),
+      peakMegabytes: Math.round(Math.max(...programs.map(({ readPeakBytes }) => readPeakBytes())) / BYTES_PER_MEGABYTE),
       sound: { ...sound, slowestMs: Math.round(sound.slowestMs) },
       longestTurnMs,
       givenUp: (log.match(/event=answer-given-up /g) ?? []).length,
       stallMs: Math.round(stalls.longestMs())
     }
-    return { ...observed, problems: judge(row, observed) }
+    return { ...observed, problems: judge(connections, observed) }
   } finally {
-    await callers?.terminate()
-    await engine.thread.terminate()
-    await gateway?.close()
+    callers?.stop()
+    engine.stop()
+    await target?.close()
     soundEngine.close()
     stalls.stop()
   }
