Count as framing only what the parser has been given

Cause: a socket that is paused by the pacer may hold a read that isn't parsed yet. It was counted as framing until it was, which left less of the allowance than meant.

--- a/packages/rpc/src/createFramingBound/index.ts
+++ b/packages/rpc/src/createFramingBound/index.ts
@@ -33,7 +33,7 @@
 export function createFramingBound (message: FramedMessage, maximumBodyBytes = Infinity): FramingBound {
   const allowedBytes = MAXIMUM_SURPLUS_BYTES + Math.min(READ_BYTES, CHUNK_BYTES_PER_BYTE * maximumBodyBytes)
   const { socket } = message
-  const bytesBefore = socket?.bytesRead ?? 0
+  const bytesBefore = socket === undefined ? 0 : countTaken(socket)
   let payloadBytes = 0
   let leastSurplusBytes = 0
 
@@ -43,10 +43,15 @@
       payloadBytes += bytes
       if (message.complete === true || socket === undefined) return true
       // What is parsed and not read yet is payload, too.
-      const framingBytes = socket.bytesRead - bytesBefore - payloadBytes - message.readableLength
+      const framingBytes = countTaken(socket) - bytesBefore - payloadBytes - message.readableLength
       const surplusBytes = framingBytes - payloadBytes - message.readableLength
       leastSurplusBytes = Math.min(leastSurplusBytes, surplusBytes)
       return surplusBytes - leastSurplusBytes <= allowedBytes
     }
   }
 }
+
+/** Bytes that the parser has been given; what waits in a paused socket is not among them. */
+function countTaken ({ bytesRead, readableLength }: FramedMessage['socket'] & object): number {
+  return bytesRead - readableLength
+}
--- a/packages/rpc/src/createFramingBound/test.ts
+++ b/packages/rpc/src/createFramingBound/test.ts
@@ -18,7 +18,7 @@
 
 /** Creates a message on a connection that has brought others before. */
 function createFixture (maximumBodyBytes?: number): Fixture {
-  const socket = { bytesRead: 50 * MEBIBYTE }
+  const socket = { bytesRead: 50 * MEBIBYTE, readableLength: 0 }
   const message = { socket, complete: false, readableLength: 0 }
   const framing = rpc.createFramingBound(message as unknown as http.IncomingMessage, maximumBodyBytes)
   let parsedBytes = socket.bytesRead
@@ -60,6 +60,16 @@
   assert.equal(receive(10_000, 1, 5), null)
 })
 
+nodeTest.test('what waits in the socket until the parser gets it is not counted', () => {
+  const socket = { bytesRead: 0, readableLength: 0 }
+  const framing = rpc.createFramingBound({ socket, complete: false, readableLength: 0 } as unknown as http.IncomingMessage)
+  socket.bytesRead = 4 * READ_BYTES
+  socket.readableLength = 4 * READ_BYTES - 26
+  assert.equal(framing.accept(20), true)
+  socket.readableLength = 0
+  assert.equal(framing.accept(20), false)
+})
+
 nodeTest.test('what arrives after the end of a message is not counted', () => {
   const { receive, message } = createFixture()
   message.complete = true
--- a/packages/rpc/src/openRequest/chunks.test.ts
+++ b/packages/rpc/src/openRequest/chunks.test.ts
@@ -20,6 +20,34 @@
   assert.ok(server.sentBytes() < MAXIMUM_SENT_BYTES, `${server.sentBytes()} bytes`)
 })
 
+nodeTest.test('many large answers at once, which are read in turn, are whole', LIMIT, async (context) => {
+  const listener = await rpc.listenHttp((request, response) => {
+    const part = Buffer.alloc(Number(request.url?.slice(1)), 'x')
+    let left = Math.floor(MAXIMUM_BYTES / 4 / part.length)
+    response.on('error', () => {})
+    send()
+    response.on('drain', send)
+
+    function send (): void {
+      while (left > 0) {
+        left -= 1
+        if (!response.write(part)) return
+      }
+      response.end()
+    }
+  }, { host: types.LOOPBACK_HOST, port: 0 })
+  const agents = rpc.createHttpAgents()
+  context.after(() => {
+    agents.destroy()
+    listener.abort()
+  })
+  const sent = await Promise.all([30, 1000, 16_000, 65_536, 500_000].flatMap((bytes) => Array.from({ length: 4 }, async () => {
+    const answer = await rpc.sendRequest(agents, { base: rpc.formatBaseUrl(agents, listener.address), path: `/${bytes}`, method: 'GET', headers: {} }, MAXIMUM_BYTES)
+    return answer.ok ? 'whole' : answer.error.message
+  })))
+  assert.deepEqual(sent, sent.map(() => 'whole'))
+})
+
 async function createTlsMaterial (): Promise<rpc.TlsMaterial> {
   const generated = await selfsigned.generate([{ name: 'commonName', value: types.LOOPBACK_HOST }], {
     extensions: [{ name: 'basicConstraints', cA: true }, { name: 'subjectAltName', altNames: [{ type: 7, ip: types.LOOPBACK_HOST }] }]
--- a/packages/rpc/src/readBoundedBody/test.ts
+++ b/packages/rpc/src/readBoundedBody/test.ts
@@ -95,6 +95,15 @@
   })
 }
 
+nodeTest.test('many large bodies at once, which are read in turn, are whole', LIMIT, async (context) => {
+  const reader = await openReader(context, undefined, 8 * MAXIMUM_BYTES)
+  for (const bytes of [30, 1000, 16_000, 65_536, 500_000]) {
+    for (let count = 0; count < 4; count += 1) reader.connect(CHUNKED_HEAD + formatChunk('x'.repeat(bytes)).repeat(Math.floor(4 * MAXIMUM_BYTES / bytes)) + END)
+  }
+  await reader.waitForReads(20)
+  assert.deepEqual(reader.reads.map(({ outcome }) => outcome.kind), Array.from({ length: 20 }, () => 'whole'))
+})
+
 nodeTest.test('a short body in chunks of one byte is whole, also on a kept connection after other bodies', LIMIT, async (context) => {
   const reader = await openReader(context)
   const request = CHUNKED_HEAD + formatChunk('x').repeat(5000) + END
