Let paced messages have a quarter of the work in a turn, also after a release

Cause: the event loop accepts one connection in each turn, so that new callers wait for as many turns as connect at the same time, and the turns were long: paced messages had 4,096 units of work in one. Messages that their consumer released went on without the queue, 64 of them in one turn.

Change: 1,024 units for all, 256 for one message, which is a read of large chunks; a released message waits for its turn like the others.

--- a/packages/rpc/src/_lib/createTurnQueue.ts
+++ b/packages/rpc/src/_lib/createTurnQueue.ts
@@ -17,7 +17,7 @@
  * Work that is begun in one turn. A unit is that of one chunk of a message or of {@link UNIT_BYTES} bytes, about a microsecond. The first work of a turn is run whatever
  * its estimate.
  */
-export const WORK_UNITS_PER_TURN = 4096
+export const WORK_UNITS_PER_TURN = 1024
 /** Bytes that cost as much as a chunk where each of them is looked at. */
 export const UNIT_BYTES = 256
 
--- a/packages/rpc/src/paceMessage/index.ts
+++ b/packages/rpc/src/paceMessage/index.ts
@@ -10,12 +10,12 @@
    * once: buffered in the message, each small chunk would cost hundreds of bytes.
    */
   readonly hold: () => void
-  /** Reads on after {@link hold}, in turn with other messages if this one is paced just then. */
+  /** Reads on after {@link hold}, in turn with the messages that are paced. */
   readonly release: () => void
 }
 
-/** Work of one message in a turn, in units of the turn queue: half a millisecond, or two reads of large chunks. */
-const UNITS_PER_TURN = 512
+/** Work of one message in a turn, in units of the turn queue: a quarter of a millisecond, or one read of large chunks. */
+const UNITS_PER_TURN = 256
 
 /** The turn of the event loop, as far as messages are concerned: it ends in its check phase. */
 let turn = 0
@@ -57,11 +57,20 @@
       units = 0
     }
     units += 1 + Math.floor(bytes.length / createTurnQueue.UNIT_BYTES)
-    if (units <= UNITS_PER_TURN || removeFromQueue !== null || hasEnded) return
+    if (units > UNITS_PER_TURN && !isHeld) waitInQueue()
+  }
+
+  function waitInQueue (): void {
+    if (hasEnded || removeFromQueue !== null) return
     removeFromQueue = createTurnQueue.turnQueue.add({ estimateUnits: () => units, run: endWait })
     update()
   }
 
+  function leaveQueue (): void {
+    removeFromQueue?.()
+    removeFromQueue = null
+  }
+
   function endWait (): void {
     removeFromQueue = null
     // What is read now belongs to the next turn.
@@ -89,8 +98,7 @@
 
   function stop (): void {
     hasEnded = true
-    removeFromQueue?.()
-    removeFromQueue = null
+    leaveQueue()
     update()
   }
 
@@ -100,10 +108,13 @@
   return {
     hold: () => {
       isHeld = true
+      leaveQueue()
       update()
     },
     release: () => {
+      if (!isHeld) return
       isHeld = false
+      waitInQueue()
       update()
     }
   }
--- a/packages/rpc/src/runInTurns/test.ts
+++ b/packages/rpc/src/runInTurns/test.ts
@@ -5,7 +5,7 @@
 
 nodeTest.test('work is run in order and in later turns once it exceeds the bound of one', async () => {
   const ran: number[] = []
-  for (let index = 0; index < 3; index += 1) runInTurns.runInTurns(() => { ran.push(index) }, 4000)
+  for (let index = 0; index < 3; index += 1) runInTurns.runInTurns(() => { ran.push(index) }, 1000)
   const remove = runInTurns.runInTurns(() => { ran.push(3) }, 1)
   remove()
   assert.deepEqual(ran, [])
