Evict facts once a datagram, not once a fact

Cause: each fact beyond the maximum of 1,000 took a pass over all of them, 1,800 for a datagram of the largest size; 100 such datagrams a second from one peer kept a gateway busy. Change: what is beyond the maximum is evicted after all facts of a datagram were added, in order of expiry. The test failed before with 17,000 passes for ten datagrams.

--- a/packages/spread/src/createFactExchange/index.ts
+++ b/packages/spread/src/createFactExchange/index.ts
@@ -106,7 +106,6 @@
   function add (fact: Fact): boolean {
     if (facts.has(fact.id) || !isUnexpired(fact)) return false
     facts.set(fact.id, fact)
-    if (facts.size > MAXIMUM_FACTS) evictEarliestExpiry()
     return true
   }
 
@@ -114,10 +113,11 @@
     return createdAt + ttlMs
   }
 
-  function evictEarliestExpiry (): void {
-    let first: Fact | null = null
-    for (const fact of facts.values()) if (first === null || computeExpiry(fact) < computeExpiry(first)) first = fact
-    if (first !== null) facts.delete(first.id)
+  /** Evicts what is beyond the maximum after all facts of a datagram were added, so that the work is not that of their product. */
+  function evictEarliestExpiries (): void {
+    if (facts.size <= MAXIMUM_FACTS) return
+    const byExpiry = [...facts.values()].sort((left, right) => computeExpiry(left) - computeExpiry(right))
+    for (const { id } of byExpiry.slice(0, facts.size - MAXIMUM_FACTS)) facts.delete(id)
   }
 
   function expire (): void {
@@ -176,6 +176,7 @@
       if (!isNear) forward(fact)
       options.onFact(content, fact.createdAt)
     }
+    evictEarliestExpiries()
   }
 
   /** Forwards a fact from another hall to the own hall, where other gateways may not have received it. */
@@ -223,6 +224,7 @@
       const id = `${idPrefix}/${createdCount}`
       const fact = { id, content, createdAt: now() - ageMs, ttlMs, hash: hashes.hash32(id) }
       if (!add(fact)) return
+      evictEarliestExpiries()
       if (pendingOwn.length === 0) options.schedule(BATCH_MS, sendOwn)
       pendingOwn.push(fact)
     },
--- a/packages/spread/src/createFactExchange/test.ts
+++ b/packages/spread/src/createFactExchange/test.ts
@@ -38,6 +38,11 @@
 const TTL_MS = 600_000
 /** The users' tightest bound for a daemon to catch up after a fault. */
 const CONTACT_MS = 3000
+/** Facts of one datagram of the largest size. */
+const FLOOD_FACTS = 1800
+const FLOOD_DATAGRAMS = 10
+/** Passes over all facts that a datagram may cause, however many facts it brings. */
+const PASSES_PER_DATAGRAM = 4
 
 function startFleet ({ halls, gatewaysPerHall, lossFraction }: FleetShape, seed = 7): Fleet {
   const timeline = standins.createVirtualClock()
@@ -231,3 +236,27 @@
     assert.ok(fleet.advanceUntilKnown('four', CONTACT_MS) <= CONTACT_MS, `seed ${seed}`)
   }
 })
+
+nodeTest.test('a datagram of many new facts does not cause a pass over all facts for each of them, and the facts that expire last are kept', (context) => {
+  const { now } = standins.createVirtualClock()
+  const sent: string[] = []
+  const exchange = createFactExchange.createFactExchange({
+    zone: 'zone-a',
+    peers: () => [],
+    send: (_host, bytes) => { sent.push(bytes.toString()) },
+    onFact: () => {},
+    onDrop: assert.fail,
+    schedule: () => {},
+    now,
+    random: () => 0
+  })
+  const passes = context.mock.method(Map.prototype, 'values')
+  for (let datagram = 0; datagram < FLOOD_DATAGRAMS; datagram += 1) {
+    const facts = Array.from({ length: FLOOD_FACTS }, (_, index) => [`${datagram}-${index}`, 0, TTL_MS + datagram * FLOOD_FACTS + index, 1])
+    exchange.receive(Buffer.from(JSON.stringify(['f', facts])), '127.0.0.2')
+  }
+  assert.ok(passes.mock.callCount() <= PASSES_PER_DATAGRAM * FLOOD_DATAGRAMS, `${passes.mock.callCount()} passes`)
+  assert.equal(exchange.count(), createFactExchange.MAXIMUM_FACTS)
+  exchange.receive(Buffer.from('["q",1,0,0]'), '127.0.0.2')
+  assert.ok(sent[0]?.includes(`"${FLOOD_DATAGRAMS - 1}-${FLOOD_FACTS - 1}"`))
+})
