Discard answered requests in turns

Cause: the rest of a request that was answered without reading its body was parsed by Node.js alone, up to 64 KiB in a turn and 16 MiB in all: as chunks of one byte, 2.8 million of them from one connection.

Change: the feed parses 8 KiB a turn of what is discarded, in the turn queue.

Found by review.

--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -70,6 +70,8 @@
 const REQUESTS_PER_TURN = MAXIMUM_OPEN_REQUESTS
 /** Estimate of their work, in the units of {@link runInTurns.runInTurns}. */
 const UNITS_PER_TURN = 100 * REQUESTS_PER_TURN
+/** Bytes that are discarded of an answered request in one turn; as chunks of one byte, they are about as much work as {@link REQUESTS_PER_TURN} requests. */
+const DISCARDED_BYTES_PER_TURN = 8 * 1024
 
 const LATE_HEAD_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 /** Statuses of requests that can't be parsed or whose head does not arrive in time, by the code of the error. */
@@ -89,6 +91,10 @@
   requests: number
   /** Requests that had been read at the begin of this turn of the event loop. */
   requestsBeforeTurn: number
+  /** The last request whose head has been read. */
+  lastRequest: http.IncomingMessage | null
+  /** Bytes that had been parsed at the begin of this turn, if a request is being discarded. */
+  discardedBeforeTurn: number
   /** Bytes that had been written before the last request. */
   writtenBefore: number
   /** Since when no request is handled, a monotonic time in milliseconds. */
@@ -118,10 +124,11 @@
     const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), () => countBodyBytes(connection), (run) => {
       runInTurns.runInTurns(() => {
         connection.requestsBeforeTurn = connection.requests
+        connection.discardedBeforeTurn = connection.feed.readBytes()
         run()
       }, UNITS_PER_TURN)
     })
-    const connection: Connection = { socket, feed, responses: new Map(), requests: 0, requestsBeforeTurn: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
+    const connection: Connection = { socket, feed, responses: new Map(), requests: 0, requestsBeforeTurn: 0, lastRequest: null, discardedBeforeTurn: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -141,9 +148,11 @@
     connection.requests += 1
     if (connection.responses.size === 0) connection.writtenBefore = request.socket.bytesWritten
     connection.refusal = null
+    connection.lastRequest = request
     connection.responses.set(response, connection.feed.readBytes())
     response.once('close', () => {
       connection.responses.delete(response)
+      connection.discardedBeforeTurn = connection.feed.readBytes()
       noteIdle(connection)
       connection.feed.resume()
       const { refusal } = connection
@@ -333,10 +342,12 @@
 }
 
 /** Whether the parser may get more of what a peer has sent ahead. */
-function decideFeed ({ feed, responses, requests, requestsBeforeTurn, refusal }: Connection): createParserFeed.FeedDecision {
+function decideFeed ({ feed, responses, requests, requestsBeforeTurn, lastRequest, discardedBeforeTurn, refusal }: Connection): createParserFeed.FeedDecision {
   const [, waitingSinceBytes] = responses.values()
   const isAhead = waitingSinceBytes !== undefined && feed.readBytes() - waitingSinceBytes > MAXIMUM_BYTES_AHEAD
   if (responses.size >= MAXIMUM_OPEN_REQUESTS || isAhead || (refusal !== null && refusal.code !== LATE_HEAD_CODE)) return 'held'
+  const isDiscarding = responses.size === 0 && lastRequest?.complete === false
+  if (isDiscarding && feed.readBytes() - discardedBeforeTurn >= DISCARDED_BYTES_PER_TURN) return 'later'
   return requests - requestsBeforeTurn >= REQUESTS_PER_TURN ? 'later' : 'now'
 }
 
--- a/packages/rpc/src/trackConnections/requestsAhead.test.ts
+++ b/packages/rpc/src/trackConnections/requestsAhead.test.ts
@@ -16,6 +16,10 @@
 const SENT_REQUESTS = 10_000
 /** One part for the parser, and what may be open before it. */
 const MAXIMUM_PARSED = 64
+/** Parts of a body of 4 MiB, of 4 KiB on average. */
+const MAXIMUM_BODY_PARTS = 1024
+/** Less than one read of a socket may bring. */
+const MAXIMUM_DISCARDED_IN_TURN = 16 * 1024
 
 interface OpenedServer {
   readonly server: http.Server
@@ -199,3 +203,52 @@
   socket.write(formatRequest('/'))
   assert.match(await waitForText('(0)'), new RegExp(`\\(${body.length}\\)`))
 })
+
+nodeTest.test('what follows a body of stated length is parsed up to a bound only, though the body comes in large parts', LIMIT, async (context) => {
+  const parsed = countParsed()
+  const body = Buffer.alloc(4 * types.BYTES_IN_MEBIBYTE, 'x')
+  let parts = 0
+  let bytes = 0
+  const { connect } = await openServer(context, (request) => {
+    request.on('data', (part: Buffer) => {
+      parts += 1
+      bytes += part.length
+    })
+  }, { ServerResponse: parsed.ServerResponse })
+  const socket = connect()
+  socket.write(`POST / HTTP/1.1\r\nHost:\r\nContent-Length: ${body.length}\r\n\r\n`)
+  socket.write(body)
+  socket.write(formatRequests(SENT_REQUESTS))
+  await waitUntil(() => parsed.read() > 1, () => 'no request follows')
+  await types.delay(SETTLE_MS)
+  assert.equal(bytes, body.length)
+  assert.ok(parts <= MAXIMUM_BODY_PARTS, `${parts} parts`)
+  assert.ok(parsed.read() <= MAXIMUM_PARSED, `${parsed.read()} parsed`)
+})
+
+nodeTest.test('the chunks of a request that was answered are discarded in turn with the work of other peers', LIMIT, async (context) => {
+  let bytesInTurn = 0
+  let mostBytes = 0
+  let isAnswered = false
+  let answers = 0
+  const { server, connect } = await openServer(context, (_request, response) => {
+    answers += 1
+    response.once('close', () => { setImmediate(() => { isAnswered = true }) })
+    response.end('(answered)')
+  })
+  server.on('connection', (accepted: net.Socket) => {
+    accepted.on('data', (part: Buffer) => {
+      if (!isAnswered) return
+      if (bytesInTurn === 0) setImmediate(() => { bytesInTurn = 0 })
+      bytesInTurn += part.length
+      mostBytes = Math.max(mostBytes, bytesInTurn)
+    })
+  })
+  const socket = connect()
+  const waitForText = collect(socket)
+  socket.write('POST / HTTP/1.1\r\nHost:\r\nTransfer-Encoding: chunked\r\n\r\n')
+  await waitForText('(answered)')
+  socket.write(`${'1\r\nx\r\n'.repeat(200_000)}0\r\n\r\n${formatRequest('/')}`)
+  await waitUntil(() => answers >= 2, () => `${answers} answers`)
+  assert.ok(mostBytes > 0 && mostBytes <= MAXIMUM_DISCARDED_IN_TURN, `${mostBytes} bytes in a turn`)
+})
