Collect large bodies in blocks instead of growing their storage

Cause: storage that doubled left as much again to the garbage collector. Change: beyond 256 KiB, storage isn't grown but followed by more blocks, which are joined once the body is handed over.

--- a/packages/rpc/src/createByteCollector/index.ts
+++ b/packages/rpc/src/createByteCollector/index.ts
@@ -21,6 +21,8 @@
 /** Least memory that is held and reported, which covers the objects of a collector, too. */
 const MINIMUM_HELD_BYTES = types.BYTES_IN_KIBIBYTE
 const GROWTH_FACTOR = 2
+/** Storage that is larger isn't grown but followed by more of this size, since what it had grown from would wait for the garbage collector. */
+const MAXIMUM_BLOCK_BYTES = 256 * types.BYTES_IN_KIBIBYTE
 const NOTHING = Buffer.alloc(0)
 
 /**
@@ -32,13 +34,18 @@
  * @returns The collector, which is empty.
  */
 export function createByteCollector (maximumBytes: number, mayHold: (heldBytes: number) => boolean = () => true): ByteCollector {
+  /** Full blocks, and the one that is being filled, with the number of bytes in it. */
+  let blocks: Buffer[] = []
+  let blockBytes = 0
   let storage = NOTHING
-  let length = 0
+  let storedBytes = 0
   let refusal: Exclude<Collected, 'collected'> | null = null
 
   function release (): void {
+    blocks = []
+    blockBytes = 0
     storage = NOTHING
-    length = 0
+    storedBytes = 0
   }
 
   function refuse (reason: Exclude<Collected, 'collected'>): Collected {
@@ -47,33 +54,50 @@
     return reason
   }
 
-  /** Storage for so many bytes: the present one, or one that is larger by a factor, so that all bytes are copied a few times at most. */
+  /** Storage of a block for so many bytes: the present one, or one that is larger by a factor, so that all bytes are copied a few times at most. */
   function computeCapacity (neededBytes: number): number {
     if (neededBytes <= storage.length) return storage.length
-    return Math.min(maximumBytes, Math.max(neededBytes, GROWTH_FACTOR * storage.length, MINIMUM_HELD_BYTES))
+    return Math.min(maximumBytes - blockBytes, MAXIMUM_BLOCK_BYTES, Math.max(neededBytes, GROWTH_FACTOR * storage.length, MINIMUM_HELD_BYTES))
+  }
+
+  /** Copies as much of a part as the present block takes; returns the number of bytes, or null if the memory for them was refused. */
+  function fill (part: Uint8Array): number | null {
+    if (storedBytes === MAXIMUM_BLOCK_BYTES) {
+      blocks.push(storage)
+      blockBytes += storedBytes
+      storage = NOTHING
+      storedBytes = 0
+    }
+    const capacity = computeCapacity(storedBytes + part.length)
+    if (!mayHold(Math.max(blockBytes + capacity, MINIMUM_HELD_BYTES))) return null
+    if (capacity > storage.length) {
+      // Buffers from the pool of Node.js would keep alive what is not theirs.
+      const larger = Buffer.allocUnsafeSlow(capacity)
+      storage.copy(larger, 0, 0, storedBytes)
+      storage = larger
+    }
+    const bytes = Math.min(part.length, storage.length - storedBytes)
+    storage.set(part.subarray(0, bytes), storedBytes)
+    storedBytes += bytes
+    return bytes
   }
 
   return {
     append: (part) => {
       if (refusal !== null) return refusal
-      const neededBytes = length + part.length
-      if (neededBytes > maximumBytes) return refuse('too-large')
-      const capacity = computeCapacity(neededBytes)
-      if (!mayHold(Math.max(capacity, MINIMUM_HELD_BYTES))) return refuse('not-held')
-      if (capacity > storage.length) {
-        // Buffers from the pool of Node.js would keep alive what is not theirs.
-        const larger = Buffer.allocUnsafeSlow(capacity)
-        storage.copy(larger, 0, 0, length)
-        storage = larger
+      if (blockBytes + storedBytes + part.length > maximumBytes) return refuse('too-large')
+      for (let offset = 0; ;) {
+        const bytes = fill(part.subarray(offset))
+        if (bytes === null) return refuse('not-held')
+        offset += bytes
+        if (offset >= part.length) return 'collected'
       }
-      storage.set(part, length)
-      length = neededBytes
-      return 'collected'
     },
-    readLength: () => length,
-    readHeldBytes: () => storage === NOTHING ? 0 : Math.max(storage.length, MINIMUM_HELD_BYTES),
+    readLength: () => blockBytes + storedBytes,
+    readHeldBytes: () => blockBytes + storage.length === 0 ? 0 : Math.max(blockBytes + storage.length, MINIMUM_HELD_BYTES),
     take: () => {
-      const bytes = storage.subarray(0, length)
+      const last = storage.subarray(0, storedBytes)
+      const bytes = blocks.length === 0 ? last : Buffer.concat([...blocks, last], blockBytes + storedBytes)
       release()
       return bytes
     },
--- a/packages/rpc/src/createByteCollector/test.ts
+++ b/packages/rpc/src/createByteCollector/test.ts
@@ -1,5 +1,6 @@
 /** Guards against bounds of bytes that are no bounds of memory: a part of one byte keeps a buffer object, and whatever its slice lies in. */
 import * as assert from 'node:assert/strict'
+import * as crypto from 'node:crypto'
 import * as nodeTest from 'node:test'
 import * as types from '@switchridge/types'
 import * as rpc from '../index.js'
@@ -63,3 +64,24 @@
     assert.equal(collector.take().toString(), parts.join(''))
   }
 })
+
+nodeTest.test('the storage of a large body exceeds it by a block at most, and keeps all bytes in order', () => {
+  const bytes = crypto.randomBytes(3_000_001)
+  const blockBytes = 256 * types.BYTES_IN_KIBIBYTE
+  const longestPart = 100_003
+  let mostBeyond = 0
+  let collected = 0
+  const collector = rpc.createByteCollector(Infinity, (heldBytes) => {
+    mostBeyond = Math.max(mostBeyond, heldBytes - collected)
+    return true
+  })
+  for (let size = 1; collected < bytes.length; size = size * 7 % longestPart) {
+    const part = bytes.subarray(collected, collected + size)
+    assert.equal(collector.append(part), 'collected')
+    collected += part.length
+  }
+  assert.ok(mostBeyond <= blockBytes + longestPart, `${mostBeyond} bytes`)
+  assert.ok(collector.readHeldBytes() - bytes.length <= blockBytes)
+  assert.ok(collector.take().equals(bytes))
+  assert.equal(collector.readHeldBytes(), 0)
+})
