Fold the tests of sound calls beside endless streams and callers into the table of endless peers

The table gets what it lacked: empty comments, each stream also where none may resume it, small events, bodies without their last byte, and requests for metrics. The test of engines that are avoided and tried again stays.

--- a/packages/fuzz/src/_lib/endlessGateway.ts
+++ b/packages/fuzz/src/_lib/endlessGateway.ts
@@ -10,6 +10,7 @@
 const MODEL = 'model-a'
 const SOUND_PATH = '/sound/stock'
 const FAULTY_PATHS: Readonly<Record<endlessShapes.EndlessRoute, string>> = { plain: '/read/stock', stream: '/stream/quote', resumable: '/stream/quote' }
+const METRICS_PATH = '/metrics'
 const MAXIMUM_CONNECTIONS = 1000
 const SLOTS = 64
 const METRICS_WAIT_MS = 2000
@@ -60,20 +61,22 @@
   startedGateways += 1
   const host = `127.0.${FIRST_NETWORK + process.pid % NETWORKS}.${1 + startedGateways % HOSTS}`
   const callers = { host, port: ports[1] ?? 0 }
+  const operators = { host, port: ports[3] ?? 0 }
+  const asksForMetrics = shape.kind === 'caller' && shape.asksForMetrics === true
   const processes = launcher.createLauncher()
   const gateway = watchedProgram.startWatchedProgram(processes, 'gateway', program, formatSettings(host, ports, store.address))
   const target: endlessTarget.EndlessTarget = {
     sound: { address: callers, path: SOUND_PATH },
     faulty: {
-      address: callers,
-      path: FAULTY_PATHS[route],
+      address: asksForMetrics ? operators : callers,
+      path: asksForMetrics ? METRICS_PATH : FAULTY_PATHS[route],
       headers: { ...testing.formatCallerHeaders(hasKey ? endlessTarget.API_KEY : endlessTarget.UNKNOWN_KEY, endlessTarget.TIMEOUT_MS), ...testing.formatModelHeaders(MODEL) },
       idHeaders: ['request-id'],
       bodyBytes: endlessTarget.BODY_BYTES
     },
     programs: [gateway],
     readLongestTurnMs: async () => {
-      const { body } = await testing.sendCallerRequest({ host, port: ports[3] ?? 0 }, endlessTarget.API_KEY, { path: '/metrics', id: 'metrics', abortAfterMs: METRICS_WAIT_MS })
+      const { body } = await testing.sendCallerRequest(operators, endlessTarget.API_KEY, { path: METRICS_PATH, id: 'metrics', abortAfterMs: METRICS_WAIT_MS })
       return Number(/^switchridge_longest_turn_ms\{.*\} (.*)$/m.exec(body)?.[1] ?? NaN)
     },
     close: async () => {
--- a/packages/fuzz/src/_lib/endlessPeer.ts
+++ b/packages/fuzz/src/_lib/endlessPeer.ts
@@ -105,7 +105,11 @@
 }
 
 /** Creates the bytes of a connection; they end if it has a single body. */
-function createBytes (callers: CallersProcess, { chunkBytes }: endlessShapes.CallerShape, id: string): () => Buffer | null {
+function createBytes (callers: CallersProcess, { chunkBytes, isUnfinished = false }: endlessShapes.CallerShape, id: string): () => Buffer | null {
+  if (isUnfinished) {
+    const parts = [Buffer.from(formatRequest(callers, 'POST', id, `content-length: ${callers.bodyBytes}\r\n`)), Buffer.alloc(callers.bodyBytes - 1, 'x')]
+    return () => parts.shift() ?? null
+  }
   if (chunkBytes === null) {
     const block = Buffer.from(Array.from({ length: REQUESTS_IN_BLOCK }, (_, index) => formatRequest(callers, 'GET', `${id}-${index}`)).join(''))
     return () => block
--- a/packages/fuzz/src/_lib/endlessShapes.ts
+++ b/packages/fuzz/src/_lib/endlessShapes.ts
@@ -25,8 +25,12 @@
   readonly hasKey: boolean
   /** Whether it reads the answers. */
   readonly isReading: boolean
-  /** Bytes of the payload of one chunk of the body; null for requests without a body that are sent one after the other. */
+  /** Bytes of the payload of one chunk of the body; null for requests without a body that are sent one after the other, or for a body by length. */
   readonly chunkBytes: number | null
+  /** Whether it sends a body of the largest length but for its last byte, and then waits. */
+  readonly isUnfinished?: boolean
+  /** Whether it asks for metrics, at the address for operators. */
+  readonly asksForMetrics?: boolean
 }
 
 export type EndlessShape = EngineShape | CallerShape
@@ -83,6 +87,11 @@
   return { kind: 'engine', name, route, begin, createParts, ...(intervalMs === undefined ? {} : { intervalMs }) }
 }
 
+/** Creates the shapes of a stream that one engine may resume, and of one that none may. */
+function createStreamShapes (name: string, begin: EngineShape['begin'], createParts: EngineShape['createParts']): EngineShape[] {
+  return [createEngineShape(name, 'resumable', begin, createParts), createEngineShape(`${name}, not resumable`, 'stream', begin, createParts)]
+}
+
 /** What engines send. */
 export const ENGINE_SHAPES: readonly EngineShape[] = [
   createEngineShape('a status line', 'plain', () => 'HTTP/1.1 200 ', repeat('x')),
@@ -101,17 +110,16 @@
   createEngineShape('trailers', 'plain', (id) => `${plainHead(id)}0\r\n`, repeat('name: value\r\n')),
   createEngineShape('bytes after an answer', 'plain', (id) => `${formatHead(id, 'content-length: 2\r\n')}ok`, repeat('x')),
   createEngineShape('answers after an answer', 'plain', (id) => `${formatHead(id, 'content-length: 2\r\n')}ok`, repeat(`${formatHead('other', 'content-length: 2\r\n')}ok`)),
-  createEngineShape('comment lines, each in a chunk', 'resumable', streamHead, repeat(formatChunk(':a\n'))),
-  createEngineShape('comment lines, each in a chunk, not resumable', 'stream', streamHead, repeat(formatChunk(':a\n'))),
+  ...createStreamShapes('comment lines, each in a chunk', streamHead, repeat(formatChunk(':a\n'))),
   createEngineShape('comment lines without framing', 'stream', (id) => formatHead(id, EVENT_STREAM), repeat(':a\n')),
+  ...createStreamShapes('empty comments, each in a chunk', streamHead, repeat(formatChunk(':\n\n'))),
   createEngineShape('empty lines, each in a chunk', 'resumable', streamHead, repeat(formatChunk('\n'))),
   createEngineShape('lines of one event', 'resumable', (id) => `${streamHead(id)}${formatChunk('id: 1\n')}`, repeat(formatChunk('data: x\n'.repeat(BLOCK_BYTES / 8)))),
-  createEngineShape('lines of one event, each in a chunk', 'resumable', (id) => `${streamHead(id)}${formatChunk('id: 1\n')}`, repeat(formatChunk('data: x\n'))),
-  createEngineShape('a line of one event in chunks of one byte', 'resumable', (id) => `${streamHead(id)}${formatChunk('data: ')}`, repeat(ONE_BYTE_CHUNK)),
+  ...createStreamShapes('lines of one event, each in a chunk', (id) => `${streamHead(id)}${formatChunk('id: 1\n')}`, repeat(formatChunk('data: x\n'))),
+  ...createStreamShapes('a line of one event in chunks of one byte', (id) => `${streamHead(id)}${formatChunk('data: ')}`, repeat(ONE_BYTE_CHUNK)),
   createEngineShape('an event stream in chunks of one byte, not resumable', 'stream', streamHead, repeat([...'data: x\n\n'].map(formatChunk).join(''))),
-  createEngineShape('small events', 'resumable', streamHead, () => createEvents(false)),
-  createEngineShape('small events, each in a chunk', 'resumable', streamHead, () => createEvents(true)),
-  createEngineShape('small events, each in a chunk, not resumable', 'stream', streamHead, () => createEvents(true)),
+  ...createStreamShapes('small events', streamHead, () => createEvents(false)),
+  ...createStreamShapes('small events, each in a chunk', streamHead, () => createEvents(true)),
   createEngineShape('a head, slowly', 'plain', () => 'HTTP/1.1 200 OK\r\nname: ', repeatSlowly('x'), SLOW_INTERVAL_MS),
   createEngineShape('a body in chunks of one byte, slowly', 'plain', plainHead, repeatSlowly(ONE_BYTE_CHUNK), SLOW_INTERVAL_MS),
   createEngineShape('comment lines, slowly', 'resumable', streamHead, repeatSlowly(formatChunk(':a\n')), SLOW_INTERVAL_MS)
@@ -122,8 +130,10 @@
   { kind: 'caller', name: 'bodies in chunks of one byte', hasKey: true, isReading: true, chunkBytes: 1 },
   { kind: 'caller', name: 'bodies in chunks of 16 bytes', hasKey: true, isReading: true, chunkBytes: 16 },
   { kind: 'caller', name: 'bodies in chunks of one byte with an unknown key', hasKey: false, isReading: true, chunkBytes: 1 },
+  { kind: 'caller', name: 'bodies without their last byte', hasKey: true, isReading: true, chunkBytes: null, isUnfinished: true },
   { kind: 'caller', name: 'requests one after the other, reading no answer', hasKey: true, isReading: false, chunkBytes: null },
   { kind: 'caller', name: 'requests one after the other', hasKey: true, isReading: true, chunkBytes: null },
   { kind: 'caller', name: 'requests one after the other with an unknown key, reading no answer', hasKey: false, isReading: false, chunkBytes: null },
-  { kind: 'caller', name: 'requests one after the other with an unknown key', hasKey: false, isReading: true, chunkBytes: null }
+  { kind: 'caller', name: 'requests one after the other with an unknown key', hasKey: false, isReading: true, chunkBytes: null },
+  { kind: 'caller', name: 'requests for metrics, reading no answer', hasKey: false, isReading: false, chunkBytes: null, asksForMetrics: true }
 ]
--- a/packages/fuzz/src/runEndlessPeer/index.ts
+++ b/packages/fuzz/src/runEndlessPeer/index.ts
@@ -59,7 +59,7 @@
 }
 
 const PLAIN_SHAPES = endlessShapes.ENGINE_SHAPES.filter(({ route }) => route === 'plain')
-const BODY_SHAPES = endlessShapes.CALLER_SHAPES.filter(({ chunkBytes }) => chunkBytes !== null)
+const BODY_SHAPES = endlessShapes.CALLER_SHAPES.filter(({ chunkBytes, isUnfinished }) => chunkBytes !== null || isUnfinished === true)
 
 /** All rows: each shape with each number of connections, as far as it differs at its target. */
 export const ENDLESS_ROWS: readonly EndlessRow[] = [
--- a/packages/fuzz/src/runEndlessPeer/test.ts
+++ b/packages/fuzz/src/runEndlessPeer/test.ts
@@ -3,15 +3,16 @@
 import * as nodeTest from 'node:test'
 import * as runEndlessPeer from './index.js'
 
-/** Shapes of many small parts, each of which costs far more than its bytes; all of the table by hand with `npm run fuzz -- --endless-peers`. */
-const SMALL_PARTS = /one byte|16 bytes|each in a chunk|with extensions|one after the other/
+/** Shapes of many small parts, each of which costs far more than its bytes, and those that are held for long; all of the table by hand with `npm run fuzz -- --endless-peers`. */
+const COSTLY_SHAPES = /one byte|16 bytes|each in a chunk|with extensions|one after the other|small events|last byte|metrics/
 const PARALLEL = 2
 
 /** Whether a row runs with the other tests. */
 function isInTest ({ target, shape, connections }: runEndlessPeer.EndlessRow): boolean {
   if (shape.name.endsWith('slowly')) return false
-  if (target === 'gateway') return connections !== 8 && SMALL_PARTS.test(shape.name)
-  return connections === 1 && (SMALL_PARTS.test(shape.name) || (target === 'keyed calls' && shape.name === 'a body in large chunks'))
+  if (target === 'gateway') return connections !== 8 && COSTLY_SHAPES.test(shape.name)
+  if (target === 'calls' && shape.kind === 'caller' && shape.isUnfinished === true) return connections !== 8
+  return connections === 1 && (COSTLY_SHAPES.test(shape.name) || (target === 'keyed calls' && shape.name === 'a body in large chunks'))
 }
 
 nodeTest.describe('endless peers', { concurrency: PARALLEL }, () => {
