Bound bodies and unread responses of a gateway by 0.2 of its memory by default

With 0.3, 64 callers that send 4 MiB each but for the last byte, again and again, took a gateway to 364 MB of 350 in the table of endless peers. What is held takes as much again until it is collected, as do buffered answers (64 MiB), beside some 80 MB of the process: 0.3 leaves too little room, 0.2 fits.

--- a/packages/settings/src/parseFleetSettings/index.ts
+++ b/packages/settings/src/parseFleetSettings/index.ts
@@ -37,7 +37,7 @@
     link_megabits_per_second: zod.number().positive().default(1000),
     grace_seconds: zod.number().positive().default(8),
     memory_megabytes: zod.number().positive().default(128),
-    held_share: zod.number().min(0).max(1).default(0.3)
+    held_share: zod.number().min(0).max(1).default(0.2)
   }).prefault({}),
   bounds: zod.strictObject({
     evacuation_ms: milliseconds.optional(),
