--- a/packages/fuzz/src/soakGateways/test.ts
+++ b/packages/fuzz/src/soakGateways/test.ts
@@ -3,8 +3,8 @@
 import * as nodeTest from 'node:test'
 import * as soakGateways from './index.js'
 
-/** Seeds that failed before, with planned work alone, with kills and pauses, with silent engines, and with stages that turn stale; more by hand with `npm run fuzz -- --soak-gateways`. */
-const SEEDS = [2, 8, 9, 246, 301]
+/** Seeds that failed before, with planned work alone, with kills and pauses, with silent engines, with stages that turn stale, and with peers that send without end; more by hand with `npm run fuzz -- --soak-gateways`. */
+const SEEDS = [2, 8, 9, 246, 301, 402]
 
 for (const seed of SEEDS) {
   nodeTest.test(`callers get what is promised while gateways and agents are disturbed, seed ${seed}`, async (context) => {
