--- a/packages/daemon/src/startGatewayRole/endlessStreams.test.ts
+++ b/packages/daemon/src/startGatewayRole/endlessStreams.test.ts
@@ -32,6 +32,7 @@
 
 nodeTest.test('calls are answered by the sound engine of the same service, and the one whose streams have no end is tried again', { timeout: 60_000 }, async (context) => {
   const fleet = await fleetTesting.createTestFleet(context)
+  fleet.configure()
   const worker = new workerThreads.Worker(new URL('../_lib/endlessStreamEngine.js', import.meta.url), { workerData: ENDLESS_PART })
   context.after(async () => { await worker.terminate() })
   const port = await new Promise<number>((resolve) => { worker.once('message', resolve) })
@@ -39,6 +40,7 @@
   const faulty = await fleet.startEngine({ id: 'i-faulty', ...engine }, name)
   fleet.store.put('servers', 'i-faulty', testing.describeEngine({ ...faulty, address: { host: types.LOOPBACK_HOST, port } }, name, 'zone-a', { name: fleetTesting.MODEL, version: 1 }))
   await fleet.startEngine({ id: 'i-streams', ...engine }, name)
+  await fleet.startEngine({ id: 'i-plain' }, fleetTesting.PLAIN_SERVICE.name)
   const program = programTesting.startProgram(context, programTesting.formatGatewaySettings(fleet, HOST, 'memory_megabytes = 350\n'), { nodeOptions: NODE_OPTIONS })
   await program.waitForOutput('event=started')
   await fleet.waitUntilReady(HOST)
