--- a/packages/daemon/src/createBackendCalls/index.ts
+++ b/packages/daemon/src/createBackendCalls/index.ts
@@ -12,6 +12,7 @@
 import * as callHeaders from '../_lib/callHeaders.js'
 import * as registerCall from '../_lib/registerCall.js'
 import * as sendStream from '../_lib/sendStream.js'
+import * as waitForBody from '../_lib/waitForBody.js'
 import * as watchEventEnd from '../_lib/watchEventEnd.js'
 
 /** The call description that an entry node sends along with a call. */
@@ -142,7 +143,7 @@
     }
     const isFramed = rpc.hasMessageFraming(started.value, call.method)
     const hasEndedOrderly = rpc.watchOrderlyEnd(started.value.socket)
-    if (!isFramed && rpc.expectsBody(started.value.statusCode ?? 0) && !await waitForBody(started.value)) {
+    if (!isFramed && rpc.expectsBody(started.value.statusCode ?? 0) && !await waitForBody.waitForBody(started.value)) {
       started.value.destroy()
       answerFailure(context, ticket, new Error('the response without framing ended before its body'))
       return
@@ -236,21 +237,6 @@
   }
 }
 
-/** Waits for the first bytes of a body; resolves with false if the response ends, or breaks off, without any. */
-async function waitForBody (response: http.IncomingMessage): Promise<boolean> {
-  if (response.readableLength > 0 || response.destroyed) return response.readableLength > 0
-  return await new Promise((resolve) => {
-    const settle = (): void => {
-      response.off('readable', settle)
-      response.off('close', settle)
-      resolve(response.readableLength > 0)
-    }
-    response.on('error', () => {})
-    response.once('readable', settle)
-    response.once('close', settle)
-  })
-}
-
 function parseCall (text: string): Call | null {
   try {
     return callSchema.parse(JSON.parse(text))
