Bound the bodies that an entry node holds together

64 callers that sent 4 MiB each but for the last byte took an entry node to 453 MB of 350: each body had a bound, all together had none. They have 64 MiB now, by the accounts that gateways use: bodies that have stalled for a second are given up first (408, nothing was sent), then further ones are refused for another entry node (503 no-memory, with a time to come back).

--- a/packages/daemon/src/createEntryCalls/index.ts
+++ b/packages/daemon/src/createEntryCalls/index.ts
@@ -4,6 +4,7 @@
 import type * as Koa from 'koa'
 import type * as clock from '@switchridge/clock'
 import * as types from '@switchridge/types'
+import * as gateway from '@switchridge/gateway'
 import * as routing from '@switchridge/routing'
 import * as rpc from '@switchridge/rpc'
 import type * as observability from '@switchridge/observability'
@@ -52,6 +53,11 @@
 
 const SERVICE_PATH = /^\/services\/([\w.-]+)(?:\/models\/([\w.-]+))?(\/.*)?$/
 const RETRY_AFTER_SECONDS = 1
+/** Memory that the bodies of all calls may take, sixteen of the largest. */
+const MAXIMUM_HELD_BODY_BYTES = 16 * types.MAXIMUM_CALL_BODY_BYTES
+const NO_MEMORY_REASON = 'no-memory'
+/** Retry time of a caller whose body can't be held; another entry node may have memory. */
+const NO_MEMORY_RETRY_MS = 1000
 /** Attempts of a call, without the first refusal on account of each process that leaves or has ended. */
 const MAXIMUM_ATTEMPTS = 5
 /** The process that refuses the call is about to end. */
@@ -102,6 +108,7 @@
 export function createEntryCalls (options: EntryCallsOptions): EntryCalls {
   const budgets = new Map<types.ServiceName, routing.RetryBudget>()
   const counts: Record<string, number> = {}
+  const heldBytes = gateway.createHeldBytes({ maximumBytes: MAXIMUM_HELD_BODY_BYTES, now: options.now })
   let inProgress = 0
   const pendingAttempts = new Set<PendingAttempt>()
   /** For calls whose response may not have begun. */
@@ -187,19 +194,44 @@
     const waitMs = options.limiter.take(account.id, account.callsPerSecond)
     if (waitMs > 0) return rejectOverLimit(context, waitMs)
     const deadlineAt = options.now() + entryCall.computeTimeoutMs(context, service)
-    const body = await rpc.readBody(context, types.MAXIMUM_CALL_BODY_BYTES)
-    if (!body.ok) return reject(context, 413, body.error.message)
+    const body = await readBody(context)
+    if (body === null) return null
     if (deadlineAt > options.endsAt()) {
       sendFailure(context, { kind: 'not-run', reason: LEAVING_REASON, load: undefined, retryAfterMs: 0 })
       return null
     }
     const headers = { ...callHeaders.selectForwardedHeaders(context.headers), [callHeaders.REQUEST_ID_HEADER]: requestId }
     const path = (match[3] ?? '/') + context.search
-    const call = { service: service.id, row, account, method: context.method, path, headers, body: body.value, isRepeatable: entryCall.isRepeatable(service, context.method), deadlineAt }
+    const call = { service: service.id, row, account, method: context.method, path, headers, body, isRepeatable: entryCall.isRepeatable(service, context.method), deadlineAt }
     const key = call.isRepeatable ? '' : context.get(callHeaders.IDEMPOTENCY_KEY_HEADER)
     return { call, service, affinity: context.get(callHeaders.PROMPT_PREFIX_HEADER), key }
   }
 
+  /** Reads the body of a call, which is held until its response is closed; null if it was rejected. If memory is short, bodies that have stalled are given up first. */
+  async function readBody (context: Koa.Context): Promise<Buffer | null> {
+    let isDropped = false
+    let drop = (): void => {}
+    const dropped = new Promise<null>((resolve) => { drop = () => { resolve(null) } })
+    const holding = heldBytes.open(({ bytes, stalledMs }) => {
+      options.logger.warn('call-dropped', { request: String(context.response.get(callHeaders.REQUEST_ID_HEADER)), phase: 'upload', bytes, stalledMs: Math.round(stalledMs) })
+      isDropped = true
+      drop()
+    })
+    context.res.once('close', holding.close)
+    const read = await Promise.race([rpc.readBody(context, types.MAXIMUM_CALL_BODY_BYTES, (heldBytes) => !isDropped && holding.noteUpload(heldBytes)), dropped])
+    if (read?.ok === true) {
+      holding.noteRunning()
+      return read.value
+    }
+    if (read === null) {
+      context.res.shouldKeepAlive = false
+      return reject(context, 408, 'the request body stalled')
+    }
+    if (!(read.error instanceof types.UnavailableError)) return reject(context, 413, read.error.message)
+    sendFailure(context, { kind: 'not-run', reason: NO_MEMORY_REASON, load: undefined, retryAfterMs: NO_MEMORY_RETRY_MS })
+    return null
+  }
+
   /** Rejects a request because of the caller's own mistake or limit; nothing ran. */
   function reject (context: Koa.Context, status: number, message: string): null {
     context.req.resume()
--- a/packages/rpc/src/createRpcServer/index.ts
+++ b/packages/rpc/src/createRpcServer/index.ts
@@ -73,11 +73,13 @@
  *
  * @param exchange - The request and its response.
  * @param limit - Largest accepted size in bytes.
- * @returns The bytes, or the reason for the failure.
+ * @param mayHold - Called for each part with the memory in bytes that is needed for the body so far; returns whether it may be held.
+ * @returns The bytes, or the reason for the failure; an {@link types.UnavailableError} if they may not be held.
  */
-export async function readBody ({ req: request, res: response }: Pick<Koa.Context, 'req' | 'res'>, limit: number): Promise<types.Outcome<Buffer, types.SwitchridgeError>> {
-  const read = await readBoundedBody.readBoundedBody(request, limit)
+export async function readBody ({ req: request, res: response }: Pick<Koa.Context, 'req' | 'res'>, limit: number, mayHold?: (heldBytes: number) => boolean): Promise<types.Outcome<Buffer, types.SwitchridgeError>> {
+  const read = await readBoundedBody.readBoundedBody(request, limit, mayHold === undefined ? {} : { mayHold })
   if (read.kind === 'whole') return types.succeed(read.body)
+  if (read.kind === 'not-held') return types.fail(new types.UnavailableError('no memory for the request body'))
   if (read.kind === 'broken') return types.fail(new types.SwitchridgeError(`the body broke off: ${types.describeError(read.error)}`))
   if (read.kind !== 'over-framed') return types.fail(new types.SwitchridgeError(`the body exceeds ${limit} bytes`))
   closeAfterResponse.closeAfterResponse(request, response)
