--- a/packages/daemon/src/_lib/fleetTesting.ts
+++ b/packages/daemon/src/_lib/fleetTesting.ts
@@ -12,6 +12,8 @@
 
 export const MODEL = 'model-a'
 export const API_KEY = 'key-of-tenant-one'
+/** Longer than the time of any test. */
+const LONGEST_WAIT_MS = 180_000
 const POLL_INTERVAL_MS = 10
 const HTTP_OK = 200
 const STATUS_WAIT_MS = 10_000
@@ -71,9 +73,14 @@
   readonly evacuations: ReadonlyArray<{ readonly hall: string }>
 }
 
-/** Polls until the condition holds. It has no timeout; the test runner's timeout ends a test that hangs. */
+/** Polls until the condition holds; fails after {@link LONGEST_WAIT_MS}. The timeout of a test is shorter. */
 export async function waitUntil (condition: () => boolean | Promise<boolean>): Promise<void> {
-  while (!await condition()) await types.delay(POLL_INTERVAL_MS)
+  const deadline = performance.now() + LONGEST_WAIT_MS
+  while (!await condition()) {
+    // A test whose time is over goes on waiting, and would keep its process alive.
+    assert.ok(performance.now() < deadline, `the condition is not met in ${LONGEST_WAIT_MS} ms`)
+    await types.delay(POLL_INTERVAL_MS)
+  }
 }
 
 /** Polls until the condition holds; fails if it still does not after {@link STATUS_WAIT_MS}. */
