Name the address of a caller that sends ahead, or whose body is given up

An operator who looked for the caller behind a gateway's load found the requests of the busiest connection in a gauge, and no line that named its peer. connection-held-back names the address of a caller that sends more requests ahead than are parsed, once a connection, and connections_held_back counts them; body-refused and call-dropped name the address, too. The check of body-refused in chunks.test.ts asks for it (stricter).

--- a/packages/daemon/src/startGatewayRole/index.ts
+++ b/packages/daemon/src/startGatewayRole/index.ts
@@ -302,7 +302,10 @@
     logger,
     count: metrics.count,
     readConfiguration
-  }))
+  }), ({ peer, requests }) => {
+    metrics.count('connections_held_back')
+    logger.warn('connection-held-back', { caller: peer, requests })
+  })
   parts.evacuations.onTakenBack(limiter.noteTakenBack)
   parts.evacuations.onEvacuated(() => { waiting?.endExcluded() })
   parts.onRoutes((table) => {
--- a/packages/gateway/src/createCallHandler/chunks.test.ts
+++ b/packages/gateway/src/createCallHandler/chunks.test.ts
@@ -148,7 +148,7 @@
     }
     assert.ok(fixture.peaks.held <= callers * 64 * 1024, `${fixture.peaks.held} bytes held`)
     assert.equal(fixture.heldBytes.read(), 0)
-    assert.equal(fixture.logged.filter((line) => line.startsWith('body-refused {"id":"r","reason":"framing","allowedBytes":131072}')).length, callers)
+    assert.equal(fixture.logged.filter((line) => line.startsWith('body-refused {"id":"r","caller":"127.0.0.1","reason":"framing","allowedBytes":131072}')).length, callers)
   })
 
   nodeTest.test(`${callers} answers in chunks of one byte without end are failed attempts, and little is held of them`, LIMIT, async (context) => {
--- a/packages/gateway/src/createCallHandler/index.ts
+++ b/packages/gateway/src/createCallHandler/index.ts
@@ -147,7 +147,7 @@
     /** Ends a call whose caller has stalled while memory is short. A body that is not complete was not forwarded, and is not if the rest of it arrives. */
     function dropCall ({ phase, bytes, stalledMs }: createHeldBytes.DroppedCall): void {
       options.count('calls_dropped', { phase })
-      options.logger.warn('call-dropped', { id: head.requestId, phase, bytes, stalledMs: Math.round(stalledMs) })
+      options.logger.warn('call-dropped', { id: head.requestId, caller: request.socket.remoteAddress, phase, bytes, stalledMs: Math.round(stalledMs) })
       if (phase === 'answer') return reply.abort()
       isRefused = true
       response.once('finish', () => { request.destroy() })
@@ -193,14 +193,14 @@
     function refuseFraming (allowedBytes: number): void {
       registered.noteEnding('refused')
       options.count('bodies_over_framed')
-      options.logger.warn('body-refused', { id: head.requestId, reason: 'framing', allowedBytes })
+      options.logger.warn('body-refused', { id: head.requestId, caller: request.socket.remoteAddress, reason: 'framing', allowedBytes })
       rpc.closeAfterResponse(request, response)
       reply.refuse(400, 'the framing of the body exceeds the body', null)
     }
 
     function refuseBody (): void {
       options.count('bodies_refused')
-      options.logger.warn('body-refused', { id: head.requestId, reason: 'memory', heldBytes: options.heldBytes?.read() })
+      options.logger.warn('body-refused', { id: head.requestId, caller: request.socket.remoteAddress, reason: 'memory', heldBytes: options.heldBytes?.read() })
       reply.refuse(503, 'no memory for the request body', Math.round(MEMORY_RETRY_MS * (1 + options.random())))
     }
   }
--- a/packages/gateway/src/createCallerServer/index.ts
+++ b/packages/gateway/src/createCallerServer/index.ts
@@ -34,9 +34,10 @@
  *
  * @param handler - Handles requests.
  * @param onIdleClose - Called before a connection is closed because no request came in time.
+ * @param onHeldBack - Called the first time that a caller has sent more requests ahead over a connection than are parsed.
  * @returns The server, which doesn't listen yet.
  */
-export function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, onIdleClose?: (close: rpc.IdleClose) => void): CallerServer {
+export function createCallerServer (handler: Pick<createCallHandler.CallHandler, 'handle'>, onIdleClose?: (close: rpc.IdleClose) => void, onHeldBack?: (held: rpc.HeldBack) => void): CallerServer {
   const server = http.createServer({
     maxHeaderSize: maximumHeaderBytes,
     headersTimeout: headerTimeoutMs,
@@ -45,7 +46,7 @@
     noDelay: true,
     connectionsCheckingInterval: CHECK_INTERVAL_MS
   })
-  const connections = rpc.trackConnections(server, handler.handle, onIdleClose)
+  const connections = rpc.trackConnections(server, handler.handle, onIdleClose, onHeldBack)
   const setHeaderTimeout = createTimeLimit.createTimeLimit((limitMs) => { server.headersTimeout = limitMs })
   const setIdleTimeout = createTimeLimit.createTimeLimit((limitMs) => { server.keepAliveTimeout = limitMs + IDLE_MARGIN_MS })
   // The handler decides whether the caller may send its body.
--- a/packages/rpc/src/trackConnections/index.ts
+++ b/packages/rpc/src/trackConnections/index.ts
@@ -43,6 +43,14 @@
   readonly receivedBytes: number
 }
 
+/** A connection of which no more is parsed until requests that were sent ahead over it are answered. */
+export interface HeldBack {
+  /** IP address and port of the peer. */
+  readonly peer: string
+  /** Requests that are open. */
+  readonly requests: number
+}
+
 /** A peer that has just read a response, or has just connected, may be sending its next request. */
 export const IDLE_CLOSE_MS = 500
 /**
@@ -103,6 +111,8 @@
   idleBytes: number
   /** Why what follows the whole requests that are handled is refused after their answers; null if it isn't. */
   refusal: NodeJS.ErrnoException | null
+  /** Whether it was reported that its peer sends too much ahead. */
+  isHeldBackReported: boolean
   isClosing: boolean
 }
 
@@ -113,22 +123,23 @@
  * @param server - The server; it must not have accepted connections yet.
  * @param handle - Handles requests. It is not called for those that arrive after their connection was ended.
  * @param onIdleClose - Called before a connection is closed after the server's `keepAliveTimeout`.
+ * @param onHeldBack - Called the first time that a peer has sent more ahead than is parsed.
  * @returns The tracker.
  */
-export function trackConnections (server: http.Server | https.Server, handle: http.RequestListener, onIdleClose: (close: IdleClose) => void = () => {}): ConnectionTracker {
+export function trackConnections (server: http.Server | https.Server, handle: http.RequestListener, onIdleClose: (close: IdleClose) => void = () => {}, onHeldBack: (held: HeldBack) => void = () => {}): ConnectionTracker {
   const connections = new Map<net.Socket, Connection>()
   let isDraining = false
   let accepted = 0
 
   function addConnection (socket: net.Socket): void {
-    const feed = createParserFeed.createParserFeed(socket, () => decideFeed(connection), () => countBodyBytes(connection), (run) => {
+    const feed = createParserFeed.createParserFeed(socket, () => decide(connection), () => countBodyBytes(connection), (run) => {
       runInTurns.runInTurns(() => {
         connection.requestsBeforeTurn = connection.requests
         connection.discardedBeforeTurn = connection.feed.readBytes()
         run()
       }, UNITS_PER_TURN)
     })
-    const connection: Connection = { socket, feed, responses: new Map(), requests: 0, requestsBeforeTurn: 0, lastRequest: null, discardedBeforeTurn: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isClosing: false }
+    const connection: Connection = { socket, feed, responses: new Map(), requests: 0, requestsBeforeTurn: 0, lastRequest: null, discardedBeforeTurn: 0, writtenBefore: 0, idleSince: performance.now(), idleBytes: socket.bytesRead, refusal: null, isHeldBackReported: false, isClosing: false }
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
@@ -165,6 +176,16 @@
     handle(request, response)
   }
 
+  function decide (connection: Connection): createParserFeed.FeedDecision {
+    const decision = decideFeed(connection)
+    const { socket, responses, refusal, isHeldBackReported } = connection
+    if (decision === 'held' && refusal === null && !isHeldBackReported) {
+      connection.isHeldBackReported = true
+      onHeldBack({ peer: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, requests: responses.size })
+    }
+    return decision
+  }
+
   function noteIdle (connection: Connection): void {
     connection.idleSince = performance.now()
     connection.idleBytes = connection.socket.bytesRead
--- a/packages/rpc/src/trackConnections/requestsAhead.test.ts
+++ b/packages/rpc/src/trackConnections/requestsAhead.test.ts
@@ -252,3 +252,21 @@
   await waitUntil(() => answers >= 2, () => `${answers} answers`)
   assert.ok(mostBytes > 0 && mostBytes <= MAXIMUM_DISCARDED_IN_TURN, `${mostBytes} bytes in a turn`)
 })
+
+nodeTest.test('a peer that sends more ahead than is parsed is reported once with its address, and one that sends a few is not', LIMIT, async (context) => {
+  const reports: trackConnections.HeldBack[] = []
+  const responses: http.ServerResponse[] = []
+  const server = http.createServer({ requestTimeout: 0 })
+  const tracker = trackConnections.trackConnections(server, (_request, response) => { responses.push(response) }, () => {}, (held) => { reports.push(held) })
+  context.after(tracker.abort)
+  await new Promise<void>((resolve) => { server.listen(0, HOST, resolve) })
+  const { port } = server.address() as net.AddressInfo
+  const [few, many] = [net.connect(port, HOST), net.connect(port, HOST)]
+  for (const socket of [few, many]) context.after(() => { socket.destroy() })
+  few.write(formatRequests(8))
+  many.write(formatRequests(SENT_REQUESTS))
+  await waitUntil(() => reports.length > 0 && responses.length >= 8, () => `${reports.length} reports, ${responses.length} requests`)
+  await types.delay(SETTLE_MS)
+  assert.deepEqual(reports.map(({ peer }) => peer), [`${HOST}:${many.localPort ?? 0}`])
+  assert.ok((reports[0]?.requests ?? 0) >= trackConnections.MAXIMUM_OPEN_REQUESTS)
+})
